--- /dev/null
+++ b/Makefile
@@ -0,0 +1,63 @@
+# bergamotplank.  "make demo" and "make check" install what they need.
+
+PACKAGES = gcc make pkg-config clang-format clang-tidy protobuf-c-compiler \
+	libglib2.0-dev libsoup-3.0-dev libyajl-dev libprotobuf-c-dev \
+	libargtable2-dev libtalloc-dev libxxhash-dev libgsl-dev \
+	libnghttp2-dev libcurl4-openssl-dev mandoc
+MODULES = glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 yajl libprotobuf-c \
+	talloc libxxhash gsl libnghttp2
+
+CC = gcc
+CFLAGS = -O2 -g
+WARN = -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -Werror
+CPPFLAGS = -Isrc -Igen `pkg-config --cflags $(MODULES)`
+LIBS = `pkg-config --libs $(MODULES)` -largtable2 -lm
+BUILD = build
+
+GEN = $(wildcard gen/*.c)
+SRC = $(wildcard src/*.c)
+DECIDE = $(wildcard src/decide/*.c)
+MAIN = src/main.c
+
+GEN_O = $(GEN:%.c=$(BUILD)/%.o)
+LIB_O = $(filter-out $(BUILD)/src/main.o,$(SRC:%.c=$(BUILD)/%.o)) \
+	$(DECIDE:%.c=$(BUILD)/%.o) $(GEN_O)
+BIN = $(BUILD)/bergamotplank
+FAKES = $(BUILD)/fakedb $(BUILD)/fakeplatform
+
+all: $(BIN) $(FAKES)
+
+$(BUILD)/gen/%.o: gen/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -std=gnu11 $(CPPFLAGS) -MMD -c -o $@ $<
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) $(WARN) $(CPPFLAGS) -MMD -c -o $@ $<
+
+$(BUILD)/libbergamotplank.a: $(LIB_O)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BIN): $(BUILD)/src/main.o $(BUILD)/libbergamotplank.a
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/fake%: $(BUILD)/tests/fake/fake%.o $(BUILD)/libbergamotplank.a
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+# The generated code is committed; this makes it anew from schema/.
+generate:
+	protoc-c --proto_path=schema --c_out=gen schema/*.proto
+	awk -f schema/ranges.awk schema/*.proto >gen/ranges.c
+
+format:
+	clang-format -i src/*.[ch] src/decide/*.[ch] tests/*.[ch] \
+	    tests/*/*.[ch]
+
+clean:
+	rm -rf $(BUILD)
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+.PHONY: all generate format clean
--- /dev/null
+++ b/src/arena.c
@@ -0,0 +1,134 @@
+#include "bergamotplank.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/* Requests rarely need more than this; a pool saves their small mallocs. */
+#define POOL_BYTES 4096
+
+/*
+ * Make an empty arena.  Free it with arena_free().
+ */
+arena_t *
+arena_new(void)
+{
+	return talloc_pool(NULL, POOL_BYTES);
+}
+
+/*
+ * Make an arena that is freed with its parent at the latest.
+ */
+arena_t *
+arena_child(arena_t *parent)
+{
+	return talloc_new(parent);
+}
+
+/*
+ * Free an arena and all that was allocated in it.  NULL is allowed.
+ */
+void
+arena_free(arena_t *arena)
+{
+	if (arena != NULL)
+		talloc_free(arena);
+}
+
+/*
+ * Move one allocation, with all that hangs below it, to another arena.
+ */
+void
+arena_steal(arena_t *arena, const void *p)
+{
+	(void)talloc_steal(arena, p);
+}
+
+/*
+ * Allocate size_bytes zeroed bytes.  Never fails: the process stops when
+ * memory is out, as it does in GLib.
+ */
+void *
+arena_zero(arena_t *arena, uint64_t size_bytes)
+{
+	void *p = talloc_zero_size(arena, size_bytes);
+
+	g_assert(p != NULL);
+	return p;
+}
+
+/*
+ * Copy a string; NULL gives NULL.
+ */
+char *
+arena_strdup(arena_t *arena, const char *s)
+{
+	return s == NULL ? NULL : talloc_strdup(arena, s);
+}
+
+/*
+ * Copy at most size_bytes bytes of a string.
+ */
+char *
+arena_strndup(arena_t *arena, const char *s, uint64_t size_bytes)
+{
+	return talloc_strndup(arena, s, size_bytes);
+}
+
+/*
+ * Format a string into the arena.
+ */
+char *
+arena_printf(arena_t *arena, const char *format, ...)
+{
+	va_list ap;
+	char *s;
+
+	va_start(ap, format);
+	s = talloc_vasprintf(arena, format, ap);
+	va_end(ap);
+	return s;
+}
+
+/*
+ * Copy size_bytes bytes into the arena.
+ */
+void *
+arena_copy(arena_t *arena, const void *p, uint64_t size_bytes)
+{
+	void *q = talloc_size(arena, size_bytes > 0 ? size_bytes : 1);
+
+	g_assert(q != NULL);
+	memcpy(q, p, size_bytes);
+	return q;
+}
+
+/*
+ * Note a fault of a file; faults->arena holds the text.
+ */
+void
+faults_add(faults_t *faults, uint32_t line, const char *format, ...)
+{
+	va_list ap;
+	fault_t *fault;
+
+	faults->list = talloc_realloc(
+	    faults->arena, faults->list, fault_t, faults->count + 1);
+	fault = &faults->list[faults->count++];
+	fault->line = line;
+	va_start(ap, format);
+	fault->reason = talloc_vasprintf(faults->arena, format, ap);
+	va_end(ap);
+}
+
+/*
+ * The line in which a message that was read began; 1 when it is not known.
+ */
+uint32_t
+faults_line(const faults_t *faults, const void *message)
+{
+	gpointer line = faults->lines == NULL
+	    ? NULL
+	    : g_hash_table_lookup(faults->lines, message);
+
+	return line == NULL ? 1 : GPOINTER_TO_UINT(line);
+}
--- /dev/null
+++ b/src/backend_h2.c
@@ -0,0 +1,164 @@
+#include "backend.h"
+#include "h2.h"
+#include "json.h"
+
+#include <errno.h>
+
+#define STATUS_OK 200
+
+struct backend {
+	const backend_events_t *events;
+	void *context;
+	h2_t *h2;
+	GHashTable *calls; /* of call_t by stream */
+};
+
+typedef struct call {
+	backend_call_t kind;
+	uint64_t tag;
+} call_t;
+
+static const struct {
+	const char *path;
+	const ProtobufCMessageDescriptor *answer;
+} kinds[BACKEND_CALLS] = {
+    [BACKEND_STATEMENT] = {"/statement", &bp__db_answer__descriptor},
+    [BACKEND_STATUS] = {"/status", &bp__db_status__descriptor},
+    [BACKEND_FENCE] = {"/fence", &bp__db_answer__descriptor},
+    [BACKEND_PROMOTE] = {"/promote", &bp__db_answer__descriptor},
+    [BACKEND_FOLLOW] = {"/follow", &bp__db_answer__descriptor},
+};
+
+/*
+ * The connection is open.
+ */
+static void
+on_opened(void *context)
+{
+	backend_t *backend = context;
+
+	backend->events->opened(backend->context);
+}
+
+/*
+ * An answer has come whole: decode it for the call that it belongs to.
+ */
+static void
+on_answered(void *context, int32_t stream, uint32_t status, const char *body,
+    uint32_t size_bytes)
+{
+	backend_t *backend = context;
+	call_t *call =
+	    g_hash_table_lookup(backend->calls, GINT_TO_POINTER(stream));
+	ProtobufCMessage *message = NULL;
+	faults_t faults = {0};
+	call_t made;
+
+	if (call == NULL)
+		return;
+	made = *call;
+	g_hash_table_remove(backend->calls, GINT_TO_POINTER(stream));
+	faults.arena = arena_new();
+	if (status == STATUS_OK)
+		message = json_read(faults.arena, kinds[made.kind].answer, body,
+		    size_bytes, &faults);
+	backend->events->answered(
+	    backend->context, made.kind, made.tag, message);
+	arena_free(faults.arena);
+}
+
+/*
+ * The other side answered a ping.
+ */
+static void
+on_ponged(void *context)
+{
+	backend_t *backend = context;
+
+	backend->events->alive(backend->context);
+}
+
+/*
+ * The connection is gone.
+ */
+static void
+on_closed(void *context, int32_t error)
+{
+	backend_t *backend = context;
+
+	backend->events->closed(backend->context, error);
+}
+
+static const h2_ops_t h2_ops = {
+    on_opened, on_answered, NULL, on_ponged, on_closed};
+
+/*
+ * Begin to open a connection; NULL when the address cannot be used.
+ */
+static backend_t *
+h2_backend_open(GMainContext *main, const char *address, uint32_t port,
+    const backend_events_t *events, void *context)
+{
+	backend_t *backend = g_new0(backend_t, 1);
+
+	backend->events = events;
+	backend->context = context;
+	backend->calls = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	backend->h2 = h2_connect(main, address, port, &h2_ops, backend);
+	if (backend->h2 == NULL) {
+		g_hash_table_unref(backend->calls);
+		g_free(backend);
+		return NULL;
+	}
+	return backend;
+}
+
+/*
+ * Send one call.
+ */
+static int32_t
+h2_backend_call(backend_t *backend, backend_call_t kind, uint64_t tag,
+    const ProtobufCMessage *message)
+{
+	arena_t *arena = arena_new();
+	uint64_t size_bytes = 0;
+	const char *body = "";
+	call_t *call;
+	int32_t stream;
+
+	if (message != NULL)
+		body = json_write(arena, message, &size_bytes);
+	stream =
+	    h2_ask(backend->h2, kinds[kind].path, body, (uint32_t)size_bytes);
+	arena_free(arena);
+	if (stream < 0)
+		return stream;
+	call = g_new0(call_t, 1);
+	call->kind = kind;
+	call->tag = tag;
+	g_hash_table_insert(backend->calls, GINT_TO_POINTER(stream), call);
+	return 0;
+}
+
+/*
+ * Ask for a sign of life.
+ */
+static void
+h2_backend_ping(backend_t *backend)
+{
+	h2_ping(backend->h2);
+}
+
+/*
+ * Close the connection and free it.
+ */
+static void
+h2_backend_close(backend_t *backend)
+{
+	h2_free(backend->h2);
+	g_hash_table_unref(backend->calls);
+	g_free(backend);
+}
+
+const backend_ops_t backend_h2 = {
+    h2_backend_open, h2_backend_call, h2_backend_ping, h2_backend_close};
--- /dev/null
+++ b/src/bergamotplank.h
@@ -0,0 +1,62 @@
+#ifndef BERGAMOTPLANK_H
+#define BERGAMOTPLANK_H
+
+#include <glib.h>
+#include <protobuf-c/protobuf-c.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* What every part of the daemon shares: memory, clocks and logs. */
+
+#define BP_VERSION "0.1.0"
+
+#define US_PER_MS 1000
+#define MS_PER_S 1000
+
+/* An arena: everything allocated in it is freed at once. */
+typedef void arena_t;
+
+arena_t *arena_new(void);
+arena_t *arena_child(arena_t *);
+void arena_free(arena_t *);
+void arena_steal(arena_t *, const void *);
+void *arena_zero(arena_t *, uint64_t);
+char *arena_strdup(arena_t *, const char *);
+char *arena_strndup(arena_t *, const char *, uint64_t);
+char *arena_printf(arena_t *, const char *, ...) G_GNUC_PRINTF(2, 3);
+void *arena_copy(arena_t *, const void *, uint64_t);
+
+/* Generated messages that live in an arena. */
+ProtobufCMessage *message_new(arena_t *, const ProtobufCMessageDescriptor *);
+ProtobufCMessage *message_unpack(
+    arena_t *, const ProtobufCMessageDescriptor *, const uint8_t *, uint32_t);
+ProtobufCMessage *message_copy(arena_t *, const ProtobufCMessage *);
+uint8_t *message_pack(arena_t *, const ProtobufCMessage *, uint32_t *);
+
+int64_t clock_us(void);
+int64_t clock_ms(void);
+
+/* One line each; the prefix names the part. */
+#define LOG_PART(part, level, ...) \
+	log_line(part, level, __FILE__, G_STRINGIFY(__LINE__), __VA_ARGS__)
+void log_line(const char *, GLogLevelFlags, const char *, const char *,
+    const char *, ...) G_GNUC_PRINTF(5, 6);
+void log_start(GLogLevelFlags);
+
+/* A line of a file, and what is wrong there. */
+typedef struct fault {
+	uint32_t line;
+	char *reason;
+} fault_t;
+
+typedef struct faults {
+	arena_t *arena;
+	fault_t *list;
+	uint32_t count;
+	GHashTable *lines; /* where given: line of each message read */
+} faults_t;
+
+uint32_t faults_line(const faults_t *, const void *message);
+void faults_add(faults_t *, uint32_t, const char *, ...) G_GNUC_PRINTF(3, 4);
+
+#endif
--- /dev/null
+++ b/src/decide/owner.c
@@ -0,0 +1,66 @@
+#include "owner.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/*
+ * The weight of a member for a key.
+ */
+static uint64_t
+weight_of(const char *member, const char *key)
+{
+	uint64_t seed = XXH64(key, strlen(key), 0);
+
+	return XXH64(member, strlen(member), seed);
+}
+
+/*
+ * Rendezvous hashing: the member with the highest weight for this key, or -1
+ * of none.  All daemons that know the same members agree; those that do not
+ * may differ, which costs time and never correctness.
+ */
+int32_t
+owner_pick(const char *const *members, uint32_t count, const char *key)
+{
+	uint64_t weight, best_weight = 0;
+	int32_t best = -1;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		weight = weight_of(members[i], key);
+		if (best < 0 || weight > best_weight ||
+		    (weight == best_weight &&
+			strcmp(members[i], members[best]) < 0)) {
+			best = (int32_t)i;
+			best_weight = weight;
+		}
+	}
+	return best;
+}
+
+/*
+ * How many members weigh more for a key than self does: 0 for the first.
+ */
+uint32_t
+owner_rank(const char *const *members, uint32_t count, const char *self,
+    const char *key)
+{
+	uint64_t own = weight_of(self, key);
+	uint32_t i, rank = 0;
+
+	for (i = 0; i < count; i++) {
+		if (strcmp(members[i], self) != 0 &&
+		    weight_of(members[i], key) > own)
+			rank++;
+	}
+	return rank;
+}
+
+/*
+ * Which of the buckets a caller's key belongs to.
+ */
+uint32_t
+key_spread(const char *key, uint32_t buckets)
+{
+	return (uint32_t)(XXH64(key, strlen(key), 0) % buckets);
+}
--- /dev/null
+++ b/src/decide/owner.h
@@ -0,0 +1,11 @@
+#ifndef DECIDE_OWNER_H
+#define DECIDE_OWNER_H
+
+#include "decide.h"
+
+int32_t owner_pick(const char *const *members, uint32_t count, const char *key);
+uint32_t owner_rank(const char *const *members, uint32_t count,
+    const char *self, const char *key);
+uint32_t key_spread(const char *key, uint32_t buckets);
+
+#endif
--- /dev/null
+++ b/src/decide/promote.c
@@ -0,0 +1,435 @@
+#include "promote.h"
+
+#include <string.h>
+
+#define BACKOFF_DOUBLINGS_MAX 4
+#define REFUSED_SUSPECT 2
+#define FOLLOW_REPEAT_US (US_PER_SECOND / 5)
+#define ODD_PROMISE_US (US_PER_SECOND / 2)
+#define LEARNING_US (US_PER_SECOND / 4)
+
+/*
+ * Enter a state.
+ */
+static void
+enter(promote_t *promote, promote_state_t state, int64_t now_us)
+{
+	promote->state = state;
+	promote->since_us = now_us;
+}
+
+/*
+ * Begin with nothing known.  The seed gives the back-offs.
+ */
+void
+promote_init(promote_t *promote, const promote_limits_t *limits, uint32_t count,
+    uint32_t seed, int64_t now_us)
+{
+	uint32_t i;
+
+	memset(promote, 0, sizeof(*promote));
+	promote->limits = *limits;
+	promote->count = count;
+	promote->rand = g_rand_new_with_seed(seed);
+	promote->wait_us = now_us + LEARNING_US;
+	for (i = 0; i < count; i++)
+		promote->heard_us[i] = now_us;
+	enter(promote, PROMOTE_LEARNING, now_us);
+}
+
+/*
+ * Free what promote_init() made.
+ */
+void
+promote_clear(promote_t *promote)
+{
+	g_rand_free(promote->rand);
+	promote->rand = NULL;
+}
+
+/*
+ * The database that is primary in the highest term known, or -1.  It is only
+ * a hint: a majority may already be past its term.
+ */
+int32_t
+promote_primary(const promote_t *promote)
+{
+	int32_t best = -1;
+	uint32_t i;
+
+	for (i = 0; i < promote->count; i++) {
+		const db_view_t *view = &promote->views[i];
+
+		if (view->known && view->primary &&
+		    (best < 0 ||
+			view->promised > promote->views[best].promised))
+			best = (int32_t)i;
+	}
+	return best;
+}
+
+/*
+ * The highest term that any database was seen to promise.
+ */
+static uint64_t
+highest_promise(const promote_t *promote)
+{
+	uint64_t term = 0;
+	uint32_t i;
+
+	for (i = 0; i < promote->count; i++) {
+		if (promote->views[i].known)
+			term = MAX(term, promote->views[i].promised);
+	}
+	return term;
+}
+
+/*
+ * How many databases are known.
+ */
+static uint32_t
+known_count(const promote_t *promote)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < promote->count; i++)
+		n += promote->views[i].known;
+	return n;
+}
+
+/*
+ * Wait a random time before anything else is tried; it doubles with each
+ * failure, so that two daemons that race soon leave each other room.
+ */
+static void
+back_off(promote_t *promote, int64_t now_us)
+{
+	uint32_t doublings = MIN(promote->failures, BACKOFF_DOUBLINGS_MAX);
+	int64_t base_us = promote->limits.backoff_us << doublings;
+
+	promote->failures++;
+	promote->wait_us = now_us +
+	    (int64_t)(g_rand_double(promote->rand) * (double)base_us) +
+	    promote->limits.backoff_us / 4;
+	enter(promote, PROMOTE_BACKOFF, now_us);
+}
+
+/*
+ * A database answered a question about its state.
+ */
+void
+promote_heard(promote_t *promote, uint32_t database, const db_view_t *heard,
+    int64_t now_us)
+{
+	view_update(&promote->views[database], heard);
+	promote->heard_us[database] = now_us;
+	promote->refused[database] = 0;
+}
+
+/*
+ * A database refused a connection: stronger than silence.
+ */
+void
+promote_refused(promote_t *promote, uint32_t database, int64_t now_us)
+{
+	(void)now_us;
+	promote->refused[database]++;
+}
+
+/*
+ * Tell whether the primary has given no sign of life for this long.
+ */
+static bool
+primary_silent(const promote_t *promote, int64_t now_us, int64_t bound_us)
+{
+	int32_t primary = promote_primary(promote);
+
+	if (primary < 0)
+		return true;
+	return promote->refused[primary] >= REFUSED_SUSPECT ||
+	    now_us - promote->heard_us[primary] >= bound_us;
+}
+
+/*
+ * Ask every database to promise a term above all seen.
+ */
+static void
+begin_fencing(promote_t *promote, int64_t now_us, promote_actions_t *actions)
+{
+	uint32_t i;
+
+	promote->term = highest_promise(promote) + 1;
+	memset(promote->granted, 0, sizeof(promote->granted));
+	for (i = 0; i < promote->count; i++)
+		actions->list[actions->count++] =
+		    (promote_action_t){PROMOTE_FENCE, i, promote->term};
+	enter(promote, PROMOTE_FENCING, now_us);
+}
+
+/*
+ * The witness answered.  When it reaches the primary, the change waits until
+ * the silence has lasted long enough to stand against the witness.
+ */
+void
+promote_witness_heard(
+    promote_t *promote, uint64_t witness, bool reached, int64_t now_us)
+{
+	if (promote->state != PROMOTE_WITNESS || witness != promote->witness)
+		return;
+	if (reached) {
+		promote->wait_us = now_us + promote->limits.suspect_us;
+		enter(promote, PROMOTE_BACKOFF, now_us);
+	} else {
+		/* the next tick goes on at once */
+		promote->since_us = now_us - promote->limits.witness_us;
+	}
+}
+
+/*
+ * The granted database with the highest position; among equals one that
+ * stays is better than one that leaves.  Only sound with a majority granted.
+ */
+static uint32_t
+choose(const promote_t *promote)
+{
+	uint32_t i, best = UINT32_MAX;
+	int32_t order;
+
+	for (i = 0; i < promote->count; i++) {
+		if (!promote->granted[i])
+			continue;
+		if (best == UINT32_MAX) {
+			best = i;
+			continue;
+		}
+		order = position_compare(
+		    promote->granted_at[i], promote->granted_at[best]);
+		if (order > 0 ||
+		    (order == 0 && promote->views[best].leaving &&
+			!promote->views[i].leaving))
+			best = i;
+	}
+	return best;
+}
+
+/*
+ * How many databases have granted the term.
+ */
+static uint32_t
+granted_count(const promote_t *promote)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < promote->count; i++)
+		n += promote->granted[i];
+	return n;
+}
+
+/*
+ * A database answered a fence.  Only a grant of the term now being tried
+ * counts, with the position the database had when it promised.
+ */
+void
+promote_fenced(promote_t *promote, uint32_t database, uint64_t term,
+    bool granted, const db_view_t *view, int64_t now_us)
+{
+	promote_heard(promote, database, view, now_us);
+	if (promote->state != PROMOTE_FENCING || term != promote->term)
+		return;
+	if (granted) {
+		promote->granted[database] = true;
+		promote->granted_at[database] = view->last;
+	} else if (view->promised >= term) {
+		back_off(promote, now_us); /* another daemon is ahead */
+	}
+}
+
+/*
+ * The chosen database answered.
+ */
+void
+promote_raised(promote_t *promote, uint32_t database, uint64_t term, bool ok,
+    const db_view_t *view, int64_t now_us)
+{
+	promote_heard(promote, database, view, now_us);
+	if (promote->state != PROMOTE_RAISING || term != promote->term ||
+	    database != promote->chosen)
+		return;
+	if (!ok) {
+		back_off(promote, now_us);
+		return;
+	}
+	promote->failures = 0;
+	promote->handover = false;
+	enter(promote, PROMOTE_STEADY, now_us);
+}
+
+/*
+ * The primary is leaving, has no work left, and a database that stays holds
+ * all it holds: change over now.
+ */
+void
+promote_handover(promote_t *promote, int64_t now_us)
+{
+	(void)now_us;
+	promote->handover = true;
+}
+
+/*
+ * Tell every database that is behind the primary's term to follow it; an old
+ * primary that came back steps down by this.
+ */
+static void
+follow_stragglers(
+    promote_t *promote, int64_t now_us, promote_actions_t *actions)
+{
+	int32_t primary = promote_primary(promote);
+	uint64_t term = promote->views[primary].promised;
+	uint32_t i;
+
+	for (i = 0; i < promote->count; i++) {
+		if ((int32_t)i == primary || !promote->views[i].known ||
+		    promote->views[i].promised >= term ||
+		    now_us - promote->follow_us[i] < FOLLOW_REPEAT_US)
+			continue;
+		promote->follow_us[i] = now_us;
+		actions->list[actions->count++] =
+		    (promote_action_t){PROMOTE_FOLLOW, i, term};
+	}
+}
+
+/*
+ * Tell whether a database has for some time promised a term above the
+ * primary's: a change that was begun and never ended.  That database takes
+ * no replication until a still higher term begins.
+ */
+static bool
+promise_stuck(promote_t *promote, int64_t now_us)
+{
+	int32_t primary = promote_primary(promote);
+
+	if (highest_promise(promote) <= promote->views[primary].promised) {
+		promote->odd_us = 0;
+		return false;
+	}
+	if (promote->odd_us == 0)
+		promote->odd_us = now_us;
+	return now_us - promote->odd_us >= ODD_PROMISE_US;
+}
+
+/*
+ * LEARNING and BACKOFF: go on when a primary shows itself, or try when the
+ * wait is over and a majority is known.
+ */
+static void
+tick_waiting(promote_t *promote, int64_t now_us, promote_actions_t *actions)
+{
+	int32_t primary = promote_primary(promote);
+
+	if (primary >= 0 &&
+	    promote->views[primary].promised == highest_promise(promote) &&
+	    !primary_silent(promote, now_us, promote->limits.suspect_us) &&
+	    !promote->handover) {
+		promote->failures = 0;
+		enter(promote, PROMOTE_STEADY, now_us);
+		return;
+	}
+	if (now_us < promote->wait_us ||
+	    known_count(promote) < majority_of(promote->count))
+		return;
+	if (primary >= 0 && promote->failures == 0 && !promote->handover &&
+	    !primary_silent(promote, now_us, promote->limits.distrust_us)) {
+		/* the witness reached it: ask again while the silence lasts */
+		promote->witness++;
+		actions->list[actions->count++] = (promote_action_t){
+		    PROMOTE_ASK_WITNESS, (uint32_t)primary, 0};
+		enter(promote, PROMOTE_WITNESS, now_us);
+		return;
+	}
+	begin_fencing(promote, now_us, actions);
+}
+
+/*
+ * STEADY: keep the others behind the primary, and watch it.
+ */
+static void
+tick_steady(promote_t *promote, int64_t now_us, promote_actions_t *actions)
+{
+	int32_t primary = promote_primary(promote);
+
+	if (primary < 0) {
+		promote->wait_us = now_us;
+		enter(promote, PROMOTE_LEARNING, now_us);
+		return;
+	}
+	if (promote->handover || promise_stuck(promote, now_us)) {
+		promote->odd_us = 0;
+		begin_fencing(promote, now_us, actions);
+		return;
+	}
+	follow_stragglers(promote, now_us, actions);
+	if (primary_silent(promote, now_us, promote->limits.suspect_us)) {
+		promote->witness++;
+		actions->list[actions->count++] = (promote_action_t){
+		    PROMOTE_ASK_WITNESS, (uint32_t)primary, 0};
+		enter(promote, PROMOTE_WITNESS, now_us);
+	}
+}
+
+/*
+ * WITNESS: the primary spoke again, or the witness did not reach it either,
+ * or there is none.
+ */
+static void
+tick_witness(promote_t *promote, int64_t now_us, promote_actions_t *actions)
+{
+	if (!primary_silent(promote, now_us, promote->limits.suspect_us))
+		enter(promote, PROMOTE_STEADY, now_us);
+	else if (now_us - promote->since_us >= promote->limits.witness_us)
+		begin_fencing(promote, now_us, actions);
+}
+
+/*
+ * FENCING: with a majority, raise the one that is furthest.
+ */
+static void
+tick_fencing(promote_t *promote, int64_t now_us, promote_actions_t *actions)
+{
+	if (granted_count(promote) >= majority_of(promote->count)) {
+		promote->chosen = choose(promote);
+		actions->list[actions->count++] = (promote_action_t){
+		    PROMOTE_RAISE, promote->chosen, promote->term};
+		enter(promote, PROMOTE_RAISING, now_us);
+	} else if (now_us - promote->since_us >= promote->limits.fence_us) {
+		back_off(promote, now_us);
+	}
+}
+
+/*
+ * Decide what to do now.  Called often; actions are appended to an empty
+ * list.
+ */
+void
+promote_tick(promote_t *promote, int64_t now_us, promote_actions_t *actions)
+{
+	actions->count = 0;
+	switch (promote->state) {
+	case PROMOTE_LEARNING:
+	case PROMOTE_BACKOFF:
+		tick_waiting(promote, now_us, actions);
+		break;
+	case PROMOTE_STEADY:
+		tick_steady(promote, now_us, actions);
+		break;
+	case PROMOTE_WITNESS:
+		tick_witness(promote, now_us, actions);
+		break;
+	case PROMOTE_FENCING:
+		tick_fencing(promote, now_us, actions);
+		break;
+	case PROMOTE_RAISING:
+		if (now_us - promote->since_us >= promote->limits.raise_us)
+			back_off(promote, now_us);
+		break;
+	}
+}
--- /dev/null
+++ b/src/decide/rankq.h
@@ -0,0 +1,37 @@
+#ifndef DECIDE_RANKQ_H
+#define DECIDE_RANKQ_H
+
+#include "decide.h"
+
+#include <glib.h>
+
+/*
+ * The queue of one group: urgent work first, a floor share for each other
+ * rank, and turns among the accounts of a rank.
+ */
+typedef struct rankq rankq_t;
+
+/* One waiting statement; the owner keeps it inside its own structure. */
+typedef struct rankq_item {
+	uint32_t rank; /* 0 is the most urgent */
+	const char *account;
+	int64_t deadline_us;
+	int64_t queued_us;
+	void *owner;
+	bool queued;
+	void *turn; /* the queue's own */
+	GList link; /* the queue's own */
+} rankq_item_t;
+
+rankq_t *rankq_new(const uint32_t floor_percent[RANKS]);
+void rankq_free(rankq_t *);
+void rankq_set_floors(rankq_t *, const uint32_t floor_percent[RANKS]);
+void rankq_push(rankq_t *, rankq_item_t *, bool front);
+rankq_item_t *rankq_pop(rankq_t *);
+void rankq_remove(rankq_t *, rankq_item_t *);
+rankq_item_t *rankq_expired(rankq_t *, int64_t now_us);
+uint32_t rankq_count(const rankq_t *);
+int64_t rankq_wait_us(const rankq_t *, uint32_t rank, const char *account,
+    double served_per_second);
+
+#endif
--- /dev/null
+++ b/src/document.h
@@ -0,0 +1,20 @@
+#ifndef DOCUMENT_H
+#define DOCUMENT_H
+
+#include "bergamotplank.h"
+#include "document.pb-c.h"
+#include "settings.pb-c.h"
+
+Bp__Settings *settings_read(
+    arena_t *, const char *text, uint64_t size_bytes, faults_t *);
+Bp__Document *document_read(
+    arena_t *, const char *text, uint64_t size_bytes, faults_t *);
+void document_check_change(
+    const Bp__Document *old, const Bp__Document *changed, faults_t *);
+
+const Bp__Work *document_work(const Bp__Document *, const char *name);
+const Bp__RankPolicy *document_rank(const Bp__Document *, Bp__Rank);
+const Bp__Group *document_group(const Bp__Document *, const char *name);
+bool document_has_account(const Bp__Document *, const char *name);
+
+#endif
--- /dev/null
+++ b/src/json.h
@@ -0,0 +1,10 @@
+#ifndef JSON_H
+#define JSON_H
+
+#include "bergamotplank.h"
+
+ProtobufCMessage *json_read(arena_t *, const ProtobufCMessageDescriptor *,
+    const char *text, uint64_t size_bytes, faults_t *);
+char *json_write(arena_t *, const ProtobufCMessage *, uint64_t *size_bytes);
+
+#endif
--- /dev/null
+++ b/src/main.c
@@ -0,0 +1,93 @@
+#include "command.h"
+
+#include <stdio.h>
+#include <string.h>
+
+typedef struct command {
+	const char *name;
+	int32_t (*run)(int argc, char **argv);
+	const char *summary;
+} command_t;
+
+static const command_t commands[] = {
+    {"serve", command_serve, "run the daemon of an entry VM"},
+    {"check", command_check, "check a settings file or a team's document"},
+    {"status", command_status, "show what a running daemon knows"},
+};
+
+/*
+ * Print how to call the program.
+ */
+static void
+usage(FILE *to)
+{
+	uint32_t i;
+
+	fprintf(to,
+	    "usage: bergamotplank command [options]\n"
+	    "       bergamotplank --help | --version\n\ncommands:\n");
+	for (i = 0; i < G_N_ELEMENTS(commands); i++)
+		fprintf(
+		    to, "  %-8s %s\n", commands[i].name, commands[i].summary);
+}
+
+/*
+ * Read a whole file; NULL, with a message printed, when that fails.
+ */
+char *
+command_read_file(const char *path, uint64_t *size_bytes)
+{
+	GError *error = NULL;
+	char *text;
+	gsize size;
+
+	if (!g_file_get_contents(path, &text, &size, &error)) {
+		fprintf(stderr, "bergamotplank: %s\n", error->message);
+		g_error_free(error);
+		return NULL;
+	}
+	*size_bytes = size;
+	return text;
+}
+
+/*
+ * Print every fault of a file, one a line.
+ */
+void
+command_print_faults(const char *path, const faults_t *faults)
+{
+	uint32_t i;
+
+	for (i = 0; i < faults->count; i++)
+		fprintf(stderr, "%s:%u: %s\n", path, faults->list[i].line,
+		    faults->list[i].reason);
+}
+
+/*
+ * Run the subcommand that the first argument names.
+ */
+int
+main(int argc, char **argv)
+{
+	uint32_t i;
+
+	if (argc < 2) {
+		usage(stderr);
+		return EXIT_USAGE;
+	}
+	if (strcmp(argv[1], "--help") == 0 || strcmp(argv[1], "-h") == 0) {
+		usage(stdout);
+		return 0;
+	}
+	if (strcmp(argv[1], "--version") == 0) {
+		printf("bergamotplank %s\n", BP_VERSION);
+		return 0;
+	}
+	for (i = 0; i < G_N_ELEMENTS(commands); i++) {
+		if (strcmp(argv[1], commands[i].name) == 0)
+			return commands[i].run(argc - 1, argv + 1);
+	}
+	fprintf(stderr, "bergamotplank: unknown command %s\n", argv[1]);
+	usage(stderr);
+	return EXIT_USAGE;
+}
--- /dev/null
+++ b/src/peer.c
@@ -0,0 +1,647 @@
+#include "peer.h"
+
+#include <errno.h>
+#include <string.h>
+
+/* The peers' task: links to the other daemons, and what comes over them. */
+
+#define PART "peer"
+#define TICK_MS 20
+#define INBOUND_MAX 8192
+#define FORGET_US (60 * G_USEC_PER_SEC)
+
+static const char *const counter_names[COUNT_PEER_COUNTERS] = {
+    [COUNT_PINGS] = "member_pings",
+    [COUNT_FORWARDS_OUT] = "forwards_out",
+    [COUNT_FORWARDS_IN] = "forwards_in",
+    [COUNT_FORWARDS_LOST] = "forwards_lost",
+    [COUNT_LINKS_DROPPED] = "peer_links_dropped",
+    [COUNT_DOCUMENTS_FETCHED] = "documents_from_peers",
+};
+
+/*
+ * Free a link whose stream is already dealt with.
+ */
+static void
+link_free(link_t *link)
+{
+	frame_free(link->frames);
+	g_hash_table_unref(link->forwards);
+	g_free(link->place);
+	g_free(link);
+}
+
+/*
+ * Tell whether a link that was remembered is still there.
+ */
+bool
+link_is_live(peer_role_t *role, const link_t *link)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (g_ptr_array_find(role->inbound, link, NULL) ||
+	    g_ptr_array_find(role->retired, link, NULL))
+		return true;
+	g_hash_table_iter_init(&iter, role->links);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (value == link)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * The member that listens at a place, or NULL.
+ */
+const member_t *
+member_of_place(peer_role_t *role, const char *place)
+{
+	char text[128];
+	uint32_t i;
+
+	for (i = 0; i < members_count(role->members); i++) {
+		const member_t *member = members_at(role->members, i);
+
+		g_snprintf(text, sizeof(text), "%s:%u", member->news.address,
+		    member->news.port);
+		if (strcmp(text, place) == 0)
+			return member;
+	}
+	return NULL;
+}
+
+/*
+ * End a link: answer for what was on it, and look at its member soon.
+ */
+static void
+link_end(link_t *link)
+{
+	peer_role_t *role = link->role;
+	const member_t *member;
+
+	if (link->retired_us != 0) {
+		g_ptr_array_remove_fast(role->retired, link);
+	} else if (link->place != NULL) {
+		g_hash_table_remove(role->links, link->place);
+		member = member_of_place(role, link->place);
+		if (member != NULL)
+			members_lost(
+			    role->members, member->news.name, clock_us());
+	} else {
+		g_ptr_array_remove_fast(role->inbound, link);
+	}
+	relay_link_gone(role, link);
+	gossip_link_gone(role, link);
+	link_free(link);
+}
+
+/*
+ * The stream of an outgoing link is connected.
+ */
+static void
+on_opened(void *context)
+{
+	link_t *link = context;
+
+	link->opened = true;
+	link->heard_us = clock_us();
+}
+
+/*
+ * Hand one message to what deals with it.
+ */
+static void
+dispatch(peer_role_t *role, link_t *link, const Bp__PeerMessage *message)
+{
+	switch (message->body_case) {
+	case BP__PEER_MESSAGE__BODY_PING:
+		gossip_ping(role, link, message->ping);
+		break;
+	case BP__PEER_MESSAGE__BODY_ACK:
+		gossip_ack(role, link, message->ack);
+		break;
+	case BP__PEER_MESSAGE__BODY_PING_REQUEST:
+		gossip_ping_request(role, link, message->ping_request);
+		break;
+	case BP__PEER_MESSAGE__BODY_PING_REQUEST_ANSWER:
+		gossip_ping_request_answer(role, message->ping_request_answer);
+		break;
+	case BP__PEER_MESSAGE__BODY_DOCUMENT_VERSIONS:
+		gossip_versions(role, link, message->document_versions);
+		break;
+	case BP__PEER_MESSAGE__BODY_DOCUMENT_FETCH:
+		gossip_fetch(role, link, message->document_fetch);
+		break;
+	case BP__PEER_MESSAGE__BODY_DOCUMENT:
+		gossip_document(role, message->document);
+		break;
+	case BP__PEER_MESSAGE__BODY_FORWARD:
+		relay_forward(role, link, message->forward);
+		break;
+	case BP__PEER_MESSAGE__BODY_FORWARD_ANSWER:
+		relay_forward_answer(role, link, message->forward_answer);
+		break;
+	case BP__PEER_MESSAGE__BODY_WITNESS_ASK:
+		relay_witness_ask(role, link, message->witness_ask);
+		break;
+	case BP__PEER_MESSAGE__BODY_WITNESS_TELL:
+		relay_witness_tell(role, message->witness_tell);
+		break;
+	case BP__PEER_MESSAGE__BODY_STATUS_ASK:
+		relay_status_ask(role, link, message->status_ask);
+		break;
+	case BP__PEER_MESSAGE__BODY_STATUS_TELL:
+		relay_status_tell(role, message->status_tell);
+		break;
+	default:
+		break;
+	}
+}
+
+/*
+ * A message has come over a link.
+ */
+static void
+on_received(void *context, arena_t *arena, Bp__PeerMessage *message)
+{
+	link_t *link = context;
+
+	link->heard_us = clock_us();
+	dispatch(link->role, link, message);
+	arena_free(arena);
+}
+
+/*
+ * The stream of a link has ended.
+ */
+static void
+on_closed(void *context, int32_t error)
+{
+	link_t *link = context;
+
+	if (error == -EBADMSG || error == -EMSGSIZE) {
+		link->role->counts[COUNT_LINKS_DROPPED]++;
+		LOG_PART(PART, G_LOG_LEVEL_WARNING,
+		    "A link with unreadable frames was dropped.");
+	}
+	link_end(link);
+}
+
+static const frame_ops_t frame_ops = {on_opened, on_received, on_closed};
+
+/*
+ * Make a link without its frames.
+ */
+static link_t *
+link_new(peer_role_t *role, const char *place)
+{
+	link_t *link = g_new0(link_t, 1);
+
+	link->role = role;
+	link->place = g_strdup(place);
+	link->forwards =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	return link;
+}
+
+/*
+ * The outgoing link to a place, opened when there is none; NULL when the
+ * address cannot be used.
+ */
+link_t *
+link_to(peer_role_t *role, const char *address, uint32_t port)
+{
+	char *place = g_strdup_printf("%s:%u", address, port);
+	link_t *link = g_hash_table_lookup(role->links, place);
+
+	if (link == NULL) {
+		link = link_new(role, place);
+		link->frames = frame_connect(task_context(role->task), address,
+		    port, role->daemon->settings->limits->frame_bytes,
+		    &frame_ops, link);
+		if (link->frames == NULL) {
+			link_free(link);
+			link = NULL;
+		} else {
+			g_hash_table_insert(role->links, link->place, link);
+		}
+	}
+	g_free(place);
+	return link;
+}
+
+/*
+ * The outgoing link to a member.
+ */
+link_t *
+link_to_member(peer_role_t *role, const member_t *member)
+{
+	return link_to(role, member->news.address, member->news.port);
+}
+
+/*
+ * The outgoing link to a member, if there is one.
+ */
+static link_t *
+link_find(peer_role_t *role, const member_t *member)
+{
+	char place[128];
+
+	g_snprintf(place, sizeof(place), "%s:%u", member->news.address,
+	    member->news.port);
+	return g_hash_table_lookup(role->links, place);
+}
+
+/*
+ * End the link to a member that is dead.
+ */
+void
+link_drop(peer_role_t *role, const member_t *member)
+{
+	link_t *link = link_find(role, member);
+
+	if (link != NULL)
+		link_end(link);
+}
+
+/*
+ * A probe over the link to a member had no answer: what is new goes over a
+ * new link; the old one is kept for answers until it is known to be silent.
+ */
+void
+link_retire(peer_role_t *role, const member_t *member)
+{
+	link_t *link = link_find(role, member);
+
+	if (link == NULL)
+		return;
+	if (!link->opened) {
+		link_end(link);
+		return;
+	}
+	g_hash_table_remove(role->links, link->place);
+	link->retired_us = clock_us();
+	g_ptr_array_add(role->retired, link);
+}
+
+/*
+ * End the retired links that have nothing left to answer, and those that
+ * stay silent while the new link to the same place works.
+ */
+static void
+drop_retired(peer_role_t *role, int64_t now_us)
+{
+	int64_t bound_us =
+	    (int64_t)US_PER_MS * role->daemon->settings->timeouts->silence_ms;
+	uint32_t i = role->retired->len;
+
+	while (i-- > 0) {
+		link_t *link = g_ptr_array_index(role->retired, i);
+		const link_t *newer =
+		    g_hash_table_lookup(role->links, link->place);
+		bool spoke = link->heard_us > link->retired_us;
+		bool silent = !spoke && newer != NULL && newer->opened &&
+		    newer->heard_us > link->retired_us &&
+		    now_us - link->retired_us >= bound_us;
+
+		if (silent)
+			LOG_PART(PART, G_LOG_LEVEL_INFO,
+			    "The link to %s is silent and was dropped.",
+			    link->place);
+		if (silent || (spoke && g_hash_table_size(link->forwards) == 0))
+			link_end(link);
+	}
+}
+
+/*
+ * Send a message over a link.  Returns 0 or a negative error number.
+ */
+int32_t
+link_send(link_t *link, const Bp__PeerMessage *message)
+{
+	return frame_send(link->frames, message);
+}
+
+/*
+ * Another daemon connects.
+ */
+static gboolean
+on_incoming(GSocketService *service, GSocketConnection *connection,
+    GObject *source, gpointer context)
+{
+	peer_role_t *role = context;
+	GSocket *socket = g_socket_connection_get_socket(connection);
+	link_t *link;
+
+	(void)service;
+	(void)source;
+	if (role->inbound->len >= INBOUND_MAX) {
+		role->counts[COUNT_LINKS_DROPPED]++;
+		g_io_stream_close(G_IO_STREAM(connection), NULL, NULL);
+		return TRUE;
+	}
+	/* the connection object closes the socket when it goes */
+	g_object_set_data_full(
+	    G_OBJECT(socket), "connection", g_object_ref(connection), NULL);
+	link = link_new(role, NULL);
+	link->opened = true;
+	g_ptr_array_add(role->inbound, link);
+	link->frames =
+	    frame_accept(task_context(role->task), g_object_ref(socket),
+		role->daemon->settings->limits->frame_bytes, &frame_ops, link);
+	return TRUE;
+}
+
+/*
+ * Drop links on which a frame has been only partly there for too long.
+ */
+static void
+drop_slow(peer_role_t *role, int64_t now_us)
+{
+	int64_t bound_us =
+	    (int64_t)US_PER_MS * role->daemon->settings->timeouts->request_ms;
+	uint32_t i = role->inbound->len;
+
+	while (i-- > 0) {
+		link_t *link = g_ptr_array_index(role->inbound, i);
+		int64_t since_us = frame_partial_since_us(link->frames);
+
+		if (since_us != 0 && now_us - since_us >= bound_us) {
+			role->counts[COUNT_LINKS_DROPPED]++;
+			link_end(link);
+		}
+	}
+}
+
+/*
+ * What is to be done now and then.
+ */
+static gboolean
+on_tick(gpointer context)
+{
+	peer_role_t *role = context;
+	int64_t now_us = clock_us();
+
+	gossip_tick(role, now_us);
+	drop_slow(role, now_us);
+	drop_retired(role, now_us);
+	return G_SOURCE_CONTINUE;
+}
+
+/*
+ * Make the role; it is given to task_new().
+ */
+void *
+peer_new(const daemon_t *daemon)
+{
+	const Bp__Settings *settings = daemon->settings;
+	const Bp__Timeouts *timeouts = settings->timeouts;
+	member_limits_t limits = {
+	    (int64_t)timeouts->member_interval_ms * US_PER_MS,
+	    (int64_t)timeouts->member_timeout_ms * US_PER_MS,
+	    (int64_t)timeouts->suspicion_ms * US_PER_MS, FORGET_US};
+	member_news_t self = {settings->name, settings->address, settings->zone,
+	    settings->peer_port, daemon->incarnation, MEMBER_ALIVE};
+	peer_role_t *role = g_new0(peer_role_t, 1);
+	size_t i;
+
+	role->daemon = daemon;
+	role->rand = g_rand_new();
+	role->members = members_new(&limits, &self, g_rand_int(role->rand));
+	role->links = g_hash_table_new(g_str_hash, g_str_equal);
+	role->inbound = g_ptr_array_new();
+	role->retired = g_ptr_array_new();
+	role->relays =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	role->throughs = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, through_free);
+	role->queries = g_hash_table_new(g_int64_hash, g_int64_equal);
+	role->documents =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, held_free);
+	role->seeds = g_ptr_array_new_with_free_func(g_free);
+	for (i = 0; i < settings->n_seeds; i++)
+		g_ptr_array_add(role->seeds,
+		    g_strdup_printf("%s:%u", settings->seeds[i]->address,
+			settings->seeds[i]->port));
+	return role;
+}
+
+/*
+ * Free the role after its task has ended.
+ */
+void
+peer_free(void *context)
+{
+	peer_role_t *role = context;
+
+	members_free(role->members);
+	g_hash_table_unref(role->links);
+	g_ptr_array_unref(role->inbound);
+	g_ptr_array_unref(role->retired);
+	g_hash_table_unref(role->relays);
+	g_hash_table_unref(role->throughs);
+	g_hash_table_unref(role->queries);
+	g_hash_table_unref(role->documents);
+	g_ptr_array_unref(role->seeds);
+	g_rand_free(role->rand);
+	g_free(role);
+}
+
+/*
+ * The task starts: listen for other daemons.
+ */
+static int32_t
+on_start(void *context, task_t *task)
+{
+	peer_role_t *role = context;
+	const Bp__Settings *settings = role->daemon->settings;
+	GSocketAddress *address = g_inet_socket_address_new_from_string(
+	    settings->address, settings->peer_port);
+	GError *error = NULL;
+
+	role->task = task;
+	role->listener = g_socket_service_new();
+	if (!g_socket_listener_add_address(G_SOCKET_LISTENER(role->listener),
+		address, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL,
+		NULL, &error)) {
+		LOG_PART(PART, G_LOG_LEVEL_WARNING,
+		    "Cannot listen on %s port %u: %s.", settings->address,
+		    settings->peer_port, error->message);
+		g_error_free(error);
+		g_object_unref(address);
+		g_object_unref(role->listener);
+		return -EADDRINUSE;
+	}
+	g_object_unref(address);
+	g_signal_connect(
+	    role->listener, "incoming", G_CALLBACK(on_incoming), role);
+	role->tick = task_timer(task, TICK_MS, on_tick, role);
+	gossip_publish(role);
+	return 0;
+}
+
+/*
+ * The task ends: close everything.
+ */
+static void
+on_stop(void *context)
+{
+	peer_role_t *role = context;
+	GList *links = g_hash_table_get_values(role->links), *l;
+
+	source_drop(&role->tick);
+	g_socket_service_stop(role->listener);
+	g_socket_listener_close(G_SOCKET_LISTENER(role->listener));
+	g_object_unref(role->listener);
+	for (l = links; l != NULL; l = l->next)
+		link_end(l->data);
+	g_list_free(links);
+	while (role->retired->len > 0)
+		link_end(g_ptr_array_index(role->retired, 0));
+	while (role->inbound->len > 0)
+		link_end(g_ptr_array_index(role->inbound, 0));
+}
+
+/*
+ * The front end wants a statement handed to another daemon.
+ */
+static void
+on_forward(void *context, msg_t *msg)
+{
+	relay_statement(context, (const Bp__ForwardStatement *)msg->body);
+	msg_free(msg);
+}
+
+/*
+ * A group of ours has answered another daemon's statement.
+ */
+static void
+on_answered(void *context, msg_t *msg)
+{
+	relay_answered(context, (const Bp__StatementAnswered *)msg->body);
+	msg_free(msg);
+}
+
+/*
+ * The platform lists VMs: look for the daemons among them.
+ */
+static void
+on_vms(void *context, msg_t *msg)
+{
+	const Bp__VmsListed *listed = (const Bp__VmsListed *)msg->body;
+	peer_role_t *role = context;
+	const Bp__Settings *settings = role->daemon->settings;
+	size_t i;
+
+	g_ptr_array_set_size(role->seeds, 0);
+	for (i = 0; i < settings->n_seeds; i++)
+		g_ptr_array_add(role->seeds,
+		    g_strdup_printf("%s:%u", settings->seeds[i]->address,
+			settings->seeds[i]->port));
+	for (i = 0; i < listed->n_vms; i++) {
+		const Bp__Vm *vm = listed->vms[i];
+
+		if (vm->daemon && vm->state == BP__VM_STATE__LIVE)
+			g_ptr_array_add(role->seeds,
+			    g_strdup_printf("%s:%u", vm->address, vm->port));
+	}
+	msg_free(msg);
+}
+
+/*
+ * A document is in force here: others may want it.
+ */
+static void
+on_document(void *context, msg_t *msg)
+{
+	gossip_in_force(
+	    context, ((const Bp__DocumentInForce *)msg->body)->accepted);
+	msg_free(msg);
+}
+
+/*
+ * A group of ours wants a second witness.
+ */
+static void
+on_witness_wanted(void *context, msg_t *msg)
+{
+	relay_witness_wanted(context, (const Bp__WitnessWanted *)msg->body);
+	msg_free(msg);
+}
+
+/*
+ * Our groups have probed a database for another daemon.
+ */
+static void
+on_witness_heard(void *context, msg_t *msg)
+{
+	relay_witness_heard(context, (const Bp__WitnessHeard *)msg->body);
+	msg_free(msg);
+}
+
+/*
+ * The daemon leaves: tell the others, so that they send nothing new.
+ */
+static void
+on_drain(void *context, msg_t *msg)
+{
+	peer_role_t *role = context;
+	msg_t *out = msg_new(&bp__drained__descriptor);
+
+	gossip_leave(role);
+	((Bp__Drained *)out->body)->task = arena_strdup(out->arena, "peer");
+	task_send(role->daemon->control, role->task, out);
+	msg_free(msg);
+}
+
+/*
+ * Give this task's part of the status page, after asking the others.
+ */
+static void
+on_status(void *context, msg_t *msg)
+{
+	const Bp__StatusWanted *wanted = (const Bp__StatusWanted *)msg->body;
+
+	relay_status_wanted(context, msg->from, wanted->id);
+	msg_free(msg);
+}
+
+/*
+ * Add the members and the counters to a part of the status page.
+ */
+void
+peer_report(peer_role_t *role, arena_t *arena, Bp__StatusPart *part)
+{
+	counters_t counters = {
+	    counter_names, role->counts, COUNT_PEER_COUNTERS};
+	uint32_t i, n = members_count(role->members);
+
+	counters_report(&counters, arena, part);
+	part->members = arena_zero(arena, sizeof(part->members[0]) * n);
+	for (i = 0; i < n; i++) {
+		const member_t *member = members_at(role->members, i);
+		Bp__MemberStatus *status = (Bp__MemberStatus *)message_new(
+		    arena, &bp__member_status__descriptor);
+
+		status->name = arena_strdup(arena, member->news.name);
+		status->zone = arena_strdup(arena, member->news.zone);
+		status->state = (Bp__MemberState)member->news.state;
+		status->incarnation = member->news.incarnation;
+		part->members[part->n_members++] = status;
+	}
+}
+
+static const task_handler_t handlers[] = {
+    {&bp__forward_statement__descriptor, on_forward},
+    {&bp__statement_answered__descriptor, on_answered},
+    {&bp__vms_listed__descriptor, on_vms},
+    {&bp__document_in_force__descriptor, on_document},
+    {&bp__witness_wanted__descriptor, on_witness_wanted},
+    {&bp__witness_heard__descriptor, on_witness_heard},
+    {&bp__drain__descriptor, on_drain},
+    {&bp__status_wanted__descriptor, on_status},
+};
+
+const task_ops_t peer_ops = {
+    "peer", on_start, on_stop, handlers, G_N_ELEMENTS(handlers)};
--- /dev/null
+++ b/src/peer.h
@@ -0,0 +1,108 @@
+#ifndef PEER_H
+#define PEER_H
+
+#include "daemon.h"
+#include "decide/member.h"
+#include "frame.h"
+#include "stats.h"
+#include "task.pb-c.h"
+
+/*
+ * Inside the peers' task.  peer.c: the role, its links and its messages.
+ * gossip.c: membership and documents.  relay.c: statements, witnesses and
+ * status questions that pass between daemons.
+ */
+
+typedef struct peer_role peer_role_t;
+typedef struct link link_t;
+
+typedef enum peer_counter {
+	COUNT_PINGS,
+	COUNT_FORWARDS_OUT,
+	COUNT_FORWARDS_IN,
+	COUNT_FORWARDS_LOST,
+	COUNT_LINKS_DROPPED,
+	COUNT_DOCUMENTS_FETCHED,
+	COUNT_PEER_COUNTERS,
+} peer_counter_t;
+
+/* One stream to or from another daemon. */
+struct link {
+	peer_role_t *role;
+	frame_link_t *frames;
+	char *place; /* "address:port"; NULL: it came to us */
+	bool opened;
+	int64_t heard_us;
+	int64_t retired_us;   /* a newer link has taken its place */
+	GHashTable *forwards; /* routes by id: statements handed over */
+};
+
+/* A document that this daemon can give to others. */
+typedef struct held {
+	arena_t *arena;
+	Bp__Accepted *accepted;
+} held_t;
+
+struct peer_role {
+	const daemon_t *daemon;
+	task_t *task;
+	members_t *members;
+	GSocketService *listener;
+	GHashTable *links;     /* outgoing, by place */
+	GPtrArray *retired;    /* of link_t: outgoing, replaced as silent */
+	GPtrArray *inbound;    /* of link_t */
+	GHashTable *relays;    /* of relay_t by id */
+	GHashTable *throughs;  /* of through_t by sequence */
+	GHashTable *queries;   /* of query_t by id */
+	GHashTable *documents; /* of held_t by team */
+	GPtrArray *seeds;      /* places of daemons to look for */
+	GSource *tick;
+	int64_t seeds_us;
+	int64_t versions_us;
+	uint64_t next_id;
+	GRand *rand;
+	uint64_t counts[COUNT_PEER_COUNTERS];
+};
+
+/* peer.c */
+link_t *link_to(peer_role_t *, const char *address, uint32_t port);
+link_t *link_to_member(peer_role_t *, const member_t *);
+void link_drop(peer_role_t *, const member_t *);
+void link_retire(peer_role_t *, const member_t *);
+int32_t link_send(link_t *, const Bp__PeerMessage *);
+bool link_is_live(peer_role_t *, const link_t *);
+const member_t *member_of_place(peer_role_t *, const char *place);
+
+/* gossip.c */
+void gossip_tick(peer_role_t *, int64_t now_us);
+void gossip_leave(peer_role_t *);
+void gossip_publish(peer_role_t *);
+void gossip_ping(peer_role_t *, link_t *, const Bp__Ping *);
+void gossip_ack(peer_role_t *, link_t *, const Bp__Ack *);
+void gossip_ping_request(peer_role_t *, link_t *, const Bp__PingRequest *);
+void gossip_ping_request_answer(peer_role_t *, const Bp__PingRequestAnswer *);
+void gossip_versions(peer_role_t *, link_t *, const Bp__DocumentVersions *);
+void gossip_fetch(peer_role_t *, link_t *, const Bp__DocumentFetch *);
+void gossip_document(peer_role_t *, const Bp__Accepted *);
+void gossip_in_force(peer_role_t *, const Bp__Accepted *);
+void gossip_link_gone(peer_role_t *, link_t *);
+Bp__DocumentVersion **gossip_held(peer_role_t *, arena_t *, size_t *count);
+void held_free(gpointer);
+void through_free(gpointer);
+
+/* relay.c */
+void relay_forward(peer_role_t *, link_t *, const Bp__Forward *);
+void relay_answered(peer_role_t *, const Bp__StatementAnswered *);
+void relay_statement(peer_role_t *, const Bp__ForwardStatement *);
+void relay_forward_answer(peer_role_t *, link_t *, const Bp__ForwardAnswer *);
+void relay_witness_wanted(peer_role_t *, const Bp__WitnessWanted *);
+void relay_witness_ask(peer_role_t *, link_t *, const Bp__WitnessAsk *);
+void relay_witness_heard(peer_role_t *, const Bp__WitnessHeard *);
+void relay_witness_tell(peer_role_t *, const Bp__WitnessTell *);
+void relay_status_wanted(peer_role_t *, task_t *from, uint64_t id);
+void relay_status_ask(peer_role_t *, link_t *, const Bp__StatusAsk *);
+void relay_status_tell(peer_role_t *, const Bp__StatusTell *);
+void relay_link_gone(peer_role_t *, link_t *);
+void peer_report(peer_role_t *, arena_t *, Bp__StatusPart *);
+
+#endif
--- /dev/null
+++ b/src/ranges.h
@@ -0,0 +1,17 @@
+#ifndef RANGES_H
+#define RANGES_H
+
+#include <stdint.h>
+
+/* Bounds of one number in the schema; both ends are allowed. */
+typedef struct range {
+	const char *message;
+	const char *field;
+	uint64_t min;
+	uint64_t max;
+} range_t;
+
+extern const range_t ranges[];
+extern const uint32_t ranges_count;
+
+#endif
--- /dev/null
+++ b/src/serve.c
@@ -0,0 +1,101 @@
+#include "command.h"
+#include "daemon.h"
+#include "document.h"
+
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+
+#define PART "serve"
+
+static const GLogLevelFlags levels[] = {
+    [BP__LOG_LEVEL__ERROR] = G_LOG_LEVEL_CRITICAL,
+    [BP__LOG_LEVEL__WARNING] = G_LOG_LEVEL_WARNING,
+    [BP__LOG_LEVEL__INFO] = G_LOG_LEVEL_INFO,
+    [BP__LOG_LEVEL__DEBUG] = G_LOG_LEVEL_DEBUG,
+};
+
+/*
+ * Start the tasks, run until the control task ends, and stop the others: the
+ * groups first, so that their last answers still reach the callers.
+ */
+static int32_t
+daemon_run(daemon_t *daemon)
+{
+	void *control = control_new(daemon), *front = front_new(daemon);
+	void *peer = peer_new(daemon), *group = group_new(daemon);
+	void *platform = platform_new(daemon);
+	task_t *order[4];
+	int32_t error = 0;
+	uint32_t i;
+
+	daemon->control = task_new(&control_ops, control);
+	daemon->front = task_new(&front_ops, front);
+	daemon->peer = task_new(&peer_ops, peer);
+	daemon->group = task_new(&group_ops, group);
+	daemon->platform = task_new(&platform_ops, platform);
+	order[0] = daemon->group;
+	order[1] = daemon->peer;
+	order[2] = daemon->platform;
+	order[3] = daemon->front;
+	for (i = 0; error == 0 && i < G_N_ELEMENTS(order); i++)
+		error = task_start(order[i]);
+	if (error == 0) {
+		LOG_PART(PART, G_LOG_LEVEL_MESSAGE, "Daemon %s serves.",
+		    daemon->settings->name);
+		error = task_run_here(daemon->control);
+		for (i = 0; i < G_N_ELEMENTS(order); i++)
+			task_join(order[i]);
+		LOG_PART(PART, G_LOG_LEVEL_MESSAGE, "Daemon %s has ended.",
+		    daemon->settings->name);
+		platform_free(platform);
+		group_free(group);
+		peer_free(peer);
+		front_free(front);
+		control_free(control);
+	}
+	return error;
+}
+
+/*
+ * bergamotplank serve -f FILE
+ */
+int32_t
+command_serve(int argc, char **argv)
+{
+	struct arg_file *file =
+	    arg_file1("f", "file", "FILE", "settings of this daemon");
+	struct arg_lit *help = arg_lit0("h", "help", "show this");
+	struct arg_end *end = arg_end(4);
+	void *table[] = {file, help, end};
+	int wrong = arg_parse(argc, argv, table);
+	faults_t faults = {arena_new(), NULL, 0, NULL};
+	daemon_t daemon = {0};
+	uint64_t size_bytes;
+	char *text;
+
+	if (help->count > 0 || wrong > 0) {
+		if (help->count == 0)
+			arg_print_errors(stderr, end, "bergamotplank serve");
+		fprintf(help->count > 0 ? stdout : stderr,
+		    "usage: bergamotplank serve");
+		arg_print_syntax(
+		    help->count > 0 ? stdout : stderr, table, "\n");
+		return help->count > 0 ? 0 : EXIT_USAGE;
+	}
+	text = command_read_file(file->filename[0], &size_bytes);
+	if (text == NULL)
+		return 1;
+	faults.lines = g_hash_table_new(NULL, NULL);
+	daemon.settings =
+	    settings_read(faults.arena, text, size_bytes, &faults);
+	g_free(text);
+	if (daemon.settings == NULL) {
+		command_print_faults(file->filename[0], &faults);
+		return 1;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	log_start(levels[daemon.settings->log_level]);
+	daemon.incarnation = (uint64_t)g_get_real_time();
+	return daemon_run(&daemon) == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/src/sock.h
@@ -0,0 +1,30 @@
+#ifndef SOCK_H
+#define SOCK_H
+
+#include "bergamotplank.h"
+
+#include <gio/gio.h>
+
+/* One TCP stream of a task, never blocking and never reconnecting. */
+typedef struct sock sock_t;
+
+/* What the owner of a stream is told; opened may be NULL. */
+typedef struct sock_ops {
+	void (*opened)(void *context);
+	void (*received)(
+	    void *context, const uint8_t *bytes, uint32_t size_bytes);
+	/* the last call; the owner then calls sock_free() */
+	void (*closed)(void *context, int32_t error);
+} sock_ops_t;
+
+sock_t *sock_connect(GMainContext *, const char *address, uint32_t port,
+    const sock_ops_t *, void *context);
+sock_t *sock_accept(
+    GMainContext *, GSocket *, const sock_ops_t *, void *context);
+int32_t sock_write(sock_t *, const uint8_t *bytes, uint64_t size_bytes);
+void sock_break(sock_t *);
+bool sock_is_open(const sock_t *);
+void sock_mute(sock_t *);
+void sock_free(sock_t *);
+
+#endif
--- /dev/null
+++ b/src/stats.h
@@ -0,0 +1,25 @@
+#ifndef STATS_H
+#define STATS_H
+
+#include "bergamotplank.h"
+#include "task.pb-c.h"
+
+/* Counters of one task: a fixed list of names, counted without locks. */
+typedef struct counters {
+	const char *const *names;
+	uint64_t *values;
+	uint32_t count;
+} counters_t;
+
+/* One histogram for each team and rank; belongs to one task. */
+typedef struct latencies latencies_t;
+
+void counters_report(const counters_t *, arena_t *, Bp__StatusPart *);
+
+latencies_t *latencies_new(void);
+void latencies_free(latencies_t *);
+void latencies_add(
+    latencies_t *, const char *team, uint32_t rank, int64_t spent_us);
+void latencies_report(const latencies_t *, arena_t *, Bp__StatusPart *);
+
+#endif
--- /dev/null
+++ b/src/status.c
@@ -0,0 +1,159 @@
+#include "command.h"
+#include "json.h"
+#include "task.pb-c.h"
+
+#include <argtable2.h>
+#include <libsoup/soup.h>
+#include <stdio.h>
+
+/*
+ * Print the members and the documents.
+ */
+static void
+print_members(const Bp__StatusPage *page)
+{
+	size_t i;
+
+	printf("daemon %s, version %s, up %" G_GUINT64_FORMAT " s%s\n\n",
+	    page->daemon, page->version, page->uptime_ms / MS_PER_S,
+	    page->draining ? ", leaving" : "");
+	printf("%-20s %-16s %s\n", "MEMBER", "ZONE", "STATE");
+	for (i = 0; i < page->n_members; i++)
+		printf("%-20s %-16s %s\n", page->members[i]->name,
+		    page->members[i]->zone,
+		    bp__member_state__descriptor.values[page->members[i]->state]
+			.name);
+	printf("\n%-20s %-20s %s\n", "DOCUMENT", "DAEMON", "VERSION");
+	for (i = 0; i < page->n_documents; i++)
+		printf("%-20s %-20s %" G_GUINT64_FORMAT "\n",
+		    page->documents[i]->team, page->documents[i]->daemon,
+		    page->documents[i]->version);
+}
+
+/*
+ * Print the groups that the daemon acts for.
+ */
+static void
+print_groups(const Bp__StatusPage *page)
+{
+	size_t i, j;
+
+	for (i = 0; i < page->n_groups; i++) {
+		const Bp__GroupStatus *group = page->groups[i];
+
+		printf("\ngroup %s/%s: term %" G_GUINT64_FORMAT
+		       ", primary %s, %u queued\n",
+		    group->team, group->name, group->term,
+		    group->primary == NULL ? "unknown" : group->primary,
+		    group->queued);
+		printf("  %-20s %-12s %10s %12s %6s %9s %s\n", "DATABASE",
+		    "ZONE", "TERM", "POSITION", "CONNS", "IN FLIGHT", "STATE");
+		for (j = 0; j < group->n_databases; j++) {
+			const Bp__DatabaseStatus *db = group->databases[j];
+
+			printf("  %-20s %-12s %10" G_GUINT64_FORMAT
+			       " %12" G_GUINT64_FORMAT " %6u %9u %s%s%s\n",
+			    db->name, db->zone, db->term, db->position,
+			    db->connections, db->in_flight,
+			    db->primary ? "primary" : "replica",
+			    db->reachable ? "" : ", not reachable",
+			    db->leaving ? ", leaving" : "");
+		}
+	}
+}
+
+/*
+ * Print the counters and the histograms.
+ */
+static void
+print_counts(const Bp__StatusPage *page)
+{
+	size_t i;
+
+	printf("\n%-32s %s\n", "COUNTER", "VALUE");
+	for (i = 0; i < page->n_counters; i++)
+		printf("%-32s %" G_GUINT64_FORMAT "\n", page->counters[i]->name,
+		    page->counters[i]->value);
+	printf("\n%-16s %-12s %10s %9s %9s %9s %9s\n", "TEAM", "RANK", "COUNT",
+	    "P50 ms", "P90 ms", "P99 ms", "MAX ms");
+	for (i = 0; i < page->n_histograms; i++) {
+		const Bp__Histogram *h = page->histograms[i];
+
+		printf("%-16s %-12s %10" G_GUINT64_FORMAT
+		       " %9.2f %9.2f %9.2f %9.2f\n",
+		    h->team, bp__rank__descriptor.values[h->rank].name,
+		    h->count, h->p50_ms, h->p90_ms, h->p99_ms, h->max_ms);
+	}
+}
+
+/*
+ * Fetch the status page of a daemon; NULL, with a message, when that fails.
+ */
+static char *
+fetch(const char *place, gsize *size)
+{
+	char *url = g_strdup_printf("http://%s/v1/status", place);
+	SoupSession *session =
+	    soup_session_new_with_options("timeout", 5, NULL);
+	SoupMessage *message = soup_message_new("GET", url);
+	GError *error = NULL;
+	GBytes *body = NULL;
+
+	if (message != NULL)
+		body =
+		    soup_session_send_and_read(session, message, NULL, &error);
+	if (body == NULL)
+		fprintf(stderr, "bergamotplank status: %s: %s\n", place,
+		    error == NULL ? "not an address" : error->message);
+	g_free(url);
+	g_clear_error(&error);
+	g_clear_object(&message);
+	g_object_unref(session);
+	return body == NULL ? NULL : g_bytes_unref_to_data(body, size);
+}
+
+/*
+ * bergamotplank status [--json] ADDRESS:PORT
+ */
+int32_t
+command_status(int argc, char **argv)
+{
+	struct arg_str *place =
+	    arg_str1(NULL, NULL, "ADDRESS:PORT", "operators' side of a daemon");
+	struct arg_lit *json = arg_lit0("j", "json", "print the page as JSON");
+	struct arg_lit *help = arg_lit0("h", "help", "show this");
+	struct arg_end *end = arg_end(4);
+	void *table[] = {place, json, help, end};
+	int wrong = arg_parse(argc, argv, table);
+	faults_t faults = {arena_new(), NULL, 0, NULL};
+	Bp__StatusPage *page;
+	gsize size;
+	char *text;
+
+	if (help->count > 0 || wrong > 0) {
+		if (help->count == 0)
+			arg_print_errors(stderr, end, "bergamotplank status");
+		fprintf(help->count > 0 ? stdout : stderr,
+		    "usage: bergamotplank status");
+		arg_print_syntax(
+		    help->count > 0 ? stdout : stderr, table, "\n");
+		return help->count > 0 ? 0 : EXIT_USAGE;
+	}
+	text = fetch(place->sval[0], &size);
+	if (text == NULL)
+		return 1;
+	page = (Bp__StatusPage *)json_read(
+	    faults.arena, &bp__status_page__descriptor, text, size, &faults);
+	if (page == NULL) {
+		command_print_faults(place->sval[0], &faults);
+		return 1;
+	}
+	if (json->count > 0) {
+		printf("%.*s\n", (int)size, text);
+		return 0;
+	}
+	print_members(page);
+	print_groups(page);
+	print_counts(page);
+	return 0;
+}
--- /dev/null
+++ b/src/task.h
@@ -0,0 +1,54 @@
+#ifndef TASK_H
+#define TASK_H
+
+#include "bergamotplank.h"
+
+#include <gio/gio.h>
+
+/*
+ * A task is a thread with its own GMainContext.  It owns its sockets and its
+ * state; other tasks reach it by messages only.
+ */
+typedef struct task task_t;
+
+/* A message owns its arena, and whoever holds the message owns both. */
+typedef struct msg {
+	arena_t *arena;
+	ProtobufCMessage *body;
+	task_t *from;
+} msg_t;
+
+/* What a task does with one type of message; it frees the message. */
+typedef struct task_handler {
+	const ProtobufCMessageDescriptor *type;
+	void (*handle)(void *context, msg_t *);
+} task_handler_t;
+
+/* What one role gives its task.  All run in the task's own thread. */
+typedef struct task_ops {
+	const char *name;
+	int32_t (*start)(void *context, task_t *);
+	void (*stop)(void *context);
+	const task_handler_t *handlers;
+	uint32_t handlers_count;
+} task_ops_t;
+
+task_t *task_new(const task_ops_t *, void *context);
+int32_t task_start(task_t *);
+void task_join(task_t *);
+int32_t task_run_here(task_t *);
+void task_quit(task_t *);
+GMainContext *task_context(task_t *);
+const char *task_name(const task_t *);
+
+msg_t *msg_new(const ProtobufCMessageDescriptor *);
+msg_t *msg_adopt(arena_t *, ProtobufCMessage *);
+msg_t *msg_copy(const ProtobufCMessage *);
+void msg_free(msg_t *);
+void task_send(task_t *to, task_t *from, msg_t *);
+
+/* A timer of the running task; the callback may remove it. */
+GSource *task_timer(task_t *, uint32_t interval_ms, GSourceFunc, void *context);
+void source_drop(GSource **);
+
+#endif
