Demo: a fleet of processes under load, with a checker of histories

Cause: nothing showed whether the path holds under a load that roams.

Change: a harness that starts platform, databases and daemons as processes on their own ports; a load tool whose sessions record every request and answer; a checker that compares them with the databases' own logs of what ran; make demo joins them and kills a primary half-way.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,9 @@
 LIB_O = $(filter-out $(BUILD)/src/main.o,$(SRC:%.c=$(BUILD)/%.o)) \
 	$(DECIDE:%.c=$(BUILD)/%.o) $(GEN_O)
 BIN = $(BUILD)/bergamotplank
+TEST_LIBS = `pkg-config --libs libcurl`
+HARNESS_O = $(BUILD)/tests/harness.o $(BUILD)/tests/load/load.o \
+	$(BUILD)/tests/load/history.o
 FAKES = $(BUILD)/fakedb $(BUILD)/fakeplatform
 
 all: $(BIN) $(FAKES)
@@ -46,14 +49,19 @@
 $(BUILD)/fake%: $(BUILD)/tests/fake/fake%.o $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/demo: $(BUILD)/tests/demo.o $(HARNESS_O) $(BUILD)/libbergamotplank.a
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
+
 # The generated code is committed; this makes it anew from schema/.
 generate:
 	protoc-c --proto_path=schema --c_out=gen schema/*.proto
 	awk -f schema/ranges.awk schema/*.proto >gen/ranges.c
 
+FORMATTED = $(wildcard src/*.[ch] src/decide/*.[ch] tests/*.[ch] \
+	tests/*/*.[ch])
+
 format:
-	clang-format -i src/*.[ch] src/decide/*.[ch] tests/*.[ch] \
-	    tests/*/*.[ch]
+	clang-format -i $(FORMATTED)
 
 clean:
 	rm -rf $(BUILD)
--- a/src/route.c
+++ b/src/route.c
@@ -9,8 +9,9 @@
 /* Where a caller's statement goes, and what the caller is told. */
 
 #define TRIES_MAX 4
-#define SLACK_US (300 * US_PER_MS) /* for an answer under way at the deadline \
-				    */
+#define SLACK_US \
+	(300 * US_PER_MS) /* for an answer under way at the deadline \
+			   */
 #define KEY_BYTES_MAX 256
 
 /* HTTP says roughly what the outcome says; the body says it exactly. */
--- /dev/null
+++ b/tests/demo.c
@@ -0,0 +1,114 @@
+#include "load/load.h"
+
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+/*
+ * make demo: a small fleet, a bounded load of both deployments' kinds of
+ * work, a primary killed half-way, and a check of everything that must hold.
+ */
+
+#define STATEMENTS 4000
+#define SESSIONS 32
+#define READY_MS 15000
+#define PROGRESS_EVERY 500
+
+typedef struct demo {
+	fleet_t *fleet;
+	history_t *history;
+	uint32_t shown;
+	const char *group; /* whose primary was killed */
+	int64_t killed_us;
+} demo_t;
+
+/*
+ * Kill the primary of the first group.
+ */
+static void
+kill_primary(demo_t *demo)
+{
+	int32_t primary = fleet_primary(demo->fleet, 0);
+
+	demo->group = demo->fleet->groups[0].name;
+	demo->killed_us = clock_us();
+	if (primary < 0)
+		return;
+	printf("killing %s, the primary of group %s\n",
+	    demo->fleet->databases[primary].name, demo->group);
+	fleet_signal(&demo->fleet->databases[primary], SIGKILL);
+}
+
+/*
+ * Show how far the load is; kill a primary half-way.
+ */
+static void
+on_progress(void *context, uint32_t answered)
+{
+	demo_t *demo = context;
+
+	if (answered / PROGRESS_EVERY > demo->shown) {
+		demo->shown = answered / PROGRESS_EVERY;
+		printf("%u of %u statements answered\n",
+		    demo->shown * PROGRESS_EVERY, STATEMENTS);
+		fflush(stdout);
+		load_versions(demo->fleet, demo->history);
+	}
+	if (answered >= STATEMENTS / 2 && demo->killed_us == 0)
+		kill_primary(demo);
+}
+
+/*
+ * Run the demo; the exit status says whether everything held.
+ */
+int
+main(void)
+{
+	fleet_plan_t plan = {.daemons = 3,
+	    .tickets = 2,
+	    .quotes = 1,
+	    .service_ms = 1,
+	    .lag_ms = 2};
+	load_plan_t load = {.sessions = SESSIONS,
+	    .statements = STATEMENTS,
+	    .seed = 1,
+	    .transactions = true,
+	    .progress = on_progress};
+	violations_t violations = {0};
+	load_summary_t summary;
+	demo_t demo = {0};
+	uint32_t total;
+	int64_t gap_us;
+
+	curl_global_init(CURL_GLOBAL_ALL);
+	log_start(G_LOG_LEVEL_WARNING);
+	printf("starting the platform stand-in, 9 databases in 3 groups and "
+	       "3 daemons in 3 availability zones\n");
+	fflush(stdout);
+	demo.fleet = fleet_start(&plan);
+	demo.history = history_new();
+	load.context = &demo;
+	if (!fleet_wait_ready(demo.fleet, READY_MS)) {
+		printf("the fleet did not become ready\n");
+		fleet_end(demo.fleet);
+		return 1;
+	}
+	load_run(demo.fleet, &load, demo.history);
+	load_versions(demo.fleet, demo.history);
+	load_collect(demo.fleet, demo.history);
+	total = history_check(demo.history, &violations);
+	load_summarize(demo.history, &summary);
+	gap_us = load_gap_us(demo.history, demo.group, demo.killed_us);
+	printf("\n");
+	load_print(&summary, &violations);
+	printf("%-32s %7.0f ms\n", "failover gap", (double)gap_us / US_PER_MS);
+	printf("%s", violations.text->str);
+	fleet_end(demo.fleet);
+	if (total > 0 || gap_us < 0) {
+		printf("demo: something that must hold was broken\n");
+		return 1;
+	}
+	printf("demo: everything that must hold held\n");
+	return 0;
+}
