Tests of the decisions, the readers and the checker, in tables

Cause: the decisions, the readers of text and the checker of histories had no tests of their own.

Change: tables of cases for src/decide/, settings, documents, bodies and tokens; the checker is fed with broken histories; a seeded model drives several owners of one group through cuts and freezes, and seven wrong rules (acknowledge at once, count a promise, ignore terms, raise the longest log, trust the primary for fresh reads, any replica, ids not in the log) each have to show a violation there. make fuzz runs the model for as long as asked.

Found: a settings file cut in the middle reported its fault in line 1, since the parser forgets its place at the end; the reader now counts to the end.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 BIN = $(BUILD)/bergamotplank
 TEST_LIBS = `pkg-config --libs libcurl`
 HARNESS_O = $(BUILD)/tests/harness.o $(BUILD)/tests/load/load.o \
-	$(BUILD)/tests/load/history.o
+	$(BUILD)/tests/load/history.o $(BUILD)/tests/model.o
 FAKES = $(BUILD)/fakedb $(BUILD)/fakeplatform
 
 all: $(BIN) $(FAKES)
@@ -52,6 +52,22 @@
 $(BUILD)/demo: $(BUILD)/tests/demo.o $(HARNESS_O) $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
 
+TESTS = t_decide t_queue t_text t_history t_model
+
+$(BUILD)/t_%: $(BUILD)/tests/t_%.o $(HARNESS_O) $(BUILD)/libbergamotplank.a
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
+
+$(BUILD)/fuzz: $(BUILD)/tests/fuzz.o $(BUILD)/tests/model.o \
+    $(BUILD)/libbergamotplank.a
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+SEED = 1
+STEPS = 2000000
+fuzz: $(BUILD)/fuzz
+	$(BUILD)/fuzz --seed $(SEED) --steps $(STEPS)
+
+tests: $(TESTS:%=$(BUILD)/%) all
+
 # The generated code is committed; this makes it anew from schema/.
 generate:
 	protoc-c --proto_path=schema --c_out=gen schema/*.proto
@@ -68,4 +84,4 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all generate format clean
+.PHONY: all generate format clean tests fuzz
--- a/src/json.c
+++ b/src/json.c
@@ -39,13 +39,11 @@
 } reader_t;
 
 /*
- * The line that the token being read ends in.
+ * Count lines up to a place in the text.
  */
 static uint32_t
-reader_line(reader_t *reader)
+reader_count_to(reader_t *reader, uint64_t end)
 {
-	uint64_t end = yajl_get_bytes_consumed(reader->yajl);
-
 	for (; reader->counted_bytes < end; reader->counted_bytes++) {
 		if (reader->text[reader->counted_bytes] == '\n')
 			reader->line++;
@@ -53,6 +51,15 @@
 	return reader->line;
 }
 
+/*
+ * The line that the token being read ends in.
+ */
+static uint32_t
+reader_line(reader_t *reader)
+{
+	return reader_count_to(reader, yajl_get_bytes_consumed(reader->yajl));
+}
+
 /*
  * The frame that is being filled, or NULL before the first.
  */
@@ -473,8 +480,11 @@
 	yajl_config(reader->yajl, yajl_allow_comments, 1);
 	status =
 	    yajl_parse(reader->yajl, (const unsigned char *)text, size_bytes);
-	if (status == yajl_status_ok)
+	if (status == yajl_status_ok) {
 		status = yajl_complete_parse(reader->yajl);
+		if (status == yajl_status_error)
+			reader_count_to(reader, size_bytes);
+	}
 	if (status == yajl_status_error)
 		reader_syntax_fault(reader);
 	else if (status == yajl_status_ok && reader->root == NULL &&
