--- a/src/dbgroup.c
+++ b/src/dbgroup.c
@@ -462,6 +462,7 @@
 tick_active(dbgroup_t *group, int64_t now_us)
 {
 	promote_actions_t actions;
+	const run_t *first;
 	uint32_t i;
 
 	for (i = 0; i < group->count; i++) {
@@ -470,6 +471,8 @@
 		conns_keep_warm(&group->dbs[i], now_us);
 	}
 	consider_handover(group, now_us);
+	first = g_queue_peek_head(&group->confirming);
+	promote_waiting(&group->promote, first == NULL ? 0 : first->sent_us);
 	if (group->before == NULL && !group->retired &&
 	    (group->owned || group->runs > 0)) {
 		promote_tick(&group->promote, now_us, &actions);
--- a/src/decide/promote.c
+++ b/src/decide/promote.c
@@ -32,6 +32,7 @@
 	promote->count = count;
 	promote->rand = g_rand_new_with_seed(seed);
 	promote->wait_us = now_us + LEARNING_US;
+	promote->avoid = -1;
 	for (i = 0; i < count; i++)
 		promote->heard_us[i] = now_us;
 	enter(promote, PROMOTE_LEARNING, now_us);
@@ -108,6 +109,7 @@
 	int64_t base_us = promote->limits.backoff_us << doublings;
 
 	promote->failures++;
+	promote->avoid = -1;
 	promote->wait_us = now_us +
 	    (int64_t)(g_rand_double(promote->rand) * (double)base_us) +
 	    promote->limits.backoff_us / 4;
@@ -121,9 +123,14 @@
 promote_heard(promote_t *promote, uint32_t database, const db_view_t *heard,
     int64_t now_us)
 {
-	view_update(&promote->views[database], heard);
+	db_view_t *view = &promote->views[database];
+	position_t before = view->last;
+
+	view_update(view, heard);
 	promote->heard_us[database] = now_us;
 	promote->refused[database] = 0;
+	if (position_compare(view->last, before) != 0)
+		promote->moved_us[database] = now_us;
 }
 
 /*
@@ -151,7 +158,46 @@
 }
 
 /*
- * Ask every database to promise a term above all seen.
+ * The oldest statement that waits for a majority was sent at this time; 0
+ * when none waits.
+ */
+void
+promote_waiting(promote_t *promote, int64_t since_us)
+{
+	promote->stall_since_us = since_us;
+}
+
+/*
+ * Tell whether the primary is cut off from the rest of its group: it answers
+ * us, is ahead, and for long no other database that answers has got any
+ * further.  A replica that merely lags does get further.
+ */
+static bool
+primary_cut_off(const promote_t *promote, int64_t now_us)
+{
+	int64_t bound_us = promote->limits.distrust_us;
+	int32_t primary = promote_primary(promote);
+	uint32_t i, behind = 0;
+
+	if (promote->stall_since_us == 0 ||
+	    now_us - promote->stall_since_us < bound_us)
+		return false;
+	for (i = 0; i < promote->count; i++) {
+		if ((int32_t)i == primary ||
+		    now_us - promote->heard_us[i] >= bound_us)
+			continue;
+		if (now_us - promote->moved_us[i] < bound_us ||
+		    position_compare(promote->views[i].last,
+			promote->views[primary].last) >= 0)
+			return false;
+		behind++;
+	}
+	return behind >= majority_of(promote->count);
+}
+
+/*
+ * Ask every database to promise a term above all seen; a primary that is cut
+ * off is left out, or it would be chosen again.
  */
 static void
 begin_fencing(promote_t *promote, int64_t now_us, promote_actions_t *actions)
@@ -160,9 +206,12 @@
 
 	promote->term = highest_promise(promote) + 1;
 	memset(promote->granted, 0, sizeof(promote->granted));
-	for (i = 0; i < promote->count; i++)
+	for (i = 0; i < promote->count; i++) {
+		if ((int32_t)i == promote->avoid)
+			continue;
 		actions->list[actions->count++] =
 		    (promote_action_t){PROMOTE_FENCE, i, promote->term};
+	}
 	enter(promote, PROMOTE_FENCING, now_us);
 }
 
@@ -261,6 +310,8 @@
 	}
 	promote->failures = 0;
 	promote->handover = false;
+	promote->avoid = -1;
+	promote->stall_since_us = 0;
 	enter(promote, PROMOTE_STEADY, now_us);
 }
 
@@ -367,6 +418,11 @@
 		begin_fencing(promote, now_us, actions);
 		return;
 	}
+	if (primary_cut_off(promote, now_us)) {
+		promote->avoid = primary;
+		begin_fencing(promote, now_us, actions);
+		return;
+	}
 	follow_stragglers(promote, now_us, actions);
 	if (primary_silent(promote, now_us, promote->limits.suspect_us)) {
 		promote->witness++;
--- a/src/decide/promote.h
+++ b/src/decide/promote.h
@@ -69,6 +69,9 @@
 	uint64_t witness; /* number of the question */
 	int64_t follow_us[GROUP_DATABASES_MAX];
 	int64_t odd_us; /* a higher promise than the primary's was seen */
+	int64_t moved_us[GROUP_DATABASES_MAX]; /* its log last grew */
+	int64_t stall_since_us; /* oldest write not confirmed; 0: none */
+	int32_t avoid;          /* FENCING: the cut-off primary, or -1 */
 } promote_t;
 
 void promote_init(promote_t *, const promote_limits_t *, uint32_t count,
@@ -82,6 +85,7 @@
     const db_view_t *, int64_t now_us);
 void promote_raised(promote_t *, uint32_t database, uint64_t term, bool ok,
     const db_view_t *, int64_t now_us);
+void promote_waiting(promote_t *, int64_t since_us);
 void promote_handover(promote_t *, int64_t now_us);
 void promote_tick(promote_t *, int64_t now_us, promote_actions_t *);
 int32_t promote_primary(const promote_t *);
--- a/tests/fake/fakedb.c
+++ b/tests/fake/fakedb.c
@@ -22,6 +22,7 @@
 #define SERVICE_MS_DEFAULT 1
 #define APPEND_ENTRIES_MAX 500
 #define RECONNECT_MS 50
+#define APPEND_TIMEOUT_MS 500
 
 typedef struct entry {
 	uint64_t term;
@@ -52,7 +53,8 @@
 	h2_t *h2;
 	bool open;
 	bool busy;
-	uint64_t next; /* entries before this one are there */
+	int64_t busy_ms; /* since */
+	uint64_t next;   /* entries before this one are there */
 	GSource *timer;
 } follower_t;
 
@@ -722,6 +724,8 @@
 	if (ask->n_entries > 0) {
 		body = json_write(arena, &ask->base, &size_bytes);
 		follower->busy = true;
+		follower->busy_ms = clock_ms();
+		follower_later(follower, APPEND_TIMEOUT_MS);
 		h2_ask(follower->h2, "/append", body, (uint32_t)size_bytes);
 	}
 	arena_free(arena);
@@ -740,6 +744,9 @@
 	for (i = 0; i < db->followers->len; i++) {
 		follower_t *follower = g_ptr_array_index(db->followers, i);
 
+		if (follower->busy &&
+		    clock_ms() - follower->busy_ms >= APPEND_TIMEOUT_MS)
+			on_follower_closed(follower, -ETIMEDOUT);
 		if (follower->h2 == NULL) {
 			follower->h2 = h2_connect(db->main, follower->address,
 			    follower->port, &follower_ops, follower);
--- a/tests/load/history.h
+++ b/tests/load/history.h
@@ -25,6 +25,7 @@
 	Bp__Outcome outcome;
 	Bp__Reason reason;
 	bool answered; /* false: the connection ended without an answer */
+	bool cut;      /* it had been made, and broke */
 	bool replica;
 	uint64_t term;
 	uint64_t position;
