A leaving daemon lingers until the others know

Cause: three statements ended unknown when the owner of their group drained. The daemon ended as soon as it had nothing left, while other daemons that had not heard of its leaving still handed statements over; those links broke. Ruled out: lost answers of statements that had run (the databases' logs hold none of the three).

Change: after everything is drained, the daemon refuses what still comes for 500 ms and ends then.

--- a/src/control.c
+++ b/src/control.c
@@ -9,12 +9,19 @@
 #define PART "control"
 #define TASKS_TO_DRAIN 3
 
+/*
+ * What other daemons sent before they learned that this one leaves is still
+ * refused properly for this long.
+ */
+#define LINGER_MS 500
+
 typedef struct control_role {
 	const daemon_t *daemon;
 	task_t *task;
 	GSource *term;
 	GSource *interrupt;
 	GSource *bound;
+	GSource *linger;
 	bool draining;
 	uint32_t drained;
 } control_role_t;
@@ -54,6 +61,16 @@
 	return G_SOURCE_REMOVE;
 }
 
+/*
+ * Everything has ended, and the others know.
+ */
+static gboolean
+on_linger(gpointer context)
+{
+	task_quit(((control_role_t *)context)->task);
+	return G_SOURCE_REMOVE;
+}
+
 /*
  * The first signal drains, the second ends the process at once.
  */
@@ -121,6 +138,7 @@
 	source_drop(&role->term);
 	source_drop(&role->interrupt);
 	source_drop(&role->bound);
+	source_drop(&role->linger);
 }
 
 /*
@@ -134,7 +152,8 @@
 	LOG_PART(PART, G_LOG_LEVEL_INFO, "Task %s is drained.",
 	    ((const Bp__Drained *)msg->body)->task);
 	if (++role->drained == TASKS_TO_DRAIN)
-		task_quit(role->task);
+		role->linger =
+		    task_timer(role->task, LINGER_MS, on_linger, role);
 	msg_free(msg);
 }
 
