--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 CC = gcc
 CFLAGS = -O2 -g
 WARN = -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes \
-	-Wmissing-prototypes -Werror
+	-Wmissing-prototypes -Wno-missing-field-initializers -Werror
 CPPFLAGS = -Isrc -Igen `pkg-config --cflags $(MODULES)`
 LIBS = `pkg-config --libs $(MODULES)` -largtable2 -lm
 BUILD = build
@@ -31,6 +31,30 @@
 
 all: $(BIN) $(FAKES)
 
+# Install what is missing.
+deps:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || { apt-get update && \
+	    DEBIAN_FRONTEND=noninteractive apt-get install -y \
+	    --no-install-recommends $(PACKAGES); }
+
+# Set up, build, and run a fleet under load; exits 0 if everything held.
+demo: deps
+	@$(MAKE) --no-print-directory -j4 all $(BUILD)/demo
+	$(BUILD)/demo
+
+# Set up, build with warnings as errors, check format, lint and test.
+check: deps
+	@$(MAKE) --no-print-directory -j4 tests $(BUILD)/demo $(BUILD)/fuzz
+	@$(MAKE) --no-print-directory lint
+	tests/run.sh $(TESTS:%=$(BUILD)/%)
+
+lint:
+	clang-format --dry-run -Werror $(FORMATTED)
+	printf '%s\n' $(filter %.c,$(FORMATTED)) | xargs -P 4 -n 3 \
+	    sh -c 'clang-tidy --quiet "$$@" -- -std=gnu11 $(CPPFLAGS) \
+	    `pkg-config --cflags libcurl`' tidy 2>/dev/null
+	mandoc -T lint -W warning man/*
+
 $(BUILD)/gen/%.o: gen/%.c
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -std=gnu11 $(CPPFLAGS) -MMD -c -o $@ $<
@@ -52,7 +76,7 @@
 $(BUILD)/demo: $(BUILD)/tests/demo.o $(HARNESS_O) $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
 
-TESTS = t_decide t_queue t_text t_history t_model t_holds
+TESTS = t_decide t_queue t_text t_history t_model t_fleet t_holds
 
 $(BUILD)/t_%: $(BUILD)/tests/t_%.o $(HARNESS_O) $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
@@ -84,4 +108,4 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all generate format clean tests fuzz
+.PHONY: all deps demo check lint generate format clean tests fuzz
--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -1685,8 +1685,8 @@
 {
   { "ALIVE", "BP__MEMBER_STATE__ALIVE", 0 },
   { "SUSPECT", "BP__MEMBER_STATE__SUSPECT", 1 },
-  { "DEAD", "BP__MEMBER_STATE__DEAD", 2 },
-  { "DRAINED", "BP__MEMBER_STATE__DRAINED", 3 },
+  { "DRAINED", "BP__MEMBER_STATE__DRAINED", 2 },
+  { "DEAD", "BP__MEMBER_STATE__DEAD", 3 },
 };
 static const ProtobufCIntRange bp__member_state__value_ranges[] = {
 {0, 0},{0, 4}
@@ -1694,8 +1694,8 @@
 static const ProtobufCEnumValueIndex bp__member_state__enum_values_by_name[4] =
 {
   { "ALIVE", 0 },
-  { "DEAD", 2 },
-  { "DRAINED", 3 },
+  { "DEAD", 3 },
+  { "DRAINED", 2 },
   { "SUSPECT", 1 },
 };
 const ProtobufCEnumDescriptor bp__member_state__descriptor =
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -39,11 +39,11 @@
 typedef enum _Bp__MemberState {
   BP__MEMBER_STATE__ALIVE = 0,
   BP__MEMBER_STATE__SUSPECT = 1,
-  BP__MEMBER_STATE__DEAD = 2,
   /*
    * leaving on its own word
    */
-  BP__MEMBER_STATE__DRAINED = 3
+  BP__MEMBER_STATE__DRAINED = 2,
+  BP__MEMBER_STATE__DEAD = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__MEMBER_STATE)
 } Bp__MemberState;
 
--- a/src/bergamotplank.h
+++ b/src/bergamotplank.h
@@ -10,7 +10,7 @@
 
 #define BP_VERSION "0.1.0"
 
-#define US_PER_MS 1000
+#define US_PER_MS INT64_C(1000)
 #define MS_PER_S 1000
 
 /* An arena: everything allocated in it is freed at once. */
--- a/src/dbgroup.c
+++ b/src/dbgroup.c
@@ -5,7 +5,7 @@
 #define PART "group"
 #define SAMPLE_SPACING_US (50 * US_PER_MS)
 #define LEAVING_GRACE_US (1500 * US_PER_MS)
-#define IDLE_CLOSE_US (5 * G_USEC_PER_SEC)
+#define IDLE_CLOSE_US (INT64_C(5) * G_USEC_PER_SEC)
 #define PACE_MS 1
 
 /*
--- a/src/decide/member.c
+++ b/src/decide/member.c
@@ -228,7 +228,7 @@
 {
 	member_t *member = g_hash_table_lookup(members->by_name, name);
 
-	if (member == NULL || member->news.state >= MEMBER_DEAD)
+	if (member == NULL || member->news.state == MEMBER_DEAD)
 		return;
 	g_ptr_array_remove(members->round, member);
 	g_ptr_array_add(members->round, member);
--- a/src/decide/member.h
+++ b/src/decide/member.h
@@ -13,8 +13,8 @@
 typedef enum member_state {
 	MEMBER_ALIVE,
 	MEMBER_SUSPECT,
-	MEMBER_DEAD,
 	MEMBER_DRAINED, /* leaves by its own word */
+	MEMBER_DEAD,
 } member_state_t;
 
 /* What daemons tell each other about one of them. */
--- a/src/front.c
+++ b/src/front.c
@@ -7,6 +7,7 @@
 
 #define PART "front"
 #define TICK_MS 50
+#define SOCKET_KEY "caller-socket"
 
 /* A request that is being read. */
 typedef struct body {
@@ -40,6 +41,7 @@
 	    g_int64_hash, g_int64_equal, NULL, pending_free);
 	role->queries = g_hash_table_new(g_int64_hash, g_int64_equal);
 	role->bodies = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	role->sockets = g_hash_table_new(NULL, NULL);
 	role->members = g_ptr_array_new_with_free_func(g_free);
 	role->living =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -58,6 +60,7 @@
 	g_hash_table_unref(role->teams);
 	g_hash_table_unref(role->queries);
 	g_hash_table_unref(role->bodies);
+	g_hash_table_unref(role->sockets);
 	g_hash_table_unref(role->living);
 	g_ptr_array_unref(role->members);
 	g_free(role);
@@ -95,31 +98,33 @@
 }
 
 /*
- * The headers of a request have come: refuse a body that says it is too
- * large before it is read.
+ * The headers of a request have come: drop one whose body says that it is
+ * too large, and bound the time for all others.
  */
 static void
-on_headers(SoupServerMessage *message, gpointer context)
+on_early(SoupServer *server, SoupServerMessage *message, const char *path,
+    GHashTable *query, gpointer context)
 {
 	front_role_t *role = context;
 	SoupMessageHeaders *headers =
 	    soup_server_message_get_request_headers(message);
-	body_t *body = g_new0(body_t, 1);
+	body_t *body;
 
-	body->message = message;
-	body->since_us = clock_us();
-	g_hash_table_replace(role->bodies, message, body);
+	(void)server;
+	(void)path;
+	(void)query;
 	if (soup_message_headers_get_encoding(headers) ==
 		SOUP_ENCODING_CONTENT_LENGTH &&
 	    soup_message_headers_get_content_length(headers) >
 		role->daemon->settings->limits->body_bytes) {
 		role->counts[COUNT_TOO_LARGE]++;
-		soup_server_message_set_status(message, 413, NULL);
-		soup_message_headers_replace(
-		    soup_server_message_get_response_headers(message),
-		    "Connection", "close");
-		g_hash_table_remove(role->bodies, message);
+		cut(message); /* an answer would wait for the whole body */
+		return;
 	}
+	body = g_new0(body_t, 1);
+	body->message = message;
+	body->since_us = clock_us();
+	g_hash_table_replace(role->bodies, message, body);
 }
 
 /*
@@ -140,6 +145,39 @@
 	g_hash_table_remove(((front_role_t *)context)->bodies, message);
 }
 
+/*
+ * A caller's connection is gone; its message no longer knows the socket.
+ */
+static void
+on_disconnected(SoupServerMessage *message, gpointer context)
+{
+	front_role_t *role = context;
+
+	g_hash_table_remove(
+	    role->sockets, g_object_get_data(G_OBJECT(message), SOCKET_KEY));
+}
+
+/*
+ * Count a connection when it is new, and cut it when there are too many.
+ */
+static void
+count_connection(front_role_t *role, SoupServerMessage *message)
+{
+	GSocket *socket = soup_server_message_get_socket(message);
+
+	if (socket == NULL)
+		return;
+	g_object_set_data(G_OBJECT(message), SOCKET_KEY, socket);
+	g_signal_connect(
+	    message, "disconnected", G_CALLBACK(on_disconnected), role);
+	if (!g_hash_table_add(role->sockets, socket) ||
+	    g_hash_table_size(role->sockets) <=
+		role->daemon->settings->limits->caller_connections)
+		return;
+	role->counts[COUNT_TOO_MANY]++;
+	cut(message);
+}
+
 /*
  * A connection waits for a request, or a new one begins on it.
  */
@@ -147,8 +185,7 @@
 on_started(SoupServer *server, SoupServerMessage *message, gpointer context)
 {
 	(void)server;
-	g_signal_connect(
-	    message, "got-headers", G_CALLBACK(on_headers), context);
+	count_connection(context, message);
 	g_signal_connect(message, "got-chunk", G_CALLBACK(on_chunk), context);
 	g_signal_connect(message, "got-body", G_CALLBACK(on_body), context);
 	g_signal_connect(message, "finished", G_CALLBACK(on_finished), context);
@@ -233,6 +270,8 @@
 
 	role->task = task;
 	role->callers = soup_server_new(NULL, NULL);
+	soup_server_add_early_handler(
+	    role->callers, NULL, on_early, role, NULL);
 	soup_server_add_handler(role->callers, NULL, on_request, role, NULL);
 	g_signal_connect(
 	    role->callers, "request-started", G_CALLBACK(on_started), role);
--- a/src/front.h
+++ b/src/front.h
@@ -23,7 +23,6 @@
 	COUNT_TOO_LARGE,
 	COUNT_TOO_SLOW,
 	COUNT_TOO_MANY,
-	COUNT_CALLERS_GONE,
 	COUNT_REROUTED,
 	COUNT_LATE_ANSWERS,
 	COUNT_FRONT_COUNTERS,
@@ -61,6 +60,7 @@
 	GHashTable *pending; /* of pending_t by route */
 	GHashTable *queries; /* of oper's questions by id */
 	GHashTable *bodies;  /* of body_t: requests being read */
+	GHashTable *sockets; /* callers' connections */
 	GPtrArray *members;  /* names that may own a group */
 	GHashTable *living;  /* names of members that may hold something */
 	GSource *tick;
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -68,7 +68,7 @@
 	member_news_t news = {in->name, in->address, in->zone, in->peer_port,
 	    in->incarnation, (member_state_t)in->state};
 
-	if (in->state > BP__MEMBER_STATE__DRAINED)
+	if (in->state > BP__MEMBER_STATE__DEAD)
 		return;
 	members_hear(role->members, &news, clock_us());
 }
@@ -223,7 +223,7 @@
 member_changed(peer_role_t *role, const member_t *member)
 {
 	static const char *const words[] = {
-	    "alive", "suspected", "dead", "leaving"};
+	    "alive", "suspected", "leaving", "dead"};
 
 	LOG_PART(PART, G_LOG_LEVEL_MESSAGE, "Daemon %s in %s is %s.",
 	    member->news.name, member->news.zone, words[member->news.state]);
@@ -485,7 +485,8 @@
 			    BP__PEER_MESSAGE__BODY_DOCUMENT_FETCH;
 			message.document_fetch = &fetch;
 			link_send(link, &message);
-		} else if (version_supersedes(own, version->version)) {
+		} else if (held != NULL &&
+		    version_supersedes(own, version->version)) {
 			send_document(link, held);
 		}
 	}
--- a/src/h2.c
+++ b/src/h2.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define BODY_BYTES_MAX (8 * 1024 * 1024)
+#define BODY_BYTES_MAX (UINT64_C(8) << 20)
 #define WINDOW_BYTES (1 << 20)
 
 /* One request or answer, in either direction. */
--- a/src/oper.c
+++ b/src/oper.c
@@ -157,7 +157,6 @@
     [COUNT_TOO_LARGE] = "requests_too_large",
     [COUNT_TOO_SLOW] = "requests_too_slow",
     [COUNT_TOO_MANY] = "connections_refused",
-    [COUNT_CALLERS_GONE] = "callers_gone",
     [COUNT_REROUTED] = "statements_rerouted",
     [COUNT_LATE_ANSWERS] = "late_answers",
 };
--- a/src/peer.c
+++ b/src/peer.c
@@ -8,7 +8,7 @@
 #define PART "peer"
 #define TICK_MS 20
 #define INBOUND_MAX 8192
-#define FORGET_US (60 * G_USEC_PER_SEC)
+#define FORGET_US (INT64_C(60) * G_USEC_PER_SEC)
 
 static const char *const counter_names[COUNT_PEER_COUNTERS] = {
     [COUNT_PINGS] = "member_pings",
--- a/src/route.c
+++ b/src/route.c
@@ -452,7 +452,7 @@
 		work = document_work(team->document, request->work);
 		text = request_fault(team, request, work, &reason);
 	}
-	if (text != NULL) {
+	if (request == NULL || team == NULL || text != NULL) {
 		role->counts[COUNT_BAD_REQUESTS] +=
 		    reason == BP__REASON__BAD_REQUEST;
 		front_refuse(role, message, reason, text);
--- a/src/serve.c
+++ b/src/serve.c
@@ -45,7 +45,10 @@
 		    daemon->settings->name);
 		error = task_run_here(daemon->control);
 		for (i = 0; i < G_N_ELEMENTS(order); i++)
-			task_join(order[i]);
+			task_stop(order[i]);
+		for (i = 0; i < G_N_ELEMENTS(order); i++)
+			task_free(order[i]);
+		task_free(daemon->control);
 		LOG_PART(PART, G_LOG_LEVEL_MESSAGE, "Daemon %s has ended.",
 		    daemon->settings->name);
 		platform_free(platform);
--- a/src/sock.c
+++ b/src/sock.c
@@ -6,7 +6,7 @@
 #include <netinet/tcp.h>
 
 #define READ_BYTES 65536
-#define UNSENT_BYTES_MAX (16 * 1024 * 1024)
+#define UNSENT_BYTES_MAX (UINT64_C(16) << 20)
 
 struct sock {
 	const sock_ops_t *ops;
--- a/src/stats.c
+++ b/src/stats.c
@@ -7,7 +7,7 @@
 #define RANKS 3
 #define BINS_PER_DECADE 20
 #define DECADES 6 /* 0.01 ms to 10 s */
-#define BINS (BINS_PER_DECADE * DECADES)
+#define BINS ((size_t)BINS_PER_DECADE * DECADES)
 #define LOWEST_MS 0.01
 
 typedef struct team {
@@ -48,7 +48,7 @@
 {
 	gsl_histogram *histogram = gsl_histogram_alloc(BINS);
 	double ranges[BINS + 1];
-	uint32_t i;
+	size_t i;
 
 	for (i = 0; i <= BINS; i++)
 		ranges[i] = LOWEST_MS * pow(10, (double)i / BINS_PER_DECADE);
--- a/src/task.c
+++ b/src/task.c
@@ -196,21 +196,32 @@
 }
 
 /*
- * Ask the task to end after the messages it already has, wait, and free it.
+ * Ask the task to end after the messages it already has, and wait.  It may
+ * still be sent messages; they are not handled.
  */
 void
-task_join(task_t *task)
+task_stop(task_t *task)
 {
 	static const ProtobufCMessage end = {0};
 	arena_t *arena;
+
+	if (task->thread == NULL)
+		return;
+	arena = arena_new();
+	task_send(
+	    task, NULL, msg_adopt(arena, arena_copy(arena, &end, sizeof(end))));
+	g_thread_join(task->thread);
+	task->thread = NULL;
+}
+
+/*
+ * Free a task that has ended, once no other task can send to it any more.
+ */
+void
+task_free(task_t *task)
+{
 	msg_t *msg;
 
-	if (task->thread != NULL) {
-		arena = arena_new();
-		msg = msg_adopt(arena, arena_copy(arena, &end, sizeof(end)));
-		task_send(task, NULL, msg);
-		g_thread_join(task->thread);
-	}
 	while ((msg = inbox_take(task)) != NULL)
 		msg_free(msg);
 	g_source_destroy(task->inbox);
--- a/src/task.h
+++ b/src/task.h
@@ -35,7 +35,8 @@
 
 task_t *task_new(const task_ops_t *, void *context);
 int32_t task_start(task_t *);
-void task_join(task_t *);
+void task_stop(task_t *);
+void task_free(task_t *);
 int32_t task_run_here(task_t *);
 void task_quit(task_t *);
 GMainContext *task_context(task_t *);
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -1,6 +1,7 @@
 #include "harness.h"
 
 #include "../gen/database.pb-c.h"
+#include "../src/decide/owner.h"
 #include "../src/h2.h"
 #include "../src/json.h"
 
@@ -9,11 +10,13 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <unistd.h>
 
 #define DATABASES_PER_GROUP 3
 #define CALL_TIMEOUT_MS 3000
 #define POLL_US 20000
+#define PRIMARY_WAIT_MS 8000
 
 /*
  * A free port of the loopback address.
@@ -86,6 +89,16 @@
 	return g_build_filename(folder == NULL ? "build" : folder, name, NULL);
 }
 
+/*
+ * In the new process: end with the test, however that ends.
+ */
+static void
+on_child(gpointer context)
+{
+	(void)context;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 /*
  * Start a program; its log goes to a file of the fleet's folder.
  */
@@ -98,6 +111,7 @@
 	GError *error = NULL;
 
 	g_subprocess_launcher_set_stderr_file_path(launcher, log);
+	g_subprocess_launcher_set_child_setup(launcher, on_child, NULL, NULL);
 	process->process = g_subprocess_launcher_spawnv(launcher, argv, &error);
 	if (process->process == NULL)
 		g_error("cannot start %s: %s", argv[0], error->message);
@@ -506,6 +520,83 @@
 	g_free(fleet);
 }
 
+/*
+ * Send a statement to a daemon.  NULL when there was no answer.
+ */
+Bp__CallerAnswer *
+fleet_ask(fleet_t *fleet, arena_t *arena, uint32_t daemon, const char *body)
+{
+	char *url = g_strdup_printf(
+	    "http://127.0.0.1:%u/v1/statement", fleet->daemons[daemon].port);
+	faults_t faults = {arena, NULL, 0, NULL};
+	Bp__CallerAnswer *answer = NULL;
+	char *text;
+
+	if (http_call("POST", url, body, &text) != 0)
+		answer = (Bp__CallerAnswer *)json_read(arena,
+		    &bp__caller_answer__descriptor, text, strlen(text),
+		    &faults);
+	g_free(text);
+	g_free(url);
+	return answer;
+}
+
+/*
+ * The daemon that owns a group while all are members.
+ */
+uint32_t
+fleet_owner(const fleet_t *fleet, uint32_t group)
+{
+	const char *names[FLEET_DAEMONS_MAX];
+	char key[128];
+	uint32_t i;
+
+	for (i = 0; i < fleet->plan.daemons; i++)
+		names[i] = fleet->daemons[i].name;
+	g_snprintf(key, sizeof(key), "%s/%s", fleet->groups[group].team,
+	    fleet->groups[group].name);
+	return (uint32_t)owner_pick(names, fleet->plan.daemons, key);
+}
+
+/*
+ * The value of an object of the platform, which the caller frees, or NULL.
+ */
+char *
+fleet_object(fleet_t *fleet, const char *name, uint64_t *version)
+{
+	arena_t *arena = arena_new();
+	faults_t faults = {arena, NULL, 0, NULL};
+	char *url = g_strdup_printf(
+	    "http://127.0.0.1:%u/objects/%s", fleet->platform.port, name);
+	char *text, *value = NULL;
+	Bp__Object *object;
+
+	http_call("GET", url, NULL, &text);
+	object = (Bp__Object *)json_read(
+	    arena, &bp__object__descriptor, text, strlen(text), &faults);
+	if (object != NULL) {
+		value = g_strdup(object->value);
+		*version = object->version;
+	}
+	g_free(text);
+	g_free(url);
+	arena_free(arena);
+	return value;
+}
+
+/*
+ * Set a fault of the platform stand-in.
+ */
+void
+fleet_platform_fault(fleet_t *fleet, const char *fault)
+{
+	char *url =
+	    g_strdup_printf("http://127.0.0.1:%u/fault", fleet->platform.port);
+
+	http_call("POST", url, fault, NULL);
+	g_free(url);
+}
+
 /*
  * The status page of a daemon, in the arena, or NULL.
  */
@@ -566,7 +657,7 @@
 {
 	arena_t *arena = arena_new();
 	Bp__StatusPage *page = fleet_status(fleet, arena, daemon);
-	uint32_t teams = (fleet->plan.tickets > 0) + (fleet->plan.quotes > 0);
+	uint64_t teams = (fleet->plan.tickets > 0) + (fleet->plan.quotes > 0);
 	bool ready = page != NULL && page->n_members == fleet->plan.daemons &&
 	    page->n_documents == teams * fleet->plan.daemons;
 	size_t i, j;
@@ -758,3 +849,19 @@
 	}
 	return primary;
 }
+
+/*
+ * As fleet_primary(), waiting through a change of primary.
+ */
+int32_t
+fleet_wait_primary(fleet_t *fleet, uint32_t group)
+{
+	int64_t until_us = g_get_monotonic_time() + PRIMARY_WAIT_MS * US_PER_MS;
+	int32_t primary;
+
+	while ((primary = fleet_primary(fleet, group)) < 0 &&
+	    g_get_monotonic_time() < until_us)
+		g_usleep(POLL_US);
+	g_assert_cmpint(primary, >=, 0);
+	return primary;
+}
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -75,10 +75,16 @@
 Bp__RanLog *fleet_db_ran(fleet_t *, arena_t *, uint32_t database);
 Bp__DbStatus *fleet_db_status(fleet_t *, arena_t *, uint32_t database);
 int32_t fleet_primary(fleet_t *, uint32_t group);
+int32_t fleet_wait_primary(fleet_t *, uint32_t group);
 char *fleet_document(const fleet_t *, const char *team, const char *extra);
 uint64_t fleet_put(
     fleet_t *, const char *name, uint64_t version, const char *value);
 void fleet_vms(fleet_t *, int32_t leaving_database);
+Bp__CallerAnswer *fleet_ask(
+    fleet_t *, arena_t *, uint32_t daemon, const char *body);
+uint32_t fleet_owner(const fleet_t *, uint32_t group);
+char *fleet_object(fleet_t *, const char *name, uint64_t *version);
+void fleet_platform_fault(fleet_t *, const char *fault);
 Bp__StatusPage *fleet_status(fleet_t *, arena_t *, uint32_t daemon);
 uint64_t fleet_counter(const Bp__StatusPage *, const char *name);
 uint64_t fleet_version(
--- a/tests/load/load.c
+++ b/tests/load/load.c
@@ -339,7 +339,7 @@
 		    code != CURLE_OK && code != CURLE_COULDNT_CONNECT;
 	if (session->tx_step > 0)
 		transaction_answered(session, answer);
-	else
+	else if (session->op != NULL)
 		operation_answered(session->op, answer);
 	arena_free(arena);
 	if (load->plan->pause_ms > 0)
--- a/tests/model.c
+++ b/tests/model.c
@@ -1,5 +1,6 @@
 #include "model.h"
 
+#include "../src/bergamotplank.h"
 #include "../src/decide/promote.h"
 #include "../src/decide/replica.h"
 
@@ -7,14 +8,14 @@
 
 #define OWNERS_MAX 4
 #define DBS_MAX 5
-#define TICK_US (10 * 1000)
-#define PROBE_US (100 * 1000)
-#define PROBE_TIMEOUT_US (200 * 1000)
-#define DELAY_MAX_US (4 * 1000)
-#define FAULT_MAX_US (1500 * 1000)
+#define TICK_US (10 * US_PER_MS)
+#define PROBE_US (100 * US_PER_MS)
+#define PROBE_TIMEOUT_US (200 * US_PER_MS)
+#define DELAY_MAX_US (4 * US_PER_MS)
+#define FAULT_MAX_US (1500 * US_PER_MS)
 #define CHECKED_BACK 40
-#define MAX_AGE_US (400 * 1000)
-#define RUN_TIMEOUT_US (3000 * 1000)
+#define MAX_AGE_US (400 * US_PER_MS)
+#define RUN_TIMEOUT_US (3000 * US_PER_MS)
 #define IDS 64
 
 typedef struct entry {
@@ -165,7 +166,7 @@
 static int64_t
 delay(model_t *model)
 {
-	return 200 + below(model, DELAY_MAX_US);
+	return 200 + (int64_t)below(model, DELAY_MAX_US);
 }
 
 /*
@@ -183,8 +184,9 @@
 static position_t
 log_end(const model_db_t *db)
 {
-	position_t end = {0, db->log->len};
+	position_t end = {0, 0};
 
+	end.index = db->log->len;
 	if (db->log->len > 0)
 		end.term = entry_at(db, db->log->len)->term;
 	return end;
@@ -513,7 +515,7 @@
 	if (primary >= 0 &&
 	    sample_take(
 		promote->views, promote->count, (uint32_t)primary, &sample))
-		samples_add(&owner->samples, sample, 20 * 1000);
+		samples_add(&owner->samples, sample, 20 * US_PER_MS);
 	confirm(model, owner);
 }
 
@@ -773,8 +775,9 @@
 static void
 model_start(model_t *model)
 {
-	static const promote_limits_t limits = {400 * 1000, 200 * 1000,
-	    2000 * 1000, 500 * 1000, 500 * 1000, 50 * 1000};
+	static const promote_limits_t limits = {400 * US_PER_MS,
+	    200 * US_PER_MS, 2000 * US_PER_MS, 500 * US_PER_MS, 500 * US_PER_MS,
+	    50 * US_PER_MS};
 	event_t first = {.kind = EVENT_TICK};
 	uint32_t i;
 
--- a/tests/t_decide.c
+++ b/tests/t_decide.c
@@ -10,7 +10,8 @@
 
 /* The pure decisions, in tables of cases. */
 
-#define MS(n) ((int64_t)(n)*US_PER_MS)
+#define MS(n) ((int64_t)(n) * US_PER_MS)
+#define SAMPLES_ADDED (UINT64_C(10) * SAMPLES_MAX)
 
 typedef struct position_case {
 	const char *name;
@@ -227,13 +228,13 @@
 	position_t needed;
 	uint64_t i;
 
-	for (i = 1; i <= 10 * SAMPLES_MAX; i++)
+	for (i = 1; i <= SAMPLES_ADDED; i++)
 		samples_add(
 		    &samples, (sample_t){MS(10) * (int64_t)i, {1, i}}, MS(50));
 	g_assert_cmpuint(samples.count, ==, SAMPLES_MAX);
-	g_assert_true(samples_needed(
-	    &samples, MS(10) * 10 * SAMPLES_MAX, MS(200), &needed));
-	g_assert_cmpuint(needed.index, >=, 10 * SAMPLES_MAX - 20);
+	g_assert_true(
+	    samples_needed(&samples, MS(10 * SAMPLES_ADDED), MS(200), &needed));
+	g_assert_cmpuint(needed.index, >=, SAMPLES_ADDED - 20);
 	/* a sample from the past is passed over */
 	samples_add(&samples, (sample_t){MS(1), {1, 1}}, MS(50));
 	g_assert_cmpuint(samples.count, ==, SAMPLES_MAX);
@@ -312,7 +313,8 @@
 	g_assert_cmpuint(budget.warm, ==, c->warm);
 	g_assert_cmpuint(budget.transactions, ==, c->transactions);
 	if (c->limit >= 6)
-		g_assert_cmpuint(3 * (budget.share + 1), <=, c->limit);
+		g_assert_cmpuint(
+		    UINT64_C(3) * (budget.share + 1), <=, c->limit);
 }
 
 /*
@@ -476,7 +478,8 @@
 		moved += whole != less;
 	}
 	g_assert_cmpuint(moved, ==, owned);
-	g_assert_cmpuint(owned * c->members, <, 2 * c->keys);
+	g_assert_cmpuint(
+	    (uint64_t)owned * c->members, <, UINT64_C(2) * c->keys);
 	g_assert_cmpint(owner_pick(members, 0, "x"), ==, -1);
 }
 
--- a/tests/t_holds.c
+++ b/tests/t_holds.c
@@ -1,4 +1,3 @@
-#include "../src/decide/owner.h"
 #include "../src/json.h"
 #include "cases.h"
 #include "load/load.h"
@@ -16,6 +15,7 @@
 #define READY_MS 15000
 #define SETTLE_MS 10000
 #define STEPS_MAX 6
+#define STATEMENTS_MAX 300000
 
 typedef struct stage stage_t;
 
@@ -40,6 +40,7 @@
 	uint32_t unknown_at_most; /* UINT32_MAX: any */
 	bool none_cut;            /* no request may go without its answer */
 	uint32_t after_at_least;  /* done that were asked after the last step */
+	void (*check)(stage_t *); /* more to check at the end; may be NULL */
 } holds_case_t;
 
 /* A case that is under way. */
@@ -52,25 +53,9 @@
 	uint32_t next;   /* step */
 	uint32_t owner;  /* of group 0, at the start */
 	int32_t primary; /* of group 0, when the first fault was set */
+	uint64_t work;   /* statements that the leaving database had run */
 };
 
-/*
- * The daemon that owns group 0 while all are members.
- */
-static uint32_t
-owner_of_first(const fleet_t *fleet)
-{
-	const char *names[FLEET_DAEMONS_MAX];
-	char key[128];
-	uint32_t i;
-
-	for (i = 0; i < fleet->plan.daemons; i++)
-		names[i] = fleet->daemons[i].name;
-	g_snprintf(key, sizeof(key), "%s/%s", fleet->groups[0].team,
-	    fleet->groups[0].name);
-	return (uint32_t)owner_pick(names, fleet->plan.daemons, key);
-}
-
 /*
  * The process of the primary of group 0, as it was at the first fault.
  */
@@ -217,29 +202,91 @@
 	primary_fault(stage, "{\"lag_ms\":700}");
 }
 
+static void
+platform_outage(stage_t *stage)
+{
+	fleet_platform_fault(stage->fleet, "{\"outage_ms\":60000}");
+}
+
+static void
+platform_slow(stage_t *stage)
+{
+	fleet_platform_fault(stage->fleet, "{\"slow_ms\":900}");
+}
+
 /*
- * Set a fault of the platform.
+ * A replica of group 0.
  */
+static uint32_t
+a_replica(const stage_t *stage)
+{
+	uint32_t first = stage->fleet->groups[0].first;
+
+	return stage->primary == (int32_t)first ? first + 1 : first;
+}
+
 static void
-platform_fault(stage_t *stage, const char *fault)
+primary_leaves_by_word(stage_t *stage)
 {
-	char *url = g_strdup_printf(
-	    "http://127.0.0.1:%u/fault", stage->fleet->platform.port);
+	primary_fault(stage, "{\"leaving\":true}");
+}
 
-	http_call("POST", url, fault, NULL);
-	g_free(url);
+static void
+primary_leaves_by_list(stage_t *stage)
+{
+	fleet_vms(stage->fleet, stage->primary);
 }
 
 static void
-platform_outage(stage_t *stage)
+replica_leaves_by_word(stage_t *stage)
 {
-	platform_fault(stage, "{\"outage_ms\":60000}");
+	fleet_db_call(stage->fleet, a_replica(stage), "/fault",
+	    "{\"leaving\":true}", NULL);
 }
 
 static void
-platform_slow(stage_t *stage)
+replica_leaves_by_list(stage_t *stage)
+{
+	fleet_vms(stage->fleet, (int32_t)a_replica(stage));
+}
+
+/*
+ * How many statements a database has run.
+ */
+static uint64_t
+work_of(stage_t *stage, uint32_t database)
+{
+	arena_t *arena = arena_new();
+	Bp__RanLog *log = fleet_db_ran(stage->fleet, arena, database);
+	uint64_t work = log->statements;
+
+	arena_free(arena);
+	return work;
+}
+
+static void
+note_primary_work(stage_t *stage)
+{
+	stage->work = work_of(stage, (uint32_t)stage->primary);
+}
+
+static void
+note_replica_work(stage_t *stage)
 {
-	platform_fault(stage, "{\"slow_ms\":900}");
+	stage->work = work_of(stage, a_replica(stage));
+}
+
+static void
+check_primary_work(stage_t *stage)
+{
+	g_assert_cmpuint(
+	    work_of(stage, (uint32_t)stage->primary), ==, stage->work);
+}
+
+static void
+check_replica_work(stage_t *stage)
+{
+	g_assert_cmpuint(work_of(stage, a_replica(stage)), ==, stage->work);
 }
 
 /*
@@ -362,7 +409,7 @@
 	    .lag_ms = c->lag_ms};
 	stage_t stage = {.c = c, .primary = -1};
 	load_plan_t load = {.sessions = c->sessions == 0 ? 24 : c->sessions,
-	    .statements = 30000,
+	    .statements = STATEMENTS_MAX,
 	    .duration_ms = c->duration_ms,
 	    .seed = 1,
 	    .timeout_ms = c->timeout_ms,
@@ -377,7 +424,7 @@
 	stage.fleet = fleet_start(&plan);
 	stage.history = history_new();
 	g_assert_true(fleet_wait_ready(stage.fleet, READY_MS));
-	stage.owner = owner_of_first(stage.fleet);
+	stage.owner = fleet_owner(stage.fleet, 0);
 	stage.began_us = clock_us();
 	load_run(stage.fleet, &load, stage.history);
 	g_assert_cmpuint(stage.next, ==, steps_count(c));
@@ -400,6 +447,8 @@
 	g_assert_cmpuint(done_after(stage.history, stage.fleet->groups[0].name,
 			     stage.last_us),
 	    >=, c->after_at_least);
+	if (c->check != NULL)
+		c->check(&stage);
 	g_string_free(violations.text, TRUE);
 	history_free(stage.history);
 	fleet_end(stage.fleet);
@@ -490,6 +539,26 @@
 	0, 0, true, 20},
 };
 
+/* Three seconds after the word, a leaving database has no new work. */
+static const holds_case_t leaving_cases[] = {
+    {"a replica by its own word", 2, 1, 0, 3, 0, 6000, false,
+	{{1000, replica_leaves_by_word}, {4000, note_replica_work}}, 0, 0, true,
+	100, check_replica_work},
+    {"a replica by the list", 2, 1, 0, 3, 0, 6000, false,
+	{{1000, replica_leaves_by_list}, {4000, note_replica_work}}, 0, 0, true,
+	100, check_replica_work},
+    {"the primary by its own word", 2, 1, 0, 3, 0, 6000, true,
+	{{1000, primary_leaves_by_word}, {4000, note_primary_work}}, 0, 0, true,
+	100, check_primary_work},
+    {"the primary by the list", 2, 1, 0, 3, 0, 6000, true,
+	{{1000, primary_leaves_by_list}, {4000, note_primary_work}}, 0, 0, true,
+	100, check_primary_work},
+    {"the primary while its owner dies", 2, 1, 0, 3, 0, 8000, false,
+	{{1000, primary_leaves_by_word}, {1050, kill_owner},
+	    {6000, note_primary_work}},
+	0, ANY, false, 50, check_primary_work},
+};
+
 /*
  * Run the tables.
  */
@@ -505,5 +574,6 @@
 	CASES("/holds/whole-answer", answer_cases, test_holds);
 	CASES("/holds/not-run-means-not-run", refusal_cases, test_holds);
 	CASES("/holds/drain-cuts-nothing", drain_cases, test_holds);
+	CASES("/holds/leaving-gets-no-work", leaving_cases, test_holds);
 	return g_test_run();
 }
