--- a/tests/t_decide.c
+++ b/tests/t_decide.c
@@ -10,7 +10,7 @@
 
 /* The pure decisions, in tables of cases. */
 
-#define MS(n) ((int64_t)(n) * US_PER_MS)
+#define MS(n) ((int64_t)(n)*US_PER_MS)
 #define SAMPLES_ADDED (UINT64_C(10) * SAMPLES_MAX)
 
 typedef struct position_case {
