--- a/Makefile
+++ b/Makefile
@@ -81,6 +81,14 @@
 $(BUILD)/t_%: $(BUILD)/tests/t_%.o $(HARNESS_O) $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
 
+$(BUILD)/bench: $(BUILD)/tests/bench.o $(HARNESS_O) \
+    $(BUILD)/libbergamotplank.a
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
+
+# What a statement costs, beside a direct call.
+bench: all $(BUILD)/bench
+	$(BUILD)/bench
+
 $(BUILD)/fuzz: $(BUILD)/tests/fuzz.o $(BUILD)/tests/model.o \
     $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
@@ -108,4 +116,4 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all deps demo check lint generate format clean tests fuzz
+.PHONY: all deps demo check lint generate format clean tests fuzz bench bench
