--- a/Makefile
+++ b/Makefile
@@ -89,6 +89,16 @@
 bench: all $(BUILD)/bench
 	$(BUILD)/bench
 
+$(BUILD)/measure: $(BUILD)/tests/measure.o $(BUILD)/tests/queuesim.o \
+    $(HARNESS_O) $(BUILD)/libbergamotplank.a
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
+
+# The brief's measures beside their baselines: SEED, SEEDS.
+SEEDS = 3
+measure: all $(BUILD)/measure
+	$(BUILD)/measure --seed $(SEED) --seeds $(SEEDS) \
+	    --csv $(BUILD)/measure.csv
+
 $(BUILD)/fuzz: $(BUILD)/tests/fuzz.o $(BUILD)/tests/model.o \
     $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
@@ -116,4 +126,4 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all deps demo check lint generate format clean tests fuzz bench bench
+.PHONY: all deps demo check lint generate format clean tests fuzz bench measure bench
--- a/src/course.c
+++ b/src/course.c
@@ -233,7 +233,8 @@
 	int64_t wait_us =
 	    rankq_wait_us(primary ? group->primary_lane : group->replica_lane,
 		run->item.rank, run->item.account, lane_rate(group, primary));
-	int64_t late_us = run->arrived_us + wait_us - run->deadline_us;
+	int64_t late_us = run->arrived_us + wait_us +
+	    (int64_t)group->service_us - run->deadline_us;
 
 	if (late_us < 0)
 		return true;
@@ -340,6 +341,21 @@
 	g_queue_push_tail_link(&run->group->tx_lane, &run->link);
 }
 
+/*
+ * Whether the lane that a statement goes to has room for it.
+ */
+static bool
+lane_admits(const dbgroup_t *group, const Bp__Work *work,
+    const Bp__Statement *statement)
+{
+	const Bp__Limits *limits = group->role->daemon->settings->limits;
+	bool replica = work->access == BP__ACCESS__READ &&
+	    work->max_age_ms > 0 && !statement->fresh;
+
+	return rankq_admits(replica ? group->replica_lane : group->primary_lane,
+	    work->rank, statement->account, limits->queue_statements);
+}
+
 /*
  * Take a statement in.  It is refused, queued, or answered at once.
  */
@@ -378,8 +394,7 @@
 		run_refuse(role, msg, BP__REASON__BAD_REQUEST,
 		    "there is no transaction to end");
 		return;
-	} else if (group->runs >=
-	    role->daemon->settings->limits->queue_statements) {
+	} else if (!lane_admits(group, work, statement)) {
 		run_refuse(
 		    role, msg, BP__REASON__OVERLOADED, "the queue is full");
 		return;
@@ -503,6 +518,10 @@
 			return; /* conns_keep_warm() opens more */
 		item = rankq_pop(group->primary_lane);
 		run = item->owner;
+		if (run->deadline_us <= now_us) {
+			run_give_up(run, BP__REASON__DEADLINE);
+			continue;
+		}
 		if (run->statement->action == BP__ACTION__BEGIN) {
 			if (g_hash_table_size(group->txs) >=
 			    group->budget.transactions) {
@@ -577,6 +596,22 @@
 		run_queue(g_queue_pop_head(&busy), true);
 }
 
+/*
+ * Give up what waits in a lane and could not end before its deadline any
+ * more, so that no slot is spent on it.
+ */
+static void
+lane_expire(dbgroup_t *group, rankq_t *lane, int64_t now_us)
+{
+	rankq_item_t *item;
+
+	while ((item = rankq_expired(
+		    lane, now_us + (int64_t)group->service_us)) != NULL) {
+		group->role->counts[COUNT_EXPIRED]++;
+		run_give_up(item->owner, BP__REASON__DEADLINE);
+	}
+}
+
 /*
  * Send everything that can go out now.
  */
@@ -584,6 +619,8 @@
 runs_pump(dbgroup_t *group, int64_t now_us)
 {
 	pump_txs(group, now_us);
+	lane_expire(group, group->replica_lane, now_us);
+	lane_expire(group, group->primary_lane, now_us);
 	if (rankq_count(group->replica_lane) > 0)
 		pump_replicas(group, now_us);
 	if (rankq_count(group->primary_lane) > 0)
@@ -783,16 +820,11 @@
 runs_expire(dbgroup_t *group, int64_t now_us)
 {
 	rankq_t *lanes[] = {group->primary_lane, group->replica_lane};
-	rankq_item_t *item;
 	uint32_t i, j;
 	GList *l;
 
-	for (i = 0; i < G_N_ELEMENTS(lanes); i++) {
-		while ((item = rankq_expired(lanes[i], now_us)) != NULL) {
-			group->role->counts[COUNT_EXPIRED]++;
-			run_give_up(item->owner, BP__REASON__DEADLINE);
-		}
-	}
+	for (i = 0; i < G_N_ELEMENTS(lanes); i++)
+		lane_expire(group, lanes[i], now_us);
 	l = group->confirming.head;
 	while (l != NULL) {
 		run_t *run = l->data;
--- a/src/decide/rankq.c
+++ b/src/decide/rankq.c
@@ -2,6 +2,12 @@
 
 #include <string.h>
 
+/*
+ * Some of what is taken out ends too late to count; a rank is offered this
+ * much more than its floor so that it keeps the floor in work that counts.
+ */
+#define FLOOR_MARGIN 1.04
+
 /* A rank that was passed over saves up to this many turns of its floor. */
 #define CREDIT_MAX 2.0
 
@@ -77,7 +83,7 @@
 	uint32_t i;
 
 	for (i = 0; i < RANKS; i++)
-		q->ranks[i].floor = floor_percent[i] / 100.0;
+		q->ranks[i].floor = floor_percent[i] * FLOOR_MARGIN / 100.0;
 }
 
 /*
@@ -209,6 +215,25 @@
 	return q->count;
 }
 
+/*
+ * Tell whether a rank has room for one more item of an account.  Up to half
+ * of the limit anybody may use; beyond that an account gets no more than its
+ * part, so that one in a flood leaves room for the others.  At most one and
+ * a half times the limit waits.
+ */
+bool
+rankq_admits(
+    const rankq_t *q, uint32_t rank_number, const char *account, uint32_t limit)
+{
+	const rank_queue_t *rank = &q->ranks[rank_number];
+	const turn_t *own = g_hash_table_lookup(rank->turns, account);
+	uint32_t accounts = g_hash_table_size(rank->turns) + (own == NULL);
+
+	if (rank->count < limit / 2 || own == NULL)
+		return rank->count < limit + limit / 2;
+	return own->items.length < limit / accounts;
+}
+
 /*
  * How many items of a rank come before a new one of this account, when the
  * accounts take turns.
--- a/src/decide/rankq.h
+++ b/src/decide/rankq.h
@@ -31,6 +31,8 @@
 void rankq_remove(rankq_t *, rankq_item_t *);
 rankq_item_t *rankq_expired(rankq_t *, int64_t now_us);
 uint32_t rankq_count(const rankq_t *);
+bool rankq_admits(
+    const rankq_t *, uint32_t rank, const char *account, uint32_t limit);
 int64_t rankq_wait_us(const rankq_t *, uint32_t rank, const char *account,
     double served_per_second);
 
--- a/tests/load/load.c
+++ b/tests/load/load.c
@@ -151,7 +151,8 @@
 	request.action = action;
 	request.statement = (char *)statement;
 	request.request_id = (char *)request_id;
-	request.session = session->token;
+	request.session =
+	    session->load->plan->all_fresh ? (char *)"none" : session->token;
 	request.transaction = session->transaction;
 	request.has_timeout_ms = session->load->plan->timeout_ms > 0;
 	request.timeout_ms = session->load->plan->timeout_ms;
--- a/tests/load/load.h
+++ b/tests/load/load.h
@@ -17,6 +17,7 @@
 	uint32_t timeout_ms; /* of each statement; 0: the daemon's own */
 	uint32_t pause_ms;   /* of a session between statements, at most */
 	bool transactions;
+	bool all_fresh; /* reads ask for what only the primary may serve */
 	/* called again and again, with the number of answers */
 	void (*progress)(void *context, uint32_t answered);
 	void *context;
--- a/tests/model.c
+++ b/tests/model.c
@@ -111,6 +111,8 @@
 	uint64_t next_id;
 	int64_t fault_until_us;
 	int64_t quiet_since_us; /* no fault and no acknowledgement */
+	int64_t asked_after_us; /* for a gap: writes asked after this */
+	int64_t first_asked_us; /* the first of them that was acknowledged */
 } model_t;
 
 /*
@@ -411,6 +413,9 @@
 
 	if (run->kind == RUN_WRITE) {
 		model->result->acknowledged++;
+		if (model->first_asked_us == 0 &&
+		    run->asked_us > model->asked_after_us)
+			model->first_asked_us = run->asked_us;
 		if (run->id != 0) {
 			if (replaced_without(model, run->id, run->ran_at))
 				model->result->lost++;
@@ -815,6 +820,21 @@
 	}
 }
 
+/*
+ * Carry out the next event.
+ */
+static void
+model_step(model_t *model)
+{
+	GSequenceIter *first = g_sequence_get_begin_iter(model->events);
+	event_t event = *(event_t *)g_sequence_get(first);
+
+	g_sequence_remove(first);
+	model->now_us = event.at_us;
+	step(model, &event);
+	model->result->steps++;
+}
+
 /*
  * Run the model for a number of steps.
  */
@@ -827,15 +847,44 @@
 	model.plan = plan;
 	model.result = result;
 	model_start(&model);
-	while (result->steps < plan->steps) {
-		GSequenceIter *first = g_sequence_get_begin_iter(model.events);
-		event_t event = *(event_t *)g_sequence_get(first);
-
-		g_sequence_remove(first);
-		model.now_us = event.at_us;
-		step(&model, &event);
-		result->steps++;
-	}
+	while (result->steps < plan->steps)
+		model_step(&model);
 	result->simulated_us = model.now_us;
 	model_end(&model);
 }
+
+/*
+ * Let the primary fall silent for good at a random time, and return the time
+ * to the next acknowledgement of a write that was asked afterwards.
+ */
+int64_t
+model_gap_us(const model_plan_t *plan)
+{
+	model_t model = {0};
+	model_result_t result = {0};
+	int64_t silent_us;
+	int32_t primary = -1;
+	uint32_t i;
+
+	model.plan = plan;
+	model.result = &result;
+	model_start(&model);
+	silent_us = 2000 * US_PER_MS + (int64_t)below(&model, 500) * US_PER_MS;
+	while (model.now_us < silent_us)
+		model_step(&model);
+	for (i = 0; i < plan->databases; i++) {
+		if (model.dbs[i].primary)
+			primary = (int32_t)i;
+	}
+	g_assert_cmpint(primary, >=, 0);
+	model.dbs[primary].frozen_us = INT64_MAX / 2;
+	model.dbs[primary].cut_peers_us = INT64_MAX / 2;
+	silent_us = model.now_us;
+	model.first_asked_us = 0;
+	model.asked_after_us = silent_us;
+	while (model.first_asked_us == 0 &&
+	    model.now_us < silent_us + 60 * US_PER_SECOND)
+		model_step(&model);
+	model_end(&model);
+	return model.now_us - silent_us;
+}
--- a/tests/model.h
+++ b/tests/model.h
@@ -47,5 +47,6 @@
 
 bool model_hold_right(void *, const db_view_t *, uint32_t, position_t, int64_t);
 void model_run(const model_plan_t *, model_result_t *);
+int64_t model_gap_us(const model_plan_t *);
 
 #endif
--- a/tests/t_queue.c
+++ b/tests/t_queue.c
@@ -164,6 +164,53 @@
 	rankq_free(q);
 }
 
+typedef struct admit_case {
+	const char *name;
+	uint32_t flood;  /* waiting of one account */
+	uint32_t others; /* waiting of each of three others */
+	const char *account;
+	bool admitted;
+} admit_case_t;
+
+static const admit_case_t admit_cases[] = {
+    {"room for anybody", 49, 0, "flood", true},
+    {"alone, up to the limit", 99, 0, "flood", true},
+    {"alone, at the limit", 100, 0, "flood", false},
+    {"beside others it has its part", 60, 1, "flood", false},
+    {"the others have room", 60, 1, "a", true},
+    {"a new account has room", 100, 0, "new", true},
+    {"each within its part", 25, 25, "a", false},
+    {"not beyond all bounds", 75, 25, "new", false},
+};
+
+/*
+ * A limit of 100 on one rank.
+ */
+static void
+test_admits(gconstpointer data)
+{
+	static const uint32_t floors[RANKS] = {0, 0, 0};
+	static const char *const others[] = {"a", "b", "c"};
+	static rankq_item_t items[400];
+	const admit_case_t *c = data;
+	rankq_t *q = rankq_new(floors);
+	uint32_t i, j, used = 0;
+
+	memset(items, 0, sizeof(items));
+	for (i = 0; i < c->flood; i++) {
+		items[used].account = "flood";
+		rankq_push(q, &items[used++], false);
+	}
+	for (i = 0; i < G_N_ELEMENTS(others); i++) {
+		for (j = 0; j < c->others; j++) {
+			items[used].account = others[i];
+			rankq_push(q, &items[used++], false);
+		}
+	}
+	g_assert_cmpint(rankq_admits(q, 0, c->account, 100), ==, c->admitted);
+	rankq_free(q);
+}
+
 /*
  * Run the tables.
  */
@@ -173,6 +220,7 @@
 	g_test_init(&argc, &argv, NULL);
 	CASES("/queue/flood", flood_cases, test_flood);
 	CASES("/queue/wait", wait_cases, test_wait);
+	CASES("/queue/admits", admit_cases, test_admits);
 	g_test_add_func("/queue/turns", test_turns);
 	g_test_add_func("/queue/deadlines", test_deadlines);
 	return g_test_run();
