--- a/Makefile
+++ b/Makefile
@@ -93,6 +93,14 @@
     $(HARNESS_O) $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
 
+$(BUILD)/slopes: $(BUILD)/tests/slopes.o $(HARNESS_O) \
+    $(BUILD)/libbergamotplank.a
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
+
+# How costs grow; docs/CAPACITY.md works with these.
+slopes: all $(BUILD)/slopes
+	$(BUILD)/slopes
+
 # The brief's measures beside their baselines: SEED, SEEDS.
 SEEDS = 3
 measure: all $(BUILD)/measure
@@ -126,4 +134,4 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all deps demo check lint generate format clean tests fuzz bench measure bench
+.PHONY: all deps demo check lint generate format clean tests fuzz bench measure slopes bench
--- a/src/dbgroup.c
+++ b/src/dbgroup.c
@@ -117,6 +117,7 @@
 	group->owned = before->owned;
 	group->service_us = before->service_us;
 	before->retired = true;
+	before->retired_us = clock_us();
 	runs_move(before, group);
 	group->before = before;
 	if (before->active)
@@ -485,18 +486,55 @@
 	runs_expire(group, now_us);
 }
 
+/*
+ * The group that holds a transaction: this one, or what it took over from;
+ * NULL when neither does.
+ */
+dbgroup_t *
+dbgroup_holding(dbgroup_t *group, uint64_t transaction)
+{
+	while (
+	    group != NULL && !g_hash_table_contains(group->txs, &transaction))
+		group = group->before;
+	return group;
+}
+
+/*
+ * Let a retired group end what it has; after the drain time its transactions
+ * are closed.  Returns whether it has ended.
+ */
+static bool
+retired_tick(dbgroup_t *group, int64_t now_us)
+{
+	int64_t drain_us = (int64_t)US_PER_MS *
+	    group->role->daemon->settings->timeouts->drain_ms;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (now_us - group->retired_us >= drain_us) {
+		runs_end(group);
+		g_hash_table_iter_init(&iter, group->txs);
+		if (g_hash_table_iter_next(&iter, NULL, &value)) {
+			tx_t *tx = value;
+
+			if (tx->conn != NULL)
+				conn_close(tx->conn);
+			tx_end(tx);
+		}
+	}
+	dbgroup_tick(group, now_us);
+	return dbgroup_idle(group);
+}
+
 /*
  * What is to be done for a group now.  Called often.
  */
 void
 dbgroup_tick(dbgroup_t *group, int64_t now_us)
 {
-	if (group->before != NULL) {
-		dbgroup_tick(group->before, now_us);
-		if (dbgroup_idle(group->before)) {
-			dbgroup_free(group->before);
-			group->before = NULL;
-		}
+	if (group->before != NULL && retired_tick(group->before, now_us)) {
+		dbgroup_free(group->before);
+		group->before = NULL;
 	}
 	if (!dbgroup_idle(group))
 		group->used_us = now_us;
--- a/src/group.c
+++ b/src/group.c
@@ -411,6 +411,13 @@
 		    "no document in force here names this group");
 		return;
 	}
+	if (statement->has_transaction) {
+		dbgroup_t *holding =
+		    dbgroup_holding(group, statement->transaction);
+
+		if (holding != NULL)
+			group = holding;
+	}
 	run_begin(group, msg, team, role->draining);
 }
 
--- a/src/group.h
+++ b/src/group.h
@@ -96,10 +96,11 @@
 	position_t acked;
 	reqids_t *reqids;
 	retry_t retry;
-	dbgroup_t *before; /* the same group under an older document */
-	bool owned;        /* by the members now known */
-	bool active;       /* has connections */
-	bool retired;      /* a newer document has replaced it */
+	dbgroup_t *before;  /* the same group under an older document */
+	bool owned;         /* by the members now known */
+	bool active;        /* has connections */
+	int64_t retired_us; /* when */
+	bool retired;       /* a newer document has replaced it */
 	int64_t used_us;
 	int64_t leaving_us; /* the primary was first seen leaving */
 	uint32_t runs;      /* queued, sent or confirming */
@@ -196,6 +197,7 @@
 void dbgroup_free(dbgroup_t *);
 void dbgroup_replace(dbgroup_t *, dbgroup_t *before);
 bool dbgroup_idle(const dbgroup_t *);
+dbgroup_t *dbgroup_holding(dbgroup_t *, uint64_t transaction);
 void dbgroup_activate(dbgroup_t *, int64_t now_us);
 void dbgroup_tick(dbgroup_t *, int64_t now_us);
 void dbgroup_heard(dbgroup_t *, database_t *, const db_view_t *, int64_t);
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -265,6 +265,7 @@
 fleet_document(const fleet_t *fleet, const char *team, const char *extra)
 {
 	GString *text = g_string_new(NULL);
+	const char *comma;
 	uint32_t i, j;
 	bool first = true;
 
@@ -282,15 +283,18 @@
 		    first ? "" : ",", group->name, group->slots,
 		    group->connections);
 		first = false;
-		for (j = 0; j < group->count; j++) {
-			const fleet_process_t *db =
-			    &fleet->databases[group->first + j];
+		comma = "";
+		for (j = group->first; j < group->first + group->count; j++) {
+			const fleet_process_t *db = &fleet->databases[j];
 
+			if ((int32_t)j == fleet->left_out)
+				continue;
 			g_string_append_printf(text,
 			    "%s\n{\"name\":\"%s\",\"address\":\"127.0.0.1\","
 			    "\"port\":%u,\"zone\":\"zone-%c\"}",
-			    j == 0 ? "" : ",", db->name, db->port,
-			    'a' + (char)j);
+			    comma, db->name, db->port,
+			    'a' + (char)(j - group->first));
+			comma = ",";
 		}
 		g_string_append(text, "]}");
 	}
@@ -458,6 +462,7 @@
 	uint32_t i;
 
 	fleet->plan = *plan;
+	fleet->left_out = -1;
 	fleet->folder = g_dir_make_tmp("bergamotplank-XXXXXX", NULL);
 	platform_start(fleet);
 	for (i = 0; i < plan->tickets; i++)
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -57,6 +57,7 @@
 	fleet_group_t groups[FLEET_GROUPS_MAX];
 	uint32_t databases_count;
 	uint32_t groups_count;
+	int32_t left_out; /* a database that documents leave out, or -1 */
 } fleet_t;
 
 /* A connection of a test to one daemon; answers are the caller's to free. */
--- a/tests/t_holds.c
+++ b/tests/t_holds.c
@@ -289,6 +289,35 @@
 	g_assert_cmpuint(work_of(stage, a_replica(stage)), ==, stage->work);
 }
 
+/*
+ * An operator's edit that leaves out one database of group 0.
+ */
+static void
+edit_without(stage_t *stage, int32_t database)
+{
+	const char *team = stage->fleet->groups[0].team;
+	char *name = g_strconcat("team/", team, NULL);
+	char *document;
+
+	stage->fleet->left_out = database;
+	document = fleet_document(stage->fleet, team, NULL);
+	g_assert_cmpuint(fleet_put(stage->fleet, name, 1, document), ==, 2);
+	g_free(document);
+	g_free(name);
+}
+
+static void
+edit_without_replica(stage_t *stage)
+{
+	edit_without(stage, (int32_t)a_replica(stage));
+}
+
+static void
+edit_without_primary(stage_t *stage)
+{
+	edit_without(stage, stage->primary);
+}
+
 /*
  * The last step that a case has.
  */
@@ -342,7 +371,8 @@
 		for (j = 0; same && j < fleet->groups[i].count; j++) {
 			uint32_t db = fleet->groups[i].first + j;
 
-			if (fleet->databases[db].process == NULL ||
+			if ((int32_t)db == fleet->left_out ||
+			    fleet->databases[db].process == NULL ||
 			    g_subprocess_get_identifier(
 				fleet->databases[db].process) == NULL)
 				continue;
@@ -553,6 +583,12 @@
     {"the primary by the list", 2, 1, 0, 3, 0, 6000, true,
 	{{1000, primary_leaves_by_list}, {4000, note_primary_work}}, 0, 0, true,
 	100, check_primary_work},
+    {"a replica by an edit", 2, 1, 0, 3, 0, 6000, true,
+	{{1000, edit_without_replica}, {4000, note_replica_work}}, 0, 0, true,
+	100, check_replica_work},
+    {"the primary by an edit", 2, 1, 0, 3, 0, 6000, true,
+	{{1000, edit_without_primary}, {4000, note_primary_work}}, 0, 0, true,
+	100, check_primary_work},
     {"the primary while its owner dies", 2, 1, 0, 3, 0, 8000, false,
 	{{1000, primary_leaves_by_word}, {1050, kill_owner},
 	    {6000, note_primary_work}},
