Ports of tests lie outside the range of outgoing connections

Cause: t_fleet failed once while other fleets ran: a daemon did not become ready. A port was chosen by binding to any, which lies in the range that the kernel takes for outgoing connections; one of these can take it before the daemon binds. The port is now chosen below that range, and each test process begins elsewhere.

--- a/tests/harness.c
+++ b/tests/harness.c
@@ -16,28 +16,47 @@
 #define DATABASES_PER_GROUP 3
 #define CALL_TIMEOUT_MS 3000
 #define POLL_US 20000
+#define PORT_FIRST 10240
+#define PORTS_COUNT 20000
+#define PORTS_A_PROCESS 97
 #define PRIMARY_WAIT_MS 8000
 
 /*
- * A free port of the loopback address.
+ * Tell whether a port of the loopback address can be bound.
  */
-static uint32_t
-free_port(void)
+static bool
+port_is_free(uint32_t port)
 {
 	GSocket *socket = g_socket_new(G_SOCKET_FAMILY_IPV4,
 	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
-	GSocketAddress *any =
-	    g_inet_socket_address_new_from_string("127.0.0.1", 0);
-	GSocketAddress *bound;
-	uint32_t port;
-
-	g_assert_true(g_socket_bind(socket, any, FALSE, NULL));
-	bound = g_socket_get_local_address(socket, NULL);
-	port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound));
-	g_object_unref(bound);
-	g_object_unref(any);
+	GSocketAddress *address =
+	    g_inet_socket_address_new_from_string("127.0.0.1", port);
+	bool bound = g_socket_bind(socket, address, FALSE, NULL);
+
+	g_object_unref(address);
 	g_object_unref(socket);
-	return port;
+	return bound;
+}
+
+/*
+ * A port for a process to listen on.  It lies below the range that the
+ * kernel takes for outgoing connections, so none of these can take it before
+ * the process does; each test process begins elsewhere.
+ */
+static uint32_t
+free_port(void)
+{
+	static uint32_t next;
+
+	if (next == 0)
+		next = PORT_FIRST +
+		    (uint32_t)getpid() * PORTS_A_PROCESS % PORTS_COUNT;
+	do {
+		next++;
+		if (next >= PORT_FIRST + PORTS_COUNT)
+			next = PORT_FIRST;
+	} while (!port_is_free(next));
+	return next;
 }
 
 /*
--- a/tests/slopes.c
+++ b/tests/slopes.c
@@ -380,6 +380,7 @@
 main(void)
 {
 	curl_global_init(CURL_GLOBAL_ALL);
+	setvbuf(stdout, NULL, _IOLBF, 0);
 	log_start(G_LOG_LEVEL_WARNING);
 	slope_members(30);
 	slope_members(100);
