Costs that grew too fast, and files that had grown long

Found: g_strlcpy measures its whole source, so each token was paid with the rest of the document (97% of the profile); it also read on to the next zero byte, which a token does not have. News was passed on least told first, so that a death stood in line behind the news of the start. Four timers ran at 10 to 20 ms with nothing to do.

Change: tokens are copied by their size; the newest news goes first; groups tick every 50 ms while nothing waits, callers are swept only while some are active. course.c and the database stand-in are split by what they do.

--- a/Makefile
+++ b/Makefile
@@ -70,6 +70,7 @@
 $(BIN): $(BUILD)/src/main.o $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/fakedb: $(BUILD)/tests/fake/fakelog.o $(BUILD)/tests/fake/fakerepl.o
 $(BUILD)/fake%: $(BUILD)/tests/fake/fake%.o $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
--- /dev/null
+++ b/src/admit.c
@@ -0,0 +1,58 @@
+#include "group.h"
+
+/* Whether a new statement is taken in. */
+
+/*
+ * How many statements of a lane the group serves a second when all its slots
+ * are used; 0 when that is not known yet.
+ */
+static double
+lane_rate(const dbgroup_t *group, bool primary)
+{
+	int64_t now_us = clock_us();
+	uint32_t i, usable = 0;
+
+	if (group->service_us <= 0)
+		return 0;
+	for (i = 0; i < group->count; i++)
+		usable += database_usable(&group->dbs[i], now_us);
+	usable = primary || usable < 2 ? 1 : usable - 1;
+	return usable * group->config->slots * (double)G_USEC_PER_SEC /
+	    group->service_us;
+}
+
+/*
+ * Whether a new statement could be served before its deadline; if not, when
+ * to come back.
+ */
+bool
+run_has_time(const run_t *run, uint32_t *retry_after_ms)
+{
+	const dbgroup_t *group = run->group;
+	bool primary = run->access == BP__ACCESS__WRITE || run->max_age_us == 0;
+	int64_t wait_us =
+	    rankq_wait_us(primary ? group->primary_lane : group->replica_lane,
+		run->item.rank, run->item.account, lane_rate(group, primary));
+	int64_t late_us = run->arrived_us + wait_us +
+	    (int64_t)group->service_us - run->deadline_us;
+
+	if (late_us < 0)
+		return true;
+	*retry_after_ms = (uint32_t)(late_us / US_PER_MS) + RETRY_AFTER_MIN_MS;
+	return false;
+}
+
+/*
+ * Whether the lane that a statement goes to has room for it.
+ */
+bool
+lane_admits(const dbgroup_t *group, const Bp__Work *work,
+    const Bp__Statement *statement)
+{
+	const Bp__Limits *limits = group->role->daemon->settings->limits;
+	bool replica = work->access == BP__ACCESS__READ &&
+	    work->max_age_ms > 0 && !statement->fresh;
+
+	return rankq_admits(replica ? group->replica_lane : group->primary_lane,
+	    work->rank, statement->account, limits->queue_statements);
+}
--- a/src/callers.c
+++ b/src/callers.c
@@ -39,9 +39,12 @@
 	uint64_t refused;
 	int epoll;
 	GSource *readable;
-	GSource *sweep;
+	GMainContext *main;
+	GSource *sweep; /* while there are active connections */
 };
 
+static void caller_activate(caller_t *);
+
 /*
  * The connection of a message, or NULL.
  */
@@ -188,7 +191,7 @@
 	epoll_ctl(callers->epoll, EPOLL_CTL_DEL,
 	    g_socket_get_fd(caller->socket), NULL);
 	caller->parked = NULL;
-	g_queue_push_tail_link(&callers->active, &caller->link);
+	caller_activate(caller);
 	if (local != NULL)
 		taken = soup_server_accept_iostream(
 		    callers->server, stream, local, caller->remote, NULL);
@@ -256,7 +259,27 @@
 		    now_us - caller->since_us >= IDLE_US)
 			caller_look(caller);
 	}
-	return G_SOURCE_CONTINUE;
+	if (!g_queue_is_empty(&callers->active))
+		return G_SOURCE_CONTINUE;
+	source_drop(&callers->sweep);
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * Count a connection among the active, and see to it that they are looked
+ * at.
+ */
+static void
+caller_activate(caller_t *caller)
+{
+	callers_t *callers = caller->callers;
+
+	g_queue_push_tail_link(&callers->active, &caller->link);
+	if (callers->sweep != NULL)
+		return;
+	callers->sweep = g_timeout_source_new(SWEEP_MS);
+	g_source_set_callback(callers->sweep, on_sweep, callers, NULL);
+	g_source_attach(callers->sweep, callers->main);
 }
 
 /*
@@ -278,9 +301,7 @@
 	g_source_set_callback(
 	    callers->readable, G_SOURCE_FUNC(on_readable), callers, NULL);
 	g_source_attach(callers->readable, main);
-	callers->sweep = g_timeout_source_new(SWEEP_MS);
-	g_source_set_callback(callers->sweep, on_sweep, callers, NULL);
-	g_source_attach(callers->sweep, main);
+	callers->main = main;
 	return callers;
 }
 
@@ -320,7 +341,7 @@
 	caller->remote =
 	    g_object_ref(soup_server_message_get_remote_address(message));
 	caller->link.data = caller;
-	g_queue_push_tail_link(&callers->active, &caller->link);
+	caller_activate(caller);
 	g_hash_table_insert(callers->by_remote, caller->remote, caller);
 	return caller;
 }
--- a/src/decide/member.c
+++ b/src/decide/member.c
@@ -453,8 +453,21 @@
 }
 
 /*
- * Choose the news to go with a message: that least often passed on.  Returns
- * how many; each counts as passed on.
+ * Tell whether news goes before other news: the newer first, so that what
+ * has just happened is not held up by much that is old; then that less often
+ * passed on.
+ */
+static bool
+news_before(const member_t *a, const member_t *b)
+{
+	if (a->since_us != b->since_us)
+		return a->since_us > b->since_us;
+	return a->told < b->told;
+}
+
+/*
+ * Choose the news to go with a message.  Returns how many; each counts as
+ * passed on.
  */
 uint32_t
 members_news(members_t *members, const member_t **to, uint32_t max)
@@ -466,7 +479,7 @@
 
 		if (member->told >= bound)
 			continue;
-		for (j = n; j > 0 && to[j - 1]->told > member->told; j--) {
+		for (j = n; j > 0 && news_before(member, to[j - 1]); j--) {
 			if (j < max)
 				to[j] = to[j - 1];
 		}
--- a/src/group.c
+++ b/src/group.c
@@ -7,7 +7,8 @@
 /* The groups' task: its messages, its documents and its members. */
 
 #define PART "group"
-#define TICK_MS 10
+#define TICK_BUSY_MS 10
+#define TICK_IDLE_MS 50
 
 static const char *const counter_names[COUNT_GROUP_COUNTERS] = {
     [COUNT_DONE] = "statements_done",
@@ -122,21 +123,30 @@
 }
 
 /*
- * Look at every group.
+ * Look at every group, and soon again if one has something to do.
  */
 static gboolean
 on_tick(gpointer context)
 {
 	group_role_t *role = context;
 	int64_t now_us = clock_us();
+	bool busy = false;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, role->groups);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		dbgroup_tick(value, now_us);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		dbgroup_t *group = value;
+
+		dbgroup_tick(group, now_us);
+		busy |= !dbgroup_idle(group) ||
+		    (group->active && group->promote.state != PROMOTE_STEADY);
+	}
 	drain_check(role);
-	return G_SOURCE_CONTINUE;
+	source_drop(&role->tick);
+	role->tick = task_timer(
+	    role->task, busy ? TICK_BUSY_MS : TICK_IDLE_MS, on_tick, role);
+	return G_SOURCE_REMOVE;
 }
 
 /*
@@ -148,7 +158,7 @@
 	group_role_t *role = context;
 
 	role->task = task;
-	role->tick = task_timer(task, TICK_MS, on_tick, role);
+	role->tick = task_timer(task, TICK_BUSY_MS, on_tick, role);
 	return 0;
 }
 
--- a/src/group.h
+++ b/src/group.h
@@ -13,8 +13,10 @@
 
 /*
  * Inside the groups' task.  group.c: the role and its messages.  course.c:
- * the course of one statement.  dbgroup.c: one database group, its probes
- * and its changes of primary.  conn.c: connections to one database.
+ * the course of one statement.  admit.c: whether it is taken in.  pump.c: what
+ * is sent when.  dbgroup.c: one
+ * database group, its probes and its changes of primary.  conn.c: connections
+ * to one database.
  */
 
 typedef struct group_role group_role_t;
@@ -214,11 +216,22 @@
 void run_refuse(group_role_t *, msg_t *, Bp__Reason, const char *text);
 void run_answered(run_t *, const Bp__DbAnswer *, int64_t now_us);
 void run_lost(run_t *, Bp__Reason);
-void runs_pump(dbgroup_t *, int64_t now_us);
+void run_queue(run_t *, bool front);
+void run_give_up(run_t *, Bp__Reason);
 void runs_confirm(dbgroup_t *, int64_t now_us);
 void runs_expire(dbgroup_t *, int64_t now_us);
 void runs_end(dbgroup_t *);
 void runs_move(dbgroup_t *from, dbgroup_t *to);
 void tx_end(tx_t *);
 
+/* admit.c */
+#define RETRY_AFTER_MIN_MS 20
+
+bool run_has_time(const run_t *, uint32_t *retry_after_ms);
+bool lane_admits(const dbgroup_t *, const Bp__Work *, const Bp__Statement *);
+
+/* pump.c */
+void runs_pump(dbgroup_t *, int64_t now_us);
+void lane_expire(dbgroup_t *, rankq_t *, int64_t now_us);
+
 #endif
--- a/src/json.c
+++ b/src/json.c
@@ -38,6 +38,18 @@
 	ProtobufCMessage *root;
 } reader_t;
 
+/*
+ * Copy a token, which no zero byte ends, as far as there is room.
+ */
+static void
+token_copy(char *to, uint64_t room_bytes, const char *token, uint64_t size)
+{
+	uint64_t n = MIN(size, room_bytes - 1);
+
+	memcpy(to, token, n);
+	to[n] = '\0';
+}
+
 /*
  * Count lines up to a place in the text.
  */
@@ -205,7 +217,7 @@
 	if (field == NULL)
 		return 1;
 	message = reader_top(reader)->message;
-	g_strlcpy(text, digits, MIN(size + 1, sizeof(text)));
+	token_copy(text, sizeof(text), digits, size);
 	if (field->type == PROTOBUF_C_TYPE_DOUBLE) {
 		*(double *)field_slot(reader->arena, message, field,
 		    sizeof(double)) = g_ascii_strtod(text, NULL);
@@ -354,7 +366,7 @@
 
 	if (reader->skip > 0)
 		return 1;
-	g_strlcpy(name, (const char *)bytes, MIN(size + 1, sizeof(name)));
+	token_copy(name, sizeof(name), (const char *)bytes, size);
 	top->field = protobuf_c_message_descriptor_get_field_by_name(
 	    top->message->descriptor, name);
 	if (top->field == NULL) {
--- a/src/peer.c
+++ b/src/peer.c
@@ -6,7 +6,7 @@
 /* The peers' task: links to the other daemons, and what comes over them. */
 
 #define PART "peer"
-#define TICK_MS 20
+#define TICK_MS 50
 #define INBOUND_MAX 8192
 #define FORGET_US (INT64_C(60) * G_USEC_PER_SEC)
 
