--- a/src/front.c
+++ b/src/front.c
@@ -41,6 +41,8 @@
 	role->queries = g_hash_table_new(g_int64_hash, g_int64_equal);
 	role->bodies = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	role->members = g_ptr_array_new_with_free_func(g_free);
+	role->owners =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	role->living =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return role;
@@ -59,6 +61,7 @@
 	g_hash_table_unref(role->queries);
 	g_hash_table_unref(role->bodies);
 	g_hash_table_unref(role->living);
+	g_hash_table_unref(role->owners);
 	g_ptr_array_unref(role->members);
 	g_free(role);
 }
@@ -308,6 +311,7 @@
 	front_role_t *role = context;
 	size_t i;
 
+	g_hash_table_remove_all(role->owners);
 	g_ptr_array_set_size(role->members, 0);
 	g_hash_table_remove_all(role->living);
 	for (i = 0; i < changed->n_members; i++) {
--- a/src/front.h
+++ b/src/front.h
@@ -64,6 +64,7 @@
 	GHashTable *bodies;  /* of body_t: requests being read */
 	callers_t *connections;
 	GPtrArray *members; /* names that may own a group */
+	GHashTable *owners; /* of them, by group, until members change */
 	GHashTable *living; /* names of members that may hold something */
 	GSource *tick;
 	retry_t retry;
--- a/src/route.c
+++ b/src/route.c
@@ -194,13 +194,21 @@
 owner_of(front_role_t *role, const Bp__Statement *statement)
 {
 	char key[KEY_BYTES_MAX];
+	const char *name;
 	int32_t owner;
 
 	g_snprintf(
 	    key, sizeof(key), "%s/%s", statement->team, statement->group);
+	name = g_hash_table_lookup(role->owners, key);
+	if (name != NULL)
+		return name;
 	owner = owner_pick(
 	    (const char *const *)role->members->pdata, role->members->len, key);
-	return owner < 0 ? NULL : g_ptr_array_index(role->members, owner);
+	if (owner < 0)
+		return NULL;
+	name = g_ptr_array_index(role->members, owner);
+	g_hash_table_insert(role->owners, g_strdup(key), (gpointer)name);
+	return name;
 }
 
 /*
