--- a/tests/slopes.c
+++ b/tests/slopes.c
@@ -331,7 +331,7 @@
 	g_assert_true(fleet_wait_ready(fleet, READY_MS));
 	pid = g_subprocess_get_identifier(fleet->daemons[0].process);
 	before = process_cpu_s(pid);
-	g_usleep(IDLE_S * MS_PER_S * US_PER_MS);
+	g_usleep((gulong)IDLE_S * G_USEC_PER_SEC);
 	spent = (process_cpu_s(pid) - before) / IDLE_S;
 	printf("idle fleet of %u daemons and %u groups: %5.2f%% of a core, "
 	       "%6.2f MB resident, for the first daemon\n",
@@ -365,7 +365,7 @@
 		    g_ascii_strtoull(watches + 10, NULL, 10);
 		g_free(text);
 		if (i == 0)
-			g_usleep(10 * MS_PER_S * US_PER_MS);
+			g_usleep(10UL * G_USEC_PER_SEC);
 	}
 	printf("platform: %u idle daemons make %.2f calls a second\n", daemons,
 	    (double)(calls[1] - calls[0]) / 10);
