Tools apart from tests; the command line tested; a status that got lost

The command line had no tests.

Change: tools/ holds them; quantiles, processor time and memory of processes stand once. One function prints how to call a subcommand.

Found: a daemon that had never written status/TEAM met a conflict there and gave up, so that the faults of an invalid edit were not told when another daemon had judged the version before.

--- a/Makefile
+++ b/Makefile
@@ -25,8 +25,8 @@
 	$(DECIDE:%.c=$(BUILD)/%.o) $(GEN_O)
 BIN = $(BUILD)/bergamotplank
 TEST_LIBS = `pkg-config --libs libcurl`
-HARNESS_O = $(BUILD)/tests/harness.o $(BUILD)/tests/load/load.o \
-	$(BUILD)/tests/load/history.o $(BUILD)/tests/model.o
+TOOLS_O = $(patsubst %,$(BUILD)/tools/%.o, \
+	figures fleet history load model queuesim)
 FAKES = $(BUILD)/fakedb $(BUILD)/fakeplatform
 
 all: $(BIN) $(FAKES)
@@ -44,7 +44,7 @@
 
 # Set up, build with warnings as errors, check format, lint and test.
 check: deps
-	@$(MAKE) --no-print-directory -j4 tests $(BUILD)/demo $(BUILD)/fuzz
+	@$(MAKE) --no-print-directory -j4 tests $(TOOLS:%=$(BUILD)/%)
 	@$(MAKE) --no-print-directory lint
 	tests/run.sh $(TESTS:%=$(BUILD)/%)
 
@@ -57,11 +57,11 @@
 
 $(BUILD)/gen/%.o: gen/%.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) -std=gnu11 $(CPPFLAGS) -MMD -c -o $@ $<
+	$(CC) $(CFLAGS) -std=gnu11 $(CPPFLAGS) -MMD -MP -c -o $@ $<
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) $(WARN) $(CPPFLAGS) -MMD -c -o $@ $<
+	$(CC) $(CFLAGS) $(WARN) $(CPPFLAGS) -MMD -MP -c -o $@ $<
 
 $(BUILD)/libbergamotplank.a: $(LIB_O)
 	@rm -f $@
@@ -74,30 +74,21 @@
 $(BUILD)/fake%: $(BUILD)/tests/fake/fake%.o $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/demo: $(BUILD)/tests/demo.o $(HARNESS_O) $(BUILD)/libbergamotplank.a
-	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
-
-TESTS = t_decide t_queue t_text t_history t_model t_fleet t_holds
+TOOLS = demo bench slopes measure fuzz
 
-$(BUILD)/t_%: $(BUILD)/tests/t_%.o $(HARNESS_O) $(BUILD)/libbergamotplank.a
+$(TOOLS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/tools/%.o $(TOOLS_O) \
+    $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
 
-$(BUILD)/bench: $(BUILD)/tests/bench.o $(HARNESS_O) \
-    $(BUILD)/libbergamotplank.a
+TESTS = t_decide t_queue t_text t_history t_model t_command t_fleet t_holds
+
+$(BUILD)/t_%: $(BUILD)/tests/t_%.o $(TOOLS_O) $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
 
 # What a statement costs, beside a direct call.
 bench: all $(BUILD)/bench
 	$(BUILD)/bench
 
-$(BUILD)/measure: $(BUILD)/tests/measure.o $(BUILD)/tests/queuesim.o \
-    $(HARNESS_O) $(BUILD)/libbergamotplank.a
-	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
-
-$(BUILD)/slopes: $(BUILD)/tests/slopes.o $(HARNESS_O) \
-    $(BUILD)/libbergamotplank.a
-	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
-
 # How costs grow; docs/CAPACITY.md works with these.
 slopes: all $(BUILD)/slopes
 	$(BUILD)/slopes
@@ -108,10 +99,6 @@
 	$(BUILD)/measure --seed $(SEED) --seeds $(SEEDS) \
 	    --csv $(BUILD)/measure.csv
 
-$(BUILD)/fuzz: $(BUILD)/tests/fuzz.o $(BUILD)/tests/model.o \
-    $(BUILD)/libbergamotplank.a
-	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
-
 SEED = 1
 STEPS = 2000000
 fuzz: $(BUILD)/fuzz
@@ -124,8 +111,8 @@
 	protoc-c --proto_path=schema --c_out=gen schema/*.proto
 	awk -f schema/ranges.awk schema/*.proto >gen/ranges.c
 
-FORMATTED = $(wildcard src/*.[ch] src/decide/*.[ch] tests/*.[ch] \
-	tests/*/*.[ch])
+FORMATTED = $(wildcard src/*.[ch] src/decide/*.[ch] tools/*.[ch] \
+	tests/*.[ch] tests/*/*.[ch])
 
 format:
 	clang-format -i $(FORMATTED)
--- a/src/check.c
+++ b/src/check.c
@@ -1,7 +1,6 @@
 #include "command.h"
 #include "document.h"
 
-#include <argtable2.h>
 #include <stdio.h>
 
 /*
@@ -23,15 +22,8 @@
 	uint64_t size_bytes;
 	char *text;
 
-	if (help->count > 0 || wrong > 0) {
-		if (help->count == 0)
-			arg_print_errors(stderr, end, "bergamotplank check");
-		fprintf(help->count > 0 ? stdout : stderr,
-		    "usage: bergamotplank check");
-		arg_print_syntax(
-		    help->count > 0 ? stdout : stderr, table, "\n");
-		return help->count > 0 ? 0 : EXIT_USAGE;
-	}
+	if (help->count > 0 || wrong > 0)
+		return command_usage("check", table, end, help->count > 0);
 	text = command_read_file(file->filename[0], &size_bytes);
 	if (text == NULL)
 		return 1;
--- a/src/main.c
+++ b/src/main.c
@@ -31,6 +31,23 @@
 		    to, "  %-8s %s\n", commands[i].name, commands[i].summary);
 }
 
+/*
+ * Print how to call a subcommand, because help was asked for or because its
+ * arguments are wrong.  Returns the exit status.
+ */
+int32_t
+command_usage(const char *command, void **table, struct arg_end *end, bool help)
+{
+	FILE *to = help ? stdout : stderr;
+
+	if (!help)
+		arg_print_errors(to, end, command);
+	fprintf(to, "usage: bergamotplank %s", command);
+	arg_print_syntax(to, table, "\n");
+	arg_print_glossary(to, table, "  %-24s %s\n");
+	return help ? 0 : EXIT_USAGE;
+}
+
 /*
  * Read a whole file; NULL, with a message printed, when that fails.
  */
--- a/src/platform.c
+++ b/src/platform.c
@@ -19,6 +19,7 @@
 #define JUDGE_STEP_MS 400
 #define TICK_MS 100
 #define MARK_BYTES 64
+#define STATUS_TRIES_MAX 4
 
 typedef enum platform_counter {
 	COUNT_LISTS,
@@ -56,6 +57,9 @@
 	uint64_t in_force;
 	char *document;   /* in force */
 	uint64_t status;  /* version of our object status/TEAM */
+	char *told;       /* what it shall say */
+	uint64_t told_of; /* the version of the team's object it speaks of */
+	uint32_t told_tries;
 	bool busy;        /* an update of ours is under way */
 	uint64_t offered; /* the version it offers */
 } team_state_t;
@@ -99,6 +103,7 @@
 	g_free(state->team);
 	g_free(state->text);
 	g_free(state->document);
+	g_free(state->told);
 	g_free(state);
 }
 
@@ -211,18 +216,60 @@
 	    ++role->next_mark);
 }
 
+static void status_send(team_state_t *);
+
 /*
- * The status object was written, or somebody else's version is known now.
+ * The version of the team's object that a status object speaks of.
+ */
+static uint64_t
+status_speaks_of(const Bp__Object *object)
+{
+	arena_t *arena = arena_new();
+	faults_t faults = {arena, NULL, 0, NULL};
+	const char *text = object->value == NULL ? "" : object->value;
+	Bp__TeamStatus *status = (Bp__TeamStatus *)json_read(
+	    arena, &bp__team_status__descriptor, text, strlen(text), &faults);
+	uint64_t version = status == NULL ? 0 : status->seen_version;
+
+	arena_free(arena);
+	return version;
+}
+
+/*
+ * The status object was written, or another daemon wrote it before: then
+ * ours is written over an older word, and left out beside a newer one.
  */
 static void
 on_status_written(void *context, uint32_t status, const Bp__Object *object)
 {
 	team_state_t *state = context;
 
-	(void)status;
 	platform_heard(state->role, object != NULL);
-	if (object != NULL)
-		state->status = object->version;
+	if (object == NULL)
+		return;
+	state->status = object->version;
+	if (status == STORE_CONFLICT &&
+	    status_speaks_of(object) < state->told_of &&
+	    state->told_tries < STATUS_TRIES_MAX)
+		status_send(state);
+}
+
+/*
+ * Write what the status object shall say.
+ */
+static void
+status_send(team_state_t *state)
+{
+	platform_role_t *role = state->role;
+	char *name = g_strconcat("status/", state->team, NULL);
+	char mark[MARK_BYTES];
+
+	state->told_tries++;
+	mark_make(role, mark);
+	role->counts[COUNT_UPDATES]++;
+	store_http.update(role->store, name, state->status, mark, state->told,
+	    on_status_written, state);
+	g_free(name);
 }
 
 /*
@@ -231,12 +278,9 @@
 static void
 write_status(team_state_t *state, uint64_t judged, const faults_t *faults)
 {
-	platform_role_t *role = state->role;
 	arena_t *arena = arena_new();
 	Bp__TeamStatus *status =
 	    (Bp__TeamStatus *)message_new(arena, &bp__team_status__descriptor);
-	char *name = arena_printf(arena, "status/%s", state->team);
-	char mark[MARK_BYTES];
 	uint32_t i;
 
 	status->team = state->team;
@@ -252,10 +296,11 @@
 		fault->reason = faults->list[i].reason;
 		status->faults[status->n_faults++] = fault;
 	}
-	mark_make(role, mark);
-	role->counts[COUNT_UPDATES]++;
-	store_http.update(role->store, name, state->status, mark,
-	    json_write(arena, &status->base, NULL), on_status_written, state);
+	g_free(state->told);
+	state->told = g_strdup(json_write(arena, &status->base, NULL));
+	state->told_of = judged;
+	state->told_tries = 0;
+	status_send(state);
 	arena_free(arena);
 }
 
--- a/src/serve.c
+++ b/src/serve.c
@@ -2,7 +2,6 @@
 #include "daemon.h"
 #include "document.h"
 
-#include <argtable2.h>
 #include <signal.h>
 #include <stdio.h>
 
@@ -77,15 +76,8 @@
 	uint64_t size_bytes;
 	char *text;
 
-	if (help->count > 0 || wrong > 0) {
-		if (help->count == 0)
-			arg_print_errors(stderr, end, "bergamotplank serve");
-		fprintf(help->count > 0 ? stdout : stderr,
-		    "usage: bergamotplank serve");
-		arg_print_syntax(
-		    help->count > 0 ? stdout : stderr, table, "\n");
-		return help->count > 0 ? 0 : EXIT_USAGE;
-	}
+	if (help->count > 0 || wrong > 0)
+		return command_usage("serve", table, end, help->count > 0);
 	text = command_read_file(file->filename[0], &size_bytes);
 	if (text == NULL)
 		return 1;
--- a/src/status.c
+++ b/src/status.c
@@ -2,7 +2,6 @@
 #include "json.h"
 #include "task.pb-c.h"
 
-#include <argtable2.h>
 #include <libsoup/soup.h>
 #include <stdio.h>
 
@@ -130,15 +129,8 @@
 	gsize size;
 	char *text;
 
-	if (help->count > 0 || wrong > 0) {
-		if (help->count == 0)
-			arg_print_errors(stderr, end, "bergamotplank status");
-		fprintf(help->count > 0 ? stdout : stderr,
-		    "usage: bergamotplank status");
-		arg_print_syntax(
-		    help->count > 0 ? stdout : stderr, table, "\n");
-		return help->count > 0 ? 0 : EXIT_USAGE;
-	}
+	if (help->count > 0 || wrong > 0)
+		return command_usage("status", table, end, help->count > 0);
 	text = fetch(place->sval[0], &size);
 	if (text == NULL)
 		return 1;
--- /dev/null
+++ b/tests/t_command.c
@@ -0,0 +1,163 @@
+#include "../tools/fleet.h"
+#include "cases.h"
+
+#include <curl/curl.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <string.h>
+
+/* The command line, and how a daemon ends. */
+
+#define READY_MS 15000
+#define ARGS_MAX 4
+
+typedef struct command_case {
+	const char *name;
+	const char *args[ARGS_MAX]; /* FILE stands for a file with the text */
+	const char *text;
+	int status;
+	const char *parts[3]; /* of what is printed */
+} command_case_t;
+
+static const command_case_t command_cases[] = {
+    {"nothing", {NULL}, NULL, 2, {"usage: bergamotplank"}},
+    {"help", {"--help"}, NULL, 0, {"serve", "check", "status"}},
+    {"version", {"--version"}, NULL, 0, {"bergamotplank 0."}},
+    {"unknown command", {"fly"}, NULL, 2, {"unknown command fly"}},
+    {"help of serve", {"serve", "--help"}, NULL, 0, {"usage", "--file"}},
+    {"help of check", {"check", "--help"}, NULL, 0, {"usage", "FILE"}},
+    {"help of status", {"status", "--help"}, NULL, 0, {"ADDRESS:PORT"}},
+    {"check of settings", {"check", "examples/bergamotplank.json"}, NULL, 0,
+	{"valid settings file"}},
+    {"check of a document", {"check", "examples/quotes-db.json"}, NULL, 0,
+	{"valid document"}},
+    {"check without a file", {"check"}, NULL, 2, {"usage"}},
+    {"check of no file", {"check", "/nonexistent"}, NULL, 1, {"No such file"}},
+    {"check tells every fault", {"check", "FILE"},
+	"{\"team\": \"t\",\n\"colour\": 1,\n\"service\": 5}", 1,
+	{":2: unknown key \"colour\"", ":3: \"service\""}},
+    {"check of random bytes", {"check", "FILE"}, "\x01\x02\xff\xfe{{", 1,
+	{":1: "}},
+    {"serve without settings", {"serve"}, NULL, 2, {"usage"}},
+    {"serve of no file", {"serve", "-f", "/nonexistent"}, NULL, 1,
+	{"No such file"}},
+    {"serve of faulty settings", {"serve", "-f", "FILE"},
+	"{\"name\": \"e\",\n\"limits\": {\"body_bytes\": 1}}", 1,
+	{":2: \"body_bytes\"", "missing key \"platform\""}},
+    {"status of nobody", {"status", "127.0.0.1:9"}, NULL, 1,
+	{"bergamotplank status: 127.0.0.1:9"}},
+    {"status of no address", {"status", "here there"}, NULL, 1,
+	{"bergamotplank status"}},
+};
+
+/*
+ * Exit status and words of each way to call the program.
+ */
+static void
+test_command(gconstpointer data)
+{
+	const command_case_t *c = data;
+	char *path = g_build_filename(
+	    g_get_tmp_dir(), "bergamotplank-command.json", NULL);
+	const char *argv[ARGS_MAX + 2] = {"build/bergamotplank"};
+	GSubprocess *process;
+	char *out, *err, *all;
+	uint32_t i;
+
+	if (g_getenv("BP_BUILD") != NULL)
+		argv[0] = g_build_filename(
+		    g_getenv("BP_BUILD"), "bergamotplank", NULL);
+	if (c->text != NULL)
+		g_assert_true(g_file_set_contents(path, c->text, -1, NULL));
+	for (i = 0; i < ARGS_MAX && c->args[i] != NULL; i++)
+		argv[i + 1] =
+		    strcmp(c->args[i], "FILE") == 0 ? path : c->args[i];
+	process = g_subprocess_newv(argv,
+	    G_SUBPROCESS_FLAGS_STDOUT_PIPE | G_SUBPROCESS_FLAGS_STDERR_PIPE,
+	    NULL);
+	g_assert_true(g_subprocess_communicate_utf8(
+	    process, NULL, NULL, &out, &err, NULL));
+	all = g_strconcat(out, err, NULL);
+	g_assert_true(g_subprocess_get_if_exited(process));
+	g_assert_cmpint(g_subprocess_get_exit_status(process), ==, c->status);
+	for (i = 0; i < G_N_ELEMENTS(c->parts) && c->parts[i] != NULL; i++)
+		g_assert_nonnull(strstr(all, c->parts[i]));
+	g_unlink(path);
+	g_free(all);
+	g_free(out);
+	g_free(err);
+	g_free(path);
+	g_object_unref(process);
+}
+
+typedef struct stop_case {
+	const char *name;
+	int signals[2];
+	uint32_t drain_ms;
+	bool transaction;     /* one is open, so that draining waits */
+	uint32_t at_least_ms; /* it goes on for so long */
+	uint32_t at_most_ms;
+} stop_case_t;
+
+static const stop_case_t stop_cases[] = {
+    {"SIGTERM with nothing to do", {SIGTERM, 0}, 10000, false, 0, 3000},
+    {"SIGINT with nothing to do", {SIGINT, 0}, 10000, false, 0, 3000},
+    {"SIGTERM waits for a transaction, within bounds", {SIGTERM, 0}, 1500, true,
+	1200, 4000},
+    {"a second signal ends it at once", {SIGTERM, SIGTERM}, 60000, true, 500,
+	3000},
+    {"SIGINT then SIGTERM", {SIGINT, SIGTERM}, 60000, true, 500, 3000},
+};
+
+/*
+ * A daemon ends by itself, with status 0, neither too early nor too late.
+ */
+static void
+test_stop(gconstpointer data)
+{
+	const stop_case_t *c = data;
+	fleet_plan_t plan = {.daemons = 1,
+	    .tickets = 1,
+	    .service_ms = 1,
+	    .drain_ms = c->drain_ms};
+	fleet_t *fleet = fleet_start(&plan);
+	arena_t *arena = arena_new();
+	int64_t began_us;
+	int status = -1;
+
+	g_assert_true(fleet_wait_ready(fleet, READY_MS));
+	if (c->transaction)
+		g_assert_nonnull(fleet_ask(fleet, arena, 0,
+		    "{\"team\":\"tickets\",\"account\":\"bench\","
+		    "\"work\":\"quote-revision\",\"key\":\"k\","
+		    "\"action\":\"begin\"}")
+				     ->transaction);
+	began_us = g_get_monotonic_time();
+	fleet_signal(&fleet->daemons[0], c->signals[0]);
+	if (c->at_least_ms > 0)
+		g_assert_false(
+		    fleet_wait_exit(&fleet->daemons[0], c->at_least_ms, NULL));
+	if (c->signals[1] != 0)
+		fleet_signal(&fleet->daemons[0], c->signals[1]);
+	g_assert_true(
+	    fleet_wait_exit(&fleet->daemons[0], c->at_most_ms, &status));
+	g_assert_cmpint(status, ==, 0);
+	g_assert_cmpint(
+	    g_get_monotonic_time() - began_us, <, c->at_most_ms * US_PER_MS);
+	arena_free(arena);
+	fleet_end(fleet);
+}
+
+/*
+ * Run the tables.
+ */
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	curl_global_init(CURL_GLOBAL_ALL);
+	log_start(G_LOG_LEVEL_WARNING);
+	CASES("/command", command_cases, test_command);
+	CASES("/stop", stop_cases, test_stop);
+	return g_test_run();
+}
--- a/tests/t_fleet.c
+++ b/tests/t_fleet.c
@@ -1,6 +1,7 @@
+#include "../src/decide/owner.h"
 #include "../src/json.h"
+#include "../tools/load.h"
 #include "cases.h"
-#include "load/load.h"
 
 #include <curl/curl.h>
 #include <signal.h>
@@ -370,7 +371,34 @@
 	g_assert_true(wait_version(fleet, history, 2));
 }
 
+/*
+ * The daemon that judged the first version is gone when an invalid one
+ * comes; the one that judges it has never written the status object.
+ */
+static void
+other_judge(fleet_t *fleet, history_t *history)
+{
+	const char *names[FLEET_DAEMONS_MAX];
+	char *status = wait_status(fleet, "\"seen_version\":1");
+	uint32_t i;
+
+	g_assert_nonnull(status);
+	g_free(status);
+	for (i = 0; i < fleet->plan.daemons; i++)
+		names[i] = fleet->daemons[i].name;
+	fleet_daemon_end(
+	    fleet, (uint32_t)owner_pick(names, fleet->plan.daemons, "tickets"));
+	g_assert_cmpuint(fleet_put(fleet, "team/tickets", 1,
+			     "{\"team\":\"tickets\",\n\"colour\":1}"),
+	    ==, 2);
+	status = wait_status(fleet, "colour");
+	g_assert_nonnull(status);
+	g_free(status);
+	load_versions(fleet, history);
+}
+
 static const edit_case_t edit_cases[] = {
+    {"another daemon judges", other_judge},
     {"invalid edit", edit_invalid},
     {"racing edits", edit_race},
     {"many edits", edit_quickly},
@@ -515,24 +543,6 @@
 	return value;
 }
 
-/*
- * The memory of the first daemon, in pages.
- */
-static uint64_t
-bad_memory_pages(void)
-{
-	char *path = g_strdup_printf("/proc/%s/statm",
-	    g_subprocess_get_identifier(bad_fleet->daemons[0].process));
-	char *text;
-	uint64_t pages;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	pages = g_ascii_strtoull(strchr(text, ' '), NULL, 10);
-	g_free(text);
-	g_free(path);
-	return pages;
-}
-
 /*
  * An ordinary request is served as ever.
  */
@@ -578,7 +588,7 @@
 	    : c->to == TO_PEERS             ? daemon->peer_port
 					    : daemon->operator_port;
 	uint64_t before = c->counter == NULL ? 0 : bad_counter(c->counter);
-	uint64_t memory_pages = bad_memory_pages();
+	uint64_t memory_bytes = fleet_memory_bytes(daemon);
 	char buffer[4096] = {0};
 	GSocket *socket = bad_send(c, port);
 	gssize n;
@@ -595,7 +605,8 @@
 	g_socket_close(socket, NULL);
 	g_object_unref(socket);
 	bad_others_go_on();
-	g_assert_cmpuint(bad_memory_pages(), <, memory_pages + 4096);
+	g_assert_cmpuint(
+	    fleet_memory_bytes(daemon), <, memory_bytes + (16 << 20));
 }
 
 /*
--- a/tests/t_history.c
+++ b/tests/t_history.c
@@ -1,5 +1,5 @@
+#include "../tools/history.h"
 #include "cases.h"
-#include "load/history.h"
 
 #include <string.h>
 
--- a/tests/t_holds.c
+++ b/tests/t_holds.c
@@ -1,6 +1,6 @@
 #include "../src/json.h"
+#include "../tools/load.h"
 #include "cases.h"
-#include "load/load.h"
 
 #include <curl/curl.h>
 #include <signal.h>
--- a/tests/t_model.c
+++ b/tests/t_model.c
@@ -1,5 +1,5 @@
+#include "../tools/model.h"
 #include "cases.h"
-#include "model.h"
 
 #include <string.h>
 
@@ -58,21 +58,6 @@
 	}
 }
 
-/*
- * Wrong: the primary's own word is enough.
- */
-static bool
-hold_at_once(void *context, const db_view_t *views, uint32_t count,
-    position_t position, int64_t since_us)
-{
-	(void)context;
-	(void)views;
-	(void)count;
-	(void)position;
-	(void)since_us;
-	return true;
-}
-
 /*
  * Wrong: a database that has promised the term counts as a holder, whatever
  * its log ends in.
@@ -117,7 +102,7 @@
 } wrong_case_t;
 
 static const wrong_case_t wrong_cases[] = {
-    {"acknowledged at once", hold_at_once, false, false, false, false},
+    {"acknowledged at once", model_hold_at_once, false, false, false, false},
     {"a promise counts as holding", hold_by_promise, false, false, false,
 	false},
     {"an index without its term", hold_by_index, false, false, false, false},
--- a/tests/bench.c
+++ b/tools/bench.c
@@ -1,10 +1,10 @@
 #include "../src/h2.h"
-#include "load/load.h"
+#include "figures.h"
+#include "load.h"
 
 #include <curl/curl.h>
 #include <stdio.h>
 #include <string.h>
-#include <unistd.h>
 
 /*
  * make bench: what the daemon adds to a statement, beside a direct call to
@@ -17,18 +17,6 @@
 #define IDLE_CONNECTIONS 4500
 #define LOAD_SESSIONS 64
 #define LOAD_MS 5000
-#define TICKS_PER_SECOND sysconf(_SC_CLK_TCK)
-
-/*
- * Order doubles.
- */
-static gint
-double_compare(gconstpointer a, gconstpointer b)
-{
-	double x = *(const double *)a, y = *(const double *)b;
-
-	return (x > y) - (x < y);
-}
 
 /* A direct connection to a database, for one call at a time. */
 typedef struct direct {
@@ -98,8 +86,7 @@
 	h2_free(direct.h2);
 	g_main_loop_unref(direct.loop);
 	g_main_context_unref(context);
-	qsort(times, SINGLE, sizeof(times[0]), double_compare);
-	return times[SINGLE / 2];
+	return median(times, SINGLE);
 }
 
 /*
@@ -145,47 +132,7 @@
 		times[i] = (double)(clock_us() - began_us) / US_PER_MS;
 	}
 	curl_easy_cleanup(curl);
-	qsort(times, SINGLE, sizeof(times[0]), double_compare);
-	return times[SINGLE / 2];
-}
-
-/*
- * A field of /proc/PID/stat: 14 is user time, 15 system time, in ticks.
- */
-static double
-cpu_seconds(const fleet_process_t *process)
-{
-	char *path = g_strdup_printf(
-	    "/proc/%s/stat", g_subprocess_get_identifier(process->process));
-	char *text, **field;
-	double ticks;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	field = g_strsplit(strrchr(text, ')'), " ", -1);
-	ticks =
-	    g_ascii_strtod(field[12], NULL) + g_ascii_strtod(field[13], NULL);
-	g_strfreev(field);
-	g_free(text);
-	g_free(path);
-	return ticks / (double)TICKS_PER_SECOND;
-}
-
-/*
- * The resident memory of a process, in bytes.
- */
-static uint64_t
-memory_bytes(const fleet_process_t *process)
-{
-	char *path = g_strdup_printf(
-	    "/proc/%s/statm", g_subprocess_get_identifier(process->process));
-	char *text;
-	uint64_t pages;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	pages = g_ascii_strtoull(strchr(text, ' '), NULL, 10);
-	g_free(text);
-	g_free(path);
-	return pages * (uint64_t)sysconf(_SC_PAGESIZE);
+	return median(times, SINGLE);
 }
 
 /* Callers' connections to one daemon that have made a request and wait. */
@@ -203,7 +150,7 @@
 	const char *request = "GET /none HTTP/1.1\r\nHost: a\r\n\r\n";
 	GSocketAddress *to = g_inet_socket_address_new_from_string(
 	    "127.0.0.1", fleet->daemons[0].port);
-	uint64_t before = memory_bytes(&fleet->daemons[0]);
+	uint64_t before = fleet_memory_bytes(&fleet->daemons[0]);
 	char buffer[1024];
 	uint32_t i;
 
@@ -216,7 +163,8 @@
 		g_socket_receive(socket, buffer, sizeof(buffer), NULL, NULL);
 		idlers->sockets[i] = socket;
 	}
-	idlers->bytes = (double)(memory_bytes(&fleet->daemons[0]) - before) /
+	idlers->bytes =
+	    (double)(fleet_memory_bytes(&fleet->daemons[0]) - before) /
 	    IDLE_CONNECTIONS;
 	g_object_unref(to);
 }
@@ -239,10 +187,10 @@
 static double
 idle_share(fleet_t *fleet)
 {
-	double before = cpu_seconds(&fleet->daemons[0]);
+	double before = fleet_cpu_s(&fleet->daemons[0]);
 
 	g_usleep(4000 * US_PER_MS);
-	return (cpu_seconds(&fleet->daemons[0]) - before) / 4.0;
+	return (fleet_cpu_s(&fleet->daemons[0]) - before) / 4.0;
 }
 
 /*
@@ -261,10 +209,10 @@
 	uint32_t i;
 
 	for (i = 0; i < fleet->plan.daemons; i++)
-		cpu -= cpu_seconds(&fleet->daemons[i]);
+		cpu -= fleet_cpu_s(&fleet->daemons[i]);
 	load_run(fleet, &plan, history);
 	for (i = 0; i < fleet->plan.daemons; i++)
-		cpu += cpu_seconds(&fleet->daemons[i]);
+		cpu += fleet_cpu_s(&fleet->daemons[i]);
 	load_summarize(history, &summary);
 	printf("%-44s %10.0f\n", "statements a second, this load tool",
 	    summary.outcomes[0] * 1000.0 / LOAD_MS);
--- a/tests/demo.c
+++ b/tools/demo.c
@@ -1,4 +1,4 @@
-#include "load/load.h"
+#include "load.h"
 
 #include <curl/curl.h>
 #include <signal.h>
--- a/tests/harness.c
+++ b/tools/fleet.c
@@ -1,4 +1,4 @@
-#include "harness.h"
+#include "fleet.h"
 
 #include "../gen/database.pb-c.h"
 #include "../src/decide/owner.h"
@@ -889,3 +889,50 @@
 	g_assert_cmpint(primary, >=, 0);
 	return primary;
 }
+
+/*
+ * Read a file of a process below /proc; NULL is this process.
+ */
+static char *
+proc_read(const fleet_process_t *process, const char *name)
+{
+	const char *pid = process == NULL
+	    ? "self"
+	    : g_subprocess_get_identifier(process->process);
+	char *path = g_strdup_printf("/proc/%s/%s", pid, name), *text;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	g_free(path);
+	return text;
+}
+
+/*
+ * Processor time of a process so far, in seconds.
+ */
+double
+fleet_cpu_s(const fleet_process_t *process)
+{
+	char *text = proc_read(process, "stat"), **field;
+	double ticks;
+
+	/* after the name in brackets: 11 is user time, 12 system time */
+	field = g_strsplit(strrchr(text, ')') + 2, " ", -1);
+	ticks =
+	    g_ascii_strtod(field[11], NULL) + g_ascii_strtod(field[12], NULL);
+	g_strfreev(field);
+	g_free(text);
+	return ticks / (double)sysconf(_SC_CLK_TCK);
+}
+
+/*
+ * Resident memory of a process, in bytes; NULL is this process.
+ */
+uint64_t
+fleet_memory_bytes(const fleet_process_t *process)
+{
+	char *text = proc_read(process, "statm");
+	uint64_t pages = g_ascii_strtoull(strchr(text, ' '), NULL, 10);
+
+	g_free(text);
+	return pages * (uint64_t)sysconf(_SC_PAGESIZE);
+}
--- a/tests/harness.h
+++ b/tools/fleet.h
@@ -1,5 +1,5 @@
-#ifndef HARNESS_H
-#define HARNESS_H
+#ifndef FLEET_H
+#define FLEET_H
 
 #include "../gen/database.pb-c.h"
 #include "../gen/standin.pb-c.h"
@@ -70,6 +70,8 @@
 void fleet_daemon_start(fleet_t *, uint32_t daemon);
 void fleet_daemon_end(fleet_t *, uint32_t daemon);
 void fleet_signal(fleet_process_t *, int signal);
+double fleet_cpu_s(const fleet_process_t *);
+uint64_t fleet_memory_bytes(const fleet_process_t *);
 bool fleet_wait_exit(fleet_process_t *, uint32_t timeout_ms, int *status);
 bool fleet_db_call(fleet_t *, uint32_t database, const char *path,
     const char *body, char **answer);
--- a/tests/load/history.h
+++ b/tools/history.h
@@ -1,9 +1,9 @@
 #ifndef HISTORY_H
 #define HISTORY_H
 
-#include "../../gen/standin.pb-c.h"
-#include "../../gen/statement.pb-c.h"
-#include "../../src/bergamotplank.h"
+#include "../gen/standin.pb-c.h"
+#include "../gen/statement.pb-c.h"
+#include "../src/bergamotplank.h"
 
 /*
  * What callers asked and were told, and what the databases' own logs say of
--- a/tests/load/load.c
+++ b/tools/load.c
@@ -1,6 +1,7 @@
 #include "load.h"
 
-#include "../../src/json.h"
+#include "../src/json.h"
+#include "figures.h"
 
 #include <curl/curl.h>
 #include <stdio.h>
@@ -526,29 +527,6 @@
 	}
 }
 
-/*
- * Order doubles.
- */
-static gint
-double_compare(gconstpointer a, gconstpointer b)
-{
-	double x = *(const double *)a, y = *(const double *)b;
-
-	return (x > y) - (x < y);
-}
-
-/*
- * A quantile of a sorted list, 0 of none.
- */
-static double
-quantile(const GArray *sorted, double share)
-{
-	return sorted->len == 0
-	    ? 0
-	    : g_array_index(sorted, double,
-		  (uint32_t)(share * (double)(sorted->len - 1)));
-}
-
 /*
  * Sum a history up.
  */
@@ -585,7 +563,6 @@
 		}
 	}
 	for (i = 0; i < 3; i++) {
-		g_array_sort(times[i], double_compare);
 		summary->p50_ms[i] = quantile(times[i], 0.50);
 		summary->p99_ms[i] = quantile(times[i], 0.99);
 		g_array_unref(times[i]);
--- a/tests/load/load.h
+++ b/tools/load.h
@@ -1,7 +1,7 @@
 #ifndef LOAD_H
 #define LOAD_H
 
-#include "../harness.h"
+#include "fleet.h"
 #include "history.h"
 
 /*
--- a/tests/measure.c
+++ b/tools/measure.c
@@ -1,5 +1,6 @@
 #include "../src/decide/owner.h"
-#include "load/load.h"
+#include "figures.h"
+#include "load.h"
 #include "model.h"
 #include "queuesim.h"
 
@@ -126,21 +127,6 @@
 	    flood.jain);
 }
 
-/*
- * Wrong on purpose: acknowledge at once.
- */
-static bool
-hold_at_once(void *context, const db_view_t *views, uint32_t count,
-    position_t position, int64_t since_us)
-{
-	(void)context;
-	(void)views;
-	(void)count;
-	(void)position;
-	(void)since_us;
-	return true;
-}
-
 /*
  * Gaps by silence in the model, and writes lost when acknowledged at once.
  */
@@ -167,7 +153,7 @@
 	plan.steps = 200000;
 	plan.fault_permille = 40;
 	model_run(&plan, &right);
-	plan.hold = hold_at_once;
+	plan.hold = model_hold_at_once;
 	model_run(&plan, &wrong);
 	note("acknowledged and lost (model)", "both", "majority", "0",
 	    (double)right.lost);
@@ -468,17 +454,6 @@
 	fleet_end(killer.fleet);
 }
 
-/*
- * Order doubles.
- */
-static gint
-double_compare(gconstpointer a, gconstpointer b)
-{
-	double x = *(const double *)a, y = *(const double *)b;
-
-	return (x > y) - (x < y);
-}
-
 /*
  * Print the table and write the CSV file.
  */
@@ -500,12 +475,9 @@
 			fprintf(csv, "\"%s\",\"%s\",\"%s\",\"%s\",%g\n",
 			    row->measure, row->deployment, row->variant,
 			    row->target, g_array_index(v, double, j));
-		g_array_sort(v, double_compare);
 		printf("%-48s %-22s %-27s %-14s %10.3f %10.3f %10.3f %4u\n",
 		    row->measure, row->deployment, row->variant, row->target,
-		    g_array_index(v, double, v->len / 2),
-		    g_array_index(v, double, 0),
-		    g_array_index(v, double, v->len - 1), v->len);
+		    quantile(v, 0.5), quantile(v, 0), quantile(v, 1), v->len);
 	}
 	if (csv != NULL)
 		fclose(csv);
--- a/tests/model.c
+++ b/tools/model.c
@@ -126,6 +126,21 @@
 	return hold_confirmed(views, count, position, since_us);
 }
 
+/*
+ * Wrong on purpose: the primary's own word is enough.
+ */
+bool
+model_hold_at_once(void *context, const db_view_t *views, uint32_t count,
+    position_t position, int64_t since_us)
+{
+	(void)context;
+	(void)views;
+	(void)count;
+	(void)position;
+	(void)since_us;
+	return true;
+}
+
 /*
  * A random number below a bound.
  */
--- a/tests/model.h
+++ b/tools/model.h
@@ -46,6 +46,8 @@
 } model_result_t;
 
 bool model_hold_right(void *, const db_view_t *, uint32_t, position_t, int64_t);
+bool model_hold_at_once(
+    void *, const db_view_t *, uint32_t, position_t, int64_t);
 void model_run(const model_plan_t *, model_result_t *);
 int64_t model_gap_us(const model_plan_t *);
 
--- a/tests/queuesim.c
+++ b/tools/queuesim.c
@@ -2,6 +2,7 @@
 
 #include "../src/bergamotplank.h"
 #include "../src/decide/rankq.h"
+#include "figures.h"
 
 #include <math.h>
 #include <string.h>
@@ -185,17 +186,6 @@
 	}
 }
 
-/*
- * Order doubles.
- */
-static gint
-double_compare(gconstpointer a, gconstpointer b)
-{
-	double x = *(const double *)a, y = *(const double *)b;
-
-	return (x > y) - (x < y);
-}
-
 /*
  * Jain's index of the work that each account got; 1 is fair.
  */
@@ -225,12 +215,9 @@
 	for (i = 0; i < RANKS; i++) {
 		GArray *times = sim->times[i];
 
-		g_array_sort(times, double_compare);
 		result->share[i] = times->len / total;
 		result->useful += result->share[i];
-		if (times->len > 0)
-			result->p99_ms[i] = g_array_index(
-			    times, double, (uint32_t)(0.99 * (times->len - 1)));
+		result->p99_ms[i] = quantile(times, 0.99);
 	}
 	result->jain = jain(sim->served, SIM_ACCOUNTS);
 	result->refused = sim->refused;
--- a/tests/slopes.c
+++ b/tools/slopes.c
@@ -1,12 +1,11 @@
 #include "../src/decide/member.h"
 #include "../src/decide/owner.h"
 #include "../src/document.h"
-#include "load/load.h"
+#include "load.h"
 
 #include <curl/curl.h>
 #include <stdio.h>
 #include <string.h>
-#include <unistd.h>
 
 /*
  * make slopes: how state, messages, processor time and memory grow, each at
@@ -31,23 +30,6 @@
 	return (double)ts.tv_sec * 1e6 + (double)ts.tv_nsec / 1e3;
 }
 
-/*
- * Resident memory of a process, in bytes.
- */
-static double
-memory_bytes(const char *pid)
-{
-	char *path = g_strdup_printf("/proc/%s/statm", pid);
-	char *text;
-	double pages;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	pages = (double)g_ascii_strtoull(strchr(text, ' '), NULL, 10);
-	g_free(text);
-	g_free(path);
-	return pages * (double)sysconf(_SC_PAGESIZE);
-}
-
 /* Many membership tables in one process that talk by calls. */
 typedef struct cloud {
 	uint32_t count;
@@ -164,12 +146,11 @@
 	static const member_limits_t limits = {
 	    INTERVAL_US, 300 * US_PER_MS, 900 * US_PER_MS, 60 * US_PER_SECOND};
 	cloud_t cloud = {.count = count, .now_us = US_PER_SECOND};
-	char **names = g_new0(char *, count), pid[16];
+	char **names = g_new0(char *, count);
 	double began_us, spent_us, before, after;
 	uint32_t i, j, rounds = 0;
 
-	g_snprintf(pid, sizeof(pid), "%d", (int)getpid());
-	before = memory_bytes(pid);
+	before = (double)fleet_memory_bytes(NULL);
 	cloud.tables = g_new0(members_t *, count);
 	cloud.dead = g_new0(bool, count);
 	cloud.numbers = g_hash_table_new(g_str_hash, g_str_equal);
@@ -190,7 +171,7 @@
 			members_hear(cloud.tables[i], &other, cloud.now_us);
 		}
 	}
-	after = memory_bytes(pid);
+	after = (double)fleet_memory_bytes(NULL);
 	for (i = 0; i < 200; i++)
 		cloud_round(&cloud); /* the news of the start dies down */
 	cloud.messages = cloud.bytes = 0;
@@ -293,26 +274,6 @@
 	g_string_free(text, TRUE);
 }
 
-/*
- * Processor time of a process so far, in seconds.
- */
-static double
-process_cpu_s(const char *pid)
-{
-	char *path = g_strdup_printf("/proc/%s/stat", pid);
-	char *text, **field;
-	double ticks;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	field = g_strsplit(strrchr(text, ')'), " ", -1);
-	ticks =
-	    g_ascii_strtod(field[12], NULL) + g_ascii_strtod(field[13], NULL);
-	g_strfreev(field);
-	g_free(text);
-	g_free(path);
-	return ticks / (double)sysconf(_SC_CLK_TCK);
-}
-
 /*
  * One idle daemon that owns so many groups of three databases.
  */
@@ -325,17 +286,16 @@
 	    .service_ms = 1,
 	    .log_level = "warning"};
 	fleet_t *fleet = fleet_start(&plan);
-	const char *pid;
 	double before, spent;
 
 	g_assert_true(fleet_wait_ready(fleet, READY_MS));
-	pid = g_subprocess_get_identifier(fleet->daemons[0].process);
-	before = process_cpu_s(pid);
+	before = fleet_cpu_s(&fleet->daemons[0]);
 	g_usleep((gulong)IDLE_S * G_USEC_PER_SEC);
-	spent = (process_cpu_s(pid) - before) / IDLE_S;
+	spent = (fleet_cpu_s(&fleet->daemons[0]) - before) / IDLE_S;
 	printf("idle fleet of %u daemons and %u groups: %5.2f%% of a core, "
 	       "%6.2f MB resident, for the first daemon\n",
-	    daemons, tickets + quotes, 100 * spent, memory_bytes(pid) / 1e6);
+	    daemons, tickets + quotes, 100 * spent,
+	    (double)fleet_memory_bytes(&fleet->daemons[0]) / 1e6);
 	fleet_end(fleet);
 }
 
