A commit that has already run leaves no transaction open

Cause: a commit whose request id the log holds is answered as a duplicate, and its new transaction stays open at the database; the connection went back to the pool, and others' statements met that transaction. Found by reading; the first test passed by luck, since the stand-in aborted and the next primary answered.

Change: such a connection is closed. The stand-in counts statements from outside that meet an open transaction instead of aborting, the checker takes them for a violation, and sequences of transactions have a table. A rollback no longer waits for a majority, since nothing depends on it.

--- a/gen/standin.pb-c.c
+++ b/gen/standin.pb-c.c
@@ -817,7 +817,7 @@
   (ProtobufCMessageInit) bp__ran_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__ran_log__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bp__ran_log__field_descriptors[7] =
 {
   {
     "ran",
@@ -891,10 +891,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "mixed",
+    7,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__RanLog, mixed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__ran_log__field_indices_by_name[] = {
   1,   /* field[1] = connections_highest */
   5,   /* field[5] = connections_opened */
+  6,   /* field[6] = mixed */
   0,   /* field[0] = ran */
   2,   /* field[2] = slots_highest */
   3,   /* field[3] = statements */
@@ -903,7 +916,7 @@
 static const ProtobufCIntRange bp__ran_log__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bp__ran_log__descriptor =
 {
@@ -913,7 +926,7 @@
   "Bp__RanLog",
   "bp",
   sizeof(Bp__RanLog),
-  6,
+  7,
   bp__ran_log__field_descriptors,
   bp__ran_log__field_indices_by_name,
   1,  bp__ran_log__number_ranges,
--- a/gen/standin.pb-c.h
+++ b/gen/standin.pb-c.h
@@ -142,10 +142,14 @@
   uint64_t statements;
   uint64_t status_calls;
   uint64_t connections_opened;
+  /*
+   * from outside, on an open transaction
+   */
+  uint64_t mixed;
 };
 #define BP__RAN_LOG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__ran_log__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Bp__PlatformFault
--- a/src/course.c
+++ b/src/course.c
@@ -412,7 +412,8 @@
 	bool replica = run->lane == group->replica_lane && run->tx == NULL;
 	uint32_t i;
 
-	if (run->tx != NULL && run->statement->action != BP__ACTION__COMMIT) {
+	if (run->statement->action == BP__ACTION__ROLLBACK ||
+	    (run->tx != NULL && run->statement->action != BP__ACTION__COMMIT)) {
 		run_done(run); /* nothing is acknowledged before the commit */
 		return;
 	}
@@ -476,6 +477,8 @@
 	case BP__DB_RESULT__OK:
 		if (tx != NULL && ends)
 			tx_over(run);
+		if (tx != NULL && run->duplicate)
+			conn_close(conn); /* its transaction is still open */
 		run_ran(run, now_us);
 		break;
 	case BP__DB_RESULT__ERROR_RAN:
--- a/tests/fake/fakedb.c
+++ b/tests/fake/fakedb.c
@@ -238,7 +238,7 @@
 
 	if (client->transaction &&
 	    !((const Bp__DbStatement *)message)->in_transaction)
-		g_error("a statement from outside met an open transaction");
+		db->mixed++;
 	job->client = client;
 	job->stream = stream;
 	job->ask = (Bp__DbStatement *)message;
--- a/tests/fake/fakedb.h
+++ b/tests/fake/fakedb.h
@@ -80,6 +80,7 @@
 	uint64_t connections_opened;
 	uint64_t statements;
 	uint64_t status_calls;
+	uint64_t mixed; /* statements from outside an open transaction */
 	uint32_t connect_ms;
 	uint32_t service_ms;
 	uint32_t lag_ms;
--- a/tests/fake/fakelog.c
+++ b/tests/fake/fakelog.c
@@ -148,6 +148,7 @@
 	out->connections_highest = db->connections_highest;
 	out->slots_highest = db->asked_highest;
 	out->statements = db->statements;
+	out->mixed = db->mixed;
 	out->status_calls = db->status_calls;
 	out->connections_opened = db->connections_opened;
 	answer(client, stream, &out->base);
--- a/tests/t_fleet.c
+++ b/tests/t_fleet.c
@@ -203,6 +203,119 @@
 	fleet_end(fleet);
 }
 
+/* One statement of a sequence, in short. */
+typedef struct tx_step {
+	const char *action;
+	const char *statement;
+	const char *request_id;
+	const char *work;
+	bool in_tx;
+	Bp__Outcome outcome;
+	const char *result; /* NULL: not looked at */
+} tx_step_t;
+
+typedef struct tx_case {
+	const char *name;
+	tx_step_t steps[10];
+	uint32_t count;
+} tx_case_t;
+
+#define DONE BP__OUTCOME__DONE
+#define NOT_RUN BP__OUTCOME__NOT_RUN
+#define WRITE "quote-revision"
+#define READ "ticket"
+
+static const tx_case_t tx_cases[] = {
+    {"the same commit id again",
+	{{"begin", "", NULL, WRITE, false, DONE, NULL},
+	    {"run", "set a 1", NULL, WRITE, true, DONE, NULL},
+	    {"commit", "", "c1", WRITE, true, DONE, NULL},
+	    {"begin", "", NULL, WRITE, false, DONE, NULL},
+	    {"run", "set a 2", NULL, WRITE, true, DONE, NULL},
+	    {"commit", "", "c1", WRITE, true, DONE, NULL},
+	    {"run", "get a", NULL, READ, false, DONE, "1"},
+	    {"run", "set b 1", NULL, WRITE, false, DONE, NULL},
+	    {"run", "get b", NULL, READ, false, DONE, "1"}},
+	9},
+    {"rolled back",
+	{{"begin", "", NULL, WRITE, false, DONE, NULL},
+	    {"run", "set a 1", NULL, WRITE, true, DONE, NULL},
+	    {"rollback", "", NULL, WRITE, true, DONE, NULL},
+	    {"run", "get a", NULL, READ, false, DONE, ""}},
+	4},
+    {"nothing is seen before the commit",
+	{{"begin", "", NULL, WRITE, false, DONE, NULL},
+	    {"run", "set a 1", NULL, WRITE, true, DONE, NULL},
+	    {"run", "get a", NULL, READ, false, DONE, ""},
+	    {"commit", "", NULL, WRITE, true, DONE, NULL},
+	    {"run", "get a", NULL, READ, false, DONE, "1"}},
+	5},
+    {"over is over",
+	{{"begin", "", NULL, WRITE, false, DONE, NULL},
+	    {"commit", "", NULL, WRITE, true, DONE, NULL},
+	    {"run", "set a 1", NULL, WRITE, true, NOT_RUN, NULL},
+	    {"commit", "", NULL, WRITE, true, NOT_RUN, NULL}},
+	4},
+    {"an error leaves it open",
+	{{"begin", "", NULL, WRITE, false, DONE, NULL},
+	    {"run", "fail", NULL, WRITE, true, BP__OUTCOME__FAILED, NULL},
+	    {"run", "set a 1", NULL, WRITE, true, DONE, NULL},
+	    {"commit", "", NULL, WRITE, true, DONE, NULL},
+	    {"run", "get a", NULL, READ, false, DONE, "1"}},
+	5},
+};
+
+/*
+ * Send the steps of a case one after the other, each through another daemon.
+ */
+static void
+test_tx(gconstpointer data)
+{
+	const tx_case_t *c = data;
+	fleet_plan_t plan = {.daemons = 3, .tickets = 1, .service_ms = 1};
+	fleet_t *fleet = fleet_start(&plan);
+	arena_t *arena = arena_new();
+	history_t *history = history_new();
+	const char *transaction = NULL;
+	uint32_t i;
+
+	g_assert_true(fleet_wait_ready(fleet, READY_MS));
+	for (i = 0; i < c->count; i++) {
+		const tx_step_t *step = &c->steps[i];
+		Bp__CallerRequest ask = BP__CALLER_REQUEST__INIT;
+		Bp__CallerAnswer *answer;
+
+		ask.team = (char *)"tickets";
+		ask.account = (char *)"bench";
+		ask.work = (char *)step->work;
+		ask.group = (char *)"tickets-1";
+		ask.has_action = 1;
+		ask.action =
+		    (Bp__Action)protobuf_c_enum_descriptor_get_value_by_name(
+			&bp__action__descriptor,
+			g_ascii_strup(step->action, -1))
+			->value;
+		ask.statement = (char *)step->statement;
+		ask.request_id = (char *)step->request_id;
+		ask.transaction = step->in_tx ? (char *)transaction : NULL;
+		answer = fleet_ask(
+		    fleet, arena, i % 3, json_write(arena, &ask.base, NULL));
+		g_assert_nonnull(answer);
+		g_assert_cmpint(answer->outcome, ==, step->outcome);
+		if (step->result != NULL)
+			g_assert_cmpstr(
+			    answer->result == NULL ? "" : answer->result, ==,
+			    step->result);
+		if (answer->transaction != NULL)
+			transaction = answer->transaction;
+	}
+	load_collect(fleet, history);
+	g_assert_cmpuint(history->mixed, ==, 0);
+	history_free(history);
+	arena_free(arena);
+	fleet_end(fleet);
+}
+
 /* --- documents --- */
 
 typedef struct edit_case {
@@ -650,6 +763,7 @@
 	curl_global_init(CURL_GLOBAL_ALL);
 	log_start(G_LOG_LEVEL_WARNING);
 	CASES("/holds/at-most-once", id_cases, test_id);
+	CASES("/holds/transactions-apart", tx_cases, test_tx);
 	CASES("/holds/document-never-reverts", edit_cases, test_edit);
 	CASES("/input", bad_cases, test_bad);
 	g_test_add_func("/input/too-many-connections", test_connections);
--- a/tests/t_history.c
+++ b/tests/t_history.c
@@ -181,6 +181,22 @@
 	history_free(history);
 }
 
+/*
+ * A database that saw a statement on another's open transaction.
+ */
+static void
+test_mixed(void)
+{
+	history_t *history = history_new();
+	violations_t violations = {0};
+
+	history->mixed = 2;
+	g_assert_cmpuint(history_check(history, &violations), ==, 1);
+	g_assert_cmpuint(violations.counts[VIOLATION_MIXED], ==, 1);
+	g_string_free(violations.text, TRUE);
+	history_free(history);
+}
+
 /*
  * Run the table.
  */
@@ -189,5 +205,6 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	CASES("/history", cases, test_history);
+	g_test_add_func("/history/mixed", test_mixed);
 	return g_test_run();
 }
--- a/tools/history.c
+++ b/tools/history.c
@@ -12,6 +12,7 @@
     [VIOLATION_REFUSED_BUT_RAN] = "refused but ran",
     [VIOLATION_WRONG_ANSWER] = "another caller's answer",
     [VIOLATION_HALF_TRANSACTION] = "half a transaction",
+    [VIOLATION_MIXED] = "met another's transaction",
     [VIOLATION_DOCUMENT_BACK] = "older document after newer",
 };
 
@@ -127,6 +128,7 @@
 {
 	size_t i;
 
+	history->mixed += log->mixed;
 	for (i = 0; i < log->n_ran; i++) {
 		const Bp__RanEntry *from = log->ran[i];
 		ran_entry_t *to = history_ran_one(history);
@@ -490,6 +492,9 @@
 	check_sessions(history, &logs, violations);
 	check_transactions(history, &logs, violations);
 	check_versions(history, violations);
+	if (history->mixed > 0)
+		violate(violations, VIOLATION_MIXED,
+		    "%" G_GUINT64_FORMAT " statements", history->mixed);
 	g_hash_table_unref(logs.places);
 	g_hash_table_unref(logs.any);
 	for (i = 0; i < VIOLATION_KINDS; i++)
--- a/tools/history.h
+++ b/tools/history.h
@@ -59,6 +59,7 @@
 	GPtrArray *operations; /* of operation_t, in the order asked */
 	GPtrArray *ran;        /* of ran_entry_t */
 	GPtrArray *versions;   /* of version_seen_t */
+	uint64_t mixed;        /* statements that met another's transaction */
 } history_t;
 
 typedef enum violation_kind {
@@ -69,6 +70,7 @@
 	VIOLATION_REFUSED_BUT_RAN,
 	VIOLATION_WRONG_ANSWER,
 	VIOLATION_HALF_TRANSACTION,
+	VIOLATION_MIXED,
 	VIOLATION_DOCUMENT_BACK,
 	VIOLATION_KINDS,
 } violation_kind_t;
