The checker knows that a repeatable write may stand twice in a log

Change: a value has a first and a last place; what is read is stale when its last run comes before the first of what the session knows.

--- a/tools/history.c
+++ b/tools/history.c
@@ -16,11 +16,13 @@
     [VIOLATION_DOCUMENT_BACK] = "older document after newer",
 };
 
-/* Where a value stands in the log of the last primary. */
+/*
+ * Where a value stands in the log of the last primary.  A write that its
+ * document declares repeatable may stand there more than once.
+ */
 typedef struct place {
-	uint64_t term;
-	uint64_t position;
-	uint32_t order; /* among the writes of one position */
+	uint64_t first; /* order in the log */
+	uint64_t last;
 } place_t;
 
 /* The log of the last primaries, by value. */
@@ -168,6 +170,15 @@
 	g_string_append_c(violations->text, '\n');
 }
 
+/*
+ * The order of an entry in its log; i tells apart those of one position.
+ */
+static uint64_t
+order_of(const ran_entry_t *ran, uint32_t i)
+{
+	return ran->position << 32 | i;
+}
+
 /*
  * Index what ran by its value.
  */
@@ -181,30 +192,42 @@
 	logs->any = g_hash_table_new(g_str_hash, g_str_equal);
 	for (i = 0; i < history->ran->len; i++) {
 		ran_entry_t *ran = g_ptr_array_index(history->ran, i);
+		uint64_t order = order_of(ran, i);
 		place_t *place;
 
 		g_hash_table_add(logs->any, ran->value);
 		if (!ran->on_primary)
 			continue;
-		place = g_new0(place_t, 1);
-		place->term = ran->term;
-		place->position = ran->position;
-		place->order = i;
-		g_hash_table_insert(logs->places, ran->value, place);
+		place = g_hash_table_lookup(logs->places, ran->value);
+		if (place == NULL) {
+			place = g_new0(place_t, 1);
+			place->first = order;
+			g_hash_table_insert(logs->places, ran->value, place);
+		}
+		place->first = MIN(place->first, order);
+		place->last = MAX(place->last, order);
 	}
 }
 
 /*
- * Order two places of one log; NULL comes before all.
+ * Whether what was read is certainly older than what is known: its last run
+ * comes before the known one's first.  NULL comes before all.
+ */
+static bool
+place_older(const place_t *got, const place_t *known)
+{
+	if (known == NULL)
+		return false;
+	return got == NULL || got->last < known->first;
+}
+
+/*
+ * Whether a place is certainly newer than the newest known so far.
  */
-static int32_t
-place_compare(const place_t *a, const place_t *b)
+static bool
+place_newer(const place_t *place, const place_t *known)
 {
-	if (a == NULL || b == NULL)
-		return (a != NULL) - (b != NULL);
-	if (a->position != b->position)
-		return a->position < b->position ? -1 : 1;
-	return (a->order > b->order) - (a->order < b->order);
+	return place != NULL && (known == NULL || place->first > known->first);
 }
 
 /*
@@ -316,7 +339,7 @@
 		for (i = 1; i < list->len; i++) {
 			known_t *at = &g_array_index(list, known_t, i);
 
-			if (place_compare(at->place, (at - 1)->place) < 0)
+			if (!place_newer(at->place, (at - 1)->place))
 				at->place = (at - 1)->place;
 		}
 	}
@@ -374,7 +397,7 @@
 			continue; /* a write that nobody acknowledged */
 		needed = acknowledged_before(
 		    keys, op->key, op->asked_us - op->max_age_us);
-		if (place_compare(got, needed) < 0)
+		if (place_older(got, needed))
 			violate(violations, VIOLATION_STALE_READ,
 			    "%s gave %s, which may not be that old", op->key,
 			    op->value == NULL ? "none" : op->value);
@@ -407,11 +430,11 @@
 		    ? NULL
 		    : g_hash_table_lookup(logs->places, op->value);
 		if (!op->write && !(op->value != NULL && place == NULL) &&
-		    place_compare(place, known) < 0)
+		    place_older(place, known))
 			violate(violations, VIOLATION_STALE_SESSION,
 			    "session %u read %s of %s", op->session,
 			    op->value == NULL ? "none" : op->value, op->key);
-		if (place_compare(place, known) > 0)
+		if (place_newer(place, known))
 			g_hash_table_replace(newest, at, (gpointer)place);
 		else
 			g_free(at);
