--- a/tests/fake/fakedb.c
+++ b/tests/fake/fakedb.c
@@ -379,9 +379,9 @@
 			h2_mute(other->h2);
 	}
 	answer_result(client, stream, BP__DB_RESULT__OK);
-	arena_free(arena);
 	if (fault->has_freeze_ms)
 		g_usleep((gulong)fault->freeze_ms * US_PER_MS);
+	arena_free(arena);
 	replicate(db);
 }
 
