A request id that is known is answered also in an overload

Cause: the estimate of the wait came before the table of request ids, so that a repeated id that had already run could be refused as not run.

--- a/src/course.c
+++ b/src/course.c
@@ -348,11 +348,11 @@
 	retry_earn(&group->retry);
 	if (tx != NULL) {
 		run_in_tx(run, tx);
+	} else if (run_known_id(run)) {
+		return; /* also in an overload: it is no new work */
 	} else if (!run_has_time(run, &retry_after_ms)) {
 		run_overloaded(run, retry_after_ms);
 		return;
-	} else if (run_known_id(run)) {
-		return;
 	} else {
 		run_queue(run, false);
 	}
