Callers that go away, in the table of bad input

Cause: callers that close before, about or after the time of their answer, or send several requests at once, were not tested; the connection's way between libsoup and the epoll set has its hard places there.

Seen: no crash, and no connection counted once they are gone.

--- a/tests/t_fleet.c
+++ b/tests/t_fleet.c
@@ -722,6 +722,22 @@
 	    fleet_memory_bytes(daemon), <, memory_bytes + (16 << 20));
 }
 
+/*
+ * Wait until no caller's connection is counted any more.
+ */
+static bool
+bad_all_gone(void)
+{
+	int64_t until_us = g_get_monotonic_time() + 3000 * US_PER_MS;
+
+	while (bad_counter("caller_connections") > 0) {
+		if (g_get_monotonic_time() >= until_us)
+			return false;
+		g_usleep(20 * US_PER_MS);
+	}
+	return true;
+}
+
 /*
  * Above the limit on connections new ones are cut, and when some go, others
  * are taken again.
@@ -742,8 +758,57 @@
 		g_socket_close(sockets[i], NULL);
 		g_object_unref(sockets[i]);
 	}
-	g_usleep(200 * US_PER_MS);
+	g_assert_true(bad_all_gone());
+	bad_others_go_on();
+}
+
+#define BODY \
+	"{\"team\":\"tickets\",\"account\":\"bench\",\"work\":\"ticket\"," \
+	"\"key\":\"k\",\"statement\":\"get k\"}"
+
+typedef struct rude_case {
+	const char *name;
+	uint32_t requests; /* sent at once */
+	uint32_t wait_us;  /* before the caller closes */
+	uint32_t times;
+} rude_case_t;
+
+static const rude_case_t rude_cases[] = {
+    {"gone before the answer", 1, 0, 300},
+    {"gone about the time of the answer", 1, 700, 300},
+    {"gone when the connection is parked", 1, 20000, 30},
+    {"requests one behind the other", 3, 3000, 100},
+    {"many requests at once and gone", 20, 0, 50},
+};
+
+/*
+ * Callers that do not wait for their answers disturb nobody once they are
+ * gone, and none of their connections is kept.
+ */
+static void
+test_rude(gconstpointer data)
+{
+	const rude_case_t *c = data;
+	GString *text = g_string_new(NULL);
+	bad_case_t request = {"", TO_CALLERS};
+	GSocket *socket;
+	uint32_t i;
+
+	for (i = 0; i < c->requests; i++)
+		g_string_append_printf(text,
+		    "POST /v1/statement HTTP/1.1\r\nHost: a\r\n"
+		    "Content-Length: %u\r\n\r\n%s",
+		    (uint32_t)strlen(BODY), BODY);
+	request.bytes = text->str;
+	for (i = 0; i < c->times; i++) {
+		socket = bad_send(&request, bad_fleet->daemons[0].port);
+		g_usleep(c->wait_us);
+		g_socket_close(socket, NULL);
+		g_object_unref(socket);
+	}
+	g_assert_true(bad_all_gone());
 	bad_others_go_on();
+	g_string_free(text, TRUE);
 }
 
 /*
@@ -766,6 +831,7 @@
 	CASES("/holds/transactions-apart", tx_cases, test_tx);
 	CASES("/holds/document-never-reverts", edit_cases, test_edit);
 	CASES("/input", bad_cases, test_bad);
+	CASES("/input", rude_cases, test_rude);
 	g_test_add_func("/input/too-many-connections", test_connections);
 	bad_fleet = fleet_start(&plan);
 	g_assert_true(fleet_wait_ready(bad_fleet, READY_MS));
