Callers are told of each end before they are forgotten; unused functions go

Cause: found by reading the whole change. At the end of the front task the table of connections was freed before the server disconnected those that were still active, whose "disconnected" then reached the freed table. No test or sanitizer had shown it, since idle connections are parked by then. Four functions had no caller left: frame_is_open, sock_is_open, arena_child, task_name.

Change: the server disconnects first. No other behaviour changes.

--- a/src/arena.c
+++ b/src/arena.c
@@ -15,15 +15,6 @@
 	return talloc_pool(NULL, POOL_BYTES);
 }
 
-/*
- * Make an arena that is freed with its parent at the latest.
- */
-arena_t *
-arena_child(arena_t *parent)
-{
-	return talloc_new(parent);
-}
-
 /*
  * Free an arena and all that was allocated in it.  NULL is allowed.
  */
--- a/src/bergamotplank.h
+++ b/src/bergamotplank.h
@@ -17,7 +17,6 @@
 typedef void arena_t;
 
 arena_t *arena_new(void);
-arena_t *arena_child(arena_t *);
 void arena_free(arena_t *);
 void arena_steal(arena_t *, const void *);
 void *arena_zero(arena_t *, uint64_t);
--- a/src/frame.c
+++ b/src/frame.c
@@ -214,15 +214,6 @@
 	return error;
 }
 
-/*
- * Tell whether messages go out at once.
- */
-bool
-frame_is_open(const frame_link_t *link)
-{
-	return !link->closed && sock_is_open(link->sock);
-}
-
 /*
  * Since when a frame has been only partly there; 0 when none is.
  */
--- a/src/front.c
+++ b/src/front.c
@@ -253,8 +253,8 @@
 	    g_main_context_iteration(task_context(role->task), FALSE))
 		;
 	source_drop(&role->tick);
-	callers_free(role->connections);
 	soup_server_disconnect(role->callers);
+	callers_free(role->connections); /* it heard of each end */
 	soup_server_disconnect(role->operators);
 	g_object_unref(role->callers);
 	g_object_unref(role->operators);
--- a/src/sock.c
+++ b/src/sock.c
@@ -309,15 +309,6 @@
 	g_socket_shutdown(sock->socket, TRUE, TRUE, NULL);
 }
 
-/*
- * Tell whether bytes may be written.
- */
-bool
-sock_is_open(const sock_t *sock)
-{
-	return !sock->closed && !sock->connecting;
-}
-
 /*
  * For stand-ins: neither read nor write any more, yet stay open.
  */
--- a/src/sock.h
+++ b/src/sock.h
@@ -23,7 +23,6 @@
     GMainContext *, GSocket *, const sock_ops_t *, void *context);
 int32_t sock_write(sock_t *, const uint8_t *bytes, uint64_t size_bytes);
 void sock_break(sock_t *);
-bool sock_is_open(const sock_t *);
 void sock_mute(sock_t *);
 void sock_free(sock_t *);
 
--- a/src/task.c
+++ b/src/task.c
@@ -242,15 +242,6 @@
 	return task->main;
 }
 
-/*
- * The name of the task's role.
- */
-const char *
-task_name(const task_t *task)
-{
-	return task->ops->name;
-}
-
 /*
  * Make an empty message of a type, in an arena of its own.
  */
--- a/src/task.h
+++ b/src/task.h
@@ -40,7 +40,6 @@
 int32_t task_run_here(task_t *);
 void task_quit(task_t *);
 GMainContext *task_context(task_t *);
-const char *task_name(const task_t *);
 
 msg_t *msg_new(const ProtobufCMessageDescriptor *);
 msg_t *msg_adopt(arena_t *, ProtobufCMessage *);
