A leaving daemon passes on no statements of others' transactions

A trace named commits, asked within 10 ms of the daemon's end, each of a transaction begun after the drain at another daemon: a leaving daemon still took statements of any open transaction, handed them on, and ended after its linger time while they were under way.

--- a/src/route.c
+++ b/src/route.c
@@ -404,6 +404,13 @@
 		to = open_transaction(pending);
 		if (to == NULL)
 			return;
+		if (role->draining &&
+		    strcmp(to, role->daemon->settings->name) != 0) {
+			pending_fail(pending, BP__REASON__DRAINING,
+			    "this daemon is leaving; the transaction is open "
+			    "at another");
+			return;
+		}
 	} else {
 		to = owner_of(role, pending->statement);
 		if (to == NULL) {
