--- a/Makefile
+++ b/Makefile
@@ -11,12 +11,12 @@
 CFLAGS = -O2 -g
 WARN = -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wno-missing-field-initializers -Werror
-CPPFLAGS = -Isrc -Igen `pkg-config --cflags $(MODULES)`
+CPPFLAGS = -Isrc -Igen -Iplatform `pkg-config --cflags $(MODULES)`
 LIBS = `pkg-config --libs $(MODULES)` -largtable2 -lm
 BUILD = build
 
 GEN = $(wildcard gen/*.c)
-SRC = $(wildcard src/*.c)
+SRC = $(wildcard src/*.c src/proxy/*.c platform/*.c)
 DECIDE = $(wildcard src/decide/*.c)
 MAIN = src/main.c
 
@@ -111,7 +111,8 @@
 	protoc-c --proto_path=schema --c_out=gen schema/*.proto
 	awk -f schema/ranges.awk schema/*.proto >gen/ranges.c
 
-FORMATTED = $(wildcard src/*.[ch] src/decide/*.[ch] tools/*.[ch] \
+FORMATTED = $(wildcard src/*.[ch] src/decide/*.[ch] src/proxy/*.[ch] \
+	platform/*.[ch] tools/*.[ch] \
 	tests/*.[ch] tests/*/*.[ch])
 
 format:
--- a/gen/ranges.c
+++ b/gen/ranges.c
@@ -33,7 +33,13 @@
 	{"bp.Settings", "caller_port", 1U, 65535U},
 	{"bp.Settings", "operator_port", 1U, 65535U},
 	{"bp.Settings", "peer_port", 1U, 65535U},
+	{"bp.ProxyTimeouts", "connect_ms", 5U, 60000U},
+	{"bp.ProxyTimeouts", "status_interval_ms", 10U, 10000U},
+	{"bp.ProxyTimeouts", "status_timeout_ms", 10U, 10000U},
+	{"bp.ProxyTimeouts", "suspect_ms", 50U, 60000U},
+	{"bp.ProxyTimeouts", "store_ms", 10U, 60000U},
+	{"bp.ProxyTimeouts", "watch_ms", 100U, 30000U},
 	{"bp.CallerRequest", "timeout_ms", 1U, 600000U},
 };
 
-const uint32_t ranges_count = 32;
+const uint32_t ranges_count = 38;
--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -187,6 +187,96 @@
   assert(message->base.descriptor == &bp__settings__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__proxy_timeouts__init
+                     (Bp__ProxyTimeouts         *message)
+{
+  static const Bp__ProxyTimeouts init_value = BP__PROXY_TIMEOUTS__INIT;
+  *message = init_value;
+}
+size_t bp__proxy_timeouts__get_packed_size
+                     (const Bp__ProxyTimeouts *message)
+{
+  assert(message->base.descriptor == &bp__proxy_timeouts__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__proxy_timeouts__pack
+                     (const Bp__ProxyTimeouts *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__proxy_timeouts__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__proxy_timeouts__pack_to_buffer
+                     (const Bp__ProxyTimeouts *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__proxy_timeouts__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__ProxyTimeouts *
+       bp__proxy_timeouts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__ProxyTimeouts *)
+     protobuf_c_message_unpack (&bp__proxy_timeouts__descriptor,
+                                allocator, len, data);
+}
+void   bp__proxy_timeouts__free_unpacked
+                     (Bp__ProxyTimeouts *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__proxy_timeouts__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bp__proxy_settings__init
+                     (Bp__ProxySettings         *message)
+{
+  static const Bp__ProxySettings init_value = BP__PROXY_SETTINGS__INIT;
+  *message = init_value;
+}
+size_t bp__proxy_settings__get_packed_size
+                     (const Bp__ProxySettings *message)
+{
+  assert(message->base.descriptor == &bp__proxy_settings__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__proxy_settings__pack
+                     (const Bp__ProxySettings *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__proxy_settings__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__proxy_settings__pack_to_buffer
+                     (const Bp__ProxySettings *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__proxy_settings__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__ProxySettings *
+       bp__proxy_settings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__ProxySettings *)
+     protobuf_c_message_unpack (&bp__proxy_settings__descriptor,
+                                allocator, len, data);
+}
+void   bp__proxy_settings__free_unpacked
+                     (Bp__ProxySettings *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__proxy_settings__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor bp__address__field_descriptors[2] =
 {
   {
@@ -723,6 +813,259 @@
   (ProtobufCMessageInit) bp__settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const uint32_t bp__proxy_timeouts__connect_ms__default_value = 600u;
+static const uint32_t bp__proxy_timeouts__status_interval_ms__default_value = 80u;
+static const uint32_t bp__proxy_timeouts__status_timeout_ms__default_value = 200u;
+static const uint32_t bp__proxy_timeouts__suspect_ms__default_value = 450u;
+static const uint32_t bp__proxy_timeouts__store_ms__default_value = 1000u;
+static const uint32_t bp__proxy_timeouts__watch_ms__default_value = 10000u;
+static const ProtobufCFieldDescriptor bp__proxy_timeouts__field_descriptors[6] =
+{
+  {
+    "connect_ms",
+    1,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bp__ProxyTimeouts, has_connect_ms),
+    offsetof(Bp__ProxyTimeouts, connect_ms),
+    NULL,
+    &bp__proxy_timeouts__connect_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status_interval_ms",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bp__ProxyTimeouts, has_status_interval_ms),
+    offsetof(Bp__ProxyTimeouts, status_interval_ms),
+    NULL,
+    &bp__proxy_timeouts__status_interval_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status_timeout_ms",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bp__ProxyTimeouts, has_status_timeout_ms),
+    offsetof(Bp__ProxyTimeouts, status_timeout_ms),
+    NULL,
+    &bp__proxy_timeouts__status_timeout_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspect_ms",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bp__ProxyTimeouts, has_suspect_ms),
+    offsetof(Bp__ProxyTimeouts, suspect_ms),
+    NULL,
+    &bp__proxy_timeouts__suspect_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_ms",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bp__ProxyTimeouts, has_store_ms),
+    offsetof(Bp__ProxyTimeouts, store_ms),
+    NULL,
+    &bp__proxy_timeouts__store_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "watch_ms",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bp__ProxyTimeouts, has_watch_ms),
+    offsetof(Bp__ProxyTimeouts, watch_ms),
+    NULL,
+    &bp__proxy_timeouts__watch_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__proxy_timeouts__field_indices_by_name[] = {
+  0,   /* field[0] = connect_ms */
+  1,   /* field[1] = status_interval_ms */
+  2,   /* field[2] = status_timeout_ms */
+  4,   /* field[4] = store_ms */
+  3,   /* field[3] = suspect_ms */
+  5,   /* field[5] = watch_ms */
+};
+static const ProtobufCIntRange bp__proxy_timeouts__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor bp__proxy_timeouts__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.ProxyTimeouts",
+  "ProxyTimeouts",
+  "Bp__ProxyTimeouts",
+  "bp",
+  sizeof(Bp__ProxyTimeouts),
+  6,
+  bp__proxy_timeouts__field_descriptors,
+  bp__proxy_timeouts__field_indices_by_name,
+  1,  bp__proxy_timeouts__number_ranges,
+  (ProtobufCMessageInit) bp__proxy_timeouts__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const double bp__proxy_settings__grace_s__default_value = 6;
+static const Bp__LogLevel bp__proxy_settings__log_level__default_value = BP__LOG_LEVEL__INFO;
+static const ProtobufCFieldDescriptor bp__proxy_settings__field_descriptors[9] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__ProxySettings, name),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__ProxySettings, zone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "client_address",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__ProxySettings, client_address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready_address",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__ProxySettings, ready_address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_address",
+    5,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__ProxySettings, store_address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "promotion_address",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__ProxySettings, promotion_address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grace_s",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Bp__ProxySettings, has_grace_s),
+    offsetof(Bp__ProxySettings, grace_s),
+    NULL,
+    &bp__proxy_settings__grace_s__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeouts",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__ProxySettings, timeouts),
+    &bp__proxy_timeouts__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_level",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_ENUM,
+    offsetof(Bp__ProxySettings, has_log_level),
+    offsetof(Bp__ProxySettings, log_level),
+    &bp__log_level__descriptor,
+    &bp__proxy_settings__log_level__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__proxy_settings__field_indices_by_name[] = {
+  2,   /* field[2] = client_address */
+  6,   /* field[6] = grace_s */
+  8,   /* field[8] = log_level */
+  0,   /* field[0] = name */
+  5,   /* field[5] = promotion_address */
+  3,   /* field[3] = ready_address */
+  4,   /* field[4] = store_address */
+  7,   /* field[7] = timeouts */
+  1,   /* field[1] = zone */
+};
+static const ProtobufCIntRange bp__proxy_settings__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor bp__proxy_settings__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.ProxySettings",
+  "ProxySettings",
+  "Bp__ProxySettings",
+  "bp",
+  sizeof(Bp__ProxySettings),
+  9,
+  bp__proxy_settings__field_descriptors,
+  bp__proxy_settings__field_indices_by_name,
+  1,  bp__proxy_settings__number_ranges,
+  (ProtobufCMessageInit) bp__proxy_settings__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue bp__log_level__enum_values_by_number[4] =
 {
   { "ERROR", "BP__LOG_LEVEL__ERROR", 0 },
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -19,6 +19,8 @@
 typedef struct Bp__Limits Bp__Limits;
 typedef struct Bp__Timeouts Bp__Timeouts;
 typedef struct Bp__Settings Bp__Settings;
+typedef struct Bp__ProxyTimeouts Bp__ProxyTimeouts;
+typedef struct Bp__ProxySettings Bp__ProxySettings;
 
 
 /* --- enums --- */
@@ -191,6 +193,68 @@
     , NULL, NULL, NULL, 0, 0, 0, NULL, 0,NULL, NULL, NULL, 0, BP__LOG_LEVEL__INFO }
 
 
+struct  Bp__ProxyTimeouts
+{
+  ProtobufCMessage base;
+  /*
+   * range 5..60000
+   */
+  protobuf_c_boolean has_connect_ms;
+  uint32_t connect_ms;
+  /*
+   * range 10..10000
+   */
+  protobuf_c_boolean has_status_interval_ms;
+  uint32_t status_interval_ms;
+  /*
+   * range 10..10000
+   */
+  protobuf_c_boolean has_status_timeout_ms;
+  uint32_t status_timeout_ms;
+  /*
+   * range 50..60000
+   */
+  protobuf_c_boolean has_suspect_ms;
+  uint32_t suspect_ms;
+  /*
+   * range 10..60000
+   */
+  protobuf_c_boolean has_store_ms;
+  uint32_t store_ms;
+  /*
+   * range 100..30000
+   */
+  protobuf_c_boolean has_watch_ms;
+  uint32_t watch_ms;
+};
+#define BP__PROXY_TIMEOUTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__proxy_timeouts__descriptor) \
+    , 0, 600u, 0, 80u, 0, 200u, 0, 450u, 0, 1000u, 0, 10000u }
+
+
+/*
+ * Settings of "bergamotplank proxy".  Addresses are "IP:PORT".
+ */
+struct  Bp__ProxySettings
+{
+  ProtobufCMessage base;
+  char *name;
+  char *zone;
+  char *client_address;
+  char *ready_address;
+  char *store_address;
+  char *promotion_address;
+  protobuf_c_boolean has_grace_s;
+  double grace_s;
+  Bp__ProxyTimeouts *timeouts;
+  protobuf_c_boolean has_log_level;
+  Bp__LogLevel log_level;
+};
+#define BP__PROXY_SETTINGS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__proxy_settings__descriptor) \
+    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 6, NULL, 0, BP__LOG_LEVEL__INFO }
+
+
 /* Bp__Address methods */
 void   bp__address__init
                      (Bp__Address         *message);
@@ -267,6 +331,44 @@
 void   bp__settings__free_unpacked
                      (Bp__Settings *message,
                       ProtobufCAllocator *allocator);
+/* Bp__ProxyTimeouts methods */
+void   bp__proxy_timeouts__init
+                     (Bp__ProxyTimeouts         *message);
+size_t bp__proxy_timeouts__get_packed_size
+                     (const Bp__ProxyTimeouts   *message);
+size_t bp__proxy_timeouts__pack
+                     (const Bp__ProxyTimeouts   *message,
+                      uint8_t             *out);
+size_t bp__proxy_timeouts__pack_to_buffer
+                     (const Bp__ProxyTimeouts   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__ProxyTimeouts *
+       bp__proxy_timeouts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__proxy_timeouts__free_unpacked
+                     (Bp__ProxyTimeouts *message,
+                      ProtobufCAllocator *allocator);
+/* Bp__ProxySettings methods */
+void   bp__proxy_settings__init
+                     (Bp__ProxySettings         *message);
+size_t bp__proxy_settings__get_packed_size
+                     (const Bp__ProxySettings   *message);
+size_t bp__proxy_settings__pack
+                     (const Bp__ProxySettings   *message,
+                      uint8_t             *out);
+size_t bp__proxy_settings__pack_to_buffer
+                     (const Bp__ProxySettings   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__ProxySettings *
+       bp__proxy_settings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__proxy_settings__free_unpacked
+                     (Bp__ProxySettings *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Bp__Address_Closure)
@@ -281,6 +383,12 @@
 typedef void (*Bp__Settings_Closure)
                  (const Bp__Settings *message,
                   void *closure_data);
+typedef void (*Bp__ProxyTimeouts_Closure)
+                 (const Bp__ProxyTimeouts *message,
+                  void *closure_data);
+typedef void (*Bp__ProxySettings_Closure)
+                 (const Bp__ProxySettings *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -292,6 +400,8 @@
 extern const ProtobufCMessageDescriptor bp__limits__descriptor;
 extern const ProtobufCMessageDescriptor bp__timeouts__descriptor;
 extern const ProtobufCMessageDescriptor bp__settings__descriptor;
+extern const ProtobufCMessageDescriptor bp__proxy_timeouts__descriptor;
+extern const ProtobufCMessageDescriptor bp__proxy_settings__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/command.h
+++ b/src/command.h
@@ -7,6 +7,7 @@
 
 /* The subcommands.  Each returns the exit status of the process. */
 int32_t command_serve(int argc, char **argv);
+int32_t command_proxy(int argc, char **argv);
 int32_t command_check(int argc, char **argv);
 int32_t command_status(int argc, char **argv);
 
--- a/src/dbgroup.c
+++ b/src/dbgroup.c
@@ -15,7 +15,7 @@
 static promote_limits_t
 limits_of(const Bp__Timeouts *timeouts)
 {
-	promote_limits_t limits;
+	promote_limits_t limits = {0};
 
 	limits.suspect_us = (int64_t)US_PER_MS *
 	    (timeouts->probe_timeout_ms + 2 * timeouts->probe_interval_ms);
@@ -337,6 +337,8 @@
 		ask_witness(group, db);
 		return;
 	}
+	if (action->kind == PROMOTE_RELEASE)
+		return; /* these databases keep a promise until a higher term */
 	if (db->control == NULL || !db->control->open)
 		return;
 	if (action->kind == PROMOTE_FENCE) {
--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -38,6 +38,10 @@
 bool hold_confirmed(const db_view_t *, uint32_t count, position_t, int64_t);
 uint32_t majority_of(uint32_t count);
 
+/* How long the belief in a primary lasts: lease.c */
+int64_t lease_until_us(
+    const db_view_t *, uint32_t count, uint32_t primary, int64_t span_us);
+
 /* How long silence is borne, and what follows: silence.c */
 typedef enum silence_verdict {
 	SILENCE_NONE,
--- a/src/decide/promote.c
+++ b/src/decide/promote.c
@@ -33,6 +33,7 @@
 	promote->rand = g_rand_new_with_seed(seed);
 	promote->wait_us = now_us + LEARNING_US;
 	promote->avoid = -1;
+	promote->stepping_down = -1;
 	for (i = 0; i < count; i++)
 		promote->heard_us[i] = now_us;
 	enter(promote, PROMOTE_LEARNING, now_us);
@@ -110,6 +111,7 @@
 
 	promote->failures++;
 	promote->avoid = -1;
+	promote->stepping_down = -1;
 	promote->wait_us = now_us +
 	    (int64_t)(g_rand_double(promote->rand) * (double)base_us) +
 	    promote->limits.backoff_us / 4;
@@ -133,6 +135,35 @@
 		promote->moved_us[database] = now_us;
 }
 
+/*
+ * As promote_heard(), of a database that may take a promise back: the later
+ * question decides alone.
+ */
+void
+promote_observed(promote_t *promote, uint32_t database, const db_view_t *heard,
+    int64_t now_us)
+{
+	db_view_t *view = &promote->views[database];
+
+	promote_alive(promote, database, now_us);
+	if (view->known && heard->asked_us < view->asked_us)
+		return;
+	if (position_compare(view->last, heard->last) != 0)
+		promote->moved_us[database] = now_us;
+	*view = *heard;
+	view->known = true;
+}
+
+/*
+ * A database gave a sign of life.
+ */
+void
+promote_alive(promote_t *promote, uint32_t database, int64_t now_us)
+{
+	promote->heard_us[database] = now_us;
+	promote->refused[database] = 0;
+}
+
 /*
  * A database refused a connection: stronger than silence.
  */
@@ -206,8 +237,13 @@
 
 	promote->term = highest_promise(promote) + 1;
 	memset(promote->granted, 0, sizeof(promote->granted));
+	promote->stepping_down = -1;
+	if (promote->handover && promote->limits.catch_up_us > 0)
+		promote->stepping_down = promote_primary(promote);
 	for (i = 0; i < promote->count; i++) {
-		if ((int32_t)i == promote->avoid)
+		if ((int32_t)i == promote->avoid ||
+		    (promote->stepping_down >= 0 &&
+			(int32_t)i != promote->stepping_down))
 			continue;
 		actions->list[actions->count++] =
 		    (promote_action_t){PROMOTE_FENCE, i, promote->term};
@@ -288,6 +324,7 @@
 	if (granted) {
 		promote->granted[database] = true;
 		promote->granted_at[database] = view->last;
+		promote->granted_us = now_us;
 	} else if (view->promised >= term) {
 		back_off(promote, now_us); /* another daemon is ahead */
 	}
@@ -445,22 +482,123 @@
 		begin_fencing(promote, now_us, actions);
 }
 
+/*
+ * How many grants a choice needs: a majority, and enough to meet a holder of
+ * each commit that was acknowledged when so many replicas had it.
+ */
+static uint32_t
+grants_needed(const promote_t *promote)
+{
+	uint32_t sync = promote->limits.sync_replicas;
+	uint32_t needed = majority_of(promote->count);
+
+	if (sync > 0 && sync < promote->count)
+		needed = MAX(needed, promote->count - sync);
+	return needed;
+}
+
+/*
+ * The database that stays and is furthest, when the leaving primary has
+ * stepped down: it must have all that the primary had, or as much as the
+ * time to catch up allows.  Returns -1 while there is none.
+ */
+static int32_t
+choose_successor(const promote_t *promote, int64_t now_us)
+{
+	const promote_limits_t *limits = &promote->limits;
+	int32_t i, best = -1;
+
+	for (i = 0; i < (int32_t)promote->count; i++) {
+		const db_view_t *view = &promote->views[i];
+
+		if (i == promote->stepping_down || !view->known ||
+		    view->leaving ||
+		    now_us - promote->heard_us[i] >= limits->suspect_us)
+			continue;
+		if (best < 0 ||
+		    position_compare(view->last, promote->views[best].last) > 0)
+			best = i;
+	}
+	if (best < 0 ||
+	    position_compare(promote->views[best].last,
+		promote->granted_at[promote->stepping_down]) >= 0)
+		return best;
+	return limits->sync_replicas == 0 &&
+		now_us - promote->granted_us >= limits->catch_up_us
+	    ? best
+	    : -1;
+}
+
+/*
+ * The database to raise now, or -1 while grants or time are lacking.
+ */
+static int32_t
+ready_to_raise(const promote_t *promote, int64_t now_us)
+{
+	int32_t primary = promote->stepping_down;
+
+	if (primary >= 0)
+		return promote->granted[primary]
+		    ? choose_successor(promote, now_us)
+		    : -1;
+	if (granted_count(promote) < grants_needed(promote) ||
+	    now_us - promote->granted_us < promote->limits.settle_us)
+		return -1;
+	return (int32_t)choose(promote);
+}
+
+/*
+ * Give up the grants of a term that leads nowhere, where no database waits
+ * for anything else to end its promise.
+ */
+static void
+release_grants(promote_t *promote, promote_actions_t *actions)
+{
+	uint32_t i;
+
+	for (i = 0; i < promote->count; i++) {
+		if (promote->granted[i] && (int32_t)i != promote->stepping_down)
+			actions->list[actions->count++] = (promote_action_t){
+			    PROMOTE_RELEASE, i, promote->term};
+	}
+}
+
 /*
  * FENCING: with a majority, raise the one that is furthest.
  */
 static void
 tick_fencing(promote_t *promote, int64_t now_us, promote_actions_t *actions)
 {
-	if (granted_count(promote) >= majority_of(promote->count)) {
-		promote->chosen = choose(promote);
+	int32_t chosen = ready_to_raise(promote, now_us);
+
+	if (chosen >= 0) {
+		promote->chosen = (uint32_t)chosen;
 		actions->list[actions->count++] = (promote_action_t){
 		    PROMOTE_RAISE, promote->chosen, promote->term};
 		enter(promote, PROMOTE_RAISING, now_us);
 	} else if (now_us - promote->since_us >= promote->limits.fence_us) {
+		release_grants(promote, actions);
 		back_off(promote, now_us);
 	}
 }
 
+/*
+ * Tell whether the primary is silent while a majority of the group answers:
+ * a change of primary could be carried out.
+ */
+bool
+promote_suspects(const promote_t *promote, int64_t now_us)
+{
+	uint32_t i, heard = 0;
+
+	for (i = 0; i < promote->count; i++)
+		heard += promote->views[i].known &&
+		    now_us - promote->heard_us[i] < promote->limits.suspect_us;
+	return promote_primary(promote) >= 0 &&
+	    heard >= majority_of(promote->count) &&
+	    primary_silent(promote, now_us, promote->limits.suspect_us);
+}
+
 /*
  * Decide what to do now.  Called often; actions are appended to an empty
  * list.
--- a/src/decide/promote.h
+++ b/src/decide/promote.h
@@ -24,6 +24,7 @@
 	PROMOTE_FENCE,
 	PROMOTE_RAISE,
 	PROMOTE_FOLLOW,
+	PROMOTE_RELEASE, /* a grant of a term that is given up */
 } promote_kind_t;
 
 typedef struct promote_action {
@@ -48,6 +49,13 @@
 	int64_t fence_us;    /* for a majority */
 	int64_t raise_us;
 	int64_t backoff_us; /* smallest random back-off; doubles */
+	/* from the last grant until the new primary may begin, so that what
+	   daemons believe of the old one has run out; 0: nothing to run out */
+	int64_t settle_us;
+	/* a primary that steps down is waited for by replicas this long;
+	   0: a handover fences a majority like any other change */
+	int64_t catch_up_us;
+	uint32_t sync_replicas; /* hold each acknowledged commit */
 } promote_limits_t;
 
 typedef struct promote {
@@ -64,6 +72,8 @@
 	uint32_t chosen;                       /* RAISING */
 	bool granted[GROUP_DATABASES_MAX];
 	position_t granted_at[GROUP_DATABASES_MAX];
+	int64_t granted_us;    /* the last grant came */
+	int32_t stepping_down; /* FENCING: the leaving primary alone, or -1 */
 	uint32_t failures;
 	bool handover;    /* the primary is leaving and has no work left */
 	uint64_t witness; /* number of the question */
@@ -78,6 +88,9 @@
     uint32_t seed, int64_t now_us);
 void promote_clear(promote_t *);
 void promote_heard(promote_t *, uint32_t database, const db_view_t *, int64_t);
+void promote_observed(
+    promote_t *, uint32_t database, const db_view_t *, int64_t);
+void promote_alive(promote_t *, uint32_t database, int64_t now_us);
 void promote_refused(promote_t *, uint32_t database, int64_t now_us);
 void promote_witness_heard(
     promote_t *, uint64_t witness, bool reached, int64_t now_us);
@@ -89,5 +102,6 @@
 void promote_handover(promote_t *, int64_t now_us);
 void promote_tick(promote_t *, int64_t now_us, promote_actions_t *);
 int32_t promote_primary(const promote_t *);
+bool promote_suspects(const promote_t *, int64_t now_us);
 
 #endif
--- a/src/log.c
+++ b/src/log.c
@@ -1,3 +1,5 @@
+#include "log.h"
+
 #include "bergamotplank.h"
 
 #include <stdio.h>
@@ -5,6 +7,22 @@
 
 static GLogLevelFlags log_highest = G_LOG_LEVEL_INFO;
 
+static const GLogLevelFlags levels[] = {
+    [BP__LOG_LEVEL__ERROR] = G_LOG_LEVEL_CRITICAL,
+    [BP__LOG_LEVEL__WARNING] = G_LOG_LEVEL_WARNING,
+    [BP__LOG_LEVEL__INFO] = G_LOG_LEVEL_INFO,
+    [BP__LOG_LEVEL__DEBUG] = G_LOG_LEVEL_DEBUG,
+};
+
+/*
+ * The GLib level that a setting names.
+ */
+GLogLevelFlags
+log_highest_of(Bp__LogLevel level)
+{
+	return levels[level];
+}
+
 /*
  * Microseconds of CLOCK_BOOTTIME, which runs on while the VM is paused.
  */
--- a/src/main.c
+++ b/src/main.c
@@ -11,6 +11,7 @@
 
 static const command_t commands[] = {
     {"serve", command_serve, "run the daemon of an entry VM"},
+    {"proxy", command_proxy, "run the proxy of the line protocol"},
     {"check", command_check, "check a settings file or a team's document"},
     {"status", command_status, "show what a running daemon knows"},
 };
--- /dev/null
+++ b/src/proxy/pool.c
@@ -0,0 +1,215 @@
+#include "pool.h"
+
+/* The pool's task: the databases, and the statements that run there. */
+
+#define PART "pool"
+#define TICK_MS 20
+
+/*
+ * A tick that comes this late was not this process's doing: it did not run
+ * meanwhile, and silence in that time says nothing of the servers.
+ */
+#define PAUSED_US (200 * US_PER_MS)
+
+/*
+ * Free a group of the table.
+ */
+static void
+group_value_free(gpointer p)
+{
+	server_group_free(p);
+}
+
+/*
+ * Make the role; it is given to task_new_beside().
+ */
+void *
+pool_new(const proxy_t *proxy)
+{
+	pool_t *pool = g_new0(pool_t, 1);
+
+	pool->proxy = proxy;
+	pool->wire = proxy->wire;
+	pool->groups = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, group_value_free);
+	pool->transactions = g_hash_table_new(g_int64_hash, g_int64_equal);
+	pool->rand = g_rand_new();
+	return pool;
+}
+
+/*
+ * Free the role after its task has ended.
+ */
+void
+pool_free(void *context)
+{
+	pool_t *pool = context;
+
+	g_hash_table_unref(pool->groups);
+	g_hash_table_unref(pool->transactions);
+	g_rand_free(pool->rand);
+	g_free(pool);
+}
+
+/*
+ * The process did not run for a while: begin to listen anew.
+ */
+static void
+after_pause(group_t *group, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < group->count; i++) {
+		promote_alive(&group->promote, i, now_us);
+		watch_ask(group->servers[i], now_us);
+	}
+}
+
+/*
+ * Look at every group.
+ */
+static gboolean
+on_tick(gpointer context)
+{
+	pool_t *pool = context;
+	int64_t now_us = clock_us();
+	bool paused =
+	    pool->ticked_us != 0 && now_us - pool->ticked_us >= PAUSED_US;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (paused)
+		LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
+		    "The process did not run for %" G_GINT64_FORMAT " ms.",
+		    (now_us - pool->ticked_us) / US_PER_MS);
+	pool->ticked_us = now_us;
+	g_hash_table_iter_init(&iter, pool->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (paused)
+			after_pause(value, now_us);
+		group_tick(value, now_us);
+	}
+	transactions_expire(pool, now_us);
+	task_deliver();
+	return G_SOURCE_CONTINUE;
+}
+
+/*
+ * The task starts.
+ */
+static int32_t
+on_start(void *context, task_t *task)
+{
+	pool_t *pool = context;
+
+	pool->task = task;
+	pool->tick = task_timer(task, TICK_MS, on_tick, pool);
+	return 0;
+}
+
+/*
+ * The task ends: answer what is left, close everything.
+ */
+static void
+on_stop(void *context)
+{
+	pool_t *pool = context;
+	GHashTableIter iter;
+	gpointer value;
+
+	source_drop(&pool->tick);
+	g_hash_table_iter_init(&iter, pool->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		operations_end(value);
+	g_hash_table_iter_init(&iter, pool->transactions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		transaction_end(value);
+		g_hash_table_iter_init(&iter, pool->transactions);
+	}
+	g_hash_table_remove_all(pool->groups);
+}
+
+/*
+ * A client's statement.
+ */
+static void
+on_operation(void *context, msg_t *msg)
+{
+	operation_begin(context, msg);
+}
+
+/*
+ * A session ends its transaction, or ends itself.  A statement that is
+ * running ends first.
+ */
+static void
+on_drop(void *context, msg_t *msg)
+{
+	const Bp__DropTransaction *drop =
+	    (const Bp__DropTransaction *)msg->body;
+	pool_t *pool = context;
+	transaction_t *transaction =
+	    g_hash_table_lookup(pool->transactions, &drop->session);
+
+	if (transaction != NULL && transaction->operation != NULL &&
+	    transaction->operation->state == OPERATION_QUEUED)
+		operation_fail(transaction->operation, BP__VERDICT__ABORTED,
+		    "the session has ended");
+	else if (transaction != NULL)
+		transaction_end(transaction);
+	msg_free(msg);
+}
+
+/*
+ * A catalog is in force.
+ */
+static void
+on_catalog(void *context, msg_t *msg)
+{
+	catalog_apply(
+	    context, ((const Bp__CatalogInForce *)msg->body)->catalog);
+	msg_free(msg);
+}
+
+/*
+ * The duty to change primaries is this daemon's now, or no longer.
+ */
+static void
+on_duty(void *context, msg_t *msg)
+{
+	const Bp__DutyChanged *changed = (const Bp__DutyChanged *)msg->body;
+	pool_t *pool = context;
+
+	if (changed->held != pool->duty)
+		LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
+		    "The duty of promotion is %s this daemon's, token "
+		    "%" G_GUINT64_FORMAT ".",
+		    changed->held ? "now" : "not", changed->token);
+	pool->duty = changed->held;
+	pool->duty_asked = false;
+	msg_free(msg);
+}
+
+/*
+ * An order to promote was answered.
+ */
+static void
+on_promoted(void *context, msg_t *msg)
+{
+	const Bp__PromotionEnded *ended = (const Bp__PromotionEnded *)msg->body;
+	pool_t *pool = context;
+
+	watch_promoted(group_of(pool, ended->group), ended, clock_us());
+	msg_free(msg);
+}
+
+static const task_handler_t handlers[] = {
+    {&bp__run_operation__descriptor, on_operation},
+    {&bp__drop_transaction__descriptor, on_drop},
+    {&bp__catalog_in_force__descriptor, on_catalog},
+    {&bp__duty_changed__descriptor, on_duty},
+    {&bp__promotion_ended__descriptor, on_promoted},
+};
+
+const task_ops_t pool_ops = {
+    "pool", on_start, on_stop, handlers, G_N_ELEMENTS(handlers)};
--- /dev/null
+++ b/src/proxy/pool.h
@@ -0,0 +1,213 @@
+#ifndef PROXY_POOL_H
+#define PROXY_POOL_H
+
+#include "decide/promote.h"
+#include "decide/rankq.h"
+#include "decide/replica.h"
+#include "lines.h"
+#include "proxy.h"
+#include "sock.h"
+
+/*
+ * Inside the pool's task.  pool.c: the role and its messages.  server.c: the
+ * groups of the catalog and their servers.  dbconn.c: one connection to a
+ * database.  operation.c: the life of one statement.  dispatch.c: what is
+ * sent where.  watch.c: what is known of the servers, and changes of primary.
+ */
+
+typedef struct pool pool_t;
+typedef struct group group_t;
+typedef struct server server_t;
+typedef struct dbconn dbconn_t;
+typedef struct operation operation_t;
+typedef struct transaction transaction_t;
+
+/* What the next answer on a connection belongs to. */
+typedef enum expect_kind {
+	EXPECT_OPEN,
+	EXPECT_CONTEXT, /* values and prepared statements */
+	EXPECT_BEGIN,
+	EXPECT_OPERATION,
+	EXPECT_ROLLBACK,
+	EXPECT_STATUS,
+	EXPECT_HOLD,
+	EXPECT_RESUME,
+	EXPECT_STEP_DOWN,
+} expect_kind_t;
+
+typedef struct expect {
+	expect_kind_t kind;
+	uint64_t term; /* HOLD, STEP_DOWN */
+	int64_t sent_us;
+} expect_t;
+
+/* One connection to a database. */
+struct dbconn {
+	server_t *server;
+	sock_t *sock;
+	lines_t in;
+	GString *out;
+	GArray *expected; /* of expect_t, oldest first */
+	bool control;     /* carries questions about the server only */
+	bool open;
+	bool ending; /* rolls back what nobody waits for */
+	operation_t *operation;
+	transaction_t *transaction;
+	GPtrArray *rows; /* of the answer being read */
+	char *proof;
+	char *error;
+	Bp__Verdict verdict;
+	GHashTable *values;   /* by name, as set here */
+	GHashTable *prepared; /* names prepared here */
+	int64_t began_us;     /* opening, or idle */
+};
+
+/* One database. */
+struct server {
+	group_t *group;
+	uint32_t index; /* in the group; meaningless once it is gone */
+	char *id;
+	char *address;
+	uint32_t port;
+	uint32_t slots;
+	uint64_t born;
+	bool same_zone;
+	bool leaving;
+	bool gone; /* no longer listed: it ends what it has */
+	dbconn_t *control;
+	GPtrArray *conns; /* of dbconn_t */
+	uint32_t in_flight;
+	position_t applied;   /* what its reads show, at the least */
+	uint32_t connections; /* of all daemons, by its own word */
+	uint32_t busy;        /* slots, by its own word */
+	bool status_open;     /* a question is out */
+	int64_t status_due_us;
+	int64_t reopen_us; /* no new connection before */
+};
+
+/* A primary and its replicas. */
+struct group {
+	pool_t *pool;
+	char *name;
+	uint32_t connections_max;
+	uint32_t sync_replicas;
+	uint32_t count;
+	server_t *servers[GROUP_DATABASES_MAX];
+	GPtrArray *gone; /* of server_t */
+	promote_t promote;
+	rankq_t *primary_lane;
+	rankq_t *replica_lane;
+	GQueue held; /* of operation_t: ran, and wait for the lease */
+	samples_t samples;
+	uint64_t lease_term;
+	int64_t lease_until_us;
+	int64_t suspected_us; /* since; 0: not */
+	int64_t used_us;      /* the last statement for the primary */
+	bool listed;          /* by the catalog in force */
+};
+
+/* A client's transaction, from its first statement on. */
+struct transaction {
+	pool_t *pool;
+	uint64_t session; /* the key */
+	group_t *group;
+	dbconn_t *conn;
+	bool read_only;
+	bool begun;      /* at the database */
+	bool on_replica; /* began there, behind a position */
+	int64_t began_us;
+	int64_t used_us;
+	operation_t *operation; /* running or waiting */
+};
+
+typedef enum operation_state {
+	OPERATION_QUEUED,
+	OPERATION_SENT,
+	OPERATION_HELD,
+} operation_state_t;
+
+/* One statement of a client. */
+struct operation {
+	group_t *group;
+	msg_t *msg; /* RunOperation; owns everything here */
+	const Bp__RunOperation *run;
+	operation_state_t state;
+	rankq_item_t item;
+	rankq_t *lane;
+	dbconn_t *conn;
+	transaction_t *transaction;
+	server_t *server; /* that it was sent to last */
+	bool primary_only;
+	uint32_t tries;
+	int64_t arrived_us;
+	int64_t deadline_us;
+	int64_t sent_us;
+	position_t ran_at;
+	const char *proof;
+	GPtrArray *rows;
+	GList link; /* in held */
+};
+
+struct pool {
+	const proxy_t *proxy;
+	const wire_ops_t *wire;
+	task_t *task;
+	GHashTable *groups;       /* of group_t by name */
+	GHashTable *transactions; /* of transaction_t by session */
+	GSource *tick;
+	int64_t ticked_us;
+	uint32_t transaction_idle_ms;
+	bool duty;
+	bool duty_asked;
+	GRand *rand;
+};
+
+/* server.c */
+group_t *group_of(pool_t *, const char *name);
+void server_group_free(group_t *);
+void group_tick(group_t *, int64_t now_us);
+void catalog_apply(pool_t *, const Bp__Catalog *);
+int32_t group_primary(const group_t *);
+bool server_usable(const server_t *, int64_t now_us);
+
+/* dbconn.c */
+dbconn_t *dbconn_open(server_t *, bool control);
+void dbconn_close(dbconn_t *);
+void dbconn_fail(dbconn_t *, const char *why);
+void dbconn_send(dbconn_t *);
+void dbconn_expect(dbconn_t *, expect_kind_t, uint64_t term);
+dbconn_t *dbconn_idle(server_t *, const Bp__RunOperation *);
+void dbconn_run(dbconn_t *, operation_t *, const position_t *after);
+void dbconn_roll_back(dbconn_t *);
+void dbconns_tick(server_t *, int64_t now_us);
+void dbconns_grow(server_t *, uint32_t wanted, int64_t now_us);
+
+/* operation.c */
+void operation_begin(pool_t *, msg_t *);
+void operation_queue(operation_t *, bool front);
+void operation_answered(operation_t *, dbconn_t *, int64_t now_us);
+void operation_lost(operation_t *);
+void operation_refuse(operation_t *, const char *text);
+void operation_fail(operation_t *, Bp__Verdict, const char *text);
+void operations_expire(group_t *, int64_t now_us);
+void operations_release(group_t *, int64_t now_us);
+void operations_end(group_t *);
+void transaction_end(transaction_t *);
+void transactions_expire(pool_t *, int64_t now_us);
+
+/* dispatch.c */
+void dispatch(group_t *, int64_t now_us);
+
+/* watch.c */
+void watch_init(group_t *, int64_t now_us);
+void watch_tick(group_t *, int64_t now_us);
+void watch_status(
+    server_t *, const server_status_t *, const expect_t *, position_t);
+void watch_alive(server_t *, int64_t now_us);
+void watch_primary_answered(
+    server_t *, position_t, int64_t sent_us, int64_t now_us);
+void watch_refused(server_t *);
+void watch_ask(server_t *, int64_t now_us);
+void watch_promoted(group_t *, const Bp__PromotionEnded *, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/proxy/proxy.c
@@ -0,0 +1,203 @@
+#include "proxy.h"
+
+#include <errno.h>
+#include <glib-unix.h>
+#include <signal.h>
+#include <string.h>
+
+/* The proxy daemon: its tasks, and the control task with its signals. */
+
+#define PART "proxy"
+
+typedef struct control {
+	const proxy_t *proxy;
+	task_t *task;
+	GSource *term;
+	GSource *interrupt;
+	GSource *hangup;
+	bool leaving;
+} control_t;
+
+/*
+ * Split "IP:PORT".  Returns 0, or -EINVAL when the text is neither.
+ */
+int32_t
+address_split(const char *text, char **address, uint32_t *port)
+{
+	const char *colon = strrchr(text, ':');
+	guint64 number;
+
+	if (colon == NULL ||
+	    !g_ascii_string_to_unsigned(
+		colon + 1, 10, 1, UINT16_MAX, &number, NULL))
+		return -EINVAL;
+	*address = g_strndup(text, (gsize)(colon - text));
+	*port = (uint32_t)number;
+	if (g_hostname_is_ip_address(*address))
+		return 0;
+	g_clear_pointer(address, g_free);
+	return -EINVAL;
+}
+
+/*
+ * Make the role; it is given to task_new().
+ */
+void *
+proxy_control_new(const proxy_t *proxy)
+{
+	control_t *control = g_new0(control_t, 1);
+
+	control->proxy = proxy;
+	return control;
+}
+
+/*
+ * Free the role after its task has ended.
+ */
+void
+proxy_control_free(void *context)
+{
+	g_free(context);
+}
+
+/*
+ * The first signal has the daemon leave, the second ends it at once.
+ */
+static gboolean
+on_signal(gpointer context)
+{
+	control_t *control = context;
+	msg_t *msg;
+
+	if (control->leaving) {
+		task_quit(control->task);
+		return G_SOURCE_CONTINUE;
+	}
+	control->leaving = true;
+	LOG_PART(PART, G_LOG_LEVEL_MESSAGE, "Leaving.");
+	msg = msg_new(&bp__leave__descriptor);
+	((Bp__Leave *)msg->body)->grace_ms =
+	    (uint32_t)(control->proxy->settings->grace_s * MS_PER_S);
+	task_send(control->proxy->clients, control->task, msg);
+	return G_SOURCE_CONTINUE;
+}
+
+/*
+ * Nothing in the settings can change while the daemon runs.
+ */
+static gboolean
+on_hangup(gpointer context)
+{
+	(void)context;
+	LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
+	    "The settings are read at the next start.");
+	return G_SOURCE_CONTINUE;
+}
+
+/*
+ * Handle a signal on the loop.
+ */
+static GSource *
+signal_source(control_t *control, int32_t number, GSourceFunc callback)
+{
+	GSource *source = g_unix_signal_source_new(number);
+
+	g_source_set_callback(source, callback, control, NULL);
+	g_source_attach(source, task_context(control->task));
+	return source;
+}
+
+/*
+ * The task starts, and the others beside it.
+ */
+static int32_t
+on_start(void *context, task_t *task)
+{
+	control_t *control = context;
+	const proxy_t *proxy = control->proxy;
+	int32_t error;
+
+	control->task = task;
+	control->term = signal_source(control, SIGTERM, on_signal);
+	control->interrupt = signal_source(control, SIGINT, on_signal);
+	control->hangup = signal_source(control, SIGHUP, on_hangup);
+	error = task_start_beside(proxy->pool);
+	if (error == 0)
+		error = task_start_beside(proxy->registry);
+	if (error == 0)
+		error = task_start_beside(proxy->clients);
+	return error;
+}
+
+/*
+ * The task ends, and the others before it; the pool's last answers reach the
+ * clients.
+ */
+static void
+on_stop(void *context)
+{
+	control_t *control = context;
+	const proxy_t *proxy = control->proxy;
+
+	task_stop_beside(proxy->registry);
+	task_stop_beside(proxy->pool);
+	task_deliver();
+	task_stop_beside(proxy->clients);
+	source_drop(&control->term);
+	source_drop(&control->interrupt);
+	source_drop(&control->hangup);
+}
+
+/*
+ * The clients' task has ended what it had.
+ */
+static void
+on_left(void *context, msg_t *msg)
+{
+	control_t *control = context;
+
+	msg_free(msg);
+	task_quit(control->task);
+}
+
+static const task_handler_t handlers[] = {
+    {&bp__left__descriptor, on_left},
+};
+
+const task_ops_t proxy_control_ops = {
+    "control", on_start, on_stop, handlers, G_N_ELEMENTS(handlers)};
+
+/*
+ * Run the daemon until it is told to end.  Returns 0 or the negative error
+ * number of a task that could not start.
+ */
+int32_t
+proxy_run(const Bp__ProxySettings *settings, const wire_ops_t *wire,
+    const objects_ops_t *objects, const promoter_ops_t *promoter)
+{
+	proxy_t proxy = {
+	    settings, wire, objects, promoter, NULL, NULL, NULL, NULL};
+	void *control = proxy_control_new(&proxy), *pool = pool_new(&proxy);
+	void *registry = registry_new(&proxy), *clients = clients_new(&proxy);
+	int32_t error;
+
+	proxy.control = task_new(&proxy_control_ops, control);
+	proxy.pool = task_new_beside(&pool_ops, pool, proxy.control);
+	proxy.registry =
+	    task_new_beside(&registry_ops, registry, proxy.control);
+	proxy.clients = task_new_beside(&clients_ops, clients, proxy.control);
+	LOG_PART(
+	    PART, G_LOG_LEVEL_MESSAGE, "Daemon %s starts.", settings->name);
+	error = task_run_here(proxy.control);
+	LOG_PART(
+	    PART, G_LOG_LEVEL_MESSAGE, "Daemon %s has ended.", settings->name);
+	task_free(proxy.clients);
+	task_free(proxy.registry);
+	task_free(proxy.pool);
+	task_free(proxy.control);
+	clients_free(clients);
+	registry_free(registry);
+	pool_free(pool);
+	proxy_control_free(control);
+	return error;
+}
--- /dev/null
+++ b/src/proxy/proxy.h
@@ -0,0 +1,43 @@
+#ifndef PROXY_H
+#define PROXY_H
+
+#include "objects.h"
+#include "settings.pb-c.h"
+#include "task.h"
+#include "wire.h"
+
+/*
+ * The proxy daemon: clients speak the databases' own line protocol to it.
+ * Made once before the tasks start; read only from then on.  The tasks run
+ * in one thread, since the machines have one small core.
+ */
+typedef struct proxy {
+	const Bp__ProxySettings *settings;
+	const wire_ops_t *wire;
+	const objects_ops_t *objects;
+	const promoter_ops_t *promoter;
+	task_t *control;
+	task_t *clients;
+	task_t *pool;
+	task_t *registry;
+} proxy_t;
+
+extern const task_ops_t proxy_control_ops;
+extern const task_ops_t clients_ops;
+extern const task_ops_t pool_ops;
+extern const task_ops_t registry_ops;
+
+void *proxy_control_new(const proxy_t *);
+void *clients_new(const proxy_t *);
+void *pool_new(const proxy_t *);
+void *registry_new(const proxy_t *);
+void proxy_control_free(void *);
+void clients_free(void *);
+void pool_free(void *);
+void registry_free(void *);
+
+int32_t proxy_run(const Bp__ProxySettings *, const wire_ops_t *,
+    const objects_ops_t *, const promoter_ops_t *);
+int32_t address_split(const char *text, char **address, uint32_t *port);
+
+#endif
--- /dev/null
+++ b/src/proxy/server.c
@@ -0,0 +1,282 @@
+#include "pool.h"
+
+#include <string.h>
+
+/* The groups of the catalog, and their servers. */
+
+#define PART "pool"
+
+/* Of what a group serves, each rank keeps this much in a flood of others. */
+static const uint32_t floor_percent[RANKS] = {0, 10, 5};
+
+/*
+ * The group of a name, made when it is new; it has no servers then.
+ */
+group_t *
+group_of(pool_t *pool, const char *name)
+{
+	group_t *group = g_hash_table_lookup(pool->groups, name);
+
+	if (group != NULL)
+		return group;
+	group = g_new0(group_t, 1);
+	group->pool = pool;
+	group->name = g_strdup(name);
+	group->gone = g_ptr_array_new();
+	group->primary_lane = rankq_new(floor_percent);
+	group->replica_lane = rankq_new(floor_percent);
+	g_queue_init(&group->held);
+	watch_init(group, clock_us());
+	g_hash_table_insert(pool->groups, group->name, group);
+	return group;
+}
+
+/*
+ * Free a server that runs nothing any more.
+ */
+static void
+server_free(server_t *server)
+{
+	uint32_t i = server->conns->len;
+
+	if (server->control != NULL)
+		dbconn_close(server->control);
+	while (i-- > 0)
+		dbconn_close(g_ptr_array_index(server->conns, i));
+	g_ptr_array_unref(server->conns);
+	g_free(server->id);
+	g_free(server->address);
+	g_free(server);
+}
+
+/*
+ * Free a group that runs nothing any more.
+ */
+void
+server_group_free(group_t *group)
+{
+	uint32_t i;
+
+	for (i = 0; i < group->count; i++)
+		server_free(group->servers[i]);
+	for (i = 0; i < group->gone->len; i++)
+		server_free(g_ptr_array_index(group->gone, i));
+	g_ptr_array_unref(group->gone);
+	promote_clear(&group->promote);
+	rankq_free(group->primary_lane);
+	rankq_free(group->replica_lane);
+	g_free(group->name);
+	g_free(group);
+}
+
+/*
+ * The server that statements for the primary go to now, or -1.
+ */
+int32_t
+group_primary(const group_t *group)
+{
+	const promote_t *promote = &group->promote;
+	int32_t primary = promote_primary(promote);
+
+	if (primary < 0 || promote->state == PROMOTE_FENCING ||
+	    promote->state == PROMOTE_RAISING)
+		return -1;
+	return primary;
+}
+
+/*
+ * Tell whether a server may get new work: it answers, and stays.
+ */
+bool
+server_usable(const server_t *server, int64_t now_us)
+{
+	const group_t *group = server->group;
+	const promote_t *promote = &group->promote;
+
+	return !server->gone && !server->leaving && server->control != NULL &&
+	    server->control->open && promote->views[server->index].known &&
+	    now_us - promote->heard_us[server->index] <
+	    promote->limits.suspect_us;
+}
+
+/*
+ * A server of a group by its id, or NULL.
+ */
+static server_t *
+server_find(const group_t *group, const char *id)
+{
+	uint32_t i;
+
+	for (i = 0; i < group->count; i++) {
+		if (strcmp(group->servers[i]->id, id) == 0)
+			return group->servers[i];
+	}
+	return NULL;
+}
+
+/*
+ * Make the record of a server.  It is not connected to yet.
+ */
+static server_t *
+server_new(group_t *group, const Bp__Server *from)
+{
+	server_t *server = g_new0(server_t, 1);
+
+	server->group = group;
+	server->id = g_strdup(from->id);
+	server->address = g_strdup(from->address);
+	server->port = from->port;
+	server->born = from->born;
+	server->same_zone =
+	    strcmp(from->zone, group->pool->proxy->settings->zone) == 0;
+	server->conns = g_ptr_array_new();
+	LOG_PART(PART, G_LOG_LEVEL_INFO, "Server %s at %s:%u joins %s.",
+	    server->id, server->address, server->port, group->name);
+	return server;
+}
+
+/*
+ * Take what a new report says that may change in a running server.
+ */
+static void
+server_update(server_t *server, const Bp__Server *from)
+{
+	server->slots = from->slots;
+	if (from->leaving && !server->leaving)
+		LOG_PART(PART, G_LOG_LEVEL_INFO, "Server %s of %s leaves.",
+		    server->id, server->group->name);
+	server->leaving = from->leaving;
+}
+
+/*
+ * A server is listed no longer: it gets nothing new, and ends what it has.
+ */
+static void
+server_retire(server_t *server)
+{
+	LOG_PART(PART, G_LOG_LEVEL_INFO, "Server %s of %s is gone.", server->id,
+	    server->group->name);
+	server->gone = true;
+	if (server->control != NULL)
+		dbconn_close(server->control);
+	g_ptr_array_add(server->group->gone, server);
+}
+
+/*
+ * Put the servers that are listed for a group in the place of those it has.
+ * A server that has started anew is another one: it knows nothing of before.
+ */
+static void
+servers_apply(group_t *group, const Bp__Catalog *catalog, int64_t now_us)
+{
+	server_t *servers[GROUP_DATABASES_MAX];
+	promote_t before = group->promote;
+	uint32_t i, count = 0, before_count = group->count;
+	server_t *old[GROUP_DATABASES_MAX];
+	bool changed;
+
+	memcpy(old, group->servers, sizeof(old));
+	for (i = 0; i < catalog->n_servers && count < GROUP_DATABASES_MAX;
+	     i++) {
+		const Bp__Server *from = catalog->servers[i];
+		server_t *server;
+
+		if (strcmp(from->group, group->name) != 0)
+			continue;
+		server = server_find(group, from->id);
+		if (server != NULL &&
+		    (server->born != from->born ||
+			strcmp(server->address, from->address) != 0 ||
+			server->port != from->port))
+			server = NULL;
+		if (server == NULL)
+			server = server_new(group, from);
+		server_update(server, from);
+		servers[count++] = server;
+	}
+	changed = count != before_count;
+	for (i = 0; i < count; i++)
+		changed |= i >= before_count || servers[i] != old[i];
+	if (!changed)
+		return;
+	memcpy(group->servers, servers, sizeof(servers[0]) * count);
+	group->count = count;
+	watch_init(group, now_us);
+	for (i = 0; i < count; i++) {
+		uint32_t j;
+
+		for (j = 0; j < before_count && old[j] != servers[i]; j++)
+			;
+		if (j < before_count) {
+			group->promote.views[i] = before.views[j];
+			group->promote.heard_us[i] = before.heard_us[j];
+			old[j] = NULL;
+		}
+		servers[i]->index = i;
+	}
+	promote_clear(&before);
+	for (i = 0; i < before_count; i++) {
+		if (old[i] != NULL)
+			server_retire(old[i]);
+	}
+}
+
+/*
+ * Free the servers that were retired and have ended what they had.
+ */
+static void
+gone_sweep(group_t *group, int64_t now_us)
+{
+	uint32_t i = group->gone->len;
+
+	while (i-- > 0) {
+		server_t *server = g_ptr_array_index(group->gone, i);
+
+		dbconns_tick(server, now_us);
+		if (server->conns->len == 0) {
+			g_ptr_array_remove_index_fast(group->gone, i);
+			server_free(server);
+		}
+	}
+}
+
+/*
+ * Put a catalog in force.
+ */
+void
+catalog_apply(pool_t *pool, const Bp__Catalog *catalog)
+{
+	int64_t now_us = clock_us();
+	GHashTableIter iter;
+	gpointer value;
+	size_t i;
+
+	pool->transaction_idle_ms = catalog->transaction_idle_ms;
+	g_hash_table_iter_init(&iter, pool->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((group_t *)value)->listed = false;
+	for (i = 0; i < catalog->n_groups; i++) {
+		const Bp__ServerGroup *from = catalog->groups[i];
+		group_t *group = group_of(pool, from->name);
+
+		group->listed = true;
+		group->connections_max = from->connections_max;
+		group->sync_replicas = from->sync_replicas;
+		group->promote.limits.sync_replicas = from->sync_replicas;
+	}
+	g_hash_table_iter_init(&iter, pool->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		servers_apply(value, catalog, now_us);
+}
+
+/*
+ * What is to be done for a group now.  Called often.
+ */
+void
+group_tick(group_t *group, int64_t now_us)
+{
+	watch_tick(group, now_us);
+	gone_sweep(group, now_us);
+	dispatch(group, now_us);
+	operations_expire(group, now_us);
+}
--- /dev/null
+++ b/src/proxy/settings.c
@@ -0,0 +1,56 @@
+#include "proxy.h"
+
+#include "command.h"
+#include "json.h"
+#include "proxy/settings.h"
+
+/* The proxy's settings file. */
+
+/*
+ * Note a fault unless a text is "IP:PORT".
+ */
+static void
+check_address(
+    faults_t *faults, uint32_t line, const char *key, const char *text)
+{
+	char *address;
+	uint32_t port;
+
+	if (address_split(text, &address, &port) == 0)
+		g_free(address);
+	else
+		faults_add(faults, line,
+		    "\"%s\" must be IP:PORT, not \"%.80s\"", key, text);
+}
+
+/*
+ * Read and check the settings of the proxy; NULL when there was a fault.
+ * Times are in the units that their names end in.
+ */
+Bp__ProxySettings *
+proxy_settings_read(
+    arena_t *arena, const char *text, uint64_t size_bytes, faults_t *faults)
+{
+	uint32_t before = faults->count, line;
+	Bp__ProxySettings *settings = (Bp__ProxySettings *)json_read(
+	    arena, &bp__proxy_settings__descriptor, text, size_bytes, faults);
+
+	if (settings == NULL)
+		return NULL;
+	line = faults_line(faults, settings);
+	if (settings->timeouts == NULL)
+		settings->timeouts = (Bp__ProxyTimeouts *)message_new(
+		    arena, &bp__proxy_timeouts__descriptor);
+	check_address(faults, line, "client_address", settings->client_address);
+	check_address(faults, line, "ready_address", settings->ready_address);
+	check_address(faults, line, "store_address", settings->store_address);
+	if (settings->promotion_address != NULL &&
+	    settings->promotion_address[0] != '\0')
+		check_address(faults, line, "promotion_address",
+		    settings->promotion_address);
+	if (settings->name[0] == '\0')
+		faults_add(faults, line, "\"name\" must not be empty");
+	if (!(settings->grace_s >= 1 && settings->grace_s <= 3600))
+		faults_add(faults, line, "\"grace_s\" must be from 1 to 3600");
+	return faults->count == before ? settings : NULL;
+}
--- /dev/null
+++ b/src/proxy/settings.h
@@ -0,0 +1,10 @@
+#ifndef PROXY_SETTINGS_H
+#define PROXY_SETTINGS_H
+
+#include "bergamotplank.h"
+#include "settings.pb-c.h"
+
+Bp__ProxySettings *proxy_settings_read(
+    arena_t *, const char *text, uint64_t size_bytes, faults_t *);
+
+#endif
--- /dev/null
+++ b/src/proxy/watch.c
@@ -0,0 +1,364 @@
+#include "pool.h"
+
+#include <string.h>
+
+/* What is known of the servers of a group, and changes of primary. */
+
+#define PART "pool"
+
+/*
+ * How long the belief in a primary lasts after a replica was asked.  A daemon
+ * that orders a change waits this long in all: until the order is given, and
+ * then for the platform, which takes PROMOTE_MIN_US at the least.
+ */
+#define LEASE_US (250 * US_PER_MS)
+#define PROMOTE_MIN_US (100 * US_PER_MS)
+
+#define SAMPLE_SPACING_US (50 * US_PER_MS)
+#define CATCH_UP_US (150 * US_PER_MS)
+#define FENCE_US (500 * US_PER_MS)
+#define RAISE_US (1500 * US_PER_MS)
+#define BACKOFF_US (100 * US_PER_MS)
+
+/* The holder of the duty is given this long to replace a silent primary. */
+#define DUTY_PATIENCE_US (900 * US_PER_MS)
+
+/*
+ * Begin to watch a group whose servers have changed; what is known of those
+ * that stay is kept by the caller.
+ */
+void
+watch_init(group_t *group, int64_t now_us)
+{
+	const Bp__ProxyTimeouts *timeouts =
+	    group->pool->proxy->settings->timeouts;
+	promote_limits_t limits = {0};
+
+	limits.suspect_us = (int64_t)timeouts->suspect_ms * US_PER_MS;
+	limits.distrust_us = 5 * limits.suspect_us;
+	limits.fence_us = FENCE_US;
+	limits.raise_us = RAISE_US;
+	limits.backoff_us = BACKOFF_US;
+	limits.settle_us = LEASE_US - PROMOTE_MIN_US;
+	limits.catch_up_us = CATCH_UP_US;
+	limits.sync_replicas = group->sync_replicas;
+	promote_init(&group->promote, &limits, group->count,
+	    g_rand_int(group->pool->rand), now_us);
+}
+
+/*
+ * Work out anew until when the primary is certainly the only one.
+ */
+static void
+lease_update(group_t *group, int64_t now_us)
+{
+	const promote_t *promote = &group->promote;
+	int32_t primary = promote_primary(promote);
+	uint64_t term;
+	int64_t until_us;
+
+	if (primary < 0)
+		return;
+	term = promote->views[primary].promised;
+	until_us = lease_until_us(
+	    promote->views, group->count, (uint32_t)primary, LEASE_US);
+	if (term != group->lease_term) {
+		LOG_PART(PART, G_LOG_LEVEL_INFO,
+		    "Group %s has primary %s in term %" G_GUINT64_FORMAT ".",
+		    group->name, group->servers[primary]->id, term);
+		group->lease_term = term;
+		group->lease_until_us = until_us;
+		operations_release(group, now_us);
+	} else if (until_us > group->lease_until_us) {
+		group->lease_until_us = until_us;
+		operations_release(group, now_us);
+	}
+}
+
+/*
+ * A server gave a sign of life.
+ */
+void
+watch_alive(server_t *server, int64_t now_us)
+{
+	if (!server->gone)
+		promote_alive(&server->group->promote, server->index, now_us);
+}
+
+/*
+ * A server refuses connections.
+ */
+void
+watch_refused(server_t *server)
+{
+	if (!server->gone)
+		promote_refused(
+		    &server->group->promote, server->index, clock_us());
+}
+
+/*
+ * The primary answered a statement that was sent at sent_us: whatever was
+ * acknowledged before stands at or before its position.
+ */
+void
+watch_primary_answered(
+    server_t *server, position_t position, int64_t sent_us, int64_t now_us)
+{
+	group_t *group = server->group;
+	sample_t sample = {sent_us, position};
+
+	(void)now_us;
+	if (server->gone || position.term != group->lease_term ||
+	    (int32_t)server->index != promote_primary(&group->promote) ||
+	    group->lease_until_us < sent_us)
+		return;
+	samples_add(&group->samples, sample, SAMPLE_SPACING_US);
+}
+
+/*
+ * Ask a server for its state, unless a question is out already.
+ */
+void
+watch_ask(server_t *server, int64_t now_us)
+{
+	dbconn_t *conn = server->control;
+	const Bp__ProxyTimeouts *timeouts =
+	    server->group->pool->proxy->settings->timeouts;
+	int64_t interval_us = (int64_t)timeouts->status_interval_ms * US_PER_MS;
+	uint32_t others = MAX(server->group->count, 2) - 1;
+
+	if (conn == NULL || !conn->open || server->status_open)
+		return;
+	server->status_open = true;
+	/* one of the replicas answers in each interval */
+	server->status_due_us = now_us + interval_us * others;
+	server->group->pool->wire->status(conn->out);
+	dbconn_expect(conn, EXPECT_STATUS, 0);
+	dbconn_send(conn);
+}
+
+/*
+ * Whether a server carried out what was ordered, and what that means for the
+ * change of primary under way.
+ */
+static void
+order_answered(server_t *server, const server_status_t *status,
+    const expect_t *expect, db_view_t *view, int64_t now_us)
+{
+	group_t *group = server->group;
+	bool granted = expect->kind == EXPECT_STEP_DOWN
+	    ? !status->primary
+	    : !status->primary && status->held_term >= expect->term;
+
+	if (granted)
+		view->promised = MAX(view->promised, expect->term);
+	promote_fenced(&group->promote, server->index, expect->term, granted,
+	    view, now_us);
+}
+
+/*
+ * A server told its state.
+ */
+void
+watch_status(server_t *server, const server_status_t *status,
+    const expect_t *expect, position_t applied)
+{
+	group_t *group = server->group;
+	promote_t *promote = &group->promote;
+	int64_t now_us = clock_us();
+	db_view_t view = {0};
+
+	if (server->gone)
+		return;
+	view.known = true;
+	view.primary = status->primary;
+	view.leaving = server->leaving;
+	view.promised = status->primary ? status->term
+					: MAX(status->term, status->held_term);
+	view.last = status->received;
+	view.asked_us = expect->sent_us;
+	server->busy = status->busy;
+	server->connections = status->connections;
+	server->applied = applied;
+	promote_observed(promote, server->index, &view, now_us);
+	if (expect->kind == EXPECT_HOLD || expect->kind == EXPECT_STEP_DOWN)
+		order_answered(server, status, expect, &view, now_us);
+	if (promote->state == PROMOTE_RAISING &&
+	    server->index == promote->chosen && status->primary &&
+	    status->term >= promote->term)
+		promote_raised(
+		    promote, server->index, promote->term, true, &view, now_us);
+	lease_update(group, now_us);
+	watch_primary_answered(
+	    server, status->received, expect->sent_us, now_us);
+	dispatch(group, now_us);
+}
+
+/*
+ * Tell the registry that a change of primary is due and nobody makes it.
+ */
+static void
+ask_for_duty(pool_t *pool)
+{
+	if (pool->duty || pool->duty_asked)
+		return;
+	pool->duty_asked = true;
+	task_send(pool->proxy->registry, pool->task,
+	    msg_new(&bp__duty_wanted__descriptor));
+}
+
+/*
+ * Have the registry order that a server becomes the primary.
+ */
+static void
+order_promotion(server_t *server, uint64_t term)
+{
+	pool_t *pool = server->group->pool;
+	msg_t *msg = msg_new(&bp__promotion_wanted__descriptor);
+	Bp__PromotionWanted *wanted = (Bp__PromotionWanted *)msg->body;
+
+	LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
+	    "Ordering server %s to be primary of %s after term "
+	    "%" G_GUINT64_FORMAT ".",
+	    server->id, server->group->name, term - 1);
+	wanted->group = arena_strdup(msg->arena, server->group->name);
+	wanted->server = arena_strdup(msg->arena, server->id);
+	wanted->term = term;
+	task_send(pool->proxy->registry, pool->task, msg);
+}
+
+/*
+ * Carry out one step of a change of primary.
+ */
+static void
+act(group_t *group, const promote_action_t *action, int64_t now_us)
+{
+	server_t *server = group->servers[action->database];
+	const wire_ops_t *wire = group->pool->wire;
+	dbconn_t *conn = server->control;
+	bool primary = group->promote.views[action->database].primary;
+
+	switch (action->kind) {
+	case PROMOTE_ASK_WITNESS:
+		promote_witness_heard(
+		    &group->promote, group->promote.witness, false, now_us);
+		return;
+	case PROMOTE_RAISE:
+		order_promotion(server, action->term);
+		return;
+	default:
+		break;
+	}
+	if (conn == NULL || !conn->open)
+		return;
+	LOG_PART(PART, G_LOG_LEVEL_INFO,
+	    "Change of primary of %s: step %d for server %s, term "
+	    "%" G_GUINT64_FORMAT ".",
+	    group->name, action->kind, server->id, action->term);
+	if (action->kind == PROMOTE_RELEASE) {
+		wire->resume(conn->out);
+		dbconn_expect(conn, EXPECT_RESUME, 0);
+	} else if (primary) {
+		wire->step_down(conn->out, action->term);
+		dbconn_expect(conn, EXPECT_STEP_DOWN, action->term);
+	} else if (action->kind == PROMOTE_FENCE) {
+		wire->hold(conn->out, action->term);
+		dbconn_expect(conn, EXPECT_HOLD, action->term);
+	}
+	dbconn_send(conn);
+}
+
+/*
+ * The order to promote was answered.  That it was accepted shows when the
+ * server says so itself.
+ */
+void
+watch_promoted(group_t *group, const Bp__PromotionEnded *ended, int64_t now_us)
+{
+	promote_t *promote = &group->promote;
+
+	if (ended->accepted || promote->state != PROMOTE_RAISING ||
+	    ended->term != promote->term)
+		return;
+	promote_raised(promote, promote->chosen, promote->term, false,
+	    &promote->views[promote->chosen], now_us);
+}
+
+/*
+ * Keep the control connection of a server open, and ask when it is time.
+ */
+static void
+probe(server_t *server, int64_t now_us)
+{
+	const Bp__ProxyTimeouts *timeouts =
+	    server->group->pool->proxy->settings->timeouts;
+	int64_t timeout_us = (int64_t)timeouts->status_timeout_ms * US_PER_MS;
+	dbconn_t *conn = server->control;
+
+	if (conn == NULL) {
+		if (now_us >= server->reopen_us)
+			dbconn_open(server, true);
+		return;
+	}
+	if (conn->expected->len > 0 &&
+	    now_us - g_array_index(conn->expected, expect_t, 0).sent_us >=
+		timeout_us) {
+		dbconn_fail(conn, "a question has no answer");
+		return;
+	}
+	if (now_us >= server->status_due_us ||
+	    (server->group->promote.state == PROMOTE_RAISING &&
+		server->index == server->group->promote.chosen))
+		watch_ask(server, now_us);
+}
+
+/*
+ * Whether a change of primary is due that this daemon does not make: a silent
+ * primary, or one that leaves, for longer than the holder of the duty needs.
+ */
+static void
+consider_duty(group_t *group, int64_t now_us)
+{
+	int32_t primary = promote_primary(&group->promote);
+	bool leaving = primary >= 0 && group->servers[primary]->leaving;
+
+	if (!leaving && !promote_suspects(&group->promote, now_us)) {
+		group->suspected_us = 0;
+		return;
+	}
+	if (group->suspected_us == 0)
+		group->suspected_us = now_us;
+	if (now_us - group->suspected_us >= DUTY_PATIENCE_US)
+		ask_for_duty(group->pool);
+}
+
+/*
+ * Watch the servers of a group, and change its primary when that is due and
+ * this daemon's duty.
+ */
+void
+watch_tick(group_t *group, int64_t now_us)
+{
+	promote_t *promote = &group->promote;
+	promote_actions_t actions;
+	int32_t primary;
+	uint32_t i;
+
+	for (i = 0; i < group->count; i++) {
+		promote->views[i].leaving = group->servers[i]->leaving;
+		probe(group->servers[i], now_us);
+		dbconns_tick(group->servers[i], now_us);
+		if (server_usable(group->servers[i], now_us))
+			dbconns_grow(group->servers[i], 1, now_us);
+	}
+	consider_duty(group, now_us);
+	if (!group->pool->duty || group->count == 0)
+		return;
+	primary = promote_primary(promote);
+	if (primary >= 0 && group->servers[primary]->leaving &&
+	    promote->state == PROMOTE_STEADY)
+		promote_handover(promote, now_us);
+	promote_tick(promote, now_us, &actions);
+	for (i = 0; i < actions.count; i++)
+		act(group, &actions.list[i], now_us);
+}
--- a/src/serve.c
+++ b/src/serve.c
@@ -1,19 +1,13 @@
 #include "command.h"
 #include "daemon.h"
 #include "document.h"
+#include "log.h"
 
 #include <signal.h>
 #include <stdio.h>
 
 #define PART "serve"
 
-static const GLogLevelFlags levels[] = {
-    [BP__LOG_LEVEL__ERROR] = G_LOG_LEVEL_CRITICAL,
-    [BP__LOG_LEVEL__WARNING] = G_LOG_LEVEL_WARNING,
-    [BP__LOG_LEVEL__INFO] = G_LOG_LEVEL_INFO,
-    [BP__LOG_LEVEL__DEBUG] = G_LOG_LEVEL_DEBUG,
-};
-
 /*
  * Start the tasks, run until the control task ends, and stop the others: the
  * groups first, so that their last answers still reach the callers.
@@ -90,7 +84,7 @@
 		return 1;
 	}
 	signal(SIGPIPE, SIG_IGN);
-	log_start(levels[daemon.settings->log_level]);
+	log_start(log_highest_of(daemon.settings->log_level));
 	daemon.incarnation = (uint64_t)g_get_real_time();
 	return daemon_run(&daemon) == 0 ? 0 : 1;
 }
--- a/src/sock.c
+++ b/src/sock.c
@@ -1,20 +1,26 @@
 #include "sock.h"
-#include "task.h"
+#include "poller.h"
 
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/epoll.h>
 
 #define READ_BYTES 65536
 #define UNSENT_BYTES_MAX (UINT64_C(16) << 20)
 
+/* A peer whose machine is gone is given up after this much silence. */
+#define KEEPALIVE_IDLE_S 5
+#define KEEPALIVE_INTERVAL_S 2
+#define KEEPALIVE_PROBES 3
+#define UNACKED_MS 10000
+
 struct sock {
 	const sock_ops_t *ops;
 	void *context;
 	GMainContext *main;
 	GSocket *socket;
-	GSource *readable;
-	GSource *writable;
+	poller_item_t item;
 	GByteArray *unsent;
 	uint32_t depth; /* callbacks of ours on the stack */
 	bool connecting;
@@ -23,18 +29,14 @@
 	bool freed;
 };
 
-static gboolean on_writable(GSocket *, GIOCondition, gpointer);
-static gboolean on_readable(GSocket *, GIOCondition, gpointer);
-
 /*
- * Close the stream and drop its sources.
+ * Close the stream.
  */
 static void
 sock_shut(sock_t *sock)
 {
 	sock->closed = true;
-	source_drop(&sock->readable);
-	source_drop(&sock->writable);
+	poller_remove(&sock->item);
 	g_socket_close(sock->socket, NULL);
 }
 
@@ -87,17 +89,17 @@
 }
 
 /*
- * Wait until the socket takes more.
+ * Watch for what is wanted now: the end of the attempt to connect, bytes, and
+ * room for bytes that wait.
  */
 static void
-sock_want_write(sock_t *sock)
+sock_watch(sock_t *sock)
 {
-	if (sock->writable != NULL)
-		return;
-	sock->writable = g_socket_create_source(sock->socket, G_IO_OUT, NULL);
-	g_source_set_callback(
-	    sock->writable, G_SOURCE_FUNC(on_writable), sock, NULL);
-	g_source_attach(sock->writable, sock->main);
+	uint32_t events = sock->connecting ? EPOLLOUT : EPOLLIN;
+
+	if (sock->unsent->len > 0)
+		events |= EPOLLOUT;
+	poller_change(&sock->item, events);
 }
 
 /*
@@ -107,16 +109,11 @@
 static int64_t
 sock_try_write(sock_t *sock, const uint8_t *bytes, uint64_t size_bytes)
 {
-	GError *error = NULL;
-	gssize n = g_socket_send(
-	    sock->socket, (const char *)bytes, size_bytes, NULL, &error);
+	ssize_t n = send(sock->item.fd, bytes, size_bytes, MSG_NOSIGNAL);
 
 	if (n >= 0)
 		return n;
-	n = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) ? 0
-								       : -EIO;
-	g_error_free(error);
-	return n;
+	return errno == EAGAIN || errno == EINTR ? 0 : -errno;
 }
 
 /*
@@ -143,23 +140,11 @@
 	if ((uint64_t)n < size_bytes) {
 		g_byte_array_append(
 		    sock->unsent, bytes + n, (guint)(size_bytes - (uint64_t)n));
-		sock_want_write(sock);
+		sock_watch(sock);
 	}
 	return 0;
 }
 
-/*
- * Wait for bytes.
- */
-static void
-sock_want_read(sock_t *sock)
-{
-	sock->readable = g_socket_create_source(sock->socket, G_IO_IN, NULL);
-	g_source_set_callback(
-	    sock->readable, G_SOURCE_FUNC(on_readable), sock, NULL);
-	g_source_attach(sock->readable, sock->main);
-}
-
 /*
  * The connection attempt has ended.  Returns whether it succeeded.
  */
@@ -175,7 +160,7 @@
 		return false;
 	}
 	sock->connecting = false;
-	sock_want_read(sock);
+	sock_watch(sock);
 	if (sock->ops->opened != NULL)
 		sock->ops->opened(sock->context);
 	return !sock->closed;
@@ -184,57 +169,56 @@
 /*
  * The socket may be written.
  */
-static gboolean
-on_writable(GSocket *socket, GIOCondition condition, gpointer context)
+static void
+on_writable(sock_t *sock)
 {
-	sock_t *sock = context;
 	int64_t n;
 
-	(void)socket;
-	(void)condition;
-	sock->depth++;
-	source_drop(&sock->writable);
-	if ((!sock->connecting || sock_connected(sock)) &&
-	    sock->unsent->len > 0) {
-		n = sock_try_write(sock, sock->unsent->data, sock->unsent->len);
-		if (n < 0)
-			sock_fail(sock, (int32_t)n);
-		else if (n > 0)
-			g_byte_array_remove_range(sock->unsent, 0, (guint)n);
-		if (!sock->closed && sock->unsent->len > 0)
-			sock_want_write(sock);
+	if ((sock->connecting && !sock_connected(sock)) ||
+	    sock->unsent->len == 0)
+		return;
+	n = sock_try_write(sock, sock->unsent->data, sock->unsent->len);
+	if (n < 0) {
+		sock_fail(sock, (int32_t)n);
+		return;
 	}
-	sock_leave(sock);
-	return G_SOURCE_REMOVE;
+	if (n > 0)
+		g_byte_array_remove_range(sock->unsent, 0, (guint)n);
+	sock_watch(sock);
 }
 
 /*
  * The socket may be read.
  */
-static gboolean
-on_readable(GSocket *socket, GIOCondition condition, gpointer context)
+static void
+on_readable(sock_t *sock)
 {
-	sock_t *sock = context;
 	uint8_t buffer[READ_BYTES];
-	GError *error = NULL;
-	bool would_block;
-	gssize n;
+	ssize_t n = recv(sock->item.fd, buffer, sizeof(buffer), 0);
 
-	(void)condition;
-	n = g_socket_receive(
-	    socket, (char *)buffer, sizeof(buffer), NULL, &error);
-	would_block =
-	    n < 0 && g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
-	g_clear_error(&error);
-	if (would_block)
-		return G_SOURCE_CONTINUE;
-	sock->depth++;
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
 	if (n <= 0)
-		sock_fail(sock, n == 0 ? -ECONNRESET : -EIO);
+		sock_fail(sock, n == 0 ? -ECONNRESET : -errno);
 	else if (!sock->muted)
 		sock->ops->received(sock->context, buffer, (uint32_t)n);
+}
+
+/*
+ * Something is ready on the socket.
+ */
+static void
+on_ready(void *context, uint32_t events)
+{
+	sock_t *sock = context;
+
+	sock->depth++;
+	if (sock->connecting || (events & EPOLLOUT) != 0)
+		on_writable(sock);
+	if (!sock->closed && !sock->connecting &&
+	    (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
+		on_readable(sock);
 	sock_leave(sock);
-	return G_SOURCE_CONTINUE;
 }
 
 /*
@@ -254,6 +238,16 @@
 	g_socket_set_blocking(socket, FALSE);
 	g_socket_set_keepalive(socket, TRUE);
 	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+	g_socket_set_option(
+	    socket, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S, NULL);
+	g_socket_set_option(
+	    socket, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S, NULL);
+	g_socket_set_option(
+	    socket, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES, NULL);
+	g_socket_set_option(
+	    socket, IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_MS, NULL);
+	sock->item.ready = on_ready;
+	sock->item.context = sock;
 	return sock;
 }
 
@@ -283,7 +277,7 @@
 	/* a refusal at once is met again in sock_connected() */
 	g_socket_connect(socket, to, NULL, NULL);
 	g_object_unref(to);
-	sock_want_write(sock);
+	poller_add(&sock->item, main, g_socket_get_fd(socket), EPOLLOUT);
 	return sock;
 }
 
@@ -296,7 +290,7 @@
 {
 	sock_t *sock = sock_new(main, socket, ops, context);
 
-	sock_want_read(sock);
+	poller_add(&sock->item, main, g_socket_get_fd(socket), EPOLLIN);
 	return sock;
 }
 
--- a/src/task.c
+++ b/src/task.c
@@ -5,12 +5,20 @@
 
 #define HANDLED_AT_ONCE 64
 
+/* The tasks of one thread: messages between them need no lock or wake-up. */
+typedef struct home {
+	GSource source;
+	GQueue waiting; /* of msg_t */
+} home_t;
+
 struct task {
 	const task_ops_t *ops;
 	void *context;
 	GMainContext *main;
 	GMainLoop *loop;
 	GThread *thread;
+	task_t *host; /* whose thread this one runs in, or NULL */
+	home_t *home;
 	GSource *inbox;
 	GMutex lock;
 	GQueue waiting; /* of msg_t, under lock */
@@ -24,6 +32,9 @@
 	task_t *task;
 } inbox_t;
 
+/* Of the running thread. */
+static GPrivate running_home;
+
 /*
  * Take the oldest waiting message, or NULL.
  */
@@ -83,6 +94,62 @@
 	    msg->body->descriptor->name);
 }
 
+/*
+ * Tell the main loop whether messages between tasks of its thread wait.
+ */
+static gboolean
+home_ready(GSource *source)
+{
+	return !g_queue_is_empty(&((home_t *)source)->waiting);
+}
+
+/*
+ * As home_ready(); the loop may sleep as long as it likes otherwise.
+ */
+static gboolean
+home_prepare(GSource *source, gint *timeout_ms)
+{
+	*timeout_ms = -1;
+	return home_ready(source);
+}
+
+/*
+ * Handle the messages that tasks of this thread have sent each other, a
+ * bounded number at once.
+ */
+void
+task_deliver(void)
+{
+	home_t *home = g_private_get(&running_home);
+	uint32_t i;
+
+	for (i = 0; home != NULL && i < HANDLED_AT_ONCE; i++) {
+		GList *link = g_queue_pop_head_link(&home->waiting);
+		msg_t *msg;
+
+		if (link == NULL)
+			break;
+		msg = link->data;
+		inbox_handle(msg->to, msg);
+	}
+}
+
+/*
+ * Messages wait that no socket's callback has left for task_deliver().
+ */
+static gboolean
+home_dispatch(GSource *source, GSourceFunc callback, gpointer context)
+{
+	(void)source;
+	(void)callback;
+	(void)context;
+	task_deliver();
+	return G_SOURCE_CONTINUE;
+}
+
+static GSourceFuncs home_funcs = {
+    home_prepare, home_ready, home_dispatch, NULL, NULL, NULL};
+
 /*
  * Handle a bounded number of messages, so that sockets get their turn.
  */
@@ -122,6 +189,7 @@
 	int32_t error;
 
 	g_main_context_push_thread_default(task->main);
+	g_private_set(&running_home, task->home);
 	error = task->ops->start(task->context, task);
 	g_mutex_lock(&task->lock);
 	task->error = error;
@@ -137,17 +205,19 @@
 }
 
 /*
- * Make a task; it takes messages at once and handles them once started.
+ * Make a task on a main context and a home, which it takes over.
  */
-task_t *
-task_new(const task_ops_t *ops, void *context)
+static task_t *
+task_make(const task_ops_t *ops, void *context, GMainContext *main,
+    GMainLoop *loop, home_t *home)
 {
 	task_t *task = g_new0(task_t, 1);
 
 	task->ops = ops;
 	task->context = context;
-	task->main = g_main_context_new();
-	task->loop = g_main_loop_new(task->main, FALSE);
+	task->main = main;
+	task->loop = loop;
+	task->home = home;
 	g_mutex_init(&task->lock);
 	g_cond_init(&task->started);
 	g_queue_init(&task->waiting);
@@ -157,6 +227,61 @@
 	return task;
 }
 
+/*
+ * Make a task; it takes messages at once and handles them once started.
+ */
+task_t *
+task_new(const task_ops_t *ops, void *context)
+{
+	GMainContext *main = g_main_context_new();
+	home_t *home = (home_t *)g_source_new(&home_funcs, sizeof(*home));
+
+	g_queue_init(&home->waiting);
+	g_source_attach(&home->source, main);
+	return task_make(
+	    ops, context, main, g_main_loop_new(main, FALSE), home);
+}
+
+/*
+ * Make a task that runs in the thread of another, on its main context.  It
+ * owns its sockets and state all the same; messages between the two need no
+ * lock and wake nobody.
+ */
+task_t *
+task_new_beside(const task_ops_t *ops, void *context, task_t *host)
+{
+	task_t *task;
+
+	g_source_ref(&host->home->source);
+	task = task_make(ops, context, g_main_context_ref(host->main),
+	    g_main_loop_ref(host->loop), host->home);
+	task->host = host;
+	return task;
+}
+
+/*
+ * Start a task that was made by task_new_beside(), from the thread of its
+ * host.  Returns 0 or the negative error number of the role.
+ */
+int32_t
+task_start_beside(task_t *task)
+{
+	task->has_started = true;
+	task->error = task->ops->start(task->context, task);
+	return task->error;
+}
+
+/*
+ * Stop a task that was started by task_start_beside().
+ */
+void
+task_stop_beside(task_t *task)
+{
+	if (task->has_started && task->error == 0)
+		task->ops->stop(task->context);
+	task->has_started = false;
+}
+
 /*
  * Start the thread and wait until its role has started.  Returns 0 or the
  * negative error number of the role.
@@ -226,6 +351,15 @@
 		msg_free(msg);
 	g_source_destroy(task->inbox);
 	g_source_unref(task->inbox);
+	if (task->host == NULL) {
+		GList *link;
+
+		while ((link = g_queue_pop_head_link(&task->home->waiting)) !=
+		    NULL)
+			msg_free(link->data);
+		g_source_destroy(&task->home->source);
+	}
+	g_source_unref(&task->home->source);
 	g_main_loop_unref(task->loop);
 	g_main_context_unref(task->main);
 	g_mutex_clear(&task->lock);
@@ -296,6 +430,12 @@
 	bool first;
 
 	msg->from = from;
+	if (to->home == g_private_get(&running_home)) {
+		msg->to = to;
+		msg->link.data = msg;
+		g_queue_push_tail_link(&to->home->waiting, &msg->link);
+		return;
+	}
 	g_mutex_lock(&to->lock);
 	first = g_queue_is_empty(&to->waiting);
 	g_queue_push_tail(&to->waiting, msg);
--- a/src/task.h
+++ b/src/task.h
@@ -6,8 +6,9 @@
 #include <gio/gio.h>
 
 /*
- * A task is a thread with its own GMainContext.  It owns its sockets and its
- * state; other tasks reach it by messages only.
+ * A task owns its sockets and its state; other tasks reach it by messages
+ * only.  It is a thread with its own GMainContext, or runs beside others in
+ * the thread of one.
  */
 typedef struct task task_t;
 
@@ -16,6 +17,8 @@
 	arena_t *arena;
 	ProtobufCMessage *body;
 	task_t *from;
+	task_t *to; /* between tasks of one thread */
+	GList link; /* the same */
 } msg_t;
 
 /* What a task does with one type of message; it frees the message. */
@@ -34,6 +37,9 @@
 } task_ops_t;
 
 task_t *task_new(const task_ops_t *, void *context);
+task_t *task_new_beside(const task_ops_t *, void *context, task_t *host);
+int32_t task_start_beside(task_t *);
+void task_stop_beside(task_t *);
 int32_t task_start(task_t *);
 void task_stop(task_t *);
 void task_free(task_t *);
@@ -46,6 +52,7 @@
 msg_t *msg_copy(const ProtobufCMessage *);
 void msg_free(msg_t *);
 void task_send(task_t *to, task_t *from, msg_t *);
+void task_deliver(void);
 
 /* A timer of the running task; the callback may remove it. */
 GSource *task_timer(task_t *, uint32_t interval_ms, GSourceFunc, void *context);
