Leases end when a group grows; raised primaries are recognised by their term

The promoted server leads the next term, whatever term was held, so a change was taken for failed and begun again.

Ruled out: replicas that deny a held term after the promote; the two daemons concerned had not heard any replica for 2.5 s.

Change: a lease is renewed by the clock also for a lone primary and ends with each change of members; a promise above the primary's term bars it until all servers deny it; a change of members keeps a change of primary going; watches of the configuration wait half of the time in which it must be in force.

--- a/gen/ranges.c
+++ b/gen/ranges.c
@@ -38,8 +38,9 @@
 	{"bp.ProxyTimeouts", "status_timeout_ms", 10U, 10000U},
 	{"bp.ProxyTimeouts", "suspect_ms", 50U, 60000U},
 	{"bp.ProxyTimeouts", "store_ms", 10U, 60000U},
-	{"bp.ProxyTimeouts", "watch_ms", 100U, 30000U},
+	{"bp.ProxyTimeouts", "servers_watch_ms", 100U, 30000U},
+	{"bp.ProxyTimeouts", "config_apply_ms", 200U, 60000U},
 	{"bp.CallerRequest", "timeout_ms", 1U, 600000U},
 };
 
-const uint32_t ranges_count = 38;
+const uint32_t ranges_count = 39;
--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -818,8 +818,9 @@
 static const uint32_t bp__proxy_timeouts__status_timeout_ms__default_value = 200u;
 static const uint32_t bp__proxy_timeouts__suspect_ms__default_value = 450u;
 static const uint32_t bp__proxy_timeouts__store_ms__default_value = 1000u;
-static const uint32_t bp__proxy_timeouts__watch_ms__default_value = 10000u;
-static const ProtobufCFieldDescriptor bp__proxy_timeouts__field_descriptors[6] =
+static const uint32_t bp__proxy_timeouts__servers_watch_ms__default_value = 4000u;
+static const uint32_t bp__proxy_timeouts__config_apply_ms__default_value = 3000u;
+static const ProtobufCFieldDescriptor bp__proxy_timeouts__field_descriptors[7] =
 {
   {
     "connect_ms",
@@ -882,30 +883,43 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "watch_ms",
+    "servers_watch_ms",
     6,
     PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Bp__ProxyTimeouts, has_watch_ms),
-    offsetof(Bp__ProxyTimeouts, watch_ms),
+    offsetof(Bp__ProxyTimeouts, has_servers_watch_ms),
+    offsetof(Bp__ProxyTimeouts, servers_watch_ms),
     NULL,
-    &bp__proxy_timeouts__watch_ms__default_value,
+    &bp__proxy_timeouts__servers_watch_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_apply_ms",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bp__ProxyTimeouts, has_config_apply_ms),
+    offsetof(Bp__ProxyTimeouts, config_apply_ms),
+    NULL,
+    &bp__proxy_timeouts__config_apply_ms__default_value,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned bp__proxy_timeouts__field_indices_by_name[] = {
+  6,   /* field[6] = config_apply_ms */
   0,   /* field[0] = connect_ms */
+  5,   /* field[5] = servers_watch_ms */
   1,   /* field[1] = status_interval_ms */
   2,   /* field[2] = status_timeout_ms */
   4,   /* field[4] = store_ms */
   3,   /* field[3] = suspect_ms */
-  5,   /* field[5] = watch_ms */
 };
 static const ProtobufCIntRange bp__proxy_timeouts__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bp__proxy_timeouts__descriptor =
 {
@@ -915,7 +929,7 @@
   "Bp__ProxyTimeouts",
   "bp",
   sizeof(Bp__ProxyTimeouts),
-  6,
+  7,
   bp__proxy_timeouts__field_descriptors,
   bp__proxy_timeouts__field_indices_by_name,
   1,  bp__proxy_timeouts__number_ranges,
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -224,12 +224,17 @@
   /*
    * range 100..30000
    */
-  protobuf_c_boolean has_watch_ms;
-  uint32_t watch_ms;
+  protobuf_c_boolean has_servers_watch_ms;
+  uint32_t servers_watch_ms;
+  /*
+   * range 200..60000
+   */
+  protobuf_c_boolean has_config_apply_ms;
+  uint32_t config_apply_ms;
 };
 #define BP__PROXY_TIMEOUTS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__proxy_timeouts__descriptor) \
-    , 0, 600u, 0, 80u, 0, 200u, 0, 450u, 0, 1000u, 0, 10000u }
+    , 0, 600u, 0, 80u, 0, 200u, 0, 450u, 0, 1000u, 0, 4000u, 0, 3000u }
 
 
 /*
--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -39,8 +39,17 @@
 uint32_t majority_of(uint32_t count);
 
 /* How long the belief in a primary lasts: lease.c */
-int64_t lease_until_us(
-    const db_view_t *, uint32_t count, uint32_t primary, int64_t span_us);
+typedef struct lease {
+	uint64_t term;
+	int64_t until_us;
+	uint64_t barred;   /* the newest promise seen; above term: a change
+			      was begun */
+	int64_t barred_us; /* last seen */
+} lease_t;
+
+bool lease_renew(lease_t *, const db_view_t *, uint32_t count, uint32_t primary,
+    int64_t now_us, int64_t span_us);
+void lease_revoke(lease_t *, uint64_t term, int64_t now_us);
 
 /* How long silence is borne, and what follows: silence.c */
 typedef enum silence_verdict {
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -5,29 +5,91 @@
  * primary first has a majority promise a newer term, and then waits span_us:
  * so the term stands for that long after questions, put to so many replicas
  * that every majority meets one of them or the primary itself, found no newer
- * promise.  Returns 0 when that is not known, INT64_MAX for a primary alone.
+ * promise.  Returns 0 when that is not known.  A primary that is alone in its
+ * group needs no questions.
  */
-int64_t
-lease_until_us(
-    const db_view_t *views, uint32_t count, uint32_t primary, int64_t span_us)
+static int64_t
+certain_until_us(const db_view_t *views, uint32_t count, uint32_t primary,
+    int64_t now_us, int64_t span_us)
 {
 	uint32_t needed = majority_of(count) - 1, i, j, younger;
+	uint64_t term = views[primary].promised;
 	int64_t asked_us = 0;
 
-	if (!views[primary].known || !views[primary].primary)
-		return 0;
 	if (needed == 0)
-		return INT64_MAX;
+		return now_us + span_us;
 	for (i = 0; i < count; i++) {
-		if (i == primary || !views[i].known ||
-		    views[i].promised > views[primary].promised)
+		if (i == primary || !views[i].known || views[i].promised > term)
 			continue;
 		for (j = younger = 0; j < count; j++)
 			younger += j != primary && views[j].known &&
-			    views[j].promised <= views[primary].promised &&
+			    views[j].promised <= term &&
 			    views[j].asked_us >= views[i].asked_us;
 		if (younger >= needed && views[i].asked_us > asked_us)
 			asked_us = views[i].asked_us;
 	}
 	return asked_us == 0 ? 0 : asked_us + span_us;
 }
+
+/*
+ * Note promises above the primary's term.  They bar its lease even when they
+ * are no longer seen, since a change of primary ends them, until every
+ * database of the group has denied that there was one.
+ */
+static bool
+barred(lease_t *lease, const db_view_t *views, uint32_t count, uint64_t term)
+{
+	uint32_t i, denied = 0;
+
+	for (i = 0; i < count; i++) {
+		if (views[i].known && views[i].promised > term) {
+			lease->barred = views[i].promised;
+			lease->barred_us = views[i].asked_us;
+		}
+	}
+	if (lease->barred <= term)
+		return false;
+	for (i = 0; i < count; i++)
+		denied += views[i].known && views[i].promised <= term &&
+		    views[i].asked_us > lease->barred_us;
+	if (denied < count)
+		return true;
+	lease->barred = 0;
+	return false;
+}
+
+/*
+ * Renew a lease by what is known of the databases.  Returns whether it has
+ * changed.  A lease of an older term never comes back.
+ */
+bool
+lease_renew(lease_t *lease, const db_view_t *views, uint32_t count,
+    uint32_t primary, int64_t now_us, int64_t span_us)
+{
+	const db_view_t *view = &views[primary];
+	int64_t until_us;
+
+	if (!view->known || !view->primary || view->promised < lease->term ||
+	    barred(lease, views, count, view->promised))
+		return false;
+	until_us = certain_until_us(views, count, primary, now_us, span_us);
+	if (view->promised == lease->term && until_us <= lease->until_us)
+		return false;
+	lease->term = view->promised;
+	lease->until_us = until_us;
+	return true;
+}
+
+/*
+ * Void a lease of a term below this one: a change of primary is under way.
+ */
+void
+lease_revoke(lease_t *lease, uint64_t term, int64_t now_us)
+{
+	if (lease->term >= term)
+		return;
+	lease->until_us = 0;
+	if (lease->barred < term)
+		lease->barred = term;
+	lease->barred_us = now_us;
+}
--- a/src/decide/promote.c
+++ b/src/decide/promote.c
@@ -49,6 +49,63 @@
 	promote->rand = NULL;
 }
 
+/*
+ * Where a database has moved to, or -1 when it is gone.
+ */
+static int32_t
+moved_to(const int32_t *from, uint32_t count, int32_t old)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (old >= 0 && from[i] == old)
+			return (int32_t)i;
+	}
+	return -1;
+}
+
+/*
+ * The group has other databases from now on: the i-th was number from[i]
+ * before, or is new when that is negative.  A change under way goes on unless
+ * the database it was to end with is gone.
+ */
+void
+promote_remap(
+    promote_t *promote, const int32_t *from, uint32_t count, int64_t now_us)
+{
+	promote_t old = *promote;
+	int32_t chosen = moved_to(from, count, (int32_t)old.chosen);
+	uint32_t i;
+
+	promote->count = count;
+	promote->avoid = moved_to(from, count, old.avoid);
+	promote->stepping_down = moved_to(from, count, old.stepping_down);
+	for (i = 0; i < count; i++) {
+		int32_t j = from[i];
+
+		memset(&promote->views[i], 0, sizeof(promote->views[i]));
+		promote->heard_us[i] = now_us;
+		promote->refused[i] = 0;
+		promote->granted[i] = false;
+		promote->follow_us[i] = promote->moved_us[i] = 0;
+		if (j < 0)
+			continue;
+		promote->views[i] = old.views[j];
+		promote->heard_us[i] = old.heard_us[j];
+		promote->refused[i] = old.refused[j];
+		promote->granted[i] = old.granted[j];
+		promote->granted_at[i] = old.granted_at[j];
+		promote->follow_us[i] = old.follow_us[j];
+		promote->moved_us[i] = old.moved_us[j];
+	}
+	if ((old.state == PROMOTE_RAISING && chosen < 0) ||
+	    (old.stepping_down >= 0 && promote->stepping_down < 0)) {
+		promote->wait_us = now_us;
+		enter(promote, PROMOTE_LEARNING, now_us);
+	}
+	promote->chosen = chosen < 0 ? 0 : (uint32_t)chosen;
+}
+
 /*
  * The database that is primary in the highest term known, or -1.  It is only
  * a hint: a majority may already be past its term.
@@ -386,6 +443,24 @@
 	}
 }
 
+/*
+ * Take back the promises above the primary's term.
+ */
+static void
+release_promises(promote_t *promote, promote_actions_t *actions)
+{
+	int32_t primary = promote_primary(promote);
+	uint32_t i;
+
+	for (i = 0; i < promote->count; i++) {
+		if (promote->views[i].known &&
+		    promote->views[i].promised >
+			promote->views[primary].promised)
+			actions->list[actions->count++] =
+			    (promote_action_t){PROMOTE_RELEASE, i, 0};
+	}
+}
+
 /*
  * Tell whether a database has for some time promised a term above the
  * primary's: a change that was begun and never ended.  That database takes
@@ -415,7 +490,8 @@
 	int32_t primary = promote_primary(promote);
 
 	if (primary >= 0 &&
-	    promote->views[primary].promised == highest_promise(promote) &&
+	    (promote->limits.revocable ||
+		promote->views[primary].promised == highest_promise(promote)) &&
 	    !primary_silent(promote, now_us, promote->limits.suspect_us) &&
 	    !promote->handover) {
 		promote->failures = 0;
@@ -450,6 +526,10 @@
 		enter(promote, PROMOTE_LEARNING, now_us);
 		return;
 	}
+	if (promote->limits.revocable && promise_stuck(promote, now_us)) {
+		promote->odd_us = 0;
+		release_promises(promote, actions);
+	}
 	if (promote->handover || promise_stuck(promote, now_us)) {
 		promote->odd_us = 0;
 		begin_fencing(promote, now_us, actions);
--- a/src/decide/promote.h
+++ b/src/decide/promote.h
@@ -56,6 +56,9 @@
 	   0: a handover fences a majority like any other change */
 	int64_t catch_up_us;
 	uint32_t sync_replicas; /* hold each acknowledged commit */
+	/* a promise that leads nowhere is taken back; false: it ends with the
+	   next change only */
+	bool revocable;
 } promote_limits_t;
 
 typedef struct promote {
@@ -87,6 +90,7 @@
 void promote_init(promote_t *, const promote_limits_t *, uint32_t count,
     uint32_t seed, int64_t now_us);
 void promote_clear(promote_t *);
+void promote_remap(promote_t *, const int32_t *from, uint32_t count, int64_t);
 void promote_heard(promote_t *, uint32_t database, const db_view_t *, int64_t);
 void promote_observed(
     promote_t *, uint32_t database, const db_view_t *, int64_t);
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -46,7 +46,7 @@
 	server_t *server;
 	dbconn_t *conn;
 
-	if (primary < 0 || group->lease_until_us <= now_us)
+	if (primary < 0 || group->lease.until_us <= now_us)
 		return;
 	server = group->servers[primary];
 	while (rankq_count(group->primary_lane) > 0 &&
@@ -91,7 +91,7 @@
 	group_t *group = operation->group;
 	int32_t primary = group_primary(group);
 	spread_t candidates[GROUP_DATABASES_MAX];
-	bool certain = group->lease_until_us > now_us;
+	bool certain = group->lease.until_us > now_us;
 	position_t needed;
 	bool known = needed_position(operation, &needed);
 	server_t *server;
--- a/src/proxy/operation.c
+++ b/src/proxy/operation.c
@@ -250,11 +250,11 @@
 		operation_t *operation = l->data;
 
 		l = l->next;
-		if (operation->ran_at.term == group->lease_term &&
+		if (operation->ran_at.term == group->lease.term &&
 		    lease_needed_us(operation, now_us) <=
-			group->lease_until_us) {
+			group->lease.until_us) {
 			operation_done(operation);
-		} else if (operation->ran_at.term < group->lease_term) {
+		} else if (operation->ran_at.term < group->lease.term) {
 			operation_fail(operation, BP__VERDICT__IN_DOUBT,
 			    "the primary was replaced meanwhile");
 		}
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -77,6 +77,9 @@
 	dbconn_t *control;
 	GPtrArray *conns; /* of dbconn_t */
 	uint32_t in_flight;
+	uint64_t term;        /* by its own word, as last logged */
+	uint64_t held_term;   /* the same */
+	bool primary;         /* the same */
 	position_t applied;   /* what its reads show, at the least */
 	uint32_t connections; /* of all daemons, by its own word */
 	uint32_t busy;        /* slots, by its own word */
@@ -99,8 +102,7 @@
 	rankq_t *replica_lane;
 	GQueue held; /* of operation_t: ran, and wait for the lease */
 	samples_t samples;
-	uint64_t lease_term;
-	int64_t lease_until_us;
+	lease_t lease;
 	int64_t suspected_us; /* since; 0: not */
 	int64_t used_us;      /* the last statement for the primary */
 	bool listed;          /* by the catalog in force */
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -339,6 +339,20 @@
 	}
 }
 
+/*
+ * How long a watch may wait.  One that was put before the store dropped its
+ * history hears nothing of changes in between, so it is put anew in time.
+ */
+static uint32_t
+wait_ms(const follower_t *follower)
+{
+	const Bp__ProxyTimeouts *timeouts =
+	    follower->registry->proxy->settings->timeouts;
+
+	return follower->kind == OBJECTS_CONFIG ? timeouts->config_apply_ms / 2
+						: timeouts->servers_watch_ms;
+}
+
 /*
  * Make the next call of a follower: a page of the list, or a watch.
  */
@@ -357,8 +371,7 @@
 		return;
 	}
 	objects->watch(registry->objects, follower->kind, follower->revision,
-	    registry->proxy->settings->timeouts->watch_ms, on_changes,
-	    follower);
+	    wait_ms(follower), on_changes, follower);
 }
 
 /*
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -170,9 +170,9 @@
 servers_apply(group_t *group, const Bp__Catalog *catalog, int64_t now_us)
 {
 	server_t *servers[GROUP_DATABASES_MAX];
-	promote_t before = group->promote;
-	uint32_t i, count = 0, before_count = group->count;
+	uint32_t i, j, count = 0, before_count = group->count;
 	server_t *old[GROUP_DATABASES_MAX];
+	int32_t from_index[GROUP_DATABASES_MAX];
 	bool changed;
 
 	memcpy(old, group->servers, sizeof(old));
@@ -201,20 +201,16 @@
 		return;
 	memcpy(group->servers, servers, sizeof(servers[0]) * count);
 	group->count = count;
-	watch_init(group, now_us);
 	for (i = 0; i < count; i++) {
-		uint32_t j;
-
 		for (j = 0; j < before_count && old[j] != servers[i]; j++)
 			;
-		if (j < before_count) {
-			group->promote.views[i] = before.views[j];
-			group->promote.heard_us[i] = before.heard_us[j];
+		from_index[i] = j < before_count ? (int32_t)j : -1;
+		if (j < before_count)
 			old[j] = NULL;
-		}
 		servers[i]->index = i;
 	}
-	promote_clear(&before);
+	promote_remap(&group->promote, from_index, count, now_us);
+	group->lease.until_us = 0; /* it was given by another group */
 	for (i = 0; i < before_count; i++) {
 		if (old[i] != NULL)
 			server_retire(old[i]);
--- a/src/proxy/watch.c
+++ b/src/proxy/watch.c
@@ -24,8 +24,7 @@
 #define DUTY_PATIENCE_US (900 * US_PER_MS)
 
 /*
- * Begin to watch a group whose servers have changed; what is known of those
- * that stay is kept by the caller.
+ * Begin to watch a group.
  */
 void
 watch_init(group_t *group, int64_t now_us)
@@ -42,6 +41,7 @@
 	limits.settle_us = LEASE_US - PROMOTE_MIN_US;
 	limits.catch_up_us = CATCH_UP_US;
 	limits.sync_replicas = group->sync_replicas;
+	limits.revocable = true;
 	promote_init(&group->promote, &limits, group->count,
 	    g_rand_int(group->pool->rand), now_us);
 }
@@ -54,25 +54,18 @@
 {
 	const promote_t *promote = &group->promote;
 	int32_t primary = promote_primary(promote);
-	uint64_t term;
-	int64_t until_us;
+	uint64_t before = group->lease.term;
 
-	if (primary < 0)
+	if (primary < 0 ||
+	    !lease_renew(&group->lease, promote->views, group->count,
+		(uint32_t)primary, now_us, LEASE_US))
 		return;
-	term = promote->views[primary].promised;
-	until_us = lease_until_us(
-	    promote->views, group->count, (uint32_t)primary, LEASE_US);
-	if (term != group->lease_term) {
+	if (group->lease.term != before)
 		LOG_PART(PART, G_LOG_LEVEL_INFO,
 		    "Group %s has primary %s in term %" G_GUINT64_FORMAT ".",
-		    group->name, group->servers[primary]->id, term);
-		group->lease_term = term;
-		group->lease_until_us = until_us;
-		operations_release(group, now_us);
-	} else if (until_us > group->lease_until_us) {
-		group->lease_until_us = until_us;
-		operations_release(group, now_us);
-	}
+		    group->name, group->servers[primary]->id,
+		    group->lease.term);
+	operations_release(group, now_us);
 }
 
 /*
@@ -108,9 +101,9 @@
 	sample_t sample = {sent_us, position};
 
 	(void)now_us;
-	if (server->gone || position.term != group->lease_term ||
+	if (server->gone || position.term != group->lease.term ||
 	    (int32_t)server->index != promote_primary(&group->promote) ||
-	    group->lease_until_us < sent_us)
+	    group->lease.until_us < sent_us)
 		return;
 	samples_add(&group->samples, sample, SAMPLE_SPACING_US);
 }
@@ -156,6 +149,30 @@
 	    view, now_us);
 }
 
+/*
+ * Log what a server says of itself when that has changed.
+ */
+static void
+note_change(
+    server_t *server, const server_status_t *status, const expect_t *expect)
+{
+	if (server->term == status->term &&
+	    server->held_term == status->held_term &&
+	    server->primary == status->primary)
+		return;
+	LOG_PART(PART, G_LOG_LEVEL_INFO,
+	    "Server %s of %s is %s of term %" G_GUINT64_FORMAT
+	    ", holds term %" G_GUINT64_FORMAT ", has %" G_GUINT64_FORMAT
+	    ".%" G_GUINT64_FORMAT ", asked %" G_GINT64_FORMAT " us ago.",
+	    server->id, server->group->name,
+	    status->primary ? "primary" : "replica", status->term,
+	    status->held_term, status->received.term, status->received.index,
+	    clock_us() - expect->sent_us);
+	server->term = status->term;
+	server->held_term = status->held_term;
+	server->primary = status->primary;
+}
+
 /*
  * A server told its state.
  */
@@ -180,12 +197,13 @@
 	server->busy = status->busy;
 	server->connections = status->connections;
 	server->applied = applied;
+	note_change(server, status, expect);
 	promote_observed(promote, server->index, &view, now_us);
 	if (expect->kind == EXPECT_HOLD || expect->kind == EXPECT_STEP_DOWN)
 		order_answered(server, status, expect, &view, now_us);
 	if (promote->state == PROMOTE_RAISING &&
 	    server->index == promote->chosen && status->primary &&
-	    status->term >= promote->term)
+	    status->term > group->lease.term)
 		promote_raised(
 		    promote, server->index, promote->term, true, &view, now_us);
 	lease_update(group, now_us);
