A client may leave while its transaction begins; replicas are tried again

Change: a transaction that nobody wants ends when its running statement has ended. A replica of which nothing was heard for 100 ms is tried with a read; it refuses what it lacks. Each statement that fails leaves a line with what decided it.

--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -361,6 +361,7 @@
 	watch_alive(server, now_us);
 	if (position_compare(ready->position, server->applied) > 0)
 		server->applied = ready->position;
+	server->applied_us = now_us;
 	switch (expect.kind) {
 	case EXPECT_OPEN:
 		on_opened(conn, now_us);
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -6,6 +6,9 @@
 
 /* What is sent where, and when. */
 
+/* What a replica had applied is not known any more after this time. */
+#define APPLIED_US (100 * US_PER_MS)
+
 /*
  * Hand a statement to a connection; the first of a transaction ties the
  * transaction to it.
@@ -81,6 +84,18 @@
 	return true;
 }
 
+/*
+ * Tell whether a replica may be tried with a read: it is known to have the
+ * position, or nothing has been heard of it for a while.  It refuses a read
+ * whose position it lacks.
+ */
+static bool
+may_have(const server_t *server, position_t needed, int64_t now_us)
+{
+	return position_compare(server->applied, needed) >= 0 ||
+	    now_us - server->applied_us >= APPLIED_US;
+}
+
 /*
  * Send a read to the database of its group that suits best.  Returns false
  * when it has to wait.
@@ -105,9 +120,9 @@
 		server = group->servers[i];
 		candidate->primary = (int32_t)i == primary;
 		candidate->usable = server_usable(server, now_us) &&
-		    (candidate->primary ? certain
-					: known &&
-				position_compare(server->applied, needed) >= 0);
+		    (candidate->primary
+			    ? certain
+			    : known && may_have(server, needed, now_us));
 		candidate->same_zone = server->same_zone;
 		candidate->slots = server->slots;
 		candidate->in_flight = server->in_flight;
@@ -123,6 +138,8 @@
 		dbconns_grow(server, server->conns->len + 1, now_us);
 		return false;
 	}
+	if (position_compare(server->applied, needed) < 0)
+		server->applied_us = now_us;
 	send_to(operation, conn, chosen == primary ? NULL : &needed, now_us);
 	return true;
 }
--- a/src/proxy/operation.c
+++ b/src/proxy/operation.c
@@ -56,28 +56,75 @@
 }
 
 /*
- * Forget a transaction.  Whatever its connection still has of it is rolled
- * back; the connection is closed when a statement is running there.
+ * Forget a transaction that has no statement running.  Whatever its
+ * connection still has of it is rolled back.
  */
 void
 transaction_end(transaction_t *transaction)
 {
 	dbconn_t *conn = transaction->conn;
 
-	if (transaction->operation != NULL)
-		transaction->operation->transaction = NULL;
 	if (conn != NULL) {
 		conn->transaction = NULL;
-		if (transaction->begun && conn->operation == NULL)
+		if (transaction->begun)
 			dbconn_roll_back(conn);
-		else if (transaction->begun)
-			dbconn_close(conn);
 	}
 	g_hash_table_remove(
 	    transaction->pool->transactions, &transaction->session);
 	g_free(transaction);
 }
 
+/*
+ * Nobody wants a transaction any more.  A statement that is running ends
+ * first: a commit may have come into effect.
+ */
+void
+transaction_drop(transaction_t *transaction)
+{
+	operation_t *operation = transaction->operation;
+
+	if (operation == NULL)
+		transaction_end(transaction);
+	else if (operation->state == OPERATION_QUEUED)
+		operation_fail(
+		    operation, BP__VERDICT__ABORTED, "the session has ended");
+	else
+		transaction->abandoned = true;
+}
+
+/*
+ * Log why a statement ends without success, with what decided it.
+ */
+static void
+note_failure(
+    const operation_t *operation, Bp__Verdict verdict, const char *text)
+{
+	const group_t *group = operation->group;
+	int32_t primary = promote_primary(&group->promote);
+	int64_t now_us = clock_us();
+	GString *servers = g_string_new(NULL);
+	uint32_t i;
+
+	for (i = 0; i < group->count; i++) {
+		const server_t *server = group->servers[i];
+
+		g_string_append_printf(servers, " %s%s:%u/%u/%u",
+		    server_usable(server, now_us) ? "" : "!", server->id,
+		    server->in_flight, server->busy, server->conns->len);
+	}
+	LOG_PART(PART, G_LOG_LEVEL_INFO,
+	    "request=%s verdict=%d group=%s kind=%d waited_ms=%" G_GINT64_FORMAT
+	    " tries=%u primary=%s lease_ms=%" G_GINT64_FORMAT
+	    " state=%d queued=%u,%u servers(running/busy/connections):%s: %s",
+	    operation->run->id, verdict, group->name, operation->run->kind,
+	    (now_us - operation->arrived_us) / US_PER_MS, operation->tries,
+	    primary < 0 ? "-" : group->servers[primary]->id,
+	    (group->lease.until_us - now_us) / US_PER_MS, group->promote.state,
+	    rankq_count(group->primary_lane), rankq_count(group->replica_lane),
+	    servers->str, text);
+	g_string_free(servers, TRUE);
+}
+
 /*
  * End a statement without a result; a transaction that it belongs to is
  * rolled back with it.
@@ -87,6 +134,7 @@
 {
 	transaction_t *transaction = operation->transaction;
 
+	note_failure(operation, verdict, text);
 	if (transaction != NULL) {
 		transaction->operation = NULL;
 		operation->transaction = NULL;
@@ -116,8 +164,7 @@
 {
 	const Bp__RunOperation *run = operation->run;
 	group_t *group = operation->group;
-	bool primary = operation->primary_only ||
-	    run->route->freshness == BP__FRESHNESS__NEWEST ||
+	bool primary = run->route->freshness == BP__FRESHNESS__NEWEST ||
 	    (run->in_transaction ? !run->read_only
 				 : run->kind != BP__OPERATION_KIND__READ_ITEM);
 
@@ -177,8 +224,6 @@
 		dbconn_run(transaction->conn, operation, NULL);
 		return;
 	}
-	if (transaction != NULL)
-		transaction_end(transaction);
 	transaction = g_new0(transaction_t, 1);
 	transaction->pool = pool;
 	transaction->session = run->session;
@@ -317,7 +362,9 @@
 static void
 operation_retry(operation_t *operation, const char *why)
 {
-	if (++operation->tries >= TRIES_MAX) {
+	if (++operation->tries >= TRIES_MAX ||
+	    (operation->transaction != NULL &&
+		operation->transaction->abandoned)) {
 		operation_refuse(operation, why);
 		return;
 	}
@@ -333,8 +380,6 @@
 	transaction_t *transaction = operation->transaction;
 	char *text = arena_strdup(operation->msg->arena, conn->error);
 
-	if (conn->verdict == BP__VERDICT__LAGGING)
-		operation->primary_only = true;
 	if (conn->verdict == BP__VERDICT__READ_ONLY)
 		watch_ask(operation->server, now_us);
 	if (conn->verdict == BP__VERDICT__NO_STATEMENT)
@@ -360,6 +405,13 @@
 	    operation->run->kind == BP__OPERATION_KIND__READ_ITEM &&
 	    operation->transaction == NULL;
 
+	if (operation->transaction != NULL &&
+	    operation->transaction->abandoned &&
+	    operation->run->kind != BP__OPERATION_KIND__COMMIT_TRANSACTION) {
+		operation_fail(
+		    operation, BP__VERDICT__ABORTED, "the session has ended");
+		return;
+	}
 	if (conn->error == NULL) {
 		operation_ran(operation, conn, now_us);
 		return;
@@ -474,6 +526,27 @@
 		server_expire(g_ptr_array_index(group->gone, i), now_us);
 }
 
+/*
+ * End what runs at a server, with the truth.
+ */
+static void
+server_end(server_t *server)
+{
+	GPtrArray *conns = g_ptr_array_copy(server->conns, NULL, NULL);
+	uint32_t i;
+
+	for (i = 0; i < conns->len; i++) {
+		dbconn_t *conn = g_ptr_array_index(conns, i);
+
+		if (conn->operation == NULL)
+			continue;
+		conn->operation->deadline_us = 0;
+		conn->operation->tries = TRIES_MAX;
+		dbconn_fail(conn, "the daemon leaves");
+	}
+	g_ptr_array_unref(conns);
+}
+
 /*
  * The daemon stops: answer everything that is still here with the truth.
  */
@@ -482,9 +555,13 @@
 {
 	rankq_t *lanes[] = {group->primary_lane, group->replica_lane};
 	rankq_item_t *item;
-	uint32_t i, j;
+	uint32_t i;
 	GList *l;
 
+	for (i = 0; i < group->count; i++)
+		server_end(group->servers[i]);
+	for (i = 0; i < group->gone->len; i++)
+		server_end(g_ptr_array_index(group->gone, i));
 	for (i = 0; i < G_N_ELEMENTS(lanes); i++) {
 		while ((item = rankq_pop(lanes[i])) != NULL)
 			operation_refuse(item->owner, "the daemon leaves");
@@ -492,19 +569,6 @@
 	while ((l = group->held.head) != NULL)
 		operation_fail(
 		    l->data, BP__VERDICT__IN_DOUBT, "the daemon leaves");
-	for (i = 0; i < group->count; i++) {
-		for (j = group->servers[i]->conns->len; j-- > 0;) {
-			dbconn_t *conn =
-			    g_ptr_array_index(group->servers[i]->conns, j);
-
-			if (conn->operation == NULL)
-				continue;
-			conn->operation->deadline_us = 0;
-			conn->operation->tries = TRIES_MAX;
-			dbconn_fail(conn, "the daemon leaves");
-			j = MIN(j, group->servers[i]->conns->len);
-		}
-	}
 }
 
 /*
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -124,6 +124,7 @@
 on_stop(void *context)
 {
 	pool_t *pool = context;
+	GList *transactions, *l;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -131,11 +132,10 @@
 	g_hash_table_iter_init(&iter, pool->groups);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		operations_end(value);
-	g_hash_table_iter_init(&iter, pool->transactions);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		transaction_end(value);
-		g_hash_table_iter_init(&iter, pool->transactions);
-	}
+	transactions = g_hash_table_get_values(pool->transactions);
+	for (l = transactions; l != NULL; l = l->next)
+		transaction_drop(l->data);
+	g_list_free(transactions);
 	g_hash_table_remove_all(pool->groups);
 }
 
@@ -161,12 +161,8 @@
 	transaction_t *transaction =
 	    g_hash_table_lookup(pool->transactions, &drop->session);
 
-	if (transaction != NULL && transaction->operation != NULL &&
-	    transaction->operation->state == OPERATION_QUEUED)
-		operation_fail(transaction->operation, BP__VERDICT__ABORTED,
-		    "the session has ended");
-	else if (transaction != NULL)
-		transaction_end(transaction);
+	if (transaction != NULL)
+		transaction_drop(transaction);
 	msg_free(msg);
 }
 
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -77,10 +77,12 @@
 	dbconn_t *control;
 	GPtrArray *conns; /* of dbconn_t */
 	uint32_t in_flight;
-	uint64_t term;         /* by its own word, as last logged */
-	uint64_t held_term;    /* the same */
-	bool primary;          /* the same */
-	position_t applied;    /* what its reads show, at the least */
+	uint64_t term;      /* by its own word, as last logged */
+	uint64_t held_term; /* the same */
+	bool primary;       /* the same */
+	position_t applied; /* what its reads show, at the least */
+	int64_t
+	    applied_us; /* when that was heard, or a read sent to find out */
 	uint32_t connections;  /* of all daemons, by its own word */
 	uint32_t busy;         /* slots, by its own word */
 	bool status_open;      /* a question is out */
@@ -121,6 +123,7 @@
 	bool read_only;
 	bool begun;      /* at the database */
 	bool on_replica; /* began there, behind a position */
+	bool abandoned;  /* rolled back once its statement has ended */
 	int64_t began_us;
 	int64_t used_us;
 	operation_t *operation; /* running or waiting */
@@ -143,7 +146,6 @@
 	dbconn_t *conn;
 	transaction_t *transaction;
 	server_t *server; /* that it was sent to last */
-	bool primary_only;
 	uint32_t tries;
 	int64_t arrived_us;
 	int64_t deadline_us;
@@ -202,6 +204,7 @@
 void operations_release(group_t *, int64_t now_us);
 void operations_end(group_t *);
 void transaction_end(transaction_t *);
+void transaction_drop(transaction_t *);
 void transactions_expire(pool_t *, int64_t now_us);
 
 /* dispatch.c */
