One connection a daemon and database at rest, for questions and statements

Cause: databases keep the connections of machines that lost power for 3 s.

Ruled out: the start of the process (25 ms) and the store (23 ms to the configuration).

Change: the control connection carries single statements; others are opened as statements wait, and closed when idle while a database is half full. Where a question would wait behind a statement, another connection shows life.

--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -9,11 +9,16 @@
 /* A server that refused a connection is left alone for this long. */
 #define REOPEN_US (100 * US_PER_MS)
 
-/* A server is crowded when it has room for fewer connections than this. */
-#define CROWDED 3
+/*
+ * Connections of machines that lost power stay at the server for some time, so
+ * that all daemons can only come back at once while less than so much of the
+ * server's connections is in use.
+ */
+#define CROWDED_PERCENT 50
 
-/* What is open beyond a daemon's share of a crowded server goes when idle. */
-#define IDLE_US (200 * US_PER_MS)
+/* What is open beside the control connection to a crowded server goes when
+ * idle. */
+#define IDLE_US (1500 * US_PER_MS)
 
 /*
  * While a server is not crowded, a daemon may have so many times its share.
@@ -167,9 +172,20 @@
 	return *same == g_hash_table_size(conn->values);
 }
 
+/*
+ * Tell whether nothing is on an open connection.
+ */
+static bool
+dbconn_free(const dbconn_t *conn)
+{
+	return conn->open && conn->operation == NULL && !conn->ending &&
+	    conn->transaction == NULL && conn->expected->len == 0;
+}
+
 /*
  * An open connection with nothing on it, or NULL; best one that needs no
- * reset for the session.
+ * reset for the session.  The control connection carries single statements,
+ * too, unless a change of primary needs it.
  */
 dbconn_t *
 dbconn_idle(server_t *server, const Bp__RunOperation *run)
@@ -180,14 +196,17 @@
 	for (i = 0; i < server->conns->len; i++) {
 		dbconn_t *conn = g_ptr_array_index(server->conns, i);
 
-		if (!conn->open || conn->operation != NULL || conn->ending ||
-		    conn->transaction != NULL || conn->expected->len > 0)
+		if (!dbconn_free(conn))
 			continue;
 		best = conn;
-		if (run != NULL && values_fit(conn, run, &same) &&
-		    same == run->n_values)
+		if (values_fit(conn, run, &same) && same == run->n_values)
 			break;
 	}
+	if (best == NULL && !run->in_transaction && server->control != NULL &&
+	    dbconn_free(server->control) &&
+	    server->group->promote.state != PROMOTE_FENCING &&
+	    server->group->promote.state != PROMOTE_RAISING)
+		best = server->control;
 	return best;
 }
 
@@ -428,6 +447,7 @@
 		conn->verdict = reply.verdict;
 		if (conn->open)
 			break;
+		watch_alive(conn->server, now_us);
 		if (reply.verdict == BP__VERDICT__TOO_MANY)
 			conn->server->connections =
 			    conn->server->group->connections_max;
@@ -500,12 +520,13 @@
 }
 
 /*
- * Tell whether a server has hardly any room for connections left.
+ * Tell whether daemons that lost power would find no room at a server.
  */
 static bool
 crowded(const server_t *server)
 {
-	return server->connections + CROWDED > server->group->connections_max;
+	return server->connections * 100 >
+	    server->group->connections_max * CROWDED_PERCENT;
 }
 
 /*
@@ -553,7 +574,6 @@
 		    conn->expected->len == 0 &&
 		    (server->gone ||
 			(crowded(server) &&
-			    server->conns->len >= dbconns_share(server) &&
 			    now_us - conn->began_us >= IDLE_US)))
 			dbconn_close(conn);
 	}
--- a/src/proxy/operation.c
+++ b/src/proxy/operation.c
@@ -487,8 +487,13 @@
 static void
 server_expire(server_t *server, int64_t now_us)
 {
+	dbconn_t *control = server->control;
 	uint32_t i = server->conns->len;
 
+	if (control != NULL && control->operation != NULL &&
+	    control->operation->deadline_us <= now_us)
+		dbconn_fail(control, "a statement took too long");
+
 	while (i-- > 0) {
 		dbconn_t *conn;
 
@@ -535,6 +540,9 @@
 	GPtrArray *conns = g_ptr_array_copy(server->conns, NULL, NULL);
 	uint32_t i;
 
+	if (server->control != NULL)
+		g_ptr_array_add(conns, server->control);
+
 	for (i = 0; i < conns->len; i++) {
 		dbconn_t *conn = g_ptr_array_index(conns, i);
 
--- a/src/proxy/watch.c
+++ b/src/proxy/watch.c
@@ -427,14 +427,20 @@
 			dbconn_open(server, true);
 		return;
 	}
-	if (conn->expected->len > 0 &&
-	    now_us - g_array_index(conn->expected, expect_t, 0).sent_us >=
+	if (conn->expected->len > 0 && conn->operation == NULL &&
+	    now_us -
+		    MAX(g_array_index(conn->expected, expect_t, 0).sent_us,
+			conn->began_us) >=
 		timeout_us) {
 		dbconn_fail(conn, "a question has no answer");
 		return;
 	}
-	if (now_us - server->asked_us >= ask_after_us(server, now_us))
-		watch_ask(server, now_us);
+	if (now_us - server->asked_us < ask_after_us(server, now_us))
+		return;
+	/* behind a statement a question waits: another connection shows life */
+	if (conn->operation != NULL && server->conns->len == 0)
+		dbconns_grow(server, 1, now_us);
+	watch_ask(server, now_us);
 }
 
 /*
@@ -493,8 +499,6 @@
 			promote_idle(promote, i, now_us);
 		probe(group->servers[i], now_us);
 		dbconns_tick(group->servers[i], now_us);
-		if (server_usable(group->servers[i], now_us))
-			dbconns_grow(group->servers[i], 1, now_us);
 	}
 	consider_duty(group, now_us);
 	if (!group->pool->duty || group->count == 0)
