A handover waits for the leases; a read counts only at the primary itself

Cause: a leaving primary that steps down refuses writes, but answers reads from its log. Daemons still held leases of up to 2 s on it, so a read was given as fresh while another primary already acknowledged commits; and an answer in the new term was taken for the new primary's although another server had given it.

Ruled out: AFTER positions of reads at replicas (these reads had none), a stale configuration.

Change: a handover has the daemons give back their leases like any other change; a held answer is given only when its server is the primary of the lease, and a single read of another is put to the primary that there is now.

--- a/Makefile
+++ b/Makefile
@@ -26,8 +26,8 @@
 BIN = $(BUILD)/bergamotplank
 TEST_LIBS = `pkg-config --libs libcurl`
 TOOLS_O = $(patsubst %,$(BUILD)/tools/%.o, \
-	figures fleet history load model queuesim)
-FAKES = $(BUILD)/fakedb $(BUILD)/fakeplatform
+	figures fleet history load model queuesim site)
+FAKES = $(BUILD)/fakedb $(BUILD)/fakeplatform $(BUILD)/fakesite
 
 all: $(BIN) $(FAKES)
 
@@ -70,6 +70,8 @@
 $(BIN): $(BUILD)/src/main.o $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/fakesite: $(BUILD)/tests/fake/fakestore.o \
+    $(BUILD)/tests/fake/fakelines.o
 $(BUILD)/fakedb: $(BUILD)/tests/fake/fakelog.o $(BUILD)/tests/fake/fakerepl.o
 $(BUILD)/fake%: $(BUILD)/tests/fake/fake%.o $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
@@ -80,7 +82,8 @@
     $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
 
-TESTS = t_decide t_queue t_text t_history t_model t_command t_fleet t_holds
+TESTS = t_decide t_lease t_wire t_queue t_text t_history t_model t_command \
+	t_proxy t_fleet t_holds
 
 $(BUILD)/t_%: $(BUILD)/tests/t_%.o $(TOOLS_O) $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
--- a/src/decide/promote.c
+++ b/src/decide/promote.c
@@ -629,24 +629,32 @@
 	    : -1;
 }
 
+/*
+ * Tell whether the grants suffice: of the leaving primary alone, or of so
+ * many that no primary before can go on.
+ */
+static bool
+grants_suffice(const promote_t *promote)
+{
+	return promote->stepping_down >= 0
+	    ? promote->granted[promote->stepping_down]
+	    : granted_count(promote) >= grants_needed(promote);
+}
+
 /*
  * The database to raise now, or -1 while grants or time are lacking.
  */
 static int32_t
 ready_to_raise(const promote_t *promote, int64_t now_us)
 {
-	int32_t primary = promote->stepping_down;
+	const promote_limits_t *limits = &promote->limits;
 
-	if (primary >= 0)
-		return promote->granted[primary]
-		    ? choose_successor(promote, now_us)
-		    : -1;
-	if (granted_count(promote) < grants_needed(promote) ||
+	if (!grants_suffice(promote) ||
 	    now_us - promote->granted_us <
-		(promote->settled ? promote->limits.settle_min_us
-				  : promote->limits.settle_us))
+		(promote->settled ? limits->settle_min_us : limits->settle_us))
 		return -1;
-	return (int32_t)choose(promote);
+	return promote->stepping_down >= 0 ? choose_successor(promote, now_us)
+					   : (int32_t)choose(promote);
 }
 
 /*
@@ -672,8 +680,7 @@
 tick_fencing(promote_t *promote, int64_t now_us, promote_actions_t *actions)
 {
 	int32_t chosen = ready_to_raise(promote, now_us);
-	bool enough = promote->stepping_down < 0 &&
-	    granted_count(promote) >= grants_needed(promote);
+	bool enough = grants_suffice(promote);
 
 	if (enough && !promote->settling && promote->limits.settle_us > 0) {
 		promote->settling = true;
--- a/src/proxy/operation.c
+++ b/src/proxy/operation.c
@@ -282,6 +282,54 @@
 	operation_end(operation, BP__VERDICT__SUCCEEDED, operation->proof);
 }
 
+/*
+ * Try a statement again that did not run, or that only read.
+ */
+static void
+operation_retry(operation_t *operation, const char *why)
+{
+	if (++operation->tries >= TRIES_MAX ||
+	    (operation->transaction != NULL &&
+		operation->transaction->abandoned)) {
+		operation_refuse(operation, why);
+		return;
+	}
+	operation_queue(operation, true);
+}
+
+/*
+ * Tell whether the server that ran a statement is the primary of the lease,
+ * and ran it in the lease's term.
+ */
+static bool
+ran_at_primary(const operation_t *operation)
+{
+	const group_t *group = operation->group;
+	int32_t primary = promote_primary(&group->promote);
+
+	return primary >= 0 && group->servers[primary] == operation->server &&
+	    operation->ran_at.term == group->lease.term;
+}
+
+/*
+ * A statement ran at a server that was not the primary, or is no longer.  A
+ * single read is put to the primary that there is now.
+ */
+static void
+operation_misplaced(operation_t *operation)
+{
+	if (operation->run->kind != BP__OPERATION_KIND__READ_ITEM ||
+	    operation->transaction != NULL) {
+		operation_fail(operation, BP__VERDICT__IN_DOUBT,
+		    "the primary was replaced meanwhile");
+		return;
+	}
+	g_queue_unlink(&operation->group->held, &operation->link);
+	g_clear_pointer(&operation->rows, g_ptr_array_unref);
+	memset(&operation->ran_at, 0, sizeof(operation->ran_at));
+	operation_retry(operation, "the primary was replaced meanwhile");
+}
+
 /*
  * Answer the statements whose primary is now known to have been the only one
  * for long enough, and end those for which that can no longer be.
@@ -293,16 +341,14 @@
 
 	while (l != NULL) {
 		operation_t *operation = l->data;
+		bool there = ran_at_primary(operation);
 
 		l = l->next;
-		if (operation->ran_at.term == group->lease.term &&
-		    lease_needed_us(operation, now_us) <=
-			group->lease.until_us) {
+		if (there &&
+		    lease_needed_us(operation, now_us) <= group->lease.until_us)
 			operation_done(operation);
-		} else if (operation->ran_at.term < group->lease.term) {
-			operation_fail(operation, BP__VERDICT__IN_DOUBT,
-			    "the primary was replaced meanwhile");
-		}
+		else if (!there && group->lease.until_us > now_us)
+			operation_misplaced(operation);
 	}
 }
 
@@ -356,21 +402,6 @@
 		operation_hold(operation, now_us);
 }
 
-/*
- * Try a statement again that did not run, or that only read.
- */
-static void
-operation_retry(operation_t *operation, const char *why)
-{
-	if (++operation->tries >= TRIES_MAX ||
-	    (operation->transaction != NULL &&
-		operation->transaction->abandoned)) {
-		operation_refuse(operation, why);
-		return;
-	}
-	operation_queue(operation, true);
-}
-
 /*
  * The database has not run a statement.
  */
--- /dev/null
+++ b/tests/t_lease.c
@@ -0,0 +1,372 @@
+#include "../src/decide/promote.h"
+#include "../src/decide/replica.h"
+#include "../src/decide/spread.h"
+#include "cases.h"
+
+#include <string.h>
+
+/* Leases on a primary, changes of primary that end them, and reads spread. */
+
+#define MS(ms) ((int64_t)(ms)*1000)
+#define COUNT_MAX 5
+
+/* What one question to a database showed. */
+typedef struct answer {
+	uint32_t database;
+	bool primary;
+	uint64_t promised;
+	int64_t asked_ms;
+} answer_t;
+
+typedef struct lease_case {
+	const char *name;
+	uint32_t count;
+	answer_t answers[6]; /* in the order they came; asked_ms 0 ends them */
+	int64_t listed_ms;   /* 0: the daemon is not listed */
+	int64_t now_ms;
+	int64_t until_ms; /* expected; 0: none */
+} lease_case_t;
+
+#define SHORT_MS 250
+#define LONG_MS 2000
+
+static const lease_case_t lease_cases[] = {
+    {"no replica was asked", 3, {{0, true, 1, 10}}, 0, 10, 0},
+    {"one replica of two", 3, {{0, true, 1, 10}, {1, false, 1, 20}}, 0, 20,
+	270},
+    {"the younger answer counts", 3,
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 90}}, 0, 90, 340},
+    {"of five two replicas are needed", 5,
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 90}}, 0, 90, 270},
+    {"listed, and asked since", 3, {{0, true, 1, 10}, {1, false, 1, 20}}, 15,
+	20, 2020},
+    {"listed, but asked before", 3, {{0, true, 1, 10}, {1, false, 1, 20}}, 30,
+	40, 270},
+    {"a replica holds a newer term", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {2, false, 1, 30}}, 0, 30, 0},
+    {"a newer term that is no longer seen still bars", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40}}, 0, 40, 0},
+    {"until all deny it", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40},
+	    {2, false, 1, 50}, {0, true, 1, 60}},
+	0, 60, 300},
+    {"or a majority for long", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {0, true, 1, 2900},
+	    {1, false, 1, 3000}},
+	0, 3000, 3250},
+    {"the primary itself is not a witness", 3,
+	{{0, true, 1, 10}, {0, true, 1, 50}}, 0, 50, 0},
+    {"an old primary is passed over for the new", 3,
+	{{0, true, 1, 10}, {1, true, 2, 20}, {2, false, 2, 30}}, 0, 30, 280},
+    {"a primary alone needs no questions", 1, {{0, true, 1, 10}}, 0, 100, 350},
+};
+
+/*
+ * The database that is primary in the highest term, or -1.
+ */
+static int32_t
+primary_of(const db_view_t *views, uint32_t count)
+{
+	int32_t best = -1;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (views[i].known && views[i].primary &&
+		    (best < 0 || views[i].promised > views[best].promised))
+			best = (int32_t)i;
+	}
+	return best;
+}
+
+/*
+ * A lease rests on answers, one after the other.
+ */
+static void
+test_lease(gconstpointer data)
+{
+	const lease_case_t *c = data;
+	lease_span_t spans = {MS(SHORT_MS), MS(LONG_MS), MS(c->listed_ms)};
+	db_view_t views[COUNT_MAX];
+	lease_t lease = {0};
+	uint32_t i;
+
+	memset(views, 0, sizeof(views));
+	for (i = 0; c->answers[i].asked_ms != 0; i++) {
+		const answer_t *answer = &c->answers[i];
+		db_view_t *view = &views[answer->database];
+		int32_t primary;
+
+		view->known = true;
+		view->primary = answer->primary;
+		view->promised = answer->promised;
+		view->asked_us = MS(answer->asked_ms);
+		primary = primary_of(views, c->count);
+		if (primary >= 0)
+			lease_renew(&lease, views, c->count, (uint32_t)primary,
+			    c->answers[i + 1].asked_ms == 0
+				? MS(c->now_ms)
+				: MS(answer->asked_ms),
+			    &spans);
+	}
+	g_assert_cmpint(lease.until_us, ==, MS(c->until_ms));
+}
+
+/*
+ * The lease of a primary that was alone does not outlive the arrival of
+ * replicas by more than its span.
+ */
+static void
+test_lone_primary(void)
+{
+	lease_span_t spans = {MS(SHORT_MS), MS(LONG_MS), 0};
+	db_view_t views[3] = {{.known = true, .primary = true, .promised = 1}};
+	lease_t lease = {0};
+
+	g_assert_true(lease_renew(&lease, views, 1, 0, MS(1000), &spans));
+	g_assert_cmpint(lease.until_us, ==, MS(1250));
+	g_assert_false(lease_renew(&lease, views, 3, 0, MS(1200), &spans));
+	g_assert_cmpint(lease.until_us, ==, MS(1250));
+}
+
+typedef struct revoke_case {
+	const char *name;
+	uint64_t term; /* given back below this one */
+	bool ends;
+} revoke_case_t;
+
+static const revoke_case_t revoke_cases[] = {
+    {"of an older term", 3, true},
+    {"of the same term", 2, false},
+    {"of a newer term", 1, false},
+};
+
+/*
+ * A lease that was given back does not come back by an old answer.
+ */
+static void
+test_revoke(gconstpointer data)
+{
+	const revoke_case_t *c = data;
+	lease_span_t spans = {MS(SHORT_MS), MS(LONG_MS), MS(1)};
+	db_view_t views[3] = {{true, true, false, 2, {0, 0}, MS(10)},
+	    {true, false, false, 2, {0, 0}, MS(20)},
+	    {true, false, false, 2, {0, 0}, MS(30)}};
+	lease_t lease = {0};
+
+	g_assert_true(lease_renew(&lease, views, 3, 0, MS(30), &spans));
+	lease_revoke(&lease, c->term, MS(40));
+	g_assert_cmpint(lease.until_us, ==, c->ends ? 0 : MS(2030));
+	views[1].asked_us = MS(35); /* put before it was given back */
+	lease_renew(&lease, views, 3, 0, MS(45), &spans);
+	g_assert_cmpint(lease.until_us, ==, c->ends ? 0 : MS(2035));
+}
+
+/* What happens to a change of primary, step by step. */
+typedef enum step_kind {
+	STEP_END,
+	STEP_GRANT,     /* by database */
+	STEP_SETTLED,   /* all daemons have answered */
+	STEP_CAUGHT_UP, /* database reports the index */
+	STEP_REMAP,     /* database is gone */
+} step_kind_t;
+
+typedef struct step {
+	int64_t at_ms;
+	step_kind_t kind;
+	uint32_t database;
+	uint64_t index;
+} step_t;
+
+typedef struct change_case {
+	const char *name;
+	bool handover;
+	uint32_t sync;
+	step_t steps[5];
+	int64_t raised_at_ms; /* 0: not within a second */
+	uint32_t raised;
+} change_case_t;
+
+/* Database 0 is primary of term 1 at index 9, the others are at 7 and 8. */
+static const change_case_t change_cases[] = {
+    {"a majority grants, all daemons settle", false, 0,
+	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8}, {5, STEP_SETTLED, 0, 0}},
+	152, 2},
+    {"no daemon answers: leases run out", false, 0,
+	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8}}, 802, 2},
+    {"one grant is no majority", false, 0, {{1, STEP_GRANT, 1, 7}}, 0, 0},
+    {"a handover needs the primary alone", true, 0,
+	{{1, STEP_GRANT, 0, 9}, {3, STEP_SETTLED, 0, 0},
+	    {40, STEP_CAUGHT_UP, 1, 9}},
+	151, 1},
+    {"a handover, too, waits for the leases", true, 0,
+	{{1, STEP_GRANT, 0, 9}, {40, STEP_CAUGHT_UP, 1, 9}}, 801, 1},
+    {"a handover waits for a replica, within bounds", true, 0,
+	{{1, STEP_GRANT, 0, 9}, {3, STEP_SETTLED, 0, 0}}, 251, 2},
+    {"not when each commit must be held", true, 1,
+	{{1, STEP_GRANT, 0, 9}, {3, STEP_SETTLED, 0, 0}}, 0, 0},
+    {"a server that goes does not end the change", false, 0,
+	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8}, {3, STEP_REMAP, 0, 0},
+	    {5, STEP_SETTLED, 0, 0}},
+	152, 1},
+};
+
+static const promote_limits_t change_limits = {
+    .suspect_us = MS(5000),
+    .distrust_us = MS(25000),
+    .fence_us = MS(300),
+    .raise_us = MS(500),
+    .backoff_us = MS(4000),
+    .settle_us = MS(800),
+    .settle_min_us = MS(150),
+    .catch_up_us = MS(250),
+    .revocable = true,
+};
+
+/*
+ * Apply one step.
+ */
+static void
+apply(promote_t *promote, const step_t *step)
+{
+	static const int32_t without_first[] = {1, 2};
+	db_view_t view = {
+	    true, false, false, 1, {1, step->index}, MS(step->at_ms)};
+
+	switch (step->kind) {
+	case STEP_GRANT:
+		view.promised = promote->term;
+		promote_fenced(promote, step->database, promote->term, true,
+		    &view, MS(step->at_ms));
+		break;
+	case STEP_SETTLED:
+		promote_settled(promote, promote->term);
+		break;
+	case STEP_CAUGHT_UP:
+		promote_observed(
+		    promote, step->database, &view, MS(step->at_ms));
+		break;
+	case STEP_REMAP:
+		promote_remap(promote, without_first, 2, MS(step->at_ms));
+		break;
+	default:
+		break;
+	}
+}
+
+/*
+ * A change of primary raises the right database, neither too early nor not
+ * at all.
+ */
+static void
+test_change(gconstpointer data)
+{
+	const change_case_t *c = data;
+	promote_limits_t limits = change_limits;
+	promote_actions_t actions;
+	int64_t raised_at_ms = 0, at_ms;
+	uint32_t i, next = 0, raised = 0;
+	promote_t promote;
+
+	limits.sync_replicas = c->sync;
+	promote_init(&promote, &limits, 3, 1, 0);
+	for (i = 0; i < 3; i++) {
+		db_view_t view = {true, i == 0, i == 0 && c->handover, 1,
+		    {1, i == 0 ? 9 : 6 + i}, 1};
+
+		promote_observed(&promote, i, &view, 0);
+	}
+	promote_tick(&promote, 0, &actions);
+	g_assert_cmpint(promote.state, ==, PROMOTE_STEADY);
+	if (c->handover) {
+		promote_handover(&promote, 0);
+	} else {
+		promote_refused(&promote, 0, 0);
+		promote_refused(&promote, 0, 0);
+		promote_tick(&promote, 0, &actions);
+		promote_witness_heard(&promote, promote.witness, false, 0);
+	}
+	for (at_ms = 0; at_ms < 1000 && raised_at_ms == 0; at_ms++) {
+		while (c->steps[next].kind != STEP_END &&
+		    c->steps[next].at_ms == at_ms)
+			apply(&promote, &c->steps[next++]);
+		promote_tick(&promote, MS(at_ms), &actions);
+		for (i = 0; i < actions.count; i++) {
+			if (actions.list[i].kind != PROMOTE_RAISE)
+				continue;
+			raised_at_ms = at_ms;
+			raised = actions.list[i].database;
+		}
+	}
+	g_assert_cmpint(raised_at_ms, ==, c->raised_at_ms);
+	if (raised_at_ms != 0)
+		g_assert_cmpuint(raised, ==, c->raised);
+	promote_clear(&promote);
+}
+
+typedef struct spread_case {
+	const char *name;
+	spread_t candidates[3]; /* the first is the primary */
+	int32_t chosen;
+} spread_case_t;
+
+#define AT(usable, primary, zone, in_flight, busy) \
+	{ \
+		usable, primary, zone, 4, in_flight, 4, busy \
+	}
+
+static const spread_case_t spread_cases[] = {
+    {"replicas before the primary",
+	{AT(true, true, true, 0, 0), AT(true, false, false, 1, 0),
+	    AT(true, false, false, 0, 0)},
+	2},
+    {"the own zone before another",
+	{AT(true, true, false, 0, 0), AT(true, false, false, 0, 0),
+	    AT(true, false, true, 0, 0)},
+	2},
+    {"the emptier zone before the own",
+	{AT(true, true, false, 0, 0), AT(true, false, false, 0, 0),
+	    AT(true, false, true, 1, 1)},
+	1},
+    {"the primary when replicas are much busier",
+	{AT(true, true, true, 0, 0), AT(true, false, true, 3, 4),
+	    AT(true, false, true, 3, 4)},
+	0},
+    {"what others run there counts",
+	{AT(false, true, true, 0, 0), AT(true, false, true, 0, 4),
+	    AT(true, false, true, 0, 1)},
+	2},
+    {"all that may are full",
+	{AT(false, true, true, 0, 0), AT(true, false, true, 4, 4),
+	    AT(true, false, true, 4, 4)},
+	SPREAD_BUSY},
+    {"none may",
+	{AT(false, true, true, 0, 0), AT(false, false, true, 0, 0),
+	    AT(false, false, true, 0, 0)},
+	SPREAD_NONE},
+};
+
+/*
+ * A read goes where it is served soonest.
+ */
+static void
+test_spread(gconstpointer data)
+{
+	const spread_case_t *c = data;
+
+	g_assert_cmpint(spread_choose(c->candidates, 3), ==, c->chosen);
+}
+
+/*
+ * Run the tables.
+ */
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	CASES("/lease/until", lease_cases, test_lease);
+	CASES("/lease/revoke", revoke_cases, test_revoke);
+	CASES("/change", change_cases, test_change);
+	CASES("/spread", spread_cases, test_spread);
+	g_test_add_func("/lease/lone-primary", test_lone_primary);
+	return g_test_run();
+}
--- a/tools/fleet.c
+++ b/tools/fleet.c
@@ -43,8 +43,8 @@
  * kernel takes for outgoing connections, so none of these can take it before
  * the process does; each test process begins elsewhere.
  */
-static uint32_t
-free_port(void)
+uint32_t
+fleet_free_port(void)
 {
 	static uint32_t next;
 
@@ -100,8 +100,8 @@
 /*
  * The path of a program of the build.
  */
-static char *
-program(const char *name)
+char *
+fleet_program(const char *name)
 {
 	const char *folder = g_getenv("BP_BUILD");
 
@@ -121,12 +121,13 @@
 /*
  * Start a program; its log goes to a file of the fleet's folder.
  */
-static void
-spawn(fleet_t *fleet, fleet_process_t *process, const char *const *argv)
+void
+fleet_spawn(
+    const char *folder, fleet_process_t *process, const char *const *argv)
 {
 	GSubprocessLauncher *launcher =
 	    g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
-	char *log = g_strdup_printf("%s/%s.log", fleet->folder, process->name);
+	char *log = g_strdup_printf("%s/%s.log", folder, process->name);
 	GError *error = NULL;
 
 	g_subprocess_launcher_set_stderr_file_path(launcher, log);
@@ -173,8 +174,8 @@
 /*
  * End a process at once.
  */
-static void
-process_kill(fleet_process_t *process)
+void
+fleet_kill(fleet_process_t *process)
 {
 	if (process->process == NULL)
 		return;
@@ -190,13 +191,13 @@
 database_start(fleet_t *fleet, uint32_t i, const fleet_group_t *group)
 {
 	fleet_process_t *db = &fleet->databases[i];
-	char *path = program("fakedb");
+	char *path = fleet_program("fakedb");
 	char port[16], slots[16], connections[16], service[16], lag[16];
 	const char *argv[] = {path, "--port", port, "--slots", slots,
 	    "--connections", connections, "--service-ms", service, "--lag-ms",
 	    lag, NULL};
 
-	db->port = free_port();
+	db->port = fleet_free_port();
 	db->name = g_strdup_printf(
 	    "%s%c", group->name, 'a' + (char)(i - group->first));
 	g_snprintf(port, sizeof(port), "%u", db->port);
@@ -204,7 +205,7 @@
 	g_snprintf(connections, sizeof(connections), "%u", group->connections);
 	g_snprintf(service, sizeof(service), "%u", fleet->plan.service_ms);
 	g_snprintf(lag, sizeof(lag), "%u", fleet->plan.lag_ms);
-	spawn(fleet, db, argv);
+	fleet_spawn(fleet->folder, db, argv);
 	g_free(path);
 }
 
@@ -391,10 +392,10 @@
 fleet_daemon_start(fleet_t *fleet, uint32_t i)
 {
 	fleet_process_t *daemon = &fleet->daemons[i];
-	char *path = program("bergamotplank");
+	char *path = fleet_program("bergamotplank");
 	const char *argv[] = {path, "serve", "-f", daemon->settings, NULL};
 
-	spawn(fleet, daemon, argv);
+	fleet_spawn(fleet->folder, daemon, argv);
 	g_free(path);
 }
 
@@ -404,7 +405,7 @@
 void
 fleet_daemon_end(fleet_t *fleet, uint32_t i)
 {
-	process_kill(&fleet->daemons[i]);
+	fleet_kill(&fleet->daemons[i]);
 }
 
 /*
@@ -448,15 +449,15 @@
 static void
 platform_start(fleet_t *fleet)
 {
-	char *path = program("fakeplatform"), *url;
+	char *path = fleet_program("fakeplatform"), *url;
 	char port[16];
 	const char *argv[] = {path, "--port", port, NULL};
 	uint32_t tries;
 
-	fleet->platform.port = free_port();
+	fleet->platform.port = fleet_free_port();
 	fleet->platform.name = g_strdup("platform");
 	g_snprintf(port, sizeof(port), "%u", fleet->platform.port);
-	spawn(fleet, &fleet->platform, argv);
+	fleet_spawn(fleet->folder, &fleet->platform, argv);
 	url =
 	    g_strdup_printf("http://127.0.0.1:%u/calls", fleet->platform.port);
 	for (tries = 0; tries < 200 && http_call("GET", url, NULL, NULL) == 0;
@@ -490,9 +491,9 @@
 		group_start(fleet, "quotes", quotes[i], 2, 30);
 	for (i = 0; i < plan->daemons; i++) {
 		fleet->daemons[i].name = g_strdup_printf("entry-%u", i + 1);
-		fleet->daemons[i].port = free_port();
-		fleet->daemons[i].operator_port = free_port();
-		fleet->daemons[i].peer_port = free_port();
+		fleet->daemons[i].port = fleet_free_port();
+		fleet->daemons[i].operator_port = fleet_free_port();
+		fleet->daemons[i].peer_port = fleet_free_port();
 	}
 	for (i = 0; i < plan->daemons; i++)
 		daemon_settings(fleet, i);
@@ -515,31 +516,42 @@
 }
 
 /*
- * End every process of a fleet and remove its folder, unless BP_KEEP is set.
+ * Remove a folder with the logs and settings of processes, unless BP_KEEP is
+ * set.
  */
 void
-fleet_end(fleet_t *fleet)
+fleet_folder_remove(const char *path)
 {
 	GDir *folder;
 	const char *name;
-	char *path;
+
+	if (g_getenv("BP_KEEP") != NULL)
+		return;
+	folder = g_dir_open(path, 0, NULL);
+	while ((name = g_dir_read_name(folder)) != NULL) {
+		char *file = g_build_filename(path, name, NULL);
+
+		g_unlink(file);
+		g_free(file);
+	}
+	g_dir_close(folder);
+	g_rmdir(path);
+}
+
+/*
+ * End every process of a fleet and remove its folder, unless BP_KEEP is set.
+ */
+void
+fleet_end(fleet_t *fleet)
+{
 	uint32_t i;
 
 	for (i = 0; i < fleet->plan.daemons; i++)
-		process_kill(&fleet->daemons[i]);
+		fleet_kill(&fleet->daemons[i]);
 	for (i = 0; i < fleet->databases_count; i++)
-		process_kill(&fleet->databases[i]);
-	process_kill(&fleet->platform);
-	if (g_getenv("BP_KEEP") == NULL) {
-		folder = g_dir_open(fleet->folder, 0, NULL);
-		while ((name = g_dir_read_name(folder)) != NULL) {
-			path = g_build_filename(fleet->folder, name, NULL);
-			g_unlink(path);
-			g_free(path);
-		}
-		g_dir_close(folder);
-		g_rmdir(fleet->folder);
-	}
+		fleet_kill(&fleet->databases[i]);
+	fleet_kill(&fleet->platform);
+	fleet_folder_remove(fleet->folder);
 	g_free(fleet->folder);
 	g_free(fleet);
 }
--- a/tools/fleet.h
+++ b/tools/fleet.h
@@ -64,6 +64,14 @@
 uint32_t http_call(
     const char *method, const char *url, const char *body, char **answer);
 
+/* One process of any kind; its log lies in the folder. */
+uint32_t fleet_free_port(void);
+char *fleet_program(const char *name);
+void fleet_spawn(
+    const char *folder, fleet_process_t *, const char *const *argv);
+void fleet_kill(fleet_process_t *);
+void fleet_folder_remove(const char *path);
+
 fleet_t *fleet_start(const fleet_plan_t *);
 void fleet_end(fleet_t *);
 bool fleet_wait_ready(fleet_t *, uint32_t timeout_ms);
--- /dev/null
+++ b/tools/site.h
@@ -0,0 +1,46 @@
+#ifndef SITE_H
+#define SITE_H
+
+#include "fleet.h"
+
+/*
+ * The users' platform as a stand-in, and proxies before it, each a process of
+ * its own on loopback.
+ */
+
+#define SITE_PROXIES_MAX 5
+
+typedef struct site_plan {
+	uint32_t proxies;
+	uint32_t lag_ms;
+	uint32_t work_ms;
+	double grace_s; /* 0: the default */
+} site_plan_t;
+
+typedef struct site {
+	site_plan_t plan;
+	char *folder;
+	fleet_process_t platform;
+	uint32_t databases_port;
+	fleet_process_t proxies[SITE_PROXIES_MAX];
+} site_t;
+
+/* A client's session: one connection, one line a message. */
+typedef struct client client_t;
+
+site_t *site_start(const site_plan_t *);
+void site_end(site_t *);
+void site_proxy_start(site_t *, uint32_t proxy);
+bool site_wait_ready(site_t *, uint32_t timeout_ms);
+void site_fault(site_t *, const char *on, const char *what, int32_t number);
+void site_put(
+    site_t *, const char *kind, const char *name, const char *content);
+char *site_value(site_t *, const char *item, uint32_t *unfenced);
+
+client_t *client_open(site_t *, uint32_t proxy, const char *database);
+void client_close(client_t *);
+bool client_send(client_t *, const char *bytes, uint64_t size_bytes);
+char *client_line(client_t *, uint32_t timeout_ms);
+char *client_ask(client_t *, const char *text, uint32_t timeout_ms);
+
+#endif
