Tests of the proxy with processes; a half position is none

Found by them: a READY whose position is cut off in the middle gave half a position (t_wire, "ready at half a position").

--- a/Makefile
+++ b/Makefile
@@ -74,7 +74,7 @@
     $(BUILD)/tests/fake/fakelines.o
 $(BUILD)/fakedb: $(BUILD)/tests/fake/fakelog.o $(BUILD)/tests/fake/fakerepl.o
 $(BUILD)/fake%: $(BUILD)/tests/fake/fake%.o $(BUILD)/libbergamotplank.a
-	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS)
 
 TOOLS = demo bench slopes measure fuzz
 
--- a/tests/fake/fakelines.c
+++ b/tests/fake/fakelines.c
@@ -45,6 +45,7 @@
 	lines_t in;
 	bool open;
 	bool broken;
+	bool worked; /* the answers are of an item or a commit */
 	char state;
 	bool read_only;
 	GPtrArray *writes; /* of entry_t, of the transaction */
@@ -327,6 +328,7 @@
 	conn_t *conn = context;
 
 	conn->timer = 0;
+	conn->worked = false;
 	if (!conn->database->mute)
 		sock_write(conn->sock, (const uint8_t *)conn->answers->str,
 		    conn->answers->len);
@@ -386,6 +388,7 @@
 	const char *found;
 	entry_t *entry;
 
+	conn->worked = true;
 	if (conn->state == 'E') {
 		refuse(conn, "MALFORMED the transaction has failed");
 	} else if (writes && (!database->primary || conn->read_only)) {
@@ -421,6 +424,7 @@
 	bool wrote = conn->writes->len > 0;
 	uint32_t i;
 
+	conn->worked = true;
 	if (conn->state != 'T') {
 		refuse(conn, "MALFORMED no transaction");
 		return;
@@ -599,7 +603,7 @@
 		on_worked(conn);
 		conn_free(conn);
 	} else if (conn->timer == 0 && conn->answers->len > 0) {
-		if (conn->database->group->work_ms == 0)
+		if (!conn->worked || conn->database->group->work_ms == 0)
 			on_worked(conn);
 		else
 			conn->timer = g_timeout_add(
--- /dev/null
+++ b/tests/t_proxy.c
@@ -0,0 +1,400 @@
+#include "../src/log.h"
+#include "../tools/site.h"
+#include "cases.h"
+
+#include <curl/curl.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <string.h>
+
+/* Proxies before a stand-in of the users' platform, each a process. */
+
+#define READY_MS 10000
+#define ANSWER_MS 5000
+#define ASKS_MAX 12
+
+typedef struct ask {
+	const char *text;
+	const char *expected; /* its beginning, lines joined by "|" */
+} ask_t;
+
+typedef struct session_case {
+	const char *name;
+	const char *database;
+	ask_t asks[ASKS_MAX];
+} session_case_t;
+
+static const session_case_t session_cases[] = {
+    {"a write and a read", "intake",
+	{{"WRITE a1 watch", "DONE p"}, {"READ a1", "ROW watch|DONE p"}}},
+    {"own writes are seen", "quotes",
+	{{"WRITE b1 one", "DONE p"}, {"READ b1", "ROW one|DONE p"},
+	    {"WRITE b1 two", "DONE p"}, {"READ b1", "ROW two|DONE p"}}},
+    {"a read of a stated age", "lookup", {{"READ nothing", "ROW none|DONE p"}}},
+    {"a transaction", "intake",
+	{{"BEGIN", "DONE -|READY T -"}, {"WRITE c1 x", "DONE p"},
+	    {"READ c1", "ROW none|DONE p"}, {"COMMIT", "DONE p"},
+	    {"READ c1", "ROW x|DONE p"}}},
+    {"a transaction without statements", "intake",
+	{{"BEGIN", "DONE -|READY T"}, {"COMMIT", "DONE p"}}},
+    {"a transaction that only reads", "lookup",
+	{{"BEGIN READ", "DONE -|READY T"}, {"READ d1", "ROW none|DONE p"},
+	    {"WRITE d1 x", "ERR READONLY"}, {"READ d1", "ERR MALFORMED"},
+	    {"ROLLBACK", "DONE -|READY I"}}},
+    {"a rollback", "intake",
+	{{"BEGIN", "DONE"}, {"WRITE e1 x", "DONE p"},
+	    {"ROLLBACK", "DONE -|READY I"}, {"READ e1", "ROW none|DONE p"}}},
+    {"values and prepared statements", "quotes",
+	{{"SET tz london", "DONE -|READY I -"},
+	    {"PREPARE s1 WRITE q2c", "DONE -"},
+	    {"PREPARE s2 READ q3", "DONE -"}, {"EXEC s1 f1 data", "DONE p"},
+	    {"EXEC s2 f1", "ROW data|DONE p"}, {"DEALLOC s1", "DONE -"},
+	    {"EXEC s1 f1 data", "ERR NOSTMT"}}},
+    {"a prepared statement in a transaction", "intake",
+	{{"PREPARE s1 WRITE q2c", "DONE -"}, {"BEGIN", "DONE"},
+	    {"EXEC s1 g1 data", "DONE p"}, {"COMMIT", "DONE p"},
+	    {"READ g1", "ROW data"}}},
+    {"an unknown statement fails a transaction", "intake",
+	{{"BEGIN", "DONE"}, {"WRITE h1 x", "DONE p"}, {"JUMP", "ERR MALFORMED"},
+	    {"COMMIT", "ERR ABORTED"}, {"READ h1", "ROW none"}}},
+    {"ends without a beginning", "intake",
+	{{"COMMIT", "ERR MALFORMED"}, {"ROLLBACK", "ERR MALFORMED"},
+	    {"READ i1", "ROW none"}}},
+    {"a transaction in a transaction", "intake",
+	{{"BEGIN", "DONE"}, {"BEGIN", "ERR MALFORMED"},
+	    {"ROLLBACK", "DONE -|READY I"}}},
+};
+
+/*
+ * Run a statement whose answer begins as expected.
+ */
+static void
+expect(client_t *client, const char *text, const char *expected)
+{
+	char *answer = client_ask(client, text, ANSWER_MS);
+
+	if (answer == NULL || !g_str_has_prefix(answer, expected))
+		g_error("%s: expected %s, found %s", text, expected, answer);
+	g_free(answer);
+}
+
+/*
+ * One client's session against two proxies and three databases.
+ */
+static void
+test_session(gconstpointer data)
+{
+	const session_case_t *c = data;
+	site_plan_t plan = {.proxies = 2, .lag_ms = 30};
+	site_t *site = site_start(&plan);
+	client_t *client;
+	uint32_t i;
+
+	g_assert_true(site_wait_ready(site, READY_MS));
+	client = client_open(site, 0, c->database);
+	g_assert_nonnull(client);
+	for (i = 0; i < ASKS_MAX && c->asks[i].text != NULL; i++)
+		expect(client, c->asks[i].text, c->asks[i].expected);
+	client_close(client);
+	site_end(site);
+}
+
+typedef struct change_case {
+	const char *name;
+	const char *fault; /* of the primary */
+	const char *store; /* NULL: it stays up */
+} change_case_t;
+
+static const change_case_t change_cases[] = {
+    {"the primary crashes", "crash", NULL},
+    {"the primary falls silent", "mute", NULL},
+    {"the primary leaves", "leave", NULL},
+    {"the primary crashes, the store is away", "crash", "busy"},
+    {"the primary falls silent, the store too", "mute", "silent"},
+};
+
+/* The writes of one client that were told to have succeeded. */
+#define WRITES_MAX 4000
+#define CHANGE_MS 12000
+#define AFTER_WRITES 20
+
+/*
+ * Write through every proxy in turn until, after the fault, each has had
+ * several writes acknowledged.  What was acknowledged after the change must
+ * be held, and nothing is acknowledged by two primaries.
+ */
+static void
+test_change(gconstpointer data)
+{
+	const change_case_t *c = data;
+	site_plan_t plan = {.proxies = 3, .lag_ms = 5};
+	site_t *site = site_start(&plan);
+	int64_t until_us;
+	uint32_t i, acknowledged = 0, after = 0, unfenced;
+	uint32_t refused_since = 0;
+	char *last = NULL, *value;
+
+	g_assert_true(site_wait_ready(site, READY_MS));
+	until_us = g_get_monotonic_time() + CHANGE_MS * US_PER_MS;
+	for (i = 0; i < WRITES_MAX && after < AFTER_WRITES; i++) {
+		client_t *client = client_open(site, i % 3, "intake");
+		char *text = g_strdup_printf("WRITE k v%u", i);
+		char *answer =
+		    client == NULL ? NULL : client_ask(client, text, ANSWER_MS);
+
+		if (i == 30) {
+			if (c->store != NULL)
+				site_fault(site, "store", c->store, -1);
+			site_fault(site, "database", c->fault, 0);
+		}
+		if (answer != NULL && g_str_has_prefix(answer, "DONE p")) {
+			acknowledged++;
+			after += i > 30 && refused_since > 0;
+			g_free(last);
+			last = g_strdup_printf("v%u", i);
+		} else {
+			refused_since += i >= 30;
+			g_usleep(20000);
+		}
+		g_assert_cmpint(g_get_monotonic_time(), <, until_us);
+		g_free(answer);
+		g_free(text);
+		client_close(client);
+	}
+	g_assert_cmpuint(acknowledged, >=, 30 + AFTER_WRITES);
+	value = site_value(site, "k", &unfenced);
+	g_assert_cmpstr(value, ==, last);
+	g_assert_cmpuint(unfenced, ==, 0);
+	g_free(value);
+	g_free(last);
+	site_end(site);
+}
+
+typedef struct input_case {
+	const char *name;
+	const char *bytes;    /* NULL: a line that is too long */
+	const char *expected; /* the beginning of the last line; NULL: none */
+} input_case_t;
+
+static const input_case_t input_cases[] = {
+    {"an unknown word", "HELLO\r\n", "ERR MALFORMED"},
+    {"an unknown database", "START nowhere u1\r\n", "ERR NODB"},
+    {"a statement before a session", "QUERY 1 READ a\r\n", "ERR MALFORMED"},
+    {"two openings", "START intake u1\r\nSTART intake u1\r\n", "ERR MALFORMED"},
+    {"a line that is too long", NULL, "ERR TOOBIG"},
+    {"a query without an id", "START intake u1\r\nQUERY\r\n", "ERR MALFORMED"},
+    {"bytes that are no text", "\x01\xff\xfe\r\n", "ERR MALFORMED"},
+    {"nothing, and gone", "", NULL},
+    {"half a line, and gone", "START int", NULL},
+    {"gone while its transaction begins",
+	"START intake u1\r\nQUERY 1 BEGIN\r\nQUERY 2 READ a\r\n", NULL},
+    {"gone while its commit runs",
+	"START intake u1\r\nQUERY 1 BEGIN\r\nQUERY 2 WRITE a b\r\n"
+	"QUERY 3 COMMIT\r\n",
+	NULL},
+};
+
+/*
+ * Bad input ends a session with an error; the proxy goes on.
+ */
+static void
+test_input(gconstpointer data)
+{
+	const input_case_t *c = data;
+	site_plan_t plan = {.proxies = 1, .lag_ms = 5, .work_ms = 30};
+	site_t *site = site_start(&plan);
+	client_t *client;
+	char *line, *last = NULL;
+	char *filler = g_strnfill(2 << 20, 'x');
+	uint32_t i;
+
+	g_assert_true(site_wait_ready(site, READY_MS));
+	for (i = 0; i < 5; i++) {
+		client = client_open(site, 0, "");
+		if (c->bytes == NULL)
+			client_send(client, filler, strlen(filler));
+		else
+			client_send(client, c->bytes, strlen(c->bytes));
+		g_clear_pointer(&last, g_free);
+		while (c->expected != NULL &&
+		    (line = client_line(client, ANSWER_MS)) != NULL) {
+			g_free(last);
+			last = line;
+		}
+		if (c->expected != NULL &&
+		    (last == NULL || !g_str_has_prefix(last, c->expected)))
+			g_error("last line: %s", last);
+		g_usleep(i * 10000);
+		client_close(client);
+	}
+	client = client_open(site, 0, "intake");
+	expect(client, "READ a", "ROW");
+	g_assert_false(fleet_wait_exit(&site->proxies[0], 50, NULL));
+	g_free(last);
+	g_free(filler);
+	client_close(client);
+	site_end(site);
+}
+
+typedef struct entry_case {
+	const char *name;
+	const char *content;
+} entry_case_t;
+
+static const entry_case_t entry_cases[] = {
+    {"missing fields", "{}"},
+    {"mistyped fields", "{\"backend\":7,\"address\":[],\"state\":{}}"},
+    {"a service that is not named",
+	"{\"backend\":\"other\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\","
+	"\"state\":\"ready\",\"capacity\":3}"},
+    {"bytes that cannot be read", "{\"backend\""},
+};
+
+/*
+ * An entry of another writer names no database to use; the others hold.
+ */
+static void
+test_entry(gconstpointer data)
+{
+	const entry_case_t *c = data;
+	site_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	site_t *site = site_start(&plan);
+	client_t *client;
+	uint32_t i;
+
+	g_assert_true(site_wait_ready(site, READY_MS));
+	site_put(site, "servers", "stranger", c->content);
+	for (i = 0; i < 20; i++) {
+		client = client_open(site, 0, i % 2 == 0 ? "intake" : "lookup");
+		expect(client, "READ a", "ROW");
+		client_close(client);
+		g_usleep(20000);
+	}
+	site_end(site);
+}
+
+/*
+ * A commit whose answer is lost is told to be in doubt, never refused.
+ */
+static void
+test_lost_commit(void)
+{
+	site_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	site_t *site = site_start(&plan);
+	client_t *client;
+	char *value;
+
+	g_assert_true(site_wait_ready(site, READY_MS));
+	client = client_open(site, 0, "intake");
+	expect(client, "BEGIN", "DONE");
+	expect(client, "WRITE lost yes", "DONE p");
+	site_fault(site, "database", "lose-commit", -1);
+	expect(client, "COMMIT", "ERR INDOUBT");
+	value = site_value(site, "lost", NULL);
+	g_assert_cmpstr(value, ==, "yes");
+	g_free(value);
+	client_close(client);
+	site_end(site);
+}
+
+/*
+ * A transaction that rests too long is rolled back, and its client is told
+ * with the next statement.
+ */
+static void
+test_idle_transaction(void)
+{
+	site_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	site_t *site = site_start(&plan);
+	client_t *client;
+
+	g_assert_true(site_wait_ready(site, READY_MS));
+	client = client_open(site, 0, "intake");
+	expect(client, "BEGIN", "DONE");
+	expect(client, "WRITE idle yes", "DONE p");
+	g_usleep(1500 * US_PER_MS);
+	expect(client, "COMMIT", "ERR ABORTED");
+	expect(client, "READ idle", "ROW none");
+	client_close(client);
+	site_end(site);
+}
+
+/*
+ * A proxy that is told to end finishes what runs, and ends by itself.
+ */
+static void
+test_leave(void)
+{
+	site_plan_t plan = {
+	    .proxies = 1, .lag_ms = 5, .work_ms = 200, .grace_s = 6};
+	site_t *site = site_start(&plan);
+	client_t *client, *idle;
+	int status = -1;
+
+	g_assert_true(site_wait_ready(site, READY_MS));
+	client = client_open(site, 0, "intake");
+	idle = client_open(site, 0, "lookup");
+	expect(client, "BEGIN", "DONE");
+	fleet_signal(&site->proxies[0], SIGTERM);
+	expect(client, "WRITE last yes", "DONE p");
+	expect(client, "COMMIT", "DONE p");
+	g_assert_null(client_line(idle, 5000)); /* closed without a word */
+	g_assert_true(fleet_wait_exit(&site->proxies[0], 6000, &status));
+	g_assert_cmpint(status, ==, 0);
+	client_close(client);
+	client_close(idle);
+	site_end(site);
+}
+
+/* Sessions that rest, and what the machine of a proxy has. */
+#define IDLE_SESSIONS 3500
+#define MEMORY_MAX_BYTES (UINT64_C(260) << 20)
+
+/*
+ * Thousands of sessions that rest fit into the machine's memory.
+ */
+static void
+test_idle_sessions(void)
+{
+	site_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	site_t *site = site_start(&plan);
+	client_t **clients = g_new0(client_t *, IDLE_SESSIONS);
+	uint64_t before, after;
+	uint32_t i;
+
+	g_assert_true(site_wait_ready(site, READY_MS));
+	before = fleet_memory_bytes(&site->proxies[0]);
+	for (i = 0; i < IDLE_SESSIONS; i++) {
+		clients[i] = client_open(site, 0, "lookup");
+		g_assert_nonnull(clients[i]);
+	}
+	after = fleet_memory_bytes(&site->proxies[0]);
+	g_test_message("measured: %u sessions, %" G_GUINT64_FORMAT
+		       " bytes each, %" G_GUINT64_FORMAT " in all",
+	    IDLE_SESSIONS, (after - before) / IDLE_SESSIONS, after);
+	g_assert_cmpuint(after, <, MEMORY_MAX_BYTES);
+	for (i = 0; i < IDLE_SESSIONS; i++)
+		client_close(clients[i]);
+	g_free(clients);
+	site_end(site);
+}
+
+/*
+ * Run the tables.
+ */
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	curl_global_init(CURL_GLOBAL_ALL);
+	log_start(G_LOG_LEVEL_WARNING);
+	CASES("/proxy/session", session_cases, test_session);
+	CASES("/proxy/change", change_cases, test_change);
+	CASES("/proxy/input", input_cases, test_input);
+	CASES("/proxy/entry", entry_cases, test_entry);
+	g_test_add_func("/proxy/lost-commit", test_lost_commit);
+	g_test_add_func("/proxy/idle-transaction", test_idle_transaction);
+	g_test_add_func("/proxy/leave", test_leave);
+	g_test_add_func("/proxy/idle-sessions", test_idle_sessions);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/t_wire.c
@@ -0,0 +1,341 @@
+#include "../platform/platform.h"
+#include "../platform/tree.h"
+#include "../src/proxy/lines.h"
+#include "cases.h"
+
+#include <string.h>
+
+/* The platform's formats, decoded. */
+
+typedef struct request_case {
+	const char *name;
+	const char *line;
+	request_kind_t kind;
+	statement_kind_t statement;
+	const char *text;    /* NULL: not looked at */
+	const char *operand; /* name; database of REQUEST_OPEN */
+	const char *value;
+	bool flag; /* writes, or read_only of a BEGIN */
+} request_case_t;
+
+static const request_case_t request_cases[] = {
+    {"start", "START lepu270 u3f1", REQUEST_OPEN, 0, NULL, "lepu270", NULL,
+	false},
+    {"start without a name", "START", REQUEST_UNKNOWN, 0, NULL, NULL, NULL,
+	false},
+    {"read", "QUERY 5c0 READ 1a4", REQUEST_QUERY, STATEMENT_READ, "READ 1a4",
+	NULL, NULL, false},
+    {"write", "QUERY 5c0 WRITE 1a4 x y", REQUEST_QUERY, STATEMENT_WRITE,
+	"WRITE 1a4 x y", NULL, NULL, true},
+    {"write without data", "QUERY 5c0 WRITE 1a4", REQUEST_QUERY,
+	STATEMENT_UNKNOWN, NULL, NULL, NULL, false},
+    {"begin", "QUERY 5c0 BEGIN", REQUEST_QUERY, STATEMENT_BEGIN, NULL, NULL,
+	NULL, false},
+    {"begin read", "QUERY 5c0 BEGIN READ", REQUEST_QUERY, STATEMENT_BEGIN, NULL,
+	NULL, NULL, true},
+    {"begin something", "QUERY 5c0 BEGIN LATER", REQUEST_QUERY,
+	STATEMENT_UNKNOWN, NULL, NULL, NULL, false},
+    {"commit", "QUERY 5c0 COMMIT", REQUEST_QUERY, STATEMENT_COMMIT, "COMMIT",
+	NULL, NULL, false},
+    {"rollback", "QUERY 5c0 ROLLBACK", REQUEST_QUERY, STATEMENT_ROLLBACK, NULL,
+	NULL, NULL, false},
+    {"set", "QUERY 5c0 SET tz Europe/London now", REQUEST_QUERY, STATEMENT_SET,
+	NULL, "tz", "Europe/London now", false},
+    {"prepare", "QUERY 5c0 PREPARE s1 WRITE q2c", REQUEST_QUERY,
+	STATEMENT_PREPARE, NULL, "s1", "q2c", true},
+    {"prepare of neither kind", "QUERY 5c0 PREPARE s1 LOOK q2c", REQUEST_QUERY,
+	STATEMENT_UNKNOWN, NULL, NULL, NULL, false},
+    {"exec", "QUERY 5c0 EXEC s1 1a4 xk", REQUEST_QUERY, STATEMENT_EXECUTE,
+	"1a4 xk", "s1", NULL, false},
+    {"dealloc", "QUERY 5c0 DEALLOC s1", REQUEST_QUERY, STATEMENT_DEALLOCATE,
+	NULL, "s1", NULL, false},
+    {"a client's own position", "QUERY 5c0 AFTER 3.1 READ 1a4", REQUEST_QUERY,
+	STATEMENT_UNKNOWN, NULL, NULL, NULL, false},
+    {"a status", "QUERY 5c0 STATUS", REQUEST_QUERY, STATEMENT_UNKNOWN, NULL,
+	NULL, NULL, false},
+    {"no text", "QUERY 5c0", REQUEST_QUERY, STATEMENT_UNKNOWN, NULL, NULL, NULL,
+	false},
+    {"no id", "QUERY", REQUEST_UNKNOWN, 0, NULL, NULL, NULL, false},
+    {"bye", "BYE", REQUEST_CLOSE, 0, NULL, NULL, NULL, false},
+    {"an unknown word", "HELLO there", REQUEST_UNKNOWN, 0, NULL, NULL, NULL,
+	false},
+    {"an empty line", "", REQUEST_UNKNOWN, 0, NULL, NULL, NULL, false},
+};
+
+/*
+ * A client's line.
+ */
+static void
+test_request(gconstpointer data)
+{
+	const request_case_t *c = data;
+	char *line = g_strdup(c->line);
+	request_t request;
+
+	platform_wire.read_request(line, &request);
+	g_assert_cmpint(request.kind, ==, c->kind);
+	if (c->kind == REQUEST_OPEN)
+		g_assert_cmpstr(request.database, ==, c->operand);
+	if (c->kind == REQUEST_QUERY) {
+		g_assert_cmpint(request.statement, ==, c->statement);
+		g_assert_cmpstr(request.id, ==, "5c0");
+		if (c->operand != NULL)
+			g_assert_cmpstr(request.name, ==, c->operand);
+		g_assert_cmpint(
+		    request.writes || request.read_only, ==, c->flag);
+	}
+	if (c->text != NULL)
+		g_assert_cmpstr(request.text, ==, c->text);
+	if (c->value != NULL)
+		g_assert_cmpstr(request.value, ==, c->value);
+	g_free(line);
+}
+
+typedef struct reply_case {
+	const char *name;
+	const char *line;
+	reply_kind_t kind;
+	Bp__Verdict verdict;
+	const char *text;
+	position_t position;
+} reply_case_t;
+
+static const reply_case_t reply_cases[] = {
+    {"ready", "READY I 3.1207", REPLY_READY, 0, NULL, {3, 1207}},
+    {"ready without a position", "READY T -", REPLY_READY, 0, NULL, {0, 0}},
+    {"ready in no state", "READY X 3.1", REPLY_UNKNOWN, 0, NULL, {0, 0}},
+    {"ready at half a position", "READY I 3.", REPLY_UNKNOWN, 0, NULL, {0, 0}},
+    {"row", "ROW a b", REPLY_ROW, 0, "a b", {0, 0}},
+    {"done", "DONE 7.1f3.c", REPLY_DONE, 0, "7.1f3.c", {0, 0}},
+    {"lagging", "ERR LAGGING i-7 behind", REPLY_ERROR, BP__VERDICT__LAGGING,
+	"i-7 behind", {0, 0}},
+    {"a code alone", "ERR TOOMANY", REPLY_ERROR, BP__VERDICT__TOO_MANY, "",
+	{0, 0}},
+    {"a code that begins like another", "ERR BUSYBODY x", REPLY_ERROR,
+	BP__VERDICT__OTHER_ERROR, "BUSYBODY x", {0, 0}},
+    {"an unknown word", "HELLO", REPLY_UNKNOWN, 0, NULL, {0, 0}},
+};
+
+/*
+ * A database's line.
+ */
+static void
+test_reply(gconstpointer data)
+{
+	const reply_case_t *c = data;
+	char *line = g_strdup(c->line);
+	reply_t reply;
+
+	platform_wire.read_reply(line, &reply);
+	g_assert_cmpint(reply.kind, ==, c->kind);
+	if (c->kind == REPLY_ERROR)
+		g_assert_cmpint(reply.verdict, ==, c->verdict);
+	if (c->text != NULL)
+		g_assert_cmpstr(reply.text, ==, c->text);
+	g_assert_cmpint(position_compare(reply.position, c->position), ==, 0);
+	g_free(line);
+}
+
+typedef struct status_case {
+	const char *name;
+	const char *row;
+	bool ok;
+	bool primary;
+	uint64_t held;
+} status_case_t;
+
+static const status_case_t status_cases[] = {
+    {"replica", "replica 3 3.1209 0 12 2 17", true, false, 0},
+    {"replica that holds a term", "replica 3 3.1209 4 12 2 17", true, false, 4},
+    {"primary", "primary 3 3.1209 0 0 2 17", true, true, 0},
+    {"a field more", "primary 3 3.1209 0 0 2 17 new", true, true, 0},
+    {"a field less", "primary 3 3.1209 0 0 2", false, false, 0},
+    {"another role", "witness 3 3.1209 0 0 2 17", false, false, 0},
+    {"no term", "replica x 3.1209 0 0 2 17", false, false, 0},
+    {"nothing", "", false, false, 0},
+};
+
+/*
+ * What a database says of itself.
+ */
+static void
+test_status(gconstpointer data)
+{
+	const status_case_t *c = data;
+	server_status_t status;
+
+	g_assert_cmpint(platform_wire.read_status(c->row, &status), ==, c->ok);
+	if (!c->ok)
+		return;
+	g_assert_cmpint(status.primary, ==, c->primary);
+	g_assert_cmpuint(status.held_term, ==, c->held);
+	g_assert_cmpuint(status.connections, ==, 17);
+}
+
+typedef struct server_case {
+	const char *name;
+	const char *content;
+	bool usable;
+} server_case_t;
+
+#define SERVER(address, state, capacity) \
+	"{\"backend\":\"b\",\"address\":" address ",\"zone\":\"z\"," \
+	"\"state\":" state ",\"capacity\":" capacity "}"
+
+static const server_case_t server_cases[] = {
+    {"whole", SERVER("\"10.0.0.1:80\"", "\"ready\"", "5"), true},
+    {"draining", SERVER("\"10.0.0.1:80\"", "\"draining\"", "5"), true},
+    {"a state without a name", SERVER("\"10.0.0.1:80\"", "\"odd\"", "5"),
+	false},
+    {"a state of another type", SERVER("\"10.0.0.1:80\"", "7", "5"), false},
+    {"no port", SERVER("\"10.0.0.1\"", "\"ready\"", "5"), false},
+    {"a port out of range", SERVER("\"10.0.0.1:99999\"", "\"ready\"", "5"),
+	false},
+    {"an address of another type", SERVER("[1]", "\"ready\"", "5"), false},
+    {"no slots", SERVER("\"10.0.0.1:80\"", "\"ready\"", "0"), false},
+    {"slots of another type", SERVER("\"10.0.0.1:80\"", "\"ready\"", "\"5\""),
+	false},
+    {"a list", "[]", false},
+    {"empty", "{}", false},
+    {"no JSON", "{\"backend\":", false},
+    {"nothing", "", false},
+};
+
+/*
+ * A database's report, which may come from another writer.
+ */
+static void
+test_server(gconstpointer data)
+{
+	const server_case_t *c = data;
+	yajl_val tree = tree_read(c->content, strlen(c->content));
+	object_t object = {"i-1", 5, false, tree};
+	arena_t *arena = arena_new();
+
+	g_assert_cmpint(server_read(&object, arena) != NULL, ==, c->usable);
+	arena_free(arena);
+	tree_free(tree);
+}
+
+typedef struct config_case {
+	const char *name;
+	const char *content;
+	bool readable;
+	uint32_t routes;
+} config_case_t;
+
+#define ROUTE(type) \
+	"{\"name\":\"r\",\"host\":\"h\",\"type\":" type \
+	",\"timeout-ms\":1000,\"backend\":\"b\"}"
+#define CONFIG(version, routes) \
+	"{\"version\":" version ",\"routes\":" routes ",\"services\":[]}"
+
+static const config_case_t config_cases[] = {
+    {"a route", CONFIG("3", "[" ROUTE("\"own\"") "]"), true, 1},
+    {"a route of no kind", CONFIG("3", "[" ROUTE("\"odd\"") "]"), true, 0},
+    {"one of two", CONFIG("3", "[{}," ROUTE("\"bounded\"") "]"), true, 1},
+    {"no version", CONFIG("null", "[]"), false, 0},
+    {"a version below zero", CONFIG("-1", "[]"), false, 0},
+    {"routes of another type", CONFIG("3", "{}"), false, 0},
+};
+
+/*
+ * The operator's configuration.
+ */
+static void
+test_config(gconstpointer data)
+{
+	const config_case_t *c = data;
+	yajl_val tree = tree_read(c->content, strlen(c->content));
+	object_t object = {"main", 5, false, tree};
+	arena_t *arena = arena_new();
+	Bp__Catalog *catalog =
+	    (Bp__Catalog *)message_new(arena, &bp__catalog__descriptor);
+
+	g_assert_cmpint(config_read(&object, arena, catalog), ==, c->readable);
+	if (c->readable)
+		g_assert_cmpuint(catalog->n_routes, ==, c->routes);
+	arena_free(arena);
+	tree_free(tree);
+}
+
+/*
+ * A text that nests deeper than is allowed is no JSON; brackets in strings do
+ * not count.
+ */
+static void
+test_depth(void)
+{
+	char *deep = g_strnfill(100000, '[');
+	char *text = g_strdup_printf("\"%s\"", deep);
+	yajl_val tree = tree_read(text, strlen(text));
+
+	g_assert_null(tree_read(deep, strlen(deep)));
+	g_assert_nonnull(tree);
+	tree_free(tree);
+	g_free(text);
+	g_free(deep);
+}
+
+typedef struct lines_case {
+	const char *name;
+	const char *pieces[4]; /* as the stream brings them */
+	const char *expected;  /* lines, each followed by "|" */
+	bool too_long;
+} lines_case_t;
+
+#define LINE_BYTES_MAX 8
+
+static const lines_case_t lines_cases[] = {
+    {"a line a piece", {"ab\r\n", "c\r\n"}, "ab|c|", false},
+    {"two in one piece", {"ab\r\ncd\r\n"}, "ab|cd|", false},
+    {"one in three pieces", {"a", "b\r", "\nc"}, "ab|", false},
+    {"an end without CR", {"ab\ncd\r\n"}, "ab|cd|", false},
+    {"an empty line", {"\r\n", "a\r\n"}, "|a|", false},
+    {"as long as allowed", {"12345678", "\r\n"}, "12345678|", false},
+    {"longer, without an end", {"12345", "6789"}, "", true},
+};
+
+/*
+ * Bytes of a stream, cut into lines.
+ */
+static void
+test_lines(gconstpointer data)
+{
+	const lines_case_t *c = data;
+	GString *found = g_string_new(NULL);
+	bool too_long = false;
+	lines_t lines;
+	char *line;
+	uint32_t i;
+
+	lines_init(&lines, LINE_BYTES_MAX);
+	for (i = 0; i < G_N_ELEMENTS(c->pieces) && c->pieces[i] != NULL; i++) {
+		lines_add(&lines, (const uint8_t *)c->pieces[i],
+		    (uint32_t)strlen(c->pieces[i]));
+		while ((line = lines_next(&lines)) != NULL)
+			g_string_append_printf(found, "%s|", line);
+		too_long |= lines_too_long(&lines);
+	}
+	g_assert_cmpstr(found->str, ==, c->expected);
+	g_assert_cmpint(too_long, ==, c->too_long);
+	lines_clear(&lines);
+	g_string_free(found, TRUE);
+}
+
+/*
+ * Run the tables.
+ */
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	CASES("/wire/request", request_cases, test_request);
+	CASES("/wire/reply", reply_cases, test_reply);
+	CASES("/wire/status", status_cases, test_status);
+	CASES("/wire/server", server_cases, test_server);
+	CASES("/wire/config", config_cases, test_config);
+	CASES("/wire/lines", lines_cases, test_lines);
+	g_test_add_func("/wire/depth", test_depth);
+	return g_test_run();
+}
