--- a/tests/fake/fakelines.c
+++ b/tests/fake/fakelines.c
@@ -534,6 +534,7 @@
 		access_item(conn, words[0][0] == 'W', words[1],
 		    words[1] == NULL || words[2] == NULL ? "" : words[2]);
 	} else if (strcmp(words[0], "BEGIN") == 0) {
+		conn->worked = true;
 		conn->read_only = words[1] != NULL;
 		if (!conn->read_only && !conn->database->primary) {
 			refuse(conn, "READONLY here");
