The duty is not taken from a daemon at work; a newer term in any answer ends a lease

A new primary that has no slot free answers questions for its state with BUSY, so its daemons, and the one that ordered the change, go on with the old one; then holds were taken back and leases of the old term returned.

Change: a daemon's patience begins anew with each sign of a change under way, differs from daemon to daemon, and the duty is not taken when somebody else has taken it since the record was read last. Every answer tells a position; one of a newer term bars the lease, and no hold is taken back then. A daemon that is no longer listed has no long lease.

--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -56,6 +56,7 @@
 bool lease_renew(lease_t *, const db_view_t *, uint32_t count, uint32_t primary,
     int64_t now_us, const lease_span_t *);
 void lease_revoke(lease_t *, uint64_t term, int64_t now_us);
+void lease_unlisted(lease_t *);
 
 /* How long silence is borne, and what follows: silence.c */
 typedef enum silence_verdict {
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -109,3 +109,13 @@
 	lease->barred = lease->term;
 	lease->barred_us = now_us;
 }
+
+/*
+ * The daemon is no longer listed among those that are asked to give back
+ * their leases: one that rests on being listed is over.
+ */
+void
+lease_unlisted(lease_t *lease)
+{
+	lease->until_us = 0;
+}
--- a/src/decide/promote.c
+++ b/src/decide/promote.c
@@ -221,6 +221,20 @@
 		promote->settled = true;
 }
 
+/*
+ * An answer of any kind showed where the log of a database stands.
+ */
+void
+promote_positioned(promote_t *promote, uint32_t database, position_t position)
+{
+	db_view_t *view = &promote->views[database];
+
+	if (!view->known || position_compare(position, view->last) <= 0)
+		return;
+	view->last = position;
+	view->promised = MAX(view->promised, position.term);
+}
+
 /*
  * A database was asked nothing, so its silence says nothing.
  */
@@ -463,6 +477,26 @@
 	}
 }
 
+/*
+ * Tell whether the log of a database has entries of a newer term than the
+ * primary's: that one has been replaced, even if the new one has not yet told
+ * so itself.
+ */
+static bool
+overtaken(const promote_t *promote)
+{
+	int32_t primary = promote_primary(promote);
+	uint32_t i;
+
+	for (i = 0; primary >= 0 && i < promote->count; i++) {
+		if (promote->views[i].known &&
+		    promote->views[i].last.term >
+			promote->views[primary].promised)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Take back the promises above the primary's term.
  */
@@ -546,6 +580,11 @@
 		enter(promote, PROMOTE_LEARNING, now_us);
 		return;
 	}
+	if (overtaken(promote)) {
+		promote->wait_us = now_us + LEARNING_US;
+		enter(promote, PROMOTE_LEARNING, now_us);
+		return;
+	}
 	if (promote->limits.revocable && promise_stuck(promote, now_us)) {
 		promote->odd_us = 0;
 		release_promises(promote, actions);
--- a/src/decide/promote.h
+++ b/src/decide/promote.h
@@ -100,6 +100,7 @@
 void promote_observed(
     promote_t *, uint32_t database, const db_view_t *, int64_t);
 void promote_settled(promote_t *, uint64_t term);
+void promote_positioned(promote_t *, uint32_t database, position_t);
 void promote_idle(promote_t *, uint32_t database, int64_t now_us);
 void promote_alive(promote_t *, uint32_t database, int64_t now_us);
 void promote_refused(promote_t *, uint32_t database, int64_t now_us);
--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -377,7 +377,7 @@
 	server->unanswered--;
 	server->unanswered_us = now_us;
 	server->silent = false;
-	watch_alive(server, now_us);
+	watch_alive(server, ready->position, now_us);
 	if (position_compare(ready->position, server->applied) > 0)
 		server->applied = ready->position;
 	server->applied_us = now_us;
@@ -447,7 +447,7 @@
 		conn->verdict = reply.verdict;
 		if (conn->open)
 			break;
-		watch_alive(conn->server, now_us);
+		watch_alive(conn->server, reply.position, now_us);
 		if (reply.verdict == BP__VERDICT__TOO_MANY)
 			conn->server->connections =
 			    conn->server->group->connections_max;
--- a/src/proxy/duty.c
+++ b/src/proxy/duty.c
@@ -78,6 +78,8 @@
 	Bp__DutyRecord *record = record_of(registry, answer, arena);
 
 	registry->duty_open = false;
+	if (answer->count == 1)
+		registry->duty_seen = answer->list[0].revision;
 	if ((answer->status == OBJECTS_OK ||
 		answer->status == OBJECTS_CONFLICT) &&
 	    is_ours(registry, record)) {
@@ -109,8 +111,10 @@
 }
 
 /*
- * The duty's record was read because a change of primary is due: take it.
- * A daemon that was restarted takes it anew, with a higher token.
+ * The duty's record was read because a change of primary is due: take it,
+ * unless another daemon has taken it since the record was read last; that one
+ * is given time.  A daemon that was restarted takes it anew, with a higher
+ * token.
  */
 static void
 on_duty_read(void *context, const objects_answer_t *answer)
@@ -120,13 +124,18 @@
 	Bp__DutyRecord *record = record_of(registry, answer, arena);
 
 	registry->duty_open = false;
-	if (answer->status == OBJECTS_MISSING)
+	if (answer->status == OBJECTS_MISSING) {
 		take_duty(registry, 0, 1);
-	else if (answer->status == OBJECTS_OK && record != NULL)
+	} else if (answer->status == OBJECTS_OK && record != NULL &&
+	    (is_ours(registry, record) ||
+		answer->list[0].revision == registry->duty_seen)) {
 		take_duty(
 		    registry, answer->list[0].revision, record->token + 1);
-	else
+	} else {
+		if (answer->count == 1)
+			registry->duty_seen = answer->list[0].revision;
 		tell_duty(registry, false);
+	}
 	arena_free(arena);
 }
 
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -40,6 +40,7 @@
 	    g_str_hash, g_str_equal, NULL, group_value_free);
 	pool->transactions = g_hash_table_new(g_int64_hash, g_int64_equal);
 	pool->rand = g_rand_new();
+	pool->duty_patience_us = watch_patience_us(pool->rand);
 	pool->daemons = DAEMONS_UNKNOWN;
 	pool->spans.short_us = LEASE_SHORT_US;
 	pool->spans.long_us =
@@ -185,6 +186,8 @@
 {
 	const Bp__DutyChanged *changed = (const Bp__DutyChanged *)msg->body;
 	pool_t *pool = context;
+	GHashTableIter iter;
+	gpointer value;
 
 	if (changed->held != pool->duty)
 		LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
@@ -193,6 +196,9 @@
 		    changed->held ? "now" : "not", changed->token);
 	pool->duty = changed->held;
 	pool->duty_asked = false;
+	g_hash_table_iter_init(&iter, pool->groups);
+	while (!changed->held && g_hash_table_iter_next(&iter, NULL, &value))
+		watch_duty_denied(value, clock_us());
 	msg_free(msg);
 }
 
@@ -218,9 +224,15 @@
 	const Bp__DaemonsCounted *counted =
 	    (const Bp__DaemonsCounted *)msg->body;
 	pool_t *pool = context;
+	GHashTableIter iter;
+	gpointer value;
 
 	pool->daemons = counted->count;
 	pool->spans.known_us = (int64_t)counted->listed_us;
+	g_hash_table_iter_init(&iter, pool->groups);
+	while (counted->listed_us == 0 &&
+	    g_hash_table_iter_next(&iter, NULL, &value))
+		lease_unlisted(&((group_t *)value)->lease);
 	msg_free(msg);
 }
 
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -167,6 +167,7 @@
 	uint32_t transaction_idle_ms;
 	bool duty;
 	bool duty_asked;
+	int64_t duty_patience_us;
 	uint32_t daemons;   /* that share the connections */
 	lease_span_t spans; /* of leases */
 	GRand *rand;
@@ -215,11 +216,13 @@
 void watch_tick(group_t *, int64_t now_us);
 void watch_status(
     server_t *, const server_status_t *, const expect_t *, position_t);
-void watch_alive(server_t *, int64_t now_us);
+void watch_alive(server_t *, position_t, int64_t now_us);
 void watch_primary_answered(
     server_t *, position_t, int64_t sent_us, int64_t now_us);
 void watch_refused(server_t *);
 void watch_ask(server_t *, int64_t now_us);
+void watch_duty_denied(group_t *, int64_t now_us);
+int64_t watch_patience_us(GRand *);
 void watch_settled(group_t *, uint64_t term);
 void watch_revoke(group_t *, uint64_t term, int64_t now_us);
 void watch_promoted(group_t *, const Bp__PromotionEnded *, int64_t now_us);
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -37,8 +37,9 @@
 	GHashTable *entries; /* of entry_t by name */
 	GSource *lapse;      /* while some are missing */
 	bool published;
-	uint64_t token; /* while the duty is held */
-	bool duty_open; /* a call about it is under way */
+	uint64_t token;     /* while the duty is held */
+	bool duty_open;     /* a call about it is under way */
+	uint64_t duty_seen; /* revision of the record, as it was read last */
 	GSource *takeover;
 	/* the daemons */
 	uint32_t daemons;  /* that were listed last */
--- a/src/proxy/watch.c
+++ b/src/proxy/watch.c
@@ -40,8 +40,13 @@
 #define CHANGE_US (1500 * US_PER_MS)
 #define BACKOFF_US (100 * US_PER_MS)
 
-/* The holder of the duty is given this long to replace a silent primary. */
+/*
+ * The holder of the duty is given this long to replace a silent primary, from
+ * the last sign that it does; and each daemon a different time more, so that
+ * they do not take the duty from each other.
+ */
 #define DUTY_PATIENCE_US (900 * US_PER_MS)
+#define DUTY_SPREAD_US (600 * US_PER_MS)
 
 /*
  * Begin to watch a group.
@@ -90,13 +95,23 @@
 }
 
 /*
- * A server gave a sign of life.
+ * A server answered something, and said where its log stands.  A newer term
+ * than the lease's says that the primary has been replaced.
  */
 void
-watch_alive(server_t *server, int64_t now_us)
+watch_alive(server_t *server, position_t position, int64_t now_us)
 {
-	if (!server->gone)
-		promote_alive(&server->group->promote, server->index, now_us);
+	group_t *group = server->group;
+
+	if (server->gone)
+		return;
+	promote_alive(&group->promote, server->index, now_us);
+	promote_positioned(&group->promote, server->index, position);
+	if (position.term <= group->lease.term || group->lease.term == 0 ||
+	    group->lease.until_us == 0)
+		return;
+	lease_revoke(&group->lease, position.term, now_us);
+	group->changing_us = now_us;
 }
 
 /*
@@ -169,6 +184,25 @@
 	group->changing_us = now_us;
 }
 
+/*
+ * The duty is another daemon's: it is given its time from now on.
+ */
+void
+watch_duty_denied(group_t *group, int64_t now_us)
+{
+	if (group->suspected_us != 0)
+		group->suspected_us = now_us;
+}
+
+/*
+ * A daemon's own patience with the holder of the duty.
+ */
+int64_t
+watch_patience_us(GRand *rand)
+{
+	return DUTY_PATIENCE_US + g_rand_int_range(rand, 0, DUTY_SPREAD_US);
+}
+
 /*
  * Whether a server carried out what was ordered, and what that means for the
  * change of primary under way.
@@ -207,6 +241,8 @@
 	    status->primary ? "primary" : "replica", status->term,
 	    status->held_term, status->received.term, status->received.index,
 	    clock_us() - expect->sent_us);
+	if (status->held_term > server->held_term)
+		server->group->changing_us = clock_us();
 	server->term = status->term;
 	server->held_term = status->held_term;
 	server->primary = status->primary;
@@ -459,7 +495,8 @@
 	}
 	if (group->suspected_us == 0)
 		group->suspected_us = now_us;
-	if (now_us - group->suspected_us >= DUTY_PATIENCE_US)
+	if (now_us - MAX(group->suspected_us, group->changing_us) >=
+	    group->pool->duty_patience_us)
 		ask_for_duty(group->pool);
 }
 
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -161,6 +161,41 @@
 	g_assert_cmpint(lease.until_us, ==, c->ends ? 0 : MS(2035));
 }
 
+typedef struct unlist_case {
+	const char *name;
+	int64_t asked_ms; /* the replicas, the last time */
+	int64_t
+	    until_ms; /* of the lease, when the daemon left the list at 50 */
+} unlist_case_t;
+
+static const unlist_case_t unlist_cases[] = {
+    {"what was asked before has a short lease", 45, 295},
+    {"what is asked afterwards, too", 60, 310},
+};
+
+/*
+ * A daemon that leaves the list is not asked any more to give back its
+ * leases, so a long one ends at once and only short ones follow.
+ */
+static void
+test_unlist(gconstpointer data)
+{
+	const unlist_case_t *c = data;
+	lease_span_t spans = {MS(SHORT_MS), MS(LONG_MS), MS(1)};
+	db_view_t views[3] = {{true, true, false, 2, {0, 0}, MS(10)},
+	    {true, false, false, 2, {0, 0}, MS(20)},
+	    {true, false, false, 2, {0, 0}, MS(20)}};
+	lease_t lease = {0};
+
+	g_assert_true(lease_renew(&lease, views, 3, 0, MS(30), &spans));
+	g_assert_cmpint(lease.until_us, ==, MS(2020));
+	lease_unlisted(&lease);
+	spans.known_us = 0;
+	views[1].asked_us = MS(c->asked_ms);
+	lease_renew(&lease, views, 3, 0, MS(60), &spans);
+	g_assert_cmpint(lease.until_us, ==, MS(c->until_ms));
+}
+
 /* What happens to a change of primary, step by step. */
 typedef enum step_kind {
 	STEP_END,
@@ -303,6 +338,51 @@
 	promote_clear(&promote);
 }
 
+typedef struct stuck_case {
+	const char *name;
+	position_t position; /* shown by database 1 */
+	bool released;
+} stuck_case_t;
+
+static const stuck_case_t stuck_cases[] = {
+    {"a held term that leads nowhere is taken back", {1, 9}, true},
+    {"not when a newer term has begun", {2, 9}, false},
+};
+
+/*
+ * Database 2 holds a term that nobody leads, as far as is known.
+ */
+static void
+test_stuck(gconstpointer data)
+{
+	const stuck_case_t *c = data;
+	promote_actions_t actions;
+	bool released = false;
+	int64_t at_ms;
+	promote_t promote;
+	uint32_t i;
+
+	promote_init(&promote, &change_limits, 3, 1, 0);
+	for (i = 0; i < 3; i++) {
+		db_view_t view = {
+		    true, i == 0, false, i == 2 ? 2 : 1, {1, 8}, 1};
+
+		promote_observed(&promote, i, &view, 0);
+	}
+	promote_tick(&promote, 0, &actions);
+	g_assert_cmpint(promote.state, ==, PROMOTE_STEADY);
+	promote_positioned(&promote, 1, c->position);
+	for (at_ms = 0; at_ms < 1000; at_ms++) {
+		for (i = 0; i < 3; i++)
+			promote_alive(&promote, i, MS(at_ms));
+		promote_tick(&promote, MS(at_ms), &actions);
+		for (i = 0; i < actions.count; i++)
+			released |= actions.list[i].kind == PROMOTE_RELEASE;
+	}
+	g_assert_cmpint(released, ==, c->released);
+	promote_clear(&promote);
+}
+
 typedef struct spread_case {
 	const char *name;
 	spread_t candidates[3]; /* the first is the primary */
@@ -365,7 +445,9 @@
 	g_test_init(&argc, &argv, NULL);
 	CASES("/lease/until", lease_cases, test_lease);
 	CASES("/lease/revoke", revoke_cases, test_revoke);
+	CASES("/lease/unlist", unlist_cases, test_unlist);
 	CASES("/change", change_cases, test_change);
+	CASES("/change/stuck", stuck_cases, test_stuck);
 	CASES("/spread", spread_cases, test_spread);
 	g_test_add_func("/lease/lone-primary", test_lone_primary);
 	return g_test_run();
