At a saturated database only urgent statements fill the slots; fewer questions

Idle servers were asked every 3 s, watches of the configuration put anew every 1.5 s.

Change: where a database reports twice its slots at work or waiting, a daemon has one statement there that is not urgent; its report is renewed while statements wait. Servers are asked every 8 s at the least, leases renewed with 35% left, watches of the configuration wait 70% of the time to apply.

--- a/src/decide/spread.c
+++ b/src/decide/spread.c
@@ -6,6 +6,21 @@
 /* The primary has work that nobody else can do. */
 #define PRIMARY_LOAD 0.5
 
+/* A database with so many times its slots at work or waiting is saturated. */
+#define SATURATED_TIMES 2
+
+/*
+ * How many statements a daemon has at a database at once, when the next is of
+ * this rank.  At a saturated one most would wait there, first come first
+ * served; so only urgent ones fill the slots, and the others wait in the
+ * daemon, by rank.
+ */
+uint32_t
+spread_limit(uint32_t slots, uint32_t reported_busy, uint32_t rank)
+{
+	return rank == 0 || reported_busy < SATURATED_TIMES * slots ? slots : 1;
+}
+
 /*
  * How busy a candidate seems, in parts of its slots: what this daemon runs
  * there, and what it reported when it was last asked, whichever is more.
--- a/src/decide/spread.h
+++ b/src/decide/spread.h
@@ -19,5 +19,6 @@
 } spread_t;
 
 int32_t spread_choose(const spread_t *, uint32_t count);
+uint32_t spread_limit(uint32_t slots, uint32_t reported_busy, uint32_t rank);
 
 #endif
--- a/src/proxy/daemons.c
+++ b/src/proxy/daemons.c
@@ -11,7 +11,7 @@
 #define PART "registry"
 
 /* Between two looks at the records. */
-#define LOOK_MS 5000
+#define LOOK_MS 8000
 
 /* Between two beats of a daemon's own record. */
 #define BEAT_US (INT64_C(10) * G_USEC_PER_SEC)
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -9,6 +9,9 @@
 /* What a replica had applied is not known any more after this time. */
 #define APPLIED_US (100 * US_PER_MS)
 
+/* How old the word of a full server may be while statements wait for it. */
+#define BUSY_US (250 * US_PER_MS)
+
 /*
  * Hand a statement to a connection; the first of a transaction ties the
  * transaction to it.
@@ -30,12 +33,23 @@
 }
 
 /*
- * How many statements a daemon has at a server at once.
+ * How many statements this daemon has at a server at once, when the next is
+ * this one.
  */
 static uint32_t
-in_flight_limit(const server_t *server)
+in_flight_limit(const server_t *server, const operation_t *operation)
 {
-	return server->slots;
+	return spread_limit(server->slots, server->busy, operation->item.rank);
+}
+
+/*
+ * Learn how busy a server is while statements wait for it.
+ */
+static void
+ask_when_old(server_t *server, int64_t now_us)
+{
+	if (now_us - server->asked_us >= BUSY_US)
+		watch_ask(server, now_us);
 }
 
 /*
@@ -53,8 +67,12 @@
 		return;
 	server = group->servers[primary];
 	while (rankq_count(group->primary_lane) > 0 &&
-	    server->in_flight < in_flight_limit(server)) {
+	    server->in_flight < server->slots) {
 		operation = rankq_pop(group->primary_lane)->owner;
+		if (server->in_flight >= in_flight_limit(server, operation)) {
+			operation_queue(operation, true);
+			break;
+		}
 		conn = dbconn_idle(server, operation->run);
 		if (conn == NULL) {
 			operation_queue(operation, true);
@@ -63,6 +81,8 @@
 		}
 		send_to(operation, conn, NULL, now_us);
 	}
+	if (rankq_count(group->primary_lane) > 0)
+		ask_when_old(server, now_us);
 }
 
 /*
@@ -126,12 +146,17 @@
 		candidate->same_zone = server->same_zone;
 		candidate->slots = server->slots;
 		candidate->in_flight = server->in_flight;
-		candidate->limit = in_flight_limit(server);
+		candidate->limit = in_flight_limit(server, operation);
 		candidate->reported_busy = server->busy;
 	}
 	chosen = spread_choose(candidates, group->count);
-	if (chosen < 0)
+	if (chosen < 0) {
+		for (i = 0; chosen == SPREAD_BUSY && i < group->count; i++) {
+			if (candidates[i].usable)
+				ask_when_old(group->servers[i], now_us);
+		}
 		return false;
+	}
 	server = group->servers[chosen];
 	conn = dbconn_idle(server, operation->run);
 	if (conn == NULL) {
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -9,6 +9,10 @@
 
 #define PART "registry"
 
+/* A watch of the configuration waits for this part of the time in which a
+   change must be in force. */
+#define CONFIG_WAIT_PERCENT 70
+
 /* After a call that was refused or not answered. */
 #define AGAIN_MS 250
 
--- a/src/proxy/watch.c
+++ b/src/proxy/watch.c
@@ -15,7 +15,7 @@
 #define PROMOTE_MIN_US (100 * US_PER_MS)
 
 /* Leases are renewed when so much of them is left, in percent. */
-#define RENEW_PERCENT 50
+#define RENEW_PERCENT 35
 
 /* Between two questions for one lease, to each server. */
 #define ASK_AGAIN_US (60 * US_PER_MS)
@@ -28,7 +28,7 @@
 #define IDLE_PRIMARY_US (800 * US_PER_MS)
 
 /* Every server is asked this often at the least. */
-#define IDLE_SERVER_US (3000 * US_PER_MS)
+#define IDLE_SERVER_US (8000 * US_PER_MS)
 
 /* While a change of primary goes on. */
 #define CHANGING_US (40 * US_PER_MS)
