Orders to promote need most daemons to know of no newer holder of the duty

Ruled out: a late call (the order left 0.8 s after the other's).

Change: the request to give back leases carries the token, each daemon remembers the highest and answers with it; an order needs answers of most of the daemons that are listed, and of none that knows a newer token. A daemon that takes the duty over waits a second and asks most daemons before its first order, so one of the two learns of the other. Without the store the daemons that were listed last are asked, and the answers must be young.

t_lease: "no daemon answers: leases run out" is replaced by "most daemons answer: leases run out" (the same bound) and "too few daemons answer", since silence of all is no permission any more. /proxy/outdated-holder failed before.

--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -1577,7 +1577,7 @@
   (ProtobufCMessageInit) bp__status_tell__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__lease_revoke__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bp__lease_revoke__field_descriptors[4] =
 {
   {
     "id",
@@ -1615,16 +1615,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "token",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__LeaseRevoke, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__lease_revoke__field_indices_by_name[] = {
   1,   /* field[1] = group */
   0,   /* field[0] = id */
   2,   /* field[2] = term */
+  3,   /* field[3] = token */
 };
 static const ProtobufCIntRange bp__lease_revoke__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bp__lease_revoke__descriptor =
 {
@@ -1634,14 +1647,14 @@
   "Bp__LeaseRevoke",
   "bp",
   sizeof(Bp__LeaseRevoke),
-  3,
+  4,
   bp__lease_revoke__field_descriptors,
   bp__lease_revoke__field_indices_by_name,
   1,  bp__lease_revoke__number_ranges,
   (ProtobufCMessageInit) bp__lease_revoke__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__lease_revoked__field_descriptors[1] =
+static const ProtobufCFieldDescriptor bp__lease_revoked__field_descriptors[2] =
 {
   {
     "id",
@@ -1655,14 +1668,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "token",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__LeaseRevoked, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__lease_revoked__field_indices_by_name[] = {
   0,   /* field[0] = id */
+  1,   /* field[1] = token */
 };
 static const ProtobufCIntRange bp__lease_revoked__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor bp__lease_revoked__descriptor =
 {
@@ -1672,7 +1698,7 @@
   "Bp__LeaseRevoked",
   "bp",
   sizeof(Bp__LeaseRevoked),
-  1,
+  2,
   bp__lease_revoked__field_descriptors,
   bp__lease_revoked__field_indices_by_name,
   1,  bp__lease_revoked__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -228,20 +228,28 @@
   uint64_t id;
   char *group;
   uint64_t term;
+  /*
+   * of the duty to order the change
+   */
+  uint64_t token;
 };
 #define BP__LEASE_REVOKE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__lease_revoke__descriptor) \
-    , 0, NULL, 0 }
+    , 0, NULL, 0, 0 }
 
 
 struct  Bp__LeaseRevoked
 {
   ProtobufCMessage base;
   uint64_t id;
+  /*
+   * the highest that the daemon has heard
+   */
+  uint64_t token;
 };
 #define BP__LEASE_REVOKED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__lease_revoked__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 typedef enum {
--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -1393,7 +1393,7 @@
   (ProtobufCMessageInit) bp__duty_changed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__promotion_wanted__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bp__promotion_wanted__field_descriptors[4] =
 {
   {
     "group",
@@ -1431,16 +1431,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "heard_us",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PromotionWanted, heard_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__promotion_wanted__field_indices_by_name[] = {
   0,   /* field[0] = group */
+  3,   /* field[3] = heard_us */
   1,   /* field[1] = server */
   2,   /* field[2] = term */
 };
 static const ProtobufCIntRange bp__promotion_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bp__promotion_wanted__descriptor =
 {
@@ -1450,7 +1463,7 @@
   "Bp__PromotionWanted",
   "bp",
   sizeof(Bp__PromotionWanted),
-  3,
+  4,
   bp__promotion_wanted__field_descriptors,
   bp__promotion_wanted__field_indices_by_name,
   1,  bp__promotion_wanted__number_ranges,
@@ -1641,7 +1654,7 @@
   (ProtobufCMessageInit) bp__daemons_counted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__revoke_wanted__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bp__revoke_wanted__field_descriptors[4] =
 {
   {
     "group",
@@ -1679,16 +1692,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "token",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__RevokeWanted, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__revoke_wanted__field_indices_by_name[] = {
   2,   /* field[2] = daemons */
   0,   /* field[0] = group */
   1,   /* field[1] = term */
+  3,   /* field[3] = token */
 };
 static const ProtobufCIntRange bp__revoke_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bp__revoke_wanted__descriptor =
 {
@@ -1698,14 +1724,14 @@
   "Bp__RevokeWanted",
   "bp",
   sizeof(Bp__RevokeWanted),
-  3,
+  4,
   bp__revoke_wanted__field_descriptors,
   bp__revoke_wanted__field_indices_by_name,
   1,  bp__revoke_wanted__number_ranges,
   (ProtobufCMessageInit) bp__revoke_wanted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__revoke_ended__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bp__revoke_ended__field_descriptors[3] =
 {
   {
     "group",
@@ -1731,15 +1757,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "state",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Bp__RevokeEnded, state),
+    &bp__revoke_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__revoke_ended__field_indices_by_name[] = {
   0,   /* field[0] = group */
+  2,   /* field[2] = state */
   1,   /* field[1] = term */
 };
 static const ProtobufCIntRange bp__revoke_ended__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bp__revoke_ended__descriptor =
 {
@@ -1749,7 +1788,7 @@
   "Bp__RevokeEnded",
   "bp",
   sizeof(Bp__RevokeEnded),
-  2,
+  3,
   bp__revoke_ended__field_descriptors,
   bp__revoke_ended__field_indices_by_name,
   1,  bp__revoke_ended__number_ranges,
@@ -1917,3 +1956,33 @@
   bp__operation_kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue bp__revoke_state__enum_values_by_number[3] =
+{
+  { "MOST", "BP__REVOKE_STATE__MOST", 0 },
+  { "ALL", "BP__REVOKE_STATE__ALL", 1 },
+  { "OUTDATED", "BP__REVOKE_STATE__OUTDATED", 2 },
+};
+static const ProtobufCIntRange bp__revoke_state__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex bp__revoke_state__enum_values_by_name[3] =
+{
+  { "ALL", 1 },
+  { "MOST", 0 },
+  { "OUTDATED", 2 },
+};
+const ProtobufCEnumDescriptor bp__revoke_state__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "bp.RevokeState",
+  "RevokeState",
+  "Bp__RevokeState",
+  "bp",
+  3,
+  bp__revoke_state__enum_values_by_number,
+  3,
+  bp__revoke_state__enum_values_by_name,
+  1,
+  bp__revoke_state__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -100,6 +100,18 @@
   BP__OPERATION_KIND__COMMIT_TRANSACTION = 2
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__OPERATION_KIND)
 } Bp__OperationKind;
+/*
+ * How far the daemons have done so.
+ */
+typedef enum _Bp__RevokeState {
+  BP__REVOKE_STATE__MOST = 0,
+  BP__REVOKE_STATE__ALL = 1,
+  /*
+   * one knows of a newer holder of the duty
+   */
+  BP__REVOKE_STATE__OUTDATED = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__REVOKE_STATE)
+} Bp__RevokeState;
 
 /* --- messages --- */
 
@@ -268,10 +280,14 @@
   char *group;
   char *server;
   uint64_t term;
+  /*
+   * when most daemons knew of no newer duty
+   */
+  uint64_t heard_us;
 };
 #define BP__PROMOTION_WANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__promotion_wanted__descriptor) \
-    , NULL, NULL, 0 }
+    , NULL, NULL, 0, 0 }
 
 
 /*
@@ -341,24 +357,26 @@
   uint64_t term;
   size_t n_daemons;
   Bp__DaemonRecord **daemons;
+  uint64_t token;
 };
 #define BP__REVOKE_WANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__revoke_wanted__descriptor) \
-    , NULL, 0, 0,NULL }
+    , NULL, 0, 0,NULL, 0 }
 
 
 /*
- * peers -> pool: all daemons have done so.
+ * peers -> pool.
  */
 struct  Bp__RevokeEnded
 {
   ProtobufCMessage base;
   char *group;
   uint64_t term;
+  Bp__RevokeState state;
 };
 #define BP__REVOKE_ENDED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__revoke_ended__descriptor) \
-    , NULL, 0 }
+    , NULL, 0, BP__REVOKE_STATE__MOST }
 
 
 /*
@@ -761,6 +779,7 @@
 
 extern const ProtobufCEnumDescriptor    bp__verdict__descriptor;
 extern const ProtobufCEnumDescriptor    bp__operation_kind__descriptor;
+extern const ProtobufCEnumDescriptor    bp__revoke_state__descriptor;
 extern const ProtobufCMessageDescriptor bp__session_value__descriptor;
 extern const ProtobufCMessageDescriptor bp__prepared__descriptor;
 extern const ProtobufCMessageDescriptor bp__run_operation__descriptor;
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -234,7 +234,7 @@
 };
 #define BP__PROXY_TIMEOUTS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__proxy_timeouts__descriptor) \
-    , 0, 600u, 0, 2000u, 0, 200u, 0, 450u, 0, 1000u, 0, 4000u, 0, 3000u }
+    , 0, 600u, 0, 2000u, 0, 200u, 0, 450u, 0, 600u, 0, 4000u, 0, 3000u }
 
 
 /*
--- a/src/decide/promote.c
+++ b/src/decide/promote.c
@@ -212,13 +212,26 @@
 }
 
 /*
- * Every daemon has given back what it believed of the primary before a term.
+ * Most daemons, or all, have given back what they believed of the primary
+ * before a term, and know of nobody else who changes it.
  */
 void
-promote_settled(promote_t *promote, uint64_t term)
+promote_settled(promote_t *promote, uint64_t term, bool all, int64_t now_us)
+{
+	if (promote->state != PROMOTE_FENCING || term != promote->term)
+		return;
+	promote->settled_us = now_us;
+	promote->settled |= all;
+}
+
+/*
+ * A daemon knows of somebody else who changes the primary.
+ */
+void
+promote_outdated(promote_t *promote, uint64_t term, int64_t now_us)
 {
 	if (promote->state == PROMOTE_FENCING && term == promote->term)
-		promote->settled = true;
+		back_off(promote, now_us);
 }
 
 /*
@@ -328,6 +341,7 @@
 	promote->term = highest_promise(promote) + 1;
 	memset(promote->granted, 0, sizeof(promote->granted));
 	promote->settling = promote->settled = false;
+	promote->settled_us = 0;
 	promote->stepping_down = -1;
 	if (promote->handover && promote->limits.catch_up_us > 0)
 		promote->stepping_down = promote_primary(promote);
@@ -689,6 +703,7 @@
 	const promote_limits_t *limits = &promote->limits;
 
 	if (!grants_suffice(promote) ||
+	    (limits->settle_us > 0 && promote->settled_us == 0) ||
 	    now_us - promote->granted_us <
 		(promote->settled ? limits->settle_min_us : limits->settle_us))
 		return -1;
--- a/src/decide/promote.h
+++ b/src/decide/promote.h
@@ -52,7 +52,8 @@
 	int64_t backoff_us; /* smallest random back-off; doubles */
 	/* from the last grant until the new primary may begin: until what
 	   daemons believe of the old one has run out, or, when all say that
-	   they have given it back, settle_min_us; 0: nothing to run out */
+	   they have given it back, settle_min_us; most must have said so in
+	   any case; 0: nothing to run out */
 	int64_t settle_us;
 	int64_t settle_min_us;
 	/* a primary that steps down is waited for by replicas this long;
@@ -81,6 +82,7 @@
 	int64_t granted_us;    /* the last grant came */
 	bool settling;         /* FENCING: the daemons were asked */
 	bool settled;          /* and have all answered */
+	int64_t settled_us;    /* most of them have, at this time; 0: not yet */
 	int32_t stepping_down; /* FENCING: the leaving primary alone, or -1 */
 	uint32_t failures;
 	bool handover;    /* the primary is leaving and has no work left */
@@ -99,7 +101,8 @@
 void promote_heard(promote_t *, uint32_t database, const db_view_t *, int64_t);
 void promote_observed(
     promote_t *, uint32_t database, const db_view_t *, int64_t);
-void promote_settled(promote_t *, uint64_t term);
+void promote_settled(promote_t *, uint64_t term, bool all, int64_t now_us);
+void promote_outdated(promote_t *, uint64_t term, int64_t now_us);
 void promote_positioned(promote_t *, uint32_t database, position_t);
 void promote_idle(promote_t *, uint32_t database, int64_t now_us);
 void promote_alive(promote_t *, uint32_t database, int64_t now_us);
--- a/src/proxy/daemons.c
+++ b/src/proxy/daemons.c
@@ -21,12 +21,14 @@
  * listed; it is removed only after REMOVE_US without a beat.
  */
 #define UNLISTED_US (INT64_C(25) * G_USEC_PER_SEC)
-#define REMOVE_US (INT64_C(60) * G_USEC_PER_SEC)
+#define REMOVE_US (INT64_C(40) * G_USEC_PER_SEC)
 
 /* The beat of a daemon, and since when it has been the same. */
 typedef struct beat {
 	uint64_t beat;
 	int64_t since_us;
+	char *address;
+	bool listed; /* by the look that goes on */
 } beat_t;
 
 static void record_put(registry_t *);
@@ -120,8 +122,8 @@
  * list by the daemon that has the duty.
  */
 static void
-note_beat(registry_t *registry, const object_t *object, uint64_t number,
-    int64_t now_us)
+note_beat(registry_t *registry, const object_t *object,
+    const Bp__DaemonRecord *record, int64_t now_us)
 {
 	beat_t *beat = g_hash_table_lookup(registry->beats, object->name);
 
@@ -131,10 +133,13 @@
 		    registry->beats, g_strdup(object->name), beat);
 		beat->since_us = now_us;
 	}
-	if (beat->beat != number) {
-		beat->beat = number;
+	if (beat->beat != record->beat) {
+		beat->beat = record->beat;
 		beat->since_us = now_us;
 	}
+	g_free(beat->address);
+	beat->address = g_strdup(record->address);
+	beat->listed = true;
 	if (registry->token == 0 || now_us - beat->since_us < REMOVE_US)
 		return;
 	LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
@@ -144,6 +149,33 @@
 	    object->name, object->revision, on_removed, registry);
 }
 
+/*
+ * Forget the daemons that a look did not list.
+ */
+static gboolean
+not_listed(gpointer name, gpointer value, gpointer context)
+{
+	beat_t *beat = value;
+	bool listed = beat->listed;
+
+	(void)name;
+	(void)context;
+	beat->listed = false;
+	return !listed;
+}
+
+/*
+ * Free what is kept of a daemon.
+ */
+static void
+beat_free(gpointer p)
+{
+	beat_t *beat = p;
+
+	g_free(beat->address);
+	g_free(beat);
+}
+
 /*
  * The records have come.
  */
@@ -163,8 +195,10 @@
 		if (record == NULL)
 			continue;
 		count++;
-		note_beat(registry, &answer->list[i], record->beat, now_us);
+		note_beat(registry, &answer->list[i], record, now_us);
 	}
+	if (count > 0)
+		g_hash_table_foreach_remove(registry->beats, not_listed, NULL);
 	if (count > 0 && count != registry->daemons) {
 		registry->daemons = count;
 		tell(registry);
@@ -215,7 +249,7 @@
 daemons_start(registry_t *registry)
 {
 	registry->beats =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, beat_free);
 	registry->beat = (uint64_t)g_get_real_time() / US_PER_MS;
 	record_put(registry);
 	registry->beat_tick =
@@ -256,8 +290,33 @@
 } revoke_t;
 
 /*
- * The daemons that are listed now: the peers' task asks them.  Without a
- * list the pool waits until all leases have run out.
+ * Fill in the daemons that were listed last, for a time when the store does
+ * not answer.
+ */
+static void
+use_last_list(const registry_t *registry, msg_t *msg)
+{
+	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
+	GHashTableIter iter;
+	gpointer name, value;
+
+	wanted->daemons = arena_zero(msg->arena,
+	    sizeof(wanted->daemons[0]) *
+		(g_hash_table_size(registry->beats) + 1));
+	g_hash_table_iter_init(&iter, registry->beats);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		Bp__DaemonRecord *record = (Bp__DaemonRecord *)message_new(
+		    msg->arena, &bp__daemon_record__descriptor);
+
+		record->name = arena_strdup(msg->arena, name);
+		record->address =
+		    arena_strdup(msg->arena, ((beat_t *)value)->address);
+		wanted->daemons[wanted->n_daemons++] = record;
+	}
+}
+
+/*
+ * The daemons that are listed now, or were last: the peers' task asks them.
  */
 static void
 on_listed(void *context, const objects_answer_t *answer)
@@ -271,9 +330,11 @@
 	g_free(revoke);
 	if (answer->status != OBJECTS_OK || answer->more) {
 		LOG_PART(PART, G_LOG_LEVEL_INFO,
-		    "The daemons are not known now; leases of %s run out.",
+		    "The store does not list the daemons; those that it "
+		    "listed last are asked for their leases of %s.",
 		    wanted->group);
-		msg_free(msg);
+		use_last_list(registry, msg);
+		task_send(registry->proxy->peers, registry->task, msg);
 		return;
 	}
 	wanted->daemons = arena_zero(
--- a/src/proxy/duty.c
+++ b/src/proxy/duty.c
@@ -15,6 +15,9 @@
  */
 #define TAKEOVER_MS 1000
 
+/* How long ago most daemons must have known of no other holder. */
+#define HEARD_US ((TAKEOVER_MS - 100) * US_PER_MS)
+
 /*
  * Tell the pool whether this daemon has the duty.
  */
@@ -204,8 +207,9 @@
 
 /*
  * The duty's record was read again just before an order.  A store that does
- * not answer cannot have given the duty to another daemon; one that answers
- * tells.
+ * not answer this daemon may have given the duty to another; but that one
+ * waits, and then tells most daemons before it gives orders, and most daemons
+ * knew of nobody a moment ago.
  */
 static void
 on_duty_checked(void *context, const objects_answer_t *answer)
@@ -222,6 +226,8 @@
 		    record->token != registry->token));
 
 	arena_free(arena);
+	lost |= answer->status != OBJECTS_OK &&
+	    clock_us() - (int64_t)wanted->heard_us >= HEARD_US;
 	if (lost || registry->token == 0) {
 		tell_duty(registry, false);
 		order_end(order, false);
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -1,3 +1,4 @@
+#include "decide/decide.h"
 #include "frame.h"
 #include "listener.h"
 #include "proxy.h"
@@ -23,6 +24,7 @@
 	GHashTable *incoming; /* of incoming_t by id */
 	GList *revocations;   /* of revocation_t */
 	uint64_t next_id;
+	uint64_t token; /* the highest heard of the duty */
 } peers_t;
 
 /* A daemon that may ask. */
@@ -38,7 +40,6 @@
 	char *name;
 	frame_link_t *link;
 	bool answered;
-	bool lost;
 } asked_t;
 
 /* Leases that all daemons are to give back. */
@@ -47,6 +48,8 @@
 	uint64_t id;
 	char *group;
 	uint64_t term;
+	uint64_t token;
+	bool most;        /* have answered, and the pool was told */
 	GPtrArray *asked; /* of asked_t */
 	GSource *timeout;
 } revocation_t;
@@ -124,29 +127,62 @@
 }
 
 /*
- * Tell the pool once every daemon has answered.
+ * Tell the pool how far a revocation has come.
  */
 static void
-revocation_check(revocation_t *revocation)
+revocation_tell(const revocation_t *revocation, Bp__RevokeState state)
 {
 	peers_t *peers = revocation->peers;
-	Bp__RevokeEnded *ended;
-	msg_t *msg;
-	uint32_t i;
-
-	for (i = 0; i < revocation->asked->len; i++) {
-		const asked_t *asked = g_ptr_array_index(revocation->asked, i);
+	msg_t *msg = msg_new(&bp__revoke_ended__descriptor);
+	Bp__RevokeEnded *ended = (Bp__RevokeEnded *)msg->body;
 
-		if (!asked->answered)
-			return;
-	}
-	msg = msg_new(&bp__revoke_ended__descriptor);
-	ended = (Bp__RevokeEnded *)msg->body;
 	ended->group = arena_strdup(msg->arena, revocation->group);
 	ended->term = revocation->term;
+	ended->state = state;
 	task_send(peers->proxy->pool, peers->task, msg);
 }
 
+/*
+ * Tell the pool once most daemons have answered, and once all have.  This one
+ * counts as one that has.
+ */
+static void
+revocation_check(revocation_t *revocation)
+{
+	uint32_t i, answered = 1, count = revocation->asked->len + 1;
+
+	for (i = 0; i < revocation->asked->len; i++)
+		answered +=
+		    ((const asked_t *)g_ptr_array_index(revocation->asked, i))
+			->answered;
+	if (answered == count) {
+		revocation_tell(revocation, BP__REVOKE_STATE__ALL);
+	} else if (!revocation->most && answered >= majority_of(count)) {
+		revocation->most = true;
+		revocation_tell(revocation, BP__REVOKE_STATE__MOST);
+	}
+}
+
+/*
+ * A daemon has answered, or does not run.
+ */
+static void
+revocation_answered(asked_t *asked, uint64_t token)
+{
+	revocation_t *revocation = asked->revocation;
+
+	if (token > revocation->token) {
+		LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
+		    "Daemon %s knows token %" G_GUINT64_FORMAT
+		    " of the duty, newer than %" G_GUINT64_FORMAT ".",
+		    asked->name, token, revocation->token);
+		revocation_tell(revocation, BP__REVOKE_STATE__OUTDATED);
+		return;
+	}
+	asked->answered = true;
+	revocation_check(revocation);
+}
+
 /*
  * A link to a daemon that is asked is open.
  */
@@ -160,6 +196,7 @@
 	revoke.id = asked->revocation->id;
 	revoke.group = asked->revocation->group;
 	revoke.term = asked->revocation->term;
+	revoke.token = asked->revocation->token;
 	message.body_case = BP__PEER_MESSAGE__BODY_LEASE_REVOKE;
 	message.lease_revoke = &revoke;
 	frame_send(asked->link, &message);
@@ -175,10 +212,8 @@
 
 	if (message->body_case == BP__PEER_MESSAGE__BODY_LEASE_REVOKED &&
 	    message->lease_revoked->id == asked->revocation->id &&
-	    !asked->answered) {
-		asked->answered = true;
-		revocation_check(asked->revocation);
-	}
+	    !asked->answered)
+		revocation_answered(asked, message->lease_revoked->token);
 	arena_free(arena);
 }
 
@@ -191,11 +226,8 @@
 {
 	asked_t *asked = context;
 
-	asked->lost = true;
-	if (error != -ECONNREFUSED || asked->answered)
-		return;
-	asked->answered = true;
-	revocation_check(asked->revocation);
+	if (error == -ECONNREFUSED && !asked->answered)
+		revocation_answered(asked, 0);
 }
 
 static const frame_ops_t asked_ops = {
@@ -240,6 +272,8 @@
 	revocation->id = ++peers->next_id;
 	revocation->group = g_strdup(wanted->group);
 	revocation->term = wanted->term;
+	revocation->token = wanted->token;
+	peers->token = MAX(peers->token, wanted->token);
 	revocation->asked = g_ptr_array_new_with_free_func(asked_free);
 	revocation->timeout =
 	    task_timer(peers->task, ANSWER_MS, on_timeout, revocation);
@@ -254,7 +288,24 @@
 }
 
 /*
- * Another daemon asks.  The pool answers.
+ * Answer another daemon, with the newest token of the duty that is known.
+ */
+static void
+answer(incoming_t *incoming, uint64_t id)
+{
+	Bp__PeerMessage message = BP__PEER_MESSAGE__INIT;
+	Bp__LeaseRevoked revoked = BP__LEASE_REVOKED__INIT;
+
+	revoked.id = id;
+	revoked.token = incoming->peers->token;
+	message.body_case = BP__PEER_MESSAGE__BODY_LEASE_REVOKED;
+	message.lease_revoked = &revoked;
+	frame_send(incoming->link, &message);
+}
+
+/*
+ * Another daemon asks.  The pool gives the lease back, unless the duty has
+ * passed to somebody else since.
  */
 static void
 on_received(void *context, arena_t *arena, Bp__PeerMessage *message)
@@ -262,11 +313,15 @@
 	incoming_t *incoming = context;
 	peers_t *peers = incoming->peers;
 
-	if (message->body_case == BP__PEER_MESSAGE__BODY_LEASE_REVOKE) {
+	if (message->body_case == BP__PEER_MESSAGE__BODY_LEASE_REVOKE &&
+	    message->lease_revoke->token < peers->token) {
+		answer(incoming, message->lease_revoke->id);
+	} else if (message->body_case == BP__PEER_MESSAGE__BODY_LEASE_REVOKE) {
 		const Bp__LeaseRevoke *revoke = message->lease_revoke;
 		msg_t *msg = msg_new(&bp__revoke_asked__descriptor);
 		Bp__RevokeAsked *to = (Bp__RevokeAsked *)msg->body;
 
+		peers->token = revoke->token;
 		to->link = incoming->id;
 		to->id = revoke->id;
 		to->group = arena_strdup(msg->arena, revoke->group);
@@ -332,15 +387,9 @@
 	peers_t *peers = context;
 	incoming_t *incoming =
 	    g_hash_table_lookup(peers->incoming, &done->link);
-	Bp__PeerMessage message = BP__PEER_MESSAGE__INIT;
-	Bp__LeaseRevoked revoked = BP__LEASE_REVOKED__INIT;
 
-	if (incoming != NULL) {
-		revoked.id = done->id;
-		message.body_case = BP__PEER_MESSAGE__BODY_LEASE_REVOKED;
-		message.lease_revoked = &revoked;
-		frame_send(incoming->link, &message);
-	}
+	if (incoming != NULL)
+		answer(incoming, done->id);
 	msg_free(msg);
 }
 
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -195,6 +195,7 @@
 		    "%" G_GUINT64_FORMAT ".",
 		    changed->held ? "now" : "not", changed->token);
 	pool->duty = changed->held;
+	pool->token = changed->token;
 	pool->duty_asked = false;
 	g_hash_table_iter_init(&iter, pool->groups);
 	while (!changed->held && g_hash_table_iter_next(&iter, NULL, &value))
@@ -237,14 +238,15 @@
 }
 
 /*
- * All daemons have given back their leases of a group below a term.
+ * Most daemons, or all, have given back their leases of a group below a term;
+ * or one knows of a newer holder of the duty.
  */
 static void
 on_revoke_ended(void *context, msg_t *msg)
 {
 	const Bp__RevokeEnded *ended = (const Bp__RevokeEnded *)msg->body;
 
-	watch_settled(group_of(context, ended->group), ended->term);
+	watch_settled(group_of(context, ended->group), ended);
 	msg_free(msg);
 }
 
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -166,6 +166,7 @@
 	int64_t ticked_us;
 	uint32_t transaction_idle_ms;
 	bool duty;
+	uint64_t token; /* of the duty */
 	bool duty_asked;
 	int64_t duty_patience_us;
 	uint32_t daemons;   /* that share the connections */
@@ -223,7 +224,7 @@
 void watch_ask(server_t *, int64_t now_us);
 void watch_duty_denied(group_t *, int64_t now_us);
 int64_t watch_patience_us(GRand *);
-void watch_settled(group_t *, uint64_t term);
+void watch_settled(group_t *, const Bp__RevokeEnded *);
 void watch_revoke(group_t *, uint64_t term, int64_t now_us);
 void watch_promoted(group_t *, const Bp__PromotionEnded *, int64_t now_us);
 
--- a/src/proxy/watch.c
+++ b/src/proxy/watch.c
@@ -162,12 +162,21 @@
 }
 
 /*
- * All daemons have given back their leases below a term.
+ * Most daemons, or all, have given back their leases below a term; or one
+ * knows of a newer holder of the duty, and this daemon has it no longer.
  */
 void
-watch_settled(group_t *group, uint64_t term)
+watch_settled(group_t *group, const Bp__RevokeEnded *ended)
 {
-	promote_settled(&group->promote, term);
+	int64_t now_us = clock_us();
+
+	if (ended->state == BP__REVOKE_STATE__OUTDATED) {
+		group->pool->duty = false;
+		promote_outdated(&group->promote, ended->term, now_us);
+		return;
+	}
+	promote_settled(&group->promote, ended->term,
+	    ended->state == BP__REVOKE_STATE__ALL, now_us);
 }
 
 /*
@@ -317,6 +326,7 @@
 	wanted->group = arena_strdup(msg->arena, server->group->name);
 	wanted->server = arena_strdup(msg->arena, server->id);
 	wanted->term = term;
+	wanted->heard_us = (uint64_t)server->group->promote.settled_us;
 	task_send(pool->proxy->registry, pool->task, msg);
 }
 
@@ -333,6 +343,7 @@
 	watch_revoke(group, term, now_us);
 	wanted->group = arena_strdup(msg->arena, group->name);
 	wanted->term = term;
+	wanted->token = pool->token;
 	task_send(pool->proxy->registry, pool->task, msg);
 }
 
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -201,6 +201,8 @@
 	STEP_END,
 	STEP_GRANT,     /* by database */
 	STEP_SETTLED,   /* all daemons have answered */
+	STEP_MOST,      /* most have */
+	STEP_OUTDATED,  /* one knows of a newer holder of the duty */
 	STEP_CAUGHT_UP, /* database reports the index */
 	STEP_REMAP,     /* database is gone */
 } step_kind_t;
@@ -226,15 +228,24 @@
     {"a majority grants, all daemons settle", false, 0,
 	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8}, {5, STEP_SETTLED, 0, 0}},
 	152, 2},
-    {"no daemon answers: leases run out", false, 0,
-	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8}}, 802, 2},
+    {"most daemons answer: leases run out", false, 0,
+	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8}, {5, STEP_MOST, 0, 0}},
+	802, 2},
+    {"too few daemons answer", false, 0,
+	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8}}, 0, 0},
+    {"a daemon knows of a newer holder", false, 0,
+	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8}, {5, STEP_MOST, 0, 0},
+	    {6, STEP_OUTDATED, 0, 0}},
+	0, 0},
     {"one grant is no majority", false, 0, {{1, STEP_GRANT, 1, 7}}, 0, 0},
     {"a handover needs the primary alone", true, 0,
 	{{1, STEP_GRANT, 0, 9}, {3, STEP_SETTLED, 0, 0},
 	    {40, STEP_CAUGHT_UP, 1, 9}},
 	151, 1},
     {"a handover, too, waits for the leases", true, 0,
-	{{1, STEP_GRANT, 0, 9}, {40, STEP_CAUGHT_UP, 1, 9}}, 801, 1},
+	{{1, STEP_GRANT, 0, 9}, {3, STEP_MOST, 0, 0},
+	    {40, STEP_CAUGHT_UP, 1, 9}},
+	801, 1},
     {"a handover waits for a replica, within bounds", true, 0,
 	{{1, STEP_GRANT, 0, 9}, {3, STEP_SETTLED, 0, 0}}, 251, 2},
     {"not when each commit must be held", true, 1,
@@ -274,7 +285,12 @@
 		    &view, MS(step->at_ms));
 		break;
 	case STEP_SETTLED:
-		promote_settled(promote, promote->term);
+	case STEP_MOST:
+		promote_settled(promote, promote->term,
+		    step->kind == STEP_SETTLED, MS(step->at_ms));
+		break;
+	case STEP_OUTDATED:
+		promote_outdated(promote, promote->term, MS(step->at_ms));
 		break;
 	case STEP_CAUGHT_UP:
 		promote_observed(
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -346,6 +346,72 @@
 	site_end(site);
 }
 
+/* How long a daemon that lost the duty is watched for orders. */
+#define WATCHED_TRIES 60
+
+/*
+ * Tell a proxy, as another daemon would, of a newer holder of the duty.
+ */
+static void
+tell_token(const site_t *site, uint32_t proxy, uint64_t token)
+{
+	Bp__PeerMessage message = BP__PEER_MESSAGE__INIT;
+	Bp__LeaseRevoke revoke = BP__LEASE_REVOKE__INIT;
+	arena_t *arena = arena_new();
+	client_t *peer = client_connect(site->proxies[proxy].peer_port);
+	uint32_t size_bytes, length;
+	uint8_t *bytes;
+
+	g_assert_nonnull(peer);
+	revoke.id = 1;
+	revoke.group = (char *)"ledger";
+	revoke.token = token;
+	message.body_case = BP__PEER_MESSAGE__BODY_LEASE_REVOKE;
+	message.lease_revoke = &revoke;
+	bytes = message_pack(arena, &message.base, &size_bytes);
+	length = GUINT32_TO_BE(size_bytes);
+	client_send(peer, (const char *)&length, sizeof(length));
+	client_send(peer, (const char *)bytes, size_bytes);
+	g_usleep(100 * US_PER_MS);
+	client_close(peer);
+	arena_free(arena);
+}
+
+/*
+ * A daemon that the store turns away orders no change of primary when others
+ * know of a newer holder of the duty.
+ */
+static void
+test_outdated_holder(void)
+{
+	site_plan_t plan = {.proxies = 3, .lag_ms = 5};
+	site_t *site = site_start(&plan);
+	uint32_t i, unfenced;
+	client_t *client;
+	char *answer;
+
+	g_assert_true(site_wait_ready(site, READY_MS));
+	g_usleep(2500 * US_PER_MS); /* the daemons have seen each other */
+	for (i = 0; i < plan.proxies; i++)
+		tell_token(site, i, 7);
+	site_fault(site, "store", "busy", -1);
+	site_fault(site, "database", "crash", 0);
+	for (i = 0; i < WATCHED_TRIES; i++) {
+		client = client_open(site, i % plan.proxies, "intake");
+		answer = client == NULL
+		    ? NULL
+		    : client_ask(client, "WRITE k v", ANSWER_MS);
+		g_assert_false(
+		    answer != NULL && g_str_has_prefix(answer, "DONE"));
+		g_free(answer);
+		client_close(client);
+		g_usleep(20 * US_PER_MS);
+	}
+	g_free(site_value(site, "k", &unfenced));
+	g_assert_cmpuint(unfenced, ==, 0);
+	site_end(site);
+}
+
 /* Sessions that rest, and what the machine of a proxy has. */
 #define IDLE_SESSIONS 3500
 #define MEMORY_MAX_BYTES (UINT64_C(260) << 20)
@@ -394,6 +460,7 @@
 	CASES("/proxy/entry", entry_cases, test_entry);
 	g_test_add_func("/proxy/lost-commit", test_lost_commit);
 	g_test_add_func("/proxy/idle-transaction", test_idle_transaction);
+	g_test_add_func("/proxy/outdated-holder", test_outdated_holder);
 	g_test_add_func("/proxy/leave", test_leave);
 	g_test_add_func("/proxy/idle-sessions", test_idle_sessions);
 	return g_test_run();
--- a/tools/site.c
+++ b/tools/site.c
@@ -241,18 +241,16 @@
 }
 
 /*
- * Connect to a proxy and open a session at a database; an empty name opens
- * none.  NULL when there is no connection.
+ * Connect to a port.  NULL when nothing listens there.
  */
 client_t *
-client_open(site_t *site, uint32_t proxy, const char *database)
+client_connect(uint32_t port)
 {
 	struct sockaddr_in to = {.sin_family = AF_INET};
-	client_t *client;
-	char *line;
 	int fd = socket(AF_INET, SOCK_STREAM, 0), on = 1;
+	client_t *client;
 
-	to.sin_port = htons((uint16_t)site->proxies[proxy].port);
+	to.sin_port = htons((uint16_t)port);
 	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	if (connect(fd, (struct sockaddr *)&to, sizeof(to)) < 0) {
 		close(fd);
@@ -262,7 +260,20 @@
 	client = g_new0(client_t, 1);
 	client->fd = fd;
 	client->in = g_string_new(NULL);
-	if (database[0] == '\0')
+	return client;
+}
+
+/*
+ * Connect to a proxy and open a session at a database; an empty name opens
+ * none.  NULL when there is no connection.
+ */
+client_t *
+client_open(site_t *site, uint32_t proxy, const char *database)
+{
+	client_t *client = client_connect(site->proxies[proxy].port);
+	char *line;
+
+	if (client == NULL || database[0] == '\0')
 		return client;
 	line = g_strdup_printf("START %s u1\r\n", database);
 	client_send(client, line, strlen(line));
--- a/tools/site.h
+++ b/tools/site.h
@@ -37,6 +37,7 @@
     site_t *, const char *kind, const char *name, const char *content);
 char *site_value(site_t *, const char *item, uint32_t *unfenced);
 
+client_t *client_connect(uint32_t port);
 client_t *client_open(site_t *, uint32_t proxy, const char *database);
 void client_close(client_t *);
 bool client_send(client_t *, const char *bytes, uint64_t size_bytes);
