A position of a newer term does not make a primary of whoever shows it

Ruled out: the lease (it was of the new term) and the order of the answers.

Change: a view whose term rises by a position is of no primary until it says so.

t_lease "the primary follows a newer one" failed before.

--- a/src/decide/promote.c
+++ b/src/decide/promote.c
@@ -245,7 +245,11 @@
 	if (!view->known || position_compare(position, view->last) <= 0)
 		return;
 	view->last = position;
-	view->promised = MAX(view->promised, position.term);
+	if (position.term <= view->promised)
+		return;
+	/* who leads that term is not told by a position */
+	view->promised = position.term;
+	view->primary = false;
 }
 
 /*
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -399,6 +399,42 @@
 	promote_clear(&promote);
 }
 
+typedef struct position_case {
+	const char *name;
+	uint32_t database; /* 0 is primary of term 2 */
+	position_t position;
+	int32_t primary; /* afterwards */
+} position_case_t;
+
+static const position_case_t position_cases[] = {
+    {"the primary's log grows", 0, {2, 10}, 0},
+    {"a replica's log grows", 1, {2, 10}, 0},
+    {"the primary follows a newer one", 0, {3, 10}, -1},
+    {"a replica follows a newer one", 1, {3, 10}, 0},
+    {"an older position", 0, {1, 30}, 0},
+};
+
+/*
+ * A position tells of a term, not who leads it.
+ */
+static void
+test_position(gconstpointer data)
+{
+	const position_case_t *c = data;
+	promote_t promote;
+	uint32_t i;
+
+	promote_init(&promote, &change_limits, 3, 1, 0);
+	for (i = 0; i < 3; i++) {
+		db_view_t view = {true, i == 0, false, 2, {2, 9}, 1};
+
+		promote_observed(&promote, i, &view, 0);
+	}
+	promote_positioned(&promote, c->database, c->position);
+	g_assert_cmpint(promote_primary(&promote), ==, c->primary);
+	promote_clear(&promote);
+}
+
 typedef struct spread_case {
 	const char *name;
 	spread_t candidates[3]; /* the first is the primary */
@@ -464,6 +500,7 @@
 	CASES("/lease/unlist", unlist_cases, test_unlist);
 	CASES("/change", change_cases, test_change);
 	CASES("/change/stuck", stuck_cases, test_stuck);
+	CASES("/change/position", position_cases, test_position);
 	CASES("/spread", spread_cases, test_spread);
 	g_test_add_func("/lease/lone-primary", test_lone_primary);
 	return g_test_run();
