--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -447,6 +447,10 @@
 		conn->verdict = reply.verdict;
 		if (conn->open)
 			break;
+		conn->server->unanswered -= conn->expected->len;
+		conn->server->unanswered_us = now_us;
+		conn->server->silent = false;
+		g_array_set_size(conn->expected, 0);
 		watch_alive(conn->server, reply.position, now_us);
 		if (reply.verdict == BP__VERDICT__TOO_MANY)
 			conn->server->connections =
