A primary that has to serve all reads alone hands over to a replica

Ruled out: replicas that are not tried (they refuse, LAGGING, at positions 200 entries behind, while they have received all).

Change: a database that is promoted leads with all it had received, and the one before serves reads, so the group has two that are up to date. When the primary has twice its slots to do for a second, no replica is less than 3 s behind, and one has received all, the holder of the duty hands over, at most every 8 s (decide/relief.c, with a table). A daemon that has just started changes no primary for 1.5 s.

--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -114,6 +114,7 @@
 	pool_t *pool = context;
 
 	pool->task = task;
+	pool->started_us = clock_us();
 	pool->tick = task_timer(task, TICK_MS, on_tick, pool);
 	return 0;
 }
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -3,6 +3,7 @@
 
 #include "decide/promote.h"
 #include "decide/rankq.h"
+#include "decide/relief.h"
 #include "decide/replica.h"
 #include "lines.h"
 #include "log.h"
@@ -86,6 +87,7 @@
 	    applied_us; /* when that was heard, or a read sent to find out */
 	uint32_t connections;  /* of all daemons, by its own word */
 	uint32_t busy;         /* slots, by its own word */
+	uint32_t lag_ms;       /* of what it has applied, by its own word */
 	bool status_open;      /* a question is out */
 	int64_t asked_us;      /* for its state, the last time */
 	uint32_t unanswered;   /* questions and statements */
@@ -112,7 +114,8 @@
 	int64_t suspected_us; /* since; 0: not */
 	int64_t changing_us;  /* another daemon began to change the primary */
 	int64_t used_us;      /* the last statement for the primary */
-	bool listed;          /* by the catalog in force */
+	relief_t relief;
+	bool listed; /* by the catalog in force */
 };
 
 /* A client's transaction, from its first statement on. */
@@ -165,6 +168,7 @@
 	GHashTable *transactions; /* of transaction_t by session */
 	GSource *tick;
 	int64_t ticked_us;
+	int64_t started_us;
 	uint32_t transaction_idle_ms;
 	bool duty;
 	uint64_t token; /* of the duty */
--- a/src/proxy/watch.c
+++ b/src/proxy/watch.c
@@ -30,6 +30,12 @@
 /* Every server is asked this often at the least. */
 #define IDLE_SERVER_US (8000 * US_PER_MS)
 
+/*
+ * A daemon that has just started changes no primary: the databases may have
+ * many connections to open at once.
+ */
+#define STARTUP_US (1500 * US_PER_MS)
+
 /* While a change of primary goes on. */
 #define CHANGING_US (40 * US_PER_MS)
 
@@ -279,6 +285,7 @@
 	view.last = status->received;
 	view.asked_us = expect->sent_us;
 	server->busy = status->busy;
+	server->lag_ms = status->lag_ms;
 	server->connections = status->connections;
 	server->applied = applied;
 	note_change(server, status, expect);
@@ -527,6 +534,36 @@
 	return false;
 }
 
+/*
+ * Hand over to a replica when the primary has to serve all reads alone.
+ */
+static void
+consider_relief(group_t *group, int32_t primary, int64_t now_us)
+{
+	relief_view_t views[GROUP_DATABASES_MAX];
+	uint32_t i;
+
+	if (primary < 0 || group->promote.state != PROMOTE_STEADY)
+		return;
+	for (i = 0; i < group->count; i++) {
+		const server_t *server = group->servers[i];
+
+		views[i].usable = server_usable(server, now_us);
+		views[i].slots = server->slots;
+		views[i].reported_busy = server->busy;
+		views[i].lag_ms = server->lag_ms;
+		views[i].received = group->promote.views[i].last;
+	}
+	if (!relief_due(
+		&group->relief, views, group->count, (uint32_t)primary, now_us))
+		return;
+	LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
+	    "Primary %s of %s has to serve all reads alone; a replica takes "
+	    "over.",
+	    group->servers[primary]->id, group->name);
+	promote_handover(&group->promote, now_us);
+}
+
 /*
  * Watch the servers of a group, and change its primary when that is due and
  * this daemon's duty.
@@ -548,6 +585,8 @@
 		probe(group->servers[i], now_us);
 		dbconns_tick(group->servers[i], now_us);
 	}
+	if (now_us - group->pool->started_us < STARTUP_US)
+		return;
 	consider_duty(group, now_us);
 	if (!group->pool->duty || group->count == 0)
 		return;
@@ -555,6 +594,7 @@
 	if (primary >= 0 && group->servers[primary]->leaving &&
 	    promote->state == PROMOTE_STEADY && some_stay(group, now_us))
 		promote_handover(promote, now_us);
+	consider_relief(group, primary, now_us);
 	promote_tick(promote, now_us, &actions);
 	for (i = 0; i < actions.count; i++)
 		act(group, &actions.list[i], now_us);
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -1,4 +1,5 @@
 #include "../src/decide/promote.h"
+#include "../src/decide/relief.h"
 #include "../src/decide/replica.h"
 #include "../src/decide/spread.h"
 #include "cases.h"
@@ -435,6 +436,73 @@
 	promote_clear(&promote);
 }
 
+typedef struct relief_case {
+	const char *name;
+	relief_view_t views[3]; /* the first is the primary */
+	int64_t again_ms;       /* asked a second time, so much later */
+	bool due;
+	bool due_again;
+} relief_case_t;
+
+#define VIEW_OF(busy, lag_ms, index) \
+	{ \
+		true, 2, busy, lag_ms, \
+		{ \
+			1, index \
+		} \
+	}
+
+static const relief_case_t relief_cases[] = {
+    {"no replica has applied enough",
+	{VIEW_OF(9, 0, 500), VIEW_OF(1, 9000, 495), VIEW_OF(1, 20000, 400)},
+	1000, true, false},
+    {"again after a while",
+	{VIEW_OF(9, 0, 500), VIEW_OF(1, 9000, 495), VIEW_OF(1, 20000, 400)},
+	9500, true, true},
+    {"the primary has little to do",
+	{VIEW_OF(3, 0, 500), VIEW_OF(1, 9000, 495), VIEW_OF(1, 20000, 495)},
+	1000, false, false},
+    {"one replica serves reads",
+	{VIEW_OF(9, 0, 500), VIEW_OF(1, 50, 499), VIEW_OF(1, 20000, 495)}, 1000,
+	false, false},
+    {"no replica has received all",
+	{VIEW_OF(9, 0, 500), VIEW_OF(1, 9000, 300), VIEW_OF(1, 20000, 300)},
+	1000, false, false},
+    {"the only one that has does not answer",
+	{VIEW_OF(9, 0, 500), {false, 2, 1, 9000, {1, 499}},
+	    VIEW_OF(1, 20000, 300)},
+	1000, false, false},
+};
+
+/*
+ * Ask every 50 ms for a while; returns whether relief was due once.
+ */
+static bool
+due_within(relief_t *relief, const relief_view_t *views, int64_t from_ms)
+{
+	bool due = false;
+	int64_t at_ms;
+
+	for (at_ms = from_ms; at_ms <= from_ms + 1200; at_ms += 50)
+		due |= relief_due(relief, views, 3, 0, MS(at_ms));
+	return due;
+}
+
+/*
+ * A strained primary hands over, not at once and not again and again.
+ */
+static void
+test_relief(gconstpointer data)
+{
+	const relief_case_t *c = data;
+	relief_t relief = {0};
+
+	g_assert_false(relief_due(&relief, c->views, 3, 0, MS(1)));
+	g_assert_cmpint(due_within(&relief, c->views, 1), ==, c->due);
+	g_assert_cmpint(
+	    due_within(&relief, c->views, 1 + c->again_ms), ==, c->due_again);
+}
+
 typedef struct spread_case {
 	const char *name;
 	spread_t candidates[3]; /* the first is the primary */
@@ -501,6 +569,7 @@
 	CASES("/change", change_cases, test_change);
 	CASES("/change/stuck", stuck_cases, test_stuck);
 	CASES("/change/position", position_cases, test_position);
+	CASES("/relief", relief_cases, test_relief);
 	CASES("/spread", spread_cases, test_spread);
 	g_test_add_func("/lease/lone-primary", test_lone_primary);
 	return g_test_run();
