--- a/src/check.c
+++ b/src/check.c
@@ -1,11 +1,54 @@
 #include "command.h"
 #include "document.h"
+#include "proxy/settings.h"
 
 #include <stdio.h>
 
+/* What a file may be. */
+typedef struct kind {
+	const char *name;
+	bool (*read)(arena_t *, const char *text, uint64_t, faults_t *);
+} kind_t;
+
+/*
+ * The settings of a daemon that callers reach by HTTP.
+ */
+static bool
+read_settings(
+    arena_t *arena, const char *text, uint64_t size_bytes, faults_t *faults)
+{
+	return settings_read(arena, text, size_bytes, faults) != NULL;
+}
+
+/*
+ * The settings of a proxy.
+ */
+static bool
+read_proxy_settings(
+    arena_t *arena, const char *text, uint64_t size_bytes, faults_t *faults)
+{
+	return proxy_settings_read(arena, text, size_bytes, faults) != NULL;
+}
+
+/*
+ * A team's document.
+ */
+static bool
+read_document(
+    arena_t *arena, const char *text, uint64_t size_bytes, faults_t *faults)
+{
+	return document_read(arena, text, size_bytes, faults) != NULL;
+}
+
+static const kind_t kinds[] = {
+    {"settings file", read_settings},
+    {"settings file of a proxy", read_proxy_settings},
+    {"document of a team", read_document},
+};
+
 /*
  * bergamotplank check FILE: is it a settings file or a document that a daemon
- * takes?  The kind with fewer faults is taken for the one that was meant.
+ * takes?  The kind with the fewest faults is taken for the one that was meant.
  */
 int32_t
 command_check(int argc, char **argv)
@@ -17,9 +60,9 @@
 	void *table[] = {file, help, end};
 	int wrong = arg_parse(argc, argv, table);
 	arena_t *arena = arena_new();
-	faults_t settings = {arena, NULL, 0, NULL};
-	faults_t document = {arena, NULL, 0, NULL};
+	faults_t best = {arena, NULL, UINT32_MAX, NULL};
 	uint64_t size_bytes;
+	uint32_t i;
 	char *text;
 
 	if (help->count > 0 || wrong > 0)
@@ -27,18 +70,20 @@
 	text = command_read_file(file->filename[0], &size_bytes);
 	if (text == NULL)
 		return 1;
-	settings.lines = g_hash_table_new(NULL, NULL);
-	document.lines = g_hash_table_new(NULL, NULL);
-	settings_read(arena, text, size_bytes, &settings);
-	document_read(arena, text, size_bytes, &document);
-	g_free(text);
-	if (settings.count == 0 || document.count == 0) {
-		printf("%s: a valid %s\n", file->filename[0],
-		    settings.count == 0 ? "settings file"
-					: "document of a team");
-		return 0;
+	for (i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		faults_t faults = {arena, NULL, 0, NULL};
+
+		faults.lines = g_hash_table_new(NULL, NULL);
+		if (kinds[i].read(arena, text, size_bytes, &faults)) {
+			printf("%s: a valid %s\n", file->filename[0],
+			    kinds[i].name);
+			g_free(text);
+			return 0;
+		}
+		if (faults.count < best.count)
+			best = faults;
 	}
-	command_print_faults(file->filename[0],
-	    document.count < settings.count ? &document : &settings);
+	g_free(text);
+	command_print_faults(file->filename[0], &best);
 	return 1;
 }
--- a/tests/t_command.c
+++ b/tests/t_command.c
@@ -21,7 +21,8 @@
 
 static const command_case_t command_cases[] = {
     {"nothing", {NULL}, NULL, 2, {"usage: bergamotplank"}},
-    {"help", {"--help"}, NULL, 0, {"serve", "check", "status"}},
+    {"help", {"--help"}, NULL, 0, {"serve", "proxy", "check"}},
+    {"help lists status", {"--help"}, NULL, 0, {"status"}},
     {"version", {"--version"}, NULL, 0, {"bergamotplank 0."}},
     {"unknown command", {"fly"}, NULL, 2, {"unknown command fly"}},
     {"help of serve", {"serve", "--help"}, NULL, 0, {"usage", "--file"}},
@@ -31,6 +32,17 @@
 	{"valid settings file"}},
     {"check of a document", {"check", "examples/quotes-db.json"}, NULL, 0,
 	{"valid document"}},
+    {"check of a proxy's settings", {"check", "examples/proxy.json"}, NULL, 0,
+	{"valid settings file of a proxy"}},
+    {"check of a proxy's faulty settings", {"check", "FILE"},
+	"{\"name\": \"e\", \"zone\": \"z\",\n\"client_address\": "
+	"\"here\", \"ready_address\": \"127.0.0.1:2\", "
+	"\"peer_address\": \"127.0.0.1:3\",\n"
+	"\"store_address\": \"127.0.0.1:4\", \"grace_s\": 0}",
+	1, {"\"client_address\" must be IP:PORT", "\"grace_s\" must be"}},
+    {"proxy without settings", {"proxy"}, NULL, 2, {"usage"}},
+    {"proxy of faulty settings", {"proxy", "-f", "FILE"}, "{}", 1,
+	{"missing key \"store_address\""}},
     {"check without a file", {"check"}, NULL, 2, {"usage"}},
     {"check of no file", {"check", "/nonexistent"}, NULL, 1, {"No such file"}},
     {"check tells every fault", {"check", "FILE"},
