--- a/platform/http.c
+++ b/src/http.c
@@ -1,6 +1,9 @@
 #include "http.h"
+
 #include "task.h"
 
+#include <string.h>
+
 #define CONNECTIONS_MAX 8 /* two of them wait in watches */
 
 struct http {
--- a/platform/http.h
+++ b/src/http.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_HTTP_H
-#define PLATFORM_HTTP_H
+#ifndef HTTP_H
+#define HTTP_H
 
 #include "bergamotplank.h"
 
--- a/src/main.c
+++ b/src/main.c
@@ -1,5 +1,6 @@
 #include "command.h"
 
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -81,6 +82,40 @@
 		    faults->list[i].reason);
 }
 
+/*
+ * Run a subcommand with the settings of its file.  Returns the exit status.
+ */
+int32_t
+command_with_settings(const settings_command_t *command, int argc, char **argv)
+{
+	struct arg_file *file =
+	    arg_file1("f", "file", "FILE", "settings of this daemon");
+	struct arg_lit *help = arg_lit0("h", "help", "show this");
+	struct arg_end *end = arg_end(4);
+	void *table[] = {file, help, end};
+	int wrong = arg_parse(argc, argv, table);
+	faults_t faults = {arena_new(), NULL, 0, NULL};
+	uint64_t size_bytes;
+	void *settings;
+	char *text;
+
+	if (help->count > 0 || wrong > 0)
+		return command_usage(
+		    command->name, table, end, help->count > 0);
+	text = command_read_file(file->filename[0], &size_bytes);
+	if (text == NULL)
+		return 1;
+	faults.lines = g_hash_table_new(NULL, NULL);
+	settings = command->read(faults.arena, text, size_bytes, &faults);
+	g_free(text);
+	if (settings == NULL) {
+		command_print_faults(file->filename[0], &faults);
+		return 1;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	return command->run(settings) == 0 ? 0 : 1;
+}
+
 /*
  * Run the subcommand that the first argument names.
  */
--- a/src/proxy/command.c
+++ b/src/proxy/command.c
@@ -5,7 +5,28 @@
 #include "proxy/proxy.h"
 #include "proxy/settings.h"
 
-#include <signal.h>
+/*
+ * Read the settings of the proxy.
+ */
+static void *
+read_settings(
+    arena_t *arena, const char *text, uint64_t size_bytes, faults_t *faults)
+{
+	return proxy_settings_read(arena, text, size_bytes, faults);
+}
+
+/*
+ * Run the proxy on the users' platform.
+ */
+static int32_t
+run(const void *data)
+{
+	const Bp__ProxySettings *settings = data;
+
+	log_start(log_highest_of(settings->log_level));
+	return proxy_run(
+	    settings, &platform_wire, &platform_objects, &platform_promoter);
+}
 
 /*
  * bergamotplank proxy -f FILE
@@ -13,33 +34,7 @@
 int32_t
 command_proxy(int argc, char **argv)
 {
-	struct arg_file *file =
-	    arg_file1("f", "file", "FILE", "settings of this daemon");
-	struct arg_lit *help = arg_lit0("h", "help", "show this");
-	struct arg_end *end = arg_end(4);
-	void *table[] = {file, help, end};
-	int wrong = arg_parse(argc, argv, table);
-	faults_t faults = {arena_new(), NULL, 0, NULL};
-	Bp__ProxySettings *settings;
-	uint64_t size_bytes;
-	char *text;
+	static const settings_command_t command = {"proxy", read_settings, run};
 
-	if (help->count > 0 || wrong > 0)
-		return command_usage("proxy", table, end, help->count > 0);
-	text = command_read_file(file->filename[0], &size_bytes);
-	if (text == NULL)
-		return 1;
-	faults.lines = g_hash_table_new(NULL, NULL);
-	settings = proxy_settings_read(faults.arena, text, size_bytes, &faults);
-	g_free(text);
-	if (settings == NULL) {
-		command_print_faults(file->filename[0], &faults);
-		return 1;
-	}
-	signal(SIGPIPE, SIG_IGN);
-	log_start(log_highest_of(settings->log_level));
-	return proxy_run(settings, &platform_wire, &platform_objects,
-		   &platform_promoter) == 0
-	    ? 0
-	    : 1;
+	return command_with_settings(&command, argc, argv);
 }
--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -403,8 +403,7 @@
 	case EXPECT_OPERATION:
 		if (operation == NULL)
 			break;
-		watch_primary_answered(
-		    server, ready->position, expect.sent_us, now_us);
+		watch_primary_answered(server, ready->position, expect.sent_us);
 		operation->ran_at = ready->position;
 		conn->operation = NULL;
 		operation->conn = NULL;
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -17,13 +17,11 @@
  * transaction to it.
  */
 static void
-send_to(operation_t *operation, dbconn_t *conn, const position_t *after,
-    int64_t now_us)
+send_to(operation_t *operation, dbconn_t *conn, const position_t *after)
 {
 	transaction_t *transaction = operation->transaction;
 
 	operation->state = OPERATION_SENT;
-	operation->sent_us = now_us;
 	if (transaction != NULL) {
 		transaction->conn = conn;
 		transaction->on_replica = after != NULL;
@@ -79,7 +77,7 @@
 			dbconns_grow(server, server->conns->len + 1, now_us);
 			return;
 		}
-		send_to(operation, conn, NULL, now_us);
+		send_to(operation, conn, NULL);
 	}
 	if (rankq_count(group->primary_lane) > 0)
 		ask_when_old(server, now_us);
@@ -165,7 +163,7 @@
 	}
 	if (position_compare(server->applied, needed) < 0)
 		server->applied_us = now_us;
-	send_to(operation, conn, chosen == primary ? NULL : &needed, now_us);
+	send_to(operation, conn, chosen == primary ? NULL : &needed);
 	return true;
 }
 
@@ -195,10 +193,8 @@
 void
 dispatch(group_t *group, int64_t now_us)
 {
-	if (rankq_count(group->primary_lane) > 0) {
-		group->used_us = now_us;
+	if (rankq_count(group->primary_lane) > 0)
 		dispatch_primary(group, now_us);
-	}
 	if (rankq_count(group->replica_lane) > 0)
 		dispatch_reads(group, now_us);
 }
--- a/src/proxy/operation.c
+++ b/src/proxy/operation.c
@@ -228,8 +228,7 @@
 		}
 		operation->transaction = transaction;
 		transaction->operation = operation;
-		transaction->used_us = operation->sent_us =
-		    operation->arrived_us;
+		transaction->used_us = operation->arrived_us;
 		operation->state = OPERATION_SENT;
 		dbconn_run(transaction->conn, operation, NULL);
 		return;
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -113,7 +113,6 @@
 	lease_t lease;
 	int64_t suspected_us; /* since; 0: not */
 	int64_t changing_us;  /* another daemon began to change the primary */
-	int64_t used_us;      /* the last statement for the primary */
 	relief_t relief;
 	bool listed; /* by the catalog in force */
 };
@@ -153,7 +152,6 @@
 	uint32_t tries;
 	int64_t arrived_us;
 	int64_t deadline_us;
-	int64_t sent_us;
 	position_t ran_at;
 	const char *proof;
 	GPtrArray *rows;
@@ -224,8 +222,7 @@
 void watch_status(
     server_t *, const server_status_t *, const expect_t *, position_t);
 void watch_alive(server_t *, position_t, int64_t now_us);
-void watch_primary_answered(
-    server_t *, position_t, int64_t sent_us, int64_t now_us);
+void watch_primary_answered(server_t *, position_t, int64_t sent_us);
 void watch_refused(server_t *);
 void watch_ask(server_t *, int64_t now_us);
 void watch_duty_denied(group_t *, int64_t now_us);
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -456,7 +456,6 @@
 	if (!session->waiting || ended->sequence != session->sequence)
 		return;
 	session->waiting = false;
-	session->used_us = clock_us();
 	for (i = 0; i < ended->n_rows; i++)
 		wire->write_row(session->out, ended->rows[i]);
 	if (done)
@@ -527,7 +526,6 @@
 {
 	session_t *session = context;
 
-	session->used_us = clock_us();
 	lines_add(&session->in, bytes, size_bytes);
 	session_handle(session);
 }
@@ -555,7 +553,6 @@
 	session->clients = clients;
 	session->id = ++clients->next_id;
 	session->out = g_string_new(NULL);
-	session->used_us = clock_us();
 	lines_init(&session->in, clients->wire->line_bytes_max);
 	session->sock = sock_accept(
 	    task_context(clients->task), socket, &sock_ops, session);
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -41,7 +41,6 @@
 	GHashTable *prepared; /* of prepared_t by name */
 	char *floor_group;    /* whose log the floor is a position of */
 	position_t floor;
-	int64_t used_us;
 } session_t;
 
 struct clients {
--- a/src/proxy/watch.c
+++ b/src/proxy/watch.c
@@ -136,13 +136,11 @@
  * acknowledged before stands at or before its position.
  */
 void
-watch_primary_answered(
-    server_t *server, position_t position, int64_t sent_us, int64_t now_us)
+watch_primary_answered(server_t *server, position_t position, int64_t sent_us)
 {
 	group_t *group = server->group;
 	sample_t sample = {sent_us, position};
 
-	(void)now_us;
 	if (server->gone || position.term != group->lease.term ||
 	    (int32_t)server->index != promote_primary(&group->promote) ||
 	    group->lease.until_us < sent_us)
@@ -298,8 +296,7 @@
 		promote_raised(
 		    promote, server->index, promote->term, true, &view, now_us);
 	lease_update(group, now_us);
-	watch_primary_answered(
-	    server, status->received, expect->sent_us, now_us);
+	watch_primary_answered(server, status->received, expect->sent_us);
 	dispatch(group, now_us);
 }
 
--- a/src/serve.c
+++ b/src/serve.c
@@ -3,9 +3,6 @@
 #include "document.h"
 #include "log.h"
 
-#include <signal.h>
-#include <stdio.h>
-
 #define PART "serve"
 
 /*
@@ -53,38 +50,37 @@
 	return error;
 }
 
+/*
+ * Read the settings of the daemon.
+ */
+static void *
+read_settings(
+    arena_t *arena, const char *text, uint64_t size_bytes, faults_t *faults)
+{
+	return settings_read(arena, text, size_bytes, faults);
+}
+
+/*
+ * Run the daemon with its settings.
+ */
+static int32_t
+run(const void *settings)
+{
+	daemon_t daemon = {0};
+
+	daemon.settings = settings;
+	daemon.incarnation = (uint64_t)g_get_real_time();
+	log_start(log_highest_of(daemon.settings->log_level));
+	return daemon_run(&daemon);
+}
+
 /*
  * bergamotplank serve -f FILE
  */
 int32_t
 command_serve(int argc, char **argv)
 {
-	struct arg_file *file =
-	    arg_file1("f", "file", "FILE", "settings of this daemon");
-	struct arg_lit *help = arg_lit0("h", "help", "show this");
-	struct arg_end *end = arg_end(4);
-	void *table[] = {file, help, end};
-	int wrong = arg_parse(argc, argv, table);
-	faults_t faults = {arena_new(), NULL, 0, NULL};
-	daemon_t daemon = {0};
-	uint64_t size_bytes;
-	char *text;
+	static const settings_command_t command = {"serve", read_settings, run};
 
-	if (help->count > 0 || wrong > 0)
-		return command_usage("serve", table, end, help->count > 0);
-	text = command_read_file(file->filename[0], &size_bytes);
-	if (text == NULL)
-		return 1;
-	faults.lines = g_hash_table_new(NULL, NULL);
-	daemon.settings =
-	    settings_read(faults.arena, text, size_bytes, &faults);
-	g_free(text);
-	if (daemon.settings == NULL) {
-		command_print_faults(file->filename[0], &faults);
-		return 1;
-	}
-	signal(SIGPIPE, SIG_IGN);
-	log_start(log_highest_of(daemon.settings->log_level));
-	daemon.incarnation = (uint64_t)g_get_real_time();
-	return daemon_run(&daemon) == 0 ? 0 : 1;
+	return command_with_settings(&command, argc, argv);
 }
--- a/src/store_http.c
+++ b/src/store_http.c
@@ -1,25 +1,16 @@
+#include "http.h"
 #include "json.h"
 #include "store.h"
-#include "task.h"
 
-#include <libsoup/soup.h>
-
-#define CONNECTIONS_MAX 8 /* two of them wait in watches */
-#define WATCH_MS 10000    /* a watch is answered well before this */
+#define WATCH_MS 10000 /* a watch is answered well before this */
 
 struct store {
-	SoupSession *session;
-	char *base;
+	http_t *http;
 	uint32_t timeout_ms;
-	GCancellable *closing;
 };
 
 /* One call under way. */
 typedef struct call {
-	store_t *store;
-	SoupMessage *message;
-	GCancellable *cancellable;
-	GSource *timeout;
 	const ProtobufCMessageDescriptor *type;
 	void (*answer)(struct call *, uint32_t status, ProtobufCMessage *);
 	union {
@@ -61,108 +52,48 @@
 }
 
 /*
- * Free a call.
- */
-static void
-call_free(call_t *call)
-{
-	source_drop(&call->timeout);
-	g_object_unref(call->message);
-	g_object_unref(call->cancellable);
-	g_free(call);
-}
-
-/*
- * A call has ended: read its answer and hand it over, unless we close.
+ * A call has ended: read its answer and hand it over.
  */
 static void
-on_sent(GObject *session, GAsyncResult *result, gpointer context)
+on_answer(void *context, uint32_t status, const char *body, uint64_t size_bytes)
 {
 	call_t *call = context;
-	GError *error = NULL;
-	GBytes *body = soup_session_send_and_read_finish(
-	    SOUP_SESSION(session), result, &error);
 	faults_t faults = {arena_new(), NULL, 0, NULL};
 	ProtobufCMessage *message = NULL;
-	uint32_t status = 0;
-	const char *text;
-	gsize size;
-
-	if (g_cancellable_is_cancelled(call->store->closing)) {
-		g_clear_error(&error);
-	} else {
-		if (body != NULL) {
-			status = soup_message_get_status(call->message);
-			text = g_bytes_get_data(body, &size);
-			message = json_read(faults.arena, call->type,
-			    text == NULL ? "" : text, size, &faults);
-		}
-		g_clear_error(&error);
-		call->answer(call, message == NULL ? 0 : status, message);
-	}
+
 	if (body != NULL)
-		g_bytes_unref(body);
+		message = json_read(
+		    faults.arena, call->type, body, size_bytes, &faults);
+	call->answer(call, message == NULL ? 0 : status, message);
 	arena_free(faults.arena);
-	call_free(call);
-}
-
-/*
- * A call has taken too long.
- */
-static gboolean
-on_timeout(gpointer context)
-{
-	call_t *call = context;
-
-	g_cancellable_cancel(call->cancellable);
-	return G_SOURCE_REMOVE;
+	g_free(call);
 }
 
 /*
- * Make a call to a path below the base.
+ * Make a call whose answer is of a type.
  */
 static call_t *
-call_new(store_t *store, const char *method, const char *path,
-    const ProtobufCMessageDescriptor *type, void *context)
+call_new(const ProtobufCMessageDescriptor *type, void *context)
 {
 	call_t *call = g_new0(call_t, 1);
-	char *url = g_strconcat(store->base, path, NULL);
 
-	call->store = store;
 	call->type = type;
 	call->context = context;
-	call->message = soup_message_new(method, url);
-	call->cancellable = g_cancellable_new();
-	g_free(url);
 	return call;
 }
 
-/*
- * Send a call and bound its time.
- */
-static void
-call_send(call_t *call, uint32_t timeout_ms)
-{
-	call->timeout = g_timeout_source_new(timeout_ms);
-	g_source_set_callback(call->timeout, on_timeout, call, NULL);
-	g_source_attach(call->timeout, g_main_context_get_thread_default());
-	soup_session_send_and_read_async(call->store->session, call->message,
-	    G_PRIORITY_DEFAULT, call->cancellable, on_sent, call);
-}
-
 /*
  * Open the way to the object API.  Nothing is sent yet.
  */
 static store_t *
-http_open(const char *address, uint32_t port, uint32_t timeout_ms)
+store_open(const char *address, uint32_t port, uint32_t timeout_ms)
 {
 	store_t *store = g_new0(store_t, 1);
+	char *place = g_strdup_printf("%s:%u", address, port);
 
-	store->session = soup_session_new_with_options("max-conns-per-host",
-	    CONNECTIONS_MAX, "proxy-resolver", NULL, NULL);
-	store->base = g_strdup_printf("http://%s:%u", address, port);
+	store->http = http_open(place, timeout_ms);
 	store->timeout_ms = timeout_ms;
-	store->closing = g_cancellable_new();
+	g_free(place);
 	return store;
 }
 
@@ -170,20 +101,21 @@
  * List the objects below a prefix, now or after a change.
  */
 static void
-http_list(store_t *store, const char *prefix, uint64_t after,
+store_list(store_t *store, const char *prefix, uint64_t after,
     store_list_cb callback, void *context)
 {
 	char *path = after == 0
 	    ? g_strdup_printf("/list?prefix=%s", prefix)
 	    : g_strdup_printf(
 		  "/list?prefix=%s&after=%" G_GUINT64_FORMAT, prefix, after);
-	call_t *call =
-	    call_new(store, "GET", path, &bp__object_list__descriptor, context);
+	call_t *call = call_new(&bp__object_list__descriptor, context);
 
 	call->answer = answer_list;
 	call->callback.list = callback;
+	http_send(store->http, http_message(store->http, "GET", path), NULL,
+	    after == 0 ? 0 : WATCH_MS - MIN(store->timeout_ms, WATCH_MS),
+	    on_answer, call);
 	g_free(path);
-	call_send(call, after == 0 ? store->timeout_ms : WATCH_MS);
 }
 
 /*
@@ -191,65 +123,49 @@
  * sends GET and PUT again of itself on a broken connection.
  */
 static void
-http_update(store_t *store, const char *name, uint64_t version,
+store_update(store_t *store, const char *name, uint64_t version,
     const char *mark, const char *value, store_object_cb callback,
     void *context)
 {
 	char *path = g_strconcat("/objects/", name, NULL);
-	call_t *call =
-	    call_new(store, "POST", path, &bp__object__descriptor, context);
+	call_t *call = call_new(&bp__object__descriptor, context);
 	arena_t *arena = arena_new();
 	Bp__ObjectUpdate update = BP__OBJECT_UPDATE__INIT;
-	uint64_t size_bytes;
-	char *body;
-	GBytes *bytes;
 
 	call->answer = answer_object;
 	call->callback.object = callback;
 	update.version = version;
 	update.mark = (char *)mark;
 	update.value = (char *)value;
-	body = json_write(arena, &update.base, &size_bytes);
-	bytes = g_bytes_new(body, size_bytes);
-	soup_message_set_request_body_from_bytes(
-	    call->message, "application/json", bytes);
-	g_bytes_unref(bytes);
+	http_send(store->http, http_message(store->http, "POST", path),
+	    json_write(arena, &update.base, NULL), 0, on_answer, call);
 	arena_free(arena);
 	g_free(path);
-	call_send(call, store->timeout_ms);
 }
 
 /*
  * Get the list of VMs.
  */
 static void
-http_vms(store_t *store, store_vms_cb callback, void *context)
+store_vms(store_t *store, store_vms_cb callback, void *context)
 {
-	call_t *call =
-	    call_new(store, "GET", "/vms", &bp__vm_list__descriptor, context);
+	call_t *call = call_new(&bp__vm_list__descriptor, context);
 
 	call->answer = answer_vms;
 	call->callback.vms = callback;
-	call_send(call, store->timeout_ms);
+	http_send(store->http, http_message(store->http, "GET", "/vms"), NULL,
+	    0, on_answer, call);
 }
 
 /*
  * End all calls, without an answer to them, and free the store.
  */
 static void
-http_close(store_t *store)
+store_close(store_t *store)
 {
-	g_cancellable_cancel(store->closing);
-	soup_session_abort(store->session);
-	/* the calls' ends are still to be met by the loop */
-	while (g_main_context_iteration(
-	    g_main_context_get_thread_default(), FALSE))
-		;
-	g_object_unref(store->session);
-	g_object_unref(store->closing);
-	g_free(store->base);
+	http_close(store->http);
 	g_free(store);
 }
 
 const store_ops_t store_http = {
-    http_open, http_list, http_update, http_vms, http_close};
+    store_open, store_list, store_update, store_vms, store_close};
