Statements for a primary that is being changed wait on

Cause: in the half second of a handover or promotion statements were refused after 0.9 of their target (90 ms at quote-accept), came back, and were refused again; after three times they were not served at all.

Change: while a change is under way they wait, up to the route's time, and go to the new primary at once. Not where no primary is known, as after a start: there another daemon may have a connection already.

--- a/src/proxy/operation.c
+++ b/src/proxy/operation.c
@@ -12,6 +12,9 @@
 /* What waits must be offered to a database within this part of its target. */
 #define QUEUE_PERCENT 90
 
+/* While a primary changes, waiting statements are looked at so often. */
+#define WAIT_ON_US (50 * US_PER_MS)
+
 /* Lines on failed statements; more are counted. */
 #define FAILURES_PER_SECOND 20
 
@@ -510,15 +513,28 @@
 }
 
 /*
- * End the statements of one lane that have waited for too long.
+ * End the statements of one lane that have waited for too long.  While the
+ * primary changes they may wait on: that is over soon, and whoever is refused
+ * comes back before it is.
  */
 static void
-lane_expire(rankq_t *lane, int64_t now_us)
+lane_expire(const group_t *group, rankq_t *lane, int64_t now_us)
 {
+	bool changing =
+	    lane == group->primary_lane && watch_changing(group, now_us);
 	rankq_item_t *item;
 
-	while ((item = rankq_expired(lane, now_us)) != NULL)
-		operation_refuse(item->owner, "no database was free in time");
+	while ((item = rankq_expired(lane, now_us)) != NULL) {
+		operation_t *operation = item->owner;
+
+		if (changing && now_us < operation->deadline_us) {
+			item->deadline_us =
+			    MIN(now_us + WAIT_ON_US, operation->deadline_us);
+			rankq_push(lane, item, true);
+			continue;
+		}
+		operation_refuse(operation, "no database was free in time");
+	}
 }
 
 /*
@@ -555,8 +571,8 @@
 	GList *l = group->held.head;
 	uint32_t i;
 
-	lane_expire(group->primary_lane, now_us);
-	lane_expire(group->replica_lane, now_us);
+	lane_expire(group, group->primary_lane, now_us);
+	lane_expire(group, group->replica_lane, now_us);
 	while (l != NULL) {
 		operation_t *operation = l->data;
 
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -224,6 +224,7 @@
 void watch_alive(server_t *, position_t, int64_t now_us);
 void watch_primary_answered(server_t *, position_t, int64_t sent_us);
 void watch_refused(server_t *);
+bool watch_changing(const group_t *, int64_t now_us);
 void watch_ask(server_t *, int64_t now_us);
 void watch_duty_denied(group_t *, int64_t now_us);
 int64_t watch_patience_us(GRand *);
--- a/src/proxy/watch.c
+++ b/src/proxy/watch.c
@@ -414,12 +414,11 @@
 /*
  * Tell whether a change of primary goes on, as far as is known here.
  */
-static bool
-changing(const group_t *group, int64_t now_us)
+bool
+watch_changing(const group_t *group, int64_t now_us)
 {
 	return group->promote.state == PROMOTE_FENCING ||
 	    group->promote.state == PROMOTE_RAISING ||
-	    promote_primary(&group->promote) < 0 ||
 	    now_us - group->changing_us < CHANGE_US;
 }
 
@@ -438,7 +437,8 @@
 	int32_t primary = promote_primary(&group->promote);
 	uint32_t i;
 
-	if (changing(group, now_us))
+	if (watch_changing(group, now_us) ||
+	    promote_primary(&group->promote) < 0)
 		return CHANGING_US;
 	if (server->unanswered > 0 &&
 	    now_us - server->unanswered_us >= SILENT_US)
