An epoll set goes with its last socket also within a callback

Cause: a set whose last socket was removed while events were handed out stayed in the table of its thread; a new main context at the same address found it, and its sockets were never looked at. Seen in make check beside load: /holds/at-most-once and /holds/read-your-writes (the test program asks databases on main contexts of their own); about one run in three.

Ruled out: the change of primary (the daemon's log has the new primary after 0.5 s) and load (it failed on a quiet machine, too).

--- a/src/poller.c
+++ b/src/poller.c
@@ -19,6 +19,18 @@
 /* The sets of the running thread, by main context. */
 static GPrivate sets = G_PRIVATE_INIT((GDestroyNotify)g_hash_table_unref);
 
+/*
+ * Forget a set that watches nothing any more; its main context may go next.
+ */
+static void
+poller_end(poller_t *poller)
+{
+	g_hash_table_remove(g_private_get(&sets), poller->main);
+	close(poller->epoll);
+	g_source_destroy(&poller->source);
+	g_source_unref(&poller->source);
+}
+
 /*
  * Hand out what is ready.  A callback may remove any item of the set.
  */
@@ -39,6 +51,10 @@
 			item->ready(item->context, poller->events[i].events);
 	}
 	poller->pending = 0;
+	if (poller->items == 0) {
+		poller_end(poller);
+		return G_SOURCE_REMOVE;
+	}
 	task_deliver();
 	return G_SOURCE_CONTINUE;
 }
@@ -121,10 +137,6 @@
 		if (poller->events[i].data.ptr == item)
 			poller->events[i].data.ptr = NULL;
 	}
-	if (--poller->items > 0 || poller->pending > 0)
-		return;
-	g_hash_table_remove(g_private_get(&sets), poller->main);
-	close(poller->epoll);
-	g_source_destroy(&poller->source);
-	g_source_unref(&poller->source);
+	if (--poller->items == 0 && poller->pending == 0)
+		poller_end(poller);
 }
