The harness of the platform's stand-in lies with the stand-ins; a verdict gets our word

tools/site.c spells the platform's names, which only platform/ and the stand-ins know; it moves to tests/fake. The verdict of a replica that lacks a position is BEHIND, no longer the platform's word. No behaviour changes.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 BIN = $(BUILD)/bergamotplank
 TEST_LIBS = `pkg-config --libs libcurl`
 TOOLS_O = $(patsubst %,$(BUILD)/tools/%.o, \
-	figures fleet history load model queuesim site)
+	figures fleet history load model queuesim)
 FAKES = $(BUILD)/fakedb $(BUILD)/fakeplatform $(BUILD)/fakesite
 
 all: $(BIN) $(FAKES)
@@ -85,8 +85,10 @@
 TESTS = t_decide t_lease t_wire t_poller t_queue t_text t_history t_model t_command \
 	t_proxy t_fleet t_holds
 
+$(BUILD)/t_proxy: $(BUILD)/tests/fake/site.o
 $(BUILD)/t_%: $(BUILD)/tests/t_%.o $(TOOLS_O) $(BUILD)/libbergamotplank.a
-	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS) \
+	    $(TEST_LIBS)
 
 # What a statement costs, beside a direct call.
 bench: all $(BUILD)/bench
--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -1877,7 +1877,7 @@
   { "SUCCEEDED", "BP__VERDICT__SUCCEEDED", 0 },
   { "BUSY", "BP__VERDICT__BUSY", 1 },
   { "ABORTED", "BP__VERDICT__ABORTED", 2 },
-  { "LAGGING", "BP__VERDICT__LAGGING", 3 },
+  { "BEHIND", "BP__VERDICT__BEHIND", 3 },
   { "READ_ONLY", "BP__VERDICT__READ_ONLY", 4 },
   { "WRONG_SERVER", "BP__VERDICT__WRONG_SERVER", 5 },
   { "TOO_MANY", "BP__VERDICT__TOO_MANY", 6 },
@@ -1896,9 +1896,9 @@
 static const ProtobufCEnumValueIndex bp__verdict__enum_values_by_name[15] =
 {
   { "ABORTED", 2 },
+  { "BEHIND", 3 },
   { "BUSY", 1 },
   { "IN_DOUBT", 7 },
-  { "LAGGING", 3 },
   { "MALFORMED", 11 },
   { "NO_DATABASE", 13 },
   { "NO_STATEMENT", 10 },
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -56,7 +56,7 @@
   /*
    * not run: the replica lacks a position
    */
-  BP__VERDICT__LAGGING = 3,
+  BP__VERDICT__BEHIND = 3,
   /*
    * not run: not the primary
    */
--- a/src/proxy/operation.c
+++ b/src/proxy/operation.c
@@ -461,7 +461,7 @@
 	}
 	switch (conn->verdict) {
 	case BP__VERDICT__BUSY:
-	case BP__VERDICT__LAGGING:
+	case BP__VERDICT__BEHIND:
 	case BP__VERDICT__READ_ONLY:
 	case BP__VERDICT__NO_STATEMENT:
 		operation_not_run(operation, conn, now_us);
--- a/tools/site.h
+++ b/tests/fake/site.h
@@ -1,7 +1,7 @@
 #ifndef SITE_H
 #define SITE_H
 
-#include "fleet.h"
+#include "../../tools/fleet.h"
 
 /*
  * The users' platform as a stand-in, and proxies before it, each a process of
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -1,6 +1,6 @@
 #include "../src/log.h"
-#include "../tools/site.h"
 #include "cases.h"
+#include "fake/site.h"
 
 #include <curl/curl.h>
 #include <glib/gstdio.h>
--- a/tests/t_wire.c
+++ b/tests/t_wire.c
@@ -107,7 +107,7 @@
     {"ready at half a position", "READY I 3.", REPLY_UNKNOWN, 0, NULL, {0, 0}},
     {"row", "ROW a b", REPLY_ROW, 0, "a b", {0, 0}},
     {"done", "DONE 7.1f3.c", REPLY_DONE, 0, "7.1f3.c", {0, 0}},
-    {"lagging", "ERR LAGGING i-7 behind", REPLY_ERROR, BP__VERDICT__LAGGING,
+    {"lagging", "ERR LAGGING i-7 behind", REPLY_ERROR, BP__VERDICT__BEHIND,
 	"i-7 behind", {0, 0}},
     {"a code alone", "ERR TOOMANY", REPLY_ERROR, BP__VERDICT__TOO_MANY, "",
 	{0, 0}},
