The duty passes on sooner, and not from a daemon that waits for leases

A holder that the store turned away could order up to 0.9 s after it had asked, and another might have begun by then.

Change: patience with a change that has begun lasts as long as leases; a new holder acts at once and waits only with its first order, 0.3 s after most daemons were told; an order without the store needs a fresh question to most daemons, answered within 0.2 s.

--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -1654,7 +1654,8 @@
   (ProtobufCMessageInit) bp__daemons_counted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__revoke_wanted__field_descriptors[4] =
+static const protobuf_c_boolean bp__revoke_wanted__confirms__default_value = 0;
+static const ProtobufCFieldDescriptor bp__revoke_wanted__field_descriptors[5] =
 {
   {
     "group",
@@ -1704,8 +1705,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "confirms",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Bp__RevokeWanted, has_confirms),
+    offsetof(Bp__RevokeWanted, confirms),
+    NULL,
+    &bp__revoke_wanted__confirms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__revoke_wanted__field_indices_by_name[] = {
+  4,   /* field[4] = confirms */
   2,   /* field[2] = daemons */
   0,   /* field[0] = group */
   1,   /* field[1] = term */
@@ -1714,7 +1728,7 @@
 static const ProtobufCIntRange bp__revoke_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bp__revoke_wanted__descriptor =
 {
@@ -1724,7 +1738,7 @@
   "Bp__RevokeWanted",
   "bp",
   sizeof(Bp__RevokeWanted),
-  4,
+  5,
   bp__revoke_wanted__field_descriptors,
   bp__revoke_wanted__field_indices_by_name,
   1,  bp__revoke_wanted__number_ranges,
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -281,7 +281,7 @@
   char *server;
   uint64_t term;
   /*
-   * when most daemons knew of no newer duty
+   * when most daemons knew of no newer holder
    */
   uint64_t heard_us;
 };
@@ -358,14 +358,19 @@
   size_t n_daemons;
   Bp__DaemonRecord **daemons;
   uint64_t token;
+  /*
+   * an order waits for it
+   */
+  protobuf_c_boolean has_confirms;
+  protobuf_c_boolean confirms;
 };
 #define BP__REVOKE_WANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__revoke_wanted__descriptor) \
-    , NULL, 0, 0,NULL, 0 }
+    , NULL, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
- * peers -> pool.
+ * peers -> pool, or registry when it confirms an order.
  */
 struct  Bp__RevokeEnded
 {
--- a/src/proxy/daemons.c
+++ b/src/proxy/daemons.c
@@ -290,11 +290,11 @@
 } revoke_t;
 
 /*
- * Fill in the daemons that were listed last, for a time when the store does
- * not answer.
+ * Ask the daemons that were listed last, for a time when the store does not
+ * answer.  msg: RevokeWanted.
  */
-static void
-use_last_list(const registry_t *registry, msg_t *msg)
+void
+daemons_ask_last(registry_t *registry, msg_t *msg)
 {
 	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
 	GHashTableIter iter;
@@ -313,6 +313,7 @@
 		    arena_strdup(msg->arena, ((beat_t *)value)->address);
 		wanted->daemons[wanted->n_daemons++] = record;
 	}
+	task_send(registry->proxy->peers, registry->task, msg);
 }
 
 /*
@@ -328,13 +329,13 @@
 	uint32_t i;
 
 	g_free(revoke);
+	registry->store_lost = answer->status != OBJECTS_OK;
 	if (answer->status != OBJECTS_OK || answer->more) {
 		LOG_PART(PART, G_LOG_LEVEL_INFO,
 		    "The store does not list the daemons; those that it "
 		    "listed last are asked for their leases of %s.",
 		    wanted->group);
-		use_last_list(registry, msg);
-		task_send(registry->proxy->peers, registry->task, msg);
+		daemons_ask_last(registry, msg);
 		return;
 	}
 	wanted->daemons = arena_zero(
--- a/src/proxy/duty.c
+++ b/src/proxy/duty.c
@@ -10,13 +10,13 @@
 #define DUTY_NAME "promotion"
 
 /*
- * Between taking the duty over and using it, so that what the holder before
- * had under way is over.
+ * The first order under a new token leaves this long after most daemons were
+ * told of it; one that is given without the store leaves within CONFIRM_MS of
+ * the question to most daemons.  So whoever had the duty before either learns
+ * of the new token, or its order comes first.
  */
-#define TAKEOVER_MS 1000
-
-/* How long ago most daemons must have known of no other holder. */
-#define HEARD_US ((TAKEOVER_MS - 100) * US_PER_MS)
+#define FIRST_ORDER_US (300 * US_PER_MS)
+#define CONFIRM_MS 200
 
 /*
  * Tell the pool whether this daemon has the duty.
@@ -56,19 +56,6 @@
 	    strcmp(record->holder, registry->proxy->settings->name) == 0;
 }
 
-/*
- * The time after taking the duty over has passed.
- */
-static gboolean
-on_takeover(gpointer context)
-{
-	registry_t *registry = context;
-
-	source_drop(&registry->takeover);
-	tell_duty(registry, true);
-	return G_SOURCE_REMOVE;
-}
-
 /*
  * The duty was written, or was not.  An answer that got lost is met by
  * reading the record again when the duty is wanted the next time.
@@ -87,11 +74,8 @@
 		answer->status == OBJECTS_CONFLICT) &&
 	    is_ours(registry, record)) {
 		registry->token = record->token;
-		if (record->token == 1)
-			tell_duty(registry, true);
-		else if (registry->takeover == NULL)
-			registry->takeover = task_timer(
-			    registry->task, TAKEOVER_MS, on_takeover, registry);
+		registry->ordered = record->token == 1;
+		tell_duty(registry, true);
 	} else {
 		tell_duty(registry, false);
 	}
@@ -151,7 +135,7 @@
 	registry_t *registry = context;
 
 	msg_free(msg);
-	if (registry->duty_open || registry->takeover != NULL)
+	if (registry->duty_open)
 		return;
 	registry->duty_open = true;
 	registry->proxy->objects->get(registry->objects, OBJECTS_DUTIES,
@@ -161,10 +145,32 @@
 /* An order that is being given. */
 typedef struct order {
 	registry_t *registry;
-	msg_t *msg; /* PromotionWanted */
-	int64_t began_us;
+	msg_t *msg;     /* PromotionWanted */
+	GSource *timer; /* while it waits */
 } order_t;
 
+/*
+ * What an order is to do.
+ */
+static const Bp__PromotionWanted *
+wanted_of(const order_t *order)
+{
+	return (const Bp__PromotionWanted *)order->msg->body;
+}
+
+/*
+ * Free an order.
+ */
+static void
+order_free(gpointer p)
+{
+	order_t *order = p;
+
+	source_drop(&order->timer);
+	msg_free(order->msg);
+	g_free(order);
+}
+
 /*
  * Tell the pool how an order ended, and free it.
  */
@@ -172,8 +178,7 @@
 order_end(order_t *order, bool accepted)
 {
 	registry_t *registry = order->registry;
-	const Bp__PromotionWanted *wanted =
-	    (const Bp__PromotionWanted *)order->msg->body;
+	const Bp__PromotionWanted *wanted = wanted_of(order);
 	msg_t *msg = msg_new(&bp__promotion_ended__descriptor);
 	Bp__PromotionEnded *ended = (Bp__PromotionEnded *)msg->body;
 
@@ -182,8 +187,8 @@
 	ended->term = wanted->term;
 	ended->accepted = accepted;
 	task_send(registry->proxy->pool, registry->task, msg);
-	msg_free(order->msg);
-	g_free(order);
+	registry->orders = g_list_remove(registry->orders, order);
+	order_free(order);
 }
 
 /*
@@ -194,8 +199,7 @@
 on_promoted(void *context, promoter_status_t status)
 {
 	order_t *order = context;
-	const Bp__PromotionWanted *wanted =
-	    (const Bp__PromotionWanted *)order->msg->body;
+	const Bp__PromotionWanted *wanted = wanted_of(order);
 
 	LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
 	    "The order to promote %s of %s: %s.", wanted->server, wanted->group,
@@ -206,36 +210,125 @@
 }
 
 /*
- * The duty's record was read again just before an order.  A store that does
- * not answer this daemon may have given the duty to another; but that one
- * waits, and then tells most daemons before it gives orders, and most daemons
- * knew of nobody a moment ago.
+ * Give an order.
+ */
+static void
+order_give(order_t *order)
+{
+	registry_t *registry = order->registry;
+	const Bp__PromotionWanted *wanted = wanted_of(order);
+
+	source_drop(&order->timer);
+	registry->ordered = true;
+	registry->proxy->promoter->promote(registry->promoter, wanted->group,
+	    wanted->server, registry->proxy->settings->name, registry->token,
+	    on_promoted, order);
+}
+
+/*
+ * The duty is another daemon's by now, or may be.
+ */
+static void
+order_refuse(order_t *order)
+{
+	tell_duty(order->registry, false);
+	order_end(order, false);
+}
+
+/*
+ * The duty's record was read again just before an order.
  */
 static void
 on_duty_checked(void *context, const objects_answer_t *answer)
 {
 	order_t *order = context;
 	registry_t *registry = order->registry;
-	const Bp__PromotionWanted *wanted =
-	    (const Bp__PromotionWanted *)order->msg->body;
 	arena_t *arena = arena_new();
 	Bp__DutyRecord *record = record_of(registry, answer, arena);
-	bool lost = answer->status == OBJECTS_MISSING ||
-	    (record != NULL &&
-		(!is_ours(registry, record) ||
-		    record->token != registry->token));
+	bool ours = answer->status == OBJECTS_OK && registry->token != 0 &&
+	    is_ours(registry, record) && record->token == registry->token;
 
 	arena_free(arena);
-	lost |= answer->status != OBJECTS_OK &&
-	    clock_us() - (int64_t)wanted->heard_us >= HEARD_US;
-	if (lost || registry->token == 0) {
-		tell_duty(registry, false);
-		order_end(order, false);
-		return;
+	if (ours)
+		order_give(order);
+	else
+		order_refuse(order);
+}
+
+/*
+ * Read the duty's record before an order.
+ */
+static gboolean
+order_check(gpointer context)
+{
+	order_t *order = context;
+	registry_t *registry = order->registry;
+
+	source_drop(&order->timer);
+	registry->proxy->objects->get(registry->objects, OBJECTS_DUTIES,
+	    DUTY_NAME, on_duty_checked, order);
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * Too few daemons have answered in time.
+ */
+static gboolean
+on_unconfirmed(gpointer context)
+{
+	order_t *order = context;
+
+	source_drop(&order->timer);
+	order_end(order, false);
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * The store does not answer, and may have given the duty to another daemon:
+ * ask the daemons that were listed last whether they know of one.
+ */
+static void
+order_confirm(order_t *order)
+{
+	registry_t *registry = order->registry;
+	const Bp__PromotionWanted *wanted = wanted_of(order);
+	msg_t *msg = msg_new(&bp__revoke_wanted__descriptor);
+	Bp__RevokeWanted *ask = (Bp__RevokeWanted *)msg->body;
+
+	ask->group = arena_strdup(msg->arena, wanted->group);
+	ask->term = wanted->term;
+	ask->token = registry->token;
+	ask->has_confirms = ask->confirms = 1;
+	order->timer =
+	    task_timer(registry->task, CONFIRM_MS, on_unconfirmed, order);
+	daemons_ask_last(registry, msg);
+}
+
+/*
+ * How far the daemons have confirmed that an order may be given.
+ */
+void
+order_confirmed(void *context, msg_t *msg)
+{
+	const Bp__RevokeEnded *ended = (const Bp__RevokeEnded *)msg->body;
+	registry_t *registry = context;
+	GList *l;
+
+	for (l = registry->orders; l != NULL; l = l->next) {
+		order_t *order = l->data;
+
+		if (order->timer == NULL ||
+		    wanted_of(order)->term != ended->term ||
+		    strcmp(wanted_of(order)->group, ended->group) != 0)
+			continue;
+		if (ended->state == BP__REVOKE_STATE__OUTDATED ||
+		    registry->token == 0)
+			order_refuse(order);
+		else
+			order_give(order);
+		break;
 	}
-	registry->proxy->promoter->promote(registry->promoter, wanted->group,
-	    wanted->server, registry->proxy->settings->name, registry->token,
-	    on_promoted, order);
+	msg_free(msg);
 }
 
 /*
@@ -246,15 +339,26 @@
 {
 	registry_t *registry = context;
 	order_t *order = g_new0(order_t, 1);
+	int64_t waited_us;
 
 	order->registry = registry;
 	order->msg = msg;
-	if (registry->promoter == NULL) {
+	registry->orders = g_list_prepend(registry->orders, order);
+	if (registry->promoter == NULL || registry->token == 0) {
 		order_end(order, false);
 		return;
 	}
-	registry->proxy->objects->get(registry->objects, OBJECTS_DUTIES,
-	    DUTY_NAME, on_duty_checked, order);
+	waited_us = clock_us() - (int64_t)wanted_of(order)->heard_us;
+	if (!registry->ordered && registry->store_lost)
+		order_end(order, false); /* a new holder needs the store */
+	else if (registry->store_lost)
+		order_confirm(order);
+	else if (!registry->ordered && waited_us < FIRST_ORDER_US)
+		order->timer = task_timer(registry->task,
+		    (uint32_t)((FIRST_ORDER_US - waited_us) / US_PER_MS) + 1,
+		    order_check, order);
+	else
+		order_check(order);
 }
 
 /*
@@ -272,5 +376,6 @@
 void
 duty_stop(registry_t *registry)
 {
-	source_drop(&registry->takeover);
+	g_list_free_full(registry->orders, order_free);
+	registry->orders = NULL;
 }
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -49,7 +49,8 @@
 	char *group;
 	uint64_t term;
 	uint64_t token;
-	bool most;        /* have answered, and the pool was told */
+	task_t *to;       /* that is told how far it has come */
+	bool most;        /* have answered, and it was told */
 	GPtrArray *asked; /* of asked_t */
 	GSource *timeout;
 } revocation_t;
@@ -139,7 +140,7 @@
 	ended->group = arena_strdup(msg->arena, revocation->group);
 	ended->term = revocation->term;
 	ended->state = state;
-	task_send(peers->proxy->pool, peers->task, msg);
+	task_send(revocation->to, peers->task, msg);
 }
 
 /*
@@ -273,6 +274,8 @@
 	revocation->group = g_strdup(wanted->group);
 	revocation->term = wanted->term;
 	revocation->token = wanted->token;
+	revocation->to =
+	    wanted->confirms ? peers->proxy->registry : peers->proxy->pool;
 	peers->token = MAX(peers->token, wanted->token);
 	revocation->asked = g_ptr_array_new_with_free_func(asked_free);
 	revocation->timeout =
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -470,6 +470,7 @@
     {&bp__duty_wanted__descriptor, duty_wanted},
     {&bp__promotion_wanted__descriptor, promotion_wanted},
     {&bp__revoke_wanted__descriptor, revoke_wanted},
+    {&bp__revoke_ended__descriptor, order_confirmed},
     {&bp__leave__descriptor, on_leave},
 };
 
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -40,7 +40,9 @@
 	uint64_t token;     /* while the duty is held */
 	bool duty_open;     /* a call about it is under way */
 	uint64_t duty_seen; /* revision of the record, as it was read last */
-	GSource *takeover;
+	bool ordered;       /* under this token */
+	bool store_lost;    /* when the daemons were to be listed last */
+	GList *orders;      /* of order_t, that wait for something */
 	/* the daemons */
 	uint32_t daemons;  /* that were listed last */
 	uint64_t revision; /* of our own record; 0: not known */
@@ -58,6 +60,7 @@
 void duty_claim(registry_t *);
 void duty_wanted(void *registry, msg_t *);
 void promotion_wanted(void *registry, msg_t *);
+void order_confirmed(void *registry, msg_t *);
 void duty_stop(registry_t *);
 
 /* daemons.c */
@@ -65,5 +68,6 @@
 void daemons_leave(registry_t *);
 void daemons_stop(registry_t *);
 void revoke_wanted(void *registry, msg_t *);
+void daemons_ask_last(registry_t *, msg_t *);
 
 #endif
--- a/src/proxy/watch.c
+++ b/src/proxy/watch.c
@@ -503,6 +503,7 @@
 {
 	int32_t primary = promote_primary(&group->promote);
 	bool leaving = primary >= 0 && group->servers[primary]->leaving;
+	int64_t patience_us;
 
 	if (!leaving && !promote_suspects(&group->promote, now_us)) {
 		group->suspected_us = 0;
@@ -510,8 +511,12 @@
 	}
 	if (group->suspected_us == 0)
 		group->suspected_us = now_us;
-	if (now_us - MAX(group->suspected_us, group->changing_us) >=
-	    group->pool->duty_patience_us)
+	/* a change that was begun may have to wait for leases to run out */
+	patience_us = group->pool->duty_patience_us;
+	if (now_us - group->suspected_us >= patience_us &&
+	    (group->changing_us == 0 ||
+		now_us - group->changing_us >=
+		    patience_us + group->pool->spans.long_us))
 		ask_for_duty(group->pool);
 }
 
