A hold is taken back only by who put it, or by the holder of the duty

Ruled out: the order's own check (it was the new holder's).

Change: a hold of unknown origin is taken back only when the record has just named this daemon; an own one only while it is still that term that is held. The daemons' records are kept by beats of 4 s, and dead ones are removed after 13 s: a machine that was gone for good had made each handover wait 1.9 s with the old primary stepped down. A daemon's long leases end with its listing by its own clock, also when the process was paused.

/proxy/release "not by one that held it before" failed before.

--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -1603,7 +1603,7 @@
   (ProtobufCMessageInit) bp__left__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__daemons_counted__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bp__daemons_counted__field_descriptors[3] =
 {
   {
     "count",
@@ -1629,15 +1629,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "until_us",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__DaemonsCounted, until_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__daemons_counted__field_indices_by_name[] = {
   0,   /* field[0] = count */
   1,   /* field[1] = listed_us */
+  2,   /* field[2] = until_us */
 };
 static const ProtobufCIntRange bp__daemons_counted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bp__daemons_counted__descriptor =
 {
@@ -1647,7 +1660,7 @@
   "Bp__DaemonsCounted",
   "bp",
   sizeof(Bp__DaemonsCounted),
-  2,
+  3,
   bp__daemons_counted__field_descriptors,
   bp__daemons_counted__field_indices_by_name,
   1,  bp__daemons_counted__number_ranges,
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -332,18 +332,19 @@
 
 
 /*
- * registry -> pool: how many daemons there are, and since when this one is
- * listed among them; 0: it is not.
+ * registry -> pool: how many daemons there are, and since and until when this
+ * one is listed among them; 0: it is not.
  */
 struct  Bp__DaemonsCounted
 {
   ProtobufCMessage base;
   uint32_t count;
   uint64_t listed_us;
+  uint64_t until_us;
 };
 #define BP__DAEMONS_COUNTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__daemons_counted__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
--- a/src/proxy/daemons.c
+++ b/src/proxy/daemons.c
@@ -10,18 +10,22 @@
 
 #define PART "registry"
 
-/* Between two looks at the records. */
-#define LOOK_MS 8000
+/* How often it is looked whether anything is due. */
+#define TICK_MS 1000
+
+/* Between two looks at the records; the holder of the duty removes the dead. */
+#define LOOK_US (INT64_C(8) * G_USEC_PER_SEC)
+#define HOLDER_LOOK_US (INT64_C(3) * G_USEC_PER_SEC)
 
 /* Between two beats of a daemon's own record. */
-#define BEAT_US (INT64_C(10) * G_USEC_PER_SEC)
+#define BEAT_US (INT64_C(4) * G_USEC_PER_SEC)
 
 /*
- * A daemon whose last beat was sent this long ago counts itself as not
- * listed; it is removed only after REMOVE_US without a beat.
+ * A daemon counts itself as listed until this long after its last beat was
+ * sent.  It is removed REMOVE_US after that beat was seen, which is later.
  */
-#define UNLISTED_US (INT64_C(25) * G_USEC_PER_SEC)
-#define REMOVE_US (INT64_C(40) * G_USEC_PER_SEC)
+#define LISTED_US (INT64_C(9) * G_USEC_PER_SEC)
+#define REMOVE_US (INT64_C(13) * G_USEC_PER_SEC)
 
 /* The beat of a daemon, and since when it has been the same. */
 typedef struct beat {
@@ -44,6 +48,9 @@
 
 	counted->count = MAX(registry->daemons, 1);
 	counted->listed_us = (uint64_t)registry->listed_us;
+	counted->until_us = registry->listed_us == 0
+	    ? 0
+	    : (uint64_t)(registry->beaten_us + LISTED_US);
 	task_send(registry->proxy->pool, registry->task, msg);
 }
 
@@ -62,10 +69,9 @@
 		if (answer->count == 1)
 			registry->revision = answer->list[0].revision;
 		registry->beaten_us = registry->beat_sent_us;
-		if (registry->listed_us == 0) {
+		if (registry->listed_us == 0)
 			registry->listed_us = clock_us();
-			tell(registry);
-		}
+		tell(registry);
 		break;
 	case OBJECTS_CONFLICT:
 		if (answer->count != 1)
@@ -207,41 +213,30 @@
 }
 
 /*
- * Look at the records, and beat when it is time.
+ * Look at the records, and beat, when it is time.
  */
 static gboolean
 on_tick(gpointer context)
 {
 	registry_t *registry = context;
 	int64_t now_us = clock_us();
+	int64_t look_us = registry->token != 0 ? HOLDER_LOOK_US : LOOK_US;
 
 	if (registry->listed_us != 0 &&
-	    now_us - registry->beaten_us >= UNLISTED_US) {
+	    now_us - registry->beaten_us >= LISTED_US) {
 		registry->listed_us = 0;
 		tell(registry);
 	}
 	if (registry->listed_us == 0 || now_us - registry->beaten_us >= BEAT_US)
 		record_put(registry);
-	registry->proxy->objects->list(
-	    registry->objects, OBJECTS_DAEMONS, NULL, on_look, registry);
+	if (now_us - registry->looked_us >= look_us) {
+		registry->looked_us = now_us;
+		registry->proxy->objects->list(registry->objects,
+		    OBJECTS_DAEMONS, NULL, on_look, registry);
+	}
 	return G_SOURCE_CONTINUE;
 }
 
-/*
- * The first look comes soon after all daemons have had time to be listed.
- */
-static gboolean
-on_first_tick(gpointer context)
-{
-	registry_t *registry = context;
-
-	source_drop(&registry->beat_tick);
-	registry->beat_tick =
-	    task_timer(registry->task, LOOK_MS, on_tick, registry);
-	on_tick(registry);
-	return G_SOURCE_REMOVE;
-}
-
 /*
  * Begin to be listed, and to look at the others.
  */
@@ -253,7 +248,7 @@
 	registry->beat = (uint64_t)g_get_real_time() / US_PER_MS;
 	record_put(registry);
 	registry->beat_tick =
-	    task_timer(registry->task, 1000, on_first_tick, registry);
+	    task_timer(registry->task, TICK_MS, on_tick, registry);
 }
 
 /*
--- a/src/proxy/duty.c
+++ b/src/proxy/duty.c
@@ -101,7 +101,7 @@
  * The duty's record was read because a change of primary is due: take it,
  * unless another daemon has taken it since the record was read last; that one
  * is given time.  A daemon that was restarted takes it anew, with a higher
- * token.
+ * token.  The holder reads it to be sure that it still is.
  */
 static void
 on_duty_read(void *context, const objects_answer_t *answer)
@@ -113,6 +113,9 @@
 	registry->duty_open = false;
 	if (answer->status == OBJECTS_MISSING) {
 		take_duty(registry, 0, 1);
+	} else if (answer->status == OBJECTS_OK && is_ours(registry, record) &&
+	    record->token == registry->token) {
+		tell_duty(registry, true);
 	} else if (answer->status == OBJECTS_OK && record != NULL &&
 	    (is_ours(registry, record) ||
 		answer->list[0].revision == registry->duty_seen)) {
@@ -127,7 +130,7 @@
 }
 
 /*
- * The pool wants to change a primary.
+ * The pool wants to change a primary, or to be sure that it still may.
  */
 void
 duty_wanted(void *context, msg_t *msg)
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -76,6 +76,27 @@
 	}
 }
 
+/*
+ * End the long leases of a daemon that is not listed, or not certainly so: the
+ * time goes on while the process does not run.
+ */
+void
+pool_check_listed(pool_t *pool, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (now_us < pool->listed_until_us)
+		return;
+	pool->spans.known_us = 0;
+	if (pool->listed_until_us < 0)
+		return; /* they have ended before */
+	pool->listed_until_us = -1;
+	g_hash_table_iter_init(&iter, pool->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		lease_unlisted(&((group_t *)value)->lease);
+}
+
 /*
  * Look at every group.
  */
@@ -94,6 +115,7 @@
 		    "The process did not run for %" G_GINT64_FORMAT " ms.",
 		    (now_us - pool->ticked_us) / US_PER_MS);
 	pool->ticked_us = now_us;
+	pool_check_listed(pool, now_us);
 	g_hash_table_iter_init(&iter, pool->groups);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		if (paused)
@@ -197,6 +219,8 @@
 		    changed->held ? "now" : "not", changed->token);
 	pool->duty = changed->held;
 	pool->token = changed->token;
+	if (changed->held)
+		pool->duty_read_us = clock_us();
 	pool->duty_asked = false;
 	g_hash_table_iter_init(&iter, pool->groups);
 	while (!changed->held && g_hash_table_iter_next(&iter, NULL, &value))
@@ -226,15 +250,11 @@
 	const Bp__DaemonsCounted *counted =
 	    (const Bp__DaemonsCounted *)msg->body;
 	pool_t *pool = context;
-	GHashTableIter iter;
-	gpointer value;
 
 	pool->daemons = counted->count;
 	pool->spans.known_us = (int64_t)counted->listed_us;
-	g_hash_table_iter_init(&iter, pool->groups);
-	while (counted->listed_us == 0 &&
-	    g_hash_table_iter_next(&iter, NULL, &value))
-		lease_unlisted(&((group_t *)value)->lease);
+	pool->listed_until_us = (int64_t)counted->until_us;
+	pool_check_listed(pool, clock_us());
 	msg_free(msg);
 }
 
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -172,12 +172,18 @@
 	uint64_t token; /* of the duty */
 	bool duty_asked;
 	int64_t duty_patience_us;
+	int64_t
+	    duty_read_us;   /* the record said that it is ours, at this time */
 	uint32_t daemons;   /* that share the connections */
 	lease_span_t spans; /* of leases */
+	int64_t listed_until_us; /* then long leases end; -1: they have */
 	GRand *rand;
 	log_budget_t failures; /* lines on them */
 };
 
+/* pool.c */
+void pool_check_listed(pool_t *, int64_t now_us);
+
 /* server.c */
 group_t *group_of(pool_t *, const char *name);
 void server_group_free(group_t *);
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -51,6 +51,7 @@
 	int64_t listed_us; /* since; 0: our record may be gone */
 	int64_t beaten_us; /* the last beat that was answered was sent */
 	int64_t beat_sent_us;
+	int64_t looked_us; /* at the records, the last time */
 	bool beat_open;    /* a call about it is under way */
 	GHashTable *beats; /* of beat_t by name */
 	GSource *beat_tick;
--- a/src/proxy/watch.c
+++ b/src/proxy/watch.c
@@ -36,6 +36,9 @@
  */
 #define STARTUP_US (1500 * US_PER_MS)
 
+/* What the record said of the duty holds for so long, for this purpose. */
+#define DUTY_READ_US (800 * US_PER_MS)
+
 /* While a change of primary goes on. */
 #define CHANGING_US (40 * US_PER_MS)
 
@@ -88,6 +91,7 @@
 	int32_t primary = promote_primary(promote);
 	uint64_t before = group->lease.term;
 
+	pool_check_listed(group->pool, now_us);
 	if (primary < 0 ||
 	    !lease_renew(&group->lease, promote->views, group->count,
 		(uint32_t)primary, now_us, &group->pool->spans))
@@ -301,18 +305,36 @@
 }
 
 /*
- * Tell the registry that a change of primary is due and nobody makes it.
+ * Have the registry read whose the duty is, and take it where it may be taken.
  */
 static void
 ask_for_duty(pool_t *pool)
 {
-	if (pool->duty || pool->duty_asked)
+	if (pool->duty_asked)
 		return;
 	pool->duty_asked = true;
 	task_send(pool->proxy->registry, pool->task,
 	    msg_new(&bp__duty_wanted__descriptor));
 }
 
+/*
+ * Whether a hold may be taken back: it is the one that this daemon put, or
+ * nobody else can be relying on it, since the record has just said that the
+ * duty is ours.
+ */
+static bool
+may_release(const server_t *server, uint64_t term, int64_t now_us)
+{
+	pool_t *pool = server->group->pool;
+
+	if (term != 0)
+		return server->held_term == term;
+	if (now_us - pool->duty_read_us < DUTY_READ_US)
+		return true;
+	ask_for_duty(pool);
+	return false;
+}
+
 /*
  * Have the registry order that a server becomes the primary.
  */
@@ -376,7 +398,9 @@
 	default:
 		break;
 	}
-	if (conn == NULL || !conn->open)
+	if (conn == NULL || !conn->open ||
+	    (action->kind == PROMOTE_RELEASE &&
+		!may_release(server, action->term, now_us)))
 		return;
 	LOG_PART(PART, G_LOG_LEVEL_INFO,
 	    "Change of primary of %s: step %d for server %s, term "
@@ -513,7 +537,7 @@
 		group->suspected_us = now_us;
 	/* a change that was begun may have to wait for leases to run out */
 	patience_us = group->pool->duty_patience_us;
-	if (now_us - group->suspected_us >= patience_us &&
+	if (now_us - group->suspected_us >= patience_us && !group->pool->duty &&
 	    (group->changing_us == 0 ||
 		now_us - group->changing_us >=
 		    patience_us + group->pool->spans.long_us))
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -412,6 +412,53 @@
 	site_end(site);
 }
 
+typedef struct release_case {
+	const char *name;
+	const char *record; /* of the duty; NULL: the proxy's own */
+	bool released;
+} release_case_t;
+
+static const release_case_t release_cases[] = {
+    {"by the holder of the duty", NULL, true},
+    {"not by one that held it before", "{\"holder\":\"other\",\"token\":5}",
+	false},
+};
+
+/* A hold that leads nowhere is taken back by then. */
+#define RELEASE_MS 3000
+
+/*
+ * A term that a replica holds and nobody leads is taken back, but not while
+ * another daemon may be relying on it.
+ */
+static void
+test_release(gconstpointer data)
+{
+	const release_case_t *c = data;
+	site_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	site_t *site = site_start(&plan);
+	client_t *database;
+	char *answer;
+
+	g_assert_true(site_wait_ready(site, READY_MS));
+	g_usleep(1000 * US_PER_MS);
+	if (c->record != NULL)
+		site_put(site, "bergamotplank-duties", "promotion", c->record);
+	database = client_connect(site->databases_port + 1);
+	client_send(database, "START ledger test i-1\r\n", 23);
+	g_free(client_line(database, ANSWER_MS));
+	expect(database, "PAUSE 2", "ROW replica 1 ");
+	g_usleep(RELEASE_MS * US_PER_MS);
+	answer = client_ask(database, "STATUS", ANSWER_MS);
+	g_assert_nonnull(answer);
+	/* role, term, position, held term */
+	g_assert_cmpint(
+	    g_str_has_prefix(answer, "ROW replica 1 1.0 0"), ==, c->released);
+	g_free(answer);
+	client_close(database);
+	site_end(site);
+}
+
 /* Sessions that rest, and what the machine of a proxy has. */
 #define IDLE_SESSIONS 3500
 #define MEMORY_MAX_BYTES (UINT64_C(260) << 20)
@@ -458,6 +505,7 @@
 	CASES("/proxy/change", change_cases, test_change);
 	CASES("/proxy/input", input_cases, test_input);
 	CASES("/proxy/entry", entry_cases, test_entry);
+	CASES("/proxy/release", release_cases, test_release);
 	g_test_add_func("/proxy/lost-commit", test_lost_commit);
 	g_test_add_func("/proxy/idle-transaction", test_idle_transaction);
 	g_test_add_func("/proxy/outdated-holder", test_outdated_holder);
