A primary that is well hands over only when the daemons answer

Change: before a handover the daemons are asked whether they answer; all must, within 2 s, or most when it has been due for longer.

--- a/src/decide/relief.c
+++ b/src/decide/relief.c
@@ -64,9 +64,15 @@
 	}
 	if (relief->strained_us == 0)
 		relief->strained_us = now_us;
-	if (now_us - relief->strained_us < STRAINED_US)
-		return false;
+	return now_us - relief->strained_us >= STRAINED_US;
+}
+
+/*
+ * A replica takes the lead now.
+ */
+void
+relief_given(relief_t *relief, int64_t now_us)
+{
 	relief->strained_us = 0;
 	relief->relieved_us = now_us;
-	return true;
 }
--- a/src/decide/relief.h
+++ b/src/decide/relief.h
@@ -25,5 +25,6 @@
 
 bool relief_due(relief_t *, const relief_view_t *, uint32_t count,
     uint32_t primary, int64_t now_us);
+void relief_given(relief_t *, int64_t now_us);
 
 #endif
--- a/src/proxy/operation.c
+++ b/src/proxy/operation.c
@@ -18,6 +18,13 @@
 /* Lines on failed statements; more are counted. */
 #define FAILURES_PER_SECOND 20
 
+/*
+ * Where the group has had no certain primary for STALLED_US, and none is being
+ * made, waiting is in vain: whoever is refused soon may find another daemon.
+ */
+#define STALLED_US (1000 * US_PER_MS)
+#define STALLED_PERCENT 20
+
 /* When to come back after a refusal, at the least. */
 #define RETRY_AFTER_MS 50
 
@@ -169,6 +176,24 @@
 	g_free(full);
 }
 
+/*
+ * Tell whether a new statement waits in vain: there is no certain primary for
+ * it, and no replica that could be shown to be fresh enough.
+ */
+static bool
+stalled(const operation_t *operation, bool primary)
+{
+	const group_t *group = operation->group;
+	int64_t age_us = (int64_t)operation->run->route->max_age_ms * US_PER_MS;
+	position_t needed;
+
+	return operation->arrived_us - group->lease.until_us >= STALLED_US &&
+	    !watch_changing(group, operation->arrived_us) &&
+	    (primary ||
+		!samples_needed(
+		    &group->samples, operation->arrived_us, age_us, &needed));
+}
+
 /*
  * Put a statement into the lane it belongs to.
  */
@@ -183,6 +208,10 @@
 
 	operation->state = OPERATION_QUEUED;
 	operation->lane = primary ? group->primary_lane : group->replica_lane;
+	if (stalled(operation, primary))
+		operation->item.deadline_us = operation->arrived_us +
+		    (int64_t)run->route->target_ms * US_PER_MS *
+			STALLED_PERCENT / 100;
 	rankq_push(operation->lane, &operation->item, front);
 }
 
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -114,7 +114,8 @@
 	int64_t suspected_us; /* since; 0: not */
 	int64_t changing_us;  /* another daemon began to change the primary */
 	relief_t relief;
-	bool listed; /* by the catalog in force */
+	int64_t handover_us; /* one is due, since; 0: not */
+	bool listed;         /* by the catalog in force */
 };
 
 /* A client's transaction, from its first statement on. */
@@ -172,6 +173,9 @@
 	uint64_t token; /* of the duty */
 	bool duty_asked;
 	int64_t duty_patience_us;
+	int64_t most_heard_us; /* most daemons know of no newer holder */
+	int64_t all_heard_us;  /* all do */
+	int64_t daemons_asked_us;
 	int64_t
 	    duty_read_us;   /* the record said that it is ours, at this time */
 	uint32_t daemons;   /* that share the connections */
--- a/src/proxy/watch.c
+++ b/src/proxy/watch.c
@@ -39,6 +39,16 @@
 /* What the record said of the duty holds for so long, for this purpose. */
 #define DUTY_READ_US (800 * US_PER_MS)
 
+/* A question to the daemons that gives no lease back. */
+#define NO_TERM 0
+
+/*
+ * A primary that is well hands over only when all daemons have answered this
+ * recently, or, after some time, most: else it would step down and leave a gap.
+ */
+#define HEARD_US (2 * US_PER_SECOND)
+#define ASK_DAEMONS_US (500 * US_PER_MS)
+
 /* While a change of primary goes on. */
 #define CHANGING_US (40 * US_PER_MS)
 
@@ -183,6 +193,9 @@
 		promote_outdated(&group->promote, ended->term, now_us);
 		return;
 	}
+	group->pool->most_heard_us = now_us;
+	if (ended->state == BP__REVOKE_STATE__ALL)
+		group->pool->all_heard_us = now_us;
 	promote_settled(&group->promote, ended->term,
 	    ended->state == BP__REVOKE_STATE__ALL, now_us);
 }
@@ -194,6 +207,8 @@
 void
 watch_revoke(group_t *group, uint64_t term, int64_t now_us)
 {
+	if (term == NO_TERM)
+		return; /* it is only asked whether the daemon answers */
 	LOG_PART(PART, G_LOG_LEVEL_INFO,
 	    "The lease of %s below term %" G_GUINT64_FORMAT " is given back.",
 	    group->name, term);
@@ -367,6 +382,7 @@
 	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
 
 	watch_revoke(group, term, now_us);
+	pool->daemons_asked_us = now_us;
 	wanted->group = arena_strdup(msg->arena, group->name);
 	wanted->term = term;
 	wanted->token = pool->token;
@@ -561,16 +577,34 @@
 }
 
 /*
- * Hand over to a replica when the primary has to serve all reads alone.
+ * Tell whether a handover that is due may begin; the daemons are asked first.
  */
-static void
-consider_relief(group_t *group, int32_t primary, int64_t now_us)
+static bool
+may_hand_over(group_t *group, int64_t now_us)
+{
+	pool_t *pool = group->pool;
+
+	if (group->handover_us == 0)
+		group->handover_us = now_us;
+	if (now_us - pool->all_heard_us < HEARD_US ||
+	    (now_us - group->handover_us >= HEARD_US &&
+		now_us - pool->most_heard_us < HEARD_US))
+		return true;
+	if (now_us - pool->daemons_asked_us >= ASK_DAEMONS_US)
+		ask_to_settle(group, NO_TERM, now_us);
+	return false;
+}
+
+/*
+ * Tell whether the primary has to serve all reads alone, so that a replica is
+ * to take over.
+ */
+static bool
+relief_wanted(group_t *group, uint32_t primary, int64_t now_us)
 {
 	relief_view_t views[GROUP_DATABASES_MAX];
 	uint32_t i;
 
-	if (primary < 0 || group->promote.state != PROMOTE_STEADY)
-		return;
 	for (i = 0; i < group->count; i++) {
 		const server_t *server = group->servers[i];
 
@@ -580,13 +614,35 @@
 		views[i].lag_ms = server->lag_ms;
 		views[i].received = group->promote.views[i].last;
 	}
-	if (!relief_due(
-		&group->relief, views, group->count, (uint32_t)primary, now_us))
+	return relief_due(&group->relief, views, group->count, primary, now_us);
+}
+
+/*
+ * Hand over to a replica when the primary leaves, or has to serve all reads
+ * alone.
+ */
+static void
+consider_handover(group_t *group, int64_t now_us)
+{
+	int32_t primary = promote_primary(&group->promote);
+	bool leaving;
+
+	if (primary < 0 || group->promote.state != PROMOTE_STEADY) {
+		group->handover_us = 0;
+		return;
+	}
+	leaving = group->servers[primary]->leaving && some_stay(group, now_us);
+	if (!leaving && !relief_wanted(group, (uint32_t)primary, now_us)) {
+		group->handover_us = 0;
+		return;
+	}
+	if (!may_hand_over(group, now_us))
 		return;
 	LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
-	    "Primary %s of %s has to serve all reads alone; a replica takes "
-	    "over.",
-	    group->servers[primary]->id, group->name);
+	    "Primary %s of %s %s; a replica takes over.",
+	    group->servers[primary]->id, group->name,
+	    leaving ? "leaves" : "has to serve all reads alone");
+	relief_given(&group->relief, now_us);
 	promote_handover(&group->promote, now_us);
 }
 
@@ -599,7 +655,6 @@
 {
 	promote_t *promote = &group->promote;
 	promote_actions_t actions;
-	int32_t primary;
 	uint32_t i;
 
 	for (i = 0; i < group->count; i++) {
@@ -616,11 +671,7 @@
 	consider_duty(group, now_us);
 	if (!group->pool->duty || group->count == 0)
 		return;
-	primary = promote_primary(promote);
-	if (primary >= 0 && group->servers[primary]->leaving &&
-	    promote->state == PROMOTE_STEADY && some_stay(group, now_us))
-		promote_handover(promote, now_us);
-	consider_relief(group, primary, now_us);
+	consider_handover(group, now_us);
 	promote_tick(promote, now_us, &actions);
 	for (i = 0; i < actions.count; i++)
 		act(group, &actions.list[i], now_us);
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -483,8 +483,10 @@
 	bool due = false;
 	int64_t at_ms;
 
-	for (at_ms = from_ms; at_ms <= from_ms + 1200; at_ms += 50)
-		due |= relief_due(relief, views, 3, 0, MS(at_ms));
+	for (at_ms = from_ms; at_ms <= from_ms + 1200 && !due; at_ms += 50)
+		due = relief_due(relief, views, 3, 0, MS(at_ms));
+	if (due)
+		relief_given(relief, MS(at_ms));
 	return due;
 }
 
