A transaction goes on under the route that it began with

Cause: a session looked its route up anew for each statement. When a new configuration dropped the route under an open transaction, its next statement was refused before the first one had been sent, and after it the daemon read a route that was not there and died (signal 11). The position of a write was also lost when its route went while it ran, since the group was looked up again with the answer.

Ruled out: refusing the statement. A change of a route counts from the next transaction on, so the open one must go on.

Change: BEGIN takes a copy of the route, and route_of() is the one place that chooses between it and the table. leave_transaction() is the one place where a transaction ends, in the place of five pairs of assignments. The group of a floor is the one that the statement was sent to.

Test: /proxy/dropped-route, two cases. Before: "ERR NODB" in the first, the daemon gone in the second. After: both pass, three times.

--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -4,8 +4,6 @@
 
 /* One client's session. */
 
-#define PART "clients"
-
 /* Bytes that a client may send ahead of its answers. */
 #define AHEAD_BYTES_MAX (UINT32_C(2) << 20)
 
@@ -34,7 +32,9 @@
 	g_string_free(session->out, TRUE);
 	g_free(session->database);
 	g_free(session->account);
+	g_free(session->sent_group);
 	g_free(session->floor_group);
+	arena_free(session->arena);
 	if (session->values != NULL)
 		g_hash_table_unref(session->values);
 	if (session->prepared != NULL)
@@ -58,6 +58,19 @@
 	task_send(session->clients->proxy->pool, session->clients->task, msg);
 }
 
+/*
+ * The session's transaction has ended, or can only be ended by the client.
+ */
+static void
+leave_transaction(session_t *session, session_state_t state)
+{
+	session->state = state;
+	session->sent_any = false;
+	session->route = NULL;
+	arena_free(session->arena);
+	session->arena = NULL;
+}
+
 /*
  * End a session.  It is freed now, or once its lines have been handled.
  */
@@ -112,10 +125,8 @@
 static void
 answer_error(session_t *session, Bp__Verdict verdict, const char *text)
 {
-	if (session->state == SESSION_IN_TRANSACTION) {
-		session->state = SESSION_FAILED;
-		drop_transaction(session);
-	}
+	if (session->state == SESSION_IN_TRANSACTION)
+		session_abort(session);
 	session->clients->wire->write_error(session->out, verdict, text);
 	ready(session);
 }
@@ -144,6 +155,18 @@
 	}
 }
 
+/*
+ * The route of the next statement, or NULL: a change of the configuration
+ * counts from the next transaction on.
+ */
+static const Bp__Route *
+route_of(const session_t *session)
+{
+	return session->route != NULL
+	    ? session->route
+	    : g_hash_table_lookup(session->clients->routes, session->database);
+}
+
 /*
  * Hand a statement to the pool.
  */
@@ -152,13 +175,12 @@
     const prepared_t *prepared)
 {
 	clients_t *clients = session->clients;
-	const Bp__Route *route =
-	    g_hash_table_lookup(clients->routes, session->database);
+	const Bp__Route *route = route_of(session);
 	bool in_transaction = session->state == SESSION_IN_TRANSACTION;
 	msg_t *msg;
 	Bp__RunOperation *to;
 
-	if (route == NULL && !session->sent_any) {
+	if (route == NULL) {
 		answer_error(session, BP__VERDICT__NO_DATABASE,
 		    "there is no such database any more");
 		return;
@@ -187,6 +209,8 @@
 		to->floor_term = session->floor.term;
 		to->floor_index = session->floor.index;
 	}
+	g_free(session->sent_group);
+	session->sent_group = g_strdup(route->group);
 	session->sent_any = in_transaction;
 	session->waiting = true;
 	task_send(clients->proxy->pool, clients->task, msg);
@@ -264,17 +288,20 @@
 static void
 begin(session_t *session, const request_t *request)
 {
+	const Bp__Route *route = route_of(session);
+
 	if (session->state != SESSION_IDLE) {
 		answer_error(session, BP__VERDICT__MALFORMED,
 		    "a transaction is open already");
-	} else if (!g_hash_table_contains(
-		       session->clients->routes, session->database)) {
+	} else if (route == NULL) {
 		answer_error(session, BP__VERDICT__NO_DATABASE,
 		    "there is no such database any more");
 	} else {
 		session->state = SESSION_IN_TRANSACTION;
+		session->arena = arena_new();
+		session->route = (const Bp__Route *)message_copy(
+		    session->arena, &route->base);
 		session->read_only = request->read_only;
-		session->sent_any = false;
 		answer_done(session);
 	}
 }
@@ -290,7 +317,7 @@
 		    session, BP__VERDICT__MALFORMED, "no transaction is open");
 	} else if (request->statement == STATEMENT_ROLLBACK) {
 		drop_transaction(session);
-		session->state = SESSION_IDLE;
+		leave_transaction(session, SESSION_IDLE);
 		answer_done(session);
 	} else if (session->state == SESSION_FAILED) {
 		session->state = SESSION_IDLE;
@@ -450,7 +477,6 @@
 	const wire_ops_t *wire = session->clients->wire;
 	position_t position = {ended->term, ended->index};
 	bool done = ended->verdict == BP__VERDICT__SUCCEEDED;
-	const Bp__Route *route;
 	size_t i;
 
 	if (!session->waiting || ended->sequence != session->sequence)
@@ -463,19 +489,14 @@
 	else
 		wire->write_error(session->out, ended->verdict,
 		    ended->text == NULL ? "" : ended->text);
-	if (session->kind == BP__OPERATION_KIND__COMMIT_TRANSACTION) {
-		session->state = SESSION_IDLE;
-		session->sent_any = false;
-	} else if (!done && session->state == SESSION_IN_TRANSACTION) {
-		session->state = SESSION_FAILED;
-		session->sent_any = false; /* the pool has rolled it back */
-	}
-	route =
-	    g_hash_table_lookup(session->clients->routes, session->database);
+	if (session->kind == BP__OPERATION_KIND__COMMIT_TRANSACTION)
+		leave_transaction(session, SESSION_IDLE);
+	else if (!done && session->state == SESSION_IN_TRANSACTION)
+		leave_transaction(session, SESSION_FAILED); /* by the pool */
 	if (done && session->kind != BP__OPERATION_KIND__READ_ITEM &&
-	    session->state == SESSION_IDLE && route != NULL) {
+	    session->state == SESSION_IDLE) {
 		g_free(session->floor_group);
-		session->floor_group = g_strdup(route->group);
+		session->floor_group = g_steal_pointer(&session->sent_group);
 		session->floor = position;
 	}
 	wire->write_ready(session->out, session->state, position);
@@ -491,8 +512,7 @@
 {
 	if (session->state != SESSION_IN_TRANSACTION || session->waiting)
 		return;
-	session->state = SESSION_FAILED;
-	session->sent_any = false;
+	leave_transaction(session, SESSION_FAILED);
 }
 
 /*
@@ -503,7 +523,7 @@
 session_abort(session_t *session)
 {
 	drop_transaction(session);
-	session->state = SESSION_FAILED;
+	leave_transaction(session, SESSION_FAILED);
 }
 
 /*
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -29,6 +29,8 @@
 	char *database; /* NULL: not open yet */
 	char *account;
 	session_state_t state;
+	arena_t *arena;         /* of route */
+	const Bp__Route *route; /* that the open transaction goes by */
 	bool read_only;         /* the transaction */
 	bool sent_any;          /* statements of the transaction */
 	bool waiting;           /* for an answer */
@@ -39,6 +41,7 @@
 	uint64_t sequence;
 	GHashTable *values;   /* by name */
 	GHashTable *prepared; /* of prepared_t by name */
+	char *sent_group;     /* that the statement which runs was sent to */
 	char *floor_group;    /* whose log the floor is a position of */
 	position_t floor;
 } session_t;
--- a/tests/fake/site.c
+++ b/tests/fake/site.c
@@ -14,19 +14,27 @@
 #define LINE_MAX_BYTES (UINT64_C(2) << 20)
 
 /* The configuration: one group, and a database name of each freshness. */
-#define CONFIG \
-	"{\"version\":1,\"routes\":[" \
-	"{\"name\":\"r1\",\"host\":\"intake\",\"type\":\"primary\"," \
-	"\"timeout-ms\":1000,\"target-latency-ms\":400,\"priority\":0," \
-	"\"backend\":\"ledger\"}," \
-	"{\"name\":\"r2\",\"host\":\"quotes\",\"type\":\"own\"," \
-	"\"timeout-ms\":1000,\"target-latency-ms\":400,\"priority\":1," \
-	"\"max-staleness-ms\":2500,\"backend\":\"ledger\"}," \
-	"{\"name\":\"r3\",\"host\":\"lookup\",\"type\":\"bounded\"," \
-	"\"timeout-ms\":1000,\"target-latency-ms\":400,\"priority\":2," \
-	"\"max-staleness-ms\":1500,\"backend\":\"ledger\"}]," \
-	"\"services\":[{\"name\":\"ledger\",\"max-conns\":40," \
-	"\"sync-replicas\":0}],\"limits\":{\"tx-idle-ms\":%u}}"
+typedef struct route {
+	const char *database;
+	const char *text;
+} route_t;
+
+static const route_t routes[] = {
+    {"intake",
+	"{\"name\":\"r1\",\"host\":\"intake\",\"type\":\"primary\","
+	"\"timeout-ms\":1000,\"target-latency-ms\":400,\"priority\":0,"
+	"\"backend\":\"ledger\"}"},
+    {"quotes",
+	"{\"name\":\"r2\",\"host\":\"quotes\",\"type\":\"own\","
+	"\"timeout-ms\":1000,\"target-latency-ms\":400,\"priority\":1,"
+	"\"max-staleness-ms\":2500,\"backend\":\"ledger\"}"},
+    {"lookup",
+	"{\"name\":\"r3\",\"host\":\"lookup\",\"type\":\"bounded\","
+	"\"timeout-ms\":1000,\"target-latency-ms\":400,\"priority\":2,"
+	"\"max-staleness-ms\":1500,\"backend\":\"ledger\"}"},
+};
+
+#define GROUPS "[{\"name\":\"ledger\",\"max-conns\":40,\"sync-replicas\":0}]"
 #define TRANSACTION_IDLE_MS 700
 
 struct client {
@@ -77,6 +85,28 @@
 	g_free(path);
 }
 
+/*
+ * Write a version of the configuration, without one database name.
+ */
+void
+site_configure(site_t *site, uint32_t version, const char *without)
+{
+	GString *text = g_string_new(NULL);
+	uint32_t i, n = 0;
+
+	g_string_printf(text, "{\"version\":%u,\"routes\":[", version);
+	for (i = 0; i < G_N_ELEMENTS(routes); i++) {
+		if (g_strcmp0(routes[i].database, without) != 0)
+			g_string_append_printf(
+			    text, "%s%s", n++ > 0 ? "," : "", routes[i].text);
+	}
+	g_string_append_printf(text,
+	    "],\"services\":%s,\"limits\":{\"tx-idle-ms\":%u}}", GROUPS,
+	    TRANSACTION_IDLE_MS);
+	site_put(site, "config", "main", text->str);
+	g_string_free(text, TRUE);
+}
+
 /*
  * What the primary holds for an item, to be freed; and how many orders to
  * promote carried a token that was not theirs.
@@ -149,7 +179,7 @@
 platform_start(site_t *site)
 {
 	char *path = fleet_program("fakesite"), *url;
-	char *port, *databases, *lag, *work, *config;
+	char *port, *databases, *lag, *work;
 	uint32_t tries;
 
 	site->platform.port = fleet_free_port();
@@ -168,9 +198,7 @@
 	for (tries = 0; tries < 500 && http_call("GET", url, NULL, NULL) == 0;
 	     tries++)
 		g_usleep(READY_POLL_US);
-	config = g_strdup_printf(CONFIG, TRANSACTION_IDLE_MS);
-	site_put(site, "config", "main", config);
-	g_free(config);
+	site_configure(site, 1, NULL);
 	g_free(url);
 	g_free(work);
 	g_free(lag);
--- a/tests/fake/site.h
+++ b/tests/fake/site.h
@@ -35,6 +35,7 @@
 void site_fault(site_t *, const char *on, const char *what, int32_t number);
 void site_put(
     site_t *, const char *kind, const char *name, const char *content);
+void site_configure(site_t *, uint32_t version, const char *without);
 char *site_value(site_t *, const char *item, uint32_t *unfenced);
 
 client_t *client_connect(uint32_t port);
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -319,6 +319,43 @@
 	site_end(site);
 }
 
+typedef struct route_case {
+	const char *name;
+	const char *before; /* the statement before the change; NULL: none */
+} route_case_t;
+
+static const route_case_t route_cases[] = {
+    {"before its first statement", NULL},
+    {"after its first statement", "WRITE route1 x"},
+};
+
+/*
+ * A transaction that is open when its database name is dropped goes on as it
+ * began; what follows it finds no such database.
+ */
+static void
+test_dropped_route(gconstpointer data)
+{
+	const route_case_t *c = data;
+	site_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	site_t *site = site_start(&plan);
+	client_t *client, *other;
+
+	g_assert_true(site_wait_ready(site, READY_MS));
+	client = client_open(site, 0, "intake");
+	expect(client, "BEGIN", "DONE");
+	if (c->before != NULL)
+		expect(client, c->before, "DONE p");
+	site_configure(site, 2, "intake");
+	while ((other = client_open(site, 0, "intake")) != NULL)
+		client_close(other);
+	expect(client, "WRITE route2 y", "DONE p");
+	expect(client, "COMMIT", "DONE p");
+	expect(client, "READ route2", "ERR NODB");
+	client_close(client);
+	site_end(site);
+}
+
 /*
  * A proxy that is told to end finishes what runs, and ends by itself.
  */
@@ -505,6 +542,7 @@
 	CASES("/proxy/change", change_cases, test_change);
 	CASES("/proxy/input", input_cases, test_input);
 	CASES("/proxy/entry", entry_cases, test_entry);
+	CASES("/proxy/dropped-route", route_cases, test_dropped_route);
 	CASES("/proxy/release", release_cases, test_release);
 	g_test_add_func("/proxy/lost-commit", test_lost_commit);
 	g_test_add_func("/proxy/idle-transaction", test_idle_transaction);
