A list of the store is whole, however many pages it has

Cause: the client of the store handed a list out page by page, and only the reading of configuration and databases went on to the next page. With more daemons than one page holds, the daemons were counted by the first page, the shares of connections came out too large, and a change of primary asked only the daemons of the first page for their leases. A list of several pages was also watched from the revision of its last page, so a change of an object of an earlier page, made while the others were read, was never heard of.

Ruled out: following the pages in daemons.c too. That would be a third loop beside the one in registry.c, with the same mistake about the revision.

The name to list on after, the flag for more and the follower's record of a list under way are gone. CONFIG_WAIT_PERCENT was not used and said 70 where half was taken; it is used now, at 50.

Test: /proxy/list, four cases; the stand-in gives two objects a page, so that every other test reads pages too.

--- a/src/proxy/daemons.c
+++ b/src/proxy/daemons.c
@@ -231,8 +231,8 @@
 		record_put(registry);
 	if (now_us - registry->looked_us >= look_us) {
 		registry->looked_us = now_us;
-		registry->proxy->objects->list(registry->objects,
-		    OBJECTS_DAEMONS, NULL, on_look, registry);
+		registry->proxy->objects->list(
+		    registry->objects, OBJECTS_DAEMONS, on_look, registry);
 	}
 	return G_SOURCE_CONTINUE;
 }
@@ -325,7 +325,7 @@
 
 	g_free(revoke);
 	registry->store_lost = answer->status != OBJECTS_OK;
-	if (answer->status != OBJECTS_OK || answer->more) {
+	if (answer->status != OBJECTS_OK) {
 		LOG_PART(PART, G_LOG_LEVEL_INFO,
 		    "The store does not list the daemons; those that it "
 		    "listed last are asked for their leases of %s.",
@@ -358,5 +358,5 @@
 	revoke->registry = registry;
 	revoke->msg = msg;
 	registry->proxy->objects->list(
-	    registry->objects, OBJECTS_DAEMONS, NULL, on_listed, revoke);
+	    registry->objects, OBJECTS_DAEMONS, on_listed, revoke);
 }
--- a/src/proxy/objects.h
+++ b/src/proxy/objects.h
@@ -44,7 +44,6 @@
 	objects_status_t status;
 	const object_t *list;
 	uint32_t count;
-	bool more;         /* list on after the last name */
 	uint64_t revision; /* of the store: watch on from here */
 } objects_answer_t;
 
@@ -52,9 +51,8 @@
 
 typedef struct objects_ops {
 	objects_t *(*open)(const char *address, uint32_t timeout_ms);
-	/* after: NULL, or the last name of the page before */
-	void (*list)(objects_t *, object_kind_t, const char *after, objects_cb,
-	    void *context);
+	/* all objects of a kind; some may be newer than the revision */
+	void (*list)(objects_t *, object_kind_t, objects_cb, void *context);
 	/* answered when something has changed, or after wait_ms */
 	void (*watch)(objects_t *, object_kind_t, uint64_t revision,
 	    uint32_t wait_ms, objects_cb, void *context);
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -11,7 +11,7 @@
 
 /* A watch of the configuration waits for this part of the time in which a
    change must be in force. */
-#define CONFIG_WAIT_PERCENT 70
+#define CONFIG_WAIT_PERCENT 50
 
 /* After a call that was refused or not answered. */
 #define AGAIN_MS 250
@@ -247,9 +247,6 @@
 	for (i = 0; i < answer->count; i++) {
 		const object_t *object = &answer->list[i];
 
-		if (follower->found != NULL)
-			g_hash_table_add(
-			    follower->found, g_strdup(object->name));
 		changed |= follower->kind == OBJECTS_CONFIG
 		    ? take_config(registry, object)
 		    : take_server(registry, object);
@@ -258,17 +255,22 @@
 }
 
 /*
- * Look for the reports that a whole list no longer has.
+ * Look for the reports that a list no longer has.
  */
 static void
-find_missing(registry_t *registry, GHashTable *found)
+find_missing(registry_t *registry, const objects_answer_t *answer)
 {
 	GList *names = g_hash_table_get_keys(registry->entries), *l;
+	GHashTable *found = g_hash_table_new(g_str_hash, g_str_equal);
+	uint32_t i;
 
+	for (i = 0; i < answer->count; i++)
+		g_hash_table_add(found, (gpointer)answer->list[i].name);
 	for (l = names; l != NULL; l = l->next) {
 		if (!g_hash_table_contains(found, l->data))
 			entry_missing(registry, l->data);
 	}
+	g_hash_table_unref(found);
 	g_list_free(names);
 }
 
@@ -316,7 +318,7 @@
 }
 
 /*
- * A page of a list has come.
+ * A list has come.
  */
 static void
 on_list(void *context, const objects_answer_t *answer)
@@ -325,23 +327,13 @@
 	registry_t *registry = follower->registry;
 
 	if (answer->status != OBJECTS_OK) {
-		g_clear_pointer(&follower->found, g_hash_table_unref);
-		g_clear_pointer(&follower->last, g_free);
 		follow_later(follower, "no list");
 		return;
 	}
 	note_answer(follower);
 	take_objects(follower, answer);
-	if (answer->more && answer->count > 0) {
-		g_free(follower->last);
-		follower->last = g_strdup(answer->list[answer->count - 1].name);
-		follow(follower);
-		return;
-	}
 	if (follower->kind == OBJECTS_SERVERS)
-		find_missing(registry, follower->found);
-	g_clear_pointer(&follower->found, g_hash_table_unref);
-	g_clear_pointer(&follower->last, g_free);
+		find_missing(registry, answer);
 	follower->listing = false;
 	follower->known = true;
 	follower->revision = answer->revision;
@@ -386,12 +378,13 @@
 	const Bp__ProxyTimeouts *timeouts =
 	    follower->registry->proxy->settings->timeouts;
 
-	return follower->kind == OBJECTS_CONFIG ? timeouts->config_apply_ms / 2
-						: timeouts->servers_watch_ms;
+	return follower->kind == OBJECTS_CONFIG
+	    ? timeouts->config_apply_ms * CONFIG_WAIT_PERCENT / 100
+	    : timeouts->servers_watch_ms;
 }
 
 /*
- * Make the next call of a follower: a page of the list, or a watch.
+ * Make the next call of a follower: for the list, or a watch.
  */
 static void
 follow(follower_t *follower)
@@ -400,11 +393,8 @@
 	const objects_ops_t *objects = registry->proxy->objects;
 
 	if (follower->listing || !follower->known) {
-		if (follower->found == NULL)
-			follower->found = g_hash_table_new_full(
-			    g_str_hash, g_str_equal, g_free, NULL);
-		objects->list(registry->objects, follower->kind, follower->last,
-		    on_list, follower);
+		objects->list(
+		    registry->objects, follower->kind, on_list, follower);
 		return;
 	}
 	objects->watch(registry->objects, follower->kind, follower->revision,
@@ -446,11 +436,8 @@
 	duty_stop(registry);
 	daemons_stop(registry);
 	source_drop(&registry->lapse);
-	for (i = 0; i < G_N_ELEMENTS(followers); i++) {
+	for (i = 0; i < G_N_ELEMENTS(followers); i++)
 		source_drop(&followers[i]->again);
-		g_clear_pointer(&followers[i]->found, g_hash_table_unref);
-		g_clear_pointer(&followers[i]->last, g_free);
-	}
 	registry->proxy->objects->close(registry->objects);
 	if (registry->promoter != NULL)
 		registry->proxy->promoter->close(registry->promoter);
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -15,10 +15,8 @@
 typedef struct follower {
 	registry_t *registry;
 	object_kind_t kind;
-	GHashTable *found; /* names, while a list is read */
-	char *last;        /* name of the page that was read last */
 	bool listing;
-	bool known; /* listed whole at least once */
+	bool known; /* listed at least once */
 	uint64_t revision;
 	GSource *again;
 	bool lost;       /* the last call failed */
--- a/tests/fake/fakestore.c
+++ b/tests/fake/fakestore.c
@@ -5,7 +5,8 @@
 
 /* The store of objects: revisions, watches, conditional writes. */
 
-#define HISTORY_MAX 1000
+/* Objects of one page of a list: few, so that every list has several. */
+#define PAGE_OBJECTS 2
 
 typedef struct object {
 	char *kind;
@@ -28,6 +29,7 @@
 	STORE_BUSY,   /* 503 */
 	STORE_SILENT, /* no answer */
 	STORE_LOSING, /* writes are done, and not answered */
+	STORE_MOVING, /* after each page but the last its first changes */
 } store_mode_t;
 
 struct store_state {
@@ -195,7 +197,7 @@
 }
 
 /*
- * Put a fault into force: up, busy, silent, losing, compact.
+ * Put a fault into force: up, busy, silent, losing, moving, compact.
  */
 void
 store_fault(store_state_t *store, const char *what)
@@ -208,12 +210,52 @@
 		store->mode = STORE_SILENT;
 	else if (strcmp(what, "losing") == 0)
 		store->mode = STORE_LOSING;
+	else if (strcmp(what, "moving") == 0)
+		store->mode = STORE_MOVING;
 	else
 		store->mode = STORE_UP;
 	while (store->mode == STORE_UP && store->watches != NULL)
 		watch_end(store->watches->data);
 }
 
+/*
+ * A page of the objects of a kind, from the one after a name on.
+ */
+static void
+append_page(
+    store_state_t *store, GString *out, const char *kind, const char *after)
+{
+	const object_t *first = NULL;
+	uint64_t revision = store->revision;
+	uint32_t i, n = 0;
+	bool begun = after == NULL;
+
+	g_string_append(out, "{\"items\":[");
+	for (i = 0; i < store->objects->len && n <= PAGE_OBJECTS; i++) {
+		const object_t *object = g_ptr_array_index(store->objects, i);
+
+		if (strcmp(object->kind, kind) != 0)
+			continue;
+		if (begun && !object->deleted && n++ < PAGE_OBJECTS) {
+			if (first == NULL)
+				first = object;
+			else
+				g_string_append_c(out, ',');
+			append(out, object);
+		}
+		begun |= g_strcmp0(object->name, after) == 0;
+	}
+	g_string_append_printf(out,
+	    "],\"has-more\":%s,\"current-rev\":%" G_GUINT64_FORMAT "}",
+	    n > PAGE_OBJECTS ? "true" : "false", revision);
+	if (n > PAGE_OBJECTS && store->mode == STORE_MOVING) {
+		char *content = g_strdup(first->content);
+
+		store_put(store, kind, first->name, content);
+		g_free(content);
+	}
+}
+
 /*
  * List a kind, or wait for changes.
  */
@@ -225,7 +267,6 @@
 	    query == NULL ? NULL : g_hash_table_lookup(query, "watch");
 	GString *out = g_string_new(NULL);
 	uint64_t after = text == NULL ? 0 : strtoull(text, NULL, 10);
-	uint32_t i, n = 0;
 	watch_t *watch;
 
 	if (text != NULL && after < store->oldest) {
@@ -246,23 +287,9 @@
 		soup_server_message_pause(message);
 		return;
 	}
-	if (text == NULL) {
-		g_string_append(out, "{\"items\":[");
-		for (i = 0; i < store->objects->len; i++) {
-			const object_t *object =
-			    g_ptr_array_index(store->objects, i);
-
-			if (object->deleted || strcmp(object->kind, kind) != 0)
-				continue;
-			if (n++ > 0)
-				g_string_append_c(out, ',');
-			append(out, object);
-		}
-		g_string_append_printf(out,
-		    "],\"has-more\":false,\"current-rev\":%" G_GUINT64_FORMAT
-		    "}",
-		    store->revision);
-	}
+	if (text == NULL)
+		append_page(store, out, kind,
+		    query == NULL ? NULL : g_hash_table_lookup(query, "after"));
 	answer(message, 200, out);
 }
 
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -1,3 +1,4 @@
+#include "../platform/platform.h"
 #include "../src/log.h"
 #include "cases.h"
 #include "fake/site.h"
@@ -496,6 +497,88 @@
 	site_end(site);
 }
 
+typedef struct list_case {
+	const char *name;
+	uint32_t objects;
+	const char *fault; /* of the store; NULL: none */
+	bool changed; /* a watch from the list's revision tells something */
+} list_case_t;
+
+static const list_case_t list_cases[] = {
+    {"of nothing", 0, NULL, false},
+    {"of one page", 2, NULL, false},
+    {"of several pages", 7, NULL, false},
+    {"of several pages, whose objects change", 7, "moving", true},
+};
+
+/* An answer of the store that was waited for. */
+typedef struct got {
+	bool answered;
+	objects_status_t status;
+	uint32_t count;
+	uint64_t revision;
+} got_t;
+
+/*
+ * Note an answer.
+ */
+static void
+on_got(void *context, const objects_answer_t *answer)
+{
+	got_t *got = context;
+
+	got->answered = true;
+	got->status = answer->status;
+	got->count = answer->count;
+	got->revision = answer->revision;
+}
+
+/*
+ * Wait for an answer that is well.
+ */
+static void
+got_wait(const got_t *got)
+{
+	while (!got->answered)
+		g_main_context_iteration(NULL, TRUE);
+	g_assert_cmpint(got->status, ==, OBJECTS_OK);
+}
+
+/*
+ * A list is whole, however many pages the store gives it in, and a watch from
+ * its revision misses nothing.
+ */
+static void
+test_list(gconstpointer data)
+{
+	const list_case_t *c = data;
+	site_plan_t plan = {0};
+	site_t *site = site_start(&plan);
+	char *address = g_strdup_printf("127.0.0.1:%u", site->platform.port);
+	objects_t *objects = platform_objects.open(address, ANSWER_MS);
+	got_t list = {0}, changes = {0};
+	uint32_t i;
+
+	for (i = 0; i < c->objects; i++) {
+		char *name = g_strdup_printf("d%u", i);
+
+		site_put(site, "bergamotplank-daemons", name, "{}");
+		g_free(name);
+	}
+	if (c->fault != NULL)
+		site_fault(site, "store", c->fault, -1);
+	platform_objects.list(objects, OBJECTS_DAEMONS, on_got, &list);
+	got_wait(&list);
+	g_assert_cmpuint(list.count, ==, c->objects);
+	platform_objects.watch(
+	    objects, OBJECTS_DAEMONS, list.revision, 50, on_got, &changes);
+	got_wait(&changes);
+	g_assert_cmpint(changes.count > 0, ==, c->changed);
+	platform_objects.close(objects);
+	g_free(address);
+	site_end(site);
+}
+
 /* Sessions that rest, and what the machine of a proxy has. */
 #define IDLE_SESSIONS 3500
 #define MEMORY_MAX_BYTES (UINT64_C(260) << 20)
@@ -543,6 +626,7 @@
 	CASES("/proxy/input", input_cases, test_input);
 	CASES("/proxy/entry", entry_cases, test_entry);
 	CASES("/proxy/dropped-route", route_cases, test_dropped_route);
+	CASES("/proxy/list", list_cases, test_list);
 	CASES("/proxy/release", release_cases, test_release);
 	g_test_add_func("/proxy/lost-commit", test_lost_commit);
 	g_test_add_func("/proxy/idle-transaction", test_idle_transaction);
