Drop state that nobody reads, and a second way to read an address

- group->listed was written and never read; group->sync_replicas was a copy of a limit of its change of primary, set to 0 again where that begins.
- The probe's record held one pointer; it is that pointer now.
Its reading of "IP:PORT" into a socket address stood in listener.c as well: address_parse() serves both.
- Taking grants back is part of what promote_limits_t.revocable allows, so promote.c looks at it itself; dbgroup.c need not drop those steps.
- PART was unused in callers.c and course.c.

Behaviour is as before.

--- a/src/callers.c
+++ b/src/callers.c
@@ -10,7 +10,6 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
-#define PART "front"
 #define SWEEP_MS 10
 #define IDLE_US (10 * US_PER_MS)
 #define EVENTS_MAX 256
--- a/src/course.c
+++ b/src/course.c
@@ -4,7 +4,6 @@
 
 /* The course of one statement: queued, sent, confirmed, answered. */
 
-#define PART "group"
 #define SERVICE_SMOOTHING 32
 
 /*
--- a/src/dbgroup.c
+++ b/src/dbgroup.c
@@ -337,8 +337,6 @@
 		ask_witness(group, db);
 		return;
 	}
-	if (action->kind == PROMOTE_RELEASE || action->kind == PROMOTE_SETTLE)
-		return; /* these databases keep a promise until a higher term */
 	if (db->control == NULL || !db->control->open)
 		return;
 	if (action->kind == PROMOTE_FENCE) {
--- a/src/decide/promote.c
+++ b/src/decide/promote.c
@@ -600,15 +600,14 @@
 }
 
 /*
- * Give up the grants of a term that leads nowhere, where no database waits
- * for anything else to end its promise.
+ * Take back the grants of a term that leads nowhere, where that can be done.
  */
 static void
 release_grants(promote_t *promote, promote_actions_t *actions)
 {
 	uint32_t i;
 
-	for (i = 0; i < promote->count; i++) {
+	for (i = 0; promote->limits.revocable && i < promote->count; i++) {
 		if (promote->granted[i] && (int32_t)i != promote->stepping_down)
 			actions->list[actions->count++] = (promote_action_t){
 			    PROMOTE_RELEASE, i, promote->term};
--- a/src/proxy/clients.c
+++ b/src/proxy/clients.c
@@ -1,7 +1,6 @@
 #include "session.h"
 
 #include <errno.h>
-#include <libsoup/soup.h>
 #include <string.h>
 
 /* The clients' task: its listeners and its messages. */
@@ -20,11 +19,6 @@
 /* Before the end of the grace everything that is left is ended. */
 #define LAST_US (INT64_C(700) * US_PER_MS)
 
-/* The listening socket of the balancer's questions. */
-struct probe {
-	SoupServer *server;
-};
-
 /*
  * Make the role; it is given to task_new_beside().
  */
@@ -89,29 +83,23 @@
 listen_probe(clients_t *clients)
 {
 	const char *text = clients->proxy->settings->ready_address;
-	struct probe *probe = g_new0(struct probe, 1);
-	GSocketAddress *at;
+	GSocketAddress *at = address_parse(text);
 	GError *error = NULL;
-	char *address;
-	uint32_t port;
+	bool listens;
 
-	if (address_split(text, &address, &port) < 0)
+	if (at == NULL)
 		return -EINVAL;
-	at = g_inet_socket_address_new_from_string(address, port);
-	g_free(address);
-	probe->server = soup_server_new(NULL, NULL);
+	clients->probe = soup_server_new(NULL, NULL);
 	soup_server_add_handler(
-	    probe->server, "/ready", on_probe, clients, NULL);
-	if (!soup_server_listen(probe->server, at, 0, &error)) {
-		LOG_PART(PART, G_LOG_LEVEL_CRITICAL, "Cannot listen on %s: %s.",
-		    text, error->message);
-		g_error_free(error);
-		g_object_unref(at);
-		return -EADDRINUSE;
-	}
+	    clients->probe, "/ready", on_probe, clients, NULL);
+	listens = soup_server_listen(clients->probe, at, 0, &error);
 	g_object_unref(at);
-	clients->probe = probe;
-	return 0;
+	if (listens)
+		return 0;
+	LOG_PART(PART, G_LOG_LEVEL_CRITICAL, "Cannot listen on %s: %s.", text,
+	    error->message);
+	g_error_free(error);
+	return -EADDRINUSE;
 }
 
 /*
@@ -137,9 +125,8 @@
 	listener_close(clients->listener);
 	clients->listener = NULL;
 	if (clients->probe != NULL) {
-		soup_server_disconnect(clients->probe->server);
-		g_object_unref(clients->probe->server);
-		g_clear_pointer(&clients->probe, g_free);
+		soup_server_disconnect(clients->probe);
+		g_clear_object(&clients->probe);
 	}
 }
 
--- a/src/proxy/listener.c
+++ b/src/proxy/listener.c
@@ -38,16 +38,12 @@
     GMainContext *main, const char *text, listener_cb accepted, void *context)
 {
 	listener_t *listener;
-	GSocketAddress *at;
+	GSocketAddress *at = address_parse(text);
 	GError *error = NULL;
 	GSocket *socket;
-	char *address;
-	uint32_t port;
 
-	if (address_split(text, &address, &port) < 0)
+	if (at == NULL)
 		return NULL;
-	at = g_inet_socket_address_new_from_string(address, port);
-	g_free(address);
 	socket = g_socket_new(g_socket_address_get_family(at),
 	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &error);
 	if (socket != NULL) {
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -101,7 +101,6 @@
 	pool_t *pool;
 	char *name;
 	uint32_t connections_max;
-	uint32_t sync_replicas;
 	uint32_t count;
 	server_t *servers[GROUP_DATABASES_MAX];
 	GPtrArray *gone; /* of server_t */
@@ -115,7 +114,6 @@
 	int64_t changing_us;  /* another daemon began to change the primary */
 	relief_t relief;
 	int64_t handover_us; /* one is due, since; 0: not */
-	bool listed;         /* by the catalog in force */
 };
 
 /* A client's transaction, from its first statement on. */
--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -39,6 +39,23 @@
 	return -EINVAL;
 }
 
+/*
+ * The socket address that "IP:PORT" names, or NULL when the text is neither.
+ */
+GSocketAddress *
+address_parse(const char *text)
+{
+	GSocketAddress *at;
+	char *address;
+	uint32_t port;
+
+	if (address_split(text, &address, &port) < 0)
+		return NULL;
+	at = g_inet_socket_address_new_from_string(address, port);
+	g_free(address);
+	return at;
+}
+
 /*
  * Make the role; it is given to task_new().
  */
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -43,5 +43,6 @@
 int32_t proxy_run(const Bp__ProxySettings *, const wire_ops_t *,
     const objects_ops_t *, const promoter_ops_t *);
 int32_t address_split(const char *text, char **address, uint32_t *port);
+GSocketAddress *address_parse(const char *text);
 
 #endif
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -248,16 +248,11 @@
 	size_t i;
 
 	pool->transaction_idle_ms = catalog->transaction_idle_ms;
-	g_hash_table_iter_init(&iter, pool->groups);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((group_t *)value)->listed = false;
 	for (i = 0; i < catalog->n_groups; i++) {
 		const Bp__ServerGroup *from = catalog->groups[i];
 		group_t *group = group_of(pool, from->name);
 
-		group->listed = true;
 		group->connections_max = from->connections_max;
-		group->sync_replicas = from->sync_replicas;
 		group->promote.limits.sync_replicas = from->sync_replicas;
 	}
 	g_hash_table_iter_init(&iter, pool->groups);
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -6,6 +6,8 @@
 #include "proxy.h"
 #include "sock.h"
 
+#include <libsoup/soup.h>
+
 /*
  * Inside the clients' task.  clients.c: the role, its listeners and its
  * messages.  session.c: one client's session.
@@ -55,7 +57,7 @@
 	arena_t *arena;
 	bool known; /* a catalog is in force */
 	listener_t *listener;
-	struct probe *probe;
+	SoupServer *probe; /* the balancer's questions */
 	uint64_t next_id;
 	GSource *tick;
 	int64_t leaving_us; /* since; 0: not */
--- a/src/proxy/watch.c
+++ b/src/proxy/watch.c
@@ -85,7 +85,6 @@
 	limits.settle_us = group->pool->spans.long_us - PROMOTE_MIN_US;
 	limits.settle_min_us = SETTLE_MIN_US;
 	limits.catch_up_us = CATCH_UP_US;
-	limits.sync_replicas = group->sync_replicas;
 	limits.revocable = true;
 	promote_init(&group->promote, &limits, group->count,
 	    g_rand_int(group->pool->rand), now_us);
@@ -477,8 +476,7 @@
 	int32_t primary = promote_primary(&group->promote);
 	uint32_t i;
 
-	if (watch_changing(group, now_us) ||
-	    promote_primary(&group->promote) < 0)
+	if (watch_changing(group, now_us) || primary < 0)
 		return CHANGING_US;
 	if (server->unanswered > 0 &&
 	    now_us - server->unanswered_us >= SILENT_US)
