A daemon that ends answers every request that reached it

Cause: /holds/transactions-apart/a-daemon-drains failed once beside load (one answer cut off midway). As its task ended, the front end ran its main context until nothing was pending and then disconnected libsoup, which closes the listening socket and all connections: the kernel resets connections that wait to be accepted, and requests that arrived in between got no answer.

Ruled out: the groups' last answers (they are sent before the front end stops); curl's reuse of connections (the test's client has its own sockets).

A try that failed: a listening socket of our own, closed first, with connections given to libsoup. libsoup keeps connections open only while it listens itself, so each was closed after its first answer (48 of 48 cut).

Change: a daemon that leaves announces the end of each connection with its answer; as the task ends a filter on the listening socket drops segments that open a connection, what waits is accepted and answered, requests that are at other daemons are answered as unknown, and the connections are closed when none has a request under way, after 200 ms at the latest. Waiting connections use the epoll set of the task instead of one of their own.

--- a/Makefile
+++ b/Makefile
@@ -83,7 +83,7 @@
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
 
 TESTS = t_decide t_lease t_wire t_poller t_queue t_text t_history t_model t_command \
-	t_proxy t_fleet t_holds
+	t_proxy t_fleet t_drain t_holds
 
 $(BUILD)/t_proxy: $(BUILD)/tests/fake/site.o
 $(BUILD)/t_%: $(BUILD)/tests/t_%.o $(TOOLS_O) $(BUILD)/libbergamotplank.a
--- a/src/callers.c
+++ b/src/callers.c
@@ -1,18 +1,22 @@
 #include "callers.h"
 
+#include "poller.h"
 #include "task.h"
 
 #include <errno.h>
-#include <glib-unix.h>
+#include <linux/filter.h>
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <stddef.h>
 #include <sys/epoll.h>
-#include <unistd.h>
 
+#define PART "front"
 #define SWEEP_MS 10
 #define IDLE_US (10 * US_PER_MS)
-#define EVENTS_MAX 256
+
+/* Where the flags of a TCP header are, and the one that opens a connection. */
+#define TCP_FLAGS_OFFSET 13
+#define TCP_FLAG_SYN_BIT 0x02
 
 /*
  * One connection.  libsoup tells its socket only the first time, so it is
@@ -24,6 +28,7 @@
 	GSocket *socket;            /* ours */
 	SoupServerMessage *message; /* the newest on it */
 	GIOStream *parked;          /* ours while it waits in the epoll set */
+	poller_item_t item;         /* in that set */
 	int64_t since_us;           /* it waits for a request */
 	uint64_t received_bytes;    /* at since_us */
 	bool busy;                  /* a request has begun to come */
@@ -36,8 +41,6 @@
 	GQueue active;         /* of caller_t: those that libsoup has */
 	uint32_t max;
 	uint64_t refused;
-	int epoll;
-	GSource *readable;
 	GMainContext *main;
 	GSource *sweep; /* while there are active connections */
 };
@@ -91,6 +94,7 @@
 {
 	caller_t *caller = p;
 
+	poller_remove(&caller->item);
 	if (caller->parked == NULL)
 		g_queue_unlink(&caller->callers->active, &caller->link);
 	else
@@ -153,7 +157,6 @@
 caller_park(caller_t *caller)
 {
 	callers_t *callers = caller->callers;
-	struct epoll_event event = {.events = EPOLLIN | EPOLLRDHUP};
 	SoupServerMessage *message = g_steal_pointer(&caller->message);
 	GIOStream *stream, *base = NULL;
 
@@ -168,18 +171,17 @@
 	g_object_unref(stream);
 	g_queue_unlink(&callers->active, &caller->link);
 	caller->parked = base;
-	event.data.ptr = caller;
-	if (epoll_ctl(callers->epoll, EPOLL_CTL_ADD,
-		g_socket_get_fd(caller->socket), &event) < 0)
-		caller_remove(caller);
+	poller_add(&caller->item, callers->main,
+	    g_socket_get_fd(caller->socket), EPOLLIN | EPOLLRDHUP);
 }
 
 /*
  * Give a connection on which bytes wait back to libsoup.
  */
 static void
-caller_wake(caller_t *caller)
+caller_wake(void *context, uint32_t events)
 {
+	caller_t *caller = context;
 	callers_t *callers = caller->callers;
 	GIOStream *stream = caller->parked;
 	GSocketConnection *connection = G_SOCKET_CONNECTION(stream);
@@ -187,8 +189,8 @@
 	    g_socket_connection_get_local_address(connection, NULL);
 	bool taken = false;
 
-	epoll_ctl(callers->epoll, EPOLL_CTL_DEL,
-	    g_socket_get_fd(caller->socket), NULL);
+	(void)events;
+	poller_remove(&caller->item);
 	caller->parked = NULL;
 	caller_activate(caller);
 	if (local != NULL)
@@ -200,22 +202,6 @@
 	g_object_unref(stream);
 }
 
-/*
- * Bytes, or the end, have come on waiting connections.
- */
-static gboolean
-on_readable(gint fd, GIOCondition condition, gpointer context)
-{
-	struct epoll_event events[EVENTS_MAX];
-	int i, n = epoll_wait(fd, events, EVENTS_MAX, 0);
-
-	(void)condition;
-	(void)context;
-	for (i = 0; i < n; i++)
-		caller_wake(events[i].data.ptr);
-	return G_SOURCE_CONTINUE;
-}
-
 /*
  * Look at a connection that waits.  libsoup does not tell when the other side
  * closes one between two requests, and frees it; then it is forgotten here
@@ -294,12 +280,6 @@
 	callers->by_remote =
 	    g_hash_table_new_full(NULL, NULL, NULL, caller_free);
 	g_queue_init(&callers->active);
-	callers->epoll = epoll_create1(EPOLL_CLOEXEC);
-	g_assert(callers->epoll >= 0);
-	callers->readable = g_unix_fd_source_new(callers->epoll, G_IO_IN);
-	g_source_set_callback(
-	    callers->readable, G_SOURCE_FUNC(on_readable), callers, NULL);
-	g_source_attach(callers->readable, main);
 	callers->main = main;
 	return callers;
 }
@@ -310,13 +290,38 @@
 void
 callers_free(callers_t *callers)
 {
-	source_drop(&callers->readable);
 	source_drop(&callers->sweep);
 	g_hash_table_unref(callers->by_remote);
-	close(callers->epoll);
 	g_free(callers);
 }
 
+/*
+ * Let no new connections begin.  Those that have begun, also the ones that
+ * wait to be accepted, go on; closing the listening socket would reset them.
+ */
+void
+callers_refuse_new(callers_t *callers)
+{
+	/* the kernel drops each segment that opens a connection */
+	struct sock_filter code[] = {
+	    BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+	    BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TCP_FLAG_SYN_BIT, 0, 1),
+	    BPF_STMT(BPF_RET | BPF_K, 0),
+	    BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+	};
+	struct sock_fprog program = {G_N_ELEMENTS(code), code};
+	GSList *all = soup_server_get_listeners(callers->server), *l;
+
+	for (l = all; l != NULL; l = l->next) {
+		if (setsockopt(g_socket_get_fd(l->data), SOL_SOCKET,
+			SO_ATTACH_FILTER, &program, sizeof(program)) < 0)
+			LOG_PART(PART, G_LOG_LEVEL_WARNING,
+			    "Cannot stop new connections: %s.",
+			    g_strerror(errno));
+	}
+	g_slist_free(all);
+}
+
 /*
  * Note a new connection.  Returns NULL, having cut it, when there are too
  * many.
@@ -340,11 +345,23 @@
 	caller->remote =
 	    g_object_ref(soup_server_message_get_remote_address(message));
 	caller->link.data = caller;
+	caller->item.ready = caller_wake;
+	caller->item.context = caller;
 	caller_activate(caller);
 	g_hash_table_insert(callers->by_remote, caller->remote, caller);
 	return caller;
 }
 
+/*
+ * How many connections have a request under way, or may have one: bytes of it
+ * may be on their way on a connection that is not parked yet.
+ */
+uint32_t
+callers_active(const callers_t *callers)
+{
+	return callers->active.length;
+}
+
 /*
  * libsoup has a new message: a connection is new, or was given back, or the
  * next request begins to come on one that it still has.
--- a/src/callers.h
+++ b/src/callers.h
@@ -6,19 +6,21 @@
 #include <libsoup/soup.h>
 
 /*
- * The connections of callers.  GLib's main loop looks at every source each
- * time it wakes, so connections that wait for a request are kept out of it:
- * they are taken from libsoup, wait in an epoll set of our own, and are given
- * back when bytes come.
+ * The connections of callers.  GLib's main loop
+ * looks at every source each time it wakes, so connections that wait for a
+ * request are kept out of it: they are taken from libsoup, wait in the epoll
+ * set of the task, and are given back when bytes come.
  */
 typedef struct callers callers_t;
 
 callers_t *callers_new(SoupServer *, GMainContext *, uint32_t max);
+void callers_refuse_new(callers_t *);
 void callers_free(callers_t *);
 void callers_started(callers_t *, SoupServerMessage *);
 void callers_busy(callers_t *, SoupServerMessage *);
 uint64_t callers_refused(const callers_t *);
 uint32_t callers_count(const callers_t *);
+uint32_t callers_active(const callers_t *);
 void callers_cut(callers_t *, SoupServerMessage *);
 
 #endif
--- a/src/front.c
+++ b/src/front.c
@@ -8,6 +8,9 @@
 #define PART "front"
 #define TICK_MS 50
 
+/* Enough for a client to read an answer; a task that ends waits no longer. */
+#define STOP_US (200 * US_PER_MS)
+
 /* A request that is being read. */
 typedef struct body {
 	SoupServerMessage *message; /* the key */
@@ -241,17 +244,22 @@
 }
 
 /*
- * The task ends.  What was answered a moment ago still has to go out.
+ * The task ends: what has reached it is answered, and the answers go out.
  */
 static void
 on_stop(void *context)
 {
 	front_role_t *role = context;
-	int64_t until_us = clock_us() + 200 * US_PER_MS;
+	GMainContext *main = task_context(role->task);
+	int64_t until_us = clock_us() + STOP_US;
 
-	while (clock_us() < until_us &&
-	    g_main_context_iteration(task_context(role->task), FALSE))
-		;
+	role->draining = true;
+	callers_refuse_new(role->connections);
+	while (g_main_context_iteration(main, FALSE) && clock_us() < until_us)
+		; /* the last answers of the other tasks */
+	route_end(role);
+	while (callers_active(role->connections) > 0 && clock_us() < until_us)
+		g_main_context_iteration(main, TRUE); /* the tick wakes it */
 	source_drop(&role->tick);
 	soup_server_disconnect(role->callers);
 	callers_free(role->connections); /* it heard of each end */
--- a/src/front.h
+++ b/src/front.h
@@ -80,6 +80,7 @@
     front_role_t *, SoupServerMessage *, const char *body, uint64_t size_bytes);
 void route_answered(front_role_t *, const Bp__StatementAnswered *);
 void route_expire(front_role_t *, int64_t now_us);
+void route_end(front_role_t *);
 void pending_free(gpointer);
 void front_refuse(
     front_role_t *, SoupServerMessage *, Bp__Reason, const char *text);
--- a/src/route.c
+++ b/src/route.c
@@ -35,10 +35,12 @@
 }
 
 /*
- * Write an answer as the body of a response.
+ * Write an answer as the body of a response.  A daemon that leaves announces
+ * the end of the connection, so that no later request is lost on it.
  */
 static void
-respond(SoupServerMessage *message, const Bp__CallerAnswer *answer)
+respond(const front_role_t *role, SoupServerMessage *message,
+    const Bp__CallerAnswer *answer)
 {
 	SoupMessageHeaders *headers =
 	    soup_server_message_get_response_headers(message);
@@ -58,6 +60,8 @@
 		    (answer->retry_after_ms + MS_PER_S - 1) / MS_PER_S);
 		soup_message_headers_replace(headers, "Retry-After", seconds);
 	}
+	if (role->draining)
+		soup_message_headers_replace(headers, "Connection", "close");
 	soup_server_message_set_status(message, status, NULL);
 	soup_server_message_set_response(
 	    message, "application/json", SOUP_MEMORY_COPY, body, size_bytes);
@@ -73,12 +77,11 @@
 {
 	Bp__CallerAnswer answer = BP__CALLER_ANSWER__INIT;
 
-	(void)role;
 	answer.outcome = BP__OUTCOME__NOT_RUN;
 	answer.has_reason = 1;
 	answer.reason = reason;
 	answer.message = (char *)text;
-	respond(message, &answer);
+	respond(role, message, &answer);
 }
 
 /*
@@ -166,7 +169,7 @@
 		tx.group = pending->statement->group;
 		answer.transaction = token_seal(arena, &tx.base);
 	}
-	respond(pending->message, &answer);
+	respond(role, pending->message, &answer);
 	soup_server_message_unpause(pending->message);
 	g_hash_table_remove(role->pending, &pending->route);
 	front_drain_check(role);
@@ -548,3 +551,21 @@
 	}
 	g_list_free(all);
 }
+
+/*
+ * The task ends: answer what still waits.  The statements are at other
+ * daemons, which may run them.
+ */
+void
+route_end(front_role_t *role)
+{
+	GList *all = g_hash_table_get_values(role->pending), *l;
+
+	for (l = all; l != NULL; l = l->next) {
+		pending_t *pending = l->data;
+
+		pending->may_have_run = true;
+		pending_fail(pending, BP__REASON__DRAINING, NULL);
+	}
+	g_list_free(all);
+}
