A listener without descriptors left does not spin

Cause: accepting fails with EMFILE while the listening socket stays readable, so the task woke as often as it could, and the error was not logged.

After: at most 10 times, and the connection is accepted once descriptors are free again.

--- a/tests/t_poller.c
+++ b/tests/t_poller.c
@@ -1,11 +1,15 @@
 #include "../src/poller.h"
+#include "../src/proxy/listener.h"
+#include "../tools/fleet.h"
 #include "cases.h"
 
+#include <fcntl.h>
 #include <sys/epoll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* The epoll set that the sockets of a main context share. */
+/* The epoll set that the sockets of a main context share, and listening. */
 
 #define CONTEXTS 100
 #define SOCKETS_MAX 3
@@ -81,6 +85,84 @@
 	}
 }
 
+typedef struct listener_case {
+	const char *name;
+	bool descriptors; /* there are some left */
+	uint32_t woken_at_most;
+} listener_case_t;
+
+/* Looked at ten times a second while accepting fails. */
+static const listener_case_t listener_cases[] = {
+    {"a connection is accepted", true, 10},
+    {"no descriptors are left", false, 10},
+};
+
+/*
+ * A connection was accepted.
+ */
+static void
+on_accepted(void *context, GSocket *socket)
+{
+	(*(uint32_t *)context)++;
+	g_object_unref(socket);
+}
+
+/*
+ * Run a main context for some time.  Returns how often it woke.
+ */
+static uint32_t
+run_for(GMainContext *main, uint32_t ms)
+{
+	int64_t until_us = g_get_monotonic_time() + ms * US_PER_MS;
+	uint32_t woken = 0;
+
+	while (g_get_monotonic_time() < until_us) {
+		woken += g_main_context_iteration(main, FALSE);
+		g_usleep(US_PER_MS);
+	}
+	return woken;
+}
+
+/*
+ * What cannot be accepted waits, without spinning, until it can.
+ */
+static void
+test_listener(gconstpointer data)
+{
+	const listener_case_t *c = data;
+	GMainContext *main = g_main_context_new();
+	GSocketClient *client = g_socket_client_new();
+	uint32_t port = fleet_free_port(), accepted = 0;
+	char *address = g_strdup_printf("127.0.0.1:%u", port);
+	listener_t *listener =
+	    listener_open(main, address, on_accepted, &accepted);
+	GSocketConnection *connection;
+	struct rlimit limit, none;
+	int next;
+
+	g_assert_nonnull(listener);
+	connection = g_socket_client_connect_to_host(
+	    client, "127.0.0.1", (guint16)port, NULL, NULL);
+	g_assert_nonnull(connection);
+	g_assert_cmpint(getrlimit(RLIMIT_NOFILE, &limit), ==, 0);
+	none = limit;
+	next = fcntl(0, F_DUPFD, 0);
+	close(next);
+	none.rlim_cur = (rlim_t)next;
+	if (!c->descriptors)
+		setrlimit(RLIMIT_NOFILE, &none);
+	g_assert_cmpuint(run_for(main, 400), <=, c->woken_at_most);
+	g_assert_cmpuint(accepted, ==, c->descriptors ? 1 : 0);
+	setrlimit(RLIMIT_NOFILE, &limit);
+	run_for(main, 400);
+	g_assert_cmpuint(accepted, ==, 1);
+	listener_close(listener);
+	g_object_unref(connection);
+	g_object_unref(client);
+	g_main_context_unref(main);
+	g_free(address);
+}
+
 /*
  * Run the tables.
  */
@@ -88,6 +170,8 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	log_start(G_LOG_LEVEL_CRITICAL);
 	CASES("/poller", poller_cases, test_poller);
+	CASES("/listener", listener_cases, test_listener);
 	return g_test_run();
 }
