--- a/Makefile
+++ b/Makefile
@@ -82,7 +82,7 @@
     $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
 
-TESTS = t_decide t_lease t_wire t_poller t_queue t_text t_history t_model t_command \
+TESTS = t_decide t_lease t_wire t_poller t_log t_queue t_text t_history t_model t_command \
 	t_proxy t_fleet t_drain t_holds
 
 $(BUILD)/t_proxy: $(BUILD)/tests/fake/site.o
--- a/src/bergamotplank.h
+++ b/src/bergamotplank.h
@@ -35,12 +35,11 @@
 int64_t clock_us(void);
 int64_t clock_ms(void);
 
-/* One line each; the prefix names the part. */
-#define LOG_PART(part, level, ...) \
-	log_line(part, level, __FILE__, G_STRINGIFY(__LINE__), __VA_ARGS__)
-void log_line(const char *, GLogLevelFlags, const char *, const char *,
-    const char *, ...) G_GNUC_PRINTF(5, 6);
-void log_start(GLogLevelFlags);
+/* The log: lines of JSON, one for each event; a short sentence is one, too. */
+void log_event(GLogLevelFlags, const ProtobufCMessage *);
+void log_line(const char *, GLogLevelFlags, const char *, ...)
+    G_GNUC_PRINTF(3, 4);
+void log_start(GLogLevelFlags, int32_t fd);
 
 /* A line of a file, and what is wrong there. */
 typedef struct fault {
--- a/src/callers.c
+++ b/src/callers.c
@@ -315,7 +315,7 @@
 	for (l = all; l != NULL; l = l->next) {
 		if (setsockopt(g_socket_get_fd(l->data), SOL_SOCKET,
 			SO_ATTACH_FILTER, &program, sizeof(program)) < 0)
-			LOG_PART(PART, G_LOG_LEVEL_WARNING,
+			log_line(PART, G_LOG_LEVEL_WARNING,
 			    "Cannot stop new connections: %s.",
 			    g_strerror(errno));
 	}
--- a/src/conn.c
+++ b/src/conn.c
@@ -69,7 +69,7 @@
 	database_t *db = conn->db;
 
 	db->group->role->counts[COUNT_CONNECTIONS_CONDEMNED]++;
-	LOG_PART(PART, G_LOG_LEVEL_INFO,
+	log_line(PART, G_LOG_LEVEL_INFO,
 	    "Connection to database %s of %s is condemned: %s.", db->name,
 	    db->group->key, why);
 	conn_close(conn);
--- a/src/control.c
+++ b/src/control.c
@@ -55,7 +55,7 @@
 {
 	control_role_t *role = context;
 
-	LOG_PART(
+	log_line(
 	    PART, G_LOG_LEVEL_MESSAGE, "The time to drain is over; stopping.");
 	task_quit(role->task);
 	return G_SOURCE_REMOVE;
@@ -86,12 +86,12 @@
 	uint32_t i;
 
 	if (role->draining) {
-		LOG_PART(PART, G_LOG_LEVEL_MESSAGE, "Stopping at once.");
+		log_line(PART, G_LOG_LEVEL_MESSAGE, "Stopping at once.");
 		task_quit(role->task);
 		return G_SOURCE_CONTINUE;
 	}
 	role->draining = true;
-	LOG_PART(
+	log_line(
 	    PART, G_LOG_LEVEL_MESSAGE, "Draining for up to %u ms.", drain_ms);
 	drain.timeout_ms = drain_ms;
 	for (i = 0; i < TASKS_TO_DRAIN; i++)
@@ -149,7 +149,7 @@
 {
 	control_role_t *role = context;
 
-	LOG_PART(PART, G_LOG_LEVEL_INFO, "Task %s is drained.",
+	log_line(PART, G_LOG_LEVEL_INFO, "Task %s is drained.",
 	    ((const Bp__Drained *)msg->body)->task);
 	if (++role->drained == TASKS_TO_DRAIN)
 		role->linger =
--- a/src/dbgroup.c
+++ b/src/dbgroup.c
@@ -251,7 +251,7 @@
 
 	promote_heard(&group->promote, db->index, view, now_us);
 	if (!left && dbgroup_leaving(db))
-		LOG_PART(PART, G_LOG_LEVEL_INFO, "Database %s of %s leaves.",
+		log_line(PART, G_LOG_LEVEL_INFO, "Database %s of %s leaves.",
 		    db->name, group->key);
 	take_sample(group);
 	runs_confirm(group, now_us);
@@ -279,7 +279,7 @@
 		    &group->promote, db->index, term, ok, view, now_us);
 		if (ok) {
 			group->role->counts[COUNT_CHANGES_OF_PRIMARY]++;
-			LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
+			log_line(PART, G_LOG_LEVEL_MESSAGE,
 			    "Group %s has primary %s in term %" G_GUINT64_FORMAT
 			    ".",
 			    group->key, db->name, term);
@@ -309,7 +309,7 @@
 	msg_t *msg = msg_new(&bp__witness_wanted__descriptor);
 	Bp__WitnessWanted *wanted = (Bp__WitnessWanted *)msg->body;
 
-	LOG_PART(PART, G_LOG_LEVEL_INFO,
+	log_line(PART, G_LOG_LEVEL_INFO,
 	    "Primary %s of %s is silent; asking a second witness.", db->name,
 	    group->key);
 	group->witness = ++group->role->next_witness;
--- a/src/front.c
+++ b/src/front.c
@@ -234,7 +234,7 @@
 	    role->callers, address, (SoupServerListenOptions)0, &error);
 	g_object_unref(address);
 	if (!listens) {
-		LOG_PART(PART, G_LOG_LEVEL_WARNING,
+		log_line(PART, G_LOG_LEVEL_WARNING,
 		    "Cannot listen for callers: %s.", error->message);
 		g_error_free(error);
 		return -EADDRINUSE;
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -225,7 +225,7 @@
 	static const char *const words[] = {
 	    "alive", "suspected", "leaving", "dead"};
 
-	LOG_PART(PART, G_LOG_LEVEL_MESSAGE, "Daemon %s in %s is %s.",
+	log_line(PART, G_LOG_LEVEL_MESSAGE, "Daemon %s in %s is %s.",
 	    member->news.name, member->news.zone, words[member->news.state]);
 	if (member->news.state == MEMBER_DEAD)
 		link_drop(role, member);
--- a/src/group.c
+++ b/src/group.c
@@ -202,7 +202,7 @@
 		bool owned = owner >= 0 && strcmp(members[owner], self) == 0;
 
 		if (owned != group->owned)
-			LOG_PART(PART, G_LOG_LEVEL_INFO,
+			log_line(PART, G_LOG_LEVEL_INFO,
 			    "Group %s is %s this daemon's.", group->key,
 			    owned ? "now" : "no longer");
 		group->owned = owned;
@@ -360,7 +360,7 @@
 	size_t i;
 
 	if (document == NULL) {
-		LOG_PART(PART, G_LOG_LEVEL_WARNING,
+		log_line(PART, G_LOG_LEVEL_WARNING,
 		    "Document %s version %" G_GUINT64_FORMAT
 		    " cannot be read here; the older one stays.",
 		    accepted->team, accepted->version);
--- a/src/json.c
+++ b/src/json.c
@@ -508,6 +508,20 @@
 
 static void write_message(yajl_gen, const ProtobufCMessage *);
 
+/*
+ * Write a string; bytes that are no UTF-8 are replaced.
+ */
+static void
+write_string(yajl_gen gen, const char *text)
+{
+	char *valid = NULL;
+
+	if (!g_utf8_validate(text, -1, NULL))
+		text = valid = g_utf8_make_valid(text, -1);
+	yajl_gen_string(gen, (const unsigned char *)text, strlen(text));
+	g_free(valid);
+}
+
 /*
  * Write one value of a field.
  */
@@ -543,9 +557,18 @@
 		yajl_gen_string(gen, (unsigned char *)lower, strlen(lower));
 		g_free(lower);
 		break;
+	case PROTOBUF_C_TYPE_INT32:
+		g_snprintf(text, sizeof(text), "%" G_GINT32_FORMAT,
+		    *(const int32_t *)value);
+		yajl_gen_number(gen, text, strlen(text));
+		break;
+	case PROTOBUF_C_TYPE_INT64:
+		g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT,
+		    *(const int64_t *)value);
+		yajl_gen_number(gen, text, strlen(text));
+		break;
 	case PROTOBUF_C_TYPE_STRING:
-		yajl_gen_string(gen, *(unsigned char *const *)value,
-		    strlen(*(char *const *)value));
+		write_string(gen, *(char *const *)value);
 		break;
 	case PROTOBUF_C_TYPE_MESSAGE:
 		write_message(gen, *(ProtobufCMessage *const *)value);
@@ -581,6 +604,7 @@
 	switch (field->type) {
 	case PROTOBUF_C_TYPE_BOOL:
 		return sizeof(protobuf_c_boolean);
+	case PROTOBUF_C_TYPE_INT32:
 	case PROTOBUF_C_TYPE_UINT32:
 	case PROTOBUF_C_TYPE_ENUM:
 		return sizeof(uint32_t);
--- a/src/log.h
+++ b/src/log.h
@@ -1,12 +1,9 @@
 #ifndef LOG_H
 #define LOG_H
 
+#include "bergamotplank.h"
 #include "settings.pb-c.h"
 
-#include <glib.h>
-#include <stdbool.h>
-#include <stdint.h>
-
 GLogLevelFlags log_highest_of(Bp__LogLevel);
 
 /* How many lines of one kind are written in each second. */
@@ -19,4 +16,6 @@
 bool log_spend(log_budget_t *, int64_t now_us, uint32_t lines_per_second,
     uint32_t *left_out);
 
+char *log_clip(arena_t *, const char *text);
+
 #endif
--- a/src/oper.c
+++ b/src/oper.c
@@ -226,7 +226,7 @@
 	g_object_unref(address);
 	if (listens)
 		return 0;
-	LOG_PART(PART, G_LOG_LEVEL_WARNING, "Cannot listen for operators: %s.",
+	log_line(PART, G_LOG_LEVEL_WARNING, "Cannot listen for operators: %s.",
 	    error->message);
 	g_error_free(error);
 	return -EADDRINUSE;
--- a/src/peer.c
+++ b/src/peer.c
@@ -182,7 +182,7 @@
 
 	if (error == -EBADMSG || error == -EMSGSIZE) {
 		link->role->counts[COUNT_LINKS_DROPPED]++;
-		LOG_PART(PART, G_LOG_LEVEL_WARNING,
+		log_line(PART, G_LOG_LEVEL_WARNING,
 		    "A link with unreadable frames was dropped.");
 	}
 	link_end(link);
@@ -306,7 +306,7 @@
 		    now_us - link->retired_us >= bound_us;
 
 		if (silent)
-			LOG_PART(PART, G_LOG_LEVEL_INFO,
+			log_line(PART, G_LOG_LEVEL_INFO,
 			    "The link to %s is silent and was dropped.",
 			    link->place);
 		if (silent || (spoke && g_hash_table_size(link->forwards) == 0))
@@ -465,7 +465,7 @@
 	if (!g_socket_listener_add_address(G_SOCKET_LISTENER(role->listener),
 		address, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL,
 		NULL, &error)) {
-		LOG_PART(PART, G_LOG_LEVEL_WARNING,
+		log_line(PART, G_LOG_LEVEL_WARNING,
 		    "Cannot listen on %s port %u: %s.", settings->address,
 		    settings->peer_port, error->message);
 		g_error_free(error);
--- a/src/platform.c
+++ b/src/platform.c
@@ -135,7 +135,7 @@
 	else
 		role->counts[COUNT_FAILURES]++;
 	if (answered != role->reachable)
-		LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
+		log_line(PART, G_LOG_LEVEL_MESSAGE,
 		    answered ? "The platform answers."
 			     : "The platform does not answer; documents in "
 			       "force stay.");
@@ -171,7 +171,7 @@
 	g_free(state->document);
 	state->document = g_strdup(accepted->document);
 	role->counts[COUNT_IN_FORCE]++;
-	LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
+	log_line(PART, G_LOG_LEVEL_MESSAGE,
 	    "Document %s version %" G_GUINT64_FORMAT " is in force.",
 	    accepted->team, accepted->version);
 	in_force.accepted = (Bp__Accepted *)accepted;
@@ -384,7 +384,7 @@
 	} else {
 		state->judged = state->seen;
 		role->counts[COUNT_REJECTED]++;
-		LOG_PART(PART, G_LOG_LEVEL_WARNING,
+		log_line(PART, G_LOG_LEVEL_WARNING,
 		    "Document %s version %" G_GUINT64_FORMAT
 		    " is rejected: line %u: %s.",
 		    state->team, state->seen, faults.list[0].line,
--- a/src/proxy/clients.c
+++ b/src/proxy/clients.c
@@ -96,7 +96,7 @@
 	g_object_unref(at);
 	if (listens)
 		return 0;
-	LOG_PART(PART, G_LOG_LEVEL_CRITICAL, "Cannot listen on %s: %s.", text,
+	log_line(PART, G_LOG_LEVEL_CRITICAL, "Cannot listen on %s: %s.", text,
 	    error->message);
 	g_error_free(error);
 	return -EADDRINUSE;
--- a/src/proxy/command.c
+++ b/src/proxy/command.c
@@ -5,6 +5,8 @@
 #include "proxy/proxy.h"
 #include "proxy/settings.h"
 
+#include <unistd.h>
+
 /*
  * Read the settings of the proxy.
  */
@@ -23,7 +25,7 @@
 {
 	const Bp__ProxySettings *settings = data;
 
-	log_start(log_highest_of(settings->log_level));
+	log_start(log_highest_of(settings->log_level), STDOUT_FILENO);
 	return proxy_run(
 	    settings, &platform_wire, &platform_objects, &platform_promoter);
 }
--- a/src/proxy/daemons.c
+++ b/src/proxy/daemons.c
@@ -118,7 +118,7 @@
 {
 	(void)context;
 	if (answer->status != OBJECTS_OK)
-		LOG_PART(PART, G_LOG_LEVEL_INFO,
+		log_line(PART, G_LOG_LEVEL_INFO,
 		    "A daemon's record was not removed: status %d.",
 		    answer->status);
 }
@@ -148,7 +148,7 @@
 	beat->listed = true;
 	if (registry->token == 0 || now_us - beat->since_us < REMOVE_US)
 		return;
-	LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
+	log_line(PART, G_LOG_LEVEL_MESSAGE,
 	    "Daemon %s has not been heard of for long; its record goes.",
 	    object->name);
 	registry->proxy->objects->remove(registry->objects, OBJECTS_DAEMONS,
@@ -326,7 +326,7 @@
 	g_free(revoke);
 	registry->store_lost = answer->status != OBJECTS_OK;
 	if (answer->status != OBJECTS_OK) {
-		LOG_PART(PART, G_LOG_LEVEL_INFO,
+		log_line(PART, G_LOG_LEVEL_INFO,
 		    "The store does not list the daemons; those that it "
 		    "listed last are asked for their leases of %s.",
 		    wanted->group);
--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -45,7 +45,7 @@
 	conn->sock = sock_connect(task_context(pool->task), server->address,
 	    server->port, &sock_ops, conn);
 	if (conn->sock == NULL) {
-		LOG_PART(PART, G_LOG_LEVEL_WARNING,
+		log_line(PART, G_LOG_LEVEL_WARNING,
 		    "No connection to server %s at %s can be made.", server->id,
 		    server->address);
 		g_free(conn);
@@ -115,10 +115,13 @@
 	transaction_t *transaction = conn->transaction;
 	server_t *server = conn->server;
 
-	LOG_PART(PART, G_LOG_LEVEL_DEBUG, "Connection to server %s ends: %s.",
-	    server->id, why);
-	if (!conn->open)
+	if (conn->open || server->lost_us == 0)
+		report_connection(conn, why);
+	if (!conn->open) {
 		server->reopen_us = clock_us() + REOPEN_US;
+		if (server->lost_us == 0)
+			server->lost_us = clock_us();
+	}
 	dbconn_close(conn);
 	if (operation != NULL)
 		operation_lost(operation);
@@ -290,6 +293,10 @@
 	conn->server->in_flight++;
 	operation->conn = conn;
 	operation->server = conn->server;
+	operation->server_id =
+	    arena_strdup(operation->msg->arena, conn->server->id);
+	operation->applied = conn->server->applied;
+	operation->sent_us = clock_us();
 	if (conn->transaction != NULL && !conn->transaction->begun) {
 		context_send(conn, operation->run);
 		wire->begin(conn->out, conn->transaction->read_only, after);
@@ -336,6 +343,9 @@
 
 	conn->open = true;
 	conn->began_us = now_us;
+	if (server->lost_us != 0)
+		report_reached(server, now_us);
+	server->lost_us = 0;
 	if (conn->control)
 		watch_ask(server, now_us);
 	else
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -22,6 +22,7 @@
 	transaction_t *transaction = operation->transaction;
 
 	operation->state = OPERATION_SENT;
+	operation->needed = after == NULL ? (position_t){0, 0} : *after;
 	if (transaction != NULL) {
 		transaction->conn = conn;
 		transaction->on_replica = after != NULL;
--- a/src/proxy/duty.c
+++ b/src/proxy/duty.c
@@ -1,11 +1,11 @@
 #include "registry.h"
 
+#include "event.pb-c.h"
+
 #include <string.h>
 
 /* The duty to order changes of primary, and the orders. */
 
-#define PART "registry"
-
 /* Our record of who has the duty. */
 #define DUTY_NAME "promotion"
 
@@ -175,41 +175,44 @@
 }
 
 /*
- * Tell the pool how an order ended, and free it.
+ * Log how an order ended, tell the pool, and free it.  One without an answer
+ * may come into effect.
  */
 static void
-order_end(order_t *order, bool accepted)
+order_end(order_t *order, Bp__PromotionAnswer answer)
 {
 	registry_t *registry = order->registry;
 	const Bp__PromotionWanted *wanted = wanted_of(order);
 	msg_t *msg = msg_new(&bp__promotion_ended__descriptor);
 	Bp__PromotionEnded *ended = (Bp__PromotionEnded *)msg->body;
+	Bp__PromotionAnswered answered = BP__PROMOTION_ANSWERED__INIT;
 
+	answered.group = wanted->group;
+	answered.server = wanted->server;
+	answered.term = wanted->term;
+	answered.answer = answer;
+	log_event(G_LOG_LEVEL_MESSAGE, &answered.base);
 	ended->group = arena_strdup(msg->arena, wanted->group);
 	ended->server = arena_strdup(msg->arena, wanted->server);
 	ended->term = wanted->term;
-	ended->accepted = accepted;
+	ended->accepted = answer == BP__PROMOTION_ANSWER__ORDER_ACCEPTED ||
+	    answer == BP__PROMOTION_ANSWER__ORDER_UNANSWERED;
 	task_send(registry->proxy->pool, registry->task, msg);
 	registry->orders = g_list_remove(registry->orders, order);
 	order_free(order);
 }
 
 /*
- * The platform has answered an order.  One without an answer may come into
- * effect.
+ * The platform has answered an order, or has not.
  */
 static void
 on_promoted(void *context, promoter_status_t status)
 {
-	order_t *order = context;
-	const Bp__PromotionWanted *wanted = wanted_of(order);
-
-	LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
-	    "The order to promote %s of %s: %s.", wanted->server, wanted->group,
-	    status == PROMOTER_ACCEPTED      ? "accepted"
-		: status == PROMOTER_REFUSED ? "refused"
-					     : "no answer");
-	order_end(order, status != PROMOTER_REFUSED);
+	order_end(context,
+	    status == PROMOTER_ACCEPTED ? BP__PROMOTION_ANSWER__ORDER_ACCEPTED
+		: status == PROMOTER_REFUSED
+		? BP__PROMOTION_ANSWER__ORDER_REFUSED
+		: BP__PROMOTION_ANSWER__ORDER_UNANSWERED);
 }
 
 /*
@@ -235,7 +238,7 @@
 order_refuse(order_t *order)
 {
 	tell_duty(order->registry, false);
-	order_end(order, false);
+	order_end(order, BP__PROMOTION_ANSWER__ORDER_WITHHELD);
 }
 
 /*
@@ -282,7 +285,7 @@
 	order_t *order = context;
 
 	source_drop(&order->timer);
-	order_end(order, false);
+	order_end(order, BP__PROMOTION_ANSWER__ORDER_UNCONFIRMED);
 	return G_SOURCE_REMOVE;
 }
 
@@ -348,12 +351,14 @@
 	order->msg = msg;
 	registry->orders = g_list_prepend(registry->orders, order);
 	if (registry->promoter == NULL || registry->token == 0) {
-		order_end(order, false);
+		order_end(order, BP__PROMOTION_ANSWER__ORDER_WITHHELD);
 		return;
 	}
 	waited_us = clock_us() - (int64_t)wanted_of(order)->heard_us;
 	if (!registry->ordered && registry->store_lost)
-		order_end(order, false); /* a new holder needs the store */
+		order_end(order,
+		    BP__PROMOTION_ANSWER__ORDER_WITHHELD); /* a new holder needs
+							      the store */
 	else if (registry->store_lost)
 		order_confirm(order);
 	else if (!registry->ordered && waited_us < FIRST_ORDER_US)
--- a/src/proxy/listener.c
+++ b/src/proxy/listener.c
@@ -42,7 +42,7 @@
 		listener->accepted(listener->context, socket);
 	if (!g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
 		code = -error->code;
-		LOG_PART(PART, G_LOG_LEVEL_WARNING,
+		log_line(PART, G_LOG_LEVEL_WARNING,
 		    "Cannot accept a connection: %s.", error->message);
 	}
 	g_error_free(error);
@@ -103,7 +103,7 @@
 	}
 	if (socket == NULL || !g_socket_bind(socket, at, TRUE, &error) ||
 	    !g_socket_listen(socket, &error)) {
-		LOG_PART(PART, G_LOG_LEVEL_CRITICAL, "Cannot listen on %s: %s.",
+		log_line(PART, G_LOG_LEVEL_CRITICAL, "Cannot listen on %s: %s.",
 		    text, error->message);
 		g_error_free(error);
 		g_clear_object(&socket);
--- a/src/proxy/operation.c
+++ b/src/proxy/operation.c
@@ -4,8 +4,6 @@
 
 /* The life of one statement: queued, sent, held, answered. */
 
-#define PART "pool"
-
 /* A statement that did not run, or only read, is tried so often in all. */
 #define TRIES_MAX 4
 
@@ -15,9 +13,6 @@
 /* While a primary changes, waiting statements are looked at so often. */
 #define WAIT_ON_US (50 * US_PER_MS)
 
-/* Lines on failed statements; more are counted. */
-#define FAILURES_PER_SECOND 20
-
 /*
  * Where the group has had no certain primary for STALLED_US, and none is being
  * made, waiting is in vain: whoever is refused soon may find another daemon.
@@ -40,6 +35,7 @@
 	task_t *to = operation->msg->from;
 	uint32_t i;
 
+	report_ended(operation, verdict, text);
 	ended->session = run->session;
 	ended->sequence = run->sequence;
 	ended->verdict = verdict;
@@ -105,46 +101,6 @@
 		transaction->abandoned = true;
 }
 
-/*
- * Log why a statement ends without success, with what decided it.
- */
-static void
-note_failure(
-    const operation_t *operation, Bp__Verdict verdict, const char *text)
-{
-	const group_t *group = operation->group;
-	int32_t primary = promote_primary(&group->promote);
-	int64_t now_us = clock_us();
-	uint32_t i, left_out;
-	GString *servers;
-
-	if (!log_spend(
-		&group->pool->failures, now_us, FAILURES_PER_SECOND, &left_out))
-		return;
-	if (left_out > 0)
-		LOG_PART(PART, G_LOG_LEVEL_INFO, "%u failures were not logged.",
-		    left_out);
-	servers = g_string_new(NULL);
-	for (i = 0; i < group->count; i++) {
-		const server_t *server = group->servers[i];
-
-		g_string_append_printf(servers, " %s%s:%u/%u/%u",
-		    server_usable(server, now_us) ? "" : "!", server->id,
-		    server->in_flight, server->busy, server->conns->len);
-	}
-	LOG_PART(PART, G_LOG_LEVEL_INFO,
-	    "request=%s verdict=%d group=%s kind=%d waited_ms=%" G_GINT64_FORMAT
-	    " tries=%u primary=%s lease_ms=%" G_GINT64_FORMAT
-	    " state=%d queued=%u,%u servers(running/busy/connections):%s: %s",
-	    operation->run->id, verdict, group->name, operation->run->kind,
-	    (now_us - operation->arrived_us) / US_PER_MS, operation->tries,
-	    primary < 0 ? "-" : group->servers[primary]->id,
-	    (group->lease.until_us - now_us) / US_PER_MS, group->promote.state,
-	    rankq_count(group->primary_lane), rankq_count(group->replica_lane),
-	    servers->str, text);
-	g_string_free(servers, TRUE);
-}
-
 /*
  * End a statement without a result; a transaction that it belongs to is
  * rolled back with it.
@@ -154,7 +110,6 @@
 {
 	transaction_t *transaction = operation->transaction;
 
-	note_failure(operation, verdict, text);
 	if (transaction != NULL) {
 		transaction->operation = NULL;
 		operation->transaction = NULL;
@@ -324,10 +279,11 @@
 }
 
 /*
- * Try a statement again that did not run, or that only read.
+ * Try a statement again that did not run, or that only read.  verdict: the
+ * database's answer, if there was one.
  */
 static void
-operation_retry(operation_t *operation, const char *why)
+operation_retry(operation_t *operation, Bp__Verdict verdict, const char *why)
 {
 	if (++operation->tries >= TRIES_MAX ||
 	    (operation->transaction != NULL &&
@@ -335,6 +291,7 @@
 		operation_refuse(operation, why);
 		return;
 	}
+	report_retried(operation, verdict, why);
 	operation_queue(operation, true);
 }
 
@@ -368,7 +325,8 @@
 	g_queue_unlink(&operation->group->held, &operation->link);
 	g_clear_pointer(&operation->rows, g_ptr_array_unref);
 	memset(&operation->ran_at, 0, sizeof(operation->ran_at));
-	operation_retry(operation, "the primary was replaced meanwhile");
+	operation_retry(operation, BP__VERDICT__SUCCEEDED,
+	    "the primary was replaced meanwhile");
 }
 
 /*
@@ -464,7 +422,7 @@
 		conn->transaction = NULL;
 		transaction->conn = NULL;
 	}
-	operation_retry(operation, text);
+	operation_retry(operation, conn->verdict, text);
 }
 
 /*
@@ -499,7 +457,7 @@
 	case BP__VERDICT__TIMED_OUT:
 		if (single_read && operation->tries + 1 < TRIES_MAX &&
 		    now_us < operation->item.deadline_us) {
-			operation_retry(operation, conn->error);
+			operation_retry(operation, conn->verdict, conn->error);
 			break;
 		}
 		/* FALLTHROUGH */
@@ -530,7 +488,7 @@
 	} else if (transaction != NULL ||
 	    run->kind == BP__OPERATION_KIND__READ_ITEM) {
 		if (clock_us() < operation->deadline_us)
-			operation_retry(operation,
+			operation_retry(operation, BP__VERDICT__OTHER_ERROR,
 			    "the connection to the database was lost");
 		else
 			operation_fail(operation, BP__VERDICT__TIMED_OUT,
@@ -682,6 +640,7 @@
 		if (transaction->operation != NULL ||
 		    now_us - transaction->used_us < idle_us)
 			continue;
+		report_rolled_back(transaction, now_us);
 		msg = msg_new(&bp__transaction_dropped__descriptor);
 		((Bp__TransactionDropped *)msg->body)->session =
 		    transaction->session;
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -117,7 +117,7 @@
 		const asked_t *asked = g_ptr_array_index(revocation->asked, i);
 
 		if (!asked->answered)
-			LOG_PART(PART, G_LOG_LEVEL_INFO,
+			log_line(PART, G_LOG_LEVEL_INFO,
 			    "Daemon %s gave back no lease of %s below term "
 			    "%" G_GUINT64_FORMAT ".",
 			    asked->name, revocation->group, revocation->term);
@@ -173,7 +173,7 @@
 	revocation_t *revocation = asked->revocation;
 
 	if (token > revocation->token) {
-		LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
+		log_line(PART, G_LOG_LEVEL_MESSAGE,
 		    "Daemon %s knows token %" G_GUINT64_FORMAT
 		    " of the duty, newer than %" G_GUINT64_FORMAT ".",
 		    asked->name, token, revocation->token);
@@ -248,7 +248,7 @@
 	asked->name = g_strdup(daemon->name);
 	g_ptr_array_add(revocation->asked, asked);
 	if (address_split(daemon->address, &address, &port) < 0) {
-		LOG_PART(PART, G_LOG_LEVEL_WARNING,
+		log_line(PART, G_LOG_LEVEL_WARNING,
 		    "Daemon %s has no address of use: %s.", daemon->name,
 		    daemon->address);
 		return;
@@ -331,7 +331,7 @@
 		to->term = revoke->term;
 		task_send(peers->proxy->pool, peers->task, msg);
 	} else {
-		LOG_PART(PART, G_LOG_LEVEL_WARNING,
+		log_line(PART, G_LOG_LEVEL_WARNING,
 		    "A message of kind %d that nobody asks here.",
 		    message->body_case);
 	}
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -2,7 +2,6 @@
 
 /* The pool's task: the databases, and the statements that run there. */
 
-#define PART "pool"
 #define TICK_MS 20
 
 /*
@@ -111,9 +110,7 @@
 	gpointer value;
 
 	if (paused)
-		LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
-		    "The process did not run for %" G_GINT64_FORMAT " ms.",
-		    (now_us - pool->ticked_us) / US_PER_MS);
+		report_paused((now_us - pool->ticked_us) / US_PER_MS);
 	pool->ticked_us = now_us;
 	pool_check_listed(pool, now_us);
 	g_hash_table_iter_init(&iter, pool->groups);
@@ -196,8 +193,12 @@
 static void
 on_catalog(void *context, msg_t *msg)
 {
-	catalog_apply(
-	    context, ((const Bp__CatalogInForce *)msg->body)->catalog);
+	const Bp__Catalog *catalog =
+	    ((const Bp__CatalogInForce *)msg->body)->catalog;
+	pool_t *pool = context;
+
+	pool->config_version = catalog->version;
+	catalog_apply(pool, catalog);
 	msg_free(msg);
 }
 
@@ -213,10 +214,7 @@
 	gpointer value;
 
 	if (changed->held != pool->duty)
-		LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
-		    "The duty of promotion is %s this daemon's, token "
-		    "%" G_GUINT64_FORMAT ".",
-		    changed->held ? "now" : "not", changed->token);
+		report_duty(changed->held, changed->token);
 	pool->duty = changed->held;
 	pool->token = changed->token;
 	if (changed->held)
@@ -250,8 +248,13 @@
 	const Bp__DaemonsCounted *counted =
 	    (const Bp__DaemonsCounted *)msg->body;
 	pool_t *pool = context;
+	bool listed = counted->listed_us != 0;
 
-	pool->daemons = counted->count;
+	if (counted->count != pool->daemons || listed != pool->listed) {
+		pool->daemons = counted->count;
+		pool->listed = listed;
+		report_daemons(pool);
+	}
 	pool->spans.known_us = (int64_t)counted->listed_us;
 	pool->listed_until_us = (int64_t)counted->until_us;
 	pool_check_listed(pool, clock_us());
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -15,6 +15,7 @@
  * groups of the catalog and their servers.  dbconn.c: one connection to a
  * database.  operation.c: the life of one statement.  dispatch.c: what is
  * sent where.  watch.c: what is known of the servers, and changes of primary.
+ * report.c: the lines of the log.
  */
 
 typedef struct pool pool_t;
@@ -93,6 +94,7 @@
 	uint32_t unanswered;   /* questions and statements */
 	int64_t unanswered_us; /* since when it has answered none of them */
 	bool silent;           /* some were given up, and none answered since */
+	int64_t lost_us;       /* since when no connection opens; 0: one did */
 	int64_t reopen_us;     /* no new connection before */
 };
 
@@ -110,6 +112,7 @@
 	GQueue held; /* of operation_t: ran, and wait for the lease */
 	samples_t samples;
 	lease_t lease;
+	bool silent;          /* the primary has answered nothing for long */
 	int64_t suspected_us; /* since; 0: not */
 	int64_t changing_us;  /* another daemon began to change the primary */
 	relief_t relief;
@@ -131,6 +134,17 @@
 	operation_t *operation; /* running or waiting */
 };
 
+/* Lines of the log that are written up to a number in each second. */
+typedef enum report_kind {
+	REPORT_FAILED, /* statements, by how they ended */
+	REPORT_LATE,
+	REPORT_DONE,
+	REPORT_RETRIED,
+	REPORT_TRANSACTION,
+	REPORT_CONNECTION,
+	REPORTS,
+} report_kind_t;
+
 typedef enum operation_state {
 	OPERATION_QUEUED,
 	OPERATION_SENT,
@@ -147,7 +161,11 @@
 	rankq_t *lane;
 	dbconn_t *conn;
 	transaction_t *transaction;
-	server_t *server; /* that it was sent to last */
+	server_t *server; /* that it was sent to last; only to compare */
+	const char *server_id;
+	position_t needed;  /* that this server had to have; 0: none */
+	position_t applied; /* that it was known to have */
+	int64_t sent_us;
 	uint32_t tries;
 	int64_t arrived_us;
 	int64_t deadline_us;
@@ -177,10 +195,12 @@
 	int64_t
 	    duty_read_us;   /* the record said that it is ours, at this time */
 	uint32_t daemons;   /* that share the connections */
+	bool listed;        /* this one is among them, as last told */
 	lease_span_t spans; /* of leases */
 	int64_t listed_until_us; /* then long leases end; -1: they have */
 	GRand *rand;
-	log_budget_t failures; /* lines on them */
+	uint64_t config_version;
+	log_budget_t reports[REPORTS];
 };
 
 /* pool.c */
@@ -221,6 +241,25 @@
 void transaction_drop(transaction_t *);
 void transactions_expire(pool_t *, int64_t now_us);
 
+/* report.c */
+void report_ended(const operation_t *, Bp__Verdict, const char *text);
+void report_retried(const operation_t *, Bp__Verdict, const char *text);
+void report_rolled_back(const transaction_t *, int64_t now_us);
+void report_connection(const dbconn_t *, const char *text);
+void report_reached(const server_t *, int64_t now_us);
+void report_server_changed(
+    const server_t *, const server_status_t *, int64_t asked_us);
+void report_server_listed(const server_t *);
+void report_primary(const group_t *, const server_t *, int64_t now_us);
+void report_suspected(const group_t *, int64_t now_us);
+void report_handover(const group_t *, const server_t *primary, bool leaving);
+void report_lease_given_back(const group_t *, uint64_t term, int64_t now_us);
+void report_step(const group_t *, const promote_action_t *);
+void report_order(const server_t *, uint64_t term);
+void report_paused(int64_t paused_ms);
+void report_duty(bool held, uint64_t token);
+void report_daemons(const pool_t *);
+
 /* dispatch.c */
 void dispatch(group_t *, int64_t now_us);
 
--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -1,5 +1,7 @@
 #include "proxy.h"
 
+#include "event.pb-c.h"
+
 #include <errno.h>
 #include <glib-unix.h>
 #include <signal.h>
@@ -84,6 +86,7 @@
 on_signal(gpointer context)
 {
 	control_t *control = context;
+	Bp__ProcessLeaving leaving = BP__PROCESS_LEAVING__INIT;
 	msg_t *msg;
 
 	if (control->leaving) {
@@ -91,10 +94,12 @@
 		return G_SOURCE_CONTINUE;
 	}
 	control->leaving = true;
-	LOG_PART(PART, G_LOG_LEVEL_MESSAGE, "Leaving.");
-	msg = msg_new(&bp__leave__descriptor);
-	((Bp__Leave *)msg->body)->grace_ms =
+	leaving.daemon = control->proxy->settings->name;
+	leaving.grace_ms =
 	    (uint32_t)(control->proxy->settings->grace_s * MS_PER_S);
+	log_event(G_LOG_LEVEL_MESSAGE, &leaving.base);
+	msg = msg_new(&bp__leave__descriptor);
+	((Bp__Leave *)msg->body)->grace_ms = leaving.grace_ms;
 	task_send(control->proxy->registry, control->task, msg_copy(msg->body));
 	task_send(control->proxy->clients, control->task, msg);
 	return G_SOURCE_CONTINUE;
@@ -107,7 +112,7 @@
 on_hangup(gpointer context)
 {
 	(void)context;
-	LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
+	log_line(PART, G_LOG_LEVEL_MESSAGE,
 	    "The settings are read at the next start.");
 	return G_SOURCE_CONTINUE;
 }
@@ -201,6 +206,8 @@
 	void *control = proxy_control_new(&proxy), *pool = pool_new(&proxy);
 	void *registry = registry_new(&proxy), *clients = clients_new(&proxy);
 	void *peers = peers_new(&proxy);
+	Bp__ProcessStarted started = BP__PROCESS_STARTED__INIT;
+	Bp__ProcessEnded ended = BP__PROCESS_ENDED__INIT;
 	int32_t error;
 
 	proxy.control = task_new(&proxy_control_ops, control);
@@ -209,11 +216,16 @@
 	    task_new_beside(&registry_ops, registry, proxy.control);
 	proxy.peers = task_new_beside(&peers_ops, peers, proxy.control);
 	proxy.clients = task_new_beside(&clients_ops, clients, proxy.control);
-	LOG_PART(
-	    PART, G_LOG_LEVEL_MESSAGE, "Daemon %s starts.", settings->name);
+	started.daemon = settings->name;
+	started.version = (char *)BP_VERSION;
+	started.zone = settings->zone;
+	started.clients = settings->client_address;
+	started.store = settings->store_address;
+	log_event(G_LOG_LEVEL_MESSAGE, &started.base);
 	error = task_run_here(proxy.control);
-	LOG_PART(
-	    PART, G_LOG_LEVEL_MESSAGE, "Daemon %s has ended.", settings->name);
+	ended.daemon = settings->name;
+	ended.error = error;
+	log_event(G_LOG_LEVEL_MESSAGE, &ended.base);
 	task_free(proxy.clients);
 	task_free(proxy.peers);
 	task_free(proxy.registry);
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -1,5 +1,7 @@
 #include "registry.h"
 
+#include "event.pb-c.h"
+
 #include <string.h>
 
 /*
@@ -121,22 +123,37 @@
 	g_ptr_array_unref(servers);
 }
 
+/*
+ * Log that a version of the configuration cannot be read.
+ */
+static void
+report_rejected(const registry_t *registry, const object_t *object)
+{
+	Bp__ConfigurationRejected rejected = BP__CONFIGURATION_REJECTED__INIT;
+
+	rejected.name = (char *)object->name;
+	rejected.revision = object->revision;
+	if (registry->catalog != NULL) {
+		rejected.has_in_force = 1;
+		rejected.in_force = registry->catalog->version;
+	}
+	log_event(G_LOG_LEVEL_WARNING, &rejected.base);
+}
+
 /*
  * Take a version of the configuration.  Returns whether it is newer.
  */
 static bool
 take_config(registry_t *registry, const object_t *object)
 {
+	Bp__ConfigurationTaken taken = BP__CONFIGURATION_TAKEN__INIT;
 	arena_t *arena = arena_new();
 	Bp__Catalog *catalog =
 	    (Bp__Catalog *)message_new(arena, &bp__catalog__descriptor);
 
 	if (object->deleted ||
 	    !registry->proxy->objects->read_config(object, arena, catalog)) {
-		LOG_PART(PART, G_LOG_LEVEL_WARNING,
-		    "Configuration %s, revision %" G_GUINT64_FORMAT
-		    ", cannot be read; the one before stays in force.",
-		    object->name, object->revision);
+		report_rejected(registry, object);
 		arena_free(arena);
 		return false;
 	}
@@ -148,9 +165,11 @@
 	arena_free(registry->arena);
 	registry->arena = arena;
 	registry->catalog = catalog;
-	LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
-	    "Configuration %" G_GUINT64_FORMAT " is in force.",
-	    catalog->version);
+	taken.version = catalog->version;
+	taken.revision = object->revision;
+	taken.routes = (uint32_t)catalog->n_routes;
+	taken.groups = (uint32_t)catalog->n_groups;
+	log_event(G_LOG_LEVEL_MESSAGE, &taken.base);
 	return true;
 }
 
@@ -225,7 +244,7 @@
 	entry->server =
 	    registry->proxy->objects->read_server(object, entry->arena);
 	if (entry->server == NULL) {
-		LOG_PART(PART, G_LOG_LEVEL_INFO,
+		log_line(PART, G_LOG_LEVEL_INFO,
 		    "The report %s names no server to use.", object->name);
 		entry_free(entry);
 		return g_hash_table_remove(registry->entries, object->name);
@@ -287,16 +306,31 @@
 	return G_SOURCE_REMOVE;
 }
 
+/*
+ * What a follower needs, by name.
+ */
+static char *
+dependency_of(const follower_t *follower)
+{
+	return (char *)(follower->kind == OBJECTS_CONFIG
+		? "store: configuration"
+		: "store: servers");
+}
+
 /*
  * Call again after a while.
  */
 static void
 follow_later(follower_t *follower, const char *why)
 {
-	if (!follower->lost)
-		LOG_PART(PART, G_LOG_LEVEL_WARNING,
-		    "The store does not answer for kind %d: %s.",
-		    follower->kind, why);
+	Bp__DependencyLost lost = BP__DEPENDENCY_LOST__INIT;
+
+	if (!follower->lost) {
+		lost.dependency = dependency_of(follower);
+		lost.text = (char *)why;
+		log_event(G_LOG_LEVEL_WARNING, &lost.base);
+		follower->lost_us = clock_us();
+	}
 	follower->lost = true;
 	if (follower->again == NULL)
 		follower->again = task_timer(
@@ -309,10 +343,13 @@
 static void
 note_answer(follower_t *follower)
 {
+	Bp__DependencyRegained regained = BP__DEPENDENCY_REGAINED__INIT;
+
 	if (!follower->lost)
 		return;
-	LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
-	    "The store answers again for kind %d.", follower->kind);
+	regained.dependency = dependency_of(follower);
+	regained.lost_ms = (clock_us() - follower->lost_us) / US_PER_MS;
+	log_event(G_LOG_LEVEL_MESSAGE, &regained.base);
 	follower->lost = false;
 	follower->back_us = clock_us();
 }
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -20,6 +20,7 @@
 	uint64_t revision;
 	GSource *again;
 	bool lost;       /* the last call failed */
+	int64_t lost_us; /* since when */
 	int64_t back_us; /* since when it answers again */
 } follower_t;
 
--- /dev/null
+++ b/src/proxy/report.c
@@ -0,0 +1,394 @@
+#include "event.pb-c.h"
+#include "pool.h"
+
+/* What the pool writes to the log: why a statement ended as it did, and each
+   change of what the pool believes. */
+
+/* Lines in each second, by kind; the others are counted. */
+static const uint32_t lines_per_second[REPORTS] = {
+    [REPORT_FAILED] = 50,
+    [REPORT_LATE] = 20,
+    [REPORT_DONE] = 10,
+    [REPORT_RETRIED] = 20,
+    [REPORT_TRANSACTION] = 10,
+    [REPORT_CONNECTION] = 20,
+};
+
+/*
+ * Whether a line of a kind may be written now.
+ */
+static bool
+report_spend(
+    pool_t *pool, report_kind_t kind, int64_t now_us, uint32_t *left_out)
+{
+	return log_spend(
+	    &pool->reports[kind], now_us, lines_per_second[kind], left_out);
+}
+
+/*
+ * A position as text; NULL where there is none.
+ */
+static char *
+position_text(arena_t *arena, position_t position)
+{
+	return position.term == 0
+	    ? NULL
+	    : arena_printf(arena, "%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
+		  position.term, position.index);
+}
+
+/*
+ * How long the lease of a group lasts from now on.  Returns whether there has
+ * been one.
+ */
+static bool
+lease_left_ms(const group_t *group, int64_t now_us, int64_t *left_ms)
+{
+	*left_ms = (group->lease.until_us - now_us) / US_PER_MS;
+	return group->lease.until_us != 0;
+}
+
+/*
+ * What is believed of a group.
+ */
+static Bp__GroupBelief *
+belief_new(arena_t *arena, const group_t *group, int64_t now_us)
+{
+	Bp__GroupBelief *belief = (Bp__GroupBelief *)message_new(
+	    arena, &bp__group_belief__descriptor);
+	int32_t primary = promote_primary(&group->promote);
+	uint32_t i;
+
+	if (primary >= 0)
+		belief->primary = group->servers[primary]->id;
+	belief->term = group->lease.term;
+	belief->has_lease_ms = lease_left_ms(group, now_us, &belief->lease_ms);
+	belief->has_change = group->pool->duty;
+	belief->change = (Bp__ChangeState)group->promote.state;
+	belief->has_sample_age_ms = group->samples.count > 0;
+	belief->sample_age_ms =
+	    samples_age_us(&group->samples, now_us) / US_PER_MS;
+	belief->primary_queue = rankq_count(group->primary_lane);
+	belief->replica_queue = rankq_count(group->replica_lane);
+	belief->servers =
+	    arena_zero(arena, sizeof(belief->servers[0]) * (group->count + 1));
+	for (i = 0; i < group->count; i++) {
+		const server_t *server = group->servers[i];
+
+		belief->servers[belief->n_servers++] =
+		    arena_printf(arena, "%s%s:%u/%u/%u",
+			server_usable(server, now_us) ? "" : "!", server->id,
+			server->in_flight, server->busy, server->conns->len);
+	}
+	return belief;
+}
+
+/*
+ * A statement ends.
+ */
+void
+report_ended(
+    const operation_t *operation, Bp__Verdict verdict, const char *text)
+{
+	const Bp__RunOperation *run = operation->run;
+	const group_t *group = operation->group;
+	pool_t *pool = group->pool;
+	int64_t now_us = clock_us();
+	int64_t spent_us = now_us - operation->arrived_us;
+	position_t floor = {run->floor_term, run->floor_index};
+	Bp__StatementEnded ended = BP__STATEMENT_ENDED__INIT;
+	report_kind_t kind = verdict != BP__VERDICT__SUCCEEDED ? REPORT_FAILED
+	    : spent_us >= (int64_t)run->route->target_ms * US_PER_MS
+	    ? REPORT_LATE
+	    : REPORT_DONE;
+	arena_t *arena;
+
+	if (!report_spend(pool, kind, now_us, &ended.left_out))
+		return;
+	arena = arena_new();
+	ended.has_left_out = ended.left_out > 0;
+	ended.request = log_clip(arena, run->id);
+	ended.session = run->session;
+	ended.database = log_clip(arena, run->route->database);
+	ended.group = group->name;
+	ended.kind = run->kind;
+	ended.freshness = run->route->freshness;
+	ended.max_age_ms = run->route->max_age_ms;
+	ended.in_transaction = run->in_transaction;
+	ended.verdict = verdict;
+	ended.text = log_clip(arena, text);
+	ended.spent_ms = spent_us / US_PER_MS;
+	ended.target_ms = run->route->target_ms;
+	ended.tries = operation->tries + (operation->server_id != NULL);
+	if (operation->server_id != NULL) {
+		ended.has_running_ms = 1;
+		ended.running_ms = (now_us - operation->sent_us) / US_PER_MS;
+		ended.server = (char *)operation->server_id;
+		ended.applied = position_text(arena, operation->applied);
+	}
+	ended.needed = position_text(arena, operation->needed);
+	ended.floor = position_text(arena, floor);
+	ended.config = pool->config_version;
+	ended.belief = belief_new(arena, group, now_us);
+	log_event(G_LOG_LEVEL_INFO, &ended.base);
+	arena_free(arena);
+}
+
+/*
+ * A statement is tried again after this answer.
+ */
+void
+report_retried(
+    const operation_t *operation, Bp__Verdict verdict, const char *text)
+{
+	int64_t now_us = clock_us();
+	Bp__StatementRetried retried = BP__STATEMENT_RETRIED__INIT;
+	arena_t *arena;
+
+	if (!report_spend(operation->group->pool, REPORT_RETRIED, now_us,
+		&retried.left_out))
+		return;
+	arena = arena_new();
+	retried.has_left_out = retried.left_out > 0;
+	retried.request = log_clip(arena, operation->run->id);
+	retried.group = operation->group->name;
+	retried.server = (char *)operation->server_id;
+	retried.applied = position_text(arena, operation->applied);
+	retried.verdict = verdict;
+	retried.text = log_clip(arena, text);
+	retried.tries = operation->tries;
+	retried.spent_ms = (now_us - operation->arrived_us) / US_PER_MS;
+	retried.needed = position_text(arena, operation->needed);
+	log_event(G_LOG_LEVEL_INFO, &retried.base);
+	arena_free(arena);
+}
+
+/*
+ * A transaction that nobody used is rolled back.
+ */
+void
+report_rolled_back(const transaction_t *transaction, int64_t now_us)
+{
+	Bp__TransactionRolledBack event = BP__TRANSACTION_ROLLED_BACK__INIT;
+
+	if (!report_spend(
+		transaction->pool, REPORT_TRANSACTION, now_us, &event.left_out))
+		return;
+	event.has_left_out = event.left_out > 0;
+	event.session = transaction->session;
+	event.group = transaction->group->name;
+	event.idle_ms = (now_us - transaction->used_us) / US_PER_MS;
+	log_event(G_LOG_LEVEL_INFO, &event.base);
+}
+
+/*
+ * A connection to a database is given up.
+ */
+void
+report_connection(const dbconn_t *conn, const char *text)
+{
+	Bp__ServerConnectionLost lost = BP__SERVER_CONNECTION_LOST__INIT;
+	const server_t *server = conn->server;
+	arena_t *arena;
+
+	if (!report_spend(server->group->pool, REPORT_CONNECTION, clock_us(),
+		&lost.left_out))
+		return;
+	arena = arena_new();
+	lost.has_left_out = lost.left_out > 0;
+	lost.server = server->id;
+	lost.group = server->group->name;
+	lost.text = log_clip(arena, text);
+	lost.opened = conn->open;
+	if (conn->operation != NULL)
+		lost.request = log_clip(arena, conn->operation->run->id);
+	log_event(G_LOG_LEVEL_INFO, &lost.base);
+	arena_free(arena);
+}
+
+/*
+ * A connection to a database opened, after some did not.
+ */
+void
+report_reached(const server_t *server, int64_t now_us)
+{
+	Bp__ServerReached reached = BP__SERVER_REACHED__INIT;
+
+	reached.server = server->id;
+	reached.group = server->group->name;
+	reached.lost_ms = (now_us - server->lost_us) / US_PER_MS;
+	log_event(G_LOG_LEVEL_INFO, &reached.base);
+}
+
+/*
+ * What a server says of itself has changed; it was asked at asked_us.
+ */
+void
+report_server_changed(
+    const server_t *server, const server_status_t *status, int64_t asked_us)
+{
+	Bp__ServerChanged changed = BP__SERVER_CHANGED__INIT;
+	arena_t *arena = arena_new();
+
+	changed.server = server->id;
+	changed.group = server->group->name;
+	changed.primary = status->primary;
+	changed.term = status->term;
+	changed.held_term = status->held_term;
+	changed.received = position_text(arena, status->received);
+	if (changed.received == NULL)
+		changed.received = (char *)"-";
+	changed.age_ms = (clock_us() - asked_us) / US_PER_MS;
+	log_event(G_LOG_LEVEL_INFO, &changed.base);
+	arena_free(arena);
+}
+
+/*
+ * The list of servers has changed.
+ */
+void
+report_server_listed(const server_t *server)
+{
+	Bp__ServerListed listed = BP__SERVER_LISTED__INIT;
+	arena_t *arena = arena_new();
+
+	listed.server = server->id;
+	listed.group = server->group->name;
+	listed.address =
+	    arena_printf(arena, "%s:%u", server->address, server->port);
+	listed.leaving = server->leaving;
+	listed.gone = server->gone;
+	log_event(G_LOG_LEVEL_INFO, &listed.base);
+	arena_free(arena);
+}
+
+/*
+ * The lease of a group is of a new term.
+ */
+void
+report_primary(const group_t *group, const server_t *server, int64_t now_us)
+{
+	Bp__PrimaryConfirmed confirmed = BP__PRIMARY_CONFIRMED__INIT;
+
+	confirmed.group = group->name;
+	confirmed.server = server->id;
+	confirmed.term = group->lease.term;
+	confirmed.has_lease_ms =
+	    lease_left_ms(group, now_us, &confirmed.lease_ms);
+	log_event(G_LOG_LEVEL_INFO, &confirmed.base);
+}
+
+/*
+ * The primary has fallen silent, or is heard again.
+ */
+void
+report_suspected(const group_t *group, int64_t now_us)
+{
+	Bp__PrimarySuspected suspected = BP__PRIMARY_SUSPECTED__INIT;
+	int32_t primary = promote_primary(&group->promote);
+	arena_t *arena = arena_new();
+
+	suspected.group = group->name;
+	if (primary >= 0)
+		suspected.server = group->servers[primary]->id;
+	suspected.silent = group->silent;
+	suspected.belief = belief_new(arena, group, now_us);
+	log_event(G_LOG_LEVEL_INFO, &suspected.base);
+	arena_free(arena);
+}
+
+/*
+ * A replica is to take over from a primary that is well.
+ */
+void
+report_handover(const group_t *group, const server_t *primary, bool leaving)
+{
+	Bp__HandoverDue due = BP__HANDOVER_DUE__INIT;
+
+	due.group = group->name;
+	due.server = primary->id;
+	due.leaving = leaving;
+	log_event(G_LOG_LEVEL_MESSAGE, &due.base);
+}
+
+/*
+ * The lease of a group below a term is given back.
+ */
+void
+report_lease_given_back(const group_t *group, uint64_t term, int64_t now_us)
+{
+	Bp__LeaseGivenBack back = BP__LEASE_GIVEN_BACK__INIT;
+
+	back.group = group->name;
+	back.term = term;
+	back.has_lease_ms = lease_left_ms(group, now_us, &back.lease_ms);
+	log_event(G_LOG_LEVEL_INFO, &back.base);
+}
+
+/*
+ * A step of a change of primary is taken.
+ */
+void
+report_step(const group_t *group, const promote_action_t *action)
+{
+	Bp__ChangeStepTaken step = BP__CHANGE_STEP_TAKEN__INIT;
+
+	step.group = group->name;
+	step.step = (Bp__ChangeStep)action->kind;
+	step.server = group->servers[action->database]->id;
+	step.term = action->term;
+	log_event(G_LOG_LEVEL_INFO, &step.base);
+}
+
+/*
+ * A server is ordered to become the primary.
+ */
+void
+report_order(const server_t *server, uint64_t term)
+{
+	Bp__PromotionOrdered ordered = BP__PROMOTION_ORDERED__INIT;
+
+	ordered.group = server->group->name;
+	ordered.server = server->id;
+	ordered.term = term;
+	ordered.token = server->group->pool->token;
+	log_event(G_LOG_LEVEL_MESSAGE, &ordered.base);
+}
+
+/*
+ * The process did not run for a while.
+ */
+void
+report_paused(int64_t paused_ms)
+{
+	Bp__ProcessPaused paused = BP__PROCESS_PAUSED__INIT;
+
+	paused.paused_ms = paused_ms;
+	log_event(G_LOG_LEVEL_MESSAGE, &paused.base);
+}
+
+/*
+ * The duty to order changes of primary is this daemon's now, or no longer.
+ */
+void
+report_duty(bool held, uint64_t token)
+{
+	Bp__DutyHeld duty = BP__DUTY_HELD__INIT;
+
+	duty.held = held;
+	duty.token = token;
+	log_event(G_LOG_LEVEL_MESSAGE, &duty.base);
+}
+
+/*
+ * The number of daemons has changed, or whether this one is among them.
+ */
+void
+report_daemons(const pool_t *pool)
+{
+	Bp__DaemonsKnown known = BP__DAEMONS_KNOWN__INIT;
+
+	known.daemons = pool->daemons;
+	known.listed = pool->listed;
+	log_event(G_LOG_LEVEL_INFO, &known.base);
+}
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -4,8 +4,6 @@
 
 /* The groups of the catalog, and their servers. */
 
-#define PART "pool"
-
 /* Of what a group serves, each rank keeps this much in a flood of others. */
 static const uint32_t floor_percent[RANKS] = {0, 10, 5};
 
@@ -130,8 +128,7 @@
 	server->same_zone =
 	    strcmp(from->zone, group->pool->proxy->settings->zone) == 0;
 	server->conns = g_ptr_array_new();
-	LOG_PART(PART, G_LOG_LEVEL_INFO, "Server %s at %s:%u joins %s.",
-	    server->id, server->address, server->port, group->name);
+	report_server_listed(server);
 	return server;
 }
 
@@ -142,10 +139,10 @@
 server_update(server_t *server, const Bp__Server *from)
 {
 	server->slots = from->slots;
-	if (from->leaving && !server->leaving)
-		LOG_PART(PART, G_LOG_LEVEL_INFO, "Server %s of %s leaves.",
-		    server->id, server->group->name);
+	if (server->leaving == from->leaving)
+		return;
 	server->leaving = from->leaving;
+	report_server_listed(server);
 }
 
 /*
@@ -154,9 +151,8 @@
 static void
 server_retire(server_t *server)
 {
-	LOG_PART(PART, G_LOG_LEVEL_INFO, "Server %s of %s is gone.", server->id,
-	    server->group->name);
 	server->gone = true;
+	report_server_listed(server);
 	if (server->control != NULL)
 		dbconn_close(server->control);
 	g_ptr_array_add(server->group->gone, server);
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -1,5 +1,7 @@
 #include "session.h"
 
+#include "event.pb-c.h"
+
 #include <string.h>
 
 /* One client's session. */
@@ -7,6 +9,9 @@
 /* Bytes that a client may send ahead of its answers. */
 #define AHEAD_BYTES_MAX (UINT32_C(2) << 20)
 
+/* Lines on statements that are refused here; the others are counted. */
+#define REFUSALS_PER_SECOND 20
+
 /*
  * Free what a session prepared.
  */
@@ -119,12 +124,38 @@
 	ready(session);
 }
 
+/*
+ * Log that a statement is refused here.
+ */
+static void
+report_refused(const session_t *session, const request_t *request,
+    Bp__Verdict verdict, const char *text)
+{
+	Bp__StatementRefused refused = BP__STATEMENT_REFUSED__INIT;
+	arena_t *arena;
+
+	if (!log_spend(&session->clients->refusals, clock_us(),
+		REFUSALS_PER_SECOND, &refused.left_out))
+		return;
+	arena = arena_new();
+	refused.has_left_out = refused.left_out > 0;
+	refused.request = log_clip(arena, request->id);
+	refused.session = session->id;
+	refused.database = log_clip(arena, session->database);
+	refused.verdict = verdict;
+	refused.text = (char *)text;
+	log_event(G_LOG_LEVEL_INFO, &refused.base);
+	arena_free(arena);
+}
+
 /*
  * Answer a statement with an error; a transaction can only end after it.
  */
 static void
-answer_error(session_t *session, Bp__Verdict verdict, const char *text)
+answer_error(session_t *session, const request_t *request, Bp__Verdict verdict,
+    const char *text)
 {
+	report_refused(session, request, verdict, text);
 	if (session->state == SESSION_IN_TRANSACTION)
 		session_abort(session);
 	session->clients->wire->write_error(session->out, verdict, text);
@@ -181,7 +212,7 @@
 	Bp__RunOperation *to;
 
 	if (route == NULL) {
-		answer_error(session, BP__VERDICT__NO_DATABASE,
+		answer_error(session, request, BP__VERDICT__NO_DATABASE,
 		    "there is no such database any more");
 		return;
 	}
@@ -227,7 +258,7 @@
 	    : g_hash_table_lookup(session->prepared, request->name);
 
 	if (prepared == NULL)
-		answer_error(session, BP__VERDICT__NO_STATEMENT,
+		answer_error(session, request, BP__VERDICT__NO_STATEMENT,
 		    "no statement is prepared under this name");
 	else
 		run(session, request,
@@ -276,7 +307,7 @@
 {
 	if (session->prepared == NULL ||
 	    !g_hash_table_remove(session->prepared, request->name))
-		answer_error(session, BP__VERDICT__NO_STATEMENT,
+		answer_error(session, request, BP__VERDICT__NO_STATEMENT,
 		    "no statement is prepared under this name");
 	else
 		answer_done(session);
@@ -291,10 +322,10 @@
 	const Bp__Route *route = route_of(session);
 
 	if (session->state != SESSION_IDLE) {
-		answer_error(session, BP__VERDICT__MALFORMED,
+		answer_error(session, request, BP__VERDICT__MALFORMED,
 		    "a transaction is open already");
 	} else if (route == NULL) {
-		answer_error(session, BP__VERDICT__NO_DATABASE,
+		answer_error(session, request, BP__VERDICT__NO_DATABASE,
 		    "there is no such database any more");
 	} else {
 		session->state = SESSION_IN_TRANSACTION;
@@ -313,15 +344,15 @@
 end_transaction(session_t *session, const request_t *request)
 {
 	if (session->state == SESSION_IDLE) {
-		answer_error(
-		    session, BP__VERDICT__MALFORMED, "no transaction is open");
+		answer_error(session, request, BP__VERDICT__MALFORMED,
+		    "no transaction is open");
 	} else if (request->statement == STATEMENT_ROLLBACK) {
 		drop_transaction(session);
 		leave_transaction(session, SESSION_IDLE);
 		answer_done(session);
 	} else if (session->state == SESSION_FAILED) {
 		session->state = SESSION_IDLE;
-		answer_error(session, BP__VERDICT__ABORTED,
+		answer_error(session, request, BP__VERDICT__ABORTED,
 		    "the transaction was rolled back");
 	} else {
 		run(session, request, BP__OPERATION_KIND__COMMIT_TRANSACTION,
@@ -338,7 +369,7 @@
 	if (session->state == SESSION_FAILED &&
 	    request->statement != STATEMENT_COMMIT &&
 	    request->statement != STATEMENT_ROLLBACK) {
-		answer_error(session, BP__VERDICT__MALFORMED,
+		answer_error(session, request, BP__VERDICT__MALFORMED,
 		    "the transaction has failed and can only end");
 		return;
 	}
@@ -369,7 +400,7 @@
 		deallocate(session, request);
 		break;
 	case STATEMENT_UNKNOWN:
-		answer_error(session, BP__VERDICT__MALFORMED,
+		answer_error(session, request, BP__VERDICT__MALFORMED,
 		    "the statement is not known");
 		break;
 	}
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -3,6 +3,7 @@
 
 #include "lines.h"
 #include "listener.h"
+#include "log.h"
 #include "proxy.h"
 #include "sock.h"
 
@@ -59,6 +60,7 @@
 	listener_t *listener;
 	SoupServer *probe; /* the balancer's questions */
 	uint64_t next_id;
+	log_budget_t refusals; /* lines on them */
 	GSource *tick;
 	int64_t leaving_us; /* since; 0: not */
 	int64_t grace_us;
--- a/src/proxy/watch.c
+++ b/src/proxy/watch.c
@@ -4,8 +4,6 @@
 
 /* What is known of the servers of a group, and changes of primary. */
 
-#define PART "pool"
-
 /*
  * From the last grant to the order: leases of daemons that are not listed
  * must be over when the new primary begins, and the platform takes
@@ -106,10 +104,7 @@
 		(uint32_t)primary, now_us, &group->pool->spans))
 		return;
 	if (group->lease.term != before)
-		LOG_PART(PART, G_LOG_LEVEL_INFO,
-		    "Group %s has primary %s in term %" G_GUINT64_FORMAT ".",
-		    group->name, group->servers[primary]->id,
-		    group->lease.term);
+		report_primary(group, group->servers[primary], now_us);
 	operations_release(group, now_us);
 }
 
@@ -208,9 +203,7 @@
 {
 	if (term == NO_TERM)
 		return; /* it is only asked whether the daemon answers */
-	LOG_PART(PART, G_LOG_LEVEL_INFO,
-	    "The lease of %s below term %" G_GUINT64_FORMAT " is given back.",
-	    group->name, term);
+	report_lease_given_back(group, term, now_us);
 	lease_revoke(&group->lease, term, now_us);
 	group->changing_us = now_us;
 }
@@ -264,14 +257,7 @@
 	    server->held_term == status->held_term &&
 	    server->primary == status->primary)
 		return;
-	LOG_PART(PART, G_LOG_LEVEL_INFO,
-	    "Server %s of %s is %s of term %" G_GUINT64_FORMAT
-	    ", holds term %" G_GUINT64_FORMAT ", has %" G_GUINT64_FORMAT
-	    ".%" G_GUINT64_FORMAT ", asked %" G_GINT64_FORMAT " us ago.",
-	    server->id, server->group->name,
-	    status->primary ? "primary" : "replica", status->term,
-	    status->held_term, status->received.term, status->received.index,
-	    clock_us() - expect->sent_us);
+	report_server_changed(server, status, expect->sent_us);
 	if (status->held_term > server->held_term)
 		server->group->changing_us = clock_us();
 	server->term = status->term;
@@ -359,10 +345,7 @@
 	msg_t *msg = msg_new(&bp__promotion_wanted__descriptor);
 	Bp__PromotionWanted *wanted = (Bp__PromotionWanted *)msg->body;
 
-	LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
-	    "Ordering server %s to be primary of %s after term "
-	    "%" G_GUINT64_FORMAT ".",
-	    server->id, server->group->name, term - 1);
+	report_order(server, term);
 	wanted->group = arena_strdup(msg->arena, server->group->name);
 	wanted->server = arena_strdup(msg->arena, server->id);
 	wanted->term = term;
@@ -417,10 +400,7 @@
 	    (action->kind == PROMOTE_RELEASE &&
 		!may_release(server, action->term, now_us)))
 		return;
-	LOG_PART(PART, G_LOG_LEVEL_INFO,
-	    "Change of primary of %s: step %d for server %s, term "
-	    "%" G_GUINT64_FORMAT ".",
-	    group->name, action->kind, server->id, action->term);
+	report_step(group, action);
 	if (action->kind == PROMOTE_RELEASE) {
 		wire->resume(conn->out);
 		dbconn_expect(conn, EXPECT_RESUME, 0);
@@ -543,7 +523,7 @@
 	bool leaving = primary >= 0 && group->servers[primary]->leaving;
 	int64_t patience_us;
 
-	if (!leaving && !promote_suspects(&group->promote, now_us)) {
+	if (!leaving && !group->silent) {
 		group->suspected_us = 0;
 		return;
 	}
@@ -636,10 +616,7 @@
 	}
 	if (!may_hand_over(group, now_us))
 		return;
-	LOG_PART(PART, G_LOG_LEVEL_MESSAGE,
-	    "Primary %s of %s %s; a replica takes over.",
-	    group->servers[primary]->id, group->name,
-	    leaving ? "leaves" : "has to serve all reads alone");
+	report_handover(group, group->servers[primary], leaving);
 	relief_given(&group->relief, now_us);
 	promote_handover(&group->promote, now_us);
 }
@@ -653,6 +630,7 @@
 {
 	promote_t *promote = &group->promote;
 	promote_actions_t actions;
+	bool silent;
 	uint32_t i;
 
 	for (i = 0; i < group->count; i++) {
@@ -664,6 +642,11 @@
 		probe(group->servers[i], now_us);
 		dbconns_tick(group->servers[i], now_us);
 	}
+	silent = promote_suspects(promote, now_us);
+	if (silent != group->silent) {
+		group->silent = silent;
+		report_suspected(group, now_us);
+	}
 	if (now_us - group->pool->started_us < STARTUP_US)
 		return;
 	consider_duty(group, now_us);
--- a/src/serve.c
+++ b/src/serve.c
@@ -3,6 +3,8 @@
 #include "document.h"
 #include "log.h"
 
+#include <unistd.h>
+
 #define PART "serve"
 
 /*
@@ -31,7 +33,7 @@
 	for (i = 0; error == 0 && i < G_N_ELEMENTS(order); i++)
 		error = task_start(order[i]);
 	if (error == 0) {
-		LOG_PART(PART, G_LOG_LEVEL_MESSAGE, "Daemon %s serves.",
+		log_line(PART, G_LOG_LEVEL_MESSAGE, "Daemon %s serves.",
 		    daemon->settings->name);
 		error = task_run_here(daemon->control);
 		for (i = 0; i < G_N_ELEMENTS(order); i++)
@@ -39,7 +41,7 @@
 		for (i = 0; i < G_N_ELEMENTS(order); i++)
 			task_free(order[i]);
 		task_free(daemon->control);
-		LOG_PART(PART, G_LOG_LEVEL_MESSAGE, "Daemon %s has ended.",
+		log_line(PART, G_LOG_LEVEL_MESSAGE, "Daemon %s has ended.",
 		    daemon->settings->name);
 		platform_free(platform);
 		group_free(group);
@@ -70,7 +72,7 @@
 
 	daemon.settings = settings;
 	daemon.incarnation = (uint64_t)g_get_real_time();
-	log_start(log_highest_of(daemon.settings->log_level));
+	log_start(log_highest_of(daemon.settings->log_level), STDOUT_FILENO);
 	return daemon_run(&daemon);
 }
 
--- a/tests/fake/fakedb.c
+++ b/tests/fake/fakedb.c
@@ -4,6 +4,7 @@
 #include <glib-unix.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 /*
  * Stand-in for one database of a group: a log with terms, a table of keys,
@@ -567,7 +568,7 @@
 		arg_print_errors(stderr, end, "fakedb");
 		return 2;
 	}
-	log_start(G_LOG_LEVEL_WARNING);
+	log_start(G_LOG_LEVEL_WARNING, STDERR_FILENO);
 	db->loop = g_main_loop_new(NULL, FALSE);
 	db->main = g_main_context_default();
 	db->log = g_ptr_array_new();
--- a/tests/t_command.c
+++ b/tests/t_command.c
@@ -5,6 +5,7 @@
 #include <glib/gstdio.h>
 #include <signal.h>
 #include <string.h>
+#include <unistd.h>
 
 /* The command line, and how a daemon ends. */
 
@@ -168,7 +169,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	curl_global_init(CURL_GLOBAL_ALL);
-	log_start(G_LOG_LEVEL_WARNING);
+	log_start(G_LOG_LEVEL_WARNING, STDERR_FILENO);
 	CASES("/command", command_cases, test_command);
 	CASES("/stop", stop_cases, test_stop);
 	return g_test_run();
--- a/tests/t_drain.c
+++ b/tests/t_drain.c
@@ -4,6 +4,7 @@
 #include <curl/curl.h>
 #include <signal.h>
 #include <string.h>
+#include <unistd.h>
 
 /* What clients of a daemon see while it ends. */
 
@@ -169,7 +170,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	curl_global_init(CURL_GLOBAL_ALL);
-	log_start(G_LOG_LEVEL_WARNING);
+	log_start(G_LOG_LEVEL_WARNING, STDERR_FILENO);
 	CASES("/drain", drain_cases, test_drain);
 	return g_test_run();
 }
--- a/tests/t_fleet.c
+++ b/tests/t_fleet.c
@@ -7,6 +7,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 /*
  * Real processes, one request or one edit at a time: request ids that come
@@ -826,7 +827,7 @@
 
 	g_test_init(&argc, &argv, NULL);
 	curl_global_init(CURL_GLOBAL_ALL);
-	log_start(G_LOG_LEVEL_WARNING);
+	log_start(G_LOG_LEVEL_WARNING, STDERR_FILENO);
 	CASES("/holds/at-most-once", id_cases, test_id);
 	CASES("/holds/transactions-apart", tx_cases, test_tx);
 	CASES("/holds/document-never-reverts", edit_cases, test_edit);
--- a/tests/t_holds.c
+++ b/tests/t_holds.c
@@ -5,6 +5,7 @@
 #include <curl/curl.h>
 #include <signal.h>
 #include <string.h>
+#include <unistd.h>
 
 /*
  * What must always hold, with real processes under faults.  Each case runs a
@@ -620,7 +621,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	curl_global_init(CURL_GLOBAL_ALL);
-	log_start(G_LOG_LEVEL_WARNING);
+	log_start(G_LOG_LEVEL_WARNING, STDERR_FILENO);
 	CASES("/holds/read-your-writes", read_cases, test_holds);
 	CASES("/holds/ack-not-from-replaced", ack_cases, test_holds);
 	CASES("/holds/transactions-apart", transaction_cases, test_holds);
--- /dev/null
+++ b/tests/t_log.c
@@ -0,0 +1,155 @@
+#include "../gen/event.pb-c.h"
+#include "../src/log.h"
+#include "cases.h"
+
+#include <fcntl.h>
+#include <string.h>
+#include <unistd.h>
+
+/* The lines of the log. */
+
+#define LINES_MAX 4096
+
+typedef struct line_case {
+	const char *name;
+	const char *text; /* of a note */
+	uint32_t repeat;  /* so often in it */
+	const char *part; /* of the line */
+} line_case_t;
+
+static const line_case_t line_cases[] = {
+    {"a short sentence", "All is well.", 1,
+	"\"level\":\"warning\",\"event\":\"note\",\"part\":\"p\","
+	"\"text\":\"All is well.\"}\n"},
+    {"quotes and control characters", "a\"b\nc", 1, "a\\\"b\\nc"},
+    {"bytes that are no UTF-8", "\xff\xfe", 1, "\xef\xbf\xbd\xef\xbf\xbd"},
+    {"an event that is too long", "0123456789", 1000,
+	"An event Note of 10022 bytes is too long."},
+};
+
+/*
+ * Read what lies in a pipe.
+ */
+static char *
+pipe_read(int fd)
+{
+	GString *all = g_string_new(NULL);
+	char buffer[4096];
+	ssize_t n;
+
+	fcntl(fd, F_SETFL, O_NONBLOCK);
+	while ((n = read(fd, buffer, sizeof(buffer))) > 0)
+		g_string_append_len(all, buffer, n);
+	return g_string_free(all, FALSE);
+}
+
+/*
+ * One event is one line.
+ */
+static void
+test_line(gconstpointer data)
+{
+	const line_case_t *c = data;
+	Bp__Note note = BP__NOTE__INIT;
+	GString *text = g_string_new(NULL);
+	char *line;
+	uint32_t i;
+	int fds[2];
+
+	g_assert_cmpint(pipe(fds), ==, 0);
+	log_start(G_LOG_LEVEL_WARNING, fds[1]);
+	for (i = 0; i < c->repeat; i++)
+		g_string_append(text, c->text);
+	note.part = (char *)"p";
+	note.text = text->str;
+	log_event(G_LOG_LEVEL_WARNING, &note.base);
+	log_event(G_LOG_LEVEL_INFO, &note.base); /* not wanted */
+	line = pipe_read(fds[0]);
+	g_assert_true(g_str_has_prefix(line, "{\"time\":\"20"));
+	g_assert_nonnull(strstr(line, c->part));
+	g_assert_true(strchr(line, '\n') == line + strlen(line) - 1);
+	log_start(G_LOG_LEVEL_WARNING, STDERR_FILENO);
+	g_free(line);
+	g_string_free(text, TRUE);
+	close(fds[0]);
+	close(fds[1]);
+}
+
+/*
+ * Nobody reads the log: nothing blocks, and what was lost is told later.
+ */
+static void
+test_full(void)
+{
+	uint32_t i;
+	char *text;
+	int fds[2];
+
+	g_assert_cmpint(pipe(fds), ==, 0);
+	log_start(G_LOG_LEVEL_WARNING, fds[1]);
+	for (i = 0; i < LINES_MAX; i++)
+		log_line("p", G_LOG_LEVEL_WARNING, "Line %u.", i);
+	text = pipe_read(fds[0]);
+	g_assert_nonnull(strstr(text, "Line 0."));
+	g_assert_null(strstr(text, "lines_lost"));
+	g_assert_null(strstr(text, "Line 4095."));
+	g_free(text);
+	log_line("p", G_LOG_LEVEL_WARNING, "The reader is back.");
+	text = pipe_read(fds[0]);
+	g_assert_nonnull(strstr(text, "\"event\":\"lines_lost\",\"lines\":"));
+	g_assert_nonnull(strstr(text, "The reader is back."));
+	log_start(G_LOG_LEVEL_WARNING, STDERR_FILENO);
+	g_free(text);
+	close(fds[0]);
+	close(fds[1]);
+}
+
+typedef struct budget_case {
+	const char *name;
+	uint32_t lines_per_second;
+	int64_t at_us[6];
+	bool written[6];
+	uint32_t left_out[6];
+	uint32_t count;
+} budget_case_t;
+
+static const budget_case_t budget_cases[] = {
+    {"within the budget", 2, {5000000, 5000001}, {true, true}, {0, 0}, 2},
+    {"beyond it", 2, {5000000, 5000001, 5000002, 5000003},
+	{true, true, false, false}, {0, 0, 0, 0}, 4},
+    {"told in the next second", 1, {5000000, 5000001, 5000002, 6000000},
+	{true, false, false, true}, {0, 0, 0, 2}, 4},
+    {"told once", 1, {5000000, 5000001, 6000000, 7000000},
+	{true, false, true, true}, {0, 0, 1, 0}, 4},
+};
+
+/*
+ * Lines of one kind are bounded in each second.
+ */
+static void
+test_budget(gconstpointer data)
+{
+	const budget_case_t *c = data;
+	log_budget_t budget = {0};
+	uint32_t i, left_out;
+
+	for (i = 0; i < c->count; i++) {
+		g_assert_cmpint(log_spend(&budget, c->at_us[i],
+				    c->lines_per_second, &left_out),
+		    ==, c->written[i]);
+		g_assert_cmpuint(left_out, ==, c->left_out[i]);
+	}
+}
+
+/*
+ * Run the tables.
+ */
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	CASES("/log/line", line_cases, test_line);
+	CASES("/log/budget", budget_cases, test_budget);
+	g_test_add_func("/log/nobody-reads", test_full);
+	return g_test_run();
+}
--- a/tests/t_poller.c
+++ b/tests/t_poller.c
@@ -170,7 +170,7 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	log_start(G_LOG_LEVEL_CRITICAL);
+	log_start(G_LOG_LEVEL_CRITICAL, STDERR_FILENO);
 	CASES("/poller", poller_cases, test_poller);
 	CASES("/listener", listener_cases, test_listener);
 	return g_test_run();
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -7,6 +7,7 @@
 #include <glib/gstdio.h>
 #include <signal.h>
 #include <string.h>
+#include <unistd.h>
 
 /* Proxies before a stand-in of the users' platform, each a process. */
 
@@ -298,6 +299,119 @@
 	site_end(site);
 }
 
+#define TRAIL_MAX 4
+
+typedef struct trail_case {
+	const char *name;
+	uint32_t lag_ms;
+	const char *database;
+	const char *before[TRAIL_MAX]; /* statements that succeed */
+	struct {
+		const char *what; /* NULL: nothing */
+		int32_t number;   /* of the database; -1: the primary */
+	} faults[2];
+	uint32_t wait_ms; /* afterwards */
+	const char *text; /* of the statement that fails */
+	const char *expected;
+	/* parts of its line, then of lines before that tell why */
+	const char *parts[TRAIL_MAX];
+	const char *why[TRAIL_MAX];
+} trail_case_t;
+
+static const trail_case_t trail_cases[] = {
+    {"refused while the primary fails", 5, "intake", {"WRITE a x"},
+	{{"mute", 0}, {"mute", 1}}, 2500, "WRITE b y", "ERR BUSY",
+	{"\"verdict\":\"busy\"",
+	    "\"text\":\"no database was free in time; not "
+	    "run; retry-after-ms=",
+	    "\"primary\":\"i-0\"", "\"!i-0:"},
+	{"\"event\":\"primary_suspected\",\"group\":\"ledger\","
+	 "\"server\":\"i-0\",\"silent\":true",
+	    "\"event\":\"server_connection_lost\",\"server\":\"i-0\"",
+	    "\"event\":\"change_step_taken\",\"group\":\"ledger\","
+	    "\"step\":\"fence\""}},
+    {"a commit whose outcome is not known", 5, "intake", {"BEGIN", "WRITE a x"},
+	{{"lose-commit", -1}}, 0, "COMMIT", "ERR INDOUBT",
+	{"\"verdict\":\"in_doubt\"", "\"kind\":\"commit_transaction\"",
+	    "\"server\":\"i-0\""},
+	{"\"event\":\"server_connection_lost\",\"server\":\"i-0\""}},
+    {"a read that is late since the replicas lag", 60000, "quotes",
+	{"WRITE a x"}, {{"mute", 0}, {"crash", 1}}, 700, "READ a",
+	"ERR TIMEOUT",
+	{"\"verdict\":\"timed_out\"", "\"freshness\":\"own_writes\"",
+	    "\"server\":\"i-0\"", "\"floor\":\"1.1\""},
+	{"\"event\":\"statement_retried\",\"request\":\"q2\","
+	 "\"group\":\"ledger\",\"server\":\"i-2\","
+	 "\"verdict\":\"behind\"",
+	    "\"needed\":\"1.1\",\"applied\":\"1.0\"",
+	    "\"event\":\"server_connection_lost\",\"server\":\"i-0\""}},
+};
+
+/*
+ * The lines of a proxy's log up to the one that tells how a request ended,
+ * which goes to *ended; both are to be freed.
+ */
+static char *
+log_until(const site_t *site, const char *request, char **ended)
+{
+	char *path = g_strdup_printf("%s/proxy-0.log", site->folder);
+	char *wanted = g_strdup_printf(
+	    "\"event\":\"statement_ended\",\"request\":\"%s\"", request);
+	char *all, *at, *begin;
+
+	g_assert_true(g_file_get_contents(path, &all, NULL, NULL));
+	at = g_strrstr(all, wanted);
+	g_assert_nonnull(at);
+	for (begin = at; begin > all && begin[-1] != '\n'; begin--)
+		;
+	*ended = g_strndup(begin, strcspn(begin, "\n"));
+	*begin = '\0';
+	g_free(wanted);
+	g_free(path);
+	return all;
+}
+
+/*
+ * From the id of a request that failed the log leads to the cause.
+ */
+static void
+test_trail(gconstpointer data)
+{
+	const trail_case_t *c = data;
+	site_plan_t plan = {.proxies = 1, .lag_ms = c->lag_ms};
+	site_t *site = site_start(&plan);
+	char *before, *ended, *request;
+	client_t *client;
+	uint32_t i, n;
+
+	g_assert_true(site_wait_ready(site, READY_MS));
+	client = client_open(site, 0, c->database);
+	for (n = 0; n < TRAIL_MAX && c->before[n] != NULL; n++)
+		expect(client, c->before[n], "DONE");
+	for (i = 0; i < G_N_ELEMENTS(c->faults); i++) {
+		if (c->faults[i].what != NULL)
+			site_fault(site, "database", c->faults[i].what,
+			    c->faults[i].number);
+	}
+	g_usleep(c->wait_ms * US_PER_MS);
+	expect(client, c->text, c->expected);
+	request = g_strdup_printf("q%u", n + 1);
+	before = log_until(site, request, &ended);
+	for (i = 0; i < TRAIL_MAX && c->parts[i] != NULL; i++) {
+		if (strstr(ended, c->parts[i]) == NULL)
+			g_error("%s is not in %s", c->parts[i], ended);
+	}
+	for (i = 0; i < TRAIL_MAX && c->why[i] != NULL; i++) {
+		if (strstr(before, c->why[i]) == NULL)
+			g_error("%s is not in %s", c->why[i], before);
+	}
+	g_free(request);
+	g_free(before);
+	g_free(ended);
+	client_close(client);
+	site_end(site);
+}
+
 /*
  * A transaction that rests too long is rolled back, and its client is told
  * with the next statement.
@@ -620,7 +734,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	curl_global_init(CURL_GLOBAL_ALL);
-	log_start(G_LOG_LEVEL_WARNING);
+	log_start(G_LOG_LEVEL_WARNING, STDERR_FILENO);
 	CASES("/proxy/session", session_cases, test_session);
 	CASES("/proxy/change", change_cases, test_change);
 	CASES("/proxy/input", input_cases, test_input);
@@ -628,6 +742,7 @@
 	CASES("/proxy/dropped-route", route_cases, test_dropped_route);
 	CASES("/proxy/list", list_cases, test_list);
 	CASES("/proxy/release", release_cases, test_release);
+	CASES("/proxy/trail", trail_cases, test_trail);
 	g_test_add_func("/proxy/lost-commit", test_lost_commit);
 	g_test_add_func("/proxy/idle-transaction", test_idle_transaction);
 	g_test_add_func("/proxy/outdated-holder", test_outdated_holder);
--- a/tools/bench.c
+++ b/tools/bench.c
@@ -5,6 +5,7 @@
 #include <curl/curl.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 /*
  * make bench: what the daemon adds to a statement, beside a direct call to
@@ -257,7 +258,7 @@
 	uint32_t owner;
 
 	curl_global_init(CURL_GLOBAL_ALL);
-	log_start(G_LOG_LEVEL_WARNING);
+	log_start(G_LOG_LEVEL_WARNING, STDERR_FILENO);
 	fleet = fleet_start(&plan);
 	if (!fleet_wait_ready(fleet, READY_MS))
 		return 1;
--- a/tools/demo.c
+++ b/tools/demo.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 /*
  * make demo: a small fleet, a bounded load of both deployments' kinds of
@@ -82,7 +83,7 @@
 	int64_t gap_us;
 
 	curl_global_init(CURL_GLOBAL_ALL);
-	log_start(G_LOG_LEVEL_WARNING);
+	log_start(G_LOG_LEVEL_WARNING, STDERR_FILENO);
 	printf("starting the platform stand-in, 9 databases in 3 groups and "
 	       "3 daemons in 3 availability zones\n");
 	fflush(stdout);
--- a/tools/fleet.c
+++ b/tools/fleet.c
@@ -126,11 +126,11 @@
     const char *folder, fleet_process_t *process, const char *const *argv)
 {
 	GSubprocessLauncher *launcher =
-	    g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
+	    g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_STDERR_MERGE);
 	char *log = g_strdup_printf("%s/%s.log", folder, process->name);
 	GError *error = NULL;
 
-	g_subprocess_launcher_set_stderr_file_path(launcher, log);
+	g_subprocess_launcher_set_stdout_file_path(launcher, log);
 	g_subprocess_launcher_set_child_setup(launcher, on_child, NULL, NULL);
 	process->process = g_subprocess_launcher_spawnv(launcher, argv, &error);
 	if (process->process == NULL)
--- a/tools/measure.c
+++ b/tools/measure.c
@@ -9,6 +9,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 /*
  * make measure: the brief's measures for both deployments, each beside a
@@ -503,7 +504,7 @@
 		return 2;
 	}
 	curl_global_init(CURL_GLOBAL_ALL);
-	log_start(G_LOG_LEVEL_WARNING);
+	log_start(G_LOG_LEVEL_WARNING, STDERR_FILENO);
 	first = (uint32_t)seed->ival[0];
 	last = first + (uint32_t)seeds->ival[0];
 	for (i = first; i < last; i++) {
--- a/tools/slopes.c
+++ b/tools/slopes.c
@@ -6,6 +6,7 @@
 #include <curl/curl.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 /*
  * make slopes: how state, messages, processor time and memory grow, each at
@@ -341,7 +342,7 @@
 {
 	curl_global_init(CURL_GLOBAL_ALL);
 	setvbuf(stdout, NULL, _IOLBF, 0);
-	log_start(G_LOG_LEVEL_WARNING);
+	log_start(G_LOG_LEVEL_WARNING, STDERR_FILENO);
 	slope_members(30);
 	slope_members(100);
 	slope_members(300);
