Metrics and the status page of a proxy

Cause: a proxy had no counters, no latencies and no status page; "bergamotplank status" showed only daemons of "serve", and the deploy file named no address for metrics.

Change: a task of the proxy answers GET /metrics (text format of Prometheus) and GET /v1/status at the setting metrics_address; the pool, the clients and the registry give their parts, as the tasks of "serve" do. What asks the tasks and joins their parts is one file, question.c, for both. Latencies are histograms by database, rank and outcome. "bergamotplank status" shows a proxy.

Fewer lines of the log in each second: 20 on failures, 10 on late answers and retries, 5 on successes, which come without the group's state.

Tests: /proxy/page, /proxy/status.

--- a/gen/event.pb-c.c
+++ b/gen/event.pb-c.c
@@ -1718,7 +1718,7 @@
   {
     "belief",
     20,
-    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
     offsetof(Bp__StatementEnded, belief),
--- a/gen/event.pb-c.h
+++ b/gen/event.pb-c.h
@@ -219,6 +219,9 @@
    * version in force
    */
   uint64_t config;
+  /*
+   * unless it succeeded in time
+   */
   Bp__GroupBelief *belief;
   /*
    * lines of this kind, the second before
--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -938,7 +938,7 @@
 };
 static const double bp__proxy_settings__grace_s__default_value = 6;
 static const Bp__LogLevel bp__proxy_settings__log_level__default_value = BP__LOG_LEVEL__INFO;
-static const ProtobufCFieldDescriptor bp__proxy_settings__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bp__proxy_settings__field_descriptors[11] =
 {
   {
     "name",
@@ -1060,11 +1060,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "metrics_address",
+    11,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__ProxySettings, metrics_address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__proxy_settings__field_indices_by_name[] = {
   2,   /* field[2] = client_address */
   6,   /* field[6] = grace_s */
   8,   /* field[8] = log_level */
+  10,   /* field[10] = metrics_address */
   0,   /* field[0] = name */
   9,   /* field[9] = peer_address */
   5,   /* field[5] = promotion_address */
@@ -1076,7 +1089,7 @@
 static const ProtobufCIntRange bp__proxy_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bp__proxy_settings__descriptor =
 {
@@ -1086,7 +1099,7 @@
   "Bp__ProxySettings",
   "bp",
   sizeof(Bp__ProxySettings),
-  10,
+  11,
   bp__proxy_settings__field_descriptors,
   bp__proxy_settings__field_indices_by_name,
   1,  bp__proxy_settings__number_ranges,
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -255,10 +255,14 @@
   protobuf_c_boolean has_log_level;
   Bp__LogLevel log_level;
   char *peer_address;
+  /*
+   * none: no metrics
+   */
+  char *metrics_address;
 };
 #define BP__PROXY_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__proxy_settings__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 6, NULL, 0, BP__LOG_LEVEL__INFO, NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 6, NULL, 0, BP__LOG_LEVEL__INFO, NULL, NULL }
 
 
 /* Bp__Address methods */
--- a/gen/task.pb-c.c
+++ b/gen/task.pb-c.c
@@ -2142,7 +2142,8 @@
   (ProtobufCMessageInit) bp__document_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__counter__field_descriptors[2] =
+static const protobuf_c_boolean bp__counter__gauge__default_value = 0;
+static const ProtobufCFieldDescriptor bp__counter__field_descriptors[3] =
 {
   {
     "name",
@@ -2168,15 +2169,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gauge",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Bp__Counter, has_gauge),
+    offsetof(Bp__Counter, gauge),
+    NULL,
+    &bp__counter__gauge__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__counter__field_indices_by_name[] = {
+  2,   /* field[2] = gauge */
   0,   /* field[0] = name */
   1,   /* field[1] = value */
 };
 static const ProtobufCIntRange bp__counter__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bp__counter__descriptor =
 {
@@ -2186,14 +2200,14 @@
   "Bp__Counter",
   "bp",
   sizeof(Bp__Counter),
-  2,
+  3,
   bp__counter__field_descriptors,
   bp__counter__field_indices_by_name,
   1,  bp__counter__number_ranges,
   (ProtobufCMessageInit) bp__counter__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__histogram__field_descriptors[7] =
+static const ProtobufCFieldDescriptor bp__histogram__field_descriptors[10] =
 {
   {
     "team",
@@ -2279,20 +2293,59 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "outcome",
+    8,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Histogram, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sum_ms",
+    9,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Histogram, sum_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "buckets",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__Histogram, n_buckets),
+    offsetof(Bp__Histogram, buckets),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__histogram__field_indices_by_name[] = {
+  9,   /* field[9] = buckets */
   2,   /* field[2] = count */
   6,   /* field[6] = max_ms */
+  7,   /* field[7] = outcome */
   3,   /* field[3] = p50_ms */
   4,   /* field[4] = p90_ms */
   5,   /* field[5] = p99_ms */
   1,   /* field[1] = rank */
+  8,   /* field[8] = sum_ms */
   0,   /* field[0] = team */
 };
 static const ProtobufCIntRange bp__histogram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bp__histogram__descriptor =
 {
@@ -2302,7 +2355,7 @@
   "Bp__Histogram",
   "bp",
   sizeof(Bp__Histogram),
-  7,
+  10,
   bp__histogram__field_descriptors,
   bp__histogram__field_indices_by_name,
   1,  bp__histogram__number_ranges,
--- a/gen/task.pb-c.h
+++ b/gen/task.pb-c.h
@@ -324,10 +324,15 @@
   ProtobufCMessage base;
   char *name;
   uint64_t value;
+  /*
+   * may fall
+   */
+  protobuf_c_boolean has_gauge;
+  protobuf_c_boolean gauge;
 };
 #define BP__COUNTER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__counter__descriptor) \
-    , NULL, 0 }
+    , NULL, 0, 0, 0 }
 
 
 struct  Bp__Histogram
@@ -340,10 +345,17 @@
   double p90_ms;
   double p99_ms;
   double max_ms;
+  char *outcome;
+  double sum_ms;
+  /*
+   * at or below each of latency_bounds_ms
+   */
+  size_t n_buckets;
+  uint64_t *buckets;
 };
 #define BP__HISTOGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__histogram__descriptor) \
-    , NULL, BP__RANK__URGENT, 0, 0, 0, 0, 0 }
+    , NULL, BP__RANK__URGENT, 0, 0, 0, 0, 0, NULL, 0, 0,NULL }
 
 
 struct  Bp__StatusPage
--- a/src/course.c
+++ b/src/course.c
@@ -66,7 +66,7 @@
 
 	role->counts[COUNT_DONE + outcome]++;
 	latencies_add(role->latencies, run->group->team, run->item.rank,
-	    clock_us() - run->arrived_us);
+	    outcome, clock_us() - run->arrived_us);
 	if (outcome != BP__OUTCOME__DONE)
 		return;
 	if (run->access == BP__ACCESS__WRITE)
--- a/src/front.c
+++ b/src/front.c
@@ -36,12 +36,11 @@
 	front_role_t *role = g_new0(front_role_t, 1);
 
 	role->daemon = daemon;
-	role->started_us = clock_us();
 	role->teams = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, front_team_free);
 	role->pending = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, pending_free);
-	role->queries = g_hash_table_new(g_int64_hash, g_int64_equal);
+	role->questions = questions_new(daemon->settings->name);
 	role->bodies = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	role->members = g_ptr_array_new_with_free_func(g_free);
 	role->owners =
@@ -61,7 +60,7 @@
 
 	g_hash_table_unref(role->pending);
 	g_hash_table_unref(role->teams);
-	g_hash_table_unref(role->queries);
+	questions_free(role->questions);
 	g_hash_table_unref(role->bodies);
 	g_hash_table_unref(role->living);
 	g_hash_table_unref(role->owners);
@@ -364,7 +363,7 @@
 static void
 on_part(void *context, msg_t *msg)
 {
-	oper_part(context, (const Bp__StatusPart *)msg->body, msg->arena);
+	questions_part(((front_role_t *)context)->questions, msg);
 }
 
 static const task_handler_t handlers[] = {
--- a/src/front.h
+++ b/src/front.h
@@ -5,7 +5,7 @@
 #include "daemon.h"
 #include "decide/decide.h"
 #include "document.h"
-#include "stats.h"
+#include "question.h"
 #include "task.pb-c.h"
 
 #include <libsoup/soup.h>
@@ -24,9 +24,9 @@
 	COUNT_TOO_LARGE,
 	COUNT_TOO_SLOW,
 	COUNT_TOO_MANY,
-	COUNT_CONNECTIONS,
 	COUNT_REROUTED,
 	COUNT_LATE_ANSWERS,
+	COUNT_CONNECTIONS, /* a gauge, the last */
 	COUNT_FRONT_COUNTERS,
 } front_counter_t;
 
@@ -60,8 +60,8 @@
 	SoupServer *operators;
 	GHashTable *teams;   /* of front_team_t */
 	GHashTable *pending; /* of pending_t by route */
-	GHashTable *queries; /* of oper's questions by id */
-	GHashTable *bodies;  /* of body_t: requests being read */
+	questions_t *questions;
+	GHashTable *bodies; /* of body_t: requests being read */
 	callers_t *connections;
 	GPtrArray *members; /* names that may own a group */
 	GHashTable *owners; /* of them, by group, until members change */
@@ -69,7 +69,6 @@
 	GSource *tick;
 	retry_t retry;
 	uint64_t next_route;
-	int64_t started_us;
 	bool draining;
 	bool drained;
 	uint64_t counts[COUNT_FRONT_COUNTERS];
@@ -88,6 +87,5 @@
 
 /* oper.c */
 int32_t oper_start(front_role_t *);
-void oper_part(front_role_t *, const Bp__StatusPart *, arena_t *);
 
 #endif
--- a/src/group.c
+++ b/src/group.c
@@ -76,7 +76,7 @@
 	role->members = g_ptr_array_new_with_free_func(g_free);
 	g_ptr_array_add(role->members, g_strdup(daemon->settings->name));
 	role->rand = g_rand_new();
-	role->latencies = latencies_new();
+	role->latencies = latencies_new(&bp__outcome__descriptor);
 	role->next_tx = daemon->incarnation; /* above all of earlier starts */
 	return role;
 }
@@ -577,7 +577,7 @@
 	const Bp__StatusWanted *wanted = (const Bp__StatusWanted *)msg->body;
 	group_role_t *role = context;
 	counters_t counters = {
-	    counter_names, role->counts, COUNT_GROUP_COUNTERS};
+	    counter_names, role->counts, COUNT_GROUP_COUNTERS, 0};
 	msg_t *out = msg_new(&bp__status_part__descriptor);
 	Bp__StatusPart *part = (Bp__StatusPart *)out->body;
 	GHashTableIter iter;
--- a/src/peer.c
+++ b/src/peer.c
@@ -614,7 +614,7 @@
 peer_report(peer_role_t *role, arena_t *arena, Bp__StatusPart *part)
 {
 	counters_t counters = {
-	    counter_names, role->counts, COUNT_PEER_COUNTERS};
+	    counter_names, role->counts, COUNT_PEER_COUNTERS, 0};
 	uint32_t i, n = members_count(role->members);
 
 	counters_report(&counters, arena, part);
--- a/src/platform.c
+++ b/src/platform.c
@@ -667,7 +667,7 @@
 	const Bp__StatusWanted *wanted = (const Bp__StatusWanted *)msg->body;
 	platform_role_t *role = context;
 	counters_t counters = {
-	    counter_names, role->counts, COUNT_PLATFORM_COUNTERS};
+	    counter_names, role->counts, COUNT_PLATFORM_COUNTERS, 1};
 	msg_t *out = msg_new(&bp__status_part__descriptor);
 	Bp__StatusPart *part = (Bp__StatusPart *)out->body;
 
--- a/src/proxy/clients.c
+++ b/src/proxy/clients.c
@@ -272,11 +272,37 @@
 	msg_free(msg);
 }
 
+static const char *const counter_names[COUNT_CLIENTS_COUNTERS] = {
+    [COUNT_SESSIONS_OPENED] = "sessions_opened",
+    [COUNT_STATEMENTS_REFUSED] = "statements_refused",
+    [COUNT_SESSIONS] = "sessions",
+};
+
+/*
+ * An operator wants to know.
+ */
+static void
+on_status(void *context, msg_t *msg)
+{
+	clients_t *clients = context;
+	counters_t counters = {
+	    counter_names, clients->counts, COUNT_CLIENTS_COUNTERS, 1};
+	msg_t *out = msg_new(&bp__status_part__descriptor);
+	Bp__StatusPart *part = (Bp__StatusPart *)out->body;
+
+	clients->counts[COUNT_SESSIONS] = g_hash_table_size(clients->sessions);
+	part->id = ((const Bp__StatusWanted *)msg->body)->id;
+	counters_report(&counters, out->arena, part);
+	task_send(msg->from, clients->task, out);
+	msg_free(msg);
+}
+
 static const task_handler_t handlers[] = {
     {&bp__catalog_in_force__descriptor, on_catalog},
     {&bp__operation_ended__descriptor, on_ended},
     {&bp__transaction_dropped__descriptor, on_dropped},
     {&bp__leave__descriptor, on_leave},
+    {&bp__status_wanted__descriptor, on_status},
 };
 
 const task_ops_t clients_ops = {
--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -115,6 +115,7 @@
 	transaction_t *transaction = conn->transaction;
 	server_t *server = conn->server;
 
+	server->group->pool->counts[COUNT_CONNECTIONS_LOST]++;
 	if (conn->open || server->lost_us == 0)
 		report_connection(conn, why);
 	if (!conn->open) {
@@ -297,6 +298,9 @@
 	    arena_strdup(operation->msg->arena, conn->server->id);
 	operation->applied = conn->server->applied;
 	operation->sent_us = clock_us();
+	conn->server->group->pool->counts[COUNT_SENT]++;
+	conn->server->group->pool->counts[COUNT_SENT_TO_REPLICAS] +=
+	    after != NULL;
 	if (conn->transaction != NULL && !conn->transaction->begun) {
 		context_send(conn, operation->run);
 		wire->begin(conn->out, conn->transaction->read_only, after);
@@ -343,6 +347,7 @@
 
 	conn->open = true;
 	conn->began_us = now_us;
+	server->group->pool->counts[COUNT_CONNECTIONS_OPENED]++;
 	if (server->lost_us != 0)
 		report_reached(server, now_us);
 	server->lost_us = 0;
--- a/src/proxy/operation.c
+++ b/src/proxy/operation.c
@@ -364,6 +364,8 @@
 	operation->state = OPERATION_HELD;
 	g_queue_push_tail_link(&group->held, &operation->link);
 	operations_release(group, now_us);
+	group->pool->counts[COUNT_HELD] +=
+	    g_queue_peek_tail(&group->held) == operation;
 	for (i = 0; !g_queue_is_empty(&group->held) && i < group->count; i++)
 		watch_ask(group->servers[i], now_us);
 }
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -39,6 +39,7 @@
 	    g_str_hash, g_str_equal, NULL, group_value_free);
 	pool->transactions = g_hash_table_new(g_int64_hash, g_int64_equal);
 	pool->rand = g_rand_new();
+	pool->latencies = latencies_new(&bp__verdict__descriptor);
 	pool->duty_patience_us = watch_patience_us(pool->rand);
 	pool->daemons = DAEMONS_UNKNOWN;
 	pool->spans.short_us = LEASE_SHORT_US;
@@ -58,6 +59,7 @@
 	g_hash_table_unref(pool->groups);
 	g_hash_table_unref(pool->transactions);
 	g_rand_free(pool->rand);
+	latencies_free(pool->latencies);
 	g_free(pool);
 }
 
@@ -299,6 +301,7 @@
     {&bp__daemons_counted__descriptor, on_counted},
     {&bp__revoke_ended__descriptor, on_revoke_ended},
     {&bp__revoke_asked__descriptor, on_revoke_asked},
+    {&bp__status_wanted__descriptor, pool_status},
 };
 
 const task_ops_t pool_ops = {
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -9,13 +9,14 @@
 #include "log.h"
 #include "proxy.h"
 #include "sock.h"
+#include "stats.h"
 
 /*
  * Inside the pool's task.  pool.c: the role and its messages.  server.c: the
  * groups of the catalog and their servers.  dbconn.c: one connection to a
  * database.  operation.c: the life of one statement.  dispatch.c: what is
  * sent where.  watch.c: what is known of the servers, and changes of primary.
- * report.c: the lines of the log.
+ * report.c: the lines of the log.  page.c: the part of the status page.
  */
 
 typedef struct pool pool_t;
@@ -145,6 +146,23 @@
 	REPORTS,
 } report_kind_t;
 
+typedef enum pool_counter {
+	COUNT_SENT, /* statements to databases, tries each */
+	COUNT_SENT_TO_REPLICAS,
+	COUNT_RETRIED,
+	COUNT_HELD, /* that waited for the lease */
+	COUNT_CONNECTIONS_OPENED,
+	COUNT_CONNECTIONS_LOST,
+	COUNT_PRIMARIES_CONFIRMED,
+	COUNT_ORDERS,
+	COUNT_LINES_LEFT_OUT,
+	COUNT_TRANSACTIONS_OPEN, /* a gauge */
+	COUNT_DAEMONS,           /* a gauge */
+	COUNT_POOL_COUNTERS,
+} pool_counter_t;
+
+#define POOL_GAUGES 2
+
 typedef enum operation_state {
 	OPERATION_QUEUED,
 	OPERATION_SENT,
@@ -201,6 +219,8 @@
 	GRand *rand;
 	uint64_t config_version;
 	log_budget_t reports[REPORTS];
+	uint64_t counts[COUNT_POOL_COUNTERS];
+	latencies_t *latencies;
 };
 
 /* pool.c */
@@ -241,6 +261,9 @@
 void transaction_drop(transaction_t *);
 void transactions_expire(pool_t *, int64_t now_us);
 
+/* page.c */
+void pool_status(void *pool, msg_t *msg);
+
 /* report.c */
 void report_ended(const operation_t *, Bp__Verdict, const char *text);
 void report_retried(const operation_t *, Bp__Verdict, const char *text);
--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -151,6 +151,8 @@
 		error = task_start_beside(proxy->registry);
 	if (error == 0)
 		error = task_start_beside(proxy->clients);
+	if (error == 0)
+		error = task_start_beside(proxy->metrics);
 	return error;
 }
 
@@ -164,6 +166,7 @@
 	control_t *control = context;
 	const proxy_t *proxy = control->proxy;
 
+	task_stop_beside(proxy->metrics);
 	task_stop_beside(proxy->registry);
 	task_stop_beside(proxy->peers);
 	task_stop_beside(proxy->pool);
@@ -201,11 +204,11 @@
 proxy_run(const Bp__ProxySettings *settings, const wire_ops_t *wire,
     const objects_ops_t *objects, const promoter_ops_t *promoter)
 {
-	proxy_t proxy = {
-	    settings, wire, objects, promoter, NULL, NULL, NULL, NULL};
+	proxy_t proxy = {settings, wire, objects, promoter, NULL, NULL, NULL,
+	    NULL, NULL, NULL};
 	void *control = proxy_control_new(&proxy), *pool = pool_new(&proxy);
 	void *registry = registry_new(&proxy), *clients = clients_new(&proxy);
-	void *peers = peers_new(&proxy);
+	void *peers = peers_new(&proxy), *metrics = metrics_new(&proxy);
 	Bp__ProcessStarted started = BP__PROCESS_STARTED__INIT;
 	Bp__ProcessEnded ended = BP__PROCESS_ENDED__INIT;
 	int32_t error;
@@ -216,6 +219,7 @@
 	    task_new_beside(&registry_ops, registry, proxy.control);
 	proxy.peers = task_new_beside(&peers_ops, peers, proxy.control);
 	proxy.clients = task_new_beside(&clients_ops, clients, proxy.control);
+	proxy.metrics = task_new_beside(&metrics_ops, metrics, proxy.control);
 	started.daemon = settings->name;
 	started.version = (char *)BP_VERSION;
 	started.zone = settings->zone;
@@ -226,11 +230,13 @@
 	ended.daemon = settings->name;
 	ended.error = error;
 	log_event(G_LOG_LEVEL_MESSAGE, &ended.base);
+	task_free(proxy.metrics);
 	task_free(proxy.clients);
 	task_free(proxy.peers);
 	task_free(proxy.registry);
 	task_free(proxy.pool);
 	task_free(proxy.control);
+	metrics_free(metrics);
 	clients_free(clients);
 	registry_free(registry);
 	peers_free(peers);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -21,6 +21,7 @@
 	task_t *pool;
 	task_t *registry;
 	task_t *peers;
+	task_t *metrics;
 } proxy_t;
 
 extern const task_ops_t proxy_control_ops;
@@ -28,17 +29,20 @@
 extern const task_ops_t pool_ops;
 extern const task_ops_t registry_ops;
 extern const task_ops_t peers_ops;
+extern const task_ops_t metrics_ops;
 
 void *proxy_control_new(const proxy_t *);
 void *clients_new(const proxy_t *);
 void *pool_new(const proxy_t *);
 void *registry_new(const proxy_t *);
 void *peers_new(const proxy_t *);
+void *metrics_new(const proxy_t *);
 void proxy_control_free(void *);
 void clients_free(void *);
 void pool_free(void *);
 void registry_free(void *);
 void peers_free(void *);
+void metrics_free(void *);
 
 int32_t proxy_run(const Bp__ProxySettings *, const wire_ops_t *,
     const objects_ops_t *, const promoter_ops_t *);
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -1,6 +1,7 @@
 #include "registry.h"
 
 #include "event.pb-c.h"
+#include "stats.h"
 
 #include <string.h>
 
@@ -490,12 +491,56 @@
 	msg_free(msg);
 }
 
+typedef enum registry_counter {
+	COUNT_CONFIG_VERSION, /* all are gauges */
+	COUNT_CONFIG_LOST,
+	COUNT_SERVERS_LOST,
+	COUNT_LISTED,
+	COUNT_DUTY_TOKEN,
+	COUNT_REGISTRY_COUNTERS,
+} registry_counter_t;
+
+static const char *const counter_names[COUNT_REGISTRY_COUNTERS] = {
+    [COUNT_CONFIG_VERSION] = "configuration_version",
+    [COUNT_CONFIG_LOST] = "store_lost_configuration",
+    [COUNT_SERVERS_LOST] = "store_lost_servers",
+    [COUNT_LISTED] = "daemon_listed",
+    [COUNT_DUTY_TOKEN] = "duty_token",
+};
+
+/*
+ * An operator wants to know.
+ */
+static void
+on_status(void *context, msg_t *msg)
+{
+	const registry_t *registry = context;
+	uint64_t counts[COUNT_REGISTRY_COUNTERS] = {
+	    [COUNT_CONFIG_VERSION] =
+		registry->catalog == NULL ? 0 : registry->catalog->version,
+	    [COUNT_CONFIG_LOST] = registry->config.lost,
+	    [COUNT_SERVERS_LOST] = registry->servers.lost,
+	    [COUNT_LISTED] = registry->listed_us != 0,
+	    [COUNT_DUTY_TOKEN] = registry->token,
+	};
+	counters_t counters = {counter_names, counts, COUNT_REGISTRY_COUNTERS,
+	    COUNT_REGISTRY_COUNTERS};
+	msg_t *out = msg_new(&bp__status_part__descriptor);
+	Bp__StatusPart *part = (Bp__StatusPart *)out->body;
+
+	part->id = ((const Bp__StatusWanted *)msg->body)->id;
+	counters_report(&counters, out->arena, part);
+	task_send(msg->from, registry->task, out);
+	msg_free(msg);
+}
+
 static const task_handler_t handlers[] = {
     {&bp__duty_wanted__descriptor, duty_wanted},
     {&bp__promotion_wanted__descriptor, promotion_wanted},
     {&bp__revoke_wanted__descriptor, revoke_wanted},
     {&bp__revoke_ended__descriptor, order_confirmed},
     {&bp__leave__descriptor, on_leave},
+    {&bp__status_wanted__descriptor, on_status},
 };
 
 const task_ops_t registry_ops = {
--- a/src/proxy/report.c
+++ b/src/proxy/report.c
@@ -6,12 +6,12 @@
 
 /* Lines in each second, by kind; the others are counted. */
 static const uint32_t lines_per_second[REPORTS] = {
-    [REPORT_FAILED] = 50,
-    [REPORT_LATE] = 20,
-    [REPORT_DONE] = 10,
-    [REPORT_RETRIED] = 20,
+    [REPORT_FAILED] = 20,
+    [REPORT_LATE] = 10,
+    [REPORT_DONE] = 5,
+    [REPORT_RETRIED] = 10,
     [REPORT_TRANSACTION] = 10,
-    [REPORT_CONNECTION] = 20,
+    [REPORT_CONNECTION] = 10,
 };
 
 /*
@@ -21,8 +21,11 @@
 report_spend(
     pool_t *pool, report_kind_t kind, int64_t now_us, uint32_t *left_out)
 {
-	return log_spend(
+	bool spent = log_spend(
 	    &pool->reports[kind], now_us, lines_per_second[kind], left_out);
+
+	pool->counts[COUNT_LINES_LEFT_OUT] += !spent;
+	return spent;
 }
 
 /*
@@ -84,7 +87,7 @@
 }
 
 /*
- * A statement ends.
+ * A statement ends: count it, and log it as far as the budget goes.
  */
 void
 report_ended(
@@ -103,6 +106,8 @@
 	    : REPORT_DONE;
 	arena_t *arena;
 
+	latencies_add(pool->latencies, run->route->database,
+	    MIN(run->route->rank, RANKS - 1), verdict, spent_us);
 	if (!report_spend(pool, kind, now_us, &ended.left_out))
 		return;
 	arena = arena_new();
@@ -129,7 +134,8 @@
 	ended.needed = position_text(arena, operation->needed);
 	ended.floor = position_text(arena, floor);
 	ended.config = pool->config_version;
-	ended.belief = belief_new(arena, group, now_us);
+	if (kind != REPORT_DONE)
+		ended.belief = belief_new(arena, group, now_us);
 	log_event(G_LOG_LEVEL_INFO, &ended.base);
 	arena_free(arena);
 }
@@ -143,10 +149,11 @@
 {
 	int64_t now_us = clock_us();
 	Bp__StatementRetried retried = BP__STATEMENT_RETRIED__INIT;
+	pool_t *pool = operation->group->pool;
 	arena_t *arena;
 
-	if (!report_spend(operation->group->pool, REPORT_RETRIED, now_us,
-		&retried.left_out))
+	pool->counts[COUNT_RETRIED]++;
+	if (!report_spend(pool, REPORT_RETRIED, now_us, &retried.left_out))
 		return;
 	arena = arena_new();
 	retried.has_left_out = retried.left_out > 0;
@@ -189,10 +196,10 @@
 {
 	Bp__ServerConnectionLost lost = BP__SERVER_CONNECTION_LOST__INIT;
 	const server_t *server = conn->server;
+	pool_t *pool = server->group->pool;
 	arena_t *arena;
 
-	if (!report_spend(server->group->pool, REPORT_CONNECTION, clock_us(),
-		&lost.left_out))
+	if (!report_spend(pool, REPORT_CONNECTION, clock_us(), &lost.left_out))
 		return;
 	arena = arena_new();
 	lost.has_left_out = lost.left_out > 0;
@@ -270,6 +277,7 @@
 {
 	Bp__PrimaryConfirmed confirmed = BP__PRIMARY_CONFIRMED__INIT;
 
+	group->pool->counts[COUNT_PRIMARIES_CONFIRMED]++;
 	confirmed.group = group->name;
 	confirmed.server = server->id;
 	confirmed.term = group->lease.term;
@@ -348,6 +356,7 @@
 {
 	Bp__PromotionOrdered ordered = BP__PROMOTION_ORDERED__INIT;
 
+	server->group->pool->counts[COUNT_ORDERS]++;
 	ordered.group = server->group->name;
 	ordered.server = server->id;
 	ordered.term = term;
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -134,6 +134,7 @@
 	Bp__StatementRefused refused = BP__STATEMENT_REFUSED__INIT;
 	arena_t *arena;
 
+	session->clients->counts[COUNT_STATEMENTS_REFUSED]++;
 	if (!log_spend(&session->clients->refusals, clock_us(),
 		REFUSALS_PER_SECOND, &refused.left_out))
 		return;
@@ -603,6 +604,7 @@
 
 	session->clients = clients;
 	session->id = ++clients->next_id;
+	clients->counts[COUNT_SESSIONS_OPENED]++;
 	session->out = g_string_new(NULL);
 	lines_init(&session->in, clients->wire->line_bytes_max);
 	session->sock = sock_accept(
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -6,6 +6,7 @@
 #include "log.h"
 #include "proxy.h"
 #include "sock.h"
+#include "stats.h"
 
 #include <libsoup/soup.h>
 
@@ -49,6 +50,13 @@
 	position_t floor;
 } session_t;
 
+typedef enum clients_counter {
+	COUNT_SESSIONS_OPENED,
+	COUNT_STATEMENTS_REFUSED, /* before they reached the pool */
+	COUNT_SESSIONS,           /* a gauge */
+	COUNT_CLIENTS_COUNTERS,
+} clients_counter_t;
+
 struct clients {
 	const proxy_t *proxy;
 	const wire_ops_t *wire;
@@ -61,6 +69,7 @@
 	SoupServer *probe; /* the balancer's questions */
 	uint64_t next_id;
 	log_budget_t refusals; /* lines on them */
+	uint64_t counts[COUNT_CLIENTS_COUNTERS];
 	GSource *tick;
 	int64_t leaving_us; /* since; 0: not */
 	int64_t grace_us;
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -49,6 +49,9 @@
 	    settings->promotion_address[0] != '\0')
 		check_address(faults, line, "promotion_address",
 		    settings->promotion_address);
+	if (settings->metrics_address != NULL)
+		check_address(
+		    faults, line, "metrics_address", settings->metrics_address);
 	if (settings->name[0] == '\0')
 		faults_add(faults, line, "\"name\" must not be empty");
 	if (!(settings->grace_s >= 1 && settings->grace_s <= 3600))
--- a/src/stats.c
+++ b/src/stats.c
@@ -10,13 +10,20 @@
 #define BINS ((size_t)BINS_PER_DECADE * DECADES)
 #define LOWEST_MS 0.01
 
-typedef struct team {
-	gsl_histogram *ranks[RANKS];
-	double max_ms[RANKS];
-} team_t;
+const uint32_t latency_bounds_ms[LATENCY_BOUNDS] = {
+    1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000};
+
+/* Statements of one rank that ended in one way. */
+typedef struct latency {
+	gsl_histogram *histogram;
+	double max_ms;
+	double sum_ms;
+	uint64_t buckets[LATENCY_BOUNDS]; /* not cumulated */
+} latency_t;
 
 struct latencies {
-	GHashTable *teams;
+	const ProtobufCEnumDescriptor *outcomes;
+	GHashTable *teams; /* of arrays of latency_t, by rank and outcome */
 };
 
 /*
@@ -36,6 +43,8 @@
 
 		counter->name = (char *)counters->names[i];
 		counter->value = counters->values[i];
+		counter->has_gauge = counter->gauge =
+		    i + counters->gauges >= counters->count;
 		part->counters[part->n_counters++] = counter;
 	}
 }
@@ -58,29 +67,28 @@
 }
 
 /*
- * Free the histograms of one team.
+ * Free what one statement class was counted in.
  */
 static void
-team_free(gpointer p)
+latency_clear(gpointer p)
 {
-	team_t *team = p;
-	uint32_t i;
+	latency_t *latency = p;
 
-	for (i = 0; i < RANKS; i++)
-		gsl_histogram_free(team->ranks[i]);
-	g_free(team);
+	if (latency->histogram != NULL)
+		gsl_histogram_free(latency->histogram);
 }
 
 /*
  * Make an empty set of histograms.
  */
 latencies_t *
-latencies_new(void)
+latencies_new(const ProtobufCEnumDescriptor *outcomes)
 {
 	latencies_t *latencies = g_new0(latencies_t, 1);
 
-	latencies->teams =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, team_free);
+	latencies->outcomes = outcomes;
+	latencies->teams = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_array_unref);
 	return latencies;
 }
 
@@ -94,26 +102,48 @@
 	g_free(latencies);
 }
 
+/*
+ * The histogram of a team, made when it is new, of a rank and an outcome.
+ */
+static latency_t *
+latency_of(
+    latencies_t *latencies, const char *name, uint32_t rank, uint32_t outcome)
+{
+	GArray *team = g_hash_table_lookup(latencies->teams, name);
+	uint32_t outcomes = latencies->outcomes->n_values;
+	latency_t *latency;
+
+	if (team == NULL) {
+		team = g_array_new(FALSE, TRUE, sizeof(latency_t));
+		g_array_set_clear_func(team, latency_clear);
+		g_array_set_size(team, RANKS * outcomes);
+		g_hash_table_insert(latencies->teams, g_strdup(name), team);
+	}
+	latency = &g_array_index(team, latency_t, rank * outcomes + outcome);
+	if (latency->histogram == NULL)
+		latency->histogram = histogram_new();
+	return latency;
+}
+
 /*
  * Count one statement.  What is longer than the last bin counts there.
  */
 void
-latencies_add(
-    latencies_t *latencies, const char *name, uint32_t rank, int64_t spent_us)
+latencies_add(latencies_t *latencies, const char *name, uint32_t rank,
+    uint32_t outcome, int64_t spent_us)
 {
-	team_t *team = g_hash_table_lookup(latencies->teams, name);
+	latency_t *latency = latency_of(latencies, name, rank, outcome);
 	double spent_ms = (double)spent_us / US_PER_MS;
 	uint32_t i;
 
-	if (team == NULL) {
-		team = g_new0(team_t, 1);
-		for (i = 0; i < RANKS; i++)
-			team->ranks[i] = histogram_new();
-		g_hash_table_insert(latencies->teams, g_strdup(name), team);
-	}
-	team->max_ms[rank] = MAX(team->max_ms[rank], spent_ms);
-	spent_ms = MIN(spent_ms, gsl_histogram_max(team->ranks[rank]) * 0.99);
-	gsl_histogram_increment(team->ranks[rank], spent_ms);
+	latency->max_ms = MAX(latency->max_ms, spent_ms);
+	latency->sum_ms += spent_ms;
+	for (i = 0; i < LATENCY_BOUNDS && spent_ms > latency_bounds_ms[i]; i++)
+		;
+	if (i < LATENCY_BOUNDS)
+		latency->buckets[i]++;
+	spent_ms = MIN(spent_ms, gsl_histogram_max(latency->histogram) * 0.99);
+	gsl_histogram_increment(latency->histogram, spent_ms);
 }
 
 /*
@@ -136,6 +166,39 @@
 	return upper;
 }
 
+/*
+ * One histogram as a part of the status page has it.
+ */
+static Bp__Histogram *
+histogram_report(const latencies_t *latencies, arena_t *arena, const char *name,
+    uint32_t index, const latency_t *from)
+{
+	Bp__Histogram *to =
+	    (Bp__Histogram *)message_new(arena, &bp__histogram__descriptor);
+	uint32_t outcomes = latencies->outcomes->n_values, i;
+	char *outcome = g_ascii_strdown(
+	    latencies->outcomes->values[index % outcomes].name, -1);
+	uint64_t sum = 0;
+
+	to->team = arena_strdup(arena, name);
+	to->rank = (Bp__Rank)(index / outcomes);
+	to->outcome = arena_strdup(arena, outcome);
+	to->count = (uint64_t)gsl_histogram_sum(from->histogram);
+	to->p50_ms = percentile_ms(from->histogram, 0.50);
+	to->p90_ms = percentile_ms(from->histogram, 0.90);
+	to->p99_ms = percentile_ms(from->histogram, 0.99);
+	to->max_ms = from->max_ms;
+	to->sum_ms = from->sum_ms;
+	to->buckets =
+	    arena_zero(arena, sizeof(to->buckets[0]) * LATENCY_BOUNDS);
+	for (i = 0; i < LATENCY_BOUNDS; i++) {
+		sum += from->buckets[i];
+		to->buckets[to->n_buckets++] = sum;
+	}
+	g_free(outcome);
+	return to;
+}
+
 /*
  * Add all histograms that hold something to a part of the status page.
  */
@@ -143,32 +206,23 @@
 latencies_report(
     const latencies_t *latencies, arena_t *arena, Bp__StatusPart *part)
 {
-	uint32_t teams = g_hash_table_size(latencies->teams), i;
+	uint32_t each = RANKS * latencies->outcomes->n_values, i;
 	GHashTableIter iter;
 	gpointer name, value;
 
-	part->histograms = arena_zero(
-	    arena, sizeof(part->histograms[0]) * (teams + 1) * RANKS);
+	part->histograms = arena_zero(arena,
+	    sizeof(part->histograms[0]) *
+		(g_hash_table_size(latencies->teams) + 1) * each);
 	g_hash_table_iter_init(&iter, latencies->teams);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		team_t *team = value;
-
-		for (i = 0; i < RANKS; i++) {
-			gsl_histogram *from = team->ranks[i];
-			Bp__Histogram *to;
-
-			if (gsl_histogram_sum(from) == 0)
-				continue;
-			to = (Bp__Histogram *)message_new(
-			    arena, &bp__histogram__descriptor);
-			to->team = arena_strdup(arena, name);
-			to->rank = (Bp__Rank)i;
-			to->count = (uint64_t)gsl_histogram_sum(from);
-			to->p50_ms = percentile_ms(from, 0.50);
-			to->p90_ms = percentile_ms(from, 0.90);
-			to->p99_ms = percentile_ms(from, 0.99);
-			to->max_ms = team->max_ms[i];
-			part->histograms[part->n_histograms++] = to;
+		for (i = 0; i < each; i++) {
+			const latency_t *from =
+			    &g_array_index((GArray *)value, latency_t, i);
+
+			if (from->histogram != NULL)
+				part->histograms[part->n_histograms++] =
+				    histogram_report(
+					latencies, arena, name, i, from);
 		}
 	}
 }
--- a/src/status.c
+++ b/src/status.c
@@ -16,13 +16,15 @@
 	printf("daemon %s, version %s, up %" G_GUINT64_FORMAT " s%s\n\n",
 	    page->daemon, page->version, page->uptime_ms / MS_PER_S,
 	    page->draining ? ", leaving" : "");
-	printf("%-20s %-16s %s\n", "MEMBER", "ZONE", "STATE");
+	if (page->n_members > 0)
+		printf("%-20s %-16s %s\n", "MEMBER", "ZONE", "STATE");
 	for (i = 0; i < page->n_members; i++)
 		printf("%-20s %-16s %s\n", page->members[i]->name,
 		    page->members[i]->zone,
 		    bp__member_state__descriptor.values[page->members[i]->state]
 			.name);
-	printf("\n%-20s %-20s %s\n", "DOCUMENT", "DAEMON", "VERSION");
+	if (page->n_documents > 0)
+		printf("\n%-20s %-20s %s\n", "DOCUMENT", "DAEMON", "VERSION");
 	for (i = 0; i < page->n_documents; i++)
 		printf("%-20s %-20s %" G_GUINT64_FORMAT "\n",
 		    page->documents[i]->team, page->documents[i]->daemon,
@@ -40,9 +42,10 @@
 	for (i = 0; i < page->n_groups; i++) {
 		const Bp__GroupStatus *group = page->groups[i];
 
-		printf("\ngroup %s/%s: term %" G_GUINT64_FORMAT
+		printf("\ngroup %s%s%s: term %" G_GUINT64_FORMAT
 		       ", primary %s, %u queued\n",
-		    group->team, group->name, group->term,
+		    group->team, group->team[0] == '\0' ? "" : "/", group->name,
+		    group->term,
 		    group->primary == NULL ? "unknown" : group->primary,
 		    group->queued);
 		printf("  %-20s %-12s %10s %12s %6s %9s %s\n", "DATABASE",
@@ -73,15 +76,16 @@
 	for (i = 0; i < page->n_counters; i++)
 		printf("%-32s %" G_GUINT64_FORMAT "\n", page->counters[i]->name,
 		    page->counters[i]->value);
-	printf("\n%-16s %-12s %10s %9s %9s %9s %9s\n", "TEAM", "RANK", "COUNT",
-	    "P50 ms", "P90 ms", "P99 ms", "MAX ms");
+	printf("\n%-16s %-12s %-16s %10s %9s %9s %9s %9s\n", "CLASS", "RANK",
+	    "OUTCOME", "COUNT", "P50 ms", "P90 ms", "P99 ms", "MAX ms");
 	for (i = 0; i < page->n_histograms; i++) {
 		const Bp__Histogram *h = page->histograms[i];
 
-		printf("%-16s %-12s %10" G_GUINT64_FORMAT
+		printf("%-16s %-12s %-16s %10" G_GUINT64_FORMAT
 		       " %9.2f %9.2f %9.2f %9.2f\n",
 		    h->team, bp__rank__descriptor.values[h->rank].name,
-		    h->count, h->p50_ms, h->p90_ms, h->p99_ms, h->max_ms);
+		    h->outcome, h->count, h->p50_ms, h->p90_ms, h->p99_ms,
+		    h->max_ms);
 	}
 }
 
--- a/tests/fake/site.c
+++ b/tests/fake/site.c
@@ -155,16 +155,18 @@
 	proxy->port = fleet_free_port();
 	proxy->operator_port = fleet_free_port(); /* the balancer's questions */
 	proxy->peer_port = fleet_free_port();
+	proxy->metrics_port = fleet_free_port();
 	text = g_strdup_printf(
 	    "{\"name\":\"%s\",\"zone\":\"z\","
 	    "\"client_address\":\"127.0.0.1:%u\","
 	    "\"ready_address\":\"127.0.0.1:%u\","
 	    "\"peer_address\":\"127.0.0.1:%u\","
+	    "\"metrics_address\":\"127.0.0.1:%u\","
 	    "\"store_address\":\"127.0.0.1:%u\","
 	    "\"promotion_address\":\"127.0.0.1:%u\",\"grace_s\":%g,"
 	    "\"timeouts\":{\"store_ms\":500}}",
 	    proxy->name, proxy->port, proxy->operator_port, proxy->peer_port,
-	    site->platform.port, site->platform.port,
+	    proxy->metrics_port, site->platform.port, site->platform.port,
 	    site->plan.grace_s == 0 ? 6 : site->plan.grace_s);
 	proxy->settings =
 	    g_strdup_printf("%s/%s.json", site->folder, proxy->name);
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -412,6 +412,89 @@
 	site_end(site);
 }
 
+typedef struct page_case {
+	const char *name;
+	const char *path;
+	uint32_t status;
+	const char *parts[8];
+} page_case_t;
+
+static const page_case_t page_cases[] = {
+    {"metrics", "/metrics", 200,
+	{"\nbergamotplank_statement_seconds_count{database=\"intake\","
+	 "rank=\"urgent\",outcome=\"succeeded\"} 2\n",
+	    "outcome=\"succeeded\",le=\"+Inf\"} 2\n",
+	    "# TYPE bergamotplank_sessions gauge\nbergamotplank_sessions 1\n",
+	    "\nbergamotplank_statements_refused 1\n",
+	    "\nbergamotplank_server_primary{group=\"ledger\","
+	    "server=\"i-0\"} 1\n",
+	    "\nbergamotplank_group_has_primary{group=\"ledger\"} 1\n",
+	    "\nbergamotplank_configuration_version 1\n",
+	    "# TYPE bergamotplank_statement_seconds histogram\n"}},
+    {"status", "/v1/status", 200,
+	{"{\"daemon\":\"proxy-0\"", "\"primary\":\"i-0\"", "\"name\":\"i-2\""}},
+    {"another path", "/v1", 404, {NULL}},
+};
+
+/*
+ * What operators may ask a proxy.
+ */
+static void
+test_page(gconstpointer data)
+{
+	const page_case_t *c = data;
+	site_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	site_t *site = site_start(&plan);
+	char *url, *text = NULL;
+	client_t *client;
+	uint32_t i;
+
+	g_assert_true(site_wait_ready(site, READY_MS));
+	client = client_open(site, 0, "intake");
+	expect(client, "WRITE a x", "DONE p");
+	expect(client, "READ a", "ROW x");
+	expect(client, "JUMP", "ERR MALFORMED");
+	url = g_strdup_printf(
+	    "http://127.0.0.1:%u%s", site->proxies[0].metrics_port, c->path);
+	g_assert_cmpuint(http_call("GET", url, NULL, &text), ==, c->status);
+	for (i = 0; i < G_N_ELEMENTS(c->parts) && c->parts[i] != NULL; i++) {
+		if (strstr(text, c->parts[i]) == NULL)
+			g_error("%s is not in %s", c->parts[i], text);
+	}
+	g_free(text);
+	g_free(url);
+	client_close(client);
+	site_end(site);
+}
+
+/*
+ * "bergamotplank status" shows a proxy.
+ */
+static void
+test_status(void)
+{
+	site_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	site_t *site = site_start(&plan);
+	char *path = fleet_program("bergamotplank"), *place, *out;
+	GSubprocess *process;
+
+	g_assert_true(site_wait_ready(site, READY_MS));
+	place = g_strdup_printf("127.0.0.1:%u", site->proxies[0].metrics_port);
+	process = g_subprocess_new(
+	    G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL, path, "status", place, NULL);
+	g_assert_true(g_subprocess_communicate_utf8(
+	    process, NULL, NULL, &out, NULL, NULL));
+	g_assert_true(g_subprocess_get_successful(process));
+	g_assert_nonnull(strstr(out, "daemon proxy-0, version "));
+	g_assert_nonnull(strstr(out, "group ledger: term 1, primary i-0"));
+	g_assert_nonnull(strstr(out, "configuration_version"));
+	g_object_unref(process);
+	g_free(place);
+	g_free(path);
+	g_free(out);
+	site_end(site);
+}
+
 /*
  * A transaction that rests too long is rolled back, and its client is told
  * with the next statement.
@@ -743,6 +826,8 @@
 	CASES("/proxy/list", list_cases, test_list);
 	CASES("/proxy/release", release_cases, test_release);
 	CASES("/proxy/trail", trail_cases, test_trail);
+	CASES("/proxy/page", page_cases, test_page);
+	g_test_add_func("/proxy/status", test_status);
 	g_test_add_func("/proxy/lost-commit", test_lost_commit);
 	g_test_add_func("/proxy/idle-transaction", test_idle_transaction);
 	g_test_add_func("/proxy/outdated-holder", test_outdated_holder);
--- a/tools/fleet.h
+++ b/tools/fleet.h
@@ -31,6 +31,7 @@
 	uint32_t port; /* databases, platform; callers' side of a daemon */
 	uint32_t operator_port;
 	uint32_t peer_port;
+	uint32_t metrics_port; /* of a proxy */
 	char *name;
 	char *settings;
 } fleet_process_t;
