A restarted daemon takes the duty under a new token

Cause: at its start a daemon writes the duty's record; where one is there the store answers with a conflict and the record, and a record that names this daemon was taken for its own write whose answer got lost. After a restart it is the record of the earlier start: the daemon held the same token again, took it for confirmed, and orders of both starts could not be told apart.

Ruled out: that the holder is told by name and start (the platform's call has the holder's name alone).

Change: on a conflict the next token is taken, also after a lost answer.

--- a/src/proxy/duty.c
+++ b/src/proxy/duty.c
@@ -56,9 +56,12 @@
 	    strcmp(record->holder, registry->proxy->settings->name) == 0;
 }
 
+static void take_duty(registry_t *, uint64_t revision, uint64_t token);
+
 /*
- * The duty was written, or was not.  An answer that got lost is met by
- * reading the record again when the duty is wanted the next time.
+ * The duty was written, or was not.  A record that names this daemon already
+ * is of an earlier start, or of a call whose answer was lost: in both cases
+ * orders may be under way with its token, so a newer one is taken.
  */
 static void
 on_taken(void *context, const objects_answer_t *answer)
@@ -66,16 +69,18 @@
 	registry_t *registry = context;
 	arena_t *arena = arena_new();
 	Bp__DutyRecord *record = record_of(registry, answer, arena);
+	bool ours = is_ours(registry, record);
 
 	registry->duty_open = false;
 	if (answer->count == 1)
 		registry->duty_seen = answer->list[0].revision;
-	if ((answer->status == OBJECTS_OK ||
-		answer->status == OBJECTS_CONFLICT) &&
-	    is_ours(registry, record)) {
+	if (answer->status == OBJECTS_OK && ours) {
 		registry->token = record->token;
 		registry->ordered = record->token == 1;
 		tell_duty(registry, true);
+	} else if (answer->status == OBJECTS_CONFLICT && ours) {
+		take_duty(
+		    registry, answer->list[0].revision, record->token + 1);
 	} else {
 		tell_duty(registry, false);
 	}
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -412,6 +412,67 @@
 	site_end(site);
 }
 
+/*
+ * A daemon that is started again is a new holder of the duty: orders of its
+ * earlier start must not pass for its own.
+ */
+static void
+test_restarted_holder(void)
+{
+	site_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	site_t *site = site_start(&plan);
+	char *path = g_strdup_printf("%s/proxy-0.log", site->folder), *text;
+	uint32_t i;
+
+	for (i = 1; i <= 3; i++) {
+		char *wanted = g_strdup_printf("\"event\":\"duty_held\","
+					       "\"held\":true,\"token\":%u}",
+		    i);
+
+		g_assert_true(site_wait_ready(site, READY_MS));
+		g_usleep(300 * US_PER_MS);
+		g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+		if (strstr(text, wanted) == NULL)
+			g_error("%s is not in %s", wanted, text);
+		fleet_kill(&site->proxies[0]);
+		site_proxy_start(site, 0);
+		g_free(wanted);
+		g_free(text);
+	}
+	g_free(path);
+	site_end(site);
+}
+
+/*
+ * A daemon that has just started does not know the primary yet: statements
+ * wait for it as long as they would for any other.
+ */
+static void
+test_just_started(void)
+{
+	site_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	site_t *site = site_start(&plan);
+	client_t *client;
+	char *line;
+
+	g_assert_true(site_wait_ready(site, READY_MS));
+	fleet_kill(&site->proxies[0]);
+	site_fault(site, "database", "crash", 0);
+	site_proxy_start(site, 0);
+	g_assert_true(site_wait_ready(site, READY_MS));
+	client = client_open(site, 0, "intake");
+	client_send(client, "QUERY 1 WRITE a x\r\n", 19);
+	g_usleep(150 * US_PER_MS); /* of a target of 400 ms */
+	site_fault(site, "database", "return", 0);
+	line = client_line(client, ANSWER_MS);
+	g_assert_nonnull(line);
+	if (!g_str_has_prefix(line, "DONE p"))
+		g_error("the answer is %s", line);
+	g_free(line);
+	client_close(client);
+	site_end(site);
+}
+
 typedef struct page_case {
 	const char *name;
 	const char *path;
@@ -827,6 +888,8 @@
 	CASES("/proxy/release", release_cases, test_release);
 	CASES("/proxy/trail", trail_cases, test_trail);
 	CASES("/proxy/page", page_cases, test_page);
+	g_test_add_func("/proxy/restarted-holder", test_restarted_holder);
+	g_test_add_func("/proxy/just-started", test_just_started);
 	g_test_add_func("/proxy/status", test_status);
 	g_test_add_func("/proxy/lost-commit", test_lost_commit);
 	g_test_add_func("/proxy/idle-transaction", test_idle_transaction);
