A just-started daemon does not refuse statements early

Cause: a statement whose group has had no certain primary for a second is refused after a fifth of its target. A daemon that has just started has never had one, and the time was counted from 0, so until it had found the primaries, 100 to 300 ms, it refused everything early.

Ruled out: too few connections (connections 0 and nothing in flight at those servers), and the catalog (config was the newest).

Change: the time counts from when the group became known, at the earliest.

Test: /proxy/just-started (ERR BUSY, three of three; DONE, five of five).

--- a/src/proxy/operation.c
+++ b/src/proxy/operation.c
@@ -14,8 +14,9 @@
 #define WAIT_ON_US (50 * US_PER_MS)
 
 /*
- * Where the group has had no certain primary for STALLED_US, and none is being
- * made, waiting is in vain: whoever is refused soon may find another daemon.
+ * Where the group has had no certain primary for STALLED_US, since this daemon
+ * knows it at the least, and none is being made, waiting is in vain: whoever is
+ * refused soon may find another daemon.
  */
 #define STALLED_US (1000 * US_PER_MS)
 #define STALLED_PERCENT 20
@@ -140,9 +141,10 @@
 {
 	const group_t *group = operation->group;
 	int64_t age_us = (int64_t)operation->run->route->max_age_ms * US_PER_MS;
+	int64_t since_us = MAX(group->lease.until_us, group->began_us);
 	position_t needed;
 
-	return operation->arrived_us - group->lease.until_us >= STALLED_US &&
+	return operation->arrived_us - since_us >= STALLED_US &&
 	    !watch_changing(group, operation->arrived_us) &&
 	    (primary ||
 		!samples_needed(
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -113,6 +113,7 @@
 	GQueue held; /* of operation_t: ran, and wait for the lease */
 	samples_t samples;
 	lease_t lease;
+	int64_t began_us;     /* to be known here */
 	bool silent;          /* the primary has answered nothing for long */
 	int64_t suspected_us; /* since; 0: not */
 	int64_t changing_us;  /* another daemon began to change the primary */
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -21,6 +21,7 @@
 	group->pool = pool;
 	group->name = g_strdup(name);
 	group->gone = g_ptr_array_new();
+	group->began_us = clock_us();
 	group->primary_lane = rankq_new(floor_percent);
 	group->replica_lane = rankq_new(floor_percent);
 	g_queue_init(&group->held);
