A read that is not answered is put to another server in time

Cause: a single read whose server does not answer waited for the statement's time limit, two to five times its target, and then failed, while other servers could serve it.

Ruled out: the servers' silence (450 ms to be noticed, and a server that loses some answers is not silent).

Change: after half of the route's target a single read is tried again, within a budget of a tenth of all statements; the read at the first server counts as running there until it is answered or the connection is given up, and that server is chosen last.

Before and after: /proxy/unanswered-read ERR TIMEOUT after 1000 ms, and the row in time, in the two cases of four whose first read goes to the silent replica.

--- a/src/decide/spread.c
+++ b/src/decide/spread.c
@@ -6,6 +6,9 @@
 /* The primary has work that nobody else can do. */
 #define PRIMARY_LOAD 0.5
 
+/* A database that a statement was put to in vain comes last. */
+#define TRIED_LOAD 1000
+
 /* A database with so many times its slots at work or waiting is saturated. */
 #define SATURATED_TIMES 2
 
@@ -38,6 +41,8 @@
 		load += OTHER_ZONE_LOAD;
 	if (candidate->primary)
 		load += PRIMARY_LOAD;
+	if (candidate->tried)
+		load += TRIED_LOAD;
 	return load;
 }
 
--- a/src/decide/spread.h
+++ b/src/decide/spread.h
@@ -12,6 +12,7 @@
 	bool usable; /* it may serve this read */
 	bool primary;
 	bool same_zone;
+	bool tried; /* with this statement, in vain */
 	uint32_t slots;
 	uint32_t in_flight;     /* of this daemon */
 	uint32_t limit;         /* of in_flight */
--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -84,10 +84,9 @@
 	} else {
 		g_ptr_array_remove_fast(server->conns, conn);
 	}
-	if (conn->operation != NULL) {
-		server->in_flight--;
+	if (conn->operation != NULL)
 		conn->operation->conn = NULL;
-	}
+	server->in_flight -= conn->operation != NULL || conn->abandoned;
 	server->unanswered -= conn->expected->len;
 	server->silent |= conn->expected->len > 0;
 	if (conn->transaction != NULL)
@@ -325,6 +324,19 @@
 	dbconn_send(conn);
 }
 
+/*
+ * Nobody waits any longer for the read on a connection.  It counts as running
+ * there until its answer comes, or the connection is given up.
+ */
+void
+dbconn_abandon(dbconn_t *conn)
+{
+	conn->operation->conn = NULL;
+	conn->operation = NULL;
+	conn->abandoned = true;
+	conn->began_us = clock_us();
+}
+
 /*
  * Forget the answer that was read.
  */
@@ -416,8 +428,12 @@
 		}
 		/* FALLTHROUGH */
 	case EXPECT_OPERATION:
-		if (operation == NULL)
+		if (operation == NULL) {
+			server->in_flight -= conn->abandoned;
+			conn->abandoned = false;
+			conn->began_us = now_us;
 			break;
+		}
 		watch_primary_answered(server, ready->position, expect.sent_us);
 		operation->ran_at = ready->position;
 		conn->operation = NULL;
@@ -585,9 +601,11 @@
 		if (i >= server->conns->len)
 			continue;
 		conn = g_ptr_array_index(server->conns, i);
-		if ((!conn->open || conn->ending) &&
+		if ((!conn->open || conn->ending || conn->abandoned) &&
 		    now_us - conn->began_us >= connect_us)
-			dbconn_fail(conn, "it does not open");
+			dbconn_fail(conn,
+			    conn->open ? "an answer does not come"
+				       : "it does not open");
 		else if (conn->operation == NULL && conn->transaction == NULL &&
 		    conn->expected->len == 0 &&
 		    (server->gone ||
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -143,6 +143,8 @@
 			    ? certain
 			    : known && may_have(server, needed, now_us));
 		candidate->same_zone = server->same_zone;
+		candidate->tried =
+		    operation->tries > 0 && operation->server == server;
 		candidate->slots = server->slots;
 		candidate->in_flight = server->in_flight;
 		candidate->limit = in_flight_limit(server, operation);
--- a/src/proxy/operation.c
+++ b/src/proxy/operation.c
@@ -10,6 +10,9 @@
 /* What waits must be offered to a database within this part of its target. */
 #define QUEUE_PERCENT 90
 
+/* A read that runs longer than this part of its target is tried elsewhere. */
+#define UNANSWERED_PERCENT 50
+
 /* While a primary changes, waiting statements are looked at so often. */
 #define WAIT_ON_US (50 * US_PER_MS)
 
@@ -245,6 +248,7 @@
 	group_t *group = group_of(pool, run->route->group);
 	operation_t *operation = operation_new(group, msg);
 
+	retry_earn(&pool->retry);
 	if (run->in_transaction)
 		begin_in_transaction(operation);
 	else
@@ -529,27 +533,57 @@
 }
 
 /*
- * End the running statements of a server whose time is over.
+ * Whether a statement on a connection is a single read that should have been
+ * answered by now, and can still be answered in time by another try.
+ */
+static bool
+unanswered(const operation_t *operation, int64_t now_us)
+{
+	int64_t patience_us = (int64_t)operation->run->route->target_ms *
+	    US_PER_MS * UNANSWERED_PERCENT / 100;
+
+	return operation->run->kind == BP__OPERATION_KIND__READ_ITEM &&
+	    operation->transaction == NULL &&
+	    operation->tries + 1 < TRIES_MAX &&
+	    now_us - operation->sent_us >= patience_us &&
+	    now_us < operation->item.deadline_us;
+}
+
+/*
+ * Look at what runs on a connection: end it when its time is over, and put a
+ * read that is not answered to a server again, as far as the budget goes.
+ */
+static void
+conn_expire(dbconn_t *conn, int64_t now_us)
+{
+	operation_t *operation = conn->operation;
+
+	if (operation == NULL)
+		return;
+	if (operation->deadline_us <= now_us) {
+		dbconn_fail(conn, "a statement took too long");
+	} else if (unanswered(operation, now_us) &&
+	    retry_spend(&operation->group->pool->retry)) {
+		dbconn_abandon(conn);
+		operation_retry(operation, BP__VERDICT__OTHER_ERROR,
+		    "no answer for half of the target");
+	}
+}
+
+/*
+ * Look at what runs at a server.
  */
 static void
 server_expire(server_t *server, int64_t now_us)
 {
-	dbconn_t *control = server->control;
 	uint32_t i = server->conns->len;
 
-	if (control != NULL && control->operation != NULL &&
-	    control->operation->deadline_us <= now_us)
-		dbconn_fail(control, "a statement took too long");
-
+	if (server->control != NULL)
+		conn_expire(server->control, now_us);
 	while (i-- > 0) {
-		dbconn_t *conn;
-
-		if (i >= server->conns->len)
-			continue;
-		conn = g_ptr_array_index(server->conns, i);
-		if (conn->operation != NULL &&
-		    conn->operation->deadline_us <= now_us)
-			dbconn_fail(conn, "a statement took too long");
+		if (i < server->conns->len)
+			conn_expire(
+			    g_ptr_array_index(server->conns, i), now_us);
 	}
 }
 
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -54,7 +54,8 @@
 	GArray *expected; /* of expect_t, oldest first */
 	bool control;     /* carries questions about the server only */
 	bool open;
-	bool ending; /* rolls back what nobody waits for */
+	bool ending;    /* rolls back what nobody waits for */
+	bool abandoned; /* runs a read that nobody waits for */
 	operation_t *operation;
 	transaction_t *transaction;
 	GPtrArray *rows; /* of the answer being read */
@@ -222,6 +223,7 @@
 	log_budget_t reports[REPORTS];
 	uint64_t counts[COUNT_POOL_COUNTERS];
 	latencies_t *latencies;
+	retry_t retry; /* of reads that are not answered */
 };
 
 /* pool.c */
@@ -244,6 +246,7 @@
 dbconn_t *dbconn_idle(server_t *, const Bp__RunOperation *);
 void dbconn_run(dbconn_t *, operation_t *, const position_t *after);
 void dbconn_roll_back(dbconn_t *);
+void dbconn_abandon(dbconn_t *);
 void dbconns_tick(server_t *, int64_t now_us);
 uint32_t dbconns_share(const server_t *);
 void dbconns_grow(server_t *, uint32_t wanted, int64_t now_us);
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -473,6 +473,48 @@
 	site_end(site);
 }
 
+typedef struct unanswered_case {
+	const char *name;
+	const char *database;
+	int32_t muted;
+	uint32_t at_most_ms; /* the target of the route */
+} unanswered_case_t;
+
+static const unanswered_case_t unanswered_cases[] = {
+    {"of a stated age, one replica silent", "lookup", 1, 1500},
+    {"of a stated age, the other silent", "lookup", 2, 1500},
+    {"of own writes, one replica silent", "quotes", 1, 400},
+    {"of own writes, the other silent", "quotes", 2, 400},
+};
+
+/*
+ * A single read whose server does not answer is put to another in time.
+ */
+static void
+test_unanswered_read(gconstpointer data)
+{
+	const unanswered_case_t *c = data;
+	site_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	site_t *site = site_start(&plan);
+	client_t *client;
+	int64_t began_us;
+	uint32_t i;
+
+	g_assert_true(site_wait_ready(site, READY_MS));
+	client = client_open(site, 0, c->database);
+	for (i = 0; i < 4; i++)
+		expect(client, "READ a", "ROW none");
+	site_fault(site, "database", "mute", c->muted);
+	for (i = 0; i < 4; i++) {
+		began_us = g_get_monotonic_time();
+		expect(client, "READ a", "ROW none");
+		g_assert_cmpint(g_get_monotonic_time() - began_us, <,
+		    c->at_most_ms * US_PER_MS);
+	}
+	client_close(client);
+	site_end(site);
+}
+
 typedef struct page_case {
 	const char *name;
 	const char *path;
@@ -888,6 +930,7 @@
 	CASES("/proxy/release", release_cases, test_release);
 	CASES("/proxy/trail", trail_cases, test_trail);
 	CASES("/proxy/page", page_cases, test_page);
+	CASES("/proxy/unanswered-read", unanswered_cases, test_unanswered_read);
 	g_test_add_func("/proxy/restarted-holder", test_restarted_holder);
 	g_test_add_func("/proxy/just-started", test_just_started);
 	g_test_add_func("/proxy/status", test_status);
