A promise seen long ago does not shorten the bar on a lease

Cause: when a lease is given back, or a newer promise is seen, the lease is barred until the databases deny a change, or a majority does for two seconds. Each look at the views set the time of the bar to that of the newer promise that is known, also when it was seen long before the lease was given back; then denials from before it, and two seconds from then, lifted the bar at once, and the lease came back beside a new primary.

Ruled out: answers that come late (each carries the time of its question).

Change: the latest sign counts.

--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -58,10 +58,13 @@
 	uint32_t i, denied = 0;
 
 	for (i = 0; i < count; i++) {
-		if (views[i].known && views[i].promised > term) {
-			lease->barred = term;
+		if (!views[i].known || views[i].promised <= term)
+			continue;
+		/* the latest sign counts */
+		if (lease->barred < term ||
+		    views[i].asked_us > lease->barred_us)
 			lease->barred_us = views[i].asked_us;
-		}
+		lease->barred = term;
 	}
 	if (lease->barred < term || lease->barred == 0)
 		return false;
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -162,6 +162,45 @@
 	g_assert_cmpint(lease.until_us, ==, c->ends ? 0 : MS(2035));
 }
 
+typedef struct bar_case {
+	const char *name;
+	int64_t seen_ms;   /* a replica's newer promise; it answers no more */
+	int64_t denied_ms; /* by the others, when they were asked */
+	int64_t given_back_ms;
+	bool renewed; /* at 3000 */
+} bar_case_t;
+
+static const bar_case_t bar_cases[] = {
+    {"denied afterwards, and for long", 100, 2900, 500, true},
+    {"denied before it was given back", 100, 2000, 2500, false},
+    {"given back a moment ago", 100, 2600, 2500, false},
+};
+
+/*
+ * A promise that was seen before does not shorten the time for which a lease
+ * that was given back stays so.
+ */
+static void
+test_bar(gconstpointer data)
+{
+	const bar_case_t *c = data;
+	lease_span_t spans = {MS(SHORT_MS), MS(LONG_MS), MS(1)};
+	db_view_t views[3] = {{true, true, false, 1, {0, 0}, MS(10)},
+	    {true, false, false, 1, {0, 0}, MS(20)},
+	    {true, false, false, 1, {0, 0}, MS(30)}};
+	lease_t lease = {0};
+
+	g_assert_true(lease_renew(&lease, views, 3, 0, MS(30), &spans));
+	views[1].promised = 2;
+	views[1].asked_us = MS(c->seen_ms);
+	lease_renew(&lease, views, 3, 0, MS(c->seen_ms), &spans);
+	lease_revoke(&lease, 3, MS(c->given_back_ms));
+	views[0].asked_us = MS(c->denied_ms);
+	views[2].asked_us = MS(c->denied_ms);
+	g_assert_cmpint(
+	    lease_renew(&lease, views, 3, 0, MS(3000), &spans), ==, c->renewed);
+}
+
 typedef struct unlist_case {
 	const char *name;
 	int64_t asked_ms; /* the replicas, the last time */
@@ -567,6 +606,7 @@
 	g_test_init(&argc, &argv, NULL);
 	CASES("/lease/until", lease_cases, test_lease);
 	CASES("/lease/revoke", revoke_cases, test_revoke);
+	CASES("/lease/bar", bar_cases, test_bar);
 	CASES("/lease/unlist", unlist_cases, test_unlist);
 	CASES("/change", change_cases, test_change);
 	CASES("/change/stuck", stuck_cases, test_stuck);
