--- a/src/proxy/duty.c
+++ b/src/proxy/duty.c
@@ -153,8 +153,9 @@
 /* An order that is being given. */
 typedef struct order {
 	registry_t *registry;
-	msg_t *msg;     /* PromotionWanted */
-	GSource *timer; /* while it waits */
+	msg_t *msg;       /* PromotionWanted */
+	GSource *timer;   /* while it waits */
+	int64_t asked_us; /* the duty's record was asked for */
 } order_t;
 
 /*
@@ -246,6 +247,8 @@
 	order_end(order, BP__PROMOTION_ANSWER__ORDER_WITHHELD);
 }
 
+static gboolean order_check(gpointer);
+
 /*
  * The duty's record was read again just before an order.
  */
@@ -260,7 +263,9 @@
 	    is_ours(registry, record) && record->token == registry->token;
 
 	arena_free(arena);
-	if (ours)
+	if (ours && clock_us() - order->asked_us > DUTY_CHECKED_US)
+		order_check(order);
+	else if (ours)
 		order_give(order);
 	else
 		order_refuse(order);
@@ -276,6 +281,7 @@
 	registry_t *registry = order->registry;
 
 	source_drop(&order->timer);
+	order->asked_us = clock_us();
 	registry->proxy->objects->get(registry->objects, OBJECTS_DUTIES,
 	    DUTY_NAME, on_duty_checked, order);
 	return G_SOURCE_REMOVE;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -1,6 +1,7 @@
 #ifndef PROXY_H
 #define PROXY_H
 
+#include "decide/promote.h"
 #include "objects.h"
 #include "settings.pb-c.h"
 #include "task.h"
@@ -44,6 +45,13 @@
 void peers_free(void *);
 void metrics_free(void *);
 
+/*
+ * An order leaves this long after the duty's record was read, at the latest;
+ * else it is read again: the process may have stood still meanwhile.
+ */
+#define DUTY_CHECKED_US (150 * US_PER_MS)
+
+void proxy_limits(const Bp__ProxyTimeouts *, promote_limits_t *);
 int32_t proxy_run(const Bp__ProxySettings *, const wire_ops_t *,
     const objects_ops_t *, const promoter_ops_t *);
 int32_t address_split(const char *text, char **address, uint32_t *port);
--- a/src/proxy/watch.c
+++ b/src/proxy/watch.c
@@ -65,25 +65,34 @@
 #define DUTY_PATIENCE_US (900 * US_PER_MS)
 #define DUTY_SPREAD_US (600 * US_PER_MS)
 
+/*
+ * How long each step of a change of primary may take.
+ */
+void
+proxy_limits(const Bp__ProxyTimeouts *timeouts, promote_limits_t *limits)
+{
+	memset(limits, 0, sizeof(*limits));
+	limits->suspect_us = (int64_t)timeouts->suspect_ms * US_PER_MS;
+	limits->distrust_us = 5 * limits->suspect_us;
+	limits->fence_us = FENCE_US;
+	limits->raise_us = RAISE_US;
+	limits->backoff_us = BACKOFF_US;
+	limits->settle_us =
+	    (int64_t)timeouts->lease_ms * US_PER_MS - PROMOTE_MIN_US;
+	limits->settle_min_us = SETTLE_MIN_US;
+	limits->catch_up_us = CATCH_UP_US;
+	limits->revocable = true;
+}
+
 /*
  * Begin to watch a group.
  */
 void
 watch_init(group_t *group, int64_t now_us)
 {
-	const Bp__ProxyTimeouts *timeouts =
-	    group->pool->proxy->settings->timeouts;
-	promote_limits_t limits = {0};
-
-	limits.suspect_us = (int64_t)timeouts->suspect_ms * US_PER_MS;
-	limits.distrust_us = 5 * limits.suspect_us;
-	limits.fence_us = FENCE_US;
-	limits.raise_us = RAISE_US;
-	limits.backoff_us = BACKOFF_US;
-	limits.settle_us = group->pool->spans.long_us - PROMOTE_MIN_US;
-	limits.settle_min_us = SETTLE_MIN_US;
-	limits.catch_up_us = CATCH_UP_US;
-	limits.revocable = true;
+	promote_limits_t limits;
+
+	proxy_limits(group->pool->proxy->settings->timeouts, &limits);
 	promote_init(&group->promote, &limits, group->count,
 	    g_rand_int(group->pool->rand), now_us);
 }
