A lease that is given back below a term bars all terms below it

Cause: the bar was put on the term of the lease that was known. A daemon that had not heard of the primary in between got a lease of that one by answers from before, after it had said that it gave its lease back. Found by the model: a daemon that was paused over a change of primary, asked at the next.

Change: all terms below the one that is asked for are barred. Tests: /lease/later (a lease began).

--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -109,7 +109,7 @@
 	if (lease->term >= term)
 		return;
 	lease->until_us = 0;
-	lease->barred = lease->term;
+	lease->barred = term - 1; /* also of a term not seen yet */
 	lease->barred_us = now_us;
 }
 
--- a/src/decide/spread.h
+++ b/src/decide/spread.h
@@ -12,11 +12,11 @@
 	bool usable; /* it may serve this read */
 	bool primary;
 	bool same_zone;
-	bool tried; /* with this statement, in vain */
 	uint32_t slots;
 	uint32_t in_flight;     /* of this daemon */
 	uint32_t limit;         /* of in_flight */
 	uint32_t reported_busy; /* slots, by its own word */
+	bool tried;             /* with this statement, in vain */
 } spread_t;
 
 int32_t spread_choose(const spread_t *, uint32_t count);
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -162,6 +162,39 @@
 	g_assert_cmpint(lease.until_us, ==, c->ends ? 0 : MS(2035));
 }
 
+typedef struct later_case {
+	const char *name;
+	uint64_t given_back; /* below this term, while term 1 is known */
+	bool begins;         /* a lease of term 2, by answers from before */
+} later_case_t;
+
+static const later_case_t later_cases[] = {
+    {"of a term that was given back unseen", 3, false},
+    {"of the term that follows", 2, true},
+};
+
+/*
+ * A lease that was given back below a term does not begin in a term before
+ * it that was not known yet.
+ */
+static void
+test_later(gconstpointer data)
+{
+	const later_case_t *c = data;
+	lease_span_t spans = {MS(SHORT_MS), MS(LONG_MS), MS(1)};
+	db_view_t views[3] = {{true, true, false, 1, {0, 0}, MS(10)},
+	    {true, false, false, 1, {0, 0}, MS(20)},
+	    {true, false, false, 1, {0, 0}, MS(30)}};
+	lease_t lease = {0};
+
+	g_assert_true(lease_renew(&lease, views, 3, 0, MS(30), &spans));
+	lease_revoke(&lease, c->given_back, MS(50));
+	views[1] = (db_view_t){true, true, false, 2, {0, 0}, MS(40)};
+	views[2] = (db_view_t){true, false, false, 2, {0, 0}, MS(45)};
+	g_assert_cmpint(
+	    lease_renew(&lease, views, 3, 1, MS(60), &spans), ==, c->begins);
+}
+
 typedef struct bar_case {
 	const char *name;
 	int64_t seen_ms;   /* a replica's newer promise; it answers no more */
@@ -607,6 +640,7 @@
 	CASES("/lease/until", lease_cases, test_lease);
 	CASES("/lease/revoke", revoke_cases, test_revoke);
 	CASES("/lease/bar", bar_cases, test_bar);
+	CASES("/lease/later", later_cases, test_later);
 	CASES("/lease/unlist", unlist_cases, test_unlist);
 	CASES("/change", change_cases, test_change);
 	CASES("/change/stuck", stuck_cases, test_stuck);
