--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -588,7 +588,18 @@
 		usable, primary, zone, 4, in_flight, 4, busy \
 	}
 
+#define TRIED(zone) \
+	{ \
+		true, false, zone, 4, 0, 4, 0, true \
+	}
+
 static const spread_case_t spread_cases[] = {
+    {"one that was tried in vain comes last",
+	{AT(true, true, true, 3, 3), TRIED(true), TRIED(false)}, 0},
+    {"but before none",
+	{AT(false, true, true, 0, 0), AT(false, false, true, 0, 0),
+	    TRIED(true)},
+	2},
     {"replicas before the primary",
 	{AT(true, true, true, 0, 0), AT(true, false, false, 1, 0),
 	    AT(true, false, false, 0, 0)},
--- a/tools/sitemodel.c
+++ b/tools/sitemodel.c
@@ -669,11 +669,13 @@
 	site_daemon_t *daemon = &model->daemons[number];
 	event_t effect = {.kind = EVENT_PROMOTE};
 	int32_t primary = promote_primary(&daemon->promote);
+	uint32_t count = model->plan->databases;
 
-	if (primary < 0 || !promote_suspects(&daemon->promote, model->now_us) ||
+	if (count == 0 || primary < 0 ||
+	    !promote_suspects(&daemon->promote, model->now_us) ||
 	    !chance(model, 20))
 		return;
-	effect.db = ((uint32_t)primary + 1) % model->plan->databases;
+	effect.db = ((uint32_t)primary + 1) % count;
 	later(model, PROMOTE_MIN_US, &effect);
 }
 
