No hold is taken back while an order may come into effect

Cause: an order without an answer is given up after 1.5 s, and the change that follows, when it fails, took its grants back; so did the holder of the duty with holds that led nowhere. The log: promotion_ordered 18.213 s, term 3; change_step_taken fence, term 4, 19.829 s; release 20.381 s; promotion_answered, accepted, 22.666 s: the platform was slow. Two cases of the model had shown the same (/sitemodel/right).

Ruled out: the check of the duty (the holder was the same throughout).

Change: a daemon remembers that an order is out; until it is refused, or its primary shows, it takes no hold back. The group is without a primary for that time.

Test: /change/order (released before).

--- a/src/decide/promote.c
+++ b/src/decide/promote.c
@@ -411,9 +411,11 @@
 	    database != promote->chosen)
 		return;
 	if (!ok) {
+		promote->ordered = promote->ordered_before;
 		back_off(promote, now_us);
 		return;
 	}
+	promote->ordered = 0;
 	promote->failures = 0;
 	promote->handover = false;
 	promote->avoid = -1;
@@ -563,7 +565,8 @@
 		enter(promote, PROMOTE_LEARNING, now_us);
 		return;
 	}
-	if (promote->limits.revocable && promise_stuck(promote, now_us)) {
+	if (promote->limits.revocable && promote->ordered == 0 &&
+	    promise_stuck(promote, now_us)) {
 		promote->odd_us = 0;
 		release_promises(promote, actions);
 	}
@@ -600,14 +603,18 @@
 }
 
 /*
- * Take back the grants of a term that leads nowhere, where that can be done.
+ * Take back the grants of a term that leads nowhere, where that can be done:
+ * not while an earlier order may come into effect, since then they are what
+ * keeps the primary before from going on.
  */
 static void
 release_grants(promote_t *promote, promote_actions_t *actions)
 {
 	uint32_t i;
 
-	for (i = 0; promote->limits.revocable && i < promote->count; i++) {
+	if (!promote->limits.revocable || promote->ordered != 0)
+		return;
+	for (i = 0; i < promote->count; i++) {
 		if (promote->granted[i] && (int32_t)i != promote->stepping_down)
 			actions->list[actions->count++] = (promote_action_t){
 			    PROMOTE_RELEASE, i, promote->term};
@@ -632,6 +639,8 @@
 		promote->chosen = (uint32_t)chosen;
 		actions->list[actions->count++] = (promote_action_t){
 		    PROMOTE_RAISE, promote->chosen, promote->term};
+		promote->ordered_before = promote->ordered;
+		promote->ordered = promote->term;
 		enter(promote, PROMOTE_RAISING, now_us);
 	} else if (now_us - promote->since_us >= promote->limits.fence_us +
 		(enough ? promote->limits.settle_us : 0)) {
--- a/src/decide/promote.h
+++ b/src/decide/promote.h
@@ -77,6 +77,9 @@
 	int64_t wait_us;                       /* BACKOFF, LEARNING: until */
 	uint64_t term;                         /* FENCING, RAISING */
 	uint32_t chosen;                       /* RAISING */
+	uint64_t ordered;        /* term of an order that may come into
+				    effect; 0: none */
+	uint64_t ordered_before; /* the same, without the one under way */
 	bool granted[GROUP_DATABASES_MAX];
 	position_t granted_at[GROUP_DATABASES_MAX];
 	int64_t granted_us;    /* the last grant came */
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -472,6 +472,70 @@
 	promote_clear(&promote);
 }
 
+typedef struct order_case {
+	const char *name;
+	bool answered; /* the order, with a refusal */
+	bool released; /* the grants of the change that follows and fails */
+} order_case_t;
+
+static const order_case_t order_cases[] = {
+    {"not while an order may come into effect", false, false},
+    {"after one that was refused", true, true},
+};
+
+/*
+ * A change of primary ends in an order; the next one fails for want of the
+ * daemons' answers.
+ */
+static void
+test_order(gconstpointer data)
+{
+	const order_case_t *c = data;
+	promote_actions_t actions;
+	db_view_t old = {true, true, false, 1, {1, 8}, 1};
+	db_view_t replica = {true, false, false, 1, {1, 8}, 1};
+	db_view_t holds = {true, false, false, 2, {1, 8}, 1};
+	bool ordered = false, released = false;
+	promote_t promote;
+	int64_t at_ms;
+	uint32_t i;
+
+	promote_init(&promote, &change_limits, 3, 1, 0);
+	promote_observed(&promote, 0, &old, 0);
+	promote_observed(&promote, 1, &replica, 0);
+	promote_observed(&promote, 2, &replica, 0);
+	for (at_ms = 0; at_ms < 20000 && !released; at_ms += 5) {
+		for (i = 1; i < 3; i++)
+			promote_alive(&promote, i, MS(at_ms));
+		if (ordered) /* the old primary is back */
+			promote_alive(&promote, 0, MS(at_ms));
+		promote_tick(&promote, MS(at_ms), &actions);
+		for (i = 0; i < actions.count; i++) {
+			const promote_action_t *action = &actions.list[i];
+
+			holds.promised = action->term;
+			if (action->kind == PROMOTE_ASK_WITNESS)
+				promote_witness_heard(&promote, promote.witness,
+				    false, MS(at_ms));
+			else if (action->kind == PROMOTE_FENCE &&
+			    action->database != 0)
+				promote_fenced(&promote, action->database,
+				    action->term, true, &holds, MS(at_ms));
+			else if (action->kind == PROMOTE_SETTLE && !ordered)
+				promote_settled(
+				    &promote, action->term, true, MS(at_ms));
+			else if (action->kind == PROMOTE_RAISE && c->answered)
+				promote_raised(&promote, action->database,
+				    action->term, false, &holds, MS(at_ms));
+			ordered |= action->kind == PROMOTE_RAISE;
+			released |= action->kind == PROMOTE_RELEASE;
+		}
+	}
+	g_assert_true(ordered);
+	g_assert_cmpint(released, ==, c->released);
+	promote_clear(&promote);
+}
+
 typedef struct position_case {
 	const char *name;
 	uint32_t database; /* 0 is primary of term 2 */
@@ -655,6 +719,7 @@
 	CASES("/lease/unlist", unlist_cases, test_unlist);
 	CASES("/change", change_cases, test_change);
 	CASES("/change/stuck", stuck_cases, test_stuck);
+	CASES("/change/order", order_cases, test_order);
 	CASES("/change/position", position_cases, test_position);
 	CASES("/relief", relief_cases, test_relief);
 	CASES("/spread", spread_cases, test_spread);
--- a/tests/t_sitemodel.c
+++ b/tests/t_sitemodel.c
@@ -90,7 +90,7 @@
 		site_model_plan_t plan = {.seed = i,
 		    .steps = STEPS,
 		    .databases = 3,
-		    .daemons = 3,
+		    .daemons = 4,
 		    .fault_permille = 12,
 		    .wrong = c->wrong};
 		site_model_result_t result;
