--- a/tests/t_sitemodel.c
+++ b/tests/t_sitemodel.c
@@ -66,14 +66,15 @@
 typedef struct wrong_case {
 	const char *name;
 	site_wrong_t wrong;
+	uint32_t daemons;
 } wrong_case_t;
 
 static const wrong_case_t wrong_cases[] = {
-    {"acknowledged without confirming the term", SITE_ACK_UNCONFIRMED},
-    {"a lease that a pause does not use up", SITE_LEASE_OVER_PAUSE},
-    {"promoted without a majority that holds", SITE_PROMOTE_UNFENCED},
-    {"an order after a pause", SITE_ORDER_OVER_PAUSE},
-    {"leases are not waited for", SITE_SETTLE_AT_ONCE},
+    {"acknowledged without confirming the term", SITE_ACK_UNCONFIRMED, 3},
+    {"a lease that a pause does not use up", SITE_LEASE_OVER_PAUSE, 3},
+    {"promoted without a majority that holds", SITE_PROMOTE_UNFENCED, 3},
+    {"an order after a pause", SITE_ORDER_OVER_PAUSE, 4},
+    {"leases are not waited for", SITE_SETTLE_AT_ONCE, 3},
 };
 
 /*
@@ -90,7 +91,7 @@
 		site_model_plan_t plan = {.seed = i,
 		    .steps = STEPS,
 		    .databases = 3,
-		    .daemons = 4,
+		    .daemons = c->daemons,
 		    .fault_permille = 12,
 		    .wrong = c->wrong};
 		site_model_result_t result;
