One way to listen for HTTP, one loop to give requests up

Read again after the review: four places made a server listen and logged the failure each in its own words (callers, operators, the balancer, metrics); they call http_listen() now, and the line says who and where. A connection that fails reads the clock once.

--- a/src/front.c
+++ b/src/front.c
@@ -1,11 +1,11 @@
 #include "front.h"
 
-#include <errno.h>
+#include "http.h"
+
 #include <string.h>
 
 /* The callers' task: HTTP with JSON. */
 
-#define PART "front"
 #define TICK_MS 50
 
 /* Enough for a client to read an answer; a task that ends waits no longer. */
@@ -215,10 +215,7 @@
 {
 	front_role_t *role = context;
 	const Bp__Settings *settings = role->daemon->settings;
-	GSocketAddress *address = g_inet_socket_address_new_from_string(
-	    settings->address, settings->caller_port);
-	GError *error = NULL;
-	bool listens;
+	int32_t error;
 
 	role->task = task;
 	role->callers = soup_server_new(NULL, NULL);
@@ -229,15 +226,12 @@
 	soup_server_add_handler(role->callers, NULL, on_request, role, NULL);
 	g_signal_connect(
 	    role->callers, "request-started", G_CALLBACK(on_started), role);
-	listens = soup_server_listen(
-	    role->callers, address, (SoupServerListenOptions)0, &error);
-	g_object_unref(address);
-	if (!listens) {
-		log_line(PART, G_LOG_LEVEL_WARNING,
-		    "Cannot listen for callers: %s.", error->message);
-		g_error_free(error);
-		return -EADDRINUSE;
-	}
+	error = http_listen(role->callers,
+	    g_inet_socket_address_new_from_string(
+		settings->address, settings->caller_port),
+	    "callers");
+	if (error < 0)
+		return error;
 	role->tick = task_timer(task, TICK_MS, on_tick, role);
 	return oper_start(role);
 }
--- a/src/http.c
+++ b/src/http.c
@@ -2,8 +2,11 @@
 
 #include "task.h"
 
+#include <errno.h>
 #include <string.h>
 
+#define PART "http"
+
 #define CONNECTIONS_MAX 8 /* two of them wait in watches */
 
 struct http {
@@ -150,3 +153,31 @@
 	g_free(http->base);
 	g_free(http);
 }
+
+/*
+ * Have a server listen for somebody on an address, whose reference is taken
+ * over; NULL stands for one that could not be read.  Returns 0, -EINVAL, or
+ * -EADDRINUSE with a line in the log.
+ */
+int32_t
+http_listen(SoupServer *server, GSocketAddress *at, const char *who)
+{
+	GError *error = NULL;
+	char *text;
+
+	if (at == NULL)
+		return -EINVAL;
+	if (!soup_server_listen(
+		server, at, (SoupServerListenOptions)0, &error)) {
+		text = g_socket_connectable_to_string(G_SOCKET_CONNECTABLE(at));
+		log_line(PART, G_LOG_LEVEL_CRITICAL,
+		    "Cannot listen for %s on %s: %s.", who, text,
+		    error->message);
+		g_free(text);
+		g_clear_object(&at);
+		g_error_free(error);
+		return -EADDRINUSE;
+	}
+	g_object_unref(at);
+	return 0;
+}
--- a/src/http.h
+++ b/src/http.h
@@ -5,7 +5,7 @@
 
 #include <libsoup/soup.h>
 
-/* HTTP calls to one address, each with a bound on its time. */
+/* HTTP calls to one address, each with a bound on its time; and listening. */
 typedef struct http http_t;
 
 /* status 0: no answer.  body is NULL or ends in a zero byte. */
@@ -18,4 +18,6 @@
     uint32_t extra_wait_ms, http_cb, void *context);
 void http_close(http_t *);
 
+int32_t http_listen(SoupServer *, GSocketAddress *, const char *who);
+
 #endif
--- a/src/oper.c
+++ b/src/oper.c
@@ -1,12 +1,11 @@
 #include "front.h"
 
-#include <errno.h>
+#include "http.h"
+
 #include <string.h>
 
 /* The operators' HTTP side: the status page and the counters. */
 
-#define PART "front"
-
 static const char *const counter_names[COUNT_FRONT_COUNTERS] = {
     [COUNT_REQUESTS] = "requests",
     [COUNT_BAD_REQUESTS] = "bad_requests",
@@ -52,20 +51,11 @@
 oper_start(front_role_t *role)
 {
 	const Bp__Settings *settings = role->daemon->settings;
-	GSocketAddress *address = g_inet_socket_address_new_from_string(
-	    settings->address, settings->operator_port);
-	GError *error = NULL;
-	bool listens;
 
 	role->operators = soup_server_new(NULL, NULL);
 	soup_server_add_handler(role->operators, NULL, on_request, role, NULL);
-	listens = soup_server_listen(
-	    role->operators, address, (SoupServerListenOptions)0, &error);
-	g_object_unref(address);
-	if (listens)
-		return 0;
-	log_line(PART, G_LOG_LEVEL_WARNING, "Cannot listen for operators: %s.",
-	    error->message);
-	g_error_free(error);
-	return -EADDRINUSE;
+	return http_listen(role->operators,
+	    g_inet_socket_address_new_from_string(
+		settings->address, settings->operator_port),
+	    "operators");
 }
--- a/src/proxy/clients.c
+++ b/src/proxy/clients.c
@@ -1,12 +1,12 @@
 #include "session.h"
 
+#include "http.h"
+
 #include <errno.h>
 #include <string.h>
 
 /* The clients' task: its listeners and its messages. */
 
-#define PART "clients"
-
 /* Of a daemon that leaves: how often sessions are looked at. */
 #define LEAVE_TICK_MS 50
 
@@ -82,24 +82,12 @@
 static int32_t
 listen_probe(clients_t *clients)
 {
-	const char *text = clients->proxy->settings->ready_address;
-	GSocketAddress *at = address_parse(text);
-	GError *error = NULL;
-	bool listens;
-
-	if (at == NULL)
-		return -EINVAL;
 	clients->probe = soup_server_new(NULL, NULL);
 	soup_server_add_handler(
 	    clients->probe, "/ready", on_probe, clients, NULL);
-	listens = soup_server_listen(clients->probe, at, 0, &error);
-	g_object_unref(at);
-	if (listens)
-		return 0;
-	log_line(PART, G_LOG_LEVEL_CRITICAL, "Cannot listen on %s: %s.", text,
-	    error->message);
-	g_error_free(error);
-	return -EADDRINUSE;
+	return http_listen(clients->probe,
+	    address_parse(clients->proxy->settings->ready_address),
+	    "the balancer");
 }
 
 /*
--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -113,14 +113,15 @@
 	operation_t *operation = conn->operation;
 	transaction_t *transaction = conn->transaction;
 	server_t *server = conn->server;
+	int64_t now_us = clock_us();
 
 	server->group->pool->counts[COUNT_CONNECTIONS_LOST]++;
 	if (conn->open || server->lost_us == 0)
 		report_connection(conn, why);
 	if (!conn->open) {
-		server->reopen_us = clock_us() + REOPEN_US;
+		server->reopen_us = now_us + REOPEN_US;
 		if (server->lost_us == 0)
-			server->lost_us = clock_us();
+			server->lost_us = now_us;
 	}
 	dbconn_close(conn);
 	if (operation != NULL)
--- a/src/proxy/metrics.c
+++ b/src/proxy/metrics.c
@@ -1,3 +1,4 @@
+#include "http.h"
 #include "proxy.h"
 #include "question.h"
 
@@ -5,8 +6,6 @@
 
 /* The operators' task: the status page and the metrics. */
 
-#define PART "metrics"
-
 typedef struct metrics {
 	const proxy_t *proxy;
 	task_t *task;
@@ -70,24 +69,14 @@
 {
 	metrics_t *metrics = context;
 	const char *text = metrics->proxy->settings->metrics_address;
-	GSocketAddress *at = text == NULL ? NULL : address_parse(text);
-	GError *error = NULL;
-	bool listens;
 
 	metrics->task = task;
-	if (at == NULL)
+	if (text == NULL)
 		return 0;
 	metrics->server = soup_server_new(NULL, NULL);
 	soup_server_add_handler(
 	    metrics->server, NULL, on_request, metrics, NULL);
-	listens = soup_server_listen(metrics->server, at, 0, &error);
-	g_object_unref(at);
-	if (listens)
-		return 0;
-	log_line(PART, G_LOG_LEVEL_CRITICAL, "Cannot listen on %s: %s.", text,
-	    error->message);
-	g_error_free(error);
-	g_clear_object(&metrics->server);
+	http_listen(metrics->server, address_parse(text), "metrics");
 	return 0;
 }
 
--- a/src/proxy/report.c
+++ b/src/proxy/report.c
@@ -107,7 +107,7 @@
 	arena_t *arena;
 
 	latencies_add(pool->latencies, run->route->database,
-	    MIN(run->route->rank, RANKS - 1), verdict, spent_us);
+	    operation->item.rank, verdict, spent_us);
 	if (!report_spend(pool, kind, now_us, &ended.left_out))
 		return;
 	arena = arena_new();
--- a/src/route.c
+++ b/src/route.c
@@ -533,39 +533,39 @@
 }
 
 /*
- * Give up requests whose answer stays out: their statement was handed to a
- * daemon that says nothing.
+ * Give up requests whose deadline was before a time.  Their statements are at
+ * other daemons, which may run them.
  */
-void
-route_expire(front_role_t *role, int64_t now_us)
+static void
+give_up(front_role_t *role, int64_t before_us, Bp__Reason reason)
 {
 	GList *all = g_hash_table_get_values(role->pending), *l;
 
 	for (l = all; l != NULL; l = l->next) {
 		pending_t *pending = l->data;
 
-		if (now_us < pending->deadline_us + SLACK_US)
+		if (pending->deadline_us > before_us)
 			continue;
 		pending->may_have_run = true;
-		pending_fail(pending, BP__REASON__DEADLINE, NULL);
+		pending_fail(pending, reason, NULL);
 	}
 	g_list_free(all);
 }
 
 /*
- * The task ends: answer what still waits.  The statements are at other
- * daemons, which may run them.
+ * Give up requests whose answer stays out: their daemon says nothing.
  */
 void
-route_end(front_role_t *role)
+route_expire(front_role_t *role, int64_t now_us)
 {
-	GList *all = g_hash_table_get_values(role->pending), *l;
-
-	for (l = all; l != NULL; l = l->next) {
-		pending_t *pending = l->data;
+	give_up(role, now_us - SLACK_US, BP__REASON__DEADLINE);
+}
 
-		pending->may_have_run = true;
-		pending_fail(pending, BP__REASON__DRAINING, NULL);
-	}
-	g_list_free(all);
+/*
+ * The task ends: answer what still waits.
+ */
+void
+route_end(front_role_t *role)
+{
+	give_up(role, INT64_MAX, BP__REASON__DRAINING);
 }
--- a/src/stats.c
+++ b/src/stats.c
@@ -1,10 +1,11 @@
 #include "stats.h"
 
+#include "decide/decide.h"
+
 #include <gsl/gsl_histogram.h>
 #include <math.h>
 #include <string.h>
 
-#define RANKS 3
 #define BINS_PER_DECADE 20
 #define DECADES 6 /* 0.01 ms to 10 s */
 #define BINS ((size_t)BINS_PER_DECADE * DECADES)
