The models share their queue of events; the site's databases in a file

Both models had the same ordered queue: tools/eventq.c. tools/sitemodel.c, 901 lines, is split by role: sitedbs.c has the databases and the platform, sitemodel.c the daemons and the run.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 BIN = $(BUILD)/bergamotplank
 TEST_LIBS = `pkg-config --libs libcurl`
 TOOLS_O = $(patsubst %,$(BUILD)/tools/%.o, \
-	figures fleet history load model queuesim sitemodel)
+	eventq figures fleet history load model queuesim sitedbs sitemodel)
 FAKES = $(BUILD)/fakedb $(BUILD)/fakeplatform $(BUILD)/fakesite
 
 all: $(BIN) $(FAKES)
@@ -82,8 +82,8 @@
     $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
 
-TESTS = t_decide t_lease t_wire t_poller t_log t_queue t_text t_history t_model t_sitemodel t_command \
-	t_proxy t_fleet t_drain t_holds
+TESTS = t_decide t_lease t_wire t_poller t_log t_queue t_text t_history t_model \
+	t_sitemodel t_command t_proxy t_fleet t_drain t_holds
 
 $(BUILD)/t_proxy: $(BUILD)/tests/fake/site.o
 $(BUILD)/t_%: $(BUILD)/tests/t_%.o $(TOOLS_O) $(BUILD)/libbergamotplank.a
--- /dev/null
+++ b/tools/eventq.h
@@ -0,0 +1,14 @@
+#ifndef EVENTQ_H
+#define EVENTQ_H
+
+#include <stdint.h>
+
+/* Events of a simulated time, in order; equal times in the order of adding. */
+typedef struct eventq eventq_t;
+
+eventq_t *eventq_new(uint32_t event_bytes);
+void eventq_free(eventq_t *);
+void eventq_add(eventq_t *, int64_t at_us, const void *event);
+int64_t eventq_take(eventq_t *, void *event);
+
+#endif
--- a/tools/model.c
+++ b/tools/model.c
@@ -1,5 +1,7 @@
 #include "model.h"
 
+#include "eventq.h"
+
 #include "../src/bergamotplank.h"
 #include "../src/decide/promote.h"
 #include "../src/decide/replica.h"
@@ -78,8 +80,6 @@
 
 /* A call to a database, or its answer. */
 typedef struct event {
-	int64_t at_us;
-	uint64_t order;
 	event_kind_t kind;
 	uint32_t owner;
 	uint32_t db;
@@ -102,8 +102,7 @@
 	const model_plan_t *plan;
 	model_result_t *result;
 	GRand *rand;
-	GSequence *events;
-	uint64_t order;
+	eventq_t *events;
 	int64_t now_us;
 	model_db_t dbs[DBS_MAX];
 	owner_t owners[OWNERS_MAX];
@@ -150,31 +149,13 @@
 	return (uint32_t)g_rand_int_range(model->rand, 0, (gint32)bound);
 }
 
-/*
- * Order events by time.
- */
-static gint
-event_compare(gconstpointer a, gconstpointer b, gpointer context)
-{
-	const event_t *x = a, *y = b;
-
-	(void)context;
-	if (x->at_us != y->at_us)
-		return x->at_us < y->at_us ? -1 : 1;
-	return x->order < y->order ? -1 : 1;
-}
-
 /*
  * Put an event into the queue, some time from now.
  */
 static void
 event_add(model_t *model, const event_t *event, int64_t delay_us)
 {
-	event_t *copy = g_memdup2(event, sizeof(*event));
-
-	copy->at_us = model->now_us + delay_us;
-	copy->order = ++model->order;
-	g_sequence_insert_sorted(model->events, copy, event_compare, NULL);
+	eventq_add(model->events, model->now_us + delay_us, event);
 }
 
 /*
@@ -802,7 +783,7 @@
 	uint32_t i;
 
 	model->rand = g_rand_new_with_seed(model->plan->seed);
-	model->events = g_sequence_new(g_free);
+	model->events = eventq_new(sizeof(event_t));
 	model->acked = g_array_new(FALSE, FALSE, sizeof(acked_t));
 	for (i = 0; i < model->plan->databases; i++)
 		model->dbs[i].log = g_array_new(FALSE, FALSE, sizeof(entry_t));
@@ -825,7 +806,7 @@
 	uint32_t i;
 
 	g_rand_free(model->rand);
-	g_sequence_free(model->events);
+	eventq_free(model->events);
 	g_array_unref(model->acked);
 	for (i = 0; i < model->plan->databases; i++)
 		g_array_unref(model->dbs[i].log);
@@ -841,11 +822,9 @@
 static void
 model_step(model_t *model)
 {
-	GSequenceIter *first = g_sequence_get_begin_iter(model->events);
-	event_t event = *(event_t *)g_sequence_get(first);
+	event_t event;
 
-	g_sequence_remove(first);
-	model->now_us = event.at_us;
+	model->now_us = eventq_take(model->events, &event);
 	step(model, &event);
 	model->result->steps++;
 }
