--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -129,6 +129,25 @@
 	g_assert_cmpint(lease.until_us, ==, MS(1250));
 }
 
+/* Of a daemon that was listed before all questions. */
+static const lease_span_t listed = {MS(SHORT_MS), MS(LONG_MS), MS(1)};
+
+/*
+ * Begin a lease of database 0 in a term; the questions were put at 10, 20 and
+ * 30.
+ */
+static void
+lease_begin(lease_t *lease, db_view_t views[3], uint64_t term)
+{
+	uint32_t i;
+
+	memset(lease, 0, sizeof(*lease));
+	for (i = 0; i < 3; i++)
+		views[i] = (db_view_t){true, i == 0, false, term, {0, 0},
+		    MS(10 * ((int64_t)i + 1))};
+	g_assert_true(lease_renew(lease, views, 3, 0, MS(30), &listed));
+}
+
 typedef struct revoke_case {
 	const char *name;
 	uint64_t term; /* given back below this one */
@@ -148,17 +167,14 @@
 test_revoke(gconstpointer data)
 {
 	const revoke_case_t *c = data;
-	lease_span_t spans = {MS(SHORT_MS), MS(LONG_MS), MS(1)};
-	db_view_t views[3] = {{true, true, false, 2, {0, 0}, MS(10)},
-	    {true, false, false, 2, {0, 0}, MS(20)},
-	    {true, false, false, 2, {0, 0}, MS(30)}};
-	lease_t lease = {0};
+	db_view_t views[3];
+	lease_t lease;
 
-	g_assert_true(lease_renew(&lease, views, 3, 0, MS(30), &spans));
+	lease_begin(&lease, views, 2);
 	lease_revoke(&lease, c->term, MS(40));
 	g_assert_cmpint(lease.until_us, ==, c->ends ? 0 : MS(2030));
 	views[1].asked_us = MS(35); /* put before it was given back */
-	lease_renew(&lease, views, 3, 0, MS(45), &spans);
+	lease_renew(&lease, views, 3, 0, MS(45), &listed);
 	g_assert_cmpint(lease.until_us, ==, c->ends ? 0 : MS(2035));
 }
 
@@ -181,18 +197,15 @@
 test_later(gconstpointer data)
 {
 	const later_case_t *c = data;
-	lease_span_t spans = {MS(SHORT_MS), MS(LONG_MS), MS(1)};
-	db_view_t views[3] = {{true, true, false, 1, {0, 0}, MS(10)},
-	    {true, false, false, 1, {0, 0}, MS(20)},
-	    {true, false, false, 1, {0, 0}, MS(30)}};
-	lease_t lease = {0};
+	db_view_t views[3];
+	lease_t lease;
 
-	g_assert_true(lease_renew(&lease, views, 3, 0, MS(30), &spans));
+	lease_begin(&lease, views, 1);
 	lease_revoke(&lease, c->given_back, MS(50));
 	views[1] = (db_view_t){true, true, false, 2, {0, 0}, MS(40)};
 	views[2] = (db_view_t){true, false, false, 2, {0, 0}, MS(45)};
 	g_assert_cmpint(
-	    lease_renew(&lease, views, 3, 1, MS(60), &spans), ==, c->begins);
+	    lease_renew(&lease, views, 3, 1, MS(60), &listed), ==, c->begins);
 }
 
 typedef struct bar_case {
@@ -217,21 +230,18 @@
 test_bar(gconstpointer data)
 {
 	const bar_case_t *c = data;
-	lease_span_t spans = {MS(SHORT_MS), MS(LONG_MS), MS(1)};
-	db_view_t views[3] = {{true, true, false, 1, {0, 0}, MS(10)},
-	    {true, false, false, 1, {0, 0}, MS(20)},
-	    {true, false, false, 1, {0, 0}, MS(30)}};
-	lease_t lease = {0};
+	db_view_t views[3];
+	lease_t lease;
 
-	g_assert_true(lease_renew(&lease, views, 3, 0, MS(30), &spans));
+	lease_begin(&lease, views, 1);
 	views[1].promised = 2;
 	views[1].asked_us = MS(c->seen_ms);
-	lease_renew(&lease, views, 3, 0, MS(c->seen_ms), &spans);
+	lease_renew(&lease, views, 3, 0, MS(c->seen_ms), &listed);
 	lease_revoke(&lease, 3, MS(c->given_back_ms));
 	views[0].asked_us = MS(c->denied_ms);
 	views[2].asked_us = MS(c->denied_ms);
-	g_assert_cmpint(
-	    lease_renew(&lease, views, 3, 0, MS(3000), &spans), ==, c->renewed);
+	g_assert_cmpint(lease_renew(&lease, views, 3, 0, MS(3000), &listed), ==,
+	    c->renewed);
 }
 
 typedef struct unlist_case {
