Tasks begin their part of the status page in one place

Five tasks made the same message with its id and their counters; they call counters_answer() now. No change of behaviour: /proxy/page, /proxy/status and t_command pass as before.

--- a/src/group.c
+++ b/src/group.c
@@ -574,17 +574,14 @@
 static void
 on_status(void *context, msg_t *msg)
 {
-	const Bp__StatusWanted *wanted = (const Bp__StatusWanted *)msg->body;
 	group_role_t *role = context;
 	counters_t counters = {
 	    counter_names, role->counts, COUNT_GROUP_COUNTERS, 0};
-	msg_t *out = msg_new(&bp__status_part__descriptor);
+	msg_t *out = counters_answer(&counters, msg);
 	Bp__StatusPart *part = (Bp__StatusPart *)out->body;
 	GHashTableIter iter;
 	gpointer value;
 
-	part->id = wanted->id;
-	counters_report(&counters, out->arena, part);
 	latencies_report(role->latencies, out->arena, part);
 	part->groups = arena_zero(out->arena,
 	    sizeof(part->groups[0]) * (g_hash_table_size(role->groups) + 1));
--- a/src/platform.c
+++ b/src/platform.c
@@ -664,18 +664,13 @@
 static void
 on_status(void *context, msg_t *msg)
 {
-	const Bp__StatusWanted *wanted = (const Bp__StatusWanted *)msg->body;
 	platform_role_t *role = context;
 	counters_t counters = {
 	    counter_names, role->counts, COUNT_PLATFORM_COUNTERS, 1};
-	msg_t *out = msg_new(&bp__status_part__descriptor);
-	Bp__StatusPart *part = (Bp__StatusPart *)out->body;
 
 	role->counts[COUNT_PLATFORM_AGE_MS] =
 	    (uint64_t)(clock_us() - role->heard_us) / US_PER_MS;
-	part->id = wanted->id;
-	counters_report(&counters, out->arena, part);
-	task_send(msg->from, role->task, out);
+	task_send(msg->from, role->task, counters_answer(&counters, msg));
 	msg_free(msg);
 }
 
--- a/src/proxy/clients.c
+++ b/src/proxy/clients.c
@@ -275,13 +275,9 @@
 	clients_t *clients = context;
 	counters_t counters = {
 	    counter_names, clients->counts, COUNT_CLIENTS_COUNTERS, 1};
-	msg_t *out = msg_new(&bp__status_part__descriptor);
-	Bp__StatusPart *part = (Bp__StatusPart *)out->body;
 
 	clients->counts[COUNT_SESSIONS] = g_hash_table_size(clients->sessions);
-	part->id = ((const Bp__StatusWanted *)msg->body)->id;
-	counters_report(&counters, out->arena, part);
-	task_send(msg->from, clients->task, out);
+	task_send(msg->from, clients->task, counters_answer(&counters, msg));
 	msg_free(msg);
 }
 
--- a/src/proxy/page.c
+++ b/src/proxy/page.c
@@ -77,17 +77,17 @@
 	pool_t *pool = context;
 	counters_t counters = {
 	    counter_names, pool->counts, COUNT_POOL_COUNTERS, POOL_GAUGES};
-	msg_t *out = msg_new(&bp__status_part__descriptor);
-	Bp__StatusPart *part = (Bp__StatusPart *)out->body;
 	int64_t now_us = clock_us();
 	GHashTableIter iter;
+	Bp__StatusPart *part;
 	gpointer value;
+	msg_t *out;
 
 	pool->counts[COUNT_TRANSACTIONS_OPEN] =
 	    g_hash_table_size(pool->transactions);
 	pool->counts[COUNT_DAEMONS] = pool->daemons;
-	part->id = ((const Bp__StatusWanted *)msg->body)->id;
-	counters_report(&counters, out->arena, part);
+	out = counters_answer(&counters, msg);
+	part = (Bp__StatusPart *)out->body;
 	latencies_report(pool->latencies, out->arena, part);
 	part->groups = arena_zero(out->arena,
 	    sizeof(part->groups[0]) * (g_hash_table_size(pool->groups) + 1));
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -525,12 +525,8 @@
 	};
 	counters_t counters = {counter_names, counts, COUNT_REGISTRY_COUNTERS,
 	    COUNT_REGISTRY_COUNTERS};
-	msg_t *out = msg_new(&bp__status_part__descriptor);
-	Bp__StatusPart *part = (Bp__StatusPart *)out->body;
 
-	part->id = ((const Bp__StatusWanted *)msg->body)->id;
-	counters_report(&counters, out->arena, part);
-	task_send(msg->from, registry->task, out);
+	task_send(msg->from, registry->task, counters_answer(&counters, msg));
 	msg_free(msg);
 }
 
--- a/src/stats.c
+++ b/src/stats.c
@@ -50,6 +50,20 @@
 	}
 }
 
+/*
+ * Begin a task's answer to StatusWanted: a StatusPart with its counters.
+ */
+msg_t *
+counters_answer(const counters_t *counters, const msg_t *wanted)
+{
+	msg_t *out = msg_new(&bp__status_part__descriptor);
+	Bp__StatusPart *part = (Bp__StatusPart *)out->body;
+
+	part->id = ((const Bp__StatusWanted *)wanted->body)->id;
+	counters_report(counters, out->arena, part);
+	return out;
+}
+
 /*
  * Make a histogram with bins that grow by a constant factor.
  */
--- a/src/stats.h
+++ b/src/stats.h
@@ -2,6 +2,7 @@
 #define STATS_H
 
 #include "bergamotplank.h"
+#include "task.h"
 #include "task.pb-c.h"
 
 /* Counters of one task: a fixed list of names, counted without locks. */
@@ -20,6 +21,7 @@
 typedef struct latencies latencies_t;
 
 void counters_report(const counters_t *, arena_t *, Bp__StatusPart *);
+msg_t *counters_answer(const counters_t *, const msg_t *wanted);
 
 latencies_t *latencies_new(const ProtobufCEnumDescriptor *outcomes);
 void latencies_free(latencies_t *);
