--- a/review/stand/cases.c
+++ b/review/stand/cases.c
@@ -401,7 +401,128 @@
 	return broken;
 }
 
+/* ---- a handover while a daemon is being stopped ---- */
+
+#define WRITES_MAX 100000
+#define ROUNDS 2
+#define TERM_GAP_MS 1200
+
+static int64_t acked_ms[WRITES_MAX]; /* by the number in the value */
+static volatile int writes_sent;
+static volatile bool ended;
+static volatile int stale_reads, reads_done;
+
+/* Write T-1 through the daemon that stays, a new number each time. */
+static void *
+write_numbers(void *unused)
+{
+	client_t *c = NULL;
+	answer_t answer;
+	char id[16], statement[64], *text;
+	int i;
+
+	(void)unused;
+	for (i = 1; !ended && i < WRITES_MAX; i++) {
+		if (c == NULL && (c = client_open(0, "intake")) == NULL)
+			continue;
+		snprintf(id, sizeof(id), "w%d", i);
+		snprintf(statement, sizeof(statement), "WRITE T-1 %d", i);
+		writes_sent = i;
+		text = client_query(c, id, statement, 2500, &answer);
+		if (is_done(text))
+			acked_ms[i] = now_ms();
+		if (text == NULL) {
+			client_close(c);
+			c = NULL;
+		}
+		free(text);
+		sleep_ms(2);
+	}
+	return NULL;
+}
+
+/* Read T-1 in a session at a daemon, until the daemon ends it. */
+static void *
+read_numbers(void *daemon)
+{
+	int number = (int)(intptr_t)daemon, i, j, value;
+	client_t *c = client_open(number, "intake");
+	answer_t answer;
+	char id[16], *text;
+	int64_t sent_ms;
+
+	for (i = 1; c != NULL && !ended; i++) {
+		snprintf(id, sizeof(id), "r%d-%d", number, i);
+		sent_ms = now_ms();
+		text = client_query(c, id, "READ T-1", 2500, &answer);
+		value = atoi(answer.first_row);
+		reads_done += is_done(text);
+		for (j = value + 1; is_done(text) && j <= writes_sent; j++) {
+			if (acked_ms[j] == 0 || acked_ms[j] >= sent_ms)
+				continue;
+			record("STALE: the read %s got %d, though the write "
+			       "w%d was acknowledged %ld ms before it was sent",
+			    id, value, j, (long)(sent_ms - acked_ms[j]));
+			stale_reads++;
+			break;
+		}
+		if (text == NULL)
+			break;
+		free(text);
+		sleep_ms(1);
+	}
+	if (c != NULL)
+		client_close(c);
+	return NULL;
+}
+
+static int
+run_handover(bool trouble)
+{
+	int round, i;
+	long before;
+
+	lag_ms = 60;
+	daemons_begin(3, cloud_port);
+	thread_start(write_numbers, NULL);
+	for (round = 0; round < ROUNDS; round++) {
+		for (i = 1; i < 3; i++)
+			thread_start(read_numbers, (void *)(intptr_t)i);
+		sleep_ms(1000);
+		if (trouble)
+			daemon_signal(1, SIGTERM);
+		sleep_ms(TERM_GAP_MS);
+		if (trouble)
+			daemon_signal(2, SIGTERM);
+		sleep_ms(100);
+		before = promotions;
+		database_drain(primary_number());
+		for (i = 0; i < 600 && promotions == before; i++)
+			sleep_ms(5);
+		if (promotions == before)
+			cannot_run("no database was promoted");
+		sleep_ms(4000);
+		for (i = 1; i < 3; i++) {
+			if (trouble && round + 1 < ROUNDS) {
+				daemon_wait_end(i);
+				daemon_start(i, cloud_port);
+			}
+			if (!trouble || round + 1 < ROUNDS)
+				daemon_wait_ready(i, 5000);
+		}
+		sleep_ms(2000);
+	}
+	ended = true;
+	sleep_ms(300);
+	if (reads_done == 0)
+		cannot_run("no read was answered");
+	record("%d reads were answered, %d of them stale", reads_done,
+	    stale_reads);
+	return stale_reads > 0;
+}
+
 const case_t cases[] = {
+    {"handover", run_handover},
     {"framing", run_framing},
     {"prepare", run_prepare},
     {"large", run_large},
--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -172,7 +172,7 @@
 	return true;
 }
 
-static void
+void
 thread_start(void *(*run)(void *), void *context)
 {
 	pthread_t thread;
@@ -415,13 +415,13 @@
 typedef struct entry {
 	long term;
 	char *item, *value;
+	int64_t received_ms;
 } entry_t;
 
 struct database {
 	int number, port, listener;
 	bool primary;
 	long term;         /* that it leads or follows */
-	long log_term;     /* of its position */
 	long paused;       /* 0: not paused */
 	entry_t log[16384];
 	int length;
@@ -437,6 +437,7 @@
 };
 
 database_t databases[DATABASES];
+int64_t lag_ms = 8; /* time after which a replica applies what it received */
 int rows_of_large, row_bytes_of_large;
 static long proofs;
 
@@ -494,14 +495,39 @@
 	return newest;
 }
 
+/* received_ms: 0: it is applied at once */
 static void
-log_append(database_t *db, long term, const char *item, const char *value)
+log_append(database_t *db, long term, const char *item, const char *value,
+    int64_t received_ms)
 {
 	db->log[db->length].term = term;
+	db->log[db->length].received_ms = received_ms;
 	db->log[db->length].item = strdup(item);
 	db->log[db->length++].value = strdup(value);
 }
 
+/* Return the number of entries that a database has applied. */
+static int
+applied(const database_t *db)
+{
+	int length = db->length;
+
+	while (!db->primary && length > 0 &&
+	    db->log[length - 1].received_ms != 0 &&
+	    now_ms() - db->log[length - 1].received_ms < lag_ms)
+		length--;
+	return length;
+}
+
+/* Return the term of the position after a number of entries. */
+static long
+position_term(const database_t *db, int length)
+{
+	if (db->primary)
+		return db->term;
+	return length == 0 ? 1 : db->log[length - 1].term;
+}
+
 /* Let the replicas that reach the newest primary receive its log. */
 static void
 replicate(void)
@@ -536,9 +562,10 @@
 		while (db->length < primary->length) {
 			const entry_t *entry = &primary->log[db->length];
 
-			log_append(db, entry->term, entry->item, entry->value);
+			log_append(db, entry->term, entry->item, entry->value,
+			    now_ms());
 		}
-		db->term = db->log_term = primary->term;
+		db->term = primary->term;
 	}
 }
 
@@ -619,6 +646,20 @@
 	return at_ms;
 }
 
+/* Return the number of the newest primary, or -1. */
+int
+primary_number(void)
+{
+	const database_t *primary;
+	int number;
+
+	pthread_mutex_lock(&lock);
+	primary = newest_primary();
+	number = primary == NULL ? -1 : primary->number;
+	pthread_mutex_unlock(&lock);
+	return number;
+}
+
 /* Tell whether the newest primary has a value in its log. */
 bool
 value_kept(const char *value)
@@ -706,9 +747,10 @@
 static void
 ready(session_t *s)
 {
-	long term = s->db->primary ? s->db->term : s->db->log_term;
+	int length = applied(s->db);
 
-	append(&s->out, "READY %c %ld.%d\r\n", s->state, term, s->db->length);
+	append(&s->out, "READY %c %ld.%d\r\n", s->state,
+	    position_term(s->db, length), length);
 }
 
 static void
@@ -737,7 +779,7 @@
 
 	append(&s->out, "ROW %s %ld %ld.%d %ld 0 0 %d\r\n",
 	    db->primary ? "primary" : "replica", db->term,
-	    db->primary ? db->term : db->log_term, db->length, db->paused,
+	    position_term(db, db->length), db->length, db->paused,
 	    db->connections);
 	done(s, false);
 }
@@ -759,7 +801,7 @@
 		done(s, true);
 		return;
 	}
-	for (j = s->db->length - 1; j >= 0; j--) {
+	for (j = applied(s->db) - 1; j >= 0; j--) {
 		if (strcmp(s->db->log[j].item, item) == 0)
 			break;
 	}
@@ -777,7 +819,7 @@
 		s->pending[s->pending_count++].value = strdup(value);
 		done(s, true);
 	} else {
-		log_append(s->db, s->db->term, item, value);
+		log_append(s->db, s->db->term, item, value, 0);
 		replicate();
 		done(s, true);
 	}
@@ -795,9 +837,9 @@
 		&used) == 2 &&
 	    used > 0) {
 		text += used;
-		term = db->primary ? db->term : db->log_term;
+		term = position_term(db, applied(db));
 		if (after_term > term ||
-		    (after_term == term && after_number > db->length)) {
+		    (after_term == term && after_number > applied(db))) {
 			fail(s, "LAGGING here");
 			return;
 		}
@@ -873,7 +915,7 @@
 		note_run(s, id, text, s->pending_count > 0);
 		for (i = 0; i < s->pending_count; i++)
 			log_append(db, db->term, s->pending[i].item,
-			    s->pending[i].value);
+			    s->pending[i].value, 0);
 		s->pending_count = 0;
 		s->state = 'I';
 		s->read_only = false;
@@ -1035,7 +1077,7 @@
 			databases[i].paused = 0;
 		}
 		databases[number].primary = true;
-		databases[number].term = databases[number].log_term = term + 1;
+		databases[number].term = term + 1;
 		databases[number].led_ms = now_ms();
 		led[term + 1] = (led_t){number, now_ms()};
 		promotions++;
@@ -1195,7 +1237,7 @@
 		db->number = i;
 		db->listener = listen_on_free_port(&db->port);
 		db->primary = i == 0;
-		db->term = db->log_term = 1;
+		db->term = 1;
 		db->joined_ms = -10000;
 		database_register(db);
 		thread_start(database_listen, db);
@@ -1274,6 +1316,15 @@
 	}
 }
 
+/* Wait for the end of a daemon that was told to stop. */
+void
+daemon_wait_end(int number)
+{
+	waitpid(daemons[number].pid, NULL, 0);
+	daemons[number].pid = 0;
+	record("front-z-a-%d has ended", number + 1);
+}
+
 /* Return the memory that a daemon uses, in MB, or 0 if it has ended. */
 long
 daemon_memory_mb(int number)
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -3,6 +3,7 @@
 
 #include <fcntl.h>
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 #include <sys/types.h>
 
@@ -66,6 +67,7 @@
 extern int cloud_port;
 extern bool lower_token_seen;
 extern long promotions;
+extern int64_t lag_ms;
 extern int rows_of_large, row_bytes_of_large;
 
 int64_t now_ms(void);
@@ -77,11 +79,14 @@
 void database_drain(int number);
 int64_t term_began_ms(long term, int *number);
 bool value_kept(const char *value);
+int primary_number(void);
+void thread_start(void *(*run)(void *), void *context);
 void store_stop(void);
 void store_return(const int64_t *after_ms);
 int runs_get(const run_t **);
 void daemon_start(int number, int cloud);
 void daemon_signal(int number, int signal_number);
+void daemon_wait_end(int number);
 long daemon_memory_mb(int number);
 void daemons_stop(void);
 bool daemon_wait_ready(int number, int64_t ms);
