--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -1519,7 +1519,7 @@
 relay_run(void *context)
 {
 	relay_t *relay = context;
-	char bytes[65536];
+	char bytes[65536], byte;
 	ssize_t n;
 
 	while ((n = recv(relay->from, bytes, sizeof(bytes), 0)) > 0) {
@@ -1535,6 +1535,14 @@
 			pthread_mutex_unlock(&lock);
 			sleep_ms(relay->stall->resend_at_ms - now_ms());
 			pthread_mutex_lock(&lock);
+			/* lost if their sender has reset the connection */
+			if (recv(relay->from, &byte, 1,
+				MSG_PEEK | MSG_DONTWAIT) < 0 &&
+			    errno == ECONNRESET) {
+				record("the sender has reset the connection");
+				pthread_mutex_unlock(&lock);
+				break;
+			}
 		}
 		pthread_mutex_unlock(&lock);
 		if (!send_all(relay->to, bytes, (size_t)n))
