Review, case 3: the store answers 503 while it is down

Tried: an outage in which the store answers 503 in place of silence, and an entry of the old primary that is back after 0.1 s.

--- a/review/stand/cases.c
+++ b/review/stand/cases.c
@@ -261,7 +261,7 @@
 static int
 run_relisting(bool trouble)
 {
-	static const int64_t after_ms[DATABASES] = {300, 1200, 1200};
+	static const int64_t after_ms[DATABASES] = {100, 1200, 1200};
 	int64_t led_ms = 0, joined_ms = 0;
 	answer_t answer;
 	char *text = NULL, id[16];
--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -216,7 +216,7 @@
 static object_t objects[256];
 static int objects_count;
 static long revision = 100;
-bool store_down; /* requests are not answered, and nothing is done */
+bool store_down; /* requests get 503, and nothing is done */
 
 static object_t *
 object_find(const char *kind, const char *name)
@@ -1137,6 +1137,7 @@
 	text_t out = {NULL, 0}, reply;
 	ssize_t n;
 	int code;
+	bool cut_off;
 
 	while ((n = recv(http->fd, in + size, room - size - 1, 0)) > 0) {
 		size += (size_t)n;
@@ -1152,22 +1153,14 @@
 		if (sscanf(in, "%15s %511s", method, path) != 2)
 			break;
 		pthread_mutex_lock(&lock);
-		if (!http->cloud && store_down) {
-			while (store_down)
-				wait_changed(1000);
-			pthread_mutex_unlock(&lock);
-			break;
-		}
 		out.size = 0;
 		code = http->cloud ? cloud_request(in, end + 4)
+		    : store_down   ? 503
 				   : store_request(method, path, end + 4, &out);
-		if (!http->cloud && store_down) {
-			while (store_down)
-				wait_changed(1000);
-			pthread_mutex_unlock(&lock);
-			break;
-		}
+		cut_off = !http->cloud && store_down && code != 503;
 		pthread_mutex_unlock(&lock);
+		if (cut_off)
+			break; /* a watch that waited when the store went down */
 		reply = (text_t){NULL, 0};
 		append(&reply,
 		    "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
