A request that times out has its connection reset

Cause, first part: a request that timed out was cancelled, which closed its connection without a reset. What the network had held up stayed on its way, and was carried out when the link was back. The same holds for a process that is killed, since the kernel goes on to send.

Change: connections of the HTTP client are closed with a reset (SO_LINGER 0), and the kernel gives up what is not acknowledged within the timeout of the client (TCP_USER_TIMEOUT). This holds for all calls: orders, and writes of the store.

Evidence: /http/unanswered, both rows, failed before: the server read the end of the connection (0), not a reset (-1).

An order that the platform has taken, and carries out late, is not stopped by a reset at all.

--- a/src/http.c
+++ b/src/http.c
@@ -3,7 +3,10 @@
 #include "task.h"
 
 #include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define LOG_PART "http"
 
@@ -58,6 +61,36 @@
 	return http;
 }
 
+/*
+ * Set up a connection that was just opened for a request.  If it is closed
+ * before the response is complete, it is reset, also when the process is
+ * killed, so that a request that is still on its way is dropped.  Otherwise the
+ * kernel would go on to send it, and the server might carry it out long after
+ * its timeout.  A process that does not run in that time has its connections
+ * ended by the kernel.
+ */
+static void
+on_network_event(SoupMessage *message, GSocketClientEvent event,
+    GIOStream *stream, gpointer context)
+{
+	static const struct linger reset = {.l_onoff = 1, .l_linger = 0};
+	const http_client_t *http = context;
+	GSocket *socket;
+
+	(void)message;
+	if (event != G_SOCKET_CLIENT_CONNECTED ||
+	    !G_IS_SOCKET_CONNECTION(stream))
+		return;
+	socket = g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream));
+	if (setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &reset,
+		sizeof(reset)) != 0)
+		log_line(LOG_PART, G_LOG_LEVEL_WARNING,
+		    "Cannot have connections to %s reset: %s.", http->base_url,
+		    g_strerror(errno));
+	(void)g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+	    (gint)http->timeout_ms, NULL);
+}
+
 /*
  * Create a request.  http_request_send() takes it over.
  */
@@ -67,6 +100,8 @@
 	char *url = g_strconcat(http->base_url, path, NULL);
 	SoupMessage *message = soup_message_new(method, url);
 
+	g_signal_connect(
+	    message, "network-event", G_CALLBACK(on_network_event), http);
 	g_free(url);
 	return message;
 }
@@ -106,7 +141,7 @@
 }
 
 /*
- * Cancel a request that has timed out.
+ * Cancel a request that has timed out, which resets its connection.
  */
 static gboolean
 on_timeout(gpointer context)
--- a/tests/t_http.c
+++ b/tests/t_http.c
@@ -203,6 +203,55 @@
 	g_free(address);
 }
 
+typedef struct unanswered_case {
+	const char *name;
+	bool freed; /* the client is freed; otherwise the request times out */
+} unanswered_case_t;
+
+static const unanswered_case_t unanswered_cases[] = {
+    {"that times out", false},
+    {"of a client that is freed", true},
+};
+
+/*
+ * Test that the connection of a request without a response is reset, not just
+ * closed: an order that is held up in the network must not be carried out
+ * seconds after it was given up.
+ */
+static void
+test_unanswered(gconstpointer data)
+{
+	static const response_case_t silent = {.name = "silent"};
+	const unanswered_case_t *c = data;
+	part_server_t server = {.c = &silent};
+	char *address = server_start(&server);
+	http_client_t *http = http_client_new(address, TIMEOUT_MS);
+	result_t result = {0};
+	GError *error = NULL;
+	char bytes[1024];
+	GSocket *socket;
+	gssize n;
+
+	http_request_send(http, http_request_new(http, "POST", "/order"), "{}",
+	    0, on_result, &result);
+	while (server.connection == NULL || (!c->freed && !result.ended))
+		g_main_context_iteration(NULL, TRUE);
+	if (c->freed)
+		http_client_free(http);
+	socket = g_socket_connection_get_socket(server.connection);
+	/* a reset also drops what was received and not read yet */
+	while ((n = g_socket_receive(
+		    socket, bytes, sizeof(bytes), NULL, &error)) > 0)
+		;
+	g_assert_cmpint(n, ==, -1);
+	g_assert_error(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_CLOSED);
+	g_clear_error(&error);
+	if (!c->freed)
+		http_client_free(http);
+	server_stop(&server);
+	g_free(address);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -212,5 +261,6 @@
 	g_test_init(&argc, &argv, NULL);
 	CASES("/http/response", response_cases, test_response);
 	g_test_add_func("/http/free", test_free);
+	CASES("/http/unanswered", unanswered_cases, test_unanswered);
 	return g_test_run();
 }
