--- a/gen/catalog.pb-c.c
+++ b/gen/catalog.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &bp__recorded_order__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__open_order__init
+                     (Bp__OpenOrder         *message)
+{
+  static const Bp__OpenOrder init_value = BP__OPEN_ORDER__INIT;
+  *message = init_value;
+}
+size_t bp__open_order__get_packed_size
+                     (const Bp__OpenOrder *message)
+{
+  assert(message->base.descriptor == &bp__open_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__open_order__pack
+                     (const Bp__OpenOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__open_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__open_order__pack_to_buffer
+                     (const Bp__OpenOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__open_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__OpenOrder *
+       bp__open_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__OpenOrder *)
+     protobuf_c_message_unpack (&bp__open_order__descriptor,
+                                allocator, len, data);
+}
+void   bp__open_order__free_unpacked
+                     (Bp__OpenOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__open_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__daemon_record__init
                      (Bp__DaemonRecord         *message)
 {
@@ -802,7 +847,7 @@
 static const uint64_t bp__recorded_order__base_term__default_value = 0ull;
 static const uint64_t bp__recorded_order__base_index__default_value = 0ull;
 static const uint64_t bp__recorded_order__era__default_value = 0ull;
-static const ProtobufCFieldDescriptor bp__recorded_order__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bp__recorded_order__field_descriptors[7] =
 {
   {
     "group",
@@ -876,6 +921,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__RecordedOrder, n_open),
+    offsetof(Bp__RecordedOrder, open),
+    &bp__open_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__recorded_order__field_indices_by_name[] = {
   2,   /* field[2] = attempt_term */
@@ -883,12 +940,13 @@
   3,   /* field[3] = base_term */
   5,   /* field[5] = era */
   0,   /* field[0] = group */
+  6,   /* field[6] = open */
   1,   /* field[1] = replaced_term */
 };
 static const ProtobufCIntRange bp__recorded_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bp__recorded_order__descriptor =
 {
@@ -898,13 +956,90 @@
   "Bp__RecordedOrder",
   "bp",
   sizeof(Bp__RecordedOrder),
-  6,
+  7,
   bp__recorded_order__field_descriptors,
   bp__recorded_order__field_indices_by_name,
   1,  bp__recorded_order__number_ranges,
   (ProtobufCMessageInit) bp__recorded_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__open_order__field_descriptors[4] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__OpenOrder, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt_term",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__OpenOrder, attempt_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replaced_term",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__OpenOrder, replaced_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__OpenOrder, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__open_order__field_indices_by_name[] = {
+  1,   /* field[1] = attempt_term */
+  3,   /* field[3] = left_ms */
+  2,   /* field[2] = replaced_term */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange bp__open_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor bp__open_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.OpenOrder",
+  "OpenOrder",
+  "Bp__OpenOrder",
+  "bp",
+  sizeof(Bp__OpenOrder),
+  4,
+  bp__open_order__field_descriptors,
+  bp__open_order__field_indices_by_name,
+  1,  bp__open_order__number_ranges,
+  (ProtobufCMessageInit) bp__open_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const double bp__daemon_record__weight__default_value = 1;
 static const protobuf_c_boolean bp__daemon_record__leases__default_value = 1;
 static const ProtobufCFieldDescriptor bp__daemon_record__field_descriptors[6] =
--- a/gen/catalog.pb-c.h
+++ b/gen/catalog.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Bp__Catalog Bp__Catalog;
 typedef struct Bp__DutyRecord Bp__DutyRecord;
 typedef struct Bp__RecordedOrder Bp__RecordedOrder;
+typedef struct Bp__OpenOrder Bp__OpenOrder;
 typedef struct Bp__DaemonRecord Bp__DaemonRecord;
 
 
@@ -213,10 +214,38 @@
    */
   protobuf_c_boolean has_era;
   uint64_t era;
+  size_t n_open;
+  Bp__OpenOrder **open;
 };
 #define BP__RECORDED_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__recorded_order__descriptor) \
-    , NULL, 0, 0, 0, 0ull, 0, 0ull, 0, 0ull }
+    , NULL, 0, 0, 0, 0ull, 0, 0ull, 0, 0ull, 0,NULL }
+
+
+/*
+ * An order to promote a server that may still take effect: it was sent, or is
+ * about to be, and its outcome is not known.
+ */
+struct  Bp__OpenOrder
+{
+  ProtobufCMessage base;
+  char *server;
+  /*
+   * term that it is for
+   */
+  uint64_t attempt_term;
+  /*
+   * newest term whose primary it was to replace
+   */
+  uint64_t replaced_term;
+  /*
+   * time for which it may take effect
+   */
+  uint32_t left_ms;
+};
+#define BP__OPEN_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__open_order__descriptor) \
+    , NULL, 0, 0, 0 }
 
 
 /*
@@ -366,6 +395,25 @@
 void   bp__recorded_order__free_unpacked
                      (Bp__RecordedOrder *message,
                       ProtobufCAllocator *allocator);
+/* Bp__OpenOrder methods */
+void   bp__open_order__init
+                     (Bp__OpenOrder         *message);
+size_t bp__open_order__get_packed_size
+                     (const Bp__OpenOrder   *message);
+size_t bp__open_order__pack
+                     (const Bp__OpenOrder   *message,
+                      uint8_t             *out);
+size_t bp__open_order__pack_to_buffer
+                     (const Bp__OpenOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__OpenOrder *
+       bp__open_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__open_order__free_unpacked
+                     (Bp__OpenOrder *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__DaemonRecord methods */
 void   bp__daemon_record__init
                      (Bp__DaemonRecord         *message);
@@ -405,6 +453,9 @@
 typedef void (*Bp__RecordedOrder_Closure)
                  (const Bp__RecordedOrder *message,
                   void *closure_data);
+typedef void (*Bp__OpenOrder_Closure)
+                 (const Bp__OpenOrder *message,
+                  void *closure_data);
 typedef void (*Bp__DaemonRecord_Closure)
                  (const Bp__DaemonRecord *message,
                   void *closure_data);
@@ -421,6 +472,7 @@
 extern const ProtobufCMessageDescriptor bp__catalog__descriptor;
 extern const ProtobufCMessageDescriptor bp__duty_record__descriptor;
 extern const ProtobufCMessageDescriptor bp__recorded_order__descriptor;
+extern const ProtobufCMessageDescriptor bp__open_order__descriptor;
 extern const ProtobufCMessageDescriptor bp__daemon_record__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/gen/event.pb-c.c
+++ b/gen/event.pb-c.c
@@ -727,6 +727,51 @@
   assert(message->base.descriptor == &bp__lease_regained__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__open_orders_changed__init
+                     (Bp__OpenOrdersChanged         *message)
+{
+  static const Bp__OpenOrdersChanged init_value = BP__OPEN_ORDERS_CHANGED__INIT;
+  *message = init_value;
+}
+size_t bp__open_orders_changed__get_packed_size
+                     (const Bp__OpenOrdersChanged *message)
+{
+  assert(message->base.descriptor == &bp__open_orders_changed__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__open_orders_changed__pack
+                     (const Bp__OpenOrdersChanged *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__open_orders_changed__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__open_orders_changed__pack_to_buffer
+                     (const Bp__OpenOrdersChanged *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__open_orders_changed__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__OpenOrdersChanged *
+       bp__open_orders_changed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__OpenOrdersChanged *)
+     protobuf_c_message_unpack (&bp__open_orders_changed__descriptor,
+                                allocator, len, data);
+}
+void   bp__open_orders_changed__free_unpacked
+                     (Bp__OpenOrdersChanged *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__open_orders_changed__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__change_step_taken__init
                      (Bp__ChangeStepTaken         *message)
 {
@@ -3236,6 +3281,57 @@
   (ProtobufCMessageInit) bp__lease_regained__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__open_orders_changed__field_descriptors[2] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__OpenOrdersChanged, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bp__OpenOrdersChanged, n_servers),
+    offsetof(Bp__OpenOrdersChanged, servers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__open_orders_changed__field_indices_by_name[] = {
+  0,   /* field[0] = group */
+  1,   /* field[1] = servers */
+};
+static const ProtobufCIntRange bp__open_orders_changed__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bp__open_orders_changed__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.OpenOrdersChanged",
+  "OpenOrdersChanged",
+  "Bp__OpenOrdersChanged",
+  "bp",
+  sizeof(Bp__OpenOrdersChanged),
+  2,
+  bp__open_orders_changed__field_descriptors,
+  bp__open_orders_changed__field_indices_by_name,
+  1,  bp__open_orders_changed__number_ranges,
+  (ProtobufCMessageInit) bp__open_orders_changed__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__change_step_taken__field_descriptors[4] =
 {
   {
--- a/gen/event.pb-c.h
+++ b/gen/event.pb-c.h
@@ -33,6 +33,7 @@
 typedef struct Bp__HandoverDue Bp__HandoverDue;
 typedef struct Bp__LeaseGivenBack Bp__LeaseGivenBack;
 typedef struct Bp__LeaseRegained Bp__LeaseRegained;
+typedef struct Bp__OpenOrdersChanged Bp__OpenOrdersChanged;
 typedef struct Bp__ChangeStepTaken Bp__ChangeStepTaken;
 typedef struct Bp__PromotionOrdered Bp__PromotionOrdered;
 typedef struct Bp__PromotionAnswered Bp__PromotionAnswered;
@@ -588,6 +589,25 @@
     , NULL, NULL, 0, 0, 0,NULL }
 
 
+/*
+ * The open orders of a group have changed: orders to promote a server whose
+ * outcome is not known.
+ */
+struct  Bp__OpenOrdersChanged
+{
+  ProtobufCMessage base;
+  char *group;
+  /*
+   * that they name
+   */
+  size_t n_servers;
+  char **servers;
+};
+#define BP__OPEN_ORDERS_CHANGED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__open_orders_changed__descriptor) \
+    , NULL, 0,NULL }
+
+
 /*
  * A step of a failover was sent to a server.
  */
@@ -1279,6 +1299,25 @@
 void   bp__lease_regained__free_unpacked
                      (Bp__LeaseRegained *message,
                       ProtobufCAllocator *allocator);
+/* Bp__OpenOrdersChanged methods */
+void   bp__open_orders_changed__init
+                     (Bp__OpenOrdersChanged         *message);
+size_t bp__open_orders_changed__get_packed_size
+                     (const Bp__OpenOrdersChanged   *message);
+size_t bp__open_orders_changed__pack
+                     (const Bp__OpenOrdersChanged   *message,
+                      uint8_t             *out);
+size_t bp__open_orders_changed__pack_to_buffer
+                     (const Bp__OpenOrdersChanged   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__OpenOrdersChanged *
+       bp__open_orders_changed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__open_orders_changed__free_unpacked
+                     (Bp__OpenOrdersChanged *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__ChangeStepTaken methods */
 void   bp__change_step_taken__init
                      (Bp__ChangeStepTaken         *message);
@@ -1709,6 +1748,9 @@
 typedef void (*Bp__LeaseRegained_Closure)
                  (const Bp__LeaseRegained *message,
                   void *closure_data);
+typedef void (*Bp__OpenOrdersChanged_Closure)
+                 (const Bp__OpenOrdersChanged *message,
+                  void *closure_data);
 typedef void (*Bp__ChangeStepTaken_Closure)
                  (const Bp__ChangeStepTaken *message,
                   void *closure_data);
@@ -1794,6 +1836,7 @@
 extern const ProtobufCMessageDescriptor bp__handover_due__descriptor;
 extern const ProtobufCMessageDescriptor bp__lease_given_back__descriptor;
 extern const ProtobufCMessageDescriptor bp__lease_regained__descriptor;
+extern const ProtobufCMessageDescriptor bp__open_orders_changed__descriptor;
 extern const ProtobufCMessageDescriptor bp__change_step_taken__descriptor;
 extern const ProtobufCMessageDescriptor bp__promotion_ordered__descriptor;
 extern const ProtobufCMessageDescriptor bp__promotion_answered__descriptor;
--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -1713,7 +1713,7 @@
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const protobuf_c_boolean bp__lease_revoke__begun__default_value = 0;
-static const ProtobufCFieldDescriptor bp__lease_revoke__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bp__lease_revoke__field_descriptors[6] =
 {
   {
     "id",
@@ -1775,18 +1775,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__LeaseRevoke, n_open),
+    offsetof(Bp__LeaseRevoke, open),
+    &bp__open_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__lease_revoke__field_indices_by_name[] = {
   4,   /* field[4] = begun */
   1,   /* field[1] = group */
   0,   /* field[0] = id */
+  5,   /* field[5] = open */
   2,   /* field[2] = term */
   3,   /* field[3] = token */
 };
 static const ProtobufCIntRange bp__lease_revoke__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bp__lease_revoke__descriptor =
 {
@@ -1796,14 +1809,14 @@
   "Bp__LeaseRevoke",
   "bp",
   sizeof(Bp__LeaseRevoke),
-  5,
+  6,
   bp__lease_revoke__field_descriptors,
   bp__lease_revoke__field_indices_by_name,
   1,  bp__lease_revoke__number_ranges,
   (ProtobufCMessageInit) bp__lease_revoke__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__lease_revoked__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bp__lease_revoked__field_descriptors[4] =
 {
   {
     "id",
@@ -1841,16 +1854,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__LeaseRevoked, n_open),
+    offsetof(Bp__LeaseRevoked, open),
+    &bp__open_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__lease_revoked__field_indices_by_name[] = {
   0,   /* field[0] = id */
   2,   /* field[2] = newest_term */
+  3,   /* field[3] = open */
   1,   /* field[1] = token */
 };
 static const ProtobufCIntRange bp__lease_revoked__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bp__lease_revoked__descriptor =
 {
@@ -1860,7 +1886,7 @@
   "Bp__LeaseRevoked",
   "bp",
   sizeof(Bp__LeaseRevoked),
-  3,
+  4,
   bp__lease_revoked__field_descriptors,
   bp__lease_revoked__field_indices_by_name,
   1,  bp__lease_revoked__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -16,6 +16,7 @@
 
 #include "statement.pb-c.h"
 #include "platform.pb-c.h"
+#include "catalog.pb-c.h"
 #include "proxy.pb-c.h"
 
 typedef struct Bp__Member Bp__Member;
@@ -309,10 +310,15 @@
    */
   protobuf_c_boolean has_begun;
   protobuf_c_boolean begun;
+  /*
+   * those of the group
+   */
+  size_t n_open;
+  Bp__OpenOrder **open;
 };
 #define BP__LEASE_REVOKE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__lease_revoke__descriptor) \
-    , 0, NULL, 0, 0, 0, 0 }
+    , 0, NULL, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -331,10 +337,15 @@
    */
   protobuf_c_boolean has_newest_term;
   uint64_t newest_term;
+  /*
+   * those of the group that it knows
+   */
+  size_t n_open;
+  Bp__OpenOrder **open;
 };
 #define BP__LEASE_REVOKED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__lease_revoked__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL }
 
 
 /*
--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -2090,7 +2090,7 @@
   (ProtobufCMessageInit) bp__orders_read__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__promotion_wanted__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bp__promotion_wanted__field_descriptors[9] =
 {
   {
     "group",
@@ -2188,6 +2188,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__PromotionWanted, n_open),
+    offsetof(Bp__PromotionWanted, open),
+    &bp__open_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__promotion_wanted__field_indices_by_name[] = {
   7,   /* field[7] = base_index */
@@ -2195,6 +2207,7 @@
   4,   /* field[4] = decided_us */
   0,   /* field[0] = group */
   3,   /* field[3] = heard_us */
+  8,   /* field[8] = open */
   5,   /* field[5] = replaced_term */
   1,   /* field[1] = server */
   2,   /* field[2] = term */
@@ -2202,7 +2215,7 @@
 static const ProtobufCIntRange bp__promotion_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bp__promotion_wanted__descriptor =
 {
@@ -2212,7 +2225,7 @@
   "Bp__PromotionWanted",
   "bp",
   sizeof(Bp__PromotionWanted),
-  8,
+  9,
   bp__promotion_wanted__field_descriptors,
   bp__promotion_wanted__field_indices_by_name,
   1,  bp__promotion_wanted__number_ranges,
@@ -2866,7 +2879,7 @@
 static const protobuf_c_boolean bp__revoke_wanted__confirms__default_value = 0;
 static const protobuf_c_boolean bp__revoke_wanted__begun__default_value = 0;
 static const protobuf_c_boolean bp__revoke_wanted__incomplete__default_value = 0;
-static const ProtobufCFieldDescriptor bp__revoke_wanted__field_descriptors[7] =
+static const ProtobufCFieldDescriptor bp__revoke_wanted__field_descriptors[8] =
 {
   {
     "group",
@@ -2952,6 +2965,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__RevokeWanted, n_open),
+    offsetof(Bp__RevokeWanted, open),
+    &bp__open_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__revoke_wanted__field_indices_by_name[] = {
   5,   /* field[5] = begun */
@@ -2959,13 +2984,14 @@
   2,   /* field[2] = daemons */
   0,   /* field[0] = group */
   6,   /* field[6] = incomplete */
+  7,   /* field[7] = open */
   1,   /* field[1] = term */
   3,   /* field[3] = token */
 };
 static const ProtobufCIntRange bp__revoke_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bp__revoke_wanted__descriptor =
 {
@@ -2975,14 +3001,14 @@
   "Bp__RevokeWanted",
   "bp",
   sizeof(Bp__RevokeWanted),
-  7,
+  8,
   bp__revoke_wanted__field_descriptors,
   bp__revoke_wanted__field_indices_by_name,
   1,  bp__revoke_wanted__number_ranges,
   (ProtobufCMessageInit) bp__revoke_wanted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__revoke_ended__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bp__revoke_ended__field_descriptors[5] =
 {
   {
     "group",
@@ -3032,17 +3058,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__RevokeEnded, n_open),
+    offsetof(Bp__RevokeEnded, open),
+    &bp__open_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__revoke_ended__field_indices_by_name[] = {
   0,   /* field[0] = group */
   3,   /* field[3] = newest_term */
+  4,   /* field[4] = open */
   2,   /* field[2] = state */
   1,   /* field[1] = term */
 };
 static const ProtobufCIntRange bp__revoke_ended__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bp__revoke_ended__descriptor =
 {
@@ -3052,7 +3091,7 @@
   "Bp__RevokeEnded",
   "bp",
   sizeof(Bp__RevokeEnded),
-  4,
+  5,
   bp__revoke_ended__field_descriptors,
   bp__revoke_ended__field_indices_by_name,
   1,  bp__revoke_ended__number_ranges,
@@ -3060,7 +3099,7 @@
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const protobuf_c_boolean bp__revoke_asked__begun__default_value = 0;
-static const ProtobufCFieldDescriptor bp__revoke_asked__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bp__revoke_asked__field_descriptors[7] =
 {
   {
     "link",
@@ -3134,6 +3173,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__RevokeAsked, n_open),
+    offsetof(Bp__RevokeAsked, open),
+    &bp__open_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__revoke_asked__field_indices_by_name[] = {
   4,   /* field[4] = begun */
@@ -3141,12 +3192,13 @@
   1,   /* field[1] = id */
   0,   /* field[0] = link */
   5,   /* field[5] = newest_term */
+  6,   /* field[6] = open */
   3,   /* field[3] = term */
 };
 static const ProtobufCIntRange bp__revoke_asked__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bp__revoke_asked__descriptor =
 {
@@ -3156,7 +3208,7 @@
   "Bp__RevokeAsked",
   "bp",
   sizeof(Bp__RevokeAsked),
-  6,
+  7,
   bp__revoke_asked__field_descriptors,
   bp__revoke_asked__field_indices_by_name,
   1,  bp__revoke_asked__number_ranges,
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -416,10 +416,15 @@
    */
   uint64_t base_term;
   uint64_t base_index;
+  /*
+   * those of the group
+   */
+  size_t n_open;
+  Bp__OpenOrder **open;
 };
 #define BP__PROMOTION_WANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__promotion_wanted__descriptor) \
-    , NULL, NULL, 0, 0, 0, 0, 0, 0 }
+    , NULL, NULL, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -662,10 +667,15 @@
    */
   protobuf_c_boolean has_incomplete;
   protobuf_c_boolean incomplete;
+  /*
+   * as LeaseRevoke.open
+   */
+  size_t n_open;
+  Bp__OpenOrder **open;
 };
 #define BP__REVOKE_WANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__revoke_wanted__descriptor) \
-    , NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -683,10 +693,15 @@
    */
   protobuf_c_boolean has_newest_term;
   uint64_t newest_term;
+  /*
+   * as LeaseRevoked.open, of all of them
+   */
+  size_t n_open;
+  Bp__OpenOrder **open;
 };
 #define BP__REVOKE_ENDED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__revoke_ended__descriptor) \
-    , NULL, 0, BP__REVOKE_STATE__MOST, 0, 0 }
+    , NULL, 0, BP__REVOKE_STATE__MOST, 0, 0, 0,NULL }
 
 
 /*
@@ -716,10 +731,15 @@
    */
   protobuf_c_boolean has_newest_term;
   uint64_t newest_term;
+  /*
+   * as LeaseRevoke.open; in the answer, as LeaseRevoked.open
+   */
+  size_t n_open;
+  Bp__OpenOrder **open;
 };
 #define BP__REVOKE_ASKED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__revoke_asked__descriptor) \
-    , 0, 0, NULL, 0, 0, 0, 0, 0 }
+    , 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /* Bp__SessionValue methods */
--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -44,6 +44,8 @@
 	   restarted since, and knows what it has promised since */
 	int64_t connected_us;
 	bool unlisted; /* has no entry in the store: not to be promoted */
+	/* it was ordered to become primary, and may still do so */
+	bool order_open;
 } db_view_t;
 
 void db_view_merge(db_view_t *, const db_view_t *answer);
@@ -55,6 +57,13 @@
 /* Time in which an order that the platform has not answered takes effect. */
 #define ORDER_LATE_US (US_PER_SECOND * 7 / 2)
 
+/*
+ * Time in which an order whose outcome is not known may take effect.  The
+ * platform may carry it out seconds after it was sent, and the network may
+ * deliver it late.
+ */
+#define ORDER_OPEN_US (10 * US_PER_SECOND)
+
 /*
  * What the store has recorded of the orders to replace a primary of a group,
  * each before it was sent.
@@ -103,6 +112,9 @@
 	/* the last renewal failed only because the recorded orders have to be
 	   read first */
 	bool unverified;
+	/* a database that is not among those of the group was ordered to become
+	   primary, and may still do so */
+	bool order_open_outside;
 } lease_t;
 
 /*
@@ -123,6 +135,8 @@
 
 bool lease_renew(lease_t *, const db_view_t *, uint32_t count, uint32_t primary,
     int64_t now_us, const lease_duration_t *);
+int64_t lease_checked_us(
+    const lease_t *, const db_view_t *, uint32_t count, uint32_t primary);
 void lease_revoke(lease_t *, uint64_t term, int64_t now_us);
 uint64_t lease_newest_term(const lease_t *);
 void lease_term_begun(lease_t *, uint64_t term);
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -135,6 +135,8 @@
 	int64_t ticked_us;
 	/* newest term in which this or another daemon has known a primary */
 	uint64_t reported_term;
+	/* an open order names a database that is not in the group */
+	bool order_open_outside;
 	/* the recorded orders, and the time since which they are known */
 	recorded_orders_t recorded;
 	int64_t recorded_us;
--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -35,12 +35,23 @@
 	return position_compare(a, b);
 }
 
+/*
+ * Tell whether a database is preferred to another with an equal log.
+ */
+static bool
+preferred(const db_view_t *a, const db_view_t *b)
+{
+	return a->leaving != b->leaving ? b->leaving
+					: a->order_open && !b->order_open;
+}
+
 /*
  * Return the database with the best log among those that promised the term and
  * are listed, or UINT32_MAX if there is none.  Where commits are synchronous,
  * one that is not listed may be the only one that holds the last.  Of equal
- * ones, a database that is not leaving is preferred.  The result may be
- * promoted only when grants_suffice() is true.
+ * ones, a database that is not leaving is preferred, then one to which an order
+ * is open, since another order to the same database does no harm.  The result
+ * may be promoted only when grants_suffice() is true.
  */
 static uint32_t
 choose_most_advanced(const failover_t *failover)
@@ -60,8 +71,8 @@
 		cmp = compare_logs(failover, failover->granted_position[i],
 		    failover->granted_position[best]);
 		if (cmp > 0 ||
-		    (cmp == 0 && failover->views[best].leaving &&
-			!failover->views[i].leaving))
+		    (cmp == 0 &&
+			preferred(&failover->views[i], &failover->views[best])))
 			best = i;
 	}
 	return best;
@@ -144,13 +155,31 @@
 }
 
 /*
- * Return the database to promote now, or -1 while promises are missing or
- * leases on the old primary may still be valid.
+ * Tell whether the open orders allow the promotion of a database.  An order to
+ * another one may take effect after this promotion, and the daemons check that
+ * for each answer of the new primary.  So all of them must know of it; those
+ * that have revoked their leases for this attempt were told.
+ */
+static bool
+open_orders_allow(const failover_t *failover, int32_t chosen)
+{
+	bool elsewhere = failover->order_open_outside;
+	int32_t i;
+
+	for (i = 0; i < (int32_t)failover->count; i++)
+		elsewhere |= i != chosen && failover->views[i].order_open;
+	return !elsewhere || failover->revoked_by_all;
+}
+
+/*
+ * Return the database to promote now, or -1 while promises are missing, leases
+ * on the old primary may still be valid, or open orders forbid it.
  */
 int32_t
 ready_to_promote(const failover_t *failover, int64_t now_us)
 {
 	const failover_limits_t *limits = &failover->limits;
+	int32_t chosen;
 
 	if (!grants_suffice(failover) ||
 	    (limits->lease_wait_us > 0 && failover->revoked_by_most_us == 0) ||
@@ -158,7 +187,8 @@
 						    ? limits->lease_wait_min_us
 						    : limits->lease_wait_us))
 		return -1;
-	return failover->stepping_down >= 0
+	chosen = failover->stepping_down >= 0
 	    ? choose_successor(failover, now_us)
 	    : (int32_t)choose_most_advanced(failover);
+	return open_orders_allow(failover, chosen) ? chosen : -1;
 }
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -272,6 +272,34 @@
 	return true;
 }
 
+/*
+ * Return the latest time at which it is certain that no open order to promote
+ * another database than the primary had taken effect: each of these databases
+ * was asked for its status then, and has answered that it follows.  INT64_MAX
+ * if there is no such order.  The promises of an attempt keep a lease safe from
+ * its own order only, so an answer of the primary is valid only if both the
+ * lease and this time cover it.
+ */
+int64_t
+lease_checked_us(const lease_t *lease, const db_view_t *views, uint32_t count,
+    uint32_t primary)
+{
+	int64_t checked_us = lease->order_open_outside ? 0 : INT64_MAX;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		const db_view_t *view = &views[i];
+
+		if (i == primary || !view->order_open)
+			continue;
+		if (!view->known || view->term > views[primary].promised)
+			return 0;
+		if (view->requested_us < checked_us)
+			checked_us = view->requested_us;
+	}
+	return checked_us;
+}
+
 /*
  * End a lease in a term below this one, because a failover to this term is
  * under way, and block its renewal.
--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -322,8 +322,10 @@
 	answered.term = wanted->term;
 	answered.answer = answer;
 	log_event(G_LOG_LEVEL_MESSAGE, &answered.base);
-	if (answer != BP__PROMOTION_ANSWER__ORDER_ACCEPTED &&
-	    answer != BP__PROMOTION_ANSWER__ORDER_UNANSWERED && order->noted &&
+	if (answer == BP__PROMOTION_ANSWER__ORDER_ACCEPTED)
+		orders_accepted(registry, wanted);
+	else if (answer != BP__PROMOTION_ANSWER__ORDER_UNANSWERED &&
+	    order->noted &&
 	    orders_withdraw(registry, wanted,
 		answer == BP__PROMOTION_ANSWER__ORDER_REFUSED))
 		update_recorded_orders(registry);
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -57,7 +57,8 @@
 
 /*
  * Send statements that need the primary while it has free slots and idle
- * connections, and this daemon's lease on it is valid.
+ * connections, this daemon's lease on it is valid, and the servers that open
+ * orders name answer.
  */
 static void
 dispatch_primary(group_t *group, int64_t now_us)
@@ -67,7 +68,8 @@
 	server_t *server;
 	dbconn_t *conn;
 
-	if (primary < 0 || group->lease.expires_us <= now_us)
+	if (primary < 0 || group->lease.expires_us <= now_us ||
+	    !group_orders_checkable(group, now_us))
 		return;
 	server = group->servers[primary];
 	if (server->unlisted)
@@ -136,7 +138,8 @@
 	group_t *group = operation->group;
 	int32_t primary = group_primary(group);
 	read_candidate_t candidates[GROUP_DATABASES_MAX];
-	bool lease_valid = group->lease.expires_us > now_us;
+	bool lease_valid = group->lease.expires_us > now_us &&
+	    group_orders_checkable(group, now_us);
 	position_t required;
 	bool replicas_allowed = required_position(operation, &required);
 	server_t *server;
--- /dev/null
+++ b/src/proxy/group_orders.c
@@ -0,0 +1,127 @@
+#include "pool.h"
+
+#include "order_messages.h"
+
+#include <string.h>
+
+/*
+ * Open orders to promote a server of a group.  The coordinator's come from its
+ * record, the others' from the coordinator, which tells them before it orders
+ * the promotion of another server, and from the record.
+ */
+
+/*
+ * Mark the server that an open order names.
+ */
+static void
+mark_server(void *context, const open_order_t *order)
+{
+	group_t *group = context;
+	uint32_t i;
+
+	for (i = 0; i < group->count; i++) {
+		if (strcmp(group->servers[i]->id, order->database) != 0)
+			continue;
+		group->failover.views[i].order_open = true;
+		return;
+	}
+	group->lease.order_open_outside = true;
+}
+
+/*
+ * Bring the open orders of a group up to date, and mark the servers that they
+ * name.
+ */
+void
+group_orders_update(group_t *group, int64_t now_us)
+{
+	int32_t primary = failover_primary(&group->failover);
+	uint32_t i, count;
+
+	if (primary >= 0)
+		open_orders_term_begun(&group->open_orders,
+		    group->servers[primary]->id,
+		    group->failover.views[primary].promised);
+	open_orders_expire(&group->open_orders, false, now_us);
+	for (i = 0; i < group->count; i++)
+		group->failover.views[i].order_open = false;
+	group->lease.order_open_outside = false;
+	open_orders_each(&group->open_orders, now_us, mark_server, group);
+	group->failover.order_open_outside = group->lease.order_open_outside;
+	count = open_orders_count(&group->open_orders, now_us);
+	if (count == group->open_orders_count)
+		return;
+	group->open_orders_count = count;
+	log_open_orders(group, now_us);
+}
+
+/*
+ * Note the open orders that another daemon has told.  Returns whether one of
+ * them was not known.
+ */
+bool
+group_orders_told(
+    group_t *group, Bp__OpenOrder *const *list, size_t count, int64_t now_us)
+{
+	bool added = open_orders_read(
+	    &group->open_orders, list, count, OPEN_ORDER_TOLD, now_us);
+
+	group_orders_update(group, now_us);
+	return added;
+}
+
+/*
+ * Note the open orders that the store has recorded.
+ */
+void
+group_orders_recorded(
+    group_t *group, Bp__OpenOrder *const *list, size_t count, int64_t now_us)
+{
+	open_order_t *recorded = g_new0(open_order_t, count + 1);
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		recorded[i] =
+		    open_order_read(list[i], OPEN_ORDER_RECORDED, now_us);
+	open_orders_replace_recorded(
+	    &group->open_orders, recorded, (uint32_t)count);
+	g_free(recorded);
+	group_orders_update(group, now_us);
+}
+
+/*
+ * Return the open orders of a group as messages in an arena.
+ */
+Bp__OpenOrder **
+group_orders_write(const group_t *group, arena_t *arena, size_t *count)
+{
+	return open_orders_write(&group->open_orders, arena, clock_us(), count);
+}
+
+/*
+ * Return the latest time at which it is certain that no open order had taken
+ * effect; INT64_MAX if there is none.
+ */
+int64_t
+group_orders_checked_us(const group_t *group)
+{
+	int32_t primary = failover_primary(&group->failover);
+
+	return primary < 0
+	    ? 0
+	    : lease_checked_us(&group->lease, group->failover.views,
+		  group->count, (uint32_t)primary);
+}
+
+/*
+ * Tell whether the servers that open orders name answer, so that it can be
+ * checked after a statement that none of them was promoted.
+ */
+bool
+group_orders_checkable(const group_t *group, int64_t now_us)
+{
+	int64_t checked_us = group_orders_checked_us(group);
+
+	return checked_us == INT64_MAX ||
+	    now_us - checked_us < group->failover.limits.suspect_us;
+}
--- a/src/proxy/incoming.c
+++ b/src/proxy/incoming.c
@@ -1,5 +1,7 @@
 #include "peers.h"
 
+#include "order_messages.h"
+
 #include <errno.h>
 
 /*
@@ -100,19 +102,21 @@
 
 /*
  * Answer a revocation with the highest fencing token that this daemon knows,
- * and the newest term in which it knows a primary of the group.
+ * the newest term in which it knows a primary of the group, and the open orders
+ * that it knows.
  */
 void
-incoming_send_revoked(
-    incoming_link_t *incoming, uint64_t id, uint64_t newest_term)
+incoming_send_revoked(incoming_link_t *incoming, const Bp__RevokeAsked *asked)
 {
 	Bp__PeerMessage message = BP__PEER_MESSAGE__INIT;
 	Bp__LeaseRevoked revoked = BP__LEASE_REVOKED__INIT;
 
-	revoked.id = id;
+	revoked.id = asked->id;
 	revoked.token = incoming->peers->token;
 	revoked.has_newest_term = 1;
-	revoked.newest_term = newest_term;
+	revoked.newest_term = asked->newest_term;
+	revoked.open = asked->open;
+	revoked.n_open = asked->n_open;
 	message.body_case = BP__PEER_MESSAGE__BODY_LEASE_REVOKED;
 	message.lease_revoked = &revoked;
 	frame_send(incoming->link, &message);
@@ -131,7 +135,10 @@
 	msg_t *msg;
 
 	if (revoke->token < peers->token) {
-		incoming_send_revoked(incoming, revoke->id, 0);
+		Bp__RevokeAsked refused = BP__REVOKE_ASKED__INIT;
+
+		refused.id = revoke->id;
+		incoming_send_revoked(incoming, &refused);
 		return;
 	}
 	msg = msg_new(&bp__revoke_asked__descriptor);
@@ -143,6 +150,9 @@
 	asked->term = revoke->term;
 	asked->has_begun = 1;
 	asked->begun = revoke->begun;
+	asked->n_open = revoke->n_open;
+	asked->open =
+	    open_orders_copy(msg->arena, revoke->open, revoke->n_open);
 	task_send(peers->proxy->pool, peers->task, msg);
 }
 
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -181,13 +181,18 @@
 	bool renewed;
 
 	pool_check_listed(group->pool, now_us);
+	group_orders_update(group, now_us);
 	renewed = primary >= 0 &&
 	    lease_renew(&group->lease, failover->views, group->count,
 		(uint32_t)primary, now_us, &group->pool->lease_durations);
 	if (group->lease.unverified)
 		request_orders(group->pool, now_us);
-	if (!renewed)
+	if (!renewed) {
+		/* the status may have shown that no open order took effect */
+		if (!g_queue_is_empty(&group->held))
+			operations_release_held(group, now_us);
 		return;
+	}
 	if (group->lease.term != before)
 		log_primary_confirmed(group, group->servers[primary], now_us);
 	else if (group->lease.expires_us > now_us &&
@@ -260,13 +265,15 @@
 /*
  * Record the log position in an answer of the primary to a request that was
  * sent at sent_us.  Every write acknowledged before sent_us is at or before
- * this position.
+ * this position; with open orders, every one before the last check that none
+ * of them had taken effect.
  */
 void
 monitor_sample_primary(server_t *server, position_t position, int64_t sent_us)
 {
 	group_t *group = server->group;
-	position_sample_t sample = {sent_us, position};
+	position_sample_t sample = {
+	    MIN(sent_us, group_orders_checked_us(group)), position};
 
 	if (server->removed || position.term != group->lease.term ||
 	    (int32_t)server->index != failover_primary(&group->failover) ||
@@ -310,6 +317,9 @@
 	}
 	lease_term_begun(&group->lease, ended->newest_term);
 	failover_term_reported(&group->failover, ended->newest_term, now_us);
+	/* the daemons that were asked before do not know of a new order */
+	if (group_orders_told(group, ended->open, ended->n_open, now_us))
+		failover_superseded(&group->failover, ended->term, now_us);
 	group->pool->majority_answered_us = now_us;
 	if (ended->state == BP__REVOKE_STATE__ALL)
 		group->pool->all_answered_us = now_us;
@@ -436,6 +446,7 @@
 	view.requested_us = expect->sent_us;
 	view.term = status->term;
 	view.connected_us = server->control_us;
+	view.order_open = failover->views[server->index].order_open;
 	server->busy = status->busy;
 	server->lag_ms = status->lag_ms;
 	server->connections = status->connections;
@@ -451,6 +462,8 @@
 		    failover->term, true, &view, now_us);
 	lease_update(group, now_us);
 	monitor_sample_primary(server, status->received, expect->sent_us);
+	if (view.order_open && !g_queue_is_empty(&group->held))
+		monitor_request_status(server, now_us);
 	dispatch(group, now_us);
 }
 
@@ -509,6 +522,8 @@
 	wanted->replaced_term =
 	    MAX(failover_term_to_replace(&server->group->failover),
 		lease_newest_term(&server->group->lease));
+	wanted->open =
+	    group_orders_write(server->group, msg->arena, &wanted->n_open);
 	base = failover_base(&server->group->failover);
 	wanted->base_term = base.term;
 	wanted->base_index = base.index;
@@ -549,6 +564,7 @@
 	wanted->token = pool->fencing_token;
 	wanted->has_begun = 1;
 	wanted->begun = begun;
+	wanted->open = group_orders_write(group, msg->arena, &wanted->n_open);
 	task_send(pool->proxy->registry, pool->task, msg);
 }
 
@@ -613,10 +629,11 @@
 {
 	failover_t *failover = &group->failover;
 
-	if (!ended->accepted)
-		failover_promotion_answered(failover, failover->chosen,
-		    ended->term, false, &failover->views[failover->chosen],
-		    now_us);
+	if (ended->accepted)
+		return;
+	open_orders_remove(&group->open_orders, ended->server, ended->term);
+	failover_promotion_answered(failover, failover->chosen, ended->term,
+	    false, &failover->views[failover->chosen], now_us);
 }
 
 /*
@@ -649,7 +666,8 @@
 
 	if (group_failover_in_progress(group, now_us) || primary < 0)
 		return FAILOVER_INTERVAL_US;
-	if (group->lease.unverified)
+	if (group->lease.unverified ||
+	    group->failover.views[server->index].order_open)
 		return RENEW_INTERVAL_US;
 	if (server->unlisted)
 		return UNLISTED_INTERVAL_US;
@@ -858,6 +876,7 @@
 
 	if (group->lease.expires_us > now_us)
 		group->lease_seen_us = now_us;
+	group_orders_update(group, now_us);
 	for (i = 0; i < group->count; i++) {
 		const server_t *server = group->servers[i];
 
--- a/src/proxy/operation.c
+++ b/src/proxy/operation.c
@@ -136,7 +136,8 @@
 	int64_t max_age_us =
 	    (int64_t)operation->run->route->max_age_ms * US_PER_MS;
 	int64_t unavailable_since_us =
-	    MAX(group->lease.expires_us, group->created_us);
+	    MAX(MIN(group->lease.expires_us, group_orders_checked_us(group)),
+		group->created_us);
 	position_t needed;
 
 	return operation->arrived_us - unavailable_since_us >= NO_PRIMARY_US &&
@@ -340,6 +341,38 @@
 	    : now_us;
 }
 
+/*
+ * Tell whether it is certain that a statement ran before any open order took
+ * effect: the servers that these name were asked afterwards.  A read may have
+ * run later, if it arrived before.  Where commits are synchronous, the servers
+ * must also have received a commit, since they would be primary without it.
+ */
+static bool
+open_orders_checked(const operation_t *operation, int64_t required_us)
+{
+	const group_t *group = operation->group;
+	bool read = operation->run->kind == BP__OPERATION_KIND__READ_ITEM;
+	uint32_t i;
+
+	if (required_us == 0)
+		return true;
+	if (group_orders_checked_us(group) <
+	    (read ? required_us : operation->executed_us))
+		return false;
+	for (i = 0; !read && group->failover.limits.sync_replicas > 0 &&
+	     i < group->count;
+	     i++) {
+		const db_view_t *view = &group->failover.views[i];
+
+		if (view->order_open &&
+		    (int32_t)i != failover_primary(&group->failover) &&
+		    position_compare(
+			view->last_entry, operation->executed_position) < 0)
+			return false;
+	}
+	return true;
+}
+
 /*
  * Answer a statement that has run with its result.
  */
@@ -405,7 +438,8 @@
 }
 
 /*
- * Answer the held statements that the lease now covers.  Retry or fail those
+ * Answer the held statements that the lease now covers, and that were checked
+ * against open orders.  Retry or fail those
  * that the lease can no longer cover, because they ran on a former primary or
  * in another term.
  */
@@ -417,11 +451,11 @@
 	while (l != NULL) {
 		operation_t *operation = l->data;
 		bool on_primary = ran_on_primary(operation);
+		int64_t required_us = lease_required_us(operation, now_us);
 
 		l = l->next;
-		if (on_primary &&
-		    lease_required_us(operation, now_us) <=
-			group->lease.expires_us)
+		if (on_primary && required_us <= group->lease.expires_us &&
+		    open_orders_checked(operation, required_us))
 			operation_succeed(operation);
 		else if (!on_primary && group->lease.expires_us > now_us)
 			operation_primary_replaced(operation);
@@ -441,6 +475,7 @@
 	uint32_t i;
 
 	operation->state = OPERATION_HELD;
+	operation->executed_us = now_us;
 	g_queue_push_tail_link(&group->held, &operation->link);
 	operations_release_held(group, now_us);
 	group->pool->counts[COUNT_HELD] +=
--- /dev/null
+++ b/src/proxy/order_messages.c
@@ -0,0 +1,103 @@
+#include "order_messages.h"
+
+#include <glib.h>
+
+/* A list of messages that is being filled. */
+typedef struct order_list {
+	arena_t *arena;
+	Bp__OpenOrder **list;
+	size_t count;
+	int64_t now_us;
+} order_list_t;
+
+/*
+ * Append an order to a list of messages.
+ */
+static void
+append_order(void *context, const open_order_t *order)
+{
+	order_list_t *list = context;
+	Bp__OpenOrder *message = (Bp__OpenOrder *)message_new(
+	    list->arena, &bp__open_order__descriptor);
+
+	message->server = arena_strdup(list->arena, order->database);
+	message->attempt_term = order->attempt_term;
+	message->replaced_term = order->replaced_term;
+	message->left_ms =
+	    (uint32_t)((order->until_us - list->now_us) / US_PER_MS) + 1;
+	list->list[list->count++] = message;
+}
+
+/*
+ * Return the orders of a set that are open as messages in an arena.
+ */
+Bp__OpenOrder **
+open_orders_write(
+    const open_orders_t *orders, arena_t *arena, int64_t now_us, size_t *count)
+{
+	order_list_t list = {.arena = arena, .now_us = now_us};
+
+	list.list = arena_zalloc(arena,
+	    sizeof(list.list[0]) * (open_orders_count(orders, now_us) + 1));
+	open_orders_each(orders, now_us, append_order, &list);
+	*count = list.count;
+	return list.list;
+}
+
+/*
+ * Return a copy of a list of messages in another arena.
+ */
+Bp__OpenOrder **
+open_orders_copy(arena_t *arena, Bp__OpenOrder *const *list, size_t count)
+{
+	Bp__OpenOrder **copy =
+	    arena_zalloc(arena, sizeof(copy[0]) * (count + 1));
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		copy[i] = (Bp__OpenOrder *)message_new(
+		    arena, &bp__open_order__descriptor);
+		copy[i]->server = arena_strdup(arena, list[i]->server);
+		copy[i]->attempt_term = list[i]->attempt_term;
+		copy[i]->replaced_term = list[i]->replaced_term;
+		copy[i]->left_ms = list[i]->left_ms;
+	}
+	return copy;
+}
+
+/*
+ * Return the order that a message describes, with the name of its database in
+ * the message.
+ */
+open_order_t
+open_order_read(
+    const Bp__OpenOrder *message, open_order_source_t source, int64_t now_us)
+{
+	int64_t left_us =
+	    MIN((int64_t)message->left_ms * US_PER_MS, ORDER_OPEN_US);
+
+	return (open_order_t){.database = message->server,
+	    .attempt_term = message->attempt_term,
+	    .replaced_term = message->replaced_term,
+	    .until_us = now_us + left_us,
+	    .source = source};
+}
+
+/*
+ * Add the orders of a list of messages to a set.  Returns whether one of them
+ * is new to it.
+ */
+bool
+open_orders_read(open_orders_t *orders, Bp__OpenOrder *const *list,
+    size_t count, open_order_source_t source, int64_t now_us)
+{
+	bool added = false;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		open_order_t order = open_order_read(list[i], source, now_us);
+
+		added |= open_orders_add(orders, &order);
+	}
+	return added;
+}
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -1,6 +1,7 @@
 #include "registry.h"
 
 #include "decide/decide.h"
+#include "order_messages.h"
 
 #include <string.h>
 
@@ -16,16 +17,29 @@
 	recorded_orders_t recorded;
 	recorded_orders_t before; /* what was recorded before the last order */
 	bool sent;                /* an order of the last attempt was sent */
+	open_orders_t open;
 } group_orders_t;
 
+/*
+ * Free what is recorded of a group.
+ */
+static void
+group_orders_free(gpointer p)
+{
+	group_orders_t *order = p;
+
+	open_orders_clear(&order->open);
+	g_free(order);
+}
+
 /*
  * Create the table of recorded orders.
  */
 void
 orders_init(registry_t *registry)
 {
-	registry->orders =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	registry->orders = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, group_orders_free);
 }
 
 /*
@@ -47,11 +61,28 @@
 
 	if (order == NULL) {
 		order = g_new0(group_orders_t, 1);
+		open_orders_init(&order->open);
 		g_hash_table_insert(registry->orders, g_strdup(group), order);
 	}
 	return order;
 }
 
+/*
+ * Note that an order is open from now on.
+ */
+static void
+note_open(group_orders_t *order, const Bp__PromotionWanted *wanted)
+{
+	open_order_t open = {.database = wanted->server,
+	    .attempt_term = wanted->term,
+	    .replaced_term = order->recorded.replaced_term,
+	    .until_us = clock_us() + ORDER_OPEN_US,
+	    .source = OPEN_ORDER_RECORDED};
+
+	open_orders_remove(&order->open, wanted->server, wanted->term);
+	open_orders_add(&order->open, &open);
+}
+
 /*
  * Note an order that is to be recorded.
  */
@@ -60,6 +91,11 @@
 {
 	group_orders_t *order = order_of(registry, wanted->group);
 
+	open_orders_read(&order->open, wanted->open, wanted->n_open,
+	    OPEN_ORDER_RECORDED, clock_us());
+	open_orders_term_begun(&order->open, NULL, wanted->replaced_term);
+	open_orders_expire(&order->open, true, clock_us());
+
 	if (order->recorded.attempt_term != wanted->term) {
 		order->before = order->recorded;
 		order->sent = false;
@@ -70,6 +106,7 @@
 	order->recorded.replaced_term =
 	    MAX(order->before.replaced_term, wanted->replaced_term);
 	order->recorded.era = registry->store_era;
+	note_open(order, wanted);
 }
 
 /*
@@ -78,7 +115,21 @@
 void
 orders_sent(registry_t *registry, const Bp__PromotionWanted *wanted)
 {
-	order_of(registry, wanted->group)->sent = true;
+	group_orders_t *order = order_of(registry, wanted->group);
+
+	order->sent = true;
+	note_open(order, wanted);
+}
+
+/*
+ * Note that the platform has accepted an order, which takes effect soon or
+ * never.
+ */
+void
+orders_accepted(registry_t *registry, const Bp__PromotionWanted *wanted)
+{
+	open_orders_shorten(&order_of(registry, wanted->group)->open,
+	    wanted->server, wanted->term, clock_us() + ORDER_LATE_US);
 }
 
 /*
@@ -94,6 +145,7 @@
 	if (order->recorded.attempt_term != wanted->term ||
 	    (order->sent && !refused))
 		return false;
+	open_orders_remove(&order->open, wanted->server, wanted->term);
 	order->recorded = order->before;
 	return true;
 }
@@ -110,9 +162,11 @@
 
 	for (i = 0; i < record->n_orders; i++) {
 		const Bp__RecordedOrder *order = record->orders[i];
-		recorded_orders_t *recorded =
-		    &order_of(registry, order->group)->recorded;
+		group_orders_t *noted = order_of(registry, order->group);
+		recorded_orders_t *recorded = &noted->recorded;
 
+		open_orders_read(&noted->open, order->open, order->n_open,
+		    OPEN_ORDER_RECORDED, clock_us());
 		if (!fencing_token_is_current(
 			registry->store_era, record->token) &&
 		    recorded->attempt_term >= order->attempt_term)
@@ -163,8 +217,8 @@
 		(g_hash_table_size(registry->orders) + 1));
 	g_hash_table_iter_init(&iter, registry->orders);
 	while (g_hash_table_iter_next(&iter, &group, &value)) {
-		const recorded_orders_t *recorded =
-		    &((const group_orders_t *)value)->recorded;
+		const group_orders_t *noted = value;
+		const recorded_orders_t *recorded = &noted->recorded;
 		Bp__RecordedOrder *order = (Bp__RecordedOrder *)message_new(
 		    arena, &bp__recorded_order__descriptor);
 
@@ -178,6 +232,8 @@
 		order->base_index = recorded->base.index;
 		order->has_era = 1;
 		order->era = recorded->era;
+		order->open = open_orders_write(
+		    &noted->open, arena, clock_us(), &order->n_open);
 		record->orders[record->n_orders++] = order;
 	}
 }
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -1,6 +1,7 @@
 #include "peers.h"
 
 #include "decide/decide.h"
+#include "order_messages.h"
 
 #include <errno.h>
 #include <string.h>
@@ -20,7 +21,8 @@
 typedef struct target {
 	struct revocation *revocation;
 	char *name;
-	/* its record says so, or it must learn of a new term in any case */
+	/* its record says so, or it must learn of a new term or of open orders
+	   in any case */
 	bool holds_leases;
 	frame_link_t *link;
 	bool answered;
@@ -39,6 +41,10 @@
 	task_t *requester;    /* receives RevokeEnded */
 	bool majority_reported;
 	bool all_reported;
+	/* open orders of the group: those to tell, and those that the targets
+	   have reported */
+	open_orders_t open_orders;
+	open_orders_t reported_orders;
 	GPtrArray *targets; /* of target_t */
 	GSource *timeout;
 } revocation_t;
@@ -87,6 +93,8 @@
 
 	source_clear(&revocation->timeout);
 	g_ptr_array_unref(revocation->targets);
+	open_orders_clear(&revocation->open_orders);
+	open_orders_clear(&revocation->reported_orders);
 	g_free(revocation->group);
 	g_free(revocation);
 }
@@ -132,6 +140,8 @@
 	ended->state = state;
 	ended->has_newest_term = 1;
 	ended->newest_term = revocation->newest_term;
+	ended->open = open_orders_write(&revocation->reported_orders,
+	    msg->arena, clock_us(), &ended->n_open);
 	task_send(revocation->requester, peers->task, msg);
 }
 
@@ -197,6 +207,7 @@
 	target_t *target = context;
 	Bp__PeerMessage message = BP__PEER_MESSAGE__INIT;
 	Bp__LeaseRevoke revoke = BP__LEASE_REVOKE__INIT;
+	arena_t *arena = arena_new();
 
 	revoke.id = target->revocation->id;
 	revoke.group = target->revocation->group;
@@ -204,9 +215,12 @@
 	revoke.token = target->revocation->token;
 	revoke.has_begun = 1;
 	revoke.begun = target->revocation->begun;
+	revoke.open = open_orders_write(&target->revocation->open_orders, arena,
+	    clock_us(), &revoke.n_open);
 	message.body_case = BP__PEER_MESSAGE__BODY_LEASE_REVOKE;
 	message.lease_revoke = &revoke;
 	frame_send(target->link, &message);
+	arena_free(arena);
 }
 
 /*
@@ -216,12 +230,15 @@
 on_target_received(void *context, arena_t *arena, Bp__PeerMessage *message)
 {
 	target_t *target = context;
+	const Bp__LeaseRevoked *revoked = message->lease_revoked;
 
 	if (message->body_case == BP__PEER_MESSAGE__BODY_LEASE_REVOKED &&
-	    message->lease_revoked->id == target->revocation->id &&
-	    !target->answered)
-		target_answered(target, message->lease_revoked->token,
-		    message->lease_revoked->newest_term);
+	    revoked->id == target->revocation->id && !target->answered) {
+		open_orders_read(&target->revocation->reported_orders,
+		    revoked->open, revoked->n_open, OPEN_ORDER_TOLD,
+		    clock_us());
+		target_answered(target, revoked->token, revoked->newest_term);
+	}
 	arena_free(arena);
 }
 
@@ -253,7 +270,8 @@
 
 	target->revocation = revocation;
 	target->name = g_strdup(daemon->name);
-	target->holds_leases = daemon->leases || revocation->begun;
+	target->holds_leases = daemon->leases || revocation->begun ||
+	    open_orders_count(&revocation->open_orders, clock_us()) > 0;
 	g_ptr_array_add(revocation->targets, target);
 	if (address_split(daemon->address, &address, &port) < 0) {
 		log_line(LOG_PART, G_LOG_LEVEL_WARNING,
@@ -288,6 +306,10 @@
 	revocation->requester =
 	    wanted->confirms ? peers->proxy->registry : peers->proxy->pool;
 	peers->token = MAX(peers->token, wanted->token);
+	open_orders_init(&revocation->open_orders);
+	open_orders_init(&revocation->reported_orders);
+	open_orders_read(&revocation->open_orders, wanted->open, wanted->n_open,
+	    OPEN_ORDER_TOLD, clock_us());
 	revocation->targets = g_ptr_array_new_with_free_func(target_free);
 	revocation->timeout = task_timer(
 	    peers->task, REVOCATION_TIMEOUT_MS, on_timeout, revocation);
@@ -315,8 +337,7 @@
 	    g_hash_table_lookup(peers->incoming, &revoked->link);
 
 	if (incoming != NULL)
-		incoming_send_revoked(
-		    incoming, revoked->id, revoked->newest_term);
+		incoming_send_revoked(incoming, revoked);
 	msg_free(msg);
 }
 
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -42,8 +42,7 @@
 /* incoming.c */
 void incoming_accept(void *peers, GSocket *);
 void incoming_free(gpointer);
-void incoming_send_revoked(
-    incoming_link_t *, uint64_t id, uint64_t newest_term);
+void incoming_send_revoked(incoming_link_t *, const Bp__RevokeAsked *);
 void incoming_operation_ended(peers_t *, Bp__OperationEnded *);
 void incoming_transaction_dropped(peers_t *, uint64_t session);
 void incoming_send_news(peers_t *, Bp__StoreNews *);
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -340,7 +340,8 @@
 		recorded_orders_t recorded = {.read_us = (int64_t)read->read_us,
 		    .lost_us = (int64_t)read->lost_us,
 		    .read_era = read->era};
-		size_t i;
+		Bp__OpenOrder *const *open = NULL;
+		size_t i, n_open = 0;
 
 		for (i = 0; i < read->n_orders; i++) {
 			const Bp__RecordedOrder *order = read->orders[i];
@@ -352,7 +353,10 @@
 			recorded.base =
 			    (position_t){order->base_term, order->base_index};
 			recorded.era = order->era;
+			open = order->open;
+			n_open = order->n_open;
 		}
+		group_orders_recorded(value, open, n_open, clock_us());
 		monitor_orders_read(value, &recorded, clock_us());
 	}
 	msg_free(msg);
@@ -383,9 +387,11 @@
 	group_t *group = group_get(pool, asked->group);
 	task_t *from = msg->from;
 
+	group_orders_told(group, asked->open, asked->n_open, clock_us());
 	monitor_revoke_lease(group, asked->term, asked->begun, clock_us());
 	asked->has_newest_term = 1;
 	asked->newest_term = lease_newest_term(&group->lease);
+	asked->open = group_orders_write(group, msg->arena, &asked->n_open);
 	task_send(from, pool->task, msg_copy(msg->body));
 	msg_free(msg);
 }
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -2,6 +2,7 @@
 #define PROXY_POOL_H
 
 #include "decide/failover.h"
+#include "decide/open_orders.h"
 #include "decide/overload_handover.h"
 #include "decide/rankq.h"
 #include "decide/reconnect.h"
@@ -22,6 +23,7 @@
  * transaction.c	end of transactions
  * dispatch.c		selection of a server and connection for a statement
  * monitor.c		server status, leases and failover
+ * group_orders.c	open orders to promote a server
  * pool_log.c		log events
  * pool_status.c	status page and metrics
  *
@@ -167,7 +169,9 @@
 	GQueue held;
 	/* log positions of the primary over time */
 	position_history_t position_history;
-	lease_t lease; /* lease of this daemon on the primary */
+	lease_t lease;              /* lease of this daemon on the primary */
+	open_orders_t open_orders;  /* orders that may still take effect */
+	uint32_t open_orders_count; /* as last logged */
 	/* time at which a lease in its term was last seen to be valid */
 	int64_t lease_seen_us;
 	int64_t created_us; /* time at which this structure was created */
@@ -262,6 +266,7 @@
 	int64_t arrived_us;
 	int64_t deadline_us;          /* end of the statement's timeout */
 	position_t executed_position; /* log position in the answer */
+	int64_t executed_us;          /* time of the answer */
 	const char *ack_token; /* acknowledgement token of the database */
 	GPtrArray *rows;       /* rows of the result, or NULL */
 	GList link;            /* entry in group->held */
@@ -376,6 +381,7 @@
 void log_primary_suspected(const group_t *, int64_t now_us);
 void log_handover_due(const group_t *, const server_t *primary, bool leaving);
 void log_lease_revoked(const group_t *, uint64_t term, int64_t now_us);
+void log_open_orders(const group_t *, int64_t now_us);
 void log_lease_regained(
     const group_t *, const server_t *primary, int64_t ended_us);
 void log_change_step(const group_t *, const failover_action_t *);
@@ -384,6 +390,16 @@
 void log_coordinator_changed(bool held, uint64_t token);
 void log_daemons_known(const pool_t *);
 
+/* group_orders.c */
+void group_orders_update(group_t *, int64_t now_us);
+bool group_orders_told(
+    group_t *, Bp__OpenOrder *const *, size_t count, int64_t now_us);
+void group_orders_recorded(
+    group_t *, Bp__OpenOrder *const *, size_t count, int64_t now_us);
+Bp__OpenOrder **group_orders_write(const group_t *, arena_t *, size_t *count);
+int64_t group_orders_checked_us(const group_t *);
+bool group_orders_checkable(const group_t *, int64_t now_us);
+
 /* dispatch.c */
 void dispatch(group_t *, int64_t now_us);
 
--- a/src/proxy/pool_log.c
+++ b/src/proxy/pool_log.c
@@ -351,6 +351,32 @@
 	log_event(G_LOG_LEVEL_INFO, &given_back.base);
 }
 
+/*
+ * Append the server that an open order names to an event.
+ */
+static void
+append_server(void *context, const open_order_t *order)
+{
+	Bp__OpenOrdersChanged *changed = context;
+
+	changed->servers[changed->n_servers++] = order->database;
+}
+
+/*
+ * Log that the open orders of a group have changed.
+ */
+void
+log_open_orders(const group_t *group, int64_t now_us)
+{
+	Bp__OpenOrdersChanged changed = BP__OPEN_ORDERS_CHANGED__INIT;
+
+	changed.group = group->name;
+	changed.servers = g_new0(char *, group->open_orders_count + 1);
+	open_orders_each(&group->open_orders, now_us, append_server, &changed);
+	log_event(G_LOG_LEVEL_MESSAGE, &changed.base);
+	g_free(changed.servers);
+}
+
 /*
  * Log that this daemon has a lease again in the term of its last one, and the
  * answers of the servers that it rests on.  ended_us: end of that last lease.
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -127,6 +127,7 @@
 void orders_free(registry_t *);
 void orders_note(registry_t *, const Bp__PromotionWanted *);
 void orders_sent(registry_t *, const Bp__PromotionWanted *);
+void orders_accepted(registry_t *, const Bp__PromotionWanted *);
 bool orders_withdraw(registry_t *, const Bp__PromotionWanted *, bool refused);
 void orders_take(registry_t *, const Bp__DutyRecord *);
 bool orders_recorded(const registry_t *, const Bp__DutyRecord *);
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -51,6 +51,7 @@
 	group->primary_backlog = rankq_new(floor_percent);
 	group->replica_backlog = rankq_new(floor_percent);
 	g_queue_init(&group->held);
+	open_orders_init(&group->open_orders);
 	monitor_init(group, clock_us());
 	g_hash_table_insert(pool->groups, group->name, group);
 	return group;
@@ -87,6 +88,7 @@
 	for (i = 0; i < group->removed->len; i++)
 		server_free(g_ptr_array_index(group->removed, i));
 	g_ptr_array_unref(group->removed);
+	open_orders_clear(&group->open_orders);
 	failover_clear(&group->failover);
 	rankq_free(group->primary_backlog);
 	rankq_free(group->replica_backlog);
--- a/tests/fake/fakegroup.c
+++ b/tests/fake/fakegroup.c
@@ -78,6 +78,8 @@
 	uint64_t ack_tokens_issued;
 	/* close the connection instead of answering the next commit */
 	bool lose_next_commit_answer;
+	/* values that clients wrote at a primary that had been replaced */
+	GString *outdated_values;
 };
 
 /*
@@ -412,6 +414,20 @@
 	answer_ready(conn);
 }
 
+/*
+ * Append a client's write to the log of a primary, and note it if the primary
+ * has been replaced.
+ */
+static void
+append_client_write(database_t *database, const char *item, const char *value)
+{
+	if (group_primary(database->group) != database)
+		g_string_append_printf(
+		    database->group->outdated_values, "%s ", value);
+	database_append(database, database->term,
+	    database_last_index(database) + 1, item, value);
+}
+
 /*
  * Read or write an item.  A write in a transaction is deferred until the
  * commit.
@@ -443,8 +459,7 @@
 		g_ptr_array_add(conn->pending_writes, entry);
 		answer_done(conn, true);
 	} else {
-		database_append(database, database->term,
-		    database_last_index(database) + 1, item, value);
+		append_client_write(database, item, value);
 		answer_done(conn, true);
 	}
 }
@@ -474,9 +489,7 @@
 		const write_entry_t *entry =
 		    g_ptr_array_index(conn->pending_writes, i);
 
-		database_append(database, database->term,
-		    database_last_index(database) + 1, entry->item,
-		    entry->value);
+		append_client_write(database, entry->item, entry->value);
 	}
 	g_ptr_array_set_size(conn->pending_writes, 0);
 	if (database->group->lose_next_commit_answer) {
@@ -802,6 +815,16 @@
 	return true;
 }
 
+/*
+ * Return the values that clients wrote at a primary that had been replaced,
+ * each between blanks.
+ */
+const char *
+db_group_outdated_values(const db_group_t *group)
+{
+	return group->outdated_values->str;
+}
+
 /*
  * Create a group and listen on its ports, which follow each other.  The
  * first database is the primary.
@@ -818,6 +841,7 @@
 	group->databases_count = databases_count;
 	group->lag_ms = lag_ms;
 	group->service_ms = service_ms;
+	group->outdated_values = g_string_new(" ");
 	for (i = 0; i < databases_count; i++) {
 		database_t *database = &group->databases[i];
 
--- a/tests/fake/fakesite.c
+++ b/tests/fake/fakesite.c
@@ -18,8 +18,17 @@
  *                          token, and value of an item at the primary
  * GET /watches             number of watch requests to the store
  * GET /requests            number of all requests to the store
+ * POST /fault?on=order     hold up the next order to promote
+ * GET /held                database that this order names
+ * GET /outdated            values written at a primary that had been replaced
  */
 
+/*
+ * Time for which an order is held up: longer than a daemon waits before it
+ * orders another promotion.
+ */
+#define HELD_ORDER_MS 6000
+
 typedef struct fake_platform {
 	SoupServer *server;
 	object_store_t *store;
@@ -27,6 +36,8 @@
 	uint64_t highest_token;          /* highest fencing token so far */
 	char *last_holder;               /* lease holder of the last request */
 	uint32_t invalid_token_requests; /* promotions with an invalid token */
+	bool hold_next_order;
+	char *held_order; /* database that the held order names, or NULL */
 } fake_platform_t;
 
 /*
@@ -87,6 +98,31 @@
 	platform->last_holder = g_strdup(holder);
 }
 
+/*
+ * Carry out the order that was held up.
+ */
+static gboolean
+on_held_order(gpointer context)
+{
+	fake_platform_t *platform = context;
+
+	db_group_promote(platform->group, platform->held_order);
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * Hold up an order: it gets no answer, and is carried out HELD_ORDER_MS later.
+ */
+static void
+hold_order(
+    fake_platform_t *platform, SoupServerMessage *message, const char *id)
+{
+	platform->hold_next_order = false;
+	platform->held_order = g_strdup(id);
+	g_timeout_add(HELD_ORDER_MS, on_held_order, platform);
+	soup_server_message_pause(message);
+}
+
 /*
  * Handle POST /promote: request a promotion.  An invalid fencing token is
  * counted but not refused, so that tests notice a daemon that uses a superseded
@@ -103,6 +139,12 @@
 	(void)path;
 	(void)query;
 	check_token(platform, message);
+	if (platform->hold_next_order && id != NULL) {
+		hold_order(platform, message, id);
+		g_free(id);
+		g_free(body);
+		return;
+	}
 	soup_server_message_set_status(message,
 	    id != NULL && db_group_promote(platform->group, id) ? 200 : 409,
 	    NULL);
@@ -111,7 +153,8 @@
 }
 
 /*
- * Handle POST /fault: inject a fault into the store or a database.
+ * Handle POST /fault: inject a fault into the store or a database, or have the
+ * next order held up.
  */
 static void
 on_fault(SoupServer *server, SoupServerMessage *message, const char *path,
@@ -127,6 +170,8 @@
 	(void)path;
 	if (strcmp(target, "store") == 0)
 		object_store_inject_fault(platform->store, fault);
+	else if (strcmp(target, "order") == 0)
+		platform->hold_next_order = true;
 	else
 		known = db_group_inject_fault(platform->group, fault,
 		    number == NULL ? UINT32_MAX : (uint32_t)atoi(number));
@@ -194,6 +239,28 @@
 	    message, "text/plain", SOUP_MEMORY_TAKE, text, strlen(text));
 }
 
+/*
+ * Handle GET /held and GET /outdated: return the database that a held order
+ * names, or the values that were written at a primary that had been replaced.
+ */
+static void
+on_held_or_outdated(SoupServer *server, SoupServerMessage *message,
+    const char *path, GHashTable *query, gpointer context)
+{
+	const fake_platform_t *platform = context;
+	const char *text = strcmp(path, "/outdated") == 0
+	    ? db_group_outdated_values(platform->group)
+	    : platform->held_order;
+
+	(void)server;
+	(void)query;
+	if (text == NULL)
+		text = "";
+	soup_server_message_set_status(message, 200, NULL);
+	soup_server_message_set_response(
+	    message, "text/plain", SOUP_MEMORY_COPY, text, strlen(text));
+}
+
 /*
  * Stop the server on SIGTERM.
  */
@@ -247,6 +314,10 @@
 	    platform.server, "/watches", on_request_count, &platform, NULL);
 	soup_server_add_handler(
 	    platform.server, "/requests", on_request_count, &platform, NULL);
+	soup_server_add_handler(
+	    platform.server, "/held", on_held_or_outdated, &platform, NULL);
+	soup_server_add_handler(
+	    platform.server, "/outdated", on_held_or_outdated, &platform, NULL);
 	if (!soup_server_listen_local(
 		platform.server, (guint)port->ival[0], 0, NULL))
 		return 1;
--- a/tests/fake/testbed.c
+++ b/tests/fake/testbed.c
@@ -148,6 +148,19 @@
 	return value;
 }
 
+/*
+ * Return the body of a GET request to the platform, to be freed by the caller.
+ */
+char *
+testbed_get(const testbed_t *testbed, const char *path)
+{
+	char *url = platform_url(testbed, path), *answer = NULL;
+
+	g_assert_cmpuint(http_call("GET", url, NULL, &answer), ==, 200);
+	g_free(url);
+	return answer;
+}
+
 /*
  * Start or restart a proxy.
  */
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -628,6 +628,69 @@
 	failover_clear(&failover);
 }
 
+typedef struct open_order_case {
+	const char *name;
+	int32_t ordered;        /* database with an open order; -1: none */
+	bool outside;           /* it is not in the group */
+	uint64_t more_advanced; /* database with the longer log; 0: equal */
+	bool all;               /* all daemons confirm, not only most */
+	int32_t chosen;         /* expected; -1: nothing is ordered */
+} open_order_case_t;
+
+static const open_order_case_t open_order_cases[] = {
+    {"none", -1, false, 0, false, 1},
+    {"to the first of two equal ones", 1, false, 0, false, 1},
+    {"to the second of two equal ones", 2, false, 0, false, 2},
+    {"to one with a shorter log, and most daemons know", 2, false, 1, false,
+	-1},
+    {"to one with a shorter log, and all daemons know", 2, false, 1, true, 1},
+    {"to a database that has left, and most daemons know", -1, true, 0, false,
+	-1},
+    {"to a database that has left, and all daemons know", -1, true, 0, true, 1},
+};
+
+/*
+ * Test that while an order is open another database is ordered only if all
+ * daemons know of that order, since they check it for each answer.
+ */
+static void
+test_open_order(gconstpointer data)
+{
+	const open_order_case_t *c = data;
+	failover_actions_t actions;
+	failover_t failover;
+	int32_t chosen = -1;
+	int64_t at_ms;
+	uint64_t term;
+	uint32_t i;
+
+	failover_init(&failover, &test_limits, DATABASES, 1, 0);
+	failover.order_open_outside = c->outside;
+	for (i = 0; i < DATABASES; i++)
+		report(&failover, i, i == 0, 1, 0, 0);
+	term = begin_attempt(&failover, 0);
+	for (i = 1; i < DATABASES; i++) {
+		db_view_t view = {true, false, false, term,
+		    {1, i == c->more_advanced ? 9 : 8}, 0, .term = 1,
+		    .order_open = (int32_t)i == c->ordered};
+
+		failover_replace_view(&failover, i, &view, 0);
+		failover_fence_answered(&failover, i, term, true, &view, 0);
+	}
+	for (at_ms = 10; at_ms < 2300; at_ms += 10) {
+		if (at_ms == 20)
+			failover_leases_revoked(
+			    &failover, term, c->all, MS(at_ms));
+		failover_tick(&failover, MS(at_ms), &actions);
+		for (i = 0; i < actions.count; i++) {
+			if (actions.list[i].kind == FAILOVER_PROMOTE)
+				chosen = (int32_t)actions.list[i].database;
+		}
+	}
+	g_assert_cmpint(chosen, ==, c->chosen);
+	failover_clear(&failover);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -646,5 +709,6 @@
 	CASES("/attempt/second-order", second_order_cases, test_second_order);
 	CASES("/attempt/unaware", unaware_cases, test_unaware);
 	CASES("/attempt/recorded", recorded_cases, test_recorded);
+	CASES("/attempt/open-order", open_order_cases, test_open_order);
 	return g_test_run();
 }
--- a/tests/t_old_primary.c
+++ b/tests/t_old_primary.c
@@ -3,6 +3,7 @@
 
 #include <curl/curl.h>
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 
 /*
@@ -247,6 +248,165 @@
 	testbed_stop(testbed);
 }
 
+typedef struct late_order_case {
+	const char *name;
+	bool killed; /* the daemon that sent it is killed */
+	bool
+	    leaving; /* its database leaves; otherwise it crashes and returns */
+} late_order_case_t;
+
+static const late_order_case_t late_order_cases[] = {
+    {"its sender goes on", false, true},
+    {"its sender is killed", true, true},
+    {"its database restarts", false, false},
+};
+
+/* Time in which an order that is held up takes effect, with a margin. */
+#define LATE_ORDER_MS 9000
+
+/* Time after which a database that has crashed is back. */
+#define CRASHED_MS 1500
+
+/*
+ * Return the number of the proxy that the coordinator record names.
+ */
+static uint32_t
+coordinator_number(const testbed_t *testbed)
+{
+	char *record =
+	    testbed_get(testbed, "/objects/bergamotplank-duties/promotion");
+	uint32_t i;
+
+	for (i = 0; i < testbed->plan.proxies; i++) {
+		char *holder = g_strdup_printf(
+		    "\"holder\":\"%s\"", testbed->proxies[i].name);
+		bool found = strstr(record, holder) != NULL;
+
+		g_free(holder);
+		if (found)
+			break;
+	}
+	g_assert_cmpuint(i, <, testbed->plan.proxies);
+	g_free(record);
+	return i;
+}
+
+/*
+ * Wait until an order is held up, and return the number of its database.
+ */
+static int32_t
+wait_held_order(const testbed_t *testbed)
+{
+	int64_t end_us =
+	    g_get_monotonic_time() + PROMOTION_MS * G_TIME_SPAN_MILLISECOND;
+	int32_t database = -1;
+
+	while (database < 0 && g_get_monotonic_time() < end_us) {
+		char *held = testbed_get(testbed, "/held");
+
+		if (held[0] != '\0')
+			database = atoi(held + strlen("i-"));
+		g_free(held);
+		g_usleep(5 * G_TIME_SPAN_MILLISECOND);
+	}
+	g_assert_cmpint(database, >=, 0);
+	return database;
+}
+
+/*
+ * Write through the proxies in turn, except one, for some time.  Returns the
+ * values that were acknowledged.
+ */
+static GPtrArray *
+write_values(testbed_t *testbed, int32_t excepted, int64_t time_ms)
+{
+	GPtrArray *acknowledged = g_ptr_array_new_with_free_func(g_free);
+	client_t *clients[TESTBED_PROXIES_MAX] = {NULL};
+	int64_t end_us =
+	    g_get_monotonic_time() + time_ms * G_TIME_SPAN_MILLISECOND;
+	uint32_t i, n;
+
+	for (n = 0; g_get_monotonic_time() < end_us; n++) {
+		char *text, *answer = NULL;
+
+		i = n % testbed->plan.proxies;
+		if ((int32_t)i == excepted)
+			continue;
+		if (clients[i] == NULL)
+			clients[i] = client_open_session(testbed, i, "intake");
+		text = g_strdup_printf("WRITE k v%u", n);
+		if (clients[i] != NULL)
+			answer =
+			    client_query(clients[i], text, ANSWER_TIMEOUT_MS);
+		if (answer != NULL && g_str_has_prefix(answer, "DONE"))
+			g_ptr_array_add(
+			    acknowledged, g_strdup(text + strlen("WRITE k ")));
+		if (answer == NULL && clients[i] != NULL) {
+			client_close(clients[i]);
+			clients[i] = NULL;
+		}
+		g_free(answer);
+		g_free(text);
+		g_usleep(G_TIME_SPAN_MILLISECOND);
+	}
+	for (i = 0; i < testbed->plan.proxies; i++) {
+		if (clients[i] != NULL)
+			client_close(clients[i]);
+	}
+	return acknowledged;
+}
+
+/*
+ * Test that an order that takes effect seconds late, after another database was
+ * promoted, has no write acknowledged by the primary that it replaces.
+ */
+static void
+test_late_order(gconstpointer data)
+{
+	const late_order_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 3, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	GPtrArray *acknowledged;
+	char *outdated;
+	int32_t named, killed = -1;
+	uint32_t i;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_usleep(2500 * G_TIME_SPAN_MILLISECOND); /* until all are listed */
+	testbed_inject_fault(testbed, "order", "hold", -1);
+	testbed_inject_fault(testbed, "database", "leave", 0);
+	named = wait_held_order(testbed);
+	if (c->killed) {
+		killed = (int32_t)coordinator_number(testbed);
+		g_usleep(500 * G_TIME_SPAN_MILLISECOND);
+		fleet_process_kill(&testbed->proxies[killed]);
+	}
+	if (c->leaving) {
+		testbed_inject_fault(testbed, "database", "leave", named);
+	} else {
+		testbed_inject_fault(testbed, "database", "crash", named);
+		g_usleep(CRASHED_MS * G_TIME_SPAN_MILLISECOND);
+		testbed_inject_fault(testbed, "database", "return", named);
+	}
+	acknowledged = write_values(testbed, killed, LATE_ORDER_MS);
+	outdated = testbed_get(testbed, "/outdated");
+	g_test_message(
+	    "%u acknowledged, outdated:%.200s", acknowledged->len, outdated);
+	g_assert_cmpuint(acknowledged->len, >, 0);
+	for (i = 0; i < acknowledged->len; i++) {
+		char *value = g_strdup_printf(
+		    " %s ", (char *)g_ptr_array_index(acknowledged, i));
+
+		if (strstr(outdated, value) != NULL)
+			g_test_message("acknowledged:%s", value);
+		g_assert_true(strstr(outdated, value) == NULL);
+		g_free(value);
+	}
+	g_ptr_array_unref(acknowledged);
+	g_free(outdated);
+	testbed_stop(testbed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -264,5 +424,6 @@
 	    "/old-primary/order-during-outage", test_order_during_outage);
 	g_test_add_func(
 	    "/old-primary/restart-after-outage", test_restart_after_outage);
+	CASES("/old-primary/late-order", late_order_cases, test_late_order);
 	return g_test_run();
 }
--- a/tests/t_proxy_model.c
+++ b/tests/t_proxy_model.c
@@ -23,6 +23,7 @@
 	uint32_t daemon_restart_permille;
 	uint32_t database_restart_permille;
 	uint32_t returns_permille;
+	uint32_t order_held_permille;
 } correct_case_t;
 
 static const correct_case_t correct_cases[] = {
@@ -51,6 +52,10 @@
     {"a store that goes back, daemons restart", 3, 4, 8, 0, 0, 120, 6, 0, 4},
     {"a store that goes back, five daemons restart", 3, 5, 14, 0, 0, 120, 8, 0,
 	2},
+    {"orders are held up", 3, 4, 8, 0, 0, 240, 0, 0, 0, 200},
+    {"orders are held up, many faults", 3, 3, 20, 0, 0, 240, 0, 0, 0, 300},
+    {"orders are held up, five databases", 5, 5, 12, 0, 0, 120, 0, 0, 0, 300},
+    {"orders are held up, owners change", 3, 4, 12, 0, 40, 120, 0, 0, 0, 300},
 };
 
 /*
@@ -74,7 +79,8 @@
 		    .placement_permille = c->placement_permille,
 		    .daemon_restart_permille = c->daemon_restart_permille,
 		    .database_restart_permille = c->database_restart_permille,
-		    .returns_permille = c->returns_permille};
+		    .returns_permille = c->returns_permille,
+		    .order_held_permille = c->order_held_permille};
 		proxy_model_result_t result;
 
 		proxy_model_run(&plan, &result);
@@ -111,6 +117,7 @@
 	bool pauses_last;
 	uint32_t daemon_restart_permille;
 	uint32_t returns_permille;
+	uint32_t order_held_permille;
 } bug_case_t;
 
 static const bug_case_t bug_cases[] = {
@@ -146,6 +153,10 @@
 	20, 12, 3, 401, true, 0, 2},
     {"the orders of a store that has gone back", PROXY_BUG_RESTORED_ORDERS, 4,
 	0, 14, 3, 1, false, 8, 4},
+    {"answers rest on the lease alone while an order is open",
+	PROXY_BUG_OPEN_ORDERS, 4, 0, 12, 3, 1, false, 0, 0, 300},
+    {"open orders that the other daemons are not told",
+	PROXY_BUG_OPEN_ORDERS_UNTOLD, 4, 0, 12, 3, 61, false, 0, 0, 300},
 };
 
 /*
@@ -170,7 +181,8 @@
 		    .pauses_last = c->pauses_last,
 		    .daemon_restart_permille = c->daemon_restart_permille,
 		    .placement_permille = c->placement_permille,
-		    .returns_permille = c->returns_permille};
+		    .returns_permille = c->returns_permille,
+		    .order_held_permille = c->order_held_permille};
 		proxy_model_result_t result;
 
 		proxy_model_run(&plan, &result);
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -17,6 +17,7 @@
 #define PROMOTION_MIN_US (100 * US_PER_MS)
 #define PROMOTION_SPREAD_US (200 * US_PER_MS)
 #define LATE_PROMOTION_MAX_US (3 * US_PER_SECOND)
+#define ORDER_HELD_MAX_US (8 * US_PER_SECOND)
 #define FAILOVER_VISIBLE_US (2 * US_PER_SECOND)
 #define TAKEOVER_DELAY_US (900 * US_PER_MS)
 #define TAKEOVER_DELAY_SPREAD_US (600 * US_PER_MS)
@@ -44,7 +45,9 @@
 /*
  * Answer a statement.  Counts a stale read if a newer primary existed when
  * the read was sent, and a split brain if a newer primary exists when a write
- * is acknowledged.
+ * is acknowledged.  Where orders are held up for longer than leases last, a
+ * split brain is counted if a newer primary existed when the write was
+ * executed; another one may begin while the answer is on its way.
  */
 static void
 stmt_done(proxy_model_t *model, const stmt_t *stmt)
@@ -57,7 +60,9 @@
 	}
 	model->result->acknowledged++;
 	model->result->split_brain_acks +=
-	    model->newest_term > stmt->position.term;
+	    (model->plan->order_held_permille > 0
+		    ? stmt->newest_term_when_executed
+		    : model->newest_term) > stmt->position.term;
 	g_array_append_val(model->acked_writes, stmt->write_id);
 }
 
@@ -78,7 +83,9 @@
 		    stmt->is_read ? stmt->sent_us : model->now_us;
 		bool confirmed = stmt->position.term == lease->term &&
 		    (int32_t)stmt->db == primary &&
-		    needed_until_us <= lease->expires_us;
+		    needed_until_us <= lease->expires_us &&
+		    (stmt->is_read ? stmt->sent_us : stmt->executed_us) <=
+			proxy_model_checked_us(model, daemon);
 		bool replicated = stmt->is_read ||
 		    model->plan->sync_replicas == 0 ||
 		    proxy_model_count_copies(model, stmt->db, stmt->write_id) >
@@ -115,7 +122,8 @@
 	event_t event = {.kind = EVENT_ORDERS_READ,
 	    .daemon = daemon_index,
 	    .store_era = model->store_era,
-	    .orders = model->orders};
+	    .orders = model->orders,
+	    .open = model->open};
 
 	if (daemon->orders_pending ||
 	    model->now_us < daemon->object_store_cut_until_us)
@@ -156,6 +164,7 @@
 	if (model->plan->injected_bug == PROXY_BUG_UNVERIFIED_LEASE)
 		lease_orders_read(&daemon->lease,
 		    &(recorded_orders_t){.read_us = model->now_us});
+	proxy_model_open_update(model, daemon);
 	if (primary >= 0)
 		lease_renew(&daemon->lease, failover->views,
 		    model->plan->databases, (uint32_t)primary, model->now_us,
@@ -183,6 +192,7 @@
 	if (model->plan->injected_bug != PROXY_BUG_RESTORED_ORDERS)
 		orders.lost_us = daemon->store_restored_us;
 	lease_orders_read(&daemon->lease, &orders);
+	proxy_model_open_recorded(model, daemon, &event->open);
 	update_lease(model, event->daemon);
 }
 
@@ -203,6 +213,7 @@
 		if (!stmt_pending(daemon, event->stmt))
 			return;
 		event->stmt->executed = event->ok;
+		event->stmt->executed_us = model->now_us;
 		event->stmt->position = view.last_entry;
 		if (!event->ok)
 			/* a failed statement times out at once */
@@ -212,6 +223,7 @@
 	}
 	if (event->call == CALL_STATUS)
 		daemon->status_pending[event->db] = false;
+	view.order_open = failover->views[event->db].order_open;
 	failover_replace_view(failover, event->db, &view, model->now_us);
 	if (event->call == CALL_PAUSE_REPLICATION ||
 	    (event->call == CALL_STEP_DOWN &&
@@ -249,11 +261,14 @@
 	uint32_t i;
 
 	lease_revoke(&daemon->lease, term, model->now_us);
+	if (model->plan->injected_bug != PROXY_BUG_OPEN_ORDERS_UNTOLD)
+		proxy_model_open_list(model, daemon, &event.open);
 	daemon->revocation_term = term;
 	daemon->revocation_answers = 1;
 	daemon->holders_left =
-	    (begun ? UINT32_MAX >> (32 - model->plan->daemons)
-		   : proxy_model_holders(model, daemon_index)) &
+	    (begun || event.open.count > 0
+		    ? UINT32_MAX >> (32 - model->plan->daemons)
+		    : proxy_model_holders(model, daemon_index)) &
 	    ~(UINT32_C(1) << daemon_index);
 	for (i = 0; i < model->plan->daemons; i++) {
 		event.peer = i;
@@ -279,6 +294,10 @@
 	answer.kind = EVENT_REVOKED;
 	answer.ok = daemon->newest_token_seen <= event->token;
 	answer.view.term = lease_newest_term(&daemon->lease);
+	if (answer.ok) {
+		proxy_model_open_told(model, daemon, &event->open);
+		proxy_model_open_list(model, daemon, &answer.open);
+	}
 	daemon->newest_token_seen =
 	    MAX(daemon->newest_token_seen, event->token);
 	lease_revoke(&daemon->lease, event->term, model->now_us);
@@ -308,6 +327,9 @@
 	}
 	failover_term_reported(
 	    &daemon->failover, event->view.term, model->now_us);
+	if (proxy_model_open_told(model, daemon, &event->open))
+		failover_superseded(
+		    &daemon->failover, event->term, model->now_us);
 	daemon->holders_left &= ~(UINT32_C(1) << event->peer);
 	if (++daemon->revocation_answers >= majority_of(daemons_count))
 		failover_leases_revoked(&daemon->failover, event->term,
@@ -318,7 +340,7 @@
  * Record an order in the store, before it is sent.
  */
 static void
-record_order(proxy_model_t *model, proxy_model_daemon_t *daemon)
+record_order(proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db)
 {
 	failover_t *failover = &daemon->failover;
 
@@ -331,6 +353,7 @@
 	model->orders.era = model->store_era;
 	model->orders.replaced_term = MAX(failover_term_to_replace(failover),
 	    lease_newest_term(&daemon->lease));
+	proxy_model_open_note(model, daemon, db);
 	failover_orders_recorded(failover, &model->orders, model->now_us);
 }
 
@@ -338,13 +361,14 @@
  * Withdraw the record of an order that was refused.
  */
 static void
-withdraw_order(proxy_model_t *model, proxy_model_daemon_t *daemon)
+withdraw_order(proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db)
 {
 	failover_t *failover = &daemon->failover;
 
 	if (model->orders.attempt_term != failover->term)
 		return;
 	model->orders = daemon->orders_before;
+	proxy_model_open_withdraw(model, daemon, db);
 	failover_orders_recorded(failover, &model->orders, model->now_us);
 }
 
@@ -368,7 +392,7 @@
 	    model->coordinator_token == daemon->fencing_token &&
 	    model->store_era == daemon->store_era;
 	if (event.ok)
-		record_order(model, daemon);
+		record_order(model, daemon, db);
 	proxy_model_schedule(
 	    model, proxy_model_random_us(model, NETWORK_DELAY_MAX_US), &event);
 }
@@ -390,6 +414,23 @@
 	    ORDER_MAX_AGE_US;
 }
 
+/*
+ * Send an order that may be held up.  Then it gets no answer; otherwise the
+ * platform accepts it.
+ */
+static void
+send_open_order(proxy_model_t *model, proxy_model_daemon_t *daemon,
+    const event_t *promotion, int64_t after_us)
+{
+	if (proxy_model_chance(model, model->plan->order_held_permille)) {
+		after_us += proxy_model_random_us(model, ORDER_HELD_MAX_US);
+		model->result->late_promotions++;
+	} else {
+		proxy_model_open_accepted(daemon, promotion->db, model->now_us);
+	}
+	proxy_model_schedule(model, after_us, promotion);
+}
+
 /*
  * Handle the coordinator record that was read: order the promotion if it still
  * names this daemon and the database is up.  A record that was read too long
@@ -435,13 +476,17 @@
 	if (!event->ok || model->now_us < model->dbs[event->db].down_until_us) {
 		daemon->is_coordinator &= event->ok;
 		if (event->ok)
-			withdraw_order(model, daemon);
+			withdraw_order(model, daemon, event->db);
 		failover_promotion_answered(failover, event->db, event->term,
 		    false, &failover->views[event->db], model->now_us);
 		return;
 	}
 	daemon->order_sent = true;
 	model->result->promotions_requested++;
+	if (model->plan->order_held_permille > 0) {
+		send_open_order(model, daemon, &promotion, after_us);
+		return;
+	}
 	if (model->plan->placement_permille == 0 &&
 	    proxy_model_chance(model, 50)) {
 		after_us += proxy_model_random_us(model, LATE_PROMOTION_MAX_US);
@@ -572,6 +617,7 @@
 	daemon->coordinator_since_us = model->now_us;
 	failover_orders_recorded(
 	    &daemon->failover, &model->orders, model->now_us);
+	proxy_model_open_recorded(model, daemon, &model->open);
 }
 
 /*
@@ -607,7 +653,9 @@
 
 	if (!daemon->owner || primary < 0 ||
 	    (model->plan->injected_bug != PROXY_BUG_ACK_WITHOUT_LEASE &&
-		daemon->lease.expires_us <= model->now_us))
+		daemon->lease.expires_us <= model->now_us) ||
+	    proxy_model_checked_us(model, daemon) <=
+		model->now_us - daemon->failover.limits.suspect_us)
 		return;
 	stmt = arena_zalloc(model->arena, sizeof(*stmt));
 	stmt->is_read = proxy_model_chance(model, 500);
@@ -690,6 +738,7 @@
 	    proxy_model_random_us(model, TAKEOVER_DELAY_SPREAD_US);
 	daemon->owner = true;
 	daemon->stmts = g_ptr_array_new();
+	open_orders_init(&daemon->open_orders);
 }
 
 /*
@@ -704,6 +753,7 @@
 
 	failover_clear(&daemon->failover);
 	g_ptr_array_unref(daemon->stmts);
+	open_orders_clear(&daemon->open_orders);
 	daemon_forget(model, daemon_index);
 	daemon->object_store_cut_until_us = before.object_store_cut_until_us;
 	daemon->daemons_cut_until_us = before.daemons_cut_until_us;
@@ -775,6 +825,7 @@
 	    model->plan->injected_bug == PROXY_BUG_PROMOTE_UNFENCED) {
 		promote_unfenced(model, event->daemon);
 	} else if (daemon->is_coordinator) {
+		proxy_model_open_update(model, daemon);
 		failover_tick(&daemon->failover, model->now_us, &actions);
 		for (i = 0; i < actions.count; i++)
 			perform_action(model, event->daemon, &actions.list[i]);
@@ -900,6 +951,7 @@
 	for (i = 0; i < plan->daemons; i++) {
 		failover_clear(&model.daemons[i].failover);
 		g_ptr_array_unref(model.daemons[i].stmts);
+		open_orders_clear(&model.daemons[i].open_orders);
 	}
 	g_array_unref(model.acked_writes);
 	arena_free(model.arena);
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -52,6 +52,11 @@
 	PROXY_BUG_RESTORED_RECORDS,
 	/* and so do its recorded orders */
 	PROXY_BUG_RESTORED_ORDERS,
+	/* answers of a primary rest on the lease alone while an order to
+	   another database is open */
+	PROXY_BUG_OPEN_ORDERS,
+	/* the other daemons are not told of open orders */
+	PROXY_BUG_OPEN_ORDERS_UNTOLD,
 } proxy_model_bug_t;
 
 typedef struct proxy_model_plan {
@@ -71,6 +76,9 @@
 	/* chance per daemon and 20 ms tick that it restarts, or a database */
 	uint32_t daemon_restart_permille;
 	uint32_t database_restart_permille;
+	/* chance that an order gets no answer, and takes effect up to
+	   ORDER_HELD_MAX_US later */
+	uint32_t order_held_permille;
 	/* chance per 20 ms that the store goes back to an older copy */
 	uint32_t returns_permille;
 	proxy_model_bug_t injected_bug;
--- a/tools/proxy_model_dbs.c
+++ b/tools/proxy_model_dbs.c
@@ -120,6 +120,7 @@
 		answer.ok = db->primary;
 		if (!db->primary)
 			break;
+		event->stmt->newest_term_when_executed = model->newest_term;
 		if (!event->stmt->is_read) {
 			entry = (entry_t){db->term, event->stmt->write_id};
 			g_array_append_val(db->log, entry);
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -3,6 +3,7 @@
 
 #include "../src/bergamotplank.h"
 #include "../src/decide/failover.h"
+#include "../src/decide/open_orders.h"
 #include "eventq.h"
 #include "proxy_model.h"
 
@@ -10,12 +11,14 @@
  * Internal to the proxy model.  proxy_model.c: the daemons and the event loop.
  * proxy_model_records.c: the daemons' records in the store, which say who may
  * hold leases.
+ * proxy_model_open.c: the orders that may still take effect.
  * proxy_model_dbs.c: the databases, their replication and promotions, and the
  * simulated clock.
  */
 
 #define DAEMONS_MAX 5
 #define DBS_MAX 5
+#define OPEN_LIST_MAX 8
 #define REPLICATE_INTERVAL_US (5 * US_PER_MS)
 #define NETWORK_DELAY_MAX_US (4 * US_PER_MS)
 
@@ -47,7 +50,9 @@
 	uint64_t write_id;
 	position_t position; /* end of the log after execution */
 	int64_t sent_us;
+	int64_t executed_us; /* time of the database's answer */
 	uint64_t newest_term_when_sent;
+	uint64_t newest_term_when_executed;
 } stmt_t;
 
 /* A daemon that proxies the statements of its callers to the group. */
@@ -55,6 +60,7 @@
 	failover_t failover;
 	lease_t lease;
 	lease_duration_t lease_durations;
+	open_orders_t open_orders;
 	int64_t paused_until_us; /* the process does not run till then */
 	int64_t pause_began_us;  /* start of the pause; 0: not paused */
 	int64_t object_store_cut_until_us; /* no access to the store */
@@ -110,6 +116,12 @@
 	CALL_STATEMENT,
 } call_kind_t;
 
+/* Open orders in a message. */
+typedef struct open_list {
+	open_order_t orders[OPEN_LIST_MAX];
+	uint32_t count;
+} open_list_t;
+
 /* A message that arrives, or a timer that expires. */
 typedef struct event {
 	event_kind_t kind;
@@ -125,6 +137,7 @@
 	stmt_t *stmt;
 	db_view_t view;
 	recorded_orders_t orders;
+	open_list_t open;
 } event_t;
 
 typedef struct proxy_model {
@@ -139,6 +152,7 @@
 	uint32_t coordinator;       /* index of the coordinator */
 	uint64_t coordinator_token; /* its fencing token; 0: none yet */
 	recorded_orders_t orders;   /* recorded in the store */
+	open_list_t open;           /* recorded with them */
 	uint64_t last_write_id;
 	uint64_t store_era;      /* rises when the store goes back */
 	int64_t records_lost_us; /* time of the last return; 0: never */
@@ -157,6 +171,21 @@
 void proxy_model_record_stored(proxy_model_t *, const event_t *);
 void proxy_model_record_acked(proxy_model_t *, const event_t *);
 uint32_t proxy_model_holders(proxy_model_t *, uint32_t coordinator);
+void proxy_model_open_list(
+    const proxy_model_t *, const proxy_model_daemon_t *, open_list_t *);
+bool proxy_model_open_told(
+    proxy_model_t *, proxy_model_daemon_t *, const open_list_t *);
+void proxy_model_open_recorded(
+    proxy_model_t *, proxy_model_daemon_t *, const open_list_t *);
+void proxy_model_open_note(
+    proxy_model_t *, proxy_model_daemon_t *, uint32_t db);
+void proxy_model_open_withdraw(
+    proxy_model_t *, proxy_model_daemon_t *, uint32_t db);
+void proxy_model_open_accepted(
+    proxy_model_daemon_t *, uint32_t db, int64_t now_us);
+void proxy_model_open_update(proxy_model_t *, proxy_model_daemon_t *);
+int64_t proxy_model_checked_us(
+    const proxy_model_t *, const proxy_model_daemon_t *);
 void proxy_model_handle_call(proxy_model_t *, const event_t *);
 uint32_t proxy_model_count_copies(
     const proxy_model_t *, uint32_t except, uint64_t write_id);
