What a process has not read yet does not count as empty

Cause: the daemon listed the old primary alone, and took "no recorded order read" for "no order recorded". The same on related paths: all servers of a list that lacks the new primary deny a newer term; a coordinator that never listed the daemons was all of them, so that a revocation succeeded at once while the store was away; a restarted daemon confirmed any fencing token; sync-replicas was 0 after a group became active, until the next catalog.

Tests whose expectation was wrong: a row of /old-primary/restarted-daemon expected writes within 2.5 s though an order to replace the primary is recorded, if all servers answer. That held only while the record had not been read: with it, order_recorded() has said no since the record exists. In its place two rows: no write within 2.5 s, and writes after the handover. Rows of /lease that gave a lease with unread orders now begin with orders that were read at the start, and the same answers without them give none. /attempt keeps its cases, with orders read.

--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -28,6 +28,7 @@
 typedef struct Bp__AttemptsVoid Bp__AttemptsVoid;
 typedef struct Bp__OrdersWanted Bp__OrdersWanted;
 typedef struct Bp__OrdersRead Bp__OrdersRead;
+typedef struct Bp__TokenRead Bp__TokenRead;
 typedef struct Bp__PromotionWanted Bp__PromotionWanted;
 typedef struct Bp__PromotionCancelled Bp__PromotionCancelled;
 typedef struct Bp__PromotionEnded Bp__PromotionEnded;
@@ -390,6 +391,19 @@
     , 0, 0,NULL, 0, 0ull, 0, 0ull }
 
 
+/*
+ * registry -> peers: the newest fencing token that the store has recorded.
+ */
+struct  Bp__TokenRead
+{
+  ProtobufCMessage base;
+  uint64_t token;
+};
+#define BP__TOKEN_READ__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__token_read__descriptor) \
+    , 0 }
+
+
 /*
  * pool -> registry: order that a server be made the primary of its group.
  */
@@ -970,6 +984,25 @@
 void   bp__orders_read__free_unpacked
                      (Bp__OrdersRead *message,
                       ProtobufCAllocator *allocator);
+/* Bp__TokenRead methods */
+void   bp__token_read__init
+                     (Bp__TokenRead         *message);
+size_t bp__token_read__get_packed_size
+                     (const Bp__TokenRead   *message);
+size_t bp__token_read__pack
+                     (const Bp__TokenRead   *message,
+                      uint8_t             *out);
+size_t bp__token_read__pack_to_buffer
+                     (const Bp__TokenRead   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__TokenRead *
+       bp__token_read__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__token_read__free_unpacked
+                     (Bp__TokenRead *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__PromotionWanted methods */
 void   bp__promotion_wanted__init
                      (Bp__PromotionWanted         *message);
@@ -1331,6 +1364,9 @@
 typedef void (*Bp__OrdersRead_Closure)
                  (const Bp__OrdersRead *message,
                   void *closure_data);
+typedef void (*Bp__TokenRead_Closure)
+                 (const Bp__TokenRead *message,
+                  void *closure_data);
 typedef void (*Bp__PromotionWanted_Closure)
                  (const Bp__PromotionWanted *message,
                   void *closure_data);
@@ -1403,6 +1439,7 @@
 extern const ProtobufCMessageDescriptor bp__attempts_void__descriptor;
 extern const ProtobufCMessageDescriptor bp__orders_wanted__descriptor;
 extern const ProtobufCMessageDescriptor bp__orders_read__descriptor;
+extern const ProtobufCMessageDescriptor bp__token_read__descriptor;
 extern const ProtobufCMessageDescriptor bp__promotion_wanted__descriptor;
 extern const ProtobufCMessageDescriptor bp__promotion_cancelled__descriptor;
 extern const ProtobufCMessageDescriptor bp__promotion_ended__descriptor;
--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -109,6 +109,8 @@
 	/* a database has left the list without having said so: the others do
 	   not know whether it leads a newer term */
 	bool incomplete;
+	/* the list may still lack databases, since it is new */
+	bool list_new;
 	/* the last renewal failed only because the recorded orders have to be
 	   read first */
 	bool unverified;
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -114,6 +114,16 @@
 	    lease->orders.replaced_term >= term;
 }
 
+/*
+ * Tell whether the known databases may not be all of the group, so that their
+ * answers do not show that there is no newer primary.
+ */
+static bool
+members_missing(const lease_t *lease)
+{
+	return lease->incomplete || lease->list_new;
+}
+
 /*
  * Tell whether a failover blocks leases in a term.  A promise above the
  * primary's term is a sign of a failover, and the block outlasts the promise
@@ -151,7 +161,7 @@
 	if (denied < majority_of(count))
 		return true;
 	/* a primary alone has nobody else's answer */
-	by_all = denied == count && count > 1 && !lease->incomplete &&
+	by_all = denied == count && count > 1 && !members_missing(lease) &&
 	    !order_recorded(lease, term);
 	lease->unverified = !by_all;
 	if (!by_all &&
@@ -183,7 +193,8 @@
 	int64_t known_us = denied_by_all_us(views, count, primary);
 	int64_t asked_us;
 
-	if (lease->incomplete || order_recorded(lease, views[primary].promised))
+	if (members_missing(lease) ||
+	    order_recorded(lease, views[primary].promised))
 		known_us = 0;
 	if (record_allows(lease, views[primary].promised)) {
 		asked_us = supported_us(
@@ -204,12 +215,13 @@
 
 /*
  * Return the time at which it is certain that a primary without replicas was
- * not replaced: it needs no answers of others, unless it had replicas.
+ * not replaced: it needs no answers of others, unless it had replicas, or they
+ * may not be listed yet.
  */
 static int64_t
 alone_us(const lease_t *lease, uint64_t term, int64_t now_us)
 {
-	if (!lease->incomplete && !order_recorded(lease, term))
+	if (!members_missing(lease) && !order_recorded(lease, term))
 		return now_us;
 	return record_allows(lease, term) ? lease->orders.read_us : 0;
 }
@@ -239,7 +251,9 @@
  * A failover first obtains promises of a newer term from a majority, and then
  * waits for the duration of the leases before it promotes.  So the primary's
  * term is safe for that duration after status requests that found no newer
- * promise at enough replicas, if no newer primary had begun by then.
+ * promise at enough replicas, if no newer primary had begun by then.  A process
+ * that has not read the recorded orders yet does not know of any order, and has
+ * no lease.
  */
 bool
 lease_renew(lease_t *lease, const db_view_t *views, uint32_t count,
@@ -253,6 +267,10 @@
 	    term_is_over(lease, views, count, view->promised) ||
 	    renewal_blocked(lease, views, count, view->promised))
 		return false;
+	if (lease->orders.read_us == 0) {
+		lease->unverified = true;
+		return false;
+	}
 	asked_us = count == 1
 	    ? alone_us(lease, view->promised, now_us)
 	    : certain_us(lease, views, count, primary, durations);
--- a/src/proxy/daemons.c
+++ b/src/proxy/daemons.c
@@ -316,6 +316,7 @@
 			    registry, &response->list[i], record, now_us);
 	}
 	if (answered) {
+		registry->daemons_listed = true;
 		g_hash_table_foreach_remove(
 		    registry->heartbeats, was_unlisted, registry);
 		count = g_hash_table_size(registry->heartbeats);
@@ -496,13 +497,22 @@
 /*
  * Forward a revocation of leases, or a request to confirm an order, to the
  * peers task with the daemons of the last successful listing.  Used while the
- * store is unreachable.  msg: RevokeWanted.
+ * store is unreachable.  If there was none, nothing is known of the other
+ * daemons, and nobody is asked.  msg: RevokeWanted.
  */
 void
 revoke_from_last_listed(registry_t *registry, msg_t *msg)
 {
 	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
 
+	if (!registry->daemons_listed) {
+		log_line(LOG_PART, G_LOG_LEVEL_WARNING,
+		    "The daemons were never listed; the primary of group %s is "
+		    "not changed.",
+		    wanted->group);
+		msg_free(msg);
+		return;
+	}
 	add_last_listed(registry, msg);
 	wanted->has_incomplete = 1;
 	wanted->incomplete = listing_incomplete(registry);
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -65,6 +65,13 @@
 #define DAEMONS_ANSWERED_US (2 * US_PER_SECOND)
 #define DAEMONS_QUERY_INTERVAL_US (500 * US_PER_MS)
 
+/*
+ * Time after the first list of a group's servers in which servers may still be
+ * missing from it: entries that expired while the store was unavailable come
+ * back one by one within two seconds of its return.
+ */
+#define LIST_NEW_US (3 * US_PER_SECOND)
+
 /* Interval of status requests to a server that is not listed. */
 #define UNLISTED_INTERVAL_US (1000 * US_PER_MS)
 
@@ -147,6 +154,7 @@
 	failover_limits_t limits;
 
 	proxy_failover_limits(group->pool->proxy->settings->timeouts, &limits);
+	limits.sync_replicas = group->sync_replicas;
 	failover_init(&group->failover, &limits, group->count,
 	    g_rand_int(group->pool->rand), now_us);
 	failover_orders_recorded(
@@ -182,6 +190,7 @@
 
 	pool_check_listed(group->pool, now_us);
 	group_orders_update(group, now_us);
+	group->lease.list_new = now_us - group->listed_us < LIST_NEW_US;
 	renewed = primary >= 0 &&
 	    lease_renew(&group->lease, failover->views, group->count,
 		(uint32_t)primary, now_us, &group->pool->lease_durations);
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -273,6 +273,20 @@
 	arena_free(arena);
 }
 
+/*
+ * Report to the peers task which fencing token the store has recorded.  A
+ * process that has just started knows no other, and must not confirm that of a
+ * former coordinator.
+ */
+static void
+report_token(const registry_t *registry, const Bp__DutyRecord *record)
+{
+	Bp__TokenRead read = BP__TOKEN_READ__INIT;
+
+	read.token = record->token;
+	task_send(registry->proxy->peers, registry->task, msg_copy(&read.base));
+}
+
 /*
  * Handle the coordinator record that was read for its orders.
  */
@@ -287,6 +301,8 @@
 	bool read = status == OBJECT_STORE_NOT_FOUND ||
 	    (status == OBJECT_STORE_OK && record != NULL);
 
+	if (record != NULL)
+		report_token(registry, record);
 	orders_report(registry, record, read ? registry->orders_sent_us : 0);
 	arena_free(arena);
 }
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -382,6 +382,19 @@
 	msg_free(msg);
 }
 
+/*
+ * Handle TokenRead: note the fencing token that the store has recorded.
+ */
+static void
+on_token_read(void *context, msg_t *msg)
+{
+	peers_t *peers = context;
+
+	peers->token =
+	    MAX(peers->token, ((const Bp__TokenRead *)msg->body)->token);
+	msg_free(msg);
+}
+
 /*
  * Handle Leave: the daemon shuts down.
  */
@@ -420,6 +433,7 @@
     {&bp__operation_ended__descriptor, on_operation_ended},
     {&bp__transaction_dropped__descriptor, on_transaction_dropped},
     {&bp__store_news__descriptor, on_store_news},
+    {&bp__token_read__descriptor, on_token_read},
     {&bp__leave__descriptor, on_leave},
 };
 
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -175,6 +175,9 @@
 	/* time at which a lease in its term was last seen to be valid */
 	int64_t lease_seen_us;
 	int64_t created_us; /* time at which this structure was created */
+	int64_t listed_us;  /* time of the first list of its servers; 0: none */
+	/* replicas that must hold a commit before it is acknowledged */
+	uint32_t sync_replicas;
 	/* the primary does not respond, but a majority of the group does */
 	bool unresponsive;
 	/* time since which a failover or handover is due; 0: not due */
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -79,6 +79,7 @@
 	GList *pending_orders; /* of order_t: orders not answered yet */
 	/* records of the daemons; "the record" is that of this daemon */
 	bool daemons_list_ended; /* the first listing was answered, or failed */
+	bool daemons_listed;     /* a listing was answered */
 	bool daemons_changed; /* the last listing had another number of them */
 	bool leases_needed;   /* the pool needs leases */
 	bool record_leases;   /* the last heartbeat said so */
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -520,6 +520,8 @@
 		servers[count] = server_new(group, entry);
 		server_update(servers[count++], entry);
 	}
+	if (group->listed_us == 0 && count > 0)
+		group->listed_us = now_us;
 	servers_replace(group, servers, count, now_us);
 }
 
@@ -612,6 +614,7 @@
 		group_t *group = group_get(pool, entry->name);
 
 		group->connections_max = entry->connections_max;
+		group->sync_replicas = entry->sync_replicas;
 		group->failover.limits.sync_replicas = entry->sync_replicas;
 	}
 	g_hash_table_iter_init(&iter, pool->groups);
--- a/tests/fake/fakegroup.c
+++ b/tests/fake/fakegroup.c
@@ -43,6 +43,7 @@
 	bool slow_open;           /* opens sessions after the service time */
 	bool replication_blocked; /* receives nothing from the primary */
 	bool draining;
+	bool unlisted; /* has no entry in the store */
 	uint64_t term;
 	uint64_t replication_paused_term; /* term of the last PAUSE; 0: none */
 	GPtrArray *log;                   /* of write_entry_t */
@@ -143,14 +144,14 @@
 
 /*
  * Publish the server object of a database, or delete it if the database has
- * crashed.
+ * crashed or is not listed.
  */
 static void
 publish_server(database_t *database)
 {
 	char *content;
 
-	if (!database->running) {
+	if (!database->running || database->unlisted) {
 		object_store_remove(
 		    database->group->store, "servers", database->id);
 		return;
@@ -770,7 +771,7 @@
 }
 
 /*
- * Inject or end a fault: crash, return, mute, speak, deaf, leave, full
+ * Inject or end a fault: crash, return, mute, speak, deaf, unlist, leave, full
  * (also closes the open connections), crowded, slow-open, lose-commit.  Applies
  * to the primary if no database has that number. Returns false if the fault is
  * unknown or there is no primary.
@@ -796,6 +797,9 @@
 		database->unresponsive = false;
 	} else if (strcmp(fault, "deaf") == 0) {
 		database->replication_blocked = true;
+	} else if (strcmp(fault, "unlist") == 0) {
+		database->unlisted = true;
+		publish_server(database);
 	} else if (strcmp(fault, "leave") == 0) {
 		database->draining = true;
 		publish_server(database);
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -332,7 +332,7 @@
 	    {true, false, false, 2, {2, 1}, MS(400), .term = 2},
 	    {true, false, false, 20, {1, 1}, MS(100), .term = 1},
 	};
-	lease_t lease = {.term = 1};
+	lease_t lease = {.term = 1, .orders.read_us = 1};
 
 	lease_revoke(&lease, 20, MS(500));
 	lease_revoke(&lease, c->revoked_below, MS(600));
@@ -530,7 +530,7 @@
 	int64_t promoted_ms = 0, at_ms;
 	failover_actions_t actions;
 	failover_t failover;
-	lease_t lease = {0};
+	lease_t lease = {.orders.read_us = 1};
 	db_view_t views[DATABASES];
 	uint32_t i;
 
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -46,8 +46,29 @@
 	return (Bp__DutyRecord *)object->content;
 }
 
-static const object_store_ops_t store_ops = {
-    .put_coordinator = put_coordinator, .read_coordinator = read_coordinator};
+/*
+ * Answer a read of the record with one that names another daemon.
+ */
+static void
+get_record(object_store_t *store, object_kind_t kind, const char *name,
+    object_store_cb callback, void *context)
+{
+	Bp__DutyRecord record = BP__DUTY_RECORD__INIT;
+	object_t object = {
+	    .name = name, .revision = OTHER_REVISION, .content = &record};
+	object_store_response_t response = {
+	    OBJECT_STORE_OK, &object, 1, OTHER_REVISION};
+
+	(void)store;
+	(void)kind;
+	record.holder = "other";
+	record.token = OTHER_TOKEN;
+	callback(context, &response);
+}
+
+static const object_store_ops_t store_ops = {.put_coordinator = put_coordinator,
+    .read_coordinator = read_coordinator,
+    .get = get_record};
 
 /* Number of orders that reached the platform. */
 static uint32_t promoted_count;
@@ -243,6 +264,7 @@
 	registry->task = task_new_hosted(&dropping_ops, NULL, host);
 	registry->promoter = (promoter_t *)&counting_promoter;
 	registry->heartbeats = g_hash_table_new(g_str_hash, g_str_equal);
+	registry->daemons_listed = true;
 	registry->fencing_token = 5;
 	registry->order_sent = registry->daemons_list_failed = true;
 	promoted_count = 0;
@@ -270,6 +292,106 @@
 	registry_free(registry);
 }
 
+static uint32_t revocations; /* that reached the peers task */
+
+/*
+ * Count a revocation.
+ */
+static void
+count_revocation(void *context, msg_t *msg)
+{
+	(void)context;
+	revocations++;
+	msg_free(msg);
+}
+
+static uint64_t token_read; /* that reached the peers task */
+
+/*
+ * Note the fencing token that was read.
+ */
+static void
+note_token(void *context, msg_t *msg)
+{
+	(void)context;
+	token_read = ((const Bp__TokenRead *)msg->body)->token;
+	msg_free(msg);
+}
+
+static const task_handler_t peers_handlers[] = {
+    {&bp__revoke_wanted__descriptor, count_revocation},
+    {&bp__token_read__descriptor, note_token},
+};
+static const task_ops_t counting_peers_ops = {
+    "peers", NULL, NULL, peers_handlers, G_N_ELEMENTS(peers_handlers)};
+
+typedef struct unlisted_case {
+	const char *name;
+	bool listed;       /* the daemons were listed before */
+	uint32_t expected; /* revocations */
+} unlisted_case_t;
+
+static const unlisted_case_t unlisted_cases[] = {
+    {"the daemons were never listed", false, 0},
+    {"they were listed before", true, 1},
+};
+
+/*
+ * Test that a process that has not read the list of the daemons does not take
+ * it for empty: a revocation without other daemons would succeed at once.
+ */
+static void
+test_unlisted_daemons(gconstpointer data)
+{
+	const unlisted_case_t *c = data;
+	msg_t *msg = msg_new(&bp__revoke_wanted__descriptor);
+	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
+	task_t *host = task_new(&host_ops, NULL);
+	proxy_t proxy = {
+	    .peers = task_new_hosted(&counting_peers_ops, NULL, host)};
+	registry_t *registry = registry_new(&proxy);
+
+	registry->task = task_new_hosted(&dropping_ops, NULL, host);
+	registry->heartbeats = g_hash_table_new(g_str_hash, g_str_equal);
+	registry->daemons_listed = c->listed;
+	wanted->group = arena_strdup(msg->arena, "ledger");
+	revocations = 0;
+	revoke_from_last_listed(registry, msg);
+	while (g_main_context_iteration(task_main_context(host), FALSE))
+		;
+	g_assert_cmpuint(revocations, ==, c->expected);
+	g_hash_table_unref(registry->heartbeats);
+	task_free(registry->task);
+	task_free(proxy.peers);
+	task_free(host);
+	registry_free(registry);
+}
+
+/*
+ * Test that a process that has started learns the fencing token from the
+ * record, so that it does not confirm an older one.
+ */
+static void
+test_token_read(void)
+{
+	task_t *host = task_new(&host_ops, NULL);
+	proxy_t proxy = {.objects = &store_ops,
+	    .pool = task_new_hosted(&dropping_ops, NULL, host),
+	    .peers = task_new_hosted(&counting_peers_ops, NULL, host)};
+	registry_t *registry = registry_new(&proxy);
+
+	registry->task = task_new_hosted(&dropping_ops, NULL, host);
+	orders_wanted(registry, msg_new(&bp__orders_wanted__descriptor));
+	while (g_main_context_iteration(task_main_context(host), FALSE))
+		;
+	g_assert_cmpuint(token_read, ==, OTHER_TOKEN);
+	task_free(registry->task);
+	task_free(proxy.peers);
+	task_free(proxy.pool);
+	task_free(host);
+	registry_free(registry);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -281,5 +403,7 @@
 	g_test_add_func("/coordinator/successor-kept", test_successor_kept);
 	g_test_add_func("/coordinator/many-orders", test_many_orders);
 	g_test_add_func("/coordinator/sent-order-noted", test_sent_order_noted);
+	CASES("/coordinator/unlisted", unlisted_cases, test_unlisted_daemons);
+	g_test_add_func("/coordinator/token-read", test_token_read);
 	return g_test_run();
 }
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -30,10 +30,16 @@
 	int64_t listed_since_ms; /* time the daemon was listed; 0: never */
 	int64_t now_ms;
 	int64_t expires_ms; /* expected end of the lease; 0: no lease */
-	/* what the store has recorded; read_us in ms, 0: not read */
+	/* what the store has recorded; read_us in ms, 0: read at the start,
+	   before all status requests */
 	recorded_orders_t orders;
+	bool unread;   /* the recorded orders were never read */
+	bool list_new; /* databases may be missing from the list */
 } lease_case_t;
 
+/* Time at which a daemon has read the recorded orders when it started. */
+#define READ_AT_START_US 1
+
 /* Duration of a lease of a daemon that is not listed and of one that is. */
 #define SHORT_MS 250
 #define LONG_MS 2000
@@ -43,6 +49,8 @@
     {"one replica of two has answered", 3,
 	{{0, true, 1, 10}, {1, false, 1, 20}}, 0, 20, 270, {0, 0, 20}},
     {"the same, and the recorded orders were not read", 3,
+	{{0, true, 1, 10}, {1, false, 1, 20}}, 0, 20, 0, {0}, true},
+    {"the same, and they were read at the start", 3,
 	{{0, true, 1, 10}, {1, false, 1, 20}}, 0, 20, 0},
     {"the same, and they were read before", 3,
 	{{0, true, 1, 10}, {1, false, 1, 20}}, 0, 20, 0, {0, 0, 15}},
@@ -52,6 +60,26 @@
 	{{0, true, 2, 10}, {1, false, 2, 20}}, 0, 20, 270, {1, 2, 20}},
     {"all have answered", 3,
 	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 20}}, 0, 20, 270},
+    {"all have answered, and the recorded orders were not read", 3,
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 20}}, 0, 20, 0, {0},
+	true},
+    {"the old primary is listed alone, and they were not read", 1,
+	{{0, true, 1, 10}}, 0, 10, 0, {0}, true, true},
+    {"it is listed alone at first, and they were read", 1, {{0, true, 1, 10}},
+	0, 20, 260, {0, 0, 10}, false, true},
+    {"the same, and one was to replace it", 1, {{0, true, 1, 10}}, 0, 20, 0,
+	{1, 2, 10}, false, true},
+    {"it has always been alone", 1, {{0, true, 1, 10}}, 0, 300, 550,
+	{0, 0, 10}},
+    {"the newest primary is not listed yet, and one was to replace the old one",
+	2, {{0, true, 1, 10}, {1, false, 1, 20}}, 0, 30, 0, {1, 2, 30}, false,
+	true},
+    {"a replica is not listed yet, and they were read before", 2,
+	{{0, true, 1, 10}, {1, false, 1, 20}}, 0, 30, 0, {0, 0, 15}, false,
+	true},
+    {"a replica is not listed yet, and they were read since", 2,
+	{{0, true, 1, 10}, {1, false, 1, 20}, {1, false, 1, 25}}, 0, 30, 275,
+	{0, 0, 25}, false, true},
     {"the newer answer counts", 3,
 	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 90}}, 0, 90, 340},
     {"the newer answer is too long after the older one", 3,
@@ -136,8 +164,11 @@
 	lease_t lease = {0};
 	uint32_t i;
 
-	orders.read_us = MS(c->orders.read_us);
-	lease_orders_read(&lease, &orders);
+	orders.read_us =
+	    c->orders.read_us == 0 ? READ_AT_START_US : MS(c->orders.read_us);
+	if (!c->unread)
+		lease_orders_read(&lease, &orders);
+	lease.list_new = c->list_new;
 	memset(views, 0, sizeof(views));
 	for (i = 0; c->answers[i].requested_ms != 0; i++) {
 		const status_reply_t *answer = &c->answers[i];
@@ -169,7 +200,7 @@
 {
 	lease_duration_t durations = {MS(SHORT_MS), MS(LONG_MS), 0};
 	db_view_t views[3] = {{.known = true, .primary = true, .promised = 1}};
-	lease_t lease = {0};
+	lease_t lease = {.orders.read_us = READ_AT_START_US};
 
 	g_assert_true(lease_renew(&lease, views, 1, 0, MS(1000), &durations));
 	g_assert_cmpint(lease.expires_us, ==, MS(1250));
@@ -191,6 +222,7 @@
 	uint32_t i;
 
 	memset(lease, 0, sizeof(*lease));
+	lease->orders.read_us = READ_AT_START_US;
 	for (i = 0; i < 3; i++)
 		views[i] = (db_view_t){true, i == 0, false, term, {0, 0},
 		    MS(10 * ((int64_t)i + 1))};
@@ -524,7 +556,7 @@
 	db_view_t views[3] = {{true, true, false, 2, {0, 0}, MS(10)},
 	    {true, false, false, 2, {0, 0}, MS(20)},
 	    {true, false, false, 2, {0, 0}, MS(20)}};
-	lease_t lease = {0};
+	lease_t lease = {.orders.read_us = READ_AT_START_US};
 
 	g_assert_true(lease_renew(&lease, views, 3, 0, MS(30), &durations));
 	g_assert_cmpint(lease.expires_us, ==, MS(2020));
--- a/tests/t_old_primary.c
+++ b/tests/t_old_primary.c
@@ -52,6 +52,7 @@
 	int32_t silent_replica; /* -1: none */
 	bool served;            /* writes are acknowledged after the restart */
 	uint32_t wait_ms;       /* 0: SERVE_MS */
+	bool alone;             /* the old primary is listed alone */
 } restart_case_t;
 
 static const restart_case_t restart_cases[] = {
@@ -66,7 +67,17 @@
     {"the same, and all servers answer",
 	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":\"ledger\","
 	"\"replaced_term\":1,\"attempt_term\":2}]}",
-	-1, true},
+	-1, false},
+    {"the same, and all servers answer, later",
+	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":\"ledger\","
+	"\"replaced_term\":1,\"attempt_term\":2}]}",
+	-1, true, ABANDONED_MS},
+    {"the same, and the old primary is listed alone",
+	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":\"ledger\","
+	"\"replaced_term\":1,\"attempt_term\":2}]}",
+	-1, false, 0, true},
+    {"no order is recorded, and it is listed alone",
+	"{\"holder\":\"other\",\"token\":5}", -1, true, 0, true},
     {"no order is recorded", "{\"holder\":\"other\",\"token\":5}", 2, true},
     {"an order of another group is recorded",
 	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":\"archive\","
@@ -87,6 +98,7 @@
 	const restart_case_t *c = data;
 	testbed_plan_t plan = {.proxies = 1, .lag_ms = 5};
 	testbed_t *testbed = testbed_start(&plan);
+	int32_t i;
 
 	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
 	testbed_put_object(
@@ -95,6 +107,8 @@
 	if (c->silent_replica >= 0)
 		testbed_inject_fault(
 		    testbed, "database", "mute", c->silent_replica);
+	for (i = 1; c->alone && i < 3; i++)
+		testbed_inject_fault(testbed, "database", "unlist", i);
 	testbed_proxy_start(testbed, 0);
 	g_assert_cmpint(
 	    write_served(testbed, 0, c->wait_ms == 0 ? SERVE_MS : c->wait_ms),
--- a/tests/t_proxy_model.c
+++ b/tests/t_proxy_model.c
@@ -55,6 +55,7 @@
     {"orders are held up", 3, 4, 8, 0, 0, 240, 0, 0, 0, 200},
     {"orders are held up, many faults", 3, 3, 20, 0, 0, 240, 0, 0, 0, 300},
     {"orders are held up, five databases", 5, 5, 12, 0, 0, 120, 0, 0, 0, 300},
+    {"orders are held up, daemons restart", 3, 4, 8, 0, 0, 120, 6, 0, 0, 300},
     {"orders are held up, owners change", 3, 4, 12, 0, 40, 120, 0, 0, 0, 300},
 };
 
