The name of a prepared statement has no part of its text

Cause: the name on the connection was made of the shape as it is, and sent where the protocol has one word; the database refused the PREPARE, and the EXEC that was sent behind it found the name of the other client's statement.

Change: names are numbers that are new on the connection.

Ruled out: the connection's table of statements; its key is the whole text.

--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -81,7 +81,7 @@
 	conn->values =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	conn->prepared =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	if (control) {
 		server->control = conn;
 		server->control_us = conn->last_change_us;
@@ -123,6 +123,7 @@
 	g_ptr_array_unref(conn->rows);
 	g_hash_table_unref(conn->values);
 	g_hash_table_unref(conn->prepared);
+	g_free(conn->prepare_error);
 	g_free(conn->ack_token);
 	g_free(conn->error);
 	g_free(conn);
@@ -263,13 +264,14 @@
  * prepare its prepared statement.  A connection with other variables, or with
  * too many prepared statements, is reset first.  Returns the name of the
  * prepared statement on this connection, or NULL if there is none to execute.
+ * The name is new on the connection, and has no part of the client's text.  So
+ * the EXEC that is sent behind a PREPARE runs this statement or none.
  */
 static const char *
 session_setup_send(dbconn_t *conn, const Bp__RunOperation *run)
 {
 	const wire_ops_t *wire = conn->server->group->pool->wire;
-	const char *name = NULL;
-	char *key;
+	char *name, *key;
 	uint32_t matching;
 	size_t i;
 
@@ -294,19 +296,20 @@
 	}
 	if (run->prepared == NULL)
 		return NULL;
-	/* the name is made from the text, so that sessions with other names for
-	   the same statement share it */
+	/* found by its text, so that sessions with other names for the same
+	   statement share it */
 	key = g_strdup_printf(
 	    "%s%s", run->prepared->writes ? "w_" : "r_", run->prepared->shape);
-	if (!g_hash_table_lookup_extended(
-		conn->prepared, key, (gpointer *)&name, NULL)) {
-		wire->prepare(conn->out, key, run->prepared->writes,
-		    run->prepared->shape);
-		dbconn_expect_answer(conn, EXPECT_SESSION_SETUP, 0);
-		g_hash_table_add(conn->prepared, key);
-		return key;
+	name = g_hash_table_lookup(conn->prepared, key);
+	if (name != NULL) {
+		g_free(key);
+		return name;
 	}
-	g_free(key);
+	name = g_strdup_printf("p%u", ++conn->last_prepared);
+	wire->prepare(
+	    conn->out, name, run->prepared->writes, run->prepared->shape);
+	dbconn_expect_answer(conn, EXPECT_PREPARE, 0);
+	g_hash_table_insert(conn->prepared, key, name);
 	return name;
 }
 
@@ -475,6 +478,13 @@
 			return false;
 		}
 		break;
+	case EXPECT_PREPARE:
+		if (conn->error == NULL)
+			break;
+		g_free(conn->prepare_error);
+		conn->prepare_error = g_strdup(conn->error);
+		g_hash_table_remove_all(conn->prepared);
+		break;
 	case EXPECT_BEGIN:
 		if (operation == NULL)
 			break;
@@ -498,6 +508,7 @@
 		server->in_flight--;
 		conn->last_change_us = now_us;
 		operation_answered(operation, conn, now_us);
+		g_clear_pointer(&conn->prepare_error, g_free);
 		return true;
 	case EXPECT_ROLLBACK:
 		conn->rolling_back = false;
--- a/src/proxy/operation.c
+++ b/src/proxy/operation.c
@@ -533,6 +533,11 @@
 		monitor_request_status(operation->server, now_us);
 	if (conn->verdict == BP__VERDICT__NO_STATEMENT)
 		g_hash_table_remove_all(conn->prepared);
+	if (conn->prepare_error != NULL) {
+		operation_fail(operation, BP__VERDICT__NO_STATEMENT,
+		    arena_strdup(operation->msg->arena, conn->prepare_error));
+		return;
+	}
 	if (transaction != NULL && transaction->begun) {
 		operation_fail(operation, conn->verdict, text);
 		return;
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -50,7 +50,8 @@
 /* Kind of request to a database, to which its answer is matched. */
 typedef enum expected_answer_kind {
 	EXPECT_OPEN,          /* opening of the database session */
-	EXPECT_SESSION_SETUP, /* session values and prepared statements */
+	EXPECT_SESSION_SETUP, /* session values */
+	EXPECT_PREPARE,       /* prepared statement */
 	EXPECT_BEGIN,
 	EXPECT_OPERATION, /* statement of a client */
 	EXPECT_ROLLBACK,
@@ -88,8 +89,13 @@
 	char *error;                /* error text of that answer, or NULL */
 	Bp__Verdict verdict;        /* kind of that error */
 	GHashTable *values;         /* session variables set here, by name */
-	GHashTable *prepared;       /* names of statements prepared here */
-	int64_t last_change_us;     /* time of the last change of state */
+	/* names of the statements prepared here, by access and text */
+	GHashTable *prepared;
+	uint32_t last_prepared; /* number in the last of these names */
+	/* text of the refusal to prepare the statement that is executed, or
+	   NULL */
+	char *prepare_error;
+	int64_t last_change_us; /* time of the last change of state */
 };
 
 /* One database server, as listed in the catalog. */
--- a/tests/fake/fakegroup.c
+++ b/tests/fake/fakegroup.c
@@ -22,6 +22,9 @@
  */
 #define REJOIN_MS 1000
 
+/* Shape that the databases refuse to prepare. */
+#define REFUSED_SHAPE "refused"
+
 /* A log entry: the write of one item. */
 typedef struct write_entry {
 	uint64_t term;
@@ -81,6 +84,8 @@
 	bool lose_next_commit_answer;
 	/* values that clients wrote at a primary that had been replaced */
 	GString *outdated_values;
+	/* prepared statements that were run: [access shape|item|data] */
+	GString *executed;
 };
 
 /*
@@ -502,27 +507,49 @@
 }
 
 /*
- * Handle PREPARE name READ|WRITE shape, and EXEC name item [data].
+ * Handle PREPARE name READ|WRITE shape.  words: PREPARE, name, access, and the
+ * words of the shape.
  */
 static void
-handle_prepared(conn_t *conn, char **words)
+handle_prepare(conn_t *conn, char **words)
 {
-	const char *kind;
+	char *shape;
 
-	if (strcmp(words[0], "PREPARE") == 0 && g_strv_length(words) >= 4) {
+	if (g_strv_length(words) < 4 ||
+	    (strcmp(words[2], "READ") != 0 && strcmp(words[2], "WRITE") != 0)) {
+		answer_error(conn, "MALFORMED not a statement to prepare");
+		return;
+	}
+	shape = g_strjoinv(" ", &words[3]);
+	if (strcmp(shape, REFUSED_SHAPE) == 0) {
+		answer_error(conn, "FAILED this shape is refused");
+	} else {
 		g_hash_table_insert(conn->prepared_statements,
-		    g_strdup(words[1]), g_strdup(words[2]));
+		    g_strdup(words[1]),
+		    g_strdup_printf("%s %s", words[2], shape));
 		answer_done(conn, false);
-		return;
 	}
-	kind = words[1] == NULL
+	g_free(shape);
+}
+
+/*
+ * Handle EXEC name item [data].
+ */
+static void
+handle_execute(conn_t *conn, char **words)
+{
+	const char *statement = words[1] == NULL
 	    ? NULL
 	    : g_hash_table_lookup(conn->prepared_statements, words[1]);
-	if (kind == NULL || words[2] == NULL)
+
+	if (statement == NULL || words[2] == NULL) {
 		answer_error(conn, "NOSTMT no such name");
-	else
-		access_item(conn, strcmp(kind, "WRITE") == 0, words[2],
-		    words[3] == NULL ? "" : words[3]);
+		return;
+	}
+	g_string_append_printf(conn->database->group->executed, "[%s|%s|%s]",
+	    statement, words[2], words[3] == NULL ? "" : words[3]);
+	access_item(conn, g_str_has_prefix(statement, "WRITE "), words[2],
+	    words[3] == NULL ? "" : words[3]);
 }
 
 /*
@@ -608,9 +635,10 @@
 	} else if (strcmp(words[0], "RESET") == 0) {
 		g_hash_table_remove_all(conn->prepared_statements);
 		answer_done(conn, false);
-	} else if (strcmp(words[0], "PREPARE") == 0 ||
-	    strcmp(words[0], "EXEC") == 0) {
-		handle_prepared(conn, words);
+	} else if (strcmp(words[0], "PREPARE") == 0) {
+		handle_prepare(conn, words);
+	} else if (strcmp(words[0], "EXEC") == 0) {
+		handle_execute(conn, words);
 	} else {
 		handle_control(conn, words);
 	}
@@ -829,6 +857,15 @@
 	return group->outdated_values->str;
 }
 
+/*
+ * Return the prepared statements that were run.
+ */
+const char *
+db_group_executed(const db_group_t *group)
+{
+	return group->executed->str;
+}
+
 /*
  * Create a group and listen on its ports, which follow each other.  The
  * first database is the primary.
@@ -846,6 +883,7 @@
 	group->lag_ms = lag_ms;
 	group->service_ms = service_ms;
 	group->outdated_values = g_string_new(" ");
+	group->executed = g_string_new(NULL);
 	for (i = 0; i < databases_count; i++) {
 		database_t *database = &group->databases[i];
 
--- a/tests/fake/fakesite.c
+++ b/tests/fake/fakesite.c
@@ -21,6 +21,7 @@
  * POST /fault?on=order     hold up the next order to promote
  * GET /held                database that this order names
  * GET /outdated            values written at a primary that had been replaced
+ * GET /executed            prepared statements that were run
  */
 
 /*
@@ -240,20 +241,23 @@
 }
 
 /*
- * Handle GET /held and GET /outdated: return the database that a held order
- * names, or the values that were written at a primary that had been replaced.
+ * Handle GET /held, /outdated and /executed: return the database that a held
+ * order names, the values that were written at a primary that had been
+ * replaced, or the prepared statements that were run.
  */
 static void
-on_held_or_outdated(SoupServer *server, SoupServerMessage *message,
-    const char *path, GHashTable *query, gpointer context)
+on_seen(SoupServer *server, SoupServerMessage *message, const char *path,
+    GHashTable *query, gpointer context)
 {
 	const fake_platform_t *platform = context;
-	const char *text = strcmp(path, "/outdated") == 0
-	    ? db_group_outdated_values(platform->group)
-	    : platform->held_order;
+	const char *text = platform->held_order;
 
 	(void)server;
 	(void)query;
+	if (strcmp(path, "/outdated") == 0)
+		text = db_group_outdated_values(platform->group);
+	else if (strcmp(path, "/executed") == 0)
+		text = db_group_executed(platform->group);
 	if (text == NULL)
 		text = "";
 	soup_server_message_set_status(message, 200, NULL);
@@ -315,9 +319,11 @@
 	soup_server_add_handler(
 	    platform.server, "/requests", on_request_count, &platform, NULL);
 	soup_server_add_handler(
-	    platform.server, "/held", on_held_or_outdated, &platform, NULL);
+	    platform.server, "/held", on_seen, &platform, NULL);
+	soup_server_add_handler(
+	    platform.server, "/outdated", on_seen, &platform, NULL);
 	soup_server_add_handler(
-	    platform.server, "/outdated", on_held_or_outdated, &platform, NULL);
+	    platform.server, "/executed", on_seen, &platform, NULL);
 	if (!soup_server_listen_local(
 		platform.server, (guint)port->ival[0], 0, NULL))
 		return 1;
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -243,6 +243,65 @@
 	testbed_stop(testbed);
 }
 
+typedef struct shape_case {
+	const char *name;
+	const char *first;    /* shape that another client prepares before */
+	const char *second;   /* shape under the same name */
+	const char *expected; /* beginning of the answer to EXEC */
+} shape_case_t;
+
+static const shape_case_t shape_cases[] = {
+    {"with a blank behind another shape", "ticket", "ticket open", "DONE "},
+    {"with the access as its first word", "ticket", "WRITE ticket", "DONE "},
+    {"with blanks at the beginning", "ticket", "  ticket", "DONE "},
+    {"like the name of another one", "p1 WRITE ticket", "p1", "DONE "},
+    {"with tabs and quotes", "ticket", "ticket\t\"open\" 'now'", "DONE "},
+    {"that the database refuses", "ticket", "refused", "ERR NOSTMT "},
+};
+
+/*
+ * Test that a prepared statement runs as its client has prepared it, or not at
+ * all, whatever its text is: no part of the text may become the name of another
+ * client's statement at the database.
+ */
+static void
+test_shape(gconstpointer data)
+{
+	const shape_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	char *prepare, *executed, *wanted, *item;
+	client_t *first, *second;
+	uint32_t i;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	first = client_open_session(testbed, 0, "intake");
+	second = client_open_session(testbed, 0, "intake");
+	prepare = g_strdup_printf("PREPARE s1 WRITE %s", c->first);
+	client_expect(first, prepare, "DONE ");
+	g_free(prepare);
+	for (i = 0; i < 5; i++)
+		client_expect(first, "EXEC s1 T-1 bought", "DONE ");
+	prepare = g_strdup_printf("PREPARE s1 WRITE %s", c->second);
+	client_expect(second, prepare, "DONE ");
+	client_expect(second, "EXEC s1 T-2 repaired", c->expected);
+	executed = testbed_get(testbed, "/executed");
+	wanted = g_strdup_printf("[WRITE %s|T-2|repaired]", c->second);
+	item = strstr(executed, "|T-2|");
+	g_test_message("executed: %s", executed);
+	if (g_str_has_prefix(c->expected, "DONE"))
+		g_assert_nonnull(strstr(executed, wanted));
+	else
+		g_assert_null(item);
+	g_assert_null(strstr(executed, "|open|"));
+	g_free(wanted);
+	g_free(executed);
+	g_free(prepare);
+	client_close(first);
+	client_close(second);
+	testbed_stop(testbed);
+}
+
 typedef struct server_object_case {
 	const char *name;
 	const char *content;
@@ -1120,6 +1179,7 @@
 	CASES("/proxy/session", session_cases, test_session);
 	CASES("/proxy/change", failover_cases, test_failover);
 	CASES("/proxy/input", input_cases, test_input);
+	CASES("/proxy/shape", shape_cases, test_shape);
 	CASES("/proxy/entry", server_object_cases, test_server_object);
 	CASES("/proxy/dropped-route", dropped_route_cases, test_dropped_route);
 	CASES("/proxy/list", list_cases, test_list);
