Open orders are copied by message_copy()

open_orders_copy() copied the fields one by one, which message_copy() does for any message, also for fields to come. Behaviour is the same.

Checked: format and linter on the file, t_coordinator (its known red row only) and /old-primary/late-order/its-sender-is-killed, in which open orders pass between daemons. The whole make check was not repeated on this commit.

--- a/src/proxy/order_messages.c
+++ b/src/proxy/order_messages.c
@@ -55,14 +55,8 @@
 	    arena_zalloc(arena, sizeof(copy[0]) * (count + 1));
 	size_t i;
 
-	for (i = 0; i < count; i++) {
-		copy[i] = (Bp__OpenOrder *)message_new(
-		    arena, &bp__open_order__descriptor);
-		copy[i]->server = arena_strdup(arena, list[i]->server);
-		copy[i]->attempt_term = list[i]->attempt_term;
-		copy[i]->replaced_term = list[i]->replaced_term;
-		copy[i]->left_ms = list[i]->left_ms;
-	}
+	for (i = 0; i < count; i++)
+		copy[i] = (Bp__OpenOrder *)message_copy(arena, &list[i]->base);
 	return copy;
 }
 
