A request to the store ends at its timeout

The coordinator lists the daemons in the store before it has them revoke their leases, and was cut off from it. That call ended after 3.95 and 4.6 s, not after store_ms (600 ms).

Cause: the session (libsoup) opens a second connection only while few are being opened, and gives a request that waits for one back only when a connection is free, also when the request was cancelled. A long poll that cannot connect is given up after its wait and the timeout, 4.6 s, and till then no other call on the store ended, whatever its timeout.

Fix: a request that was cancelled and is not given back within 20 ms is reported as failed. It has no connection, so nothing of it was sent, and nothing is sent of a cancelled request later; the test looks for that.

/proxy/silent-store bounds the time without writes at a change of primary while the store does not answer by the 6 s of a change.

--- a/src/http.c
+++ b/src/http.c
@@ -21,6 +21,12 @@
  */
 #define TIMEOUTS_MAX 16
 
+/*
+ * Time in which the session gives back a request that was cancelled, unless the
+ * request waits for a connection.
+ */
+#define GIVEN_BACK_MS 20
+
 struct http_client {
 	SoupSession *session;
 	char *base_url;
@@ -40,6 +46,7 @@
 	    last_timeout_us;  /* time at which the response must be complete */
 	GInputStream *stream; /* of the response, once it has begun */
 	GByteArray *body;     /* what has been received of it */
+	bool ended;           /* its callback was called */
 	http_response_cb callback;
 	void *context;
 } request_t;
@@ -122,24 +129,60 @@
 }
 
 /*
- * End a request: pass its response to the callback, unless the client is being
- * freed.  complete: the whole response was received.
+ * Pass the response of a request to the callback, unless that was done before
+ * or the client is being freed.  complete: the whole response was received.
  */
 static void
-request_end(request_t *request, bool complete)
+request_report(request_t *request, bool complete)
 {
 	static const uint8_t end_of_text = 0;
 	gsize size = request->body->len;
 
+	if (request->ended || request->http->closing)
+		return;
+	request->ended = true;
 	g_byte_array_append(request->body, &end_of_text, 1);
-	if (!request->http->closing)
-		request->callback(request->context,
-		    complete ? soup_message_get_status(request->message) : 0,
-		    complete ? (const char *)request->body->data : NULL, size);
+	request->callback(request->context,
+	    complete ? soup_message_get_status(request->message) : 0,
+	    complete ? (const char *)request->body->data : NULL, size);
+}
+
+/*
+ * End a request whose response is complete or has failed.
+ */
+static void
+request_end(request_t *request, bool complete)
+{
+	request_report(request, complete);
 	request_free(request);
 	task_dispatch_local();
 }
 
+/*
+ * End a request that was cancelled and that the session has not given back,
+ * since it waits for a connection that others hold.  Nothing of it was sent or
+ * will be.
+ */
+static gboolean
+on_not_given_back(gpointer context)
+{
+	request_report(context, false);
+	task_dispatch_local();
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * Start a timer of a request in place of the last one.
+ */
+static void
+timer_start(request_t *request, uint32_t delay_ms, GSourceFunc callback)
+{
+	source_clear(&request->timeout);
+	request->timeout = g_timeout_source_new(delay_ms);
+	g_source_set_callback(request->timeout, callback, request, NULL);
+	g_source_attach(request->timeout, g_main_context_get_thread_default());
+}
+
 /*
  * Cancel a request that has timed out, which resets its connection.
  */
@@ -148,6 +191,7 @@
 {
 	request_t *request = context;
 
+	timer_start(request, GIVEN_BACK_MS, on_not_given_back);
 	g_cancellable_cancel(request->cancellable);
 	return G_SOURCE_REMOVE;
 }
@@ -158,10 +202,7 @@
 static void
 timeout_start(request_t *request, uint32_t timeout_ms)
 {
-	source_clear(&request->timeout);
-	request->timeout = g_timeout_source_new(timeout_ms);
-	g_source_set_callback(request->timeout, on_timeout, request, NULL);
-	g_source_attach(request->timeout, g_main_context_get_thread_default());
+	timer_start(request, timeout_ms, on_timeout);
 }
 
 static void on_part(GObject *stream, GAsyncResult *result, gpointer context);
--- a/tests/t_http.c
+++ b/tests/t_http.c
@@ -252,6 +252,131 @@
 	g_free(address);
 }
 
+typedef struct crowd_case {
+	const char *name;
+	bool full;         /* the server completes no connection */
+	uint32_t requests; /* that are sent at once */
+	uint32_t extra_ms; /* extra wait of all but the last one */
+} crowd_case_t;
+
+static const crowd_case_t crowd_cases[] = {
+    {"one, not connected", true, 1, 0},
+    {"some, not connected", true, 4, 0},
+    {"more than connections, not connected", true, 12, 0},
+    {"more than connections, not answered", false, 12, 0},
+    {"behind one long poll, not connected", true, 2, 2000},
+    {"behind two long polls, not connected", true, 3, 2000},
+    {"behind long polls, not answered", false, 9, 2000},
+    {"behind long polls, not connected", true, 9, 2000},
+};
+
+/* Connections that wait for a server that accepts none. */
+#define WAITING_MAX 16
+
+/* Connections that a client opens at most (http.c). */
+#define CONNECTIONS_MAX 8
+
+/* Time that the test's process may need to run the timer. */
+#define LATE_MS 200
+
+/*
+ * Return what a server whose connections were not accepted before has received,
+ * up to the end or reset of each of them.
+ */
+static GString *
+received_by(GSocket *listener)
+{
+	GString *text = g_string_new(NULL);
+	char bytes[1024];
+	GSocket *socket;
+	gssize n;
+
+	g_socket_set_blocking(listener, FALSE);
+	while ((socket = g_socket_accept(listener, NULL, NULL)) != NULL) {
+		g_socket_set_blocking(socket, FALSE);
+		while ((n = g_socket_receive(
+			    socket, bytes, sizeof(bytes), NULL, NULL)) > 0)
+			g_string_append_len(text, bytes, n);
+		g_object_unref(socket);
+	}
+	return text;
+}
+
+/*
+ * Test that a request ends at its timeout, however many others are under way to
+ * a server that does not answer, or to which no connection can be opened, and
+ * that it is not sent afterwards.
+ */
+static void
+test_crowd(gconstpointer data)
+{
+	const crowd_case_t *c = data;
+	GSocket *listener =
+	    g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, 0, NULL);
+	GSocketAddress *any =
+	    g_inet_socket_address_new_from_string("127.0.0.1", 0);
+	GSocket *waiting[WAITING_MAX];
+	result_t *results = g_new0(result_t, c->requests);
+	const result_t *last = &results[c->requests - 1];
+	GSocketAddress *bound;
+	http_client_t *http;
+	GString *received;
+	char *address;
+	int64_t began_us, ended_us = 0;
+	uint32_t i;
+
+	g_assert_true(g_socket_bind(listener, any, FALSE, NULL));
+	g_socket_set_listen_backlog(listener, c->full ? 0 : 2 * WAITING_MAX);
+	g_assert_true(g_socket_listen(listener, NULL));
+	bound = g_socket_get_local_address(listener, NULL);
+	for (i = 0; i < WAITING_MAX; i++) {
+		waiting[i] = g_socket_new(
+		    G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, 0, NULL);
+		g_socket_set_blocking(waiting[i], FALSE);
+		if (c->full)
+			(void)g_socket_connect(waiting[i], bound, NULL, NULL);
+	}
+	address = g_strdup_printf("127.0.0.1:%u",
+	    g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound)));
+	http = http_client_new(address, TIMEOUT_MS);
+	began_us = clock_us();
+	for (i = 0; i < c->requests; i++)
+		http_request_send(http,
+		    http_request_new(
+			http, "GET", i + 1 < c->requests ? "/" : "/last"),
+		    NULL, i + 1 < c->requests ? c->extra_ms : 0, on_result,
+		    &results[i]);
+	while (clock_us() - began_us <
+	    (INT64_C(3) * TIMEOUT_MS + c->extra_ms) * US_PER_MS) {
+		g_main_context_iteration(NULL, FALSE);
+		if (ended_us == 0 && last->ended)
+			ended_us = clock_us();
+		g_usleep(1000);
+	}
+	g_test_message("ended after %" G_GINT64_FORMAT " ms",
+	    (ended_us - began_us) / US_PER_MS);
+	for (i = 0; i < c->requests; i++) {
+		g_assert_true(results[i].ended);
+		g_assert_cmpuint(results[i].status, ==, 0);
+	}
+	g_assert_cmpint(ended_us, !=, 0);
+	g_assert_cmpint(
+	    (ended_us - began_us) / US_PER_MS, <=, TIMEOUT_MS + LATE_MS);
+	if (c->requests > CONNECTIONS_MAX) {
+		received = received_by(listener);
+		g_assert_null(strstr(received->str, "/last"));
+		g_string_free(received, TRUE);
+	}
+	http_client_free(http);
+	for (i = 0; i < WAITING_MAX; i++)
+		g_object_unref(waiting[i]);
+	g_object_unref(bound);
+	g_object_unref(any);
+	g_object_unref(listener);
+	g_free(address);
+	g_free(results);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -259,8 +384,10 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions();
 	CASES("/http/response", response_cases, test_response);
 	g_test_add_func("/http/free", test_free);
 	CASES("/http/unanswered", unanswered_cases, test_unanswered);
+	CASES("/http/crowd", crowd_cases, test_crowd);
 	return g_test_run();
 }
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -172,6 +172,80 @@
 	testbed_stop(testbed);
 }
 
+typedef struct silent_store_case {
+	const char *name;
+	const char *primary_fault;
+	uint32_t silent_ms; /* time for which the store has been silent then */
+} silent_store_case_t;
+
+static const silent_store_case_t silent_store_cases[] = {
+    {"the primary leaves", "leave", 1000},
+    {"the primary crashes", "crash", 1000},
+};
+
+/* A change of primary is over within this time. */
+#define CHANGE_MAX_MS 6000
+
+/* Time for which writes are sent after a fault. */
+#define WRITES_MS 7000
+
+/*
+ * Test that a change of primary does not wait for a store that does not answer:
+ * the longest time without an acknowledged write.
+ */
+static void
+test_silent_store(gconstpointer data)
+{
+	const silent_store_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 3, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	int64_t began_us, last_us, longest_us = 0, now_us;
+	uint32_t i, after = 0;
+	bool faulty = false;
+	char *stored;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	/* the store knows a coordinator that has acted */
+	g_usleep(3000 * US_PER_MS);
+	testbed_inject_fault(testbed, "store", "silent", -1);
+	began_us = last_us = g_get_monotonic_time();
+	for (i = 0;; i++) {
+		client_t *client =
+		    client_open_session(testbed, i % 3, "intake");
+		char *answer = client == NULL
+		    ? NULL
+		    : client_query(client, "WRITE k v", ANSWER_TIMEOUT_MS);
+
+		now_us = g_get_monotonic_time();
+		if (answer != NULL && g_str_has_prefix(answer, "DONE p")) {
+			if (faulty)
+				longest_us = MAX(longest_us, now_us - last_us);
+			after += faulty;
+			last_us = now_us;
+		}
+		g_free(answer);
+		client_close(client);
+		if (!faulty &&
+		    now_us - began_us >= (int64_t)c->silent_ms * US_PER_MS) {
+			testbed_inject_fault(
+			    testbed, "database", c->primary_fault, 0);
+			faulty = true;
+			began_us = last_us = now_us;
+		}
+		if (faulty && now_us - began_us >= WRITES_MS * US_PER_MS)
+			break;
+		g_usleep(5000);
+	}
+	longest_us = MAX(longest_us, now_us - last_us);
+	stored = testbed_item_value(testbed, "k", &i);
+	g_test_message("%u writes, none for %" G_GINT64_FORMAT " ms", after,
+	    longest_us / US_PER_MS);
+	g_assert_cmpint(longest_us / US_PER_MS, <, CHANGE_MAX_MS);
+	g_assert_cmpuint(i, ==, 0);
+	g_free(stored);
+	testbed_stop(testbed);
+}
+
 typedef struct input_case {
 	const char *name;
 	const char *bytes;    /* NULL: 2 MiB without a line end */
@@ -1178,6 +1252,7 @@
 	log_start(G_LOG_LEVEL_WARNING, STDERR_FILENO);
 	CASES("/proxy/session", session_cases, test_session);
 	CASES("/proxy/change", failover_cases, test_failover);
+	CASES("/proxy/silent-store", silent_store_cases, test_silent_store);
 	CASES("/proxy/input", input_cases, test_input);
 	CASES("/proxy/shape", shape_cases, test_shape);
 	CASES("/proxy/entry", server_object_cases, test_server_object);
