A long poll that cannot connect ends at the timeout

What callers saw: while the store is cut off from a daemon, each call on it waits behind the long poll that opens a connection, up to 4.6 s, and fails at its own timeout; so it does for some seconds after the store is back, if that connection is still being opened.

Cause: the extra wait of a long poll, which is for its answer, was counted from the call, also while it was not sent yet.

Fix: the extra wait begins when the request was sent.

--- a/src/http.c
+++ b/src/http.c
@@ -42,6 +42,7 @@
 	SoupMessage *message;
 	GCancellable *cancellable;
 	GSource *timeout;
+	uint32_t extra_wait_ms; /* for the answer, beyond the timeout */
 	int64_t
 	    last_timeout_us;  /* time at which the response must be complete */
 	GInputStream *stream; /* of the response, once it has begun */
@@ -120,6 +121,7 @@
 request_free(request_t *request)
 {
 	source_clear(&request->timeout);
+	g_signal_handlers_disconnect_by_data(request->message, request);
 	g_queue_unlink(&request->http->requests, &request->link);
 	g_clear_object(&request->stream);
 	g_byte_array_unref(request->body);
@@ -265,10 +267,26 @@
 }
 
 /*
- * Send a request with an optional JSON body.  The timeout of the client, plus
- * extra_wait_ms, ends when the response begins.  From then on it is counted
- * from each part of the response anew, since many daemons that start at once
- * receive long responses slowly.
+ * Handle that a long poll was sent: from now on it waits for its answer.
+ */
+static void
+on_long_poll_sent(SoupMessage *message, gpointer context)
+{
+	request_t *request = context;
+
+	(void)message;
+	if (!g_cancellable_is_cancelled(request->cancellable))
+		timeout_start(request,
+		    request->http->timeout_ms + request->extra_wait_ms);
+}
+
+/*
+ * Send a request with an optional JSON body.  The timeout of the client ends
+ * when the response begins.  From then on it is counted from each part of the
+ * response anew, since many daemons that start at once receive long responses
+ * slowly.  A long poll, with extra_wait_ms, has the timeout to be sent, and the
+ * timeout plus extra_wait_ms from then on for its response: while it opens a
+ * connection, other requests may have to wait for it.
  */
 void
 http_request_send(http_client_t *http, SoupMessage *message, const char *body,
@@ -294,7 +312,11 @@
 		    message, "application/json", bytes);
 		g_bytes_unref(bytes);
 	}
-	timeout_start(request, http->timeout_ms + extra_wait_ms);
+	request->extra_wait_ms = extra_wait_ms;
+	if (extra_wait_ms > 0)
+		g_signal_connect(message, "wrote-body",
+		    G_CALLBACK(on_long_poll_sent), request);
+	timeout_start(request, http->timeout_ms);
 	soup_session_send_async(http->session, message, G_PRIORITY_DEFAULT,
 	    request->cancellable, on_response, request);
 }
--- a/tests/t_http.c
+++ b/tests/t_http.c
@@ -257,17 +257,19 @@
 	bool full;         /* the server completes no connection */
 	uint32_t requests; /* that are sent at once */
 	uint32_t extra_ms; /* extra wait of all but the last one */
+	/* time that the first one has beyond the timeout */
+	uint32_t first_extra_ms;
 } crowd_case_t;
 
 static const crowd_case_t crowd_cases[] = {
-    {"one, not connected", true, 1, 0},
-    {"some, not connected", true, 4, 0},
-    {"more than connections, not connected", true, 12, 0},
-    {"more than connections, not answered", false, 12, 0},
-    {"behind one long poll, not connected", true, 2, 2000},
-    {"behind two long polls, not connected", true, 3, 2000},
-    {"behind long polls, not answered", false, 9, 2000},
-    {"behind long polls, not connected", true, 9, 2000},
+    {"one, not connected", true, 1, 0, 0},
+    {"some, not connected", true, 4, 0, 0},
+    {"more than connections, not connected", true, 12, 0, 0},
+    {"more than connections, not answered", false, 12, 0, 0},
+    {"behind one long poll, not connected", true, 2, 2000, 0},
+    {"behind two long polls, not connected", true, 3, 2000, 0},
+    {"behind long polls, not answered", false, 9, 2000, 2000},
+    {"behind long polls, not connected", true, 9, 2000, 0},
 };
 
 /* Connections that wait for a server that accepts none. */
@@ -305,7 +307,8 @@
 /*
  * Test that a request ends at its timeout, however many others are under way to
  * a server that does not answer, or to which no connection can be opened, and
- * that it is not sent afterwards.
+ * that it is not sent afterwards.  A long poll waits longer than the timeout
+ * only for its answer.
  */
 static void
 test_crowd(gconstpointer data)
@@ -322,7 +325,7 @@
 	http_client_t *http;
 	GString *received;
 	char *address;
-	int64_t began_us, ended_us = 0;
+	int64_t began_us, ended_us = 0, first_us = 0;
 	uint32_t i;
 
 	g_assert_true(g_socket_bind(listener, any, FALSE, NULL));
@@ -351,10 +354,14 @@
 		g_main_context_iteration(NULL, FALSE);
 		if (ended_us == 0 && last->ended)
 			ended_us = clock_us();
+		if (first_us == 0 && results[0].ended)
+			first_us = clock_us();
 		g_usleep(1000);
 	}
-	g_test_message("ended after %" G_GINT64_FORMAT " ms",
-	    (ended_us - began_us) / US_PER_MS);
+	g_test_message("ended after %" G_GINT64_FORMAT
+		       " ms, the first after %" G_GINT64_FORMAT " ms",
+	    (ended_us - began_us) / US_PER_MS,
+	    (first_us - began_us) / US_PER_MS);
 	for (i = 0; i < c->requests; i++) {
 		g_assert_true(results[i].ended);
 		g_assert_cmpuint(results[i].status, ==, 0);
@@ -362,6 +369,10 @@
 	g_assert_cmpint(ended_us, !=, 0);
 	g_assert_cmpint(
 	    (ended_us - began_us) / US_PER_MS, <=, TIMEOUT_MS + LATE_MS);
+	g_assert_cmpint((first_us - began_us) / US_PER_MS, <=,
+	    TIMEOUT_MS + (int64_t)c->first_extra_ms + LATE_MS);
+	g_assert_cmpint((first_us - began_us) / US_PER_MS, >=,
+	    TIMEOUT_MS + (int64_t)c->first_extra_ms);
 	if (c->requests > CONNECTIONS_MAX) {
 		received = received_by(listener);
 		g_assert_null(strstr(received->str, "/last"));
