Earlier orders still tell which entries were given up

What callers saw: a read that lacked a commit (STALE).

Cause: the coordinator record, and so recorded_orders_t, had the end of the log of the last ordered server only. After a second recorded order that had no effect, or a third change of primary, what the first had given up was no longer known, and the longer log was chosen.

Fix: the record has a list of earlier orders (RecordedOrder.earlier: term to be replaced, end of the log), at most eight, one for each replaced term. src/decide/recorded_orders.c keeps it and judges a log: from the newest term that is known to have begun it goes back along the bases to the term in which the log ends. What a daemon knows is kept when it reads or takes over a record that lacks it, as one of a version before, or of an older copy of the store. The conversion between message and type, which stood three times, is one pair of functions (recorded_order_read(), recorded_order_write()).

Weighed: - Several orders to replace one primary: the last counts. It was decided when the others had shown no effect; if it has taken effect, entries up to its base are in use whatever the others did. The smallest base would give up commits that the old primary acknowledged between the orders. Wrong where the last had no effect and one before, unseen, had, from a shorter log. - The list is full: the order of the oldest term is dropped. It matters only if the logs of all that have promised the term end in a term that old. - A known order that a newer record lacks is kept also if it was withdrawn. It counts only once a newer term has begun without another order to replace the same primary.

--- a/gen/catalog.pb-c.c
+++ b/gen/catalog.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &bp__recorded_order__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__earlier_order__init
+                     (Bp__EarlierOrder         *message)
+{
+  static const Bp__EarlierOrder init_value = BP__EARLIER_ORDER__INIT;
+  *message = init_value;
+}
+size_t bp__earlier_order__get_packed_size
+                     (const Bp__EarlierOrder *message)
+{
+  assert(message->base.descriptor == &bp__earlier_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__earlier_order__pack
+                     (const Bp__EarlierOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__earlier_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__earlier_order__pack_to_buffer
+                     (const Bp__EarlierOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__earlier_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__EarlierOrder *
+       bp__earlier_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__EarlierOrder *)
+     protobuf_c_message_unpack (&bp__earlier_order__descriptor,
+                                allocator, len, data);
+}
+void   bp__earlier_order__free_unpacked
+                     (Bp__EarlierOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__earlier_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__open_order__init
                      (Bp__OpenOrder         *message)
 {
@@ -847,7 +892,7 @@
 static const uint64_t bp__recorded_order__base_term__default_value = 0ull;
 static const uint64_t bp__recorded_order__base_index__default_value = 0ull;
 static const uint64_t bp__recorded_order__era__default_value = 0ull;
-static const ProtobufCFieldDescriptor bp__recorded_order__field_descriptors[7] =
+static const ProtobufCFieldDescriptor bp__recorded_order__field_descriptors[8] =
 {
   {
     "group",
@@ -933,11 +978,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "earlier",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__RecordedOrder, n_earlier),
+    offsetof(Bp__RecordedOrder, earlier),
+    &bp__earlier_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__recorded_order__field_indices_by_name[] = {
   2,   /* field[2] = attempt_term */
   4,   /* field[4] = base_index */
   3,   /* field[3] = base_term */
+  7,   /* field[7] = earlier */
   5,   /* field[5] = era */
   0,   /* field[0] = group */
   6,   /* field[6] = open */
@@ -946,7 +1004,7 @@
 static const ProtobufCIntRange bp__recorded_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bp__recorded_order__descriptor =
 {
@@ -956,13 +1014,77 @@
   "Bp__RecordedOrder",
   "bp",
   sizeof(Bp__RecordedOrder),
-  7,
+  8,
   bp__recorded_order__field_descriptors,
   bp__recorded_order__field_indices_by_name,
   1,  bp__recorded_order__number_ranges,
   (ProtobufCMessageInit) bp__recorded_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__earlier_order__field_descriptors[3] =
+{
+  {
+    "replaced_term",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__EarlierOrder, replaced_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_term",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__EarlierOrder, base_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_index",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__EarlierOrder, base_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__earlier_order__field_indices_by_name[] = {
+  2,   /* field[2] = base_index */
+  1,   /* field[1] = base_term */
+  0,   /* field[0] = replaced_term */
+};
+static const ProtobufCIntRange bp__earlier_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bp__earlier_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.EarlierOrder",
+  "EarlierOrder",
+  "Bp__EarlierOrder",
+  "bp",
+  sizeof(Bp__EarlierOrder),
+  3,
+  bp__earlier_order__field_descriptors,
+  bp__earlier_order__field_indices_by_name,
+  1,  bp__earlier_order__number_ranges,
+  (ProtobufCMessageInit) bp__earlier_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__open_order__field_descriptors[4] =
 {
   {
--- a/gen/catalog.pb-c.h
+++ b/gen/catalog.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Bp__Catalog Bp__Catalog;
 typedef struct Bp__DutyRecord Bp__DutyRecord;
 typedef struct Bp__RecordedOrder Bp__RecordedOrder;
+typedef struct Bp__EarlierOrder Bp__EarlierOrder;
 typedef struct Bp__OpenOrder Bp__OpenOrder;
 typedef struct Bp__DaemonRecord Bp__DaemonRecord;
 
@@ -216,10 +217,36 @@
   uint64_t era;
   size_t n_open;
   Bp__OpenOrder **open;
+  /*
+   * the newest of those before the last, without open ones
+   */
+  size_t n_earlier;
+  Bp__EarlierOrder **earlier;
 };
 #define BP__RECORDED_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__recorded_order__descriptor) \
-    , NULL, 0, 0, 0, 0ull, 0, 0ull, 0, 0ull, 0,NULL }
+    , NULL, 0, 0, 0, 0ull, 0, 0ull, 0, 0ull, 0,NULL, 0,NULL }
+
+
+/*
+ * An order before the last one, which may have begun a term.
+ */
+struct  Bp__EarlierOrder
+{
+  ProtobufCMessage base;
+  /*
+   * newest term whose primary it was to replace
+   */
+  uint64_t replaced_term;
+  /*
+   * end of the log of the server that it named
+   */
+  uint64_t base_term;
+  uint64_t base_index;
+};
+#define BP__EARLIER_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__earlier_order__descriptor) \
+    , 0, 0, 0 }
 
 
 /*
@@ -395,6 +422,25 @@
 void   bp__recorded_order__free_unpacked
                      (Bp__RecordedOrder *message,
                       ProtobufCAllocator *allocator);
+/* Bp__EarlierOrder methods */
+void   bp__earlier_order__init
+                     (Bp__EarlierOrder         *message);
+size_t bp__earlier_order__get_packed_size
+                     (const Bp__EarlierOrder   *message);
+size_t bp__earlier_order__pack
+                     (const Bp__EarlierOrder   *message,
+                      uint8_t             *out);
+size_t bp__earlier_order__pack_to_buffer
+                     (const Bp__EarlierOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__EarlierOrder *
+       bp__earlier_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__earlier_order__free_unpacked
+                     (Bp__EarlierOrder *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__OpenOrder methods */
 void   bp__open_order__init
                      (Bp__OpenOrder         *message);
@@ -453,6 +499,9 @@
 typedef void (*Bp__RecordedOrder_Closure)
                  (const Bp__RecordedOrder *message,
                   void *closure_data);
+typedef void (*Bp__EarlierOrder_Closure)
+                 (const Bp__EarlierOrder *message,
+                  void *closure_data);
 typedef void (*Bp__OpenOrder_Closure)
                  (const Bp__OpenOrder *message,
                   void *closure_data);
@@ -472,6 +521,7 @@
 extern const ProtobufCMessageDescriptor bp__catalog__descriptor;
 extern const ProtobufCMessageDescriptor bp__duty_record__descriptor;
 extern const ProtobufCMessageDescriptor bp__recorded_order__descriptor;
+extern const ProtobufCMessageDescriptor bp__earlier_order__descriptor;
 extern const ProtobufCMessageDescriptor bp__open_order__descriptor;
 extern const ProtobufCMessageDescriptor bp__daemon_record__descriptor;
 
--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -64,6 +64,16 @@
  */
 #define ORDER_OPEN_US (10 * US_PER_SECOND)
 
+/* Number of earlier orders whose effect on the logs is known. */
+#define EARLIER_ORDERS_MAX 8
+
+/* An order to replace a primary, as far as the logs of a group show it. */
+typedef struct earlier_order {
+	uint64_t
+	    replaced_term; /* newest term whose primary it was to replace */
+	position_t base;   /* the new term begins after it */
+} earlier_order_t;
+
 /*
  * What the store has recorded of the orders to replace a primary of a group,
  * each before it was sent.
@@ -83,8 +93,21 @@
 	int64_t lost_us;
 	uint64_t read_era; /* era of the store when they were read */
 	uint64_t era;      /* that in which the last of them was recorded */
+	/* the newest of the others, in no order; at most one for each
+	   replaced_term, which is not that of the last one */
+	earlier_order_t earlier[EARLIER_ORDERS_MAX];
+	uint32_t earlier_count;
 } recorded_orders_t;
 
+/* Which terms the orders may have begun, and after which entries:
+   recorded_orders.c */
+void recorded_orders_add(
+    recorded_orders_t *, uint64_t replaced_term, position_t base);
+void recorded_orders_add_earlier(recorded_orders_t *, const earlier_order_t *);
+void recorded_orders_replace(recorded_orders_t *, const recorded_orders_t *);
+bool recorded_orders_given_up(
+    const recorded_orders_t *, uint64_t newest_term, position_t end);
+
 /*
  * Lease on a primary: until it expires, no other database can have become
  * primary, so this daemon may rely on the primary: lease.c
--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -632,7 +632,7 @@
 	if (failover->recorded.replaced_term != recorded->replaced_term ||
 	    failover->recorded.attempt_term != recorded->attempt_term)
 		failover->recorded_us = now_us;
-	failover->recorded = *recorded;
+	recorded_orders_replace(&failover->recorded, recorded);
 }
 
 /*
--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -1,14 +1,12 @@
 #include "failover_choice.h"
 
 /*
- * Tell whether a log has entries that its group has given up: a newer term is
- * known to have begun after an earlier position, and the log does not reach
- * that term.  If its database was promoted, these entries would come back.
+ * Tell whether a log has entries that its group has given up, by the recorded
+ * orders and the newest term that is known.
  */
 static bool
 has_given_up_entries(const failover_t *failover, position_t end)
 {
-	const recorded_orders_t *recorded = &failover->recorded;
 	uint64_t newest = failover->reported_term;
 	uint32_t i;
 
@@ -16,9 +14,7 @@
 		if (failover->views[i].known)
 			newest = MAX(newest, failover->views[i].term);
 	}
-	return recorded->base.term != 0 && newest > recorded->replaced_term &&
-	    end.term <= recorded->replaced_term &&
-	    end.index > recorded->base.index;
+	return recorded_orders_given_up(&failover->recorded, newest, end);
 }
 
 /*
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -404,7 +404,7 @@
 {
 	if (orders->read_us < lease->orders.read_us)
 		return;
-	lease->orders = *orders;
+	recorded_orders_replace(&lease->orders, orders);
 }
 
 /*
--- a/src/proxy/order_messages.c
+++ b/src/proxy/order_messages.c
@@ -2,6 +2,62 @@
 
 #include <glib.h>
 
+/*
+ * Return what a message says of the recorded orders of a group.
+ */
+recorded_orders_t
+recorded_order_read(const Bp__RecordedOrder *message)
+{
+	recorded_orders_t orders = {.replaced_term = message->replaced_term,
+	    .attempt_term = message->attempt_term,
+	    .base = {message->base_term, message->base_index},
+	    .era = message->era};
+	size_t i;
+
+	for (i = 0; i < message->n_earlier; i++) {
+		const Bp__EarlierOrder *order = message->earlier[i];
+
+		recorded_orders_add_earlier(&orders,
+		    &(earlier_order_t){order->replaced_term,
+			{order->base_term, order->base_index}});
+	}
+	return orders;
+}
+
+/*
+ * Return the recorded orders of a group as a message in an arena, without open
+ * ones.
+ */
+Bp__RecordedOrder *
+recorded_order_write(
+    const recorded_orders_t *orders, const char *group, arena_t *arena)
+{
+	Bp__RecordedOrder *message = (Bp__RecordedOrder *)message_new(
+	    arena, &bp__recorded_order__descriptor);
+	uint32_t i;
+
+	message->group = arena_strdup(arena, group);
+	message->replaced_term = orders->replaced_term;
+	message->attempt_term = orders->attempt_term;
+	message->has_base_term = message->has_base_index = 1;
+	message->base_term = orders->base.term;
+	message->base_index = orders->base.index;
+	message->has_era = 1;
+	message->era = orders->era;
+	message->earlier = arena_zalloc(
+	    arena, sizeof(message->earlier[0]) * (orders->earlier_count + 1));
+	for (i = 0; i < orders->earlier_count; i++) {
+		Bp__EarlierOrder *order = (Bp__EarlierOrder *)message_new(
+		    arena, &bp__earlier_order__descriptor);
+
+		order->replaced_term = orders->earlier[i].replaced_term;
+		order->base_term = orders->earlier[i].base.term;
+		order->base_index = orders->earlier[i].base.index;
+		message->earlier[message->n_earlier++] = order;
+	}
+	return message;
+}
+
 /* A list of messages that is being filled. */
 typedef struct order_list {
 	arena_t *arena;
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -101,10 +101,8 @@
 		order->sent = false;
 	}
 	order->recorded.attempt_term = wanted->term;
-	order->recorded.base =
-	    (position_t){wanted->base_term, wanted->base_index};
-	order->recorded.replaced_term =
-	    MAX(order->before.replaced_term, wanted->replaced_term);
+	recorded_orders_add(&order->recorded, wanted->replaced_term,
+	    (position_t){wanted->base_term, wanted->base_index});
 	order->recorded.era = registry->store_era;
 	note_open(order, wanted);
 }
@@ -163,19 +161,15 @@
 	for (i = 0; i < record->n_orders; i++) {
 		const Bp__RecordedOrder *order = record->orders[i];
 		group_orders_t *noted = order_of(registry, order->group);
-		recorded_orders_t *recorded = &noted->recorded;
+		recorded_orders_t read = recorded_order_read(order);
 
 		open_orders_read(&noted->open, order->open, order->n_open,
 		    OPEN_ORDER_RECORDED, clock_us());
 		if (!fencing_token_is_current(
 			registry->store_era, record->token) &&
-		    recorded->attempt_term >= order->attempt_term)
+		    noted->recorded.attempt_term >= order->attempt_term)
 			continue;
-		recorded->replaced_term = order->replaced_term;
-		recorded->attempt_term = order->attempt_term;
-		recorded->era = order->era;
-		recorded->base =
-		    (position_t){order->base_term, order->base_index};
+		recorded_orders_replace(&noted->recorded, &read);
 	}
 }
 
@@ -218,20 +212,11 @@
 	g_hash_table_iter_init(&iter, registry->orders);
 	while (g_hash_table_iter_next(&iter, &group, &value)) {
 		const group_orders_t *noted = value;
-		const recorded_orders_t *recorded = &noted->recorded;
-		Bp__RecordedOrder *order = (Bp__RecordedOrder *)message_new(
-		    arena, &bp__recorded_order__descriptor);
+		Bp__RecordedOrder *order;
 
-		if (recorded->attempt_term == 0)
+		if (noted->recorded.attempt_term == 0)
 			continue;
-		order->group = arena_strdup(arena, group);
-		order->replaced_term = recorded->replaced_term;
-		order->attempt_term = recorded->attempt_term;
-		order->has_base_term = order->has_base_index = 1;
-		order->base_term = recorded->base.term;
-		order->base_index = recorded->base.index;
-		order->has_era = 1;
-		order->era = recorded->era;
+		order = recorded_order_write(&noted->recorded, group, arena);
 		order->open = open_orders_write(
 		    &noted->open, arena, clock_us(), &order->n_open);
 		record->orders[record->n_orders++] = order;
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -1,5 +1,7 @@
 #include "pool.h"
 
+#include "order_messages.h"
+
 #include <string.h>
 
 /* The pool task: connections to the databases and the statements they run. */
@@ -337,9 +339,7 @@
 	g_hash_table_iter_init(&iter, pool->groups);
 	while (read->read_us != 0 &&
 	    g_hash_table_iter_next(&iter, &name, &value)) {
-		recorded_orders_t recorded = {.read_us = (int64_t)read->read_us,
-		    .lost_us = (int64_t)read->lost_us,
-		    .read_era = read->era};
+		recorded_orders_t recorded = {0};
 		Bp__OpenOrder *const *open = NULL;
 		size_t i, n_open = 0;
 
@@ -348,14 +348,13 @@
 
 			if (strcmp(order->group, name) != 0)
 				continue;
-			recorded.replaced_term = order->replaced_term;
-			recorded.attempt_term = order->attempt_term;
-			recorded.base =
-			    (position_t){order->base_term, order->base_index};
-			recorded.era = order->era;
+			recorded = recorded_order_read(order);
 			open = order->open;
 			n_open = order->n_open;
 		}
+		recorded.read_us = (int64_t)read->read_us;
+		recorded.lost_us = (int64_t)read->lost_us;
+		recorded.read_era = read->era;
 		group_orders_recorded(value, open, n_open, clock_us());
 		monitor_orders_read(value, &recorded, clock_us());
 	}
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -506,6 +506,93 @@
 	failover_clear(&failover);
 }
 
+#define ORDERS_MAX 12
+
+typedef struct history_case {
+	const char *name;
+	uint64_t newest_term; /* of database 0 */
+	uint64_t logs[2][2];  /* term and index at databases 1 and 2 */
+	uint32_t chosen;
+	/* orders, each with the term of the primary to be replaced and the end
+	   of the log of the database that it names */
+	struct {
+		uint64_t replaced_term;
+		position_t base;
+	} orders[ORDERS_MAX];
+} history_case_t;
+
+static const history_case_t history_cases[] = {
+    {"two orders, the first took effect", 2, {{1, 68}, {1, 56}}, 2,
+	{{1, {1, 56}}, {2, {1, 56}}}},
+    {"two orders that took effect", 3, {{1, 68}, {1, 56}}, 2,
+	{{1, {1, 56}}, {2, {2, 70}}}},
+    {"the same, no log has given up entries", 3, {{1, 56}, {1, 40}}, 1,
+	{{1, {1, 56}}, {2, {2, 70}}}},
+    {"three changes, entries that the first gave up", 4, {{1, 68}, {1, 56}}, 2,
+	{{1, {1, 56}}, {2, {2, 70}}, {3, {3, 90}}}},
+    {"three changes, entries that the second gave up", 4, {{2, 75}, {2, 70}}, 2,
+	{{1, {1, 56}}, {2, {2, 70}}, {3, {3, 90}}}},
+    {"a longer log that ends in a newer term", 4, {{1, 56}, {2, 70}}, 2,
+	{{1, {1, 56}}, {2, {2, 70}}, {3, {3, 90}}}},
+    {"the last began from the log of an older term", 3, {{2, 50}, {1, 56}}, 2,
+	{{1, {1, 40}}, {2, {1, 56}}}},
+    {"the same, with entries that it took up again", 3, {{1, 56}, {1, 40}}, 1,
+	{{1, {1, 40}}, {2, {1, 56}}}},
+    {"two orders to replace one primary, the last counts", 2,
+	{{1, 68}, {1, 56}}, 1, {{1, {1, 56}}, {1, {1, 68}}}},
+    {"the same, with the shorter log last", 2, {{1, 68}, {1, 56}}, 2,
+	{{1, {1, 68}}, {1, {1, 56}}}},
+    {"an order without the end of a log in between", 3, {{1, 68}, {1, 56}}, 2,
+	{{1, {1, 56}}, {2, {0, 0}}}},
+    {"more orders than are kept, a log of the last terms", 11,
+	{{8, 85}, {8, 80}}, 2,
+	{{1, {1, 10}}, {2, {2, 20}}, {3, {3, 30}}, {4, {4, 40}}, {5, {5, 50}},
+	    {6, {6, 60}}, {7, {7, 70}}, {8, {8, 80}}, {9, {9, 90}},
+	    {10, {10, 100}}}},
+};
+
+/*
+ * Test which database is promoted after several orders, some of which took
+ * effect: entries that any of them gave up do not come back.
+ */
+static void
+test_history(gconstpointer data)
+{
+	const history_case_t *c = data;
+	failover_actions_t actions;
+	failover_t failover;
+	uint32_t i, chosen = 0;
+	uint64_t term;
+
+	failover_init(&failover, &test_limits, DATABASES, 1, 0);
+	for (i = 0; i < ORDERS_MAX && c->orders[i].replaced_term != 0; i++) {
+		recorded_orders_t recorded = {c->orders[i].replaced_term, i + 2,
+		    MS(i + 1), c->orders[i].base};
+
+		failover_orders_recorded(&failover, &recorded, 0);
+	}
+	report(&failover, 0, true, c->newest_term, 0, 0);
+	for (i = 1; i < DATABASES; i++)
+		report(&failover, i, false, c->logs[i - 1][0], 0, 0);
+	term = begin_attempt(&failover, 0);
+	for (i = 1; i < DATABASES; i++) {
+		position_t end = {c->logs[i - 1][0], c->logs[i - 1][1]};
+		db_view_t view = {
+		    true, false, false, term, end, 0, .term = end.term};
+
+		failover_fence_answered(&failover, i, term, true, &view, 0);
+	}
+	failover_tick(&failover, MS(20), &actions);
+	failover_leases_revoked(&failover, term, true, MS(20));
+	failover_tick(&failover, MS(200), &actions);
+	for (i = 0; i < actions.count; i++) {
+		if (actions.list[i].kind == FAILOVER_PROMOTE)
+			chosen = actions.list[i].database;
+	}
+	g_assert_cmpuint(chosen, ==, c->chosen);
+	failover_clear(&failover);
+}
+
 typedef struct unaware_case {
 	const char *name;
 	int64_t primary_asked_ms; /* last status request to the old primary */
@@ -707,6 +794,7 @@
 	CASES("/attempt/choice", choice_cases, test_choice);
 	CASES("/attempt/unlisted", unlisted_cases, test_unlisted);
 	CASES("/attempt/second-order", second_order_cases, test_second_order);
+	CASES("/attempt/history", history_cases, test_history);
 	CASES("/attempt/unaware", unaware_cases, test_unaware);
 	CASES("/attempt/recorded", recorded_cases, test_recorded);
 	CASES("/attempt/open-order", open_order_cases, test_open_order);
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -1,5 +1,10 @@
+#include "../platform/json_tree.h"
+#include "../src/proxy/order_messages.h"
 #include "../src/proxy/registry.h"
 #include "cases.h"
+#include "json.h"
+
+#include <string.h>
 
 /*
  * Tests of the coordinator's writes of its record in the store, with a store
@@ -292,6 +297,117 @@
 	registry_free(registry);
 }
 
+#define GIVEN_UP_RECORD(order) \
+	"{\"holder\":\"other\",\"token\":7,\"orders\":[{\"group\":" \
+	"\"ledger\"," order "}]}"
+
+typedef struct given_up_case {
+	const char *name;
+	/* records of other coordinators, which this daemon takes over, and its
+	   own order after that; 0: none */
+	const char *records[2];
+	uint64_t replaced_term;
+	uint64_t base_index; /* in replaced_term */
+	bool refused;        /* the order is withdrawn */
+	uint64_t newest_term;
+	position_t end; /* of a log */
+	bool given_up;
+} given_up_case_t;
+
+static const given_up_case_t given_up_cases[] = {
+    {"no order before", {NULL}, 1, 56, false, 2, {1, 68}, true},
+    {"the same, refused", {NULL}, 1, 56, true, 2, {1, 68}, false},
+    {"an order before, of a version without earlier ones",
+	{GIVEN_UP_RECORD("\"replaced_term\":1,\"attempt_term\":2,"
+			 "\"base_term\":1,\"base_index\":56")},
+	2, 70, false, 2, {1, 68}, true},
+    {"the same, the last was refused",
+	{GIVEN_UP_RECORD("\"replaced_term\":1,\"attempt_term\":2,"
+			 "\"base_term\":1,\"base_index\":56")},
+	2, 70, true, 2, {1, 68}, true},
+    {"two orders before",
+	{GIVEN_UP_RECORD("\"replaced_term\":2,\"attempt_term\":3,"
+			 "\"base_term\":2,\"base_index\":70,\"earlier\":[{"
+			 "\"replaced_term\":1,\"base_term\":1,"
+			 "\"base_index\":56}]")},
+	3, 90, false, 4, {1, 68}, true},
+    {"the last of them from a version without earlier ones",
+	{GIVEN_UP_RECORD("\"replaced_term\":1,\"attempt_term\":2,"
+			 "\"base_term\":1,\"base_index\":56"),
+	    GIVEN_UP_RECORD("\"replaced_term\":2,\"attempt_term\":3,"
+			    "\"base_term\":2,\"base_index\":70")},
+	0, 0, false, 3, {1, 68}, true},
+    {"no entries that were given up",
+	{GIVEN_UP_RECORD("\"replaced_term\":1,\"attempt_term\":2,"
+			 "\"base_term\":1,\"base_index\":56")},
+	2, 70, false, 2, {1, 56}, false},
+};
+
+/*
+ * Have a daemon take the orders of a record over, given as a text.
+ */
+static void
+take_record(registry_t *registry, const char *text)
+{
+	arena_t *arena = arena_new();
+	yajl_val json = json_tree_parse(text, strlen(text));
+	object_t object = {.name = "promotion", .content = json};
+	const char *why = NULL;
+	Bp__DutyRecord *record = decode_coordinator(&object, arena, &why);
+
+	g_assert_nonnull(record);
+	orders_take(registry, record);
+	json_tree_free(json);
+	arena_free(arena);
+}
+
+/*
+ * Test that what the record says of given up entries outlasts changes of the
+ * coordinator, later orders, and writers that do not know of earlier ones: it
+ * is what a daemon reads of the next record.
+ */
+static void
+test_given_up(gconstpointer data)
+{
+	const given_up_case_t *c = data;
+	Bp__DutyRecord record = BP__DUTY_RECORD__INIT;
+	Bp__PromotionWanted wanted = BP__PROMOTION_WANTED__INIT;
+	registry_t *registry = registry_new(&(proxy_t){0});
+	registry_t *reader = registry_new(&(proxy_t){0});
+	arena_t *arena = arena_new();
+	recorded_orders_t read = {0};
+	uint64_t size_bytes;
+	size_t i;
+
+	registry->store_era = reader->store_era = STORE_ERA_FIRST;
+	for (i = 0; i < G_N_ELEMENTS(c->records); i++) {
+		if (c->records[i] != NULL)
+			take_record(registry, c->records[i]);
+	}
+	wanted.group = "ledger";
+	wanted.server = "s-1";
+	wanted.term = c->replaced_term + 1;
+	wanted.replaced_term = wanted.base_term = c->replaced_term;
+	wanted.base_index = c->base_index;
+	if (c->replaced_term != 0)
+		orders_note(registry, &wanted);
+	if (c->refused)
+		g_assert_true(orders_withdraw(registry, &wanted, true));
+	record.holder = "this";
+	record.token = 8;
+	orders_fill(registry, arena, &record);
+	take_record(reader, json_write(arena, &record.base, &size_bytes));
+	record.n_orders = 0;
+	orders_fill(reader, arena, &record);
+	if (record.n_orders != 0)
+		read = recorded_order_read(record.orders[0]);
+	g_assert_cmpint(recorded_orders_given_up(&read, c->newest_term, c->end),
+	    ==, c->given_up);
+	arena_free(arena);
+	registry_free(reader);
+	registry_free(registry);
+}
+
 static uint32_t revocations; /* that reached the peers task */
 
 /*
@@ -405,5 +521,6 @@
 	g_test_add_func("/coordinator/sent-order-noted", test_sent_order_noted);
 	CASES("/coordinator/unlisted", unlisted_cases, test_unlisted_daemons);
 	g_test_add_func("/coordinator/token-read", test_token_read);
+	CASES("/coordinator/given-up", given_up_cases, test_given_up);
 	return g_test_run();
 }
