A line ends with CR LF only, and a text with NUL is refused

A text with a NUL byte was run without the rest, and acknowledged.

Cause: line_buffer_next() ended a line at LF, with or without CR, for clients and for databases, and returned a C string without its length.

Ruled out: CR and LF in two reads, a CR alone, a text that ends with CR (rows passed before), strings in messages between daemons.

Now only CR LF ends a line. The decoders get the length: a statement with NUL is answered MALFORMED and sent nowhere; any other message of a client with one ends the session, as an unknown word does; a message of a database with one cannot be read. "EXEC name " without an item, which lost its blank on the way, is refused. A line of the maximum length whose CR comes in another read than its LF is no longer refused.

The row "LF without CR does not end a line" of /wire/line-buffer expected that it does ("ab|cd|"); it expects what its name and the protocol say ("ab\ncd|"). The fake database notes what it receives, and takes data with blanks whole.

--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -552,12 +552,12 @@
  * closed.
  */
 static bool
-on_line(dbconn_t *conn, char *line, int64_t now_us)
+on_line(dbconn_t *conn, char *line, uint32_t size_bytes, int64_t now_us)
 {
 	reply_t reply;
 	bool still_open = true;
 
-	conn->server->group->pool->wire->read_reply(line, &reply);
+	conn->server->group->pool->wire->read_reply(line, size_bytes, &reply);
 	switch (reply.kind) {
 	case REPLY_ROW:
 		g_ptr_array_add(conn->rows, g_strdup(reply.text));
@@ -596,11 +596,12 @@
 	dbconn_t *conn = context;
 	group_t *group = conn->server->group;
 	int64_t now_us = clock_us();
+	uint32_t line_bytes;
 	char *line;
 
 	line_buffer_append(&conn->in, bytes, size_bytes);
-	while ((line = line_buffer_next(&conn->in)) != NULL) {
-		if (!on_line(conn, line, now_us)) {
+	while ((line = line_buffer_next(&conn->in, &line_bytes)) != NULL) {
+		if (!on_line(conn, line, line_bytes, now_us)) {
 			dispatch(group, now_us);
 			return;
 		}
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -418,6 +418,10 @@
 	case STATEMENT_DEALLOCATE:
 		deallocate_statement(session, request);
 		break;
+	case STATEMENT_WITH_NUL:
+		answer_error(session, request, BP__VERDICT__MALFORMED,
+		    "a statement may have no NUL byte; not run");
+		break;
 	case STATEMENT_UNKNOWN:
 		answer_error(session, request, BP__VERDICT__MALFORMED,
 		    "the statement is not known");
@@ -461,11 +465,11 @@
  * Handle one message of the client.
  */
 static void
-on_line(session_t *session, char *line)
+on_line(session_t *session, char *line, uint32_t size_bytes)
 {
 	request_t request;
 
-	session->clients->wire->read_request(line, &request);
+	session->clients->wire->read_request(line, size_bytes, &request);
 	if (request.kind == REQUEST_CLOSE) {
 		session_close(session);
 	} else if (request.kind == REQUEST_OPEN && session->database == NULL) {
@@ -487,12 +491,13 @@
 void
 session_process_input(session_t *session)
 {
+	uint32_t size_bytes;
 	char *line;
 
 	session->processing_input = true;
 	while (!session->close_pending && !session->waiting &&
-	    (line = line_buffer_next(&session->in)) != NULL)
-		on_line(session, line);
+	    (line = line_buffer_next(&session->in, &size_bytes)) != NULL)
+		on_line(session, line, size_bytes);
 	if (!session->close_pending &&
 	    (line_buffer_too_long(&session->in) ||
 		session->in.bytes->len > PIPELINED_BYTES_MAX)) {
--- a/src/proxy/wire.h
+++ b/src/proxy/wire.h
@@ -29,6 +29,7 @@
 	STATEMENT_SET,        /* name, value */
 	STATEMENT_PREPARE,    /* name, writes, value (the template) */
 	STATEMENT_DEALLOCATE, /* name */
+	STATEMENT_WITH_NUL,   /* cannot be carried, as texts are C strings */
 	STATEMENT_UNKNOWN,
 } statement_kind_t;
 
@@ -85,14 +86,14 @@
 
 typedef struct wire_ops {
 	/* decodes a message of a client; modifies the line */
-	void (*read_request)(char *line, request_t *);
+	void (*read_request)(char *line, uint32_t size_bytes, request_t *);
 	/* encode messages to clients */
 	void (*write_ready)(GString *, transaction_state_t, position_t);
 	void (*write_row)(GString *, const char *text);
 	void (*write_done)(GString *, const char *ack_token); /* NULL: none */
 	void (*write_error)(GString *, Bp__Verdict, const char *text);
 	/* decodes a message of a database; modifies the line */
-	void (*read_reply)(char *line, reply_t *);
+	void (*read_reply)(char *line, uint32_t size_bytes, reply_t *);
 	/* decodes the row that answers status(); false: invalid */
 	bool (*read_status)(const char *row, server_status_t *);
 	/* encode messages to databases; after: the log position that the server
--- a/tests/fake/fakegroup.c
+++ b/tests/fake/fakegroup.c
@@ -86,6 +86,9 @@
 	GString *outdated_values;
 	/* prepared statements that were run: [access shape|item|data] */
 	GString *executed;
+	/* statements that were received, other than those that daemons issue
+	   themselves: [id|text], the text in hexadecimal digits */
+	GString *received;
 };
 
 /*
@@ -507,20 +510,20 @@
 }
 
 /*
- * Handle PREPARE name READ|WRITE shape.  words: PREPARE, name, access, and the
- * words of the shape.
+ * Handle PREPARE name READ|WRITE shape.  words: PREPARE, name, access and
+ * shape.
  */
 static void
 handle_prepare(conn_t *conn, char **words)
 {
-	char *shape;
+	const char *shape;
 
 	if (g_strv_length(words) < 4 ||
 	    (strcmp(words[2], "READ") != 0 && strcmp(words[2], "WRITE") != 0)) {
 		answer_error(conn, "MALFORMED not a statement to prepare");
 		return;
 	}
-	shape = g_strjoinv(" ", &words[3]);
+	shape = words[3];
 	if (strcmp(shape, REFUSED_SHAPE) == 0) {
 		answer_error(conn, "FAILED this shape is refused");
 	} else {
@@ -529,7 +532,6 @@
 		    g_strdup_printf("%s %s", words[2], shape));
 		answer_done(conn, false);
 	}
-	g_free(shape);
 }
 
 /*
@@ -595,26 +597,49 @@
 	    database_last_index(database) >= index;
 }
 
+/*
+ * Note a statement that a client sent, byte for byte.
+ */
+static void
+note_received(db_group_t *group, const char *id, const char *text)
+{
+	const char *c;
+
+	if (strcmp(id, "-") == 0)
+		return;
+	g_string_append_printf(group->received, "[%s|", id);
+	for (c = text; *c != '\0'; c++)
+		g_string_append_printf(group->received, "%02x", (guint8)*c);
+	g_string_append_c(group->received, ']');
+}
+
 /*
  * Handle one statement, which may be prefixed by AFTER and the position that
  * the log must have reached.
  */
 static void
-handle_statement(conn_t *conn, char *text)
+handle_statement(conn_t *conn, const char *id, const char *text)
 {
-	char **fields = g_strsplit(text, " ", 0), **words = fields;
+	char **prefix = g_strsplit(text, " ", 3), **words, *data;
+	bool after =
+	    strcmp(prefix[0], "AFTER") == 0 && g_strv_length(prefix) == 3;
 
-	if (strcmp(words[0], "AFTER") == 0 && g_strv_length(words) >= 3) {
-		if (!database_has_position(conn->database, words[1])) {
-			answer_error(conn, "LAGGING here");
-			g_strfreev(fields);
-			return;
-		}
-		words += 2;
+	if (after && !database_has_position(conn->database, prefix[1])) {
+		answer_error(conn, "LAGGING here");
+		g_strfreev(prefix);
+		return;
 	}
-	if (strcmp(words[0], "READ") == 0 || strcmp(words[0], "WRITE") == 0) {
-		access_item(conn, words[0][0] == 'W', words[1],
-		    words[1] == NULL || words[2] == NULL ? "" : words[2]);
+	if (after)
+		text = prefix[2];
+	note_received(conn->database->group, id, text);
+	words = g_strsplit(text, " ", 4);
+	if (strcmp(words[0], "READ") == 0) {
+		access_item(conn, false, text + strlen("READ "), "");
+	} else if (strcmp(words[0], "WRITE") == 0) {
+		data = words[1] == NULL ? g_strdup("")
+					: g_strjoinv(" ", &words[2]);
+		access_item(conn, true, words[1], data);
+		g_free(data);
 	} else if (strcmp(words[0], "BEGIN") == 0) {
 		conn->delay_answers = true;
 		conn->read_only = words[1] != NULL;
@@ -642,7 +667,8 @@
 	} else {
 		handle_control(conn, words);
 	}
-	g_strfreev(fields);
+	g_strfreev(words);
+	g_strfreev(prefix);
 }
 
 /*
@@ -666,8 +692,8 @@
 		g_string_append(conn->output, "ERR WRONGNODE here\r\n");
 		conn->close_pending = true;
 	} else if (n >= 3 && strcmp(words[0], "QUERY") == 0) {
-		handle_statement(
-		    conn, line + strlen(words[0]) + strlen(words[1]) + 2);
+		handle_statement(conn, words[1],
+		    line + strlen(words[0]) + strlen(words[1]) + 2);
 	} else {
 		conn->close_pending = true;
 	}
@@ -682,11 +708,12 @@
 on_received(void *context, const uint8_t *bytes, uint32_t size_bytes)
 {
 	conn_t *conn = context;
+	uint32_t line_bytes;
 	char *line;
 
 	line_buffer_append(&conn->input, bytes, size_bytes);
 	while (!conn->close_pending &&
-	    (line = line_buffer_next(&conn->input)) != NULL)
+	    (line = line_buffer_next(&conn->input, &line_bytes)) != NULL)
 		on_line(conn, line);
 	if (conn->close_pending) {
 		send_output(conn);
@@ -866,6 +893,15 @@
 	return group->executed->str;
 }
 
+/*
+ * Return the statements of clients that were received.
+ */
+const char *
+db_group_received(const db_group_t *group)
+{
+	return group->received->str;
+}
+
 /*
  * Create a group and listen on its ports, which follow each other.  The
  * first database is the primary.
@@ -884,6 +920,7 @@
 	group->service_ms = service_ms;
 	group->outdated_values = g_string_new(" ");
 	group->executed = g_string_new(NULL);
+	group->received = g_string_new(NULL);
 	for (i = 0; i < databases_count; i++) {
 		database_t *database = &group->databases[i];
 
--- a/tests/fake/fakesite.c
+++ b/tests/fake/fakesite.c
@@ -22,6 +22,7 @@
  * GET /held                database that this order names
  * GET /outdated            values written at a primary that had been replaced
  * GET /executed            prepared statements that were run
+ * GET /received            statements of clients that databases received
  */
 
 /*
@@ -241,9 +242,9 @@
 }
 
 /*
- * Handle GET /held, /outdated and /executed: return the database that a held
- * order names, the values that were written at a primary that had been
- * replaced, or the prepared statements that were run.
+ * Handle GET /held, /outdated, /executed and /received: return the database
+ * that a held order names, the values that were written at a primary that had
+ * been replaced, or the statements that were run or received.
  */
 static void
 on_seen(SoupServer *server, SoupServerMessage *message, const char *path,
@@ -258,6 +259,8 @@
 		text = db_group_outdated_values(platform->group);
 	else if (strcmp(path, "/executed") == 0)
 		text = db_group_executed(platform->group);
+	else if (strcmp(path, "/received") == 0)
+		text = db_group_received(platform->group);
 	if (text == NULL)
 		text = "";
 	soup_server_message_set_status(message, 200, NULL);
@@ -324,6 +327,8 @@
 	    platform.server, "/outdated", on_seen, &platform, NULL);
 	soup_server_add_handler(
 	    platform.server, "/executed", on_seen, &platform, NULL);
+	soup_server_add_handler(
+	    platform.server, "/received", on_seen, &platform, NULL);
 	if (!soup_server_listen_local(
 		platform.server, (guint)port->ival[0], 0, NULL))
 		return 1;
--- a/tests/fake/fakesite.h
+++ b/tests/fake/fakesite.h
@@ -40,5 +40,6 @@
 char *db_group_item_value(db_group_t *, const char *item);
 const char *db_group_outdated_values(const db_group_t *);
 const char *db_group_executed(const db_group_t *);
+const char *db_group_received(const db_group_t *);
 
 #endif
--- a/tests/t_fuzz.c
+++ b/tests/t_fuzz.c
@@ -25,6 +25,10 @@
 /* Messages or lines on one connection. */
 #define MESSAGES_OF_CONNECTION 25
 
+/* Texts of statements, and the largest number of parts of one. */
+#define TEXTS 1000
+#define TEXT_PARTS_MAX 12
+
 /* Largest depth of nested messages. */
 #define DEPTH_MAX 4
 
@@ -220,7 +224,8 @@
 {
 	request_t request;
 
-	platform_wire.read_request((char *)input->data, &request);
+	platform_wire.read_request(
+	    (char *)input->data, input->len - 1, &request);
 	if (request.kind == REQUEST_OPEN)
 		g_assert_nonnull(request.database);
 }
@@ -235,7 +240,7 @@
 	reply_t reply;
 
 	platform_wire.read_status((const char *)input->data, &status);
-	platform_wire.read_reply((char *)input->data, &reply);
+	platform_wire.read_reply((char *)input->data, input->len - 1, &reply);
 	if (reply.kind == REPLY_ROW)
 		g_assert_nonnull(reply.text);
 }
@@ -309,13 +314,14 @@
 decode_lines(GByteArray *input)
 {
 	line_buffer_t lines;
+	uint32_t size_bytes;
 	guint i;
 
 	line_buffer_init(&lines, 64);
 	for (i = 0; i < input->len; i += 7) {
 		line_buffer_append(
 		    &lines, input->data + i, MIN(7, input->len - i));
-		while (line_buffer_next(&lines) != NULL)
+		while (line_buffer_next(&lines, &size_bytes) != NULL)
 			;
 	}
 	line_buffer_clear(&lines);
@@ -460,6 +466,353 @@
 	g_byte_array_append(input, (const guint8 *)"\r\n", 2);
 }
 
+/*
+ * Return a text of random bytes, many of them with a meaning in a protocol.  It
+ * has no CR LF, since that ends a message.  with_nul: it may have NUL bytes.
+ */
+static GByteArray *
+random_text(bool with_nul)
+{
+	static const char *const parts[] = {"\r", "\n", "\n\r", " ", "\"", "\\",
+	    "\nQUERY a9 WRITE x y", "\nREADY I 1.1", "\nDONE p1", "AFTER 1.1 "};
+	GByteArray *text = g_byte_array_new();
+	int32_t i, count = g_test_rand_int_range(1, TEXT_PARTS_MAX);
+	guint8 byte;
+	guint at;
+
+	for (i = 0; i < count; i++) {
+		if (g_test_rand_int_range(0, 2) == 0) {
+			append_text(text,
+			    parts[g_test_rand_int() % G_N_ELEMENTS(parts)]);
+			continue;
+		}
+		byte = (guint8)g_test_rand_int();
+		if (byte != '\0')
+			g_byte_array_append(text, &byte, 1);
+	}
+	for (at = 1; at < text->len; at++) {
+		if (text->data[at - 1] == '\r' && text->data[at] == '\n')
+			text->data[at] = '\t';
+	}
+	if (with_nul && g_test_rand_int_range(0, 8) == 0)
+		g_byte_array_append(text, (const guint8 *)"", 1);
+	if (with_nul && g_test_rand_int_range(0, 8) == 0)
+		g_byte_array_prepend(text, (const guint8 *)"", 1);
+	return text;
+}
+
+/*
+ * Append the bytes to a buffer in pieces of random size, and return the lines
+ * that come out, each followed by a NUL byte.
+ */
+static GByteArray *
+split_lines(const char *bytes, gsize size_bytes)
+{
+	GByteArray *found = g_byte_array_new();
+	line_buffer_t lines;
+	gsize done = 0, piece;
+	uint32_t line_bytes;
+	char *line;
+
+	line_buffer_init(&lines, 1 << 20);
+	while (done < size_bytes) {
+		piece = (gsize)g_test_rand_int_range(1, 9);
+		piece = MIN(piece, size_bytes - done);
+		line_buffer_append(
+		    &lines, (const uint8_t *)bytes + done, (uint32_t)piece);
+		done += piece;
+		while ((line = line_buffer_next(&lines, &line_bytes)) != NULL)
+			g_byte_array_append(
+			    found, (const guint8 *)line, line_bytes + 1);
+	}
+	line_buffer_clear(&lines);
+	return found;
+}
+
+/*
+ * Return a copy of a message as another daemon receives it.
+ */
+static ProtobufCMessage *
+send_to_daemon(arena_t *arena, const ProtobufCMessage *message)
+{
+	uint32_t size_bytes;
+	uint8_t *bytes = message_pack(arena, message, &size_bytes);
+
+	return message_unpack(arena, message->descriptor, bytes, size_bytes);
+}
+
+/*
+ * Test that a text comes to a database as it was sent, or is refused: through
+ * the decoder, a message to another daemon and the encoder, in pieces of any
+ * size.
+ */
+static void
+test_text_sent(void)
+{
+	static const position_t after = {3, 7};
+	uint32_t i, refused = 0;
+
+	for (i = 0; i < INPUTS; i++) {
+		GByteArray *text = random_text(true), *line, *arrived;
+		GString *sent = g_string_new("QUERY 5c0 WRITE T-1 "), *out;
+		arena_t *arena = arena_new();
+		Bp__Prepared prepared = BP__PREPARED__INIT, *copy;
+		request_t request;
+
+		g_string_append_len(
+		    sent, (const char *)text->data, (gssize)text->len);
+		g_string_append(sent, "\r\n");
+		line = split_lines(sent->str, sent->len);
+		g_assert_cmpuint(line->len, ==, sent->len - 1);
+		platform_wire.read_request(
+		    (char *)line->data, line->len - 1, &request);
+		g_assert_cmpint(request.kind, ==, REQUEST_QUERY);
+		out = g_string_new(NULL);
+		if (memchr(text->data, '\0', text->len) != NULL) {
+			g_assert_cmpint(
+			    request.statement, ==, STATEMENT_WITH_NUL);
+			refused++;
+		} else {
+			g_assert_cmpint(request.statement, ==, STATEMENT_WRITE);
+			prepared.shape = (char *)request.text;
+			copy = (Bp__Prepared *)send_to_daemon(
+			    arena, &prepared.base);
+			platform_wire.run(out, request.id,
+			    i % 2 ? &after : NULL, copy->shape);
+			arrived = split_lines(out->str, out->len);
+			g_assert_cmpuint(arrived->len, ==, out->len - 1);
+			g_string_truncate(sent, sent->len - 2);
+			g_assert_cmpmem(arrived->data + arrived->len - 1 -
+				sent->len + strlen("QUERY 5c0 "),
+			    sent->len - strlen("QUERY 5c0 "),
+			    sent->str + strlen("QUERY 5c0 "),
+			    sent->len - strlen("QUERY 5c0 "));
+			g_byte_array_unref(arrived);
+		}
+		g_string_free(out, TRUE);
+		g_string_free(sent, TRUE);
+		g_byte_array_unref(line);
+		g_byte_array_unref(text);
+		arena_free(arena);
+	}
+	g_assert_cmpuint(refused, >, INPUTS / 20);
+}
+
+/*
+ * Test that a row comes to a client as the database sent it, or counts as an
+ * answer that cannot be read.
+ */
+static void
+test_row(void)
+{
+	uint32_t i;
+
+	for (i = 0; i < INPUTS; i++) {
+		GByteArray *text = random_text(true), *line, *arrived;
+		GString *sent = g_string_new("ROW "), *out;
+		arena_t *arena = arena_new();
+		Bp__OperationEnded ended = BP__OPERATION_ENDED__INIT, *copy;
+		char *row;
+		reply_t reply;
+
+		g_string_append_len(
+		    sent, (const char *)text->data, (gssize)text->len);
+		g_string_append(sent, "\r\n");
+		line = split_lines(sent->str, sent->len);
+		g_assert_cmpuint(line->len, ==, sent->len - 1);
+		platform_wire.read_reply(
+		    (char *)line->data, line->len - 1, &reply);
+		if (memchr(text->data, '\0', text->len) != NULL) {
+			g_assert_cmpint(reply.kind, ==, REPLY_UNKNOWN);
+		} else {
+			g_assert_cmpint(reply.kind, ==, REPLY_ROW);
+			row = (char *)reply.text;
+			ended.rows = &row;
+			ended.n_rows = 1;
+			copy = (Bp__OperationEnded *)send_to_daemon(
+			    arena, &ended.base);
+			out = g_string_new(NULL);
+			platform_wire.write_row(out, copy->rows[0]);
+			arrived = split_lines(out->str, out->len);
+			g_assert_cmpmem(
+			    out->str, out->len, sent->str, sent->len);
+			g_assert_cmpuint(arrived->len, ==, out->len - 1);
+			g_byte_array_unref(arrived);
+			g_string_free(out, TRUE);
+		}
+		g_string_free(sent, TRUE);
+		g_byte_array_unref(line);
+		g_byte_array_unref(text);
+		arena_free(arena);
+	}
+}
+
+/*
+ * Append a statement as GET /received reports it.
+ */
+static void
+append_received(GString *out, uint32_t id, const char *text, gsize size_bytes)
+{
+	gsize i;
+
+	g_string_append_printf(out, "[t%u|", id);
+	for (i = 0; i < size_bytes; i++)
+		g_string_append_printf(out, "%02x", (guint8)text[i]);
+	g_string_append_c(out, ']');
+}
+
+/*
+ * Count the statements in a report of GET /received.
+ */
+static uint32_t
+count_received(const char *received)
+{
+	uint32_t count = 0;
+
+	for (; *received != '\0'; received++)
+		count += *received == '[';
+	return count;
+}
+
+/*
+ * Wait until a number of daemons own the group.
+ */
+static void
+wait_owners(const testbed_t *testbed, uint32_t wanted)
+{
+	int64_t deadline_us =
+	    g_get_monotonic_time() + READY_TIMEOUT_MS * US_PER_MS;
+	uint32_t i, owners;
+
+	for (;;) {
+		owners = 0;
+		for (i = 0; i < testbed->plan.proxies; i++)
+			owners +=
+			    testbed_metric(testbed, i, "groups_owned") > 0;
+		if (owners == wanted)
+			return;
+		g_assert_cmpint(g_get_monotonic_time(), <, deadline_us);
+		g_usleep(50 * US_PER_MS);
+	}
+}
+
+/*
+ * Wait until a write is acknowledged.
+ */
+static void
+wait_written(client_t *client)
+{
+	int64_t deadline_us =
+	    g_get_monotonic_time() + READY_TIMEOUT_MS * US_PER_MS;
+	char *answer;
+
+	for (;;) {
+		answer =
+		    client_query(client, "WRITE first x", ANSWER_TIMEOUT_MS);
+		if (answer != NULL && g_str_has_prefix(answer, "DONE"))
+			break;
+		g_assert_cmpint(g_get_monotonic_time(), <, deadline_us);
+		g_free(answer);
+		g_usleep(20 * US_PER_MS);
+	}
+	g_free(answer);
+}
+
+typedef struct text_case {
+	const char *name;
+	uint32_t proxies;
+	uint32_t connections_max; /* small: statements are sent to owners */
+	uint32_t owners;
+} text_case_t;
+
+static const text_case_t text_cases[] = {
+    {"at this daemon", 1, 0, 1},
+    {"at owners", 5, 8, 2},
+};
+
+/*
+ * Test that the databases receive the texts of clients as they were sent, each
+ * once, and nothing else; that a text that is refused is not received; and that
+ * a row comes back as it was written.
+ */
+static void
+test_text(gconstpointer data)
+{
+	const text_case_t *c = data;
+	testbed_plan_t plan = {.proxies = c->proxies,
+	    .lag_ms = 5,
+	    .connections_max = c->connections_max};
+	testbed_t *testbed = testbed_start(&plan);
+	uint32_t i, done = 0, refused = 0, before, proxies = MAX(c->proxies, 1);
+	char *received;
+	client_t *clients[TESTBED_PROXIES_MAX] = {NULL};
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	for (i = 0; i < c->proxies; i++) {
+		clients[i] = client_open_session(testbed, i, "intake");
+		g_assert_nonnull(clients[i]);
+	}
+	wait_owners(testbed, c->owners);
+	for (i = 0; i < c->proxies; i++)
+		wait_written(clients[i]);
+	received = testbed_get(testbed, "/received");
+	before = count_received(received);
+	g_free(received);
+	for (i = 0; i < TEXTS; i++) {
+		GByteArray *text = random_text(true);
+		bool has_nul = memchr(text->data, '\0', text->len) != NULL;
+		client_t *client = clients[i % proxies];
+		GString *sent = g_string_new(NULL), *wanted;
+		char *answer, *row;
+		gsize prefix_bytes;
+
+		g_string_append_printf(sent, "QUERY t%u ", i);
+		prefix_bytes = sent->len;
+		g_string_append(sent, "WRITE T-1 ");
+		g_string_append_len(
+		    sent, (const char *)text->data, (gssize)text->len);
+		g_string_append(sent, "\r\n");
+		client_send(client, sent->str, sent->len);
+		answer = client_read_answer(client, ANSWER_TIMEOUT_MS);
+		g_assert_nonnull(answer);
+		wanted = g_string_new(NULL);
+		append_received(wanted, i, sent->str + prefix_bytes,
+		    sent->len - 2 - prefix_bytes);
+		received = testbed_get(testbed, "/received");
+		if (g_str_has_prefix(answer, "DONE p")) {
+			g_assert_false(has_nul);
+			g_assert_nonnull(strstr(received, wanted->str));
+			g_free(answer);
+			answer =
+			    client_query(client, "READ T-1", ANSWER_TIMEOUT_MS);
+			row = g_strdup_printf("ROW %.*s|DONE p", (int)text->len,
+			    (const char *)text->data);
+			if (answer == NULL || !g_str_has_prefix(answer, row))
+				g_error("expected %s, found %s", row, answer);
+			g_free(row);
+			done++;
+		} else {
+			if (!has_nul)
+				g_error("answer: %s", answer);
+			g_assert_true(
+			    g_str_has_prefix(answer, "ERR MALFORMED "));
+			refused++;
+		}
+		g_assert_cmpuint(count_received(received), ==,
+		    before + 2 * done - (has_nul ? 0 : 1));
+		g_free(received);
+		g_free(answer);
+		g_string_free(wanted, TRUE);
+		g_string_free(sent, TRUE);
+		g_byte_array_unref(text);
+	}
+	g_test_message("%u texts carried, %u refused", done, refused);
+	g_assert_cmpuint(refused, >, TEXTS / 20);
+	for (i = 0; i < c->proxies; i++)
+		client_close(clients[i]);
+	testbed_stop(testbed);
+}
+
 typedef struct socket_case {
 	const char *name;
 	bool peers; /* the socket for other daemons, else that for clients */
@@ -520,6 +873,9 @@
 	g_test_init(&argc, &argv, NULL);
 	CASES("/fuzz/decoder", decoder_cases, test_decoder);
 	g_test_add_func("/fuzz/frames", test_frames);
+	g_test_add_func("/fuzz/text-sent", test_text_sent);
+	g_test_add_func("/fuzz/row", test_row);
+	CASES("/fuzz/text", text_cases, test_text);
 	CASES("/fuzz/socket", socket_cases, test_socket);
 	return g_test_run();
 }
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -302,6 +302,81 @@
 	testbed_stop(testbed);
 }
 
+typedef struct text_case {
+	const char *name;
+	const char *text;     /* of the statement t1; "@" stands for NUL */
+	const char *expected; /* beginning of its answer */
+	const char *back;     /* row of READ T-1 then */
+} text_case_t;
+
+static const text_case_t text_cases[] = {
+    {"a write of two lines", "WRITE T-1 replaced\npolished", "DONE p",
+	"ROW replaced\npolished|DONE p"},
+    {"a line feed and the words of a statement",
+	"WRITE T-1 see note\nQUERY a9 WRITE T-3 returned", "DONE p",
+	"ROW see note\nQUERY a9 WRITE T-3 returned|DONE p"},
+    {"a carriage return, and one at the end", "WRITE T-1 a\rb\r", "DONE p",
+	"ROW a\rb\r|DONE p"},
+    {"a line feed before a carriage return", "WRITE T-1 a\n\rb\n", "DONE p",
+	"ROW a\n\rb\n|DONE p"},
+    {"the words of an answer", "WRITE T-1 a\nDONE p9\nREADY I 1.9", "DONE p",
+	"ROW a\nDONE p9\nREADY I 1.9|DONE p"},
+    {"NUL in a write", "WRITE T-1 sold@not", "ERR MALFORMED", "ROW none|"},
+    {"NUL at the end of a write", "WRITE T-1 sold@", "ERR MALFORMED",
+	"ROW none|"},
+    {"NUL in the word of a statement", "WRITE@ T-1 sold", "ERR MALFORMED",
+	"ROW none|"},
+    {"NUL in a value", "SET tz a@b", "ERR MALFORMED", "ROW none|"},
+    {"NUL behind COMMIT", "COMMIT@", "ERR MALFORMED", "ROW none|"},
+    {"the item of a prepared statement is missing", "EXEC s1 ", "ERR MALFORMED",
+	"ROW none|"},
+};
+
+/*
+ * Test that the bytes of a text have no meaning on the way to a database and
+ * back: the databases receive the text as it was sent, or the statement is
+ * refused and not sent.  The session goes on in both cases.
+ */
+static void
+test_text(gconstpointer data)
+{
+	const text_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	GString *line = g_string_new("QUERY t1 "), *wanted;
+	char *answer, *received;
+	client_t *client;
+	const char *t;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	client = client_open_session(testbed, 0, "intake");
+	client_expect(client, "PREPARE s1 WRITE ticket", "DONE ");
+	wanted = g_string_new("[t1|");
+	for (t = c->text; *t != '\0'; t++) {
+		g_string_append_c(line, *t == '@' ? '\0' : *t);
+		g_string_append_printf(wanted, "%02x", (guint8)*t);
+	}
+	g_string_append(line, "\r\n");
+	client_send(client, line->str, line->len);
+	answer = client_read_answer(client, ANSWER_TIMEOUT_MS);
+	if (answer == NULL || !g_str_has_prefix(answer, c->expected))
+		g_error("expected %s, found %s", c->expected, answer);
+	client_expect(client, "READ T-1", c->back);
+	received = testbed_get(testbed, "/received");
+	g_test_message("received: %s", received);
+	g_assert_cmpint(strstr(received, "[t1|") != NULL, ==,
+	    g_str_has_prefix(c->expected, "DONE"));
+	if (g_str_has_prefix(c->expected, "DONE"))
+		g_assert_nonnull(strstr(received, wanted->str));
+	g_assert_null(strstr(received, "[a9|"));
+	g_free(received);
+	g_free(answer);
+	g_string_free(wanted, TRUE);
+	g_string_free(line, TRUE);
+	client_close(client);
+	testbed_stop(testbed);
+}
+
 typedef struct server_object_case {
 	const char *name;
 	const char *content;
@@ -1180,6 +1255,7 @@
 	CASES("/proxy/change", failover_cases, test_failover);
 	CASES("/proxy/input", input_cases, test_input);
 	CASES("/proxy/shape", shape_cases, test_shape);
+	CASES("/proxy/text", text_cases, test_text);
 	CASES("/proxy/entry", server_object_cases, test_server_object);
 	CASES("/proxy/dropped-route", dropped_route_cases, test_dropped_route);
 	CASES("/proxy/list", list_cases, test_list);
--- a/tests/t_wire.c
+++ b/tests/t_wire.c
@@ -9,7 +9,7 @@
 
 typedef struct request_case {
 	const char *name;
-	const char *line;
+	const char *line; /* "@" stands for NUL */
 	request_kind_t kind;
 	statement_kind_t statement;
 	const char *text;    /* expected text; NULL: not checked */
@@ -59,6 +59,23 @@
     {"bye", "BYE", REQUEST_CLOSE, 0, NULL, NULL, NULL, false},
     {"an unknown word", "HELLO there", REQUEST_UNKNOWN, 0, NULL, NULL, NULL,
 	false},
+    {"a line feed in a write", "QUERY 5c0 WRITE 1a4 x\nQUERY a9 READ y",
+	REQUEST_QUERY, STATEMENT_WRITE, "WRITE 1a4 x\nQUERY a9 READ y", NULL,
+	NULL, true},
+    {"a carriage return at the end of a value", "QUERY 5c0 SET tz a\r",
+	REQUEST_QUERY, STATEMENT_SET, NULL, "tz", "a\r", false},
+    {"exec without an item", "QUERY 5c0 EXEC s1 ", REQUEST_QUERY,
+	STATEMENT_UNKNOWN, NULL, NULL, NULL, false},
+    {"NUL in a write", "QUERY 5c0 WRITE 1a4 x@y", REQUEST_QUERY,
+	STATEMENT_WITH_NUL, NULL, NULL, NULL, false},
+    {"NUL at the end of a read", "QUERY 5c0 READ 1a4@", REQUEST_QUERY,
+	STATEMENT_WITH_NUL, NULL, NULL, NULL, false},
+    {"NUL behind the id", "QUERY 5c0@ READ 1a4", REQUEST_QUERY,
+	STATEMENT_WITH_NUL, NULL, NULL, NULL, false},
+    {"NUL in a start", "START lepu270@ u3f1", REQUEST_UNKNOWN, 0, NULL, NULL,
+	NULL, false},
+    {"NUL behind bye", "BYE@", REQUEST_UNKNOWN, 0, NULL, NULL, NULL, false},
+    {"NUL alone", "@", REQUEST_UNKNOWN, 0, NULL, NULL, NULL, false},
     {"an empty line", "", REQUEST_UNKNOWN, 0, NULL, NULL, NULL, false},
 };
 
@@ -69,10 +86,13 @@
 test_request(gconstpointer data)
 {
 	const request_case_t *c = data;
+	uint32_t size_bytes = (uint32_t)strlen(c->line), i;
 	char *line = g_strdup(c->line);
 	request_t request;
 
-	platform_wire.read_request(line, &request);
+	for (i = 0; i < size_bytes; i++)
+		line[i] = line[i] == '@' ? '\0' : line[i];
+	platform_wire.read_request(line, size_bytes, &request);
 	g_assert_cmpint(request.kind, ==, c->kind);
 	if (c->kind == REQUEST_OPEN)
 		g_assert_cmpstr(request.database, ==, c->operand);
@@ -93,7 +113,7 @@
 
 typedef struct reply_case {
 	const char *name;
-	const char *line;
+	const char *line; /* "@" stands for NUL */
 	reply_kind_t kind;
 	Bp__Verdict verdict;
 	const char *text;
@@ -114,6 +134,10 @@
 	BP__VERDICT__TOO_MANY, "", {0, 0}},
     {"an error code with a known code as prefix", "ERR BUSYBODY x", REPLY_ERROR,
 	BP__VERDICT__OTHER_ERROR, "BUSYBODY x", {0, 0}},
+    {"a row with line ends", "ROW a\nDONE p\r", REPLY_ROW, 0, "a\nDONE p\r",
+	{0, 0}},
+    {"a row with NUL", "ROW a@b", REPLY_UNKNOWN, 0, NULL, {0, 0}},
+    {"ready with NUL", "READY I 3.1@", REPLY_UNKNOWN, 0, NULL, {0, 0}},
     {"an unknown word", "HELLO", REPLY_UNKNOWN, 0, NULL, {0, 0}},
 };
 
@@ -124,10 +148,13 @@
 test_reply(gconstpointer data)
 {
 	const reply_case_t *c = data;
+	uint32_t size_bytes = (uint32_t)strlen(c->line), i;
 	char *line = g_strdup(c->line);
 	reply_t reply;
 
-	platform_wire.read_reply(line, &reply);
+	for (i = 0; i < size_bytes; i++)
+		line[i] = line[i] == '@' ? '\0' : line[i];
+	platform_wire.read_reply(line, size_bytes, &reply);
 	g_assert_cmpint(reply.kind, ==, c->kind);
 	if (c->kind == REPLY_ERROR)
 		g_assert_cmpint(reply.verdict, ==, c->verdict);
@@ -315,9 +342,20 @@
     {"one line per chunk", {"ab\r\n", "c\r\n"}, "ab|c|", false},
     {"two lines in one chunk", {"ab\r\ncd\r\n"}, "ab|cd|", false},
     {"one line in three chunks", {"a", "b\r", "\nc"}, "ab|", false},
-    {"LF without CR does not end a line", {"ab\ncd\r\n"}, "ab|cd|", false},
+    {"LF without CR does not end a line", {"ab\ncd\r\n"}, "ab\ncd|", false},
+    {"CR without LF does not end a line", {"ab\rcd\r\n"}, "ab\rcd|", false},
+    {"LF before CR", {"ab\n\rc\r\n"}, "ab\n\rc|", false},
+    {"CR at the end of a text", {"ab\r\r\n"}, "ab\r|", false},
+    {"LF at the end of a text", {"ab\n\r\n"}, "ab\n|", false},
+    {"LF as a text", {"\n\r\n"}, "\n|", false},
+    {"CR at the end of a chunk", {"ab\r", "cd\r", "\n"}, "ab\rcd|", false},
+    {"LF at the start of a chunk", {"ab", "\ncd\r", "\n"}, "ab\ncd|", false},
     {"an empty line", {"\r\n", "a\r\n"}, "|a|", false},
     {"the maximum length", {"12345678", "\r\n"}, "12345678|", false},
+    {"the maximum length, CR LF in two chunks", {"12345678\r", "\n"},
+	"12345678|", false},
+    {"too long by a CR", {"12345678\r", "\r"}, "", true},
+    {"too long, with LF", {"1234\n", "6789"}, "", true},
     {"too long, without a line end", {"12345", "6789"}, "", true},
 };
 
@@ -332,14 +370,17 @@
 	bool too_long = false;
 	line_buffer_t buffer;
 	char *line;
-	uint32_t i;
+	uint32_t i, size_bytes;
 
 	line_buffer_init(&buffer, LINE_BYTES_MAX);
 	for (i = 0; i < G_N_ELEMENTS(c->chunks) && c->chunks[i] != NULL; i++) {
 		line_buffer_append(&buffer, (const uint8_t *)c->chunks[i],
 		    (uint32_t)strlen(c->chunks[i]));
-		while ((line = line_buffer_next(&buffer)) != NULL)
+		while (
+		    (line = line_buffer_next(&buffer, &size_bytes)) != NULL) {
+			g_assert_cmpuint(size_bytes, ==, strlen(line));
 			g_string_append_printf(lines, "%s|", line);
+		}
 		too_long |= line_buffer_too_long(&buffer);
 	}
 	g_assert_cmpstr(lines->str, ==, c->expected);
