A process that has just started does not trust the record alone

What callers saw: after an outage of the store in which a promotion was ordered and all daemons were killed, restarted daemons acknowledged writes at the old primary and served its reads (ONE, STALE).

Cause: an order that is sent while the store is away is in no record, and its sender has ended. A restarted daemon took "not in the record" for "not sent" when a server was silent, and in the first 3 s after its first list in any case.

Ruled out: the rule for a store that came back from an older copy (lost_us). Its exception for the term that was ordered last does not hold here, since an order that nobody recorded may be newer than the last recorded one.

Why the fix works: the record gives a lease to such a process only for a term after an order that was recorded since it first read it: a living coordinator had the promises of a majority for that. Otherwise all listed servers must deny a newer term, as they do in a restart without a silent server. This ends when the process has known 4 s after its first list, or later, that there was no newer primary, or when all servers were asked then and none leads a newer term. A coordinator without a lease for this reason has the primary hand over 3.5 s after its first list and ends no pauses before, as for a recorded order.

Three rows of /old-primary/restarted-daemon expected service within 2.5 s by a daemon that restarts alone with a silent replica, a record without orders for its group and a holder that does not exist. That state cannot be told from the one above, so each is replaced by three: not served within 2.5 s, served within 16 s, and served within 2.5 s when all servers answer. With unaware() and failover_set_unaware() disabled:

ERROR:tests/t_old_primary.c:279:test_restart_after_outage: 'served && wait_primary(testbed, 0, "1 ", 1000)' should be FALSE not ok /old-primary/restarted-daemon/no-order-is-recorded (1 == 0), and the same for the rows of another group and of a malformed order not ok /lease/unaware: 10 of 17 rows ERROR:tests/t_attempt.c:634:test_recorded: assertion failed (handed_over_ms == c->handed_over_ms): (0 == 3510), 3 rows

--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -2058,7 +2058,8 @@
 };
 static const uint64_t bp__orders_read__lost_us__default_value = 0ull;
 static const uint64_t bp__orders_read__era__default_value = 0ull;
-static const ProtobufCFieldDescriptor bp__orders_read__field_descriptors[4] =
+static const uint64_t bp__orders_read__away_us__default_value = 0ull;
+static const ProtobufCFieldDescriptor bp__orders_read__field_descriptors[5] =
 {
   {
     "read_us",
@@ -2108,8 +2109,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "away_us",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__OrdersRead, has_away_us),
+    offsetof(Bp__OrdersRead, away_us),
+    NULL,
+    &bp__orders_read__away_us__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__orders_read__field_indices_by_name[] = {
+  4,   /* field[4] = away_us */
   3,   /* field[3] = era */
   2,   /* field[2] = lost_us */
   1,   /* field[1] = orders */
@@ -2118,7 +2132,7 @@
 static const ProtobufCIntRange bp__orders_read__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bp__orders_read__descriptor =
 {
@@ -2128,7 +2142,7 @@
   "Bp__OrdersRead",
   "bp",
   sizeof(Bp__OrdersRead),
-  4,
+  5,
   bp__orders_read__field_descriptors,
   bp__orders_read__field_indices_by_name,
   1,  bp__orders_read__number_ranges,
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -385,10 +385,16 @@
    */
   protobuf_c_boolean has_era;
   uint64_t era;
+  /*
+   * time at which the store first refused or did not answer a call; 0:
+   * never
+   */
+  protobuf_c_boolean has_away_us;
+  uint64_t away_us;
 };
 #define BP__ORDERS_READ__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__orders_read__descriptor) \
-    , 0, 0,NULL, 0, 0ull, 0, 0ull }
+    , 0, 0,NULL, 0, 0ull, 0, 0ull, 0, 0ull }
 
 
 /*
--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -112,11 +112,19 @@
 	   0: they support none */
 	int64_t supported_us;
 	recorded_orders_t orders;
+	/* time since which this process watches the group: it has not been told
+	   of an order that was sent before and is not recorded; 0: there is
+	   none */
+	int64_t watched_since_us;
+	/* attempt of the last order when the record was first read */
+	uint64_t first_attempt_term;
 	/* a database has left the list without having said so: the others do
 	   not know whether it leads a newer term */
 	bool incomplete;
 	/* the list may still lack databases, since it is new */
 	bool list_new;
+	/* and the store was away before it came */
+	bool list_after_outage;
 	/* the last renewal failed only because the recorded orders have to be
 	   read first */
 	bool unverified;
@@ -153,6 +161,7 @@
 void lease_primary_led(lease_t *, uint64_t term, int64_t at_us);
 void lease_orders_read(lease_t *, const recorded_orders_t *);
 bool lease_held_up(const lease_t *, int64_t now_us);
+int64_t lease_unaware_since_us(const lease_t *, uint64_t term, int64_t now_us);
 void lease_member_lost(lease_t *);
 void lease_cancel(lease_t *);
 
--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -635,6 +635,16 @@
 	failover->recorded = *recorded;
 }
 
+/*
+ * Set the time since which orders are known, if earlier ones that are not
+ * recorded may have replaced the primary; 0 if not.
+ */
+void
+failover_set_unaware(failover_t *failover, int64_t since_us)
+{
+	failover->unaware_since_us = since_us;
+}
+
 /*
  * Process the answer of the database that was ordered to become primary.
  */
@@ -770,8 +780,9 @@
 }
 
 /*
- * Tell whether an order to replace the primary was recorded, but no newer
- * primary is seen: it may have been promoted and be out of reach.
+ * Tell whether an order to replace the primary was recorded, or may have been
+ * sent without, but no newer primary is seen: it may have been promoted and be
+ * out of reach.
  */
 static bool
 maybe_replaced(const failover_t *failover)
@@ -779,8 +790,9 @@
 	int32_t primary = failover_primary(failover);
 
 	return failover->limits.revocable &&
-	    failover->views[primary].promised <=
-	    failover->recorded.replaced_term;
+	    (failover->unaware_since_us != 0 ||
+		failover->views[primary].promised <=
+		    failover->recorded.replaced_term);
 }
 
 /*
@@ -888,7 +900,8 @@
 		return;
 	}
 	if (maybe_replaced(failover) &&
-	    now_us - failover->recorded_us >= failover->limits.order_late_us &&
+	    now_us - MAX(failover->recorded_us, failover->unaware_since_us) >=
+		failover->limits.order_late_us &&
 	    successor_answers(failover, now_us))
 		/* a newer term shows which primary is the newest */
 		failover->handover = true;
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -140,6 +140,9 @@
 	/* the recorded orders, and the time since which they are known */
 	recorded_orders_t recorded;
 	int64_t recorded_us;
+	/* time since which orders are known, if earlier ones that are not
+	   recorded may have replaced the primary; otherwise 0 */
+	int64_t unaware_since_us;
 	/* PROMOTING: the database to become primary */
 	uint32_t chosen;
 	/* the last order, and the one before it */
@@ -215,6 +218,7 @@
 position_t failover_base(const failover_t *);
 void failover_orders_recorded(
     failover_t *, const recorded_orders_t *, int64_t now_us);
+void failover_set_unaware(failover_t *, int64_t since_us);
 void failover_set_unconfirmed(failover_t *, int64_t since_us);
 void failover_request_handover(failover_t *, int64_t now_us);
 void failover_tick(failover_t *, int64_t now_us, failover_actions_t *);
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -73,6 +73,42 @@
 	return oldest_us;
 }
 
+/*
+ * Tell whether orders to replace the primary of a term may have been sent of
+ * which neither this process nor the record knows: a former coordinator sent
+ * them while the store was away, before this process began to watch the group,
+ * and ended.  An order that was recorded since was preceded by promises of a
+ * majority, and replaces the primaries of theirs.
+ */
+static bool
+unaware(const lease_t *lease, uint64_t term)
+{
+	return lease->watched_since_us != 0 &&
+	    (lease->orders.attempt_term <= lease->first_attempt_term ||
+		lease->orders.replaced_term >= term);
+}
+
+/*
+ * Note that every order that was sent before this process began to watch the
+ * group has taken effect or never will, and that it led to no newer primary
+ * than this one: that was verified since, or all databases have said so.  A
+ * promise of a newer term does not matter for that.
+ */
+static void
+note_aware(
+    lease_t *lease, const db_view_t *views, uint32_t count, uint32_t primary)
+{
+	int64_t ended_us = lease->watched_since_us + ATTEMPT_MAX_US;
+	bool all = !lease->incomplete;
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		all &= views[i].known && views[i].requested_us >= ended_us &&
+		    views[i].term <= views[primary].promised;
+	if (all || lease->verified_us >= ended_us)
+		lease->watched_since_us = 0;
+}
+
 /*
  * Tell whether the store has all orders to replace the primary of a term. After
  * it has come back from an older copy it may lack some.  It lacks none of those
@@ -99,7 +135,7 @@
 {
 	return lease->orders.read_us != 0 &&
 	    lease->orders.replaced_term < term &&
-	    record_is_complete(lease, term);
+	    record_is_complete(lease, term) && !unaware(lease, term);
 }
 
 /*
@@ -117,13 +153,16 @@
 /*
  * Tell whether the known databases may not be all of the group, so that their
  * answers do not show that there is no newer primary.  In place of a new list
- * the recorded orders are asked, unless the store may have lost some.
+ * the recorded orders are asked, unless the record may lack some.  To a
+ * process that has just started the list does not count as new unless the store
+ * was away before.
  */
 static bool
-members_missing(const lease_t *lease)
+members_missing(const lease_t *lease, uint64_t term)
 {
 	return lease->incomplete ||
-	    (lease->list_new && lease->orders.lost_us == 0);
+	    (lease->list_new && lease->orders.lost_us == 0 &&
+		(lease->list_after_outage || !unaware(lease, term)));
 }
 
 /*
@@ -163,8 +202,8 @@
 	if (denied < majority_of(count))
 		return true;
 	/* a primary alone has nobody else's answer */
-	by_all = denied == count && count > 1 && !members_missing(lease) &&
-	    !order_recorded(lease, term);
+	by_all = denied == count && count > 1 &&
+	    !members_missing(lease, term) && !order_recorded(lease, term);
 	lease->unverified = !by_all;
 	if (!by_all &&
 	    (!record_allows(lease, term) ||
@@ -195,7 +234,7 @@
 	int64_t known_us = denied_by_all_us(views, count, primary);
 	int64_t asked_us;
 
-	if (members_missing(lease) ||
+	if (members_missing(lease, views[primary].promised) ||
 	    order_recorded(lease, views[primary].promised))
 		known_us = 0;
 	if (record_allows(lease, views[primary].promised)) {
@@ -223,7 +262,7 @@
 static int64_t
 alone_us(const lease_t *lease, uint64_t term, int64_t now_us)
 {
-	if (!members_missing(lease) && !order_recorded(lease, term))
+	if (!members_missing(lease, term) && !order_recorded(lease, term))
 		return now_us;
 	return record_allows(lease, term) ? lease->orders.read_us : 0;
 }
@@ -282,8 +321,10 @@
 
 	lease->unverified = false;
 	if (!view->known || !view->primary || view->promised < lease->term ||
-	    term_is_over(lease, views, count, view->promised) ||
-	    renewal_blocked(lease, views, count, view->promised))
+	    term_is_over(lease, views, count, view->promised))
+		return false;
+	note_aware(lease, views, count, primary);
+	if (renewal_blocked(lease, views, count, view->promised))
 		return false;
 	if (lease->orders.read_us == 0) {
 		lease->unverified = true;
@@ -404,6 +445,8 @@
 {
 	if (orders->read_us < lease->orders.read_us)
 		return;
+	if (lease->orders.read_us == 0)
+		lease->first_attempt_term = orders->attempt_term;
 	lease->orders = *orders;
 }
 
@@ -427,6 +470,19 @@
 	    (lease->blocked_term != 0 || lease->unverified);
 }
 
+/*
+ * Return the time since which this process watches the group, if there is no
+ * lease on the primary of a term because an earlier order may have been sent
+ * that is not recorded; otherwise 0.
+ */
+int64_t
+lease_unaware_since_us(const lease_t *lease, uint64_t term, int64_t now_us)
+{
+	return lease_held_up(lease, now_us) && unaware(lease, term)
+	    ? lease->watched_since_us
+	    : 0;
+}
+
 /*
  * End a lease because what it relied on is gone: the daemon is no longer
  * listed, and not told to revoke its lease, or the servers of the group have
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -161,6 +161,35 @@
 	    &group->failover, &group->lease.orders, now_us);
 }
 
+/*
+ * Note that the servers of a group are listed for the first time.  A process
+ * that has lists of other groups for some time has been told of all orders that
+ * may still matter.
+ */
+void
+monitor_first_listed(group_t *group, int64_t now_us)
+{
+	pool_t *pool = group->pool;
+
+	group->listed_us = now_us;
+	if (pool->listed_first_us == 0)
+		pool->listed_first_us = now_us;
+	if (now_us - pool->listed_first_us >= LIST_NEW_US)
+		return;
+	group->lease.watched_since_us = now_us;
+}
+
+/*
+ * Note when the store first refused or did not answer a call of this process;
+ * 0: never.  If that was before its first list, entries may have expired.
+ */
+void
+monitor_store_away(group_t *group, int64_t away_us)
+{
+	group->lease.list_after_outage =
+	    away_us != 0 && away_us <= group->pool->listed_first_us;
+}
+
 /*
  * Ask the registry task for the recorded orders, unless that was done recently.
  */
@@ -906,6 +935,7 @@
 	failover_t *failover = &group->failover;
 	failover_actions_t actions;
 	bool unresponsive;
+	int32_t primary;
 	uint32_t i;
 
 	if (group->lease.expires_us > now_us)
@@ -934,6 +964,11 @@
 	check_handover(group, now_us);
 	failover_term_reported(
 	    failover, lease_newest_term(&group->lease), now_us);
+	primary = failover_primary(failover);
+	failover_set_unaware(failover,
+	    primary < 0 ? 0
+			: lease_unaware_since_us(&group->lease,
+			      failover->views[primary].promised, now_us));
 	failover_tick(failover, now_us, &actions);
 	for (i = 0; i < actions.count; i++)
 		execute_action(group, &actions.list[i], now_us);
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -249,7 +249,8 @@
 	Bp__OrdersRead read = BP__ORDERS_READ__INIT;
 
 	read.read_us = (uint64_t)read_us;
-	read.has_lost_us = read.has_era = 1;
+	read.has_lost_us = read.has_era = read.has_away_us = 1;
+	read.away_us = (uint64_t)registry->store_away_us;
 	read.lost_us = (uint64_t)registry->records_lost_us;
 	read.era = registry->store_era;
 	if (record != NULL) {
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -357,6 +357,7 @@
 			n_open = order->n_open;
 		}
 		group_orders_recorded(value, open, n_open, clock_us());
+		monitor_store_away(value, (int64_t)read->away_us);
 		monitor_orders_read(value, &recorded, clock_us());
 	}
 	msg_free(msg);
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -290,6 +290,8 @@
 	GSource *tick_timer;
 	int64_t last_tick_us; /* time of the last tick; 0: none */
 	int64_t started_us;
+	/* time of the first list of the servers of any group; 0: none */
+	int64_t listed_first_us;
 	uint32_t transaction_idle_ms;
 	bool is_coordinator;
 	uint64_t fencing_token; /* token of this daemon's coordinator role */
@@ -414,6 +416,8 @@
 
 /* monitor.c */
 void monitor_init(group_t *, int64_t now_us);
+void monitor_first_listed(group_t *, int64_t now_us);
+void monitor_store_away(group_t *, int64_t away_us);
 void monitor_tick(group_t *, int64_t now_us);
 void monitor_status_received(
     server_t *, const server_status_t *, const expected_answer_t *, position_t);
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -99,6 +99,8 @@
 	/* when the store was last known to have come back from an older copy,
 	   which may lack records and orders; 0: never */
 	int64_t records_lost_us;
+	/* when the store first refused or did not answer a call; 0: never */
+	int64_t store_away_us;
 	int64_t heartbeat_acked_us;   /* send time of the last acknowledged
 					 heartbeat */
 	int64_t heartbeat_sent_us;    /* send time of the last heartbeat */
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -521,7 +521,7 @@
 		server_update(servers[count++], entry);
 	}
 	if (group->listed_us == 0 && count > 0)
-		group->listed_us = now_us;
+		monitor_first_listed(group, now_us);
 	servers_replace(group, servers, count, now_us);
 }
 
--- a/src/proxy/store_era.c
+++ b/src/proxy/store_era.c
@@ -53,13 +53,18 @@
 }
 
 /*
- * Note the era of a response, and return its status.  A response of an older
- * era than one that is known counts as none: what it says is gone.
+ * Note the era of a response, or that there is none, and return its status.  A
+ * response of an older era than one that is known counts as none: what it says
+ * is gone.
  */
 object_store_status_t
 store_response_status(
     registry_t *registry, const object_store_response_t *response)
 {
+	if (registry->store_away_us == 0 &&
+	    (response->status == OBJECT_STORE_NO_RESPONSE ||
+		response->status == OBJECT_STORE_REFUSED))
+		registry->store_away_us = clock_us();
 	store_era_reached(registry, response->era);
 	return response->era != 0 && response->era < registry->store_era
 	    ? OBJECT_STORE_NO_RESPONSE
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -582,6 +582,8 @@
 	uint64_t paused_term;   /* of database 2; 0: it is not paused */
 	int64_t released_ms;    /* expected end of the pause; 0: none */
 	int64_t handed_over_ms; /* expected step-down; 0: none */
+	/* time since which orders that are not recorded are known; 0: always */
+	int64_t unaware_since_ms;
 } recorded_case_t;
 
 static const recorded_case_t recorded_cases[] = {
@@ -589,6 +591,10 @@
     {"an order to replace an older primary", {1, 2, 0, {1, 8}}, 2, 3, 510, 0},
     {"an order to replace this primary", {1, 2, 0, {1, 8}}, 1, 2, 0, 3500},
     {"the same, without a pause", {1, 2, 0, {1, 8}}, 1, 0, 0, 3500},
+    {"one that is not recorded may replace it", {0}, 1, 0, 0, 3510, 10},
+    {"the same, and a pause may be its", {0}, 1, 2, 0, 3510, 10},
+    {"the same, and an older one is recorded", {1, 2, 0, {1, 8}}, 2, 3, 0, 3510,
+	10},
 };
 
 /*
@@ -607,6 +613,7 @@
 	failover_init(&failover, &test_limits, DATABASES, 1, 0);
 	failover.limits.catch_up_us = MS(150);
 	failover_orders_recorded(&failover, &c->recorded, 0);
+	failover_set_unaware(&failover, MS(c->unaware_since_ms));
 	for (at_ms = 0; at_ms <= 3600; at_ms += 10) {
 		for (i = 0; i < DATABASES; i++)
 			report(&failover, i, i == 0, c->primary_term,
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -593,6 +593,102 @@
 	g_assert_cmpint(lease.unverified, ==, c->unverified);
 }
 
+typedef struct unaware_case {
+	const char *name;
+	uint32_t count;
+	int64_t verified_ms;  /* all have denied a newer term; 0: never */
+	int64_t answer_ms[3]; /* times of the last status requests; 0: none */
+	uint64_t promised;    /* by database 1, if above the term */
+	uint64_t term;        /* of the primary */
+	recorded_orders_t first; /* recorded when the process started */
+	recorded_orders_t last;  /* recorded at the end */
+	bool list_new;           /* databases may be missing from the list */
+	bool renewed;
+	bool unaware; /* there is no lease, as an unknown order is possible */
+	bool list_after_outage; /* the store was away before the list came */
+} unaware_case_t;
+
+/* Time since which the process watches the group. */
+#define WATCHED_MS 100
+
+static const unaware_case_t unaware_cases[] = {
+    {"a majority answers", 3, 0, {900, 900, 0}, 0, 1, {0}, {0}, false, false,
+	true},
+    {"a majority answers, and the list is new", 3, 0, {900, 900, 0}, 0, 1, {0},
+	{0}, true, false, true},
+    {"a majority answers, much later", 3, 0, {9000, 9000, 0}, 0, 1, {0}, {0},
+	false, false, true},
+    {"all answer", 3, 0, {900, 900, 900}, 0, 1, {0}, {0}, false, true, false},
+    {"all answer, and the list is new", 3, 0, {900, 900, 900}, 0, 1, {0}, {0},
+	true, true, false},
+    {"the same, and an order is recorded", 3, 0, {900, 900, 900}, 0, 1, {1, 2},
+	{1, 2}, true, false, true},
+    {"all answer, and the list is new after an outage", 3, 0, {900, 900, 900},
+	0, 1, {0}, {0}, true, false, true, true},
+    {"all answer, and there was an outage before", 3, 0, {900, 900, 900}, 0, 1,
+	{0}, {0}, false, true, false, true},
+    {"the primary is listed alone, and the list is new", 1, 0, {900, 0, 0}, 0,
+	1, {0}, {0}, true, true, false},
+    {"the same, after an outage", 1, 0, {900, 0, 0}, 0, 1, {0}, {0}, true,
+	false, true, true},
+    {"one of all has promised a newer term", 3, 0, {900, 900, 900}, 2, 1, {0},
+	{0}, false, false, true},
+    {"the same, asked when an unknown order would have taken effect", 3, 0,
+	{4200, 4200, 4200}, 2, 1, {0}, {0}, false, false, false},
+    {"a majority answers after all have, too early", 3, 900, {9000, 9000, 0}, 0,
+	1, {0}, {0}, false, false, true},
+    {"a majority answers after all have, late enough", 3, 4200, {9000, 9000, 0},
+	0, 1, {0}, {0}, false, true, false},
+    {"an order was recorded before that led to the term", 3, 0, {900, 900, 0},
+	0, 2, {1, 2}, {1, 2}, false, false, true},
+    {"an order was recorded since that led to the term", 3, 0, {900, 900, 0}, 0,
+	2, {0}, {1, 2}, false, true, false},
+    {"the same, with an older one recorded before", 3, 0, {900, 900, 0}, 0, 3,
+	{1, 2}, {2, 3}, false, true, false},
+    {"an order was recorded since to replace the primary", 3, 0, {900, 900, 0},
+	0, 1, {0}, {1, 2}, false, false, true},
+};
+
+/*
+ * Test that to a process that has just started the absence of an order from the
+ * record does not prove that none was sent.
+ */
+static void
+test_unaware(gconstpointer data)
+{
+	const unaware_case_t *c = data;
+	recorded_orders_t first = c->first, last = c->last;
+	lease_t lease = {.watched_since_us = MS(WATCHED_MS)};
+	int64_t now_ms = c->answer_ms[0] + 100;
+	db_view_t views[3];
+	uint32_t i;
+
+	first.read_us = MS(WATCHED_MS + 10);
+	lease_orders_read(&lease, &first);
+	lease.list_new = c->list_new;
+	lease.list_after_outage = c->list_after_outage;
+	for (i = 0; i < 3; i++)
+		views[i] = (db_view_t){true, i == 0, false, c->term, {0, 0},
+		    MS(c->verified_ms), .term = c->term};
+	if (c->verified_ms != 0)
+		renew(&lease, views, c->count, 0, MS(c->verified_ms),
+		    &listed_durations);
+	for (i = 0; i < c->count; i++) {
+		views[i].known = c->answer_ms[i] != 0 || c->verified_ms != 0;
+		if (c->answer_ms[i] != 0)
+			views[i].requested_us = MS(c->answer_ms[i]);
+	}
+	views[1].promised = MAX(c->promised, c->term);
+	last.read_us = MS(now_ms);
+	lease_orders_read(&lease, &last);
+	g_assert_cmpint(
+	    renew(&lease, views, c->count, 0, MS(now_ms), &listed_durations),
+	    ==, c->renewed);
+	g_assert_cmpint(
+	    lease_unaware_since_us(&lease, c->term, MS(now_ms)) != 0, ==,
+	    c->unaware);
+}
+
 typedef struct unlisted_case {
 	const char *name;
 	int64_t requested_ms; /* time of the last request to a replica */
@@ -1244,6 +1340,7 @@
 	CASES("/lease/later", unseen_term_cases, test_unseen_term);
 	CASES("/lease/newer-term", newer_term_cases, test_newer_term);
 	CASES("/lease/lapse", lapse_cases, test_lapse);
+	CASES("/lease/unaware", unaware_cases, test_unaware);
 	CASES("/lease/deregister", unlisted_cases, test_unlisted);
 	CASES("/change", failover_cases, test_failover);
 	CASES("/change/stray-promise", stray_promise_cases, test_stray_promise);
--- a/tests/t_old_primary.c
+++ b/tests/t_old_primary.c
@@ -78,13 +78,31 @@
 	-1, false, 0, true},
     {"no order is recorded, and it is listed alone",
 	"{\"holder\":\"other\",\"token\":5}", -1, true, 0, true},
-    {"no order is recorded", "{\"holder\":\"other\",\"token\":5}", 2, true},
+    {"no order is recorded", "{\"holder\":\"other\",\"token\":5}", 2, false},
+    {"no order is recorded, later", "{\"holder\":\"other\",\"token\":5}", 2,
+	true, ABANDONED_MS},
+    {"no order is recorded, and all servers answer",
+	"{\"holder\":\"other\",\"token\":5}", -1, true},
     {"an order of another group is recorded",
 	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":\"archive\","
 	"\"replaced_term\":1,\"attempt_term\":2}]}",
-	2, true},
+	2, false},
+    {"the same, and a replica is silent, later",
+	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":\"archive\","
+	"\"replaced_term\":1,\"attempt_term\":2}]}",
+	2, true, ABANDONED_MS},
+    {"an order of another group is recorded, and all servers answer",
+	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":\"archive\","
+	"\"replaced_term\":1,\"attempt_term\":2}]}",
+	-1, true},
     {"an order that is malformed is recorded",
 	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":7}]}", 2,
+	false},
+    {"an order that is malformed is recorded, later",
+	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":7}]}", 2,
+	true, ABANDONED_MS},
+    {"an order that is malformed is recorded, and all servers answer",
+	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":7}]}", -1,
 	true},
 };
 
