An order that no record has is known to most daemons before it is sent

Cause: an order that is sent while the store is away was known to its sender alone. The others learned neither that it was sent nor after which entry the new term began, so the next coordinator promoted the old primary with entries that were given up, and a daemon that had not heard of the new term relied on the record.

Fix: the request by which the coordinator asks most daemons right before such an order carries what it has noted of the group; the order is sent only when most of the daemons that run know of it (a refused connection still counts as an answer, but not as knowledge). For a daemon that was told, the order counts as recorded, for its lease and for a failover, until a record has it or a later one, or the same coordinator withdraws it.

Tests: /old-primary/after-outage (two rows) and /lease/told. The existing /old-primary/restart-after-outage uses the same function and has the same steps and check as before; it stays red.

--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -1713,7 +1713,7 @@
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const protobuf_c_boolean bp__lease_revoke__begun__default_value = 0;
-static const ProtobufCFieldDescriptor bp__lease_revoke__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bp__lease_revoke__field_descriptors[7] =
 {
   {
     "id",
@@ -1787,19 +1787,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "order",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__LeaseRevoke, order),
+    &bp__recorded_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__lease_revoke__field_indices_by_name[] = {
   4,   /* field[4] = begun */
   1,   /* field[1] = group */
   0,   /* field[0] = id */
   5,   /* field[5] = open */
+  6,   /* field[6] = order */
   2,   /* field[2] = term */
   3,   /* field[3] = token */
 };
 static const ProtobufCIntRange bp__lease_revoke__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bp__lease_revoke__descriptor =
 {
@@ -1809,14 +1822,14 @@
   "Bp__LeaseRevoke",
   "bp",
   sizeof(Bp__LeaseRevoke),
-  6,
+  7,
   bp__lease_revoke__field_descriptors,
   bp__lease_revoke__field_indices_by_name,
   1,  bp__lease_revoke__number_ranges,
   (ProtobufCMessageInit) bp__lease_revoke__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__lease_revoked__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bp__lease_revoked__field_descriptors[5] =
 {
   {
     "id",
@@ -1866,17 +1879,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "order",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__LeaseRevoked, order),
+    &bp__recorded_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__lease_revoked__field_indices_by_name[] = {
   0,   /* field[0] = id */
   2,   /* field[2] = newest_term */
   3,   /* field[3] = open */
+  4,   /* field[4] = order */
   1,   /* field[1] = token */
 };
 static const ProtobufCIntRange bp__lease_revoked__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bp__lease_revoked__descriptor =
 {
@@ -1886,7 +1912,7 @@
   "Bp__LeaseRevoked",
   "bp",
   sizeof(Bp__LeaseRevoked),
-  4,
+  5,
   bp__lease_revoked__field_descriptors,
   bp__lease_revoked__field_indices_by_name,
   1,  bp__lease_revoked__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -315,10 +315,15 @@
    */
   size_t n_open;
   Bp__OpenOrder **open;
+  /*
+   * what the sender has noted of the orders of the group, without the open
+   * ones; replaces what it told before
+   */
+  Bp__RecordedOrder *order;
 };
 #define BP__LEASE_REVOKE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__lease_revoke__descriptor) \
-    , 0, NULL, 0, 0, 0, 0, 0,NULL }
+    , 0, NULL, 0, 0, 0, 0, 0,NULL, NULL }
 
 
 /*
@@ -342,10 +347,15 @@
    */
   size_t n_open;
   Bp__OpenOrder **open;
+  /*
+   * the order that another coordinator has told it, if it knows of no
+   * record that has it
+   */
+  Bp__RecordedOrder *order;
 };
 #define BP__LEASE_REVOKED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__lease_revoked__descriptor) \
-    , 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, NULL }
 
 
 /*
--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &bp__orders_read__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__order_learned__init
+                     (Bp__OrderLearned         *message)
+{
+  static const Bp__OrderLearned init_value = BP__ORDER_LEARNED__INIT;
+  *message = init_value;
+}
+size_t bp__order_learned__get_packed_size
+                     (const Bp__OrderLearned *message)
+{
+  assert(message->base.descriptor == &bp__order_learned__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__order_learned__pack
+                     (const Bp__OrderLearned *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__order_learned__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__order_learned__pack_to_buffer
+                     (const Bp__OrderLearned *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__order_learned__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__OrderLearned *
+       bp__order_learned__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__OrderLearned *)
+     protobuf_c_message_unpack (&bp__order_learned__descriptor,
+                                allocator, len, data);
+}
+void   bp__order_learned__free_unpacked
+                     (Bp__OrderLearned *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__order_learned__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__token_read__init
                      (Bp__TokenRead         *message)
 {
@@ -2135,6 +2180,44 @@
   (ProtobufCMessageInit) bp__orders_read__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__order_learned__field_descriptors[1] =
+{
+  {
+    "order",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__OrderLearned, order),
+    &bp__recorded_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__order_learned__field_indices_by_name[] = {
+  0,   /* field[0] = order */
+};
+static const ProtobufCIntRange bp__order_learned__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bp__order_learned__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.OrderLearned",
+  "OrderLearned",
+  "Bp__OrderLearned",
+  "bp",
+  sizeof(Bp__OrderLearned),
+  1,
+  bp__order_learned__field_descriptors,
+  bp__order_learned__field_indices_by_name,
+  1,  bp__order_learned__number_ranges,
+  (ProtobufCMessageInit) bp__order_learned__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__token_read__field_descriptors[1] =
 {
   {
@@ -2962,7 +3045,7 @@
 static const protobuf_c_boolean bp__revoke_wanted__confirms__default_value = 0;
 static const protobuf_c_boolean bp__revoke_wanted__begun__default_value = 0;
 static const protobuf_c_boolean bp__revoke_wanted__incomplete__default_value = 0;
-static const ProtobufCFieldDescriptor bp__revoke_wanted__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bp__revoke_wanted__field_descriptors[9] =
 {
   {
     "group",
@@ -3060,6 +3143,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "order",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__RevokeWanted, order),
+    &bp__recorded_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__revoke_wanted__field_indices_by_name[] = {
   5,   /* field[5] = begun */
@@ -3068,13 +3163,14 @@
   0,   /* field[0] = group */
   6,   /* field[6] = incomplete */
   7,   /* field[7] = open */
+  8,   /* field[8] = order */
   1,   /* field[1] = term */
   3,   /* field[3] = token */
 };
 static const ProtobufCIntRange bp__revoke_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bp__revoke_wanted__descriptor =
 {
@@ -3084,14 +3180,14 @@
   "Bp__RevokeWanted",
   "bp",
   sizeof(Bp__RevokeWanted),
-  8,
+  9,
   bp__revoke_wanted__field_descriptors,
   bp__revoke_wanted__field_indices_by_name,
   1,  bp__revoke_wanted__number_ranges,
   (ProtobufCMessageInit) bp__revoke_wanted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__revoke_ended__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bp__revoke_ended__field_descriptors[6] =
 {
   {
     "group",
@@ -3153,18 +3249,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "order",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__RevokeEnded, order),
+    &bp__recorded_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__revoke_ended__field_indices_by_name[] = {
   0,   /* field[0] = group */
   3,   /* field[3] = newest_term */
   4,   /* field[4] = open */
+  5,   /* field[5] = order */
   2,   /* field[2] = state */
   1,   /* field[1] = term */
 };
 static const ProtobufCIntRange bp__revoke_ended__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bp__revoke_ended__descriptor =
 {
@@ -3174,7 +3283,7 @@
   "Bp__RevokeEnded",
   "bp",
   sizeof(Bp__RevokeEnded),
-  5,
+  6,
   bp__revoke_ended__field_descriptors,
   bp__revoke_ended__field_indices_by_name,
   1,  bp__revoke_ended__number_ranges,
@@ -3182,7 +3291,7 @@
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const protobuf_c_boolean bp__revoke_asked__begun__default_value = 0;
-static const ProtobufCFieldDescriptor bp__revoke_asked__field_descriptors[7] =
+static const ProtobufCFieldDescriptor bp__revoke_asked__field_descriptors[9] =
 {
   {
     "link",
@@ -3268,6 +3377,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "order",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__RevokeAsked, order),
+    &bp__recorded_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "token",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__RevokeAsked, has_token),
+    offsetof(Bp__RevokeAsked, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__revoke_asked__field_indices_by_name[] = {
   4,   /* field[4] = begun */
@@ -3276,12 +3409,14 @@
   0,   /* field[0] = link */
   5,   /* field[5] = newest_term */
   6,   /* field[6] = open */
+  7,   /* field[7] = order */
   3,   /* field[3] = term */
+  8,   /* field[8] = token */
 };
 static const ProtobufCIntRange bp__revoke_asked__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bp__revoke_asked__descriptor =
 {
@@ -3291,7 +3426,7 @@
   "Bp__RevokeAsked",
   "bp",
   sizeof(Bp__RevokeAsked),
-  7,
+  9,
   bp__revoke_asked__field_descriptors,
   bp__revoke_asked__field_indices_by_name,
   1,  bp__revoke_asked__number_ranges,
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -28,6 +28,7 @@
 typedef struct Bp__AttemptsVoid Bp__AttemptsVoid;
 typedef struct Bp__OrdersWanted Bp__OrdersWanted;
 typedef struct Bp__OrdersRead Bp__OrdersRead;
+typedef struct Bp__OrderLearned Bp__OrderLearned;
 typedef struct Bp__TokenRead Bp__TokenRead;
 typedef struct Bp__PromotionWanted Bp__PromotionWanted;
 typedef struct Bp__PromotionCancelled Bp__PromotionCancelled;
@@ -391,6 +392,20 @@
     , 0, 0,NULL, 0, 0ull, 0, 0ull }
 
 
+/*
+ * pool -> registry, to the coordinator: an order of a former coordinator that
+ * the record may lack.
+ */
+struct  Bp__OrderLearned
+{
+  ProtobufCMessage base;
+  Bp__RecordedOrder *order;
+};
+#define BP__ORDER_LEARNED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__order_learned__descriptor) \
+    , NULL }
+
+
 /*
  * registry -> peers: the newest fencing token that the store has recorded.
  */
@@ -686,10 +701,14 @@
    */
   size_t n_open;
   Bp__OpenOrder **open;
+  /*
+   * as LeaseRevoke.order
+   */
+  Bp__RecordedOrder *order;
 };
 #define BP__REVOKE_WANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__revoke_wanted__descriptor) \
-    , NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL }
 
 
 /*
@@ -712,10 +731,14 @@
    */
   size_t n_open;
   Bp__OpenOrder **open;
+  /*
+   * the last LeaseRevoked.order
+   */
+  Bp__RecordedOrder *order;
 };
 #define BP__REVOKE_ENDED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__revoke_ended__descriptor) \
-    , NULL, 0, BP__REVOKE_STATE__MOST, 0, 0, 0,NULL }
+    , NULL, 0, BP__REVOKE_STATE__MOST, 0, 0, 0,NULL, NULL }
 
 
 /*
@@ -750,10 +773,19 @@
    */
   size_t n_open;
   Bp__OpenOrder **open;
+  /*
+   * as LeaseRevoke.order; in the answer, as LeaseRevoked.order
+   */
+  Bp__RecordedOrder *order;
+  /*
+   * as LeaseRevoke.token
+   */
+  protobuf_c_boolean has_token;
+  uint64_t token;
 };
 #define BP__REVOKE_ASKED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__revoke_asked__descriptor) \
-    , 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, NULL, 0, 0 }
 
 
 /* Bp__SessionValue methods */
@@ -984,6 +1016,25 @@
 void   bp__orders_read__free_unpacked
                      (Bp__OrdersRead *message,
                       ProtobufCAllocator *allocator);
+/* Bp__OrderLearned methods */
+void   bp__order_learned__init
+                     (Bp__OrderLearned         *message);
+size_t bp__order_learned__get_packed_size
+                     (const Bp__OrderLearned   *message);
+size_t bp__order_learned__pack
+                     (const Bp__OrderLearned   *message,
+                      uint8_t             *out);
+size_t bp__order_learned__pack_to_buffer
+                     (const Bp__OrderLearned   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__OrderLearned *
+       bp__order_learned__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__order_learned__free_unpacked
+                     (Bp__OrderLearned *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__TokenRead methods */
 void   bp__token_read__init
                      (Bp__TokenRead         *message);
@@ -1364,6 +1415,9 @@
 typedef void (*Bp__OrdersRead_Closure)
                  (const Bp__OrdersRead *message,
                   void *closure_data);
+typedef void (*Bp__OrderLearned_Closure)
+                 (const Bp__OrderLearned *message,
+                  void *closure_data);
 typedef void (*Bp__TokenRead_Closure)
                  (const Bp__TokenRead *message,
                   void *closure_data);
@@ -1439,6 +1493,7 @@
 extern const ProtobufCMessageDescriptor bp__attempts_void__descriptor;
 extern const ProtobufCMessageDescriptor bp__orders_wanted__descriptor;
 extern const ProtobufCMessageDescriptor bp__orders_read__descriptor;
+extern const ProtobufCMessageDescriptor bp__order_learned__descriptor;
 extern const ProtobufCMessageDescriptor bp__token_read__descriptor;
 extern const ProtobufCMessageDescriptor bp__promotion_wanted__descriptor;
 extern const ProtobufCMessageDescriptor bp__promotion_cancelled__descriptor;
--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -85,6 +85,21 @@
 	uint64_t era;      /* that in which the last of them was recorded */
 } recorded_orders_t;
 
+/*
+ * What a coordinator has told of the orders to replace a primary of a group:
+ * told_orders.c
+ */
+typedef struct told_orders {
+	uint64_t token;    /* fencing token of the coordinator; 0: not known */
+	uint64_t sequence; /* grows with each message of a coordinator */
+	recorded_orders_t orders;
+} told_orders_t;
+
+bool told_orders_note(told_orders_t *, const told_orders_t *);
+bool told_orders_newer(const told_orders_t *, const recorded_orders_t *);
+recorded_orders_t told_orders_merge(
+    const told_orders_t *, const recorded_orders_t *);
+
 /*
  * Lease on a primary: until it expires, no other database can have become
  * primary, so this daemon may rely on the primary: lease.c
--- /dev/null
+++ b/src/decide/told_orders.c
@@ -0,0 +1,51 @@
+#include "decide.h"
+
+/*
+ * Orders that a coordinator has told another daemon.  While the store is away,
+ * the record lacks them, and its absence of an order proves nothing.
+ */
+
+/*
+ * Note what a coordinator has told.  Its own later word replaces an earlier
+ * one, since it withdraws an order that was refused or not sent; another
+ * coordinator may not know of the order.  Returns whether anything has changed.
+ */
+bool
+told_orders_note(told_orders_t *told, const told_orders_t *news)
+{
+	if (news->token == told->token
+		? news->sequence <= told->sequence
+		: news->orders.attempt_term < told->orders.attempt_term)
+		return false;
+	*told = *news;
+	return true;
+}
+
+/*
+ * Tell whether the orders that were told are newer than recorded ones.
+ */
+bool
+told_orders_newer(const told_orders_t *told, const recorded_orders_t *recorded)
+{
+	return told->orders.attempt_term > recorded->attempt_term;
+}
+
+/*
+ * Return the orders that count as recorded: those that the store has recorded,
+ * or newer ones that were told.
+ */
+recorded_orders_t
+told_orders_merge(const told_orders_t *told, const recorded_orders_t *recorded)
+{
+	recorded_orders_t merged = *recorded;
+
+	if (!told_orders_newer(told, recorded))
+		return merged;
+	merged = told->orders;
+	merged.read_us = recorded->read_us;
+	merged.lost_us = recorded->lost_us;
+	merged.read_era = recorded->read_era;
+	if (recorded->replaced_term > merged.replaced_term)
+		merged.replaced_term = recorded->replaced_term;
+	return merged;
+}
--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -304,6 +304,23 @@
 	g_free(order);
 }
 
+/*
+ * Tell the daemons of the last listing that an order they were told of is not
+ * sent, or was refused.
+ */
+static void
+tell_withdrawn(const order_t *order)
+{
+	registry_t *registry = order->registry;
+	msg_t *msg = msg_new(&bp__revoke_wanted__descriptor);
+	Bp__RevokeWanted *request = (Bp__RevokeWanted *)msg->body;
+
+	request->group = arena_strdup(msg->arena, order_request(order)->group);
+	request->token = order->token;
+	request->has_confirms = request->confirms = 1;
+	revoke_from_last_listed(registry, msg);
+}
+
 /*
  * Log the outcome of an order, report it to the pool, and free the order.  An
  * order without a response counts as accepted, since it may take effect.
@@ -327,8 +344,11 @@
 	else if (answer != BP__PROMOTION_ANSWER__ORDER_UNANSWERED &&
 	    order->noted &&
 	    orders_withdraw(registry, wanted,
-		answer == BP__PROMOTION_ANSWER__ORDER_REFUSED))
+		answer == BP__PROMOTION_ANSWER__ORDER_REFUSED)) {
 		update_recorded_orders(registry);
+		if (orders_were_told(registry, wanted->group))
+			tell_withdrawn(order);
+	}
 	ended->group = arena_strdup(msg->arena, wanted->group);
 	ended->server = arena_strdup(msg->arena, wanted->server);
 	ended->term = wanted->term;
@@ -491,9 +511,10 @@
 }
 
 /*
- * Ask the daemons of the last successful listing whether they know of a newer
- * coordinator.  While the store is unreachable, this is the only way to learn
- * of one.
+ * Tell the daemons of the last successful listing of the order, and ask whether
+ * they know of a newer coordinator.  While the store is unreachable, this is
+ * the only way to learn of one, and without the store nobody else would know of
+ * the order if this process ended.
  */
 static void
 order_ask_daemons(order_t *order)
@@ -529,8 +550,9 @@
 
 /*
  * Handle RevokeEnded: send the order if a majority of the daemons, or all, have
- * confirmed this daemon's token; drop it if one of them knows a newer token, or
- * a primary in the order's term.
+ * confirmed this daemon's token; drop it if one of them knows a newer token, a
+ * primary in the order's term, or an order that was not known when this one was
+ * decided.
  */
 void
 order_confirmed(void *context, msg_t *msg)
@@ -549,7 +571,9 @@
 		if (ended->state == BP__REVOKE_STATE__OUTDATED ||
 		    registry->fencing_token == 0)
 			order_withhold(order);
-		else if (ended->newest_term >= ended->term)
+		else if (ended->newest_term >= ended->term ||
+		    (ended->order != NULL &&
+			orders_learn(registry, ended->order)))
 			order_finish(
 			    order, BP__PROMOTION_ANSWER__ORDER_OUTDATED);
 		else
@@ -594,6 +618,20 @@
 		order_record(order);
 }
 
+/*
+ * Handle OrderLearned: record an order of a former coordinator.
+ */
+void
+order_learned(void *context, msg_t *msg)
+{
+	registry_t *registry = context;
+
+	if (orders_learn(
+		registry, ((const Bp__OrderLearned *)msg->body)->order))
+		update_recorded_orders(registry);
+	msg_free(msg);
+}
+
 /*
  * Handle PromotionCancelled: the pool does not want an order any more that has
  * not been sent yet.
--- a/src/proxy/daemons.c
+++ b/src/proxy/daemons.c
@@ -514,6 +514,7 @@
 		return;
 	}
 	add_last_listed(registry, msg);
+	orders_tell(registry, msg);
 	wanted->has_incomplete = 1;
 	wanted->incomplete = listing_incomplete(registry);
 	task_send(registry->proxy->peers, registry->task, msg);
@@ -557,6 +558,7 @@
 		add_last_listed(registry, msg);
 		wanted->has_incomplete = wanted->incomplete = 1;
 	}
+	orders_tell(registry, msg);
 	task_send(registry->proxy->peers, registry->task, msg);
 }
 
--- a/src/proxy/group_orders.c
+++ b/src/proxy/group_orders.c
@@ -5,7 +5,8 @@
 #include <string.h>
 
 /*
- * Open orders to promote a server of a group.  The coordinator's come from its
+ * Orders to promote a server of a group: those that a coordinator has told, and
+ * open ones.  The coordinator's come from its
  * record, the others' from the coordinator, which tells them before it orders
  * the promotion of another server, and from the record.
  */
@@ -90,6 +91,67 @@
 	return added;
 }
 
+/*
+ * Note what a coordinator has told of the orders of a group.
+ */
+void
+group_orders_told_note(
+    group_t *group, const told_orders_t *told, int64_t now_us)
+{
+	if (told_orders_note(&group->orders_told, told))
+		monitor_orders_read(group, &group->orders_read, now_us);
+}
+
+/*
+ * Return the order that a coordinator has told as a message in an arena, or
+ * NULL if the store has recorded it or a later one.
+ */
+Bp__RecordedOrder *
+group_orders_told_write(const group_t *group, arena_t *arena)
+{
+	return told_orders_newer(&group->orders_told, &group->orders_read)
+	    ? recorded_order_write(
+		  &group->orders_told.orders, group->name, arena)
+	    : NULL;
+}
+
+/*
+ * Have the registry task record the order that a former coordinator has told,
+ * since this daemon is the coordinator now.
+ */
+void
+group_orders_report(const group_t *group)
+{
+	pool_t *pool = group->pool;
+	msg_t *msg = msg_new(&bp__order_learned__descriptor);
+	Bp__OrderLearned *learned = (Bp__OrderLearned *)msg->body;
+
+	learned->order = group_orders_told_write(group, msg->arena);
+	if (learned->order == NULL)
+		msg_free(msg);
+	else
+		task_send(pool->proxy->registry, pool->task, msg);
+}
+
+/*
+ * Note an order that another daemon was told of by a former coordinator; NULL:
+ * none.  If it was not known here, the attempt in a term is given up.
+ */
+void
+group_orders_learned(group_t *group, const Bp__RecordedOrder *order,
+    uint64_t term, int64_t now_us)
+{
+	told_orders_t told = {0};
+
+	if (order == NULL ||
+	    order->attempt_term <= group->lease.orders.attempt_term)
+		return;
+	told.orders = recorded_order_read(order);
+	group_orders_told_note(group, &told, now_us);
+	group_orders_report(group);
+	failover_superseded(&group->failover, term, now_us);
+}
+
 /*
  * Note the open orders that the store has recorded.
  */
--- a/src/proxy/incoming.c
+++ b/src/proxy/incoming.c
@@ -102,8 +102,8 @@
 
 /*
  * Answer a revocation with the highest fencing token that this daemon knows,
- * the newest term in which it knows a primary of the group, and the open orders
- * that it knows.
+ * the newest term in which it knows a primary of the group, the open orders
+ * that it knows, and an order that the record may lack.
  */
 void
 incoming_send_revoked(incoming_link_t *incoming, const Bp__RevokeAsked *asked)
@@ -117,6 +117,7 @@
 	revoked.newest_term = asked->newest_term;
 	revoked.open = asked->open;
 	revoked.n_open = asked->n_open;
+	revoked.order = asked->order;
 	message.body_case = BP__PEER_MESSAGE__BODY_LEASE_REVOKED;
 	message.lease_revoked = &revoked;
 	frame_send(incoming->link, &message);
@@ -150,6 +151,11 @@
 	asked->term = revoke->term;
 	asked->has_begun = 1;
 	asked->begun = revoke->begun;
+	asked->has_token = 1;
+	asked->token = revoke->token;
+	if (revoke->order != NULL)
+		asked->order = (Bp__RecordedOrder *)message_copy(
+		    msg->arena, &revoke->order->base);
 	asked->n_open = revoke->n_open;
 	asked->open =
 	    open_orders_copy(msg->arena, revoke->open, revoke->n_open);
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -213,13 +213,20 @@
 
 /*
  * Note which orders to replace the primary of a group the store has recorded.
+ * Those that a coordinator has told count as recorded, too.
  */
 void
 monitor_orders_read(
     group_t *group, const recorded_orders_t *recorded, int64_t now_us)
 {
-	lease_orders_read(&group->lease, recorded);
-	failover_orders_recorded(&group->failover, recorded, now_us);
+	recorded_orders_t merged;
+
+	if (recorded->read_us < group->orders_read.read_us)
+		return;
+	group->orders_read = *recorded;
+	merged = told_orders_merge(&group->orders_told, recorded);
+	lease_orders_read(&group->lease, &merged);
+	failover_orders_recorded(&group->failover, &merged, now_us);
 	if (!group->active || !group->lease.unverified)
 		return;
 	lease_update(group, now_us);
@@ -348,6 +355,7 @@
 	/* the daemons that were asked before do not know of a new order */
 	if (group_orders_told(group, ended->open, ended->n_open, now_us))
 		failover_superseded(&group->failover, ended->term, now_us);
+	group_orders_learned(group, ended->order, ended->term, now_us);
 	group->pool->majority_answered_us = now_us;
 	if (ended->state == BP__REVOKE_STATE__ALL)
 		group->pool->all_answered_us = now_us;
--- a/src/proxy/order_messages.c
+++ b/src/proxy/order_messages.c
@@ -2,6 +2,40 @@
 
 #include <glib.h>
 
+/*
+ * Return what a message says of the recorded orders of a group.
+ */
+recorded_orders_t
+recorded_order_read(const Bp__RecordedOrder *message)
+{
+	return (recorded_orders_t){.replaced_term = message->replaced_term,
+	    .attempt_term = message->attempt_term,
+	    .base = {message->base_term, message->base_index},
+	    .era = message->era};
+}
+
+/*
+ * Return the recorded orders of a group as a message in an arena, without open
+ * ones.
+ */
+Bp__RecordedOrder *
+recorded_order_write(
+    const recorded_orders_t *orders, const char *group, arena_t *arena)
+{
+	Bp__RecordedOrder *message = (Bp__RecordedOrder *)message_new(
+	    arena, &bp__recorded_order__descriptor);
+
+	message->group = arena_strdup(arena, group);
+	message->replaced_term = orders->replaced_term;
+	message->attempt_term = orders->attempt_term;
+	message->has_base_term = message->has_base_index = 1;
+	message->base_term = orders->base.term;
+	message->base_index = orders->base.index;
+	message->has_era = 1;
+	message->era = orders->era;
+	return message;
+}
+
 /* A list of messages that is being filled. */
 typedef struct order_list {
 	arena_t *arena;
--- a/src/proxy/order_messages.h
+++ b/src/proxy/order_messages.h
@@ -6,7 +6,14 @@
 
 #include "catalog.pb-c.h"
 
-/* Conversion of open orders between their set and messages. */
+/*
+ * Conversion of recorded orders between messages and the types of the
+ * decisions.  The open ones among them are a set of their own.
+ */
+
+recorded_orders_t recorded_order_read(const Bp__RecordedOrder *);
+Bp__RecordedOrder *recorded_order_write(
+    const recorded_orders_t *, const char *group, arena_t *);
 
 Bp__OpenOrder **open_orders_write(
     const open_orders_t *, arena_t *, int64_t now_us, size_t *count);
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -17,6 +17,7 @@
 	recorded_orders_t recorded;
 	recorded_orders_t before; /* what was recorded before the last order */
 	bool sent;                /* an order of the last attempt was sent */
+	bool told; /* other daemons were told of the last attempt */
 	open_orders_t open;
 } group_orders_t;
 
@@ -98,7 +99,7 @@
 
 	if (order->recorded.attempt_term != wanted->term) {
 		order->before = order->recorded;
-		order->sent = false;
+		order->sent = order->told = false;
 	}
 	order->recorded.attempt_term = wanted->term;
 	order->recorded.base =
@@ -179,6 +180,64 @@
 	}
 }
 
+/*
+ * Note an order of a former coordinator that another daemon was told of, and
+ * that the record may lack.  Returns whether it was not known; an order of this
+ * daemon that is noted now may be for a later term.
+ */
+bool
+orders_learn(registry_t *registry, const Bp__RecordedOrder *told)
+{
+	group_orders_t *order = order_of(registry, told->group);
+	recorded_orders_t learned = recorded_order_read(told);
+
+	if (learned.attempt_term > order->recorded.attempt_term) {
+		learned.replaced_term =
+		    MAX(learned.replaced_term, order->recorded.replaced_term);
+		order->recorded = learned;
+		return true;
+	}
+	if (learned.attempt_term <= order->before.attempt_term ||
+	    learned.attempt_term == order->recorded.attempt_term)
+		return false;
+	learned.replaced_term =
+	    MAX(learned.replaced_term, order->before.replaced_term);
+	order->before = learned;
+	order->recorded.replaced_term =
+	    MAX(learned.replaced_term, order->recorded.replaced_term);
+	return true;
+}
+
+/*
+ * Add what is noted of the orders of a group to a message for the other
+ * daemons.
+ */
+void
+orders_tell(registry_t *registry, msg_t *msg)
+{
+	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
+	group_orders_t *order =
+	    g_hash_table_lookup(registry->orders, wanted->group);
+
+	if (order == NULL)
+		return;
+	order->told = true;
+	wanted->order =
+	    recorded_order_write(&order->recorded, wanted->group, msg->arena);
+}
+
+/*
+ * Tell whether other daemons were told of the last order of a group.
+ */
+bool
+orders_were_told(const registry_t *registry, const char *group)
+{
+	const group_orders_t *order =
+	    g_hash_table_lookup(registry->orders, group);
+
+	return order != NULL && order->told;
+}
+
 /*
  * Tell whether a record has all noted orders.
  */
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -26,6 +26,7 @@
 	bool holds_leases;
 	frame_link_t *link;
 	bool answered;
+	bool refused; /* the connection was refused: no daemon runs there */
 } target_t;
 
 /* Revocation of the leases of a group below a term, at all daemons. */
@@ -45,6 +46,13 @@
 	   have reported */
 	open_orders_t open_orders;
 	open_orders_t reported_orders;
+	/* what to tell of the orders of the group, or NULL, and the newest
+	   order that the targets have reported, or NULL */
+	const Bp__RecordedOrder *order;
+	Bp__RecordedOrder *reported_order;
+	/* most of the daemons that run must know of the order */
+	bool must_know;
+	arena_t *arena;     /* of these orders */
 	GPtrArray *targets; /* of target_t */
 	GSource *timeout;
 } revocation_t;
@@ -95,6 +103,7 @@
 	g_ptr_array_unref(revocation->targets);
 	open_orders_clear(&revocation->open_orders);
 	open_orders_clear(&revocation->reported_orders);
+	arena_free(revocation->arena);
 	g_free(revocation->group);
 	g_free(revocation);
 }
@@ -142,18 +151,21 @@
 	ended->newest_term = revocation->newest_term;
 	ended->open = open_orders_write(&revocation->reported_orders,
 	    msg->arena, clock_us(), &ended->n_open);
+	if (revocation->reported_order != NULL)
+		ended->order = (Bp__RecordedOrder *)message_copy(
+		    msg->arena, &revocation->reported_order->base);
 	task_send(revocation->requester, peers->task, msg);
 }
 
 /*
  * Report to the requester when a majority of the daemons has answered, and when
  * in addition all that hold leases have.  This daemon counts as one that has
- * answered.
+ * answered.  One that does not run has answered, but knows of no order.
  */
 static void
 revocation_check(revocation_t *revocation)
 {
-	uint32_t i, answered = 1, holders_left = 0;
+	uint32_t i, answered = 1, refused = 0, holders_left = 0;
 	uint32_t count = revocation->targets->len + 1;
 
 	for (i = 0; i < revocation->targets->len; i++) {
@@ -161,8 +173,12 @@
 		    g_ptr_array_index(revocation->targets, i);
 
 		answered += target->answered;
+		refused += target->refused;
 		holders_left += target->holds_leases && !target->answered;
 	}
+	if (revocation->must_know &&
+	    answered - refused < majority_of(count - refused))
+		return;
 	if (holders_left == 0 && !revocation->incomplete &&
 	    answered >= majority_of(count)) {
 		if (!revocation->all_reported)
@@ -215,6 +231,7 @@
 	revoke.token = target->revocation->token;
 	revoke.has_begun = 1;
 	revoke.begun = target->revocation->begun;
+	revoke.order = (Bp__RecordedOrder *)target->revocation->order;
 	revoke.open = open_orders_write(&target->revocation->open_orders, arena,
 	    clock_us(), &revoke.n_open);
 	message.body_case = BP__PEER_MESSAGE__BODY_LEASE_REVOKE;
@@ -224,7 +241,25 @@
 }
 
 /*
- * Handle a message from a target.
+ * Note an order that a target has reported.  Returns whether it is newer than
+ * those before.
+ */
+static bool
+order_reported(revocation_t *revocation, const Bp__RecordedOrder *order)
+{
+	if (order == NULL ||
+	    (revocation->reported_order != NULL &&
+		revocation->reported_order->attempt_term >=
+		    order->attempt_term))
+		return false;
+	revocation->reported_order =
+	    (Bp__RecordedOrder *)message_copy(revocation->arena, &order->base);
+	return true;
+}
+
+/*
+ * Handle a message from a target.  An order that it reports is passed on also
+ * after the majority, or all, were reported.
  */
 static void
 on_target_received(void *context, arena_t *arena, Bp__PeerMessage *message)
@@ -237,6 +272,9 @@
 		open_orders_read(&target->revocation->reported_orders,
 		    revoked->open, revoked->n_open, OPEN_ORDER_TOLD,
 		    clock_us());
+		if (order_reported(target->revocation, revoked->order))
+			target->revocation->majority_reported =
+			    target->revocation->all_reported = false;
 		target_answered(target, revoked->token, revoked->newest_term);
 	}
 	arena_free(arena);
@@ -251,8 +289,10 @@
 {
 	target_t *target = context;
 
-	if (error == -ECONNREFUSED && !target->answered)
+	if (error == -ECONNREFUSED && !target->answered) {
+		target->refused = true;
 		target_answered(target, 0, 0);
+	}
 }
 
 static const frame_ops_t target_ops = {
@@ -306,6 +346,11 @@
 	revocation->requester =
 	    wanted->confirms ? peers->proxy->registry : peers->proxy->pool;
 	peers->token = MAX(peers->token, wanted->token);
+	revocation->arena = arena_new();
+	if (wanted->order != NULL)
+		revocation->order = (const Bp__RecordedOrder *)message_copy(
+		    revocation->arena, &wanted->order->base);
+	revocation->must_know = wanted->confirms && wanted->order != NULL;
 	open_orders_init(&revocation->open_orders);
 	open_orders_init(&revocation->reported_orders);
 	open_orders_read(&revocation->open_orders, wanted->open, wanted->n_open,
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -1,5 +1,7 @@
 #include "pool.h"
 
+#include "order_messages.h"
+
 #include <string.h>
 
 /* The pool task: connections to the databases and the statements they run. */
@@ -244,13 +246,14 @@
 {
 	const Bp__DutyChanged *changed = (const Bp__DutyChanged *)msg->body;
 	pool_t *pool = context;
+	bool began = changed->held && changed->token != pool->fencing_token;
 	GHashTableIter iter;
 	gpointer value;
 
 	if (changed->held != pool->is_coordinator)
 		log_coordinator_changed(changed->held, changed->token);
 	pool->is_coordinator = changed->held;
-	if (changed->held && changed->token != pool->fencing_token)
+	if (began)
 		pool->coordinator_since_us =
 		    changed->token == FIRST_TOKEN ? 0 : clock_us();
 	pool->fencing_token = changed->token;
@@ -258,8 +261,12 @@
 		pool->coordinator_confirmed_us = clock_us();
 	pool->coordinator_check_pending = false;
 	g_hash_table_iter_init(&iter, pool->groups);
-	while (!changed->held && g_hash_table_iter_next(&iter, NULL, &value))
-		monitor_coordinator_denied(value, clock_us());
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!changed->held)
+			monitor_coordinator_denied(value, clock_us());
+		if (began)
+			group_orders_report(value);
+	}
 	msg_free(msg);
 }
 
@@ -387,11 +394,22 @@
 	group_t *group = group_get(pool, asked->group);
 	task_t *from = msg->from;
 
+	if (asked->order != NULL) {
+		told_orders_t told = {.token = asked->token,
+		    .sequence = asked->id,
+		    .orders = recorded_order_read(asked->order)};
+
+		group_orders_told_note(group, &told, clock_us());
+	}
 	group_orders_told(group, asked->open, asked->n_open, clock_us());
 	monitor_revoke_lease(group, asked->term, asked->begun, clock_us());
 	asked->has_newest_term = 1;
 	asked->newest_term = lease_newest_term(&group->lease);
 	asked->open = group_orders_write(group, msg->arena, &asked->n_open);
+	/* a coordinator knows what it has told itself */
+	asked->order = group->orders_told.token == asked->token
+	    ? NULL
+	    : group_orders_told_write(group, msg->arena);
 	task_send(from, pool->task, msg_copy(msg->body));
 	msg_free(msg);
 }
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -23,7 +23,7 @@
  * transaction.c	end of transactions
  * dispatch.c		selection of a server and connection for a statement
  * monitor.c		server status, leases and failover
- * group_orders.c	open orders to promote a server
+ * group_orders.c	orders to promote a server: open ones, those told
  * pool_log.c		log events
  * pool_status.c	status page and metrics
  *
@@ -178,6 +178,10 @@
 	lease_t lease;              /* lease of this daemon on the primary */
 	open_orders_t open_orders;  /* orders that may still take effect */
 	uint32_t open_orders_count; /* as last logged */
+	/* orders to replace a primary that the store has recorded, and those
+	   that a coordinator has told */
+	recorded_orders_t orders_read;
+	told_orders_t orders_told;
 	/* time at which a lease in its term was last seen to be valid */
 	int64_t lease_seen_us;
 	int64_t created_us; /* time at which this structure was created */
@@ -406,6 +410,11 @@
 void group_orders_recorded(
     group_t *, Bp__OpenOrder *const *, size_t count, int64_t now_us);
 Bp__OpenOrder **group_orders_write(const group_t *, arena_t *, size_t *count);
+void group_orders_told_note(group_t *, const told_orders_t *, int64_t now_us);
+Bp__RecordedOrder *group_orders_told_write(const group_t *, arena_t *);
+void group_orders_learned(
+    group_t *, const Bp__RecordedOrder *, uint64_t term, int64_t now_us);
+void group_orders_report(const group_t *);
 int64_t group_orders_checked_us(const group_t *);
 bool group_orders_checkable(const group_t *, int64_t now_us);
 
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -121,6 +121,7 @@
 void promotion_wanted(void *registry, msg_t *);
 void promotion_cancelled(void *registry, msg_t *);
 void order_confirmed(void *registry, msg_t *);
+void order_learned(void *registry, msg_t *);
 void coordinator_stop(registry_t *);
 
 /* orders.c */
@@ -131,6 +132,9 @@
 void orders_accepted(registry_t *, const Bp__PromotionWanted *);
 bool orders_withdraw(registry_t *, const Bp__PromotionWanted *, bool refused);
 void orders_take(registry_t *, const Bp__DutyRecord *);
+bool orders_learn(registry_t *, const Bp__RecordedOrder *);
+void orders_tell(registry_t *, msg_t *revoke_wanted);
+bool orders_were_told(const registry_t *, const char *group);
 bool orders_recorded(const registry_t *, const Bp__DutyRecord *);
 void orders_fill(const registry_t *, arena_t *, Bp__DutyRecord *);
 void orders_report(registry_t *, const Bp__DutyRecord *, int64_t read_us);
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -359,6 +359,57 @@
 	    c->renewed);
 }
 
+#define TOLD_MAX 3
+
+typedef struct told_case {
+	const char *name;
+	told_orders_t
+	    told[TOLD_MAX];         /* in the order of arrival; token 0 ends */
+	recorded_orders_t recorded; /* read afterwards */
+	bool renewed; /* the lease in term 1 is renewed long after */
+} told_case_t;
+
+static const told_case_t told_cases[] = {
+    {"nothing", {{0}}, {0}, true},
+    {"an order, which the record lacks", {{5, 1, {1, 2}}}, {0}, false},
+    {"an order, and another one is recorded", {{5, 1, {1, 2}}}, {1, 3}, false},
+    {"an order to replace an older primary", {{5, 1, {0, 1}}}, {0}, true},
+    {"it is withdrawn", {{5, 1, {1, 2}}, {5, 2}}, {0}, true},
+    {"the withdrawal arrives first", {{5, 2}, {5, 1, {1, 2}}}, {0}, true},
+    {"another coordinator does not know of it", {{5, 1, {1, 2}}, {6, 1}}, {0},
+	false},
+    {"another coordinator withdraws its own",
+	{{5, 1, {1, 2}}, {6, 1, {1, 3}}, {6, 2, {1, 2}}}, {0}, false},
+};
+
+/*
+ * Test that an order that a coordinator has told counts as recorded, until that
+ * coordinator withdraws it.
+ */
+static void
+test_told(gconstpointer data)
+{
+	const told_case_t *c = data;
+	recorded_orders_t recorded = c->recorded, merged;
+	told_orders_t told = {0};
+	db_view_t views[3];
+	lease_t lease;
+	uint32_t i;
+
+	lease_start(&lease, views, 1);
+	lease_revoke(&lease, 2, MS(100));
+	for (i = 0; i < TOLD_MAX && c->told[i].token != 0; i++)
+		told_orders_note(&told, &c->told[i]);
+	recorded.read_us = MS(20000);
+	merged = told_orders_merge(&told, &recorded);
+	lease_orders_read(&lease, &merged);
+	for (i = 0; i < 3; i++)
+		views[i].requested_us = MS(19990);
+	g_assert_cmpint(
+	    renew(&lease, views, 3, 0, MS(20010), &listed_durations), ==,
+	    c->renewed);
+}
+
 typedef struct unknown_successor_case {
 	const char *name;
 	uint32_t count;         /* databases that are still listed */
@@ -1239,6 +1290,7 @@
 	CASES("/lease/revoke", revoke_cases, test_revoke);
 	CASES("/lease/bar", block_cases, test_block);
 	CASES("/lease/shrunk-group", shrunk_cases, test_shrunk_group);
+	CASES("/lease/told", told_cases, test_told);
 	CASES("/lease/unknown-successor", unknown_successor_cases,
 	    test_unknown_successor);
 	CASES("/lease/later", unseen_term_cases, test_unseen_term);
--- a/tests/t_old_primary.c
+++ b/tests/t_old_primary.c
@@ -228,37 +228,74 @@
 	testbed_stop(testbed);
 }
 
+typedef struct outage_case {
+	const char *name;
+	bool all_killed;  /* all daemons, or the coordinator alone */
+	bool late;        /* the order takes effect after that */
+	const char *term; /* term and a blank that server 0 must not lead */
+	uint32_t wait_ms;
+} outage_case_t;
+
+static const outage_case_t restart_case_outage = {
+    "all daemons restart", true, false, "1 ", SERVE_MS};
+static const outage_case_t outage_cases[] = {
+    {"its coordinator is killed", false, false, "", ABANDONED_MS},
+    {"its coordinator is killed before it takes effect", false, true, "1 ",
+	ABANDONED_MS},
+};
+
+static uint32_t coordinator_number(const testbed_t *);
+static int32_t wait_held_order(const testbed_t *);
+
 /*
- * Test that a daemon that restarts after an outage of the store, in which the
- * primary was replaced and the coordinator ended, has no write acknowledged by
- * the old primary.  The new one falls silent, and the other replica has not
- * heard of it.
+ * Test that after an outage of the store, in which the primary was replaced and
+ * the coordinator ended, the old primary acknowledges nothing, nor, with the
+ * entries that the promotion has given up, is promoted.  The new one falls
+ * silent, and the other replica has not heard of it.
  */
 static void
-test_restart_after_outage(void)
+test_after_outage(gconstpointer data)
 {
+	const outage_case_t *c = data;
 	testbed_plan_t plan = {.proxies = 3, .lag_ms = 5};
 	testbed_t *testbed = testbed_start(&plan);
-	int32_t i, promoted;
+	uint32_t i, asked = 2, coordinator;
+	int32_t promoted;
 	bool served;
 
 	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
 	g_usleep(2500 * G_TIME_SPAN_MILLISECOND); /* until all are listed */
+	coordinator = coordinator_number(testbed);
 	for (i = 0; i < 3; i++)
-		testbed_inject_fault(testbed, "database", "deaf", i);
+		testbed_inject_fault(testbed, "database", "deaf", (int32_t)i);
+	/* an entry that the promotion gives up */
+	if (!c->all_killed)
+		g_assert_true(write_served(testbed, 0, SERVE_MS));
 	testbed_inject_fault(testbed, "store", "busy", -1);
+	if (c->late)
+		testbed_inject_fault(testbed, "order", "hold", -1);
 	testbed_inject_fault(testbed, "database", "mute", 0);
-	promoted = wait_primary(testbed, 1, "", PROMOTION_MS) ? 1 : 2;
-	g_assert_true(
-	    wait_primary(testbed, (uint32_t)promoted, "", PROMOTION_MS));
-	for (i = 0; i < 3; i++)
-		fleet_process_kill(&testbed->proxies[i]);
+	if (c->late) {
+		promoted = wait_held_order(testbed);
+	} else {
+		promoted = wait_primary(testbed, 1, "", PROMOTION_MS) ? 1 : 2;
+		g_assert_true(wait_primary(
+		    testbed, (uint32_t)promoted, "", PROMOTION_MS));
+	}
+	for (i = 0; i < 3; i++) {
+		if (c->all_killed || i == coordinator)
+			fleet_process_kill(&testbed->proxies[i]);
+	}
 	testbed_inject_fault(testbed, "database", "mute", promoted);
 	testbed_inject_fault(testbed, "database", "speak", 0);
 	testbed_inject_fault(testbed, "store", "up", -1);
-	testbed_proxy_start(testbed, 2);
-	served = write_served(testbed, 2, SERVE_MS);
-	g_assert_false(served && wait_primary(testbed, 0, "1 ", 1000));
+	if (c->all_killed)
+		testbed_proxy_start(testbed, 2);
+	else
+		asked = (coordinator + 1) % 3;
+	served = write_served(testbed, asked, c->wait_ms);
+	g_test_message("served: %d", served);
+	g_assert_false(served && wait_primary(testbed, 0, c->term, 1000));
 	testbed_stop(testbed);
 }
 
@@ -436,8 +473,9 @@
 	    "/old-primary/lost-coordinator", test_abandoned_failover);
 	g_test_add_func(
 	    "/old-primary/order-during-outage", test_order_during_outage);
-	g_test_add_func(
-	    "/old-primary/restart-after-outage", test_restart_after_outage);
+	g_test_add_data_func("/old-primary/restart-after-outage",
+	    &restart_case_outage, test_after_outage);
+	CASES("/old-primary/after-outage", outage_cases, test_after_outage);
 	CASES("/old-primary/late-order", late_order_cases, test_late_order);
 	return g_test_run();
 }
