--- a/src/decide/told_orders.c
+++ b/src/decide/told_orders.c
@@ -37,15 +37,16 @@
 recorded_orders_t
 told_orders_merge(const told_orders_t *told, const recorded_orders_t *recorded)
 {
+	const recorded_orders_t *orders = &told->orders;
 	recorded_orders_t merged = *recorded;
+	uint32_t i;
 
 	if (!told_orders_newer(told, recorded))
 		return merged;
-	merged = told->orders;
-	merged.read_us = recorded->read_us;
-	merged.lost_us = recorded->lost_us;
-	merged.read_era = recorded->read_era;
-	if (recorded->replaced_term > merged.replaced_term)
-		merged.replaced_term = recorded->replaced_term;
+	recorded_orders_add(&merged, orders->replaced_term, orders->base);
+	for (i = 0; i < orders->earlier_count; i++)
+		recorded_orders_add_earlier(&merged, &orders->earlier[i]);
+	merged.attempt_term = orders->attempt_term;
+	merged.era = orders->era;
 	return merged;
 }
