--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -17,6 +17,7 @@
 	recorded_orders_t recorded;
 	recorded_orders_t before; /* what was recorded before the last order */
 	bool sent;                /* an order of the last attempt was sent */
+	bool told; /* other daemons were told of the last attempt */
 	open_orders_t open;
 } group_orders_t;
 
@@ -98,7 +99,7 @@
 
 	if (order->recorded.attempt_term != wanted->term) {
 		order->before = order->recorded;
-		order->sent = false;
+		order->sent = order->told = false;
 	}
 	order->recorded.attempt_term = wanted->term;
 	recorded_orders_add(&order->recorded, wanted->replaced_term,
@@ -173,6 +174,63 @@
 	}
 }
 
+/*
+ * Note an order of a former coordinator that another daemon was told of, and
+ * that the record may lack.  Returns whether it was not known; an order of this
+ * daemon that is noted now may be for a later term.
+ */
+bool
+orders_learn(registry_t *registry, const Bp__RecordedOrder *told)
+{
+	group_orders_t *order = order_of(registry, told->group);
+	told_orders_t learned = {.orders = recorded_order_read(told)};
+	const recorded_orders_t *orders = &learned.orders;
+
+	if (told_orders_newer(&learned, &order->recorded)) {
+		order->recorded = told_orders_merge(&learned, &order->recorded);
+		return true;
+	}
+	if (!told_orders_newer(&learned, &order->before) ||
+	    orders->attempt_term == order->recorded.attempt_term)
+		return false;
+	order->before = told_orders_merge(&learned, &order->before);
+	order->recorded.replaced_term =
+	    MAX(orders->replaced_term, order->recorded.replaced_term);
+	recorded_orders_add_earlier(&order->recorded,
+	    &(earlier_order_t){orders->replaced_term, orders->base});
+	return true;
+}
+
+/*
+ * Add what is noted of the orders of a group to a message for the other
+ * daemons.
+ */
+void
+orders_tell(registry_t *registry, msg_t *msg)
+{
+	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
+	group_orders_t *order =
+	    g_hash_table_lookup(registry->orders, wanted->group);
+
+	if (order == NULL)
+		return;
+	order->told = true;
+	wanted->order =
+	    recorded_order_write(&order->recorded, wanted->group, msg->arena);
+}
+
+/*
+ * Tell whether other daemons were told of the last order of a group.
+ */
+bool
+orders_were_told(const registry_t *registry, const char *group)
+{
+	const group_orders_t *order =
+	    g_hash_table_lookup(registry->orders, group);
+
+	return order != NULL && order->told;
+}
+
 /*
  * Tell whether a record has all noted orders.
  */
