Given up entries are no reason to lose synchronous commits

What callers would see: LOST, where a service has sync-replicas: an acknowledged commit is not in the log of the database that is promoted.

Cause: compare_logs() preferred any log without given up entries. An example with one synchronous replica: the old primary ends at 68, its successor began its term after 56 and is lost before a commit, the other replica lagged and ends at 50. Commits 51 to 56 were acknowledged and are only in the log of the old primary, but the other one was chosen.

Fix: where commits are synchronous, the log whose entries that were not given up reach further is better (recorded_orders_used_end()); then as before. What comes back with it was never acknowledged there, since a promotion needs the log of a database that holds each acknowledged commit. Without synchronous replicas nothing changes: commits that a promotion rolled back do not count, those that come back do (STALE).

--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -1,11 +1,10 @@
 #include "failover_choice.h"
 
 /*
- * Tell whether a log has entries that its group has given up, by the recorded
- * orders and the newest term that is known.
+ * Return the newest term that is known to have begun.
  */
-static bool
-has_given_up_entries(const failover_t *failover, position_t end)
+static uint64_t
+newest_begun(const failover_t *failover)
 {
 	uint64_t newest = failover->reported_term;
 	uint32_t i;
@@ -14,19 +13,29 @@
 		if (failover->views[i].known)
 			newest = MAX(newest, failover->views[i].term);
 	}
-	return recorded_orders_given_up(&failover->recorded, newest, end);
+	return newest;
 }
 
 /*
  * Compare the logs of two databases as candidates for a promotion: one without
- * given up entries is better, then the one that reaches further.
+ * given up entries is better, then the one that reaches further.  Where commits
+ * are synchronous, first the one whose entries that were not given up reach
+ * further, since it may be the only one that holds the last commits.
  */
 static int32_t
 compare_logs(const failover_t *failover, position_t a, position_t b)
 {
-	bool a_given_up = has_given_up_entries(failover, a);
-
-	if (a_given_up != has_given_up_entries(failover, b))
+	const recorded_orders_t *recorded = &failover->recorded;
+	uint64_t newest = newest_begun(failover);
+	position_t a_used = recorded_orders_used_end(recorded, newest, a);
+	position_t b_used = recorded_orders_used_end(recorded, newest, b);
+	bool a_given_up = position_compare(a_used, a) != 0;
+	bool b_given_up = position_compare(b_used, b) != 0;
+
+	if (failover->limits.sync_replicas > 0 &&
+	    position_compare(a_used, b_used) != 0)
+		return position_compare(a_used, b_used);
+	if (a_given_up != b_given_up)
 		return a_given_up ? -1 : 1;
 	return position_compare(a, b);
 }
--- a/src/decide/recorded_orders.c
+++ b/src/decide/recorded_orders.c
@@ -104,30 +104,44 @@
 }
 
 /*
- * Tell whether a log has entries that its group has given up: a newer term has
- * begun after an earlier position, and the log does not reach that term.  If
- * its database was promoted, these entries would come back.  newest_term: the
- * newest one that is known to have begun.
+ * Return the end of those entries of a log that its group has not given up.  A
+ * newer term that has begun after an earlier position gives up what follows in
+ * a log that does not reach that term.  newest_term: the newest one that is
+ * known to have begun.  end: that of the whole log.
  */
-bool
-recorded_orders_given_up(
+position_t
+recorded_orders_used_end(
     const recorded_orders_t *orders, uint64_t newest_term, position_t end)
 {
 	uint64_t limit = newest_term;
 	earlier_order_t order;
 
 	/* from the newest term back to those that the log may have seen */
-	while (newest_below(orders, limit, &order)) {
-		if (end.term > order.replaced_term)
-			return false;
-		if (end.term > order.base.term || end.index > order.base.index)
-			return true;
-		if (end.term == order.base.term)
-			return false;
+	while (newest_below(orders, limit, &order) &&
+	    end.term <= order.replaced_term) {
+		if (end.index > order.base.index)
+			end.index = order.base.index;
+		if (end.term >= order.base.term) {
+			end.term = order.base.term;
+			break;
+		}
 		/* only terms up to that of the base led to the newer one */
 		limit = order.base.term < order.replaced_term
 		    ? order.base.term
 		    : order.replaced_term;
 	}
-	return false;
+	return end;
+}
+
+/*
+ * Tell whether a log has entries that its group has given up.  If its database
+ * was promoted, these entries would come back.
+ */
+bool
+recorded_orders_given_up(
+    const recorded_orders_t *orders, uint64_t newest_term, position_t end)
+{
+	position_t used = recorded_orders_used_end(orders, newest_term, end);
+
+	return position_compare(used, end) != 0;
 }
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -513,6 +513,7 @@
 	uint64_t newest_term; /* of database 0 */
 	uint64_t logs[2][2];  /* term and index at databases 1 and 2 */
 	uint32_t chosen;
+	uint32_t chosen_sync; /* the same where a replica holds each commit */
 	/* orders, each with the term of the primary to be replaced and the end
 	   of the log of the database that it names */
 	struct {
@@ -522,49 +523,55 @@
 } history_case_t;
 
 static const history_case_t history_cases[] = {
-    {"two orders, the first took effect", 2, {{1, 68}, {1, 56}}, 2,
+    {"a log without given up entries that lacks acknowledged commits", 2,
+	{{1, 68}, {1, 50}}, 2, 1, {{1, {1, 56}}}},
+    {"one that lacks those of a later term", 3, {{2, 75}, {1, 56}}, 2, 1,
+	{{1, {1, 56}}, {2, {2, 70}}}},
+    {"two orders, the first took effect", 2, {{1, 68}, {1, 56}}, 2, 2,
 	{{1, {1, 56}}, {2, {1, 56}}}},
-    {"two orders that took effect", 3, {{1, 68}, {1, 56}}, 2,
+    {"two orders that took effect", 3, {{1, 68}, {1, 56}}, 2, 2,
 	{{1, {1, 56}}, {2, {2, 70}}}},
-    {"the same, no log has given up entries", 3, {{1, 56}, {1, 40}}, 1,
+    {"the same, no log has given up entries", 3, {{1, 56}, {1, 40}}, 1, 1,
 	{{1, {1, 56}}, {2, {2, 70}}}},
     {"three changes, entries that the first gave up", 4, {{1, 68}, {1, 56}}, 2,
-	{{1, {1, 56}}, {2, {2, 70}}, {3, {3, 90}}}},
+	2, {{1, {1, 56}}, {2, {2, 70}}, {3, {3, 90}}}},
     {"three changes, entries that the second gave up", 4, {{2, 75}, {2, 70}}, 2,
-	{{1, {1, 56}}, {2, {2, 70}}, {3, {3, 90}}}},
-    {"a longer log that ends in a newer term", 4, {{1, 56}, {2, 70}}, 2,
+	2, {{1, {1, 56}}, {2, {2, 70}}, {3, {3, 90}}}},
+    {"a longer log that ends in a newer term", 4, {{1, 56}, {2, 70}}, 2, 2,
 	{{1, {1, 56}}, {2, {2, 70}}, {3, {3, 90}}}},
     {"the last began from the log of an older term", 3, {{2, 50}, {1, 56}}, 2,
-	{{1, {1, 40}}, {2, {1, 56}}}},
+	2, {{1, {1, 40}}, {2, {1, 56}}}},
     {"the same, with entries that it took up again", 3, {{1, 56}, {1, 40}}, 1,
-	{{1, {1, 40}}, {2, {1, 56}}}},
+	1, {{1, {1, 40}}, {2, {1, 56}}}},
     {"two orders to replace one primary, the last counts", 2,
-	{{1, 68}, {1, 56}}, 1, {{1, {1, 56}}, {1, {1, 68}}}},
-    {"the same, with the shorter log last", 2, {{1, 68}, {1, 56}}, 2,
+	{{1, 68}, {1, 56}}, 1, 1, {{1, {1, 56}}, {1, {1, 68}}}},
+    {"the same, with the shorter log last", 2, {{1, 68}, {1, 56}}, 2, 2,
 	{{1, {1, 68}}, {1, {1, 56}}}},
     {"an order without the end of a log in between", 3, {{1, 68}, {1, 56}}, 2,
-	{{1, {1, 56}}, {2, {0, 0}}}},
+	2, {{1, {1, 56}}, {2, {0, 0}}}},
     {"more orders than are kept, a log of the last terms", 11,
-	{{8, 85}, {8, 80}}, 2,
+	{{8, 85}, {8, 80}}, 2, 2,
 	{{1, {1, 10}}, {2, {2, 20}}, {3, {3, 30}}, {4, {4, 40}}, {5, {5, 50}},
 	    {6, {6, 60}}, {7, {7, 70}}, {8, {8, 80}}, {9, {9, 90}},
 	    {10, {10, 100}}}},
 };
 
 /*
- * Test which database is promoted after several orders, some of which took
- * effect: entries that any of them gave up do not come back.
+ * Check which database is promoted after several orders, some of which took
+ * effect: entries that any of them gave up do not come back.  Where commits are
+ * synchronous, none that was acknowledged is lost to avoid that.
  */
 static void
-test_history(gconstpointer data)
+check_history(
+    const history_case_t *c, uint32_t sync_replicas, uint32_t expected)
 {
-	const history_case_t *c = data;
 	failover_actions_t actions;
 	failover_t failover;
 	uint32_t i, chosen = 0;
 	uint64_t term;
 
 	failover_init(&failover, &test_limits, DATABASES, 1, 0);
+	failover.limits.sync_replicas = sync_replicas;
 	for (i = 0; i < ORDERS_MAX && c->orders[i].replaced_term != 0; i++) {
 		recorded_orders_t recorded = {c->orders[i].replaced_term, i + 2,
 		    MS(i + 1), c->orders[i].base};
@@ -589,10 +596,22 @@
 		if (actions.list[i].kind == FAILOVER_PROMOTE)
 			chosen = actions.list[i].database;
 	}
-	g_assert_cmpuint(chosen, ==, c->chosen);
+	g_assert_cmpuint(chosen, ==, expected);
 	failover_clear(&failover);
 }
 
+/*
+ * Test that for groups with and without synchronous replicas.
+ */
+static void
+test_history(gconstpointer data)
+{
+	const history_case_t *c = data;
+
+	check_history(c, 0, c->chosen);
+	check_history(c, 1, c->chosen_sync);
+}
+
 typedef struct unaware_case {
 	const char *name;
 	int64_t primary_asked_ms; /* last status request to the old primary */
