--- a/tests/t_http.c
+++ b/tests/t_http.c
@@ -281,6 +281,20 @@
 /* Time that the test's process may need to run the timer. */
 #define LATE_MS 200
 
+/*
+ * Read what a connection has received, and append it to text.
+ */
+static void
+connection_read(GSocket *socket, GString *text)
+{
+	char bytes[1024];
+	gssize n;
+
+	while ((n = g_socket_receive(
+		    socket, bytes, sizeof(bytes), NULL, NULL)) > 0)
+		g_string_append_len(text, bytes, n);
+}
+
 /*
  * Return what a server whose connections were not accepted before has received,
  * up to the end or reset of each of them.
@@ -289,16 +303,12 @@
 received_by(GSocket *listener)
 {
 	GString *text = g_string_new(NULL);
-	char bytes[1024];
 	GSocket *socket;
-	gssize n;
 
 	g_socket_set_blocking(listener, FALSE);
 	while ((socket = g_socket_accept(listener, NULL, NULL)) != NULL) {
 		g_socket_set_blocking(socket, FALSE);
-		while ((n = g_socket_receive(
-			    socket, bytes, sizeof(bytes), NULL, NULL)) > 0)
-			g_string_append_len(text, bytes, n);
+		connection_read(socket, text);
 		g_object_unref(socket);
 	}
 	return text;
@@ -388,6 +398,87 @@
 	g_free(results);
 }
 
+/*
+ * Run the client for some time.
+ */
+static void
+run_for(int64_t duration_us)
+{
+	int64_t end_us = clock_us() + duration_us;
+
+	while (clock_us() < end_us) {
+		g_main_context_iteration(NULL, FALSE);
+		g_usleep(1000);
+	}
+}
+
+/*
+ * Test that a request that timed out while it waited for a connection is not
+ * sent when one becomes idle, as the server answers another request.
+ */
+static void
+test_not_sent_later(void)
+{
+	static const char answer[] =
+	    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+	GSocket *listener =
+	    g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, 0, NULL);
+	GSocketAddress *any =
+	    g_inet_socket_address_new_from_string("127.0.0.1", 0);
+	GPtrArray *sockets = g_ptr_array_new_with_free_func(g_object_unref);
+	GString *text = g_string_new(NULL);
+	result_t results[CONNECTIONS_MAX + 1] = {{0}};
+	GSocketAddress *bound;
+	http_client_t *http;
+	GSocket *socket;
+	char *address;
+	uint32_t i;
+
+	g_assert_true(g_socket_bind(listener, any, FALSE, NULL));
+	g_assert_true(g_socket_listen(listener, NULL));
+	g_socket_set_blocking(listener, FALSE);
+	bound = g_socket_get_local_address(listener, NULL);
+	address = g_strdup_printf("127.0.0.1:%u",
+	    g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound)));
+	http = http_client_new(address, TIMEOUT_MS);
+	for (i = 0; i < CONNECTIONS_MAX; i++)
+		http_request_send(http, http_request_new(http, "GET", "/poll"),
+		    NULL, 10 * TIMEOUT_MS, on_result, &results[i]);
+	run_for(TIMEOUT_MS * US_PER_MS / 2);
+	http_request_send(http, http_request_new(http, "PUT", "/last"), "{}", 0,
+	    on_result, &results[CONNECTIONS_MAX]);
+	run_for(INT64_C(2) * TIMEOUT_MS * US_PER_MS);
+	g_assert_true(results[CONNECTIONS_MAX].ended);
+	g_assert_cmpuint(results[CONNECTIONS_MAX].status, ==, 0);
+	while ((socket = g_socket_accept(listener, NULL, NULL)) != NULL) {
+		g_ptr_array_add(sockets, socket);
+		g_socket_set_blocking(socket, FALSE);
+		connection_read(socket, text);
+		g_assert_cmpint(g_socket_send(socket, answer,
+				    sizeof(answer) - 1, NULL, NULL),
+		    ==, sizeof(answer) - 1);
+	}
+	g_assert_cmpuint(sockets->len, ==, CONNECTIONS_MAX);
+	run_for(INT64_C(3) * TIMEOUT_MS * US_PER_MS);
+	for (i = 0; i < CONNECTIONS_MAX; i++)
+		g_assert_cmpuint(results[i].status, ==, 200);
+	while ((socket = g_socket_accept(listener, NULL, NULL)) != NULL) {
+		g_ptr_array_add(sockets, socket);
+		g_socket_set_blocking(socket, FALSE);
+	}
+	for (i = 0; i < sockets->len; i++)
+		connection_read(g_ptr_array_index(sockets, i), text);
+	g_assert_nonnull(strstr(text->str, "/poll"));
+	g_assert_null(strstr(text->str, "/last"));
+	http_client_free(http);
+	g_ptr_array_unref(sockets);
+	g_string_free(text, TRUE);
+	g_object_unref(bound);
+	g_object_unref(any);
+	g_object_unref(listener);
+	g_free(address);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -400,5 +491,6 @@
 	g_test_add_func("/http/free", test_free);
 	CASES("/http/unanswered", unanswered_cases, test_unanswered);
 	CASES("/http/crowd", crowd_cases, test_crowd);
+	g_test_add_func("/http/not-sent-later", test_not_sent_later);
 	return g_test_run();
 }
