--- a/gen/event.pb-c.c
+++ b/gen/event.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &bp__statement_refused__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__result_discarded__init
+                     (Bp__ResultDiscarded         *message)
+{
+  static const Bp__ResultDiscarded init_value = BP__RESULT_DISCARDED__INIT;
+  *message = init_value;
+}
+size_t bp__result_discarded__get_packed_size
+                     (const Bp__ResultDiscarded *message)
+{
+  assert(message->base.descriptor == &bp__result_discarded__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__result_discarded__pack
+                     (const Bp__ResultDiscarded *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__result_discarded__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__result_discarded__pack_to_buffer
+                     (const Bp__ResultDiscarded *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__result_discarded__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__ResultDiscarded *
+       bp__result_discarded__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__ResultDiscarded *)
+     protobuf_c_message_unpack (&bp__result_discarded__descriptor,
+                                allocator, len, data);
+}
+void   bp__result_discarded__free_unpacked
+                     (Bp__ResultDiscarded *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__result_discarded__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__transaction_rolled_back__init
                      (Bp__TransactionRolledBack         *message)
 {
@@ -2446,6 +2491,135 @@
   (ProtobufCMessageInit) bp__statement_refused__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__result_discarded__field_descriptors[8] =
+{
+  {
+    "session",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__ResultDiscarded, session),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "group",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__ResultDiscarded, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Bp__ResultDiscarded, kind),
+    &bp__operation_kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_transaction",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bp__ResultDiscarded, in_transaction),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "verdict",
+    5,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Bp__ResultDiscarded, verdict),
+    &bp__verdict__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result_bytes",
+    6,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__ResultDiscarded, result_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_bytes",
+    7,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__ResultDiscarded, held_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_out",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bp__ResultDiscarded, has_left_out),
+    offsetof(Bp__ResultDiscarded, left_out),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__result_discarded__field_indices_by_name[] = {
+  1,   /* field[1] = group */
+  6,   /* field[6] = held_bytes */
+  3,   /* field[3] = in_transaction */
+  2,   /* field[2] = kind */
+  7,   /* field[7] = left_out */
+  5,   /* field[5] = result_bytes */
+  0,   /* field[0] = session */
+  4,   /* field[4] = verdict */
+};
+static const ProtobufCIntRange bp__result_discarded__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor bp__result_discarded__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.ResultDiscarded",
+  "ResultDiscarded",
+  "Bp__ResultDiscarded",
+  "bp",
+  sizeof(Bp__ResultDiscarded),
+  8,
+  bp__result_discarded__field_descriptors,
+  bp__result_discarded__field_indices_by_name,
+  1,  bp__result_discarded__number_ranges,
+  (ProtobufCMessageInit) bp__result_discarded__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__transaction_rolled_back__field_descriptors[4] =
 {
   {
--- a/gen/event.pb-c.h
+++ b/gen/event.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Bp__StatementEnded Bp__StatementEnded;
 typedef struct Bp__StatementRetried Bp__StatementRetried;
 typedef struct Bp__StatementRefused Bp__StatementRefused;
+typedef struct Bp__ResultDiscarded Bp__ResultDiscarded;
 typedef struct Bp__TransactionRolledBack Bp__TransactionRolledBack;
 typedef struct Bp__ServerConnectionLost Bp__ServerConnectionLost;
 typedef struct Bp__ServerReached Bp__ServerReached;
@@ -365,6 +366,37 @@
     , NULL, 0, NULL, BP__VERDICT__SUCCEEDED, NULL, 0, 0 }
 
 
+/*
+ * The result of a statement that has run was discarded, since it is larger than
+ * one may be, or other results take the memory for results.
+ */
+struct  Bp__ResultDiscarded
+{
+  ProtobufCMessage base;
+  uint64_t session;
+  char *group;
+  Bp__OperationKind kind;
+  protobuf_c_boolean in_transaction;
+  /*
+   * in the reply to the client
+   */
+  Bp__Verdict verdict;
+  /*
+   * kept of it, and the next row
+   */
+  uint64_t result_bytes;
+  /*
+   * of other results
+   */
+  uint64_t held_bytes;
+  protobuf_c_boolean has_left_out;
+  uint32_t left_out;
+};
+#define BP__RESULT_DISCARDED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__result_discarded__descriptor) \
+    , 0, NULL, BP__OPERATION_KIND__READ_ITEM, 0, BP__VERDICT__SUCCEEDED, 0, 0, 0, 0 }
+
+
 /*
  * A transaction was rolled back because it was idle for too long.
  */
@@ -1109,6 +1141,25 @@
 void   bp__statement_refused__free_unpacked
                      (Bp__StatementRefused *message,
                       ProtobufCAllocator *allocator);
+/* Bp__ResultDiscarded methods */
+void   bp__result_discarded__init
+                     (Bp__ResultDiscarded         *message);
+size_t bp__result_discarded__get_packed_size
+                     (const Bp__ResultDiscarded   *message);
+size_t bp__result_discarded__pack
+                     (const Bp__ResultDiscarded   *message,
+                      uint8_t             *out);
+size_t bp__result_discarded__pack_to_buffer
+                     (const Bp__ResultDiscarded   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__ResultDiscarded *
+       bp__result_discarded__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__result_discarded__free_unpacked
+                     (Bp__ResultDiscarded *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__TransactionRolledBack methods */
 void   bp__transaction_rolled_back__init
                      (Bp__TransactionRolledBack         *message);
@@ -1718,6 +1769,9 @@
 typedef void (*Bp__StatementRefused_Closure)
                  (const Bp__StatementRefused *message,
                   void *closure_data);
+typedef void (*Bp__ResultDiscarded_Closure)
+                 (const Bp__ResultDiscarded *message,
+                  void *closure_data);
 typedef void (*Bp__TransactionRolledBack_Closure)
                  (const Bp__TransactionRolledBack *message,
                   void *closure_data);
@@ -1826,6 +1880,7 @@
 extern const ProtobufCMessageDescriptor bp__statement_ended__descriptor;
 extern const ProtobufCMessageDescriptor bp__statement_retried__descriptor;
 extern const ProtobufCMessageDescriptor bp__statement_refused__descriptor;
+extern const ProtobufCMessageDescriptor bp__result_discarded__descriptor;
 extern const ProtobufCMessageDescriptor bp__transaction_rolled_back__descriptor;
 extern const ProtobufCMessageDescriptor bp__server_connection_lost__descriptor;
 extern const ProtobufCMessageDescriptor bp__server_reached__descriptor;
--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -1682,7 +1682,8 @@
 };
 static const protobuf_c_boolean bp__operation_ended__in_transaction__default_value = 0;
 static const protobuf_c_boolean bp__operation_ended__unable__default_value = 0;
-static const ProtobufCFieldDescriptor bp__operation_ended__field_descriptors[10] =
+static const Bp__OperationKind bp__operation_ended__kind__default_value = BP__OPERATION_KIND__WRITE_ITEM;
+static const ProtobufCFieldDescriptor bp__operation_ended__field_descriptors[11] =
 {
   {
     "session",
@@ -1804,10 +1805,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kind",
+    11,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_ENUM,
+    offsetof(Bp__OperationEnded, has_kind),
+    offsetof(Bp__OperationEnded, kind),
+    &bp__operation_kind__descriptor,
+    &bp__operation_ended__kind__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__operation_ended__field_indices_by_name[] = {
   8,   /* field[8] = in_transaction */
   6,   /* field[6] = index */
+  10,   /* field[10] = kind */
   7,   /* field[7] = retry_after_ms */
   4,   /* field[4] = rows */
   1,   /* field[1] = sequence */
@@ -1820,7 +1834,7 @@
 static const ProtobufCIntRange bp__operation_ended__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bp__operation_ended__descriptor =
 {
@@ -1830,7 +1844,7 @@
   "Bp__OperationEnded",
   "bp",
   sizeof(Bp__OperationEnded),
-  10,
+  11,
   bp__operation_ended__field_descriptors,
   bp__operation_ended__field_indices_by_name,
   1,  bp__operation_ended__number_ranges,
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -262,10 +262,12 @@
    */
   protobuf_c_boolean has_unable;
   protobuf_c_boolean unable;
+  protobuf_c_boolean has_kind;
+  Bp__OperationKind kind;
 };
 #define BP__OPERATION_ENDED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__operation_ended__descriptor) \
-    , 0, 0, BP__VERDICT__SUCCEEDED, NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, BP__VERDICT__SUCCEEDED, NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, BP__OPERATION_KIND__WRITE_ITEM }
 
 
 /*
--- a/src/frame.c
+++ b/src/frame.c
@@ -5,6 +5,9 @@
 
 #define LENGTH_BYTES 4
 
+/* A receive buffer that was larger is freed when it is empty. */
+#define RECV_BUFFER_BYTES_KEPT 65536
+
 struct frame_link {
 	const frame_ops_t *ops;
 	void *context;
@@ -99,8 +102,13 @@
 		    size_bytes);
 		offset += LENGTH_BYTES + size_bytes;
 	}
-	if (offset > 0)
+	if (offset > RECV_BUFFER_BYTES_KEPT &&
+	    offset == link->recv_buffer->len) {
+		g_byte_array_unref(link->recv_buffer);
+		link->recv_buffer = g_byte_array_new();
+	} else if (offset > 0) {
 		g_byte_array_remove_range(link->recv_buffer, 0, offset);
+	}
 	if (link->recv_buffer->len == 0)
 		link->partial_since_us = 0;
 	else if (offset > 0 || link->partial_since_us == 0)
@@ -233,3 +241,13 @@
 {
 	return link->partial_since_us;
 }
+
+/*
+ * Return the size of the frames that were sent and that the connection has not
+ * taken yet.
+ */
+uint64_t
+frame_buffered_bytes(const frame_link_t *link)
+{
+	return link->closed ? 0 : sock_buffered_bytes(link->sock);
+}
--- a/src/frame.h
+++ b/src/frame.h
@@ -24,6 +24,7 @@
 frame_link_t *frame_accept(GMainContext *, GSocket *, uint32_t frame_bytes_max,
     const frame_ops_t *, void *context);
 int32_t frame_send(frame_link_t *, const Bp__PeerMessage *);
+uint64_t frame_buffered_bytes(const frame_link_t *);
 int64_t frame_partial_since_us(const frame_link_t *);
 void frame_free(frame_link_t *);
 
--- a/src/proxy/clients.c
+++ b/src/proxy/clients.c
@@ -36,6 +36,7 @@
 
 	clients->proxy = proxy;
 	clients->wire = proxy->wire;
+	clients->output.held_bytes_max = CLIENTS_RESULTS_BYTES_MAX;
 	clients->sessions = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, session_free);
 	clients->routes = g_hash_table_new(g_str_hash, g_str_equal);
--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -120,6 +120,7 @@
 	line_buffer_clear(&conn->in);
 	g_string_free(conn->out, TRUE);
 	g_array_unref(conn->expected);
+	result_budget_release(&server->group->pool->results, &conn->rows_bytes);
 	g_ptr_array_unref(conn->rows);
 	g_hash_table_unref(conn->values);
 	g_hash_table_unref(conn->prepared);
@@ -398,6 +399,9 @@
 answer_reset(dbconn_t *conn)
 {
 	g_ptr_array_set_size(conn->rows, 0);
+	result_budget_release(
+	    &conn->server->group->pool->results, &conn->rows_bytes);
+	conn->rows_fit = RESULT_FITS;
 	g_clear_pointer(&conn->ack_token, g_free);
 	g_clear_pointer(&conn->error, g_free);
 	conn->verdict = BP__VERDICT__SUCCEEDED;
@@ -546,6 +550,35 @@
 	server->connections = server->group->connections_max;
 }
 
+/*
+ * Keep a row of an answer.  If the rows become too large, drop them and those
+ * that follow.
+ */
+static void
+row_add(dbconn_t *conn, const char *row, uint32_t line_bytes)
+{
+	pool_t *pool = conn->server->group->pool;
+	const operation_t *operation = conn->operation;
+	uint64_t row_bytes = line_bytes + ROW_OVERHEAD_BYTES;
+	bool forwarded =
+	    operation != NULL && operation->msg->from == pool->proxy->peers;
+
+	if (conn->rows_fit != RESULT_FITS)
+		return;
+	conn->rows_fit =
+	    result_budget_check(&pool->results, conn->rows_bytes, row_bytes,
+		forwarded ? FORWARDED_RESULT_BYTES_MAX : RESULT_BYTES_MAX);
+	if (conn->rows_fit != RESULT_FITS) {
+		conn->discarded_bytes = conn->rows_bytes + row_bytes;
+		g_ptr_array_set_size(conn->rows, 0);
+		result_budget_release(&pool->results, &conn->rows_bytes);
+		return;
+	}
+	g_ptr_array_add(conn->rows, g_strdup(row));
+	conn->rows_bytes += row_bytes;
+	result_budget_hold(&pool->results, row_bytes);
+}
+
 /*
  * Handle one line from a server.  An error before the session is open means
  * that the server refuses the connection.  Returns false if the connection was
@@ -560,7 +593,7 @@
 	conn->server->group->pool->wire->read_reply(line, size_bytes, &reply);
 	switch (reply.kind) {
 	case REPLY_ROW:
-		g_ptr_array_add(conn->rows, g_strdup(reply.text));
+		row_add(conn, reply.text, size_bytes);
 		break;
 	case REPLY_DONE:
 		g_free(conn->ack_token);
--- a/src/proxy/incoming.c
+++ b/src/proxy/incoming.c
@@ -282,6 +282,60 @@
 		send_leaving(incoming);
 }
 
+/*
+ * Return the size of the frames that the links of other daemons have not taken.
+ */
+static uint64_t
+buffered_bytes(const peers_t *peers)
+{
+	uint64_t size_bytes = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, peers->incoming);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		size_bytes += frame_buffered_bytes(
+		    ((const incoming_link_t *)value)->link);
+	return size_bytes;
+}
+
+/*
+ * Check that there is memory for a result until the link has taken it.  If not,
+ * roll a transaction back, and replace the result by an error.
+ */
+static void
+check_room(incoming_link_t *incoming, Bp__OperationEnded *ended)
+{
+	peers_t *peers = incoming->peers;
+	uint64_t size_bytes = result_bytes(ended);
+	result_budget_t link = {
+	    frame_buffered_bytes(incoming->link), LINK_RESULTS_BYTES_MAX};
+	result_budget_t all = {0, PEERS_RESULTS_BYTES_MAX};
+	result_discarded_t discarded = {.kind = ended->kind,
+	    .in_transaction = ended->in_transaction,
+	    .session = ended->session,
+	    .result_bytes = size_bytes};
+	const char *text;
+
+	if (ended->verdict != BP__VERDICT__SUCCEEDED ||
+	    size_bytes <= RESULT_SMALL_BYTES)
+		return;
+	all.held_bytes = discarded.held_bytes = buffered_bytes(peers);
+	discarded.fit = result_budget_check(&link, 0, size_bytes, UINT64_MAX);
+	if (discarded.fit == RESULT_FITS)
+		discarded.fit =
+		    result_budget_check(&all, 0, size_bytes, UINT64_MAX);
+	if (discarded.fit == RESULT_FITS)
+		return;
+	if (ended->in_transaction)
+		drop_transaction(incoming, ended->session);
+	ended->verdict =
+	    result_discard(&discarded, &peers->results_log_limit, &text);
+	ended->text = (char *)text;
+	ended->n_rows = 0;
+	ended->in_transaction = false;
+}
+
 /*
  * Send the result of a statement to the daemon that it came from, unless its
  * link has ended.
@@ -302,6 +356,7 @@
 		return;
 	}
 	incoming->statements--;
+	check_room(incoming, ended);
 	if (ended->verdict != BP__VERDICT__SUCCEEDED || !ended->in_transaction)
 		g_hash_table_remove(incoming->transactions, &ended->session);
 	ended->session &= SESSION_MASK;
--- a/src/proxy/lines.c
+++ b/src/proxy/lines.c
@@ -5,6 +5,9 @@
 /* Size of CR LF, which ends a line. */
 #define LINE_END_BYTES 2
 
+/* A buffer that was larger is freed when it is empty. */
+#define BUFFER_BYTES_KEPT (128 << 10)
+
 /*
  * Initialize an empty buffer.
  */
@@ -75,6 +78,10 @@
 	*size_bytes = 0;
 	if (lines->scanned_bytes >= unconsumed_bytes) {
 		if (unconsumed_bytes == 0) {
+			if (lines->bytes->len > BUFFER_BYTES_KEPT) {
+				g_byte_array_unref(lines->bytes);
+				lines->bytes = g_byte_array_new();
+			}
 			g_byte_array_set_size(lines->bytes, 0);
 			lines->consumed_bytes = 0;
 		}
--- a/src/proxy/operation.c
+++ b/src/proxy/operation.c
@@ -33,6 +33,17 @@
 /* Delay after which a client may retry a refused statement. */
 #define RETRY_AFTER_MS 50
 
+/*
+ * Free the rows of a result.
+ */
+static void
+operation_drop_rows(operation_t *operation)
+{
+	g_clear_pointer(&operation->rows, g_ptr_array_unref);
+	result_budget_release(
+	    &operation->group->pool->results, &operation->rows_bytes);
+}
+
 /*
  * Send the result of a statement to the task that submitted it, and free the
  * statement.
@@ -50,6 +61,8 @@
 	ended->session = run->session;
 	ended->sequence = run->sequence;
 	ended->verdict = verdict;
+	ended->has_kind = 1;
+	ended->kind = run->kind;
 	ended->text = arena_strdup(reply->arena, text);
 	ended->has_in_transaction = 1;
 	ended->in_transaction = operation->transaction != NULL;
@@ -63,10 +76,13 @@
 	if (verdict == BP__VERDICT__SUCCEEDED && operation->rows != NULL) {
 		ended->rows = arena_zalloc(reply->arena,
 		    sizeof(ended->rows[0]) * (operation->rows->len + 1));
-		for (i = 0; i < operation->rows->len; i++)
+		for (i = 0; i < operation->rows->len; i++) {
+			gpointer *row = &g_ptr_array_index(operation->rows, i);
+
 			ended->rows[ended->n_rows++] =
-			    arena_strdup(reply->arena,
-				g_ptr_array_index(operation->rows, i));
+			    arena_strdup(reply->arena, *row);
+			g_clear_pointer(row, g_free);
+		}
 	}
 	if (operation->item.queued)
 		rankq_remove(operation->backlog, &operation->item);
@@ -74,8 +90,7 @@
 		g_queue_unlink(&operation->group->held, &operation->link);
 	if (operation->transaction != NULL)
 		operation->transaction->operation = NULL;
-	if (operation->rows != NULL)
-		g_ptr_array_unref(operation->rows);
+	operation_drop_rows(operation);
 	task_send(requester, operation->group->pool->task, reply);
 	msg_free(operation->msg);
 }
@@ -430,7 +445,7 @@
 		return;
 	}
 	g_queue_unlink(&operation->group->held, &operation->link);
-	g_clear_pointer(&operation->rows, g_ptr_array_unref);
+	operation_drop_rows(operation);
 	memset(&operation->executed_position, 0,
 	    sizeof(operation->executed_position));
 	operation_retry(operation, BP__VERDICT__SUCCEEDED,
@@ -484,6 +499,29 @@
 		monitor_request_status(group->servers[i], now_us);
 }
 
+/*
+ * End a statement that has run and whose result is too large to be kept.  A
+ * transaction that has not committed is rolled back.
+ */
+static void
+operation_discard_result(operation_t *operation, const dbconn_t *conn)
+{
+	pool_t *pool = operation->group->pool;
+	const Bp__RunOperation *run = operation->run;
+	result_discarded_t discarded = {.fit = conn->rows_fit,
+	    .kind = run->kind,
+	    .in_transaction = run->in_transaction,
+	    .session = run->session,
+	    .group = operation->group->name,
+	    .result_bytes = conn->discarded_bytes,
+	    .held_bytes = pool->results.held_bytes};
+	const char *text;
+	Bp__Verdict verdict =
+	    result_discard(&discarded, &pool->results_log_limit, &text);
+
+	operation_fail(operation, verdict, text);
+}
+
 /*
  * Handle the success of a statement.  The result of a replica is sent at once,
  * that of the primary is held until the lease covers it.
@@ -500,8 +538,10 @@
 
 	operation->ack_token =
 	    arena_strdup(operation->msg->arena, conn->ack_token);
-	operation->rows = g_ptr_array_ref(conn->rows);
+	operation->rows = g_steal_pointer(&conn->rows);
+	operation->rows_bytes = conn->rows_bytes;
 	conn->rows = g_ptr_array_new_with_free_func(g_free);
+	conn->rows_bytes = 0;
 	if (transaction != NULL)
 		transaction->last_used_us = now_us;
 	if (operation->run->kind == BP__OPERATION_KIND__COMMIT_TRANSACTION &&
@@ -512,6 +552,10 @@
 		operation->transaction = NULL;
 		transaction_end(transaction);
 	}
+	if (conn->rows_fit != RESULT_FITS) {
+		operation_discard_result(operation, conn);
+		return;
+	}
 	if (replica &&
 	    (primary < 0 || operation->group->servers[primary] != server))
 		operation_succeed(operation);
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -5,6 +5,7 @@
 #include "listener.h"
 #include "log.h"
 #include "proxy.h"
+#include "result.h"
 
 /*
  * Private to the peers task, which serves the requests of other daemons and
@@ -27,6 +28,7 @@
 	int64_t drain_started_us; /* start of the drain; 0: not draining */
 	int64_t grace_us;         /* longest duration of a drain */
 	log_rate_limit_t unreadable_limit;
+	log_rate_limit_t results_log_limit;
 } peers_t;
 
 /* A connection that another daemon has opened. */
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -43,6 +43,7 @@
 
 	pool->proxy = proxy;
 	pool->wire = proxy->wire;
+	pool->results.held_bytes_max = POOL_RESULTS_BYTES_MAX;
 	pool->groups =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, group_destroy);
 	pool->transactions = g_hash_table_new(g_int64_hash, g_int64_equal);
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -10,6 +10,7 @@
 #include "lines.h"
 #include "log.h"
 #include "proxy.h"
+#include "result.h"
 #include "sock.h"
 #include "stats.h"
 
@@ -85,10 +86,15 @@
 	operation_t *operation;     /* statement that runs here, or NULL */
 	transaction_t *transaction; /* transaction open here, or NULL */
 	GPtrArray *rows;            /* rows of the answer being read */
-	char *ack_token;            /* acknowledgement token of that answer */
-	char *error;                /* error text of that answer, or NULL */
-	Bp__Verdict verdict;        /* kind of that error */
-	GHashTable *values;         /* session variables set here, by name */
+	uint64_t rows_bytes;        /* their size, part of pool->results */
+	/* whether the rows of that answer are kept; if not, the others are
+	   read and discarded */
+	result_fit_t rows_fit;
+	uint64_t discarded_bytes; /* size at which that was found */
+	char *ack_token;          /* acknowledgement token of that answer */
+	char *error;              /* error text of that answer, or NULL */
+	Bp__Verdict verdict;      /* kind of that error */
+	GHashTable *values;       /* session variables set here, by name */
 	/* names of the statements prepared here, by access and text */
 	GHashTable *prepared;
 	uint32_t last_prepared; /* number in the last of these names */
@@ -278,6 +284,7 @@
 	int64_t executed_us;          /* time of the answer */
 	const char *ack_token; /* acknowledgement token of the database */
 	GPtrArray *rows;       /* rows of the result, or NULL */
+	uint64_t rows_bytes;   /* their size, part of pool->results */
 	GList link;            /* entry in group->held */
 };
 
@@ -328,6 +335,8 @@
 	uint64_t counts[POOL_COUNTERS];
 	latencies_t *latencies;
 	retry_budget_t retry_budget; /* limits the retries of overdue reads */
+	result_budget_t results;     /* rows that were read and not answered */
+	log_rate_limit_t results_log_limit;
 };
 
 /* pool.c */
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -51,7 +51,10 @@
 void peers_free(void *);
 void metrics_free(void *);
 
-/* Longest frame between daemons, in bytes; a statement has up to 1 MiB. */
+/*
+ * Longest frame between daemons, in bytes; a statement has up to 1 MiB, a
+ * result up to FORWARDED_RESULT_BYTES_MAX.
+ */
 #define PEER_FRAME_BYTES_MAX (UINT32_C(4) << 20)
 
 /*
--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -9,6 +9,12 @@
 /* Maximum input in bytes that is buffered while a statement runs. */
 #define PIPELINED_BYTES_MAX (UINT32_C(2) << 20)
 
+/* Rows are sent when so much output is buffered. */
+#define OUTPUT_PIECE_BYTES UINT64_C(32768)
+
+/* An output buffer that was larger is freed when it is empty. */
+#define OUTPUT_BYTES_KEPT (4 * OUTPUT_PIECE_BYTES)
+
 /*
  * Limit of log lines about refused statements.  Lines beyond the limit are only
  * counted.
@@ -35,6 +41,8 @@
 {
 	session_t *session = p;
 
+	result_budget_release(
+	    &session->clients->output, &session->output_bytes);
 	sock_free(session->sock);
 	line_buffer_clear(&session->in);
 	g_string_free(session->out, TRUE);
@@ -95,17 +103,39 @@
 }
 
 /*
- * Send the buffered output.
+ * Note how much output the connection has not taken.
+ */
+static void
+note_output(session_t *session)
+{
+	result_budget_t *output = &session->clients->output;
+
+	result_budget_release(output, &session->output_bytes);
+	session->output_bytes = sock_buffered_bytes(session->sock);
+	result_budget_hold(output, session->output_bytes);
+}
+
+/*
+ * Send the buffered output.  May free the session, unless its input is being
+ * processed.
  */
 static void
 flush_output(session_t *session)
 {
+	int32_t error;
+
 	if (session->out->len == 0)
 		return;
-	if (sock_write(session->sock, (const uint8_t *)session->out->str,
-		session->out->len) < 0)
-		session_close(session);
+	error = sock_write(session->sock, (const uint8_t *)session->out->str,
+	    session->out->len);
+	note_output(session);
+	if (session->out->allocated_len > OUTPUT_BYTES_KEPT) {
+		g_string_free(session->out, TRUE);
+		session->out = g_string_new(NULL);
+	}
 	g_string_truncate(session->out, 0);
+	if (error < 0)
+		session_close(session);
 }
 
 /*
@@ -486,7 +516,7 @@
 
 /*
  * Process the buffered input, up to a message that has to wait for the pool or
- * the catalog.
+ * the catalog, or until the client has taken the output.
  */
 void
 session_process_input(session_t *session)
@@ -496,6 +526,7 @@
 
 	session->processing_input = true;
 	while (!session->close_pending && !session->waiting &&
+	    session->output_bytes == 0 &&
 	    (line = line_buffer_next(&session->in, &size_bytes)) != NULL)
 		on_line(session, line, size_bytes);
 	if (!session->close_pending &&
@@ -543,6 +574,53 @@
 	session->last_write = position;
 }
 
+/*
+ * Write the rows of a result, and send them in pieces, so that they are not
+ * kept twice.
+ */
+static void
+write_rows(session_t *session, const Bp__OperationEnded *ended)
+{
+	size_t i;
+
+	for (i = 0; i < ended->n_rows; i++) {
+		session->clients->wire->write_row(session->out, ended->rows[i]);
+		if (session->out->len >= OUTPUT_PIECE_BYTES)
+			flush_output(session);
+	}
+}
+
+/*
+ * Check that there is memory for a result until the client has taken it.  If
+ * not, roll a transaction back, and return the verdict that is to be sent in
+ * place of the result, and its text in *text.
+ */
+static Bp__Verdict
+check_room(
+    session_t *session, const Bp__OperationEnded *ended, const char **text)
+{
+	clients_t *clients = session->clients;
+	uint64_t size_bytes = result_bytes(ended);
+	result_discarded_t discarded = {
+	    .fit = result_budget_check(
+		&clients->output, 0, size_bytes, UINT64_MAX),
+	    .kind = session->operation_kind,
+	    .in_transaction = session->state == TRANSACTION_OPEN,
+	    .session = session->id,
+	    .group = session->sent_group,
+	    .result_bytes = size_bytes,
+	    .held_bytes = clients->output.held_bytes};
+
+	*text = ended->text;
+	if (ended->verdict != BP__VERDICT__SUCCEEDED ||
+	    discarded.fit == RESULT_FITS)
+		return ended->verdict;
+	if (discarded.in_transaction &&
+	    discarded.kind != BP__OPERATION_KIND__COMMIT_TRANSACTION)
+		session_abort_transaction(session);
+	return result_discard(&discarded, &clients->results_log_limit, text);
+}
+
 /*
  * Pass the result of a statement on to the client, and go on with its input.  A
  * commit, or a write outside a transaction, sets the position from which later
@@ -553,19 +631,24 @@
 {
 	const wire_ops_t *wire = session->clients->wire;
 	position_t position = {ended->term, ended->index};
-	bool done = ended->verdict == BP__VERDICT__SUCCEEDED;
-	size_t i;
+	Bp__Verdict verdict;
+	const char *text;
+	bool done;
 
 	if (!session->waiting || ended->sequence != session->sequence)
 		return;
 	session->waiting = false;
-	for (i = 0; i < ended->n_rows; i++)
-		wire->write_row(session->out, ended->rows[i]);
-	if (done)
-		wire->write_done(session->out, ended->text);
-	else
-		wire->write_error(session->out, ended->verdict,
-		    ended->text == NULL ? "" : ended->text);
+	/* an error of the connection closes the session at the end */
+	session->processing_input = true;
+	verdict = check_room(session, ended, &text);
+	done = verdict == BP__VERDICT__SUCCEEDED;
+	if (done) {
+		write_rows(session, ended);
+		wire->write_done(session->out, text);
+	} else {
+		wire->write_error(
+		    session->out, verdict, text == NULL ? "" : text);
+	}
 	if (session->operation_kind == BP__OPERATION_KIND__COMMIT_TRANSACTION)
 		clear_transaction(session, TRANSACTION_NONE);
 	else if (!done && session->state == TRANSACTION_OPEN)
@@ -612,7 +695,7 @@
 session_is_idle(const session_t *session)
 {
 	return !session->waiting && session->state == TRANSACTION_NONE &&
-	    session->out->len == 0 &&
+	    session->out->len == 0 && session->output_bytes == 0 &&
 	    session->in.bytes->len == session->in.consumed_bytes;
 }
 
@@ -638,7 +721,21 @@
 	session_close(context);
 }
 
-static const sock_ops_t sock_ops = {NULL, on_received, on_closed};
+/*
+ * Handle output that the client has taken: go on with its input when there is
+ * no more.
+ */
+static void
+on_written(void *context)
+{
+	session_t *session = context;
+
+	note_output(session);
+	if (session->output_bytes == 0)
+		session_process_input(session);
+}
+
+static const sock_ops_t sock_ops = {NULL, on_received, on_closed, on_written};
 
 /*
  * Create the session of an accepted connection.
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -5,6 +5,7 @@
 #include "listener.h"
 #include "log.h"
 #include "proxy.h"
+#include "result.h"
 #include "sock.h"
 #include "stats.h"
 
@@ -35,7 +36,10 @@
 	sock_t *sock;
 	line_buffer_t in; /* received and not yet processed */
 	GString *out;     /* output that is not yet sent */
-	char *database;   /* NULL before the client has opened the session */
+	/* output that the connection has not taken, part of clients->output;
+	   meanwhile no input is processed */
+	uint64_t output_bytes;
+	char *database; /* NULL before the client has opened the session */
 	char *account;
 	transaction_state_t state;
 	arena_t *route_arena;               /* owns transaction_route */
@@ -75,6 +79,8 @@
 	SoupServer *health_server; /* for the load balancer's health checks */
 	uint64_t last_session_id;
 	log_rate_limit_t refusal_log_limit; /* limit of log lines on refusals */
+	result_budget_t output; /* output that connections have not taken */
+	log_rate_limit_t results_log_limit;
 	uint64_t counts[CLIENTS_COUNTERS];
 	GSource *drain_timer;     /* checks the sessions during a drain */
 	int64_t drain_started_us; /* start of the drain; 0: not draining */
--- a/src/sock.c
+++ b/src/sock.c
@@ -7,7 +7,12 @@
 #include <sys/epoll.h>
 
 #define READ_BYTES 65536
-#define SEND_BUFFER_BYTES_MAX (UINT64_C(16) << 20)
+
+/* Larger than any result that a daemon passes on (proxy/result.h). */
+#define SEND_BUFFER_BYTES_MAX (UINT64_C(24) << 20)
+
+/* A send buffer that was larger is freed when it is empty. */
+#define SEND_BUFFER_BYTES_KEPT 65536
 
 /*
  * Limits for detecting that the peer's host has failed: keepalive probes on an
@@ -25,6 +30,7 @@
 	GSocket *socket;
 	poller_item_t poller_item;
 	GByteArray *send_buffer; /* data that the socket has not taken yet */
+	uint32_t sent_bytes;     /* at its start: already taken */
 	uint32_t callback_depth; /* number of on_ready() calls on the stack */
 	bool connecting;
 	bool closed;
@@ -91,6 +97,38 @@
 		sock_destroy(sock);
 }
 
+/*
+ * Return the size of the data that the socket has not taken yet.
+ */
+uint64_t
+sock_buffered_bytes(const sock_t *sock)
+{
+	return sock->send_buffer->len - sock->sent_bytes;
+}
+
+/*
+ * Remove data from the start of the send buffer.
+ */
+static void
+buffer_consume(sock_t *sock, uint32_t size_bytes)
+{
+	uint32_t len_bytes = sock->send_buffer->len;
+
+	sock->sent_bytes += size_bytes;
+	if (sock->sent_bytes == len_bytes) {
+		if (len_bytes > SEND_BUFFER_BYTES_KEPT) {
+			g_byte_array_unref(sock->send_buffer);
+			sock->send_buffer = g_byte_array_new();
+		}
+		g_byte_array_set_size(sock->send_buffer, 0);
+		sock->sent_bytes = 0;
+	} else if (sock->sent_bytes >= len_bytes / 2) {
+		g_byte_array_remove_range(
+		    sock->send_buffer, 0, sock->sent_bytes);
+		sock->sent_bytes = 0;
+	}
+}
+
 /*
  * Update the set of polled events: writability while connecting, afterwards
  * readability, and writability also while the send buffer is not empty.
@@ -100,7 +138,7 @@
 {
 	uint32_t events = sock->connecting ? EPOLLOUT : EPOLLIN;
 
-	if (sock->send_buffer->len > 0)
+	if (sock_buffered_bytes(sock) > 0)
 		events |= EPOLLOUT;
 	poller_modify(&sock->poller_item, events);
 }
@@ -134,9 +172,9 @@
 		return -ENOTCONN;
 	if (sock->discarding)
 		return 0;
-	if (sock->send_buffer->len + size_bytes > SEND_BUFFER_BYTES_MAX)
+	if (sock_buffered_bytes(sock) + size_bytes > SEND_BUFFER_BYTES_MAX)
 		return -ENOBUFS;
-	if (!sock->connecting && sock->send_buffer->len == 0) {
+	if (!sock->connecting && sock_buffered_bytes(sock) == 0) {
 		n = sock_try_write(sock, bytes, size_bytes);
 		if (n < 0)
 			return (int32_t)n;
@@ -191,17 +229,19 @@
 	int64_t n;
 
 	if ((sock->connecting && !sock_finish_connect(sock)) ||
-	    sock->send_buffer->len == 0)
+	    sock_buffered_bytes(sock) == 0)
 		return;
-	n = sock_try_write(
-	    sock, sock->send_buffer->data, sock->send_buffer->len);
+	n = sock_try_write(sock, sock->send_buffer->data + sock->sent_bytes,
+	    sock_buffered_bytes(sock));
 	if (n < 0) {
 		sock_fail(sock, (int32_t)n);
 		return;
 	}
 	if (n > 0)
-		g_byte_array_remove_range(sock->send_buffer, 0, (guint)n);
+		buffer_consume(sock, (uint32_t)n);
 	sock_update_events(sock);
+	if (n > 0 && sock->ops->written != NULL)
+		sock->ops->written(sock->context);
 }
 
 /*
--- a/src/sock.h
+++ b/src/sock.h
@@ -15,6 +15,8 @@
 	    void *context, const uint8_t *bytes, uint32_t size_bytes);
 	/* last callback; the owner then calls sock_free() */
 	void (*closed)(void *context, int32_t error);
+	/* the peer has taken buffered data; may be NULL */
+	void (*written)(void *context);
 } sock_ops_t;
 
 sock_t *sock_connect(GMainContext *, const char *address, uint32_t port,
@@ -22,6 +24,7 @@
 sock_t *sock_accept(
     GMainContext *, GSocket *, const sock_ops_t *, void *context);
 int32_t sock_write(sock_t *, const uint8_t *bytes, uint64_t size_bytes);
+uint64_t sock_buffered_bytes(const sock_t *);
 void sock_shutdown(sock_t *);
 void sock_discard_all(sock_t *);
 void sock_free(sock_t *);
--- a/tests/fake/fakegroup.c
+++ b/tests/fake/fakegroup.c
@@ -25,6 +25,13 @@
 /* Shape that the databases refuse to prepare. */
 #define REFUSED_SHAPE "refused"
 
+/* READ large.ROWS.BYTES returns so many rows of so many bytes. */
+#define LARGE_ITEM "large."
+
+/* Output that is sent at once, and the interval between two pieces. */
+#define OUTPUT_PIECE_BYTES (4 << 20)
+#define OUTPUT_PIECE_MS 1
+
 /* A log entry: the write of one item. */
 typedef struct write_entry {
 	uint64_t term;
@@ -361,20 +368,27 @@
 }
 
 /*
- * Send the buffered answers, or discard them if the database does not
- * answer.
+ * Send the buffered answers, or discard them if the database does not answer.
+ * Large ones are sent in pieces.
  */
 static gboolean
 send_output(gpointer context)
 {
 	conn_t *conn = context;
 
+	gsize size_bytes = MIN(conn->output->len, OUTPUT_PIECE_BYTES);
+
 	conn->answer_timer = 0;
 	conn->delay_answers = false;
+	if (sock_buffered_bytes(conn->sock) > OUTPUT_PIECE_BYTES)
+		size_bytes = 0;
 	if (!conn->database->unresponsive)
-		sock_write(conn->sock, (const uint8_t *)conn->output->str,
-		    conn->output->len);
-	g_string_truncate(conn->output, 0);
+		sock_write(
+		    conn->sock, (const uint8_t *)conn->output->str, size_bytes);
+	g_string_erase(conn->output, 0, (gssize)size_bytes);
+	if (conn->output->len > 0)
+		conn->answer_timer =
+		    g_timeout_add(OUTPUT_PIECE_MS, send_output, conn);
 	return G_SOURCE_REMOVE;
 }
 
@@ -437,6 +451,22 @@
 	    database_last_index(database) + 1, item, value);
 }
 
+/*
+ * Append the rows of an item LARGE_ITEM.
+ */
+static void
+append_large(conn_t *conn, const char *item)
+{
+	char **fields = g_strsplit(item, ".", 3);
+	uint64_t i, rows = strtoull(fields[1], NULL, 10);
+	char *row = g_strnfill(strtoull(fields[2], NULL, 10), 'x');
+
+	for (i = 0; i < rows; i++)
+		g_string_append_printf(conn->output, "ROW %s\r\n", row);
+	g_free(row);
+	g_strfreev(fields);
+}
+
 /*
  * Read or write an item.  A write in a transaction is deferred until the
  * commit.
@@ -456,6 +486,9 @@
 	} else if (conn->session_state == 'T' && !conn->read_only &&
 	    !database->primary) {
 		answer_error(conn, "READONLY here");
+	} else if (!writes && g_str_has_prefix(item, LARGE_ITEM)) {
+		append_large(conn, item);
+		answer_done(conn, true);
 	} else if (!writes) {
 		current_value = database_find_value(database, item);
 		g_string_append_printf(conn->output, "ROW %s\r\n",
--- a/tests/t_decide.c
+++ b/tests/t_decide.c
@@ -7,6 +7,7 @@
 #include "../src/decide/refresh.h"
 #include "../src/decide/replica.h"
 #include "../src/decide/reqid.h"
+#include "../src/decide/result_budget.h"
 
 #include "cases.h"
 
@@ -720,6 +721,64 @@
 	g_assert_cmpint(queue_limit_us(&c->wait), ==, c->limit_us);
 }
 
+typedef struct result_case {
+	const char *name;
+	uint64_t held_bytes;   /* of a budget of 100,000 */
+	uint64_t result_bytes; /* kept of a result, limit 50,000 */
+	uint64_t added_bytes;
+	bool takes_effect;
+	bool in_transaction;
+	result_fit_t fit;
+	result_refusal_t refusal; /* unless it fits */
+} result_case_t;
+
+static const result_case_t result_cases[] = {
+    {"the first row", 0, 0, 100, false, false, RESULT_FITS, 0},
+    {"at the limit", 40000, 49900, 100, false, false, RESULT_FITS, 0},
+    {"above the limit", 40000, 49901, 100, false, false, RESULT_TOO_LARGE,
+	RESULT_REFUSAL_FAILED},
+    {"at the budget", 99900, 30000, 100, false, false, RESULT_FITS, 0},
+    {"above the budget", 99901, 30000, 100, false, false, RESULT_NO_ROOM,
+	RESULT_REFUSAL_BUSY},
+    {"above both", 99901, 49901, 100, false, false, RESULT_TOO_LARGE,
+	RESULT_REFUSAL_FAILED},
+    {"a small result above the budget", 200000, 16284, 100, false, false,
+	RESULT_FITS, 0},
+    {"a small result that grows", 200000, 16285, 100, false, false,
+	RESULT_NO_ROOM, RESULT_REFUSAL_BUSY},
+    {"above the limit in a transaction", 0, 50000, 1, false, true,
+	RESULT_TOO_LARGE, RESULT_REFUSAL_FAILED},
+    {"above the budget in a transaction", 100000, 30000, 1, false, true,
+	RESULT_NO_ROOM, RESULT_REFUSAL_ABORTED},
+    {"a write above the limit", 0, 50000, 1, true, false, RESULT_TOO_LARGE,
+	RESULT_REFUSAL_IN_DOUBT},
+    {"a commit above the budget", 100000, 30000, 1, true, true, RESULT_NO_ROOM,
+	RESULT_REFUSAL_IN_DOUBT},
+};
+
+/*
+ * Test whether a row is kept, and the end of its statement if it is not.
+ */
+static void
+test_result(gconstpointer data)
+{
+	const result_case_t *c = data;
+	result_budget_t budget = {c->held_bytes, 100000};
+	uint64_t size_bytes = c->added_bytes;
+	result_fit_t fit = result_budget_check(
+	    &budget, c->result_bytes, c->added_bytes, 50000);
+
+	g_assert_cmpint(fit, ==, c->fit);
+	if (fit != RESULT_FITS)
+		g_assert_cmpint(
+		    result_refusal(fit, c->takes_effect, c->in_transaction), ==,
+		    c->refusal);
+	result_budget_hold(&budget, size_bytes);
+	result_budget_release(&budget, &size_bytes);
+	g_assert_cmpuint(budget.held_bytes, ==, c->held_bytes);
+	g_assert_cmpuint(size_bytes, ==, 0);
+}
+
 typedef struct token_case {
 	const char *name;
 	uint64_t era;      /* 0: not known */
@@ -777,6 +836,7 @@
 	CASES("/decide/refresh", refresh_cases, test_refresh);
 	CASES("/decide/list", list_cases, test_list);
 	CASES("/decide/queue-limit", queue_limit_cases, test_queue_limit);
+	CASES("/decide/result", result_cases, test_result);
 	CASES("/decide/reconnect", reconnect_cases, test_reconnect);
 	g_test_add_func("/decide/samples-ring", test_position_history);
 	g_test_add_func("/decide/retry", test_retry);
--- a/tests/t_forward.c
+++ b/tests/t_forward.c
@@ -671,6 +671,77 @@
 	forward_bed_stop(bed);
 }
 
+typedef struct result_case {
+	const char *name;
+	uint32_t clients; /* that read at once, at the same front */
+	const char *statement;
+	bool in_transaction;
+	const char *expected; /* beginning of each answer */
+	uint32_t answer_bytes_min;
+	const char *other; /* beginning of other answers; NULL: none */
+} result_case_t;
+
+static const result_case_t result_cases[] = {
+    {"below the limit", 1, "READ large.3.1000000", false, "ROW xx", 3000000,
+	NULL},
+    {"above the limit", 1, "READ large.4.1000000", false, "ERR FAILED ", 0,
+	NULL},
+    {"larger than a frame", 1, "READ large.6.1000000", false, "ERR FAILED ", 0,
+	NULL},
+    {"larger than a frame, in a transaction", 1, "READ large.6.1000000", true,
+	"ERR FAILED ", 0, NULL},
+    {"many at once", 12, "READ large.3.1000000", false, "ROW xx", 3000000,
+	"ERR BUSY "},
+};
+
+/*
+ * Test that a result from an owner comes whole, or the statement ends with an
+ * error, and that the link to the owner and the other statements on it stay.
+ */
+static void
+test_result(gconstpointer data)
+{
+	const result_case_t *c = data;
+	forward_bed_t *bed = forward_bed_start();
+	client_t *clients[12];
+	char *answer, *head;
+	uint32_t i, results = 0;
+
+	for (i = 0; i < c->clients; i++) {
+		clients[i] =
+		    client_open_session(bed->testbed, bed->front, "intake");
+		if (c->in_transaction) {
+			client_expect(clients[i], "BEGIN", "DONE");
+			client_expect(clients[i], "WRITE a1 x", "DONE p");
+		}
+		client_send_query(clients[i], c->statement);
+		client_send_query(
+		    clients[i], c->in_transaction ? "ROLLBACK" : "READ a1");
+	}
+	for (i = 0; i < c->clients; i++) {
+		answer = client_read_answer(clients[i], ANSWER_TIMEOUT_MS);
+		head = g_strndup(answer == NULL ? "no answer" : answer, 60);
+		if (answer != NULL && g_str_has_prefix(answer, c->expected))
+			results += strlen(answer) > c->answer_bytes_min;
+		else if (c->other == NULL || !g_str_has_prefix(head, c->other))
+			g_error("expected %s, found %s", c->expected, head);
+		g_free(answer);
+		g_free(head);
+		answer = client_read_answer(clients[i], ANSWER_TIMEOUT_MS);
+		g_assert_nonnull(answer);
+		g_assert_true(g_str_has_prefix(answer,
+		    c->in_transaction ? "DONE -|READY I" : "ROW none|DONE p"));
+		g_free(answer);
+		client_expect(clients[i], "READ a1", "ROW none|DONE p");
+		client_close(clients[i]);
+	}
+	g_test_message("%u results", results);
+	g_assert_cmpuint(results, >, 0);
+	g_assert_cmpuint(
+	    testbed_metric(bed->testbed, bed->front, "owners_lost"), ==, 0);
+	forward_bed_stop(bed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -679,6 +750,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	CASES("/forward/loss", loss_cases, test_loss);
+	CASES("/forward/result", result_cases, test_result);
 	CASES("/forward/front", front_cases, test_front_lost);
 	CASES("/forward/news", news_cases, test_store_news);
 	g_test_add_func("/forward/news-of-many", test_news_of_many);
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -1,5 +1,6 @@
 #include "../platform/platform.h"
 #include "../src/log.h"
+#include "../src/proxy/result.h"
 #include "cases.h"
 #include "fake/testbed.h"
 
@@ -16,6 +17,8 @@
 #define ANSWER_TIMEOUT_MS 5000
 #define EXCHANGES_MAX 12
 
+#define MEMORY_MAX_BYTES (UINT64_C(260) << 20)
+
 typedef struct exchange {
 	const char *statement;
 	const char *expected; /* prefix of the answer; lines joined by "|" */
@@ -377,6 +380,173 @@
 	testbed_stop(testbed);
 }
 
+typedef struct result_case {
+	const char *name;
+	const char *database;
+	uint32_t rows;
+	uint32_t row_bytes;
+	bool in_transaction;
+	const char *expected; /* beginning of the answer; NULL: the result */
+} result_case_t;
+
+/* A row of this size takes 1 MiB of the memory for a result. */
+#define MIB_ROW_BYTES ((1 << 20) - 4 - ROW_OVERHEAD_BYTES)
+
+static const result_case_t result_cases[] = {
+    {"below the limit", "lookup", 15, 1000000, false, NULL},
+    {"at the limit", "lookup", 16, MIB_ROW_BYTES, false, NULL},
+    {"a byte above the limit", "lookup", 16, MIB_ROW_BYTES + 1, false,
+	"ERR FAILED "},
+    {"above the limit", "lookup", 20, 1000000, false, "ERR FAILED "},
+    {"at the limit, held for a lease", "intake", 16, MIB_ROW_BYTES, false,
+	NULL},
+    {"above the limit, at the primary", "intake", 20, 1000000, false,
+	"ERR FAILED "},
+    {"at the limit, in a transaction", "intake", 16, MIB_ROW_BYTES, true, NULL},
+    {"above the limit, in a transaction", "intake", 20, 1000000, true,
+	"ERR FAILED "},
+    {"many small rows", "lookup", 50000, 10, false, NULL},
+    {"too many small rows", "lookup", 200000, 10, false, "ERR FAILED "},
+};
+
+/*
+ * Tell whether an answer is the result of READ large.ROWS.BYTES.
+ */
+static bool
+is_large_result(const char *answer, uint32_t rows, uint32_t row_bytes)
+{
+	uint32_t i;
+
+	for (i = 0; i < rows; i++) {
+		if (!g_str_has_prefix(answer, "ROW "))
+			return false;
+		answer += strlen("ROW ");
+		if (strspn(answer, "x") != row_bytes)
+			return false;
+		answer += row_bytes;
+		if (*answer++ != '|')
+			return false;
+	}
+	return g_str_has_prefix(answer, "DONE p");
+}
+
+/*
+ * Test that a large result comes whole, or the statement ends with an error,
+ * and that the session goes on; a transaction is rolled back then.
+ */
+static void
+test_result(gconstpointer data)
+{
+	const result_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	char *statement =
+	    g_strdup_printf("READ large.%u.%u", c->rows, c->row_bytes);
+	client_t *client;
+	char *answer, *head, *path, *log;
+	uint32_t i;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	client = client_open_session(testbed, 0, c->database);
+	client_expect(client, "READ a", "ROW none");
+	for (i = 0; i < 2; i++) {
+		if (c->in_transaction) {
+			client_expect(client, "BEGIN", "DONE");
+			client_expect(client, "WRITE a1 x", "DONE p");
+		}
+		answer = client_query(client, statement, ANSWER_TIMEOUT_MS);
+		head = g_strndup(answer == NULL ? "no answer" : answer, 60);
+		g_test_message("answer: %s", head);
+		if (c->expected != NULL && !g_str_has_prefix(head, c->expected))
+			g_error("expected %s, found %s", c->expected, head);
+		if (c->expected == NULL &&
+		    (answer == NULL ||
+			!is_large_result(answer, c->rows, c->row_bytes)))
+			g_error("expected a result, found %s", head);
+		if (c->in_transaction && c->expected != NULL) {
+			g_assert_nonnull(strstr(head, "|READY E"));
+			client_expect(client, "ROLLBACK", "DONE -|READY I");
+		} else if (c->in_transaction) {
+			client_expect(client, "COMMIT", "DONE p");
+		}
+		client_expect(client, "READ a1",
+		    c->in_transaction && c->expected == NULL ? "ROW x|DONE"
+							     : "ROW none|DONE");
+		g_free(answer);
+		g_free(head);
+	}
+	path = g_strdup_printf("%s/proxy-0.log", testbed->work_dir);
+	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+	g_assert_cmpint(strstr(log, "\"result_discarded\"") != NULL, ==,
+	    c->expected != NULL);
+	g_free(log);
+	g_free(path);
+	client_close(client);
+	g_free(statement);
+	testbed_stop(testbed);
+}
+
+/* Number of large results at once. */
+#define RESULTS_AT_ONCE 20
+
+/*
+ * Test that the memory of a daemon is bounded when many clients read large
+ * results, and take them late: each gets its result, or an error, and its
+ * session goes on.
+ */
+static void
+test_results_at_once(void)
+{
+	testbed_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	client_t *clients[RESULTS_AT_ONCE];
+	uint32_t i, round, results = 0, refused = 0;
+	uint64_t peak_bytes;
+	char *answer;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	for (i = 0; i < RESULTS_AT_ONCE; i++) {
+		clients[i] = client_open_session(
+		    testbed, 0, i % 2 ? "intake" : "lookup");
+		client_expect(clients[i], "READ a", "ROW none");
+	}
+	for (round = 0; round < 2; round++) {
+		for (i = 0; i < RESULTS_AT_ONCE; i++) {
+			client_send_query(clients[i], "READ large.15.1000000");
+			client_send_query(clients[i], "READ a");
+		}
+		g_usleep(500 * US_PER_MS);
+		for (i = 0; i < RESULTS_AT_ONCE; i++) {
+			answer =
+			    client_read_answer(clients[i], ANSWER_TIMEOUT_MS);
+			g_assert_nonnull(answer);
+			if (is_large_result(answer, 15, 1000000))
+				results++;
+			else if (g_str_has_prefix(answer, "ERR BUSY ") ||
+			    g_str_has_prefix(answer, "ERR TIMEOUT "))
+				refused++;
+			else
+				g_error("answer: %.80s", answer);
+			g_free(answer);
+			answer =
+			    client_read_answer(clients[i], ANSWER_TIMEOUT_MS);
+			if (answer == NULL ||
+			    !g_str_has_prefix(answer, "ROW none|DONE p"))
+				g_error("answer behind it: %s", answer);
+			g_free(answer);
+		}
+	}
+	peak_bytes = fleet_process_peak_memory_bytes(&testbed->proxies[0]);
+	g_test_message("measured: %u results, %u refused, %" G_GUINT64_FORMAT
+		       " bytes at most",
+	    results, refused, peak_bytes);
+	g_assert_cmpuint(results, >, 0);
+	g_assert_cmpuint(peak_bytes, <, MEMORY_MAX_BYTES);
+	for (i = 0; i < RESULTS_AT_ONCE; i++)
+		client_close(clients[i]);
+	testbed_stop(testbed);
+}
+
 typedef struct server_object_case {
 	const char *name;
 	const char *content;
@@ -1209,7 +1379,6 @@
 
 /* Number of idle sessions, and the memory limit of a proxy's machine. */
 #define IDLE_SESSIONS 3500
-#define MEMORY_MAX_BYTES (UINT64_C(260) << 20)
 
 /*
  * Test that a proxy with thousands of idle sessions stays below the memory
@@ -1256,6 +1425,8 @@
 	CASES("/proxy/input", input_cases, test_input);
 	CASES("/proxy/shape", shape_cases, test_shape);
 	CASES("/proxy/text", text_cases, test_text);
+	CASES("/proxy/result", result_cases, test_result);
+	g_test_add_func("/proxy/results-at-once", test_results_at_once);
 	CASES("/proxy/entry", server_object_cases, test_server_object);
 	CASES("/proxy/dropped-route", dropped_route_cases, test_dropped_route);
 	CASES("/proxy/list", list_cases, test_list);
--- a/tools/fleet.c
+++ b/tools/fleet.c
@@ -983,3 +983,17 @@
 	g_free(text);
 	return pages * (uint64_t)sysconf(_SC_PAGESIZE);
 }
+
+/*
+ * Return the largest resident memory that a process has had, in bytes.
+ */
+uint64_t
+fleet_process_peak_memory_bytes(const fleet_process_t *process)
+{
+	char *text = read_proc_file(process, "status");
+	const char *peak = strstr(text, "VmHWM:");
+	uint64_t kib = g_ascii_strtoull(peak + strlen("VmHWM:"), NULL, 10);
+
+	g_free(text);
+	return kib << 10;
+}
--- a/tools/fleet.h
+++ b/tools/fleet.h
@@ -84,6 +84,7 @@
 void fleet_process_signal(fleet_process_t *, int signal);
 double fleet_process_cpu_s(const fleet_process_t *);
 uint64_t fleet_process_memory_bytes(const fleet_process_t *);
+uint64_t fleet_process_peak_memory_bytes(const fleet_process_t *);
 bool fleet_process_wait_exit(
     fleet_process_t *, uint32_t timeout_ms, int *status);
 bool fleet_db_call(fleet_t *, uint32_t database, const char *path,
