A test program reserves its ports

Cause: fleet_unused_port() started at a port derived from the process id and took each that could be bound, but nothing held it until the process that was started bound it; a program with many testbeds runs into the ports of the next ids. So two programs got the same port. That this was behind the recorded failures is likely, not shown. The three consecutive ports of the databases were not certain to be consecutive either.

Now each program reserves a block of 500 ports with a socket of an abstract name, which ends with the process.

--- a/tests/fake/testbed.c
+++ b/tests/fake/testbed.c
@@ -14,6 +14,9 @@
 
 /* Time limit for an answer that a test expects. */
 #define EXPECT_TIMEOUT_MS 5000
+
+/* Databases of the group; they listen on consecutive ports. */
+#define DATABASES 3
 #define LINE_MAX_BYTES (UINT64_C(2) << 20)
 
 /*
@@ -222,10 +225,7 @@
 
 	testbed->platform.port = fleet_unused_port();
 	testbed->platform.name = g_strdup("platform");
-	testbed->first_database_port = fleet_unused_port();
-	/* the databases listen on three consecutive ports */
-	fleet_unused_port();
-	fleet_unused_port();
+	testbed->first_database_port = fleet_unused_ports(DATABASES);
 	port = g_strdup_printf("%u", testbed->platform.port);
 	first_database_arg =
 	    g_strdup_printf("%u", testbed->first_database_port);
--- a/tests/t_poller.c
+++ b/tests/t_poller.c
@@ -4,6 +4,9 @@
 #include "cases.h"
 
 #include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 #include <sys/epoll.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -173,15 +176,83 @@
 	g_free(address);
 }
 
+/* Argument with which this program is a process that takes ports. */
+#define TAKE_PORTS "--take-ports"
+
+/* Ports that each of two processes takes at the same time. */
+#define PORTS_TAKEN 200
+
+/*
+ * Print ports as they are taken, and keep them until the input ends.
+ */
+static int
+take_ports(void)
+{
+	uint32_t i;
+
+	for (i = 0; i < PORTS_TAKEN; i++)
+		printf("%u\n", fleet_unused_port());
+	fflush(stdout);
+	while (getchar() != EOF)
+		;
+	return 0;
+}
+
+/*
+ * Test that no port is taken by two test programs that run side by side.
+ */
+static void
+test_ports(void)
+{
+	const char *argv[] = {"/proc/self/exe", TAKE_PORTS, NULL};
+	GHashTable *taken = g_hash_table_new(NULL, NULL);
+	GSubprocess *processes[2];
+	uint32_t i, j, twice = 0;
+
+	argv[0] = g_file_read_link("/proc/self/exe", NULL);
+	for (i = 0; i < G_N_ELEMENTS(processes); i++)
+		processes[i] = g_subprocess_newv(argv,
+		    G_SUBPROCESS_FLAGS_STDIN_PIPE |
+			G_SUBPROCESS_FLAGS_STDOUT_PIPE,
+		    NULL);
+	for (i = 0; i < G_N_ELEMENTS(processes); i++) {
+		GDataInputStream *lines = g_data_input_stream_new(
+		    g_subprocess_get_stdout_pipe(processes[i]));
+
+		for (j = 0; j < PORTS_TAKEN; j++) {
+			char *line = g_data_input_stream_read_line(
+			    lines, NULL, NULL, NULL);
+
+			g_assert_nonnull(line);
+			twice += !g_hash_table_add(
+			    taken, GUINT_TO_POINTER(strtoul(line, NULL, 10)));
+			g_free(line);
+		}
+		g_object_unref(lines);
+	}
+	for (i = 0; i < G_N_ELEMENTS(processes); i++) {
+		g_output_stream_close(
+		    g_subprocess_get_stdin_pipe(processes[i]), NULL, NULL);
+		g_assert_true(g_subprocess_wait(processes[i], NULL, NULL));
+		g_object_unref(processes[i]);
+	}
+	g_assert_cmpuint(twice, ==, 0);
+	g_hash_table_unref(taken);
+	g_free((char *)argv[0]);
+}
+
 /*
  * Register the tests and run them.
  */
 int
 main(int argc, char **argv)
 {
+	if (argc > 1 && strcmp(argv[1], TAKE_PORTS) == 0)
+		return take_ports();
 	g_test_init(&argc, &argv, NULL);
 	log_start(G_LOG_LEVEL_CRITICAL, STDERR_FILENO);
 	CASES("/poller", poller_cases, test_poller);
 	CASES("/listener", listener_cases, test_listener);
+	g_test_add_func("/ports/side-by-side", test_ports);
 	return g_test_run();
 }
--- a/tools/fleet.c
+++ b/tools/fleet.c
@@ -8,17 +8,20 @@
 #include <curl/curl.h>
 #include <glib/gstdio.h>
 #include <signal.h>
+#include <stddef.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/un.h>
 #include <unistd.h>
 
 #define DATABASES_PER_GROUP 3
 #define CALL_TIMEOUT_MS 3000
 #define POLL_US 20000
 #define FIRST_PORT 10240
-#define PORTS_COUNT 20000
-#define PORT_STEP_PER_PID 97 /* between first ports of successive PIDs */
+#define PORT_BLOCKS 40
+#define PORTS_OF_BLOCK 500
 #define PRIMARY_WAIT_MS 8000
 
 /*
@@ -39,25 +42,78 @@
 }
 
 /*
- * Return an unused port for a process to listen on.  It lies below the
- * kernel's range of ephemeral ports, so that no outgoing connection can take
- * it before the process binds it.  Test processes that run at the same time
- * start their search at different ports, derived from the process ID.
+ * Reserve a block of ports for this process, until it ends.  The reservation is
+ * a socket whose abstract name has the number of the block, so that it ends
+ * with the process and needs no file.  Returns false if another process has the
+ * block.
+ */
+static bool
+reserve_ports(uint32_t block)
+{
+	struct sockaddr_un address = {.sun_family = AF_UNIX};
+	int fd = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int n = g_snprintf(address.sun_path + 1, sizeof(address.sun_path) - 1,
+	    "bergamotplank-test-ports-%u", block);
+
+	g_assert_cmpint(fd, >=, 0);
+	if (bind(fd, (struct sockaddr *)&address,
+		(socklen_t)(offsetof(struct sockaddr_un, sun_path) + 1 +
+		    (size_t)n)) == 0)
+		return true;
+	close(fd);
+	return false;
+}
+
+/*
+ * Return the first port of the block of this process.
+ */
+static uint32_t
+first_port(void)
+{
+	static uint32_t port;
+	uint32_t i, block = (uint32_t)getpid();
+
+	for (i = 0; port == 0; i++) {
+		g_assert_cmpuint(i, <, PORT_BLOCKS);
+		block = (block + 1) % PORT_BLOCKS;
+		if (reserve_ports(block))
+			port = FIRST_PORT + block * PORTS_OF_BLOCK;
+	}
+	return port;
+}
+
+/*
+ * Return the first of some unused consecutive ports for a process to listen on.
+ * They lie below the kernel's range of ephemeral ports, so that no outgoing
+ * connection can take them before the process binds them, and in a block that
+ * no other test process uses.
  */
 uint32_t
-fleet_unused_port(void)
+fleet_unused_ports(uint32_t count)
 {
-	static uint32_t next_port;
+	static uint32_t next_offset;
+	uint32_t first = first_port(), tries, offset, i;
+
+	for (tries = 0;; tries++) {
+		g_assert_cmpuint(tries / 2, <, PORTS_OF_BLOCK);
+		if (next_offset + count > PORTS_OF_BLOCK)
+			next_offset = 0;
+		offset = next_offset;
+		for (i = 0; i < count && port_is_free(first + offset + i); i++)
+			;
+		next_offset = offset + MIN(i + 1, count);
+		if (i == count)
+			return first + offset;
+	}
+}
 
-	if (next_port == 0)
-		next_port = FIRST_PORT +
-		    (uint32_t)getpid() * PORT_STEP_PER_PID % PORTS_COUNT;
-	do {
-		next_port++;
-		if (next_port >= FIRST_PORT + PORTS_COUNT)
-			next_port = FIRST_PORT;
-	} while (!port_is_free(next_port));
-	return next_port;
+/*
+ * Return an unused port, as fleet_unused_ports().
+ */
+uint32_t
+fleet_unused_port(void)
+{
+	return fleet_unused_ports(1);
 }
 
 /*
--- a/tools/fleet.h
+++ b/tools/fleet.h
@@ -70,6 +70,7 @@
 
 /* A process of any kind; its output goes to a file in log_dir. */
 uint32_t fleet_unused_port(void);
+uint32_t fleet_unused_ports(uint32_t count);
 char *fleet_program_path(const char *name);
 void fleet_process_spawn(
     const char *log_dir, fleet_process_t *, const char *const *argv);
