--- a/tools/fleet.h
+++ b/tools/fleet.h
@@ -70,6 +70,7 @@
 
 /* A process of any kind; its output goes to a file in log_dir. */
 uint32_t fleet_unused_port(void);
+uint32_t fleet_unused_ports(uint32_t count);
 char *fleet_program_path(const char *name);
 void fleet_process_spawn(
     const char *log_dir, fleet_process_t *, const char *const *argv);
@@ -84,6 +85,7 @@
 void fleet_process_signal(fleet_process_t *, int signal);
 double fleet_process_cpu_s(const fleet_process_t *);
 uint64_t fleet_process_memory_bytes(const fleet_process_t *);
+uint64_t fleet_process_peak_memory_bytes(const fleet_process_t *);
 bool fleet_process_wait_exit(
     fleet_process_t *, uint32_t timeout_ms, int *status);
 bool fleet_db_call(fleet_t *, uint32_t database, const char *path,
