A test of a coordinator record that cannot be read, known red

Three processes, one change of primary, then the record is replaced by "{}", a text or a token of 2^63 - 1 and the new primary crashes: a write has to be acknowledged within PROMOTION_MS (8 s), and no fencing token may fall.

--- a/tests/t_old_primary.c
+++ b/tests/t_old_primary.c
@@ -421,6 +421,48 @@
 	testbed_stop(testbed);
 }
 
+typedef struct unreadable_case {
+	const char *name;
+	const char *record; /* coordinator record in the store */
+} unreadable_case_t;
+
+static const unreadable_case_t unreadable_cases[] = {
+    {"an empty object", "{}"},
+    {"a text", "\"promotion\""},
+    {"the largest token",
+	"{\"holder\":\"other\",\"token\":9223372036854775807}"},
+};
+
+/*
+ * Test that a primary is replaced although the coordinator record cannot be
+ * read, or has a token that none can follow, by an order with a higher fencing
+ * token than those before.
+ */
+static void
+test_unreadable_record(gconstpointer data)
+{
+	const unreadable_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 3, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	uint32_t invalid = 0;
+	int32_t promoted;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_usleep(2500 * G_TIME_SPAN_MILLISECOND); /* until all are listed */
+	testbed_inject_fault(testbed, "database", "crash", 0);
+	g_assert_true(write_served(testbed, 0, PROMOTION_MS));
+	promoted = wait_primary(testbed, 1, "", 1000) ? 1 : 2;
+	testbed_inject_fault(testbed, "database", "return", 0);
+	g_usleep(2500 * G_TIME_SPAN_MILLISECOND); /* until it has caught up */
+	testbed_put_object(
+	    testbed, "bergamotplank-duties", "promotion", c->record);
+	testbed_inject_fault(testbed, "database", "crash", promoted);
+	g_assert_true(write_served(testbed, 0, PROMOTION_MS));
+	g_free(testbed_item_value(testbed, "k", &invalid));
+	g_assert_cmpuint(invalid, ==, 0);
+	testbed_stop(testbed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -439,5 +481,7 @@
 	g_test_add_func(
 	    "/old-primary/restart-after-outage", test_restart_after_outage);
 	CASES("/old-primary/late-order", late_order_cases, test_late_order);
+	CASES("/old-primary/unreadable-record", unreadable_cases,
+	    test_unreadable_record);
 	return g_test_run();
 }
