No handover to a server that has not received the primary's term

Cause: a coordinator that has just started, and cannot tell whether an unrecorded order has replaced the primary, had it hand over. The only other server that answered was the old primary, of two terms before, with entries that the group had given up.

Fix: such a handover begins only if a server answers that has received the primary's term. Till then the daemons that have just started have no lease; the others go on.

/attempt/recorded/the-same,-and-nobody-follows-the-primary failed before: assertion failed (handed_over_ms == c->handed_over_ms): (3510 == 0)

--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -796,7 +796,9 @@
 }
 
 /*
- * Tell whether a database other than the primary answers and is not leaving.
+ * Tell whether a database other than the primary answers, is not leaving, and
+ * has received the primary's term.  Any other one lacks what the primary has
+ * acknowledged, and may have entries that the group has given up.
  */
 static bool
 successor_answers(const failover_t *failover, int64_t now_us)
@@ -807,6 +809,7 @@
 	for (i = 0; i < failover->count; i++) {
 		if ((int32_t)i != primary && failover->views[i].known &&
 		    !failover->views[i].leaving &&
+		    failover->views[i].term >= failover->views[primary].term &&
 		    now_us - failover->last_alive_us[i] <
 			failover->limits.suspect_us)
 			return true;
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -690,6 +690,8 @@
 	int64_t handed_over_ms; /* expected step-down; 0: none */
 	/* time since which orders that are not recorded are known; 0: always */
 	int64_t unaware_since_ms;
+	/* term that the others follow, if not that of the primary */
+	uint64_t others_term;
 } recorded_case_t;
 
 static const recorded_case_t recorded_cases[] = {
@@ -701,6 +703,8 @@
     {"the same, and a pause may be its", {0}, 1, 2, 0, 3510, 10},
     {"the same, and an older one is recorded", {1, 2, 0, {1, 8}}, 2, 3, 0, 3510,
 	10},
+    {"the same, and nobody follows the primary", {1, 2, 0, {1, 8}}, 2, 0, 0, 0,
+	10, 1},
 };
 
 /*
@@ -722,7 +726,9 @@
 	failover_set_unaware(&failover, MS(c->unaware_since_ms));
 	for (at_ms = 0; at_ms <= 3600; at_ms += 10) {
 		for (i = 0; i < DATABASES; i++)
-			report(&failover, i, i == 0, c->primary_term,
+			report(&failover, i, i == 0,
+			    i == 0 || c->others_term == 0 ? c->primary_term
+							  : c->others_term,
 			    i == 2 ? c->paused_term : 0, MS(at_ms));
 		failover_tick(&failover, MS(at_ms), &actions);
 		for (i = 0; i < actions.count; i++) {
