A coordinator that takes the role again keeps its unrecorded orders

What callers could see: a lease on a primary that an order has replaced. The store answers a listing, but not the write of an order; the coordinator gives the role up and takes it again. (By reading and in a decision test; not seen with processes.)

Cause: orders_take() replaced what the daemon had noted by the record's older orders, except when the record was of an older era.

Seen to fail before: /coordinator/role-again/an-older-order-is-recorded: assertion failed (record.orders[0]->attempt_term == c->attempt_term): (2 == 3)

--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -150,9 +150,9 @@
 }
 
 /*
- * Take over the orders of the record of another coordinator.  A record that the
- * store has from an older copy does not replace the orders of this daemon that
- * it lacks.
+ * Take over the orders of the record of another coordinator.  They do not
+ * replace later orders of this daemon, which the record lacks if they were sent
+ * while the store was away, or if the store has come back from an older copy.
  */
 void
 orders_take(registry_t *registry, const Bp__DutyRecord *record)
@@ -166,9 +166,10 @@
 
 		open_orders_read(&noted->open, order->open, order->n_open,
 		    OPEN_ORDER_RECORDED, clock_us());
-		if (!fencing_token_is_current(
-			registry->store_era, record->token) &&
-		    noted->recorded.attempt_term >= order->attempt_term)
+		if (noted->recorded.attempt_term > order->attempt_term ||
+		    (!fencing_token_is_current(
+			 registry->store_era, record->token) &&
+			noted->recorded.attempt_term == order->attempt_term))
 			continue;
 		recorded_orders_replace(&noted->recorded, &read);
 	}
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -508,6 +508,49 @@
 	registry_free(registry);
 }
 
+typedef struct role_again_case {
+	const char *name;
+	const char *record;
+	uint64_t attempt_term; /* expected of the noted order */
+} role_again_case_t;
+
+static const role_again_case_t role_again_cases[] = {
+    {"an older order is recorded",
+	GIVEN_UP_RECORD("\"replaced_term\":1,\"attempt_term\":2"), 3},
+    {"the order is recorded",
+	GIVEN_UP_RECORD("\"replaced_term\":2,\"attempt_term\":3"), 3},
+    {"a newer order is recorded",
+	GIVEN_UP_RECORD("\"replaced_term\":3,\"attempt_term\":4"), 4},
+};
+
+/*
+ * Test that a coordinator that takes the role again does not forget an order
+ * that the record lacks.
+ */
+static void
+test_role_again(gconstpointer data)
+{
+	const role_again_case_t *c = data;
+	Bp__DutyRecord record = BP__DUTY_RECORD__INIT;
+	Bp__PromotionWanted wanted = BP__PROMOTION_WANTED__INIT;
+	registry_t *registry = registry_new(&(proxy_t){0});
+	arena_t *arena = arena_new();
+
+	registry->store_era = STORE_ERA_FIRST;
+	wanted.group = "ledger";
+	wanted.server = "s-1";
+	wanted.term = 3;
+	wanted.replaced_term = wanted.base_term = 2;
+	wanted.base_index = 70;
+	orders_note(registry, &wanted);
+	take_record(registry, c->record);
+	orders_fill(registry, arena, &record);
+	g_assert_cmpuint(record.n_orders, ==, 1);
+	g_assert_cmpuint(record.orders[0]->attempt_term, ==, c->attempt_term);
+	arena_free(arena);
+	registry_free(registry);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -522,5 +565,6 @@
 	CASES("/coordinator/unlisted", unlisted_cases, test_unlisted_daemons);
 	g_test_add_func("/coordinator/token-read", test_token_read);
 	CASES("/coordinator/given-up", given_up_cases, test_given_up);
+	CASES("/coordinator/role-again", role_again_cases, test_role_again);
 	return g_test_run();
 }
