The first coordinator has no doubt about earlier orders

Cause: a process that has just started ends no pauses for 4 s, as a former coordinator may have sent an order that nobody recorded. The process that has created the record, with the first token, knows that there was no former coordinator.

Fix: its groups count as watched from the beginning.

--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -174,11 +174,21 @@
 	group->listed_us = now_us;
 	if (pool->listed_first_us == 0)
 		pool->listed_first_us = now_us;
-	if (now_us - pool->listed_first_us >= LIST_NEW_US)
+	if (pool->first_coordinator ||
+	    now_us - pool->listed_first_us >= LIST_NEW_US)
 		return;
 	group->lease.watched_since_us = now_us;
 }
 
+/*
+ * Note that this daemon is the first coordinator: nobody has sent an order.
+ */
+void
+monitor_first_coordinator(group_t *group)
+{
+	group->lease.watched_since_us = 0;
+}
+
 /*
  * Note when the store first refused or did not answer a call of this process;
  * 0: never.  If that was before its first list, entries may have expired.
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -257,6 +257,7 @@
 	if (began)
 		pool->coordinator_since_us =
 		    changed->token == FIRST_TOKEN ? 0 : clock_us();
+	pool->first_coordinator |= began && changed->token == FIRST_TOKEN;
 	pool->fencing_token = changed->token;
 	if (changed->held)
 		pool->coordinator_confirmed_us = clock_us();
@@ -267,6 +268,8 @@
 			monitor_coordinator_denied(value, clock_us());
 		if (began)
 			group_orders_report(value);
+		if (began && changed->token == FIRST_TOKEN)
+			monitor_first_coordinator(value);
 	}
 	msg_free(msg);
 }
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -305,6 +305,7 @@
 	int64_t listed_first_us;
 	uint32_t transaction_idle_ms;
 	bool is_coordinator;
+	bool first_coordinator; /* nobody was the coordinator before */
 	uint64_t fencing_token; /* token of this daemon's coordinator role */
 	bool coordinator_check_pending; /* a request to check or take the role
 					   is outstanding */
@@ -436,6 +437,7 @@
 void monitor_init(group_t *, int64_t now_us);
 void monitor_first_listed(group_t *, int64_t now_us);
 void monitor_store_away(group_t *, int64_t away_us);
+void monitor_first_coordinator(group_t *);
 void monitor_tick(group_t *, int64_t now_us);
 void monitor_status_received(
     server_t *, const server_status_t *, const expected_answer_t *, position_t);
