Promises that outlast an order which the store cannot record

Cause: an order that is sent while the store is away was known to daemons alone. The promotion ends the pause of the other replica, which may not have heard of the new primary; so once the daemons are gone and the new primary is out of reach, nothing that is left tells of the order, and no rule for readers can help.

Fix: a pause for a much newer term is not ended by a promotion. When the store cannot record an order, the coordinator first has enough databases give such a standing promise that they and the new primary are a majority. Its number names the newest term that is replaced, so that each database that holds it tells of the order: it blocks leases on that primary, and is withdrawn only when the store has recorded the order. Daemons that were told of the order, or have read it, know that this promise does not concern the new primary. The daemons are told of the open order too, with the confirmation.

The rows of /standing/order and /standing/lease fail without the change; the setup of /coordinator/sent-order-noted had an order without standing promises, which is withheld now: it has them, and an order without them is a step of it.

--- a/Makefile
+++ b/Makefile
@@ -86,7 +86,7 @@
     $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
 
-TESTS = t_decide t_lease t_attempt t_open_orders t_wire t_objects t_poller t_log t_queue t_parse t_history \
+TESTS = t_decide t_lease t_attempt t_standing t_open_orders t_wire t_objects t_poller t_log t_queue t_parse t_history \
 	t_failover_model t_proxy_model t_placement t_http t_command t_fuzz t_entry \
 	t_coordinator t_monitor t_proxy t_restored t_old_primary t_forward t_fleet t_drain t_holds
 
--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &bp__orders_read__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__store_away__init
+                     (Bp__StoreAway         *message)
+{
+  static const Bp__StoreAway init_value = BP__STORE_AWAY__INIT;
+  *message = init_value;
+}
+size_t bp__store_away__get_packed_size
+                     (const Bp__StoreAway *message)
+{
+  assert(message->base.descriptor == &bp__store_away__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__store_away__pack
+                     (const Bp__StoreAway *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__store_away__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__store_away__pack_to_buffer
+                     (const Bp__StoreAway *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__store_away__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__StoreAway *
+       bp__store_away__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__StoreAway *)
+     protobuf_c_message_unpack (&bp__store_away__descriptor,
+                                allocator, len, data);
+}
+void   bp__store_away__free_unpacked
+                     (Bp__StoreAway *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__store_away__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__order_learned__init
                      (Bp__OrderLearned         *message)
 {
@@ -2118,7 +2163,8 @@
 static const uint64_t bp__orders_read__lost_us__default_value = 0ull;
 static const uint64_t bp__orders_read__era__default_value = 0ull;
 static const uint64_t bp__orders_read__away_us__default_value = 0ull;
-static const ProtobufCFieldDescriptor bp__orders_read__field_descriptors[5] =
+static const protobuf_c_boolean bp__orders_read__noted__default_value = 0;
+static const ProtobufCFieldDescriptor bp__orders_read__field_descriptors[6] =
 {
   {
     "read_us",
@@ -2180,18 +2226,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "noted",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Bp__OrdersRead, has_noted),
+    offsetof(Bp__OrdersRead, noted),
+    NULL,
+    &bp__orders_read__noted__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__orders_read__field_indices_by_name[] = {
   4,   /* field[4] = away_us */
   3,   /* field[3] = era */
   2,   /* field[2] = lost_us */
+  5,   /* field[5] = noted */
   1,   /* field[1] = orders */
   0,   /* field[0] = read_us */
 };
 static const ProtobufCIntRange bp__orders_read__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bp__orders_read__descriptor =
 {
@@ -2201,13 +2260,31 @@
   "Bp__OrdersRead",
   "bp",
   sizeof(Bp__OrdersRead),
-  5,
+  6,
   bp__orders_read__field_descriptors,
   bp__orders_read__field_indices_by_name,
   1,  bp__orders_read__number_ranges,
   (ProtobufCMessageInit) bp__orders_read__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+#define bp__store_away__field_descriptors NULL
+#define bp__store_away__field_indices_by_name NULL
+#define bp__store_away__number_ranges NULL
+const ProtobufCMessageDescriptor bp__store_away__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.StoreAway",
+  "StoreAway",
+  "Bp__StoreAway",
+  "bp",
+  sizeof(Bp__StoreAway),
+  0,
+  bp__store_away__field_descriptors,
+  bp__store_away__field_indices_by_name,
+  0,  bp__store_away__number_ranges,
+  (ProtobufCMessageInit) bp__store_away__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__order_learned__field_descriptors[1] =
 {
   {
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -28,6 +28,7 @@
 typedef struct Bp__AttemptsVoid Bp__AttemptsVoid;
 typedef struct Bp__OrdersWanted Bp__OrdersWanted;
 typedef struct Bp__OrdersRead Bp__OrdersRead;
+typedef struct Bp__StoreAway Bp__StoreAway;
 typedef struct Bp__OrderLearned Bp__OrderLearned;
 typedef struct Bp__TokenRead Bp__TokenRead;
 typedef struct Bp__PromotionWanted Bp__PromotionWanted;
@@ -394,10 +395,28 @@
    */
   protobuf_c_boolean has_away_us;
   uint64_t away_us;
+  /*
+   * the store has not confirmed these: they are noted, to be recorded
+   */
+  protobuf_c_boolean has_noted;
+  protobuf_c_boolean noted;
 };
 #define BP__ORDERS_READ__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__orders_read__descriptor) \
-    , 0, 0,NULL, 0, 0ull, 0, 0ull, 0, 0ull }
+    , 0, 0,NULL, 0, 0ull, 0, 0ull, 0, 0ull, 0, 0 }
+
+
+/*
+ * registry -> pool: the store does not list the daemons for a change of primary,
+ * so that it cannot record an order either.
+ */
+struct  Bp__StoreAway
+{
+  ProtobufCMessage base;
+};
+#define BP__STORE_AWAY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__store_away__descriptor) \
+     }
 
 
 /*
@@ -1024,6 +1043,25 @@
 void   bp__orders_read__free_unpacked
                      (Bp__OrdersRead *message,
                       ProtobufCAllocator *allocator);
+/* Bp__StoreAway methods */
+void   bp__store_away__init
+                     (Bp__StoreAway         *message);
+size_t bp__store_away__get_packed_size
+                     (const Bp__StoreAway   *message);
+size_t bp__store_away__pack
+                     (const Bp__StoreAway   *message,
+                      uint8_t             *out);
+size_t bp__store_away__pack_to_buffer
+                     (const Bp__StoreAway   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__StoreAway *
+       bp__store_away__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__store_away__free_unpacked
+                     (Bp__StoreAway *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__OrderLearned methods */
 void   bp__order_learned__init
                      (Bp__OrderLearned         *message);
@@ -1423,6 +1461,9 @@
 typedef void (*Bp__OrdersRead_Closure)
                  (const Bp__OrdersRead *message,
                   void *closure_data);
+typedef void (*Bp__StoreAway_Closure)
+                 (const Bp__StoreAway *message,
+                  void *closure_data);
 typedef void (*Bp__OrderLearned_Closure)
                  (const Bp__OrderLearned *message,
                   void *closure_data);
@@ -1501,6 +1542,7 @@
 extern const ProtobufCMessageDescriptor bp__attempts_void__descriptor;
 extern const ProtobufCMessageDescriptor bp__orders_wanted__descriptor;
 extern const ProtobufCMessageDescriptor bp__orders_read__descriptor;
+extern const ProtobufCMessageDescriptor bp__store_away__descriptor;
 extern const ProtobufCMessageDescriptor bp__order_learned__descriptor;
 extern const ProtobufCMessageDescriptor bp__token_read__descriptor;
 extern const ProtobufCMessageDescriptor bp__promotion_wanted__descriptor;
--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -54,6 +54,11 @@
 bool majority_holds(const db_view_t *, uint32_t count, position_t, int64_t);
 uint32_t majority_of(uint32_t count);
 
+/* Numbers of attempts at a failover: attempt_term.c */
+uint64_t attempt_term_next(uint64_t newest);
+uint64_t attempt_term_standing(uint64_t newest, uint64_t replaced_term);
+uint64_t attempt_term_replaces(uint64_t attempt);
+
 /* Time in which an order that the platform has not answered takes effect. */
 #define ORDER_LATE_US (US_PER_SECOND * 7 / 2)
 
--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -123,7 +123,7 @@
 		failover->last_alive_us[i] = now_us;
 		failover->connect_refusals[i] = 0;
 		failover->turned_away_since_us[i] = 0;
-		failover->granted[i] = false;
+		failover->granted[i] = failover->standing[i] = false;
 		failover->follow_sent_us[i] = failover->log_grown_us[i] = 0;
 		if (j < 0)
 			continue;
@@ -133,6 +133,7 @@
 		failover->turned_away_since_us[i] = old.turned_away_since_us[j];
 		failover->granted[i] = old.granted[j];
 		failover->granted_position[i] = old.granted_position[j];
+		failover->standing[i] = old.standing[j];
 		failover->follow_sent_us[i] = old.follow_sent_us[j];
 		failover->log_grown_us[i] = old.log_grown_us[j];
 	}
@@ -274,8 +275,21 @@
 	*view = *answer;
 	view->known = true;
 	if (failover->state == FAILOVER_FENCING &&
-	    view->promised < failover->term)
+	    view->promised < failover->fenced_term)
 		failover->granted[database] = false;
+	if (view->promised < failover->term)
+		failover->standing[database] = false;
+}
+
+/*
+ * Tell whether a term is that of the attempt under way, or was until its
+ * promises became standing ones.
+ */
+static bool
+attempt_under_way(const failover_t *failover, uint64_t term)
+{
+	return failover->state == FAILOVER_FENCING &&
+	    (term == failover->term || term == failover->fenced_term);
 }
 
 /*
@@ -289,7 +303,7 @@
 	if (term == failover->notice_term &&
 	    (all || now_us - failover->notice_began_us >= NOTICE_ALL_US))
 		failover->notice_confirmed_us = now_us;
-	if (failover->state != FAILOVER_FENCING || term != failover->term)
+	if (!attempt_under_way(failover, term))
 		return;
 	failover->revoked_by_most_us = now_us;
 	failover->revoked_by_all |= all;
@@ -302,20 +316,23 @@
 void
 failover_superseded(failover_t *failover, uint64_t term, int64_t now_us)
 {
-	if (failover->state == FAILOVER_FENCING && term == failover->term)
+	if (attempt_under_way(failover, term))
 		back_off(failover, now_us);
 }
 
 /*
  * Process the newest term in which this or another daemon knows a primary.  An
  * attempt for no newer term is given up: the promises would not end leases on
- * that primary.
+ * that primary.  So is one whose standing promises name an older term.
  */
 void
 failover_term_reported(failover_t *failover, uint64_t term, int64_t now_us)
 {
 	failover->reported_term = MAX(failover->reported_term, term);
-	if (failover->state == FAILOVER_FENCING && failover->term <= term)
+	if (failover->state == FAILOVER_FENCING &&
+	    (failover->term <= term ||
+		(attempt_term_replaces(failover->term) != 0 &&
+		    attempt_term_replaces(failover->term) < term)))
 		back_off(failover, now_us);
 }
 
@@ -458,6 +475,17 @@
 	return behind >= majority_of(failover->count);
 }
 
+/*
+ * Return the highest number of a term or attempt that is known.
+ */
+static uint64_t
+newest_number(const failover_t *failover)
+{
+	return MAX(
+	    MAX(highest_promised_term(failover), failover->reported_term),
+	    failover->recorded.attempt_term);
+}
+
 /*
  * Ask every database to promise a term above all known ones and those of
  * recorded orders.  An isolated primary is left out, since it is ahead of the
@@ -469,12 +497,11 @@
 {
 	uint32_t i;
 
-	failover->term =
-	    MAX(MAX(highest_promised_term(failover), failover->reported_term),
-		failover->recorded.attempt_term) +
-	    1;
+	failover->term = failover->fenced_term =
+	    attempt_term_next(newest_number(failover));
 	failover->fenced_from_term = newest_term(failover);
 	memset(failover->granted, 0, sizeof(failover->granted));
+	memset(failover->standing, 0, sizeof(failover->standing));
 	failover->revocation_sent = failover->revoked_by_all = false;
 	failover->revoked_by_most_us = 0;
 	failover->stepping_down = -1;
@@ -522,9 +549,11 @@
     bool granted, const db_view_t *view, int64_t now_us)
 {
 	failover_merge_view(failover, database, view, now_us);
-	if (failover->state != FAILOVER_FENCING || term != failover->term)
+	if (!attempt_under_way(failover, term))
 		return;
-	if (granted) {
+	if (attempt_term_replaces(term) != 0 && view->promised == term) {
+		failover->standing[database] = true;
+	} else if (granted && attempt_term_replaces(term) == 0) {
 		failover->granted[database] = true;
 		failover->granted_position[database] = view->last_entry;
 		failover->granted_us = now_us;
@@ -645,6 +674,59 @@
 	failover->unaware_since_us = since_us;
 }
 
+/*
+ * Note an attempt whose order is not sent yet, or will not be: its standing
+ * promises prove nothing.
+ */
+static void
+note_unused(failover_t *failover, uint64_t term)
+{
+	if (attempt_term_replaces(term) == 0)
+		return;
+	failover->unused[failover->unused_next] = term;
+	failover->unused_next =
+	    (failover->unused_next + 1) % FAILOVER_ATTEMPTS_MAX;
+}
+
+/*
+ * Note that the order of the attempt is to be sent.
+ */
+static void
+note_used(failover_t *failover)
+{
+	uint32_t i;
+
+	for (i = 0; i < FAILOVER_ATTEMPTS_MAX; i++) {
+		if (failover->unused[i] == failover->term)
+			failover->unused[i] = 0;
+	}
+}
+
+/*
+ * Tell whether a standing promise is for an attempt of this process that has
+ * sent no order.
+ */
+bool
+failover_promise_unused(const failover_t *failover, uint64_t term)
+{
+	uint32_t i;
+
+	for (i = 0; term != 0 && i < FAILOVER_ATTEMPTS_MAX; i++) {
+		if (failover->unused[i] == term)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Set whether the store is away, so that it cannot record an order.
+ */
+void
+failover_set_store_away(failover_t *failover, bool away)
+{
+	failover->store_away = away;
+}
+
 /*
  * Process the answer of the database that was ordered to become primary.
  */
@@ -653,8 +735,10 @@
     uint64_t term, bool ok, const db_view_t *view, int64_t now_us)
 {
 	failover_merge_view(failover, database, view, now_us);
-	if (!ok && term == failover->order.term)
+	if (!ok && term == failover->order.term) {
 		failover->order = failover->order_before;
+		note_unused(failover, term);
+	}
 	if (failover->state != FAILOVER_PROMOTING || term != failover->term ||
 	    database != failover->chosen)
 		return;
@@ -779,6 +863,27 @@
 	return false;
 }
 
+/*
+ * Return the newest term whose primary an order may have replaced, according to
+ * the standing promises of the databases; 0: none.
+ */
+static uint64_t
+shown_replaced(const failover_t *failover)
+{
+	uint64_t replaced = 0;
+	uint32_t i;
+
+	for (i = 0; i < failover->count; i++) {
+		const db_view_t *view = &failover->views[i];
+
+		if (view->known &&
+		    !failover_promise_unused(failover, view->promised))
+			replaced = MAX(
+			    replaced, attempt_term_replaces(view->promised));
+	}
+	return replaced;
+}
+
 /*
  * Tell whether an order to replace the primary was recorded, or may have been
  * sent without, but no newer primary is seen: it may have been promoted and be
@@ -792,7 +897,24 @@
 	return failover->limits.revocable &&
 	    (failover->unaware_since_us != 0 ||
 		failover->views[primary].promised <=
-		    failover->recorded.replaced_term);
+		    MAX(failover->recorded.replaced_term,
+			shown_replaced(failover)));
+}
+
+/*
+ * Return the time since which it is known that the primary may have been
+ * replaced.
+ */
+static int64_t
+doubt_since_us(const failover_t *failover)
+{
+	int32_t primary = failover_primary(failover);
+
+	if (failover->unaware_since_us == 0 &&
+	    failover->views[primary].promised >
+		failover->recorded.replaced_term)
+		return failover->doubt_since_us;
+	return MAX(failover->recorded_us, failover->unaware_since_us);
 }
 
 /*
@@ -902,14 +1024,19 @@
 		enter_state(failover, FAILOVER_LEARNING, now_us);
 		return;
 	}
+	if (!maybe_replaced(failover))
+		failover->doubt_since_us = 0;
+	else if (failover->doubt_since_us == 0)
+		failover->doubt_since_us = now_us;
 	if (maybe_replaced(failover) &&
-	    now_us - MAX(failover->recorded_us, failover->unaware_since_us) >=
+	    now_us - doubt_since_us(failover) >=
 		failover->limits.order_late_us &&
 	    successor_answers(failover, now_us))
 		/* a newer term shows which primary is the newest */
 		failover->handover = true;
-	if (failover->limits.revocable && !order_pending(failover, now_us) &&
-	    !maybe_replaced(failover) && stray_promise(failover, now_us) &&
+	if (failover->limits.revocable && !failover->store_away &&
+	    !order_pending(failover, now_us) && !maybe_replaced(failover) &&
+	    stray_promise(failover, now_us) &&
 	    stray_promises_releasable(failover, now_us, actions))
 		/* again with each tick, until the coordinator may do so */
 		release_stray_promises(failover, actions);
@@ -968,11 +1095,60 @@
 		if (failover->granted[i] &&
 		    (int32_t)i != failover->stepping_down &&
 		    failover->views[i].term >= newest_term(failover))
-			actions->list[actions->count++] = (failover_action_t){
-			    FAILOVER_RELEASE, i, failover->term};
+			actions->list[actions->count++] =
+			    (failover_action_t){FAILOVER_RELEASE, i,
+				failover->standing[i] ? failover->term
+						      : failover->fenced_term};
 	}
 }
 
+/*
+ * Have the databases that have promised the term, except the chosen one, give a
+ * standing promise, since the store cannot record the order.  If those and the
+ * chosen one are no majority, all others are asked.  What they have promised
+ * before stays valid: the leases have ended.
+ */
+static void
+request_standing(
+    failover_t *failover, int32_t chosen, failover_actions_t *actions)
+{
+	uint32_t i, granted = 1;
+
+	failover->term = attempt_term_standing(newest_number(failover),
+	    MAX(failover->fenced_from_term, failover->reported_term));
+	if (failover->term == 0) {
+		failover->term = failover->fenced_term;
+		return;
+	}
+	note_unused(failover, failover->term);
+	for (i = 0; i < failover->count; i++)
+		granted += (int32_t)i != chosen && failover->granted[i];
+	for (i = 0; i < failover->count; i++) {
+		if ((int32_t)i == chosen || !failover->views[i].known ||
+		    (!failover->granted[i] &&
+			granted >= majority_of(failover->count)))
+			continue;
+		actions->list[actions->count++] =
+		    (failover_action_t){FAILOVER_FENCE, i, failover->term};
+	}
+}
+
+/*
+ * Tell whether an order that the store does not record would be known
+ * afterwards: a majority of the databases is the chosen one and those that hold
+ * standing promises.
+ */
+static bool
+order_provable(const failover_t *failover, int32_t chosen)
+{
+	uint32_t i, holders = 1;
+
+	for (i = 0; i < failover->count; i++)
+		holders += (int32_t)i != chosen && failover->standing[i];
+	return attempt_term_replaces(failover->term) != 0 &&
+	    holders >= majority_of(failover->count);
+}
+
 /*
  * Handle FENCING: when enough databases have promised the term, tell the
  * daemons to revoke their leases, wait until these have ended, and promote the
@@ -994,11 +1170,16 @@
 		back_off(failover, now_us);
 		failover->wait_until_us =
 		    MAX(failover->wait_until_us, now_us + LEARNING_US);
+	} else if (chosen >= 0 && failover->store_away &&
+	    failover->term == failover->fenced_term) {
+		request_standing(failover, chosen, actions);
 	} else if (chosen >= 0 &&
-	    !order_pending_elsewhere(failover, chosen, now_us)) {
+	    !order_pending_elsewhere(failover, chosen, now_us) &&
+	    (!failover->store_away || order_provable(failover, chosen))) {
 		failover->chosen = (uint32_t)chosen;
 		actions->list[actions->count++] = (failover_action_t){
 		    FAILOVER_PROMOTE, failover->chosen, failover->term};
+		note_used(failover);
 		note_order(failover, now_us);
 		enter_state(failover, FAILOVER_PROMOTING, now_us);
 	} else if (now_us - failover->state_entered_us >=
@@ -1064,6 +1245,8 @@
 
 	actions->count = 0;
 	failover->ticked_us = now_us;
+	if (paused)
+		failover->doubt_since_us = 0;
 	if (paused && failover->state == FAILOVER_FENCING)
 		back_off(failover, now_us);
 	switch (failover->state) {
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -103,6 +103,9 @@
 	int64_t until_us;      /* time until which it may take effect */
 } failover_order_t;
 
+/* Number of attempts of this process that are remembered. */
+#define FAILOVER_ATTEMPTS_MAX 16
+
 /* State of the failover of a group. */
 typedef struct failover {
 	failover_limits_t limits;
@@ -129,6 +132,10 @@
 	/* the same: newest term of a primary that was known when the attempt
 	   began */
 	uint64_t fenced_from_term;
+	/* terms of the last attempts for which standing promises were asked and
+	   no order was sent; the oldest is overwritten */
+	uint64_t unused[FAILOVER_ATTEMPTS_MAX];
+	uint32_t unused_next;
 	/* term of the last order that was cancelled */
 	uint64_t cancelled_term;
 	/* time of the last call of failover_tick() */
@@ -143,12 +150,24 @@
 	/* time since which orders are known, if earlier ones that are not
 	   recorded may have replaced the primary; otherwise 0 */
 	int64_t unaware_since_us;
+	/* time since which a standing promise shows that the primary may have
+	   been replaced; 0: none does */
+	int64_t doubt_since_us;
 	/* PROMOTING: the database to become primary */
 	uint32_t chosen;
 	/* the last order, and the one before it */
 	failover_order_t order;
 	failover_order_t order_before;
 
+	/* the store cannot record an order now, so that the promises for it
+	   have to outlast the promotion */
+	bool store_away;
+	/* FENCING: the term that was promised before that became known; equal
+	   to term if it did not */
+	uint64_t fenced_term;
+	/* FENCING: databases that hold a standing promise for this attempt */
+	bool standing[GROUP_DATABASES_MAX];
+
 	/* FENCING: databases that promised the new term, the last entry of the
 	   log of each at that moment, and the time of the last promise */
 	bool granted[GROUP_DATABASES_MAX];
@@ -220,6 +239,8 @@
     failover_t *, const recorded_orders_t *, int64_t now_us);
 void failover_set_unaware(failover_t *, int64_t since_us);
 void failover_set_unconfirmed(failover_t *, int64_t since_us);
+void failover_set_store_away(failover_t *, bool away);
+bool failover_promise_unused(const failover_t *, uint64_t term);
 void failover_request_handover(failover_t *, int64_t now_us);
 void failover_tick(failover_t *, int64_t now_us, failover_actions_t *);
 int32_t failover_primary(const failover_t *);
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -19,6 +19,31 @@
 	    : durations->short_us;
 }
 
+/*
+ * Tell whether a promise of a database blocks leases in a term.  The promise of
+ * the attempt that led to the term does not: all daemons that know of its order
+ * know that.
+ */
+static bool
+promise_blocks(const lease_t *lease, const db_view_t *view, uint64_t term)
+{
+	const recorded_orders_t *orders = &lease->orders;
+
+	return view->promised > term &&
+	    (view->promised != orders->attempt_term ||
+		orders->replaced_term >= term);
+}
+
+/*
+ * Tell whether a standing promise of a database names this term or a newer one:
+ * an order to replace its primary may have been sent.
+ */
+static bool
+order_shown(const db_view_t *view, uint64_t term)
+{
+	return view->known && attempt_term_replaces(view->promised) >= term;
+}
+
 /*
  * Return the send time of the latest status requests, sent no later than
  * before_us, that found no newer promise at so many replicas that every
@@ -26,8 +51,8 @@
  * connections that were opened by connected_us count.
  */
 static int64_t
-supported_us(const db_view_t *views, uint32_t count, uint32_t primary,
-    int64_t before_us, int64_t connected_us)
+supported_us(const lease_t *lease, const db_view_t *views, uint32_t count,
+    uint32_t primary, int64_t before_us, int64_t connected_us)
 {
 	uint32_t needed = majority_of(count) - 1, i, j, as_recent;
 	uint64_t term = views[primary].promised;
@@ -36,7 +61,7 @@
 
 	for (i = 0; i < count; i++)
 		counts[i] = i != primary && views[i].known &&
-		    views[i].promised <= term &&
+		    !promise_blocks(lease, &views[i], term) &&
 		    views[i].connected_us <= connected_us;
 	for (i = 0; i < count; i++) {
 		if (!counts[i] || views[i].requested_us > before_us)
@@ -56,16 +81,17 @@
  * newer term; otherwise 0.  At that time none of them led a newer term.
  */
 static int64_t
-denied_by_all_us(const db_view_t *views, uint32_t count, uint32_t primary)
+denied_by_all_us(const lease_t *lease, const db_view_t *views, uint32_t count,
+    uint32_t primary)
 {
+	uint64_t term = views[primary].promised;
 	int64_t oldest_us = INT64_MAX;
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
 		if (i == primary)
 			continue;
-		if (!views[i].known ||
-		    views[i].promised > views[primary].promised)
+		if (!views[i].known || promise_blocks(lease, &views[i], term))
 			return 0;
 		if (views[i].requested_us < oldest_us)
 			oldest_us = views[i].requested_us;
@@ -173,17 +199,19 @@
  * is lifted when every database has answered, to a later request, that it holds
  * no such promise.  When some do not answer, a majority suffices, and the store
  * must record that the attempt has led to this primary or, after
- * ATTEMPT_MAX_US, to none.
+ * ATTEMPT_MAX_US, to none.  A standing promise for an order to replace this
+ * primary blocks leases as long as it is there.
  */
 static bool
 renewal_blocked(
     lease_t *lease, const db_view_t *views, uint32_t count, uint64_t term)
 {
 	uint32_t i, denied = 0;
-	bool by_all;
+	bool by_all, shown = false;
 
 	for (i = 0; i < count; i++) {
-		if (!views[i].known || views[i].promised <= term)
+		shown |= order_shown(&views[i], term);
+		if (!views[i].known || !promise_blocks(lease, &views[i], term))
 			continue;
 		/* keep the time of the latest sign of a failover */
 		if (lease->blocked_term < term ||
@@ -194,10 +222,13 @@
 		if (views[i].promised > lease->attempt_term)
 			lease->attempt_term = views[i].promised;
 	}
+	if (shown)
+		return true;
 	if (lease->blocked_term < term || lease->blocked_term == 0)
 		return false;
 	for (i = 0; i < count; i++)
-		denied += views[i].known && views[i].promised <= term &&
+		denied += views[i].known &&
+		    !promise_blocks(lease, &views[i], term) &&
 		    views[i].requested_us > lease->blocked_us;
 	if (denied < majority_of(count))
 		return true;
@@ -231,22 +262,22 @@
 certain_us(lease_t *lease, const db_view_t *views, uint32_t count,
     uint32_t primary, const lease_duration_t *durations)
 {
-	int64_t known_us = denied_by_all_us(views, count, primary);
+	int64_t known_us = denied_by_all_us(lease, views, count, primary);
 	int64_t asked_us;
 
 	if (members_missing(lease, views[primary].promised) ||
 	    order_recorded(lease, views[primary].promised))
 		known_us = 0;
 	if (record_allows(lease, views[primary].promised)) {
-		asked_us = supported_us(
-		    views, count, primary, lease->orders.read_us, INT64_MAX);
+		asked_us = supported_us(lease, views, count, primary,
+		    lease->orders.read_us, INT64_MAX);
 		if (asked_us > known_us)
 			known_us = asked_us;
 	}
 	if (known_us > lease->verified_us)
 		lease->verified_us = known_us;
-	asked_us =
-	    supported_us(views, count, primary, INT64_MAX, lease->verified_us);
+	asked_us = supported_us(
+	    lease, views, count, primary, INT64_MAX, lease->verified_us);
 	if (lease->verified_us != 0 && asked_us > known_us &&
 	    asked_us - lease->verified_us <=
 		duration_us(durations, lease->verified_us))
@@ -344,8 +375,8 @@
 	    lease->supported_us + duration_us(durations, lease->supported_us) <=
 		now_us)
 		lease->unverified = count == 1 ||
-		    supported_us(views, count, primary, INT64_MAX, INT64_MAX) >
-			lease->supported_us;
+		    supported_us(lease, views, count, primary, INT64_MAX,
+			INT64_MAX) > lease->supported_us;
 	ends_us = view->promised == lease->term ? lease->expires_us : now_us;
 	if (asked_us == 0 || until_us <= ends_us)
 		return false;
--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -526,6 +526,7 @@
 
 	order_note(order);
 	request->group = arena_strdup(msg->arena, wanted->group);
+	orders_tell_open(registry, msg);
 	request->term = wanted->term;
 	request->token = registry->fencing_token;
 	request->has_confirms = request->confirms = 1;
@@ -586,7 +587,7 @@
 /*
  * Handle PromotionWanted: the pool wants a server to become primary.  While the
  * store is unreachable, only a coordinator that has already sent an order under
- * its token may send another.
+ * its token may send another, and only for an attempt with standing promises.
  */
 void
 promotion_wanted(void *context, msg_t *msg)
@@ -605,7 +606,9 @@
 		return;
 	}
 	waited_us = clock_us() - (int64_t)order_request(order)->heard_us;
-	if (!registry->order_sent && registry->daemons_list_failed)
+	if (registry->daemons_list_failed &&
+	    (!registry->order_sent ||
+		attempt_term_replaces(order_request(order)->term) == 0))
 		order_finish(order, BP__PROMOTION_ANSWER__ORDER_WITHHELD);
 	else if (registry->daemons_list_failed)
 		order_ask_daemons(order);
--- a/src/proxy/daemons.c
+++ b/src/proxy/daemons.c
@@ -537,6 +537,8 @@
 	registry->daemons_list_failed =
 	    store_response_status(registry, response) != OBJECT_STORE_OK;
 	if (registry->daemons_list_failed) {
+		task_send(registry->proxy->pool, registry->task,
+		    msg_new(&bp__store_away__descriptor));
 		log_line(LOG_PART, G_LOG_LEVEL_INFO,
 		    "The store does not list the daemons; revoking the leases "
 		    "on group %s of those listed last.",
--- a/src/proxy/group_orders.c
+++ b/src/proxy/group_orders.c
@@ -152,6 +152,20 @@
 	failover_superseded(&group->failover, term, now_us);
 }
 
+/*
+ * Note an order that a standing promise shows, and have it recorded.
+ */
+void
+group_orders_shown(group_t *group, uint64_t promised, int64_t now_us)
+{
+	told_orders_t shown = {
+	    .orders = {.attempt_term = promised,
+		.replaced_term = attempt_term_replaces(promised)}};
+
+	group_orders_told_note(group, &shown, now_us);
+	group_orders_report(group);
+}
+
 /*
  * Note the open orders that the store has recorded.
  */
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -556,12 +556,28 @@
 	    msg_new(&bp__duty_wanted__descriptor));
 }
 
+/*
+ * Tell whether the pause of a server may be all that is left of an order: it is
+ * a standing promise, and the store has not recorded the order yet.
+ */
+static bool
+proves_order(const server_t *server)
+{
+	const group_t *group = server->group;
+	uint64_t promised = server->paused_until_term;
+
+	return attempt_term_replaces(promised) != 0 &&
+	    promised > group->stored_attempt_term &&
+	    !failover_promise_unused(&group->failover, promised);
+}
+
 /*
  * Tell whether the paused replication of a server may be resumed.  A resumption
  * ends the pauses of all daemons, and no other daemon's failover may rely on
  * one: the store must have just confirmed that this daemon is the coordinator,
- * and no order of a former one may take effect any more.  term: if not 0, the
- * pause must still be for that term.
+ * and no order of a former one may take effect any more.  Nor may the pause be
+ * all that is left of an order.  term: if not 0, the pause must still be for
+ * that term.
  */
 static bool
 may_resume_replication(const server_t *server, uint64_t term, int64_t now_us)
@@ -569,6 +585,7 @@
 	pool_t *pool = server->group->pool;
 
 	if ((term != 0 && server->paused_until_term != term) ||
+	    proves_order(server) ||
 	    now_us - pool->coordinator_since_us < ORDER_LATE_US)
 		return false;
 	if (now_us - pool->coordinator_confirmed_us < COORDINATOR_CONFIRMED_US)
@@ -943,6 +960,34 @@
 	failover_request_handover(&group->failover, now_us);
 }
 
+/*
+ * Have an order recorded that is known from a standing promise alone, if it has
+ * led to the present primary: leases on that one wait for the record, and the
+ * server remains paused.  Orders of former coordinators must be over, since the
+ * promise does not tell which one led to the primary.
+ */
+static void
+record_shown_order(group_t *group, int64_t now_us)
+{
+	const failover_t *failover = &group->failover;
+	int32_t primary = failover_primary(failover);
+	uint32_t i;
+
+	if (primary < 0 ||
+	    now_us - group->pool->coordinator_since_us < ORDER_LATE_US)
+		return;
+	for (i = 0; i < group->count; i++) {
+		const server_t *server = group->servers[i];
+		uint64_t promised = server->paused_until_term;
+
+		if (proves_order(server) &&
+		    promised > group->lease.orders.attempt_term &&
+		    failover->views[primary].promised >
+			attempt_term_replaces(promised))
+			group_orders_shown(group, promised, now_us);
+	}
+}
+
 /*
  * Probe the servers of a group, and run failovers and handovers if this daemon
  * is the coordinator.
@@ -969,6 +1014,7 @@
 		probe_server(group->servers[i], now_us);
 		dbconns_tick(group->servers[i], now_us);
 	}
+	failover_set_store_away(failover, group->pool->store_away);
 	unresponsive = failover_primary_suspected(failover, now_us);
 	if (unresponsive != group->unresponsive) {
 		group->unresponsive = unresponsive;
@@ -980,6 +1026,7 @@
 	if (!group->pool->is_coordinator || group->count == 0)
 		return;
 	check_handover(group, now_us);
+	record_shown_order(group, now_us);
 	failover_term_reported(
 	    failover, lease_newest_term(&group->lease), now_us);
 	primary = failover_primary(failover);
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -220,6 +220,20 @@
 	    recorded_order_write(&order->recorded, wanted->group, msg->arena);
 }
 
+/*
+ * Add the open orders of a group, with the one that is about to be sent, to a
+ * message for the other daemons.
+ */
+void
+orders_tell_open(registry_t *registry, msg_t *msg)
+{
+	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
+
+	wanted->open =
+	    open_orders_write(&order_of(registry, wanted->group)->open,
+		msg->arena, clock_us(), &wanted->n_open);
+}
+
 /*
  * Tell whether other daemons were told of the last order of a group.
  */
@@ -283,15 +297,16 @@
 }
 
 /*
- * Report to the pool task which orders the store has recorded.  record: NULL if
- * there is none.  read_us: send time of the request; 0: it was not answered.
+ * Report orders to the pool task.  noted: the store has not confirmed them.
  */
-void
-orders_report(
-    registry_t *registry, const Bp__DutyRecord *record, int64_t read_us)
+static void
+report_orders(registry_t *registry, const Bp__DutyRecord *record,
+    int64_t read_us, bool noted)
 {
 	Bp__OrdersRead read = BP__ORDERS_READ__INIT;
 
+	read.has_noted = 1;
+	read.noted = noted;
 	read.read_us = (uint64_t)read_us;
 	read.has_lost_us = read.has_era = read.has_away_us = 1;
 	read.away_us = (uint64_t)registry->store_away_us;
@@ -304,6 +319,17 @@
 	task_send(registry->proxy->pool, registry->task, msg_copy(&read.base));
 }
 
+/*
+ * Report to the pool task which orders the store has recorded.  record: NULL if
+ * there is none.  read_us: send time of the request; 0: it was not answered.
+ */
+void
+orders_report(
+    registry_t *registry, const Bp__DutyRecord *record, int64_t read_us)
+{
+	report_orders(registry, record, read_us, false);
+}
+
 /*
  * Report the noted orders to the pool task, as if they were recorded already.
  */
@@ -314,7 +340,7 @@
 	Bp__DutyRecord noted = BP__DUTY_RECORD__INIT;
 
 	orders_fill(registry, arena, &noted);
-	orders_report(registry, &noted, clock_us());
+	report_orders(registry, &noted, clock_us(), true);
 	arena_free(arena);
 }
 
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -345,9 +345,12 @@
 	gpointer name, value;
 
 	pool->orders_pending = false;
+	if (read->read_us != 0 && !read->noted)
+		pool->store_away = false;
 	g_hash_table_iter_init(&iter, pool->groups);
 	while (read->read_us != 0 &&
 	    g_hash_table_iter_next(&iter, &name, &value)) {
+		group_t *group = value;
 		recorded_orders_t recorded = {0};
 		Bp__OpenOrder *const *open = NULL;
 		size_t i, n_open = 0;
@@ -367,10 +370,23 @@
 		group_orders_recorded(value, open, n_open, clock_us());
 		monitor_store_away(value, (int64_t)read->away_us);
 		monitor_orders_read(value, &recorded, clock_us());
+		if (!read->noted)
+			group->stored_attempt_term = recorded.attempt_term;
 	}
 	msg_free(msg);
 }
 
+/*
+ * Handle StoreAway: orders have to be provable without the store, until it has
+ * answered again.
+ */
+static void
+on_store_away(void *context, msg_t *msg)
+{
+	((pool_t *)context)->store_away = true;
+	msg_free(msg);
+}
+
 /*
  * Handle RevokeEnded: a majority of the daemons, or all, have revoked their
  * leases of a group below a term, or one of them knows a newer coordinator.
@@ -426,6 +442,7 @@
     {&bp__attempts_void__descriptor, on_attempts_void},
     {&bp__promotion_ended__descriptor, on_promotion_ended},
     {&bp__orders_read__descriptor, on_orders_read},
+    {&bp__store_away__descriptor, on_store_away},
     {&bp__daemons_counted__descriptor, on_daemons_counted},
     {&bp__revoke_ended__descriptor, on_revoke_ended},
     {&bp__revoke_asked__descriptor, on_revoke_asked},
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -188,6 +188,8 @@
 	   that a coordinator has told */
 	recorded_orders_t orders_read;
 	told_orders_t orders_told;
+	/* attempt of the last order that the store has confirmed; 0: none */
+	uint64_t stored_attempt_term;
 	/* time at which a lease in its term was last seen to be valid */
 	int64_t lease_seen_us;
 	int64_t created_us; /* time at which this structure was created */
@@ -330,6 +332,9 @@
 	/* the recorded orders were requested, and the time of that request */
 	bool orders_pending;
 	int64_t orders_requested_us;
+	/* the store did not list the daemons for the last attempt, and has not
+	   answered since */
+	bool store_away;
 	bool leaving; /* the daemon shuts down */
 	bool listed;  /* the store lists this daemon */
 	lease_duration_t lease_durations;
@@ -427,6 +432,7 @@
 void group_orders_learned(
     group_t *, const Bp__RecordedOrder *, uint64_t term, int64_t now_us);
 void group_orders_report(const group_t *);
+void group_orders_shown(group_t *, uint64_t promised, int64_t now_us);
 int64_t group_orders_checked_us(const group_t *);
 bool group_orders_checkable(const group_t *, int64_t now_us);
 
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -121,20 +121,24 @@
  * Ask for an order that was decided now.
  */
 static void
-want_order(registry_t *registry, const char *group, int64_t heard_us)
+want_order(
+    registry_t *registry, const char *group, uint64_t term, int64_t heard_us)
 {
 	msg_t *msg = msg_new(&bp__promotion_wanted__descriptor);
 	Bp__PromotionWanted *wanted = (Bp__PromotionWanted *)msg->body;
 
 	wanted->group = arena_strdup(msg->arena, group);
 	wanted->server = arena_strdup(msg->arena, "s-1");
-	wanted->term = 2;
+	wanted->term = term;
 	wanted->replaced_term = 1;
 	wanted->heard_us = (uint64_t)heard_us;
 	wanted->decided_us = (uint64_t)clock_us();
 	promotion_wanted(registry, msg);
 }
 
+/* An attempt with standing promises, to replace the primary of term 1. */
+#define STANDING_TERM ((UINT64_C(1) << 20) | 1)
+
 /*
  * Test that a former coordinator does not write its record over that of its
  * successor when a second order, which waited, is due.
@@ -164,8 +168,8 @@
 	registry->promoter = (promoter_t *)&counting_promoter;
 	registry->fencing_token = 5;
 	registry->coordinator_revision = 10;
-	want_order(registry, "second", clock_us());
-	want_order(registry, "first", clock_us() - FIRST_ORDER_DELAY_US);
+	want_order(registry, "second", 2, clock_us());
+	want_order(registry, "first", 2, clock_us() - FIRST_ORDER_DELAY_US);
 	g_assert_cmpuint(last_write.count, ==, 1);
 	g_assert_cmpuint(last_write.token, ==, 5);
 	last_write.callback(last_write.context, &conflict);
@@ -220,7 +224,7 @@
 	for (i = 0; i < ORDERS; i++) {
 		char *group = g_strdup_printf("group-%u", i);
 
-		want_order(registry, group, clock_us());
+		want_order(registry, group, 2, clock_us());
 		g_free(group);
 	}
 	while ((next = g_queue_pop_head(&pending_writes)) != NULL) {
@@ -273,20 +277,23 @@
 	registry->fencing_token = 5;
 	registry->order_sent = registry->daemons_list_failed = true;
 	promoted_count = 0;
-	want_order(registry, "ledger", clock_us());
+	want_order(registry, "ledger", STANDING_TERM, clock_us());
 	ended->group = arena_strdup(msg->arena, "ledger");
-	ended->term = 2;
+	ended->term = STANDING_TERM;
 	ended->state = BP__REVOKE_STATE__MOST;
 	order_confirmed(registry, msg);
 	g_assert_cmpuint(promoted_count, ==, 1);
 	/* too few daemons confirm the second */
-	want_order(registry, "ledger", clock_us());
+	want_order(registry, "ledger", STANDING_TERM, clock_us());
+	/* nor is one sent whose promises end with the promotion */
+	want_order(registry, "ledger", 2, clock_us());
 	while (clock_us() < end_us) {
 		g_main_context_iteration(task_main_context(host), FALSE);
 		g_usleep(1000);
 	}
 	orders_fill(registry, arena, &noted);
 	g_assert_cmpuint(noted.n_orders, ==, 1);
+	g_assert_cmpuint(promoted_count, ==, 1);
 	arena_free(arena);
 	coordinator_stop(registry);
 	g_hash_table_unref(registry->heartbeats);
