A standing promise supports only the primary that its order names

What callers saw: nothing yet; found by the model (/sitemodel/right/orders-are-held-up, many faults, and the two rows of a store that goes back): with the first form of the rule a lease rested on the promise of an attempt whose order named another database and was still under way.

Fix: the record and what the daemons are told have the key of the server that the order names. The promise of the attempt is no obstacle only to a lease on that server, and only a standing promise is none.

Also, daemons are not told with the confirmation that the order is open: a daemon that does not see it take effect would serve nothing at a later primary as long as the named server is silent (/old-primary/after-outage/its-coordinator-is-killed, no write for 16 s).

--- a/gen/catalog.pb-c.c
+++ b/gen/catalog.pb-c.c
@@ -892,7 +892,8 @@
 static const uint64_t bp__recorded_order__base_term__default_value = 0ull;
 static const uint64_t bp__recorded_order__base_index__default_value = 0ull;
 static const uint64_t bp__recorded_order__era__default_value = 0ull;
-static const ProtobufCFieldDescriptor bp__recorded_order__field_descriptors[8] =
+static const uint64_t bp__recorded_order__named__default_value = 0ull;
+static const ProtobufCFieldDescriptor bp__recorded_order__field_descriptors[9] =
 {
   {
     "group",
@@ -990,6 +991,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "named",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__RecordedOrder, has_named),
+    offsetof(Bp__RecordedOrder, named),
+    NULL,
+    &bp__recorded_order__named__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__recorded_order__field_indices_by_name[] = {
   2,   /* field[2] = attempt_term */
@@ -998,13 +1011,15 @@
   7,   /* field[7] = earlier */
   5,   /* field[5] = era */
   0,   /* field[0] = group */
+  8,   /* field[8] = named */
   6,   /* field[6] = open */
   1,   /* field[1] = replaced_term */
 };
-static const ProtobufCIntRange bp__recorded_order__number_ranges[1 + 1] =
+static const ProtobufCIntRange bp__recorded_order__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 10, 8 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bp__recorded_order__descriptor =
 {
@@ -1014,10 +1029,10 @@
   "Bp__RecordedOrder",
   "bp",
   sizeof(Bp__RecordedOrder),
-  8,
+  9,
   bp__recorded_order__field_descriptors,
   bp__recorded_order__field_indices_by_name,
-  1,  bp__recorded_order__number_ranges,
+  2,  bp__recorded_order__number_ranges,
   (ProtobufCMessageInit) bp__recorded_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/gen/catalog.pb-c.h
+++ b/gen/catalog.pb-c.h
@@ -222,10 +222,15 @@
    */
   size_t n_earlier;
   Bp__EarlierOrder **earlier;
+  /*
+   * key of the server that the last one names; 0: not known
+   */
+  protobuf_c_boolean has_named;
+  uint64_t named;
 };
 #define BP__RECORDED_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__recorded_order__descriptor) \
-    , NULL, 0, 0, 0, 0ull, 0, 0ull, 0, 0ull, 0,NULL, 0,NULL }
+    , NULL, 0, 0, 0, 0ull, 0, 0ull, 0, 0ull, 0,NULL, 0,NULL, 0, 0ull }
 
 
 /*
--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -46,6 +46,7 @@
 	bool unlisted; /* has no entry in the store: not to be promoted */
 	/* it was ordered to become primary, and may still do so */
 	bool order_open;
+	uint64_t key; /* identifies the database; 0: not known */
 } db_view_t;
 
 void db_view_merge(db_view_t *, const db_view_t *answer);
@@ -93,6 +94,8 @@
 	/* end of the log of the database that the last of them named: the new
 	   term begins after it */
 	position_t base;
+	/* key of that database; 0: not known */
+	uint64_t named;
 	/* time at which the store was known to have come back from an older
 	   copy, which may lack orders; 0: never */
 	int64_t lost_us;
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -20,18 +20,22 @@
 }
 
 /*
- * Tell whether a promise of a database blocks leases in a term.  The promise of
- * the attempt that led to the term does not: all daemons that know of its order
- * know that.
+ * Tell whether a promise of a database blocks leases on a primary.  The
+ * standing promise of the attempt that has led to its term does not: the
+ * primary is the one that the order of that attempt named.
  */
 static bool
-promise_blocks(const lease_t *lease, const db_view_t *view, uint64_t term)
+promise_blocks(
+    const lease_t *lease, const db_view_t *view, const db_view_t *primary)
 {
 	const recorded_orders_t *orders = &lease->orders;
 
-	return view->promised > term &&
-	    (view->promised != orders->attempt_term ||
-		orders->replaced_term >= term);
+	if (view->promised <= primary->promised)
+		return false;
+	return attempt_term_replaces(view->promised) == 0 ||
+	    view->promised != orders->attempt_term ||
+	    orders->replaced_term >= primary->promised ||
+	    (orders->named != 0 && orders->named != primary->key);
 }
 
 /*
@@ -55,13 +59,12 @@
     uint32_t primary, int64_t before_us, int64_t connected_us)
 {
 	uint32_t needed = majority_of(count) - 1, i, j, as_recent;
-	uint64_t term = views[primary].promised;
 	bool counts[GROUP_DATABASES_MAX];
 	int64_t asked_us = 0;
 
 	for (i = 0; i < count; i++)
 		counts[i] = i != primary && views[i].known &&
-		    !promise_blocks(lease, &views[i], term) &&
+		    !promise_blocks(lease, &views[i], &views[primary]) &&
 		    views[i].connected_us <= connected_us;
 	for (i = 0; i < count; i++) {
 		if (!counts[i] || views[i].requested_us > before_us)
@@ -84,14 +87,14 @@
 denied_by_all_us(const lease_t *lease, const db_view_t *views, uint32_t count,
     uint32_t primary)
 {
-	uint64_t term = views[primary].promised;
 	int64_t oldest_us = INT64_MAX;
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
 		if (i == primary)
 			continue;
-		if (!views[i].known || promise_blocks(lease, &views[i], term))
+		if (!views[i].known ||
+		    promise_blocks(lease, &views[i], &views[primary]))
 			return 0;
 		if (views[i].requested_us < oldest_us)
 			oldest_us = views[i].requested_us;
@@ -204,14 +207,16 @@
  */
 static bool
 renewal_blocked(
-    lease_t *lease, const db_view_t *views, uint32_t count, uint64_t term)
+    lease_t *lease, const db_view_t *views, uint32_t count, uint32_t primary)
 {
+	uint64_t term = views[primary].promised;
 	uint32_t i, denied = 0;
 	bool by_all, shown = false;
 
 	for (i = 0; i < count; i++) {
 		shown |= order_shown(&views[i], term);
-		if (!views[i].known || !promise_blocks(lease, &views[i], term))
+		if (!views[i].known ||
+		    !promise_blocks(lease, &views[i], &views[primary]))
 			continue;
 		/* keep the time of the latest sign of a failover */
 		if (lease->blocked_term < term ||
@@ -228,7 +233,7 @@
 		return false;
 	for (i = 0; i < count; i++)
 		denied += views[i].known &&
-		    !promise_blocks(lease, &views[i], term) &&
+		    !promise_blocks(lease, &views[i], &views[primary]) &&
 		    views[i].requested_us > lease->blocked_us;
 	if (denied < majority_of(count))
 		return true;
@@ -355,7 +360,7 @@
 	    term_is_over(lease, views, count, view->promised))
 		return false;
 	note_aware(lease, views, count, primary);
-	if (renewal_blocked(lease, views, count, view->promised))
+	if (renewal_blocked(lease, views, count, primary))
 		return false;
 	if (lease->orders.read_us == 0) {
 		lease->unverified = true;
--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -526,7 +526,6 @@
 
 	order_note(order);
 	request->group = arena_strdup(msg->arena, wanted->group);
-	orders_tell_open(registry, msg);
 	request->term = wanted->term;
 	request->token = registry->fencing_token;
 	request->has_confirms = request->confirms = 1;
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -520,6 +520,7 @@
 	view.last_entry = status->received;
 	view.requested_us = expect->sent_us;
 	view.term = status->term;
+	view.key = server->key;
 	view.connected_us = server->control_us;
 	view.order_open = failover->views[server->index].order_open;
 	server->busy = status->busy;
--- a/src/proxy/order_messages.c
+++ b/src/proxy/order_messages.c
@@ -1,6 +1,18 @@
 #include "order_messages.h"
 
 #include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/*
+ * Return the key of a server, which is never 0.
+ */
+uint64_t
+server_key(const char *id)
+{
+	/* a number in JSON is exact up to 53 bits */
+	return (XXH3_64bits(id, strlen(id)) >> 11) | 1;
+}
 
 /*
  * Return what a message says of the recorded orders of a group.
@@ -11,6 +23,7 @@
 	recorded_orders_t orders = {.replaced_term = message->replaced_term,
 	    .attempt_term = message->attempt_term,
 	    .base = {message->base_term, message->base_index},
+	    .named = message->named,
 	    .era = message->era};
 	size_t i;
 
@@ -44,6 +57,8 @@
 	message->base_index = orders->base.index;
 	message->has_era = 1;
 	message->era = orders->era;
+	message->has_named = 1;
+	message->named = orders->named;
 	message->earlier = arena_zalloc(
 	    arena, sizeof(message->earlier[0]) * (orders->earlier_count + 1));
 	for (i = 0; i < orders->earlier_count; i++) {
--- a/src/proxy/order_messages.h
+++ b/src/proxy/order_messages.h
@@ -11,6 +11,7 @@
  * decisions.  The open ones among them are a set of their own.
  */
 
+uint64_t server_key(const char *id);
 recorded_orders_t recorded_order_read(const Bp__RecordedOrder *);
 Bp__RecordedOrder *recorded_order_write(
     const recorded_orders_t *, const char *group, arena_t *);
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -102,6 +102,7 @@
 		order->sent = order->told = false;
 	}
 	order->recorded.attempt_term = wanted->term;
+	order->recorded.named = server_key(wanted->server);
 	recorded_orders_add(&order->recorded, wanted->replaced_term,
 	    (position_t){wanted->base_term, wanted->base_index});
 	order->recorded.era = registry->store_era;
@@ -220,20 +221,6 @@
 	    recorded_order_write(&order->recorded, wanted->group, msg->arena);
 }
 
-/*
- * Add the open orders of a group, with the one that is about to be sent, to a
- * message for the other daemons.
- */
-void
-orders_tell_open(registry_t *registry, msg_t *msg)
-{
-	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
-
-	wanted->open =
-	    open_orders_write(&order_of(registry, wanted->group)->open,
-		msg->arena, clock_us(), &wanted->n_open);
-}
-
 /*
  * Tell whether other daemons were told of the last order of a group.
  */
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -112,6 +112,7 @@
 	char *address;
 	uint32_t port;
 	uint32_t slots;      /* number of statements that it runs at once */
+	uint64_t key;        /* as in db_view_t */
 	uint64_t generation; /* differs after each restart of the server */
 	bool same_zone;      /* the server is in the zone of this daemon */
 	bool leaving;        /* shutting down: gets no new work */
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -136,7 +136,6 @@
 void orders_take(registry_t *, const Bp__DutyRecord *);
 bool orders_learn(registry_t *, const Bp__RecordedOrder *);
 void orders_tell(registry_t *, msg_t *revoke_wanted);
-void orders_tell_open(registry_t *, msg_t *revoke_wanted);
 bool orders_were_told(const registry_t *, const char *group);
 bool orders_recorded(const registry_t *, const Bp__DutyRecord *);
 void orders_fill(const registry_t *, arena_t *, Bp__DutyRecord *);
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -1,5 +1,7 @@
 #include "pool.h"
 
+#include "order_messages.h"
+
 #include <string.h>
 
 /*
@@ -347,6 +349,7 @@
 
 	server->group = group;
 	server->id = g_strdup(entry->id);
+	server->key = server_key(entry->id);
 	server->address = g_strdup(entry->address);
 	server->port = entry->port;
 	server->generation = entry->born;
--- a/tests/fake/fakegroup.c
+++ b/tests/fake/fakegroup.c
@@ -283,9 +283,14 @@
 	uint64_t term = 0;
 	uint32_t i;
 
-	for (i = 0; i < group->databases_count; i++) {
+	for (i = 0; i < group->databases_count; i++)
 		term = MAX(term, group->databases[i].term);
-		group->databases[i].replication_paused_term = 0;
+	for (i = 0; i < group->databases_count; i++) {
+		database_t *database = &group->databases[i];
+
+		if (database->replication_paused_term <= term + 1 ||
+		    database == successor)
+			database->replication_paused_term = 0;
 	}
 	group->promotion_target = NULL;
 	if (!successor->running || old_primary == successor)
--- a/tests/t_standing.c
+++ b/tests/t_standing.c
@@ -186,26 +186,31 @@
 	bool third;        /* the remaining database answers, in that term */
 	/* what the record has; the record is read after the answers */
 	uint64_t replaced, attempt;
-	bool valid; /* a lease begins */
+	uint64_t named; /* key of the database that the order names */
+	bool valid;     /* a lease begins */
 } lease_case_t;
 
 static const lease_case_t lease_cases[] = {
-    {"no promise", 0, 1, 0, false, 0, 0, true},
-    {"the old primary", 0, 1, STANDING(1, 1), false, 0, 0, false},
+    {"no promise", 0, 1, 0, false, 0, 0, 0, true},
+    {"the old primary", 0, 1, STANDING(1, 1), false, 0, 0, 0, false},
     {"the old primary, and the other database denies", 0, 1, STANDING(1, 1),
-	true, 0, 0, false},
+	true, 0, 0, 0, false},
     {"the new primary, and nothing is recorded", 1, 2, STANDING(1, 1), false, 0,
-	0, false},
+	0, 0, false},
     {"the new primary, and the order is recorded", 1, 2, STANDING(1, 1), false,
-	1, STANDING(1, 1), true},
+	1, STANDING(1, 1), 2, true},
+    {"the same, and it is not known which database it names", 1, 2,
+	STANDING(1, 1), false, 1, STANDING(1, 1), 0, true},
+    {"the same, and it names another database", 1, 2, STANDING(1, 1), false, 1,
+	STANDING(1, 1), 1, false},
     {"the new primary, and a later attempt has begun", 1, 2, STANDING(2, 2),
-	false, 1, STANDING(1, 1), false},
+	false, 1, STANDING(1, 1), 2, false},
     {"the new primary, and a later ordinary attempt has begun", 1, 2,
-	ORDINARY(1), false, 1, STANDING(1, 1), false},
+	ORDINARY(1), false, 1, STANDING(1, 1), 2, false},
     {"an order that replaces the new one is recorded", 1, 2, STANDING(2, 2),
-	false, 2, STANDING(2, 2), false},
-    {"an ordinary attempt above the term, recorded", 1, 2, 9, false, 1, 9,
-	true},
+	false, 2, STANDING(2, 2), 2, false},
+    {"an ordinary attempt above the term, recorded", 1, 2, 9, false, 1, 9, 2,
+	false},
 };
 
 /*
@@ -220,6 +225,7 @@
 	lease_t lease = {0};
 	recorded_orders_t orders = {.replaced_term = c->replaced,
 	    .attempt_term = c->attempt,
+	    .named = c->named,
 	    .read_us = MS(20)};
 	int64_t at_ms;
 
