The coordinator record holds the members of each group

What callers saw: ONE and STALE after an outage of the store in which entries lapsed. A process that has just started takes the servers that the store lists at the moment for all of the group, here the old primary alone.

Cause: nothing outlives the list that tells how many servers a group has. This commit is the first part: the record has the members (id and generation) of each group, beside its orders or without one. They are taken over by the next coordinator, kept by a refused order, and left out as a whole where one of them is not valid. Nobody records or uses them yet.

Tests: /objects/members (17 rows) and /coordinator/members (7 rows).

--- a/gen/catalog.pb-c.c
+++ b/gen/catalog.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &bp__recorded_order__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__recorded_member__init
+                     (Bp__RecordedMember         *message)
+{
+  static const Bp__RecordedMember init_value = BP__RECORDED_MEMBER__INIT;
+  *message = init_value;
+}
+size_t bp__recorded_member__get_packed_size
+                     (const Bp__RecordedMember *message)
+{
+  assert(message->base.descriptor == &bp__recorded_member__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__recorded_member__pack
+                     (const Bp__RecordedMember *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__recorded_member__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__recorded_member__pack_to_buffer
+                     (const Bp__RecordedMember *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__recorded_member__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__RecordedMember *
+       bp__recorded_member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__RecordedMember *)
+     protobuf_c_message_unpack (&bp__recorded_member__descriptor,
+                                allocator, len, data);
+}
+void   bp__recorded_member__free_unpacked
+                     (Bp__RecordedMember *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__recorded_member__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__earlier_order__init
                      (Bp__EarlierOrder         *message)
 {
@@ -892,7 +937,7 @@
 static const uint64_t bp__recorded_order__base_term__default_value = 0ull;
 static const uint64_t bp__recorded_order__base_index__default_value = 0ull;
 static const uint64_t bp__recorded_order__era__default_value = 0ull;
-static const ProtobufCFieldDescriptor bp__recorded_order__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bp__recorded_order__field_descriptors[9] =
 {
   {
     "group",
@@ -990,6 +1035,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "members",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__RecordedOrder, n_members),
+    offsetof(Bp__RecordedOrder, members),
+    &bp__recorded_member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__recorded_order__field_indices_by_name[] = {
   2,   /* field[2] = attempt_term */
@@ -998,13 +1055,14 @@
   7,   /* field[7] = earlier */
   5,   /* field[5] = era */
   0,   /* field[0] = group */
+  8,   /* field[8] = members */
   6,   /* field[6] = open */
   1,   /* field[1] = replaced_term */
 };
 static const ProtobufCIntRange bp__recorded_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bp__recorded_order__descriptor =
 {
@@ -1014,13 +1072,64 @@
   "Bp__RecordedOrder",
   "bp",
   sizeof(Bp__RecordedOrder),
-  8,
+  9,
   bp__recorded_order__field_descriptors,
   bp__recorded_order__field_indices_by_name,
   1,  bp__recorded_order__number_ranges,
   (ProtobufCMessageInit) bp__recorded_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__recorded_member__field_descriptors[2] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__RecordedMember, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__RecordedMember, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__recorded_member__field_indices_by_name[] = {
+  1,   /* field[1] = born */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange bp__recorded_member__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bp__recorded_member__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.RecordedMember",
+  "RecordedMember",
+  "Bp__RecordedMember",
+  "bp",
+  sizeof(Bp__RecordedMember),
+  2,
+  bp__recorded_member__field_descriptors,
+  bp__recorded_member__field_indices_by_name,
+  1,  bp__recorded_member__number_ranges,
+  (ProtobufCMessageInit) bp__recorded_member__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__earlier_order__field_descriptors[3] =
 {
   {
--- a/gen/catalog.pb-c.h
+++ b/gen/catalog.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Bp__Catalog Bp__Catalog;
 typedef struct Bp__DutyRecord Bp__DutyRecord;
 typedef struct Bp__RecordedOrder Bp__RecordedOrder;
+typedef struct Bp__RecordedMember Bp__RecordedMember;
 typedef struct Bp__EarlierOrder Bp__EarlierOrder;
 typedef struct Bp__OpenOrder Bp__OpenOrder;
 typedef struct Bp__DaemonRecord Bp__DaemonRecord;
@@ -222,10 +223,34 @@
    */
   size_t n_earlier;
   Bp__EarlierOrder **earlier;
+  /*
+   * the servers of the group; empty: not recorded.  Without an order,
+   * attempt_term and replaced_term are 0.
+   */
+  size_t n_members;
+  Bp__RecordedMember **members;
 };
 #define BP__RECORDED_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__recorded_order__descriptor) \
-    , NULL, 0, 0, 0, 0ull, 0, 0ull, 0, 0ull, 0,NULL, 0,NULL }
+    , NULL, 0, 0, 0, 0ull, 0, 0ull, 0, 0ull, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * A server that was one of its group when the coordinator last had a lease on
+ * the primary, or when an order was recorded.
+ */
+struct  Bp__RecordedMember
+{
+  ProtobufCMessage base;
+  char *server;
+  /*
+   * Server.born
+   */
+  uint64_t born;
+};
+#define BP__RECORDED_MEMBER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__recorded_member__descriptor) \
+    , NULL, 0 }
 
 
 /*
@@ -422,6 +447,25 @@
 void   bp__recorded_order__free_unpacked
                      (Bp__RecordedOrder *message,
                       ProtobufCAllocator *allocator);
+/* Bp__RecordedMember methods */
+void   bp__recorded_member__init
+                     (Bp__RecordedMember         *message);
+size_t bp__recorded_member__get_packed_size
+                     (const Bp__RecordedMember   *message);
+size_t bp__recorded_member__pack
+                     (const Bp__RecordedMember   *message,
+                      uint8_t             *out);
+size_t bp__recorded_member__pack_to_buffer
+                     (const Bp__RecordedMember   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__RecordedMember *
+       bp__recorded_member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__recorded_member__free_unpacked
+                     (Bp__RecordedMember *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__EarlierOrder methods */
 void   bp__earlier_order__init
                      (Bp__EarlierOrder         *message);
@@ -499,6 +543,9 @@
 typedef void (*Bp__RecordedOrder_Closure)
                  (const Bp__RecordedOrder *message,
                   void *closure_data);
+typedef void (*Bp__RecordedMember_Closure)
+                 (const Bp__RecordedMember *message,
+                  void *closure_data);
 typedef void (*Bp__EarlierOrder_Closure)
                  (const Bp__EarlierOrder *message,
                   void *closure_data);
@@ -521,6 +568,7 @@
 extern const ProtobufCMessageDescriptor bp__catalog__descriptor;
 extern const ProtobufCMessageDescriptor bp__duty_record__descriptor;
 extern const ProtobufCMessageDescriptor bp__recorded_order__descriptor;
+extern const ProtobufCMessageDescriptor bp__recorded_member__descriptor;
 extern const ProtobufCMessageDescriptor bp__earlier_order__descriptor;
 extern const ProtobufCMessageDescriptor bp__open_order__descriptor;
 extern const ProtobufCMessageDescriptor bp__daemon_record__descriptor;
--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &bp__orders_read__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__group_members_wanted__init
+                     (Bp__GroupMembersWanted         *message)
+{
+  static const Bp__GroupMembersWanted init_value = BP__GROUP_MEMBERS_WANTED__INIT;
+  *message = init_value;
+}
+size_t bp__group_members_wanted__get_packed_size
+                     (const Bp__GroupMembersWanted *message)
+{
+  assert(message->base.descriptor == &bp__group_members_wanted__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__group_members_wanted__pack
+                     (const Bp__GroupMembersWanted *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__group_members_wanted__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__group_members_wanted__pack_to_buffer
+                     (const Bp__GroupMembersWanted *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__group_members_wanted__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__GroupMembersWanted *
+       bp__group_members_wanted__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__GroupMembersWanted *)
+     protobuf_c_message_unpack (&bp__group_members_wanted__descriptor,
+                                allocator, len, data);
+}
+void   bp__group_members_wanted__free_unpacked
+                     (Bp__GroupMembersWanted *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__group_members_wanted__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__order_learned__init
                      (Bp__OrderLearned         *message)
 {
@@ -2118,7 +2163,8 @@
 static const uint64_t bp__orders_read__lost_us__default_value = 0ull;
 static const uint64_t bp__orders_read__era__default_value = 0ull;
 static const uint64_t bp__orders_read__away_us__default_value = 0ull;
-static const ProtobufCFieldDescriptor bp__orders_read__field_descriptors[5] =
+static const protobuf_c_boolean bp__orders_read__unrecorded__default_value = 0;
+static const ProtobufCFieldDescriptor bp__orders_read__field_descriptors[6] =
 {
   {
     "read_us",
@@ -2180,6 +2226,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unrecorded",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Bp__OrdersRead, has_unrecorded),
+    offsetof(Bp__OrdersRead, unrecorded),
+    NULL,
+    &bp__orders_read__unrecorded__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__orders_read__field_indices_by_name[] = {
   4,   /* field[4] = away_us */
@@ -2187,11 +2245,12 @@
   2,   /* field[2] = lost_us */
   1,   /* field[1] = orders */
   0,   /* field[0] = read_us */
+  5,   /* field[5] = unrecorded */
 };
 static const ProtobufCIntRange bp__orders_read__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bp__orders_read__descriptor =
 {
@@ -2201,13 +2260,64 @@
   "Bp__OrdersRead",
   "bp",
   sizeof(Bp__OrdersRead),
-  5,
+  6,
   bp__orders_read__field_descriptors,
   bp__orders_read__field_indices_by_name,
   1,  bp__orders_read__number_ranges,
   (ProtobufCMessageInit) bp__orders_read__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__group_members_wanted__field_descriptors[2] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__GroupMembersWanted, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__GroupMembersWanted, n_members),
+    offsetof(Bp__GroupMembersWanted, members),
+    &bp__recorded_member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__group_members_wanted__field_indices_by_name[] = {
+  0,   /* field[0] = group */
+  1,   /* field[1] = members */
+};
+static const ProtobufCIntRange bp__group_members_wanted__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bp__group_members_wanted__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.GroupMembersWanted",
+  "GroupMembersWanted",
+  "Bp__GroupMembersWanted",
+  "bp",
+  sizeof(Bp__GroupMembersWanted),
+  2,
+  bp__group_members_wanted__field_descriptors,
+  bp__group_members_wanted__field_indices_by_name,
+  1,  bp__group_members_wanted__number_ranges,
+  (ProtobufCMessageInit) bp__group_members_wanted__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__order_learned__field_descriptors[1] =
 {
   {
@@ -2284,7 +2394,7 @@
   (ProtobufCMessageInit) bp__token_read__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__promotion_wanted__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bp__promotion_wanted__field_descriptors[10] =
 {
   {
     "group",
@@ -2394,6 +2504,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "members",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__PromotionWanted, n_members),
+    offsetof(Bp__PromotionWanted, members),
+    &bp__recorded_member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__promotion_wanted__field_indices_by_name[] = {
   7,   /* field[7] = base_index */
@@ -2401,6 +2523,7 @@
   4,   /* field[4] = decided_us */
   0,   /* field[0] = group */
   3,   /* field[3] = heard_us */
+  9,   /* field[9] = members */
   8,   /* field[8] = open */
   5,   /* field[5] = replaced_term */
   1,   /* field[1] = server */
@@ -2409,7 +2532,7 @@
 static const ProtobufCIntRange bp__promotion_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bp__promotion_wanted__descriptor =
 {
@@ -2419,7 +2542,7 @@
   "Bp__PromotionWanted",
   "bp",
   sizeof(Bp__PromotionWanted),
-  9,
+  10,
   bp__promotion_wanted__field_descriptors,
   bp__promotion_wanted__field_indices_by_name,
   1,  bp__promotion_wanted__number_ranges,
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -28,6 +28,7 @@
 typedef struct Bp__AttemptsVoid Bp__AttemptsVoid;
 typedef struct Bp__OrdersWanted Bp__OrdersWanted;
 typedef struct Bp__OrdersRead Bp__OrdersRead;
+typedef struct Bp__GroupMembersWanted Bp__GroupMembersWanted;
 typedef struct Bp__OrderLearned Bp__OrderLearned;
 typedef struct Bp__TokenRead Bp__TokenRead;
 typedef struct Bp__PromotionWanted Bp__PromotionWanted;
@@ -394,10 +395,32 @@
    */
   protobuf_c_boolean has_away_us;
   uint64_t away_us;
+  /*
+   * these are the orders that are to be recorded; the store did not
+   * answer
+   */
+  protobuf_c_boolean has_unrecorded;
+  protobuf_c_boolean unrecorded;
 };
 #define BP__ORDERS_READ__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__orders_read__descriptor) \
-    , 0, 0,NULL, 0, 0ull, 0, 0ull, 0, 0ull }
+    , 0, 0,NULL, 0, 0ull, 0, 0ull, 0, 0ull, 0, 0 }
+
+
+/*
+ * pool -> registry, to the coordinator: the servers of a group, to be recorded
+ * as its members.
+ */
+struct  Bp__GroupMembersWanted
+{
+  ProtobufCMessage base;
+  char *group;
+  size_t n_members;
+  Bp__RecordedMember **members;
+};
+#define BP__GROUP_MEMBERS_WANTED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__group_members_wanted__descriptor) \
+    , NULL, 0,NULL }
 
 
 /*
@@ -458,10 +481,15 @@
    */
   size_t n_open;
   Bp__OpenOrder **open;
+  /*
+   * the servers of the group
+   */
+  size_t n_members;
+  Bp__RecordedMember **members;
 };
 #define BP__PROMOTION_WANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__promotion_wanted__descriptor) \
-    , NULL, NULL, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , NULL, NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -1024,6 +1052,25 @@
 void   bp__orders_read__free_unpacked
                      (Bp__OrdersRead *message,
                       ProtobufCAllocator *allocator);
+/* Bp__GroupMembersWanted methods */
+void   bp__group_members_wanted__init
+                     (Bp__GroupMembersWanted         *message);
+size_t bp__group_members_wanted__get_packed_size
+                     (const Bp__GroupMembersWanted   *message);
+size_t bp__group_members_wanted__pack
+                     (const Bp__GroupMembersWanted   *message,
+                      uint8_t             *out);
+size_t bp__group_members_wanted__pack_to_buffer
+                     (const Bp__GroupMembersWanted   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__GroupMembersWanted *
+       bp__group_members_wanted__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__group_members_wanted__free_unpacked
+                     (Bp__GroupMembersWanted *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__OrderLearned methods */
 void   bp__order_learned__init
                      (Bp__OrderLearned         *message);
@@ -1423,6 +1470,9 @@
 typedef void (*Bp__OrdersRead_Closure)
                  (const Bp__OrdersRead *message,
                   void *closure_data);
+typedef void (*Bp__GroupMembersWanted_Closure)
+                 (const Bp__GroupMembersWanted *message,
+                  void *closure_data);
 typedef void (*Bp__OrderLearned_Closure)
                  (const Bp__OrderLearned *message,
                   void *closure_data);
@@ -1501,6 +1551,7 @@
 extern const ProtobufCMessageDescriptor bp__attempts_void__descriptor;
 extern const ProtobufCMessageDescriptor bp__orders_wanted__descriptor;
 extern const ProtobufCMessageDescriptor bp__orders_read__descriptor;
+extern const ProtobufCMessageDescriptor bp__group_members_wanted__descriptor;
 extern const ProtobufCMessageDescriptor bp__order_learned__descriptor;
 extern const ProtobufCMessageDescriptor bp__token_read__descriptor;
 extern const ProtobufCMessageDescriptor bp__promotion_wanted__descriptor;
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -12,6 +12,13 @@
  * answer, reads the record.
  */
 
+/* The members of a group, as they are recorded, or to be. */
+typedef struct group_members {
+	arena_t *arena; /* of the list */
+	Bp__RecordedMember **list;
+	size_t count; /* 0: none are recorded */
+} group_members_t;
+
 /* What is recorded of a group. */
 typedef struct group_orders {
 	recorded_orders_t recorded;
@@ -19,8 +26,56 @@
 	bool sent;                /* an order of the last attempt was sent */
 	bool told; /* other daemons were told of the last attempt */
 	open_orders_t open;
+	group_members_t members;
+	group_members_t members_before; /* before the last order */
 } group_orders_t;
 
+/*
+ * Replace the members of a group by a copy of a list.
+ */
+static void
+members_set(
+    group_members_t *members, Bp__RecordedMember *const *list, size_t count)
+{
+	group_members_t copy = {NULL, NULL, count};
+	size_t i;
+
+	if (count > 0) {
+		copy.arena = arena_new();
+		copy.list =
+		    arena_zalloc(copy.arena, sizeof(copy.list[0]) * count);
+	}
+	for (i = 0; i < count; i++)
+		copy.list[i] = (Bp__RecordedMember *)message_copy(
+		    copy.arena, &list[i]->base);
+	arena_free(members->arena);
+	*members = copy;
+}
+
+/*
+ * Tell whether a list has the same members, in any order.
+ */
+static bool
+members_equal(const group_members_t *members, Bp__RecordedMember *const *list,
+    size_t count)
+{
+	size_t i, j;
+
+	if (members->count != count)
+		return false;
+	for (i = 0; i < count; i++) {
+		for (j = 0; j < count; j++) {
+			if (strcmp(members->list[i]->server, list[j]->server) ==
+				0 &&
+			    members->list[i]->born == list[j]->born)
+				break;
+		}
+		if (j == count)
+			return false;
+	}
+	return true;
+}
+
 /*
  * Free what is recorded of a group.
  */
@@ -30,6 +85,8 @@
 	group_orders_t *order = p;
 
 	open_orders_clear(&order->open);
+	arena_free(order->members.arena);
+	arena_free(order->members_before.arena);
 	g_free(order);
 }
 
@@ -99,8 +156,14 @@
 
 	if (order->recorded.attempt_term != wanted->term) {
 		order->before = order->recorded;
+		members_set(&order->members_before, order->members.list,
+		    order->members.count);
 		order->sent = order->told = false;
 	}
+	/* a recorded order ends the leases in the terms before */
+	if (wanted->n_members > 0)
+		members_set(
+		    &order->members, wanted->members, wanted->n_members);
 	order->recorded.attempt_term = wanted->term;
 	recorded_orders_add(&order->recorded, wanted->replaced_term,
 	    (position_t){wanted->base_term, wanted->base_index});
@@ -146,9 +209,25 @@
 		return false;
 	open_orders_remove(&order->open, wanted->server, wanted->term);
 	order->recorded = order->before;
+	members_set(&order->members, order->members_before.list,
+	    order->members_before.count);
 	return true;
 }
 
+/*
+ * Take over the members of a group from the record of another coordinator.
+ * What this daemon noted is older, unless the store has come back from an older
+ * copy, or the record lacks an order of this daemon.  kept: the record does not
+ * replace what is noted.
+ */
+static void
+take_members(group_orders_t *noted, const Bp__RecordedOrder *order, bool kept,
+    bool current)
+{
+	if (order->n_members > 0 ? current || noted->members.count == 0 : !kept)
+		members_set(&noted->members, order->members, order->n_members);
+}
+
 /*
  * Take over the orders of the record of another coordinator.  They do not
  * replace later orders of this daemon, which the record lacks if they were sent
@@ -163,15 +242,18 @@
 		const Bp__RecordedOrder *order = record->orders[i];
 		group_orders_t *noted = order_of(registry, order->group);
 		recorded_orders_t read = recorded_order_read(order);
+		bool current = fencing_token_is_current(
+		    registry->store_era, record->token);
+		bool kept =
+		    noted->recorded.attempt_term > order->attempt_term ||
+		    (!current &&
+			noted->recorded.attempt_term == order->attempt_term);
 
 		open_orders_read(&noted->open, order->open, order->n_open,
 		    OPEN_ORDER_RECORDED, clock_us());
-		if (noted->recorded.attempt_term > order->attempt_term ||
-		    (!fencing_token_is_current(
-			 registry->store_era, record->token) &&
-			noted->recorded.attempt_term == order->attempt_term))
-			continue;
-		recorded_orders_replace(&noted->recorded, &read);
+		take_members(noted, order, kept, current);
+		if (!kept)
+			recorded_orders_replace(&noted->recorded, &read);
 	}
 }
 
@@ -213,7 +295,9 @@
 	group_orders_t *order =
 	    g_hash_table_lookup(registry->orders, wanted->group);
 
-	if (order == NULL)
+	/* of members alone the others need not know; of a withdrawal they do */
+	if (order == NULL ||
+	    (order->recorded.attempt_term == 0 && !order->told))
 		return;
 	order->told = true;
 	wanted->order =
@@ -233,7 +317,22 @@
 }
 
 /*
- * Tell whether a record has all noted orders.
+ * Tell whether a record has what is noted of a group.
+ */
+static bool
+entry_recorded(
+    const Bp__RecordedOrder *noted, const Bp__RecordedOrder *recorded)
+{
+	group_members_t members = {NULL, noted->members, noted->n_members};
+
+	return strcmp(noted->group, recorded->group) == 0 &&
+	    noted->replaced_term == recorded->replaced_term &&
+	    noted->attempt_term == recorded->attempt_term &&
+	    members_equal(&members, recorded->members, recorded->n_members);
+}
+
+/*
+ * Tell whether a record has all noted orders and members.
  */
 bool
 orders_recorded(const registry_t *registry, const Bp__DutyRecord *record)
@@ -245,19 +344,16 @@
 	orders_fill(registry, arena, &noted);
 	for (i = 0; i < noted.n_orders; i++) {
 		for (j = 0; j < record->n_orders; j++)
-			found += strcmp(noted.orders[i]->group,
-				     record->orders[j]->group) == 0 &&
-			    noted.orders[i]->replaced_term ==
-				record->orders[j]->replaced_term &&
-			    noted.orders[i]->attempt_term ==
-				record->orders[j]->attempt_term;
+			found +=
+			    entry_recorded(noted.orders[i], record->orders[j]);
 	}
 	arena_free(arena);
 	return found >= noted.n_orders;
 }
 
 /*
- * Fill in the orders of a record that is to be written.
+ * Fill in the orders and members of a record that is to be written.  They
+ * belong to the noted ones or to the arena.
  */
 void
 orders_fill(const registry_t *registry, arena_t *arena, Bp__DutyRecord *record)
@@ -273,26 +369,30 @@
 		const group_orders_t *noted = value;
 		Bp__RecordedOrder *order;
 
-		if (noted->recorded.attempt_term == 0)
+		if (noted->recorded.attempt_term == 0 &&
+		    noted->members.count == 0)
 			continue;
 		order = recorded_order_write(&noted->recorded, group, arena);
 		order->open = open_orders_write(
 		    &noted->open, arena, clock_us(), &order->n_open);
+		order->members = noted->members.list;
+		order->n_members = noted->members.count;
 		record->orders[record->n_orders++] = order;
 	}
 }
 
 /*
- * Report to the pool task which orders the store has recorded.  record: NULL if
- * there is none.  read_us: send time of the request; 0: it was not answered.
+ * Report the orders of a record to the pool task.
  */
-void
-orders_report(
-    registry_t *registry, const Bp__DutyRecord *record, int64_t read_us)
+static void
+report(registry_t *registry, const Bp__DutyRecord *record, int64_t read_us,
+    bool unrecorded)
 {
 	Bp__OrdersRead read = BP__ORDERS_READ__INIT;
 
 	read.read_us = (uint64_t)read_us;
+	read.has_unrecorded = 1;
+	read.unrecorded = unrecorded;
 	read.has_lost_us = read.has_era = read.has_away_us = 1;
 	read.away_us = (uint64_t)registry->store_away_us;
 	read.lost_us = (uint64_t)registry->records_lost_us;
@@ -304,8 +404,20 @@
 	task_send(registry->proxy->pool, registry->task, msg_copy(&read.base));
 }
 
+/*
+ * Report to the pool task which orders the store has recorded.  record: NULL if
+ * there is none.  read_us: send time of the request; 0: it was not answered.
+ */
+void
+orders_report(
+    registry_t *registry, const Bp__DutyRecord *record, int64_t read_us)
+{
+	report(registry, record, read_us, false);
+}
+
 /*
  * Report the noted orders to the pool task, as if they were recorded already.
+ * The members that go with them are not.
  */
 void
 orders_report_noted(registry_t *registry)
@@ -314,7 +426,7 @@
 	Bp__DutyRecord noted = BP__DUTY_RECORD__INIT;
 
 	orders_fill(registry, arena, &noted);
-	orders_report(registry, &noted, clock_us());
+	report(registry, &noted, clock_us(), true);
 	arena_free(arena);
 }
 
@@ -365,3 +477,24 @@
 	registry->proxy->objects->get(registry->objects, OBJECT_COORDINATOR,
 	    COORDINATOR_OBJECT_NAME, on_record_read, registry);
 }
+
+/*
+ * Handle GroupMembersWanted: have the members of a group recorded with the next
+ * write.
+ */
+void
+members_wanted(void *context, msg_t *msg)
+{
+	const Bp__GroupMembersWanted *wanted =
+	    (const Bp__GroupMembersWanted *)msg->body;
+	registry_t *registry = context;
+	group_orders_t *noted;
+
+	if (registry->fencing_token != 0) {
+		noted = order_of(registry, wanted->group);
+		members_set(
+		    &noted->members, wanted->members, wanted->n_members);
+		registry->orders_unrecorded = true;
+	}
+	msg_free(msg);
+}
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -530,6 +530,7 @@
     {&bp__promotion_cancelled__descriptor, promotion_cancelled},
     {&bp__orders_wanted__descriptor, orders_wanted},
     {&bp__order_learned__descriptor, order_learned},
+    {&bp__group_members_wanted__descriptor, members_wanted},
     {&bp__revoke_wanted__descriptor, revoke_wanted},
     {&bp__revoke_ended__descriptor, order_confirmed},
     {&bp__leave__descriptor, on_leave},
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -11,7 +11,7 @@
  * registry.c		the catalog: configuration and registrations
  * store_watch.c	lists and watches of the store
  * coordinator.c	coordinator role and promotion orders
- * orders.c		the orders that the coordinator record holds
+ * orders.c		the orders and members that the coordinator record holds
  * daemons.c		heartbeat records of the daemons
  * news.c		news of the store from a daemon that watches it
  * store_era.c		returns of the store from an older copy
@@ -142,6 +142,7 @@
 void orders_report(registry_t *, const Bp__DutyRecord *, int64_t read_us);
 void orders_report_noted(registry_t *);
 void orders_wanted(void *registry, msg_t *);
+void members_wanted(void *registry, msg_t *);
 
 /* registry.c */
 void registry_publish(registry_t *);
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -408,6 +408,97 @@
 	registry_free(registry);
 }
 
+typedef struct taken_members_case {
+	const char *name;
+	const char *noted;  /* record that is taken first; NULL: none */
+	const char *record; /* that of another coordinator, taken then */
+	uint64_t order; /* attempt of an order that is noted then; 0: none */
+	bool refused;   /* it is withdrawn */
+	const char *members;   /* that are to be recorded */
+	uint64_t attempt_term; /* of the order that is; 0: none */
+	bool told;             /* others are told of the group's orders */
+} taken_members_case_t;
+
+#define MEMBERS_RECORD(orders, members) \
+	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":" \
+	"\"ledger\"," orders ",\"members\":[" members "]}]}"
+#define NO_ORDER "\"replaced_term\":0,\"attempt_term\":0"
+#define MEMBER_A "{\"server\":\"a\",\"born\":1}"
+#define MEMBER_B "{\"server\":\"b\",\"born\":2}"
+
+static const taken_members_case_t taken_members_cases[] = {
+    {"none", NULL, "{\"holder\":\"other\",\"token\":5}", 0, false, "", 0,
+	false},
+    {"without an order", NULL, MEMBERS_RECORD(NO_ORDER, MEMBER_A), 0, false,
+	"a/1 ", 0, false},
+    {"with an order", NULL,
+	MEMBERS_RECORD("\"replaced_term\":1,\"attempt_term\":2", MEMBER_A), 0,
+	false, "a/1 ", 2, true},
+    {"others than before", MEMBERS_RECORD(NO_ORDER, MEMBER_A),
+	MEMBERS_RECORD(NO_ORDER, MEMBER_A "," MEMBER_B), 0, false, "a/1 b/2 ",
+	0, false},
+    {"none any more, as of an older daemon", MEMBERS_RECORD(NO_ORDER, MEMBER_A),
+	MEMBERS_RECORD(NO_ORDER, ""), 0, false, "", 0, false},
+    {"with an order of this daemon since", NULL,
+	MEMBERS_RECORD(NO_ORDER, MEMBER_A), 3, false, "c/3 ", 3, true},
+    {"the same, which was refused", NULL, MEMBERS_RECORD(NO_ORDER, MEMBER_A), 3,
+	true, "a/1 ", 0, false},
+};
+
+/*
+ * Test that the members in the record outlast changes of the coordinator, that
+ * a recorded order brings its own, and that members without an order are none.
+ */
+static void
+test_taken_members(gconstpointer data)
+{
+	const taken_members_case_t *c = data;
+	Bp__RecordedMember present = BP__RECORDED_MEMBER__INIT;
+	Bp__RecordedMember *list[] = {&present};
+	Bp__PromotionWanted wanted = BP__PROMOTION_WANTED__INIT;
+	Bp__DutyRecord record = BP__DUTY_RECORD__INIT;
+	registry_t *registry = registry_new(&(proxy_t){0});
+	msg_t *msg = msg_new(&bp__revoke_wanted__descriptor);
+	Bp__RevokeWanted *revoke = (Bp__RevokeWanted *)msg->body;
+	GString *members = g_string_new(NULL);
+	arena_t *arena = arena_new();
+	size_t i;
+
+	registry->store_era = STORE_ERA_FIRST;
+	if (c->noted != NULL)
+		take_record(registry, c->noted);
+	take_record(registry, c->record);
+	wanted.group = revoke->group = "ledger";
+	wanted.server = present.server = "c";
+	wanted.term = present.born = c->order;
+	wanted.members = list;
+	wanted.n_members = 1;
+	if (c->order != 0)
+		orders_note(registry, &wanted);
+	if (c->refused)
+		g_assert_true(orders_withdraw(registry, &wanted, true));
+	orders_fill(registry, arena, &record);
+	for (i = 0; record.n_orders > 0 && i < record.orders[0]->n_members; i++)
+		g_string_append_printf(members, "%s/%" G_GUINT64_FORMAT " ",
+		    record.orders[0]->members[i]->server,
+		    record.orders[0]->members[i]->born);
+	g_assert_cmpstr(members->str, ==, c->members);
+	g_assert_cmpuint(
+	    record.n_orders == 0 ? 0 : record.orders[0]->attempt_term, ==,
+	    c->attempt_term);
+	g_assert_true(orders_recorded(registry, &record));
+	if (record.n_orders > 0 && record.orders[0]->n_members > 0) {
+		record.orders[0]->n_members--;
+		g_assert_false(orders_recorded(registry, &record));
+	}
+	orders_tell(registry, msg);
+	g_assert_cmpint(revoke->order != NULL, ==, c->told);
+	g_string_free(members, TRUE);
+	msg_free(msg);
+	arena_free(arena);
+	registry_free(registry);
+}
+
 static uint32_t revocations; /* that reached the peers task */
 
 /*
@@ -565,6 +656,7 @@
 	CASES("/coordinator/unlisted", unlisted_cases, test_unlisted_daemons);
 	g_test_add_func("/coordinator/token-read", test_token_read);
 	CASES("/coordinator/given-up", given_up_cases, test_given_up);
+	CASES("/coordinator/members", taken_members_cases, test_taken_members);
 	CASES("/coordinator/role-again", role_again_cases, test_role_again);
 	return g_test_run();
 }
--- a/tests/t_objects.c
+++ b/tests/t_objects.c
@@ -381,6 +381,83 @@
 	json_tree_free(json);
 }
 
+typedef struct member_case {
+	const char *name;
+	const char *list;    /* the field "members"; NULL: it is missing */
+	const char *members; /* that are decoded */
+} member_case_t;
+
+#define MEMBER(id, born) "{\"server\":" id ",\"born\":" born "}"
+#define TEN_MEMBERS \
+	MEMBER("\"a\"", "1") \
+	"," MEMBER("\"b\"", "1") "," MEMBER("\"c\"", "1") "," MEMBER( \
+	    "\"d\"", "1") "," MEMBER("\"e\"", "1") "," MEMBER("\"f\"", \
+	    "1") "," MEMBER("\"g\"", "1") "," MEMBER("\"h\"", \
+	    "1") "," MEMBER("\"i\"", "1") "," MEMBER("\"j\"", "1")
+
+static const member_case_t member_cases[] = {
+    {"none, as of an older daemon", NULL, ""},
+    {"an empty list", "[]", ""},
+    {"one", "[" MEMBER("\"i-1\"", "1764900000000") "]", "i-1/1764900000000 "},
+    {"three",
+	"[" MEMBER("\"i-1\"", "1") "," MEMBER("\"i-2\"", "0") "," MEMBER(
+	    "\"i-3\"", "3") "]",
+	"i-1/1 i-2/0 i-3/3 "},
+    {"no list", MEMBER("\"i-1\"", "1"), ""},
+    {"one of them is no object", "[" MEMBER("\"i-1\"", "1") ",7]", ""},
+    {"one of them is null", "[null," MEMBER("\"i-1\"", "1") "]", ""},
+    {"one has no name", "[" MEMBER("\"i-1\"", "1") ",{\"born\":1}]", ""},
+    {"one has an empty name",
+	"[" MEMBER("\"i-1\"", "1") "," MEMBER("\"\"", "1") "]", ""},
+    {"one has a name that is no word", "[" MEMBER("\"i 1\"", "1") "]", ""},
+    {"one has a number as name", "[" MEMBER("1", "1") "]", ""},
+    {"one has no birth", "[" MEMBER("\"i-1\"", "1") ",{\"server\":\"i-2\"}]",
+	""},
+    {"one has a negative birth", "[" MEMBER("\"i-1\"", "-1") "]", ""},
+    {"one has a birth in quotes", "[" MEMBER("\"i-1\"", "\"1\"") "]", ""},
+    {"one has a birth beyond 64 bits",
+	"[" MEMBER("\"i-1\"", "99999999999999999999") "]", ""},
+    {"one is there twice",
+	"[" MEMBER("\"i-1\"", "1") "," MEMBER("\"i-1\"", "2") "]", ""},
+    {"more than a group may have", "[" TEN_MEMBERS "]", ""},
+};
+
+/*
+ * Test that the members of a group are decoded from the coordinator record only
+ * if all of them are valid: fewer would have a smaller majority.  The entry has
+ * its order in any case.
+ */
+static void
+test_members(gconstpointer data)
+{
+	const member_case_t *c = data;
+	char *text = g_strdup_printf(
+	    "{\"holder\":\"d1\",\"token\":5,\"orders\":[{\"group\":\"g\","
+	    "\"replaced_term\":1,\"attempt_term\":2%s%s}]}",
+	    c->list == NULL ? "" : ",\"members\":",
+	    c->list == NULL ? "" : c->list);
+	yajl_val json = json_tree_parse(text, strlen(text));
+	object_t object = {.name = "promotion", .content = json};
+	GString *members = g_string_new(NULL);
+	arena_t *arena = arena_new();
+	const char *why = NULL;
+	Bp__DutyRecord *record = decode_coordinator(&object, arena, &why);
+	size_t i;
+
+	g_assert_nonnull(record);
+	g_assert_cmpuint(record->n_orders, ==, 1);
+	g_assert_cmpuint(record->orders[0]->attempt_term, ==, 2);
+	for (i = 0; i < record->orders[0]->n_members; i++)
+		g_string_append_printf(members, "%s/%" G_GUINT64_FORMAT " ",
+		    record->orders[0]->members[i]->server,
+		    record->orders[0]->members[i]->born);
+	g_assert_cmpstr(members->str, ==, c->members);
+	g_string_free(members, TRUE);
+	arena_free(arena);
+	json_tree_free(json);
+	g_free(text);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -393,5 +470,6 @@
 	CASES("/objects/field", field_cases, test_field);
 	CASES("/objects/id", id_cases, test_id);
 	CASES("/objects/record", record_cases, test_record);
+	CASES("/objects/members", member_cases, test_members);
 	return g_test_run();
 }
