The coordinator records the members of a group

The coordinator has the servers of a group recorded when they differ from the recorded ones, as long as its lease shows that the primary has not been replaced, no change of primary is under way and the list is not new. An order to promote records them as well. The pool knows what was read or written of them, not what is to be written; nothing uses it yet. Where servers were started again, so that the other recorded ones are no majority, none counts as recorded.

Tests: /old-primary/members (3 rows).

--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -46,6 +46,9 @@
 	bool unlisted; /* has no entry in the store: not to be promoted */
 	/* it was ordered to become primary, and may still do so */
 	bool order_open;
+	/* the store has recorded it as a member of its group, and it has not
+	   been started again since */
+	bool member;
 } db_view_t;
 
 void db_view_merge(db_view_t *, const db_view_t *answer);
@@ -171,6 +174,9 @@
 	/* a database that is not among those of the group was ordered to become
 	   primary, and may still do so */
 	bool order_open_outside;
+	/* number of members of the group that the store has recorded; 0: none
+	   are recorded */
+	uint32_t members;
 } lease_t;
 
 /*
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -154,6 +154,11 @@
 	bool granted[GROUP_DATABASES_MAX];
 	position_t granted_position[GROUP_DATABASES_MAX];
 	int64_t granted_us;
+	/* number of members of the group that the store has recorded, 0: none
+	   are recorded; and of those that were started again since, so that
+	   they know nothing of before */
+	uint32_t members;
+	uint32_t members_restarted;
 	/* FENCING: the daemons were told to revoke their leases; all have
 	   confirmed; time at which a majority had confirmed, 0: not yet */
 	bool revocation_sent;
--- /dev/null
+++ b/src/proxy/group_members.c
@@ -0,0 +1,153 @@
+#include "pool.h"
+
+#include <string.h>
+
+/*
+ * Members of a group: the servers that the store has recorded for it.  The list
+ * of the servers may lack some, since an entry ends while its server does not
+ * reach the store, so a majority of it may not be one of the group.
+ */
+
+/* Interval at which the registry is asked to record the members. */
+#define MEMBERS_INTERVAL_US (1000 * US_PER_MS)
+
+/*
+ * Return the recorded member with the id of a server, or NULL.
+ */
+static const member_t *
+member_find(const group_t *group, const char *id)
+{
+	uint32_t i;
+
+	for (i = 0; i < group->members_count; i++) {
+		if (strcmp(group->members[i].id, id) == 0)
+			return &group->members[i];
+	}
+	return NULL;
+}
+
+/*
+ * Mark the servers of a group that are recorded members.  One that was started
+ * again since knows nothing of before.  If so many were that the others are no
+ * majority, none counts as recorded until they are recorded again.
+ */
+void
+group_members_update(group_t *group)
+{
+	failover_t *failover = &group->failover;
+	uint32_t i, restarted = 0, count = group->members_count;
+
+	for (i = 0; i < group->count; i++) {
+		const server_t *server = group->servers[i];
+		const member_t *member = member_find(group, server->id);
+
+		failover->views[i].member =
+		    member != NULL && member->born == server->generation;
+		restarted +=
+		    member != NULL && member->born != server->generation;
+	}
+	if (count > 0 && count - restarted < majority_of(count))
+		count = restarted = 0;
+	group->lease.members = failover->members = count;
+	failover->members_restarted = restarted;
+}
+
+/*
+ * Note which servers of a group the store had recorded when it was asked at
+ * read_us.
+ */
+void
+group_members_recorded(group_t *group, Bp__RecordedMember *const *list,
+    size_t count, int64_t read_us)
+{
+	size_t i;
+
+	if (read_us < group->members_read_us)
+		return;
+	group->members_read_us = read_us;
+	group_members_clear(group);
+	for (i = 0; i < count && i < GROUP_DATABASES_MAX; i++)
+		group->members[group->members_count++] =
+		    (member_t){g_strdup(list[i]->server), list[i]->born};
+	group_members_update(group);
+}
+
+/*
+ * Forget the recorded members of a group.
+ */
+void
+group_members_clear(group_t *group)
+{
+	uint32_t i;
+
+	for (i = 0; i < group->members_count; i++)
+		g_free(group->members[i].id);
+	group->members_count = 0;
+}
+
+/*
+ * Return the servers of a group, to be recorded, as messages in an arena.
+ */
+Bp__RecordedMember **
+group_members_write(const group_t *group, arena_t *arena, size_t *count)
+{
+	Bp__RecordedMember **list =
+	    arena_zalloc(arena, sizeof(list[0]) * (group->count + 1));
+	uint32_t i;
+
+	for (i = 0; i < group->count; i++) {
+		list[i] = (Bp__RecordedMember *)message_new(
+		    arena, &bp__recorded_member__descriptor);
+		list[i]->server = arena_strdup(arena, group->servers[i]->id);
+		list[i]->born = group->servers[i]->generation;
+	}
+	*count = group->count;
+	return list;
+}
+
+/*
+ * Tell whether the store has recorded exactly the servers of a group.
+ */
+static bool
+members_current(const group_t *group)
+{
+	uint32_t i, found = 0;
+
+	for (i = 0; i < group->count; i++) {
+		const member_t *member =
+		    member_find(group, group->servers[i]->id);
+
+		found += member != NULL &&
+		    member->born == group->servers[i]->generation;
+	}
+	return found == group->count && found == group->members_count;
+}
+
+/*
+ * Have the servers of a group recorded as its members, if others are.  Called
+ * by the coordinator, while its lease shows that the primary has not been
+ * replaced and nothing changes that.
+ */
+void
+group_members_check(group_t *group, int64_t now_us)
+{
+	const failover_t *failover = &group->failover;
+	int32_t primary = failover_primary(failover);
+	msg_t *msg;
+	Bp__GroupMembersWanted *wanted;
+
+	if (primary < 0 || failover->state != FAILOVER_STEADY ||
+	    failover->handover || group_failover_in_progress(group, now_us) ||
+	    group->lease.expires_us <= now_us ||
+	    group->lease.term != failover->views[primary].promised ||
+	    monitor_list_new(group, now_us) || members_current(group) ||
+	    now_us - group->members_sent_us < MEMBERS_INTERVAL_US)
+		return;
+	group->members_sent_us = now_us;
+	msg = msg_new(&bp__group_members_wanted__descriptor);
+	wanted = (Bp__GroupMembersWanted *)msg->body;
+	wanted->group = arena_strdup(msg->arena, group->name);
+	wanted->members =
+	    group_members_write(group, msg->arena, &wanted->n_members);
+	task_send(group->pool->proxy->registry, group->pool->task, msg);
+}
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -159,6 +159,7 @@
 	    g_rand_int(group->pool->rand), now_us);
 	failover_orders_recorded(
 	    &group->failover, &group->lease.orders, now_us);
+	group_members_update(group);
 }
 
 /*
@@ -189,6 +190,16 @@
 	group->lease.watched_since_us = 0;
 }
 
+/*
+ * Tell whether servers of a group may be missing from the list, since it is
+ * new.
+ */
+bool
+monitor_list_new(const group_t *group, int64_t now_us)
+{
+	return now_us - group->listed_us < LIST_NEW_US;
+}
+
 /*
  * Note when the store first refused or did not answer a call of this process;
  * 0: never.  If that was before its first list, entries may have expired.
@@ -229,7 +240,7 @@
 
 	pool_check_listed(group->pool, now_us);
 	group_orders_update(group, now_us);
-	group->lease.list_new = now_us - group->listed_us < LIST_NEW_US;
+	group->lease.list_new = monitor_list_new(group, now_us);
 	renewed = primary >= 0 &&
 	    lease_renew(&group->lease, failover->views, group->count,
 		(uint32_t)primary, now_us, &group->pool->lease_durations);
@@ -522,6 +533,7 @@
 	view.term = status->term;
 	view.connected_us = server->control_us;
 	view.order_open = failover->views[server->index].order_open;
+	view.member = failover->views[server->index].member;
 	server->busy = status->busy;
 	server->lag_ms = status->lag_ms;
 	server->connections = status->connections;
@@ -602,6 +614,8 @@
 	base = failover_base(&server->group->failover);
 	wanted->base_term = base.term;
 	wanted->base_index = base.index;
+	wanted->members =
+	    group_members_write(server->group, msg->arena, &wanted->n_members);
 	task_send(pool->proxy->registry, pool->task, msg);
 }
 
@@ -987,6 +1001,7 @@
 	    primary < 0 ? 0
 			: lease_unaware_since_us(&group->lease,
 			      failover->views[primary].promised, now_us));
+	group_members_check(group, now_us);
 	failover_tick(failover, now_us, &actions);
 	for (i = 0; i < actions.count; i++)
 		execute_action(group, &actions.list[i], now_us);
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -350,21 +350,28 @@
 	    g_hash_table_iter_next(&iter, &name, &value)) {
 		recorded_orders_t recorded = {0};
 		Bp__OpenOrder *const *open = NULL;
-		size_t i, n_open = 0;
+		Bp__RecordedMember *const *members = NULL;
+		size_t i, n_open = 0, n_members = 0;
 
 		for (i = 0; i < read->n_orders; i++) {
 			const Bp__RecordedOrder *order = read->orders[i];
 
 			if (strcmp(order->group, name) != 0)
 				continue;
-			recorded = recorded_order_read(order);
+			if (order->attempt_term != 0)
+				recorded = recorded_order_read(order);
 			open = order->open;
 			n_open = order->n_open;
+			members = order->members;
+			n_members = order->n_members;
 		}
 		recorded.read_us = (int64_t)read->read_us;
 		recorded.lost_us = (int64_t)read->lost_us;
 		recorded.read_era = read->era;
 		group_orders_recorded(value, open, n_open, clock_us());
+		if (!read->unrecorded)
+			group_members_recorded(
+			    value, members, n_members, (int64_t)read->read_us);
 		monitor_store_away(value, (int64_t)read->away_us);
 		monitor_orders_read(value, &recorded, clock_us());
 	}
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -25,6 +25,7 @@
  * dispatch.c		selection of a server and connection for a statement
  * monitor.c		server status, leases and failover
  * group_orders.c	orders to promote a server: open ones, those told
+ * group_members.c	servers that the store has recorded for a group
  * pool_log.c		log events
  * pool_status.c	status page and metrics
  *
@@ -155,6 +156,12 @@
 	bool full;
 };
 
+/* A server that the store has recorded as a member of its group. */
+typedef struct member {
+	char *id;
+	uint64_t born; /* server_t.generation */
+} member_t;
+
 /* A primary and its replicas, as listed in the catalog. */
 struct group {
 	pool_t *pool;
@@ -188,6 +195,13 @@
 	   that a coordinator has told */
 	recorded_orders_t orders_read;
 	told_orders_t orders_told;
+	/* members that the store has recorded, the send time of the request
+	   that showed them, and the time at which others were last sent to be
+	   recorded */
+	member_t members[GROUP_DATABASES_MAX];
+	uint32_t members_count;
+	int64_t members_read_us;
+	int64_t members_sent_us;
 	/* time at which a lease in its term was last seen to be valid */
 	int64_t lease_seen_us;
 	int64_t created_us; /* time at which this structure was created */
@@ -430,12 +444,22 @@
 int64_t group_orders_checked_us(const group_t *);
 bool group_orders_checkable(const group_t *, int64_t now_us);
 
+/* group_members.c */
+void group_members_update(group_t *);
+void group_members_recorded(
+    group_t *, Bp__RecordedMember *const *, size_t count, int64_t read_us);
+void group_members_clear(group_t *);
+Bp__RecordedMember **group_members_write(
+    const group_t *, arena_t *, size_t *count);
+void group_members_check(group_t *, int64_t now_us);
+
 /* dispatch.c */
 void dispatch(group_t *, int64_t now_us);
 
 /* monitor.c */
 void monitor_init(group_t *, int64_t now_us);
 void monitor_first_listed(group_t *, int64_t now_us);
+bool monitor_list_new(const group_t *, int64_t now_us);
 void monitor_store_away(group_t *, int64_t away_us);
 void monitor_first_coordinator(group_t *);
 void monitor_tick(group_t *, int64_t now_us);
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -89,6 +89,7 @@
 		server_free(g_ptr_array_index(group->removed, i));
 	g_ptr_array_unref(group->removed);
 	open_orders_clear(&group->open_orders);
+	group_members_clear(group);
 	failover_clear(&group->failover);
 	rankq_free(group->primary_backlog);
 	rankq_free(group->replica_backlog);
@@ -475,6 +476,7 @@
 		servers[i]->index = i;
 	}
 	failover_remap(&group->failover, old_index, count, now_us);
+	group_members_update(group);
 	/* the lease relied on the previous set of servers */
 	lease_cancel(&group->lease);
 	for (i = 0; i < old_count; i++) {
--- a/tests/t_old_primary.c
+++ b/tests/t_old_primary.c
@@ -172,6 +172,65 @@
 	testbed_stop(testbed);
 }
 
+typedef struct members_case {
+	const char *name;
+	int32_t crashes; /* database, once all are recorded; -1: none */
+	uint32_t count;  /* members that are recorded in the end */
+} members_case_t;
+
+/* Time for the members to be recorded, from the start or from a change. */
+#define MEMBERS_MS 8000
+
+static const members_case_t members_cases[] = {
+    {"all servers", -1, 3},
+    {"a replica is lost", 2, 2},
+    {"the primary is lost, and replaced", 0, 2},
+};
+
+/*
+ * Wait until the coordinator record has a number of members.
+ */
+static bool
+wait_members(const testbed_t *testbed, uint32_t count, int64_t wait_ms)
+{
+	int64_t end_us =
+	    g_get_monotonic_time() + wait_ms * G_TIME_SPAN_MILLISECOND;
+	uint32_t found = 0;
+
+	while (found != count && g_get_monotonic_time() < end_us) {
+		char *record = testbed_get(
+		    testbed, "/objects/bergamotplank-duties/promotion");
+		char **parts = g_strsplit(record, "\"born\"", -1);
+
+		found = g_strv_length(parts) - 1;
+		g_strfreev(parts);
+		g_free(record);
+		g_usleep(50 * G_TIME_SPAN_MILLISECOND);
+	}
+	return found == count;
+}
+
+/*
+ * Test that the coordinator has the servers of a group recorded as its members,
+ * and again when they have changed, also with an order.
+ */
+static void
+test_members(gconstpointer data)
+{
+	const members_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 2, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_assert_true(wait_members(testbed, 3, MEMBERS_MS));
+	if (c->crashes >= 0) {
+		testbed_inject_fault(testbed, "database", "crash", c->crashes);
+		testbed_inject_fault(testbed, "database", "unlist", c->crashes);
+	}
+	g_assert_true(wait_members(testbed, c->count, MEMBERS_MS));
+	testbed_stop(testbed);
+}
+
 /* Time for the promotion, and for the order to be recorded afterwards. */
 #define PROMOTION_MS 8000
 #define RECORD_MS 5000
@@ -535,6 +594,7 @@
 	curl_global_init(CURL_GLOBAL_ALL);
 	CASES("/old-primary/restarted-daemon", restart_cases,
 	    test_restarted_daemon);
+	CASES("/old-primary/members", members_cases, test_members);
 	g_test_add_func(
 	    "/old-primary/lost-coordinator", test_abandoned_failover);
 	g_test_add_func(
