A lease rests on the recorded members, not on the list of the moment

And a process that has just started had no lease for 4 s where one replica was silent.

Cause: "all listed servers deny a newer term" counted the servers that the store lists at the moment. What a majority of that list says is no word of the group.

Where members are recorded, a majority of them has to deny a newer term, or all of them where the record cannot be asked; a server that was started again, or is no member, counts for nothing. The list does not matter then, nor that the process has just started: of each order a majority of the members knows.

What remains: the proof that a majority of the members knows of each order needs the standing promises, which are a change of their own.

--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -23,21 +23,29 @@
  * Return the send time of the latest status requests, sent no later than
  * before_us, that found no newer promise at so many replicas that every
  * majority contains one of them or the primary itself; or 0.  Only answers on
- * connections that were opened by connected_us count.
+ * connections that were opened by connected_us count.  members: number of
+ * recorded members, which alone count; 0: the majority is one of all databases.
  */
 static int64_t
 supported_us(const db_view_t *views, uint32_t count, uint32_t primary,
-    int64_t before_us, int64_t connected_us)
+    int64_t before_us, int64_t connected_us, uint32_t members)
 {
-	uint32_t needed = majority_of(count) - 1, i, j, as_recent;
+	uint32_t needed = members == 0
+	    ? majority_of(count) - 1
+	    : majority_of(members) - views[primary].member;
+	uint32_t i, j, as_recent;
 	uint64_t term = views[primary].promised;
 	bool counts[GROUP_DATABASES_MAX];
 	int64_t asked_us = 0;
 
+	/* the primary is the only member */
+	if (members > 0 && needed == 0)
+		return before_us;
 	for (i = 0; i < count; i++)
 		counts[i] = i != primary && views[i].known &&
 		    views[i].promised <= term &&
-		    views[i].connected_us <= connected_us;
+		    views[i].connected_us <= connected_us &&
+		    (members == 0 || views[i].member);
 	for (i = 0; i < count; i++) {
 		if (!counts[i] || views[i].requested_us > before_us)
 			continue;
@@ -54,15 +62,22 @@
  * Return the send time of the oldest of the last status requests to the
  * databases other than the primary, if all have answered theirs and know of no
  * newer term; otherwise 0.  At that time none of them led a newer term.
+ * members: number of recorded members, which alone are asked; 0: none are
+ * recorded.
  */
 static int64_t
-denied_by_all_us(const db_view_t *views, uint32_t count, uint32_t primary)
+denied_by_all_us(
+    const db_view_t *views, uint32_t count, uint32_t primary, uint32_t members)
 {
 	int64_t oldest_us = INT64_MAX;
-	uint32_t i;
+	uint32_t i, found = 0;
 
+	for (i = 0; i < count; i++)
+		found += views[i].member;
+	if (members > 0 && found < members)
+		return 0;
 	for (i = 0; i < count; i++) {
-		if (i == primary)
+		if (i == primary || (members > 0 && !views[i].member))
 			continue;
 		if (!views[i].known ||
 		    views[i].promised > views[primary].promised)
@@ -70,7 +85,36 @@
 		if (views[i].requested_us < oldest_us)
 			oldest_us = views[i].requested_us;
 	}
-	return oldest_us;
+	/* the primary is the only member: there is nobody to ask */
+	return oldest_us == INT64_MAX ? 0 : oldest_us;
+}
+
+/*
+ * Tell whether the store has all orders to replace the primary of a term. After
+ * it has come back from an older copy it may lack some.  It lacks none of those
+ * that matter if it was known later, when a lost order had taken effect or
+ * never would, that there was no newer primary; or if the term was ordered
+ * since, as the databases had promised no newer one then.
+ */
+static bool
+record_is_complete(const lease_t *lease, uint64_t term)
+{
+	const recorded_orders_t *orders = &lease->orders;
+
+	return orders->lost_us == 0 ||
+	    (orders->era == orders->read_era && term >= orders->attempt_term) ||
+	    lease->verified_us >= orders->lost_us + ATTEMPT_MAX_US;
+}
+
+/*
+ * Return the number of members of the group that leases in a term rest on:
+ * those that the store has recorded, or 0 if none are, or the record may lack
+ * orders.
+ */
+static uint32_t
+recorded_members(const lease_t *lease, uint64_t term)
+{
+	return record_is_complete(lease, term) ? lease->members : 0;
 }
 
 /*
@@ -78,12 +122,14 @@
  * which neither this process nor the record knows: a former coordinator sent
  * them while the store was away, before this process began to watch the group,
  * and ended.  An order that was recorded since was preceded by promises of a
- * majority, and replaces the primaries of theirs.
+ * majority, and replaces the primaries of theirs.  Where the members of the
+ * group are recorded, a majority of them knows of each order.
  */
 static bool
 unaware(const lease_t *lease, uint64_t term)
 {
 	return lease->watched_since_us != 0 &&
+	    recorded_members(lease, term) == 0 &&
 	    (lease->orders.attempt_term <= lease->first_attempt_term ||
 		lease->orders.replaced_term >= term);
 }
@@ -109,23 +155,6 @@
 		lease->watched_since_us = 0;
 }
 
-/*
- * Tell whether the store has all orders to replace the primary of a term. After
- * it has come back from an older copy it may lack some.  It lacks none of those
- * that matter if it was known later, when a lost order had taken effect or
- * never would, that there was no newer primary; or if the term was ordered
- * since, as the databases had promised no newer one then.
- */
-static bool
-record_is_complete(const lease_t *lease, uint64_t term)
-{
-	const recorded_orders_t *orders = &lease->orders;
-
-	return orders->lost_us == 0 ||
-	    (orders->era == orders->read_era && term >= orders->attempt_term) ||
-	    lease->verified_us >= orders->lost_us + ATTEMPT_MAX_US;
-}
-
 /*
  * Tell whether the store records that all orders to replace a primary concern
  * older ones than that of this term.
@@ -155,11 +184,13 @@
  * answers do not show that there is no newer primary.  In place of a new list
  * the recorded orders are asked, unless the record may lack some.  To a
  * process that has just started the list does not count as new unless the store
- * was away before.
+ * was away before.  Where the members are recorded, the list does not matter.
  */
 static bool
 members_missing(const lease_t *lease, uint64_t term)
 {
+	if (recorded_members(lease, term) > 0)
+		return false;
 	return lease->incomplete ||
 	    (lease->list_new && lease->orders.lost_us == 0 &&
 		(lease->list_after_outage || !unaware(lease, term)));
@@ -173,18 +204,21 @@
  * is lifted when every database has answered, to a later request, that it holds
  * no such promise.  When some do not answer, a majority suffices, and the store
  * must record that the attempt has led to this primary or, after
- * ATTEMPT_MAX_US, to none.
+ * ATTEMPT_MAX_US, to none.  Where the members are recorded, only they count.
  */
 static bool
 renewal_blocked(
     lease_t *lease, const db_view_t *views, uint32_t count, uint64_t term)
 {
-	uint32_t i, denied = 0;
-	bool by_all;
+	uint32_t members = recorded_members(lease, term);
+	uint32_t i, denied = 0, answered = 0;
+	uint32_t all = members > 0 ? members : count;
+	bool by_all, promised = false;
 
 	for (i = 0; i < count; i++) {
 		if (!views[i].known || views[i].promised <= term)
 			continue;
+		promised = true;
 		/* keep the time of the latest sign of a failover */
 		if (lease->blocked_term < term ||
 		    views[i].requested_us > lease->blocked_us)
@@ -196,13 +230,21 @@
 	}
 	if (lease->blocked_term < term || lease->blocked_term == 0)
 		return false;
-	for (i = 0; i < count; i++)
-		denied += views[i].known && views[i].promised <= term &&
-		    views[i].requested_us > lease->blocked_us;
-	if (denied < majority_of(count))
+	for (i = 0; i < count; i++) {
+		if (!views[i].known || views[i].promised > term ||
+		    views[i].requested_us <= lease->blocked_us)
+			continue;
+		answered++;
+		denied += members == 0 || views[i].member;
+	}
+	if (denied < majority_of(all)) {
+		/* others may have been recorded since */
+		lease->unverified =
+		    members > 0 && answered >= majority_of(count);
 		return true;
+	}
 	/* a primary alone has nobody else's answer */
-	by_all = denied == count && count > 1 &&
+	by_all = denied == all && all > 1 && !promised &&
 	    !members_missing(lease, term) && !order_recorded(lease, term);
 	lease->unverified = !by_all;
 	if (!by_all &&
@@ -231,22 +273,23 @@
 certain_us(lease_t *lease, const db_view_t *views, uint32_t count,
     uint32_t primary, const lease_duration_t *durations)
 {
-	int64_t known_us = denied_by_all_us(views, count, primary);
+	uint32_t members = recorded_members(lease, views[primary].promised);
+	int64_t known_us = denied_by_all_us(views, count, primary, members);
 	int64_t asked_us;
 
 	if (members_missing(lease, views[primary].promised) ||
 	    order_recorded(lease, views[primary].promised))
 		known_us = 0;
 	if (record_allows(lease, views[primary].promised)) {
-		asked_us = supported_us(
-		    views, count, primary, lease->orders.read_us, INT64_MAX);
+		asked_us = supported_us(views, count, primary,
+		    lease->orders.read_us, INT64_MAX, members);
 		if (asked_us > known_us)
 			known_us = asked_us;
 	}
 	if (known_us > lease->verified_us)
 		lease->verified_us = known_us;
-	asked_us =
-	    supported_us(views, count, primary, INT64_MAX, lease->verified_us);
+	asked_us = supported_us(
+	    views, count, primary, INT64_MAX, lease->verified_us, 0);
 	if (lease->verified_us != 0 && asked_us > known_us &&
 	    asked_us - lease->verified_us <=
 		duration_us(durations, lease->verified_us))
@@ -257,11 +300,17 @@
 /*
  * Return the time at which it is certain that a primary without replicas was
  * not replaced: it needs no answers of others, unless it had replicas, or they
- * may not be listed yet.
+ * may not be listed yet.  Where the members are recorded, it must be the only
+ * one.
  */
 static int64_t
-alone_us(const lease_t *lease, uint64_t term, int64_t now_us)
+alone_us(const lease_t *lease, const db_view_t *view, int64_t now_us)
 {
+	uint64_t term = view->promised;
+	uint32_t members = recorded_members(lease, term);
+
+	if (members > 0 && (members > 1 || !view->member))
+		return 0;
 	if (!members_missing(lease, term) && !order_recorded(lease, term))
 		return now_us;
 	return record_allows(lease, term) ? lease->orders.read_us : 0;
@@ -331,7 +380,7 @@
 		return false;
 	}
 	asked_us = count == 1
-	    ? alone_us(lease, view->promised, now_us)
+	    ? alone_us(lease, view, now_us)
 	    : certain_us(lease, views, count, primary, durations);
 	if (asked_us > lease->verified_us)
 		lease->verified_us = asked_us;
@@ -344,8 +393,8 @@
 	    lease->supported_us + duration_us(durations, lease->supported_us) <=
 		now_us)
 		lease->unverified = count == 1 ||
-		    supported_us(views, count, primary, INT64_MAX, INT64_MAX) >
-			lease->supported_us;
+		    supported_us(views, count, primary, INT64_MAX, INT64_MAX,
+			0) > lease->supported_us;
 	ends_us = view->promised == lease->term ? lease->expires_us : now_us;
 	if (asked_us == 0 || until_us <= ends_us)
 		return false;
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -746,6 +746,121 @@
 	    c->unaware);
 }
 
+typedef struct members_case {
+	const char *name;
+	uint32_t count;        /* databases that are listed */
+	uint32_t members;      /* number of members that are recorded */
+	const char *is_member; /* of each database: 'm': it is one of them */
+	/* time of the last status request to each; 0: it has not answered */
+	int64_t answer_ms[4];
+	bool renewed;
+	bool unverified;      /* the record has to be read again for it */
+	int64_t read_ms;      /* time the record was read; 0: at the end */
+	int64_t revoked_ms;   /* time of a revocation; 0: none */
+	uint64_t promised[4]; /* newer terms that were promised */
+	recorded_orders_t orders;
+	bool list_new; /* databases may be missing from the list */
+} members_case_t;
+
+/* Time at which the lease is to be renewed. */
+#define RENEWED_MS 6000
+
+static const members_case_t members_cases[] = {
+    {"listed alone, the only one", 1, 1, "m", {5900}, true, false},
+    {"listed alone, the only one, and the list is new", 1, 1, "m", {5900}, true,
+	false, .list_new = true},
+    {"listed alone, of three", 1, 3, "m", {5900}, false, true},
+    {"listed alone, of two", 1, 2, "m", {5900}, false, true},
+    {"listed alone, and another one is recorded", 1, 1, "-", {5900}, false,
+	true},
+    {"two of three answer", 3, 3, "mmm", {5900, 5900}, true, false},
+    {"two of three answer, and the list is new", 3, 3, "mmm", {5900, 5900},
+	true, false, .list_new = true},
+    {"two of three answer, and an order is recorded", 3, 3, "mmm", {5900, 5900},
+	false, true, .orders = {1, 2}},
+    {"two of three answer, and one has promised a newer term", 3, 3, "mmm",
+	{5900, 5900}, false, false, .promised = {0, 2}},
+    {"two of three answer, and the record was read before", 3, 3, "mmm",
+	{5900, 5900}, false, true, .read_ms = 5800},
+    {"two of three are listed", 2, 3, "mm", {5900, 5900}, true, false},
+    {"two of three are listed, and the record was read before", 2, 3, "mm",
+	{5900, 5900}, false, true, .read_ms = 5800},
+    {"all answer, and the record was read before", 3, 3, "mmm",
+	{5900, 5900, 5900}, true, false, .read_ms = 5800},
+    {"all answer, and the list is new", 3, 3, "mmm", {5900, 5900, 5900}, true,
+	false, .read_ms = 5800, .list_new = true},
+    {"all answer, except one that has joined", 4, 3, "mmm-", {5900, 5900, 5900},
+	true, false, .read_ms = 5800},
+    {"one was started again, the other answers", 3, 3, "mm-", {5900, 5900},
+	true, false},
+    {"one was started again, the other is silent", 3, 3, "m-m", {5900, 5900},
+	false, true},
+    {"one was started again, and has promised a newer term", 3, 3, "mm-",
+	{5900, 5900, 5900}, false, false, .promised = {0, 0, 2}},
+    {"all that are listed answer, and two are not members", 3, 3, "m--",
+	{5900, 5900, 5900}, false, true},
+    {"the primary is no member, and one is silent", 3, 3, "-mm", {5900, 5900},
+	false, true},
+    {"the primary is no member, and two of three answer", 3, 3, "-mm",
+	{5900, 5900, 5900}, true, false},
+    {"the only one, and another one has joined", 2, 1, "m-", {5900}, true,
+	false},
+    {"the only one of its members is another one", 2, 1, "-m", {5900}, false,
+	false},
+    {"the record may lack orders, two of three answer", 3, 3, "mmm",
+	{5900, 5900}, false, true,
+	.orders = {.lost_us = MS(5000), .read_era = 2}},
+    {"the record may lack orders, all that are listed answer", 2, 3, "mm",
+	{5900, 5900}, true, false,
+	.orders = {.lost_us = MS(5000), .read_era = 2}},
+    {"revoked long ago, two of three answer", 3, 3, "mmm", {5900, 5900}, true,
+	true, .revoked_ms = 1000},
+    {"revoked long ago, one of them was started again", 3, 3, "m-m",
+	{5900, 5900}, false, true, .revoked_ms = 1000},
+    {"revoked, two of three answer", 3, 3, "mmm", {5900, 5900}, false, true,
+	.revoked_ms = 5000},
+    {"revoked, all answer", 3, 3, "mmm", {5900, 5900, 5900}, true, false,
+	.revoked_ms = 5000},
+    {"revoked, all answer, and the list is new", 3, 3, "mmm",
+	{5900, 5900, 5900}, true, false, .revoked_ms = 5000, .list_new = true},
+    {"revoked, all that are listed answer, of three", 2, 3, "mm", {5900, 5900},
+	false, true, .revoked_ms = 5000},
+};
+
+/*
+ * Test that leases rest on the answers of recorded members where there are any,
+ * whatever the list of the databases has.  The process has just started.
+ */
+static void
+test_members(gconstpointer data)
+{
+	const members_case_t *c = data;
+	recorded_orders_t orders = c->orders;
+	lease_t lease = {.watched_since_us = MS(WATCHED_MS),
+	    .members = c->members,
+	    .list_new = c->list_new};
+	db_view_t views[4];
+	uint32_t i;
+
+	orders.read_us = MS(WATCHED_MS + 10);
+	lease_orders_read(&lease, &orders);
+	orders.read_us = MS(c->read_ms != 0 ? c->read_ms : RENEWED_MS);
+	lease_orders_read(&lease, &orders);
+	if (c->revoked_ms != 0)
+		lease_revoke(&lease, 2, MS(c->revoked_ms));
+	for (i = 0; i < c->count; i++)
+		views[i] = (db_view_t){.known = c->answer_ms[i] != 0,
+		    .primary = i == 0,
+		    .promised = MAX(c->promised[i], 1),
+		    .requested_us = MS(c->answer_ms[i]),
+		    .term = 1,
+		    .member = c->is_member[i] == 'm'};
+	g_assert_cmpint(renew(&lease, views, c->count, 0, MS(RENEWED_MS),
+			    &listed_durations),
+	    ==, c->renewed);
+	g_assert_cmpint(lease.unverified, ==, c->unverified);
+}
+
 typedef struct unlisted_case {
 	const char *name;
 	int64_t requested_ms; /* time of the last request to a replica */
@@ -1399,6 +1514,7 @@
 	CASES("/lease/newer-term", newer_term_cases, test_newer_term);
 	CASES("/lease/lapse", lapse_cases, test_lapse);
 	CASES("/lease/unaware", unaware_cases, test_unaware);
+	CASES("/lease/members", members_cases, test_members);
 	CASES("/lease/deregister", unlisted_cases, test_unlisted);
 	CASES("/change", failover_cases, test_failover);
 	CASES("/change/stray-promise", stray_promise_cases, test_stray_promise);
--- a/tests/t_old_primary.c
+++ b/tests/t_old_primary.c
@@ -55,6 +55,13 @@
 	bool alone;             /* the old primary is listed alone */
 } restart_case_t;
 
+/* A record of the members of the group, without an order. */
+#define MEMBERS_RECORD \
+	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":\"ledger\"," \
+	"\"replaced_term\":0,\"attempt_term\":0,\"members\":[" \
+	"{\"server\":\"i-0\",\"born\":1},{\"server\":\"i-1\",\"born\":1}," \
+	"{\"server\":\"i-2\",\"born\":1}]}]}"
+
 static const restart_case_t restart_cases[] = {
     {"an order to replace it is recorded",
 	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":\"ledger\","
@@ -104,6 +111,13 @@
     {"an order that is malformed is recorded, and all servers answer",
 	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":7}]}", -1,
 	true},
+    {"three members are recorded, and all answer", MEMBERS_RECORD, -1, true},
+    {"three members are recorded, and a replica is silent", MEMBERS_RECORD, 2,
+	true},
+    {"three members are recorded, and it is listed alone", MEMBERS_RECORD, -1,
+	false, 0, true},
+    {"three members are recorded, and it is listed alone, later",
+	MEMBERS_RECORD, -1, false, ABANDONED_MS, true},
 };
 
 /*
