An attempt needs the promises of a majority of the recorded members

What callers could see: a lease on a replaced primary. Leases rest on a majority of the recorded members since the commit before; a coordinator whose list has fewer servers took the promises of a majority of that list, which may have none of those in common. (A decision test; not seen with processes.)

One that was started again counts as if it had promised: it supports no lease either. Otherwise a group that loses its primary right after a replica has restarted would never get another. A handover needs the grant of the primary alone, as before.

--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -147,6 +147,21 @@
 	    : -1;
 }
 
+/*
+ * Tell whether a majority of the recorded members has promised the term, or
+ * there are none.  Leases rest on such a majority, for which one that was
+ * started again does not count: nor can it support a lease.
+ */
+static bool
+members_granted(const failover_t *failover)
+{
+	uint32_t i, n = failover->members_restarted;
+
+	for (i = 0; i < failover->count; i++)
+		n += failover->granted[i] && failover->views[i].member;
+	return failover->members == 0 || n >= majority_of(failover->members);
+}
+
 /*
  * Tell whether enough databases have promised the term that no older primary
  * can continue.  In a handover the promise of the primary itself is enough.
@@ -156,7 +171,8 @@
 {
 	return failover->stepping_down >= 0
 	    ? failover->granted[failover->stepping_down]
-	    : granted_count(failover) >= grants_needed(failover);
+	    : granted_count(failover) >= grants_needed(failover) &&
+		members_granted(failover);
 }
 
 /*
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -922,6 +922,11 @@
 	step_t steps[5];
 	int64_t promoted_at_ms; /* expected time; 0: none within a second */
 	uint32_t promoted;      /* expected new primary */
+	/* recorded members, those of them that were started again, and of each
+	   database, 'm': it is one of the others */
+	uint32_t members;
+	uint32_t restarted;
+	const char *is_member;
 } failover_case_t;
 
 /*
@@ -964,6 +969,27 @@
 	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8},
 	    {4, STEP_WITHDRAWN, 2, 8}, {5, STEP_REVOKED_BY_ALL, 0, 0}},
 	0, 0},
+    {"two of three members grant", false, 0,
+	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8},
+	    {5, STEP_REVOKED_BY_ALL, 0, 0}},
+	152, 2, 3, 0, "mmm"},
+    {"two of five members grant", false, 0,
+	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8},
+	    {5, STEP_REVOKED_BY_ALL, 0, 0}},
+	0, 0, 5, 0, "mmm"},
+    {"one member of three grants, and another database", false, 0,
+	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8},
+	    {5, STEP_REVOKED_BY_ALL, 0, 0}},
+	0, 0, 3, 0, "mm-"},
+    {"one member of three grants, and one that was started again", false, 0,
+	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8},
+	    {5, STEP_REVOKED_BY_ALL, 0, 0}},
+	152, 2, 3, 1, "mm-"},
+    {"a handover needs the grant of the primary only, of three members", true,
+	0,
+	{{1, STEP_GRANT, 0, 9}, {3, STEP_REVOKED_BY_ALL, 0, 0},
+	    {40, STEP_CAUGHT_UP, 1, 9}},
+	151, 1, 3, 0, "mmm"},
 };
 
 static const failover_limits_t test_limits = {
@@ -985,8 +1011,8 @@
 apply_step(failover_t *failover, const step_t *step)
 {
 	static const int32_t without_first[] = {1, 2};
-	db_view_t view = {
-	    true, false, false, 1, {1, step->index}, MS(step->at_ms)};
+	db_view_t view = {true, false, false, 1, {1, step->index},
+	    MS(step->at_ms), .member = failover->views[step->database].member};
 
 	switch (step->kind) {
 	case STEP_GRANT:
@@ -1032,10 +1058,13 @@
 	failover_init(&failover, &limits, 3, 1, 0);
 	for (i = 0; i < 3; i++) {
 		db_view_t view = {true, i == 0, i == 0 && c->handover, 1,
-		    {1, i == 0 ? 9 : 6 + i}, 1};
+		    {1, i == 0 ? 9 : 6 + i}, 1,
+		    .member = c->members > 0 && c->is_member[i] == 'm'};
 
 		failover_replace_view(&failover, i, &view, 0);
 	}
+	failover.members = c->members;
+	failover.members_restarted = c->restarted;
 	failover_tick(&failover, 0, &actions);
 	g_assert_cmpint(failover.state, ==, FAILOVER_STEADY);
 	if (c->handover) {
