The list after an outage counts as new also where the record was read before it

Cause: monitor_store_away() compared the time of the outage with that of the first list when the record was read. A daemon that takes the coordinator role reads it before the first server is listed; the time of the first list was 0 then. It is compared at use.

--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -201,14 +201,14 @@
 }
 
 /*
- * Note when the store first refused or did not answer a call of this process;
- * 0: never.  If that was before its first list, entries may have expired.
+ * Tell whether the store refused or did not answer a call of this process
+ * before its first list, so that entries may have expired.
  */
-void
-monitor_store_away(group_t *group, int64_t away_us)
+static bool
+list_after_outage(const pool_t *pool)
 {
-	group->lease.list_after_outage =
-	    away_us != 0 && away_us <= group->pool->listed_first_us;
+	return pool->store_away_us != 0 &&
+	    pool->store_away_us <= pool->listed_first_us;
 }
 
 /*
@@ -241,6 +241,7 @@
 	pool_check_listed(group->pool, now_us);
 	group_orders_update(group, now_us);
 	group->lease.list_new = monitor_list_new(group, now_us);
+	group->lease.list_after_outage = list_after_outage(group->pool);
 	renewed = primary >= 0 &&
 	    lease_renew(&group->lease, failover->views, group->count,
 		(uint32_t)primary, now_us, &group->pool->lease_durations);
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -345,6 +345,7 @@
 	gpointer name, value;
 
 	pool->orders_pending = false;
+	pool->store_away_us = (int64_t)read->away_us;
 	g_hash_table_iter_init(&iter, pool->groups);
 	while (read->read_us != 0 &&
 	    g_hash_table_iter_next(&iter, &name, &value)) {
@@ -372,7 +373,6 @@
 		if (!read->unrecorded)
 			group_members_recorded(
 			    value, members, n_members, (int64_t)read->read_us);
-		monitor_store_away(value, (int64_t)read->away_us);
 		monitor_orders_read(value, &recorded, clock_us());
 	}
 	msg_free(msg);
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -317,6 +317,9 @@
 	int64_t started_us;
 	/* time of the first list of the servers of any group; 0: none */
 	int64_t listed_first_us;
+	/* time at which the store first refused or did not answer a call of
+	   this process, as last told with the recorded orders; 0: never */
+	int64_t store_away_us;
 	uint32_t transaction_idle_ms;
 	bool is_coordinator;
 	bool first_coordinator; /* nobody was the coordinator before */
@@ -460,7 +463,6 @@
 void monitor_init(group_t *, int64_t now_us);
 void monitor_first_listed(group_t *, int64_t now_us);
 bool monitor_list_new(const group_t *, int64_t now_us);
-void monitor_store_away(group_t *, int64_t away_us);
 void monitor_first_coordinator(group_t *);
 void monitor_tick(group_t *, int64_t now_us);
 void monitor_status_received(
--- a/tests/t_old_primary.c
+++ b/tests/t_old_primary.c
@@ -186,6 +186,61 @@
 	testbed_stop(testbed);
 }
 
+typedef struct late_list_case {
+	const char *name;
+	bool away;   /* the store is away when the daemon starts */
+	bool served; /* writes are acknowledged while the list is new */
+} late_list_case_t;
+
+#define SERVER_ENTRY \
+	"{\"backend\":\"ledger\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\"," \
+	"\"version\":\"v1\",\"capacity\":4,\"state\":\"ready\"," \
+	"\"cold-remaining-ms\":0,\"sequence\":1,\"born\":1}"
+
+/* Time until the daemon has read the record and an empty list. */
+#define EMPTY_LIST_MS 1500
+
+/* Time in which writes are acknowledged where the list does not matter. */
+#define LATE_LIST_MS 1500
+
+static const late_list_case_t late_list_cases[] = {
+    {"the store was away", true, false},
+    {"it was not", false, true},
+};
+
+/*
+ * Test that the old primary, the first server that is listed again after an
+ * outage of the store in which all entries have lapsed, is not taken for the
+ * whole group at once.
+ */
+static void
+test_late_list(gconstpointer data)
+{
+	const late_list_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	char *entry;
+	int32_t i;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	fleet_process_kill(&testbed->proxies[0]);
+	testbed_put_object(testbed, "bergamotplank-duties", "promotion",
+	    "{\"holder\":\"proxy-0\",\"token\":5}");
+	for (i = 0; i < 3; i++)
+		testbed_inject_fault(testbed, "database", "unlist", i);
+	if (c->away)
+		testbed_inject_fault(testbed, "store", "busy", -1);
+	testbed_proxy_start(testbed, 0);
+	g_usleep(500 * G_TIME_SPAN_MILLISECOND);
+	testbed_inject_fault(testbed, "store", "up", -1);
+	g_usleep(EMPTY_LIST_MS * G_TIME_SPAN_MILLISECOND);
+	entry = g_strdup_printf(SERVER_ENTRY, testbed->first_database_port);
+	testbed_put_object(testbed, "servers", "i-0", entry);
+	g_assert_cmpint(write_served(testbed, 0, LATE_LIST_MS), ==, c->served);
+	g_free(entry);
+	testbed_stop(testbed);
+}
+
 typedef struct members_case {
 	const char *name;
 	int32_t crashes; /* database, once all are recorded; -1: none */
@@ -609,6 +664,7 @@
 	CASES("/old-primary/restarted-daemon", restart_cases,
 	    test_restarted_daemon);
 	CASES("/old-primary/members", members_cases, test_members);
+	CASES("/old-primary/late-list", late_list_cases, test_late_list);
 	g_test_add_func(
 	    "/old-primary/lost-coordinator", test_abandoned_failover);
 	g_test_add_func(
