--- a/tests/t_fuzz.c
+++ b/tests/t_fuzz.c
@@ -1,6 +1,7 @@
 #include "../platform/json_tree.h"
 #include "../platform/object_page.h"
 #include "../platform/platform.h"
+#include "../src/decide/decide.h"
 #include "../src/json.h"
 #include "../src/proxy/lines.h"
 #include "cases.h"
@@ -375,11 +376,65 @@
 	append_text(input, "],\"has-more\":true,\"current-rev\":5}");
 }
 
+/*
+ * Append a coordinator record with random members.
+ */
+static void
+append_record(GByteArray *input)
+{
+	static const char *const ids[] = {"\"i-1\"", "\"i-2\"", "\"i-3\"",
+	    "\"i-4\"", "\"i-5\"", "\"\"", "\"a b\"", "7", "null"};
+	static const char *const births[] = {"0", "1", "1764900000000", "5",
+	    "6", "7", "-1", "\"1\"", "99999999999999999999"};
+	int32_t i, count = g_test_rand_int_range(0, 12);
+	/* mostly valid ones, in half of the inputs */
+	int32_t odd = g_test_rand_bit() ? 0 : 4;
+
+	append_text(input,
+	    "{\"holder\":\"d\",\"token\":5,\"orders\":[{\"group\":\"g\","
+	    "\"replaced_term\":1,\"attempt_term\":2,\"members\":[");
+	for (i = 0; i < count; i++) {
+		append_text(input, i > 0 ? ",{\"server\":" : "{\"server\":");
+		append_text(input, ids[g_test_rand_int_range(0, 5 + odd)]);
+		append_text(input, ",\"born\":");
+		append_text(
+		    input, births[g_test_rand_int_range(0, 6 + MIN(odd, 3))]);
+		append_text(input, "}");
+	}
+	append_text(input, "]}]}");
+}
+
+/*
+ * Decode a coordinator record, and check that its members are valid.
+ */
+static void
+decode_record(GByteArray *input)
+{
+	yajl_val json =
+	    json_tree_parse((const char *)input->data, input->len - 1);
+	object_t object = {"promotion", 5, false, json};
+	arena_t *arena = arena_new();
+	Bp__DutyRecord *record =
+	    platform_object_store.read_coordinator(&object, arena);
+	size_t i, j;
+
+	for (i = 0; record != NULL && i < record->n_orders; i++) {
+		const Bp__RecordedOrder *order = record->orders[i];
+
+		g_assert_cmpuint(order->n_members, <=, GROUP_DATABASES_MAX);
+		for (j = 0; j < order->n_members; j++)
+			g_assert_cmpstr(order->members[j]->server, !=, "");
+	}
+	arena_free(arena);
+	json_tree_free(json);
+}
+
 static const decoder_case_t decoder_cases[] = {
     {"lines of clients", append_spaced_words, decode_request},
     {"lines of databases", append_spaced_words, decode_reply},
     {"objects of the store", append_spaced_words, decode_object},
     {"responses of the store", append_response, decode_response},
+    {"coordinator records", append_record, decode_record},
     {"settings", append_spaced_words, decode_settings},
     {"bytes", append_word_lines, decode_lines},
 };
