--- a/gen/catalog.pb-c.c
+++ b/gen/catalog.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &bp__recorded_order__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__recorded_member__init
+                     (Bp__RecordedMember         *message)
+{
+  static const Bp__RecordedMember init_value = BP__RECORDED_MEMBER__INIT;
+  *message = init_value;
+}
+size_t bp__recorded_member__get_packed_size
+                     (const Bp__RecordedMember *message)
+{
+  assert(message->base.descriptor == &bp__recorded_member__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__recorded_member__pack
+                     (const Bp__RecordedMember *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__recorded_member__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__recorded_member__pack_to_buffer
+                     (const Bp__RecordedMember *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__recorded_member__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__RecordedMember *
+       bp__recorded_member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__RecordedMember *)
+     protobuf_c_message_unpack (&bp__recorded_member__descriptor,
+                                allocator, len, data);
+}
+void   bp__recorded_member__free_unpacked
+                     (Bp__RecordedMember *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__recorded_member__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__earlier_order__init
                      (Bp__EarlierOrder         *message)
 {
@@ -893,7 +938,7 @@
 static const uint64_t bp__recorded_order__base_index__default_value = 0ull;
 static const uint64_t bp__recorded_order__era__default_value = 0ull;
 static const uint64_t bp__recorded_order__named__default_value = 0ull;
-static const ProtobufCFieldDescriptor bp__recorded_order__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bp__recorded_order__field_descriptors[10] =
 {
   {
     "group",
@@ -991,6 +1036,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "members",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__RecordedOrder, n_members),
+    offsetof(Bp__RecordedOrder, members),
+    &bp__recorded_member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "named",
     10,
@@ -1011,15 +1068,15 @@
   7,   /* field[7] = earlier */
   5,   /* field[5] = era */
   0,   /* field[0] = group */
-  8,   /* field[8] = named */
+  8,   /* field[8] = members */
+  9,   /* field[9] = named */
   6,   /* field[6] = open */
   1,   /* field[1] = replaced_term */
 };
-static const ProtobufCIntRange bp__recorded_order__number_ranges[2 + 1] =
+static const ProtobufCIntRange bp__recorded_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 10, 8 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bp__recorded_order__descriptor =
 {
@@ -1029,13 +1086,64 @@
   "Bp__RecordedOrder",
   "bp",
   sizeof(Bp__RecordedOrder),
-  9,
+  10,
   bp__recorded_order__field_descriptors,
   bp__recorded_order__field_indices_by_name,
-  2,  bp__recorded_order__number_ranges,
+  1,  bp__recorded_order__number_ranges,
   (ProtobufCMessageInit) bp__recorded_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__recorded_member__field_descriptors[2] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__RecordedMember, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__RecordedMember, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__recorded_member__field_indices_by_name[] = {
+  1,   /* field[1] = born */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange bp__recorded_member__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bp__recorded_member__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.RecordedMember",
+  "RecordedMember",
+  "Bp__RecordedMember",
+  "bp",
+  sizeof(Bp__RecordedMember),
+  2,
+  bp__recorded_member__field_descriptors,
+  bp__recorded_member__field_indices_by_name,
+  1,  bp__recorded_member__number_ranges,
+  (ProtobufCMessageInit) bp__recorded_member__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__earlier_order__field_descriptors[3] =
 {
   {
--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -592,6 +592,51 @@
   assert(message->base.descriptor == &bp__store_away__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__group_members_wanted__init
+                     (Bp__GroupMembersWanted         *message)
+{
+  static const Bp__GroupMembersWanted init_value = BP__GROUP_MEMBERS_WANTED__INIT;
+  *message = init_value;
+}
+size_t bp__group_members_wanted__get_packed_size
+                     (const Bp__GroupMembersWanted *message)
+{
+  assert(message->base.descriptor == &bp__group_members_wanted__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__group_members_wanted__pack
+                     (const Bp__GroupMembersWanted *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__group_members_wanted__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__group_members_wanted__pack_to_buffer
+                     (const Bp__GroupMembersWanted *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__group_members_wanted__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__GroupMembersWanted *
+       bp__group_members_wanted__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__GroupMembersWanted *)
+     protobuf_c_message_unpack (&bp__group_members_wanted__descriptor,
+                                allocator, len, data);
+}
+void   bp__group_members_wanted__free_unpacked
+                     (Bp__GroupMembersWanted *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__group_members_wanted__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__order_learned__init
                      (Bp__OrderLearned         *message)
 {
@@ -2163,7 +2208,7 @@
 static const uint64_t bp__orders_read__lost_us__default_value = 0ull;
 static const uint64_t bp__orders_read__era__default_value = 0ull;
 static const uint64_t bp__orders_read__away_us__default_value = 0ull;
-static const protobuf_c_boolean bp__orders_read__noted__default_value = 0;
+static const protobuf_c_boolean bp__orders_read__unrecorded__default_value = 0;
 static const ProtobufCFieldDescriptor bp__orders_read__field_descriptors[6] =
 {
   {
@@ -2227,14 +2272,14 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "noted",
+    "unrecorded",
     6,
     PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_BOOL,
-    offsetof(Bp__OrdersRead, has_noted),
-    offsetof(Bp__OrdersRead, noted),
+    offsetof(Bp__OrdersRead, has_unrecorded),
+    offsetof(Bp__OrdersRead, unrecorded),
     NULL,
-    &bp__orders_read__noted__default_value,
+    &bp__orders_read__unrecorded__default_value,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -2243,9 +2288,9 @@
   4,   /* field[4] = away_us */
   3,   /* field[3] = era */
   2,   /* field[2] = lost_us */
-  5,   /* field[5] = noted */
   1,   /* field[1] = orders */
   0,   /* field[0] = read_us */
+  5,   /* field[5] = unrecorded */
 };
 static const ProtobufCIntRange bp__orders_read__number_ranges[1 + 1] =
 {
@@ -2285,6 +2330,57 @@
   (ProtobufCMessageInit) bp__store_away__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__group_members_wanted__field_descriptors[2] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__GroupMembersWanted, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__GroupMembersWanted, n_members),
+    offsetof(Bp__GroupMembersWanted, members),
+    &bp__recorded_member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__group_members_wanted__field_indices_by_name[] = {
+  0,   /* field[0] = group */
+  1,   /* field[1] = members */
+};
+static const ProtobufCIntRange bp__group_members_wanted__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bp__group_members_wanted__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.GroupMembersWanted",
+  "GroupMembersWanted",
+  "Bp__GroupMembersWanted",
+  "bp",
+  sizeof(Bp__GroupMembersWanted),
+  2,
+  bp__group_members_wanted__field_descriptors,
+  bp__group_members_wanted__field_indices_by_name,
+  1,  bp__group_members_wanted__number_ranges,
+  (ProtobufCMessageInit) bp__group_members_wanted__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__order_learned__field_descriptors[1] =
 {
   {
@@ -2361,7 +2457,7 @@
   (ProtobufCMessageInit) bp__token_read__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__promotion_wanted__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bp__promotion_wanted__field_descriptors[10] =
 {
   {
     "group",
@@ -2471,6 +2567,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "members",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__PromotionWanted, n_members),
+    offsetof(Bp__PromotionWanted, members),
+    &bp__recorded_member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__promotion_wanted__field_indices_by_name[] = {
   7,   /* field[7] = base_index */
@@ -2478,6 +2586,7 @@
   4,   /* field[4] = decided_us */
   0,   /* field[0] = group */
   3,   /* field[3] = heard_us */
+  9,   /* field[9] = members */
   8,   /* field[8] = open */
   5,   /* field[5] = replaced_term */
   1,   /* field[1] = server */
@@ -2486,7 +2595,7 @@
 static const ProtobufCIntRange bp__promotion_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bp__promotion_wanted__descriptor =
 {
@@ -2496,7 +2605,7 @@
   "Bp__PromotionWanted",
   "bp",
   sizeof(Bp__PromotionWanted),
-  9,
+  10,
   bp__promotion_wanted__field_descriptors,
   bp__promotion_wanted__field_indices_by_name,
   1,  bp__promotion_wanted__number_ranges,
--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -46,6 +46,9 @@
 	bool unlisted; /* has no entry in the store: not to be promoted */
 	/* it was ordered to become primary, and may still do so */
 	bool order_open;
+	/* the store has recorded it as a member of its group, and it has not
+	   been started again since */
+	bool member;
 	uint64_t key; /* identifies the database; 0: not known */
 } db_view_t;
 
@@ -94,8 +97,6 @@
 	/* end of the log of the database that the last of them named: the new
 	   term begins after it */
 	position_t base;
-	/* key of that database; 0: not known */
-	uint64_t named;
 	/* time at which the store was known to have come back from an older
 	   copy, which may lack orders; 0: never */
 	int64_t lost_us;
@@ -105,6 +106,8 @@
 	   replaced_term, which is not that of the last one */
 	earlier_order_t earlier[EARLIER_ORDERS_MAX];
 	uint32_t earlier_count;
+	/* key of the database that the last of them named; 0: not known */
+	uint64_t named;
 } recorded_orders_t;
 
 /* Which terms the orders may have begun, and after which entries:
@@ -179,6 +182,9 @@
 	/* a database that is not among those of the group was ordered to become
 	   primary, and may still do so */
 	bool order_open_outside;
+	/* number of members of the group that the store has recorded; 0: none
+	   are recorded */
+	uint32_t members;
 } lease_t;
 
 /*
--- a/tests/t_old_primary.c
+++ b/tests/t_old_primary.c
@@ -55,6 +55,13 @@
 	bool alone;             /* the old primary is listed alone */
 } restart_case_t;
 
+/* A record of the members of the group, without an order. */
+#define MEMBERS_RECORD \
+	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":\"ledger\"," \
+	"\"replaced_term\":0,\"attempt_term\":0,\"members\":[" \
+	"{\"server\":\"i-0\",\"born\":1},{\"server\":\"i-1\",\"born\":1}," \
+	"{\"server\":\"i-2\",\"born\":1}]}]}"
+
 static const restart_case_t restart_cases[] = {
     {"an order to replace it is recorded",
 	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":\"ledger\","
@@ -104,6 +111,13 @@
     {"an order that is malformed is recorded, and all servers answer",
 	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":7}]}", -1,
 	true},
+    {"three members are recorded, and all answer", MEMBERS_RECORD, -1, true},
+    {"three members are recorded, and a replica is silent", MEMBERS_RECORD, 2,
+	true},
+    {"three members are recorded, and it is listed alone", MEMBERS_RECORD, -1,
+	false, 0, true},
+    {"three members are recorded, and it is listed alone, later",
+	MEMBERS_RECORD, -1, false, ABANDONED_MS, true},
 };
 
 /*
@@ -172,6 +186,120 @@
 	testbed_stop(testbed);
 }
 
+typedef struct late_list_case {
+	const char *name;
+	bool away;   /* the store is away when the daemon starts */
+	bool served; /* writes are acknowledged while the list is new */
+} late_list_case_t;
+
+#define SERVER_ENTRY \
+	"{\"backend\":\"ledger\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\"," \
+	"\"version\":\"v1\",\"capacity\":4,\"state\":\"ready\"," \
+	"\"cold-remaining-ms\":0,\"sequence\":1,\"born\":1}"
+
+/* Time until the daemon has read the record and an empty list. */
+#define EMPTY_LIST_MS 1500
+
+/* Time in which writes are acknowledged where the list does not matter. */
+#define LATE_LIST_MS 1500
+
+static const late_list_case_t late_list_cases[] = {
+    {"the store was away", true, false},
+    {"it was not", false, true},
+};
+
+/*
+ * Test that the old primary, the first server that is listed again after an
+ * outage of the store in which all entries have lapsed, is not taken for the
+ * whole group at once.
+ */
+static void
+test_late_list(gconstpointer data)
+{
+	const late_list_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	char *entry;
+	int32_t i;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	fleet_process_kill(&testbed->proxies[0]);
+	testbed_put_object(testbed, "bergamotplank-duties", "promotion",
+	    "{\"holder\":\"proxy-0\",\"token\":5}");
+	for (i = 0; i < 3; i++)
+		testbed_inject_fault(testbed, "database", "unlist", i);
+	if (c->away)
+		testbed_inject_fault(testbed, "store", "busy", -1);
+	testbed_proxy_start(testbed, 0);
+	g_usleep(500 * G_TIME_SPAN_MILLISECOND);
+	testbed_inject_fault(testbed, "store", "up", -1);
+	g_usleep(EMPTY_LIST_MS * G_TIME_SPAN_MILLISECOND);
+	entry = g_strdup_printf(SERVER_ENTRY, testbed->first_database_port);
+	testbed_put_object(testbed, "servers", "i-0", entry);
+	g_assert_cmpint(write_served(testbed, 0, LATE_LIST_MS), ==, c->served);
+	g_free(entry);
+	testbed_stop(testbed);
+}
+
+typedef struct members_case {
+	const char *name;
+	int32_t crashes; /* database, once all are recorded; -1: none */
+	uint32_t count;  /* members that are recorded in the end */
+} members_case_t;
+
+/* Time for the members to be recorded, from the start or from a change. */
+#define MEMBERS_MS 8000
+
+static const members_case_t members_cases[] = {
+    {"all servers", -1, 3},
+    {"a replica is lost", 2, 2},
+    {"the primary is lost, and replaced", 0, 2},
+};
+
+/*
+ * Wait until the coordinator record has a number of members.
+ */
+static bool
+wait_members(const testbed_t *testbed, uint32_t count, int64_t wait_ms)
+{
+	int64_t end_us =
+	    g_get_monotonic_time() + wait_ms * G_TIME_SPAN_MILLISECOND;
+	uint32_t found = 0;
+
+	while (found != count && g_get_monotonic_time() < end_us) {
+		char *record = testbed_get(
+		    testbed, "/objects/bergamotplank-duties/promotion");
+		char **parts = g_strsplit(record, "\"born\"", -1);
+
+		found = g_strv_length(parts) - 1;
+		g_strfreev(parts);
+		g_free(record);
+		g_usleep(50 * G_TIME_SPAN_MILLISECOND);
+	}
+	return found == count;
+}
+
+/*
+ * Test that the coordinator has the servers of a group recorded as its members,
+ * and again when they have changed, also with an order.
+ */
+static void
+test_members(gconstpointer data)
+{
+	const members_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 2, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_assert_true(wait_members(testbed, 3, MEMBERS_MS));
+	if (c->crashes >= 0) {
+		testbed_inject_fault(testbed, "database", "crash", c->crashes);
+		testbed_inject_fault(testbed, "database", "unlist", c->crashes);
+	}
+	g_assert_true(wait_members(testbed, c->count, MEMBERS_MS));
+	testbed_stop(testbed);
+}
+
 /* Time for the promotion, and for the order to be recorded afterwards. */
 #define PROMOTION_MS 8000
 #define RECORD_MS 5000
@@ -535,6 +663,8 @@
 	curl_global_init(CURL_GLOBAL_ALL);
 	CASES("/old-primary/restarted-daemon", restart_cases,
 	    test_restarted_daemon);
+	CASES("/old-primary/members", members_cases, test_members);
+	CASES("/old-primary/late-list", late_list_cases, test_late_list);
 	g_test_add_func(
 	    "/old-primary/lost-coordinator", test_abandoned_failover);
 	g_test_add_func(
--- a/tests/t_standing.c
+++ b/tests/t_standing.c
@@ -233,6 +233,7 @@
 	    true, true, false, c->term, {c->term, 8}, MS(10), .term = c->term};
 	views[2] = (db_view_t){
 	    true, false, false, MAX(1, c->promised), {1, 7}, MS(10), .term = 1};
+	views[c->primary].key = c->primary + 1;
 	if (c->third)
 		views[1 - c->primary] = (db_view_t){true, false, false, c->term,
 		    {c->term, 8}, MS(10), .term = c->term};
