--- a/tests/fake/testbed.c
+++ b/tests/fake/testbed.c
@@ -542,3 +542,56 @@
 		    "%s: expected %s, found %s", statement, expected, answer);
 	g_free(answer);
 }
+
+/*
+ * Wait until a server reports that it is the primary.  term: the term and a
+ * blank; empty: of any term.
+ */
+bool
+testbed_wait_primary(const testbed_t *testbed, uint32_t server,
+    const char *term, int64_t wait_ms)
+{
+	char *row = g_strdup_printf("ROW primary %s", term);
+	int64_t end_us = g_get_monotonic_time() + wait_ms * US_PER_MS;
+	client_t *database =
+	    client_connect(testbed->first_database_port + server);
+	bool primary = false;
+
+	client_send(database, "START ledger test\r\n", 19);
+	g_free(client_read_line(database, EXPECT_TIMEOUT_MS));
+	while (!primary && g_get_monotonic_time() < end_us) {
+		char *answer =
+		    client_query(database, "STATUS", EXPECT_TIMEOUT_MS);
+
+		primary = answer != NULL && g_str_has_prefix(answer, row);
+		g_free(answer);
+		g_usleep(READY_POLL_US);
+	}
+	client_close(database);
+	g_free(row);
+	return primary;
+}
+
+/*
+ * Return the number of the proxy that the coordinator record names.
+ */
+uint32_t
+testbed_coordinator(const testbed_t *testbed)
+{
+	char *record =
+	    testbed_get(testbed, "/objects/bergamotplank-duties/promotion");
+	uint32_t i;
+
+	for (i = 0; i < testbed->plan.proxies; i++) {
+		char *holder = g_strdup_printf(
+		    "\"holder\":\"%s\"", testbed->proxies[i].name);
+		bool found = strstr(record, holder) != NULL;
+
+		g_free(holder);
+		if (found)
+			break;
+	}
+	g_assert_cmpuint(i, <, testbed->plan.proxies);
+	g_free(record);
+	return i;
+}
--- a/tests/fake/testbed.h
+++ b/tests/fake/testbed.h
@@ -46,6 +46,9 @@
     testbed_t *, const char *kind, const char *name, const char *content);
 void testbed_configure(
     testbed_t *, uint32_t version, const char *omitted_database);
+bool testbed_wait_primary(
+    const testbed_t *, uint32_t server, const char *term, int64_t wait_ms);
+uint32_t testbed_coordinator(const testbed_t *);
 char *testbed_item_value(
     testbed_t *, const char *item, uint32_t *invalid_token_requests);
 
--- a/tests/t_old_primary.c
+++ b/tests/t_old_primary.c
@@ -176,36 +176,6 @@
 #define PROMOTION_MS 8000
 #define RECORD_MS 5000
 
-/*
- * Wait until a server reports that it is the primary.  term: the term and a
- * blank; empty: of any term.
- */
-static bool
-wait_primary(const testbed_t *testbed, uint32_t server, const char *term,
-    int64_t wait_ms)
-{
-	char *row = g_strdup_printf("ROW primary %s", term);
-	int64_t end_us =
-	    g_get_monotonic_time() + wait_ms * G_TIME_SPAN_MILLISECOND;
-	client_t *database =
-	    client_connect(testbed->first_database_port + server);
-	bool primary = false;
-
-	client_send(database, "START ledger test\r\n", 19);
-	g_free(client_read_line(database, ANSWER_TIMEOUT_MS));
-	while (!primary && g_get_monotonic_time() < end_us) {
-		char *answer =
-		    client_query(database, "STATUS", ANSWER_TIMEOUT_MS);
-
-		primary = answer != NULL && g_str_has_prefix(answer, row);
-		g_free(answer);
-		g_usleep(20 * G_TIME_SPAN_MILLISECOND);
-	}
-	client_close(database);
-	g_free(row);
-	return primary;
-}
-
 /*
  * Test that an order that was sent while the store was away is recorded after
  * its return.
@@ -223,8 +193,8 @@
 	g_usleep(2500 * G_TIME_SPAN_MILLISECOND); /* until all are listed */
 	testbed_inject_fault(testbed, "store", "busy", -1);
 	testbed_inject_fault(testbed, "database", "crash", 0);
-	g_assert_true(wait_primary(testbed, 1, "", PROMOTION_MS) ||
-	    wait_primary(testbed, 2, "", PROMOTION_MS));
+	g_assert_true(testbed_wait_primary(testbed, 1, "", PROMOTION_MS) ||
+	    testbed_wait_primary(testbed, 2, "", PROMOTION_MS));
 	testbed_inject_fault(testbed, "store", "up", -1);
 	url = g_strdup_printf(
 	    "http://127.0.0.1:%u/objects/bergamotplank-duties/promotion",
@@ -265,7 +235,6 @@
     {"its coordinator restarts", false, false, "1 ", ABANDONED_MS, true, true},
 };
 
-static uint32_t coordinator_number(const testbed_t *);
 static int32_t wait_held_order(const testbed_t *);
 
 /*
@@ -286,7 +255,7 @@
 
 	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
 	g_usleep(2500 * G_TIME_SPAN_MILLISECOND); /* until all are listed */
-	coordinator = coordinator_number(testbed);
+	coordinator = testbed_coordinator(testbed);
 	for (i = 0; i < 3; i++)
 		testbed_inject_fault(testbed, "database", "deaf", (int32_t)i);
 	/* an entry that the promotion gives up */
@@ -299,8 +268,9 @@
 	if (c->late) {
 		promoted = wait_held_order(testbed);
 	} else {
-		promoted = wait_primary(testbed, 1, "", PROMOTION_MS) ? 1 : 2;
-		g_assert_true(wait_primary(
+		promoted =
+		    testbed_wait_primary(testbed, 1, "", PROMOTION_MS) ? 1 : 2;
+		g_assert_true(testbed_wait_primary(
 		    testbed, (uint32_t)promoted, "", PROMOTION_MS));
 	}
 	for (i = 0; i < 3; i++) {
@@ -319,7 +289,8 @@
 	served = write_served(testbed, asked, c->wait_ms);
 	if (c->served)
 		g_assert_true(served);
-	g_assert_false(served && wait_primary(testbed, 0, c->term, 1000));
+	g_assert_false(
+	    served && testbed_wait_primary(testbed, 0, c->term, 1000));
 	testbed_stop(testbed);
 }
 
@@ -342,30 +313,6 @@
 /* Time after which a database that has crashed is back. */
 #define CRASHED_MS 1500
 
-/*
- * Return the number of the proxy that the coordinator record names.
- */
-static uint32_t
-coordinator_number(const testbed_t *testbed)
-{
-	char *record =
-	    testbed_get(testbed, "/objects/bergamotplank-duties/promotion");
-	uint32_t i;
-
-	for (i = 0; i < testbed->plan.proxies; i++) {
-		char *holder = g_strdup_printf(
-		    "\"holder\":\"%s\"", testbed->proxies[i].name);
-		bool found = strstr(record, holder) != NULL;
-
-		g_free(holder);
-		if (found)
-			break;
-	}
-	g_assert_cmpuint(i, <, testbed->plan.proxies);
-	g_free(record);
-	return i;
-}
-
 /*
  * Wait until an order is held up, and return the number of its database.
  */
@@ -452,7 +399,7 @@
 	testbed_inject_fault(testbed, "database", "leave", 0);
 	named = wait_held_order(testbed);
 	if (c->killed) {
-		killed = (int32_t)coordinator_number(testbed);
+		killed = (int32_t)testbed_coordinator(testbed);
 		g_usleep(500 * G_TIME_SPAN_MILLISECOND);
 		fleet_process_kill(&testbed->proxies[killed]);
 	}
@@ -512,7 +459,7 @@
 	g_usleep(2500 * G_TIME_SPAN_MILLISECOND); /* until all are listed */
 	testbed_inject_fault(testbed, "database", "crash", 0);
 	g_assert_true(write_served(testbed, 0, PROMOTION_MS));
-	promoted = wait_primary(testbed, 1, "", 1000) ? 1 : 2;
+	promoted = testbed_wait_primary(testbed, 1, "", 1000) ? 1 : 2;
 	testbed_inject_fault(testbed, "database", "return", 0);
 	g_usleep(2500 * G_TIME_SPAN_MILLISECOND); /* until it has caught up */
 	testbed_put_object(
