Fakes: a promotion keeps the pauses for newer terms

The fake databases resumed replication everywhere when a promotion took effect. The platform ends the pauses for the new term and older ones at all replicas, and any pause of the promoted database; one for a newer term stays (measured: PAUSE 9 survives the promotion to term 2 at the other replica). An order that promotes nothing ends no pause.

A database that restarts forgets its pause, and comes back as a replica if another one was promoted meanwhile.

New faults: cut and heal (no daemon reaches the database, and it gets nothing from them; mute still carries out what it receives), hear (the end of deaf), list (the end of unlist), renewed (a database that crashed comes back with its log under a new id, as measured) and reborn (under its id and empty). GET /outdated also has the items read at a primary that had been replaced; GET /promoted and /revived have the promotions, and those of databases with entries that an earlier promotion had given up.

--- a/tests/fake/fakegroup.c
+++ b/tests/fake/fakegroup.c
@@ -49,6 +49,7 @@
 	bool primary;
 	bool running;
 	bool unresponsive;        /* accepts connections but sends no answers */
+	bool unreachable;         /* and receives nothing from daemons */
 	bool full;                /* resets new connections */
 	bool slow_open;           /* opens sessions after the service time */
 	bool replication_blocked; /* receives nothing from the primary */
@@ -56,7 +57,8 @@
 	bool unlisted; /* has no entry in the store */
 	uint64_t term;
 	uint64_t replication_paused_term; /* term of the last PAUSE; 0: none */
-	GPtrArray *log;                   /* of write_entry_t */
+	uint64_t born;  /* changes when it starts as another one */
+	GPtrArray *log; /* of write_entry_t */
 	GSocketService *service;
 	GList *conns;
 } database_t;
@@ -76,6 +78,12 @@
 	guint answer_timer;
 } conn_t;
 
+/* A promotion that took effect. */
+typedef struct promotion {
+	uint64_t term;
+	uint64_t base_index; /* end of the log of the promoted database */
+} promotion_t;
+
 struct db_group {
 	object_store_t *store;
 	char *name;
@@ -89,8 +97,14 @@
 	uint64_t ack_tokens_issued;
 	/* close the connection instead of answering the next commit */
 	bool lose_next_commit_answer;
-	/* values that clients wrote at a primary that had been replaced */
-	GString *outdated_values;
+	GArray *promotions; /* of promotion_t */
+	/* values that clients wrote, and items that they read, at a primary
+	   that had been replaced */
+	GString *outdated;
+	/* promotions that took effect, and those of a database with entries
+	   that an earlier one had given up: ID.TERM, each between blanks */
+	GString *promoted;
+	GString *revived;
 	/* prepared statements that were run: [access shape|item|data] */
 	GString *executed;
 	/* statements that were received, other than those that daemons issue
@@ -175,10 +189,10 @@
 	    "{\"backend\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\","
 	    "\"version\":\"v1\",\"capacity\":4,\"state\":\"%s\","
 	    "\"cold-remaining-ms\":0,\"db-role\":\"%s\",\"sequence\":1,"
-	    "\"born\":1}",
+	    "\"born\":%" G_GUINT64_FORMAT "}",
 	    database->group->name, database->port,
 	    database->draining ? "draining" : "ready",
-	    database->primary ? "primary" : "replica");
+	    database->primary ? "primary" : "replica", database->born);
 	object_store_put(
 	    database->group->store, "servers", database->id, content);
 	g_free(content);
@@ -271,9 +285,53 @@
 }
 
 /*
- * Complete the requested promotion with a new term, and resume replication on
- * all databases.  The old primary stays primary until it rejoins as a replica,
- * as after a network partition.
+ * Tell whether a log has entries that a promotion gave up: those after its
+ * base, in older terms.
+ */
+static bool
+has_given_up_entries(const db_group_t *group, const database_t *database)
+{
+	uint32_t i, j;
+
+	for (i = 0; i < group->promotions->len; i++) {
+		const promotion_t *promotion =
+		    &g_array_index(group->promotions, promotion_t, i);
+
+		for (j = 0; j < database->log->len; j++) {
+			const write_entry_t *entry =
+			    g_ptr_array_index(database->log, j);
+
+			if (entry->term < promotion->term &&
+			    entry->index > promotion->base_index)
+				return true;
+		}
+	}
+	return false;
+}
+
+/*
+ * Note that a database leads a new term.
+ */
+static void
+note_promotion(db_group_t *group, const database_t *successor)
+{
+	promotion_t promotion = {
+	    successor->term, database_last_index(successor)};
+
+	g_string_append_printf(group->promoted, "%s.%" G_GUINT64_FORMAT " ",
+	    successor->id, successor->term);
+	if (has_given_up_entries(group, successor))
+		g_string_append_printf(group->revived,
+		    "%s.%" G_GUINT64_FORMAT " ", successor->id,
+		    successor->term);
+	g_array_append_val(group->promotions, promotion);
+}
+
+/*
+ * Complete the requested promotion with a new term.  It ends the pauses for
+ * that term and older ones at all databases, also at those that it does not
+ * reach, and any pause of the promoted one.  The old primary stays primary
+ * until it rejoins as a replica, as after a network partition.
  */
 static void
 complete_promotion(db_group_t *group, int64_t now_ms)
@@ -283,16 +341,23 @@
 	uint64_t term = 0;
 	uint32_t i;
 
-	for (i = 0; i < group->databases_count; i++) {
+	for (i = 0; i < group->databases_count; i++)
 		term = MAX(term, group->databases[i].term);
-		group->databases[i].replication_paused_term = 0;
-	}
+	term++;
 	group->promotion_target = NULL;
 	if (!successor->running || old_primary == successor)
 		return;
+	for (i = 0; i < group->databases_count; i++) {
+		database_t *database = &group->databases[i];
+
+		if (database->replication_paused_term <= term)
+			database->replication_paused_term = 0;
+	}
 	successor->primary = true;
-	successor->term = term + 1;
+	successor->term = term;
+	successor->replication_paused_term = 0;
 	group->promoted_ms = now_ms;
+	note_promotion(group, successor);
 	publish_server(successor);
 }
 
@@ -382,7 +447,7 @@
 	conn->delay_answers = false;
 	if (sock_buffered_bytes(conn->sock) > OUTPUT_PIECE_BYTES)
 		size_bytes = 0;
-	if (!conn->database->unresponsive)
+	if (!conn->database->unresponsive && !conn->database->unreachable)
 		sock_write(
 		    conn->sock, (const uint8_t *)conn->output->str, size_bytes);
 	g_string_erase(conn->output, 0, (gssize)size_bytes);
@@ -438,15 +503,23 @@
 }
 
 /*
- * Append a client's write to the log of a primary, and note it if the primary
- * has been replaced.
+ * Note a value that a client writes, or an item that it reads, at a primary
+ * that has been replaced.
+ */
+static void
+note_outdated(const database_t *database, const char *text)
+{
+	if (database->primary && group_primary(database->group) != database)
+		g_string_append_printf(database->group->outdated, "%s ", text);
+}
+
+/*
+ * Append a client's write to the log of a primary.
  */
 static void
 append_client_write(database_t *database, const char *item, const char *value)
 {
-	if (group_primary(database->group) != database)
-		g_string_append_printf(
-		    database->group->outdated_values, "%s ", value);
+	note_outdated(database, value);
 	database_append(database, database->term,
 	    database_last_index(database) + 1, item, value);
 }
@@ -490,6 +563,7 @@
 		append_large(conn, item);
 		answer_done(conn, true);
 	} else if (!writes) {
+		note_outdated(database, item);
 		current_value = database_find_value(database, item);
 		g_string_append_printf(conn->output, "ROW %s\r\n",
 		    current_value == NULL ? "none" : current_value);
@@ -744,6 +818,8 @@
 	uint32_t line_bytes;
 	char *line;
 
+	if (conn->database->unreachable)
+		return;
 	line_buffer_append(&conn->input, bytes, size_bytes);
 	while (!conn->close_pending &&
 	    (line = line_buffer_next(&conn->input, &line_bytes)) != NULL)
@@ -859,10 +935,67 @@
 }
 
 /*
- * Inject or end a fault: crash, return, mute, speak, deaf, unlist, leave, full
- * (also closes the open connections), crowded, slow-open, lose-commit.  Applies
- * to the primary if no database has that number. Returns false if the fault is
- * unknown or there is no primary.
+ * Start a database that has crashed, with its log and without its pause; as a
+ * replica if another one was promoted meanwhile.
+ */
+static void
+database_restart(database_t *database)
+{
+	const database_t *primary = group_primary(database->group);
+
+	database->running = true;
+	database->replication_paused_term = 0;
+	if (primary != NULL && primary->term > database->term)
+		database->primary = false;
+	database_listen(database);
+	publish_server(database);
+}
+
+/*
+ * Start a database that has crashed under its id, as a replica that knows
+ * nothing of before.
+ */
+static void
+database_reborn(database_t *database)
+{
+	g_ptr_array_set_size(database->log, 0);
+	database->term = 1;
+	database->primary = false;
+	database->born++;
+	database_restart(database);
+}
+
+/*
+ * Start a database that has crashed, with its log, under a new id.
+ */
+static void
+database_renewed(database_t *database)
+{
+	object_store_remove(database->group->store, "servers", database->id);
+	g_free(database->id);
+	database->id = g_strdup_printf(
+	    "i-%u-%" G_GUINT64_FORMAT, database->number, ++database->born);
+	database_restart(database);
+}
+
+/*
+ * Reach a database again.  Its connections from before are gone.
+ */
+static void
+database_heal(database_t *database)
+{
+	database->unreachable = false;
+	while (database->conns != NULL)
+		conn_free(database->conns->data);
+}
+
+/*
+ * Inject or end a fault: crash, return, renewed, reborn; mute, speak; cut (off
+ * from the daemons, though not from the other databases), heal; deaf (receives
+ * nothing from the primary), hear; unlist, list; leave, full (also closes the
+ * open connections), crowded, slow-open, lose-commit.  Applies to the primary
+ * if no database has that number. Returns false if the fault is unknown or
+ * there is no primary.
  */
 bool
 db_group_inject_fault(db_group_t *group, const char *fault, uint32_t number)
@@ -876,17 +1009,23 @@
 	if (strcmp(fault, "crash") == 0) {
 		database_crash(database);
 	} else if (strcmp(fault, "return") == 0) {
-		database->running = true;
-		database_listen(database);
-		publish_server(database);
+		database_restart(database);
+	} else if (strcmp(fault, "renewed") == 0) {
+		database_renewed(database);
+	} else if (strcmp(fault, "reborn") == 0) {
+		database_reborn(database);
 	} else if (strcmp(fault, "mute") == 0) {
 		database->unresponsive = true;
 	} else if (strcmp(fault, "speak") == 0) {
 		database->unresponsive = false;
-	} else if (strcmp(fault, "deaf") == 0) {
-		database->replication_blocked = true;
-	} else if (strcmp(fault, "unlist") == 0) {
-		database->unlisted = true;
+	} else if (strcmp(fault, "cut") == 0) {
+		database->unreachable = true;
+	} else if (strcmp(fault, "heal") == 0) {
+		database_heal(database);
+	} else if (strcmp(fault, "deaf") == 0 || strcmp(fault, "hear") == 0) {
+		database->replication_blocked = strcmp(fault, "deaf") == 0;
+	} else if (strcmp(fault, "unlist") == 0 || strcmp(fault, "list") == 0) {
+		database->unlisted = strcmp(fault, "unlist") == 0;
 		publish_server(database);
 	} else if (strcmp(fault, "leave") == 0) {
 		database->draining = true;
@@ -908,13 +1047,32 @@
 }
 
 /*
- * Return the values that clients wrote at a primary that had been replaced,
- * each between blanks.
+ * Return the values that clients wrote, and the items that they read, at a
+ * primary that had been replaced, each between blanks.
+ */
+const char *
+db_group_outdated(const db_group_t *group)
+{
+	return group->outdated->str;
+}
+
+/*
+ * Return the promotions that took effect, each ID.TERM between blanks.
+ */
+const char *
+db_group_promoted(const db_group_t *group)
+{
+	return group->promoted->str;
+}
+
+/*
+ * Return the promotions of databases with entries that an earlier promotion had
+ * given up, each ID.TERM between blanks.
  */
 const char *
-db_group_outdated_values(const db_group_t *group)
+db_group_revived(const db_group_t *group)
 {
-	return group->outdated_values->str;
+	return group->revived->str;
 }
 
 /*
@@ -951,7 +1109,10 @@
 	group->databases_count = databases_count;
 	group->lag_ms = lag_ms;
 	group->service_ms = service_ms;
-	group->outdated_values = g_string_new(" ");
+	group->promotions = g_array_new(FALSE, FALSE, sizeof(promotion_t));
+	group->outdated = g_string_new(" ");
+	group->promoted = g_string_new(" ");
+	group->revived = g_string_new(" ");
 	group->executed = g_string_new(NULL);
 	group->received = g_string_new(NULL);
 	for (i = 0; i < databases_count; i++) {
@@ -964,6 +1125,7 @@
 		database->primary = i == 0;
 		database->running = true;
 		database->term = 1;
+		database->born = 1;
 		database->log = g_ptr_array_new_with_free_func(entry_free);
 		database_listen(database);
 		publish_server(database);
--- a/tests/fake/fakesite.c
+++ b/tests/fake/fakesite.c
@@ -20,7 +20,11 @@
  * GET /requests            number of all requests to the store
  * POST /fault?on=order     hold up the next order to promote
  * GET /held                database that this order names
- * GET /outdated            values written at a primary that had been replaced
+ * GET /outdated            values written, and items read, at a primary that
+ *                          had been replaced
+ * GET /promoted            promotions that took effect
+ * GET /revived             those of databases with entries that an earlier
+ *                          promotion had given up
  * GET /executed            prepared statements that were run
  * GET /received            statements of clients that databases received
  */
@@ -242,9 +246,10 @@
 }
 
 /*
- * Handle GET /held, /outdated, /executed and /received: return the database
- * that a held order names, the values that were written at a primary that had
- * been replaced, or the statements that were run or received.
+ * Handle GET /held, /outdated, /promoted, /revived, /executed and /received:
+ * return the database that a held order names, what was written or read at a
+ * primary that had been replaced, the promotions, those with entries that were
+ * given up, or the statements that were run or received.
  */
 static void
 on_seen(SoupServer *server, SoupServerMessage *message, const char *path,
@@ -256,7 +261,11 @@
 	(void)server;
 	(void)query;
 	if (strcmp(path, "/outdated") == 0)
-		text = db_group_outdated_values(platform->group);
+		text = db_group_outdated(platform->group);
+	else if (strcmp(path, "/promoted") == 0)
+		text = db_group_promoted(platform->group);
+	else if (strcmp(path, "/revived") == 0)
+		text = db_group_revived(platform->group);
 	else if (strcmp(path, "/executed") == 0)
 		text = db_group_executed(platform->group);
 	else if (strcmp(path, "/received") == 0)
@@ -325,6 +334,10 @@
 	    platform.server, "/held", on_seen, &platform, NULL);
 	soup_server_add_handler(
 	    platform.server, "/outdated", on_seen, &platform, NULL);
+	soup_server_add_handler(
+	    platform.server, "/promoted", on_seen, &platform, NULL);
+	soup_server_add_handler(
+	    platform.server, "/revived", on_seen, &platform, NULL);
 	soup_server_add_handler(
 	    platform.server, "/executed", on_seen, &platform, NULL);
 	soup_server_add_handler(
