The proxy model records after which entry a term begins

record_order() of the model recorded the term to be replaced, but no end of a log, although the daemons write it with each order (orders.c). So every order of the model was one whose base is not known. Use recorded_orders_add(), as orders_note() does. No daemon behaves differently.

--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -351,8 +351,10 @@
 		daemon->orders_before = model->orders;
 	model->orders.attempt_term = failover->term;
 	model->orders.era = model->store_era;
-	model->orders.replaced_term = MAX(failover_term_to_replace(failover),
-	    lease_newest_term(&daemon->lease));
+	recorded_orders_add(&model->orders,
+	    MAX(failover_term_to_replace(failover),
+		lease_newest_term(&daemon->lease)),
+	    failover_base(failover));
 	proxy_model_open_note(model, daemon, db);
 	failover_orders_recorded(failover, &model->orders, model->now_us);
 }
