--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -237,6 +237,100 @@
 	enter_state(failover, FAILOVER_BACKOFF, now_us);
 }
 
+/*
+ * Return the entry of an attempt of this process with standing promises, or
+ * NULL if there is none.
+ */
+static failover_standing_t *
+standing_find(failover_t *failover, uint64_t term)
+{
+	uint32_t i;
+
+	for (i = 0; i < FAILOVER_STANDING_MAX; i++) {
+		if (term != 0 && failover->own_standing[i].term == term)
+			return &failover->own_standing[i];
+	}
+	return NULL;
+}
+
+/*
+ * Note that an attempt of this process asks for standing promises.  Until its
+ * order is sent they prove only the order that those before prove.  Overwrites
+ * the oldest entry.
+ */
+static void
+standing_begin(failover_t *failover, uint64_t term)
+{
+	uint32_t next = failover->own_standing_next;
+
+	failover->own_standing_next = (next + 1) % FAILOVER_STANDING_MAX;
+	failover->own_standing[next] = (failover_standing_t){
+	    term, failover->unproven_attempt, failover->unproven_attempt};
+}
+
+/*
+ * Note that the order of an attempt is to be sent, or was refused.
+ */
+static void
+standing_ordered(failover_t *failover, uint64_t term, bool ordered)
+{
+	failover_standing_t *own = standing_find(failover, term);
+
+	if (own == NULL)
+		return;
+	own->proves = ordered ? term : own->proved_before;
+	failover->unproven_attempt = own->proves;
+}
+
+/*
+ * Tell whether a standing promise is for an attempt of this process and proves
+ * no order that the store has not recorded.
+ */
+bool
+failover_promise_unused(failover_t *failover, uint64_t term)
+{
+	const failover_standing_t *own = standing_find(failover, term);
+
+	return own != NULL && own->proves <= failover->stored_attempt;
+}
+
+/*
+ * Count the orders that standing promises have shown among the recorded ones.
+ * It is not known after which entry they begin a term.
+ */
+static void
+add_shown_order(failover_t *failover)
+{
+	if (failover->shown_replaced <= failover->recorded.replaced_term ||
+	    failover->shown_attempt <= failover->recorded.attempt_term)
+		return;
+	recorded_orders_add(
+	    &failover->recorded, failover->shown_replaced, (position_t){0});
+}
+
+/*
+ * Note what the promise of a database shows: if it is a standing one of another
+ * process, an order may have been sent that nobody else knows of.
+ */
+static void
+note_shown_order(failover_t *failover, uint64_t promised, int64_t now_us)
+{
+	uint64_t replaced = attempt_term_replaces(promised);
+
+	if (replaced == 0 || promised <= failover->shown_attempt ||
+	    promised <= failover->recorded.attempt_term ||
+	    standing_find(failover, promised) != NULL)
+		return;
+	failover->shown_attempt = promised;
+	failover->unproven_attempt = MAX(failover->unproven_attempt, promised);
+	if (replaced <= failover->shown_replaced)
+		return;
+	failover->shown_replaced = replaced;
+	if (replaced > failover->recorded.replaced_term)
+		failover->recorded_us = now_us;
+	add_shown_order(failover);
+}
+
 /*
  * Process a status answer of a database whose promises only increase: an
  * answer with an older promise is outdated and ignored.
@@ -274,6 +368,7 @@
 		failover->log_grown_us[database] = now_us;
 	*view = *answer;
 	view->known = true;
+	note_shown_order(failover, view->promised, now_us);
 	if (failover->state == FAILOVER_FENCING &&
 	    view->promised < failover->fenced_term)
 		failover->granted[database] = false;
@@ -486,6 +581,51 @@
 	    failover->recorded.attempt_term);
 }
 
+/*
+ * Return the newest term whose primary an attempt is to replace.
+ */
+static uint64_t
+replaced_by_attempt(const failover_t *failover)
+{
+	return MAX(MAX(failover->fenced_from_term, failover->reported_term),
+	    failover->shown_replaced);
+}
+
+/*
+ * Return the number of the next attempt.  Its promises replace those that are
+ * held now.  If these may be all that is left of an order, the new ones tell of
+ * it as well.
+ */
+static uint64_t
+next_attempt(failover_t *failover)
+{
+	uint64_t newest = newest_number(failover), standing;
+
+	if (failover->unproven_attempt <= failover->stored_attempt)
+		return attempt_term_next(newest);
+	standing = attempt_term_standing(newest, replaced_by_attempt(failover));
+	if (standing == 0)
+		return attempt_term_next(newest);
+	standing_begin(failover, standing);
+	return standing;
+}
+
+/*
+ * Tell whether an attempt can succeed: a database that can take over answers.
+ * Otherwise no promise is asked for, since those that hold leases on the newest
+ * primary would lose them in vain.
+ */
+static bool
+attempt_possible(failover_t *failover, int64_t now_us)
+{
+	bool handover = failover->handover && failover->limits.catch_up_us > 0;
+
+	failover->no_candidate = !(handover && failover_primary(failover) >= 0
+		? failover_successor_answers(failover, now_us)
+		: failover_candidate_answers(failover, now_us));
+	return !failover->no_candidate;
+}
+
 /*
  * Ask every database to promise a term above all known ones and those of
  * recorded orders.  An isolated primary is left out, since it is ahead of the
@@ -497,9 +637,9 @@
 {
 	uint32_t i;
 
-	failover->term = failover->fenced_term =
-	    attempt_term_next(newest_number(failover));
 	failover->fenced_from_term = newest_term(failover);
+	failover->term = failover->fenced_term = next_attempt(failover);
+	failover->standing_asked = false;
 	memset(failover->granted, 0, sizeof(failover->granted));
 	memset(failover->standing, 0, sizeof(failover->standing));
 	failover->revocation_sent = failover->revoked_by_all = false;
@@ -551,13 +691,15 @@
 	failover_merge_view(failover, database, view, now_us);
 	if (!attempt_under_way(failover, term))
 		return;
-	if (attempt_term_replaces(term) != 0 && view->promised == term) {
+	if (attempt_term_replaces(term) != 0)
+		granted &= view->promised == term;
+	if (granted && attempt_term_replaces(term) != 0)
 		failover->standing[database] = true;
-	} else if (granted && attempt_term_replaces(term) == 0) {
+	if (granted && term == failover->fenced_term) {
 		failover->granted[database] = true;
 		failover->granted_position[database] = view->last_entry;
 		failover->granted_us = now_us;
-	} else if (view->promised >= term) {
+	} else if (!granted && view->promised >= term) {
 		/* the database has promised another daemon */
 		back_off(failover, now_us);
 	}
@@ -662,6 +804,7 @@
 	    failover->recorded.attempt_term != recorded->attempt_term)
 		failover->recorded_us = now_us;
 	recorded_orders_replace(&failover->recorded, recorded);
+	add_shown_order(failover);
 }
 
 /*
@@ -675,56 +818,14 @@
 }
 
 /*
- * Note an attempt whose order is not sent yet, or will not be: its standing
- * promises prove nothing.
- */
-static void
-note_unused(failover_t *failover, uint64_t term)
-{
-	if (attempt_term_replaces(term) == 0)
-		return;
-	failover->unused[failover->unused_next] = term;
-	failover->unused_next =
-	    (failover->unused_next + 1) % FAILOVER_ATTEMPTS_MAX;
-}
-
-/*
- * Note that the order of the attempt is to be sent.
- */
-static void
-note_used(failover_t *failover)
-{
-	uint32_t i;
-
-	for (i = 0; i < FAILOVER_ATTEMPTS_MAX; i++) {
-		if (failover->unused[i] == failover->term)
-			failover->unused[i] = 0;
-	}
-}
-
-/*
- * Tell whether a standing promise is for an attempt of this process that has
- * sent no order.
- */
-bool
-failover_promise_unused(const failover_t *failover, uint64_t term)
-{
-	uint32_t i;
-
-	for (i = 0; term != 0 && i < FAILOVER_ATTEMPTS_MAX; i++) {
-		if (failover->unused[i] == term)
-			return true;
-	}
-	return false;
-}
-
-/*
- * Set whether the store is away, so that it cannot record an order.
+ * Set whether the store is away, so that it cannot record an order, and the
+ * attempt of the last order that it has recorded.
  */
 void
-failover_set_store_away(failover_t *failover, bool away)
+failover_set_store(failover_t *failover, bool away, uint64_t stored_attempt)
 {
 	failover->store_away = away;
+	failover->stored_attempt = stored_attempt;
 }
 
 /*
@@ -737,7 +838,7 @@
 	failover_merge_view(failover, database, view, now_us);
 	if (!ok && term == failover->order.term) {
 		failover->order = failover->order_before;
-		note_unused(failover, term);
+		standing_ordered(failover, term, false);
 	}
 	if (failover->state != FAILOVER_PROMOTING || term != failover->term ||
 	    database != failover->chosen)
@@ -863,27 +964,6 @@
 	return false;
 }
 
-/*
- * Return the newest term whose primary an order may have replaced, according to
- * the standing promises of the databases; 0: none.
- */
-static uint64_t
-shown_replaced(const failover_t *failover)
-{
-	uint64_t replaced = 0;
-	uint32_t i;
-
-	for (i = 0; i < failover->count; i++) {
-		const db_view_t *view = &failover->views[i];
-
-		if (view->known &&
-		    !failover_promise_unused(failover, view->promised))
-			replaced = MAX(
-			    replaced, attempt_term_replaces(view->promised));
-	}
-	return replaced;
-}
-
 /*
  * Tell whether an order to replace the primary was recorded, or may have been
  * sent without, but no newer primary is seen: it may have been promoted and be
@@ -897,46 +977,7 @@
 	return failover->limits.revocable &&
 	    (failover->unaware_since_us != 0 ||
 		failover->views[primary].promised <=
-		    MAX(failover->recorded.replaced_term,
-			shown_replaced(failover)));
-}
-
-/*
- * Return the time since which it is known that the primary may have been
- * replaced.
- */
-static int64_t
-doubt_since_us(const failover_t *failover)
-{
-	int32_t primary = failover_primary(failover);
-
-	if (failover->unaware_since_us == 0 &&
-	    failover->views[primary].promised >
-		failover->recorded.replaced_term)
-		return failover->doubt_since_us;
-	return MAX(failover->recorded_us, failover->unaware_since_us);
-}
-
-/*
- * Tell whether a database other than the primary answers, is not leaving, and
- * has received the primary's term.  Any other one lacks what the primary has
- * acknowledged, and may have entries that the group has given up.
- */
-static bool
-successor_answers(const failover_t *failover, int64_t now_us)
-{
-	int32_t primary = failover_primary(failover);
-	uint32_t i;
-
-	for (i = 0; i < failover->count; i++) {
-		if ((int32_t)i != primary && failover->views[i].known &&
-		    !failover->views[i].leaving &&
-		    failover->views[i].term >= failover->views[primary].term &&
-		    now_us - failover->last_alive_us[i] <
-			failover->limits.suspect_us)
-			return true;
-	}
-	return false;
+		    failover->recorded.replaced_term);
 }
 
 /*
@@ -1000,7 +1041,8 @@
 		enter_state(failover, FAILOVER_WITNESS, now_us);
 		return;
 	}
-	start_fencing(failover, now_us, actions);
+	if (attempt_possible(failover, now_us))
+		start_fencing(failover, now_us, actions);
 }
 
 /*
@@ -1024,14 +1066,10 @@
 		enter_state(failover, FAILOVER_LEARNING, now_us);
 		return;
 	}
-	if (!maybe_replaced(failover))
-		failover->doubt_since_us = 0;
-	else if (failover->doubt_since_us == 0)
-		failover->doubt_since_us = now_us;
 	if (maybe_replaced(failover) &&
-	    now_us - doubt_since_us(failover) >=
+	    now_us - MAX(failover->recorded_us, failover->unaware_since_us) >=
 		failover->limits.order_late_us &&
-	    successor_answers(failover, now_us))
+	    failover_successor_answers(failover, now_us))
 		/* a newer term shows which primary is the newest */
 		failover->handover = true;
 	if (failover->limits.revocable && !failover->store_away &&
@@ -1040,18 +1078,22 @@
 	    stray_promises_releasable(failover, now_us, actions))
 		/* again with each tick, until the coordinator may do so */
 		release_stray_promises(failover, actions);
-	if (failover->handover ||
-	    (stray_promise(failover, now_us) &&
-		(!failover->limits.revocable ||
-		    order_pending(failover, now_us)))) {
+	if ((failover->handover ||
+		(stray_promise(failover, now_us) &&
+		    (!failover->limits.revocable ||
+			order_pending(failover, now_us)))) &&
+	    attempt_possible(failover, now_us)) {
 		failover->stray_promise_us = 0;
 		start_fencing(failover, now_us, actions);
 		return;
 	}
 	if (primary_isolated(failover, now_us)) {
 		failover->isolated = primary;
-		start_fencing(failover, now_us, actions);
-		return;
+		if (attempt_possible(failover, now_us)) {
+			start_fencing(failover, now_us, actions);
+			return;
+		}
+		failover->isolated = -1;
 	}
 	send_follow(failover, now_us, actions);
 	if (primary_unresponsive(
@@ -1074,7 +1116,8 @@
 		failover, now_us, failover->limits.suspect_us))
 		enter_state(failover, FAILOVER_STEADY, now_us);
 	else if (now_us - failover->state_entered_us >=
-	    failover->limits.witness_us)
+		failover->limits.witness_us &&
+	    attempt_possible(failover, now_us))
 		start_fencing(failover, now_us, actions);
 }
 
@@ -1102,6 +1145,22 @@
 	}
 }
 
+/*
+ * Tell whether an order that the store does not record would be known
+ * afterwards: a majority of the databases is the chosen one and those that hold
+ * standing promises.
+ */
+static bool
+order_provable(const failover_t *failover, int32_t chosen)
+{
+	uint32_t i, holders = 1;
+
+	for (i = 0; i < failover->count; i++)
+		holders += (int32_t)i != chosen && failover->standing[i];
+	return attempt_term_replaces(failover->term) != 0 &&
+	    holders >= majority_of(MAX(failover->count, failover->members));
+}
+
 /*
  * Have the databases that have promised the term, except the chosen one, give a
  * standing promise, since the store cannot record the order.  If those and the
@@ -1112,15 +1171,16 @@
 request_standing(
     failover_t *failover, int32_t chosen, failover_actions_t *actions)
 {
+	uint64_t standing = attempt_term_standing(
+	    newest_number(failover), replaced_by_attempt(failover));
 	uint32_t i, granted = 1;
 
-	failover->term = attempt_term_standing(newest_number(failover),
-	    MAX(failover->fenced_from_term, failover->reported_term));
-	if (failover->term == 0) {
-		failover->term = failover->fenced_term;
+	failover->standing_asked = true;
+	if (standing == 0)
 		return;
-	}
-	note_unused(failover, failover->term);
+	memset(failover->standing, 0, sizeof(failover->standing));
+	failover->term = standing;
+	standing_begin(failover, standing);
 	for (i = 0; i < failover->count; i++)
 		granted += (int32_t)i != chosen && failover->granted[i];
 	for (i = 0; i < failover->count; i++) {
@@ -1133,26 +1193,11 @@
 	}
 }
 
-/*
- * Tell whether an order that the store does not record would be known
- * afterwards: a majority of the databases is the chosen one and those that hold
- * standing promises.
- */
-static bool
-order_provable(const failover_t *failover, int32_t chosen)
-{
-	uint32_t i, holders = 1;
-
-	for (i = 0; i < failover->count; i++)
-		holders += (int32_t)i != chosen && failover->standing[i];
-	return attempt_term_replaces(failover->term) != 0 &&
-	    holders >= majority_of(failover->count);
-}
-
 /*
  * Handle FENCING: when enough databases have promised the term, tell the
  * daemons to revoke their leases, wait until these have ended, and promote the
- * most advanced database.  Back off when that takes too long.
+ * most advanced database.  Back off when that takes too long, or when none can
+ * be promoted.
  */
 static void
 tick_fencing(failover_t *failover, int64_t now_us, failover_actions_t *actions)
@@ -1171,7 +1216,7 @@
 		failover->wait_until_us =
 		    MAX(failover->wait_until_us, now_us + LEARNING_US);
 	} else if (chosen >= 0 && failover->store_away &&
-	    failover->term == failover->fenced_term) {
+	    !failover->standing_asked && !order_provable(failover, chosen)) {
 		request_standing(failover, chosen, actions);
 	} else if (chosen >= 0 &&
 	    !order_pending_elsewhere(failover, chosen, now_us) &&
@@ -1179,9 +1224,14 @@
 		failover->chosen = (uint32_t)chosen;
 		actions->list[actions->count++] = (failover_action_t){
 		    FAILOVER_PROMOTE, failover->chosen, failover->term};
-		note_used(failover);
+		standing_ordered(failover, failover->term, true);
 		note_order(failover, now_us);
 		enter_state(failover, FAILOVER_PROMOTING, now_us);
+	} else if (enough && failover->stepping_down < 0 &&
+	    !candidate_granted(failover, now_us)) {
+		failover->no_candidate = true;
+		release_attempt_promises(failover, now_us, actions);
+		back_off(failover, now_us);
 	} else if (now_us - failover->state_entered_us >=
 	    failover->limits.fence_us +
 		(enough ? failover->limits.lease_wait_us : 0)) {
@@ -1245,8 +1295,6 @@
 
 	actions->count = 0;
 	failover->ticked_us = now_us;
-	if (paused)
-		failover->doubt_since_us = 0;
 	if (paused && failover->state == FAILOVER_FENCING)
 		back_off(failover, now_us);
 	switch (failover->state) {
@@ -1267,4 +1315,8 @@
 		tick_promoting(failover, now_us, actions);
 		break;
 	}
+	if (failover->state == FAILOVER_STEADY && !failover->handover &&
+	    !primary_unresponsive(
+		failover, now_us, failover->limits.suspect_us))
+		failover->no_candidate = false;
 }
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -103,8 +103,16 @@
 	int64_t until_us;      /* time until which it may take effect */
 } failover_order_t;
 
-/* Number of attempts of this process that are remembered. */
-#define FAILOVER_ATTEMPTS_MAX 16
+/* Number of attempts with standing promises that are remembered. */
+#define FAILOVER_STANDING_MAX 16
+
+/* An attempt with standing promises. */
+typedef struct failover_standing {
+	uint64_t term; /* 0: no attempt */
+	/* attempt whose order its promises prove; 0: none */
+	uint64_t proves;
+	uint64_t proved_before; /* the same before its own order was sent */
+} failover_standing_t;
 
 /* State of the failover of a group. */
 typedef struct failover {
@@ -132,10 +140,17 @@
 	/* the same: newest term of a primary that was known when the attempt
 	   began */
 	uint64_t fenced_from_term;
-	/* terms of the last attempts for which standing promises were asked and
-	   no order was sent; the oldest is overwritten */
-	uint64_t unused[FAILOVER_ATTEMPTS_MAX];
-	uint32_t unused_next;
+	/* the last attempts of this process with standing promises */
+	failover_standing_t own_standing[FAILOVER_STANDING_MAX];
+	uint32_t own_standing_next;
+	/* newest attempt whose order standing promises of other processes show,
+	   and the newest term that such an order replaces; 0: none */
+	uint64_t shown_attempt;
+	uint64_t shown_replaced;
+	/* newest attempt that standing promises prove; it needs them until the
+	   store has recorded it or a later one */
+	uint64_t unproven_attempt;
+	uint64_t stored_attempt;
 	/* term of the last order that was cancelled */
 	uint64_t cancelled_term;
 	/* time of the last call of failover_tick() */
@@ -150,9 +165,6 @@
 	/* time since which orders are known, if earlier ones that are not
 	   recorded may have replaced the primary; otherwise 0 */
 	int64_t unaware_since_us;
-	/* time since which a standing promise shows that the primary may have
-	   been replaced; 0: none does */
-	int64_t doubt_since_us;
 	/* PROMOTING: the database to become primary */
 	uint32_t chosen;
 	/* the last order, and the one before it */
@@ -165,7 +177,9 @@
 	/* FENCING: the term that was promised before that became known; equal
 	   to term if it did not */
 	uint64_t fenced_term;
-	/* FENCING: databases that hold a standing promise for this attempt */
+	/* FENCING: databases that hold a standing promise for this attempt;
+	   they were asked after others were granted */
+	bool standing_asked;
 	bool standing[GROUP_DATABASES_MAX];
 
 	/* FENCING: databases that promised the new term, the last entry of the
@@ -210,6 +224,8 @@
 	int64_t unconfirmed_since_us;
 	/* FENCING: the isolated primary, which is not fenced; -1: none */
 	int32_t isolated;
+	/* an attempt is due, but no database that answers can take over */
+	bool no_candidate;
 } failover_t;
 
 void failover_init(failover_t *, const failover_limits_t *, uint32_t count,
@@ -244,11 +260,13 @@
     failover_t *, const recorded_orders_t *, int64_t now_us);
 void failover_set_unaware(failover_t *, int64_t since_us);
 void failover_set_unconfirmed(failover_t *, int64_t since_us);
-void failover_set_store_away(failover_t *, bool away);
-bool failover_promise_unused(const failover_t *, uint64_t term);
+void failover_set_store(failover_t *, bool away, uint64_t stored_attempt);
+bool failover_promise_unused(failover_t *, uint64_t term);
 void failover_request_handover(failover_t *, int64_t now_us);
 void failover_tick(failover_t *, int64_t now_us, failover_actions_t *);
 int32_t failover_primary(const failover_t *);
 bool failover_primary_suspected(const failover_t *, int64_t now_us);
+bool failover_candidate_answers(const failover_t *, int64_t now_us);
+bool failover_successor_answers(const failover_t *, int64_t now_us);
 
 #endif
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -577,7 +577,7 @@
 static bool
 proves_order(const server_t *server)
 {
-	const group_t *group = server->group;
+	group_t *group = server->group;
 	uint64_t promised = server->paused_until_term;
 
 	return attempt_term_replaces(promised) != 0 &&
@@ -1030,7 +1030,8 @@
 		probe_server(group->servers[i], now_us);
 		dbconns_tick(group->servers[i], now_us);
 	}
-	failover_set_store_away(failover, group->pool->store_away);
+	failover_set_store(
+	    failover, group->pool->store_away, group->stored_attempt_term);
 	unresponsive = failover_primary_suspected(failover, now_us);
 	if (unresponsive != group->unresponsive) {
 		group->unresponsive = unresponsive;
