Entries that a promotion gave up do not come back by a later one

Cause: compare_logs() only ranked a log with given up entries lower. And where a term may have begun after an entry that is not known (an order without the end of a log, or a term without an order), the longest log was promoted, which may be that of the old primary.

Change: a database whose log has, or may have, given up entries is no candidate. Orders that may have begun a term count as ones that did; not if all databases were asked after the last one was over, follow no newer term, and no log is clean otherwise. Of an unknown base, only the shortest log of a majority that was heard is clean. A successor must have received the primary's term. If no candidate answers, no attempt begins and no primary steps down; an attempt under way ends. Where commits are synchronous, or promises cannot be withdrawn, the choice is as before.

Tests: /attempt/choice runs each row with and without synchronous replicas; new are /attempt/candidate, /attempt/handover and /decide/base-unknown. Three rows of /attempt/choice had expectations that contradict the rule, which say what is promoted with synchronous replicas now; without them: "the newer term is not known to have begun" the log that is clean in either case, not the longer one; "both have given up entries" none; "an order without the end of a log" the shorter one. /attempt/reported-term now has its replicas answer for its 4 s: without an answer no attempt begins in a term whose base is not known.

--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -109,6 +109,8 @@
     const recorded_orders_t *, uint64_t newest_term, position_t end);
 bool recorded_orders_given_up(
     const recorded_orders_t *, uint64_t newest_term, position_t end);
+bool recorded_orders_base_unknown(const recorded_orders_t *, uint64_t limit,
+    uint64_t newest_term, uint64_t followed_term);
 
 /*
  * What a coordinator has told of the orders to replace a primary of a group:
--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -458,6 +458,22 @@
 	return behind >= majority_of(failover->count);
 }
 
+/*
+ * Tell whether an attempt can succeed: a database that can take over answers.
+ * Otherwise no promise is asked for, since those that hold leases on the newest
+ * primary would lose them in vain.
+ */
+static bool
+attempt_possible(failover_t *failover, int64_t now_us)
+{
+	bool handover = failover->handover && failover->limits.catch_up_us > 0;
+
+	failover->no_candidate = !(handover && failover_primary(failover) >= 0
+		? failover_successor_answers(failover, now_us)
+		: failover_candidate_answers(failover, now_us));
+	return !failover->no_candidate;
+}
+
 /*
  * Ask every database to promise a term above all known ones and those of
  * recorded orders.  An isolated primary is left out, since it is ahead of the
@@ -795,28 +811,6 @@
 		    failover->recorded.replaced_term);
 }
 
-/*
- * Tell whether a database other than the primary answers, is not leaving, and
- * has received the primary's term.  Any other one lacks what the primary has
- * acknowledged, and may have entries that the group has given up.
- */
-static bool
-successor_answers(const failover_t *failover, int64_t now_us)
-{
-	int32_t primary = failover_primary(failover);
-	uint32_t i;
-
-	for (i = 0; i < failover->count; i++) {
-		if ((int32_t)i != primary && failover->views[i].known &&
-		    !failover->views[i].leaving &&
-		    failover->views[i].term >= failover->views[primary].term &&
-		    now_us - failover->last_alive_us[i] <
-			failover->limits.suspect_us)
-			return true;
-	}
-	return false;
-}
-
 /*
  * Tell whether a database has held a promise above the primary's term for
  * STRAY_PROMISE_US: it is left over from a failover that was never completed.
@@ -878,7 +872,8 @@
 		enter_state(failover, FAILOVER_WITNESS, now_us);
 		return;
 	}
-	start_fencing(failover, now_us, actions);
+	if (attempt_possible(failover, now_us))
+		start_fencing(failover, now_us, actions);
 }
 
 /*
@@ -905,7 +900,7 @@
 	if (maybe_replaced(failover) &&
 	    now_us - MAX(failover->recorded_us, failover->unaware_since_us) >=
 		failover->limits.order_late_us &&
-	    successor_answers(failover, now_us))
+	    failover_successor_answers(failover, now_us))
 		/* a newer term shows which primary is the newest */
 		failover->handover = true;
 	if (failover->limits.revocable && !order_pending(failover, now_us) &&
@@ -913,18 +908,22 @@
 	    stray_promises_releasable(failover, now_us, actions))
 		/* again with each tick, until the coordinator may do so */
 		release_stray_promises(failover, actions);
-	if (failover->handover ||
-	    (stray_promise(failover, now_us) &&
-		(!failover->limits.revocable ||
-		    order_pending(failover, now_us)))) {
+	if ((failover->handover ||
+		(stray_promise(failover, now_us) &&
+		    (!failover->limits.revocable ||
+			order_pending(failover, now_us)))) &&
+	    attempt_possible(failover, now_us)) {
 		failover->stray_promise_us = 0;
 		start_fencing(failover, now_us, actions);
 		return;
 	}
 	if (primary_isolated(failover, now_us)) {
 		failover->isolated = primary;
-		start_fencing(failover, now_us, actions);
-		return;
+		if (attempt_possible(failover, now_us)) {
+			start_fencing(failover, now_us, actions);
+			return;
+		}
+		failover->isolated = -1;
 	}
 	send_follow(failover, now_us, actions);
 	if (primary_unresponsive(
@@ -947,7 +946,8 @@
 		failover, now_us, failover->limits.suspect_us))
 		enter_state(failover, FAILOVER_STEADY, now_us);
 	else if (now_us - failover->state_entered_us >=
-	    failover->limits.witness_us)
+		failover->limits.witness_us &&
+	    attempt_possible(failover, now_us))
 		start_fencing(failover, now_us, actions);
 }
 
@@ -976,7 +976,8 @@
 /*
  * Handle FENCING: when enough databases have promised the term, tell the
  * daemons to revoke their leases, wait until these have ended, and promote the
- * most advanced database.  Back off when that takes too long.
+ * most advanced database.  Back off when that takes too long, or when none can
+ * be promoted.
  */
 static void
 tick_fencing(failover_t *failover, int64_t now_us, failover_actions_t *actions)
@@ -1001,6 +1002,11 @@
 		    FAILOVER_PROMOTE, failover->chosen, failover->term};
 		note_order(failover, now_us);
 		enter_state(failover, FAILOVER_PROMOTING, now_us);
+	} else if (enough && failover->stepping_down < 0 &&
+	    !candidate_granted(failover, now_us)) {
+		failover->no_candidate = true;
+		release_attempt_promises(failover, now_us, actions);
+		back_off(failover, now_us);
 	} else if (now_us - failover->state_entered_us >=
 	    failover->limits.fence_us +
 		(enough ? failover->limits.lease_wait_us : 0)) {
@@ -1084,4 +1090,8 @@
 		tick_promoting(failover, now_us, actions);
 		break;
 	}
+	if (failover->state == FAILOVER_STEADY && !failover->handover &&
+	    !primary_unresponsive(
+		failover, now_us, failover->limits.suspect_us))
+		failover->no_candidate = false;
 }
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -186,6 +186,8 @@
 	int64_t unconfirmed_since_us;
 	/* FENCING: the isolated primary, which is not fenced; -1: none */
 	int32_t isolated;
+	/* an attempt is due, but no database that answers can take over */
+	bool no_candidate;
 } failover_t;
 
 void failover_init(failover_t *, const failover_limits_t *, uint32_t count,
@@ -224,5 +226,7 @@
 void failover_tick(failover_t *, int64_t now_us, failover_actions_t *);
 int32_t failover_primary(const failover_t *);
 bool failover_primary_suspected(const failover_t *, int64_t now_us);
+bool failover_candidate_answers(const failover_t *, int64_t now_us);
+bool failover_successor_answers(const failover_t *, int64_t now_us);
 
 #endif
--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -1,5 +1,7 @@
 #include "failover_choice.h"
 
+#include <string.h>
+
 /*
  * Return the newest term that is known to have begun.
  */
@@ -16,6 +18,233 @@
 	return newest;
 }
 
+/* The logs that a choice is made from. */
+typedef struct log_set {
+	bool heard[GROUP_DATABASES_MAX];
+	bool eligible[GROUP_DATABASES_MAX]; /* heard, and may take over */
+	position_t ends[GROUP_DATABASES_MAX];
+	uint32_t count; /* of those that were heard */
+} log_set_t;
+
+/*
+ * Tell whether a database is listed.  Where commits are synchronous, one that
+ * is not may be the only one that holds the last.
+ */
+static bool
+may_be_promoted(const failover_t *failover, uint32_t database)
+{
+	return !failover->views[database].unlisted ||
+	    failover->limits.sync_replicas > 0;
+}
+
+/*
+ * Return the logs of the databases that have promised the term.
+ */
+static log_set_t
+granted_logs(const failover_t *failover)
+{
+	log_set_t logs = {0};
+	uint32_t i;
+
+	for (i = 0; i < failover->count; i++) {
+		logs.heard[i] = failover->granted[i];
+		logs.eligible[i] =
+		    logs.heard[i] && may_be_promoted(failover, i);
+		logs.ends[i] = failover->granted_position[i];
+		logs.count += logs.heard[i];
+	}
+	return logs;
+}
+
+/*
+ * Return the logs of the databases that answer, as last reported.  An isolated
+ * primary is not promoted.
+ */
+static log_set_t
+answering_logs(const failover_t *failover, int64_t now_us)
+{
+	log_set_t logs = {0};
+	uint32_t i;
+
+	for (i = 0; i < failover->count; i++) {
+		logs.heard[i] = failover->views[i].known &&
+		    now_us - failover->last_alive_us[i] <
+			failover->limits.suspect_us;
+		logs.eligible[i] = logs.heard[i] &&
+		    (int32_t)i != failover->isolated &&
+		    may_be_promoted(failover, i);
+		logs.ends[i] = failover->views[i].last_entry;
+		logs.count += logs.heard[i];
+	}
+	return logs;
+}
+
+/*
+ * Return the same where a primary in a term hands over.  Only a database that
+ * is not leaving and has received that term may succeed it: any other one lacks
+ * what the primary has acknowledged, and may have entries that the group has
+ * given up.
+ */
+static log_set_t
+succeeding_logs(
+    const failover_t *failover, int32_t primary, uint64_t term, int64_t now_us)
+{
+	log_set_t logs = answering_logs(failover, now_us);
+	uint32_t i;
+
+	for (i = 0; i < failover->count; i++)
+		logs.eligible[i] = logs.heard[i] && (int32_t)i != primary &&
+		    !failover->views[i].leaving &&
+		    failover->views[i].term >= term;
+	return logs;
+}
+
+/*
+ * Return the newest term that a database has led or followed.
+ */
+static uint64_t
+followed_term(const failover_t *failover, const log_set_t *logs, uint32_t i)
+{
+	return MAX(failover->views[i].term, logs->ends[i].term);
+}
+
+/*
+ * Tell whether a term may have begun after an entry that is not known, and a
+ * database has not followed it.
+ */
+static bool
+base_unknown(const failover_t *failover, const log_set_t *logs, uint32_t i,
+    uint64_t limit)
+{
+	return recorded_orders_base_unknown(&failover->recorded, limit,
+	    newest_begun(failover), followed_term(failover, logs, i));
+}
+
+/*
+ * Tell whether a log is a prefix of another, which has not followed the newest
+ * term either.
+ */
+static bool
+is_prefix(
+    const failover_t *failover, const log_set_t *logs, uint32_t a, uint32_t b)
+{
+	uint64_t a_term = followed_term(failover, logs, a);
+	uint64_t b_term = followed_term(failover, logs, b);
+
+	return logs->ends[a].index <= logs->ends[b].index &&
+	    position_compare(logs->ends[a], logs->ends[b]) <= 0 &&
+	    !recorded_orders_base_unknown(
+		&failover->recorded, b_term, b_term, a_term);
+}
+
+/*
+ * Tell whether a log has certainly no entries that the group has given up.
+ * Where a term may have begun after an unknown entry, this holds for the
+ * shortest log of a majority alone: a promotion needs the promises of a
+ * majority, and names a log that contains those of all of it.  limit: orders to
+ * replace a primary of this term or a newer one have not taken effect.
+ */
+static bool
+is_clean(const failover_t *failover, const log_set_t *logs, uint32_t i,
+    uint64_t limit)
+{
+	uint32_t j;
+
+	if (recorded_orders_given_up(&failover->recorded, limit, logs->ends[i]))
+		return false;
+	if (!base_unknown(failover, logs, i, limit))
+		return true;
+	if (logs->count < majority_of(failover->count))
+		return false;
+	for (j = 0; j < failover->count; j++) {
+		if (j != i && logs->heard[j] &&
+		    (!base_unknown(failover, logs, j, limit) ||
+			!is_prefix(failover, logs, i, j)))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Tell whether a log that may have given up entries must not be used.  Where
+ * commits are synchronous, it may be the only one that holds the last commits;
+ * without promises that can be withdrawn, each promotion needs a log that
+ * contains all that was acknowledged.
+ */
+static bool
+only_clean_logs(const failover_t *failover)
+{
+	return failover->limits.revocable &&
+	    failover->limits.sync_replicas == 0;
+}
+
+/*
+ * Tell whether the last recorded order has certainly had no effect, nor those
+ * before it in the same term: each database of the group was asked after it
+ * could take effect, and follows no newer term.
+ */
+static bool
+last_order_void(const failover_t *failover)
+{
+	uint32_t i;
+
+	if (failover->order_open_outside)
+		return false;
+	for (i = 0; i < failover->count; i++) {
+		const db_view_t *view = &failover->views[i];
+
+		if (!view->known || view->order_open ||
+		    view->term > failover->recorded.replaced_term ||
+		    view->requested_us <
+			failover->recorded_us + failover->limits.order_late_us)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Make those databases ineligible whose log must not be used.  An order that
+ * may have had no effect counts as one that had, until none is left otherwise
+ * and it has certainly had none.
+ */
+static void
+exclude_given_up(const failover_t *failover, log_set_t *logs)
+{
+	bool clean[GROUP_DATABASES_MAX] = {false};
+	uint64_t limit = UINT64_MAX;
+	bool any = false;
+	uint32_t i;
+
+	if (!only_clean_logs(failover))
+		return;
+	for (;;) {
+		for (i = 0; i < failover->count; i++) {
+			clean[i] = logs->eligible[i] &&
+			    is_clean(failover, logs, i, limit);
+			any |= clean[i];
+		}
+		if (any || limit != UINT64_MAX || !last_order_void(failover))
+			break;
+		limit = newest_begun(failover);
+	}
+	memcpy(logs->eligible, clean, sizeof(clean));
+}
+
+/*
+ * Tell whether any database is eligible.
+ */
+static bool
+any_eligible(const failover_t *failover, const log_set_t *logs)
+{
+	uint32_t i;
+
+	for (i = 0; i < failover->count; i++) {
+		if (logs->eligible[i])
+			return true;
+	}
+	return false;
+}
+
 /*
  * Compare the logs of two databases as candidates for a promotion: one without
  * given up entries is better, then the one that reaches further.  Where commits
@@ -52,8 +281,7 @@
 
 /*
  * Return the database with the best log among those that promised the term and
- * are listed, or UINT32_MAX if there is none.  Where commits are synchronous,
- * one that is not listed may be the only one that holds the last.  Of equal
+ * are listed, or UINT32_MAX if there is none whose log may be used.  Of equal
  * ones, a database that is not leaving is preferred, then one to which an order
  * is open, since another order to the same database does no harm.  The result
  * may be promoted only when grants_suffice() is true.
@@ -61,13 +289,13 @@
 static uint32_t
 choose_most_advanced(const failover_t *failover)
 {
+	log_set_t logs = granted_logs(failover);
 	uint32_t i, best = UINT32_MAX;
 	int32_t cmp;
 
+	exclude_given_up(failover, &logs);
 	for (i = 0; i < failover->count; i++) {
-		if (!failover->granted[i] ||
-		    (failover->views[i].unlisted &&
-			failover->limits.sync_replicas == 0))
+		if (!logs.eligible[i])
 			continue;
 		if (best == UINT32_MAX) {
 			best = i;
@@ -115,7 +343,7 @@
 
 /*
  * Choose the successor of a primary that has stepped down for a handover: the
- * most advanced database that answers and is not leaving.  It must have the
+ * most advanced database that answers and may succeed it.  It must have the
  * primary's whole log; only without synchronous replicas may it lack entries
  * when the time to catch up is over.  Returns -1 while there is none.
  */
@@ -123,18 +351,16 @@
 choose_successor(const failover_t *failover, int64_t now_us)
 {
 	const failover_limits_t *limits = &failover->limits;
+	log_set_t logs = succeeding_logs(failover, failover->stepping_down,
+	    failover->fenced_from_term, now_us);
 	int32_t i, best = -1;
 
+	exclude_given_up(failover, &logs);
 	for (i = 0; i < (int32_t)failover->count; i++) {
-		const db_view_t *view = &failover->views[i];
-
-		if (i == failover->stepping_down || !view->known ||
-		    view->leaving ||
-		    now_us - failover->last_alive_us[i] >= limits->suspect_us)
+		if (!logs.eligible[i])
 			continue;
 		if (best < 0 ||
-		    compare_logs(failover, view->last_entry,
-			failover->views[best].last_entry) > 0)
+		    compare_logs(failover, logs.ends[i], logs.ends[best]) > 0)
 			best = i;
 	}
 	if (best < 0 ||
@@ -197,3 +423,54 @@
 	    : (int32_t)choose_most_advanced(failover);
 	return open_orders_allow(failover, chosen) ? chosen : -1;
 }
+
+/*
+ * Tell whether a database that answers can take over, or whether there is no
+ * doubt about any log, so that the promises of a majority show it.
+ */
+bool
+failover_candidate_answers(const failover_t *failover, int64_t now_us)
+{
+	log_set_t logs = answering_logs(failover, now_us);
+	bool doubt = false;
+	uint32_t i;
+
+	if (!only_clean_logs(failover))
+		return true;
+	for (i = 0; i < failover->count; i++)
+		doubt |= failover->views[i].known &&
+		    (base_unknown(failover, &logs, i, UINT64_MAX) ||
+			recorded_orders_given_up(
+			    &failover->recorded, UINT64_MAX, logs.ends[i]));
+	exclude_given_up(failover, &logs);
+	return !doubt || any_eligible(failover, &logs);
+}
+
+/*
+ * Tell whether a database that answers can succeed the primary in a handover
+ * that asks for no other promise than the primary's.
+ */
+bool
+failover_successor_answers(const failover_t *failover, int64_t now_us)
+{
+	int32_t primary = failover_primary(failover);
+	log_set_t logs;
+
+	if (primary < 0)
+		return false;
+	logs = succeeding_logs(
+	    failover, primary, failover->views[primary].term, now_us);
+	exclude_given_up(failover, &logs);
+	return any_eligible(failover, &logs);
+}
+
+/*
+ * Tell whether a database that has promised the term, or that answers, can take
+ * over.
+ */
+bool
+candidate_granted(const failover_t *failover, int64_t now_us)
+{
+	return choose_most_advanced(failover) != UINT32_MAX ||
+	    failover_candidate_answers(failover, now_us);
+}
--- a/src/decide/failover_choice.h
+++ b/src/decide/failover_choice.h
@@ -6,5 +6,6 @@
 /* Choice of the database that a failover promotes. */
 bool grants_suffice(const failover_t *);
 int32_t ready_to_promote(const failover_t *, int64_t now_us);
+bool candidate_granted(const failover_t *, int64_t now_us);
 
 #endif
--- a/src/decide/recorded_orders.c
+++ b/src/decide/recorded_orders.c
@@ -145,3 +145,33 @@
 
 	return position_compare(used, end) != 0;
 }
+
+/*
+ * Tell whether a term may have begun after an entry that is not known, so that
+ * entries of a log in older terms may have been given up.  The platform begins
+ * the next term with each order that takes effect.  followed_term: the newest
+ * one that the database of the log has led or followed.  newest_term: the
+ * newest one that is known to have begun.  limit: orders to replace a primary
+ * of this term or a newer one do not count.
+ */
+bool
+recorded_orders_base_unknown(const recorded_orders_t *orders, uint64_t limit,
+    uint64_t newest_term, uint64_t followed_term)
+{
+	earlier_order_t order;
+
+	if (orders->replaced_term != 0 && orders->base.term == 0 &&
+	    orders->replaced_term >= followed_term &&
+	    orders->replaced_term < limit)
+		return true;
+	/* from the newest term back to one that the database has followed */
+	while (followed_term < newest_term) {
+		if (!newest_below(orders, newest_term, &order) ||
+		    order.replaced_term + 1 != newest_term)
+			return true;
+		newest_term = order.base.term < order.replaced_term
+		    ? order.base.term
+		    : order.replaced_term;
+	}
+	return false;
+}
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -191,6 +191,8 @@
 
 	term = begin_granted_attempt(&failover, 1);
 	for (at_ms = 10; at_ms < 4000 && !ordered; at_ms += 10) {
+		for (i = 1; i < DATABASES; i++)
+			failover_alive(&failover, i, MS(at_ms));
 		if (at_ms == 20) {
 			failover_leases_revoked(
 			    &failover, term, true, MS(at_ms));
@@ -348,41 +350,59 @@
 	recorded_orders_t recorded;
 	uint64_t reported_term; /* newest term in which a primary is known */
 	uint64_t logs[2][2];    /* term and index at databases 1 and 2 */
-	uint32_t chosen;
+	uint32_t chosen;        /* 0: none */
+	uint32_t chosen_sync;   /* the same where a replica holds each commit */
 } choice_case_t;
 
 static const choice_case_t choice_cases[] = {
-    {"the longer log", {0}, 0, {{1, 68}, {1, 56}}, 1},
+    {"the longer log", {0}, 0, {{1, 68}, {1, 56}}, 1, 1},
     {"entries that a newer term has given up", {1, 2, 0, {1, 56}}, 2,
-	{{1, 68}, {1, 56}}, 2},
+	{{1, 68}, {1, 56}}, 2, 2},
     {"the newer term is not known to have begun", {1, 2, 0, {1, 56}}, 1,
-	{{1, 68}, {1, 56}}, 1},
+	{{1, 68}, {1, 56}}, 2, 1},
     {"both logs end before the newer term began", {1, 2, 0, {1, 70}}, 2,
-	{{1, 68}, {1, 56}}, 1},
-    {"both have given up entries", {1, 2, 0, {1, 50}}, 2, {{1, 68}, {1, 56}},
+	{{1, 68}, {1, 56}}, 1, 1},
+    {"both have given up entries", {1, 2, 0, {1, 50}}, 2, {{1, 68}, {1, 56}}, 0,
 	1},
+    {"both have, if the newer term has begun", {1, 2, 0, {1, 50}}, 1,
+	{{1, 68}, {1, 56}}, 0, 1},
     {"an order without the end of a log", {1, 2, 0, {0, 0}}, 2,
-	{{1, 68}, {1, 56}}, 1},
+	{{1, 68}, {1, 56}}, 2, 1},
+    {"the same, and its term is not known to have begun", {1, 2, 0, {0, 0}}, 1,
+	{{1, 57}, {1, 30}}, 2, 1},
+    {"the same, and equal logs", {1, 2, 0, {0, 0}}, 1, {{1, 57}, {1, 57}}, 1,
+	1},
+    {"the same, and one has followed the newer term", {1, 2, 0, {0, 0}}, 2,
+	{{1, 30}, {2, 25}}, 2, 2},
+    {"a term that has begun by an order that is not known", {0}, 2,
+	{{1, 57}, {1, 30}}, 2, 1},
+    {"the same, after one that is", {1, 2, 0, {1, 61}}, 3, {{1, 57}, {1, 30}},
+	2, 1},
+    {"the same, and one has followed the first", {1, 2, 0, {1, 61}}, 3,
+	{{2, 70}, {1, 57}}, 2, 1},
+    {"the same, with an index that both have used", {1, 2, 0, {1, 61}}, 3,
+	{{2, 70}, {1, 73}}, 0, 1},
 };
 
 /*
- * Test which database is promoted, by the ends of their logs: entries that a
- * newer term has given up do not come back.
+ * Check which database is promoted, by the ends of their logs: entries that a
+ * newer term has given up, or may have, do not come back.
  */
 static void
-test_choice(gconstpointer data)
+check_choice(const choice_case_t *c, uint32_t sync_replicas, uint32_t expected)
 {
-	const choice_case_t *c = data;
 	failover_actions_t actions;
 	failover_t failover;
 	uint32_t i, chosen = 0;
 	uint64_t term;
 
 	failover_init(&failover, &test_limits, DATABASES, 1, 0);
+	failover.limits.sync_replicas = sync_replicas;
 	failover_orders_recorded(&failover, &c->recorded, 0);
 	failover_term_reported(&failover, c->reported_term, 0);
-	for (i = 0; i < DATABASES; i++)
-		report(&failover, i, i == 0, 1, 0, 0);
+	report(&failover, 0, true, MAX(c->logs[0][0], c->logs[1][0]), 0, 0);
+	for (i = 1; i < DATABASES; i++)
+		report(&failover, i, false, c->logs[i - 1][0], 0, 0);
 	term = begin_attempt(&failover, 0);
 	for (i = 1; i < DATABASES; i++) {
 		position_t end = {c->logs[i - 1][0], c->logs[i - 1][1]};
@@ -398,7 +418,135 @@
 		if (actions.list[i].kind == FAILOVER_PROMOTE)
 			chosen = actions.list[i].database;
 	}
-	g_assert_cmpuint(chosen, ==, c->chosen);
+	g_assert_cmpuint(chosen, ==, expected);
+	failover_clear(&failover);
+}
+
+/*
+ * Test that for groups with and without synchronous replicas.  Where a replica
+ * holds each commit, no acknowledged one is lost to avoid that.
+ */
+static void
+test_choice(gconstpointer data)
+{
+	const choice_case_t *c = data;
+
+	check_choice(c, 0, c->chosen);
+	check_choice(c, 1, c->chosen_sync);
+}
+
+#define CANDIDATE_ORDERS 2
+
+/* What a database reports at a time. */
+typedef struct candidate_report {
+	uint64_t term; /* that it leads or follows; 0: it does not answer */
+	position_t end;
+} candidate_report_t;
+
+typedef struct candidate_case {
+	const char *name;
+	earlier_order_t orders[CANDIDATE_ORDERS];
+	/* of the databases before and from 1000 ms on; database 0 is the
+	   primary */
+	candidate_report_t before[DATABASES];
+	candidate_report_t after[DATABASES];
+	bool fenced_before; /* a promise is asked for in that time */
+	bool fenced_after;
+	int32_t chosen; /* by 8000 ms; -1: none */
+} candidate_case_t;
+
+static const candidate_case_t candidate_cases[] = {
+    {"no order", {{0}}, {{1, {1, 57}}, {1, {1, 57}}, {1, {1, 50}}},
+	{{0}, {1, {1, 57}}, {1, {1, 50}}}, false, true, 1},
+    {"all others have entries that the primary's term gave up",
+	{{1, {1, 61}}, {2, {1, 61}}},
+	{{3, {3, 62}}, {2, {2, 124}}, {1, {1, 73}}},
+	{{0}, {2, {2, 124}}, {1, {1, 73}}}, false, false, -1},
+    {"the same, and one has followed it since", {{1, {1, 61}}, {2, {1, 61}}},
+	{{3, {3, 62}}, {2, {2, 124}}, {1, {1, 73}}},
+	{{0}, {3, {1, 61}}, {1, {1, 73}}}, false, true, 1},
+    {"the same, but has not been rolled back", {{1, {1, 61}}, {2, {1, 61}}},
+	{{3, {3, 62}}, {2, {2, 124}}, {1, {1, 73}}},
+	{{0}, {3, {2, 124}}, {1, {1, 73}}}, false, false, -1},
+    {"only one that lacks the primary's term, without given up entries",
+	{{1, {1, 61}}, {2, {1, 61}}},
+	{{3, {3, 62}}, {2, {2, 124}}, {1, {1, 60}}},
+	{{0}, {2, {2, 124}}, {1, {1, 60}}}, false, true, 2},
+    {"an order without the end of a log, and its successor is silent",
+	{{1, {0, 0}}}, {{1, {1, 57}}, {0}, {1, {1, 30}}},
+	{{0}, {1, {1, 57}}, {1, {1, 30}}}, false, true, 2},
+    {"a term that one had followed, which is silent", {{0}},
+	{{1, {1, 57}}, {2, {2, 49}}, {1, {1, 30}}},
+	{{1, {1, 57}}, {0}, {1, {1, 30}}}, true, true, 2},
+};
+
+/*
+ * Test that no promise is asked for while no database that answers can take
+ * over, and that an attempt begins once one can.
+ */
+static void
+test_candidate(gconstpointer data)
+{
+	const candidate_case_t *c = data;
+	bool fenced_before = false, fenced_after = false;
+	failover_actions_t actions;
+	failover_t failover;
+	int32_t chosen = -1;
+	int64_t at_ms;
+	uint64_t term = 0;
+	uint32_t i;
+
+	failover_init(&failover, &test_limits, DATABASES, 1, 0);
+	for (i = 0; i < CANDIDATE_ORDERS; i++) {
+		recorded_orders_t recorded = {c->orders[i].replaced_term, i + 2,
+		    MS(i + 1), c->orders[i].base};
+
+		if (recorded.replaced_term != 0)
+			failover_orders_recorded(&failover, &recorded, 0);
+	}
+	for (at_ms = 0; at_ms < 8000; at_ms += 10) {
+		for (i = 0; i < DATABASES; i++) {
+			const candidate_report_t *report =
+			    at_ms < 1000 ? &c->before[i] : &c->after[i];
+			uint64_t promised = MAX(report->term,
+			    failover.granted[i] ? failover.term : 0);
+			db_view_t view = {true, i == 0, false, promised,
+			    report->end, MS(at_ms), .term = report->term};
+
+			if (report->term != 0)
+				failover_replace_view(
+				    &failover, i, &view, MS(at_ms));
+		}
+		failover_tick(&failover, MS(at_ms), &actions);
+		for (i = 0; i < actions.count; i++) {
+			const failover_action_t *action = &actions.list[i];
+			const candidate_report_t *report =
+			    &c->after[action->database];
+			db_view_t view = {true, false, false, action->term,
+			    report->end, MS(at_ms), .term = report->term};
+
+			if (action->kind == FAILOVER_PROMOTE)
+				chosen = (int32_t)action->database;
+			if (action->kind == FAILOVER_ASK_WITNESS)
+				failover_witness_answered(&failover,
+				    failover.witness_request, false, MS(at_ms));
+			if (action->kind == FAILOVER_REVOKE_LEASES)
+				failover_leases_revoked(
+				    &failover, action->term, true, MS(at_ms));
+			if (action->kind != FAILOVER_FENCE)
+				continue;
+			fenced_before |= at_ms < 1000;
+			fenced_after |= at_ms >= 1000;
+			term = action->term;
+			if (at_ms >= 1000 && report->term != 0)
+				failover_fence_answered(&failover,
+				    action->database, term, true, &view,
+				    MS(at_ms));
+		}
+	}
+	g_assert_cmpint(fenced_before, ==, c->fenced_before);
+	g_assert_cmpint(fenced_after, ==, c->fenced_after);
+	g_assert_cmpint(chosen, ==, c->chosen);
 	failover_clear(&failover);
 }
 
@@ -747,6 +895,84 @@
 	failover_clear(&failover);
 }
 
+typedef struct handover_case {
+	const char *name;
+	recorded_orders_t recorded;
+	candidate_report_t views[DATABASES]; /* database 0 is the primary */
+	int64_t requested_ms;    /* of the primary: when it is requested */
+	int64_t stepped_down_ms; /* expected; 0: not */
+	int32_t chosen;          /* expected; -1: none */
+} handover_case_t;
+
+static const handover_case_t handover_cases[] = {
+    {"to the most advanced of two", {0},
+	{{1, {1, 60}}, {1, {1, 60}}, {1, {1, 55}}}, 500, 500, 1},
+    {"to the one that has received the primary's term", {1, 2, 0, {1, 61}},
+	{{2, {1, 61}}, {1, {1, 61}}, {2, {1, 61}}}, 500, 500, 2},
+    {"no other one has", {1, 2, 0, {1, 61}},
+	{{2, {2, 62}}, {1, {1, 61}}, {1, {1, 40}}}, 500, 0, -1},
+    {"one has, and has not been rolled back", {1, 2, 0, {1, 61}},
+	{{2, {2, 62}}, {2, {1, 73}}, {1, {1, 40}}}, 500, 0, -1},
+    {"a recorded order has had no effect", {1, 2, 0, {1, 50}},
+	{{1, {1, 60}}, {1, {1, 60}}, {1, {1, 55}}}, 5000, 3500, 1},
+    {"the same, and one does not answer", {1, 2, 0, {1, 50}},
+	{{1, {1, 60}}, {1, {1, 60}}, {0}}, 5000, 0, -1},
+};
+
+/*
+ * Test which database succeeds a primary that hands over, and that the primary
+ * does not step down while none can.
+ */
+static void
+test_handover(gconstpointer data)
+{
+	const handover_case_t *c = data;
+	int64_t stepped_down_ms = 0, at_ms;
+	failover_actions_t actions;
+	failover_t failover;
+	int32_t chosen = -1;
+	uint32_t i;
+
+	failover_init(&failover, &test_limits, DATABASES, 1, 0);
+	failover.limits.catch_up_us = MS(150);
+	failover_orders_recorded(&failover, &c->recorded, 0);
+	for (at_ms = 0; at_ms < 5000 && chosen < 0; at_ms += 10) {
+		for (i = 0; i < DATABASES; i++) {
+			bool stepped_down = i == 0 && stepped_down_ms != 0;
+			db_view_t view = {true, i == 0 && !stepped_down, false,
+			    stepped_down ? failover.term : c->views[i].term,
+			    c->views[i].end, MS(at_ms),
+			    .term = c->views[i].term};
+
+			if (c->views[i].term != 0)
+				failover_replace_view(
+				    &failover, i, &view, MS(at_ms));
+			if (i == 0 && stepped_down_ms != 0 &&
+			    at_ms == stepped_down_ms + 10)
+				failover_fence_answered(&failover, 0,
+				    failover.term, true, &view, MS(at_ms));
+		}
+		if (at_ms == c->requested_ms)
+			failover_request_handover(&failover, MS(at_ms));
+		failover_tick(&failover, MS(at_ms), &actions);
+		for (i = 0; i < actions.count; i++) {
+			const failover_action_t *action = &actions.list[i];
+
+			if (action->kind == FAILOVER_FENCE &&
+			    action->database == 0 && stepped_down_ms == 0)
+				stepped_down_ms = at_ms;
+			if (action->kind == FAILOVER_REVOKE_LEASES)
+				failover_leases_revoked(
+				    &failover, action->term, true, MS(at_ms));
+			if (action->kind == FAILOVER_PROMOTE)
+				chosen = (int32_t)action->database;
+		}
+	}
+	g_assert_cmpint(stepped_down_ms, ==, c->stepped_down_ms);
+	g_assert_cmpint(chosen, ==, c->chosen);
+	failover_clear(&failover);
+}
+
 typedef struct open_order_case {
 	const char *name;
 	int32_t ordered;        /* database with an open order; -1: none */
@@ -824,11 +1050,13 @@
 	CASES("/attempt/abandoned", abandoned_cases, test_abandoned);
 	CASES("/attempt/block", block_cases, test_block);
 	CASES("/attempt/choice", choice_cases, test_choice);
+	CASES("/attempt/candidate", candidate_cases, test_candidate);
 	CASES("/attempt/unlisted", unlisted_cases, test_unlisted);
 	CASES("/attempt/second-order", second_order_cases, test_second_order);
 	CASES("/attempt/history", history_cases, test_history);
 	CASES("/attempt/unaware", unaware_cases, test_unaware);
 	CASES("/attempt/recorded", recorded_cases, test_recorded);
+	CASES("/attempt/handover", handover_cases, test_handover);
 	CASES("/attempt/open-order", open_order_cases, test_open_order);
 	return g_test_run();
 }
--- a/tests/t_decide.c
+++ b/tests/t_decide.c
@@ -814,6 +814,49 @@
 	    c->recorded_is_current);
 }
 
+typedef struct base_case {
+	const char *name;
+	recorded_orders_t orders;
+	uint64_t limit; /* 0: none */
+	uint64_t newest_term;
+	uint64_t followed_term;
+	bool unknown;
+} base_case_t;
+
+static const base_case_t base_cases[] = {
+    {"no order, in the newest term", {0}, 0, 2, 2, false},
+    {"no order, a term later", {0}, 0, 2, 1, true},
+    {"its order is known", {1, 2, 0, {1, 56}}, 0, 2, 1, false},
+    {"an order without the end of a log", {1, 2, 0, {0, 0}}, 0, 1, 1, true},
+    {"the same, in a later term", {1, 2, 0, {0, 0}}, 0, 2, 2, false},
+    {"the same, if it had no effect", {1, 2, 0, {0, 0}}, 1, 1, 1, false},
+    {"two terms later, the order of the first is known", {1, 2, 0, {1, 56}}, 0,
+	3, 1, true},
+    {"that of the second is, from the first", {2, 2, 0, {2, 70}}, 0, 3, 1,
+	true},
+    {"that of the second is, from before the first", {2, 2, 0, {1, 56}}, 0, 3,
+	1, false},
+    {"both are",
+	{2, 2, 0, {2, 70}, .earlier = {{1, {1, 56}}}, .earlier_count = 1}, 0, 3,
+	1, false},
+    {"the last may have begun a term, with the end of a log",
+	{2, 3, 0, {2, 70}}, 0, 2, 2, false},
+};
+
+/*
+ * Test whether a term may have begun after an unknown entry of a log.
+ */
+static void
+test_base(gconstpointer data)
+{
+	const base_case_t *c = data;
+
+	g_assert_cmpint(recorded_orders_base_unknown(&c->orders,
+			    c->limit == 0 ? UINT64_MAX : c->limit,
+			    c->newest_term, c->followed_term),
+	    ==, c->unknown);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -838,6 +881,7 @@
 	CASES("/decide/queue-limit", queue_limit_cases, test_queue_limit);
 	CASES("/decide/result", result_cases, test_result);
 	CASES("/decide/reconnect", reconnect_cases, test_reconnect);
+	CASES("/decide/base-unknown", base_cases, test_base);
 	g_test_add_func("/decide/samples-ring", test_position_history);
 	g_test_add_func("/decide/retry", test_retry);
 	g_test_add_func("/decide/reqids", test_reqids);
