A log event when no server of a group can take over

no_candidate, at the coordinator: a change of primary is due, but each server that answers may have entries that the group has given up; and when that ends. It names the servers with their terms and log positions.

A daemon that sees no such server either does not ask for the coordinator's role because nothing is done; otherwise the role would change every second or two for as long as that lasts.

--- a/gen/event.pb-c.c
+++ b/gen/event.pb-c.c
@@ -637,6 +637,51 @@
   assert(message->base.descriptor == &bp__primary_suspected__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__no_candidate__init
+                     (Bp__NoCandidate         *message)
+{
+  static const Bp__NoCandidate init_value = BP__NO_CANDIDATE__INIT;
+  *message = init_value;
+}
+size_t bp__no_candidate__get_packed_size
+                     (const Bp__NoCandidate *message)
+{
+  assert(message->base.descriptor == &bp__no_candidate__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__no_candidate__pack
+                     (const Bp__NoCandidate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__no_candidate__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__no_candidate__pack_to_buffer
+                     (const Bp__NoCandidate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__no_candidate__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__NoCandidate *
+       bp__no_candidate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__NoCandidate *)
+     protobuf_c_message_unpack (&bp__no_candidate__descriptor,
+                                allocator, len, data);
+}
+void   bp__no_candidate__free_unpacked
+                     (Bp__NoCandidate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__no_candidate__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__handover_due__init
                      (Bp__HandoverDue         *message)
 {
@@ -3237,6 +3282,70 @@
   (ProtobufCMessageInit) bp__primary_suspected__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__no_candidate__field_descriptors[3] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__NoCandidate, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bp__NoCandidate, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bp__NoCandidate, n_servers),
+    offsetof(Bp__NoCandidate, servers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__no_candidate__field_indices_by_name[] = {
+  1,   /* field[1] = begun */
+  0,   /* field[0] = group */
+  2,   /* field[2] = servers */
+};
+static const ProtobufCIntRange bp__no_candidate__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bp__no_candidate__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.NoCandidate",
+  "NoCandidate",
+  "Bp__NoCandidate",
+  "bp",
+  sizeof(Bp__NoCandidate),
+  3,
+  bp__no_candidate__field_descriptors,
+  bp__no_candidate__field_indices_by_name,
+  1,  bp__no_candidate__number_ranges,
+  (ProtobufCMessageInit) bp__no_candidate__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__handover_due__field_descriptors[3] =
 {
   {
--- a/gen/event.pb-c.h
+++ b/gen/event.pb-c.h
@@ -31,6 +31,7 @@
 typedef struct Bp__ServerListed Bp__ServerListed;
 typedef struct Bp__PrimaryConfirmed Bp__PrimaryConfirmed;
 typedef struct Bp__PrimarySuspected Bp__PrimarySuspected;
+typedef struct Bp__NoCandidate Bp__NoCandidate;
 typedef struct Bp__HandoverDue Bp__HandoverDue;
 typedef struct Bp__LeaseGivenBack Bp__LeaseGivenBack;
 typedef struct Bp__LeaseRegained Bp__LeaseRegained;
@@ -553,6 +554,30 @@
     , NULL, NULL, 0, NULL }
 
 
+/*
+ * A change of primary is due, but no server that answers can take over: each may
+ * have entries that the group has given up.  Or that has ended.
+ */
+struct  Bp__NoCandidate
+{
+  ProtobufCMessage base;
+  char *group;
+  /*
+   * false: it has ended
+   */
+  protobuf_c_boolean begun;
+  /*
+   * the servers: id, term, last log position received and age of the
+   * request in milliseconds
+   */
+  size_t n_servers;
+  char **servers;
+};
+#define BP__NO_CANDIDATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__no_candidate__descriptor) \
+    , NULL, 0, 0,NULL }
+
+
 /*
  * A replica is to take over from a primary that still answers.
  */
@@ -1293,6 +1318,25 @@
 void   bp__primary_suspected__free_unpacked
                      (Bp__PrimarySuspected *message,
                       ProtobufCAllocator *allocator);
+/* Bp__NoCandidate methods */
+void   bp__no_candidate__init
+                     (Bp__NoCandidate         *message);
+size_t bp__no_candidate__get_packed_size
+                     (const Bp__NoCandidate   *message);
+size_t bp__no_candidate__pack
+                     (const Bp__NoCandidate   *message,
+                      uint8_t             *out);
+size_t bp__no_candidate__pack_to_buffer
+                     (const Bp__NoCandidate   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__NoCandidate *
+       bp__no_candidate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__no_candidate__free_unpacked
+                     (Bp__NoCandidate *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__HandoverDue methods */
 void   bp__handover_due__init
                      (Bp__HandoverDue         *message);
@@ -1793,6 +1837,9 @@
 typedef void (*Bp__PrimarySuspected_Closure)
                  (const Bp__PrimarySuspected *message,
                   void *closure_data);
+typedef void (*Bp__NoCandidate_Closure)
+                 (const Bp__NoCandidate *message,
+                  void *closure_data);
 typedef void (*Bp__HandoverDue_Closure)
                  (const Bp__HandoverDue *message,
                   void *closure_data);
@@ -1888,6 +1935,7 @@
 extern const ProtobufCMessageDescriptor bp__server_listed__descriptor;
 extern const ProtobufCMessageDescriptor bp__primary_confirmed__descriptor;
 extern const ProtobufCMessageDescriptor bp__primary_suspected__descriptor;
+extern const ProtobufCMessageDescriptor bp__no_candidate__descriptor;
 extern const ProtobufCMessageDescriptor bp__handover_due__descriptor;
 extern const ProtobufCMessageDescriptor bp__lease_given_back__descriptor;
 extern const ProtobufCMessageDescriptor bp__lease_regained__descriptor;
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -828,7 +828,8 @@
 /*
  * Ask for the coordinator role if the coordinator does not act: the primary
  * has been unresponsive or shutting down for longer than the coordinator
- * should need to replace it, or an abandoned failover holds up the leases.
+ * should need to replace it, or an abandoned failover holds up the leases.  A
+ * coordinator that reaches no server that can take over rightly does not act.
  */
 static void
 check_takeover(group_t *group, int64_t now_us)
@@ -837,7 +838,9 @@
 	bool leaving = primary >= 0 && group->servers[primary]->leaving;
 	int64_t delay_us;
 
-	if (!leaving && !group->unresponsive && !lease_stuck(group, now_us)) {
+	if ((!leaving && !group->unresponsive && !lease_stuck(group, now_us)) ||
+	    (!leaving && group->unresponsive &&
+		!failover_candidate_answers(&group->failover, now_us))) {
 		group->failover_due_since_us = 0;
 		return;
 	}
@@ -943,6 +946,18 @@
 	failover_request_handover(&group->failover, now_us);
 }
 
+/*
+ * Note whether a change of primary is due and no server can take over.
+ */
+static void
+set_no_candidate(group_t *group, bool no_candidate, int64_t now_us)
+{
+	if (group->no_candidate == no_candidate)
+		return;
+	group->no_candidate = no_candidate;
+	log_no_candidate(group, now_us);
+}
+
 /*
  * Probe the servers of a group, and run failovers and handovers if this daemon
  * is the coordinator.
@@ -977,8 +992,10 @@
 	if (now_us - group->pool->started_us < STARTUP_US)
 		return;
 	check_takeover(group, now_us);
-	if (!group->pool->is_coordinator || group->count == 0)
+	if (!group->pool->is_coordinator || group->count == 0) {
+		set_no_candidate(group, false, now_us);
 		return;
+	}
 	check_handover(group, now_us);
 	failover_term_reported(
 	    failover, lease_newest_term(&group->lease), now_us);
@@ -988,6 +1005,7 @@
 			: lease_unaware_since_us(&group->lease,
 			      failover->views[primary].promised, now_us));
 	failover_tick(failover, now_us, &actions);
+	set_no_candidate(group, failover->no_candidate, now_us);
 	for (i = 0; i < actions.count; i++)
 		execute_action(group, &actions.list[i], now_us);
 }
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -196,6 +196,9 @@
 	uint32_t sync_replicas;
 	/* the primary does not respond, but a majority of the group does */
 	bool unresponsive;
+	/* this daemon is the coordinator, a change of primary is due, and no
+	   server that answers can take over */
+	bool no_candidate;
 	/* time since which a failover or handover is due; 0: not due */
 	int64_t failover_due_since_us;
 	/* time of the last sign of a change of primary under way; 0: none */
@@ -404,6 +407,7 @@
 void log_server_listed(const server_t *);
 void log_primary_confirmed(const group_t *, const server_t *, int64_t now_us);
 void log_primary_suspected(const group_t *, int64_t now_us);
+void log_no_candidate(const group_t *, int64_t now_us);
 void log_handover_due(const group_t *, const server_t *primary, bool leaving);
 void log_lease_revoked(const group_t *, uint64_t term, int64_t now_us);
 void log_open_orders(const group_t *);
--- a/src/proxy/pool_log.c
+++ b/src/proxy/pool_log.c
@@ -321,6 +321,35 @@
 	arena_free(arena);
 }
 
+/*
+ * Log that no server of a group can take over from the primary, or that this
+ * has ended.
+ */
+void
+log_no_candidate(const group_t *group, int64_t now_us)
+{
+	Bp__NoCandidate no_candidate = BP__NO_CANDIDATE__INIT;
+	char *servers[GROUP_DATABASES_MAX];
+	arena_t *arena = arena_new();
+	uint32_t i;
+
+	no_candidate.group = group->name;
+	no_candidate.begun = group->no_candidate;
+	for (i = 0; i < group->count; i++) {
+		const db_view_t *view = &group->failover.views[i];
+		const char *received = format_position(arena, view->last_entry);
+
+		servers[i] = arena_printf(arena, "%s:%" PRIu64 ":%s:%" PRId64,
+		    group->servers[i]->id, view->term,
+		    received == NULL ? "-" : received,
+		    (now_us - view->requested_us) / US_PER_MS);
+	}
+	no_candidate.servers = servers;
+	no_candidate.n_servers = group->count;
+	log_event(G_LOG_LEVEL_MESSAGE, &no_candidate.base);
+	arena_free(arena);
+}
+
 /*
  * Log that a handover from a working primary to a replica is due.
  */
