--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -186,20 +186,21 @@
 static bool
 last_order_void(const failover_t *failover)
 {
-	uint32_t i;
+	uint32_t i, members = 0;
 
 	if (failover->order_open_outside)
 		return false;
 	for (i = 0; i < failover->count; i++) {
 		const db_view_t *view = &failover->views[i];
 
+		members += view->member;
 		if (!view->known || view->order_open ||
 		    view->term > failover->recorded.replaced_term ||
 		    view->requested_us <
 			failover->recorded_us + failover->limits.order_late_us)
 			return false;
 	}
-	return true;
+	return members >= failover->members;
 }
 
 /*
