Tests: the newest primary alone returns in /forgotten/no-candidate

All databases were reached and received again at once, so that another one could follow the newest primary before a coordinator reached that one, and be promoted rightly. Now the newest primary returns first, while the others still receive nothing: it must serve, and nothing may have been promoted. As strict: every promotion until it serves still fails the row.

--- a/tests/t_forgotten.c
+++ b/tests/t_forgotten.c
@@ -662,11 +662,14 @@
 	callers_run(callers,
 	    g_get_monotonic_time() + CALLS_MS * G_TIME_SPAN_MILLISECOND, false);
 	check_kept(callers);
-	check_recovery(callers);
+	/* the others have not followed it, so none of them can take over */
+	testbed_inject_fault(testbed, "database", "heal", third);
+	g_assert_true(callers_write(callers, RECOVERY_MS));
 	after = testbed_get(testbed, "/promoted");
 	g_assert_cmpstr(before, ==, after);
 	g_free(before);
 	g_free(after);
+	check_recovery(callers);
 	testbed_stop(testbed);
 }
 
