Tests: outages in t_forgotten begin when the list of the servers is not new

2.5 s after the start the list of the servers still counts as new (LIST_NEW_US, 3 s), so that nothing that waits for its end has happened yet. The rows are about a system that runs; they now wait for 4.5 s.

--- a/tests/t_forgotten.c
+++ b/tests/t_forgotten.c
@@ -14,7 +14,10 @@
 
 #define DATABASES 3
 #define READY_TIMEOUT_MS 10000
-#define LISTED_MS 2500 /* until the daemons are listed */
+
+/* Time until the daemons are listed, and the list of the servers is not new. */
+#define LISTED_MS 4500
+
 #define PROMOTION_MS 8000
 #define REPLICATED_MS 300
 
