A recorded member that has ended does not hold up its group for good

What callers saw: no write for good after two of three databases had crashed, since a majority of the recorded members was gone; they come back with other ids.

Cause: only a server with the same id and another generation showed that a member had ended.

A member has ended also when another server has its address, which the record holds now, or when it is not listed any more and has refused a connection. Nothing is left of what it had promised. Where the others are no majority, none counts as recorded until the coordinator has recorded the servers again. One that is silent has not ended.

Seen to fail before: /old-primary/members/both-replicas-are-lost and the-primary-and-a-replica-are-lost (no write served within 8 s).

--- a/gen/catalog.pb-c.c
+++ b/gen/catalog.pb-c.c
@@ -1079,7 +1079,7 @@
   (ProtobufCMessageInit) bp__recorded_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__recorded_member__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bp__recorded_member__field_descriptors[3] =
 {
   {
     "server",
@@ -1105,15 +1105,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__RecordedMember, address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__recorded_member__field_indices_by_name[] = {
+  2,   /* field[2] = address */
   1,   /* field[1] = born */
   0,   /* field[0] = server */
 };
 static const ProtobufCIntRange bp__recorded_member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bp__recorded_member__descriptor =
 {
@@ -1123,7 +1136,7 @@
   "Bp__RecordedMember",
   "bp",
   sizeof(Bp__RecordedMember),
-  2,
+  3,
   bp__recorded_member__field_descriptors,
   bp__recorded_member__field_indices_by_name,
   1,  bp__recorded_member__number_ranges,
--- a/gen/catalog.pb-c.h
+++ b/gen/catalog.pb-c.h
@@ -247,10 +247,14 @@
    * Server.born
    */
   uint64_t born;
+  /*
+   * "IP:PORT"
+   */
+  char *address;
 };
 #define BP__RECORDED_MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__recorded_member__descriptor) \
-    , NULL, 0 }
+    , NULL, 0, NULL }
 
 
 /*
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -155,10 +155,10 @@
 	position_t granted_position[GROUP_DATABASES_MAX];
 	int64_t granted_us;
 	/* number of members of the group that the store has recorded, 0: none
-	   are recorded; and of those that were started again since, so that
-	   they know nothing of before */
+	   are recorded; and of those that have ended since, so that nothing
+	   is left of what they had promised */
 	uint32_t members;
-	uint32_t members_restarted;
+	uint32_t members_ended;
 	/* FENCING: the daemons were told to revoke their leases; all have
 	   confirmed; time at which a majority had confirmed, 0: not yet */
 	bool revocation_sent;
--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -149,13 +149,13 @@
 
 /*
  * Tell whether a majority of the recorded members has promised the term, or
- * there are none.  Leases rest on such a majority, for which one that was
- * started again does not count: nor can it support a lease.
+ * there are none.  Leases rest on such a majority, for which one that has
+ * ended does not count: nor can it support a lease.
  */
 static bool
 members_granted(const failover_t *failover)
 {
-	uint32_t i, n = failover->members_restarted;
+	uint32_t i, n = failover->members_ended;
 
 	for (i = 0; i < failover->count; i++)
 		n += failover->granted[i] && failover->views[i].member;
--- a/src/proxy/group_members.c
+++ b/src/proxy/group_members.c
@@ -27,15 +27,48 @@
 }
 
 /*
- * Mark the servers of a group that are recorded members.  One that was started
- * again since knows nothing of before.  If so many were that the others are no
- * majority, none counts as recorded until they are recorded again.
+ * Return the address of a server, to be freed by the caller.
+ */
+static char *
+server_address(const server_t *server)
+{
+	return g_strdup_printf("%s:%u", server->address, server->port);
+}
+
+/*
+ * Tell whether a recorded member has ended: it has refused a connection, was
+ * started again, or another server has its address.  A server that is started
+ * holds and knows nothing of before.
+ */
+static bool
+member_ended(const group_t *group, const member_t *member)
+{
+	bool ended = member->gone;
+	uint32_t i;
+
+	for (i = 0; i < group->count; i++) {
+		const server_t *server = group->servers[i];
+		char *address;
+
+		if (strcmp(server->id, member->id) == 0)
+			return server->generation != member->born;
+		address = server_address(server);
+		ended |= g_strcmp0(address, member->address) == 0;
+		g_free(address);
+	}
+	return ended;
+}
+
+/*
+ * Mark the servers of a group that are recorded members.  If so many have ended
+ * that the others are no majority, none counts as recorded until they are
+ * recorded again.
  */
 void
 group_members_update(group_t *group)
 {
 	failover_t *failover = &group->failover;
-	uint32_t i, restarted = 0, count = group->members_count;
+	uint32_t i, ended = 0, count = group->members_count;
 
 	for (i = 0; i < group->count; i++) {
 		const server_t *server = group->servers[i];
@@ -43,13 +76,54 @@
 
 		failover->views[i].member =
 		    member != NULL && member->born == server->generation;
-		restarted +=
-		    member != NULL && member->born != server->generation;
 	}
-	if (count > 0 && count - restarted < majority_of(count))
-		count = restarted = 0;
+	for (i = 0; i < count; i++)
+		ended += member_ended(group, &group->members[i]);
+	if (count > 0 && count - ended < majority_of(count))
+		count = ended = 0;
 	group->lease.members = failover->members = count;
-	failover->members_restarted = restarted;
+	failover->members_ended = ended;
+}
+
+/*
+ * Note that a server that is not listed has refused a connection, so that its
+ * process has ended.
+ */
+void
+group_member_gone(group_t *group, const server_t *server)
+{
+	uint32_t i;
+
+	for (i = 0; i < group->members_count; i++) {
+		member_t *member = &group->members[i];
+
+		member->gone |= strcmp(member->id, server->id) == 0 &&
+		    member->born == server->generation;
+	}
+}
+
+/*
+ * Free members.
+ */
+static void
+members_free(member_t *members, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		g_free(members[i].id);
+		g_free(members[i].address);
+	}
+}
+
+/*
+ * Forget the recorded members of a group.
+ */
+void
+group_members_clear(group_t *group)
+{
+	members_free(group->members, group->members_count);
+	group->members_count = 0;
 }
 
 /*
@@ -60,31 +134,27 @@
 group_members_recorded(group_t *group, Bp__RecordedMember *const *list,
     size_t count, int64_t read_us)
 {
+	member_t members[GROUP_DATABASES_MAX];
+	uint32_t n = 0;
 	size_t i;
 
 	if (read_us < group->members_read_us)
 		return;
 	group->members_read_us = read_us;
+	for (i = 0; i < count && i < GROUP_DATABASES_MAX; i++) {
+		const member_t *known = member_find(group, list[i]->server);
+
+		members[n++] = (member_t){g_strdup(list[i]->server),
+		    list[i]->born, g_strdup(list[i]->address),
+		    known != NULL && known->born == list[i]->born &&
+			known->gone};
+	}
 	group_members_clear(group);
-	for (i = 0; i < count && i < GROUP_DATABASES_MAX; i++)
-		group->members[group->members_count++] =
-		    (member_t){g_strdup(list[i]->server), list[i]->born};
+	memcpy(group->members, members, sizeof(members[0]) * n);
+	group->members_count = n;
 	group_members_update(group);
 }
 
-/*
- * Forget the recorded members of a group.
- */
-void
-group_members_clear(group_t *group)
-{
-	uint32_t i;
-
-	for (i = 0; i < group->members_count; i++)
-		g_free(group->members[i].id);
-	group->members_count = 0;
-}
-
 /*
  * Return the servers of a group, to be recorded, as messages in an arena.
  */
@@ -100,6 +170,8 @@
 		    arena, &bp__recorded_member__descriptor);
 		list[i]->server = arena_strdup(arena, group->servers[i]->id);
 		list[i]->born = group->servers[i]->generation;
+		list[i]->address = arena_printf(arena, "%s:%u",
+		    group->servers[i]->address, group->servers[i]->port);
 	}
 	*count = group->count;
 	return list;
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -160,6 +160,8 @@
 typedef struct member {
 	char *id;
 	uint64_t born; /* server_t.generation */
+	char *address; /* "IP:PORT", or NULL */
+	bool gone;     /* it is not listed, and has refused a connection */
 } member_t;
 
 /* A primary and its replicas, as listed in the catalog. */
@@ -452,6 +454,7 @@
 void group_members_recorded(
     group_t *, Bp__RecordedMember *const *, size_t count, int64_t read_us);
 void group_members_clear(group_t *);
+void group_member_gone(group_t *, const server_t *);
 Bp__RecordedMember **group_members_write(
     const group_t *, arena_t *, size_t *count);
 void group_members_check(group_t *, int64_t now_us);
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -435,6 +435,18 @@
 	    UNLISTED_SILENT_US;
 }
 
+/*
+ * Note that a server that is removed has refused a connection, if it has.
+ */
+static void
+check_gone(const server_t *server)
+{
+	const failover_t *failover = &server->group->failover;
+
+	if (failover->connect_refusals[server->index] > 0)
+		group_member_gone(server->group, server);
+}
+
 /*
  * Note that a server is not listed any more, but stays a member of its group.
  */
@@ -503,12 +515,14 @@
 		server_t *server = group->servers[i];
 		const Bp__Server *entry = entry_find(entries, server->id);
 
-		if (entry == NULL && stays_member(server, now_us))
+		if (entry == NULL && stays_member(server, now_us)) {
 			server_unlist(server);
-		else if (entry == NULL || !same_server(server, entry))
+		} else if (entry == NULL || !same_server(server, entry)) {
+			check_gone(server);
 			continue;
-		else
+		} else {
 			server_update(server, entry);
+		}
 		servers[count++] = server;
 	}
 	for (i = 0;
@@ -541,6 +555,8 @@
 
 		if (!server->unlisted || stays_member(server, now_us))
 			servers[count++] = server;
+		else
+			check_gone(server);
 	}
 	if (count < group->count)
 		servers_replace(group, servers, count, now_us);
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -922,10 +922,10 @@
 	step_t steps[5];
 	int64_t promoted_at_ms; /* expected time; 0: none within a second */
 	uint32_t promoted;      /* expected new primary */
-	/* recorded members, those of them that were started again, and of each
+	/* recorded members, those of them that have ended, and of each
 	   database, 'm': it is one of the others */
 	uint32_t members;
-	uint32_t restarted;
+	uint32_t ended;
 	const char *is_member;
 } failover_case_t;
 
@@ -981,7 +981,7 @@
 	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8},
 	    {5, STEP_REVOKED_BY_ALL, 0, 0}},
 	0, 0, 3, 0, "mm-"},
-    {"one member of three grants, and one that was started again", false, 0,
+    {"one member of three grants, and one has ended", false, 0,
 	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8},
 	    {5, STEP_REVOKED_BY_ALL, 0, 0}},
 	152, 2, 3, 1, "mm-"},
@@ -1064,7 +1064,7 @@
 		failover_replace_view(&failover, i, &view, 0);
 	}
 	failover.members = c->members;
-	failover.members_restarted = c->restarted;
+	failover.members_ended = c->ended;
 	failover_tick(&failover, 0, &actions);
 	g_assert_cmpint(failover.state, ==, FAILOVER_STEADY);
 	if (c->handover) {
--- a/tests/t_objects.c
+++ b/tests/t_objects.c
@@ -417,6 +417,13 @@
     {"one has a birth in quotes", "[" MEMBER("\"i-1\"", "\"1\"") "]", ""},
     {"one has a birth beyond 64 bits",
 	"[" MEMBER("\"i-1\"", "99999999999999999999") "]", ""},
+    {"one has an address",
+	"[{\"server\":\"i-1\",\"born\":1,\"address\":\"10.0.0.1:80\"}]",
+	"i-1/1@10.0.0.1:80 "},
+    {"one has an address without a port",
+	"[{\"server\":\"i-1\",\"born\":1,\"address\":\"10.0.0.1\"}]", ""},
+    {"one has a number as address",
+	"[{\"server\":\"i-1\",\"born\":1,\"address\":7}]", ""},
     {"one is there twice",
 	"[" MEMBER("\"i-1\"", "1") "," MEMBER("\"i-1\"", "2") "]", ""},
     {"more than a group may have", "[" TEN_MEMBERS "]", ""},
@@ -447,10 +454,15 @@
 	g_assert_nonnull(record);
 	g_assert_cmpuint(record->n_orders, ==, 1);
 	g_assert_cmpuint(record->orders[0]->attempt_term, ==, 2);
-	for (i = 0; i < record->orders[0]->n_members; i++)
-		g_string_append_printf(members, "%s/%" G_GUINT64_FORMAT " ",
-		    record->orders[0]->members[i]->server,
-		    record->orders[0]->members[i]->born);
+	for (i = 0; i < record->orders[0]->n_members; i++) {
+		const Bp__RecordedMember *member =
+		    record->orders[0]->members[i];
+
+		g_string_append_printf(members, "%s/%" G_GUINT64_FORMAT "%s%s ",
+		    member->server, member->born,
+		    member->address == NULL ? "" : "@",
+		    member->address == NULL ? "" : member->address);
+	}
 	g_assert_cmpstr(members->str, ==, c->members);
 	g_string_free(members, TRUE);
 	arena_free(arena);
--- a/tests/t_old_primary.c
+++ b/tests/t_old_primary.c
@@ -243,17 +243,19 @@
 
 typedef struct members_case {
 	const char *name;
-	int32_t crashes; /* database, once all are recorded; -1: none */
-	uint32_t count;  /* members that are recorded in the end */
+	const char *crashed; /* databases, once all are recorded */
+	uint32_t count;      /* members that are recorded in the end */
 } members_case_t;
 
 /* Time for the members to be recorded, from the start or from a change. */
 #define MEMBERS_MS 8000
 
 static const members_case_t members_cases[] = {
-    {"all servers", -1, 3},
-    {"a replica is lost", 2, 2},
-    {"the primary is lost, and replaced", 0, 2},
+    {"all servers", "", 3},
+    {"a replica is lost", "2", 2},
+    {"the primary is lost, and replaced", "0", 2},
+    {"both replicas are lost", "12", 1},
+    {"the primary and a replica are lost", "01", 1},
 };
 
 /*
@@ -289,13 +291,17 @@
 	const members_case_t *c = data;
 	testbed_plan_t plan = {.proxies = 2, .lag_ms = 5};
 	testbed_t *testbed = testbed_start(&plan);
+	uint32_t i;
 
 	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
 	g_assert_true(wait_members(testbed, 3, MEMBERS_MS));
-	if (c->crashes >= 0) {
-		testbed_inject_fault(testbed, "database", "crash", c->crashes);
-		testbed_inject_fault(testbed, "database", "unlist", c->crashes);
+	for (i = 0; c->crashed[i] != '\0'; i++) {
+		testbed_inject_fault(
+		    testbed, "database", "crash", c->crashed[i] - '0');
+		testbed_inject_fault(
+		    testbed, "database", "unlist", c->crashed[i] - '0');
 	}
+	g_assert_true(write_served(testbed, 0, MEMBERS_MS));
 	g_assert_true(wait_members(testbed, c->count, MEMBERS_MS));
 	testbed_stop(testbed);
 }
