Model: a directed search for a step-down that counts as fenced

Cause: the rule matters only in a sequence that random faults hardly reach. The order of a coordinator is late; its successor, which reaches neither the old primary nor the database that is promoted, begins an attempt; the old primary is back as it is asked to step down; the late order takes effect, and the old primary, which has promised nothing, follows that term and supports a lease on it at a daemon that was not told, while the successor's order is on its way.

The model now has this sequence (order_late_permille), with its steps at random times among random faults. It is found without the exception in order_stands(), which is gone.

Each wrong rule is now also compared with the right one: at the seed that shows a violation, the run without the bug must show none. Three shapes of the right rules have the sequence with open orders, 120 seeds each.

--- a/tests/t_proxy_model.c
+++ b/tests/t_proxy_model.c
@@ -24,6 +24,7 @@
 	uint32_t database_restart_permille;
 	uint32_t returns_permille;
 	uint32_t order_held_permille;
+	uint32_t order_late_permille;
 } correct_case_t;
 
 static const correct_case_t correct_cases[] = {
@@ -58,6 +59,12 @@
     {"orders are held up, daemons restart", 3, 4, 8, 0, 0, 120, 6, 0, 0, 300},
     {"orders are held up, databases restart", 3, 4, 8, 0, 0, 360, 0, 2, 0, 100},
     {"orders are held up, owners change", 3, 4, 12, 0, 40, 120, 0, 0, 0, 300},
+    {"an old primary steps down while an order is late", 3, 5, 4, 0, 0, 120, 0,
+	0, 0, 50, 700},
+    {"an old primary steps down while an order is late, many faults", 3, 4, 10,
+	0, 0, 120, 0, 0, 0, 200, 700},
+    {"an old primary steps down while an order is late, five databases", 5, 5,
+	4, 0, 0, 120, 0, 0, 0, 50, 700},
 };
 
 /*
@@ -82,7 +89,8 @@
 		    .daemon_restart_permille = c->daemon_restart_permille,
 		    .database_restart_permille = c->database_restart_permille,
 		    .returns_permille = c->returns_permille,
-		    .order_held_permille = c->order_held_permille};
+		    .order_held_permille = c->order_held_permille,
+		    .order_late_permille = c->order_late_permille};
 		proxy_model_result_t result;
 
 		proxy_model_run(&plan, &result);
@@ -120,6 +128,7 @@
 	uint32_t daemon_restart_permille;
 	uint32_t returns_permille;
 	uint32_t order_held_permille;
+	uint32_t order_late_permille;
 } bug_case_t;
 
 static const bug_case_t bug_cases[] = {
@@ -136,7 +145,7 @@
 	PROXY_BUG_LEASE_UNTIL_ACK, 4, 40},
     {"the holders of an old listing", PROXY_BUG_OLD_HOLDERS, 4, 40, 12, 3, 141},
     {"a database that has stepped down counts as fenced",
-	PROXY_BUG_STEP_DOWN_FENCES, 4, 60, 12, 3, 2661, true},
+	PROXY_BUG_STEP_DOWN_FENCES, 5, 0, 4, 3, 1, true, 0, 0, 0, 1000},
     {"a pause of the former coordinator resumed at once",
 	PROXY_BUG_EARLY_RESUME, 5, 0, 20, 3, 1191, true},
     {"orders without an answer forgotten", PROXY_BUG_ORDERS_FORGOTTEN, 4, 0, 8,
@@ -162,13 +171,14 @@
 };
 
 /*
- * Test that each injected bug violates an invariant within BUG_SEEDS seeds.
+ * Test that each injected bug violates an invariant within BUG_SEEDS seeds, and
+ * that the run with that seed and without the bug violates none.
  */
 static void
 test_injected_bugs(gconstpointer data)
 {
 	const bug_case_t *c = data;
-	uint64_t violations = 0;
+	uint64_t violations = 0, without = 0;
 	uint32_t i, first = MAX(1, c->first_seed);
 
 	for (i = first; i < first + BUG_SEEDS && violations == 0; i++) {
@@ -184,15 +194,22 @@
 		    .daemon_restart_permille = c->daemon_restart_permille,
 		    .placement_permille = c->placement_permille,
 		    .returns_permille = c->returns_permille,
-		    .order_held_permille = c->order_held_permille};
+		    .order_held_permille = c->order_held_permille,
+		    .order_late_permille = c->order_late_permille};
 		proxy_model_result_t result;
 
 		proxy_model_run(&plan, &result);
 		violations =
 		    result.split_brain_acks + result.stale_primary_reads;
+		if (violations == 0)
+			continue;
+		plan.injected_bug = PROXY_BUG_NONE;
+		proxy_model_run(&plan, &result);
+		without = result.split_brain_acks + result.stale_primary_reads;
 	}
 	g_test_message("seed %u: violation found", i - 1);
 	g_assert_cmpuint(violations, >, 0);
+	g_assert_cmpuint(without, ==, 0);
 }
 
 /*
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -225,6 +225,8 @@
 		daemon->status_pending[event->db] = false;
 	view.order_open = failover->views[event->db].order_open;
 	failover_replace_view(failover, event->db, &view, model->now_us);
+	if (event->call == CALL_STEP_DOWN)
+		proxy_model_stepped_down(model, event->daemon, event->db);
 	if (event->call == CALL_PAUSE_REPLICATION ||
 	    (event->call == CALL_STEP_DOWN &&
 		model->plan->injected_bug == PROXY_BUG_STEP_DOWN_FENCES)) {
@@ -406,9 +408,8 @@
 {
 	proxy_model_bug_t bug = model->plan->injected_bug;
 
-	if (bug == PROXY_BUG_STALE_COORDINATOR_CHECK ||
-	    bug == PROXY_BUG_STEP_DOWN_FENCES)
-		return true; /* the rules on orders would hide these bugs */
+	if (bug == PROXY_BUG_STALE_COORDINATOR_CHECK)
+		return true; /* the rules on orders would hide this bug */
 	return failover_order_stands(&daemon->failover, term) &&
 	    model->now_us - daemon->failover.state_entered_us <=
 	    ORDER_MAX_AGE_US;
@@ -445,6 +446,7 @@
 	event_t promotion = {.kind = EVENT_PROMOTED, .db = event->db};
 	int64_t after_us = PROMOTION_MIN_US +
 	    proxy_model_random_us(model, PROMOTION_SPREAD_US);
+	int64_t late_us;
 
 	if (failover->state != FAILOVER_PROMOTING ||
 	    failover->term != event->term)
@@ -483,6 +485,14 @@
 	}
 	daemon->order_sent = true;
 	model->result->promotions_requested++;
+	proxy_model_order_followed(model, event->daemon);
+	late_us = proxy_model_order_late(model, event->daemon, event->db);
+	if (late_us > 0) {
+		promotion.ok = true;
+		model->result->late_promotions++;
+		proxy_model_schedule(model, after_us + late_us, &promotion);
+		return;
+	}
 	if (model->plan->order_held_permille > 0) {
 		send_open_order(model, daemon, &promotion, after_us);
 		return;
@@ -525,6 +535,18 @@
 		bug == PROXY_BUG_EARLY_RESUME);
 }
 
+/*
+ * Ask a primary to step down.
+ */
+static void
+step_down(proxy_model_t *model, uint32_t daemon_index,
+    const failover_action_t *action)
+{
+	proxy_model_steps_down(model, daemon_index, action->database);
+	send_call(model, daemon_index, action->database, CALL_STEP_DOWN,
+	    action->term, NULL);
+}
+
 /*
  * Perform one action of the failover.
  */
@@ -565,8 +587,7 @@
 	case FAILOVER_FENCE:
 	case FAILOVER_FOLLOW:
 		if (view->primary)
-			send_call(model, daemon_index, action->database,
-			    CALL_STEP_DOWN, action->term, NULL);
+			step_down(model, daemon_index, action);
 		else if (action->kind == FAILOVER_FENCE)
 			send_call(model, daemon_index, action->database,
 			    CALL_PAUSE_REPLICATION, action->term, NULL);
@@ -583,7 +604,7 @@
 become_coordinator(proxy_model_t *model, uint32_t daemon_index)
 {
 	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
-	bool stuck;
+	bool hurries = proxy_model_hurries(model, daemon_index), stuck;
 
 	if (daemon->is_coordinator)
 		return;
@@ -599,12 +620,14 @@
 	}
 	if (daemon->failover_due_since_us == 0)
 		daemon->failover_due_since_us = model->now_us;
-	if (model->now_us - daemon->failover_due_since_us <
-		daemon->takeover_delay_us + (stuck ? STUCK_TAKEOVER_US : 0) ||
+	if ((!hurries &&
+		model->now_us - daemon->failover_due_since_us <
+		    daemon->takeover_delay_us +
+			(stuck ? STUCK_TAKEOVER_US : 0)) ||
 	    model->now_us < daemon->object_store_cut_until_us)
 		return;
 	daemon->failover_due_since_us = model->now_us;
-	if (model->coordinator != daemon_index &&
+	if (!hurries && model->coordinator != daemon_index &&
 	    model->coordinator_token != daemon->last_read_token) {
 		daemon->last_read_token = model->coordinator_token;
 		return;
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -79,6 +79,10 @@
 	/* chance that an order gets no answer, and takes effect up to
 	   ORDER_HELD_MAX_US later */
 	uint32_t order_held_permille;
+	/* chance that an order takes effect up to ORDER_LATE_MAX_US later, and
+	   that a directed sequence of faults begins with it; without orders
+	   that are held up the daemons do not count it as open */
+	uint32_t order_late_permille;
 	/* chance per 20 ms that the store goes back to an older copy */
 	uint32_t returns_permille;
 	proxy_model_bug_t injected_bug;
--- a/tools/proxy_model_dbs.c
+++ b/tools/proxy_model_dbs.c
@@ -191,7 +191,8 @@
 	proxy_model_db_t *db = &model->dbs[event->db];
 	uint32_t i;
 
-	if (model->now_us < db->down_until_us || db->primary)
+	if (proxy_model_order_over(model, event) ||
+	    model->now_us < db->down_until_us || db->primary)
 		return;
 	db->term = ++model->newest_term;
 	db->primary = true;
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -12,6 +12,7 @@
  * proxy_model_records.c: the daemons' records in the store, which say who may
  * hold leases.
  * proxy_model_open.c: the orders that may still take effect.
+ * proxy_model_sequences.c: directed sequences of faults.
  * proxy_model_dbs.c: the databases, their replication and promotions, and the
  * simulated clock.
  */
@@ -140,6 +141,15 @@
 	open_list_t open;
 } event_t;
 
+/* A directed sequence of faults. */
+typedef struct sequence {
+	int64_t until_us;     /* its end; 0: there was none */
+	uint32_t primary;     /* the old primary */
+	uint32_t coordinator; /* the daemon that replaces it once more */
+	bool order_late;      /* the first order has not taken effect */
+	uint32_t promoted;    /* the database that it promotes */
+} sequence_t;
+
 typedef struct proxy_model {
 	const proxy_model_plan_t *plan;
 	proxy_model_result_t *result;
@@ -159,6 +169,7 @@
 	uint32_t old_holders;    /* bit set: holders in an old listing */
 	int64_t old_holders_us;  /* time of that listing */
 	GArray *acked_writes; /* uint64_t write ids, since the last promotion */
+	sequence_t sequence;  /* the last one */
 	arena_t *arena;
 } proxy_model_t;
 
@@ -186,6 +197,12 @@
 void proxy_model_open_update(proxy_model_t *, proxy_model_daemon_t *);
 int64_t proxy_model_checked_us(
     const proxy_model_t *, const proxy_model_daemon_t *);
+int64_t proxy_model_order_late(proxy_model_t *, uint32_t daemon, uint32_t db);
+void proxy_model_order_followed(proxy_model_t *, uint32_t daemon);
+bool proxy_model_order_over(proxy_model_t *, const event_t *);
+bool proxy_model_hurries(const proxy_model_t *, uint32_t daemon);
+void proxy_model_steps_down(proxy_model_t *, uint32_t daemon, uint32_t db);
+void proxy_model_stepped_down(proxy_model_t *, uint32_t daemon, uint32_t db);
 void proxy_model_handle_call(proxy_model_t *, const event_t *);
 uint32_t proxy_model_count_copies(
     const proxy_model_t *, uint32_t except, uint64_t write_id);
--- /dev/null
+++ b/tools/proxy_model_sequences.c
@@ -0,0 +1,141 @@
+#include "proxy_model_internal.h"
+
+/*
+ * The proxy model: directed sequences of faults, for states that faults at
+ * random times hardly ever reach.
+ *
+ * The late order: the order of a coordinator is held up, and the coordinator
+ * loses the store.  Its successor in the role does not reach the old primary,
+ * nor the database that is to be promoted, and begins an attempt of its own.
+ * The old primary is back just as it is asked to step down, and may be cut off
+ * again after its answer.  Then the held up order takes effect, no later than
+ * the second one, and the old primary follows the term that it begins, unless
+ * it has promised a newer one.  One more daemon hears nothing of the attempt.
+ */
+
+#define SEQUENCE_MAX_US (8 * US_PER_SECOND)
+#define ORDER_LATE_MAX_US (3 * US_PER_SECOND)
+#define FOLLOWED_MAX_US (100 * US_PER_MS)
+
+/*
+ * Return a random time within the longest duration of a sequence, from now on.
+ */
+static int64_t
+random_end_us(proxy_model_t *model)
+{
+	return model->now_us + SEQUENCE_MAX_US / 2 +
+	    proxy_model_random_us(model, SEQUENCE_MAX_US / 2);
+}
+
+/*
+ * Begin the sequence of a late order at random, now that a daemon has sent an
+ * order to promote a database.  Returns the time for which the order is held
+ * up, 0 if no sequence begins.
+ */
+int64_t
+proxy_model_order_late(proxy_model_t *model, uint32_t daemon, uint32_t db)
+{
+	const proxy_model_plan_t *plan = model->plan;
+	int32_t primary = failover_primary(&model->daemons[daemon].failover);
+	sequence_t *sequence = &model->sequence;
+	proxy_model_daemon_t *sender = &model->daemons[daemon];
+	uint32_t i, unaware;
+
+	if (plan->order_late_permille == 0 || primary < 0 ||
+	    (uint32_t)primary == db || model->now_us < sequence->until_us ||
+	    !proxy_model_chance(model, plan->order_late_permille))
+		return 0;
+	*sequence = (sequence_t){.until_us = random_end_us(model),
+	    .primary = (uint32_t)primary,
+	    .coordinator = (daemon + 1) % plan->daemons,
+	    .order_late = true,
+	    .promoted = db};
+	unaware = (daemon + 2) % plan->daemons;
+	sender->object_store_cut_until_us = sequence->until_us;
+	if (proxy_model_chance(model, 500)) {
+		sender->paused_until_us = sequence->until_us;
+		sender->pause_began_us = model->now_us;
+	}
+	model->dbs[primary].down_until_us = 0;
+	model->dbs[primary].peers_cut_until_us = 0;
+	model->dbs[primary].daemon_cut_until_us[unaware] = 0;
+	model->dbs[primary].daemon_cut_until_us[sequence->coordinator] =
+	    sequence->until_us;
+	model->dbs[db].daemon_cut_until_us[sequence->coordinator] =
+	    sequence->until_us;
+	model->daemons[unaware].daemons_cut_until_us = sequence->until_us;
+	for (i = 0; i < plan->databases; i++) {
+		if (i != db && i != (uint32_t)primary)
+			model->dbs[i].daemon_cut_until_us[unaware] =
+			    sequence->until_us;
+	}
+	return proxy_model_random_us(model, ORDER_LATE_MAX_US);
+}
+
+/*
+ * Have the late order of a sequence take effect now that the next coordinator
+ * has sent its own, before that one does.
+ */
+void
+proxy_model_order_followed(proxy_model_t *model, uint32_t daemon)
+{
+	const sequence_t *sequence = &model->sequence;
+	event_t promotion = {
+	    .kind = EVENT_PROMOTED, .db = sequence->promoted, .ok = true};
+
+	if (sequence->order_late && daemon == sequence->coordinator)
+		proxy_model_schedule(model,
+		    proxy_model_random_us(model, FOLLOWED_MAX_US), &promotion);
+}
+
+/*
+ * Tell whether the order of a promotion is the late one of a sequence, and has
+ * taken effect before.
+ */
+bool
+proxy_model_order_over(proxy_model_t *model, const event_t *promotion)
+{
+	bool over = promotion->ok && !model->sequence.order_late;
+
+	if (promotion->ok)
+		model->sequence.order_late = false;
+	return over;
+}
+
+/*
+ * Tell whether a daemon is the next coordinator in a sequence, which asks for
+ * the role as soon as it suspects the primary.
+ */
+bool
+proxy_model_hurries(const proxy_model_t *model, uint32_t daemon)
+{
+	return model->now_us < model->sequence.until_us &&
+	    daemon == model->sequence.coordinator;
+}
+
+/*
+ * Have a daemon reach the old primary of a sequence as it asks it to step down.
+ */
+void
+proxy_model_steps_down(proxy_model_t *model, uint32_t daemon, uint32_t db)
+{
+	const sequence_t *sequence = &model->sequence;
+
+	if (model->now_us < sequence->until_us && db == sequence->primary &&
+	    daemon == sequence->coordinator)
+		model->dbs[db].daemon_cut_until_us[daemon] = 0;
+}
+
+/*
+ * Cut a daemon off from the old primary of a sequence, at random, after that
+ * has answered that it has stepped down.
+ */
+void
+proxy_model_stepped_down(proxy_model_t *model, uint32_t daemon, uint32_t db)
+{
+	const sequence_t *sequence = &model->sequence;
+
+	if (model->now_us < sequence->until_us && db == sequence->primary &&
+	    daemon == sequence->coordinator && proxy_model_chance(model, 500))
+		model->dbs[db].daemon_cut_until_us[daemon] = sequence->until_us;
+}
