Model: a directed search for an order on an outdated coordinator check

The model now has the sequence in which the rule matters (sender_paused_permille): a coordinator pauses after it has written the coordinator record; its successor does not reach the database that was chosen and has another one promoted; then the first order is sent.

--- a/tests/t_proxy_model.c
+++ b/tests/t_proxy_model.c
@@ -25,6 +25,7 @@
 	uint32_t returns_permille;
 	uint32_t order_held_permille;
 	uint32_t order_late_permille;
+	uint32_t sender_paused_permille;
 } correct_case_t;
 
 static const correct_case_t correct_cases[] = {
@@ -65,6 +66,10 @@
 	0, 0, 120, 0, 0, 0, 200, 700},
     {"an old primary steps down while an order is late, five databases", 5, 5,
 	4, 0, 0, 120, 0, 0, 0, 50, 700},
+    {"a coordinator pauses before its order", 3, 5, 4, 0, 0, 120, 0, 0, 0, 0, 0,
+	500},
+    {"a coordinator pauses before its order, orders are held up", 3, 4, 12, 0,
+	0, 120, 0, 0, 0, 200, 0, 500},
 };
 
 /*
@@ -90,7 +95,8 @@
 		    .database_restart_permille = c->database_restart_permille,
 		    .returns_permille = c->returns_permille,
 		    .order_held_permille = c->order_held_permille,
-		    .order_late_permille = c->order_late_permille};
+		    .order_late_permille = c->order_late_permille,
+		    .sender_paused_permille = c->sender_paused_permille};
 		proxy_model_result_t result;
 
 		proxy_model_run(&plan, &result);
@@ -129,6 +135,7 @@
 	uint32_t returns_permille;
 	uint32_t order_held_permille;
 	uint32_t order_late_permille;
+	uint32_t sender_paused_permille;
 } bug_case_t;
 
 static const bug_case_t bug_cases[] = {
@@ -137,7 +144,8 @@
 	PROXY_BUG_PAUSE_EXTENDS_LEASE, 4, 20, 20, 3, 1191, true},
     {"promoted before a majority is fenced", PROXY_BUG_PROMOTE_UNFENCED, 3},
     {"promoted on an outdated coordinator check",
-	PROXY_BUG_STALE_COORDINATOR_CHECK, 5, 0, 12, 3, 1831, true},
+	PROXY_BUG_STALE_COORDINATOR_CHECK, 5, 0, 4, 3, 1, true, 0, 0, 0, 0,
+	500},
     {"promoted without waiting for leases", PROXY_BUG_NO_LEASE_WAIT, 3},
     {"an owner's lease before its record", PROXY_BUG_LEASE_BEFORE_RECORD, 4, 40,
 	12, 3, 131},
@@ -195,7 +203,8 @@
 		    .placement_permille = c->placement_permille,
 		    .returns_permille = c->returns_permille,
 		    .order_held_permille = c->order_held_permille,
-		    .order_late_permille = c->order_late_permille};
+		    .order_late_permille = c->order_late_permille,
+		    .sender_paused_permille = c->sender_paused_permille};
 		proxy_model_result_t result;
 
 		proxy_model_run(&plan, &result);
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -393,8 +393,10 @@
 	    model->coordinator == daemon_index &&
 	    model->coordinator_token == daemon->fencing_token &&
 	    model->store_era == daemon->store_era;
-	if (event.ok)
+	if (event.ok) {
 		record_order(model, daemon, db);
+		proxy_model_sender_paused(model, daemon_index, db);
+	}
 	proxy_model_schedule(
 	    model, proxy_model_random_us(model, NETWORK_DELAY_MAX_US), &event);
 }
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -83,6 +83,9 @@
 	   that a directed sequence of faults begins with it; without orders
 	   that are held up the daemons do not count it as open */
 	uint32_t order_late_permille;
+	/* chance that the process of a coordinator pauses for seconds between
+	   the write of the coordinator record and its order */
+	uint32_t sender_paused_permille;
 	/* chance per 20 ms that the store goes back to an older copy */
 	uint32_t returns_permille;
 	proxy_model_bug_t injected_bug;
--- a/tools/proxy_model_sequences.c
+++ b/tools/proxy_model_sequences.c
@@ -11,6 +11,12 @@
  * again after its answer.  Then the held up order takes effect, no later than
  * the second one, and the old primary follows the term that it begins, unless
  * it has promised a newer one.  One more daemon hears nothing of the attempt.
+ *
+ * The paused sender: the process of a coordinator pauses after it has written
+ * the coordinator record, before it sends the order.  Its successor in the role
+ * does not reach the database that is to be promoted, and has another one
+ * promoted.  Then the first coordinator goes on.  One more daemon does not
+ * reach the database that this promotes.
  */
 
 #define SEQUENCE_MAX_US (8 * US_PER_SECOND)
@@ -72,6 +78,33 @@
 	return proxy_model_random_us(model, ORDER_LATE_MAX_US);
 }
 
+/*
+ * Begin the sequence of a paused sender at random, now that a daemon has
+ * written the coordinator record and is to order the promotion of a database.
+ */
+void
+proxy_model_sender_paused(proxy_model_t *model, uint32_t daemon, uint32_t db)
+{
+	const proxy_model_plan_t *plan = model->plan;
+	proxy_model_daemon_t *sender = &model->daemons[daemon];
+	sequence_t *sequence = &model->sequence;
+	uint32_t unaware = (daemon + 2) % plan->daemons;
+
+	if (plan->sender_paused_permille == 0 ||
+	    model->now_us < sequence->until_us ||
+	    !proxy_model_chance(model, plan->sender_paused_permille))
+		return;
+	*sequence = (sequence_t){.until_us = random_end_us(model),
+	    .primary = UINT32_MAX,
+	    .coordinator = (daemon + 1) % plan->daemons};
+	sender->paused_until_us = sequence->until_us;
+	sender->pause_began_us = model->now_us;
+	model->dbs[db].daemon_cut_until_us[sequence->coordinator] =
+	    sequence->until_us;
+	model->dbs[db].daemon_cut_until_us[unaware] =
+	    sequence->until_us + SEQUENCE_MAX_US / 2;
+}
+
 /*
  * Have the late order of a sequence take effect now that the next coordinator
  * has sent its own, before that one does.
