Model: the lease of a coordinator knows the order that it recorded

In the product the answer of the store to the write of an order goes to the pool (orders_report(), monitor_orders_read()), so the coordinator has no lease on the primary that its own order replaces. The model told the failover only.

--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -359,6 +359,25 @@
 	failover_orders_recorded(failover, &model->orders, model->now_us);
 }
 
+/*
+ * Have the lease of a daemon know the order that the daemon has recorded.
+ */
+static void
+own_order_read(proxy_model_t *model, proxy_model_daemon_t *daemon)
+{
+	recorded_orders_t orders = model->orders;
+
+	if (model->plan->pauses_last ||
+	    model->plan->injected_bug == PROXY_BUG_ORDER_UNRECORDED ||
+	    model->plan->injected_bug == PROXY_BUG_UNVERIFIED_LEASE)
+		return;
+	orders.read_us = model->now_us;
+	orders.read_era = daemon->store_era;
+	if (model->plan->injected_bug != PROXY_BUG_RESTORED_ORDERS)
+		orders.lost_us = daemon->store_restored_us;
+	lease_orders_read(&daemon->lease, &orders);
+}
+
 /*
  * Withdraw the record of an order that was refused.
  */
@@ -485,6 +504,7 @@
 		    false, &failover->views[event->db], model->now_us);
 		return;
 	}
+	own_order_read(model, daemon);
 	daemon->order_sent = true;
 	model->result->promotions_requested++;
 	proxy_model_order_followed(model, event->daemon);
