No attempt at a failover while too few databases answer

Cause: a coordinator that reaches one database of three began attempts again and again (known_count() counts databases that ever answered). None could obtain a majority; each paused the one replica, for terms 3 to 20, so that the daemons that reach the primary and that replica had no lease.

An attempt now begins only while as many databases answer as must promise (grants_needed()), within suspect_us, as failover_primary_suspected() demands for taking the role. A handover asks the primary alone and is not concerned. No message and no wait is added: a group whose majority answers begins its attempts as before.

/attempt/reach: three of its five rows failed before. In two tests replicas answered nothing for seconds and were expected to be asked again; they answer now, the assertions are the same (/attempt/reported-term, /change/elsewhere; both pass with the code before, too).

--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -458,17 +458,43 @@
 	return behind >= majority_of(failover->count);
 }
 
+/*
+ * Tell whether so many databases answer that an attempt may obtain the promises
+ * that it needs.  Otherwise those that it obtains only keep daemons that reach
+ * the primary from a lease on it.
+ */
+static bool
+promises_possible(const failover_t *failover, int64_t now_us)
+{
+	uint32_t i, answering = 0;
+
+	for (i = 0; i < failover->count; i++)
+		answering += failover->views[i].known &&
+		    (int32_t)i != failover->isolated &&
+		    now_us - failover->last_alive_us[i] <
+			failover->limits.suspect_us;
+	return answering >= grants_needed(failover);
+}
+
 /*
  * Ask every database to promise a term above all known ones and those of
  * recorded orders.  An isolated primary is left out, since it is ahead of the
  * others and would be chosen again.  In a handover that waits for a replica to
- * catch up, only the primary itself is asked, and thereby steps down.
+ * catch up, only the primary itself is asked, and thereby steps down.  Nothing
+ * is asked while too few databases answer; the attempt is then due again at the
+ * next tick.
  */
 static void
 start_fencing(failover_t *failover, int64_t now_us, failover_actions_t *actions)
 {
+	bool hands_over = failover->handover &&
+	    failover->limits.catch_up_us > 0 && failover_primary(failover) >= 0;
 	uint32_t i;
 
+	if (!hands_over && !promises_possible(failover, now_us)) {
+		failover->isolated = -1;
+		return;
+	}
 	failover->term =
 	    MAX(MAX(highest_promised_term(failover), failover->reported_term),
 		failover->recorded.attempt_term) +
@@ -478,7 +504,7 @@
 	failover->revocation_sent = failover->revoked_by_all = false;
 	failover->revoked_by_most_us = 0;
 	failover->stepping_down = -1;
-	if (failover->handover && failover->limits.catch_up_us > 0)
+	if (hands_over)
 		failover->stepping_down = failover_primary(failover);
 	for (i = 0; i < failover->count; i++) {
 		if ((int32_t)i == failover->isolated ||
--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -102,7 +102,7 @@
  * that a commit is acknowledged once sync_replicas replicas besides the primary
  * hold it.
  */
-static uint32_t
+uint32_t
 grants_needed(const failover_t *failover)
 {
 	uint32_t sync = failover->limits.sync_replicas;
--- a/src/decide/failover_choice.h
+++ b/src/decide/failover_choice.h
@@ -4,6 +4,7 @@
 #include "failover.h"
 
 /* Choice of the database that a failover promotes. */
+uint32_t grants_needed(const failover_t *);
 bool grants_suffice(const failover_t *);
 int32_t ready_to_promote(const failover_t *, int64_t now_us);
 
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -196,6 +196,8 @@
 			    &failover, term, true, MS(at_ms));
 			failover_term_reported(&failover, c->term, MS(at_ms));
 		}
+		failover_alive(&failover, 1, MS(at_ms));
+		failover_alive(&failover, 2, MS(at_ms));
 		failover_tick(&failover, MS(at_ms), &actions);
 		for (i = 0; i < actions.count; i++) {
 			ordered |= actions.list[i].kind == FAILOVER_PROMOTE;
@@ -810,6 +812,60 @@
 	failover_clear(&failover);
 }
 
+typedef struct reach_case {
+	const char *name;
+	bool replicas[DATABASES]; /* those that answer all the time */
+	int64_t again_ms;         /* time at which all replicas answer again */
+	bool handover;            /* the primary answers, and is to hand over */
+	int64_t begun_ms;         /* expected time of the attempt; 0: none */
+} reach_case_t;
+
+static const reach_case_t reach_cases[] = {
+    {"both replicas", {false, true, true}, 0, false, 200},
+    {"one replica", {false, true, false}, 0, false, 0},
+    {"one replica, and later both", {false, true, false}, 900, false, 900},
+    {"no replica", {false, false, false}, 0, false, 0},
+    {"one replica in a handover", {true, true, false}, 0, true, 200},
+};
+
+/*
+ * Test that an attempt begins only while so many databases answer that it can
+ * obtain the promises of a majority.  The primary is silent from 100 ms on; all
+ * databases have answered before.
+ */
+static void
+test_reach(gconstpointer data)
+{
+	const reach_case_t *c = data;
+	int64_t begun_ms = 0, at_ms;
+	failover_actions_t actions;
+	failover_t failover;
+	uint32_t i;
+
+	failover_init(&failover, &test_limits, DATABASES, 1, 0);
+	failover.limits.catch_up_us = MS(150);
+	for (at_ms = 0; at_ms <= 1500; at_ms += 10) {
+		for (i = 0; i < DATABASES; i++) {
+			if (at_ms < 100 || c->replicas[i] ||
+			    (i > 0 && c->again_ms != 0 && at_ms >= c->again_ms))
+				report(&failover, i, i == 0, 1, 0, MS(at_ms));
+		}
+		if (c->handover && at_ms == 200)
+			failover_request_handover(&failover, MS(at_ms));
+		failover_tick(&failover, MS(at_ms), &actions);
+		if (failover.state == FAILOVER_WITNESS)
+			failover_witness_answered(&failover,
+			    failover.witness_request, false, MS(at_ms));
+		for (i = 0; i < actions.count; i++) {
+			if (actions.list[i].kind == FAILOVER_FENCE &&
+			    begun_ms == 0)
+				begun_ms = at_ms;
+		}
+	}
+	g_assert_cmpint(begun_ms, ==, c->begun_ms);
+	failover_clear(&failover);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -829,6 +885,7 @@
 	CASES("/attempt/history", history_cases, test_history);
 	CASES("/attempt/unaware", unaware_cases, test_unaware);
 	CASES("/attempt/recorded", recorded_cases, test_recorded);
+	CASES("/attempt/reach", reach_cases, test_reach);
 	CASES("/attempt/open-order", open_order_cases, test_open_order);
 	return g_test_run();
 }
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -1104,6 +1104,7 @@
 		uint32_t other = ordered_ms[2] == 0 ? 2 : 0;
 
 		failover_alive(&failover, 1, MS(at_ms));
+		failover_alive(&failover, other, MS(at_ms));
 		failover_tick(&failover, MS(at_ms), &actions);
 		for (i = 0; i < actions.count; i++) {
 			const failover_action_t *action = &actions.list[i];
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -875,6 +875,7 @@
 		for (i = 0; i < actions.count; i++)
 			perform_action(model, event->daemon, &actions.list[i]);
 	}
+	proxy_model_primary_cut(model, event->daemon);
 	if (proxy_model_chance(model, model->plan->fault_permille))
 		inject_fault(model, event->daemon);
 	inject_restart(model, event->daemon);
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -86,6 +86,9 @@
 	/* chance that the process of a coordinator pauses for seconds between
 	   the write of the coordinator record and its order */
 	uint32_t sender_paused_permille;
+	/* chance per daemon and 20 ms tick that the primary is cut off from
+	   all but this daemon, which may pause meanwhile */
+	uint32_t primary_cut_permille;
 	/* chance per 20 ms that the store goes back to an older copy */
 	uint32_t returns_permille;
 	proxy_model_bug_t injected_bug;
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -198,6 +198,7 @@
 int64_t proxy_model_checked_us(
     const proxy_model_t *, const proxy_model_daemon_t *);
 void proxy_model_sender_paused(proxy_model_t *, uint32_t daemon, uint32_t db);
+void proxy_model_primary_cut(proxy_model_t *, uint32_t daemon);
 int64_t proxy_model_order_late(proxy_model_t *, uint32_t daemon, uint32_t db);
 void proxy_model_order_followed(proxy_model_t *, uint32_t daemon);
 bool proxy_model_order_over(proxy_model_t *, const event_t *);
--- a/tools/proxy_model_sequences.c
+++ b/tools/proxy_model_sequences.c
@@ -17,6 +17,9 @@
  * does not reach the database that is to be promoted, and has another one
  * promoted.  Then the first coordinator goes on.  One more daemon does not
  * reach the database that this promotes.
+ *
+ * The cut off primary: only one daemon reaches it.  That one does not hear of
+ * the failover, pauses in most cases, and may be cut off from other databases.
  */
 
 #define SEQUENCE_MAX_US (8 * US_PER_SECOND)
@@ -105,6 +108,45 @@
 	    sequence->until_us + SEQUENCE_MAX_US / 2;
 }
 
+/*
+ * Begin the sequence of a cut off primary at random, with the daemon that still
+ * reaches it.
+ */
+void
+proxy_model_primary_cut(proxy_model_t *model, uint32_t daemon)
+{
+	const proxy_model_plan_t *plan = model->plan;
+	int32_t primary = failover_primary(&model->daemons[daemon].failover);
+	sequence_t *sequence = &model->sequence;
+	proxy_model_db_t *db;
+	uint32_t i;
+
+	if (plan->primary_cut_permille == 0 || primary < 0 ||
+	    model->now_us < sequence->until_us ||
+	    !proxy_model_chance(model, plan->primary_cut_permille))
+		return;
+	*sequence = (sequence_t){.until_us = random_end_us(model),
+	    .primary = UINT32_MAX,
+	    .coordinator = UINT32_MAX};
+	db = &model->dbs[primary];
+	db->peers_cut_until_us = sequence->until_us;
+	for (i = 0; i < plan->daemons; i++)
+		db->daemon_cut_until_us[i] =
+		    i == daemon ? 0 : sequence->until_us;
+	model->daemons[daemon].daemons_cut_until_us = sequence->until_us;
+	for (i = 0; i < plan->databases; i++) {
+		if ((int32_t)i != primary && proxy_model_chance(model, 500))
+			model->dbs[i].daemon_cut_until_us[daemon] =
+			    sequence->until_us;
+	}
+	if (proxy_model_chance(model, 300))
+		return;
+	model->daemons[daemon].paused_until_us = model->now_us +
+	    SEQUENCE_MAX_US / 4 +
+	    proxy_model_random_us(model, SEQUENCE_MAX_US / 4);
+	model->daemons[daemon].pause_began_us = model->now_us;
+}
+
 /*
  * Have the late order of a sequence take effect now that the next coordinator
  * has sent its own, before that one does.
