--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -174,6 +174,9 @@
 	/* a database has left the list without having said so: the others do
 	   not know whether it leads a newer term */
 	bool incomplete;
+	/* members were recorded, and so many have ended since that the others
+	   are no majority */
+	bool members_ended;
 	/* the list may still lack databases, since it is new */
 	bool list_new;
 	/* and the store was away before it came */
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -212,14 +212,16 @@
  * answers do not show that there is no newer primary.  In place of a new list
  * the recorded orders are asked, unless the record may lack some.  To a
  * process that has just started the list does not count as new unless the store
- * was away before.  Where the members are recorded, the list does not matter.
+ * was away before.  Where the members are recorded, the list does not matter;
+ * if so many of them have ended that the others are no majority, what they had
+ * promised is gone, and the list proves nothing.
  */
 static bool
 members_missing(const lease_t *lease, uint64_t term)
 {
 	if (recorded_members(lease, term) > 0)
 		return false;
-	return lease->incomplete ||
+	return lease->incomplete || lease->members_ended ||
 	    (lease->list_new && lease->orders.lost_us == 0 &&
 		(lease->list_after_outage || !unaware(lease, term)));
 }
--- a/src/proxy/group_members.c
+++ b/src/proxy/group_members.c
@@ -79,7 +79,9 @@
 	}
 	for (i = 0; i < count; i++)
 		ended += member_ended(group, &group->members[i]);
-	if (count > 0 && count - ended < majority_of(count))
+	group->lease.members_ended =
+	    count > 0 && count - ended < majority_of(count);
+	if (group->lease.members_ended)
 		count = ended = 0;
 	group->lease.members = failover->members = count;
 	failover->members_ended = ended;
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -225,6 +225,8 @@
 		daemon->status_pending[event->db] = false;
 	view.order_open = failover->views[event->db].order_open;
 	failover_replace_view(failover, event->db, &view, model->now_us);
+	if (event->call == CALL_STEP_DOWN)
+		proxy_model_stepped_down(model, event->daemon, event->db);
 	if (event->call == CALL_PAUSE_REPLICATION ||
 	    (event->call == CALL_STEP_DOWN &&
 		model->plan->injected_bug == PROXY_BUG_STEP_DOWN_FENCES)) {
@@ -359,6 +361,25 @@
 	failover_orders_recorded(failover, &model->orders, model->now_us);
 }
 
+/*
+ * Have the lease of a daemon know the order that the daemon has recorded.
+ */
+static void
+own_order_read(proxy_model_t *model, proxy_model_daemon_t *daemon)
+{
+	recorded_orders_t orders = model->orders;
+
+	if (model->plan->pauses_last ||
+	    model->plan->injected_bug == PROXY_BUG_ORDER_UNRECORDED ||
+	    model->plan->injected_bug == PROXY_BUG_UNVERIFIED_LEASE)
+		return;
+	orders.read_us = model->now_us;
+	orders.read_era = daemon->store_era;
+	if (model->plan->injected_bug != PROXY_BUG_RESTORED_ORDERS)
+		orders.lost_us = daemon->store_restored_us;
+	lease_orders_read(&daemon->lease, &orders);
+}
+
 /*
  * Withdraw the record of an order that was refused.
  */
@@ -393,8 +414,10 @@
 	    model->coordinator == daemon_index &&
 	    model->coordinator_token == daemon->fencing_token &&
 	    model->store_era == daemon->store_era;
-	if (event.ok)
+	if (event.ok) {
 		record_order(model, daemon, db);
+		proxy_model_sender_paused(model, daemon_index, db);
+	}
 	proxy_model_schedule(
 	    model, proxy_model_random_us(model, NETWORK_DELAY_MAX_US), &event);
 }
@@ -408,9 +431,8 @@
 {
 	proxy_model_bug_t bug = model->plan->injected_bug;
 
-	if (bug == PROXY_BUG_STALE_COORDINATOR_CHECK ||
-	    bug == PROXY_BUG_STEP_DOWN_FENCES)
-		return true; /* the rules on orders would hide these bugs */
+	if (bug == PROXY_BUG_STALE_COORDINATOR_CHECK)
+		return true; /* the rules on orders would hide this bug */
 	return failover_order_stands(&daemon->failover, term) &&
 	    model->now_us - daemon->failover.state_entered_us <=
 	    ORDER_MAX_AGE_US;
@@ -447,6 +469,7 @@
 	event_t promotion = {.kind = EVENT_PROMOTED, .db = event->db};
 	int64_t after_us = PROMOTION_MIN_US +
 	    proxy_model_random_us(model, PROMOTION_SPREAD_US);
+	int64_t late_us;
 
 	if (failover->state != FAILOVER_PROMOTING ||
 	    failover->term != event->term)
@@ -483,8 +506,17 @@
 		    false, &failover->views[event->db], model->now_us);
 		return;
 	}
+	own_order_read(model, daemon);
 	daemon->order_sent = true;
 	model->result->promotions_requested++;
+	proxy_model_order_followed(model, event->daemon);
+	late_us = proxy_model_order_late(model, event->daemon, event->db);
+	if (late_us > 0) {
+		promotion.ok = true;
+		model->result->late_promotions++;
+		proxy_model_schedule(model, after_us + late_us, &promotion);
+		return;
+	}
 	if (model->plan->order_held_permille > 0) {
 		send_open_order(model, daemon, &promotion, after_us);
 		return;
@@ -527,6 +559,18 @@
 		bug == PROXY_BUG_EARLY_RESUME);
 }
 
+/*
+ * Ask a primary to step down.
+ */
+static void
+step_down(proxy_model_t *model, uint32_t daemon_index,
+    const failover_action_t *action)
+{
+	proxy_model_steps_down(model, daemon_index, action->database);
+	send_call(model, daemon_index, action->database, CALL_STEP_DOWN,
+	    action->term, NULL);
+}
+
 /*
  * Perform one action of the failover.
  */
@@ -567,8 +611,7 @@
 	case FAILOVER_FENCE:
 	case FAILOVER_FOLLOW:
 		if (view->primary)
-			send_call(model, daemon_index, action->database,
-			    CALL_STEP_DOWN, action->term, NULL);
+			step_down(model, daemon_index, action);
 		else if (action->kind == FAILOVER_FENCE)
 			send_call(model, daemon_index, action->database,
 			    CALL_PAUSE_REPLICATION, action->term, NULL);
@@ -585,7 +628,7 @@
 become_coordinator(proxy_model_t *model, uint32_t daemon_index)
 {
 	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
-	bool stuck;
+	bool hurries = proxy_model_hurries(model, daemon_index), stuck;
 
 	if (daemon->is_coordinator)
 		return;
@@ -601,12 +644,14 @@
 	}
 	if (daemon->failover_due_since_us == 0)
 		daemon->failover_due_since_us = model->now_us;
-	if (model->now_us - daemon->failover_due_since_us <
-		daemon->takeover_delay_us + (stuck ? STUCK_TAKEOVER_US : 0) ||
+	if ((!hurries &&
+		model->now_us - daemon->failover_due_since_us <
+		    daemon->takeover_delay_us +
+			(stuck ? STUCK_TAKEOVER_US : 0)) ||
 	    model->now_us < daemon->object_store_cut_until_us)
 		return;
 	daemon->failover_due_since_us = model->now_us;
-	if (model->coordinator != daemon_index &&
+	if (!hurries && model->coordinator != daemon_index &&
 	    model->coordinator_token != daemon->last_read_token) {
 		daemon->last_read_token = model->coordinator_token;
 		return;
@@ -832,6 +877,7 @@
 		for (i = 0; i < actions.count; i++)
 			perform_action(model, event->daemon, &actions.list[i]);
 	}
+	proxy_model_primary_cut(model, event->daemon);
 	if (proxy_model_chance(model, model->plan->fault_permille))
 		inject_fault(model, event->daemon);
 	inject_restart(model, event->daemon);
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -79,6 +79,16 @@
 	/* chance that an order gets no answer, and takes effect up to
 	   ORDER_HELD_MAX_US later */
 	uint32_t order_held_permille;
+	/* chance that an order takes effect up to ORDER_LATE_MAX_US later, and
+	   that a directed sequence of faults begins with it; without orders
+	   that are held up the daemons do not count it as open */
+	uint32_t order_late_permille;
+	/* chance that the process of a coordinator pauses for seconds between
+	   the write of the coordinator record and its order */
+	uint32_t sender_paused_permille;
+	/* chance per daemon and 20 ms tick that the primary is cut off from
+	   all but this daemon, which may pause meanwhile */
+	uint32_t primary_cut_permille;
 	/* chance per 20 ms that the store goes back to an older copy */
 	uint32_t returns_permille;
 	proxy_model_bug_t injected_bug;
