--- a/tests/t_standing.c
+++ b/tests/t_standing.c
@@ -300,6 +300,91 @@
 	failover_clear(&failover);
 }
 
+typedef struct carried_case {
+	const char *name;
+	uint64_t promised; /* what another process has left at database 2 */
+	uint64_t stored;  /* attempt of the order that the store has recorded */
+	uint64_t attempt; /* expected number of the attempt */
+	int32_t chosen;   /* database that is promoted */
+	/* the promises of the attempt may be withdrawn without an order */
+	bool unused;
+} carried_case_t;
+
+static const carried_case_t carried_cases[] = {
+    {"nothing", 0, 0, 2, 1, false},
+    {"an ordinary promise", 9, 0, 10, 1, false},
+    {"a standing promise", STANDING(1, 1), 0, STANDING(2, 1), 2, false},
+    {"the same, and the store has recorded its order", STANDING(1, 1),
+	STANDING(1, 1), ORDINARY(1), 2, false},
+};
+
+/*
+ * Test that an attempt carries on what a standing promise tells, and promotes
+ * no log that the order may have given up.  Database 0 is silent; database 1
+ * has the longer log.
+ */
+static void
+test_carried(gconstpointer data)
+{
+	const carried_case_t *c = data;
+	recorded_orders_t recorded = {.read_us = 1};
+	failover_actions_t actions;
+	failover_t failover;
+	uint64_t attempt = 0;
+	int32_t chosen = -1;
+	int64_t at_ms;
+	uint32_t i;
+
+	if (c->stored != 0) {
+		recorded.attempt_term = c->stored;
+		recorded.replaced_term = 1;
+		recorded.base = (position_t){1, 6};
+	}
+	failover_init(&failover, &test_limits, DATABASES, 1, 0);
+	failover_orders_recorded(&failover, &recorded, 0);
+	failover_set_store(&failover, false, c->stored);
+	for (at_ms = 0; at_ms < 6000 && chosen < 0; at_ms += 10) {
+		bool fenced = false;
+		db_view_t views[] = {
+		    {true, true, false, 1, {1, 9}, 0, .term = 1},
+		    {true, false, false, 1, {1, 8}, MS(at_ms), .term = 1},
+		    {true, false, false, MAX(1, c->promised), {1, 6}, MS(at_ms),
+			.term = 1},
+		};
+
+		for (i = at_ms == 0 ? 0 : 1; i < DATABASES; i++) {
+			views[i].promised = MAX(views[i].promised, attempt);
+			failover_replace_view(
+			    &failover, i, &views[i], MS(at_ms));
+		}
+		failover_tick(&failover, MS(at_ms), &actions);
+		for (i = 0; i < actions.count; i++) {
+			const failover_action_t *action = &actions.list[i];
+
+			if (action->kind == FAILOVER_ASK_WITNESS)
+				failover_witness_answered(&failover,
+				    failover.witness_request, false, MS(at_ms));
+			if (action->kind == FAILOVER_FENCE) {
+				attempt = action->term;
+				fenced = true;
+			}
+			if (action->kind == FAILOVER_PROMOTE)
+				chosen = (int32_t)action->database;
+		}
+		for (i = 1; fenced && i < DATABASES; i++) {
+			views[i].promised = attempt;
+			failover_fence_answered(
+			    &failover, i, attempt, true, &views[i], MS(at_ms));
+		}
+		failover_leases_revoked(&failover, attempt, true, MS(at_ms));
+	}
+	g_assert_cmpuint(attempt, ==, c->attempt);
+	g_assert_cmpint(chosen, ==, c->chosen);
+	g_assert_cmpint(
+	    failover_promise_unused(&failover, attempt), ==, c->unused);
+	failover_clear(&failover);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -312,5 +397,6 @@
 	CASES("/standing/order", order_cases, test_order);
 	CASES("/standing/lease", lease_cases, test_lease);
 	CASES("/standing/doubt", doubt_cases, test_doubt);
+	CASES("/standing/carried", carried_cases, test_carried);
 	return g_test_run();
 }
