An unrecorded order is dropped when a daemon knows a newer primary

Found by the review: the coordinator compared the newest term that the daemons know with the number of the attempt, which is far above any term when its promises are standing ones; so the last check before an unrecorded order had no effect. It compares with the newest term that the order replaces. The new step of /coordinator/sent-order-noted failed before (promoted_count 2).

--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -571,7 +571,8 @@
 		if (ended->state == BP__REVOKE_STATE__OUTDATED ||
 		    registry->fencing_token == 0)
 			order_withhold(order);
-		else if (ended->newest_term >= ended->term ||
+		else if (ended->newest_term >
+			order_request(order)->replaced_term ||
 		    (ended->order != NULL &&
 			orders_learn(registry, ended->order)))
 			order_finish(
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -257,7 +257,7 @@
 {
 	Bp__ProxySettings settings = BP__PROXY_SETTINGS__INIT;
 	Bp__DutyRecord noted = BP__DUTY_RECORD__INIT;
-	msg_t *msg = msg_new(&bp__revoke_ended__descriptor);
+	msg_t *known, *msg = msg_new(&bp__revoke_ended__descriptor);
 	Bp__RevokeEnded *ended = (Bp__RevokeEnded *)msg->body;
 	task_t *host = task_new(&host_ops, NULL);
 	proxy_t proxy = {.settings = &settings,
@@ -283,6 +283,16 @@
 	ended->state = BP__REVOKE_STATE__MOST;
 	order_confirmed(registry, msg);
 	g_assert_cmpuint(promoted_count, ==, 1);
+	/* a daemon knows a newer primary than the one to be replaced */
+	want_order(registry, "ledger", STANDING_TERM, clock_us());
+	known = msg_new(&bp__revoke_ended__descriptor);
+	ended = (Bp__RevokeEnded *)known->body;
+	ended->group = arena_strdup(known->arena, "ledger");
+	ended->term = STANDING_TERM;
+	ended->newest_term = 2;
+	ended->state = BP__REVOKE_STATE__MOST;
+	order_confirmed(registry, known);
+	g_assert_cmpuint(promoted_count, ==, 1);
 	/* too few daemons confirm the second */
 	want_order(registry, "ledger", STANDING_TERM, clock_us());
 	/* nor is one sent whose promises end with the promotion */
