A primary that may have been replaced hands over with a majority

Found by the review, each with a program on the decisions: - A handover out of doubt asked the old primary alone, so that daemons which reach the successor that nobody recorded, and the replica, kept their leases on it past the next promotion. A majority is fenced, as for any primary that is lost. (/attempt/handover asserts it.) - The record names the newest term that its writer has seen. An earlier order may have begun the next one: the primary of that term has no lease unless the last order named it (/standing/lease/the-same,-whose-replica-is-paused-no-more failed before). - Each reading of the record restarted the 3.5 s of doubt about an order that a standing promise shows (/standing/doubt/the-same,-and-the-record-is-read-again-and-again). - A standing promise of a server that is no recorded member proved an order. - An order did not replace the terms that standing promises show, and a shown order was recorded only once a newer primary was seen. - A request for a handover outlived the attempt, so that it was repeated in every later one. - A server that has not answered is not asked for a promise, since it may hold a standing one.

--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -116,6 +116,8 @@
     recorded_orders_t *, uint64_t replaced_term, position_t base);
 void recorded_orders_add_earlier(recorded_orders_t *, const earlier_order_t *);
 void recorded_orders_replace(recorded_orders_t *, const recorded_orders_t *);
+bool recorded_orders_replace_primary(
+    const recorded_orders_t *, uint64_t term, uint64_t key);
 position_t recorded_orders_used_end(
     const recorded_orders_t *, uint64_t newest_term, position_t end);
 bool recorded_orders_given_up(
--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -229,6 +229,8 @@
 	int64_t base_us = failover->limits.backoff_us << doublings;
 
 	failover->failures++;
+	/* requested again if it is still due */
+	failover->handover &= !failover->limits.revocable;
 	failover->isolated = -1;
 	failover->stepping_down = -1;
 	failover->wait_until_us = now_us +
@@ -317,17 +319,15 @@
 {
 	uint64_t replaced = attempt_term_replaces(promised);
 
-	if (replaced == 0 || promised <= failover->shown_attempt ||
-	    promised <= failover->recorded.attempt_term ||
+	if (replaced == 0 || promised <= failover->recorded.attempt_term ||
+	    (promised <= failover->shown_attempt &&
+		replaced <= failover->shown_replaced) ||
 	    standing_find(failover, promised) != NULL)
 		return;
-	failover->shown_attempt = promised;
+	failover->shown_attempt = MAX(failover->shown_attempt, promised);
 	failover->unproven_attempt = MAX(failover->unproven_attempt, promised);
-	if (replaced <= failover->shown_replaced)
-		return;
-	failover->shown_replaced = replaced;
-	if (replaced > failover->recorded.replaced_term)
-		failover->recorded_us = now_us;
+	failover->shown_replaced = MAX(failover->shown_replaced, replaced);
+	failover->recorded_us = now_us;
 	add_shown_order(failover);
 }
 
@@ -610,6 +610,23 @@
 	return standing;
 }
 
+/*
+ * Tell whether an order to replace the primary was recorded, or may have been
+ * sent without, but no newer primary is seen: it may have been promoted and be
+ * out of reach.
+ */
+static bool
+maybe_replaced(const failover_t *failover)
+{
+	int32_t primary = failover_primary(failover);
+
+	return failover->limits.revocable &&
+	    (failover->unaware_since_us != 0 ||
+		recorded_orders_replace_primary(&failover->recorded,
+		    failover->views[primary].promised,
+		    failover->views[primary].key));
+}
+
 /*
  * Tell whether an attempt can succeed: a database that can take over answers.
  * Otherwise no promise is asked for, since those that hold leases on the newest
@@ -648,21 +665,26 @@
  * Ask every database to promise a term above all known ones and those of
  * recorded orders.  An isolated primary is left out, since it is ahead of the
  * others and would be chosen again.  In a handover that waits for a replica to
- * catch up, only the primary itself is asked, and thereby steps down.  Nothing
- * is asked while too few databases answer; the attempt is then due again at the
- * next tick.
+ * catch up, only the primary itself is asked, and thereby steps down; unless it
+ * may have been replaced, as its own promise does not end leases on a newer
+ * one. Nothing is asked while too few databases answer; the attempt is then due
+ * again at the next tick.
  */
 static void
 start_fencing(failover_t *failover, int64_t now_us, failover_actions_t *actions)
 {
-	bool hands_over = failover->handover &&
-	    failover->limits.catch_up_us > 0 && failover_primary(failover) >= 0;
+	int32_t primary = failover_primary(failover);
+	bool doubt = primary >= 0 && maybe_replaced(failover);
+	bool hands_over = (failover->handover || failover->replaces_doubtful) &&
+	    failover->limits.catch_up_us > 0 && primary >= 0;
 	uint32_t i;
 
-	if (!hands_over && !promises_possible(failover, now_us)) {
+	failover->replaces_doubtful = false;
+	if ((!hands_over || doubt) && !promises_possible(failover, now_us)) {
 		failover->isolated = -1;
 		return;
 	}
+	failover->doubtful = hands_over && doubt;
 	failover->fenced_from_term = newest_term(failover);
 	failover->term = failover->fenced_term = next_attempt(failover);
 	failover->standing_asked = false;
@@ -674,8 +696,10 @@
 	if (hands_over)
 		failover->stepping_down = failover_primary(failover);
 	for (i = 0; i < failover->count; i++) {
+		/* one that has not answered may hold a standing promise */
 		if ((int32_t)i == failover->isolated ||
-		    (failover->stepping_down >= 0 &&
+		    (failover->limits.revocable && !failover->views[i].known) ||
+		    (failover->stepping_down >= 0 && !failover->doubtful &&
 			(int32_t)i != failover->stepping_down))
 			continue;
 		actions->list[actions->count++] =
@@ -805,7 +829,7 @@
 uint64_t
 failover_term_to_replace(const failover_t *failover)
 {
-	return MAX(failover->fenced_from_term, failover->reported_term);
+	return replaced_by_attempt(failover);
 }
 
 /*
@@ -826,9 +850,10 @@
 {
 	if (recorded->read_us < failover->recorded.read_us)
 		return;
-	if (failover->recorded.replaced_term != recorded->replaced_term ||
+	if (failover->read_replaced != recorded->replaced_term ||
 	    failover->recorded.attempt_term != recorded->attempt_term)
 		failover->recorded_us = now_us;
+	failover->read_replaced = recorded->replaced_term;
 	recorded_orders_replace(&failover->recorded, recorded);
 	add_shown_order(failover);
 }
@@ -990,22 +1015,6 @@
 	return false;
 }
 
-/*
- * Tell whether an order to replace the primary was recorded, or may have been
- * sent without, but no newer primary is seen: it may have been promoted and be
- * out of reach.
- */
-static bool
-maybe_replaced(const failover_t *failover)
-{
-	int32_t primary = failover_primary(failover);
-
-	return failover->limits.revocable &&
-	    (failover->unaware_since_us != 0 ||
-		failover->views[primary].promised <=
-		    failover->recorded.replaced_term);
-}
-
 /*
  * Tell whether a database has held a promise above the primary's term for
  * STRAY_PROMISE_US: it is left over from a failover that was never completed.
@@ -1095,9 +1104,12 @@
 	if (maybe_replaced(failover) &&
 	    now_us - MAX(failover->recorded_us, failover->unaware_since_us) >=
 		failover->limits.order_late_us &&
-	    failover_successor_answers(failover, now_us))
+	    failover_successor_answers(failover, now_us)) {
 		/* a newer term shows which primary is the newest */
-		failover->handover = true;
+		failover->replaces_doubtful = true;
+		start_fencing(failover, now_us, actions);
+		return;
+	}
 	if (failover->limits.revocable && !failover->store_away &&
 	    !order_pending(failover, now_us) && !maybe_replaced(failover) &&
 	    stray_promise(failover, now_us) &&
@@ -1179,12 +1191,15 @@
 static bool
 order_provable(const failover_t *failover, int32_t chosen)
 {
-	uint32_t i, holders = 1;
+	uint32_t i, holders = 0;
+	uint32_t all =
+	    failover->members > 0 ? failover->members : failover->count;
 
 	for (i = 0; i < failover->count; i++)
-		holders += (int32_t)i != chosen && failover->standing[i];
+		holders += ((int32_t)i == chosen || failover->standing[i]) &&
+		    (failover->members == 0 || failover->views[i].member);
 	return attempt_term_replaces(failover->term) != 0 &&
-	    holders >= majority_of(MAX(failover->count, failover->members));
+	    holders >= majority_of(all);
 }
 
 /*
@@ -1200,6 +1215,7 @@
 	uint64_t standing = attempt_term_standing(
 	    newest_number(failover), replaced_by_attempt(failover));
 	uint32_t i, granted = 1;
+	bool all;
 
 	failover->standing_asked = true;
 	if (standing == 0)
@@ -1208,11 +1224,12 @@
 	failover->term = standing;
 	standing_begin(failover, standing);
 	for (i = 0; i < failover->count; i++)
-		granted += (int32_t)i != chosen && failover->granted[i];
+		granted += (int32_t)i != chosen && failover->granted[i] &&
+		    (failover->members == 0 || failover->views[i].member);
+	all = granted < majority_of(MAX(failover->count, failover->members));
 	for (i = 0; i < failover->count; i++) {
 		if ((int32_t)i == chosen || !failover->views[i].known ||
-		    (!failover->granted[i] &&
-			granted >= majority_of(failover->count)))
+		    (!failover->granted[i] && !all))
 			continue;
 		actions->list[actions->count++] =
 		    (failover_action_t){FAILOVER_FENCE, i, failover->term};
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -162,6 +162,8 @@
 	/* the recorded orders, and the time since which they are known */
 	recorded_orders_t recorded;
 	int64_t recorded_us;
+	/* newest replaced term of the record itself */
+	uint64_t read_replaced;
 	/* time since which orders are known, if earlier ones that are not
 	   recorded may have replaced the primary; otherwise 0 */
 	int64_t unaware_since_us;
@@ -200,6 +202,10 @@
 	/* FENCING: in a handover, the old primary, which alone is fenced; -1:
 	   none */
 	int32_t stepping_down;
+	/* the primary may have been replaced, so that a handover begins */
+	bool replaces_doubtful;
+	/* FENCING: in that handover the others are fenced, too */
+	bool doubtful;
 
 	/* consecutive failed attempts */
 	uint32_t failures;
--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -391,15 +391,18 @@
 
 /*
  * Tell whether enough databases have promised the term that no older primary
- * can continue.  In a handover the promise of the primary itself is enough.
+ * can continue.  In a handover the promise of the primary itself is enough,
+ * unless it may have been replaced.
  */
 bool
 grants_suffice(const failover_t *failover)
 {
-	return failover->stepping_down >= 0
-	    ? failover->granted[failover->stepping_down]
-	    : granted_count(failover) >= grants_needed(failover) &&
-		members_granted(failover);
+	if (failover->stepping_down >= 0 &&
+	    !failover->granted[failover->stepping_down])
+		return false;
+	return (failover->stepping_down >= 0 && !failover->doubtful) ||
+	    (granted_count(failover) >= grants_needed(failover) &&
+		members_granted(failover));
 }
 
 /*
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -188,10 +188,13 @@
  * older ones than that of this term.
  */
 static bool
-record_allows(const lease_t *lease, uint64_t term)
+record_allows(const lease_t *lease, const db_view_t *primary)
 {
+	uint64_t term = primary->promised;
+
 	return lease->orders.read_us != 0 &&
-	    lease->orders.replaced_term < term &&
+	    !recorded_orders_replace_primary(
+		&lease->orders, term, primary->key) &&
 	    record_is_complete(lease, term) && !unaware(lease, term);
 }
 
@@ -201,10 +204,11 @@
  * restarted, so that the answers of all listed ones do not show it.
  */
 static bool
-order_recorded(const lease_t *lease, uint64_t term)
+order_recorded(const lease_t *lease, const db_view_t *primary)
 {
 	return lease->orders.read_us != 0 &&
-	    lease->orders.replaced_term >= term;
+	    recorded_orders_replace_primary(
+		&lease->orders, primary->promised, primary->key);
 }
 
 /*
@@ -283,10 +287,11 @@
 	}
 	/* a primary alone has nobody else's answer */
 	by_all = denied == all && all > 1 && !promised &&
-	    !members_missing(lease, term) && !order_recorded(lease, term);
+	    !members_missing(lease, term) &&
+	    !order_recorded(lease, &views[primary]);
 	lease->unverified = !by_all;
 	if (!by_all &&
-	    (!record_allows(lease, term) ||
+	    (!record_allows(lease, &views[primary]) ||
 		(lease->orders.attempt_term != lease->attempt_term &&
 		    lease->orders.read_us - lease->blocked_us <
 			ATTEMPT_MAX_US)))
@@ -317,9 +322,9 @@
 	int64_t asked_us;
 
 	if (members_missing(lease, views[primary].promised) ||
-	    order_recorded(lease, views[primary].promised))
+	    order_recorded(lease, &views[primary]))
 		known_us = 0;
-	if (record_allows(lease, views[primary].promised)) {
+	if (record_allows(lease, &views[primary])) {
 		asked_us = supported_us(lease, views, count, primary,
 		    lease->orders.read_us, INT64_MAX, members);
 		if (asked_us > known_us)
@@ -350,9 +355,9 @@
 
 	if (members > 0 && (members > 1 || !view->member))
 		return 0;
-	if (!members_missing(lease, term) && !order_recorded(lease, term))
+	if (!members_missing(lease, term) && !order_recorded(lease, view))
 		return now_us;
-	return record_allows(lease, term) ? lease->orders.read_us : 0;
+	return record_allows(lease, view) ? lease->orders.read_us : 0;
 }
 
 /*
--- a/src/decide/recorded_orders.c
+++ b/src/decide/recorded_orders.c
@@ -84,6 +84,21 @@
 	recorded_orders_add_earlier(orders, &last);
 }
 
+/*
+ * Tell whether an order may have replaced the primary of a term.  key: of that
+ * primary; 0: not known.  The term that follows the newest one that an order
+ * replaces may have been begun by an earlier order, if another database leads
+ * it than the last one names.
+ */
+bool
+recorded_orders_replace_primary(
+    const recorded_orders_t *orders, uint64_t term, uint64_t key)
+{
+	return orders->replaced_term >= term ||
+	    (orders->replaced_term != 0 && orders->replaced_term + 1 == term &&
+		orders->named != 0 && key != 0 && orders->named != key);
+}
+
 /*
  * Replace what is known by what was read or written since.  Orders that the
  * newer record lacks stay known as earlier ones: a daemon of a version before
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -980,29 +980,24 @@
 }
 
 /*
- * Have an order recorded that is known from a standing promise alone, if it has
- * led to the present primary: leases on that one wait for the record, and the
- * server remains paused.  Orders of former coordinators must be over, since the
- * promise does not tell which one led to the primary.
+ * Have an order recorded that is known from a standing promise alone.  Leases
+ * on the primary that it has led to wait for the record, and the server remains
+ * paused.  Orders of former coordinators must be over, since the promise does
+ * not tell which one led to the primary.
  */
 static void
 record_shown_order(group_t *group, int64_t now_us)
 {
-	const failover_t *failover = &group->failover;
-	int32_t primary = failover_primary(failover);
 	uint32_t i;
 
-	if (primary < 0 ||
-	    now_us - group->pool->coordinator_since_us < ORDER_LATE_US)
+	if (now_us - group->pool->coordinator_since_us < ORDER_LATE_US)
 		return;
 	for (i = 0; i < group->count; i++) {
 		const server_t *server = group->servers[i];
 		uint64_t promised = server->paused_until_term;
 
 		if (proves_order(server) &&
-		    promised > group->lease.orders.attempt_term &&
-		    failover->views[primary].promised >
-			attempt_term_replaces(promised))
+		    promised > group->lease.orders.attempt_term)
 			group_orders_shown(group, promised, now_us);
 	}
 }
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -933,6 +933,7 @@
 	failover_actions_t actions;
 	failover_t failover;
 	int32_t chosen = -1;
+	bool fenced[DATABASES] = {false};
 	uint32_t i;
 
 	failover_init(&failover, &test_limits, DATABASES, 1, 0);
@@ -942,17 +943,18 @@
 		for (i = 0; i < DATABASES; i++) {
 			bool stepped_down = i == 0 && stepped_down_ms != 0;
 			db_view_t view = {true, i == 0 && !stepped_down, false,
-			    stepped_down ? failover.term : c->views[i].term,
+			    fenced[i] ? failover.term : c->views[i].term,
 			    c->views[i].end, MS(at_ms),
 			    .term = c->views[i].term};
 
 			if (c->views[i].term != 0)
 				failover_replace_view(
 				    &failover, i, &view, MS(at_ms));
-			if (i == 0 && stepped_down_ms != 0 &&
-			    at_ms == stepped_down_ms + 10)
-				failover_fence_answered(&failover, 0,
+			if (fenced[i] && at_ms == stepped_down_ms + 10) {
+				view.promised = failover.term;
+				failover_fence_answered(&failover, i,
 				    failover.term, true, &view, MS(at_ms));
+			}
 		}
 		if (at_ms == c->requested_ms)
 			failover_request_handover(&failover, MS(at_ms));
@@ -960,9 +962,11 @@
 		for (i = 0; i < actions.count; i++) {
 			const failover_action_t *action = &actions.list[i];
 
-			if (action->kind == FAILOVER_FENCE &&
-			    action->database == 0 && stepped_down_ms == 0)
-				stepped_down_ms = at_ms;
+			if (action->kind == FAILOVER_FENCE) {
+				fenced[action->database] = true;
+				if (stepped_down_ms == 0)
+					stepped_down_ms = at_ms;
+			}
 			if (action->kind == FAILOVER_REVOKE_LEASES)
 				failover_leases_revoked(
 				    &failover, action->term, true, MS(at_ms));
@@ -972,6 +976,10 @@
 	}
 	g_assert_cmpint(stepped_down_ms, ==, c->stepped_down_ms);
 	g_assert_cmpint(chosen, ==, c->chosen);
+	/* a primary that may have been replaced steps down with a majority */
+	g_assert_cmpint(fenced[1], ==,
+	    stepped_down_ms != 0 && c->recorded.replaced_term >= 1 &&
+		c->views[0].term <= c->recorded.replaced_term);
 	failover_clear(&failover);
 }
 
--- a/tests/t_standing.c
+++ b/tests/t_standing.c
@@ -203,6 +203,8 @@
 	STANDING(1, 1), false, 1, STANDING(1, 1), 0, true},
     {"the same, and it names another database", 1, 2, STANDING(1, 1), false, 1,
 	STANDING(1, 1), 1, false},
+    {"the same, whose replica is paused no more", 1, 2, 0, false, 1,
+	STANDING(1, 1), 1, false},
     {"the new primary, and a later attempt has begun", 1, 2, STANDING(2, 2),
 	false, 1, STANDING(1, 1), 2, false},
     {"the new primary, and a later ordinary attempt has begun", 1, 2,
@@ -258,6 +260,7 @@
 			       step down; 0: never */
 	bool store_away;
 	bool released; /* the pause is to be ended */
+	bool reread;   /* the record is read again and again */
 } doubt_case_t;
 
 static const doubt_case_t doubt_cases[] = {
@@ -265,6 +268,8 @@
     {"an ordinary promise", 9, 0, false, true},
     {"the same, and the store is away", 9, 0, true, false},
     {"a standing promise", STANDING(1, 1), 3500, false, false},
+    {"the same, and the record is read again and again", STANDING(1, 1), 3500,
+	false, false, true},
 };
 
 /*
@@ -285,6 +290,11 @@
 	failover.limits.catch_up_us = MS(150);
 	failover_set_store(&failover, c->store_away, 0);
 	for (at_ms = 0; at_ms < 5000 && stepped_ms == 0; at_ms += 50) {
+		recorded_orders_t recorded = {.read_us = MS(at_ms) + 1};
+
+		if (c->reread)
+			failover_orders_recorded(
+			    &failover, &recorded, MS(at_ms));
 		report(&failover, 0, true, 1, 0, MS(at_ms));
 		report(&failover, 2, false, 1, c->promised, MS(at_ms));
 		failover_tick(&failover, MS(at_ms), &actions);
