Model: a daemon that is not listed alone reaches the primary

The sequence of the cut off primary now also begins as a daemon becomes an owner, or as the store loses its record, with that daemon, which then does not reach the store either (alone_permille). Two rows of the right rules have the sequence.

--- a/tests/t_proxy_model.c
+++ b/tests/t_proxy_model.c
@@ -27,6 +27,7 @@
 	uint32_t order_late_permille;
 	uint32_t sender_paused_permille;
 	uint32_t primary_cut_permille;
+	uint32_t alone_permille;
 } correct_case_t;
 
 static const correct_case_t correct_cases[] = {
@@ -74,6 +75,10 @@
     {"one daemon reaches the primary", 3, 4, 4, 0, 0, 120, 0, 0, 0, 0, 0, 0, 3},
     {"one daemon reaches the primary, many faults", 3, 4, 12, 0, 20, 120, 0, 0,
 	0, 100, 0, 0, 3},
+    {"a daemon that is not listed alone reaches the primary", 3, 4, 4, 0, 40,
+	120, 0, 0, 0, 0, 0, 0, 0, 300},
+    {"a daemon that the store has lost alone reaches the primary", 3, 4, 4, 0,
+	40, 120, 3, 0, 4, 0, 0, 0, 3, 700},
 };
 
 /*
@@ -101,7 +106,8 @@
 		    .order_held_permille = c->order_held_permille,
 		    .order_late_permille = c->order_late_permille,
 		    .sender_paused_permille = c->sender_paused_permille,
-		    .primary_cut_permille = c->primary_cut_permille};
+		    .primary_cut_permille = c->primary_cut_permille,
+		    .alone_permille = c->alone_permille};
 		proxy_model_result_t result;
 
 		proxy_model_run(&plan, &result);
@@ -142,6 +148,7 @@
 	uint32_t order_late_permille;
 	uint32_t sender_paused_permille;
 	uint32_t primary_cut_permille;
+	uint32_t alone_permille;
 } bug_case_t;
 
 static const bug_case_t bug_cases[] = {
@@ -154,7 +161,7 @@
 	500},
     {"promoted without waiting for leases", PROXY_BUG_NO_LEASE_WAIT, 3},
     {"an owner's lease before its record", PROXY_BUG_LEASE_BEFORE_RECORD, 4, 40,
-	12, 3, 131},
+	4, 3, 1, false, 0, 0, 0, 0, 0, 0, 300},
     {"a lease until the record's end is acknowledged",
 	PROXY_BUG_LEASE_UNTIL_ACK, 4, 40},
     {"the holders of an old listing", PROXY_BUG_OLD_HOLDERS, 4, 40, 12, 3, 141},
@@ -175,7 +182,7 @@
     {"an order that is not recorded", PROXY_BUG_ORDER_UNRECORDED, 3, 0, 14, 3,
 	1, false, 8},
     {"the records of a store that has gone back", PROXY_BUG_RESTORED_RECORDS, 4,
-	40, 4, 3, 1, true, 0, 4, 0, 0, 0, 4},
+	0, 4, 3, 1, true, 0, 1, 0, 0, 0, 0, 700},
     {"the orders of a store that has gone back", PROXY_BUG_RESTORED_ORDERS, 4,
 	0, 14, 3, 541, false, 8, 4},
     {"answers rest on the lease alone while an order is open",
@@ -211,7 +218,8 @@
 		    .order_held_permille = c->order_held_permille,
 		    .order_late_permille = c->order_late_permille,
 		    .sender_paused_permille = c->sender_paused_permille,
-		    .primary_cut_permille = c->primary_cut_permille};
+		    .primary_cut_permille = c->primary_cut_permille,
+		    .alone_permille = c->alone_permille};
 		proxy_model_result_t result;
 
 		proxy_model_run(&plan, &result);
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -89,6 +89,10 @@
 	/* chance per daemon and 20 ms tick that the primary is cut off from
 	   all but this daemon, which may pause meanwhile */
 	uint32_t primary_cut_permille;
+	/* chance that this daemon does not reach the store either, and that
+	   the primary is cut off from all but a daemon that becomes an owner,
+	   or whose record the store loses */
+	uint32_t alone_permille;
 	/* chance per 20 ms that the store goes back to an older copy */
 	uint32_t returns_permille;
 	proxy_model_bug_t injected_bug;
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -199,6 +199,7 @@
     const proxy_model_t *, const proxy_model_daemon_t *);
 void proxy_model_sender_paused(proxy_model_t *, uint32_t daemon, uint32_t db);
 void proxy_model_primary_cut(proxy_model_t *, uint32_t daemon);
+void proxy_model_unlisted_cut(proxy_model_t *, uint32_t daemon);
 int64_t proxy_model_order_late(proxy_model_t *, uint32_t daemon, uint32_t db);
 void proxy_model_order_followed(proxy_model_t *, uint32_t daemon);
 bool proxy_model_order_over(proxy_model_t *, const event_t *);
--- a/tools/proxy_model_records.c
+++ b/tools/proxy_model_records.c
@@ -34,6 +34,8 @@
 		proxy_model_daemon_t *daemon = &model->daemons[i];
 
 		daemon->record_leases &= proxy_model_chance(model, 500);
+		if (daemon->owner && !daemon->record_leases)
+			proxy_model_unlisted_cut(model, i);
 		daemon->store_answers_us = model->now_us +
 		    proxy_model_random_us(model, ERA_KNOWN_MAX_US);
 	}
@@ -130,6 +132,8 @@
 		else if (model->plan->injected_bug ==
 		    PROXY_BUG_LEASE_BEFORE_RECORD)
 			daemon->lease_durations.listed_since_us = model->now_us;
+		if (daemon->owner && !daemon->record_leases)
+			proxy_model_unlisted_cut(model, daemon_index);
 	}
 	if (daemon->record_written != daemon->owner && !daemon->record_pending)
 		write_record(model, daemon_index);
--- a/tools/proxy_model_sequences.c
+++ b/tools/proxy_model_sequences.c
@@ -20,6 +20,8 @@
  *
  * The cut off primary: only one daemon reaches it.  That one does not hear of
  * the failover, pauses in most cases, and may be cut off from other databases.
+ * It may be cut off from the store as well; then the sequence also begins as it
+ * becomes an owner, or as the store loses its record, and it does not pause.
  */
 
 #define SEQUENCE_MAX_US (8 * US_PER_SECOND)
@@ -109,35 +111,51 @@
 }
 
 /*
- * Begin the sequence of a cut off primary at random, with the daemon that still
- * reaches it.
+ * Begin the sequence of a cut off primary, with the daemon that still reaches
+ * it.
  */
-void
-proxy_model_primary_cut(proxy_model_t *model, uint32_t daemon)
+static void
+cut_primary(proxy_model_t *model, uint32_t daemon, uint32_t primary)
 {
 	const proxy_model_plan_t *plan = model->plan;
-	int32_t primary = failover_primary(&model->daemons[daemon].failover);
 	sequence_t *sequence = &model->sequence;
-	proxy_model_db_t *db;
+	proxy_model_db_t *db = &model->dbs[primary];
 	uint32_t i;
 
-	if (plan->primary_cut_permille == 0 || primary < 0 ||
-	    model->now_us < sequence->until_us ||
-	    !proxy_model_chance(model, plan->primary_cut_permille))
-		return;
 	*sequence = (sequence_t){.until_us = random_end_us(model),
 	    .primary = UINT32_MAX,
 	    .coordinator = UINT32_MAX};
-	db = &model->dbs[primary];
 	db->peers_cut_until_us = sequence->until_us;
 	for (i = 0; i < plan->daemons; i++)
 		db->daemon_cut_until_us[i] =
 		    i == daemon ? 0 : sequence->until_us;
 	model->daemons[daemon].daemons_cut_until_us = sequence->until_us;
+	if (plan->alone_permille > 0 &&
+	    proxy_model_chance(model, plan->alone_permille))
+		model->daemons[daemon].object_store_cut_until_us =
+		    sequence->until_us;
+}
+
+/*
+ * Begin the sequence of a cut off primary at random, with the daemon that still
+ * reaches it.
+ */
+void
+proxy_model_primary_cut(proxy_model_t *model, uint32_t daemon)
+{
+	const proxy_model_plan_t *plan = model->plan;
+	int32_t primary = failover_primary(&model->daemons[daemon].failover);
+	uint32_t i;
+
+	if (plan->primary_cut_permille == 0 || primary < 0 ||
+	    model->now_us < model->sequence.until_us ||
+	    !proxy_model_chance(model, plan->primary_cut_permille))
+		return;
+	cut_primary(model, daemon, (uint32_t)primary);
 	for (i = 0; i < plan->databases; i++) {
 		if ((int32_t)i != primary && proxy_model_chance(model, 500))
 			model->dbs[i].daemon_cut_until_us[daemon] =
-			    sequence->until_us;
+			    model->sequence.until_us;
 	}
 	if (proxy_model_chance(model, 300))
 		return;
@@ -147,6 +165,25 @@
 	model->daemons[daemon].pause_began_us = model->now_us;
 }
 
+/*
+ * Begin the sequence of a cut off primary at random, now that the store has no
+ * record that the daemon holds leases.
+ */
+void
+proxy_model_unlisted_cut(proxy_model_t *model, uint32_t daemon)
+{
+	const proxy_model_plan_t *plan = model->plan;
+	proxy_model_daemon_t *alone = &model->daemons[daemon];
+	int32_t primary = failover_primary(&alone->failover);
+
+	if (plan->alone_permille == 0 || primary < 0 || alone->is_coordinator ||
+	    model->now_us < model->sequence.until_us ||
+	    !proxy_model_chance(model, plan->alone_permille))
+		return;
+	cut_primary(model, daemon, (uint32_t)primary);
+	alone->object_store_cut_until_us = model->sequence.until_us;
+}
+
 /*
  * Have the late order of a sequence take effect now that the next coordinator
  * has sent its own, before that one does.
