Model: every order counts as open

In the product each daemon notes the orders that may still take effect; the model did so only in rows with order_held_permille.

--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -526,6 +526,7 @@
 		after_us += proxy_model_random_us(model, LATE_PROMOTION_MAX_US);
 		model->result->late_promotions++;
 	}
+	proxy_model_open_accepted(daemon, promotion.db, model->now_us);
 	proxy_model_schedule(model, after_us, &promotion);
 }
 
--- a/tools/proxy_model_records.c
+++ b/tools/proxy_model_records.c
@@ -28,8 +28,10 @@
 
 	model->store_era++;
 	model->records_lost_us = model->now_us;
-	if (proxy_model_chance(model, 500))
+	if (proxy_model_chance(model, 500)) {
 		model->orders = (recorded_orders_t){0};
+		model->open.count = 0;
+	}
 	for (i = 0; i < model->plan->daemons; i++) {
 		proxy_model_daemon_t *daemon = &model->daemons[i];
 
