Leases of a group in a file of their own

What concerns the lease of a group is group_lease.c; the orders that standing promises show are with the other orders of a group. No change of behaviour.

--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -495,7 +495,7 @@
 		if (conn->error == NULL) {
 			operation->transaction->begun = true;
 			if (!operation->transaction->read_only)
-				monitor_primary_led(
+				group_primary_led(
 				    server, ready->position, expect.sent_us);
 			statement_send(conn, operation, NULL);
 			break;
@@ -510,9 +510,9 @@
 		}
 		if (conn->error == NULL &&
 		    operation->run->kind == BP__OPERATION_KIND__WRITE_ITEM)
-			monitor_primary_led(
+			group_primary_led(
 			    server, ready->position, expect.sent_us);
-		monitor_sample_primary(server, ready->position, expect.sent_us);
+		group_sample_primary(server, ready->position, expect.sent_us);
 		operation->executed_position = ready->position;
 		conn->operation = NULL;
 		operation->conn = NULL;
--- a/src/proxy/group_members.c
+++ b/src/proxy/group_members.c
@@ -214,7 +214,7 @@
 	    failover->handover || group_failover_in_progress(group, now_us) ||
 	    group->lease.expires_us <= now_us ||
 	    group->lease.term != failover->views[primary].promised ||
-	    monitor_list_new(group, now_us) || members_current(group) ||
+	    group_list_new(group, now_us) || members_current(group) ||
 	    now_us - group->members_sent_us < MEMBERS_INTERVAL_US)
 		return;
 	group->members_sent_us = now_us;
--- a/src/proxy/group_orders.c
+++ b/src/proxy/group_orders.c
@@ -99,7 +99,7 @@
     group_t *group, const told_orders_t *told, int64_t now_us)
 {
 	if (told_orders_note(&group->orders_told, told))
-		monitor_orders_read(group, &group->orders_read, now_us);
+		group_lease_orders_read(group, &group->orders_read, now_us);
 }
 
 /*
@@ -221,3 +221,41 @@
 	return checked_us == INT64_MAX ||
 	    now_us - checked_us < group->failover.limits.suspect_us;
 }
+
+/*
+ * Tell whether the pause of a server may be all that is left of an order: it is
+ * a standing promise, and the store has not recorded the order yet.
+ */
+bool
+group_orders_prove(const server_t *server)
+{
+	group_t *group = server->group;
+	uint64_t promised = server->paused_until_term;
+
+	return attempt_term_replaces(promised) != 0 &&
+	    promised > group->stored_attempt_term &&
+	    !failover_promise_unused(&group->failover, promised);
+}
+
+/*
+ * Have an order recorded that is known from a standing promise alone.  Leases
+ * on the primary that it has led to wait for the record, and the server remains
+ * paused.  Orders of former coordinators must be over, since the promise does
+ * not tell which one led to the primary.
+ */
+void
+group_orders_record_shown(group_t *group, int64_t now_us)
+{
+	uint32_t i;
+
+	if (now_us - group->pool->coordinator_since_us < ORDER_LATE_US)
+		return;
+	for (i = 0; i < group->count; i++) {
+		const server_t *server = group->servers[i];
+		uint64_t promised = server->paused_until_term;
+
+		if (group_orders_prove(server) &&
+		    promised > group->lease.orders.attempt_term)
+			group_orders_shown(group, promised, now_us);
+	}
+}
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -13,12 +13,6 @@
 #define LEASE_WAIT_MIN_US (150 * US_PER_MS)
 #define PROMOTION_MIN_US (100 * US_PER_MS)
 
-/* A lease is renewed when less than this percentage of its duration is left. */
-#define LEASE_RENEW_PERCENT 35
-
-/* Shortest time without a lease after which a new one is logged. */
-#define LEASE_GAP_LOGGED_US (200 * US_PER_MS)
-
 /* Interval of status requests to a server while a lease has to be renewed. */
 #define RENEW_INTERVAL_US (60 * US_PER_MS)
 
@@ -50,12 +44,6 @@
  */
 #define COORDINATOR_CONFIRMED_US (800 * US_PER_MS)
 
-/*
- * Term of a revocation that revokes no lease; it only shows whether the
- * daemons answer.
- */
-#define NO_TERM 0
-
 /*
  * A healthy primary hands over only if all daemons have answered within
  * DAEMONS_ANSWERED_US or, when the handover has been due for that long, a
@@ -65,33 +53,15 @@
 #define DAEMONS_ANSWERED_US (2 * US_PER_SECOND)
 #define DAEMONS_QUERY_INTERVAL_US (500 * US_PER_MS)
 
-/*
- * Time after the first list of a group's servers in which servers may still be
- * missing from it: entries that expired while the store was unavailable come
- * back one by one within two seconds of its return.
- */
-#define LIST_NEW_US (3 * US_PER_SECOND)
-
 /* Interval of status requests to a server that is not listed. */
 #define UNLISTED_INTERVAL_US (1000 * US_PER_MS)
 
-/*
- * Time without a lease, because of a failover that shows no effect, after which
- * its coordinator may be lost, and the time that a new one has to end that
- * failover.
- */
-#define LEASE_STUCK_US (1500 * US_PER_MS)
+/* Time that a new coordinator has to end a failover that shows no effect. */
 #define STUCK_TAKEOVER_US (5000 * US_PER_MS)
 
-/* Minimum time between two requests for the recorded orders. */
-#define ORDERS_INTERVAL_US (200 * US_PER_MS)
-
 /* Interval of status requests during a change of primary. */
 #define FAILOVER_INTERVAL_US (40 * US_PER_MS)
 
-/* Minimum time between two samples of the primary's log position. */
-#define SAMPLE_SPACING_US (50 * US_PER_MS)
-
 /* Time limit for a replica to catch up with a primary that has stepped down. */
 #define CATCH_UP_US (150 * US_PER_MS)
 
@@ -162,128 +132,6 @@
 	group_members_update(group);
 }
 
-/*
- * Note that the servers of a group are listed for the first time.  A process
- * that has lists of other groups for some time has been told of all orders that
- * may still matter.
- */
-void
-monitor_first_listed(group_t *group, int64_t now_us)
-{
-	pool_t *pool = group->pool;
-
-	group->listed_us = now_us;
-	if (pool->listed_first_us == 0)
-		pool->listed_first_us = now_us;
-	if (pool->first_coordinator ||
-	    now_us - pool->listed_first_us >= LIST_NEW_US)
-		return;
-	group->lease.watched_since_us = now_us;
-}
-
-/*
- * Note that this daemon is the first coordinator: nobody has sent an order.
- */
-void
-monitor_first_coordinator(group_t *group)
-{
-	group->lease.watched_since_us = 0;
-}
-
-/*
- * Tell whether servers of a group may be missing from the list, since it is
- * new.
- */
-bool
-monitor_list_new(const group_t *group, int64_t now_us)
-{
-	return now_us - group->listed_us < LIST_NEW_US;
-}
-
-/*
- * Tell whether the store refused or did not answer a call of this process
- * before its first list, so that entries may have expired.
- */
-static bool
-list_after_outage(const pool_t *pool)
-{
-	return pool->store_away_us != 0 &&
-	    pool->store_away_us <= pool->listed_first_us;
-}
-
-/*
- * Ask the registry task for the recorded orders, unless that was done recently.
- */
-static void
-request_orders(pool_t *pool, int64_t now_us)
-{
-	if (pool->orders_pending ||
-	    now_us - pool->orders_requested_us < ORDERS_INTERVAL_US)
-		return;
-	pool->orders_pending = true;
-	pool->orders_requested_us = now_us;
-	task_send(pool->proxy->registry, pool->task,
-	    msg_new(&bp__orders_wanted__descriptor));
-}
-
-/*
- * Renew the lease of a group from the latest status of its servers, and answer
- * the held statements that the lease now covers.
- */
-static void
-lease_update(group_t *group, int64_t now_us)
-{
-	const failover_t *failover = &group->failover;
-	int32_t primary = failover_primary(failover);
-	uint64_t before = group->lease.term;
-	bool renewed;
-
-	pool_check_listed(group->pool, now_us);
-	group_orders_update(group, now_us);
-	group->lease.list_new = monitor_list_new(group, now_us);
-	group->lease.list_after_outage = list_after_outage(group->pool);
-	renewed = primary >= 0 &&
-	    lease_renew(&group->lease, failover->views, group->count,
-		(uint32_t)primary, now_us, &group->pool->lease_durations);
-	if (group->lease.unverified)
-		request_orders(group->pool, now_us);
-	if (!renewed) {
-		/* the status may have shown that no open order took effect */
-		if (!g_queue_is_empty(&group->held))
-			operations_release_held(group, now_us);
-		return;
-	}
-	if (group->lease.term != before)
-		log_primary_confirmed(group, group->servers[primary], now_us);
-	else if (group->lease.expires_us > now_us &&
-	    now_us - group->lease_seen_us >= LEASE_GAP_LOGGED_US)
-		log_lease_regained(
-		    group, group->servers[primary], group->lease_seen_us);
-	operations_release_held(group, now_us);
-}
-
-/*
- * Note which orders to replace the primary of a group the store has recorded.
- * Those that a coordinator has told count as recorded, too.
- */
-void
-monitor_orders_read(
-    group_t *group, const recorded_orders_t *recorded, int64_t now_us)
-{
-	recorded_orders_t merged;
-
-	if (recorded->read_us < group->orders_read.read_us)
-		return;
-	group->orders_read = *recorded;
-	merged = told_orders_merge(&group->orders_told, recorded);
-	lease_orders_read(&group->lease, &merged);
-	failover_orders_recorded(&group->failover, &merged, now_us);
-	if (!group->active || !group->lease.unverified)
-		return;
-	lease_update(group, now_us);
-	dispatch(group, now_us);
-}
-
 /*
  * Handle the log position that every answer of a server carries.  If the term
  * of the position is newer than that of the lease, the primary is being
@@ -329,46 +177,6 @@
 		    &server->group->failover, server->index, clock_us());
 }
 
-/*
- * Record the log position in an answer of the primary to a request that was
- * sent at sent_us.  Every write acknowledged before sent_us is at or before
- * this position; with open orders, every one before the last check that none
- * of them had taken effect.
- */
-void
-monitor_sample_primary(server_t *server, position_t position, int64_t sent_us)
-{
-	group_t *group = server->group;
-	position_sample_t sample = {
-	    MIN(sent_us, group_orders_checked_us(group)), position};
-
-	if (server->removed || position.term != group->lease.term ||
-	    (int32_t)server->index != failover_primary(&group->failover) ||
-	    group->lease.expires_us < sent_us)
-		return;
-	position_history_add(
-	    &group->position_history, sample, SAMPLE_SPACING_US);
-}
-
-/*
- * Note that a server has carried out a request that only a primary does, which
- * was sent at sent_us.  Renew the lease if it is due.
- */
-void
-monitor_primary_led(server_t *server, position_t position, int64_t sent_us)
-{
-	group_t *group = server->group;
-	int64_t now_us = clock_us();
-
-	if (server->removed || position.term != group->lease.term ||
-	    (int32_t)server->index != failover_primary(&group->failover))
-		return;
-	lease_primary_led(&group->lease, position.term, sent_us);
-	if (group->lease.expires_us - now_us <
-	    group->pool->lease_durations.long_us * LEASE_RENEW_PERCENT / 100)
-		lease_update(group, now_us);
-}
-
 /*
  * Send a status request to a server, unless a status request is outstanding.
  */
@@ -414,23 +222,6 @@
 	    ended->state == BP__REVOKE_STATE__ALL, now_us);
 }
 
-/*
- * Revoke the lease of a group below a term because its primary is being
- * replaced or, if the term has begun, was replaced, and poll the servers often
- * until the new primary is known.
- */
-void
-monitor_revoke_lease(group_t *group, uint64_t term, bool begun, int64_t now_us)
-{
-	if (term == NO_TERM)
-		return; /* the request only tests whether this daemon answers */
-	log_lease_revoked(group, term, now_us);
-	lease_revoke(&group->lease, term, now_us);
-	if (begun)
-		lease_term_begun(&group->lease, term);
-	group->failover_seen_us = now_us;
-}
-
 /*
  * Restart the time that the coordinator has for a failover, since the store
  * has just named another daemon as the coordinator.
@@ -549,8 +340,8 @@
 	    status->term > group->lease.term)
 		failover_promotion_answered(failover, server->index,
 		    failover->term, true, &view, now_us);
-	lease_update(group, now_us);
-	monitor_sample_primary(server, status->received, expect->sent_us);
+	group_lease_update(group, now_us);
+	group_sample_primary(server, status->received, expect->sent_us);
 	if (view.order_open && !g_queue_is_empty(&group->held))
 		monitor_request_status(server, now_us);
 	dispatch(group, now_us);
@@ -570,21 +361,6 @@
 	    msg_new(&bp__duty_wanted__descriptor));
 }
 
-/*
- * Tell whether the pause of a server may be all that is left of an order: it is
- * a standing promise, and the store has not recorded the order yet.
- */
-static bool
-proves_order(const server_t *server)
-{
-	group_t *group = server->group;
-	uint64_t promised = server->paused_until_term;
-
-	return attempt_term_replaces(promised) != 0 &&
-	    promised > group->stored_attempt_term &&
-	    !failover_promise_unused(&group->failover, promised);
-}
-
 /*
  * Tell whether the paused replication of a server may be resumed.  A resumption
  * ends the pauses of all daemons, and no other daemon's failover may rely on
@@ -599,7 +375,7 @@
 	pool_t *pool = server->group->pool;
 
 	if ((term != 0 && server->paused_until_term != term) ||
-	    proves_order(server) ||
+	    group_orders_prove(server) ||
 	    now_us - pool->coordinator_since_us < ORDER_LATE_US)
 		return false;
 	if (now_us - pool->coordinator_confirmed_us < COORDINATOR_CONFIRMED_US)
@@ -665,7 +441,7 @@
 	msg_t *msg = msg_new(&bp__revoke_wanted__descriptor);
 	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
 
-	monitor_revoke_lease(group, term, begun, now_us);
+	group_lease_revoke(group, term, begun, now_us);
 	pool->daemons_queried_us = now_us;
 	wanted->group = arena_strdup(msg->arena, group->name);
 	wanted->term = term;
@@ -846,18 +622,6 @@
 	monitor_request_status(server, now_us);
 }
 
-/*
- * Tell whether the primary answers, but an abandoned failover has kept this
- * daemon from a lease on it for longer than a failover takes.
- */
-static bool
-lease_stuck(const group_t *group, int64_t now_us)
-{
-	return !group_failover_in_progress(group, now_us) &&
-	    lease_held_up(&group->lease, now_us) &&
-	    now_us - group->lease_seen_us >= LEASE_STUCK_US;
-}
-
 /*
  * Ask for the coordinator role if the coordinator does not act: the primary
  * has been unresponsive or shutting down for longer than the coordinator
@@ -871,7 +635,8 @@
 	bool leaving = primary >= 0 && group->servers[primary]->leaving;
 	int64_t delay_us;
 
-	if ((!leaving && !group->unresponsive && !lease_stuck(group, now_us)) ||
+	if ((!leaving && !group->unresponsive &&
+		!group_lease_stuck(group, now_us)) ||
 	    (!leaving && group->unresponsive &&
 		!failover_candidate_answers(&group->failover, now_us))) {
 		group->failover_due_since_us = 0;
@@ -979,29 +744,6 @@
 	failover_request_handover(&group->failover, now_us);
 }
 
-/*
- * Have an order recorded that is known from a standing promise alone.  Leases
- * on the primary that it has led to wait for the record, and the server remains
- * paused.  Orders of former coordinators must be over, since the promise does
- * not tell which one led to the primary.
- */
-static void
-record_shown_order(group_t *group, int64_t now_us)
-{
-	uint32_t i;
-
-	if (now_us - group->pool->coordinator_since_us < ORDER_LATE_US)
-		return;
-	for (i = 0; i < group->count; i++) {
-		const server_t *server = group->servers[i];
-		uint64_t promised = server->paused_until_term;
-
-		if (proves_order(server) &&
-		    promised > group->lease.orders.attempt_term)
-			group_orders_shown(group, promised, now_us);
-	}
-}
-
 /*
  * Note whether a change of primary is due and no server can take over.
  */
@@ -1055,7 +797,7 @@
 		return;
 	}
 	check_handover(group, now_us);
-	record_shown_order(group, now_us);
+	group_orders_record_shown(group, now_us);
 	failover_term_reported(
 	    failover, lease_newest_term(&group->lease), now_us);
 	primary = failover_primary(failover);
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -269,7 +269,7 @@
 		if (began)
 			group_orders_report(value);
 		if (began && changed->token == FIRST_TOKEN)
-			monitor_first_coordinator(value);
+			group_first_coordinator(value);
 	}
 	msg_free(msg);
 }
@@ -378,7 +378,7 @@
 			((group_t *)value)->stored_attempt_term =
 			    recorded.attempt_term;
 		}
-		monitor_orders_read(value, &recorded, clock_us());
+		group_lease_orders_read(value, &recorded, clock_us());
 	}
 	msg_free(msg);
 }
@@ -427,7 +427,7 @@
 		group_orders_told_note(group, &told, clock_us());
 	}
 	group_orders_told(group, asked->open, asked->n_open, clock_us());
-	monitor_revoke_lease(group, asked->term, asked->begun, clock_us());
+	group_lease_revoke(group, asked->term, asked->begun, clock_us());
 	asked->has_newest_term = 1;
 	asked->newest_term = lease_newest_term(&group->lease);
 	asked->open = group_orders_write(group, msg->arena, &asked->n_open);
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -457,6 +457,8 @@
     group_t *, const Bp__RecordedOrder *, uint64_t term, int64_t now_us);
 void group_orders_report(const group_t *);
 void group_orders_shown(group_t *, uint64_t promised, int64_t now_us);
+bool group_orders_prove(const server_t *);
+void group_orders_record_shown(group_t *, int64_t now_us);
 int64_t group_orders_checked_us(const group_t *);
 bool group_orders_checkable(const group_t *, int64_t now_us);
 
@@ -473,17 +475,33 @@
 /* dispatch.c */
 void dispatch(group_t *, int64_t now_us);
 
+/*
+ * Term of a revocation that revokes no lease; it only shows whether the
+ * daemons answer.
+ */
+#define NO_TERM 0
+
+/* A lease is renewed when less than this percentage of its duration is left. */
+#define LEASE_RENEW_PERCENT 35
+
+/* group_lease.c */
+void group_first_listed(group_t *, int64_t now_us);
+bool group_list_new(const group_t *, int64_t now_us);
+void group_first_coordinator(group_t *);
+void group_sample_primary(server_t *, position_t, int64_t sent_us);
+void group_primary_led(server_t *, position_t, int64_t sent_us);
+void group_lease_revoke(group_t *, uint64_t term, bool begun, int64_t now_us);
+void group_lease_orders_read(
+    group_t *, const recorded_orders_t *, int64_t now_us);
+void group_lease_update(group_t *, int64_t now_us);
+bool group_lease_stuck(const group_t *, int64_t now_us);
+
 /* monitor.c */
 void monitor_init(group_t *, int64_t now_us);
-void monitor_first_listed(group_t *, int64_t now_us);
-bool monitor_list_new(const group_t *, int64_t now_us);
-void monitor_first_coordinator(group_t *);
 void monitor_tick(group_t *, int64_t now_us);
 void monitor_status_received(
     server_t *, const server_status_t *, const expected_answer_t *, position_t);
 void monitor_reply_received(server_t *, position_t, int64_t now_us);
-void monitor_sample_primary(server_t *, position_t, int64_t sent_us);
-void monitor_primary_led(server_t *, position_t, int64_t sent_us);
 void monitor_turned_away(server_t *, position_t, int64_t now_us);
 void monitor_connection_refused(server_t *);
 bool group_failover_in_progress(const group_t *, int64_t now_us);
@@ -491,8 +509,6 @@
 void monitor_coordinator_denied(group_t *, int64_t now_us);
 int64_t monitor_takeover_delay_us(GRand *);
 void monitor_revocation_progress(group_t *, const Bp__RevokeEnded *);
-void monitor_revoke_lease(group_t *, uint64_t term, bool begun, int64_t now_us);
-void monitor_orders_read(group_t *, const recorded_orders_t *, int64_t now_us);
 void monitor_promotion_ended(
     group_t *, const Bp__PromotionEnded *, int64_t now_us);
 
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -540,7 +540,7 @@
 		server_update(servers[count++], entry);
 	}
 	if (group->listed_us == 0 && count > 0)
-		monitor_first_listed(group, now_us);
+		group_first_listed(group, now_us);
 	servers_replace(group, servers, count, now_us);
 }
 
