Model: the recorded members of the group

A daemon had been told of an attempt, not of the order that followed, which was held up for 7.6 s. By then all three databases had restarted, so all denied a newer term, and the daemon took a lease without reading the record.

The model lacked what the product has: the store records the members of the group, and when so many have restarted that the others are no majority, the answers of all prove nothing. The model now records them with each order, and by a coordinator with a valid lease, and reads them with the orders.

--- a/tests/t_proxy_model.c
+++ b/tests/t_proxy_model.c
@@ -61,6 +61,8 @@
     {"orders are held up, five databases", 5, 5, 12, 0, 0, 120, 0, 0, 0, 300},
     {"orders are held up, daemons restart", 3, 4, 8, 0, 0, 120, 6, 0, 0, 300},
     {"orders are held up, databases restart", 3, 4, 8, 0, 0, 360, 0, 2, 0, 100},
+    {"all orders are held up, databases restart often", 3, 4, 8, 0, 0, 100, 0,
+	20, 0, 1000},
     {"orders are held up, owners change", 3, 4, 12, 0, 40, 120, 0, 0, 0, 300},
     {"an old primary steps down while an order is late", 3, 5, 4, 0, 0, 120, 0,
 	0, 0, 50, 700},
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -123,7 +123,8 @@
 	    .daemon = daemon_index,
 	    .store_era = model->store_era,
 	    .orders = model->orders,
-	    .open = model->open};
+	    .open = model->open,
+	    .members = model->members};
 
 	if (daemon->orders_pending ||
 	    model->now_us < daemon->object_store_cut_until_us)
@@ -165,6 +166,7 @@
 		lease_orders_read(&daemon->lease,
 		    &(recorded_orders_t){.read_us = model->now_us});
 	proxy_model_open_update(model, daemon);
+	proxy_model_members_update(model, daemon);
 	if (primary >= 0)
 		lease_renew(&daemon->lease, failover->views,
 		    model->plan->databases, (uint32_t)primary, model->now_us,
@@ -192,6 +194,8 @@
 	if (model->plan->injected_bug != PROXY_BUG_RESTORED_ORDERS)
 		orders.lost_us = daemon->store_restored_us;
 	lease_orders_read(&daemon->lease, &orders);
+	proxy_model_members_read(
+	    model, daemon, &event->members, orders.read_us);
 	proxy_model_open_recorded(model, daemon, &event->open);
 	update_lease(model, event->daemon);
 }
@@ -224,6 +228,9 @@
 	if (event->call == CALL_STATUS)
 		daemon->status_pending[event->db] = false;
 	view.order_open = failover->views[event->db].order_open;
+	daemon->born_us[event->db] = event->born_us;
+	view.member = daemon->members.count > 0 &&
+	    daemon->members.born_us[event->db] == event->born_us;
 	failover_replace_view(failover, event->db, &view, model->now_us);
 	if (event->call == CALL_STEP_DOWN)
 		proxy_model_stepped_down(model, event->daemon, event->db);
@@ -349,8 +356,11 @@
 	if (model->plan->pauses_last ||
 	    model->plan->injected_bug == PROXY_BUG_ORDER_UNRECORDED)
 		return;
-	if (model->orders.attempt_term != failover->term)
+	if (model->orders.attempt_term != failover->term) {
 		daemon->orders_before = model->orders;
+		daemon->members_before = model->members;
+	}
+	proxy_model_members_record(model, daemon);
 	model->orders.attempt_term = failover->term;
 	model->orders.era = model->store_era;
 	recorded_orders_add(&model->orders,
@@ -375,6 +385,7 @@
 		return;
 	orders.read_us = model->now_us;
 	orders.read_era = daemon->store_era;
+	proxy_model_members_read(model, daemon, &model->members, model->now_us);
 	if (model->plan->injected_bug != PROXY_BUG_RESTORED_ORDERS)
 		orders.lost_us = daemon->store_restored_us;
 	lease_orders_read(&daemon->lease, &orders);
@@ -391,6 +402,7 @@
 	if (model->orders.attempt_term != failover->term)
 		return;
 	model->orders = daemon->orders_before;
+	model->members = daemon->members_before;
 	proxy_model_open_withdraw(model, daemon, db);
 	failover_orders_recorded(failover, &model->orders, model->now_us);
 }
@@ -665,6 +677,7 @@
 	daemon->coordinator_since_us = model->now_us;
 	failover_orders_recorded(
 	    &daemon->failover, &model->orders, model->now_us);
+	proxy_model_members_read(model, daemon, &model->members, model->now_us);
 	proxy_model_open_recorded(model, daemon, &model->open);
 }
 
@@ -874,6 +887,8 @@
 		promote_unfenced(model, event->daemon);
 	} else if (daemon->is_coordinator) {
 		proxy_model_open_update(model, daemon);
+		proxy_model_members_update(model, daemon);
+		proxy_model_members_check(model, event->daemon);
 		failover_tick(&daemon->failover, model->now_us, &actions);
 		for (i = 0; i < actions.count; i++)
 			perform_action(model, event->daemon, &actions.list[i]);
@@ -982,8 +997,11 @@
 		model.dbs[i].primary = i == 0;
 		model.dbs[i].term = 1;
 	}
-	for (i = 0; i < plan->daemons; i++)
+	model.members.count = plan->pauses_last ? 0 : plan->databases;
+	for (i = 0; i < plan->daemons; i++) {
 		daemon_init(&model, i);
+		model.daemons[i].members = model.members;
+	}
 	model.coordinator = 0;
 	model.coordinator_token = 1;
 	model.daemons[0].is_coordinator = model.daemons[0].order_sent = true;
--- a/tools/proxy_model_dbs.c
+++ b/tools/proxy_model_dbs.c
@@ -130,6 +130,7 @@
 		break;
 	}
 	answer.view = db_make_view(db, event->sent_us);
+	answer.born_us = db->restarted_us;
 	if (connected_us[event->db] <= db->restarted_us)
 		connected_us[event->db] = model->now_us;
 	answer.view.connected_us = connected_us[event->db];
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -56,6 +56,12 @@
 	uint64_t newest_term_when_executed;
 } stmt_t;
 
+/* The members of the group that the store has recorded. */
+typedef struct recorded_members {
+	uint32_t count;           /* 0: none are recorded */
+	int64_t born_us[DBS_MAX]; /* last restart of each when recorded */
+} recorded_members_t;
+
 /* A daemon that proxies the statements of its callers to the group. */
 typedef struct proxy_model_daemon {
 	failover_t failover;
@@ -93,6 +99,11 @@
 	    store_restored_us;    /* time at which it learned of it; 0: never */
 	int64_t store_answers_us; /* time at which it learns of a newer one */
 	GPtrArray *stmts;         /* of stmt_t */
+	recorded_members_t members;
+	int64_t members_read_us;
+	int64_t born_us[DBS_MAX]; /* as the databases have answered */
+	/* what the store had recorded before the last order */
+	recorded_members_t members_before;
 } proxy_model_daemon_t;
 
 typedef enum event_kind {
@@ -139,6 +150,8 @@
 	db_view_t view;
 	recorded_orders_t orders;
 	open_list_t open;
+	recorded_members_t members;
+	int64_t born_us; /* last restart of the database that answers */
 } event_t;
 
 /* A directed sequence of faults. */
@@ -163,6 +176,7 @@
 	uint64_t coordinator_token; /* its fencing token; 0: none yet */
 	recorded_orders_t orders;   /* recorded in the store */
 	open_list_t open;           /* recorded with them */
+	recorded_members_t members; /* recorded with them */
 	uint64_t last_write_id;
 	uint64_t store_era;      /* rises when the store goes back */
 	int64_t records_lost_us; /* time of the last return; 0: never */
@@ -195,6 +209,11 @@
 void proxy_model_open_accepted(
     proxy_model_daemon_t *, uint32_t db, int64_t now_us);
 void proxy_model_open_update(proxy_model_t *, proxy_model_daemon_t *);
+void proxy_model_members_update(proxy_model_t *, proxy_model_daemon_t *);
+void proxy_model_members_read(proxy_model_t *, proxy_model_daemon_t *,
+    const recorded_members_t *, int64_t read_us);
+void proxy_model_members_check(proxy_model_t *, uint32_t daemon);
+void proxy_model_members_record(proxy_model_t *, proxy_model_daemon_t *);
 int64_t proxy_model_checked_us(
     const proxy_model_t *, const proxy_model_daemon_t *);
 void proxy_model_sender_paused(proxy_model_t *, uint32_t daemon, uint32_t db);
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -1,6 +1,11 @@
 #include "proxy_model_internal.h"
 
-/* The proxy model: the orders that may still take effect. */
+#include <string.h>
+
+/*
+ * The proxy model: the orders that may still take effect, and the recorded
+ * members of the group.
+ */
 
 static char *const db_names[DBS_MAX] = {"0", "1", "2", "3", "4"};
 
@@ -163,3 +168,81 @@
 	    : lease_checked_us(&daemon->lease, daemon->failover.views,
 		  model->plan->databases, (uint32_t)primary);
 }
+
+/*
+ * Mark the databases that are recorded members for a daemon.  If so many have
+ * restarted that the others are no majority, none counts as recorded.
+ */
+void
+proxy_model_members_update(proxy_model_t *model, proxy_model_daemon_t *daemon)
+{
+	failover_t *failover = &daemon->failover;
+	uint32_t i, ended = 0, count = daemon->members.count;
+
+	for (i = 0; i < model->plan->databases; i++) {
+		failover->views[i].member = count > 0 &&
+		    daemon->members.born_us[i] == daemon->born_us[i];
+		ended += count > 0 && failover->views[i].known &&
+		    !failover->views[i].member;
+	}
+	daemon->lease.members_ended =
+	    count > 0 && count - ended < majority_of(count);
+	if (daemon->lease.members_ended)
+		count = ended = 0;
+	daemon->lease.members = failover->members = count;
+	failover->members_ended = ended;
+}
+
+/*
+ * Have a daemon know the members that the store had recorded at a time.
+ */
+void
+proxy_model_members_read(proxy_model_t *model, proxy_model_daemon_t *daemon,
+    const recorded_members_t *members, int64_t read_us)
+{
+	if (read_us < daemon->members_read_us)
+		return;
+	daemon->members_read_us = read_us;
+	daemon->members = *members;
+	proxy_model_members_update(model, daemon);
+}
+
+/*
+ * Record the databases, as a daemon knows them, as the members of the group.
+ */
+void
+proxy_model_members_record(proxy_model_t *model, proxy_model_daemon_t *daemon)
+{
+	if (model->plan->pauses_last)
+		return;
+	model->members.count = model->plan->databases;
+	memcpy(
+	    model->members.born_us, daemon->born_us, sizeof(daemon->born_us));
+}
+
+/*
+ * Have a coordinator record the members, if others are recorded, while its
+ * lease shows that the primary has not been replaced.
+ */
+void
+proxy_model_members_check(proxy_model_t *model, uint32_t daemon_index)
+{
+	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
+	failover_t *failover = &daemon->failover;
+	int32_t primary = failover_primary(failover);
+
+	if (model->plan->pauses_last || primary < 0 ||
+	    failover->state != FAILOVER_STEADY ||
+	    daemon->lease.expires_us <= model->now_us ||
+	    daemon->lease.term != failover->views[primary].promised ||
+	    model->now_us < daemon->object_store_cut_until_us ||
+	    model->coordinator != daemon_index ||
+	    model->coordinator_token != daemon->fencing_token ||
+	    model->store_era != daemon->store_era ||
+	    (daemon->members.count > 0 &&
+		memcmp(daemon->members.born_us, daemon->born_us,
+		    sizeof(daemon->born_us)) == 0))
+		return;
+	proxy_model_members_record(model, daemon);
+	proxy_model_members_read(model, daemon, &model->members, model->now_us);
+}
--- a/tools/proxy_model_records.c
+++ b/tools/proxy_model_records.c
@@ -31,6 +31,7 @@
 	if (proxy_model_chance(model, 500)) {
 		model->orders = (recorded_orders_t){0};
 		model->open.count = 0;
+		model->members.count = 0;
 	}
 	for (i = 0; i < model->plan->daemons; i++) {
 		proxy_model_daemon_t *daemon = &model->daemons[i];
