--- a/tests/t_proxy_model.c
+++ b/tests/t_proxy_model.c
@@ -153,6 +153,7 @@
 	uint32_t alone_permille;
 	/* the open orders would hide the bug */
 	bool open_orders_unknown;
+	uint32_t database_restart_permille;
 } bug_case_t;
 
 static const bug_case_t bug_cases[] = {
@@ -193,6 +194,8 @@
 	PROXY_BUG_OPEN_ORDERS, 4, 0, 12, 3, 1, false, 0, 0, 300},
     {"open orders that the other daemons are not told",
 	PROXY_BUG_OPEN_ORDERS_UNTOLD, 4, 0, 12, 3, 1, false, 0, 0, 300},
+    {"recorded members that have restarted", PROXY_BUG_MEMBERS_IGNORED, 4, 0, 8,
+	3, 1, false, 0, 0, 1000, 0, 0, 0, 0, false, 20},
 };
 
 /*
@@ -218,6 +221,7 @@
 		    .pauses_last = c->pauses_last,
 		    .open_orders_unknown = c->open_orders_unknown,
 		    .daemon_restart_permille = c->daemon_restart_permille,
+		    .database_restart_permille = c->database_restart_permille,
 		    .placement_permille = c->placement_permille,
 		    .returns_permille = c->returns_permille,
 		    .order_held_permille = c->order_held_permille,
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -57,6 +57,9 @@
 	PROXY_BUG_OPEN_ORDERS,
 	/* the other daemons are not told of open orders */
 	PROXY_BUG_OPEN_ORDERS_UNTOLD,
+	/* a lease rests on any databases, also if the recorded members have
+	   restarted */
+	PROXY_BUG_MEMBERS_IGNORED,
 } proxy_model_bug_t;
 
 typedef struct proxy_model_plan {
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -179,6 +179,8 @@
 	failover_t *failover = &daemon->failover;
 	uint32_t i, ended = 0, count = daemon->members.count;
 
+	if (model->plan->injected_bug == PROXY_BUG_MEMBERS_IGNORED)
+		count = 0;
 	for (i = 0; i < model->plan->databases; i++) {
 		failover->views[i].member = count > 0 &&
 		    daemon->members.born_us[i] == daemon->born_us[i];
