A failed attempt keeps its promises while the primary may have been replaced

The coordinator, in doubt, began a handover with a majority; the old primary did not step down within 0.5 s, and the attempt that failed resumed the replicas, which had been paused for the order that was still under way. Another daemon then had a lease on the old primary as that order took effect.

Fix: as long as a recorded order may have replaced the newest primary that is known, promises are not withdrawn.

--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -1161,8 +1161,9 @@
 
 /*
  * Withdraw the promises of a failed attempt where the databases support it.
- * While an earlier promotion may still take effect, the promises must stay,
- * because they keep the old primary from continuing.
+ * While an earlier promotion may still take effect, or may have replaced the
+ * newest primary that is known, the promises must stay, because they keep the
+ * old primary from continuing.
  */
 static void
 release_attempt_promises(
@@ -1170,7 +1171,8 @@
 {
 	uint32_t i;
 
-	if (!failover->limits.revocable || order_pending(failover, now_us))
+	if (!failover->limits.revocable || order_pending(failover, now_us) ||
+	    failover->recorded.replaced_term >= newest_term(failover))
 		return;
 	for (i = 0; i < failover->count; i++) {
 		if (failover->granted[i] &&
