--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -289,7 +289,7 @@
  * no order that the store has not recorded.
  */
 bool
-failover_promise_unused(failover_t *failover, uint64_t term)
+failover_promise_void(failover_t *failover, uint64_t term)
 {
 	const failover_standing_t *own = standing_find(failover, term);
 
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -267,7 +267,7 @@
 void failover_set_unaware(failover_t *, int64_t since_us);
 void failover_set_unconfirmed(failover_t *, int64_t since_us);
 void failover_set_store(failover_t *, bool away, uint64_t stored_attempt);
-bool failover_promise_unused(failover_t *, uint64_t term);
+bool failover_promise_void(failover_t *, uint64_t term);
 void failover_request_handover(failover_t *, int64_t now_us);
 void failover_tick(failover_t *, int64_t now_us, failover_actions_t *);
 int32_t failover_primary(const failover_t *);
--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -138,7 +138,8 @@
 }
 
 /*
- * Tell whether a log has certainly no entries that the group has given up.
+ * Tell whether a log is clean: it has certainly no entries that the group has
+ * given up.
  * Where a term may have begun after an unknown entry, this holds for the
  * shortest log of a majority alone: a promotion needs the promises of a
  * majority, and names a log that contains those of all of it.  limit: orders to
@@ -204,9 +205,10 @@
 }
 
 /*
- * Make those databases ineligible whose log must not be used.  An order that
- * may have had no effect counts as one that had, until none is left otherwise
- * and it has certainly had none.
+ * Make those databases ineligible whose log must not be used.  First assume
+ * that each recorded order has begun a term.  If that leaves no database, and
+ * the last order has certainly begun none, count only the terms that are known
+ * to have begun.
  */
 static void
 exclude_given_up(const failover_t *failover, log_set_t *logs)
--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -551,8 +551,8 @@
 /*
  * Handle RevokeEnded: send the order if a majority of the daemons, or all, have
  * confirmed this daemon's token; drop it if one of them knows a newer token, a
- * primary in the order's term, or an order that was not known when this one was
- * decided.
+ * primary newer than those that the order replaces, or an order that was not
+ * known when this one was decided.
  */
 void
 order_confirmed(void *context, msg_t *msg)
--- a/src/proxy/group_orders.c
+++ b/src/proxy/group_orders.c
@@ -5,10 +5,10 @@
 #include <string.h>
 
 /*
- * Orders to promote a server of a group: those that a coordinator has told, and
- * open ones.  The coordinator's come from its
- * record, the others' from the coordinator, which tells them before it orders
- * the promotion of another server, and from the record.
+ * Orders to promote a server of a group: those that a coordinator has told,
+ * those that standing promises show, and open ones.  The coordinator's come
+ * from its record, the others' from the coordinator, which tells them before it
+ * orders the promotion of another server, and from the record.
  */
 
 /*
@@ -227,14 +227,14 @@
  * a standing promise, and the store has not recorded the order yet.
  */
 bool
-group_orders_prove(const server_t *server)
+group_orders_proved_by(const server_t *server)
 {
 	group_t *group = server->group;
 	uint64_t promised = server->paused_until_term;
 
 	return attempt_term_replaces(promised) != 0 &&
 	    promised > group->stored_attempt_term &&
-	    !failover_promise_unused(&group->failover, promised);
+	    !failover_promise_void(&group->failover, promised);
 }
 
 /*
@@ -254,7 +254,7 @@
 		const server_t *server = group->servers[i];
 		uint64_t promised = server->paused_until_term;
 
-		if (group_orders_prove(server) &&
+		if (group_orders_proved_by(server) &&
 		    promised > group->lease.orders.attempt_term)
 			group_orders_shown(group, promised, now_us);
 	}
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -375,7 +375,7 @@
 	pool_t *pool = server->group->pool;
 
 	if ((term != 0 && server->paused_until_term != term) ||
-	    group_orders_prove(server) ||
+	    group_orders_proved_by(server) ||
 	    now_us - pool->coordinator_since_us < ORDER_LATE_US)
 		return false;
 	if (now_us - pool->coordinator_confirmed_us < COORDINATOR_CONFIRMED_US)
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -457,7 +457,7 @@
     group_t *, const Bp__RecordedOrder *, uint64_t term, int64_t now_us);
 void group_orders_report(const group_t *);
 void group_orders_shown(group_t *, uint64_t promised, int64_t now_us);
-bool group_orders_prove(const server_t *);
+bool group_orders_proved_by(const server_t *);
 void group_orders_record_shown(group_t *, int64_t now_us);
 int64_t group_orders_checked_us(const group_t *);
 bool group_orders_checkable(const group_t *, int64_t now_us);
--- a/tests/t_standing.c
+++ b/tests/t_standing.c
@@ -173,8 +173,7 @@
 		    &failover.views[1], MS(at_ms));
 	g_assert_cmpuint(asked, ==, c->asked);
 	g_assert_cmpuint(attempt, ==, c->attempt);
-	g_assert_cmpint(
-	    failover_promise_unused(&failover, asked), ==, c->unused);
+	g_assert_cmpint(failover_promise_void(&failover, asked), ==, c->unused);
 	failover_clear(&failover);
 }
 
@@ -391,7 +390,7 @@
 	g_assert_cmpuint(attempt, ==, c->attempt);
 	g_assert_cmpint(chosen, ==, c->chosen);
 	g_assert_cmpint(
-	    failover_promise_unused(&failover, attempt), ==, c->unused);
+	    failover_promise_void(&failover, attempt), ==, c->unused);
 	failover_clear(&failover);
 }
 
