Failover: a parameter in place of a flag, and one function for two

No change of behaviour. start_fencing() is told whether it begins a handover, which was passed in a field of failover_t for the length of one call; the term that an attempt replaces is computed by one function, not two; whether a primary can hand over is asked in one place; the address of a member is written by one function.

--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -582,10 +582,10 @@
 }
 
 /*
- * Return the newest term whose primary an attempt is to replace.
+ * Return the newest term whose primary the current attempt is to replace.
  */
-static uint64_t
-replaced_by_attempt(const failover_t *failover)
+uint64_t
+failover_term_to_replace(const failover_t *failover)
 {
 	return MAX(MAX(failover->fenced_from_term, failover->reported_term),
 	    failover->shown_replaced);
@@ -603,7 +603,8 @@
 
 	if (failover->unproven_attempt <= failover->stored_attempt)
 		return attempt_term_next(newest);
-	standing = attempt_term_standing(newest, replaced_by_attempt(failover));
+	standing =
+	    attempt_term_standing(newest, failover_term_to_replace(failover));
 	if (standing == 0)
 		return attempt_term_next(newest);
 	standing_begin(failover, standing);
@@ -627,6 +628,16 @@
 		    failover->views[primary].key));
 }
 
+/*
+ * Tell whether there is a primary that steps down alone in a handover.
+ */
+static bool
+can_hand_over(const failover_t *failover)
+{
+	return failover->limits.catch_up_us > 0 &&
+	    failover_primary(failover) >= 0;
+}
+
 /*
  * Tell whether an attempt can succeed: a database that can take over answers.
  * Otherwise no promise is asked for, since those that hold leases on the newest
@@ -635,9 +646,7 @@
 static bool
 attempt_possible(failover_t *failover, int64_t now_us)
 {
-	bool handover = failover->handover && failover->limits.catch_up_us > 0;
-
-	failover->no_candidate = !(handover && failover_primary(failover) >= 0
+	failover->no_candidate = !(failover->handover && can_hand_over(failover)
 		? failover_successor_answers(failover, now_us)
 		: failover_candidate_answers(failover, now_us));
 	return !failover->no_candidate;
@@ -671,15 +680,14 @@
  * again at the next tick.
  */
 static void
-start_fencing(failover_t *failover, int64_t now_us, failover_actions_t *actions)
+start_fencing(failover_t *failover, bool handover, int64_t now_us,
+    failover_actions_t *actions)
 {
 	int32_t primary = failover_primary(failover);
 	bool doubt = primary >= 0 && maybe_replaced(failover);
-	bool hands_over = (failover->handover || failover->replaces_doubtful) &&
-	    failover->limits.catch_up_us > 0 && primary >= 0;
+	bool hands_over = handover && can_hand_over(failover);
 	uint32_t i;
 
-	failover->replaces_doubtful = false;
 	if ((!hands_over || doubt) && !promises_possible(failover, now_us)) {
 		failover->isolated = -1;
 		return;
@@ -692,9 +700,7 @@
 	memset(failover->standing, 0, sizeof(failover->standing));
 	failover->revocation_sent = failover->revoked_by_all = false;
 	failover->revoked_by_most_us = 0;
-	failover->stepping_down = -1;
-	if (hands_over)
-		failover->stepping_down = failover_primary(failover);
+	failover->stepping_down = hands_over ? primary : -1;
 	for (i = 0; i < failover->count; i++) {
 		/* one that has not answered may hold a standing promise */
 		if ((int32_t)i == failover->isolated ||
@@ -823,15 +829,6 @@
 	    newest_term(failover) <= failover->fenced_from_term;
 }
 
-/*
- * Return the newest term whose primary the current attempt is to replace.
- */
-uint64_t
-failover_term_to_replace(const failover_t *failover)
-{
-	return replaced_by_attempt(failover);
-}
-
 /*
  * Return the end of the log of the database to be promoted, as last reported.
  */
@@ -1077,7 +1074,7 @@
 		return;
 	}
 	if (attempt_possible(failover, now_us))
-		start_fencing(failover, now_us, actions);
+		start_fencing(failover, failover->handover, now_us, actions);
 }
 
 /*
@@ -1106,8 +1103,7 @@
 		failover->limits.order_late_us &&
 	    failover_successor_answers(failover, now_us)) {
 		/* a newer term shows which primary is the newest */
-		failover->replaces_doubtful = true;
-		start_fencing(failover, now_us, actions);
+		start_fencing(failover, true, now_us, actions);
 		return;
 	}
 	if (failover->limits.revocable && !failover->store_away &&
@@ -1122,13 +1118,14 @@
 			order_pending(failover, now_us)))) &&
 	    attempt_possible(failover, now_us)) {
 		failover->stray_promise_us = 0;
-		start_fencing(failover, now_us, actions);
+		start_fencing(failover, failover->handover, now_us, actions);
 		return;
 	}
 	if (primary_isolated(failover, now_us)) {
 		failover->isolated = primary;
 		if (attempt_possible(failover, now_us)) {
-			start_fencing(failover, now_us, actions);
+			start_fencing(
+			    failover, failover->handover, now_us, actions);
 			return;
 		}
 		failover->isolated = -1;
@@ -1156,7 +1153,7 @@
 	else if (now_us - failover->state_entered_us >=
 		failover->limits.witness_us &&
 	    attempt_possible(failover, now_us))
-		start_fencing(failover, now_us, actions);
+		start_fencing(failover, failover->handover, now_us, actions);
 }
 
 /*
@@ -1215,7 +1212,7 @@
     failover_t *failover, int32_t chosen, failover_actions_t *actions)
 {
 	uint64_t standing = attempt_term_standing(
-	    newest_number(failover), replaced_by_attempt(failover));
+	    newest_number(failover), failover_term_to_replace(failover));
 	uint32_t i, granted = 1;
 	bool all;
 
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -202,9 +202,8 @@
 	/* FENCING: in a handover, the old primary, which alone is fenced; -1:
 	   none */
 	int32_t stepping_down;
-	/* the primary may have been replaced, so that a handover begins */
-	bool replaces_doubtful;
-	/* FENCING: in that handover the others are fenced, too */
+	/* FENCING: in that handover the others are fenced, too, since the
+	   primary may have been replaced */
 	bool doubtful;
 
 	/* consecutive failed attempts */
--- a/src/proxy/group_members.c
+++ b/src/proxy/group_members.c
@@ -27,12 +27,12 @@
 }
 
 /*
- * Return the address of a server, to be freed by the caller.
+ * Return the address of a server in an arena.
  */
 static char *
-server_address(const server_t *server)
+server_address(const server_t *server, arena_t *arena)
 {
-	return g_strdup_printf("%s:%u", server->address, server->port);
+	return arena_printf(arena, "%s:%u", server->address, server->port);
 }
 
 /*
@@ -43,19 +43,21 @@
 static bool
 member_ended(const group_t *group, const member_t *member)
 {
+	arena_t *arena = arena_new();
 	bool ended = member->gone;
 	uint32_t i;
 
 	for (i = 0; i < group->count; i++) {
 		const server_t *server = group->servers[i];
-		char *address;
 
-		if (strcmp(server->id, member->id) == 0)
-			return server->generation != member->born;
-		address = server_address(server);
-		ended |= g_strcmp0(address, member->address) == 0;
-		g_free(address);
+		if (strcmp(server->id, member->id) == 0) {
+			ended = server->generation != member->born;
+			break;
+		}
+		ended |= g_strcmp0(server_address(server, arena),
+			     member->address) == 0;
 	}
+	arena_free(arena);
 	return ended;
 }
 
@@ -172,8 +174,7 @@
 		    arena, &bp__recorded_member__descriptor);
 		list[i]->server = arena_strdup(arena, group->servers[i]->id);
 		list[i]->born = group->servers[i]->generation;
-		list[i]->address = arena_printf(arena, "%s:%u",
-		    group->servers[i]->address, group->servers[i]->port);
+		list[i]->address = server_address(group->servers[i], arena);
 	}
 	*count = group->count;
 	return list;
