Tests of attempts share what they had twice

The limits, the report of a database and the course of an attempt between two logs stood in t_attempt and t_standing, the last one twice in t_attempt. They are in tests/attempt.h and promoted_in_attempt().

--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -1,4 +1,4 @@
-#include "../src/decide/failover.h"
+#include "attempt.h"
 #include "cases.h"
 
 #include <string.h>
@@ -9,35 +9,6 @@
  * the primary, in term 1.
  */
 
-#define MS(n) ((int64_t)(n)*INT64_C(1000))
-#define DATABASES 3
-
-static const failover_limits_t test_limits = {
-    .suspect_us = MS(100),
-    .witness_us = MS(1),
-    .witness_override_us = MS(100),
-    .fence_us = MS(500),
-    .promotion_us = MS(1500),
-    .order_late_us = MS(3500),
-    .backoff_us = MS(2000),
-    .lease_wait_us = MS(1900),
-    .lease_wait_min_us = MS(150),
-    .revocable = true,
-};
-
-/*
- * Have a database report its state.
- */
-static void
-report(failover_t *failover, uint32_t database, bool primary, uint64_t term,
-    uint64_t paused_term, int64_t now_us)
-{
-	db_view_t view = {true, primary, false, MAX(term, paused_term),
-	    {term, 8}, now_us, .term = term};
-
-	failover_replace_view(failover, database, &view, now_us);
-}
-
 /*
  * Begin an attempt: the primary refuses connections.  Returns the term that the
  * replicas are asked to promise.
@@ -63,6 +34,40 @@
 	return term;
 }
 
+/*
+ * Replace the primary of a term by one of the two databases with these ends of
+ * their logs, which both promise a term.  Returns the database that is ordered
+ * to become primary; 0: none.
+ */
+static uint32_t
+promoted_in_attempt(
+    failover_t *failover, uint64_t primary_term, const uint64_t logs[2][2])
+{
+	failover_actions_t actions;
+	uint32_t i, chosen = 0;
+	uint64_t term;
+
+	report(failover, 0, true, primary_term, 0, 0);
+	for (i = 1; i < DATABASES; i++)
+		report(failover, i, false, logs[i - 1][0], 0, 0);
+	term = begin_attempt(failover, 0);
+	for (i = 1; i < DATABASES; i++) {
+		position_t end = {logs[i - 1][0], logs[i - 1][1]};
+		db_view_t view = {
+		    true, false, false, term, end, 0, .term = end.term};
+
+		failover_fence_answered(failover, i, term, true, &view, 0);
+	}
+	failover_tick(failover, MS(20), &actions);
+	failover_leases_revoked(failover, term, true, MS(20));
+	failover_tick(failover, MS(200), &actions);
+	for (i = 0; i < actions.count; i++) {
+		if (actions.list[i].kind == FAILOVER_PROMOTE)
+			chosen = actions.list[i].database;
+	}
+	return chosen;
+}
+
 /*
  * Have both replicas promise the term of an attempt.
  */
@@ -393,34 +398,15 @@
 static void
 check_choice(const choice_case_t *c, uint32_t sync_replicas, uint32_t expected)
 {
-	failover_actions_t actions;
 	failover_t failover;
-	uint32_t i, chosen = 0;
-	uint64_t term;
 
 	failover_init(&failover, &test_limits, DATABASES, 1, 0);
 	failover.limits.sync_replicas = sync_replicas;
 	failover_orders_recorded(&failover, &c->recorded, 0);
 	failover_term_reported(&failover, c->reported_term, 0);
-	report(&failover, 0, true, MAX(c->logs[0][0], c->logs[1][0]), 0, 0);
-	for (i = 1; i < DATABASES; i++)
-		report(&failover, i, false, c->logs[i - 1][0], 0, 0);
-	term = begin_attempt(&failover, 0);
-	for (i = 1; i < DATABASES; i++) {
-		position_t end = {c->logs[i - 1][0], c->logs[i - 1][1]};
-		db_view_t view = {
-		    true, false, false, term, end, 0, .term = end.term};
-
-		failover_fence_answered(&failover, i, term, true, &view, 0);
-	}
-	failover_tick(&failover, MS(20), &actions);
-	failover_leases_revoked(&failover, term, true, MS(20));
-	failover_tick(&failover, MS(200), &actions);
-	for (i = 0; i < actions.count; i++) {
-		if (actions.list[i].kind == FAILOVER_PROMOTE)
-			chosen = actions.list[i].database;
-	}
-	g_assert_cmpuint(chosen, ==, expected);
+	g_assert_cmpuint(promoted_in_attempt(&failover,
+			     MAX(c->logs[0][0], c->logs[1][0]), c->logs),
+	    ==, expected);
 	failover_clear(&failover);
 }
 
@@ -715,10 +701,8 @@
 check_history(
     const history_case_t *c, uint32_t sync_replicas, uint32_t expected)
 {
-	failover_actions_t actions;
 	failover_t failover;
-	uint32_t i, chosen = 0;
-	uint64_t term;
+	uint32_t i;
 
 	failover_init(&failover, &test_limits, DATABASES, 1, 0);
 	failover.limits.sync_replicas = sync_replicas;
@@ -728,25 +712,9 @@
 
 		failover_orders_recorded(&failover, &recorded, 0);
 	}
-	report(&failover, 0, true, c->newest_term, 0, 0);
-	for (i = 1; i < DATABASES; i++)
-		report(&failover, i, false, c->logs[i - 1][0], 0, 0);
-	term = begin_attempt(&failover, 0);
-	for (i = 1; i < DATABASES; i++) {
-		position_t end = {c->logs[i - 1][0], c->logs[i - 1][1]};
-		db_view_t view = {
-		    true, false, false, term, end, 0, .term = end.term};
-
-		failover_fence_answered(&failover, i, term, true, &view, 0);
-	}
-	failover_tick(&failover, MS(20), &actions);
-	failover_leases_revoked(&failover, term, true, MS(20));
-	failover_tick(&failover, MS(200), &actions);
-	for (i = 0; i < actions.count; i++) {
-		if (actions.list[i].kind == FAILOVER_PROMOTE)
-			chosen = actions.list[i].database;
-	}
-	g_assert_cmpuint(chosen, ==, expected);
+	g_assert_cmpuint(
+	    promoted_in_attempt(&failover, c->newest_term, c->logs), ==,
+	    expected);
 	failover_clear(&failover);
 }
 
--- a/tests/t_standing.c
+++ b/tests/t_standing.c
@@ -1,4 +1,4 @@
-#include "../src/decide/failover.h"
+#include "attempt.h"
 #include "cases.h"
 
 #include <string.h>
@@ -8,28 +8,12 @@
  * record.  Database 0 is the primary of term 1, database 1 its successor.
  */
 
-#define MS(n) ((int64_t)(n)*INT64_C(1000))
-#define DATABASES 3
-
 /* Number of a standing promise to replace the primary of a term. */
 #define STANDING(n, replaced) ((UINT64_C(n) << 20) | (replaced))
 
 /* Number of an ordinary attempt after standing promises. */
 #define ORDINARY(n) STANDING(n, 0xfffff)
 
-static const failover_limits_t test_limits = {
-    .suspect_us = MS(100),
-    .witness_us = MS(1),
-    .witness_override_us = MS(100),
-    .fence_us = MS(500),
-    .promotion_us = MS(1500),
-    .order_late_us = MS(3500),
-    .backoff_us = MS(2000),
-    .lease_wait_us = MS(1900),
-    .lease_wait_min_us = MS(150),
-    .revocable = true,
-};
-
 typedef struct number_case {
 	const char *name;
 	uint64_t newest;
@@ -73,19 +57,6 @@
 	g_assert_cmpuint(attempt_term_replaces(standing), ==, c->standing_for);
 }
 
-/*
- * Have a database report its state.
- */
-static void
-report(failover_t *failover, uint32_t database, bool primary, uint64_t term,
-    uint64_t paused_term, int64_t now_us)
-{
-	db_view_t view = {true, primary, false, MAX(term, paused_term),
-	    {term, 8}, now_us, .term = term};
-
-	failover_replace_view(failover, database, &view, now_us);
-}
-
 /*
  * Have a replica promise the term of an attempt.
  */
