Registry: keep missing servers for a while after any call failed

Cause: a server whose entry is missing is kept for 2.5 s after an outage, but only the watch of the servers told of one. A watch request that waits during the whole outage does not fail; its answer after the return lists the lapsed entries as deleted, and the primary was taken for one that leaves. 10 ms later it was listed again, after the fence had been sent.

Now an outage is known from any call to the store that was refused or not answered. The fake store refuses a watch whose time ends while it is busy, where it had answered with the changes.

--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -220,15 +220,18 @@
 
 /*
  * Tell whether the store is or has recently been unavailable, so that its
- * registrations may be missing or older than those read before.
+ * registrations may be missing or older than those read before.  A watch that
+ * waited meanwhile has not failed, other calls have.
  */
 static bool
 registrations_unsettled(const registry_t *registry)
 {
 	const object_watch_t *watch = &registry->servers_watch;
 
-	return watch->failing ||
-	    clock_us() - watch->recovered_us < EXPIRY_GRACE_US;
+	return watch->failing || registry->store_failing ||
+	    clock_us() -
+		MAX(watch->recovered_us, registry->store_recovered_us) <
+	    EXPIRY_GRACE_US;
 }
 
 /*
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -101,9 +101,11 @@
 	int64_t records_lost_us;
 	/* when the store first refused or did not answer a call; 0: never */
 	int64_t store_away_us;
-	int64_t heartbeat_acked_us;   /* send time of the last acknowledged
-					 heartbeat */
-	int64_t heartbeat_sent_us;    /* send time of the last heartbeat */
+	bool store_failing; /* it refused or did not answer the last call */
+	int64_t store_recovered_us; /* first success after failures; 0: none */
+	int64_t heartbeat_acked_us; /* send time of the last acknowledged
+				       heartbeat */
+	int64_t heartbeat_sent_us;  /* send time of the last heartbeat */
 	int64_t daemons_list_sent_us; /* send time of the last list request */
 	bool heartbeat_pending;       /* a heartbeat is not acknowledged yet */
 	GHashTable *heartbeats; /* last heartbeat of each daemon, by name */
--- a/src/proxy/store_era.c
+++ b/src/proxy/store_era.c
@@ -61,10 +61,14 @@
 store_response_status(
     registry_t *registry, const object_store_response_t *response)
 {
-	if (registry->store_away_us == 0 &&
-	    (response->status == OBJECT_STORE_NO_RESPONSE ||
-		response->status == OBJECT_STORE_REFUSED))
+	bool failed = response->status == OBJECT_STORE_NO_RESPONSE ||
+	    response->status == OBJECT_STORE_REFUSED;
+
+	if (failed && registry->store_away_us == 0)
 		registry->store_away_us = clock_us();
+	if (!failed && registry->store_failing)
+		registry->store_recovered_us = clock_us();
+	registry->store_failing = failed;
 	store_era_reached(registry, response->era);
 	return response->era != 0 && response->era < registry->store_era
 	    ? OBJECT_STORE_NO_RESPONSE
--- a/tests/fake/fakestore.c
+++ b/tests/fake/fakestore.c
@@ -160,22 +160,24 @@
 }
 
 /*
- * Answer a watch with the changes since its revision, and free it.
+ * Answer a watch with the changes since its revision, and free it.  A busy
+ * store refuses it.
  */
 static void
 watch_complete(watch_t *watch)
 {
 	bool known = watch->after_revision <= watch->store->revision;
+	bool busy = watch->store->fault == STORE_FAULT_BUSY;
 	GString *out = g_string_new(NULL);
 
-	if (known)
+	if (known && !busy)
 		append_events(
 		    watch->store, out, watch->kind, watch->after_revision);
 	append_era(watch->store, watch->message);
 	watch->store->watches = g_list_remove(watch->store->watches, watch);
 	if (watch->timer != 0)
 		g_source_remove(watch->timer);
-	send_json(watch->message, known ? 200 : 410, out);
+	send_json(watch->message, busy ? 503 : known ? 200 : 410, out);
 	soup_server_message_unpause(watch->message);
 	g_object_unref(watch->message);
 	g_free(watch->kind);
--- a/tests/t_old_primary.c
+++ b/tests/t_old_primary.c
@@ -306,6 +306,59 @@
 	testbed_stop(testbed);
 }
 
+typedef struct lapsed_case {
+	const char *name;
+	int64_t away_ms;      /* outage in which the primary's entry lapses */
+	int32_t back_ms;      /* its return after the store's; -1: none */
+	const char *promoted; /* promotions, with blanks around each */
+} lapsed_case_t;
+
+/* An entry that names no server to use, and the time until it is known. */
+#define OTHER_ENTRY "{}"
+#define WATCH_AGAIN_MS 200
+
+/* Time in which a primary whose entry is missing for good is replaced. */
+#define LAPSED_MS 8000
+
+static const lapsed_case_t lapsed_cases[] = {
+    {"the watch waits meanwhile, the entry is back in time", 2000, 1500, " "},
+    {"the watch fails, the entry is back in time", 5000, 1500, " "},
+    {"the watch waits meanwhile, the entry stays missing", 2000, -1, " i-1.2 "},
+};
+
+/*
+ * Test that a primary whose entry lapsed during an outage of the store keeps
+ * its role if the entry is back within two seconds of the store's return.
+ */
+static void
+test_lapsed_entries(gconstpointer data)
+{
+	const lapsed_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	char *promoted;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_assert_true(wait_members(testbed, 3, MEMBERS_MS));
+	/* a change, so that the watch of the servers has just begun */
+	testbed_put_object(testbed, "servers", "other", OTHER_ENTRY);
+	g_usleep(WATCH_AGAIN_MS * G_TIME_SPAN_MILLISECOND);
+	testbed_inject_fault(testbed, "store", "busy", -1);
+	testbed_inject_fault(testbed, "database", "unlist", 0);
+	g_usleep(c->away_ms * G_TIME_SPAN_MILLISECOND);
+	testbed_inject_fault(testbed, "store", "up", -1);
+	if (c->back_ms >= 0) {
+		g_usleep(c->back_ms * G_TIME_SPAN_MILLISECOND);
+		testbed_inject_fault(testbed, "database", "list", 0);
+	}
+	g_usleep(LAPSED_MS * G_TIME_SPAN_MILLISECOND);
+	promoted = testbed_get(testbed, "/promoted");
+	g_assert_cmpstr(promoted, ==, c->promoted);
+	g_assert_true(write_served(testbed, 0, LAPSED_MS));
+	g_free(promoted);
+	testbed_stop(testbed);
+}
+
 /* Time for the promotion, and for the order to be recorded afterwards. */
 #define PROMOTION_MS 8000
 #define RECORD_MS 5000
@@ -618,6 +671,7 @@
 	    test_restarted_daemon);
 	CASES("/old-primary/members", members_cases, test_members);
 	CASES("/old-primary/late-list", late_list_cases, test_late_list);
+	CASES("/old-primary/lapsed-entries", lapsed_cases, test_lapsed_entries);
 	g_test_add_func(
 	    "/old-primary/lost-coordinator", test_abandoned_failover);
 	g_test_add_func(
