Coordinator: orders at once share a write of the record

Where many groups lose their primary at once, as when a zone fails, each order wrote the coordinator record by itself. All but one write conflicted, and each of the others was written again: 40 orders needed 820 writes, each of which is priced, and the last order waited for 40 writes in a row, within the second after which it is dropped.

Cause: the response to a write was handled for the one order that had asked for it, although the record that was written had those of the others, too.

Now one write of orders is under way at a time. Orders that come meanwhile wait and are noted right before the next write, which has all of them. An order is sent only after a write that it was noted for is confirmed under its token. After a conflict with another write of this daemon, or a late response, the orders of that write and those that wait share the next one. If the record names another daemon or token, or there was no response, none of them is sent. The record has one attempt of a group, so a second order of a group waits for a write of its own; before, by reading, a conflict noted the earlier of the two over the later.

What is left: an order waits behind a write that the store does not answer, up to its timeout (600 ms by default); then the role is given up and the order withheld. Before, its own write might have been answered. Withdrawals and learned orders are still written one by one, and may conflict with a write of orders.

--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -277,9 +277,10 @@
 	msg_t *msg;     /* the PromotionWanted message */
 	GSource *timer; /* delay of a first order, or confirmation timeout */
 	bool cancelled; /* the pool does not want it any more */
-	int64_t record_sent_us; /* time of the last write of the record */
-	uint64_t token;         /* fencing token under which it was decided */
-	bool noted;             /* it is among the orders to be recorded */
+	uint64_t token; /* fencing token under which it was decided */
+	bool noted;     /* it is among the orders to be recorded */
+	bool recording; /* it is sent when a write with it was confirmed */
+	bool written;   /* the write that is under way has it */
 } order_t;
 
 /*
@@ -440,19 +441,42 @@
 	order_finish(order, BP__PROMOTION_ANSWER__ORDER_WITHHELD);
 }
 
-static gboolean order_record(gpointer);
+/*
+ * Send the orders that a confirmed write of the record has, or drop them if the
+ * write has failed.
+ */
+static void
+finish_written_orders(registry_t *registry, bool confirmed)
+{
+	GList *l, *previous;
+
+	for (l = g_list_last(registry->pending_orders); l != NULL;
+	     l = previous) {
+		order_t *order = l->data;
+
+		previous = l->prev;
+		if (!order->written)
+			continue;
+		order->written = order->recording = false;
+		if (confirmed)
+			order_send(order);
+		else
+			order_withhold(order);
+	}
+}
+
+static void write_orders(registry_t *);
 
 /*
- * Handle the response to the write of the coordinator record with an order.
- * Its success shows that this daemon is still the coordinator, and a conflict
- * with another write of this daemon does too; then, or if the response took too
- * long, the order is recorded again.
+ * Handle the response to the write of the coordinator record with orders.  Its
+ * success shows that this daemon is still the coordinator, and a conflict with
+ * another write of this daemon does too; then, or if the response took too
+ * long, the orders are written again.
  */
 static void
-on_order_recorded(void *context, const object_store_response_t *response)
+on_orders_written(void *context, const object_store_response_t *response)
 {
-	order_t *order = context;
-	registry_t *registry = order->registry;
+	registry_t *registry = context;
 	object_store_status_t status =
 	    store_response_status(registry, response);
 	arena_t *arena = arena_new();
@@ -460,21 +484,57 @@
 	bool held_here = registry->fencing_token != 0 &&
 	    names_this_daemon(registry, record) &&
 	    record->token == registry->fencing_token;
+	bool confirmed = held_here && status == OBJECT_STORE_OK;
+	bool again = held_here &&
+	    (status == OBJECT_STORE_CONFLICT ||
+		(confirmed &&
+		    clock_us() - registry->orders_put_us >
+			COORDINATOR_CHECK_MAX_AGE_US));
 
+	registry->orders_put_pending = false;
 	note_coordinator_record(registry, status, response, record);
-	if (held_here && status == OBJECT_STORE_OK)
-		orders_report(registry, record, order->record_sent_us);
+	if (confirmed)
+		orders_report(registry, record, registry->orders_put_us);
 	arena_free(arena);
-	if (held_here &&
-	    (status == OBJECT_STORE_CONFLICT ||
-		(status == OBJECT_STORE_OK &&
-		    clock_us() - order->record_sent_us >
-			COORDINATOR_CHECK_MAX_AGE_US)))
-		order_record(order);
-	else if (held_here && status == OBJECT_STORE_OK)
-		order_send(order);
-	else
-		order_withhold(order);
+	if (!again)
+		finish_written_orders(registry, confirmed);
+	write_orders(registry);
+}
+
+/*
+ * Write the coordinator record with all orders that are to be recorded before
+ * they are sent.  As writes at the same time would conflict, only one is under
+ * way; orders that come meanwhile wait for the next.  The record has one
+ * attempt of each group, so a later order of the group waits, too.
+ */
+static void
+write_orders(registry_t *registry)
+{
+	GHashTable *groups;
+	GList *l, *previous;
+
+	if (registry->orders_put_pending)
+		return;
+	groups = g_hash_table_new(g_str_hash, g_str_equal);
+	for (l = g_list_last(registry->pending_orders); l != NULL;
+	     l = previous) {
+		order_t *order = l->data;
+
+		previous = l->prev;
+		if (!order->recording || order_ended(order))
+			continue;
+		order->written =
+		    g_hash_table_add(groups, order_request(order)->group);
+		if (order->written)
+			order_note(order);
+	}
+	registry->orders_put_pending = g_hash_table_size(groups) > 0;
+	g_hash_table_unref(groups);
+	if (!registry->orders_put_pending)
+		return;
+	registry->orders_put_us = clock_us();
+	put_coordinator_record(registry, registry->coordinator_revision,
+	    registry->fencing_token, on_orders_written, registry);
 }
 
 /*
@@ -485,15 +545,10 @@
 order_record(gpointer context)
 {
 	order_t *order = context;
-	registry_t *registry = order->registry;
 
 	source_clear(&order->timer);
-	if (order_ended(order))
-		return G_SOURCE_REMOVE;
-	order_note(order);
-	order->record_sent_us = clock_us();
-	put_coordinator_record(registry, registry->coordinator_revision,
-	    registry->fencing_token, on_order_recorded, order);
+	order->recording = true;
+	write_orders(order->registry);
 	return G_SOURCE_REMOVE;
 }
 
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -72,6 +72,8 @@
 	int64_t orders_sent_us;    /* send time of the request for the orders */
 	bool orders_unrecorded;    /* the record lacks noted orders */
 	int64_t orders_written_us; /* time of the last write of noted orders */
+	bool orders_put_pending;   /* orders to be sent are being recorded */
+	int64_t orders_put_us;     /* time of the last write of such orders */
 	/* a promotion was ordered with this token, or no older token exists */
 	bool order_sent;
 	/* the last listing of the daemons for a revocation has failed */
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -21,6 +21,7 @@
 	uint64_t token;
 	object_store_cb callback;
 	void *context;
+	uint64_t orders; /* number of groups with an order in the record */
 } write_t;
 
 static write_t last_write;
@@ -35,8 +36,8 @@
 {
 	(void)store;
 	(void)name;
-	last_write = (write_t){
-	    last_write.count + 1, revision, record->token, callback, context};
+	last_write = (write_t){last_write.count + 1, revision, record->token,
+	    callback, context, record->n_orders};
 	g_queue_push_tail(
 	    &pending_writes, g_memdup2(&last_write, sizeof(last_write)));
 }
@@ -248,6 +249,146 @@
 	registry_free(registry);
 }
 
+typedef enum store_answer {
+	ANSWER_OK,
+	ANSWER_LATE,      /* a success after COORDINATOR_CHECK_MAX_AGE_US */
+	ANSWER_CONFLICT,  /* with another write of this daemon */
+	ANSWER_SUCCESSOR, /* a conflict with the write of another daemon */
+	ANSWER_NEW_TOKEN, /* a conflict with a later token of this daemon */
+	ANSWER_NONE,
+} store_answer_t;
+
+typedef struct wanted_order {
+	const char *group;
+	uint64_t term;
+} wanted_order_t;
+
+typedef struct shared_write_case {
+	const char *name;
+	wanted_order_t orders[4]; /* that are due at once */
+	uint64_t cancelled_term;  /* of an order of "a"; 0: none */
+	/* of each write: the answer, and what is expected */
+	uint32_t writes;
+	store_answer_t answers[4];
+	uint64_t recorded[4]; /* groups with an order in the record */
+	uint32_t sent[4];     /* orders sent after the answer, in total */
+	bool role_lost;
+} shared_write_case_t;
+
+static const shared_write_case_t shared_write_cases[] = {
+    {"all confirmed", {{"a", 2}, {"b", 2}, {"c", 2}}, 0, 2,
+	{ANSWER_OK, ANSWER_OK}, {1, 3}, {1, 3}, false},
+    {"a conflict", {{"a", 2}, {"b", 2}, {"c", 2}}, 0, 2,
+	{ANSWER_CONFLICT, ANSWER_OK}, {1, 3}, {0, 3}, false},
+    {"a conflict of the shared write", {{"a", 2}, {"b", 2}, {"c", 2}}, 0, 3,
+	{ANSWER_OK, ANSWER_CONFLICT, ANSWER_OK}, {1, 3, 3}, {1, 1, 3}, false},
+    {"a late answer", {{"a", 2}, {"b", 2}, {"c", 2}}, 0, 3,
+	{ANSWER_OK, ANSWER_LATE, ANSWER_OK}, {1, 3, 3}, {1, 1, 3}, false},
+    {"a successor", {{"a", 2}, {"b", 2}, {"c", 2}}, 0, 1, {ANSWER_SUCCESSOR},
+	{1}, {0}, true},
+    {"a successor at the shared write", {{"a", 2}, {"b", 2}, {"c", 2}}, 0, 2,
+	{ANSWER_OK, ANSWER_SUCCESSOR}, {1, 3}, {1, 1}, true},
+    {"a later token of this daemon", {{"a", 2}, {"b", 2}, {"c", 2}}, 0, 2,
+	{ANSWER_OK, ANSWER_NEW_TOKEN}, {1, 3}, {1, 1}, true},
+    {"no answer", {{"a", 2}, {"b", 2}, {"c", 2}}, 0, 1, {ANSWER_NONE}, {1}, {0},
+	true},
+    {"no answer to the shared write", {{"a", 2}, {"b", 2}, {"c", 2}}, 0, 2,
+	{ANSWER_OK, ANSWER_NONE}, {1, 3}, {1, 1}, true},
+    {"a later order of a group", {{"b", 2}, {"a", 2}, {"a", 3}}, 0, 3,
+	{ANSWER_OK, ANSWER_OK, ANSWER_OK}, {1, 2, 2}, {1, 2, 3}, false},
+    {"the same after a conflict", {{"a", 2}, {"a", 3}}, 0, 3,
+	{ANSWER_CONFLICT, ANSWER_OK, ANSWER_OK}, {1, 1, 1}, {0, 1, 2}, false},
+    {"one is cancelled while it waits", {{"b", 2}, {"a", 2}, {"c", 2}}, 2, 2,
+	{ANSWER_OK, ANSWER_OK}, {1, 2}, {1, 2}, false},
+    {"the only one that waits is cancelled", {{"b", 2}, {"a", 2}}, 2, 1,
+	{ANSWER_OK}, {1}, {1}, false},
+};
+
+/*
+ * Answer a write of the record.
+ */
+static void
+answer_write(const write_t *write, store_answer_t answer)
+{
+	Bp__DutyRecord record = BP__DUTY_RECORD__INIT;
+	object_t object = {.name = "promotion",
+	    .revision = write->revision + 1,
+	    .content = &record};
+	object_store_response_t response = {
+	    OBJECT_STORE_CONFLICT, &object, 1, object.revision};
+
+	record.holder = answer == ANSWER_SUCCESSOR ? "other" : "this";
+	record.token = write->token + (answer == ANSWER_NEW_TOKEN);
+	if (answer == ANSWER_OK || answer == ANSWER_LATE)
+		response.status = OBJECT_STORE_OK;
+	if (answer == ANSWER_LATE)
+		g_usleep(COORDINATOR_CHECK_MAX_AGE_US + 10 * US_PER_MS);
+	if (answer == ANSWER_NONE)
+		response = (object_store_response_t){
+		    OBJECT_STORE_NO_RESPONSE, NULL, 0, 0};
+	write->callback(write->context, &response);
+}
+
+/*
+ * Test that orders that come while the record is being written share the next
+ * write, and that each is sent only after a write that has it was confirmed.
+ */
+static void
+test_shared_writes(gconstpointer data)
+{
+	const shared_write_case_t *c = data;
+	Bp__ProxySettings settings = BP__PROXY_SETTINGS__INIT;
+	task_t *host = task_new(&host_ops, NULL);
+	proxy_t proxy = {.settings = &settings,
+	    .objects = &store_ops,
+	    .promoter = &counting_promoter,
+	    .pool = task_new_hosted(&dropping_ops, NULL, host)};
+	registry_t *registry = registry_new(&proxy);
+	msg_t *msg;
+	write_t *next;
+	uint32_t i;
+
+	settings.name = "this";
+	registry->task = task_new_hosted(&dropping_ops, NULL, host);
+	registry->promoter = (promoter_t *)&counting_promoter;
+	registry->fencing_token = 5;
+	registry->coordinator_revision = 10;
+	registry->order_sent = true;
+	promoted_count = 0;
+	g_queue_clear_full(&pending_writes, g_free);
+	for (i = 0; i < G_N_ELEMENTS(c->orders) && c->orders[i].term != 0; i++)
+		want_order(registry, c->orders[i].group, c->orders[i].term,
+		    clock_us());
+	if (c->cancelled_term != 0) {
+		Bp__PromotionCancelled *cancelled;
+
+		msg = msg_new(&bp__promotion_cancelled__descriptor);
+		cancelled = (Bp__PromotionCancelled *)msg->body;
+		cancelled->group = arena_strdup(msg->arena, "a");
+		cancelled->term = c->cancelled_term;
+		promotion_cancelled(registry, msg);
+	}
+	for (i = 0; i < c->writes; i++) {
+		g_assert_cmpuint(pending_writes.length, ==, 1);
+		next = g_queue_pop_head(&pending_writes);
+		g_assert_nonnull(next);
+		if (next == NULL)
+			break;
+		g_assert_cmpuint(next->orders, ==, c->recorded[i]);
+		g_assert_cmpuint(next->token, ==, 5);
+		answer_write(next, c->answers[i]);
+		g_assert_cmpuint(promoted_count, ==, c->sent[i]);
+		g_free(next);
+	}
+	g_assert_cmpuint(pending_writes.length, ==, 0);
+	g_assert_cmpint(registry->fencing_token == 0, ==, c->role_lost);
+	coordinator_stop(registry);
+	task_free(registry->task);
+	task_free(proxy.pool);
+	task_free(host);
+	registry_free(registry);
+}
+
 /*
  * Test that an order that was sent stays noted when a later one for the same
  * term is dropped before it is sent.  The store is away.
@@ -669,6 +810,8 @@
 	g_test_set_nonfatal_assertions();
 	g_test_add_func("/coordinator/successor-kept", test_successor_kept);
 	g_test_add_func("/coordinator/many-orders", test_many_orders);
+	CASES("/coordinator/shared-writes", shared_write_cases,
+	    test_shared_writes);
 	g_test_add_func("/coordinator/sent-order-noted", test_sent_order_noted);
 	CASES("/coordinator/unlisted", unlisted_cases, test_unlisted_daemons);
 	g_test_add_func("/coordinator/token-read", test_token_read);
