--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -727,6 +727,96 @@
   assert(message->base.descriptor == &bp__lease_revoked__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__token_ask__init
+                     (Bp__TokenAsk         *message)
+{
+  static const Bp__TokenAsk init_value = BP__TOKEN_ASK__INIT;
+  *message = init_value;
+}
+size_t bp__token_ask__get_packed_size
+                     (const Bp__TokenAsk *message)
+{
+  assert(message->base.descriptor == &bp__token_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__token_ask__pack
+                     (const Bp__TokenAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__token_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__token_ask__pack_to_buffer
+                     (const Bp__TokenAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__token_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__TokenAsk *
+       bp__token_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__TokenAsk *)
+     protobuf_c_message_unpack (&bp__token_ask__descriptor,
+                                allocator, len, data);
+}
+void   bp__token_ask__free_unpacked
+                     (Bp__TokenAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__token_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bp__token_tell__init
+                     (Bp__TokenTell         *message)
+{
+  static const Bp__TokenTell init_value = BP__TOKEN_TELL__INIT;
+  *message = init_value;
+}
+size_t bp__token_tell__get_packed_size
+                     (const Bp__TokenTell *message)
+{
+  assert(message->base.descriptor == &bp__token_tell__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__token_tell__pack
+                     (const Bp__TokenTell *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__token_tell__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__token_tell__pack_to_buffer
+                     (const Bp__TokenTell *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__token_tell__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__TokenTell *
+       bp__token_tell__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__TokenTell *)
+     protobuf_c_message_unpack (&bp__token_tell__descriptor,
+                                allocator, len, data);
+}
+void   bp__token_tell__free_unpacked
+                     (Bp__TokenTell *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__token_tell__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__owner_probe__init
                      (Bp__OwnerProbe         *message)
 {
@@ -1919,6 +2009,121 @@
   (ProtobufCMessageInit) bp__lease_revoked__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__token_ask__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__TokenAsk, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "token",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__TokenAsk, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__token_ask__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = token */
+};
+static const ProtobufCIntRange bp__token_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bp__token_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.TokenAsk",
+  "TokenAsk",
+  "Bp__TokenAsk",
+  "bp",
+  sizeof(Bp__TokenAsk),
+  2,
+  bp__token_ask__field_descriptors,
+  bp__token_ask__field_indices_by_name,
+  1,  bp__token_ask__number_ranges,
+  (ProtobufCMessageInit) bp__token_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bp__token_tell__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__TokenTell, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "token",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__TokenTell, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "recorded",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bp__TokenTell, recorded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__token_tell__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  2,   /* field[2] = recorded */
+  1,   /* field[1] = token */
+};
+static const ProtobufCIntRange bp__token_tell__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bp__token_tell__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.TokenTell",
+  "TokenTell",
+  "Bp__TokenTell",
+  "bp",
+  sizeof(Bp__TokenTell),
+  3,
+  bp__token_tell__field_descriptors,
+  bp__token_tell__field_indices_by_name,
+  1,  bp__token_tell__number_ranges,
+  (ProtobufCMessageInit) bp__token_tell__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 #define bp__owner_probe__field_descriptors NULL
 #define bp__owner_probe__field_indices_by_name NULL
 #define bp__owner_probe__number_ranges NULL
@@ -1973,7 +2178,7 @@
   (ProtobufCMessageInit) bp__owner_leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__peer_message__field_descriptors[24] =
+static const ProtobufCFieldDescriptor bp__peer_message__field_descriptors[26] =
 {
   {
     "ping",
@@ -2263,6 +2468,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "token_ask",
+    25,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__PeerMessage, body_case),
+    offsetof(Bp__PeerMessage, token_ask),
+    &bp__token_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "token_tell",
+    26,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__PeerMessage, body_case),
+    offsetof(Bp__PeerMessage, token_tell),
+    &bp__token_tell__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__peer_message__field_indices_by_name[] = {
   1,   /* field[1] = ack */
@@ -2286,6 +2515,8 @@
   12,   /* field[12] = status_tell */
   22,   /* field[22] = store_follow */
   23,   /* field[23] = store_news */
+  24,   /* field[24] = token_ask */
+  25,   /* field[25] = token_tell */
   18,   /* field[18] = transaction_dropped */
   9,   /* field[9] = witness_ask */
   10,   /* field[10] = witness_tell */
@@ -2293,7 +2524,7 @@
 static const ProtobufCIntRange bp__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor bp__peer_message__descriptor =
 {
@@ -2303,7 +2534,7 @@
   "Bp__PeerMessage",
   "bp",
   sizeof(Bp__PeerMessage),
-  24,
+  26,
   bp__peer_message__field_descriptors,
   bp__peer_message__field_indices_by_name,
   1,  bp__peer_message__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -35,6 +35,8 @@
 typedef struct Bp__StatusTell Bp__StatusTell;
 typedef struct Bp__LeaseRevoke Bp__LeaseRevoke;
 typedef struct Bp__LeaseRevoked Bp__LeaseRevoked;
+typedef struct Bp__TokenAsk Bp__TokenAsk;
+typedef struct Bp__TokenTell Bp__TokenTell;
 typedef struct Bp__OwnerProbe Bp__OwnerProbe;
 typedef struct Bp__OwnerProbeAnswer Bp__OwnerProbeAnswer;
 typedef struct Bp__OwnerLeaving Bp__OwnerLeaving;
@@ -358,6 +360,42 @@
     , 0, 0, 0, 0, 0,NULL, NULL }
 
 
+/*
+ * Asks whether this is the newest fencing token of a coordinator.
+ */
+struct  Bp__TokenAsk
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  uint64_t token;
+};
+#define BP__TOKEN_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__token_ask__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * Answers a TokenAsk.
+ */
+struct  Bp__TokenTell
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * highest fencing token seen
+   */
+  uint64_t token;
+  /*
+   * this process has read a token from the coordinator record, so that it
+   * knows of all that the processes before it may have been told
+   */
+  protobuf_c_boolean recorded;
+};
+#define BP__TOKEN_TELL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__token_tell__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * Asks an owner for a sign of life.
  */
@@ -419,7 +457,9 @@
   BP__PEER_MESSAGE__BODY_OWNER_PROBE_ANSWER = 21,
   BP__PEER_MESSAGE__BODY_OWNER_LEAVING = 22,
   BP__PEER_MESSAGE__BODY_STORE_FOLLOW = 23,
-  BP__PEER_MESSAGE__BODY_STORE_NEWS = 24
+  BP__PEER_MESSAGE__BODY_STORE_NEWS = 24,
+  BP__PEER_MESSAGE__BODY_TOKEN_ASK = 25,
+  BP__PEER_MESSAGE__BODY_TOKEN_TELL = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__PEER_MESSAGE__BODY__CASE)
 } Bp__PeerMessage__BodyCase;
 
@@ -455,6 +495,8 @@
     Bp__OwnerLeaving *owner_leaving;
     Bp__StoreFollow *store_follow;
     Bp__StoreNews *store_news;
+    Bp__TokenAsk *token_ask;
+    Bp__TokenTell *token_tell;
   };
 };
 #define BP__PEER_MESSAGE__INIT \
@@ -766,6 +808,44 @@
 void   bp__lease_revoked__free_unpacked
                      (Bp__LeaseRevoked *message,
                       ProtobufCAllocator *allocator);
+/* Bp__TokenAsk methods */
+void   bp__token_ask__init
+                     (Bp__TokenAsk         *message);
+size_t bp__token_ask__get_packed_size
+                     (const Bp__TokenAsk   *message);
+size_t bp__token_ask__pack
+                     (const Bp__TokenAsk   *message,
+                      uint8_t             *out);
+size_t bp__token_ask__pack_to_buffer
+                     (const Bp__TokenAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__TokenAsk *
+       bp__token_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__token_ask__free_unpacked
+                     (Bp__TokenAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Bp__TokenTell methods */
+void   bp__token_tell__init
+                     (Bp__TokenTell         *message);
+size_t bp__token_tell__get_packed_size
+                     (const Bp__TokenTell   *message);
+size_t bp__token_tell__pack
+                     (const Bp__TokenTell   *message,
+                      uint8_t             *out);
+size_t bp__token_tell__pack_to_buffer
+                     (const Bp__TokenTell   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__TokenTell *
+       bp__token_tell__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__token_tell__free_unpacked
+                     (Bp__TokenTell *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__OwnerProbe methods */
 void   bp__owner_probe__init
                      (Bp__OwnerProbe         *message);
@@ -892,6 +972,12 @@
 typedef void (*Bp__LeaseRevoked_Closure)
                  (const Bp__LeaseRevoked *message,
                   void *closure_data);
+typedef void (*Bp__TokenAsk_Closure)
+                 (const Bp__TokenAsk *message,
+                  void *closure_data);
+typedef void (*Bp__TokenTell_Closure)
+                 (const Bp__TokenTell *message,
+                  void *closure_data);
 typedef void (*Bp__OwnerProbe_Closure)
                  (const Bp__OwnerProbe *message,
                   void *closure_data);
@@ -927,6 +1013,8 @@
 extern const ProtobufCMessageDescriptor bp__status_tell__descriptor;
 extern const ProtobufCMessageDescriptor bp__lease_revoke__descriptor;
 extern const ProtobufCMessageDescriptor bp__lease_revoked__descriptor;
+extern const ProtobufCMessageDescriptor bp__token_ask__descriptor;
+extern const ProtobufCMessageDescriptor bp__token_tell__descriptor;
 extern const ProtobufCMessageDescriptor bp__owner_probe__descriptor;
 extern const ProtobufCMessageDescriptor bp__owner_probe_answer__descriptor;
 extern const ProtobufCMessageDescriptor bp__owner_leaving__descriptor;
--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -3259,7 +3259,8 @@
 static const protobuf_c_boolean bp__revoke_wanted__confirms__default_value = 0;
 static const protobuf_c_boolean bp__revoke_wanted__begun__default_value = 0;
 static const protobuf_c_boolean bp__revoke_wanted__incomplete__default_value = 0;
-static const ProtobufCFieldDescriptor bp__revoke_wanted__field_descriptors[9] =
+static const uint64_t bp__revoke_wanted__unreadable_revision__default_value = 0ull;
+static const ProtobufCFieldDescriptor bp__revoke_wanted__field_descriptors[10] =
 {
   {
     "group",
@@ -3369,6 +3370,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unreadable_revision",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__RevokeWanted, has_unreadable_revision),
+    offsetof(Bp__RevokeWanted, unreadable_revision),
+    NULL,
+    &bp__revoke_wanted__unreadable_revision__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__revoke_wanted__field_indices_by_name[] = {
   5,   /* field[5] = begun */
@@ -3380,11 +3393,12 @@
   8,   /* field[8] = order */
   1,   /* field[1] = term */
   3,   /* field[3] = token */
+  9,   /* field[9] = unreadable_revision */
 };
 static const ProtobufCIntRange bp__revoke_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bp__revoke_wanted__descriptor =
 {
@@ -3394,14 +3408,15 @@
   "Bp__RevokeWanted",
   "bp",
   sizeof(Bp__RevokeWanted),
-  9,
+  10,
   bp__revoke_wanted__field_descriptors,
   bp__revoke_wanted__field_indices_by_name,
   1,  bp__revoke_wanted__number_ranges,
   (ProtobufCMessageInit) bp__revoke_wanted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__revoke_ended__field_descriptors[6] =
+static const uint64_t bp__revoke_ended__unreadable_revision__default_value = 0ull;
+static const ProtobufCFieldDescriptor bp__revoke_ended__field_descriptors[7] =
 {
   {
     "group",
@@ -3475,6 +3490,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unreadable_revision",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__RevokeEnded, has_unreadable_revision),
+    offsetof(Bp__RevokeEnded, unreadable_revision),
+    NULL,
+    &bp__revoke_ended__unreadable_revision__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__revoke_ended__field_indices_by_name[] = {
   0,   /* field[0] = group */
@@ -3483,11 +3510,12 @@
   5,   /* field[5] = order */
   2,   /* field[2] = state */
   1,   /* field[1] = term */
+  6,   /* field[6] = unreadable_revision */
 };
 static const ProtobufCIntRange bp__revoke_ended__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bp__revoke_ended__descriptor =
 {
@@ -3497,7 +3525,7 @@
   "Bp__RevokeEnded",
   "bp",
   sizeof(Bp__RevokeEnded),
-  6,
+  7,
   bp__revoke_ended__field_descriptors,
   bp__revoke_ended__field_indices_by_name,
   1,  bp__revoke_ended__number_ranges,
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -755,10 +755,16 @@
    * as LeaseRevoke.order
    */
   Bp__RecordedOrder *order;
+  /*
+   * revision of a coordinator record that cannot be read: no lease is
+   * revoked, and most daemons must confirm the token; 0: none
+   */
+  protobuf_c_boolean has_unreadable_revision;
+  uint64_t unreadable_revision;
 };
 #define BP__REVOKE_WANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__revoke_wanted__descriptor) \
-    , NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL }
+    , NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0, 0ull }
 
 
 /*
@@ -785,10 +791,15 @@
    * the last LeaseRevoked.order
    */
   Bp__RecordedOrder *order;
+  /*
+   * as RevokeWanted.unreadable_revision
+   */
+  protobuf_c_boolean has_unreadable_revision;
+  uint64_t unreadable_revision;
 };
 #define BP__REVOKE_ENDED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__revoke_ended__descriptor) \
-    , NULL, 0, BP__REVOKE_STATE__MOST, 0, 0, 0,NULL, NULL }
+    , NULL, 0, BP__REVOKE_STATE__MOST, 0, 0, 0,NULL, NULL, 0, 0ull }
 
 
 /*
--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -277,5 +277,7 @@
 /* Fencing tokens of the coordinator: fencing_token.c */
 uint64_t fencing_token_next(uint64_t era, uint64_t recorded);
 bool fencing_token_is_current(uint64_t era, uint64_t token);
+uint64_t fencing_token_highest(
+    uint64_t token, uint64_t written_revision, uint64_t revision);
 
 #endif
--- a/src/decide/fencing_token.c
+++ b/src/decide/fencing_token.c
@@ -39,3 +39,17 @@
 {
 	return token > era_base(era);
 }
+
+/*
+ * Return the highest token that a coordinator may have had after the one with
+ * this token, whose record had written_revision, until the record was
+ * overwritten at another revision.  Each new coordinator raises the token by
+ * one with a write, which raises the revision; one that has replaced an
+ * overwritten record raises both by as much.
+ */
+uint64_t
+fencing_token_highest(
+    uint64_t token, uint64_t written_revision, uint64_t revision)
+{
+	return token + (revision - written_revision) - 1;
+}
--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -43,6 +43,15 @@
 	task_send(registry->proxy->pool, registry->task, msg);
 }
 
+/*
+ * Tell the pool task that this daemon is not the coordinator.
+ */
+void
+coordinator_send_denied(registry_t *registry)
+{
+	send_coordinator_changed(registry, false);
+}
+
 /*
  * Parse the coordinator record in a response.  Returns NULL if there is none.
  */
@@ -67,6 +76,16 @@
 	    strcmp(record->holder, registry->proxy->settings->name) == 0;
 }
 
+/*
+ * Tell whether a response has a coordinator record that cannot be read.
+ */
+static bool
+record_unreadable(
+    const object_store_response_t *response, const Bp__DutyRecord *record)
+{
+	return response->count == 1 && record == NULL;
+}
+
 /*
  * Note the token of a record that was read and, if it names this daemon, the
  * revision for its next write.
@@ -79,13 +98,14 @@
 		return;
 	if (names_this_daemon(registry, record))
 		registry->coordinator_revision = response->list[0].revision;
-	if (record != NULL)
-		registry->coordinator_token = record->token;
+	if (record == NULL)
+		return;
+	registry->coordinator_token = record->token;
+	if (!names_this_daemon(registry, record) ||
+	    record->token != registry->written_token)
+		restore_forget(registry);
 }
 
-static void write_coordinator_record(
-    registry_t *, uint64_t revision, uint64_t recorded_token);
-
 /*
  * Handle the response to a write of the coordinator record.  After a conflict,
  * a record that names this daemon was written by a previous process or by a
@@ -106,9 +126,13 @@
 
 	registry->coordinator_call_pending = false;
 	note_coordinator_record(registry, status, response, record);
+	if (record != NULL)
+		orders_report_token(registry, record);
 	if (status == OBJECT_STORE_OK && held_here &&
 	    fencing_token_is_current(registry->store_era, record->token)) {
 		registry->fencing_token = record->token;
+		restore_note_written(
+		    registry, record->token, response->list[0].revision);
 		orders_report(registry, record, registry->coordinator_sent_us);
 		/* token 1: no previous coordinator to wait for */
 		registry->order_sent = record->token == 1;
@@ -117,7 +141,7 @@
 		       status == OBJECT_STORE_CONFLICT) &&
 	    held_here) {
 		orders_take(registry, record);
-		write_coordinator_record(
+		coordinator_write(
 		    registry, response->list[0].revision, record->token);
 	} else {
 		send_coordinator_changed(registry, false);
@@ -148,8 +172,8 @@
  * Write the coordinator record to take over the role, with a token above the
  * one in it.
  */
-static void
-write_coordinator_record(
+void
+coordinator_write(
     registry_t *registry, uint64_t revision, uint64_t recorded_token)
 {
 	registry->coordinator_call_pending = true;
@@ -159,6 +183,8 @@
 	    on_coordinator_written, registry);
 }
 
+static void read_coordinator(registry_t *);
+
 /*
  * Handle the response to a write of noted or withdrawn orders.  It is repeated
  * if the store did not answer, or if another write of this daemon came first.
@@ -179,6 +205,9 @@
 		registry->orders_unrecorded = false;
 	if (status == OBJECT_STORE_OK)
 		orders_report(registry, record, registry->orders_written_us);
+	if (status == OBJECT_STORE_CONFLICT &&
+	    record_unreadable(response, record))
+		read_coordinator(registry);
 	arena_free(arena);
 }
 
@@ -214,6 +243,7 @@
  * Any other daemon takes over the role with a higher token, unless the token
  * has changed since that daemon last read it, so that a new coordinator has
  * time to act.  A restarted daemon that the record names takes over at once.
+ * A record that cannot be read is replaced by the one that wrote the last.
  */
 static void
 on_coordinator_read(void *context, const object_store_response_t *response)
@@ -228,7 +258,8 @@
 	registry->coordinator_call_pending = false;
 	note_coordinator_record(registry, status, response, record);
 	if (status == OBJECT_STORE_NOT_FOUND) {
-		write_coordinator_record(registry, 0, 0);
+		restore_forget(registry);
+		coordinator_write(registry, 0, 0);
 	} else if (status == OBJECT_STORE_OK &&
 	    names_this_daemon(registry, record) &&
 	    record->token == registry->fencing_token) {
@@ -239,9 +270,11 @@
 	    (names_this_daemon(registry, record) ||
 		record->token == known_token)) {
 		orders_take(registry, record);
-		write_coordinator_record(
+		coordinator_write(
 		    registry, response->list[0].revision, record->token);
-	} else {
+	} else if (status != OBJECT_STORE_OK ||
+	    !record_unreadable(response, record) ||
+	    !restore_begin(registry, response->list[0].revision)) {
 		send_coordinator_changed(registry, false);
 	}
 	arena_free(arena);
@@ -460,6 +493,7 @@
 	bool held_here = registry->fencing_token != 0 &&
 	    names_this_daemon(registry, record) &&
 	    record->token == registry->fencing_token;
+	bool unreadable = record_unreadable(response, record);
 
 	note_coordinator_record(registry, status, response, record);
 	if (held_here && status == OBJECT_STORE_OK)
@@ -475,6 +509,8 @@
 		order_send(order);
 	else
 		order_withhold(order);
+	if (unreadable)
+		read_coordinator(registry);
 }
 
 /*
@@ -552,7 +588,8 @@
  * Handle RevokeEnded: send the order if a majority of the daemons, or all, have
  * confirmed this daemon's token; drop it if one of them knows a newer token, a
  * primary newer than those that the order replaces, or an order that was not
- * known when this one was decided.
+ * known when this one was decided.  So for the replacement of a record that
+ * cannot be read.
  */
 void
 order_confirmed(void *context, msg_t *msg)
@@ -561,6 +598,7 @@
 	registry_t *registry = context;
 	GList *l;
 
+	restore_confirmed(registry, ended);
 	for (l = registry->pending_orders; l != NULL; l = l->next) {
 		order_t *order = l->data;
 
@@ -584,6 +622,17 @@
 	msg_free(msg);
 }
 
+/*
+ * Tell whether most daemons were told of the present token before an order was
+ * decided.  The attempt may have begun under an earlier one.
+ */
+static bool
+token_was_told(const registry_t *registry, const order_t *order)
+{
+	return (int64_t)order_request(order)->heard_us >=
+	    registry->coordinator_sent_us;
+}
+
 /*
  * Handle PromotionWanted: the pool wants a server to become primary.  While the
  * store is unreachable, only a coordinator that has already sent an order under
@@ -601,7 +650,8 @@
 	order->token = registry->fencing_token;
 	registry->pending_orders =
 	    g_list_prepend(registry->pending_orders, order);
-	if (registry->promoter == NULL || registry->fencing_token == 0) {
+	if (registry->promoter == NULL || registry->fencing_token == 0 ||
+	    !token_was_told(registry, order)) {
 		order_finish(order, BP__PROMOTION_ANSWER__ORDER_WITHHELD);
 		return;
 	}
@@ -670,6 +720,7 @@
 	GList *l;
 
 	registry->coordinator_revision = registry->coordinator_token = 0;
+	restore_store_returned(registry);
 	task_send(registry->proxy->pool, registry->task,
 	    msg_new(&bp__attempts_void__descriptor));
 	if (!held)
@@ -687,7 +738,7 @@
 void
 coordinator_claim(registry_t *registry)
 {
-	write_coordinator_record(registry, 0, 0);
+	coordinator_write(registry, 0, 0);
 }
 
 /*
@@ -698,4 +749,5 @@
 {
 	g_list_free_full(registry->pending_orders, order_free);
 	registry->pending_orders = NULL;
+	restore_stop(registry);
 }
--- a/src/proxy/daemons.c
+++ b/src/proxy/daemons.c
@@ -520,6 +520,32 @@
 	task_send(registry->proxy->peers, registry->task, msg);
 }
 
+/*
+ * Add the daemons of a listing to those of a revocation.
+ */
+void
+daemons_add_listed(
+    registry_t *registry, msg_t *msg, const object_store_response_t *response)
+{
+	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
+	uint32_t i;
+
+	wanted->daemons = arena_zalloc(
+	    msg->arena, sizeof(wanted->daemons[0]) * (response->count + 1));
+	for (i = 0; i < response->count; i++) {
+		Bp__DaemonRecord *record =
+		    registry->proxy->objects->read_daemon(
+			&response->list[i], msg->arena);
+
+		if (record != NULL)
+			wanted->daemons[wanted->n_daemons++] = record;
+	}
+	if (listing_incomplete(registry)) {
+		add_last_listed(registry, msg);
+		wanted->has_incomplete = wanted->incomplete = 1;
+	}
+}
+
 /*
  * Handle the listing for a revocation: have the peers task ask the listed
  * daemons, or those of the last listing if the store did not answer.
@@ -531,7 +557,6 @@
 	registry_t *registry = pending->registry;
 	msg_t *msg = pending->msg;
 	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
-	uint32_t i;
 
 	g_free(pending);
 	registry->daemons_list_failed =
@@ -546,20 +571,7 @@
 		revoke_from_last_listed(registry, msg);
 		return;
 	}
-	wanted->daemons = arena_zalloc(
-	    msg->arena, sizeof(wanted->daemons[0]) * (response->count + 1));
-	for (i = 0; i < response->count; i++) {
-		Bp__DaemonRecord *record =
-		    registry->proxy->objects->read_daemon(
-			&response->list[i], msg->arena);
-
-		if (record != NULL)
-			wanted->daemons[wanted->n_daemons++] = record;
-	}
-	if (listing_incomplete(registry)) {
-		add_last_listed(registry, msg);
-		wanted->has_incomplete = wanted->incomplete = 1;
-	}
+	daemons_add_listed(registry, msg, response);
 	orders_tell(registry, msg);
 	task_send(registry->proxy->peers, registry->task, msg);
 }
--- a/src/proxy/incoming.c
+++ b/src/proxy/incoming.c
@@ -162,6 +162,26 @@
 	task_send(peers->proxy->pool, peers->task, msg);
 }
 
+/*
+ * Answer the question whether a fencing token is the newest one.  From then on
+ * this daemon refuses those of former coordinators.
+ */
+static void
+on_token_ask(incoming_link_t *incoming, const Bp__TokenAsk *ask)
+{
+	peers_t *peers = incoming->peers;
+	Bp__PeerMessage message = BP__PEER_MESSAGE__INIT;
+	Bp__TokenTell tell = BP__TOKEN_TELL__INIT;
+
+	peers->token = MAX(peers->token, ask->token);
+	tell.id = ask->id;
+	tell.token = peers->token;
+	tell.recorded = peers->token_recorded;
+	message.body_case = BP__PEER_MESSAGE__BODY_TOKEN_TELL;
+	message.token_tell = &tell;
+	frame_send(incoming->link, &message);
+}
+
 /*
  * Pass a statement of another daemon to the pool.  Takes over the arena, which
  * holds the statement.
@@ -237,6 +257,9 @@
 	case BP__PEER_MESSAGE__BODY_LEASE_REVOKE:
 		on_lease_revoke(incoming, message->lease_revoke);
 		break;
+	case BP__PEER_MESSAGE__BODY_TOKEN_ASK:
+		on_token_ask(incoming, message->token_ask);
+		break;
 	default:
 		log_line(LOG_PART, G_LOG_LEVEL_WARNING,
 		    "Ignored a peer message of unexpected kind %d.",
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -436,8 +436,8 @@
  * process that has just started knows no other, and must not confirm that of a
  * former coordinator.
  */
-static void
-report_token(const registry_t *registry, const Bp__DutyRecord *record)
+void
+orders_report_token(const registry_t *registry, const Bp__DutyRecord *record)
 {
 	Bp__TokenRead read = BP__TOKEN_READ__INIT;
 
@@ -460,7 +460,7 @@
 	    (status == OBJECT_STORE_OK && record != NULL);
 
 	if (record != NULL)
-		report_token(registry, record);
+		orders_report_token(registry, record);
 	orders_report(registry, record, read ? registry->orders_sent_us : 0);
 	arena_free(arena);
 }
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -27,6 +27,8 @@
 	frame_link_t *link;
 	bool answered;
 	bool refused; /* the connection was refused: no daemon runs there */
+	/* it has read a fencing token from the coordinator record */
+	bool token_recorded;
 } target_t;
 
 /* Revocation of the leases of a group below a term, at all daemons. */
@@ -52,6 +54,9 @@
 	Bp__RecordedOrder *reported_order;
 	/* most of the daemons that run must know of the order */
 	bool must_know;
+	/* if not 0, most daemons only have to confirm the token, so that the
+	   coordinator record of this revision may be replaced */
+	uint64_t unreadable_revision;
 	arena_t *arena;     /* of these orders */
 	GPtrArray *targets; /* of target_t */
 	GSource *timeout;
@@ -123,7 +128,7 @@
 		const target_t *target =
 		    g_ptr_array_index(revocation->targets, i);
 
-		if (!target->answered)
+		if (!target->answered && revocation->unreadable_revision == 0)
 			log_line(LOG_PART, G_LOG_LEVEL_INFO,
 			    "Daemon %s has not confirmed that it revoked its "
 			    "lease of %s below term %" G_GUINT64_FORMAT ".",
@@ -147,6 +152,8 @@
 	ended->group = arena_strdup(msg->arena, revocation->group);
 	ended->term = revocation->term;
 	ended->state = state;
+	ended->has_unreadable_revision = 1;
+	ended->unreadable_revision = revocation->unreadable_revision;
 	ended->has_newest_term = 1;
 	ended->newest_term = revocation->newest_term;
 	ended->open = open_orders_write(&revocation->reported_orders,
@@ -157,6 +164,29 @@
 	task_send(revocation->requester, peers->task, msg);
 }
 
+/*
+ * Report to the requester when a majority of the daemons has confirmed the
+ * token.  One that does not run, or has not read the coordinator record since
+ * it started, may have forgotten a newer token, so it confirms none.
+ */
+static void
+confirmation_check(revocation_t *revocation)
+{
+	uint32_t i, confirmed = 1;
+
+	for (i = 0; i < revocation->targets->len; i++) {
+		const target_t *target =
+		    g_ptr_array_index(revocation->targets, i);
+
+		confirmed += target->answered && target->token_recorded;
+	}
+	if (revocation->majority_reported ||
+	    confirmed < majority_of(revocation->targets->len + 1))
+		return;
+	revocation->majority_reported = true;
+	revocation_report(revocation, BP__REVOKE_STATE__MOST);
+}
+
 /*
  * Report to the requester when a majority of the daemons has answered, and when
  * in addition all that hold leases have.  This daemon counts as one that has
@@ -168,6 +198,10 @@
 	uint32_t i, answered = 1, refused = 0, holders_left = 0;
 	uint32_t count = revocation->targets->len + 1;
 
+	if (revocation->unreadable_revision != 0) {
+		confirmation_check(revocation);
+		return;
+	}
 	for (i = 0; i < revocation->targets->len; i++) {
 		const target_t *target =
 		    g_ptr_array_index(revocation->targets, i);
@@ -215,12 +249,27 @@
 }
 
 /*
- * Send the revocation to a target, once the connection is open.
+ * Ask a target whether it knows a newer token.
  */
 static void
-on_target_opened(void *context)
+ask_token(target_t *target)
+{
+	Bp__PeerMessage message = BP__PEER_MESSAGE__INIT;
+	Bp__TokenAsk ask = BP__TOKEN_ASK__INIT;
+
+	ask.id = target->revocation->id;
+	ask.token = target->revocation->token;
+	message.body_case = BP__PEER_MESSAGE__BODY_TOKEN_ASK;
+	message.token_ask = &ask;
+	frame_send(target->link, &message);
+}
+
+/*
+ * Send the revocation to a target.
+ */
+static void
+send_revocation(target_t *target)
 {
-	target_t *target = context;
 	Bp__PeerMessage message = BP__PEER_MESSAGE__INIT;
 	Bp__LeaseRevoke revoke = BP__LEASE_REVOKE__INIT;
 	arena_t *arena = arena_new();
@@ -240,6 +289,20 @@
 	arena_free(arena);
 }
 
+/*
+ * Send the request to a target, once the connection is open.
+ */
+static void
+on_target_opened(void *context)
+{
+	target_t *target = context;
+
+	if (target->revocation->unreadable_revision != 0)
+		ask_token(target);
+	else
+		send_revocation(target);
+}
+
 /*
  * Note an order that a target has reported.  Returns whether it is newer than
  * those before.
@@ -266,8 +329,13 @@
 {
 	target_t *target = context;
 	const Bp__LeaseRevoked *revoked = message->lease_revoked;
+	const Bp__TokenTell *told = message->token_tell;
 
-	if (message->body_case == BP__PEER_MESSAGE__BODY_LEASE_REVOKED &&
+	if (message->body_case == BP__PEER_MESSAGE__BODY_TOKEN_TELL &&
+	    told->id == target->revocation->id && !target->answered) {
+		target->token_recorded = told->recorded;
+		target_answered(target, told->token, 0);
+	} else if (message->body_case == BP__PEER_MESSAGE__BODY_LEASE_REVOKED &&
 	    revoked->id == target->revocation->id && !target->answered) {
 		open_orders_read(&target->revocation->reported_orders,
 		    revoked->open, revoked->n_open, OPEN_ORDER_TOLD,
@@ -334,6 +402,7 @@
 	const Bp__RevokeWanted *wanted = (const Bp__RevokeWanted *)msg->body;
 	peers_t *peers = context;
 	revocation_t *revocation = g_new0(revocation_t, 1);
+	bool outdated;
 	size_t i;
 
 	revocation->peers = peers;
@@ -345,6 +414,9 @@
 	revocation->incomplete = wanted->incomplete;
 	revocation->requester =
 	    wanted->confirms ? peers->proxy->registry : peers->proxy->pool;
+	revocation->unreadable_revision = wanted->unreadable_revision;
+	outdated =
+	    wanted->unreadable_revision != 0 && peers->token > wanted->token;
 	peers->token = MAX(peers->token, wanted->token);
 	revocation->arena = arena_new();
 	if (wanted->order != NULL)
@@ -359,13 +431,16 @@
 	revocation->timeout = task_timer(
 	    peers->task, REVOCATION_TIMEOUT_MS, on_timeout, revocation);
 	peers->revocations = g_list_prepend(peers->revocations, revocation);
-	for (i = 0; i < wanted->n_daemons; i++) {
+	if (outdated)
+		revocation_report(revocation, BP__REVOKE_STATE__OUTDATED);
+	for (i = 0; !outdated && i < wanted->n_daemons; i++) {
 		if (strcmp(wanted->daemons[i]->name,
 			peers->proxy->settings->name) != 0)
 			target_add(revocation, wanted->daemons[i]);
 	}
 	/* reports at once if there is no other daemon */
-	revocation_check(revocation);
+	if (!outdated)
+		revocation_check(revocation);
 	msg_free(msg);
 }
 
@@ -437,6 +512,7 @@
 
 	peers->token =
 	    MAX(peers->token, ((const Bp__TokenRead *)msg->body)->token);
+	peers->token_recorded = true;
 	msg_free(msg);
 }
 
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -24,6 +24,7 @@
 	GList *revocations;   /* of revocation_t */
 	uint64_t next_id;
 	uint64_t token;       /* highest known fencing token of a coordinator */
+	bool token_recorded;  /* a token was read from the coordinator record */
 	GSource *drain_timer; /* checks the links during a drain */
 	int64_t drain_started_us; /* start of the drain; 0: not draining */
 	int64_t grace_us;         /* longest duration of a drain */
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -11,6 +11,7 @@
  * registry.c		the catalog: configuration and registrations
  * store_watch.c	lists and watches of the store
  * coordinator.c	coordinator role and promotion orders
+ * record_restore.c	replacement of a record that cannot be read
  * orders.c		the orders and members that the coordinator record holds
  * daemons.c		heartbeat records of the daemons
  * news.c		news of the store from a daemon that watches it
@@ -68,7 +69,14 @@
 	uint64_t coordinator_revision; /* last known revision of the record */
 	uint64_t coordinator_token;    /* last known token in the record */
 	int64_t coordinator_sent_us;   /* time of the last call on the record */
-	GHashTable *orders;            /* of recorded_order_t, by group */
+	/* token and revision of the last record that named this process, while
+	   no other one is known to have followed; 0: none */
+	uint64_t written_token;
+	uint64_t written_revision;
+	uint64_t restore_revision; /* of an unreadable record that is being
+				      replaced; 0: none */
+	GSource *restore_timer;
+	GHashTable *orders;        /* of recorded_order_t, by group */
 	int64_t orders_sent_us;    /* send time of the request for the orders */
 	bool orders_unrecorded;    /* the record lacks noted orders */
 	int64_t orders_written_us; /* time of the last write of noted orders */
@@ -118,6 +126,9 @@
 void coordinator_record_orders(registry_t *);
 Bp__DutyRecord *coordinator_record(
     const registry_t *, const object_store_response_t *, arena_t *);
+void coordinator_write(
+    registry_t *, uint64_t revision, uint64_t recorded_token);
+void coordinator_send_denied(registry_t *);
 void coordinator_check(void *registry, msg_t *);
 void coordinator_store_restored(registry_t *);
 void promotion_wanted(void *registry, msg_t *);
@@ -126,6 +137,14 @@
 void order_learned(void *registry, msg_t *);
 void coordinator_stop(registry_t *);
 
+/* record_restore.c */
+void restore_note_written(registry_t *, uint64_t token, uint64_t revision);
+void restore_forget(registry_t *);
+bool restore_begin(registry_t *, uint64_t revision);
+void restore_confirmed(registry_t *, const Bp__RevokeEnded *);
+void restore_store_returned(registry_t *);
+void restore_stop(registry_t *);
+
 /* orders.c */
 void orders_init(registry_t *);
 void orders_free(registry_t *);
@@ -141,6 +160,7 @@
 void orders_fill(const registry_t *, arena_t *, Bp__DutyRecord *);
 void orders_report(registry_t *, const Bp__DutyRecord *, int64_t read_us);
 void orders_report_noted(registry_t *);
+void orders_report_token(const registry_t *, const Bp__DutyRecord *);
 void orders_wanted(void *registry, msg_t *);
 void members_wanted(void *registry, msg_t *);
 
@@ -175,5 +195,7 @@
 void daemons_stop(registry_t *);
 void revoke_wanted(void *registry, msg_t *);
 void revoke_from_last_listed(registry_t *, msg_t *);
+void daemons_add_listed(
+    registry_t *, msg_t *revoke_wanted, const object_store_response_t *);
 
 #endif
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -659,6 +659,265 @@
 	registry_free(registry);
 }
 
+/* The last request to confirm a token that reached the peers task. */
+typedef struct confirmation {
+	uint32_t count;
+	uint64_t token;
+	uint64_t unreadable_revision;
+	size_t daemons;
+} confirmation_t;
+
+static confirmation_t confirmation;
+
+/*
+ * Note a request to confirm a token.
+ */
+static void
+note_confirmation(void *context, msg_t *msg)
+{
+	const Bp__RevokeWanted *wanted = (const Bp__RevokeWanted *)msg->body;
+
+	(void)context;
+	confirmation = (confirmation_t){confirmation.count + 1, wanted->token,
+	    wanted->unreadable_revision, wanted->n_daemons};
+	msg_free(msg);
+}
+
+static const task_handler_t confirming_handlers[] = {
+    {&bp__revoke_wanted__descriptor, note_confirmation},
+    {&bp__token_read__descriptor, drop},
+};
+static const task_ops_t confirming_ops = {"peers", NULL, NULL,
+    confirming_handlers, G_N_ELEMENTS(confirming_handlers)};
+
+/* Revision at which another writer has overwritten the record. */
+#define UNREADABLE_REVISION 30
+
+/*
+ * Answer a read of the record with one that cannot be read.
+ */
+static void
+get_unreadable(object_store_t *store, object_kind_t kind, const char *name,
+    object_store_cb callback, void *context)
+{
+	object_t object = {.name = name, .revision = UNREADABLE_REVISION};
+	object_store_response_t response = {
+	    OBJECT_STORE_OK, &object, 1, UNREADABLE_REVISION};
+
+	(void)store;
+	(void)kind;
+	callback(context, &response);
+}
+
+/*
+ * Answer a list of the daemons with three.
+ */
+static void
+list_daemons(object_store_t *store, object_kind_t kind, object_age_t age,
+    object_store_cb callback, void *context)
+{
+	object_t objects[] = {{.name = "this"}, {.name = "a"}, {.name = "b"}};
+	object_store_response_t response = {
+	    OBJECT_STORE_OK, objects, G_N_ELEMENTS(objects), 40};
+
+	(void)store;
+	(void)kind;
+	(void)age;
+	callback(context, &response);
+}
+
+/*
+ * Return the record of a daemon.
+ */
+static Bp__DaemonRecord *
+read_daemon(const object_t *object, arena_t *arena)
+{
+	Bp__DaemonRecord *record = (Bp__DaemonRecord *)message_new(
+	    arena, &bp__daemon_record__descriptor);
+
+	record->name = arena_strdup(arena, object->name);
+	record->address = arena_strdup(arena, "127.0.0.1:1");
+	return record;
+}
+
+static const object_store_ops_t unreadable_ops = {
+    .put_coordinator = put_coordinator,
+    .read_coordinator = read_coordinator,
+    .get = get_unreadable,
+    .list = list_daemons,
+    .read_daemon = read_daemon};
+
+typedef struct unreadable_case {
+	const char *name;
+	uint64_t held_token;    /* under which this process had the role */
+	uint64_t other_token;   /* of a coordinator seen since; 0: none */
+	bool by_order;          /* found by the write of an order */
+	bool outdated;          /* a daemon knows a newer token */
+	bool other_revision;    /* the answer is to an earlier question */
+	uint32_t confirmations; /* requests to confirm the token */
+	uint64_t token;         /* written in the end; 0: none */
+} unreadable_case_t;
+
+static const unreadable_case_t unreadable_cases[] = {
+    {"most daemons confirm the token", 5, 0, false, false, false, 1, 25},
+    {"the same, found by the write of an order", 5, 0, true, false, false, 1,
+	25},
+    {"a daemon knows a newer token", 5, 0, false, true, false, 1, 0},
+    {"daemons have confirmed it for an earlier record", 5, 0, false, false,
+	true, 1, 0},
+    {"this process was never coordinator", 0, 0, false, false, false, 0, 0},
+    {"another coordinator has followed", 5, 6, false, false, false, 0, 0},
+};
+
+/*
+ * Handle what is due in the tasks of a host.
+ */
+static void
+run_tasks(task_t *host)
+{
+	while (g_main_context_iteration(task_main_context(host), FALSE))
+		;
+}
+
+/*
+ * Answer the last write of the record with the record itself.
+ */
+static void
+answer_write(object_store_status_t status, const char *holder, uint64_t token,
+    uint64_t revision)
+{
+	Bp__DutyRecord record = BP__DUTY_RECORD__INIT;
+	object_t object = {
+	    .name = "promotion", .revision = revision, .content = &record};
+	object_store_response_t response = {status, &object, 1, revision};
+
+	record.holder = (char *)holder;
+	record.token = token;
+	last_write.callback(last_write.context, &response);
+}
+
+/*
+ * Test who replaces a record that cannot be read, and with which token.
+ */
+static void
+test_unreadable(gconstpointer data)
+{
+	const unreadable_case_t *c = data;
+	Bp__ProxySettings settings = BP__PROXY_SETTINGS__INIT;
+	object_t overwritten = {
+	    .name = "promotion", .revision = UNREADABLE_REVISION};
+	object_store_response_t conflict = {
+	    OBJECT_STORE_CONFLICT, &overwritten, 1, UNREADABLE_REVISION};
+	task_t *host = task_new(&host_ops, NULL);
+	proxy_t proxy = {.settings = &settings,
+	    .objects = &unreadable_ops,
+	    .promoter = &counting_promoter,
+	    .pool = task_new_hosted(&dropping_ops, NULL, host),
+	    .peers = task_new_hosted(&confirming_ops, NULL, host)};
+	registry_t *registry = registry_new(&proxy);
+	msg_t *msg = msg_new(&bp__revoke_ended__descriptor);
+	Bp__RevokeEnded *ended = (Bp__RevokeEnded *)msg->body;
+
+	settings.name = "this";
+	registry->task = task_new_hosted(&dropping_ops, NULL, host);
+	registry->promoter = (promoter_t *)&counting_promoter;
+	confirmation = (confirmation_t){0};
+	promoted_count = 0;
+	if (c->held_token != 0) {
+		coordinator_write(registry, 0, c->held_token - 1);
+		answer_write(OBJECT_STORE_OK, "this", c->held_token, 10);
+	}
+	if (c->other_token != 0) {
+		coordinator_write(registry, 10, c->held_token);
+		answer_write(
+		    OBJECT_STORE_CONFLICT, "other", c->other_token, 11);
+	}
+	last_write.count = 0;
+	if (c->by_order) {
+		want_order(registry, "ledger", 2, clock_us());
+		registry->order_sent = true;
+		while (last_write.count == 0)
+			g_main_context_iteration(
+			    task_main_context(host), FALSE);
+		last_write.callback(last_write.context, &conflict);
+		last_write.count = 0;
+	} else {
+		coordinator_check(
+		    registry, msg_new(&bp__duty_wanted__descriptor));
+	}
+	run_tasks(host);
+	g_assert_cmpuint(last_write.count, ==, 0);
+	g_assert_cmpuint(confirmation.count, ==, c->confirmations);
+	if (c->confirmations > 0) {
+		g_assert_cmpuint(confirmation.token, ==, c->held_token);
+		g_assert_cmpuint(confirmation.daemons, ==, 3);
+		g_assert_cmpuint(
+		    confirmation.unreadable_revision, ==, UNREADABLE_REVISION);
+	}
+	ended->group = arena_strdup(msg->arena, "");
+	ended->unreadable_revision =
+	    UNREADABLE_REVISION - (uint64_t)c->other_revision;
+	ended->state =
+	    c->outdated ? BP__REVOKE_STATE__OUTDATED : BP__REVOKE_STATE__MOST;
+	order_confirmed(registry, msg);
+	g_assert_cmpuint(last_write.count, ==, c->token != 0);
+	if (c->token != 0) {
+		g_assert_cmpuint(last_write.token, ==, c->token);
+		g_assert_cmpuint(last_write.revision, ==, UNREADABLE_REVISION);
+	}
+	g_assert_cmpuint(promoted_count, ==, 0);
+	coordinator_stop(registry);
+	task_free(registry->task);
+	task_free(proxy.peers);
+	task_free(proxy.pool);
+	task_free(host);
+	registry_free(registry);
+}
+
+typedef struct heard_case {
+	const char *name;
+	int64_t heard_us; /* after the token was written */
+	uint32_t writes;
+} heard_case_t;
+
+static const heard_case_t heard_cases[] = {
+    {"most daemons were told before the token was taken", -1, 0},
+    {"they were told of the token", 1, 1},
+};
+
+/*
+ * Test that an order is not recorded under a token that most daemons were not
+ * told of, since the attempt had begun under an earlier one.
+ */
+static void
+test_heard(gconstpointer data)
+{
+	const heard_case_t *c = data;
+	Bp__ProxySettings settings = BP__PROXY_SETTINGS__INIT;
+	task_t *host = task_new(&host_ops, NULL);
+	proxy_t proxy = {.settings = &settings,
+	    .objects = &store_ops,
+	    .promoter = &counting_promoter,
+	    .pool = task_new_hosted(&dropping_ops, NULL, host)};
+	registry_t *registry = registry_new(&proxy);
+
+	settings.name = "this";
+	registry->task = task_new_hosted(&dropping_ops, NULL, host);
+	registry->promoter = (promoter_t *)&counting_promoter;
+	registry->fencing_token = 5;
+	registry->order_sent = true;
+	registry->coordinator_sent_us = clock_us();
+	last_write.count = 0;
+	want_order(
+	    registry, "ledger", 2, registry->coordinator_sent_us + c->heard_us);
+	g_assert_cmpuint(last_write.count, ==, c->writes);
+	coordinator_stop(registry);
+	task_free(registry->task);
+	task_free(proxy.pool);
+	task_free(host);
+	registry_free(registry);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -675,5 +934,7 @@
 	CASES("/coordinator/given-up", given_up_cases, test_given_up);
 	CASES("/coordinator/members", taken_members_cases, test_taken_members);
 	CASES("/coordinator/role-again", role_again_cases, test_role_again);
+	CASES("/coordinator/unreadable", unreadable_cases, test_unreadable);
+	CASES("/coordinator/heard", heard_cases, test_heard);
 	return g_test_run();
 }
--- a/tests/t_decide.c
+++ b/tests/t_decide.c
@@ -814,6 +814,41 @@
 	    c->recorded_is_current);
 }
 
+typedef struct highest_token_case {
+	const char *name;
+	uint64_t token;
+	uint64_t written_revision;
+	uint64_t revision;
+	uint64_t highest;
+} highest_token_case_t;
+
+static const highest_token_case_t highest_token_cases[] = {
+    {"overwritten at once", 5, 40, 41, 5},
+    {"a coordinator may have written between", 5, 40, 42, 6},
+    {"several may have", 5, 40, 50, 14},
+    {"in a later era", (UINT64_C(1) << 32) + 1, 40, 42,
+	(UINT64_C(1) << 32) + 2},
+};
+
+/*
+ * Test that the token after a record that cannot be read is above those of all
+ * coordinators that may have written before it was overwritten.
+ */
+static void
+test_highest_token(gconstpointer data)
+{
+	const highest_token_case_t *c = data;
+	uint64_t token = c->token, revision;
+
+	g_assert_cmpuint(
+	    fencing_token_highest(c->token, c->written_revision, c->revision),
+	    ==, c->highest);
+	for (revision = c->written_revision + 1; revision < c->revision;
+	     revision++)
+		token = fencing_token_next(STORE_ERA_FIRST, token);
+	g_assert_cmpuint(token, <=, c->highest);
+}
+
 typedef struct base_case {
 	const char *name;
 	recorded_orders_t orders;
@@ -875,6 +910,7 @@
 	CASES("/decide/keepalive", keepalive_cases, test_keepalive);
 	CASES("/decide/version", version_cases, test_version);
 	CASES("/decide/token", token_cases, test_token);
+	CASES("/decide/highest-token", highest_token_cases, test_highest_token);
 	CASES("/decide/owner", owner_cases, test_owner);
 	CASES("/decide/refresh", refresh_cases, test_refresh);
 	CASES("/decide/list", list_cases, test_list);
--- a/tests/t_objects.c
+++ b/tests/t_objects.c
@@ -470,6 +470,43 @@
 	g_free(text);
 }
 
+typedef struct coordinator_case {
+	const char *name;
+	const char *content;
+	bool readable;
+} coordinator_case_t;
+
+static const coordinator_case_t coordinator_cases[] = {
+    {"a holder and a token", "{\"holder\":\"d1\",\"token\":5}", true},
+    {"an empty object", "{}", false},
+    {"a text", "\"promotion\"", false},
+    {"no holder", "{\"token\":5}", false},
+    {"the last token but one",
+	"{\"holder\":\"d1\",\"token\":9223372036854775806}", true},
+    {"a token that none can follow",
+	"{\"holder\":\"d1\",\"token\":9223372036854775807}", false},
+};
+
+/*
+ * Test which coordinator records can be read, and that it is said why one
+ * cannot.
+ */
+static void
+test_coordinator(gconstpointer data)
+{
+	const coordinator_case_t *c = data;
+	yajl_val json = json_tree_parse(c->content, strlen(c->content));
+	object_t object = {.name = "promotion", .content = json};
+	arena_t *arena = arena_new();
+	const char *why = NULL;
+	Bp__DutyRecord *record = decode_coordinator(&object, arena, &why);
+
+	g_assert_cmpint(record != NULL, ==, c->readable);
+	g_assert_cmpint(why == NULL, ==, c->readable);
+	arena_free(arena);
+	json_tree_free(json);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -483,5 +520,6 @@
 	CASES("/objects/id", id_cases, test_id);
 	CASES("/objects/record", record_cases, test_record);
 	CASES("/objects/members", member_cases, test_members);
+	CASES("/objects/coordinator", coordinator_cases, test_coordinator);
 	return g_test_run();
 }
--- a/tests/t_old_primary.c
+++ b/tests/t_old_primary.c
@@ -605,6 +605,55 @@
 	testbed_stop(testbed);
 }
 
+typedef struct record_known_case {
+	const char *name;
+	bool coordinator; /* it restarts */
+	uint32_t others;  /* number of the two others that restart */
+	bool served;
+} record_known_case_t;
+
+static const record_known_case_t record_known_cases[] = {
+    {"one other daemon restarts", false, 1, true},
+    {"the two others restart", false, 2, false},
+    {"the coordinator restarts", true, 0, false},
+};
+
+/* Time in which restarted daemons have read the store. */
+#define RESTARTED_MS 2000
+
+/*
+ * Test that a record that cannot be read is replaced by the coordinator, which
+ * knows what it said, and by nobody else: another one may have followed, and
+ * those that have restarted since would not know.
+ */
+static void
+test_record_known(gconstpointer data)
+{
+	const record_known_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 3, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	uint32_t invalid = 0, others = c->others, i, coordinator;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_usleep(2500 * G_TIME_SPAN_MILLISECOND); /* until all are listed */
+	coordinator = testbed_coordinator(testbed);
+	testbed_put_object(testbed, "bergamotplank-duties", "promotion", "{}");
+	for (i = 0; i < plan.proxies; i++) {
+		if (i == coordinator ? !c->coordinator : others == 0)
+			continue;
+		others -= i != coordinator;
+		fleet_process_kill(&testbed->proxies[i]);
+		testbed_proxy_start(testbed, i);
+	}
+	g_usleep(RESTARTED_MS * G_TIME_SPAN_MILLISECOND);
+	testbed_inject_fault(testbed, "database", "crash", 0);
+	g_assert_cmpint(
+	    write_served(testbed, coordinator, PROMOTION_MS), ==, c->served);
+	g_free(testbed_item_value(testbed, "k", &invalid));
+	g_assert_cmpuint(invalid, ==, 0);
+	testbed_stop(testbed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -628,5 +677,7 @@
 	CASES("/old-primary/late-order", late_order_cases, test_late_order);
 	CASES("/old-primary/unreadable-record", unreadable_cases,
 	    test_unreadable_record);
+	CASES(
+	    "/old-primary/record-known", record_known_cases, test_record_known);
 	return g_test_run();
 }
