Names of recorded and told orders, and of the store's first outage

recorded_orders_replace() adds to what is known, so it is an update; recorded_orders_replace_primary() answers a question. The flag "told" of an order stood beside told_orders_t, which is what another daemon has told. store_away and store_away_us were a state and a time. No change of behaviour.

--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -115,8 +115,8 @@
 void recorded_orders_add(
     recorded_orders_t *, uint64_t replaced_term, position_t base);
 void recorded_orders_add_earlier(recorded_orders_t *, const earlier_order_t *);
-void recorded_orders_replace(recorded_orders_t *, const recorded_orders_t *);
-bool recorded_orders_replace_primary(
+void recorded_orders_update(recorded_orders_t *, const recorded_orders_t *);
+bool recorded_orders_may_replace(
     const recorded_orders_t *, uint64_t term, uint64_t key);
 position_t recorded_orders_used_end(
     const recorded_orders_t *, uint64_t newest_term, position_t end);
--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -623,7 +623,7 @@
 
 	return failover->limits.revocable &&
 	    (failover->unaware_since_us != 0 ||
-		recorded_orders_replace_primary(&failover->recorded,
+		recorded_orders_may_replace(&failover->recorded,
 		    failover->views[primary].promised,
 		    failover->views[primary].key));
 }
@@ -851,7 +851,7 @@
 	    failover->recorded.attempt_term != recorded->attempt_term)
 		failover->recorded_us = now_us;
 	failover->read_replaced = recorded->replaced_term;
-	recorded_orders_replace(&failover->recorded, recorded);
+	recorded_orders_update(&failover->recorded, recorded);
 	add_shown_order(failover);
 }
 
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -193,8 +193,7 @@
 	uint64_t term = primary->promised;
 
 	return lease->orders.read_us != 0 &&
-	    !recorded_orders_replace_primary(
-		&lease->orders, term, primary->key) &&
+	    !recorded_orders_may_replace(&lease->orders, term, primary->key) &&
 	    record_is_complete(lease, term) && !unaware(lease, term);
 }
 
@@ -207,7 +206,7 @@
 order_recorded(const lease_t *lease, const db_view_t *primary)
 {
 	return lease->orders.read_us != 0 &&
-	    recorded_orders_replace_primary(
+	    recorded_orders_may_replace(
 		&lease->orders, primary->promised, primary->key);
 }
 
@@ -540,7 +539,7 @@
 		return;
 	if (lease->orders.read_us == 0)
 		lease->first_attempt_term = orders->attempt_term;
-	recorded_orders_replace(&lease->orders, orders);
+	recorded_orders_update(&lease->orders, orders);
 }
 
 /*
--- a/src/decide/recorded_orders.c
+++ b/src/decide/recorded_orders.c
@@ -91,7 +91,7 @@
  * it than the last one names.
  */
 bool
-recorded_orders_replace_primary(
+recorded_orders_may_replace(
     const recorded_orders_t *orders, uint64_t term, uint64_t key)
 {
 	return orders->replaced_term >= term ||
@@ -105,7 +105,7 @@
  * these may have written it, or the store has lost some.
  */
 void
-recorded_orders_replace(
+recorded_orders_update(
     recorded_orders_t *orders, const recorded_orders_t *newer)
 {
 	recorded_orders_t before = *orders;
--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -380,7 +380,7 @@
 	    orders_withdraw(registry, wanted,
 		answer == BP__PROMOTION_ANSWER__ORDER_REFUSED)) {
 		update_recorded_orders(registry);
-		if (orders_were_told(registry, wanted->group))
+		if (orders_announced(registry, wanted->group))
 			tell_withdrawn(order);
 	}
 	ended->group = arena_strdup(msg->arena, wanted->group);
--- a/src/proxy/group_lease.c
+++ b/src/proxy/group_lease.c
@@ -72,8 +72,8 @@
 static bool
 list_after_outage(const pool_t *pool)
 {
-	return pool->store_away_us != 0 &&
-	    pool->store_away_us <= pool->listed_first_us;
+	return pool->store_first_away_us != 0 &&
+	    pool->store_first_away_us <= pool->listed_first_us;
 }
 
 /*
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -24,7 +24,7 @@
 	recorded_orders_t recorded;
 	recorded_orders_t before; /* what was recorded before the last order */
 	bool sent;                /* an order of the last attempt was sent */
-	bool told; /* other daemons were told of the last attempt */
+	bool announced; /* other daemons were told of the last attempt */
 	open_orders_t open;
 	group_members_t members;
 	group_members_t members_before; /* before the last order */
@@ -158,7 +158,7 @@
 		order->before = order->recorded;
 		members_set(&order->members_before, order->members.list,
 		    order->members.count);
-		order->sent = order->told = false;
+		order->sent = order->announced = false;
 	}
 	/* a recorded order ends the leases in the terms before */
 	if (wanted->n_members > 0)
@@ -254,7 +254,7 @@
 		    OPEN_ORDER_RECORDED, clock_us());
 		take_members(noted, order, kept, current);
 		if (!kept)
-			recorded_orders_replace(&noted->recorded, &read);
+			recorded_orders_update(&noted->recorded, &read);
 	}
 }
 
@@ -264,10 +264,10 @@
  * daemon that is noted now may be for a later term.
  */
 bool
-orders_learn(registry_t *registry, const Bp__RecordedOrder *told)
+orders_learn(registry_t *registry, const Bp__RecordedOrder *message)
 {
-	group_orders_t *order = order_of(registry, told->group);
-	told_orders_t learned = {.orders = recorded_order_read(told)};
+	group_orders_t *order = order_of(registry, message->group);
+	told_orders_t learned = {.orders = recorded_order_read(message)};
 	const recorded_orders_t *orders = &learned.orders;
 
 	if (told_orders_newer(&learned, &order->recorded)) {
@@ -298,9 +298,9 @@
 
 	/* of members alone the others need not know; of a withdrawal they do */
 	if (order == NULL ||
-	    (order->recorded.attempt_term == 0 && !order->told))
+	    (order->recorded.attempt_term == 0 && !order->announced))
 		return;
-	order->told = true;
+	order->announced = true;
 	wanted->order =
 	    recorded_order_write(&order->recorded, wanted->group, msg->arena);
 }
@@ -309,12 +309,12 @@
  * Tell whether other daemons were told of the last order of a group.
  */
 bool
-orders_were_told(const registry_t *registry, const char *group)
+orders_announced(const registry_t *registry, const char *group)
 {
 	const group_orders_t *order =
 	    g_hash_table_lookup(registry->orders, group);
 
-	return order != NULL && order->told;
+	return order != NULL && order->announced;
 }
 
 /*
@@ -395,7 +395,7 @@
 	read.has_unrecorded = 1;
 	read.unrecorded = unrecorded;
 	read.has_lost_us = read.has_era = read.has_away_us = 1;
-	read.away_us = (uint64_t)registry->store_away_us;
+	read.away_us = (uint64_t)registry->store_first_away_us;
 	read.lost_us = (uint64_t)registry->records_lost_us;
 	read.era = registry->store_era;
 	if (record != NULL) {
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -345,7 +345,7 @@
 	gpointer name, value;
 
 	pool->orders_pending = false;
-	pool->store_away_us = (int64_t)read->away_us;
+	pool->store_first_away_us = (int64_t)read->away_us;
 	if (read->read_us != 0 && !read->unrecorded)
 		pool->store_away = false;
 	g_hash_table_iter_init(&iter, pool->groups);
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -327,7 +327,7 @@
 	int64_t listed_first_us;
 	/* time at which the store first refused or did not answer a call of
 	   this process, as last told with the recorded orders; 0: never */
-	int64_t store_away_us;
+	int64_t store_first_away_us;
 	uint32_t transaction_idle_ms;
 	bool is_coordinator;
 	bool first_coordinator; /* nobody was the coordinator before */
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -110,7 +110,7 @@
 	   which may lack records and orders; 0: never */
 	int64_t records_lost_us;
 	/* when the store first refused or did not answer a call; 0: never */
-	int64_t store_away_us;
+	int64_t store_first_away_us;
 	bool store_failing; /* it refused or did not answer the last call */
 	int64_t store_recovered_us; /* first success after failures; 0: none */
 	int64_t heartbeat_acked_us; /* send time of the last acknowledged
@@ -159,7 +159,7 @@
 void orders_take(registry_t *, const Bp__DutyRecord *);
 bool orders_learn(registry_t *, const Bp__RecordedOrder *);
 void orders_tell(registry_t *, msg_t *revoke_wanted);
-bool orders_were_told(const registry_t *, const char *group);
+bool orders_announced(const registry_t *, const char *group);
 bool orders_recorded(const registry_t *, const Bp__DutyRecord *);
 void orders_fill(const registry_t *, arena_t *, Bp__DutyRecord *);
 void orders_report(registry_t *, const Bp__DutyRecord *, int64_t read_us);
--- a/src/proxy/store_era.c
+++ b/src/proxy/store_era.c
@@ -64,8 +64,8 @@
 	bool failed = response->status == OBJECT_STORE_NO_RESPONSE ||
 	    response->status == OBJECT_STORE_REFUSED;
 
-	if (failed && registry->store_away_us == 0)
-		registry->store_away_us = clock_us();
+	if (failed && registry->store_first_away_us == 0)
+		registry->store_first_away_us = clock_us();
 	if (!failed && registry->store_failing)
 		registry->store_recovered_us = clock_us();
 	registry->store_failing = failed;
