--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -1,4 +1,5 @@
 #include "failover_choice.h"
+#include "failover_standing.h"
 
 #include <string.h>
 
@@ -239,98 +240,6 @@
 	enter_state(failover, FAILOVER_BACKOFF, now_us);
 }
 
-/*
- * Return the entry of an attempt of this process with standing promises, or
- * NULL if there is none.
- */
-static failover_standing_t *
-standing_find(failover_t *failover, uint64_t term)
-{
-	uint32_t i;
-
-	for (i = 0; i < FAILOVER_STANDING_MAX; i++) {
-		if (term != 0 && failover->own_standing[i].term == term)
-			return &failover->own_standing[i];
-	}
-	return NULL;
-}
-
-/*
- * Note that an attempt of this process asks for standing promises.  Until its
- * order is sent they prove only the order that those before prove.  Overwrites
- * the oldest entry.
- */
-static void
-standing_begin(failover_t *failover, uint64_t term)
-{
-	uint32_t next = failover->own_standing_next;
-
-	failover->own_standing_next = (next + 1) % FAILOVER_STANDING_MAX;
-	failover->own_standing[next] = (failover_standing_t){
-	    term, failover->unproven_attempt, failover->unproven_attempt};
-}
-
-/*
- * Note that the order of an attempt is to be sent, or was refused.
- */
-static void
-standing_ordered(failover_t *failover, uint64_t term, bool ordered)
-{
-	failover_standing_t *own = standing_find(failover, term);
-
-	if (own == NULL)
-		return;
-	own->proves = ordered ? term : own->proved_before;
-	failover->unproven_attempt = own->proves;
-}
-
-/*
- * Tell whether a standing promise is for an attempt of this process and proves
- * no order that the store has not recorded.
- */
-bool
-failover_promise_void(failover_t *failover, uint64_t term)
-{
-	const failover_standing_t *own = standing_find(failover, term);
-
-	return own != NULL && own->proves <= failover->stored_attempt;
-}
-
-/*
- * Count the orders that standing promises have shown among the recorded ones.
- * It is not known after which entry they begin a term.
- */
-static void
-add_shown_order(failover_t *failover)
-{
-	if (failover->shown_replaced <= failover->recorded.replaced_term ||
-	    failover->shown_attempt <= failover->recorded.attempt_term)
-		return;
-	recorded_orders_add(
-	    &failover->recorded, failover->shown_replaced, (position_t){0});
-}
-
-/*
- * Note what the promise of a database shows: if it is a standing one of another
- * process, an order may have been sent that nobody else knows of.
- */
-static void
-note_shown_order(failover_t *failover, uint64_t promised, int64_t now_us)
-{
-	uint64_t replaced = attempt_term_replaces(promised);
-
-	if (replaced == 0 || promised <= failover->recorded.attempt_term ||
-	    (promised <= failover->shown_attempt &&
-		replaced <= failover->shown_replaced) ||
-	    standing_find(failover, promised) != NULL)
-		return;
-	failover->shown_attempt = MAX(failover->shown_attempt, promised);
-	failover->unproven_attempt = MAX(failover->unproven_attempt, promised);
-	failover->shown_replaced = MAX(failover->shown_replaced, replaced);
-	failover->recorded_us = now_us;
-	add_shown_order(failover);
-}
-
 /*
  * Process a status answer of a database whose promises only increase: an
  * answer with an older promise is outdated and ignored.
@@ -368,7 +277,7 @@
 		failover->log_grown_us[database] = now_us;
 	*view = *answer;
 	view->known = true;
-	note_shown_order(failover, view->promised, now_us);
+	standing_note_shown(failover, view->promised, now_us);
 	if (failover->state == FAILOVER_FENCING &&
 	    view->promised < failover->fenced_term)
 		failover->granted[database] = false;
@@ -852,7 +761,7 @@
 		failover->recorded_us = now_us;
 	failover->read_replaced = recorded->replaced_term;
 	recorded_orders_update(&failover->recorded, recorded);
-	add_shown_order(failover);
+	standing_add_shown(failover);
 }
 
 /*
@@ -1182,25 +1091,6 @@
 	}
 }
 
-/*
- * Tell whether an order that the store does not record would be known
- * afterwards: a majority of the databases is the chosen one and those that hold
- * standing promises.
- */
-static bool
-order_provable(const failover_t *failover, int32_t chosen)
-{
-	uint32_t i, holders = 0;
-	uint32_t all =
-	    failover->members > 0 ? failover->members : failover->count;
-
-	for (i = 0; i < failover->count; i++)
-		holders += ((int32_t)i == chosen || failover->standing[i]) &&
-		    (failover->members == 0 || failover->views[i].member);
-	return attempt_term_replaces(failover->term) != 0 &&
-	    holders >= majority_of(all);
-}
-
 /*
  * Have the databases that have promised the term, except the chosen one, give a
  * standing promise, since the store cannot record the order.  If those and the
@@ -1258,11 +1148,13 @@
 		failover->wait_until_us =
 		    MAX(failover->wait_until_us, now_us + LEARNING_US);
 	} else if (chosen >= 0 && failover->store_away &&
-	    !failover->standing_asked && !order_provable(failover, chosen)) {
+	    !failover->standing_asked &&
+	    !standing_proves_order(failover, chosen)) {
 		request_standing(failover, chosen, actions);
 	} else if (chosen >= 0 &&
 	    !order_pending_elsewhere(failover, chosen, now_us) &&
-	    (!failover->store_away || order_provable(failover, chosen))) {
+	    (!failover->store_away ||
+		standing_proves_order(failover, chosen))) {
 		failover->chosen = (uint32_t)chosen;
 		actions->list[actions->count++] = (failover_action_t){
 		    FAILOVER_PROMOTE, failover->chosen, failover->term};
