The fake platform lets more than ten connections wait

Cause: the ports of the fake platform had a backlog of 10 (the default of GLib and libsoup). Five proxies that start together open 15 connections to the store at once. Where the platform does not run for a moment, the kernel drops those beyond the backlog and they are tried again after 1 s, but a call of the store ends after 500 ms. A proxy whose call was not answered before its first list of the servers takes that list as incomplete for 3 s, and has no lease on the primary while no members are recorded, as /old-primary/late-list wants it. The first read of the set-up comes 2.1 s after the start, at an owner that has no connections yet.

Ruled out: connections of former owners, since the fakes of this test refuse none; a change of primary, none in the logs; a lease that was lost.

Evidence: /forward/start, new, holds the platform up while the proxies start.

--- a/tests/fake/fakegroup.c
+++ b/tests/fake/fakegroup.c
@@ -910,6 +910,8 @@
 	GError *error = NULL;
 
 	database->service = g_socket_service_new();
+	g_socket_listener_set_backlog(
+	    G_SOCKET_LISTENER(database->service), LISTEN_BACKLOG);
 	if (!g_socket_listener_add_address(G_SOCKET_LISTENER(database->service),
 		address, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL,
 		NULL, &error))
--- a/tests/fake/fakesite.c
+++ b/tests/fake/fakesite.c
@@ -287,6 +287,30 @@
 	return G_SOURCE_CONTINUE;
 }
 
+/*
+ * Listen on a port of the loopback interface.  Returns false if that fails.
+ */
+static bool
+server_listen(SoupServer *server, uint16_t port)
+{
+	GSocketAddress *address =
+	    g_inet_socket_address_new_from_string("127.0.0.1", port);
+	GSocket *socket = g_socket_new(G_SOCKET_FAMILY_IPV4,
+	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+	bool listens;
+
+	if (socket != NULL)
+		g_socket_set_listen_backlog(socket, LISTEN_BACKLOG);
+	listens = socket != NULL &&
+	    g_socket_bind(socket, address, TRUE, NULL) &&
+	    g_socket_listen(socket, NULL) &&
+	    soup_server_listen_socket(
+		server, socket, (SoupServerListenOptions)0, NULL);
+	g_clear_object(&socket);
+	g_object_unref(address);
+	return listens;
+}
+
 /*
  * Run the fake platform of the proxy.
  *
@@ -342,8 +366,7 @@
 	    platform.server, "/executed", on_seen, &platform, NULL);
 	soup_server_add_handler(
 	    platform.server, "/received", on_seen, &platform, NULL);
-	if (!soup_server_listen_local(
-		platform.server, (guint)port->ival[0], 0, NULL))
+	if (!server_listen(platform.server, (uint16_t)port->ival[0]))
 		return 1;
 	g_unix_signal_add(SIGTERM, on_sigterm, loop);
 	g_main_loop_run(loop);
--- a/tests/fake/fakesite.h
+++ b/tests/fake/fakesite.h
@@ -18,6 +18,12 @@
 
 #define GROUP_DATABASES_MAX 5
 
+/*
+ * Number of connections to a port that wait to be accepted.  The kernel drops
+ * those of further ones, which are tried again only after a second.
+ */
+#define LISTEN_BACKLOG 512
+
 /* The object store. */
 typedef struct object_store object_store_t;
 
--- a/tests/fake/testbed.c
+++ b/tests/fake/testbed.c
@@ -261,10 +261,16 @@
 	testbed->plan = *plan;
 	testbed->work_dir = g_dir_make_tmp("bergamotplank-site-XXXXXX", NULL);
 	start_platform(testbed);
+	if (plan->platform_paused_ms > 0)
+		fleet_process_signal(&testbed->platform, SIGSTOP);
 	for (i = 0; i < plan->proxies; i++) {
 		write_proxy_settings(testbed, i);
 		testbed_proxy_start(testbed, i);
 	}
+	if (plan->platform_paused_ms > 0) {
+		g_usleep(plan->platform_paused_ms * US_PER_MS);
+		fleet_process_signal(&testbed->platform, SIGCONT);
+	}
 	return testbed;
 }
 
--- a/tests/t_forward.c
+++ b/tests/t_forward.c
@@ -84,29 +84,43 @@
 	    testbed_metric(testbed, proxy, "server_connections_opened") > 0;
 }
 
+/* Five proxies, of which two own the group. */
+static const testbed_plan_t forward_plan = {.proxies = PROXIES,
+    .lag_ms = 5,
+    .service_time_ms = SERVICE_TIME_MS,
+    .connections_max = CONNECTIONS_MAX,
+    .transaction_idle_ms = TRANSACTION_IDLE_MS};
+
 /*
- * Start the testbed, and find a proxy without connections to the databases and
- * the owner that it uses.
+ * Start a testbed until the proxies agree on the owners, and open a session at
+ * a proxy without connections to the databases.
  */
 static forward_bed_t *
-forward_bed_start(void)
+forward_bed_open(const testbed_plan_t *plan)
 {
-	testbed_plan_t plan = {.proxies = PROXIES,
-	    .lag_ms = 5,
-	    .service_time_ms = SERVICE_TIME_MS,
-	    .connections_max = CONNECTIONS_MAX,
-	    .transaction_idle_ms = TRANSACTION_IDLE_MS};
 	forward_bed_t *bed = g_new0(forward_bed_t, 1);
-	uint64_t sent_before[PROXIES];
-	uint32_t i;
 
-	bed->testbed = testbed_start(&plan);
+	bed->testbed = testbed_start(plan);
 	g_assert_true(testbed_wait_ready(bed->testbed, READY_TIMEOUT_MS));
 	wait_placed(bed->testbed);
 	while (is_connected(bed->testbed, bed->front))
 		bed->front++;
 	bed->client = client_open_session(bed->testbed, bed->front, "intake");
 	g_assert_nonnull(bed->client);
+	return bed;
+}
+
+/*
+ * Start the testbed, and find a proxy without connections to the databases and
+ * the owner that it uses.
+ */
+static forward_bed_t *
+forward_bed_start(void)
+{
+	forward_bed_t *bed = forward_bed_open(&forward_plan);
+	uint64_t sent_before[PROXIES];
+	uint32_t i;
+
 	for (i = 0; i < PROXIES; i++)
 		sent_before[i] =
 		    testbed_metric(bed->testbed, i, "statements_sent");
@@ -134,6 +148,68 @@
 	const char *expected; /* prefix of the answer; lines joined by "|" */
 } step_t;
 
+/*
+ * Return the log of a proxy.
+ */
+static char *
+read_log(const testbed_t *testbed, uint32_t proxy)
+{
+	char *path =
+	    g_strdup_printf("%s/proxy-%u.log", testbed->work_dir, proxy);
+	char *log;
+
+	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+	g_free(path);
+	return log;
+}
+
+/*
+ * Tell whether the store has left a call of a proxy unanswered, by the logs.
+ */
+static bool
+store_was_silent(const testbed_t *testbed)
+{
+	bool silent = false;
+	uint32_t i;
+
+	for (i = 0; i < PROXIES; i++) {
+		char *log = read_log(testbed, i);
+
+		silent |= strstr(log, "\"dependency_lost\"") != NULL;
+		g_free(log);
+	}
+	return silent;
+}
+
+typedef struct start_case {
+	const char *name;
+	uint32_t paused_ms; /* the platform, while the proxies start */
+} start_case_t;
+
+static const start_case_t start_cases[] = {
+    {"the platform runs", 0},
+    {"the platform is held up for less than the timeout of a call", 200},
+};
+
+/*
+ * Test that the first statement at an owner that has no connections yet is
+ * served at once, and that the store answers all calls of proxies that start
+ * together, if late.
+ */
+static void
+test_start(gconstpointer data)
+{
+	const start_case_t *c = data;
+	testbed_plan_t plan = forward_plan;
+	forward_bed_t *bed;
+
+	plan.platform_paused_ms = c->paused_ms;
+	bed = forward_bed_open(&plan);
+	g_assert_false(store_was_silent(bed->testbed));
+	client_expect(bed->client, "READ first", "ROW none|DONE p");
+	forward_bed_stop(bed);
+}
+
 typedef struct loss_case {
 	const char *name;
 	int32_t signal; /* sent to the owner */
@@ -522,21 +598,6 @@
     {"the watchers are frozen", SIGSTOP},
 };
 
-/*
- * Return the log of a proxy.
- */
-static char *
-read_log(const testbed_t *testbed, uint32_t proxy)
-{
-	char *path =
-	    g_strdup_printf("%s/proxy-%u.log", testbed->work_dir, proxy);
-	char *log;
-
-	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
-	g_free(path);
-	return log;
-}
-
 /*
  * Tell whether a proxy follows the news of another one, by its log.
  */
@@ -749,6 +810,7 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	CASES("/forward/start", start_cases, test_start);
 	CASES("/forward/loss", loss_cases, test_loss);
 	CASES("/forward/result", result_cases, test_result);
 	CASES("/forward/front", front_cases, test_front_lost);
