The first read of /forward may be late after a start without the store

What callers saw: "ERR BUSY no database was free in time; not run; retry-after-ms=50" to the first read of /forward, if the platform does not run for longer than 500 ms while the proxies start.

Cause: the set-up demands what the proxy does not promise. A proxy whose call of the store was not answered before its first list of the servers has no lease for 3 s after that list, as long as no members are recorded: the list may be incomplete (/old-primary/late-list/the-store-was-away). The set-up reads some 2.1 s after the list. The log shows it: dependency_lost at the owner, server_changed for all three databases at the read, no primary_confirmed.

A listing of the daemons that fails is logged now; it was the one call of the start that left no line.

Left out: to wait 3 s before the first read.

--- a/src/proxy/daemons.c
+++ b/src/proxy/daemons.c
@@ -320,6 +320,9 @@
 		g_hash_table_foreach_remove(
 		    registry->heartbeats, was_unlisted, registry);
 		count = g_hash_table_size(registry->heartbeats);
+	} else {
+		log_line(LOG_PART, G_LOG_LEVEL_INFO,
+		    "Cannot list the daemons: status %d.", response->status);
 	}
 	registry->daemons_changed = count != registry->daemons_count;
 	if (count > 0 && count != registry->daemons_count) {
