/forward/unable-owner waits until another proxy has connections

Cause: the test kills an owner while the databases accept no more connections, and expects that each proxy reaches one that has some. An owner opens its connections when it gets a statement, or has listed the same number of daemons twice, 4 s after the start; the test kills the other one 2.3 s after it. So the proxy with connections was mostly the coordinator. Where the first to take the role is the owner that is killed, no proxy is left that has any, and the answer is right.

Change: the test waits until another proxy has connections to all databases. A second case has the last proxy start first, so that the owner which is killed was the coordinator.

--- a/tests/fake/testbed.c
+++ b/tests/fake/testbed.c
@@ -12,6 +12,9 @@
 
 #define READY_POLL_US 20000
 
+/* Time limit for the start of a proxy that others wait for. */
+#define START_TIMEOUT_MS 10000
+
 /* Time limit for an answer that a test expects. */
 #define EXPECT_TIMEOUT_MS 5000
 
@@ -249,6 +252,63 @@
 	g_free(path);
 }
 
+/*
+ * Wait until a proxy reports that it accepts new clients.  Returns false after
+ * the deadline.
+ */
+static bool
+proxy_wait_ready(const testbed_t *testbed, uint32_t i, int64_t deadline_us)
+{
+	char *url = g_strdup_printf(
+	    "http://127.0.0.1:%u/ready", testbed->proxies[i].operator_port);
+	bool ready;
+
+	while (!(ready = http_call("GET", url, NULL, NULL) == 200) &&
+	    g_get_monotonic_time() < deadline_us)
+		g_usleep(READY_POLL_US);
+	g_free(url);
+	return ready;
+}
+
+/*
+ * Start a proxy, and wait until it is the coordinator.
+ */
+static void
+start_coordinator(testbed_t *testbed, uint32_t i)
+{
+	int64_t deadline_us =
+	    g_get_monotonic_time() + START_TIMEOUT_MS * US_PER_MS;
+
+	testbed_proxy_start(testbed, i);
+	g_assert_true(proxy_wait_ready(testbed, i, deadline_us));
+	while (testbed_metric(testbed, i, "duty_token") == 0) {
+		g_assert_cmpint(g_get_monotonic_time(), <, deadline_us);
+		g_usleep(READY_POLL_US);
+	}
+}
+
+/*
+ * Start the proxies.
+ */
+static void
+start_proxies(testbed_t *testbed)
+{
+	uint32_t i, count = testbed->plan.proxies;
+
+	for (i = 0; i < count; i++)
+		write_proxy_settings(testbed, i);
+	if (testbed->plan.last_coordinates)
+		start_coordinator(testbed, --count);
+	if (testbed->plan.platform_paused_ms > 0)
+		fleet_process_signal(&testbed->platform, SIGSTOP);
+	for (i = 0; i < count; i++)
+		testbed_proxy_start(testbed, i);
+	if (testbed->plan.platform_paused_ms > 0) {
+		g_usleep(testbed->plan.platform_paused_ms * US_PER_MS);
+		fleet_process_signal(&testbed->platform, SIGCONT);
+	}
+}
+
 /*
  * Start the fake platform and the proxies.
  */
@@ -256,21 +316,11 @@
 testbed_start(const testbed_plan_t *plan)
 {
 	testbed_t *testbed = g_new0(testbed_t, 1);
-	uint32_t i;
 
 	testbed->plan = *plan;
 	testbed->work_dir = g_dir_make_tmp("bergamotplank-site-XXXXXX", NULL);
 	start_platform(testbed);
-	if (plan->platform_paused_ms > 0)
-		fleet_process_signal(&testbed->platform, SIGSTOP);
-	for (i = 0; i < plan->proxies; i++) {
-		write_proxy_settings(testbed, i);
-		testbed_proxy_start(testbed, i);
-	}
-	if (plan->platform_paused_ms > 0) {
-		g_usleep(plan->platform_paused_ms * US_PER_MS);
-		fleet_process_signal(&testbed->platform, SIGCONT);
-	}
+	start_proxies(testbed);
 	return testbed;
 }
 
@@ -339,22 +389,12 @@
 {
 	int64_t deadline_us =
 	    g_get_monotonic_time() + (int64_t)timeout_ms * US_PER_MS;
+	bool ready = true;
 	uint32_t i;
 
-	for (i = 0; i < testbed->plan.proxies; i++) {
-		char *url = g_strdup_printf("http://127.0.0.1:%u/ready",
-		    testbed->proxies[i].operator_port);
-
-		while (http_call("GET", url, NULL, NULL) != 200) {
-			if (g_get_monotonic_time() >= deadline_us) {
-				g_free(url);
-				return false;
-			}
-			g_usleep(READY_POLL_US);
-		}
-		g_free(url);
-	}
-	return true;
+	for (i = 0; ready && i < testbed->plan.proxies; i++)
+		ready = proxy_wait_ready(testbed, i, deadline_us);
+	return ready;
 }
 
 /*
--- a/tests/fake/testbed.h
+++ b/tests/fake/testbed.h
@@ -19,7 +19,10 @@
 	   0: the default, with which all do */
 	uint32_t connections_max;
 	uint32_t transaction_idle_ms; /* 0: the default */
-	/* time for which the platform does not run while the proxies start */
+	/* the last proxy starts first, and becomes the coordinator */
+	bool last_coordinates;
+	/* time for which the platform does not run while the (other) proxies
+	   start */
 	uint32_t platform_paused_ms;
 } testbed_plan_t;
 
--- a/tests/t_forward.c
+++ b/tests/t_forward.c
@@ -201,13 +201,13 @@
 }
 
 /*
- * Start the testbed, and find a proxy without connections to the databases and
+ * Start a testbed, and find a proxy without connections to the databases and
  * the owner that it uses.
  */
 static forward_bed_t *
-forward_bed_start(void)
+forward_bed_start_plan(const testbed_plan_t *plan)
 {
-	forward_bed_t *bed = forward_bed_open(&forward_plan);
+	forward_bed_t *bed = forward_bed_open(plan);
 	uint64_t sent_before[PROXIES];
 	uint32_t i;
 
@@ -222,6 +222,15 @@
 	return bed;
 }
 
+/*
+ * Start the testbed of most tests.
+ */
+static forward_bed_t *
+forward_bed_start(void)
+{
+	return forward_bed_start_plan(&forward_plan);
+}
+
 /*
  * Stop the testbed.
  */
@@ -551,15 +560,57 @@
 }
 
 /*
- * Test that every proxy reaches the owner that has connections, after the other
- * one was killed while the databases accept no more connections.
+ * Wait until another proxy than the owner has connections to all databases: the
+ * coordinator, or the other owner.  An owner opens its connections when it gets
+ * a statement, or has listed the same number of daemons twice.
  */
 static void
-test_owner_unable(void)
+wait_other_connected(const forward_bed_t *bed)
 {
-	forward_bed_t *bed = forward_bed_start();
+	int64_t deadline_us =
+	    g_get_monotonic_time() + PLACEMENT_TIMEOUT_MS * US_PER_MS;
+	uint32_t i = PROXIES;
+
+	while (i == PROXIES) {
+		g_assert_cmpint(g_get_monotonic_time(), <, deadline_us);
+		g_usleep(POLL_US);
+		for (i = 0; i < PROXIES &&
+		     (i == bed->owner ||
+			 testbed_metric(bed->testbed, i,
+			     "server_connections_opened") < DATABASES);
+		     i++)
+			;
+	}
+}
+
+typedef struct unable_case {
+	const char *name;
+	bool coordinator; /* the owner that is killed is the coordinator */
+} unable_case_t;
+
+static const unable_case_t unable_cases[] = {
+    {"another proxy may be the coordinator", false},
+    {"it was the coordinator", true},
+};
+
+/*
+ * Test that every proxy reaches one that has connections, after an owner was
+ * killed while the databases accept no more connections.
+ */
+static void
+test_owner_unable(gconstpointer data)
+{
+	const unable_case_t *c = data;
+	testbed_plan_t plan = forward_plan;
+	forward_bed_t *bed;
 	uint32_t i;
 
+	plan.last_coordinates = c->coordinator;
+	bed = forward_bed_start_plan(&plan);
+	if (c->coordinator)
+		g_assert_cmpuint(
+		    testbed_coordinator(bed->testbed), ==, bed->owner);
+	wait_other_connected(bed);
 	crowd_databases(bed->testbed);
 	fleet_process_kill(&bed->testbed->proxies[bed->owner]);
 	for (i = 0; i < PROXIES; i++) {
@@ -878,7 +929,7 @@
 	CASES("/forward/news", news_cases, test_store_news);
 	g_test_add_func("/forward/news-of-many", test_news_of_many);
 	g_test_add_func("/forward/restarted-owner", test_owner_restarted);
-	g_test_add_func("/forward/unable-owner", test_owner_unable);
+	CASES("/forward/unable-owner", unable_cases, test_owner_unable);
 	CASES("/forward/restarted-unable", restarted_unable_cases,
 	    test_restarted_unable);
 	g_test_add_func("/forward/values", test_session_values);
