--- a/tests/t_forward.c
+++ b/tests/t_forward.c
@@ -30,6 +30,16 @@
 
 #define POLL_US 20000
 
+/*
+ * Time after its first list of the databases in which a proxy to which the
+ * store has not answered a call before has no lease on the primary, since the
+ * list may be incomplete.
+ */
+#define LIST_NEW_MS 3000
+
+/* Timeout of a statement, as in the routes. */
+#define STATEMENT_TIMEOUT_MS 1000
+
 /* A testbed, and the proxies that a test uses. */
 typedef struct forward_bed {
 	testbed_t *testbed;
@@ -85,32 +95,126 @@
 }
 
 /*
- * Start the testbed, and find a proxy without connections to the databases and
- * the owner that it uses.
+ * Return the log of a proxy.
+ */
+static char *
+read_log(const testbed_t *testbed, uint32_t proxy)
+{
+	char *path =
+	    g_strdup_printf("%s/proxy-%u.log", testbed->work_dir, proxy);
+	char *log;
+
+	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+	g_free(path);
+	return log;
+}
+
+/*
+ * Tell whether the store has left a call of a proxy unanswered, by the logs.
+ */
+static bool
+store_was_silent(const testbed_t *testbed)
+{
+	bool silent = false;
+	uint32_t i;
+
+	for (i = 0; i < PROXIES; i++) {
+		char *log = read_log(testbed, i);
+
+		silent |= strstr(log, "\"dependency_lost\"") != NULL ||
+		    strstr(log, "Cannot list the daemons") != NULL;
+		g_free(log);
+	}
+	return silent;
+}
+
+/* What a refusal says before the time in ms after which to retry. */
+#define NOT_RUN "not run; retry-after-ms="
+
+/*
+ * Check that the first read is served once the lists of the databases are no
+ * longer new, and that every refusal before says that it has not run and when
+ * to retry.  The read is repeated as it says.
+ */
+static void
+expect_served_late(client_t *client)
+{
+	int64_t deadline_us =
+	    clock_us() + (LIST_NEW_MS + STATEMENT_TIMEOUT_MS) * US_PER_MS;
+	uint32_t refusals = 0;
+	char *answer = client_query(client, "READ first", ANSWER_TIMEOUT_MS);
+
+	while (answer != NULL && g_str_has_prefix(answer, "ERR BUSY ") &&
+	    clock_us() < deadline_us) {
+		const char *not_run = strstr(answer, NOT_RUN);
+
+		g_assert_nonnull(not_run);
+		g_usleep(g_ascii_strtoull(not_run + strlen(NOT_RUN), NULL, 10) *
+		    US_PER_MS);
+		refusals++;
+		g_free(answer);
+		answer = client_query(client, "READ first", ANSWER_TIMEOUT_MS);
+	}
+	g_test_message("%u refusals", refusals);
+	if (answer == NULL || !g_str_has_prefix(answer, "ROW none|DONE p"))
+		g_error("READ first: found %s", answer);
+	g_free(answer);
+}
+
+/* Five proxies, of which two own the group. */
+static const testbed_plan_t forward_plan = {.proxies = PROXIES,
+    .lag_ms = 5,
+    .service_time_ms = SERVICE_TIME_MS,
+    .connections_max = CONNECTIONS_MAX,
+    .transaction_idle_ms = TRANSACTION_IDLE_MS};
+
+/*
+ * Start a testbed until the proxies agree on the owners, and open a session at
+ * a proxy without connections to the databases.
  */
 static forward_bed_t *
-forward_bed_start(void)
+forward_bed_open(const testbed_plan_t *plan)
 {
-	testbed_plan_t plan = {.proxies = PROXIES,
-	    .lag_ms = 5,
-	    .service_time_ms = SERVICE_TIME_MS,
-	    .connections_max = CONNECTIONS_MAX,
-	    .transaction_idle_ms = TRANSACTION_IDLE_MS};
 	forward_bed_t *bed = g_new0(forward_bed_t, 1);
-	uint64_t sent_before[PROXIES];
-	uint32_t i;
 
-	bed->testbed = testbed_start(&plan);
+	bed->testbed = testbed_start(plan);
 	g_assert_true(testbed_wait_ready(bed->testbed, READY_TIMEOUT_MS));
 	wait_placed(bed->testbed);
 	while (is_connected(bed->testbed, bed->front))
 		bed->front++;
 	bed->client = client_open_session(bed->testbed, bed->front, "intake");
 	g_assert_nonnull(bed->client);
+	return bed;
+}
+
+/*
+ * Check that the first read is served: at once, unless the store has not
+ * answered a call of a proxy that started.
+ */
+static void
+expect_first_read(const forward_bed_t *bed)
+{
+	if (store_was_silent(bed->testbed))
+		expect_served_late(bed->client);
+	else
+		client_expect(bed->client, "READ first", "ROW none|DONE p");
+}
+
+/*
+ * Start a testbed, and find a proxy without connections to the databases and
+ * the owner that it uses.
+ */
+static forward_bed_t *
+forward_bed_start_plan(const testbed_plan_t *plan)
+{
+	forward_bed_t *bed = forward_bed_open(plan);
+	uint64_t sent_before[PROXIES];
+	uint32_t i;
+
 	for (i = 0; i < PROXIES; i++)
 		sent_before[i] =
 		    testbed_metric(bed->testbed, i, "statements_sent");
-	client_expect(bed->client, "READ first", "ROW none|DONE p");
+	expect_first_read(bed);
 	while (testbed_metric(bed->testbed, bed->owner, "statements_sent") ==
 	    sent_before[bed->owner])
 		bed->owner++;
@@ -118,6 +222,15 @@
 	return bed;
 }
 
+/*
+ * Start the testbed of most tests.
+ */
+static forward_bed_t *
+forward_bed_start(void)
+{
+	return forward_bed_start_plan(&forward_plan);
+}
+
 /*
  * Stop the testbed.
  */
@@ -134,6 +247,39 @@
 	const char *expected; /* prefix of the answer; lines joined by "|" */
 } step_t;
 
+typedef struct start_case {
+	const char *name;
+	uint32_t paused_ms; /* the platform, while the proxies start */
+	bool unanswered;    /* calls of the store end without an answer */
+} start_case_t;
+
+static const start_case_t start_cases[] = {
+    {"the platform runs", 0, false},
+    {"the platform is held up for less than the timeout of a call", 100, false},
+    {"the platform is held up for longer than the timeout of a call", 700,
+	true},
+};
+
+/*
+ * Test that the first statement at an owner that has no connections yet is
+ * served at once if the store has answered all calls of the proxies, which
+ * start together, and otherwise as soon as leases are possible.
+ */
+static void
+test_start(gconstpointer data)
+{
+	const start_case_t *c = data;
+	testbed_plan_t plan = forward_plan;
+	forward_bed_t *bed;
+
+	plan.platform_paused_ms = c->paused_ms;
+	bed = forward_bed_open(&plan);
+	if (!c->unanswered)
+		g_assert_false(store_was_silent(bed->testbed));
+	expect_first_read(bed);
+	forward_bed_stop(bed);
+}
+
 typedef struct loss_case {
 	const char *name;
 	int32_t signal; /* sent to the owner */
@@ -414,15 +560,57 @@
 }
 
 /*
- * Test that every proxy reaches the owner that has connections, after the other
- * one was killed while the databases accept no more connections.
+ * Wait until another proxy than the owner has connections to all databases: the
+ * coordinator, or the other owner.  An owner opens its connections when it gets
+ * a statement, or has listed the same number of daemons twice.
  */
 static void
-test_owner_unable(void)
+wait_other_connected(const forward_bed_t *bed)
 {
-	forward_bed_t *bed = forward_bed_start();
+	int64_t deadline_us =
+	    g_get_monotonic_time() + PLACEMENT_TIMEOUT_MS * US_PER_MS;
+	uint32_t i = PROXIES;
+
+	while (i == PROXIES) {
+		g_assert_cmpint(g_get_monotonic_time(), <, deadline_us);
+		g_usleep(POLL_US);
+		for (i = 0; i < PROXIES &&
+		     (i == bed->owner ||
+			 testbed_metric(bed->testbed, i,
+			     "server_connections_opened") < DATABASES);
+		     i++)
+			;
+	}
+}
+
+typedef struct unable_case {
+	const char *name;
+	bool coordinator; /* the owner that is killed is the coordinator */
+} unable_case_t;
+
+static const unable_case_t unable_cases[] = {
+    {"another proxy may be the coordinator", false},
+    {"it was the coordinator", true},
+};
+
+/*
+ * Test that every proxy reaches one that has connections, after an owner was
+ * killed while the databases accept no more connections.
+ */
+static void
+test_owner_unable(gconstpointer data)
+{
+	const unable_case_t *c = data;
+	testbed_plan_t plan = forward_plan;
+	forward_bed_t *bed;
 	uint32_t i;
 
+	plan.last_coordinates = c->coordinator;
+	bed = forward_bed_start_plan(&plan);
+	if (c->coordinator)
+		g_assert_cmpuint(
+		    testbed_coordinator(bed->testbed), ==, bed->owner);
+	wait_other_connected(bed);
 	crowd_databases(bed->testbed);
 	fleet_process_kill(&bed->testbed->proxies[bed->owner]);
 	for (i = 0; i < PROXIES; i++) {
@@ -522,21 +710,6 @@
     {"the watchers are frozen", SIGSTOP},
 };
 
-/*
- * Return the log of a proxy.
- */
-static char *
-read_log(const testbed_t *testbed, uint32_t proxy)
-{
-	char *path =
-	    g_strdup_printf("%s/proxy-%u.log", testbed->work_dir, proxy);
-	char *log;
-
-	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
-	g_free(path);
-	return log;
-}
-
 /*
  * Tell whether a proxy follows the news of another one, by its log.
  */
@@ -749,13 +922,14 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	CASES("/forward/start", start_cases, test_start);
 	CASES("/forward/loss", loss_cases, test_loss);
 	CASES("/forward/result", result_cases, test_result);
 	CASES("/forward/front", front_cases, test_front_lost);
 	CASES("/forward/news", news_cases, test_store_news);
 	g_test_add_func("/forward/news-of-many", test_news_of_many);
 	g_test_add_func("/forward/restarted-owner", test_owner_restarted);
-	g_test_add_func("/forward/unable-owner", test_owner_unable);
+	CASES("/forward/unable-owner", unable_cases, test_owner_unable);
 	CASES("/forward/restarted-unable", restarted_unable_cases,
 	    test_restarted_unable);
 	g_test_add_func("/forward/values", test_session_values);
