--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -2457,7 +2457,7 @@
   (ProtobufCMessageInit) bp__token_read__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__promotion_wanted__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bp__promotion_wanted__field_descriptors[11] =
 {
   {
     "group",
@@ -2579,12 +2579,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "heard_token",
+    11,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PromotionWanted, heard_token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__promotion_wanted__field_indices_by_name[] = {
   7,   /* field[7] = base_index */
   6,   /* field[6] = base_term */
   4,   /* field[4] = decided_us */
   0,   /* field[0] = group */
+  10,   /* field[10] = heard_token */
   3,   /* field[3] = heard_us */
   9,   /* field[9] = members */
   8,   /* field[8] = open */
@@ -2595,7 +2608,7 @@
 static const ProtobufCIntRange bp__promotion_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bp__promotion_wanted__descriptor =
 {
@@ -2605,7 +2618,7 @@
   "Bp__PromotionWanted",
   "bp",
   sizeof(Bp__PromotionWanted),
-  10,
+  11,
   bp__promotion_wanted__field_descriptors,
   bp__promotion_wanted__field_indices_by_name,
   1,  bp__promotion_wanted__number_ranges,
@@ -3260,7 +3273,8 @@
 static const protobuf_c_boolean bp__revoke_wanted__begun__default_value = 0;
 static const protobuf_c_boolean bp__revoke_wanted__incomplete__default_value = 0;
 static const uint64_t bp__revoke_wanted__unreadable_revision__default_value = 0ull;
-static const ProtobufCFieldDescriptor bp__revoke_wanted__field_descriptors[10] =
+static const uint64_t bp__revoke_wanted__of_daemons__default_value = 0ull;
+static const ProtobufCFieldDescriptor bp__revoke_wanted__field_descriptors[11] =
 {
   {
     "group",
@@ -3382,6 +3396,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "of_daemons",
+    11,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__RevokeWanted, has_of_daemons),
+    offsetof(Bp__RevokeWanted, of_daemons),
+    NULL,
+    &bp__revoke_wanted__of_daemons__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__revoke_wanted__field_indices_by_name[] = {
   5,   /* field[5] = begun */
@@ -3389,6 +3415,7 @@
   2,   /* field[2] = daemons */
   0,   /* field[0] = group */
   6,   /* field[6] = incomplete */
+  10,   /* field[10] = of_daemons */
   7,   /* field[7] = open */
   8,   /* field[8] = order */
   1,   /* field[1] = term */
@@ -3398,7 +3425,7 @@
 static const ProtobufCIntRange bp__revoke_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bp__revoke_wanted__descriptor =
 {
@@ -3408,7 +3435,7 @@
   "Bp__RevokeWanted",
   "bp",
   sizeof(Bp__RevokeWanted),
-  10,
+  11,
   bp__revoke_wanted__field_descriptors,
   bp__revoke_wanted__field_indices_by_name,
   1,  bp__revoke_wanted__number_ranges,
@@ -3416,7 +3443,8 @@
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const uint64_t bp__revoke_ended__unreadable_revision__default_value = 0ull;
-static const ProtobufCFieldDescriptor bp__revoke_ended__field_descriptors[7] =
+static const uint64_t bp__revoke_ended__token__default_value = 0ull;
+static const ProtobufCFieldDescriptor bp__revoke_ended__field_descriptors[8] =
 {
   {
     "group",
@@ -3502,6 +3530,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "token",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__RevokeEnded, has_token),
+    offsetof(Bp__RevokeEnded, token),
+    NULL,
+    &bp__revoke_ended__token__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__revoke_ended__field_indices_by_name[] = {
   0,   /* field[0] = group */
@@ -3510,12 +3550,13 @@
   5,   /* field[5] = order */
   2,   /* field[2] = state */
   1,   /* field[1] = term */
+  7,   /* field[7] = token */
   6,   /* field[6] = unreadable_revision */
 };
 static const ProtobufCIntRange bp__revoke_ended__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bp__revoke_ended__descriptor =
 {
@@ -3525,7 +3566,7 @@
   "Bp__RevokeEnded",
   "bp",
   sizeof(Bp__RevokeEnded),
-  7,
+  8,
   bp__revoke_ended__field_descriptors,
   bp__revoke_ended__field_indices_by_name,
   1,  bp__revoke_ended__number_ranges,
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -500,10 +500,14 @@
    */
   size_t n_members;
   Bp__RecordedMember **members;
+  /*
+   * fencing token that a majority of the daemons was told for the attempt
+   */
+  uint64_t heard_token;
 };
 #define BP__PROMOTION_WANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__promotion_wanted__descriptor) \
-    , NULL, NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , NULL, NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -761,10 +765,15 @@
    */
   protobuf_c_boolean has_unreadable_revision;
   uint64_t unreadable_revision;
+  /*
+   * most of at least so many daemons must confirm that
+   */
+  protobuf_c_boolean has_of_daemons;
+  uint64_t of_daemons;
 };
 #define BP__REVOKE_WANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__revoke_wanted__descriptor) \
-    , NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0, 0ull }
+    , NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0, 0ull, 0, 0ull }
 
 
 /*
@@ -796,10 +805,15 @@
    */
   protobuf_c_boolean has_unreadable_revision;
   uint64_t unreadable_revision;
+  /*
+   * RevokeWanted.token
+   */
+  protobuf_c_boolean has_token;
+  uint64_t token;
 };
 #define BP__REVOKE_ENDED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__revoke_ended__descriptor) \
-    , NULL, 0, BP__REVOKE_STATE__MOST, 0, 0, 0,NULL, NULL, 0, 0ull }
+    , NULL, 0, BP__REVOKE_STATE__MOST, 0, 0, 0,NULL, NULL, 0, 0ull, 0, 0ull }
 
 
 /*
--- a/src/decide/fencing_token.c
+++ b/src/decide/fencing_token.c
@@ -45,7 +45,7 @@
  * this token, whose record had written_revision, until the record was
  * overwritten at another revision.  Each new coordinator raises the token by
  * one with a write, which raises the revision; one that has replaced an
- * overwritten record raises both by as much.
+ * overwritten record raises the token by less than the revision.
  */
 uint64_t
 fencing_token_highest(
--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -184,6 +184,7 @@
 }
 
 static void read_coordinator(registry_t *);
+static void write_noted_orders(registry_t *);
 
 /*
  * Handle the response to a write of noted or withdrawn orders.  It is repeated
@@ -199,31 +200,57 @@
 	Bp__DutyRecord *record = coordinator_record(registry, response, arena);
 
 	note_coordinator_record(registry, status, response, record);
-	if (status == OBJECT_STORE_OK ||
-	    (status == OBJECT_STORE_CONFLICT &&
-		!names_this_daemon(registry, record)))
-		registry->orders_unrecorded = false;
+	registry->orders_updating = false;
+	if (status == OBJECT_STORE_CONFLICT &&
+	    !names_this_daemon(registry, record))
+		registry->orders_changed = registry->orders_unrecorded = false;
+	else if (status == OBJECT_STORE_OK)
+		registry->orders_unrecorded = registry->orders_changed;
 	if (status == OBJECT_STORE_OK)
 		orders_report(registry, record, registry->orders_written_us);
 	if (status == OBJECT_STORE_CONFLICT &&
 	    record_unreadable(response, record))
 		read_coordinator(registry);
+	else if (status == OBJECT_STORE_OK && registry->orders_changed &&
+	    registry->fencing_token != 0)
+		write_noted_orders(registry);
 	arena_free(arena);
 }
 
+/*
+ * Write the noted orders into the coordinator record.
+ */
+static void
+write_noted_orders(registry_t *registry)
+{
+	registry->orders_updating = true;
+	registry->orders_changed = false;
+	registry->orders_written_us = clock_us();
+	put_coordinator_record(registry, registry->coordinator_revision,
+	    registry->fencing_token, on_orders_updated, registry);
+}
+
+/*
+ * Note that the record lacks what is noted, also what is being written.
+ */
+void
+coordinator_note_unrecorded(registry_t *registry)
+{
+	registry->orders_unrecorded = registry->orders_changed = true;
+}
+
 /*
  * Write the noted orders into the coordinator record, if this daemon is still
- * the coordinator.
+ * the coordinator.  What is noted during a write is written after it.
  */
 static void
 update_recorded_orders(registry_t *registry)
 {
 	if (registry->fencing_token == 0)
 		return;
-	registry->orders_unrecorded = true;
-	registry->orders_written_us = clock_us();
-	put_coordinator_record(registry, registry->coordinator_revision,
-	    registry->fencing_token, on_orders_updated, registry);
+	coordinator_note_unrecorded(registry);
+	if (!registry->orders_updating)
+		write_noted_orders(registry);
 }
 
 /*
@@ -424,7 +451,7 @@
  * token than the present one.  Returns whether it has ended.
  */
 static bool
-order_ended(order_t *order)
+order_end_if_void(order_t *order)
 {
 	if (order_outdated(order))
 		order_finish(order, BP__PROMOTION_ANSWER__ORDER_OUTDATED);
@@ -455,7 +482,7 @@
 	const Bp__PromotionWanted *wanted = order_request(order);
 
 	source_clear(&order->timer);
-	if (order_ended(order))
+	if (order_end_if_void(order))
 		return;
 	registry->order_sent = true;
 	orders_sent(registry, wanted);
@@ -552,12 +579,13 @@
 	if (registry->orders_put_pending)
 		return;
 	groups = g_hash_table_new(g_str_hash, g_str_equal);
+	/* the oldest order first */
 	for (l = g_list_last(registry->pending_orders); l != NULL;
 	     l = previous) {
 		order_t *order = l->data;
 
 		previous = l->prev;
-		if (!order->recording || order_ended(order))
+		if (!order->recording || order_end_if_void(order))
 			continue;
 		order->written =
 		    g_hash_table_add(groups, order_request(order)->group);
@@ -634,7 +662,7 @@
 {
 	registry_t *registry = order->registry;
 
-	registry->orders_unrecorded = true;
+	coordinator_note_unrecorded(registry);
 	orders_report_noted(registry);
 	order_send(order);
 }
@@ -643,8 +671,8 @@
  * Handle RevokeEnded: send the order if a majority of the daemons, or all, have
  * confirmed this daemon's token; drop it if one of them knows a newer token, a
  * primary newer than those that the order replaces, or an order that was not
- * known when this one was decided.  So for the replacement of a record that
- * cannot be read.
+ * known when this one was decided.  The replacement of a record that cannot be
+ * read also waits for it.
  */
 void
 order_confirmed(void *context, msg_t *msg)
@@ -684,8 +712,7 @@
 static bool
 token_was_told(const registry_t *registry, const order_t *order)
 {
-	return (int64_t)order_request(order)->heard_us >=
-	    registry->coordinator_sent_us;
+	return order_request(order)->heard_token == registry->fencing_token;
 }
 
 /*
--- a/src/proxy/daemons.c
+++ b/src/proxy/daemons.c
@@ -327,6 +327,7 @@
 	registry->daemons_changed = count != registry->daemons_count;
 	if (count > 0 && count != registry->daemons_count) {
 		registry->daemons_count = count;
+		restore_note_daemons(registry);
 		send_daemons_counted(registry);
 	}
 	arena_free(arena);
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -218,6 +218,7 @@
 	group->pool->majority_answered_us = now_us;
 	if (ended->state == BP__REVOKE_STATE__ALL)
 		group->pool->all_answered_us = now_us;
+	group->heard_token = ended->token;
 	failover_leases_revoked(&group->failover, ended->term,
 	    ended->state == BP__REVOKE_STATE__ALL, now_us);
 }
@@ -400,6 +401,7 @@
 	wanted->server = arena_strdup(msg->arena, server->id);
 	wanted->term = term;
 	wanted->heard_us = (uint64_t)server->group->failover.revoked_by_most_us;
+	wanted->heard_token = server->group->heard_token;
 	wanted->decided_us = (uint64_t)clock_us();
 	wanted->replaced_term =
 	    MAX(failover_term_to_replace(&server->group->failover),
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -495,7 +495,7 @@
 		noted = order_of(registry, wanted->group);
 		members_set(
 		    &noted->members, wanted->members, wanted->n_members);
-		registry->orders_unrecorded = true;
+		coordinator_note_unrecorded(registry);
 	}
 	msg_free(msg);
 }
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -57,8 +57,9 @@
 	/* if not 0, most daemons only have to confirm the token, so that the
 	   coordinator record of this revision may be replaced */
 	uint64_t unreadable_revision;
-	arena_t *arena;     /* of these orders */
-	GPtrArray *targets; /* of target_t */
+	uint32_t of_daemons; /* most of at least so many */
+	arena_t *arena;      /* of these orders */
+	GPtrArray *targets;  /* of target_t */
 	GSource *timeout;
 } revocation_t;
 
@@ -154,6 +155,8 @@
 	ended->state = state;
 	ended->has_unreadable_revision = 1;
 	ended->unreadable_revision = revocation->unreadable_revision;
+	ended->has_token = 1;
+	ended->token = revocation->token;
 	ended->has_newest_term = 1;
 	ended->newest_term = revocation->newest_term;
 	ended->open = open_orders_write(&revocation->reported_orders,
@@ -181,7 +184,8 @@
 		confirmed += target->answered && target->token_recorded;
 	}
 	if (revocation->majority_reported ||
-	    confirmed < majority_of(revocation->targets->len + 1))
+	    confirmed < majority_of(MAX(revocation->targets->len + 1,
+			    revocation->of_daemons)))
 		return;
 	revocation->majority_reported = true;
 	revocation_report(revocation, BP__REVOKE_STATE__MOST);
@@ -332,6 +336,7 @@
 	const Bp__TokenTell *told = message->token_tell;
 
 	if (message->body_case == BP__PEER_MESSAGE__BODY_TOKEN_TELL &&
+	    target->revocation->unreadable_revision != 0 &&
 	    told->id == target->revocation->id && !target->answered) {
 		target->token_recorded = told->recorded;
 		target_answered(target, told->token, 0);
@@ -415,6 +420,7 @@
 	revocation->requester =
 	    wanted->confirms ? peers->proxy->registry : peers->proxy->pool;
 	revocation->unreadable_revision = wanted->unreadable_revision;
+	revocation->of_daemons = (uint32_t)wanted->of_daemons;
 	outdated =
 	    wanted->unreadable_revision != 0 && peers->token > wanted->token;
 	peers->token = MAX(peers->token, wanted->token);
--- a/src/proxy/record_restore.c
+++ b/src/proxy/record_restore.c
@@ -69,6 +69,8 @@
 	wanted->has_confirms = wanted->confirms = 1;
 	wanted->has_unreadable_revision = 1;
 	wanted->unreadable_revision = registry->restore_revision;
+	wanted->has_of_daemons = 1;
+	wanted->of_daemons = registry->daemons_most;
 	daemons_add_listed(registry, msg, response);
 	task_send(registry->proxy->peers, registry->task, msg);
 }
@@ -82,6 +84,18 @@
 {
 	registry->written_token = token;
 	registry->written_revision = revision;
+	registry->daemons_most = registry->daemons_count;
+}
+
+/*
+ * Note how many daemons are listed.  Those that are gone may have been told of
+ * a newer token, so most of all must confirm that there is none.
+ */
+void
+restore_note_daemons(registry_t *registry)
+{
+	registry->daemons_most =
+	    MAX(registry->daemons_most, registry->daemons_count);
 }
 
 /*
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -68,17 +68,20 @@
 					  or written */
 	uint64_t coordinator_revision; /* last known revision of the record */
 	uint64_t coordinator_token;    /* last known token in the record */
-	int64_t coordinator_sent_us;   /* time of the last call on the record */
-	/* token and revision of the last record that named this process, while
-	   no other one is known to have followed; 0: none */
+	int64_t coordinator_sent_us; /* time of the last write that takes it */
+	/* token and revision of the record with which this process last took
+	   the role, while no other one is known to have followed; 0: none */
 	uint64_t written_token;
 	uint64_t written_revision;
 	uint64_t restore_revision; /* of an unreadable record that is being
 				      replaced; 0: none */
 	GSource *restore_timer;
-	GHashTable *orders;        /* of recorded_order_t, by group */
-	int64_t orders_sent_us;    /* send time of the request for the orders */
-	bool orders_unrecorded;    /* the record lacks noted orders */
+	uint32_t daemons_most;  /* daemons listed at once since that record */
+	GHashTable *orders;     /* of recorded_order_t, by group */
+	int64_t orders_sent_us; /* send time of the request for the orders */
+	bool orders_unrecorded; /* the record lacks noted orders */
+	bool orders_updating;   /* noted orders are being written */
+	bool orders_changed;    /* noted since that write began */
 	int64_t orders_written_us; /* time of the last write of noted orders */
 	bool orders_put_pending;   /* orders to be sent are being recorded */
 	int64_t orders_put_us;     /* time of the last write of such orders */
@@ -133,6 +136,7 @@
 void coordinator_write(
     registry_t *, uint64_t revision, uint64_t recorded_token);
 void coordinator_send_denied(registry_t *);
+void coordinator_note_unrecorded(registry_t *);
 void coordinator_check(void *registry, msg_t *);
 void coordinator_store_restored(registry_t *);
 void promotion_wanted(void *registry, msg_t *);
@@ -143,6 +147,7 @@
 
 /* record_restore.c */
 void restore_note_written(registry_t *, uint64_t token, uint64_t revision);
+void restore_note_daemons(registry_t *);
 void restore_forget(registry_t *);
 bool restore_begin(registry_t *, uint64_t revision);
 void restore_confirmed(registry_t *, const Bp__RevokeEnded *);
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -119,11 +119,11 @@
     "pool", NULL, NULL, pool_handlers, G_N_ELEMENTS(pool_handlers)};
 
 /*
- * Ask for an order that was decided now.
+ * Ask for an order that was decided now, after most daemons were told a token.
  */
 static void
-want_order(
-    registry_t *registry, const char *group, uint64_t term, int64_t heard_us)
+want_order_told(registry_t *registry, const char *group, uint64_t term,
+    int64_t heard_us, uint64_t heard_token)
 {
 	msg_t *msg = msg_new(&bp__promotion_wanted__descriptor);
 	Bp__PromotionWanted *wanted = (Bp__PromotionWanted *)msg->body;
@@ -133,10 +133,22 @@
 	wanted->term = term;
 	wanted->replaced_term = 1;
 	wanted->heard_us = (uint64_t)heard_us;
+	wanted->heard_token = heard_token;
 	wanted->decided_us = (uint64_t)clock_us();
 	promotion_wanted(registry, msg);
 }
 
+/*
+ * Ask for an order that was decided now under the present token.
+ */
+static void
+want_order(
+    registry_t *registry, const char *group, uint64_t term, int64_t heard_us)
+{
+	want_order_told(
+	    registry, group, term, heard_us, registry->fencing_token);
+}
+
 /* An attempt with standing promises, to replace the primary of term 1. */
 #define STANDING_TERM ((UINT64_C(1) << 20) | 1)
 
@@ -389,6 +401,71 @@
 	registry_free(registry);
 }
 
+typedef struct learned_case {
+	const char *name;
+	store_answer_t answer; /* to the write of the first order */
+	uint64_t writes;
+	uint64_t orders; /* in the last of them */
+} learned_case_t;
+
+static const learned_case_t learned_cases[] = {
+    {"the write succeeds", ANSWER_OK, 2, 2},
+    {"another daemon is the coordinator", ANSWER_SUCCESSOR, 1, 1},
+    {"no answer", ANSWER_NONE, 1, 1},
+};
+
+/*
+ * Have the registry learn of an order of a former coordinator.
+ */
+static void
+learn_order(registry_t *registry, const char *group)
+{
+	msg_t *msg = msg_new(&bp__order_learned__descriptor);
+	Bp__OrderLearned *learned = (Bp__OrderLearned *)msg->body;
+
+	learned->order = (Bp__RecordedOrder *)message_new(
+	    msg->arena, &bp__recorded_order__descriptor);
+	learned->order->group = arena_strdup(msg->arena, group);
+	learned->order->attempt_term = 2;
+	learned->order->replaced_term = 1;
+	order_learned(registry, msg);
+}
+
+/*
+ * Test that what is noted while the record is being written is not taken for
+ * recorded when that write succeeds.
+ */
+static void
+test_learned_during_write(gconstpointer data)
+{
+	const learned_case_t *c = data;
+	Bp__ProxySettings settings = BP__PROXY_SETTINGS__INIT;
+	task_t *host = task_new(&host_ops, NULL);
+	proxy_t proxy = {.settings = &settings,
+	    .objects = &store_ops,
+	    .pool = task_new_hosted(&dropping_ops, NULL, host)};
+	registry_t *registry = registry_new(&proxy);
+	write_t first;
+
+	settings.name = "this";
+	registry->task = task_new_hosted(&dropping_ops, NULL, host);
+	registry->fencing_token = 5;
+	registry->coordinator_revision = 10;
+	last_write.count = 0;
+	learn_order(registry, "first");
+	first = last_write;
+	learn_order(registry, "second");
+	g_assert_cmpuint(last_write.count, ==, 1);
+	answer_write(&first, c->answer);
+	g_assert_cmpuint(last_write.count, ==, c->writes);
+	g_assert_cmpuint(last_write.orders, ==, c->orders);
+	coordinator_stop(registry);
+	task_free(registry->task);
+	task_free(proxy.pool);
+	task_free(host);
+	registry_free(registry);
+}
+
 /*
  * Test that an order that was sent stays noted when a later one for the same
  * term is dropped before it is sent.  The store is away.
@@ -1017,13 +1094,13 @@
 
 typedef struct heard_case {
 	const char *name;
-	int64_t heard_us; /* after the token was written */
+	uint64_t heard_token; /* that most daemons were told */
 	uint32_t writes;
 } heard_case_t;
 
 static const heard_case_t heard_cases[] = {
-    {"most daemons were told before the token was taken", -1, 0},
-    {"they were told of the token", 1, 1},
+    {"most daemons were told an earlier token", 4, 0},
+    {"they were told the present token", 5, 1},
 };
 
 /*
@@ -1047,10 +1124,8 @@
 	registry->promoter = (promoter_t *)&counting_promoter;
 	registry->fencing_token = 5;
 	registry->order_sent = true;
-	registry->coordinator_sent_us = clock_us();
 	last_write.count = 0;
-	want_order(
-	    registry, "ledger", 2, registry->coordinator_sent_us + c->heard_us);
+	want_order_told(registry, "ledger", 2, clock_us(), c->heard_token);
 	g_assert_cmpuint(last_write.count, ==, c->writes);
 	coordinator_stop(registry);
 	task_free(registry->task);
@@ -1071,6 +1146,8 @@
 	g_test_add_func("/coordinator/many-orders", test_many_orders);
 	CASES("/coordinator/shared-writes", shared_write_cases,
 	    test_shared_writes);
+	CASES("/coordinator/learned-during-write", learned_cases,
+	    test_learned_during_write);
 	g_test_add_func("/coordinator/sent-order-noted", test_sent_order_noted);
 	CASES("/coordinator/unlisted", unlisted_cases, test_unlisted_daemons);
 	g_test_add_func("/coordinator/token-read", test_token_read);
--- a/tests/t_objects.c
+++ b/tests/t_objects.c
@@ -481,8 +481,10 @@
     {"an empty object", "{}", false},
     {"a text", "\"promotion\"", false},
     {"no holder", "{\"token\":5}", false},
-    {"the last token but one",
-	"{\"holder\":\"d1\",\"token\":9223372036854775806}", true},
+    {"a token that many can follow",
+	"{\"holder\":\"d1\",\"token\":9223372032559808511}", true},
+    {"a token that fewer can follow",
+	"{\"holder\":\"d1\",\"token\":9223372032559808512}", false},
     {"a token that none can follow",
 	"{\"holder\":\"d1\",\"token\":9223372036854775807}", false},
 };
--- a/tests/t_old_primary.c
+++ b/tests/t_old_primary.c
@@ -3,6 +3,7 @@
 
 #include <curl/curl.h>
 #include <glib.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -661,17 +662,19 @@
 typedef struct record_known_case {
 	const char *name;
 	bool coordinator; /* it restarts */
-	uint32_t others;  /* number of the two others that restart */
+	uint32_t others;  /* number of the two others that restart, or stop */
+	bool stop;        /* these are stopped, and delete their records */
 	bool served;
 } record_known_case_t;
 
 static const record_known_case_t record_known_cases[] = {
-    {"one other daemon restarts", false, 1, true},
-    {"the two others restart", false, 2, false},
-    {"the coordinator restarts", true, 0, false},
+    {"one other daemon restarts", false, 1, false, true},
+    {"the two others restart", false, 2, false, false},
+    {"the two others stop", false, 2, true, false},
+    {"the coordinator restarts", true, 0, false, false},
 };
 
-/* Time in which restarted daemons have read the store. */
+/* Time in which restarted daemons have read the store, and others stop. */
 #define RESTARTED_MS 2000
 
 /*
@@ -695,6 +698,10 @@
 		if (i == coordinator ? !c->coordinator : others == 0)
 			continue;
 		others -= i != coordinator;
+		if (c->stop) {
+			fleet_process_signal(&testbed->proxies[i], SIGTERM);
+			continue;
+		}
 		fleet_process_kill(&testbed->proxies[i]);
 		testbed_proxy_start(testbed, i);
 	}
