A held statement ends with its transaction when the connection is lost

Cause: a read in a transaction has run and is held until the lease covers it; the connection has no statement then. When the connection was lost, dbconn_fail() freed the transaction, to which the held statement still pointed; its end freed it again. A trace of the crash names operations_expire(), operation_fail(), transaction_end().

Now the held statement ends as aborted, which ends the transaction.

--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -154,6 +154,10 @@
 	dbconn_close(conn);
 	if (operation != NULL)
 		operation_lost(operation);
+	else if (transaction != NULL && transaction->operation != NULL)
+		/* it has run, and its result is held */
+		operation_fail(transaction->operation, BP__VERDICT__ABORTED,
+		    "the connection to the database was lost");
 	else if (transaction != NULL)
 		transaction_end(transaction);
 }
