--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -118,6 +118,62 @@
 static const task_ops_t dropping_ops = {
     "pool", NULL, NULL, pool_handlers, G_N_ELEMENTS(pool_handlers)};
 
+/* A registry whose other tasks are fakes. */
+typedef struct bed {
+	Bp__ProxySettings settings;
+	task_t *host; /* of all the tasks */
+	proxy_t proxy;
+	registry_t *registry;
+} bed_t;
+
+/*
+ * Create the registry of the daemon "this".  peers: of its peers task;
+ * NULL: it has none.
+ */
+static registry_t *
+bed_start(
+    bed_t *bed, const object_store_ops_t *objects, const task_ops_t *peers)
+{
+	bp__proxy_settings__init(&bed->settings);
+	bed->settings.name = "this";
+	bed->host = task_new(&host_ops, NULL);
+	bed->proxy = (proxy_t){.settings = &bed->settings,
+	    .objects = objects,
+	    .promoter = &counting_promoter,
+	    .pool = task_new_hosted(&dropping_ops, NULL, bed->host)};
+	if (peers != NULL)
+		bed->proxy.peers = task_new_hosted(peers, NULL, bed->host);
+	bed->registry = registry_new(&bed->proxy);
+	bed->registry->task = task_new_hosted(&dropping_ops, NULL, bed->host);
+	bed->registry->promoter = (promoter_t *)&counting_promoter;
+	return bed->registry;
+}
+
+/*
+ * Handle what is due in the tasks.
+ */
+static void
+bed_run(const bed_t *bed)
+{
+	while (g_main_context_iteration(task_main_context(bed->host), FALSE))
+		;
+}
+
+/*
+ * Stop and free the registry and the tasks.
+ */
+static void
+bed_stop(bed_t *bed)
+{
+	coordinator_stop(bed->registry);
+	task_free(bed->registry->task);
+	if (bed->proxy.peers != NULL)
+		task_free(bed->proxy.peers);
+	task_free(bed->proxy.pool);
+	task_free(bed->host);
+	registry_free(bed->registry);
+}
+
 /*
  * Ask for an order that was decided now, after most daemons were told a token.
  */
@@ -159,26 +215,18 @@
 static void
 test_successor_kept(void)
 {
-	Bp__ProxySettings settings = BP__PROXY_SETTINGS__INIT;
 	Bp__DutyRecord record = BP__DUTY_RECORD__INIT;
 	object_t object = {.name = "promotion",
 	    .revision = OTHER_REVISION,
 	    .content = &record};
 	object_store_response_t conflict = {
 	    OBJECT_STORE_CONFLICT, &object, 1, OTHER_REVISION};
-	task_t *host = task_new(&host_ops, NULL);
-	proxy_t proxy = {.settings = &settings,
-	    .objects = &store_ops,
-	    .promoter = &counting_promoter,
-	    .pool = task_new_hosted(&dropping_ops, NULL, host)};
-	registry_t *registry = registry_new(&proxy);
+	bed_t bed;
+	registry_t *registry = bed_start(&bed, &store_ops, NULL);
 	int64_t end_us = clock_us() + 2 * FIRST_ORDER_DELAY_US;
 
-	settings.name = "this";
 	record.holder = "other";
 	record.token = OTHER_TOKEN;
-	registry->task = task_new_hosted(&dropping_ops, NULL, host);
-	registry->promoter = (promoter_t *)&counting_promoter;
 	registry->fencing_token = 5;
 	registry->coordinator_revision = 10;
 	want_order(registry, "second", 2, clock_us());
@@ -187,7 +235,7 @@
 	g_assert_cmpuint(last_write.token, ==, 5);
 	last_write.callback(last_write.context, &conflict);
 	while (clock_us() < end_us) {
-		g_main_context_iteration(task_main_context(host), FALSE);
+		g_main_context_iteration(task_main_context(bed.host), FALSE);
 		g_usleep(1000);
 	}
 	if (last_write.count > 1)
@@ -195,11 +243,7 @@
 			       " with token %" G_GUINT64_FORMAT,
 		    last_write.revision, last_write.token);
 	g_assert_cmpuint(last_write.count, ==, 1);
-	coordinator_stop(registry);
-	task_free(registry->task);
-	task_free(proxy.pool);
-	task_free(host);
-	registry_free(registry);
+	bed_stop(&bed);
 }
 
 /* Orders that are due at once, as when a zone fails. */
@@ -212,23 +256,16 @@
 static void
 test_many_orders(void)
 {
-	Bp__ProxySettings settings = BP__PROXY_SETTINGS__INIT;
 	Bp__DutyRecord record = BP__DUTY_RECORD__INIT;
 	object_t object = {
 	    .name = "promotion", .revision = 10, .content = &record};
-	task_t *host = task_new(&host_ops, NULL);
-	proxy_t proxy = {.settings = &settings,
-	    .objects = &store_ops,
-	    .promoter = &counting_promoter,
-	    .pool = task_new_hosted(&dropping_ops, NULL, host)};
-	registry_t *registry = registry_new(&proxy);
+	bed_t bed;
+	registry_t *registry = bed_start(&bed, &store_ops, NULL);
 	write_t *next;
 	uint32_t i;
 
-	settings.name = record.holder = "this";
+	record.holder = "this";
 	record.token = 5;
-	registry->task = task_new_hosted(&dropping_ops, NULL, host);
-	registry->promoter = (promoter_t *)&counting_promoter;
 	registry->fencing_token = 5;
 	registry->coordinator_revision = 10;
 	registry->order_sent = true;
@@ -254,11 +291,7 @@
 	g_test_message("%u writes", last_write.count);
 	g_assert_cmpuint(promoted_count, ==, ORDERS);
 	g_assert_cmpuint(last_write.count, <=, 2 * (uint64_t)ORDERS);
-	coordinator_stop(registry);
-	task_free(registry->task);
-	task_free(proxy.pool);
-	task_free(host);
-	registry_free(registry);
+	bed_stop(&bed);
 }
 
 typedef enum store_answer {
@@ -349,20 +382,12 @@
 test_shared_writes(gconstpointer data)
 {
 	const shared_write_case_t *c = data;
-	Bp__ProxySettings settings = BP__PROXY_SETTINGS__INIT;
-	task_t *host = task_new(&host_ops, NULL);
-	proxy_t proxy = {.settings = &settings,
-	    .objects = &store_ops,
-	    .promoter = &counting_promoter,
-	    .pool = task_new_hosted(&dropping_ops, NULL, host)};
-	registry_t *registry = registry_new(&proxy);
+	bed_t bed;
+	registry_t *registry = bed_start(&bed, &store_ops, NULL);
 	msg_t *msg;
 	write_t *next;
 	uint32_t i;
 
-	settings.name = "this";
-	registry->task = task_new_hosted(&dropping_ops, NULL, host);
-	registry->promoter = (promoter_t *)&counting_promoter;
 	registry->fencing_token = 5;
 	registry->coordinator_revision = 10;
 	registry->order_sent = true;
@@ -394,11 +419,7 @@
 	}
 	g_assert_cmpuint(pending_writes.length, ==, 0);
 	g_assert_cmpint(registry->fencing_token == 0, ==, c->role_lost);
-	coordinator_stop(registry);
-	task_free(registry->task);
-	task_free(proxy.pool);
-	task_free(host);
-	registry_free(registry);
+	bed_stop(&bed);
 }
 
 typedef struct learned_case {
@@ -439,16 +460,10 @@
 test_learned_during_write(gconstpointer data)
 {
 	const learned_case_t *c = data;
-	Bp__ProxySettings settings = BP__PROXY_SETTINGS__INIT;
-	task_t *host = task_new(&host_ops, NULL);
-	proxy_t proxy = {.settings = &settings,
-	    .objects = &store_ops,
-	    .pool = task_new_hosted(&dropping_ops, NULL, host)};
-	registry_t *registry = registry_new(&proxy);
+	bed_t bed;
+	registry_t *registry = bed_start(&bed, &store_ops, NULL);
 	write_t first;
 
-	settings.name = "this";
-	registry->task = task_new_hosted(&dropping_ops, NULL, host);
 	registry->fencing_token = 5;
 	registry->coordinator_revision = 10;
 	last_write.count = 0;
@@ -459,11 +474,7 @@
 	answer_write(&first, c->answer);
 	g_assert_cmpuint(last_write.count, ==, c->writes);
 	g_assert_cmpuint(last_write.orders, ==, c->orders);
-	coordinator_stop(registry);
-	task_free(registry->task);
-	task_free(proxy.pool);
-	task_free(host);
-	registry_free(registry);
+	bed_stop(&bed);
 }
 
 /*
@@ -473,23 +484,14 @@
 static void
 test_sent_order_noted(void)
 {
-	Bp__ProxySettings settings = BP__PROXY_SETTINGS__INIT;
 	Bp__DutyRecord noted = BP__DUTY_RECORD__INIT;
 	msg_t *known, *msg = msg_new(&bp__revoke_ended__descriptor);
 	Bp__RevokeEnded *ended = (Bp__RevokeEnded *)msg->body;
-	task_t *host = task_new(&host_ops, NULL);
-	proxy_t proxy = {.settings = &settings,
-	    .objects = &store_ops,
-	    .promoter = &counting_promoter,
-	    .pool = task_new_hosted(&dropping_ops, NULL, host),
-	    .peers = task_new_hosted(&dropping_ops, NULL, host)};
-	registry_t *registry = registry_new(&proxy);
+	bed_t bed;
+	registry_t *registry = bed_start(&bed, &store_ops, &dropping_ops);
 	int64_t end_us = clock_us() + 400 * US_PER_MS;
 	arena_t *arena = arena_new();
 
-	settings.name = "this";
-	registry->task = task_new_hosted(&dropping_ops, NULL, host);
-	registry->promoter = (promoter_t *)&counting_promoter;
 	registry->heartbeats = g_hash_table_new(g_str_hash, g_str_equal);
 	registry->daemons_listed = true;
 	registry->fencing_token = 5;
@@ -516,20 +518,15 @@
 	/* nor is one sent whose promises end with the promotion */
 	want_order(registry, "ledger", 2, clock_us());
 	while (clock_us() < end_us) {
-		g_main_context_iteration(task_main_context(host), FALSE);
+		g_main_context_iteration(task_main_context(bed.host), FALSE);
 		g_usleep(1000);
 	}
 	orders_fill(registry, arena, &noted);
 	g_assert_cmpuint(noted.n_orders, ==, 1);
 	g_assert_cmpuint(promoted_count, ==, 1);
 	arena_free(arena);
-	coordinator_stop(registry);
 	g_hash_table_unref(registry->heartbeats);
-	task_free(registry->task);
-	task_free(proxy.peers);
-	task_free(proxy.pool);
-	task_free(host);
-	registry_free(registry);
+	bed_stop(&bed);
 }
 
 #define GIVEN_UP_RECORD(order) \
@@ -788,25 +785,18 @@
 	const unlisted_case_t *c = data;
 	msg_t *msg = msg_new(&bp__revoke_wanted__descriptor);
 	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
-	task_t *host = task_new(&host_ops, NULL);
-	proxy_t proxy = {
-	    .peers = task_new_hosted(&counting_peers_ops, NULL, host)};
-	registry_t *registry = registry_new(&proxy);
+	bed_t bed;
+	registry_t *registry = bed_start(&bed, &store_ops, &counting_peers_ops);
 
-	registry->task = task_new_hosted(&dropping_ops, NULL, host);
 	registry->heartbeats = g_hash_table_new(g_str_hash, g_str_equal);
 	registry->daemons_listed = c->listed;
 	wanted->group = arena_strdup(msg->arena, "ledger");
 	revocations = 0;
 	revoke_from_last_listed(registry, msg);
-	while (g_main_context_iteration(task_main_context(host), FALSE))
-		;
+	bed_run(&bed);
 	g_assert_cmpuint(revocations, ==, c->expected);
 	g_hash_table_unref(registry->heartbeats);
-	task_free(registry->task);
-	task_free(proxy.peers);
-	task_free(host);
-	registry_free(registry);
+	bed_stop(&bed);
 }
 
 /*
@@ -816,22 +806,13 @@
 static void
 test_token_read(void)
 {
-	task_t *host = task_new(&host_ops, NULL);
-	proxy_t proxy = {.objects = &store_ops,
-	    .pool = task_new_hosted(&dropping_ops, NULL, host),
-	    .peers = task_new_hosted(&counting_peers_ops, NULL, host)};
-	registry_t *registry = registry_new(&proxy);
+	bed_t bed;
+	registry_t *registry = bed_start(&bed, &store_ops, &counting_peers_ops);
 
-	registry->task = task_new_hosted(&dropping_ops, NULL, host);
 	orders_wanted(registry, msg_new(&bp__orders_wanted__descriptor));
-	while (g_main_context_iteration(task_main_context(host), FALSE))
-		;
+	bed_run(&bed);
 	g_assert_cmpuint(token_read, ==, OTHER_TOKEN);
-	task_free(registry->task);
-	task_free(proxy.peers);
-	task_free(proxy.pool);
-	task_free(host);
-	registry_free(registry);
+	bed_stop(&bed);
 }
 
 typedef struct role_again_case {
@@ -987,16 +968,6 @@
     {"another coordinator has followed", 5, 6, false, false, false, 0, 0},
 };
 
-/*
- * Handle what is due in the tasks of a host.
- */
-static void
-run_tasks(task_t *host)
-{
-	while (g_main_context_iteration(task_main_context(host), FALSE))
-		;
-}
-
 /*
  * Answer the last write of the record with the record itself.
  */
@@ -1021,24 +992,16 @@
 test_unreadable(gconstpointer data)
 {
 	const unreadable_case_t *c = data;
-	Bp__ProxySettings settings = BP__PROXY_SETTINGS__INIT;
 	object_t overwritten = {
 	    .name = "promotion", .revision = UNREADABLE_REVISION};
 	object_store_response_t conflict = {
 	    OBJECT_STORE_CONFLICT, &overwritten, 1, UNREADABLE_REVISION};
-	task_t *host = task_new(&host_ops, NULL);
-	proxy_t proxy = {.settings = &settings,
-	    .objects = &unreadable_ops,
-	    .promoter = &counting_promoter,
-	    .pool = task_new_hosted(&dropping_ops, NULL, host),
-	    .peers = task_new_hosted(&confirming_ops, NULL, host)};
-	registry_t *registry = registry_new(&proxy);
+	bed_t bed;
+	registry_t *registry =
+	    bed_start(&bed, &unreadable_ops, &confirming_ops);
 	msg_t *msg = msg_new(&bp__revoke_ended__descriptor);
 	Bp__RevokeEnded *ended = (Bp__RevokeEnded *)msg->body;
 
-	settings.name = "this";
-	registry->task = task_new_hosted(&dropping_ops, NULL, host);
-	registry->promoter = (promoter_t *)&counting_promoter;
 	confirmation = (confirmation_t){0};
 	promoted_count = 0;
 	if (c->held_token != 0) {
@@ -1056,14 +1019,14 @@
 		registry->order_sent = true;
 		while (last_write.count == 0)
 			g_main_context_iteration(
-			    task_main_context(host), FALSE);
+			    task_main_context(bed.host), FALSE);
 		last_write.callback(last_write.context, &conflict);
 		last_write.count = 0;
 	} else {
 		coordinator_check(
 		    registry, msg_new(&bp__duty_wanted__descriptor));
 	}
-	run_tasks(host);
+	bed_run(&bed);
 	g_assert_cmpuint(last_write.count, ==, 0);
 	g_assert_cmpuint(confirmation.count, ==, c->confirmations);
 	if (c->confirmations > 0) {
@@ -1084,12 +1047,7 @@
 		g_assert_cmpuint(last_write.revision, ==, UNREADABLE_REVISION);
 	}
 	g_assert_cmpuint(promoted_count, ==, 0);
-	coordinator_stop(registry);
-	task_free(registry->task);
-	task_free(proxy.peers);
-	task_free(proxy.pool);
-	task_free(host);
-	registry_free(registry);
+	bed_stop(&bed);
 }
 
 typedef struct heard_case {
@@ -1111,27 +1069,15 @@
 test_heard(gconstpointer data)
 {
 	const heard_case_t *c = data;
-	Bp__ProxySettings settings = BP__PROXY_SETTINGS__INIT;
-	task_t *host = task_new(&host_ops, NULL);
-	proxy_t proxy = {.settings = &settings,
-	    .objects = &store_ops,
-	    .promoter = &counting_promoter,
-	    .pool = task_new_hosted(&dropping_ops, NULL, host)};
-	registry_t *registry = registry_new(&proxy);
+	bed_t bed;
+	registry_t *registry = bed_start(&bed, &store_ops, NULL);
 
-	settings.name = "this";
-	registry->task = task_new_hosted(&dropping_ops, NULL, host);
-	registry->promoter = (promoter_t *)&counting_promoter;
 	registry->fencing_token = 5;
 	registry->order_sent = true;
 	last_write.count = 0;
 	want_order_told(registry, "ledger", 2, clock_us(), c->heard_token);
 	g_assert_cmpuint(last_write.count, ==, c->writes);
-	coordinator_stop(registry);
-	task_free(registry->task);
-	task_free(proxy.pool);
-	task_free(host);
-	registry_free(registry);
+	bed_stop(&bed);
 }
 
 /*
