Failover: one function tells whether a database answers

Whether an order is provable is computed once in tick_fencing(). No change of behaviour: t_attempt, t_standing, t_lease, t_failover_model and t_open_orders pass.

--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -380,6 +380,17 @@
 	failover->connect_refusals[database] = 0;
 }
 
+/*
+ * Tell whether a database answers: its state is known, and not too old.
+ */
+bool
+failover_answers(const failover_t *failover, uint32_t database, int64_t now_us)
+{
+	return failover->views[database].known &&
+	    now_us - failover->last_alive_us[database] <
+	    failover->limits.suspect_us;
+}
+
 /*
  * Record that a database turned a connection away.  It is alive, but has not
  * reported its role.
@@ -572,10 +583,8 @@
 	uint32_t i, answering = 0;
 
 	for (i = 0; i < failover->count; i++)
-		answering += failover->views[i].known &&
-		    (int32_t)i != failover->isolated &&
-		    now_us - failover->last_alive_us[i] <
-			failover->limits.suspect_us;
+		answering += (int32_t)i != failover->isolated &&
+		    failover_answers(failover, i, now_us);
 	return answering >= grants_needed(failover);
 }
 
@@ -1136,6 +1145,8 @@
 {
 	int32_t chosen = ready_to_promote(failover, now_us);
 	bool enough = grants_suffice(failover);
+	bool provable =
+	    !failover->store_away || standing_proves_order(failover, chosen);
 
 	if (enough && !failover->revocation_sent &&
 	    failover->limits.lease_wait_us > 0) {
@@ -1147,14 +1158,10 @@
 		back_off(failover, now_us);
 		failover->wait_until_us =
 		    MAX(failover->wait_until_us, now_us + LEARNING_US);
-	} else if (chosen >= 0 && failover->store_away &&
-	    !failover->standing_asked &&
-	    !standing_proves_order(failover, chosen)) {
+	} else if (chosen >= 0 && !provable && !failover->standing_asked) {
 		request_standing(failover, chosen, actions);
 	} else if (chosen >= 0 &&
-	    !order_pending_elsewhere(failover, chosen, now_us) &&
-	    (!failover->store_away ||
-		standing_proves_order(failover, chosen))) {
+	    !order_pending_elsewhere(failover, chosen, now_us) && provable) {
 		failover->chosen = (uint32_t)chosen;
 		actions->list[actions->count++] = (failover_action_t){
 		    FAILOVER_PROMOTE, failover->chosen, failover->term};
@@ -1211,9 +1218,7 @@
 	uint32_t i, answering = 0;
 
 	for (i = 0; i < failover->count; i++)
-		answering += failover->views[i].known &&
-		    now_us - failover->last_alive_us[i] <
-			failover->limits.suspect_us;
+		answering += failover_answers(failover, i, now_us);
 	return answering >= majority_of(failover->count) &&
 	    primary_unresponsive(failover, now_us, failover->limits.suspect_us);
 }
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -249,6 +249,7 @@
 void failover_position_seen(failover_t *, uint32_t database, position_t);
 void failover_not_probed(failover_t *, uint32_t database, int64_t now_us);
 void failover_alive(failover_t *, uint32_t database, int64_t now_us);
+bool failover_answers(const failover_t *, uint32_t database, int64_t now_us);
 void failover_turned_away(failover_t *, uint32_t database, int64_t now_us);
 void failover_connection_refused(
     failover_t *, uint32_t database, int64_t now_us);
--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -67,9 +67,7 @@
 	uint32_t i;
 
 	for (i = 0; i < failover->count; i++) {
-		logs.heard[i] = failover->views[i].known &&
-		    now_us - failover->last_alive_us[i] <
-			failover->limits.suspect_us;
+		logs.heard[i] = failover_answers(failover, i, now_us);
 		logs.eligible[i] = logs.heard[i] &&
 		    (int32_t)i != failover->isolated &&
 		    may_be_promoted(failover, i);
