Coordinator: no function that only passes a constant on

coordinator_send_denied() called send_coordinator_changed() with false; record_restore.c calls that itself. A comment on the written token, and the place of heard_token among the members of a group, were wrong.

--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -30,8 +30,8 @@
 /*
  * Tell the pool task whether this daemon is the coordinator.
  */
-static void
-send_coordinator_changed(registry_t *registry, bool held)
+void
+coordinator_send_changed(registry_t *registry, bool held)
 {
 	msg_t *msg = msg_new(&bp__duty_changed__descriptor);
 	Bp__DutyChanged *changed = (Bp__DutyChanged *)msg->body;
@@ -43,15 +43,6 @@
 	task_send(registry->proxy->pool, registry->task, msg);
 }
 
-/*
- * Tell the pool task that this daemon is not the coordinator.
- */
-void
-coordinator_send_denied(registry_t *registry)
-{
-	send_coordinator_changed(registry, false);
-}
-
 /*
  * Parse the coordinator record in a response.  Returns NULL if there is none.
  */
@@ -136,7 +127,7 @@
 		orders_report(registry, record, registry->coordinator_sent_us);
 		/* token 1: no previous coordinator to wait for */
 		registry->order_sent = record->token == 1;
-		send_coordinator_changed(registry, true);
+		coordinator_send_changed(registry, true);
 	} else if ((status == OBJECT_STORE_OK ||
 		       status == OBJECT_STORE_CONFLICT) &&
 	    held_here) {
@@ -144,7 +135,7 @@
 		coordinator_write(
 		    registry, response->list[0].revision, record->token);
 	} else {
-		send_coordinator_changed(registry, false);
+		coordinator_send_changed(registry, false);
 	}
 	arena_free(arena);
 }
@@ -290,7 +281,7 @@
 	} else if (status == OBJECT_STORE_OK &&
 	    names_this_daemon(registry, record) &&
 	    record->token == registry->fencing_token) {
-		send_coordinator_changed(registry, true);
+		coordinator_send_changed(registry, true);
 		if (!orders_recorded(registry, record))
 			update_recorded_orders(registry);
 	} else if (status == OBJECT_STORE_OK && record != NULL &&
@@ -302,7 +293,7 @@
 	} else if (status != OBJECT_STORE_OK ||
 	    !record_unreadable(response, record) ||
 	    !restore_begin(registry, response->list[0].revision)) {
-		send_coordinator_changed(registry, false);
+		coordinator_send_changed(registry, false);
 	}
 	arena_free(arena);
 }
@@ -497,7 +488,7 @@
 static void
 order_withhold(order_t *order)
 {
-	send_coordinator_changed(order->registry, false);
+	coordinator_send_changed(order->registry, false);
 	order_finish(order, BP__PROMOTION_ANSWER__ORDER_WITHHELD);
 }
 
@@ -809,7 +800,7 @@
 		return;
 	for (l = registry->pending_orders; l != NULL; l = l->next)
 		((order_t *)l->data)->cancelled = true;
-	send_coordinator_changed(registry, false);
+	coordinator_send_changed(registry, false);
 	read_coordinator(registry);
 }
 
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -206,9 +206,9 @@
 	member_t members[GROUP_DATABASES_MAX];
 	uint32_t members_count;
 	int64_t members_read_us;
+	int64_t members_sent_us;
 	/* fencing token that most daemons were told in the last revocation */
 	uint64_t heard_token;
-	int64_t members_sent_us;
 	/* time at which a lease in its term was last seen to be valid */
 	int64_t lease_seen_us;
 	int64_t created_us; /* time at which this structure was created */
--- a/src/proxy/record_restore.c
+++ b/src/proxy/record_restore.c
@@ -30,7 +30,7 @@
 	log_line(LOG_PART, G_LOG_LEVEL_WARNING,
 	    "The coordinator record cannot be read, and is not replaced: %s.",
 	    why);
-	coordinator_send_denied(registry);
+	coordinator_send_changed(registry, false);
 }
 
 /*
@@ -76,8 +76,8 @@
 }
 
 /*
- * Note the last token under which this process was named in the record, and the
- * revision of that record.
+ * Note the token with which this process has taken the role, and the revision
+ * of the record that says so.
  */
 void
 restore_note_written(registry_t *registry, uint64_t token, uint64_t revision)
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -135,7 +135,7 @@
     const registry_t *, const object_store_response_t *, arena_t *);
 void coordinator_write(
     registry_t *, uint64_t revision, uint64_t recorded_token);
-void coordinator_send_denied(registry_t *);
+void coordinator_send_changed(registry_t *, bool held);
 void coordinator_note_unrecorded(registry_t *);
 void coordinator_check(void *registry, msg_t *);
 void coordinator_store_restored(registry_t *);
