--- a/tests/t_operation.c
+++ b/tests/t_operation.c
@@ -69,7 +69,7 @@
 /*
  * Create a read that has run in a transaction of a connection and is held.
  */
-static operation_t *
+static void
 hold_read(pool_t *pool, group_t *group, dbconn_t *conn, task_t *client)
 {
 	msg_t *msg = msg_new(&bp__run_operation__descriptor);
@@ -103,7 +103,6 @@
 	g_hash_table_insert(
 	    pool->transactions, &transaction->session, transaction);
 	g_queue_push_tail_link(&group->held, &operation->link);
-	return operation;
 }
 
 /*
