Fake site: faults on one proxy's way to the store, and compactions

A test could take the store away from all proxies only. Each proxy may now have a port of its own to the store, whose requests are answered, silent, refused, or closed; and the store may leave its watches unanswered, close them and discard its history, while lists that may be old lack the last changes. No test uses them yet.

--- a/tests/fake/fakesite.c
+++ b/tests/fake/fakesite.c
@@ -13,6 +13,8 @@
  * POST /promote            promote a database
  * POST /fault?on=store&what=FAULT
  * POST /fault?on=database&what=FAULT&number=N
+ * POST /fault?on=store-port&what=FAULT&number=PORT
+ *                          for the requests to the store by this port
  * POST /put?kind=K&name=N  write an object without a revision check
  * GET /value?item=I        number of promotion requests with an invalid fencing
  *                          token, and value of an item at the primary
@@ -35,6 +37,8 @@
  */
 #define HELD_ORDER_MS 6000
 
+#define STORE_PORTS_MAX 16
+
 typedef struct fake_platform {
 	SoupServer *server;
 	object_store_t *store;
@@ -176,6 +180,9 @@
 	(void)path;
 	if (strcmp(target, "store") == 0)
 		object_store_inject_fault(platform->store, fault);
+	else if (strcmp(target, "store-port") == 0)
+		known = object_store_port_fault(
+		    platform->store, (uint16_t)atoi(number), fault);
 	else if (strcmp(target, "order") == 0)
 		platform->hold_next_order = true;
 	else
@@ -326,8 +333,11 @@
 	struct arg_int *lag = arg_int0(NULL, "lag-ms", "N", "replication lag");
 	struct arg_int *service = arg_int0(
 	    NULL, "work-ms", "N", "service time of an item access or commit");
+	struct arg_int *store_ports = arg_intn(NULL, "store-port", "N", 0,
+	    STORE_PORTS_MAX, "further port of the HTTP server");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {port, first_port, lag, service, end};
+	void *table[] = {port, first_port, lag, service, store_ports, end};
+	int32_t i;
 	fake_platform_t platform = {0};
 	GMainLoop *loop = g_main_loop_new(NULL, FALSE);
 
@@ -368,6 +378,11 @@
 	    platform.server, "/received", on_seen, &platform, NULL);
 	if (!server_listen(platform.server, (uint16_t)port->ival[0]))
 		return 1;
+	for (i = 0; i < store_ports->count; i++) {
+		if (!server_listen(
+			platform.server, (uint16_t)store_ports->ival[i]))
+			return 1;
+	}
 	g_unix_signal_add(SIGTERM, on_sigterm, loop);
 	g_main_loop_run(loop);
 	return 0;
--- a/tests/fake/fakestore.c
+++ b/tests/fake/fakestore.c
@@ -16,6 +16,12 @@
 /* Revision of an empty store. */
 #define FIRST_REVISION 1
 
+/*
+ * Time from the end of the watches in a compaction until the history is
+ * discarded.
+ */
+#define DISCARD_DELAY_MS 50
+
 /* Time after which the operator and the databases write again what is gone. */
 #define WRITTEN_AGAIN_MS 700
 
@@ -27,11 +33,29 @@
 	bool deleted;
 } object_t;
 
+/* What happens to the requests that come by one port. */
+typedef enum port_fault {
+	PORT_FAULT_NONE,
+	PORT_FAULT_SILENT,  /* they are not answered, not even later */
+	PORT_FAULT_REFUSED, /* they are answered with 503 */
+	PORT_FAULT_CUT, /* their connections are closed, new ones are silent */
+	PORT_FAULT_RESET, /* their connections are closed, new ones too */
+} port_fault_t;
+
+static const char *const port_faults[] = {
+    [PORT_FAULT_NONE] = "up",
+    [PORT_FAULT_SILENT] = "silent",
+    [PORT_FAULT_REFUSED] = "refused",
+    [PORT_FAULT_CUT] = "cut",
+    [PORT_FAULT_RESET] = "reset",
+};
+
 typedef struct watch {
 	object_store_t *store;
 	SoupServerMessage *message;
 	char *kind;
 	uint64_t after_revision;
+	uint16_t port; /* by which the request came */
 	guint timer;
 } watch_t;
 
@@ -46,6 +70,7 @@
 	STORE_FAULT_NAMELESS, /* lists go on after entries without names */
 	STORE_FAULT_REPEAT,   /* lists go on with their first page */
 	STORE_FAULT_BACK_DURING_LIST, /* go back to the copy after a page */
+	STORE_FAULT_DEAF,             /* watches are not answered */
 } store_fault_t;
 
 struct object_store {
@@ -57,11 +82,13 @@
 	bool era_hidden;         /* it is not sent */
 	GPtrArray *copy;         /* objects to which the store goes back */
 	uint64_t copy_revision;
+	bool lists_old;  /* lists that may be old are of the copy */
 	GPtrArray *lost; /* objects as they were when it last went back */
 	guint again;     /* timer after which they are written again */
 	uint64_t revision;
 	uint64_t oldest_revision; /* watches of older ones get 410 */
 	store_fault_t fault;
+	GHashTable *port_faults; /* of port_fault_t by port */
 };
 
 /*
@@ -159,29 +186,127 @@
 	return n;
 }
 
+/*
+ * Return the port by which a request came.
+ */
+static uint16_t
+request_port(SoupServerMessage *message)
+{
+	return g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(
+	    soup_server_message_get_local_address(message)));
+}
+
+/*
+ * Return the fault of a port.
+ */
+static port_fault_t
+port_fault(const object_store_t *store, uint16_t port)
+{
+	return (port_fault_t)GPOINTER_TO_UINT(
+	    g_hash_table_lookup(store->port_faults, GUINT_TO_POINTER(port)));
+}
+
+/*
+ * Close the connection of a request.
+ */
+static void
+request_disconnect(SoupServerMessage *message)
+{
+	g_socket_shutdown(
+	    soup_server_message_get_socket(message), TRUE, TRUE, NULL);
+}
+
+/*
+ * Free a watch.
+ */
+static void
+watch_free(watch_t *watch)
+{
+	watch->store->watches = g_list_remove(watch->store->watches, watch);
+	if (watch->timer != 0)
+		g_source_remove(watch->timer);
+	g_object_unref(watch->message);
+	g_free(watch->kind);
+	g_free(watch);
+}
+
 /*
  * Answer a watch with the changes since its revision, and free it.  A busy
- * store refuses it.
+ * store refuses it, and so does a port that refuses requests.
  */
 static void
 watch_complete(watch_t *watch)
 {
-	bool known = watch->after_revision <= watch->store->revision;
-	bool busy = watch->store->fault == STORE_FAULT_BUSY;
+	bool known = watch->after_revision <= watch->store->revision &&
+	    watch->after_revision >= watch->store->oldest_revision;
+	bool busy = watch->store->fault == STORE_FAULT_BUSY ||
+	    port_fault(watch->store, watch->port) == PORT_FAULT_REFUSED;
 	GString *out = g_string_new(NULL);
 
 	if (known && !busy)
 		append_events(
 		    watch->store, out, watch->kind, watch->after_revision);
 	append_era(watch->store, watch->message);
-	watch->store->watches = g_list_remove(watch->store->watches, watch);
-	if (watch->timer != 0)
-		g_source_remove(watch->timer);
 	send_json(watch->message, busy ? 503 : known ? 200 : 410, out);
 	soup_server_message_unpause(watch->message);
-	g_object_unref(watch->message);
-	g_free(watch->kind);
-	g_free(watch);
+	watch_free(watch);
+}
+
+/*
+ * Set the fault of a port: silent, refused, cut or reset; up ends it.  It acts
+ * on the watches that wait, too.  Returns false if there is no such fault.
+ */
+bool
+object_store_port_fault(
+    object_store_t *store, uint16_t port, const char *fault_name)
+{
+	port_fault_t fault = 0;
+	GList *l = store->watches;
+
+	while (fault < G_N_ELEMENTS(port_faults) &&
+	    strcmp(port_faults[fault], fault_name) != 0)
+		fault++;
+	if (fault == G_N_ELEMENTS(port_faults))
+		return false;
+	g_hash_table_insert(store->port_faults, GUINT_TO_POINTER(port),
+	    GUINT_TO_POINTER(fault));
+	while (l != NULL) {
+		watch_t *watch = l->data;
+
+		l = l->next;
+		if (watch->port != port || fault == PORT_FAULT_NONE)
+			continue;
+		if (fault == PORT_FAULT_REFUSED) {
+			watch_complete(watch);
+			continue;
+		}
+		if (fault != PORT_FAULT_SILENT)
+			request_disconnect(watch->message);
+		watch_free(watch);
+	}
+	return true;
+}
+
+/*
+ * Let the fault of a port act on a request.  Returns false if there is none.
+ */
+static bool
+port_fault_request(object_store_t *store, SoupServerMessage *message)
+{
+	switch (port_fault(store, request_port(message))) {
+	case PORT_FAULT_NONE:
+		return false;
+	case PORT_FAULT_REFUSED:
+		send_json(message, 503, g_string_new(NULL));
+		return true;
+	case PORT_FAULT_RESET:
+		request_disconnect(message);
+		break;
+	default:
+		break;
+	}
+	soup_server_message_pause(message);
+	return true;
 }
 
 /*
@@ -193,10 +318,41 @@
 	watch_t *watch = context;
 
 	watch->timer = 0;
-	watch_complete(watch);
+	if (watch->store->fault != STORE_FAULT_DEAF)
+		watch_complete(watch);
 	return G_SOURCE_REMOVE;
 }
 
+/*
+ * Discard the history: watches that begin or end from now on get 410 if they
+ * are of an older revision.
+ */
+static gboolean
+on_discard(gpointer context)
+{
+	object_store_t *store = context;
+
+	store->oldest_revision = store->revision;
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * End a compaction: close the connections of the watches, which were not
+ * answered meanwhile, and discard the history right after.
+ */
+static void
+cut_watches(object_store_t *store)
+{
+	while (store->watches != NULL) {
+		watch_t *watch = store->watches->data;
+
+		request_disconnect(watch->message);
+		watch_free(watch);
+	}
+	store->fault = STORE_FAULT_NONE;
+	g_timeout_add(DISCARD_DELAY_MS, on_discard, store);
+}
+
 /*
  * Answer the watches of a kind whose objects have changed.  A store with a
  * fault does not answer them.
@@ -346,9 +502,11 @@
  * Inject a fault: busy, silent, losing, moving, nameless or repeating.  Any
  * other name, such as up, ends the fault in force and answers the watches.  The
  * name compact instead discards the history, so that watches of older revisions
- * fail.  With copy and
- * blank, the copy becomes the present state or an empty store; with restored,
- * the store goes back to it, and with restored-in-list between two pages of the
+ * fail.  With deaf, watches are not answered until cut-watches closes their
+ * connections and discards the history, as a compaction does.  With old-lists,
+ * lists that may be old show the copy until new-lists.  With copy and blank,
+ * the copy becomes the present state or an empty store; with restored, the
+ * store goes back to it, and with restored-in-list between two pages of the
  * next list; with hidden-era, the era is not sent any more.
  */
 void
@@ -368,6 +526,15 @@
 	} else if (strcmp(name, "hidden-era") == 0) {
 		store->era_hidden = true;
 		return;
+	} else if (strcmp(name, "old-lists") == 0 ||
+	    strcmp(name, "new-lists") == 0) {
+		store->lists_old = strcmp(name, "old-lists") == 0;
+		return;
+	} else if (strcmp(name, "cut-watches") == 0) {
+		cut_watches(store);
+		return;
+	} else if (strcmp(name, "deaf") == 0) {
+		store->fault = STORE_FAULT_DEAF;
 	} else if (strcmp(name, "restored") == 0) {
 		go_back(store);
 	} else if (strcmp(name, "busy") == 0) {
@@ -442,6 +609,31 @@
 	}
 }
 
+/*
+ * Append a page of a list.  One that may be old is made of the copy, if it is
+ * to be.
+ */
+static void
+append_list(
+    object_store_t *store, GString *out, const char *kind, GHashTable *query)
+{
+	GPtrArray *objects = store->objects;
+	uint64_t revision = store->revision;
+	const char *after =
+	    query == NULL ? NULL : g_hash_table_lookup(query, "after");
+
+	if (store->lists_old && query != NULL &&
+	    g_hash_table_contains(query, "serializable")) {
+		store->objects = store->copy;
+		store->revision = store->copy_revision;
+		append_page(store, out, kind, after);
+		store->objects = objects;
+		store->revision = revision;
+	} else {
+		append_page(store, out, kind, after);
+	}
+}
+
 /*
  * List the objects of a kind, or watch them for changes.
  */
@@ -461,13 +653,16 @@
 		send_json(message, 410, out);
 		return;
 	}
-	if (text != NULL && append_events(store, out, kind, after) == 0) {
+	if (text != NULL &&
+	    (store->fault == STORE_FAULT_DEAF ||
+		append_events(store, out, kind, after) == 0)) {
 		text = g_hash_table_lookup(query, "wait-ms");
 		g_string_free(out, TRUE);
 		watch = g_new0(watch_t, 1);
 		watch->store = store;
 		watch->message = g_object_ref(message);
 		watch->kind = g_strdup(kind);
+		watch->port = request_port(message);
 		watch->after_revision = after;
 		watch->timer =
 		    g_timeout_add((guint)atoi(text), on_watch_timeout, watch);
@@ -476,8 +671,7 @@
 		return;
 	}
 	if (text == NULL)
-		append_page(store, out, kind,
-		    query == NULL ? NULL : g_hash_table_lookup(query, "after"));
+		append_list(store, out, kind, query);
 	send_json(message, 200, out);
 }
 
@@ -609,7 +803,9 @@
 	(void)server;
 	store->requests++;
 	append_era(store, message);
-	if (store->fault == STORE_FAULT_NO_ANSWER)
+	if (port_fault_request(store, message))
+		; /* done */
+	else if (store->fault == STORE_FAULT_NO_ANSWER)
 		soup_server_message_pause(message);
 	else if (store->fault == STORE_FAULT_BUSY || kind == NULL)
 		send_json(message, 503, g_string_new(NULL));
@@ -655,6 +851,7 @@
 	store->copy = g_ptr_array_new_with_free_func(object_free);
 	store->revision = store->copy_revision = FIRST_REVISION;
 	store->era = 1;
+	store->port_faults = g_hash_table_new(NULL, NULL);
 	soup_server_add_handler(server, "/objects", on_objects, store, NULL);
 	return store;
 }
--- a/tests/fake/testbed.c
+++ b/tests/fake/testbed.c
@@ -85,6 +85,18 @@
 	g_free(path);
 }
 
+/*
+ * Inject a fault into the way of a proxy to the store: silent, refused, cut or
+ * reset.  up ends it.
+ */
+void
+testbed_store_fault(testbed_t *testbed, uint32_t proxy, const char *fault)
+{
+	g_assert_true(testbed->plan.store_ports);
+	testbed_inject_fault(testbed, "store-port", fault,
+	    (int32_t)(testbed->first_store_port + proxy));
+}
+
 /*
  * Write an object into the store without a revision check.
  */
@@ -188,7 +200,10 @@
 write_proxy_settings(testbed_t *testbed, uint32_t i)
 {
 	fleet_process_t *proxy = &testbed->proxies[i];
-	char *settings;
+	uint32_t store_port = testbed->plan.store_ports
+	    ? testbed->first_store_port + i
+	    : testbed->platform.port;
+	char *settings, *apply_setting;
 
 	proxy->name = g_strdup_printf("proxy-%u", i);
 	proxy->port = fleet_unused_port();
@@ -196,6 +211,10 @@
 	proxy->operator_port = fleet_unused_port();
 	proxy->peer_port = fleet_unused_port();
 	proxy->metrics_port = fleet_unused_port();
+	apply_setting = testbed->plan.config_apply_ms == 0
+	    ? g_strdup("")
+	    : g_strdup_printf(
+		  ",\"config_apply_ms\":%u", testbed->plan.config_apply_ms);
 	settings = g_strdup_printf(
 	    "{\"name\":\"%s\",\"zone\":\"z\","
 	    "\"client_address\":\"127.0.0.1:%u\","
@@ -204,10 +223,12 @@
 	    "\"metrics_address\":\"127.0.0.1:%u\","
 	    "\"store_address\":\"127.0.0.1:%u\","
 	    "\"promotion_address\":\"127.0.0.1:%u\",\"grace_s\":%g,"
-	    "\"timeouts\":{\"store_ms\":500}}",
+	    "\"timeouts\":{\"store_ms\":500%s}}",
 	    proxy->name, proxy->port, proxy->operator_port, proxy->peer_port,
-	    proxy->metrics_port, testbed->platform.port, testbed->platform.port,
-	    testbed->plan.grace_s == 0 ? 6 : testbed->plan.grace_s);
+	    proxy->metrics_port, store_port, testbed->platform.port,
+	    testbed->plan.grace_s == 0 ? 6 : testbed->plan.grace_s,
+	    apply_setting);
+	g_free(apply_setting);
 	proxy->settings_path =
 	    g_strdup_printf("%s/%s.json", testbed->work_dir, proxy->name);
 	g_assert_true(
@@ -215,6 +236,40 @@
 	g_free(settings);
 }
 
+/*
+ * Append an option with a number to the arguments of a program.
+ */
+static void
+append_option(GPtrArray *argv, const char *option, uint32_t value)
+{
+	g_ptr_array_add(argv, g_strdup(option));
+	g_ptr_array_add(argv, g_strdup_printf("%u", value));
+}
+
+/*
+ * Spawn the fake platform.
+ */
+static void
+spawn_platform(testbed_t *testbed)
+{
+	const testbed_plan_t *plan = &testbed->plan;
+	GPtrArray *argv = g_ptr_array_new_with_free_func(g_free);
+	uint32_t i;
+
+	g_ptr_array_add(argv, fleet_program_path("fakesite"));
+	append_option(argv, "--port", testbed->platform.port);
+	append_option(argv, "--databases", testbed->first_database_port);
+	append_option(argv, "--lag-ms", plan->lag_ms);
+	append_option(argv, "--work-ms", plan->service_time_ms);
+	for (i = 0; plan->store_ports && i < plan->proxies; i++)
+		append_option(
+		    argv, "--store-port", testbed->first_store_port + i);
+	g_ptr_array_add(argv, NULL);
+	fleet_process_spawn(testbed->work_dir, &testbed->platform,
+	    (const char *const *)argv->pdata);
+	g_ptr_array_unref(argv);
+}
+
 /*
  * Start the fake platform, wait until it answers, and write the
  * configuration.
@@ -222,22 +277,16 @@
 static void
 start_platform(testbed_t *testbed)
 {
-	char *path = fleet_program_path("fakesite"), *url;
-	char *port, *first_database_arg, *lag_arg, *service_arg;
 	uint32_t attempts;
+	char *url;
 
 	testbed->platform.port = fleet_unused_port();
 	testbed->platform.name = g_strdup("platform");
 	testbed->first_database_port = fleet_unused_ports(DATABASES);
-	port = g_strdup_printf("%u", testbed->platform.port);
-	first_database_arg =
-	    g_strdup_printf("%u", testbed->first_database_port);
-	lag_arg = g_strdup_printf("%u", testbed->plan.lag_ms);
-	service_arg = g_strdup_printf("%u", testbed->plan.service_time_ms);
-	fleet_process_spawn(testbed->work_dir, &testbed->platform,
-	    (const char *[]){path, "--port", port, "--databases",
-		first_database_arg, "--lag-ms", lag_arg, "--work-ms",
-		service_arg, NULL});
+	if (testbed->plan.store_ports)
+		testbed->first_store_port =
+		    fleet_unused_ports(testbed->plan.proxies);
+	spawn_platform(testbed);
 	url = platform_url(testbed, "/value?item=x");
 	for (attempts = 0;
 	     attempts < 500 && http_call("GET", url, NULL, NULL) == 0;
@@ -245,11 +294,6 @@
 		g_usleep(READY_POLL_US);
 	testbed_configure(testbed, 1, NULL);
 	g_free(url);
-	g_free(service_arg);
-	g_free(lag_arg);
-	g_free(first_database_arg);
-	g_free(port);
-	g_free(path);
 }
 
 /*
--- a/tests/fake/testbed.h
+++ b/tests/fake/testbed.h
@@ -24,12 +24,17 @@
 	/* time for which the platform does not run while the (other) proxies
 	   start */
 	uint32_t platform_paused_ms;
+	uint32_t config_apply_ms; /* setting of the proxies; 0: the default */
+	/* each proxy reaches the store by a port of its own, for
+	   testbed_store_fault() */
+	bool store_ports;
 } testbed_plan_t;
 
 typedef struct testbed {
 	testbed_plan_t plan;
 	char *work_dir;
 	fleet_process_t platform;
+	uint32_t first_store_port;    /* first of the consecutive ports */
 	uint32_t first_database_port; /* first of the consecutive ports */
 	fleet_process_t proxies[TESTBED_PROXIES_MAX];
 } testbed_t;
@@ -47,6 +52,7 @@
 char *testbed_get(const testbed_t *, const char *path);
 void testbed_inject_fault(
     testbed_t *, const char *target, const char *fault, int32_t database);
+void testbed_store_fault(testbed_t *, uint32_t proxy, const char *fault);
 void testbed_put_object(
     testbed_t *, const char *kind, const char *name, const char *content);
 void testbed_configure(
