News of the store carry the age of what their sender knows

Callers of a grown site could meet an older version of the configuration at a daemon that reached the store all the time. Most daemons there rely on the news of another one. These said that all is well while that one had not heard from the store for up to 6 s, and counted as fresh for 1.5 s more from their arrival. The bound, 5 s, was never compared with the sum of these waits.

News now tell up to when their sender knows all changes, by the store's own answers, and their send time, which the receiver converts into its clock. A daemon relies on that for 38 percent of the bound, and then reads for itself; a watch that others rely on ends after 25 percent. The settings may set the split; check refuses one that does not add up. Ruled out: a read of each follower now and then (27 calls a second on a site of 58), and a watcher that says when it has lost the store (a frozen one cannot).

--- a/gen/event.pb-c.c
+++ b/gen/event.pb-c.c
@@ -3984,12 +3984,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "answer_age_ms",
+    "known_age_ms",
     8,
     PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_INT64,
-    offsetof(Bp__ConfigurationTaken, has_answer_age_ms),
-    offsetof(Bp__ConfigurationTaken, answer_age_ms),
+    offsetof(Bp__ConfigurationTaken, has_known_age_ms),
+    offsetof(Bp__ConfigurationTaken, known_age_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -3997,9 +3997,9 @@
   },
 };
 static const unsigned bp__configuration_taken__field_indices_by_name[] = {
-  7,   /* field[7] = answer_age_ms */
   5,   /* field[5] = followed */
   3,   /* field[3] = groups */
+  7,   /* field[7] = known_age_ms */
   4,   /* field[4] = listed */
   6,   /* field[6] = news_age_ms */
   1,   /* field[1] = revision */
--- a/gen/event.pb-c.h
+++ b/gen/event.pb-c.h
@@ -767,10 +767,10 @@
   protobuf_c_boolean has_news_age_ms;
   int64_t news_age_ms;
   /*
-   * time since the last answer of the store about the configuration
+   * time up to now for which this daemon had not known of all changes
    */
-  protobuf_c_boolean has_answer_age_ms;
-  int64_t answer_age_ms;
+  protobuf_c_boolean has_known_age_ms;
+  int64_t known_age_ms;
 };
 #define BP__CONFIGURATION_TAKEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__configuration_taken__descriptor) \
--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -952,6 +952,51 @@
   assert(message->base.descriptor == &bp__store_news__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__store_followers__init
+                     (Bp__StoreFollowers         *message)
+{
+  static const Bp__StoreFollowers init_value = BP__STORE_FOLLOWERS__INIT;
+  *message = init_value;
+}
+size_t bp__store_followers__get_packed_size
+                     (const Bp__StoreFollowers *message)
+{
+  assert(message->base.descriptor == &bp__store_followers__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__store_followers__pack
+                     (const Bp__StoreFollowers *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__store_followers__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__store_followers__pack_to_buffer
+                     (const Bp__StoreFollowers *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__store_followers__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__StoreFollowers *
+       bp__store_followers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__StoreFollowers *)
+     protobuf_c_message_unpack (&bp__store_followers__descriptor,
+                                allocator, len, data);
+}
+void   bp__store_followers__free_unpacked
+                     (Bp__StoreFollowers *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__store_followers__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__leases_needed__init
                      (Bp__LeasesNeeded         *message)
 {
@@ -2792,7 +2837,7 @@
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const uint64_t bp__store_news__era__default_value = 0ull;
-static const ProtobufCFieldDescriptor bp__store_news__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bp__store_news__field_descriptors[6] =
 {
   {
     "config_revision",
@@ -2830,16 +2875,55 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Bp__StoreNews, has_sent_us),
+    offsetof(Bp__StoreNews, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_age_ms",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bp__StoreNews, has_config_age_ms),
+    offsetof(Bp__StoreNews, config_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers_age_ms",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bp__StoreNews, has_servers_age_ms),
+    offsetof(Bp__StoreNews, servers_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__store_news__field_indices_by_name[] = {
+  4,   /* field[4] = config_age_ms */
   0,   /* field[0] = config_revision */
   2,   /* field[2] = era */
+  3,   /* field[3] = sent_us */
+  5,   /* field[5] = servers_age_ms */
   1,   /* field[1] = servers_revision */
 };
 static const ProtobufCIntRange bp__store_news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bp__store_news__descriptor =
 {
@@ -2849,13 +2933,51 @@
   "Bp__StoreNews",
   "bp",
   sizeof(Bp__StoreNews),
-  3,
+  6,
   bp__store_news__field_descriptors,
   bp__store_news__field_indices_by_name,
   1,  bp__store_news__number_ranges,
   (ProtobufCMessageInit) bp__store_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__store_followers__field_descriptors[1] =
+{
+  {
+    "followers",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__StoreFollowers, followers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__store_followers__field_indices_by_name[] = {
+  0,   /* field[0] = followers */
+};
+static const ProtobufCIntRange bp__store_followers__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bp__store_followers__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.StoreFollowers",
+  "StoreFollowers",
+  "Bp__StoreFollowers",
+  "bp",
+  sizeof(Bp__StoreFollowers),
+  1,
+  bp__store_followers__field_descriptors,
+  bp__store_followers__field_indices_by_name,
+  1,  bp__store_followers__number_ranges,
+  (ProtobufCMessageInit) bp__store_followers__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__leases_needed__field_descriptors[1] =
 {
   {
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -37,6 +37,7 @@
 typedef struct Bp__PromotionEnded Bp__PromotionEnded;
 typedef struct Bp__StoreFollow Bp__StoreFollow;
 typedef struct Bp__StoreNews Bp__StoreNews;
+typedef struct Bp__StoreFollowers Bp__StoreFollowers;
 typedef struct Bp__LeasesNeeded Bp__LeasesNeeded;
 typedef struct Bp__DaemonsListed Bp__DaemonsListed;
 typedef struct Bp__GroupsListed Bp__GroupsListed;
@@ -570,10 +571,36 @@
    */
   protobuf_c_boolean has_era;
   uint64_t era;
+  /*
+   * send time in the sender's clock; the router task converts it into that
+   * of its own daemon
+   */
+  protobuf_c_boolean has_sent_us;
+  int64_t sent_us;
+  /*
+   * time before it up to which the sender knows all changes
+   */
+  protobuf_c_boolean has_config_age_ms;
+  uint32_t config_age_ms;
+  protobuf_c_boolean has_servers_age_ms;
+  uint32_t servers_age_ms;
 };
 #define BP__STORE_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__store_news__descriptor) \
-    , 0, 0, 0, 0ull }
+    , 0, 0, 0, 0ull, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * peers -> registry: number of daemons that want StoreNews from this one.
+ */
+struct  Bp__StoreFollowers
+{
+  ProtobufCMessage base;
+  uint32_t followers;
+};
+#define BP__STORE_FOLLOWERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__store_followers__descriptor) \
+    , 0 }
 
 
 /*
@@ -1262,6 +1289,25 @@
 void   bp__store_news__free_unpacked
                      (Bp__StoreNews *message,
                       ProtobufCAllocator *allocator);
+/* Bp__StoreFollowers methods */
+void   bp__store_followers__init
+                     (Bp__StoreFollowers         *message);
+size_t bp__store_followers__get_packed_size
+                     (const Bp__StoreFollowers   *message);
+size_t bp__store_followers__pack
+                     (const Bp__StoreFollowers   *message,
+                      uint8_t             *out);
+size_t bp__store_followers__pack_to_buffer
+                     (const Bp__StoreFollowers   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__StoreFollowers *
+       bp__store_followers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__store_followers__free_unpacked
+                     (Bp__StoreFollowers *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__LeasesNeeded methods */
 void   bp__leases_needed__init
                      (Bp__LeasesNeeded         *message);
@@ -1555,6 +1601,9 @@
 typedef void (*Bp__StoreNews_Closure)
                  (const Bp__StoreNews *message,
                   void *closure_data);
+typedef void (*Bp__StoreFollowers_Closure)
+                 (const Bp__StoreFollowers *message,
+                  void *closure_data);
 typedef void (*Bp__LeasesNeeded_Closure)
                  (const Bp__LeasesNeeded *message,
                   void *closure_data);
@@ -1621,6 +1670,7 @@
 extern const ProtobufCMessageDescriptor bp__promotion_ended__descriptor;
 extern const ProtobufCMessageDescriptor bp__store_follow__descriptor;
 extern const ProtobufCMessageDescriptor bp__store_news__descriptor;
+extern const ProtobufCMessageDescriptor bp__store_followers__descriptor;
 extern const ProtobufCMessageDescriptor bp__leases_needed__descriptor;
 extern const ProtobufCMessageDescriptor bp__daemons_listed__descriptor;
 extern const ProtobufCMessageDescriptor bp__groups_listed__descriptor;
--- a/gen/ranges.c
+++ b/gen/ranges.c
@@ -40,7 +40,10 @@
 	{"bp.ProxyTimeouts", "store_ms", 10U, 60000U},
 	{"bp.ProxyTimeouts", "servers_watch_ms", 100U, 30000U},
 	{"bp.ProxyTimeouts", "config_apply_ms", 200U, 60000U},
+	{"bp.ProxyTimeouts", "config_watch_ms", 50U, 30000U},
+	{"bp.ProxyTimeouts", "news_watch_ms", 50U, 30000U},
+	{"bp.ProxyTimeouts", "news_valid_ms", 50U, 60000U},
 	{"bp.CallerRequest", "timeout_ms", 1U, 600000U},
 };
 
-const uint32_t ranges_count = 39;
+const uint32_t ranges_count = 42;
--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -820,7 +820,7 @@
 static const uint32_t bp__proxy_timeouts__store_ms__default_value = 600u;
 static const uint32_t bp__proxy_timeouts__servers_watch_ms__default_value = 4000u;
 static const uint32_t bp__proxy_timeouts__config_apply_ms__default_value = 3000u;
-static const ProtobufCFieldDescriptor bp__proxy_timeouts__field_descriptors[7] =
+static const ProtobufCFieldDescriptor bp__proxy_timeouts__field_descriptors[10] =
 {
   {
     "connect_ms",
@@ -906,11 +906,50 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_watch_ms",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bp__ProxyTimeouts, has_config_watch_ms),
+    offsetof(Bp__ProxyTimeouts, config_watch_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "news_watch_ms",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bp__ProxyTimeouts, has_news_watch_ms),
+    offsetof(Bp__ProxyTimeouts, news_watch_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "news_valid_ms",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bp__ProxyTimeouts, has_news_valid_ms),
+    offsetof(Bp__ProxyTimeouts, news_valid_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__proxy_timeouts__field_indices_by_name[] = {
   6,   /* field[6] = config_apply_ms */
+  7,   /* field[7] = config_watch_ms */
   0,   /* field[0] = connect_ms */
   1,   /* field[1] = lease_ms */
+  9,   /* field[9] = news_valid_ms */
+  8,   /* field[8] = news_watch_ms */
   5,   /* field[5] = servers_watch_ms */
   2,   /* field[2] = status_timeout_ms */
   4,   /* field[4] = store_ms */
@@ -919,7 +958,7 @@
 static const ProtobufCIntRange bp__proxy_timeouts__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bp__proxy_timeouts__descriptor =
 {
@@ -929,7 +968,7 @@
   "Bp__ProxyTimeouts",
   "bp",
   sizeof(Bp__ProxyTimeouts),
-  7,
+  10,
   bp__proxy_timeouts__field_descriptors,
   bp__proxy_timeouts__field_indices_by_name,
   1,  bp__proxy_timeouts__number_ranges,
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -250,10 +250,29 @@
    */
   protobuf_c_boolean has_config_apply_ms;
   uint32_t config_apply_ms;
+  /*
+   * waits by which a change is in force within config_apply_ms, see
+   * decide/config_delay.h; unset: shares of it
+   */
+  /*
+   * range 50..30000
+   */
+  protobuf_c_boolean has_config_watch_ms;
+  uint32_t config_watch_ms;
+  /*
+   * range 50..30000
+   */
+  protobuf_c_boolean has_news_watch_ms;
+  uint32_t news_watch_ms;
+  /*
+   * range 50..60000
+   */
+  protobuf_c_boolean has_news_valid_ms;
+  uint32_t news_valid_ms;
 };
 #define BP__PROXY_TIMEOUTS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__proxy_timeouts__descriptor) \
-    , 0, 600u, 0, 2000u, 0, 200u, 0, 450u, 0, 600u, 0, 4000u, 0, 3000u }
+    , 0, 600u, 0, 2000u, 0, 200u, 0, 450u, 0, 600u, 0, 4000u, 0, 3000u, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/decide/refresh.c
+++ b/src/decide/refresh.c
@@ -8,8 +8,9 @@
  */
 
 /* Minimum interval between two requests; doubles while changes follow fast. */
-#define INTERVAL_US (250 * INT64_C(1000))
 #define DOUBLINGS_MAX 2
+#define INTERVAL_US \
+	(REFRESH_INTERVAL_MAX_MS * INT64_C(1000) / (1 << DOUBLINGS_MAX))
 
 /* Time between two requests after which the changes do not follow fast. */
 #define QUIET_US US_PER_SECOND
--- a/src/decide/refresh.h
+++ b/src/decide/refresh.h
@@ -9,6 +9,9 @@
 	uint32_t doublings;   /* of the interval, while changes follow fast */
 } refresh_t;
 
+/* Longest interval between two requests. */
+#define REFRESH_INTERVAL_MAX_MS 1000
+
 int64_t refresh_due_us(const refresh_t *);
 void refresh_requested(refresh_t *, int64_t now_us);
 bool refresh_accepts_old(int64_t wanted_us, int64_t now_us);
--- a/src/proxy/incoming.c
+++ b/src/proxy/incoming.c
@@ -57,6 +57,25 @@
 	return g_hash_table_lookup(peers->incoming, &id);
 }
 
+/*
+ * Note whether another daemon wants news of the store, and tell the registry
+ * task how many do.
+ */
+static void
+set_follows_store(incoming_link_t *incoming, bool follows)
+{
+	peers_t *peers = incoming->peers;
+	msg_t *msg;
+
+	if (incoming->follows_store == follows)
+		return;
+	incoming->follows_store = follows;
+	peers->followers += follows ? 1 : -1;
+	msg = msg_new(&bp__store_followers__descriptor);
+	((Bp__StoreFollowers *)msg->body)->followers = peers->followers;
+	task_send(peers->proxy->registry, peers->task, msg);
+}
+
 /*
  * Have the pool roll back a transaction.
  */
@@ -252,7 +271,7 @@
 		send_probe_answer(incoming);
 		break;
 	case BP__PEER_MESSAGE__BODY_STORE_FOLLOW:
-		incoming->follows_store = message->store_follow->follow;
+		set_follows_store(incoming, message->store_follow->follow);
 		break;
 	case BP__PEER_MESSAGE__BODY_LEASE_REVOKE:
 		on_lease_revoke(incoming, message->lease_revoke);
@@ -286,6 +305,7 @@
 		    "Closed a link with an unreadable frame: %s; %u more such "
 		    "lines were left out.",
 		    g_strerror(-error), suppressed);
+	set_follows_store(incoming, false);
 	g_hash_table_remove(peers->incoming, &incoming->id);
 }
 
--- a/src/proxy/owner_link.c
+++ b/src/proxy/owner_link.c
@@ -165,6 +165,7 @@
 	owner_t *owner = context;
 
 	owner->open = true;
+	owner->clock = (clock_offset_t){0};
 	owner->received_us = clock_us();
 	if (owner->reconnect.failures > 0)
 		note_regained(owner);
@@ -198,6 +199,19 @@
 	note_regained(owner);
 }
 
+/*
+ * Note news of the store, and convert their send time into this daemon's clock.
+ */
+static void
+note_news(owner_t *owner, Bp__StoreNews *news)
+{
+	owner->news_us = owner->received_us;
+	news->has_sent_us = news->has_sent_us && news->sent_us >= 0;
+	if (news->has_sent_us)
+		news->sent_us = clock_offset_convert(
+		    &owner->clock, news->sent_us, owner->received_us);
+}
+
 /*
  * Handle a message of an owner.
  */
@@ -215,7 +229,7 @@
 		remote_dropped(owner, message->transaction_dropped);
 		break;
 	case BP__PEER_MESSAGE__BODY_STORE_NEWS:
-		owner->news_us = owner->received_us;
+		note_news(owner, message->store_news);
 		task_send(owner->router->proxy->registry, owner->router->task,
 		    msg_adopt(arena, &message->store_news->base));
 		return;
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -27,6 +27,7 @@
 	bool token_recorded;  /* a token was read from the coordinator record */
 	GSource *drain_timer; /* checks the links during a drain */
 	int64_t drain_started_us; /* start of the drain; 0: not draining */
+	uint32_t followers;       /* daemons that want news of the store */
 	int64_t grace_us;         /* longest duration of a drain */
 	log_rate_limit_t unreadable_limit;
 	log_rate_limit_t results_log_limit;
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -1,6 +1,7 @@
 #include "registry.h"
 
 #include "event.pb-c.h"
+#include "settings.h"
 #include "stats.h"
 
 #include <string.h>
@@ -59,6 +60,7 @@
 	registry_t *registry = g_new0(registry_t, 1);
 
 	registry->proxy = proxy;
+	registry->config_delay = proxy_config_delay(proxy->settings->timeouts);
 	registry->registrations = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, registration_free);
 	orders_init(registry);
@@ -192,6 +194,7 @@
 	Bp__ConfigurationTaken taken = BP__CONFIGURATION_TAKEN__INIT;
 	const object_watch_t *watch = &registry->config_watch;
 	int64_t now_us = clock_us();
+	int64_t known_us = MAX(watch->known_us, watch->news_known_us);
 
 	taken.version = registry->catalog->version;
 	taken.revision = object->revision;
@@ -201,8 +204,8 @@
 	taken.followed = registry->following;
 	taken.has_news_age_ms = registry->news_us != 0;
 	taken.news_age_ms = (now_us - registry->news_us) / US_PER_MS;
-	taken.has_answer_age_ms = watch->previous_answer_us != 0;
-	taken.answer_age_ms = (now_us - watch->previous_answer_us) / US_PER_MS;
+	taken.has_known_age_ms = known_us != 0;
+	taken.known_age_ms = (now_us - known_us) / US_PER_MS;
 	log_event(G_LOG_LEVEL_MESSAGE, &taken.base);
 }
 
@@ -447,6 +450,24 @@
 	g_list_free(names);
 }
 
+/*
+ * Log that a change may come into force too late, if it may.
+ */
+static void
+log_config_delay(const registry_t *registry)
+{
+	const config_delay_t *delay = &registry->config_delay;
+	uint32_t longest_ms =
+	    MAX(config_delay_own_ms(delay), config_delay_news_ms(delay));
+
+	if (longest_ms > delay->apply_ms)
+		log_line(LOG_PART, G_LOG_LEVEL_WARNING,
+		    "A change of the configuration may take %u ms after a lost "
+		    "call, longer than config_apply_ms, %u; a shorter store_ms "
+		    "helps.",
+		    longest_ms, delay->apply_ms);
+}
+
 /*
  * Start the task: connect to the store and request the lists.
  */
@@ -464,8 +485,8 @@
 	    settings->promotion_address[0] != '\0')
 		registry->promoter = registry->proxy->promoter->open(
 		    settings->promotion_address, timeout_ms);
+	log_config_delay(registry);
 	daemons_init(registry);
-	news_start(registry);
 	watch_request_next(&registry->config_watch);
 	watch_request_next(&registry->servers_watch);
 	return 0;
@@ -510,6 +531,7 @@
 	COUNT_SERVERS_LOST,
 	COUNT_LISTED,
 	COUNT_COORDINATOR_TOKEN,
+	COUNT_FOLLOWED,
 	REGISTRY_COUNTERS,
 } registry_counter_t;
 
@@ -519,6 +541,7 @@
     [COUNT_SERVERS_LOST] = "store_lost_servers",
     [COUNT_LISTED] = "daemon_listed",
     [COUNT_COORDINATOR_TOKEN] = "duty_token",
+    [COUNT_FOLLOWED] = "store_followed",
 };
 
 /*
@@ -536,6 +559,7 @@
 	    [COUNT_SERVERS_LOST] = registry->servers_watch.failing,
 	    [COUNT_LISTED] = registry->record_listed_us != 0,
 	    [COUNT_COORDINATOR_TOKEN] = registry->fencing_token,
+	    [COUNT_FOLLOWED] = registry->following,
 	};
 	counters_t counters = {
 	    counter_names, counts, REGISTRY_COUNTERS, REGISTRY_COUNTERS};
@@ -556,6 +580,7 @@
     {&bp__revoke_ended__descriptor, order_confirmed},
     {&bp__leave__descriptor, on_leave},
     {&bp__store_news__descriptor, news_received},
+    {&bp__store_followers__descriptor, news_followers},
     {&bp__leases_needed__descriptor, daemons_leases_needed},
     {&bp__status_request__descriptor, on_status},
 };
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -1,6 +1,7 @@
 #ifndef PROXY_REGISTRY_H
 #define PROXY_REGISTRY_H
 
+#include "decide/config_delay.h"
 #include "decide/refresh.h"
 #include "proxy.h"
 
@@ -42,13 +43,17 @@
 	object_age_t list_age; /* of the last list that was requested */
 	int64_t wanted_us;     /* time of the first news that no list had yet */
 	refresh_t refresh;     /* intervals of the requests */
-	int64_t answered_us;   /* time of the last successful response */
-	int64_t previous_answer_us; /* time of the one before; 0: none */
-	uint32_t failures;          /* consecutive failed calls */
-	bool failing;               /* the last call failed */
-	bool ignoring;              /* the last list was ignored */
-	int64_t failing_since_us;   /* time of the first failed call */
-	int64_t recovered_us; /* time of the first success after failures */
+	int64_t requested_us;  /* time of the last request */
+	uint32_t wait_ms;      /* of the last watch */
+	/* time up to which all changes are known, by the responses of the
+	   store, and by the news; 0: none */
+	int64_t known_us;
+	int64_t news_known_us;
+	uint32_t failures;        /* consecutive failed calls */
+	bool failing;             /* the last call failed */
+	bool ignoring;            /* the last list was ignored */
+	int64_t failing_since_us; /* time of the first failed call */
+	int64_t recovered_us;     /* time of the first success after failures */
 } object_watch_t;
 
 struct registry {
@@ -100,10 +105,11 @@
 	bool record_leases;   /* the last heartbeat said so */
 	int64_t leases_acked_us; /* send time of the last acknowledged heartbeat
 				    that said so */
-	bool following;  /* another daemon watches the store for this one */
-	int64_t news_us; /* time of the last news from it; 0: none yet */
+	config_delay_t config_delay;
+	uint32_t followers; /* daemons for which this one watches the store */
+	bool following;     /* another daemon watches the store for this one */
+	int64_t news_us;    /* time of the last news from it; 0: none yet */
 	GSource *news_timer;
-	uint32_t news_ticks;      /* number of ticks of the timer */
 	uint32_t daemons_count;   /* number of records in the last list */
 	uint64_t record_revision; /* store revision of the record; 0: unknown */
 	uint64_t heartbeat;       /* counter in this daemon's record */
@@ -186,10 +192,10 @@
 bool watch_has_list(const object_watch_t *);
 
 /* news.c */
-void news_start(registry_t *);
 void news_stop(registry_t *);
 void news_send(registry_t *);
 void news_received(void *registry, msg_t *);
+void news_followers(void *registry, msg_t *);
 bool news_covers(const object_watch_t *);
 
 /* store_era.c */
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -1,6 +1,7 @@
 #ifndef PROXY_ROUTER_H
 #define PROXY_ROUTER_H
 
+#include "decide/clock_offset.h"
 #include "decide/placement.h"
 #include "decide/reconnect.h"
 #include "frame.h"
@@ -36,6 +37,7 @@
 	bool leaving;          /* shuts down */
 	bool followed;         /* was asked for news of the store */
 	int64_t news_us;       /* time of the last news, or of the request */
+	clock_offset_t clock;  /* of the daemon, from its news */
 	int64_t connect_us;    /* time at which the link was requested */
 	int64_t received_us;   /* time of the last message */
 	int64_t waiting_us;    /* time since which an answer is due; 0: none */
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -23,6 +23,59 @@
 		    "\"%s\" must be IP:PORT, not \"%.80s\"", key, text);
 }
 
+/*
+ * Return how the time within which a change must be in force is split.
+ */
+config_delay_t
+proxy_config_delay(const Bp__ProxyTimeouts *timeouts)
+{
+	config_delay_t delay = {.apply_ms = timeouts->config_apply_ms,
+	    .store_ms = timeouts->store_ms,
+	    .watch_ms = timeouts->config_watch_ms,
+	    .news_watch_ms = timeouts->news_watch_ms,
+	    .news_valid_ms = timeouts->news_valid_ms};
+
+	config_delay_fill(&delay);
+	return delay;
+}
+
+/*
+ * Add an input error unless waits that are set fit into the time within which a
+ * change must be in force.  Those that are derived fit as far as the timeout of
+ * a call allows.
+ */
+static void
+check_config_delay(
+    input_errors_t *errors, uint32_t line, const Bp__ProxyTimeouts *timeouts)
+{
+	config_delay_t delay = proxy_config_delay(timeouts);
+	const struct {
+		const char *key;
+		bool set;
+		uint32_t sum_ms;
+	} sums[] = {
+	    {"config_watch_ms", timeouts->has_config_watch_ms,
+		config_delay_own_ms(&delay)},
+	    {"news_valid_ms", timeouts->has_news_valid_ms,
+		config_delay_news_ms(&delay)},
+	};
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(sums); i++) {
+		if (sums[i].set && sums[i].sum_ms > delay.apply_ms)
+			input_errors_add(errors, line,
+			    "a change may take %u ms by \"%s\" and "
+			    "\"store_ms\", longer than \"config_apply_ms\", "
+			    "%u",
+			    sums[i].sum_ms, sums[i].key, delay.apply_ms);
+	}
+	if (delay.news_watch_ms >= delay.news_valid_ms)
+		input_errors_add(errors, line,
+		    "\"news_watch_ms\" (%u) must be less than "
+		    "\"news_valid_ms\" (%u)",
+		    delay.news_watch_ms, delay.news_valid_ms);
+}
+
 /*
  * Parse and check the settings of the proxy.  Returns NULL, and adds the input
  * errors, if they are invalid.  The suffix of a setting's name gives its unit.
@@ -60,5 +113,6 @@
 	if (!(settings->core_share > 0 && settings->core_share <= 1024))
 		input_errors_add(errors, line,
 		    "\"core_share\" must be above 0 and at most 1024");
+	check_config_delay(errors, line, settings->timeouts);
 	return errors->count == errors_before ? settings : NULL;
 }
--- a/src/proxy/store_watch.c
+++ b/src/proxy/store_watch.c
@@ -8,21 +8,14 @@
  */
 
 /*
- * Time for which a watch of the configuration waits for changes, in percent of
- * the time within which a change must be applied.
+ * A daemon for which another one watches the store doubles the delay after a
+ * failed call with each failure, so that a fleet does not call a store that is
+ * away.
  */
-#define CONFIG_WATCH_PERCENT 50
-
-/*
- * Delay after a call to the store that was refused or not answered.  A daemon
- * for which another one watches the store doubles it with each failure, so that
- * a fleet does not call a store that is away.
- */
-#define RETRY_MS 250
 #define RETRY_DOUBLINGS_MAX 3
 
-/* Time for which a watch waits after news of a change, which is there. */
-#define WAIT_AFTER_NEWS_MS 1
+/* Time for which a watch waits whose response is needed at once. */
+#define WAIT_MIN_MS 1
 
 /*
  * Handle the retry timer: repeat the call that failed, or make the one that was
@@ -77,7 +70,7 @@
 	}
 	watch->failing = true;
 	watch->refresh = (refresh_t){0};
-	delay_ms = RETRY_MS;
+	delay_ms = STORE_RETRY_MS;
 	if (watch->registry->news_us != 0)
 		delay_ms <<= MIN(watch->failures, RETRY_DOUBLINGS_MAX);
 	watch->failures++;
@@ -92,8 +85,6 @@
 {
 	Bp__DependencyRegained regained = BP__DEPENDENCY_REGAINED__INIT;
 
-	watch->previous_answer_us = watch->answered_us;
-	watch->answered_us = clock_us();
 	watch->failures = 0;
 	if (!watch->failing)
 		return;
@@ -153,6 +144,8 @@
 	registry_t *registry = watch->registry;
 
 	registry_apply_objects(watch, response);
+	if (watch->list_age == OBJECTS_LATEST)
+		watch->known_us = watch->requested_us;
 	if (watch->kind == OBJECT_SERVER)
 		registry_find_missing(registry, response);
 	watch->relist = watch->ignoring = false;
@@ -182,12 +175,28 @@
 		apply_list(watch, response);
 	} else if (watch->list_age == OBJECTS_LATEST) {
 		log_list_ignored(watch, response->revision);
-		watch_delay(watch, RETRY_MS);
+		watch_delay(watch, STORE_RETRY_MS);
 		return;
 	}
 	watch_request_next(watch);
 }
 
+/*
+ * Note that all changes are known that the store had when it responded to a
+ * watch.  That was not before the end of its wait if there were none.
+ */
+static void
+note_changes_known(
+    object_watch_t *watch, const object_store_response_t *response)
+{
+	int64_t waited_us =
+	    watch->requested_us + (int64_t)watch->wait_ms * US_PER_MS;
+
+	watch->known_us = response->count == 0 && waited_us <= clock_us()
+	    ? waited_us
+	    : watch->requested_us;
+}
+
 /*
  * Handle the response to a watch request: the changes, if any, during its wait.
  * In a new era the request's revision may have been given out again, and
@@ -197,6 +206,7 @@
 on_changes(void *context, const object_store_response_t *response)
 {
 	object_watch_t *watch = context;
+	bool changed;
 
 	switch (store_response_status(watch->registry, response)) {
 	case OBJECT_STORE_OK:
@@ -207,11 +217,13 @@
 		}
 		if (response->revision > watch->watch_revision)
 			watch->watch_revision = response->revision;
-		if (registry_apply_objects(watch, response)) {
+		changed = registry_apply_objects(watch, response);
+		note_changes_known(watch, response);
+		if (changed) {
 			watch->changed_revision = watch->watch_revision;
 			registry_publish(watch->registry);
-			news_send(watch->registry);
 		}
+		news_send(watch->registry);
 		watch_request_next(watch);
 		break;
 	case OBJECT_STORE_COMPACTED:
@@ -225,21 +237,38 @@
 }
 
 /*
- * Return the time for which a watch waits for changes.  If the store compacts
- * its history while a watch is waiting, that watch misses the changes in
- * between, so it is ended and requested again after this time.
+ * Return the longest time for which a watch waits for changes.  If the store
+ * compacts its history while a watch is waiting, that watch misses the changes
+ * in between, so it is ended and requested again after this time.
+ */
+static uint32_t
+longest_wait_ms(const object_watch_t *watch)
+{
+	const registry_t *registry = watch->registry;
+
+	if (watch->kind != OBJECT_CONFIG)
+		return registry->proxy->settings->timeouts->servers_watch_ms;
+	return registry->followers > 0 ? registry->config_delay.news_watch_ms
+				       : registry->config_delay.watch_ms;
+}
+
+/*
+ * Return the time for which a watch waits for changes.  One that other daemons
+ * rely on ends no later than the longest wait after the time up to which all
+ * changes are known.
  */
 static uint32_t
-watch_wait_ms(const object_watch_t *watch)
+watch_wait_ms(const object_watch_t *watch, int64_t now_us)
 {
-	const Bp__ProxyTimeouts *timeouts =
-	    watch->registry->proxy->settings->timeouts;
+	uint32_t longest_ms = longest_wait_ms(watch);
+	int64_t known_ms = (now_us - watch->known_us) / US_PER_MS;
 
 	if (news_covers(watch))
-		return WAIT_AFTER_NEWS_MS;
-	return watch->kind == OBJECT_CONFIG
-	    ? timeouts->config_apply_ms * CONFIG_WATCH_PERCENT / 100
-	    : timeouts->servers_watch_ms;
+		return WAIT_MIN_MS;
+	if (watch->registry->followers == 0 || watch->known_us == 0)
+		return longest_ms;
+	return known_ms < longest_ms ? longest_ms - (uint32_t)known_ms
+				     : WAIT_MIN_MS;
 }
 
 /*
@@ -282,6 +311,7 @@
 	}
 	if (complete)
 		refresh_requested(&watch->refresh, now_us);
+	watch->requested_us = now_us;
 	watch->listing = !complete ||
 	    refresh_by_list(news_covers(watch), watch->list_length);
 	if (watch->listing) {
@@ -291,8 +321,8 @@
 		objects->list(registry->objects, watch->kind, watch->list_age,
 		    on_list, watch);
 	} else {
+		watch->wait_ms = watch_wait_ms(watch, now_us);
 		objects->watch(registry->objects, watch->kind,
-		    watch->watch_revision, watch_wait_ms(watch), on_changes,
-		    watch);
+		    watch->watch_revision, watch->wait_ms, on_changes, watch);
 	}
 }
--- a/tests/t_command.c
+++ b/tests/t_command.c
@@ -48,6 +48,30 @@
 	"\"peer_address\": \"127.0.0.1:3\", "
 	"\"store_address\": \"127.0.0.1:4\", \"core_share\": 0}",
 	1, {"\"core_share\" must be above 0"}},
+    {"check of a proxy's waits, its own watch", {"check", "FILE"},
+	"{\"name\": \"a\", \"zone\": \"z\", "
+	"\"client_address\": \"127.0.0.1:1\", "
+	"\"ready_address\": \"127.0.0.1:2\", "
+	"\"peer_address\": \"127.0.0.1:3\", "
+	"\"store_address\": \"127.0.0.1:4\",\n"
+	"\"timeouts\": {\"config_apply_ms\": 3000, \"config_watch_ms\": 1600}}",
+	1, {"a change may take 3050 ms by \"config_watch_ms\""}},
+    {"check of a proxy's waits, the news", {"check", "FILE"},
+	"{\"name\": \"a\", \"zone\": \"z\", "
+	"\"client_address\": \"127.0.0.1:1\", "
+	"\"ready_address\": \"127.0.0.1:2\", "
+	"\"peer_address\": \"127.0.0.1:3\", "
+	"\"store_address\": \"127.0.0.1:4\",\n"
+	"\"timeouts\": {\"config_apply_ms\": 3000, \"news_valid_ms\": 1600}}",
+	1, {"a change may take 3050 ms by \"news_valid_ms\""}},
+    {"check of a proxy's waits, the watch behind the news", {"check", "FILE"},
+	"{\"name\": \"a\", \"zone\": \"z\", "
+	"\"client_address\": \"127.0.0.1:1\", "
+	"\"ready_address\": \"127.0.0.1:2\", "
+	"\"peer_address\": \"127.0.0.1:3\", "
+	"\"store_address\": \"127.0.0.1:4\",\n"
+	"\"timeouts\": {\"config_apply_ms\": 3000, \"news_watch_ms\": 1140}}",
+	1, {"\"news_watch_ms\" (1140) must be less than"}},
     {"proxy without settings", {"proxy"}, NULL, 2, {"usage"}},
     {"proxy with invalid settings", {"proxy", "-f", "FILE"}, "{}", 1,
 	{"missing key \"store_address\""}},
