A watch whose connection is closed is requested anew, not sent again

Callers could meet an older version of the configuration for more than the bound after the store had compacted its history. The HTTP library sends a GET again when a connection that it has used before is closed without a response, and its signal for that started the timeout of a long poll anew: a watch that was closed near its end waited for its whole time once more, in a store that had meanwhile discarded its history, heard nothing, and got 410 at the end. Followers then asked for lists that may be old for up to a second, of which the third comes after 0.75 s and the fourth, the first that may not, after 1.75 s.

A long poll that is about to be sent again ends, and is requested anew after the delay of a retry; old lists are asked for during 0.5 s, so that the third list shows the present state.

--- a/src/decide/refresh.c
+++ b/src/decide/refresh.c
@@ -19,7 +19,7 @@
  * Time for which a list that may be old is requested again when it lacks a
  * change that is known.  Such a list costs the store little.
  */
-#define OLD_LISTS_US US_PER_SECOND
+#define OLD_LISTS_US (500 * INT64_C(1000))
 
 /*
  * Number of objects up to which a list that may be old is cheaper for the store
--- a/src/http.c
+++ b/src/http.c
@@ -280,6 +280,20 @@
 		    request->http->timeout_ms + request->extra_wait_ms);
 }
 
+/*
+ * Handle that a long poll is to be sent again, since its connection was closed
+ * before the response began.  It is ended instead: it would wait for its whole
+ * time once more.
+ */
+static void
+on_long_poll_restarted(SoupMessage *message, gpointer context)
+{
+	request_t *request = context;
+
+	(void)message;
+	on_timeout(request);
+}
+
 /*
  * Send a request with an optional JSON body.  The timeout of the client ends
  * when the response begins.  From then on it is counted from each part of the
@@ -313,9 +327,12 @@
 		g_bytes_unref(bytes);
 	}
 	request->extra_wait_ms = extra_wait_ms;
-	if (extra_wait_ms > 0)
+	if (extra_wait_ms > 0) {
 		g_signal_connect(message, "wrote-body",
 		    G_CALLBACK(on_long_poll_sent), request);
+		g_signal_connect(message, "restarted",
+		    G_CALLBACK(on_long_poll_restarted), request);
+	}
 	timeout_start(request, http->timeout_ms);
 	soup_session_send_async(http->session, message, G_PRIORITY_DEFAULT,
 	    request->cancellable, on_response, request);
--- a/tests/fake/fakestore.c
+++ b/tests/fake/fakestore.c
@@ -333,6 +333,7 @@
 	object_store_t *store = context;
 
 	store->oldest_revision = store->revision;
+	store->fault = STORE_FAULT_NONE;
 	return G_SOURCE_REMOVE;
 }
 
@@ -349,7 +350,6 @@
 		request_disconnect(watch->message);
 		watch_free(watch);
 	}
-	store->fault = STORE_FAULT_NONE;
 	g_timeout_add(DISCARD_DELAY_MS, on_discard, store);
 }
 
--- a/tests/t_store_news.c
+++ b/tests/t_store_news.c
@@ -27,6 +27,9 @@
 /* Time between the faults of two watchers. */
 #define FAULTS_INTERVAL_MS 400
 
+/* Time for which watches hear nothing before the history is discarded. */
+#define GAP_MS 1000
+
 #define POLL_US 10000
 
 static testbed_t *testbed;
@@ -211,6 +214,59 @@
 	    "measured: %s: in force after %u ms", test->name, most_ms);
 }
 
+typedef struct gap_case {
+	const char *name;
+	bool old_lists; /* lists that may be old lack the change */
+} gap_case_t;
+
+static const gap_case_t gap_cases[] = {
+    {"changes that no watch hears", false},
+    {"changes that no watch hears, and old lists", true},
+};
+
+/*
+ * Make a change while watches hear nothing, some time after the one before,
+ * then end them and discard the history.  Check that it comes into force.
+ */
+static uint32_t
+run_gap(const gap_case_t *test, uint32_t phase_ms)
+{
+	uint32_t watchers[WATCHERS], taken_ms;
+	int64_t began_us, changed_us;
+
+	wait_following(watchers);
+	change_config();
+	began_us = g_get_monotonic_time();
+	expect_in_force(began_us, 0);
+	testbed_inject_fault(testbed, "store", "copy", -1);
+	if (test->old_lists)
+		testbed_inject_fault(testbed, "store", "old-lists", -1);
+	wait_until(began_us, phase_ms);
+	testbed_inject_fault(testbed, "store", "deaf", -1);
+	changed_us = g_get_monotonic_time();
+	change_config();
+	wait_until(changed_us, GAP_MS);
+	testbed_inject_fault(testbed, "store", "cut-watches", -1);
+	taken_ms = expect_in_force(changed_us, 0);
+	testbed_inject_fault(testbed, "store", "new-lists", -1);
+	return taken_ms;
+}
+
+/*
+ * Compact the history of the store in each phase of the watches' waits.
+ */
+static void
+test_gap(gconstpointer data)
+{
+	const gap_case_t *test = data;
+	uint32_t most_ms = 0, i;
+
+	for (i = 0; i < G_N_ELEMENTS(phases_ms); i++)
+		most_ms = MAX(most_ms, run_gap(test, phases_ms[i]));
+	g_test_message(
+	    "measured: %s: in force after %u ms", test->name, most_ms);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -218,6 +274,7 @@
 
 	g_test_init(&argc, &argv, NULL);
 	CASES("/store-news/in-force", news_cases, test_news);
+	CASES("/store-news/compaction", gap_cases, test_gap);
 	testbed = testbed_start(&(testbed_plan_t){.proxies = PROXIES,
 	    .config_apply_ms = CONFIG_APPLY_MS,
 	    .store_ports = true});
