--- a/tests/t_store_news.c
+++ b/tests/t_store_news.c
@@ -163,13 +163,14 @@
 }
 
 /*
- * Begin the fault at the watchers of a case some time after a change of the
+ * Begin the fault of a case at its watchers some time after a change of the
  * configuration, make another change, and check that it comes into force.
  * Returns the time in ms that it took.
  */
 static uint32_t
-run_phase(const news_case_t *test, uint32_t phase_ms)
+run_phase(const void *data, uint32_t phase_ms)
 {
+	const news_case_t *test = data;
 	uint32_t watchers[WATCHERS], excluded = 0, taken_ms, i;
 	int64_t began_us, changed_us;
 
@@ -200,18 +201,29 @@
 }
 
 /*
- * Run a case in each phase of the watchers' waits.
+ * Run a case in each phase of the watches' waits, and print the longest time
+ * that a change took.  run: returns that time in ms; test: its context.
  */
 static void
-test_news(gconstpointer data)
+run_phases(const char *name,
+    uint32_t (*run)(const void *test, uint32_t phase_ms), const void *test)
 {
-	const news_case_t *test = data;
 	uint32_t most_ms = 0, i;
 
 	for (i = 0; i < G_N_ELEMENTS(phases_ms); i++)
-		most_ms = MAX(most_ms, run_phase(test, phases_ms[i]));
-	g_test_message(
-	    "measured: %s: in force after %u ms", test->name, most_ms);
+		most_ms = MAX(most_ms, run(test, phases_ms[i]));
+	g_test_message("measured: %s: in force after %u ms", name, most_ms);
+}
+
+/*
+ * Take the store away from the watchers.
+ */
+static void
+test_news(gconstpointer data)
+{
+	const news_case_t *test = data;
+
+	run_phases(test->name, run_phase, test);
 }
 
 typedef struct gap_case {
@@ -229,8 +241,9 @@
  * then end them and discard the history.  Check that it comes into force.
  */
 static uint32_t
-run_gap(const gap_case_t *test, uint32_t phase_ms)
+run_gap(const void *data, uint32_t phase_ms)
 {
+	const gap_case_t *test = data;
 	uint32_t watchers[WATCHERS], taken_ms;
 	int64_t began_us, changed_us;
 
@@ -253,18 +266,14 @@
 }
 
 /*
- * Compact the history of the store in each phase of the watches' waits.
+ * Compact the history of the store.
  */
 static void
 test_gap(gconstpointer data)
 {
 	const gap_case_t *test = data;
-	uint32_t most_ms = 0, i;
 
-	for (i = 0; i < G_N_ELEMENTS(phases_ms); i++)
-		most_ms = MAX(most_ms, run_gap(test, phases_ms[i]));
-	g_test_message(
-	    "measured: %s: in force after %u ms", test->name, most_ms);
+	run_phases(test->name, run_gap, test);
 }
 
 int
