--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -60,7 +60,6 @@
 	registry_t *registry = g_new0(registry_t, 1);
 
 	registry->proxy = proxy;
-	registry->config_delay = proxy_config_delay(proxy->settings->timeouts);
 	registry->registrations = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, registration_free);
 	orders_init(registry);
@@ -485,6 +484,7 @@
 	    settings->promotion_address[0] != '\0')
 		registry->promoter = registry->proxy->promoter->open(
 		    settings->promotion_address, timeout_ms);
+	registry->config_delay = proxy_config_delay(settings->timeouts);
 	log_config_delay(registry);
 	daemons_init(registry);
 	watch_request_next(&registry->config_watch);
