--- a/src/decide/config_delay.c
+++ b/src/decide/config_delay.c
@@ -8,7 +8,7 @@
 #define NEWS_VALID_PERCENT 38
 
 /* Shortest wait that is derived from the bound. */
-#define WAIT_MIN_MS 50
+#define DERIVED_WAIT_MIN_MS 50
 
 /*
  * Return the time that a read takes if its first call is lost.
@@ -27,12 +27,12 @@
 {
 	uint32_t share = (uint32_t)((uint64_t)delay->apply_ms * percent / 100);
 	uint32_t lost = lost_call_ms(delay);
-	uint32_t left =
-	    delay->apply_ms > lost ? delay->apply_ms - lost : WAIT_MIN_MS;
+	uint32_t left = delay->apply_ms > lost ? delay->apply_ms - lost
+					       : DERIVED_WAIT_MIN_MS;
 
 	if (share > left)
 		share = left;
-	return share < WAIT_MIN_MS ? WAIT_MIN_MS : share;
+	return share < DERIVED_WAIT_MIN_MS ? DERIVED_WAIT_MIN_MS : share;
 }
 
 /*
