A database that leaves is promoted only if no other clean log can be had

A database that leaves, and had already handed over, was promoted again when its successor was cut off: among those that promised the term it had the longest log, and whether it leaves counted only among equal logs. So the group was led for seconds by a database that would soon end, callers' statements went to it after the time that it has to drain, and the role had to change again.

Where promises can be withdrawn and no replica must hold each commit, the best log of a database that stays is promoted now, if it contains the logs of so many of those that promised that each majority of the group includes one of them. That is what the rule for terms whose beginning is not known rests on (is_clean()). Otherwise, as where only one other answers of three, the choice is as before; also while an order to the leaving one is open and not all daemons know of it, since the order of another would have to wait.

Given up: acknowledged commits that of the databases that promised only the leaving one has. As with any loss of a primary in such a group, they are those that the replicas had not received.

--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -139,9 +139,10 @@
  * Tell whether a log is clean: it has certainly no entries that the group has
  * given up.
  * Where a term may have begun after an unknown entry, this holds for the
- * shortest log of a majority alone: a promotion needs the promises of a
- * majority, and names a log that contains those of all of it.  limit: orders to
- * replace a primary of this term or a newer one have not taken effect.
+ * shortest log of a majority alone: a promotion names a log that contains those
+ * of so many databases that promised it that each majority includes one of
+ * them.  limit: orders to replace a primary of this term or a newer one have
+ * not taken effect.
  */
 static bool
 is_clean(const failover_t *failover, const log_set_t *logs, uint32_t i,
@@ -281,37 +282,102 @@
 }
 
 /*
- * Return the database with the best log among those that promised the term and
- * are listed, or UINT32_MAX if there is none whose log may be used.  Of equal
- * ones, a database that is not leaving is preferred, then one to which an order
- * is open, since another order to the same database does no harm.  The result
- * may be promoted only when grants_suffice() is true.
+ * Return the database with the best log among the eligible ones, or UINT32_MAX
+ * if there is none.  staying: leave out those that are leaving.  Of equal ones,
+ * a database that is not leaving is preferred, then one to which an order is
+ * open, since another order to the same database does no harm.
  */
 static uint32_t
-choose_most_advanced(const failover_t *failover)
+best_log(const failover_t *failover, const log_set_t *logs, bool staying)
 {
-	log_set_t logs = granted_logs(failover);
+	const db_view_t *views = failover->views;
 	uint32_t i, best = UINT32_MAX;
 	int32_t cmp;
 
-	exclude_given_up(failover, &logs);
 	for (i = 0; i < failover->count; i++) {
-		if (!logs.eligible[i])
+		if (!logs->eligible[i] || (staying && views[i].leaving))
 			continue;
 		if (best == UINT32_MAX) {
 			best = i;
 			continue;
 		}
-		cmp = compare_logs(failover, failover->granted_position[i],
-		    failover->granted_position[best]);
-		if (cmp > 0 ||
-		    (cmp == 0 &&
-			preferred(&failover->views[i], &failover->views[best])))
+		cmp = compare_logs(failover, logs->ends[i], logs->ends[best]);
+		if (cmp > 0 || (cmp == 0 && preferred(&views[i], &views[best])))
 			best = i;
 	}
 	return best;
 }
 
+/*
+ * Tell whether a log contains the logs of so many others that each majority of
+ * the group includes one of these databases, as is_clean() requires of each
+ * promotion.
+ */
+static bool
+contains_enough(
+    const failover_t *failover, const log_set_t *logs, uint32_t chosen)
+{
+	uint32_t i, n = 0, count = MAX(failover->count, failover->members);
+
+	for (i = 0; i < failover->count; i++)
+		n += logs->heard[i] &&
+		    (i == chosen || is_prefix(failover, logs, i, chosen));
+	return n > count - majority_of(count);
+}
+
+/*
+ * Return the database with the best log among those that stay in the group, or
+ * UINT32_MAX if there is none that may be promoted past a longer log.
+ */
+static uint32_t
+best_staying(const failover_t *failover, const log_set_t *logs)
+{
+	uint32_t best = best_log(failover, logs, true);
+
+	return best != UINT32_MAX && contains_enough(failover, logs, best)
+	    ? best
+	    : UINT32_MAX;
+}
+
+/*
+ * Tell whether the open orders allow the promotion of a database.  An order to
+ * another one may take effect after this promotion, and the daemons check that
+ * for each answer of the new primary.  So all of them must know of it; those
+ * that have revoked their leases for this attempt were told.
+ */
+static bool
+open_orders_allow(const failover_t *failover, int32_t chosen)
+{
+	bool elsewhere = failover->order_open_outside;
+	int32_t i;
+
+	for (i = 0; i < (int32_t)failover->count; i++)
+		elsewhere |= i != chosen && failover->views[i].order_open;
+	return !elsewhere || failover->revoked_by_all;
+}
+
+/*
+ * Return the best database to promote among those that promised the term and
+ * are listed, or UINT32_MAX if there is none whose log may be used.  Where
+ * commits need no replica, one that is leaving is promoted only if no other can
+ * be: it would have to be replaced again at once.  The result may be promoted
+ * only when grants_suffice() is true.
+ */
+static uint32_t
+choose_most_advanced(const failover_t *failover)
+{
+	log_set_t logs = granted_logs(failover);
+	uint32_t staying = UINT32_MAX;
+
+	exclude_given_up(failover, &logs);
+	if (only_clean_logs(failover))
+		staying = best_staying(failover, &logs);
+	if (staying != UINT32_MAX &&
+	    open_orders_allow(failover, (int32_t)staying))
+		return staying;
+	return best_log(failover, &logs, false);
+}
+
 /*
  * Return the number of databases that have promised the term.
  */
@@ -405,23 +471,6 @@
 		members_granted(failover));
 }
 
-/*
- * Tell whether the open orders allow the promotion of a database.  An order to
- * another one may take effect after this promotion, and the daemons check that
- * for each answer of the new primary.  So all of them must know of it; those
- * that have revoked their leases for this attempt were told.
- */
-static bool
-open_orders_allow(const failover_t *failover, int32_t chosen)
-{
-	bool elsewhere = failover->order_open_outside;
-	int32_t i;
-
-	for (i = 0; i < (int32_t)failover->count; i++)
-		elsewhere |= i != chosen && failover->views[i].order_open;
-	return !elsewhere || failover->revoked_by_all;
-}
-
 /*
  * Return the database to promote now, or -1 while promises are missing, leases
  * on the old primary may still be valid, or open orders forbid it.
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -423,6 +423,106 @@
 	check_choice(c, 1, c->chosen_sync);
 }
 
+/* What a database of a group with one that is leaving reports. */
+typedef struct leaving_report {
+	bool leaving;
+	uint64_t term; /* term of the end of its log; 0: it does not answer */
+	uint64_t index;
+} leaving_report_t;
+
+typedef struct leaving_case {
+	const char *name;
+	recorded_orders_t recorded;
+	uint32_t count;
+	leaving_report_t replicas[DATABASES]; /* database 0 is the primary */
+	uint32_t chosen;
+	uint32_t chosen_sync; /* the same where a replica holds each commit */
+	uint32_t members;     /* number of recorded ones; 0: none */
+	bool order_open;      /* an order to database 1 is open */
+	bool most;            /* most daemons confirm, not all */
+} leaving_case_t;
+
+static const leaving_case_t leaving_cases[] = {
+    {"equal logs", {0}, 3, {{true, 1, 8}, {false, 1, 8}}, 2, 2},
+    {"one that was replaced has the longest log", {1, 2, 0, {1, 5}}, 4,
+	{{true, 2, 68}, {false, 2, 56}, {false, 2, 56}}, 2, 1},
+    {"the same, and the others differ", {1, 2, 0, {1, 5}}, 4,
+	{{true, 2, 68}, {false, 2, 50}, {false, 2, 56}}, 3, 1},
+    {"the same, and only one other answers", {1, 2, 0, {1, 5}}, 3,
+	{{true, 2, 68}, {false, 2, 56}}, 1, 1},
+    {"two of the others, of five recorded members", {0}, 4,
+	{{true, 1, 68}, {false, 1, 56}, {false, 1, 56}}, 1, 1, 5},
+    {"the others have entries that were given up", {1, 2, 0, {1, 50}}, 4,
+	{{true, 2, 55}, {false, 1, 56}, {false, 1, 56}}, 1, 1},
+    {"one of the others has", {1, 2, 0, {1, 50}}, 4,
+	{{true, 2, 55}, {false, 1, 56}, {false, 1, 50}}, 1, 1},
+    {"an order to it is open, and all daemons know", {0}, 4,
+	{{true, 1, 68}, {false, 1, 56}, {false, 1, 56}}, 2, 1, 0, true},
+    {"an order to it is open, and most daemons know", {0}, 4,
+	{{true, 1, 68}, {false, 1, 56}, {false, 1, 56}}, 1, 1, 0, true, true},
+    {"all are leaving", {0}, 4, {{true, 1, 50}, {true, 1, 68}, {true, 1, 56}},
+	2, 2},
+};
+
+/*
+ * Check which database is promoted in a group with some that are leaving, once
+ * all that answer have promised the term.
+ */
+static void
+check_leaving(const leaving_case_t *c, uint32_t sync_replicas, uint32_t chosen)
+{
+	failover_actions_t actions;
+	failover_t failover;
+	uint32_t i, promoted = 0;
+	int64_t at_ms;
+	uint64_t term;
+
+	failover_init(&failover, &test_limits, c->count, 1, 0);
+	failover.limits.sync_replicas = sync_replicas;
+	failover.members = c->members;
+	failover_orders_recorded(&failover, &c->recorded, 0);
+	report(&failover, 0, true, c->recorded.replaced_term + 1, 0, 0);
+	for (i = 1; i < c->count; i++)
+		report(&failover, i, false, c->replicas[i - 1].term, 0, 0);
+	term = begin_attempt(&failover, 0);
+	for (i = 1; i < c->count; i++) {
+		const leaving_report_t *replica = &c->replicas[i - 1];
+		db_view_t view = {true, false, replica->leaving, term,
+		    {replica->term, replica->index}, 0, .term = replica->term,
+		    .order_open = c->order_open && i == 1, .member = true};
+
+		if (replica->term == 0)
+			continue;
+		failover_replace_view(&failover, i, &view, 0);
+		failover_fence_answered(&failover, i, term, true, &view, 0);
+	}
+	for (at_ms = 20; at_ms <= 1900; at_ms += 20) {
+		failover_tick(&failover, MS(at_ms), &actions);
+		for (i = 0; i < actions.count; i++) {
+			if (actions.list[i].kind == FAILOVER_PROMOTE)
+				promoted = actions.list[i].database;
+		}
+		if (at_ms == 20)
+			failover_leases_revoked(
+			    &failover, term, !c->most, MS(20));
+	}
+	g_assert_cmpuint(promoted, ==, chosen);
+	failover_clear(&failover);
+}
+
+/*
+ * Test that a database that is leaving is promoted only if no other clean log
+ * can be had; where a replica holds each commit, the best log counts alone.
+ */
+static void
+test_leaving(gconstpointer data)
+{
+	const leaving_case_t *c = data;
+
+	check_leaving(c, 0, c->chosen);
+	check_leaving(c, 1, c->chosen_sync);
+}
+
 #define CANDIDATE_ORDERS 2
 
 /* What a database reports at a time. */
@@ -1082,6 +1182,7 @@
 	CASES("/attempt/abandoned", abandoned_cases, test_abandoned);
 	CASES("/attempt/block", block_cases, test_block);
 	CASES("/attempt/choice", choice_cases, test_choice);
+	CASES("/attempt/leaving", leaving_cases, test_leaving);
 	CASES("/attempt/candidate", candidate_cases, test_candidate);
 	CASES("/attempt/unlisted", unlisted_cases, test_unlisted);
 	CASES("/attempt/second-order", second_order_cases, test_second_order);
