A leaving primary that nobody uses any more is replaced without its log

While the replicas receive nothing, none has received the term of a primary that leaves, and none may succeed it in a handover: no_candidate, for as long as that lasts. Once its time to drain is over callers get nothing there either, so waiting for a successor that has its whole log keeps the group without a primary, although databases that stay could lead.

A view of a database says now whether that time is over (expired; set nowhere yet). From then on, if no database can succeed the primary but the best log of one that stays may be promoted, a majority is fenced as for a primary that is lost: the primary steps down with the others, all leases are revoked, and that database is promoted. Before, the handover waits as it did, since the primary serves callers and a replica may catch up. Given up: the commits that only the leaving primary has, which is allowed where no replica must hold each commit; with synchronous commits nothing changes.

/attempt/expired/no-replica-has,-and-it-has-expired failed before.

--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -548,14 +548,41 @@
 		    failover->views[primary].key));
 }
 
+/*
+ * Tell whether the primary has been leaving for so long that nobody uses it,
+ * and is replaced by a database without its whole log, since none that answers
+ * can have it.
+ */
+static bool
+replaces_expired(const failover_t *failover, int64_t now_us)
+{
+	int32_t primary = failover_primary(failover);
+
+	return primary >= 0 && failover->views[primary].leaving &&
+	    failover->views[primary].expired &&
+	    !failover_successor_answers(failover, now_us) &&
+	    failover_staying_answers(failover, now_us);
+}
+
 /*
  * Tell whether there is a primary that steps down alone in a handover.
  */
 static bool
-can_hand_over(const failover_t *failover)
+can_hand_over(const failover_t *failover, int64_t now_us)
 {
 	return failover->limits.catch_up_us > 0 &&
-	    failover_primary(failover) >= 0;
+	    failover_primary(failover) >= 0 &&
+	    !replaces_expired(failover, now_us);
+}
+
+/*
+ * Tell whether a primary that is leaving can be replaced now.
+ */
+bool
+failover_handover_possible(const failover_t *failover, int64_t now_us)
+{
+	return failover_successor_answers(failover, now_us) ||
+	    replaces_expired(failover, now_us);
 }
 
 /*
@@ -566,9 +593,10 @@
 static bool
 attempt_possible(failover_t *failover, int64_t now_us)
 {
-	failover->no_candidate = !(failover->handover && can_hand_over(failover)
-		? failover_successor_answers(failover, now_us)
-		: failover_candidate_answers(failover, now_us));
+	failover->no_candidate =
+	    !(failover->handover && can_hand_over(failover, now_us)
+		    ? failover_successor_answers(failover, now_us)
+		    : failover_candidate_answers(failover, now_us));
 	return !failover->no_candidate;
 }
 
@@ -594,8 +622,8 @@
  * others and would be chosen again.  In a handover that waits for a replica to
  * catch up, only the primary itself is asked, and thereby steps down; unless it
  * may have been replaced, as its own promise does not end leases on a newer
- * one. Nothing is asked while too few databases answer; the attempt is then due
- * again at the next tick.
+ * one.  Nothing is asked while too few databases answer; the attempt is then
+ * due again at the next tick.
  */
 static void
 start_fencing(failover_t *failover, bool handover, int64_t now_us,
@@ -603,7 +631,7 @@
 {
 	int32_t primary = failover_primary(failover);
 	bool doubt = primary >= 0 && maybe_replaced(failover);
-	bool hands_over = handover && can_hand_over(failover);
+	bool hands_over = handover && can_hand_over(failover, now_us);
 	uint32_t i;
 
 	if ((!hands_over || doubt) && !promises_possible(failover, now_us)) {
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -274,5 +274,7 @@
 bool failover_primary_suspected(const failover_t *, int64_t now_us);
 bool failover_candidate_answers(const failover_t *, int64_t now_us);
 bool failover_successor_answers(const failover_t *, int64_t now_us);
+bool failover_staying_answers(const failover_t *, int64_t now_us);
+bool failover_handover_possible(const failover_t *, int64_t now_us);
 
 #endif
--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -533,6 +533,21 @@
 	return any_eligible(failover, &logs);
 }
 
+/*
+ * Tell whether the databases that answer include one that stays in the group
+ * and would be promoted if they all promised a term.
+ */
+bool
+failover_staying_answers(const failover_t *failover, int64_t now_us)
+{
+	log_set_t logs = answering_logs(failover, now_us);
+
+	if (!only_clean_logs(failover))
+		return false;
+	exclude_given_up(failover, &logs);
+	return best_staying(failover, &logs) != UINT32_MAX;
+}
+
 /*
  * Tell whether a database that has promised the term, or that answers, can take
  * over.
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -317,6 +317,7 @@
 	view.known = true;
 	view.primary = status->primary;
 	view.leaving = server->leaving;
+	view.expired = failover->views[server->index].expired;
 	view.unlisted = server->unlisted;
 	view.promised = status->primary
 	    ? status->term
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -1051,6 +1051,90 @@
 	failover_clear(&failover);
 }
 
+typedef struct expired_case {
+	const char *name;
+	candidate_report_t views[DATABASES]; /* database 0 is the primary */
+	bool expired;
+	uint32_t sync_replicas;
+	uint32_t fenced; /* number of databases that are asked to promise */
+	int32_t chosen;  /* expected; -1: none */
+} expired_case_t;
+
+static const expired_case_t expired_cases[] = {
+    {"a replica has received its term",
+	{{2, {2, 60}}, {1, {1, 50}}, {2, {2, 55}}}, false, 0, 1, 2},
+    {"the same, and it has expired", {{2, {2, 60}}, {1, {1, 50}}, {2, {2, 55}}},
+	true, 0, 1, 2},
+    {"no replica has", {{2, {2, 60}}, {1, {1, 50}}, {1, {1, 45}}}, false, 0, 0,
+	-1},
+    {"no replica has, and it has expired",
+	{{2, {2, 60}}, {1, {1, 50}}, {1, {1, 45}}}, true, 0, 3, 1},
+    {"the same, and only one replica answers",
+	{{2, {2, 60}}, {1, {1, 50}}, {0}}, true, 0, 0, -1},
+    {"the same, and a replica holds each commit",
+	{{2, {2, 60}}, {1, {1, 50}}, {1, {1, 45}}}, true, 1, 0, -1},
+    {"the replicas have entries that were given up",
+	{{2, {2, 60}}, {1, {1, 58}}, {1, {1, 57}}}, true, 0, 0, -1},
+};
+
+/*
+ * Test that a primary that is leaving is not replaced by a database that lacks
+ * its term before nobody uses it any more, and then by the best of those that
+ * stay.
+ */
+static void
+test_expired(gconstpointer data)
+{
+	const expired_case_t *c = data;
+	const recorded_orders_t recorded = {1, 2, 0, {1, 56}};
+	bool fenced[DATABASES] = {false};
+	failover_actions_t actions;
+	failover_t failover;
+	int32_t chosen = -1;
+	uint32_t i, n = 0;
+	int64_t at_ms;
+
+	failover_init(&failover, &test_limits, DATABASES, 1, 0);
+	failover.limits.catch_up_us = MS(150);
+	failover.limits.sync_replicas = c->sync_replicas;
+	failover_orders_recorded(&failover, &recorded, 0);
+	for (at_ms = 0; at_ms < 1500 && chosen < 0; at_ms += 10) {
+		for (i = 0; i < DATABASES; i++) {
+			db_view_t view = {true, i == 0 && !fenced[0], i == 0,
+			    fenced[i] ? failover.term : c->views[i].term,
+			    c->views[i].end, MS(at_ms),
+			    .term = c->views[i].term,
+			    .expired = i == 0 && c->expired};
+
+			if (c->views[i].term == 0)
+				continue;
+			failover_replace_view(&failover, i, &view, MS(at_ms));
+			if (fenced[i] && !failover.granted[i])
+				failover_fence_answered(&failover, i,
+				    failover.term, true, &view, MS(at_ms));
+		}
+		if (at_ms == 500)
+			failover_request_handover(&failover, MS(at_ms));
+		failover_tick(&failover, MS(at_ms), &actions);
+		for (i = 0; i < actions.count; i++) {
+			const failover_action_t *action = &actions.list[i];
+
+			if (action->kind == FAILOVER_FENCE)
+				fenced[action->database] = true;
+			if (action->kind == FAILOVER_REVOKE_LEASES)
+				failover_leases_revoked(
+				    &failover, action->term, true, MS(at_ms));
+			if (action->kind == FAILOVER_PROMOTE)
+				chosen = (int32_t)action->database;
+		}
+	}
+	for (i = 0; i < DATABASES; i++)
+		n += fenced[i];
+	g_assert_cmpuint(n, ==, c->fenced);
+	g_assert_cmpint(chosen, ==, c->chosen);
+	failover_clear(&failover);
+}
+
 typedef struct open_order_case {
 	const char *name;
 	int32_t ordered;        /* database with an open order; -1: none */
@@ -1190,6 +1274,7 @@
 	CASES("/attempt/unaware", unaware_cases, test_unaware);
 	CASES("/attempt/recorded", recorded_cases, test_recorded);
 	CASES("/attempt/handover", handover_cases, test_handover);
+	CASES("/attempt/expired", expired_cases, test_expired);
 	CASES("/attempt/reach", reach_cases, test_reach);
 	CASES("/attempt/open-order", open_order_cases, test_open_order);
 	return g_test_run();
