Daemons leave the role to a coordinator that rightly waits for a successor

Each new coordinator asks the daemons anew whether they answer, and its first order waits until most know its token, so the handover began later once a replica could follow.

check_takeover() leaves the role to the coordinator while no server that can take over answers, but not where the primary leaves. It asks now also there whether a server can succeed the primary.

/proxy/no-successor failed before: the role was taken 3 more times in 4.5 s.

--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -625,6 +625,21 @@
 	monitor_request_status(server, now_us);
 }
 
+/*
+ * Tell whether the coordinator should replace the primary now: it is
+ * unresponsive or leaving, and a server that can take over answers.
+ */
+static bool
+replacement_due(const group_t *group, int64_t now_us)
+{
+	int32_t primary = failover_primary(&group->failover);
+
+	if (group->unresponsive)
+		return failover_candidate_answers(&group->failover, now_us);
+	return primary >= 0 && group->servers[primary]->leaving &&
+	    failover_handover_possible(&group->failover, now_us);
+}
+
 /*
  * Ask for the coordinator role if the coordinator does not act: the primary
  * has been unresponsive or shutting down for longer than the coordinator
@@ -634,14 +649,11 @@
 static void
 check_takeover(group_t *group, int64_t now_us)
 {
-	int32_t primary = failover_primary(&group->failover);
-	bool leaving = primary >= 0 && group->servers[primary]->leaving;
+	bool due = replacement_due(group, now_us);
+	bool stuck = !group->unresponsive && group_lease_stuck(group, now_us);
 	int64_t delay_us;
 
-	if ((!leaving && !group->unresponsive &&
-		!group_lease_stuck(group, now_us)) ||
-	    (!leaving && group->unresponsive &&
-		!failover_candidate_answers(&group->failover, now_us))) {
+	if (!due && !stuck) {
 		group->failover_due_since_us = 0;
 		return;
 	}
@@ -650,7 +662,7 @@
 	/* longer after a sign of a failover, which may have to wait for leases
 	   to expire */
 	delay_us = group->pool->takeover_delay_us;
-	if (!leaving && !group->unresponsive)
+	if (!due)
 		delay_us += STUCK_TAKEOVER_US;
 	if (now_us - group->failover_due_since_us >= delay_us &&
 	    !group->pool->is_coordinator &&
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -812,6 +812,71 @@
 	testbed_stop(testbed);
 }
 
+/* Time for which no replica receives anything from a leaving primary. */
+#define DEAF_MS 4500
+
+/*
+ * Return the number of times that a text stands in the logs of all proxies.
+ */
+static uint32_t
+count_logged(const testbed_t *testbed, const char *text)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < testbed->plan.proxies; i++) {
+		char *path =
+		    g_strdup_printf("%s/proxy-%u.log", testbed->work_dir, i);
+		const char *next;
+		char *log;
+
+		g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+		for (next = strstr(log, text); next != NULL;
+		     next = strstr(next + 1, text))
+			n++;
+		g_free(log);
+		g_free(path);
+	}
+	return n;
+}
+
+/*
+ * Test that the daemons do not take the role from a coordinator that rightly
+ * waits, since no replica has received the term of the primary that leaves, and
+ * that it hands over once one has.
+ */
+static void
+test_no_successor(void)
+{
+	testbed_plan_t plan = {.proxies = 3, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	int32_t promoted, other;
+	uint32_t i, roles;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_usleep(2500 * US_PER_MS); /* until all are listed */
+	for (i = 0; i < 3; i++)
+		testbed_inject_fault(testbed, "database", "deaf", (int32_t)i);
+	testbed_inject_fault(testbed, "database", "crash", 0);
+	promoted = testbed_wait_primary(testbed, 1, "", 4000) ? 1 : 2;
+	other = 3 - promoted;
+	g_assert_true(
+	    testbed_wait_primary(testbed, (uint32_t)promoted, "", 4000));
+	testbed_inject_fault(testbed, "database", "return", 0);
+	testbed_inject_fault(testbed, "database", "deaf", 0);
+	g_usleep(
+	    1500 * US_PER_MS); /* until the coordinator knows the primary */
+	testbed_inject_fault(testbed, "database", "leave", promoted);
+	g_usleep(500 * US_PER_MS);
+	roles = count_logged(testbed, "\"duty_held\",\"held\":true");
+	g_usleep(DEAF_MS * US_PER_MS);
+	g_assert_cmpuint(
+	    count_logged(testbed, "\"duty_held\",\"held\":true"), ==, roles);
+	testbed_inject_fault(testbed, "database", "hear", other);
+	g_assert_true(testbed_wait_primary(
+	    testbed, (uint32_t)other, "", FAILOVER_TIMEOUT_MS));
+	testbed_stop(testbed);
+}
+
 /*
  * Test that a restarted daemon takes the role of coordinator with a new fencing
  * token, or orders sent before the restart could pass for its own.  The
@@ -1517,6 +1582,7 @@
 	CASES("/proxy/page", http_cases, test_http_endpoint);
 	CASES("/proxy/unanswered-read", silent_replica_cases,
 	    test_silent_replica);
+	g_test_add_func("/proxy/no-successor", test_no_successor);
 	g_test_add_func("/proxy/restarted-holder", test_restarted_coordinator);
 	g_test_add_func("/proxy/just-started", test_start_without_primary);
 	g_test_add_func("/proxy/status", test_status);
