handover_due is logged once for a request

It is logged now when it is requested, and again only after an attempt has failed.

/proxy/no-successor failed before, with 125 lines in 4.5 s.

--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -752,7 +752,7 @@
 		group->handover_due_since_us = 0;
 		return;
 	}
-	if (!handover_allowed(group, now_us))
+	if (!handover_allowed(group, now_us) || group->failover.handover)
 		return;
 	log_handover_due(group, group->servers[primary], leaving);
 	overload_handover_begun(&group->overload_handover, now_us);
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -815,6 +815,9 @@
 /* Time for which no replica receives anything from a leaving primary. */
 #define DEAF_MS 4500
 
+/* Most handovers that the coordinators may log in that time. */
+#define HANDOVERS_MAX 3
+
 /*
  * Return the number of times that a text stands in the logs of all proxies.
  */
@@ -850,7 +853,7 @@
 	testbed_plan_t plan = {.proxies = 3, .lag_ms = 5};
 	testbed_t *testbed = testbed_start(&plan);
 	int32_t promoted, other;
-	uint32_t i, roles;
+	uint32_t i, roles, handovers;
 
 	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
 	g_usleep(2500 * US_PER_MS); /* until all are listed */
@@ -871,6 +874,9 @@
 	g_usleep(DEAF_MS * US_PER_MS);
 	g_assert_cmpuint(
 	    count_logged(testbed, "\"duty_held\",\"held\":true"), ==, roles);
+	handovers = count_logged(testbed, "\"event\":\"handover_due\"");
+	g_assert_cmpuint(handovers, >, 0);
+	g_assert_cmpuint(handovers, <=, HANDOVERS_MAX);
 	testbed_inject_fault(testbed, "database", "hear", other);
 	g_assert_true(testbed_wait_primary(
 	    testbed, (uint32_t)other, "", FAILOVER_TIMEOUT_MS));
