The coordinator replaces a leaving primary once its limit is over

The choice knows a primary that is leaving and that nobody uses any more (db_view_t.expired); nothing had set it. It is set from the drain limit.

--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -791,6 +791,7 @@
 		const server_t *server = group->servers[i];
 
 		failover->views[i].leaving = server->leaving;
+		failover->views[i].expired = server_drained(server, now_us);
 		failover->views[i].unlisted = server->unlisted;
 		if (server->outstanding == 0 && !server->unresponsive)
 			failover_not_probed(failover, i, now_us);
