Planned stop: a request on a parked connection is answered

Callers of "serve" lost answers in a planned stop: a stopping daemon closed connections on which it had read nothing for 10 ms, and with them the requests that their callers were about to send.

Cause: the stop waits while connections are active, and one that is idle for 10 ms is parked and no longer counts, however lately it was accepted or used. A caller that did not run for that time, as on a busy machine, lost its request.

The stop now waits for at most 800 ms after the last use of a connection, parked or not.

--- a/src/caller_conns.c
+++ b/src/caller_conns.c
@@ -363,13 +363,20 @@
 }
 
 /*
- * Return the number of active connections: those with a request in progress,
- * and idle ones that are not parked yet, on which a request may be arriving.
+ * Tell whether a connection is active, which includes those with a request in
+ * progress, or a parked one was opened or last used after the given time.
  */
-uint32_t
-caller_conns_active(const caller_conns_t *conns)
+bool
+caller_conns_in_use(const caller_conns_t *conns, int64_t since_us)
 {
-	return conns->active.length;
+	bool in_use = conns->active.length > 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, conns->by_remote);
+	while (!in_use && g_hash_table_iter_next(&iter, NULL, &value))
+		in_use = ((caller_conn_t *)value)->waiting_since_us > since_us;
+	return in_use;
 }
 
 /*
--- a/src/caller_conns.h
+++ b/src/caller_conns.h
@@ -20,7 +20,7 @@
 void caller_conns_mark_busy(caller_conns_t *, SoupServerMessage *);
 uint64_t caller_conns_refused(const caller_conns_t *);
 uint32_t caller_conns_count(const caller_conns_t *);
-uint32_t caller_conns_active(const caller_conns_t *);
+bool caller_conns_in_use(const caller_conns_t *, int64_t since_us);
 void caller_conns_shutdown(caller_conns_t *, SoupServerMessage *);
 
 #endif
--- a/src/front.c
+++ b/src/front.c
@@ -11,11 +11,14 @@
 
 #define TICK_MS 50
 
+/* How long a stopping task handles the last messages of the other tasks. */
+#define STOP_MESSAGES_US (200 * US_PER_MS)
+
 /*
- * How long a stopping task waits for its last responses to be read.  This is
- * long enough for a client to read one.
+ * How long a stopping task waits for the next request on a connection that was
+ * opened or used last, and for its last responses to be sent.
  */
-#define STOP_TIMEOUT_US (200 * US_PER_MS)
+#define STOP_TIMEOUT_US (800 * US_PER_MS)
 
 /* A request whose headers have been received but whose body has not. */
 typedef struct partial_request {
@@ -255,24 +258,26 @@
 
 /*
  * Stop the task: handle the messages that other tasks have sent, answer the
- * remaining requests, and let the responses be sent, all within
- * STOP_TIMEOUT_US.
+ * remaining requests and those that arrive meanwhile, and let the responses be
+ * sent.  A caller whose connection was accepted, or that was answered, a moment
+ * ago may be about to send a request.
  */
 static void
 on_stop(void *context)
 {
 	front_ctx_t *ctx = context;
 	GMainContext *main_context = task_main_context(ctx->task);
-	int64_t deadline_us = clock_us() + STOP_TIMEOUT_US;
+	int64_t began_us = clock_us(), deadline_us;
 
 	ctx->draining = true;
 	caller_conns_refuse_new(ctx->connections);
 	while (g_main_context_iteration(main_context, FALSE) &&
-	    clock_us() < deadline_us)
+	    clock_us() - began_us < STOP_MESSAGES_US)
 		; /* handles the last answers of the other tasks */
 	route_fail_pending(ctx);
-	while (caller_conns_active(ctx->connections) > 0 &&
-	    clock_us() < deadline_us)
+	deadline_us = clock_us() + STOP_TIMEOUT_US;
+	while (clock_us() < deadline_us &&
+	    caller_conns_in_use(ctx->connections, clock_us() - STOP_TIMEOUT_US))
 		/* returns after a tick at the latest */
 		g_main_context_iteration(main_context, TRUE);
 	source_clear(&ctx->tick_timer);
--- a/tests/t_drain.c
+++ b/tests/t_drain.c
@@ -17,7 +17,8 @@
 typedef struct drain_case {
 	const char *name;
 	const char *body;
-	bool keep_alive; /* reuse a connection until it is to be closed */
+	bool keep_alive;   /* reuse a connection until it is to be closed */
+	uint32_t pause_ms; /* time before each request */
 } drain_case_t;
 
 #define READ_BODY \
@@ -25,9 +26,10 @@
 	"\"work\":\"ticket\",\"key\":\"k\",\"statement\":\"get k\"}"
 
 static const drain_case_t drain_cases[] = {
-    {"a connection for each request", READ_BODY, false},
-    {"persistent connections", READ_BODY, true},
-    {"invalid requests", "{}", true},
+    {"a connection for each request", READ_BODY, false, 0},
+    {"persistent connections", READ_BODY, true, 0},
+    {"invalid requests", "{}", true, 0},
+    {"pauses between requests on persistent connections", READ_BODY, true, 60},
 };
 
 /* A client thread, which sends one request at a time to one daemon. */
@@ -90,6 +92,7 @@
 	g_socket_set_timeout(socket, EXIT_MS / MS_PER_S);
 	accepted = g_socket_connect(socket, address, NULL, NULL);
 	while (accepted && !closing) {
+		g_usleep(client->c->pause_ms * US_PER_MS);
 		if (g_socket_send(socket, request, strlen(request), NULL,
 			NULL) < (gssize)strlen(request) ||
 		    !client_receive(socket, &closing)) {
