Planned stop: connections that wait to be accepted fit into the queue

Callers of "serve" lost answers when a daemon stopped after it had not run for a while. The HTTP listeners, and that of the other daemons, let 10 connections wait to be accepted, the default of GLib. A connection beyond them is open for its caller, while the kernel waits to see its request again, for up to some seconds; a daemon that stops in that time resets it.

All listeners now have the queue of 512 that the proxy's listener had (sock_listen()).

--- a/src/http.c
+++ b/src/http.c
@@ -1,5 +1,6 @@
 #include "http.h"
 
+#include "sock.h"
 #include "task.h"
 
 #include <errno.h>
@@ -370,12 +371,19 @@
     SoupServer *server, GSocketAddress *listen_address, const char *client_kind)
 {
 	GError *error = NULL;
+	GSocket *socket;
 	char *text;
+	bool listens;
 
 	if (listen_address == NULL)
 		return -EINVAL;
-	if (!soup_server_listen(
-		server, listen_address, (SoupServerListenOptions)0, &error)) {
+	/* libsoup would let no more than 10 connections wait */
+	socket = sock_listen(listen_address, &error);
+	listens = socket != NULL &&
+	    soup_server_listen_socket(
+		server, socket, (SoupServerListenOptions)0, &error);
+	g_clear_object(&socket);
+	if (!listens) {
 		text = g_socket_connectable_to_string(
 		    G_SOCKET_CONNECTABLE(listen_address));
 		log_line(LOG_PART, G_LOG_LEVEL_CRITICAL,
--- a/src/peer.c
+++ b/src/peer.c
@@ -473,6 +473,8 @@
 
 	ctx->task = task;
 	ctx->listener = g_socket_service_new();
+	g_socket_listener_set_backlog(
+	    G_SOCKET_LISTENER(ctx->listener), SOCK_BACKLOG);
 	if (!g_socket_listener_add_address(G_SOCKET_LISTENER(ctx->listener),
 		address, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL,
 		NULL, &error)) {
--- a/src/proxy/listener.c
+++ b/src/proxy/listener.c
@@ -2,14 +2,12 @@
 
 #include "poller.h"
 #include "proxy.h"
+#include "sock.h"
 
 #include <sys/epoll.h>
 
 #define LOG_PART "proxy"
 
-/* Maximum number of connections that wait to be accepted. */
-#define BACKLOG 512
-
 /*
  * Time for which the socket is not polled after accept() has failed, for
  * instance because the process has no file descriptors left.  The socket then
@@ -97,22 +95,15 @@
 
 	if (socket_address == NULL)
 		return NULL;
-	socket = g_socket_new(g_socket_address_get_family(socket_address),
-	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &error);
-	if (socket != NULL) {
-		g_socket_set_blocking(socket, FALSE);
-		g_socket_set_listen_backlog(socket, BACKLOG);
-	}
-	if (socket == NULL ||
-	    !g_socket_bind(socket, socket_address, TRUE, &error) ||
-	    !g_socket_listen(socket, &error)) {
+	socket = sock_listen(socket_address, &error);
+	if (socket == NULL) {
 		log_line(LOG_PART, G_LOG_LEVEL_CRITICAL,
 		    "Cannot listen on %s: %s.", address, error->message);
 		g_error_free(error);
-		g_clear_object(&socket);
 		g_object_unref(socket_address);
 		return NULL;
 	}
+	g_socket_set_blocking(socket, FALSE);
 	g_object_unref(socket_address);
 	listener = g_new0(listener_t, 1);
 	listener->main_context = main_context;
--- a/src/sock.c
+++ b/src/sock.c
@@ -341,6 +341,24 @@
 	return sock;
 }
 
+/*
+ * Create a socket that listens on an address.  Returns NULL on failure.
+ */
+GSocket *
+sock_listen(GSocketAddress *address, GError **error)
+{
+	GSocket *socket = g_socket_new(g_socket_address_get_family(address),
+	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, error);
+
+	if (socket == NULL)
+		return NULL;
+	g_socket_set_listen_backlog(socket, SOCK_BACKLOG);
+	if (!g_socket_bind(socket, address, TRUE, error) ||
+	    !g_socket_listen(socket, error))
+		g_clear_object(&socket);
+	return socket;
+}
+
 /*
  * Create a connection for an accepted socket.  Takes over the caller's
  * reference to the socket.
--- a/src/sock.h
+++ b/src/sock.h
@@ -19,6 +19,10 @@
 	void (*written)(void *context);
 } sock_ops_t;
 
+/* Maximum number of connections that wait to be accepted. */
+#define SOCK_BACKLOG 512
+
+GSocket *sock_listen(GSocketAddress *, GError **);
 sock_t *sock_connect(GMainContext *, const char *address, uint32_t port,
     const sock_ops_t *, void *context);
 sock_t *sock_accept(
--- a/tests/t_drain.c
+++ b/tests/t_drain.c
@@ -11,6 +11,7 @@
 #define READY_MS 15000
 #define EXIT_MS 5000
 #define CLIENTS 16
+#define CLIENTS_MAX 64
 #define DAEMONS 3
 #define ANSWER_BYTES_MAX 4096
 
@@ -19,6 +20,9 @@
 	const char *body;
 	bool keep_alive;   /* reuse a connection until it is to be closed */
 	uint32_t pause_ms; /* time before each request */
+	uint32_t clients;  /* of a daemon, 0: CLIENTS */
+	uint32_t held_ms;  /* time for which a daemon does not run before */
+	uint32_t stops;    /* daemons that are stopped, 0: all */
 } drain_case_t;
 
 #define READ_BODY \
@@ -30,6 +34,8 @@
     {"persistent connections", READ_BODY, true, 0},
     {"invalid requests", "{}", true, 0},
     {"pauses between requests on persistent connections", READ_BODY, true, 60},
+    {"many connections that wait to be accepted", READ_BODY, false, 0,
+	CLIENTS_MAX, 1500, 1},
 };
 
 /* A client thread, which sends one request at a time to one daemon. */
@@ -134,25 +140,32 @@
 	fleet_plan_t plan = {
 	    .daemons = DAEMONS, .tickets_groups = 1, .service_ms = 1};
 	fleet_t *fleet = fleet_start(&plan);
-	GThread *threads[CLIENTS];
-	client_t clients[CLIENTS];
+	GThread *threads[CLIENTS_MAX];
+	client_t clients[CLIENTS_MAX];
+	uint32_t clients_count = c->clients == 0 ? CLIENTS : c->clients;
+	uint32_t stops = c->stops == 0 ? DAEMONS : c->stops;
 	uint32_t daemon, i, lost_answers = 0, close_announced = 0, answered = 0;
 	int status;
 
 	g_assert_true(fleet_wait_ready(fleet, READY_MS));
-	for (daemon = 0; daemon < DAEMONS; daemon++) {
-		for (i = 0; i < CLIENTS; i++) {
+	for (daemon = 0; daemon < stops; daemon++) {
+		for (i = 0; i < clients_count; i++) {
 			clients[i] =
 			    (client_t){c, fleet->daemons[daemon].port, 0, 0, 0};
 			threads[i] =
 			    g_thread_new("client", client_run, &clients[i]);
 		}
 		g_usleep(100 * US_PER_MS);
+		if (c->held_ms > 0) {
+			fleet_process_signal(&fleet->daemons[daemon], SIGSTOP);
+			g_usleep(c->held_ms * US_PER_MS);
+		}
 		fleet_process_signal(&fleet->daemons[daemon], SIGTERM);
+		fleet_process_signal(&fleet->daemons[daemon], SIGCONT);
 		g_assert_true(fleet_process_wait_exit(
 		    &fleet->daemons[daemon], EXIT_MS, &status));
 		g_assert_cmpint(status, ==, 0);
-		for (i = 0; i < CLIENTS; i++) {
+		for (i = 0; i < clients_count; i++) {
 			g_thread_join(threads[i]);
 			lost_answers += clients[i].lost_answers;
 			answered += clients[i].answered;
