Planned stop: a statement of an open transaction is answered

Callers of "serve" lost answers at the end of the drain timeout: a statement of a transaction that reached the daemon after its tasks for statements had ended was passed to them, and its connection was closed without an answer.

While it stops, the front end now answers such a statement itself: it has not run, and the transaction is lost.

--- a/src/front.c
+++ b/src/front.c
@@ -257,10 +257,10 @@
 }
 
 /*
- * Stop the task: handle the messages that other tasks have sent, answer the
- * remaining requests and those that arrive meanwhile, and let the responses be
- * sent.  A caller whose connection was accepted, or that was answered, a moment
- * ago may be about to send a request.
+ * Stop the task, after those that run statements: handle the messages that they
+ * have sent, answer the remaining requests and those that arrive meanwhile, and
+ * let the responses be sent.  A caller whose connection was accepted, or that
+ * was answered, a moment ago may be about to send a request.
  */
 static void
 on_stop(void *context)
@@ -269,7 +269,7 @@
 	GMainContext *main_context = task_main_context(ctx->task);
 	int64_t began_us = clock_us(), deadline_us;
 
-	ctx->draining = true;
+	ctx->draining = ctx->stopping = true;
 	caller_conns_refuse_new(ctx->connections);
 	while (g_main_context_iteration(main_context, FALSE) &&
 	    clock_us() - began_us < STOP_MESSAGES_US)
--- a/src/front.h
+++ b/src/front.h
@@ -73,6 +73,7 @@
 	retry_budget_t retry_budget;
 	uint64_t next_correlation_id;
 	bool draining;     /* Drain was received, or the task is stopping */
+	bool stopping;     /* the tasks that run statements have ended */
 	bool drained_sent; /* Drained was sent to the control task */
 	uint64_t counts[FRONT_COUNTERS];
 };
--- a/src/route.c
+++ b/src/route.c
@@ -228,7 +228,8 @@
 /*
  * Send the statement to the named daemon, with the time that is left until the
  * deadline as its timeout: to the group task if this daemon is meant, else
- * through the peer task.
+ * through the peer task.  Fail the request if these tasks have ended, and with
+ * them all transactions.
  */
 static void
 pending_send(pending_request_t *pending, const char *to)
@@ -243,6 +244,14 @@
 		pending_fail(pending, BP__REASON__DEADLINE, NULL);
 		return;
 	}
+	if (ctx->stopping) {
+		pending_fail(pending,
+		    pending->statement->has_transaction
+			? BP__REASON__TRANSACTION_LOST
+			: BP__REASON__DRAINING,
+		    "this daemon is leaving");
+		return;
+	}
 	pending->attempts++;
 	pending->daemon = arena_strdup(pending->arena, to);
 	pending->statement->timeout_ms =
