A promise is withdrawn when the role is confirmed late

Callers waited 3 s longer than needed for a write after a change of primary whose replica kept a promise above the new term.

Cause: the coordinator withdraws such a promise when two confirmations are fresh, that of the daemons (500 ms) and that of the store for its role (800 ms). The second is asked for once the first is there. Where the store takes longer than 500 ms, the first is out of date by then, and the daemons were told again only after 3 s, when the second is out of date as well.

The daemons are now told again at once while the role is confirmed.

--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -19,7 +19,8 @@
 
 /*
  * Interval at which the daemons are told of a new term until they confirm it,
- * and after that while a promise that should be withdrawn is still there.
+ * and after that while a promise that should be withdrawn is still there and
+ * may not be.
  */
 #define NOTICE_INTERVAL_US (US_PER_SECOND / 5)
 #define NOTICE_REPEAT_US (3 * US_PER_SECOND)
@@ -920,8 +921,9 @@
 		failover->notice_sent_us = failover->notice_confirmed_us = 0;
 	}
 	if (now_us - failover->notice_sent_us >=
-	    (failover->notice_confirmed_us != 0 ? NOTICE_REPEAT_US
-						: NOTICE_INTERVAL_US)) {
+	    (failover->notice_confirmed_us != 0 && !failover->release_allowed
+		    ? NOTICE_REPEAT_US
+		    : NOTICE_INTERVAL_US)) {
 		failover->notice_sent_us = now_us;
 		failover->notice_confirmed_us = 0;
 		actions->list[actions->count++] =
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -362,11 +362,21 @@
 	    msg_new(&bp__duty_wanted__descriptor));
 }
 
+/*
+ * Tell whether the store has just confirmed that this daemon is the
+ * coordinator, and no order of a former one may take effect any more.
+ */
+static bool
+coordinator_confirmed(const pool_t *pool, int64_t now_us)
+{
+	return now_us - pool->coordinator_since_us >= ORDER_LATE_US &&
+	    now_us - pool->coordinator_confirmed_us < COORDINATOR_CONFIRMED_US;
+}
+
 /*
  * Tell whether the paused replication of a server may be resumed.  A resumption
  * ends the pauses of all daemons, and no other daemon's failover may rely on
- * one: the store must have just confirmed that this daemon is the coordinator,
- * and no order of a former one may take effect any more.  Nor may the pause be
+ * one: this daemon must be confirmed as the coordinator.  Nor may the pause be
  * all that is left of an order.  term: if not 0, the pause must still be for
  * that term.
  */
@@ -379,7 +389,7 @@
 	    group_orders_proved_by(server) ||
 	    now_us - pool->coordinator_since_us < ORDER_LATE_US)
 		return false;
-	if (now_us - pool->coordinator_confirmed_us < COORDINATOR_CONFIRMED_US)
+	if (coordinator_confirmed(pool, now_us))
 		return true;
 	request_coordinator_check(pool);
 	return false;
@@ -808,6 +818,7 @@
 			: lease_unaware_since_us(&group->lease,
 			      failover->views[primary].promised, now_us));
 	group_members_check(group, now_us);
+	failover->release_allowed = coordinator_confirmed(group->pool, now_us);
 	failover_tick(failover, now_us, &actions);
 	set_no_candidate(group, failover->no_candidate, now_us);
 	for (i = 0; i < actions.count; i++)
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -233,6 +233,8 @@
     {"one that does not yet, all daemons confirm", 2, true, true, true, 600},
     {"the same, the coordinator may release a moment later", 2, true, true,
 	true, 700, 2},
+    {"the same, once the daemons' answers are out of date", 2, true, true, true,
+	1150, 10},
     {"one that does not yet, most daemons confirm", 2, false, true, true, 3600},
     {"one that does not yet, no daemon confirms", 2, false, false, true, 0},
 };
@@ -261,6 +263,7 @@
 			failover_leases_revoked(
 			    &failover, 3, c->all, MS(at_ms));
 		announced_ms = -1;
+		failover.release_allowed = refused == c->refused;
 		failover_tick(&failover, MS(at_ms), &actions);
 		for (i = 0; i < actions.count; i++) {
 			if (actions.list[i].kind == FAILOVER_ANNOUNCE_TERM) {
