http.c: a request is not written after its timeout

Callers saw: nothing yet; found by a test. A daemon that is frozen just as the connection for an order is open writes the order when it runs again, however much later. By then another daemon may be the coordinator and have ordered with a higher fencing token (rule ONE: a lower number after a higher one).

Cause: opening a connection and writing the request are done in one dispatch of the main loop, so the timer of the timeout, which is due by then, runs only afterwards.

Evidence: without the change /http/frozen-sender fails in three of its seven rows (as it has connected, as the connection may be used, as it begins to write it): the server receives the order of a process that was frozen for 500 ms with a timeout of 100 ms.

The time is compared again right before the request is written, so what is left is the system call itself.

Ruled out: that the library repeats an order (/http/repeated). It sends a POST on a connection of its own and never again; a GET or PUT on a connection that was used before is sent a second time at once, within the timeout of the first. A repeated write of the coordinator record meets a conflict that names this daemon.

--- a/src/http.c
+++ b/src/http.c
@@ -43,6 +43,7 @@
 	GCancellable *cancellable;
 	GSource *timeout;
 	uint32_t extra_wait_ms; /* for the answer, beyond the timeout */
+	int64_t write_by_us;    /* time after which it is not written */
 	int64_t
 	    last_timeout_us;  /* time at which the response must be complete */
 	GInputStream *stream; /* of the response, once it has begun */
@@ -266,6 +267,21 @@
 	read_part(request);
 }
 
+/*
+ * Handle that a request is about to be written.  A process that was suspended
+ * while it opened the connection gets here before its timer runs, and the
+ * request may be an order that another daemon has superseded.
+ */
+static void
+on_starting(SoupMessage *message, gpointer context)
+{
+	request_t *request = context;
+
+	(void)message;
+	if (clock_us() >= request->write_by_us)
+		on_timeout(request);
+}
+
 /*
  * Handle that a long poll was sent: from now on it waits for its answer.
  */
@@ -327,6 +343,9 @@
 		g_bytes_unref(bytes);
 	}
 	request->extra_wait_ms = extra_wait_ms;
+	request->write_by_us =
+	    clock_us() + (int64_t)http->timeout_ms * US_PER_MS;
+	g_signal_connect(message, "starting", G_CALLBACK(on_starting), request);
 	if (extra_wait_ms > 0) {
 		g_signal_connect(message, "wrote-body",
 		    G_CALLBACK(on_long_poll_sent), request);
--- a/tests/t_http.c
+++ b/tests/t_http.c
@@ -2,11 +2,16 @@
 
 #include "cases.h"
 
+#include <signal.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 
 /* Tests of the HTTP client against a server that sends its response in parts.
  */
 
+static char *program_path;
+
 #define TIMEOUT_MS 100
 #define GAP_MS 50
 #define PART "0123456789"
@@ -479,12 +484,345 @@
 	g_free(address);
 }
 
+/* A server that answers its first request, and no other. */
+typedef struct first_server {
+	GSocket *listener;
+	GPtrArray *sockets; /* of its connections */
+	bool answered;
+	GString *received; /* all that it has received */
+} first_server_t;
+
+/*
+ * Start a server on a free port.  With a backlog of 0, connections beyond the
+ * first are opened only when that one is accepted.
+ */
+static void
+first_server_start(first_server_t *server, int32_t backlog)
+{
+	GSocketAddress *any =
+	    g_inet_socket_address_new_from_string("127.0.0.1", 0);
+
+	server->listener =
+	    g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, 0, NULL);
+	g_assert_true(g_socket_bind(server->listener, any, FALSE, NULL));
+	g_socket_set_listen_backlog(server->listener, backlog);
+	g_assert_true(g_socket_listen(server->listener, NULL));
+	g_socket_set_blocking(server->listener, FALSE);
+	server->sockets = g_ptr_array_new_with_free_func(g_object_unref);
+	server->received = g_string_new(NULL);
+	server->answered = false;
+	g_object_unref(any);
+}
+
+/*
+ * Return the address of a server.
+ */
+static char *
+first_server_address(const first_server_t *server)
+{
+	GSocketAddress *bound =
+	    g_socket_get_local_address(server->listener, NULL);
+	char *address = g_strdup_printf("127.0.0.1:%u",
+	    g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound)));
+
+	g_object_unref(bound);
+	return address;
+}
+
+/*
+ * Accept connections, answer the first request, and close the connection of any
+ * other one that it has read.
+ */
+static void
+first_server_run(first_server_t *server)
+{
+	static const char answer[] =
+	    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+	GSocket *socket;
+	gsize before;
+	uint32_t i;
+
+	while (
+	    (socket = g_socket_accept(server->listener, NULL, NULL)) != NULL) {
+		g_socket_set_blocking(socket, FALSE);
+		g_ptr_array_add(server->sockets, socket);
+	}
+	for (i = 0; i < server->sockets->len; i++) {
+		socket = g_ptr_array_index(server->sockets, i);
+		before = server->received->len;
+		if (g_socket_is_closed(socket))
+			continue;
+		connection_read(socket, server->received);
+		if (server->received->len == before)
+			continue;
+		if (server->answered)
+			g_socket_close(socket, NULL);
+		else
+			g_assert_cmpint(g_socket_send(socket, answer,
+					    sizeof(answer) - 1, NULL, NULL),
+			    ==, sizeof(answer) - 1);
+		server->answered = true;
+	}
+}
+
+/*
+ * Return how often a server has received a text.
+ */
+static uint32_t
+first_server_count(const first_server_t *server, const char *text)
+{
+	const char *at = server->received->str;
+	uint32_t count = 0;
+
+	while ((at = strstr(at, text)) != NULL) {
+		at += strlen(text);
+		count++;
+	}
+	return count;
+}
+
+/*
+ * Stop a server.
+ */
+static void
+first_server_stop(first_server_t *server)
+{
+	g_ptr_array_unref(server->sockets);
+	g_string_free(server->received, TRUE);
+	g_object_unref(server->listener);
+}
+
+/*
+ * Run the client and a server until a request has ended.
+ */
+static void
+run_until_ended(first_server_t *server, const result_t *result)
+{
+	while (!result->ended) {
+		g_main_context_iteration(NULL, FALSE);
+		first_server_run(server);
+		g_usleep(1000);
+	}
+}
+
+typedef struct repeated_case {
+	const char *name;
+	const char *method;
+	uint32_t received; /* number of times that the server receives it */
+} repeated_case_t;
+
+static const repeated_case_t repeated_cases[] = {
+    {"an order", "POST", 1},
+    {"a write of an object", "PUT", 2},
+    {"a read", "GET", 2},
+};
+
+/*
+ * Test that an order is not sent again when the server closes a connection that
+ * was used before without a response.  Requests that may be repeated are, once.
+ */
+static void
+test_repeated(gconstpointer data)
+{
+	const repeated_case_t *c = data;
+	first_server_t server;
+	result_t first = {0}, second = {0};
+	http_client_t *http;
+	char *address;
+
+	first_server_start(&server, WAITING_MAX);
+	address = first_server_address(&server);
+	http = http_client_new(address, TIMEOUT_MS);
+	http_request_send(http, http_request_new(http, "GET", "/first"), NULL,
+	    0, on_result, &first);
+	run_until_ended(&server, &first);
+	g_assert_cmpuint(first.status, ==, 200);
+	http_request_send(http, http_request_new(http, c->method, "/second"),
+	    NULL, 0, on_result, &second);
+	run_until_ended(&server, &second);
+	run_for(INT64_C(2) * TIMEOUT_MS * US_PER_MS);
+	first_server_run(&server);
+	g_assert_cmpuint(second.status, ==, 0);
+	g_assert_cmpuint(
+	    first_server_count(&server, " /second "), ==, c->received);
+	http_client_free(http);
+	first_server_stop(&server);
+	g_free(address);
+}
+
+/* Where a process that sends an order is frozen. */
+typedef enum frozen_at {
+	FROZEN_AT_SEND,    /* before anything is done */
+	FROZEN_AT_REUSE,   /* the same, and a connection is open */
+	FROZEN_CONNECTING, /* while the connection is being opened */
+	FROZEN_CONNECTED,  /* once it is open */
+	FROZEN_COMPLETE,   /* once it may be used */
+	FROZEN_STARTING,   /* as the request is about to be written */
+} frozen_at_t;
+
+typedef struct frozen_case {
+	const char *name;
+	frozen_at_t at;
+	int64_t frozen_ms;
+	uint32_t received; /* number of orders that the server receives */
+} frozen_case_t;
+
+static const frozen_case_t frozen_cases[] = {
+    {"as it begins to send it", FROZEN_AT_SEND, 500, 0},
+    {"the same, with an open connection", FROZEN_AT_REUSE, 500, 0},
+    /* the kernel opens the connection a second after its first attempt */
+    {"as it connects", FROZEN_CONNECTING, 2500, 0},
+    {"as it has connected", FROZEN_CONNECTED, 500, 0},
+    {"as the connection may be used", FROZEN_COMPLETE, 500, 0},
+    {"as it begins to write it", FROZEN_STARTING, 500, 0},
+    {"as it begins to write it, briefly", FROZEN_STARTING, 5, 1},
+};
+
+/* First argument of the process that sends an order, before its address. */
+#define SENDER_OPTION "--send-order"
+
+/*
+ * Stop this process until it is continued, at a step of opening a connection.
+ */
+static void
+on_step(SoupMessage *message, GSocketClientEvent event, GIOStream *stream,
+    gpointer context)
+{
+	const GSocketClientEvent *frozen_at = context;
+
+	(void)message;
+	(void)stream;
+	if (event == *frozen_at)
+		raise(SIGSTOP);
+}
+
+/*
+ * Stop this process until it is continued, as a request is about to be written.
+ */
+static void
+on_starting(SoupMessage *message, gpointer context)
+{
+	(void)message;
+	(void)context;
+	raise(SIGSTOP);
+}
+
+/*
+ * Send an order, be frozen before it is on its way, and run on for a while.
+ */
+static int32_t
+run_sender(const char *address, frozen_at_t at)
+{
+	http_client_t *http = http_client_new(address, TIMEOUT_MS);
+	result_t first = {0}, second = {0};
+	SoupMessage *order;
+	static const GSocketClientEvent steps[] = {
+	    [FROZEN_CONNECTED] = G_SOCKET_CLIENT_CONNECTED,
+	    [FROZEN_COMPLETE] = G_SOCKET_CLIENT_COMPLETE};
+
+	if (at == FROZEN_AT_REUSE) {
+		http_request_send(http, http_request_new(http, "GET", "/first"),
+		    NULL, 0, on_result, &first);
+		while (!first.ended)
+			g_main_context_iteration(NULL, TRUE);
+	}
+	order = http_request_new(http, "POST", "/order");
+	if (at == FROZEN_CONNECTED || at == FROZEN_COMPLETE)
+		g_signal_connect(order, "network-event", G_CALLBACK(on_step),
+		    (gpointer)&steps[at]);
+	if (at == FROZEN_STARTING)
+		g_signal_connect(
+		    order, "starting", G_CALLBACK(on_starting), NULL);
+	http_request_send(http, order, "{}", 0, on_result, &second);
+	if (at == FROZEN_CONNECTING)
+		run_for(INT64_C(30) * US_PER_MS);
+	if (at <= FROZEN_CONNECTING)
+		raise(SIGSTOP);
+	while (!second.ended)
+		g_main_context_iteration(NULL, TRUE);
+	run_for(INT64_C(5) * TIMEOUT_MS * US_PER_MS);
+	http_client_free(http);
+	return second.ended ? 0 : 1;
+}
+
+/*
+ * Wait until a process is stopped or has ended, and return its status as
+ * waitpid() does.
+ */
+static int
+wait_for_sender(GPid pid, first_server_t *server, bool serving)
+{
+	int status;
+
+	while (waitpid(pid, &status, WNOHANG | WUNTRACED) == 0) {
+		if (serving)
+			first_server_run(server);
+		g_usleep(1000);
+	}
+	return status;
+}
+
+/*
+ * Test that an order is not sent by a process that was frozen for longer than
+ * the timeout after it was asked to send it: another daemon may be the
+ * coordinator by then.
+ */
+static void
+test_frozen_sender(gconstpointer data)
+{
+	const frozen_case_t *c = data;
+	first_server_t server;
+	char *address, *at = g_strdup_printf("%d", (int)c->at);
+	char *argv[] = {program_path, SENDER_OPTION, NULL, at, NULL};
+	GSocket *waiting[WAITING_MAX];
+	GSocketAddress *bound;
+	GPid pid;
+	uint32_t i;
+	int status;
+
+	first_server_start(
+	    &server, c->at == FROZEN_CONNECTING ? 0 : WAITING_MAX);
+	address = first_server_address(&server);
+	bound = g_socket_get_local_address(server.listener, NULL);
+	for (i = 0; i < WAITING_MAX; i++) {
+		waiting[i] = g_socket_new(
+		    G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, 0, NULL);
+		g_socket_set_blocking(waiting[i], FALSE);
+		if (c->at == FROZEN_CONNECTING)
+			(void)g_socket_connect(waiting[i], bound, NULL, NULL);
+	}
+	argv[2] = address;
+	g_assert_true(g_spawn_async(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
+	    NULL, NULL, &pid, NULL));
+	status = wait_for_sender(pid, &server, c->at != FROZEN_CONNECTING);
+	g_assert_true(WIFSTOPPED(status));
+	for (i = 0; i < c->frozen_ms; i++) {
+		first_server_run(&server);
+		g_usleep(1000);
+	}
+	kill(pid, SIGCONT);
+	status = wait_for_sender(pid, &server, true);
+	g_assert_true(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	first_server_run(&server);
+	g_assert_cmpuint(
+	    first_server_count(&server, " /order "), ==, c->received);
+	for (i = 0; i < WAITING_MAX; i++)
+		g_object_unref(waiting[i]);
+	g_object_unref(bound);
+	first_server_stop(&server);
+	g_free(address);
+	g_free(at);
+}
+
 /*
  * Register the tests and run them.
  */
 int
 main(int argc, char **argv)
 {
+	program_path = argv[0];
+	if (argc == 4 && strcmp(argv[1], SENDER_OPTION) == 0)
+		return run_sender(argv[2], (frozen_at_t)atoi(argv[3]));
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions();
 	CASES("/http/response", response_cases, test_response);
@@ -492,5 +830,7 @@
 	CASES("/http/unanswered", unanswered_cases, test_unanswered);
 	CASES("/http/crowd", crowd_cases, test_crowd);
 	g_test_add_func("/http/not-sent-later", test_not_sent_later);
+	CASES("/http/repeated", repeated_cases, test_repeated);
+	CASES("/http/frozen-sender", frozen_cases, test_frozen_sender);
 	return g_test_run();
 }
