No fencing token below one that another daemon knows

Callers saw: after the coordinator record was deleted, or replaced by an older one, a primary that crashed was not replaced any more (no write for the 12 s of the test).

Cause: the next coordinator began again with the token that followed the record. The daemons that had been told of a higher one refused it, and it took the role under the same token again. No order with a lower token was seen in these runs, since most daemons knew the higher one; where most had restarted, nothing but the answer of the others, which may come late, kept such an order back. A coordinator that had itself been told of a newer token, and did not reach the store, also went on under its own: its own answer counted among most daemons without being compared.

Evidence: without the change all five rows of /late-order/record fail (no write in 12 s; no invalid token); with it they pass, with promotions in terms 2 and 3. /coordinator/token-seen is on the registry alone.

The peers task now tells the registry of each newer token that another daemon tells. The registry takes the role above the highest one that it knows, and gives the role up when its own is lower, so that orders that wait under it are void. Each token is still at most one above the highest before, with one write each, so the bound for a record that cannot be read holds (fencing_token_highest()).

Ruled out: a write of the record that the store carries out 3 s after it was given up, with its condition still true. Whichever write comes first ends the condition of the other (/late-order/late-write, four rows, each passed without an invalid token).

--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -727,6 +727,51 @@
   assert(message->base.descriptor == &bp__token_read__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__token_seen__init
+                     (Bp__TokenSeen         *message)
+{
+  static const Bp__TokenSeen init_value = BP__TOKEN_SEEN__INIT;
+  *message = init_value;
+}
+size_t bp__token_seen__get_packed_size
+                     (const Bp__TokenSeen *message)
+{
+  assert(message->base.descriptor == &bp__token_seen__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__token_seen__pack
+                     (const Bp__TokenSeen *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__token_seen__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__token_seen__pack_to_buffer
+                     (const Bp__TokenSeen *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__token_seen__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__TokenSeen *
+       bp__token_seen__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__TokenSeen *)
+     protobuf_c_message_unpack (&bp__token_seen__descriptor,
+                                allocator, len, data);
+}
+void   bp__token_seen__free_unpacked
+                     (Bp__TokenSeen *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__token_seen__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__promotion_wanted__init
                      (Bp__PromotionWanted         *message)
 {
@@ -2502,6 +2547,44 @@
   (ProtobufCMessageInit) bp__token_read__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__token_seen__field_descriptors[1] =
+{
+  {
+    "token",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__TokenSeen, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__token_seen__field_indices_by_name[] = {
+  0,   /* field[0] = token */
+};
+static const ProtobufCIntRange bp__token_seen__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bp__token_seen__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.TokenSeen",
+  "TokenSeen",
+  "Bp__TokenSeen",
+  "bp",
+  sizeof(Bp__TokenSeen),
+  1,
+  bp__token_seen__field_descriptors,
+  bp__token_seen__field_indices_by_name,
+  1,  bp__token_seen__number_ranges,
+  (ProtobufCMessageInit) bp__token_seen__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__promotion_wanted__field_descriptors[11] =
 {
   {
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -32,6 +32,7 @@
 typedef struct Bp__GroupMembersWanted Bp__GroupMembersWanted;
 typedef struct Bp__OrderLearned Bp__OrderLearned;
 typedef struct Bp__TokenRead Bp__TokenRead;
+typedef struct Bp__TokenSeen Bp__TokenSeen;
 typedef struct Bp__PromotionWanted Bp__PromotionWanted;
 typedef struct Bp__PromotionCancelled Bp__PromotionCancelled;
 typedef struct Bp__PromotionEnded Bp__PromotionEnded;
@@ -465,6 +466,19 @@
     , 0 }
 
 
+/*
+ * peers -> registry: another daemon knows this fencing token.
+ */
+struct  Bp__TokenSeen
+{
+  ProtobufCMessage base;
+  uint64_t token;
+};
+#define BP__TOKEN_SEEN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__token_seen__descriptor) \
+    , 0 }
+
+
 /*
  * pool -> registry: order that a server be made the primary of its group.
  */
@@ -1194,6 +1208,25 @@
 void   bp__token_read__free_unpacked
                      (Bp__TokenRead *message,
                       ProtobufCAllocator *allocator);
+/* Bp__TokenSeen methods */
+void   bp__token_seen__init
+                     (Bp__TokenSeen         *message);
+size_t bp__token_seen__get_packed_size
+                     (const Bp__TokenSeen   *message);
+size_t bp__token_seen__pack
+                     (const Bp__TokenSeen   *message,
+                      uint8_t             *out);
+size_t bp__token_seen__pack_to_buffer
+                     (const Bp__TokenSeen   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__TokenSeen *
+       bp__token_seen__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__token_seen__free_unpacked
+                     (Bp__TokenSeen *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__PromotionWanted methods */
 void   bp__promotion_wanted__init
                      (Bp__PromotionWanted         *message);
@@ -1586,6 +1619,9 @@
 typedef void (*Bp__TokenRead_Closure)
                  (const Bp__TokenRead *message,
                   void *closure_data);
+typedef void (*Bp__TokenSeen_Closure)
+                 (const Bp__TokenSeen *message,
+                  void *closure_data);
 typedef void (*Bp__PromotionWanted_Closure)
                  (const Bp__PromotionWanted *message,
                   void *closure_data);
@@ -1665,6 +1701,7 @@
 extern const ProtobufCMessageDescriptor bp__group_members_wanted__descriptor;
 extern const ProtobufCMessageDescriptor bp__order_learned__descriptor;
 extern const ProtobufCMessageDescriptor bp__token_read__descriptor;
+extern const ProtobufCMessageDescriptor bp__token_seen__descriptor;
 extern const ProtobufCMessageDescriptor bp__promotion_wanted__descriptor;
 extern const ProtobufCMessageDescriptor bp__promotion_cancelled__descriptor;
 extern const ProtobufCMessageDescriptor bp__promotion_ended__descriptor;
--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -92,11 +92,40 @@
 	if (record == NULL)
 		return;
 	registry->coordinator_token = record->token;
+	registry->highest_token = MAX(registry->highest_token, record->token);
 	if (!names_this_daemon(registry, record) ||
 	    record->token != registry->written_token)
 		restore_forget(registry);
 }
 
+/*
+ * Tell whether a token is the newest one.  The record has an older one if it
+ * was deleted, or replaced by another writer.
+ */
+static bool
+token_is_newest(const registry_t *registry, uint64_t token)
+{
+	return token >= registry->highest_token &&
+	    fencing_token_is_current(registry->store_era, token);
+}
+
+/*
+ * Handle TokenSeen: note a token that another daemon knows.  It ends the role
+ * under an older one, also while the store does not answer.
+ */
+void
+token_seen(void *context, msg_t *msg)
+{
+	registry_t *registry = context;
+
+	registry->highest_token = MAX(
+	    registry->highest_token, ((const Bp__TokenSeen *)msg->body)->token);
+	if (registry->fencing_token != 0 &&
+	    registry->fencing_token < registry->highest_token)
+		coordinator_send_changed(registry, false);
+	msg_free(msg);
+}
+
 /*
  * Handle the response to a write of the coordinator record.  After a conflict,
  * a record that names this daemon was written by a previous process or by a
@@ -120,7 +149,7 @@
 	if (record != NULL)
 		orders_report_token(registry, record);
 	if (status == OBJECT_STORE_OK && held_here &&
-	    fencing_token_is_current(registry->store_era, record->token)) {
+	    token_is_newest(registry, record->token)) {
 		registry->fencing_token = record->token;
 		restore_note_written(
 		    registry, record->token, response->list[0].revision);
@@ -161,7 +190,7 @@
 
 /*
  * Write the coordinator record to take over the role, with a token above the
- * one in it.
+ * one in it and all others that are known.
  */
 void
 coordinator_write(
@@ -170,7 +199,8 @@
 	registry->coordinator_call_pending = true;
 	registry->coordinator_sent_us = clock_us();
 	put_coordinator_record(registry, revision,
-	    fencing_token_next(registry->store_era, recorded_token),
+	    fencing_token_next(registry->store_era,
+		MAX(recorded_token, registry->highest_token)),
 	    on_coordinator_written, registry);
 }
 
--- a/src/proxy/incoming.c
+++ b/src/proxy/incoming.c
@@ -163,7 +163,7 @@
 	}
 	msg = msg_new(&bp__revoke_asked__descriptor);
 	asked = (Bp__RevokeAsked *)msg->body;
-	peers->token = revoke->token;
+	peers_note_token(peers, revoke->token);
 	asked->link = incoming->id;
 	asked->id = revoke->id;
 	asked->group = arena_strdup(msg->arena, revoke->group);
@@ -192,7 +192,7 @@
 	Bp__PeerMessage message = BP__PEER_MESSAGE__INIT;
 	Bp__TokenTell tell = BP__TOKEN_TELL__INIT;
 
-	peers->token = MAX(peers->token, ask->token);
+	peers_note_token(peers, ask->token);
 	tell.id = ask->id;
 	tell.token = peers->token;
 	tell.recorded = peers->token_recorded;
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -229,6 +229,23 @@
 	}
 }
 
+/*
+ * Note a fencing token that another daemon knows, and tell the registry task of
+ * it if it is newer than those before.
+ */
+void
+peers_note_token(peers_t *peers, uint64_t token)
+{
+	msg_t *msg;
+
+	if (token <= peers->token)
+		return;
+	peers->token = token;
+	msg = msg_new(&bp__token_seen__descriptor);
+	((Bp__TokenSeen *)msg->body)->token = token;
+	task_send(peers->proxy->registry, peers->task, msg);
+}
+
 /*
  * Handle the answer of a target.  token: the highest fencing token that the
  * target knows; 0 if no daemon runs there.  newest_term: the newest term in
@@ -240,6 +257,7 @@
 	revocation_t *revocation = target->revocation;
 
 	revocation->newest_term = MAX(revocation->newest_term, newest_term);
+	peers_note_token(revocation->peers, token);
 	if (token > revocation->token) {
 		log_line(LOG_PART, G_LOG_LEVEL_MESSAGE,
 		    "Daemon %s knows fencing token %" G_GUINT64_FORMAT
@@ -421,8 +439,7 @@
 	    wanted->confirms ? peers->proxy->registry : peers->proxy->pool;
 	revocation->unreadable_revision = wanted->unreadable_revision;
 	revocation->of_daemons = (uint32_t)wanted->of_daemons;
-	outdated =
-	    wanted->unreadable_revision != 0 && peers->token > wanted->token;
+	outdated = peers->token > wanted->token;
 	peers->token = MAX(peers->token, wanted->token);
 	revocation->arena = arena_new();
 	if (wanted->order != NULL)
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -43,6 +43,9 @@
 	GHashTable *transactions; /* pool's ids of the open transactions */
 } incoming_link_t;
 
+/* peers.c */
+void peers_note_token(peers_t *, uint64_t token);
+
 /* incoming.c */
 void incoming_accept(void *peers, GSocket *);
 void incoming_free(gpointer);
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -571,6 +571,7 @@
 
 static const task_handler_t handlers[] = {
     {&bp__duty_wanted__descriptor, coordinator_check},
+    {&bp__token_seen__descriptor, token_seen},
     {&bp__promotion_wanted__descriptor, promotion_wanted},
     {&bp__promotion_cancelled__descriptor, promotion_cancelled},
     {&bp__orders_wanted__descriptor, orders_wanted},
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -75,6 +75,7 @@
 					  or written */
 	uint64_t coordinator_revision; /* last known revision of the record */
 	uint64_t coordinator_token;    /* last known token in the record */
+	uint64_t highest_token; /* highest that this or another daemon knows */
 	int64_t coordinator_sent_us; /* time of the last write that takes it */
 	/* token and revision of the record with which this process last took
 	   the role, while no other one is known to have followed; 0: none */
@@ -138,6 +139,7 @@
 
 /* coordinator.c */
 void coordinator_claim(registry_t *);
+void token_seen(void *registry, msg_t *);
 void coordinator_record_orders(registry_t *);
 Bp__DutyRecord *coordinator_record(
     const registry_t *, const object_store_response_t *, arena_t *);
--- a/tests/fake/fakestore.c
+++ b/tests/fake/fakestore.c
@@ -25,6 +25,10 @@
 /* Time after which the operator and the databases write again what is gone. */
 #define WRITTEN_AGAIN_MS 700
 
+/* Kind of the coordinator record, and the delay of late writes of it. */
+#define RECORD_KIND "bergamotplank-duties"
+#define LATE_WRITE_MS 3000
+
 typedef struct object {
 	char *kind;
 	char *name;
@@ -71,6 +75,9 @@
 	STORE_FAULT_REPEAT,   /* lists go on with their first page */
 	STORE_FAULT_BACK_DURING_LIST, /* go back to the copy after a page */
 	STORE_FAULT_DEAF,             /* watches are not answered */
+	/* writes of the coordinator record are carried out LATE_WRITE_MS after
+	 * they came, if their condition still holds, and not answered */
+	STORE_FAULT_LATE_RECORD,
 } store_fault_t;
 
 struct object_store {
@@ -366,7 +373,8 @@
 		watch_t *watch = l->data;
 
 		l = l->next;
-		if (store->fault == STORE_FAULT_NONE &&
+		if ((store->fault == STORE_FAULT_NONE ||
+			store->fault == STORE_FAULT_LATE_RECORD) &&
 		    strcmp(watch->kind, kind) == 0)
 			watch_complete(watch);
 	}
@@ -507,7 +515,8 @@
  * lists that may be old show the copy until new-lists.  With copy and blank,
  * the copy becomes the present state or an empty store; with restored, the
  * store goes back to it, and with restored-in-list between two pages of the
- * next list; with hidden-era, the era is not sent any more.
+ * next list; with hidden-era, the era is not sent any more.  With late-record,
+ * writes of the coordinator record are carried out late.
  */
 void
 object_store_inject_fault(object_store_t *store, const char *name)
@@ -547,6 +556,8 @@
 		store->fault = STORE_FAULT_CHANGE_DURING_LIST;
 	} else if (strcmp(name, "restored-in-list") == 0) {
 		store->fault = STORE_FAULT_BACK_DURING_LIST;
+	} else if (strcmp(name, "late-record") == 0) {
+		store->fault = STORE_FAULT_LATE_RECORD;
 	} else if (strcmp(name, "nameless") == 0) {
 		store->fault = STORE_FAULT_NAMELESS;
 	} else if (strcmp(name, "repeating") == 0) {
@@ -763,6 +774,48 @@
 	g_free(created_name);
 }
 
+/* A write that is carried out late. */
+typedef struct late_write {
+	object_store_t *store;
+	SoupServerMessage *message; /* it is not answered */
+	char *name;                 /* NULL: it creates an object */
+	char *body;
+} late_write_t;
+
+/*
+ * Carry out a late write.
+ */
+static gboolean
+on_late_write(gpointer context)
+{
+	late_write_t *late = context;
+
+	create_or_replace_object(
+	    late->store, late->message, RECORD_KIND, late->name, late->body);
+	g_object_unref(late->message);
+	g_free(late->name);
+	g_free(late->body);
+	g_free(late);
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * Have a write of the coordinator record carried out late.
+ */
+static void
+write_late(object_store_t *store, SoupServerMessage *message, const char *name,
+    const char *body)
+{
+	late_write_t *late = g_new0(late_write_t, 1);
+
+	late->store = store;
+	late->message = g_object_ref(message);
+	late->name = g_strdup(name);
+	late->body = g_strdup(body);
+	soup_server_message_pause(message);
+	g_timeout_add(LATE_WRITE_MS, on_late_write, late);
+}
+
 /*
  * Get or delete an object.
  */
@@ -809,6 +862,10 @@
 		soup_server_message_pause(message);
 	else if (store->fault == STORE_FAULT_BUSY || kind == NULL)
 		send_json(message, 503, g_string_new(NULL));
+	else if (store->fault == STORE_FAULT_LATE_RECORD &&
+	    strcmp(kind, RECORD_KIND) == 0 &&
+	    (strcmp(method, "POST") == 0 || strcmp(method, "PUT") == 0))
+		write_late(store, message, name, text);
 	else if (strcmp(method, "POST") == 0 || strcmp(method, "PUT") == 0)
 		create_or_replace_object(store, message, kind, name, text);
 	else if (name != NULL)
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -1080,6 +1080,46 @@
 	bed_stop(&bed);
 }
 
+typedef struct token_seen_case {
+	const char *name;
+	uint64_t token; /* that another daemon knows */
+	uint64_t sent;  /* orders that are sent */
+	uint64_t next;  /* token with which the role is taken again */
+} token_seen_case_t;
+
+static const token_seen_case_t token_seen_cases[] = {
+    {"an older one", 4, 1, 6},
+    {"the same", 5, 1, 6},
+    {"a newer one", 8, 0, 9},
+};
+
+/*
+ * Test that a coordinator which hears of a newer token from another daemon
+ * sends no order, though the store has confirmed it, and that no token is lower
+ * than one that was heard of.
+ */
+static void
+test_token_seen(gconstpointer data)
+{
+	const token_seen_case_t *c = data;
+	msg_t *msg = msg_new(&bp__token_seen__descriptor);
+	bed_t bed;
+	registry_t *registry = bed_start(&bed, &store_ops, NULL);
+
+	registry->fencing_token = 5;
+	registry->coordinator_revision = 10;
+	registry->order_sent = true;
+	promoted_count = 0;
+	want_order(registry, "ledger", 2, clock_us());
+	((Bp__TokenSeen *)msg->body)->token = c->token;
+	token_seen(registry, msg);
+	answer_last_write(OBJECT_STORE_OK, "this", 5, 11);
+	g_assert_cmpuint(promoted_count, ==, c->sent);
+	coordinator_write(registry, 11, 5);
+	g_assert_cmpuint(last_write.token, ==, c->next);
+	bed_stop(&bed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -1102,5 +1142,6 @@
 	CASES("/coordinator/role-again", role_again_cases, test_role_again);
 	CASES("/coordinator/unreadable", unreadable_cases, test_unreadable);
 	CASES("/coordinator/heard", heard_cases, test_heard);
+	CASES("/coordinator/token-seen", token_seen_cases, test_token_seen);
 	return g_test_run();
 }
--- /dev/null
+++ b/tests/t_late_order.c
@@ -0,0 +1,213 @@
+#include "cases.h"
+#include "fake/testbed.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Tests of orders that are held up, and of fencing tokens that might be used
+ * twice, with proxy processes and a fake platform.
+ */
+
+#define READY_TIMEOUT_MS 10000
+#define ANSWER_TIMEOUT_MS 5000
+
+/* Time until all daemons are listed. */
+#define LISTED_MS 2500
+
+/* Time until a database that has returned has caught up. */
+#define CAUGHT_UP_MS 2500
+
+/* Time in which a primary that has crashed is replaced. */
+#define PROMOTION_MS 12000
+
+/*
+ * Tell whether a write through a proxy is acknowledged within a time.
+ */
+static bool
+write_served(testbed_t *testbed, uint32_t proxy, int64_t time_ms)
+{
+	int64_t end_us =
+	    g_get_monotonic_time() + time_ms * G_TIME_SPAN_MILLISECOND;
+	bool served = false;
+
+	while (!served && g_get_monotonic_time() < end_us) {
+		client_t *client =
+		    client_open_session(testbed, proxy, "intake");
+		char *answer = client == NULL
+		    ? NULL
+		    : client_query(client, "WRITE k v", ANSWER_TIMEOUT_MS);
+
+		served = answer != NULL && g_str_has_prefix(answer, "DONE");
+		g_free(answer);
+		if (client != NULL)
+			client_close(client);
+		g_usleep(20 * G_TIME_SPAN_MILLISECOND);
+	}
+	return served;
+}
+
+/*
+ * Assert that no order had a fencing token that was lower than one before, or
+ * that another daemon had used.
+ */
+static void
+assert_tokens_valid(testbed_t *testbed)
+{
+	uint32_t invalid = 0;
+	char *promoted = testbed_get(testbed, "/promoted");
+
+	g_free(testbed_item_value(testbed, "k", &invalid));
+	g_test_message("promoted:%s, %u invalid", promoted, invalid);
+	g_assert_cmpuint(invalid, ==, 0);
+	g_free(promoted);
+}
+
+/* A record of a former coordinator, with a token. */
+#define RECORD_OF_OTHER(token) "{\"holder\":\"other\",\"token\":" #token "}"
+
+/* What happens to the coordinator record after an order. */
+typedef enum record_fault {
+	RECORD_DELETED,
+	RECORD_OLDER, /* another writer puts an older one in its place */
+} record_fault_t;
+
+typedef struct record_case {
+	const char *name;
+	record_fault_t fault;
+	bool coordinator; /* it restarts */
+	bool other;       /* another daemon restarts */
+} record_case_t;
+
+static const record_case_t record_cases[] = {
+    {"it is deleted", RECORD_DELETED, false, false},
+    {"it is deleted, and another daemon restarts", RECORD_DELETED, false, true},
+    {"it is deleted, and the coordinator restarts", RECORD_DELETED, true,
+	false},
+    {"an older one is written", RECORD_OLDER, false, false},
+    {"an older one is written, and the coordinator restarts", RECORD_OLDER,
+	true, false},
+};
+
+/*
+ * Let a fault act on the coordinator record.
+ */
+static void
+record_inject_fault(testbed_t *testbed, record_fault_t fault)
+{
+	char *url = g_strdup_printf(
+	    "http://127.0.0.1:%u/objects/bergamotplank-duties/promotion",
+	    testbed->platform.port);
+
+	if (fault == RECORD_DELETED)
+		g_assert_cmpuint(http_call("DELETE", url, NULL, NULL), ==, 200);
+	else
+		testbed_put_object(testbed, "bergamotplank-duties", "promotion",
+		    RECORD_OF_OTHER(2));
+	g_free(url);
+}
+
+/*
+ * Test that after an order with a token the coordinator record of which is
+ * lost, no daemon orders with that token or a lower one.
+ */
+static void
+test_record(gconstpointer data)
+{
+	const record_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 3, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	uint32_t coordinator, i;
+	int32_t promoted;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_usleep(LISTED_MS * G_TIME_SPAN_MILLISECOND);
+	testbed_put_object(
+	    testbed, "bergamotplank-duties", "promotion", RECORD_OF_OTHER(5));
+	testbed_inject_fault(testbed, "database", "crash", 0);
+	g_assert_true(write_served(testbed, 0, PROMOTION_MS));
+	promoted = testbed_wait_primary(testbed, 1, "", 1000) ? 1 : 2;
+	testbed_inject_fault(testbed, "database", "return", 0);
+	g_usleep(CAUGHT_UP_MS * G_TIME_SPAN_MILLISECOND);
+	coordinator = testbed_coordinator(testbed);
+	record_inject_fault(testbed, c->fault);
+	for (i = 0; i < plan.proxies; i++) {
+		if (i == coordinator
+			? !c->coordinator
+			: !c->other || i != (coordinator + 1) % plan.proxies)
+			continue;
+		fleet_process_kill(&testbed->proxies[i]);
+		testbed_proxy_start(testbed, i);
+	}
+	testbed_inject_fault(testbed, "database", "crash", promoted);
+	g_assert_true(write_served(
+	    testbed, (coordinator + 2) % plan.proxies, PROMOTION_MS));
+	assert_tokens_valid(testbed);
+	testbed_stop(testbed);
+}
+
+typedef struct late_write_case {
+	const char *name;
+	int64_t fault_ms; /* for which writes of the record are late */
+	bool killed;      /* the coordinator is killed then */
+} late_write_case_t;
+
+static const late_write_case_t late_write_cases[] = {
+    {"another daemon has written it meanwhile", 600, false},
+    {"the same, and the coordinator is gone", 600, true},
+    {"it is carried out, and nobody knows", 4500, false},
+    {"it is carried out, and the coordinator is gone", 4500, true},
+};
+
+/*
+ * Test that no token is used twice if a write of the coordinator record is
+ * carried out seconds after it was given up.
+ */
+static void
+test_late_write(gconstpointer data)
+{
+	const late_write_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 3, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	uint32_t coordinator;
+	int32_t promoted;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_usleep(LISTED_MS * G_TIME_SPAN_MILLISECOND);
+	coordinator = testbed_coordinator(testbed);
+	testbed_put_object(
+	    testbed, "bergamotplank-duties", "promotion", RECORD_OF_OTHER(5));
+	testbed_inject_fault(testbed, "store", "late-record", -1);
+	testbed_inject_fault(testbed, "database", "crash", 0);
+	g_usleep(c->fault_ms * G_TIME_SPAN_MILLISECOND);
+	testbed_inject_fault(testbed, "store", "up", -1);
+	if (c->killed)
+		fleet_process_kill(&testbed->proxies[coordinator]);
+	coordinator = (coordinator + 1) % plan.proxies;
+	g_assert_true(write_served(testbed, coordinator, PROMOTION_MS));
+	assert_tokens_valid(testbed);
+	promoted = testbed_wait_primary(testbed, 1, "", 1000) ? 1 : 2;
+	testbed_inject_fault(testbed, "database", "return", 0);
+	g_usleep(CAUGHT_UP_MS * G_TIME_SPAN_MILLISECOND);
+	testbed_inject_fault(testbed, "database", "crash", promoted);
+	g_assert_true(write_served(testbed, coordinator, PROMOTION_MS));
+	assert_tokens_valid(testbed);
+	testbed_stop(testbed);
+}
+
+/*
+ * Register the tests and run them.
+ */
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions(); /* run every case */
+	curl_global_init(CURL_GLOBAL_ALL);
+	CASES("/late-order/record", record_cases, test_record);
+	CASES("/late-order/late-write", late_write_cases, test_late_write);
+	return g_test_run();
+}
