An order whose confirmation came too late is not sent

Callers saw: nothing yet; found by reading. While the store does not answer, an order is sent only within 0.2 s of the question whether most daemons know of a newer token. A coordinator that was suspended after the answer, for up to a second, sent its order all the same. Another daemon may have told the same daemons of its token right after they answered, and sends its first order 0.3 s later: a lower fencing token after a higher one.

Cause: the limit was kept by a timer alone, and the answer, which waits in the queue of the task, may be handled before the timer.

Evidence: /coordinator/confirmed/after-the-time-limit fails without the comparison of the time (one order sent, none expected), and passes with it.

--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -22,7 +22,6 @@
  * sends an order, or its order reaches the platform before the new
  * coordinator's first one.
  */
-#define CONFIRM_TIMEOUT_MS 200
 
 /* Interval of writes of orders that are not recorded yet. */
 #define RECORD_AGAIN_US (1000 * US_PER_MS)
@@ -355,13 +354,14 @@
 /* A promotion order that is not sent yet, or has no response yet. */
 typedef struct order {
 	registry_t *registry;
-	msg_t *msg;     /* the PromotionWanted message */
-	GSource *timer; /* delay of a first order, or confirmation timeout */
-	bool cancelled; /* the pool does not want it any more */
-	uint64_t token; /* fencing token under which it was decided */
-	bool noted;     /* it is among the orders to be recorded */
-	bool recording; /* it is sent when a write with it was confirmed */
-	bool written;   /* the write that is under way has it */
+	msg_t *msg;       /* the PromotionWanted message */
+	GSource *timer;   /* delay of a first order, or confirmation timeout */
+	bool cancelled;   /* the pool does not want it any more */
+	uint64_t token;   /* fencing token under which it was decided */
+	bool noted;       /* it is among the orders to be recorded */
+	bool recording;   /* it is sent when a write with it was confirmed */
+	bool written;     /* the write that is under way has it */
+	int64_t asked_us; /* time of the request to confirm the token */
 } order_t;
 
 /*
@@ -669,6 +669,7 @@
 	request->term = wanted->term;
 	request->token = registry->fencing_token;
 	request->has_confirms = request->confirms = 1;
+	order->asked_us = clock_us();
 	order->timer = task_timer(
 	    registry->task, CONFIRM_TIMEOUT_MS, on_confirm_timeout, order);
 	revoke_from_last_listed(registry, msg);
@@ -719,6 +720,11 @@
 			orders_learn(registry, ended->order)))
 			order_finish(
 			    order, BP__PROMOTION_ANSWER__ORDER_OUTDATED);
+		else if (clock_us() - order->asked_us >
+		    CONFIRM_TIMEOUT_MS * US_PER_MS)
+			/* suspended; the timer has not run yet */
+			order_finish(
+			    order, BP__PROMOTION_ANSWER__ORDER_UNCONFIRMED);
 		else
 			order_send_unrecorded(order);
 		break;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -64,6 +64,9 @@
  */
 #define COORDINATOR_CHECK_MAX_AGE_US (150 * US_PER_MS)
 
+/* Time limit for most daemons to confirm the token of an order. */
+#define CONFIRM_TIMEOUT_MS 200
+
 /*
  * The first order under a new token is sent this long after most daemons were
  * told of the token, so that an order of the previous coordinator has shown its
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -1120,6 +1120,44 @@
 	bed_stop(&bed);
 }
 
+typedef struct confirmed_case {
+	const char *name;
+	int64_t suspended_ms; /* between the answer and its handling */
+	uint64_t sent;        /* orders that are sent */
+} confirmed_case_t;
+
+static const confirmed_case_t confirmed_cases[] = {
+    {"at once", 0, 1},
+    {"after the time limit", CONFIRM_TIMEOUT_MS + 50, 0},
+};
+
+/*
+ * Test that an order which the store cannot record is not sent by a process
+ * that was suspended after most daemons had confirmed its token.
+ */
+static void
+test_confirmed(gconstpointer data)
+{
+	const confirmed_case_t *c = data;
+	msg_t *msg = msg_new(&bp__revoke_ended__descriptor);
+	Bp__RevokeEnded *ended = (Bp__RevokeEnded *)msg->body;
+	bed_t bed;
+	registry_t *registry = bed_start(&bed, &store_ops, &counting_peers_ops);
+
+	registry->fencing_token = 5;
+	registry->order_sent = registry->daemons_list_failed = true;
+	promoted_count = 0;
+	want_order(registry, "ledger", STANDING_TERM, clock_us());
+	g_usleep((gulong)(c->suspended_ms * US_PER_MS));
+	ended->group = arena_strdup(msg->arena, "ledger");
+	ended->term = STANDING_TERM;
+	ended->state = BP__REVOKE_STATE__MOST;
+	ended->token = 5;
+	order_confirmed(registry, msg);
+	g_assert_cmpuint(promoted_count, ==, c->sent);
+	bed_stop(&bed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -1142,6 +1180,7 @@
 	CASES("/coordinator/role-again", role_again_cases, test_role_again);
 	CASES("/coordinator/unreadable", unreadable_cases, test_unreadable);
 	CASES("/coordinator/heard", heard_cases, test_heard);
+	CASES("/coordinator/confirmed", confirmed_cases, test_confirmed);
 	CASES("/coordinator/token-seen", token_seen_cases, test_token_seen);
 	return g_test_run();
 }
