The first order under a new token waits until former ones have arrived

Callers saw: nothing yet; found by reading. An order could reach the platform up to 1.2 s after it was confirmed or recorded: 0.6 s (store_ms) until it was written, while its connection was opened, and 0.6 s in which the kernel went on to deliver it (TCP_USER_TIMEOUT). A successor sends its first order 0.3 s after most daemons were told of its token. So a lower fencing token could arrive after a higher one.

Evidence: in the first row of /http/delivery, which has no limit, an order is received although its connection was opened only a second after it was to be sent.

The client of the promotion call now has 0.2 s for writing an order and 0.2 s for its delivery by the kernel; the response may take as long as before. With the 0.2 s for the confirmation, or 0.15 s for the record, these are 0.6 s, which is the delay of the first order now.

Cost: a change of primary whose coordinator is new is ordered up to 0.3 s later; not measured. An order to a platform that takes longer than 0.2 s to accept a connection is given up and counts as open.

Not bounded by this: a platform that has received an order and reads it late, and a middlebox that holds data of a connection which was reset. The comment in /http/unanswered said that a reset drops what was received and not read; it does not (a trial with two sockets), and is corrected.

--- a/src/http.c
+++ b/src/http.c
@@ -31,8 +31,9 @@
 	SoupSession *session;
 	char *base_url;
 	uint32_t timeout_ms;
-	GQueue requests; /* of request_t that have no response yet */
-	bool closing;    /* http_client_free() has begun */
+	uint32_t delivery_ms; /* time in which a request is written */
+	GQueue requests;      /* of request_t that have no response yet */
+	bool closing;         /* http_client_free() has begun */
 };
 
 /* A request that was sent and has no response yet. */
@@ -65,11 +66,22 @@
 	http->session = soup_session_new_with_options("max-conns-per-host",
 	    CONNECTIONS_MAX, "proxy-resolver", NULL, NULL);
 	http->base_url = g_strdup_printf("http://%s", address);
-	http->timeout_ms = timeout_ms;
+	http->timeout_ms = http->delivery_ms = timeout_ms;
 	g_queue_init(&http->requests);
 	return http;
 }
 
+/*
+ * Limit the time in which a request reaches the server: to delivery_ms until it
+ * is written, and to as much for the kernel to deliver it, even if this process
+ * does not run.  The response may take the whole timeout after that.
+ */
+void
+http_client_limit_delivery(http_client_t *http, uint32_t delivery_ms)
+{
+	http->delivery_ms = MIN(delivery_ms, http->timeout_ms);
+}
+
 /*
  * Set up a connection that was just opened for a request.  If it is closed
  * before the response is complete, it is reset, also when the process is
@@ -97,7 +109,7 @@
 		    "Cannot have connections to %s reset: %s.", http->base_url,
 		    g_strerror(errno));
 	(void)g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
-	    (gint)http->timeout_ms, NULL);
+	    (gint)http->delivery_ms, NULL);
 }
 
 /*
@@ -283,10 +295,10 @@
 }
 
 /*
- * Handle that a long poll was sent: from now on it waits for its answer.
+ * Handle that a request was written: from now on it waits for its answer.
  */
 static void
-on_long_poll_sent(SoupMessage *message, gpointer context)
+on_written(SoupMessage *message, gpointer context)
 {
 	request_t *request = context;
 
@@ -316,7 +328,8 @@
  * response anew, since many daemons that start at once receive long responses
  * slowly.  A long poll, with extra_wait_ms, has the timeout to be sent, and the
  * timeout plus extra_wait_ms from then on for its response: while it opens a
- * connection, other requests may have to wait for it.
+ * connection, other requests may have to wait for it.  So it is with a limit
+ * for the delivery.
  */
 void
 http_request_send(http_client_t *http, SoupMessage *message, const char *body,
@@ -344,15 +357,15 @@
 	}
 	request->extra_wait_ms = extra_wait_ms;
 	request->write_by_us =
-	    clock_us() + (int64_t)http->timeout_ms * US_PER_MS;
+	    clock_us() + (int64_t)http->delivery_ms * US_PER_MS;
 	g_signal_connect(message, "starting", G_CALLBACK(on_starting), request);
-	if (extra_wait_ms > 0) {
-		g_signal_connect(message, "wrote-body",
-		    G_CALLBACK(on_long_poll_sent), request);
+	if (extra_wait_ms > 0 || http->delivery_ms < http->timeout_ms)
+		g_signal_connect(
+		    message, "wrote-body", G_CALLBACK(on_written), request);
+	if (extra_wait_ms > 0)
 		g_signal_connect(message, "restarted",
 		    G_CALLBACK(on_long_poll_restarted), request);
-	}
-	timeout_start(request, http->timeout_ms);
+	timeout_start(request, http->delivery_ms);
 	soup_session_send_async(http->session, message, G_PRIORITY_DEFAULT,
 	    request->cancellable, on_response, request);
 }
--- a/src/http.h
+++ b/src/http.h
@@ -16,6 +16,7 @@
     void *context, uint32_t status, const char *body, uint64_t size_bytes);
 
 http_client_t *http_client_new(const char *address, uint32_t timeout_ms);
+void http_client_limit_delivery(http_client_t *, uint32_t delivery_ms);
 SoupMessage *http_request_new(
     http_client_t *, const char *method, const char *path);
 void http_request_send(http_client_t *, SoupMessage *, const char *body,
--- a/src/proxy/objects.h
+++ b/src/proxy/objects.h
@@ -110,7 +110,10 @@
 typedef void (*promoter_cb)(void *context, promoter_status_t);
 
 typedef struct promoter_ops {
-	promoter_t *(*open)(const char *address, uint32_t timeout_ms);
+	/* delivery_ms: time in which an order is written, and again in which
+	   it is received; it is given up otherwise */
+	promoter_t *(*open)(
+	    const char *address, uint32_t timeout_ms, uint32_t delivery_ms);
 	/* holder, token: the caller's name and fencing token, from the
 	   coordinator record */
 	void (*promote)(promoter_t *, const char *group, const char *server,
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -483,7 +483,7 @@
 	if (settings->promotion_address != NULL &&
 	    settings->promotion_address[0] != '\0')
 		registry->promoter = registry->proxy->promoter->open(
-		    settings->promotion_address, timeout_ms);
+		    settings->promotion_address, timeout_ms, ORDER_DELIVERY_MS);
 	registry->config_delay = proxy_config_delay(settings->timeouts);
 	log_config_delay(registry);
 	daemons_init(registry);
--- a/tests/t_http.c
+++ b/tests/t_http.c
@@ -244,7 +244,7 @@
 	if (c->freed)
 		http_client_free(http);
 	socket = g_socket_connection_get_socket(server.connection);
-	/* a reset also drops what was received and not read yet */
+	/* what was received before the reset may still be read */
 	while ((n = g_socket_receive(
 		    socket, bytes, sizeof(bytes), NULL, &error)) > 0)
 		;
@@ -650,6 +650,74 @@
 	g_free(address);
 }
 
+typedef struct delivery_case {
+	const char *name;
+	uint32_t delivery_ms;
+	int64_t runs_after_ms; /* time after which the server runs */
+	bool full;             /* no connection can be opened before */
+	uint32_t status;
+	uint32_t received; /* number of orders that the server receives */
+	int64_t until_ms;  /* latest time at which the request ends */
+} delivery_case_t;
+
+static const delivery_case_t delivery_cases[] = {
+    {"no limit, late connection", 3000, 50, true, 200, 1, 2500},
+    {"late connection", 200, 50, true, 0, 0, 400},
+    {"late response", 200, 400, false, 200, 1, 1000},
+};
+
+/* Timeout of a client that limits the time for the delivery. */
+#define DELIVERY_TIMEOUT_MS 3000
+
+/*
+ * Test that an order which cannot be written in the time for its delivery is
+ * given up, and that its response may take longer.
+ */
+static void
+test_delivery(gconstpointer data)
+{
+	const delivery_case_t *c = data;
+	first_server_t server;
+	GSocket *waiting[WAITING_MAX];
+	GSocketAddress *bound;
+	result_t result = {0};
+	int64_t began_us = clock_us();
+	http_client_t *http;
+	char *address;
+	uint32_t i;
+
+	first_server_start(&server, c->full ? 0 : WAITING_MAX);
+	address = first_server_address(&server);
+	bound = g_socket_get_local_address(server.listener, NULL);
+	for (i = 0; i < WAITING_MAX; i++) {
+		waiting[i] = g_socket_new(
+		    G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, 0, NULL);
+		g_socket_set_blocking(waiting[i], FALSE);
+		if (c->full)
+			(void)g_socket_connect(waiting[i], bound, NULL, NULL);
+	}
+	http = http_client_new(address, DELIVERY_TIMEOUT_MS);
+	http_client_limit_delivery(http, c->delivery_ms);
+	http_request_send(http, http_request_new(http, "POST", "/order"), NULL,
+	    0, on_result, &result);
+	run_for(c->runs_after_ms * US_PER_MS);
+	run_until_ended(&server, &result);
+	g_assert_cmpint((clock_us() - began_us) / US_PER_MS, <=, c->until_ms);
+	for (i = 0; i < 2000; i++) {
+		first_server_run(&server);
+		g_usleep(1000);
+	}
+	g_assert_cmpuint(result.status, ==, c->status);
+	g_assert_cmpuint(
+	    first_server_count(&server, " /order "), ==, c->received);
+	http_client_free(http);
+	for (i = 0; i < WAITING_MAX; i++)
+		g_object_unref(waiting[i]);
+	g_object_unref(bound);
+	first_server_stop(&server);
+	g_free(address);
+}
+
 /* Where a process that sends an order is frozen. */
 typedef enum frozen_at {
 	FROZEN_AT_SEND,    /* before anything is done */
@@ -831,6 +899,7 @@
 	CASES("/http/crowd", crowd_cases, test_crowd);
 	g_test_add_func("/http/not-sent-later", test_not_sent_later);
 	CASES("/http/repeated", repeated_cases, test_repeated);
+	CASES("/http/delivery", delivery_cases, test_delivery);
 	CASES("/http/frozen-sender", frozen_cases, test_frozen_sender);
 	return g_test_run();
 }
