--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -501,7 +501,7 @@
 	if (settings->promotion_address != NULL &&
 	    settings->promotion_address[0] != '\0')
 		registry->promoter = registry->proxy->promoter->open(
-		    settings->promotion_address, timeout_ms);
+		    settings->promotion_address, timeout_ms, ORDER_DELIVERY_MS);
 	registry->config_delay = proxy_config_delay(settings->timeouts);
 	log_config_delay(registry);
 	daemons_init(registry);
@@ -589,6 +589,7 @@
 
 static const task_handler_t handlers[] = {
     {&bp__duty_wanted__descriptor, coordinator_check},
+    {&bp__token_seen__descriptor, token_seen},
     {&bp__promotion_wanted__descriptor, promotion_wanted},
     {&bp__promotion_cancelled__descriptor, promotion_cancelled},
     {&bp__orders_wanted__descriptor, orders_wanted},
