--- a/Makefile
+++ b/Makefile
@@ -27,8 +27,9 @@
 TEST_LIBS = `pkg-config --libs libcurl`
 TOOLS_O = $(patsubst %,$(BUILD)/tools/%.o, \
 	eventq failover_model fleet history load proxy_model \
-	proxy_model_dbs proxy_model_open proxy_model_records \
-	proxy_model_sequences quantile queuesim)
+	proxy_model_dbs proxy_model_open proxy_model_orders \
+	proxy_model_records proxy_model_role proxy_model_sequences \
+	quantile queuesim)
 FAKES = $(BUILD)/fakedb $(BUILD)/fakeplatform $(BUILD)/fakesite
 
 all: $(BIN) $(FAKES)
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -11,6 +11,8 @@
  * Internal to the proxy model.  proxy_model.c: the daemons and the event loop.
  * proxy_model_records.c: the daemons' records in the store, which say who may
  * hold leases.
+ * proxy_model_role.c: the coordinator role.
+ * proxy_model_orders.c: orders to promote a database.
  * proxy_model_open.c: the orders that may still take effect.
  * proxy_model_sequences.c: directed sequences of faults.
  * proxy_model_dbs.c: the databases, their replication and promotions, and the
@@ -21,6 +23,7 @@
 #define DBS_MAX 5
 #define OPEN_LIST_MAX 8
 #define REPLICATE_INTERVAL_US (5 * US_PER_MS)
+#define PROMOTION_MIN_US (100 * US_PER_MS)
 #define NETWORK_DELAY_MAX_US (4 * US_PER_MS)
 
 /* A log entry. */
@@ -216,6 +219,10 @@
 void proxy_model_members_record(proxy_model_t *, proxy_model_daemon_t *);
 int64_t proxy_model_checked_us(
     const proxy_model_t *, const proxy_model_daemon_t *);
+void proxy_model_write_order(
+    proxy_model_t *, uint32_t daemon, uint32_t db, uint64_t term);
+void proxy_model_order_written(proxy_model_t *, const event_t *);
+void proxy_model_take_role(proxy_model_t *, uint32_t daemon);
 void proxy_model_sender_paused(proxy_model_t *, uint32_t daemon, uint32_t db);
 void proxy_model_primary_cut(proxy_model_t *, uint32_t daemon);
 void proxy_model_unlisted_cut(proxy_model_t *, uint32_t daemon);
