--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -227,9 +227,6 @@
 	view.order_open = failover->views[event->db].order_open;
 	if (model->plan->troubles.start_listed_max_us == 0)
 		daemon->born_us[event->db] = event->born_us;
-	else if (model->now_us >= daemon->object_store_cut_until_us)
-		daemon->born_us[event->db] =
-		    model->dbs[event->db].listed_start_us;
 	view.member = daemon->members.count > 0 &&
 	    daemon->members.born_us[event->db] == daemon->born_us[event->db];
 	failover_replace_view(failover, event->db, &view, model->now_us);
@@ -596,6 +593,28 @@
 			model->rand, 0, (gint32)plan->databases));
 }
 
+/*
+ * Have a daemon read from the store which databases have started again.  Its
+ * lease relied on those before.
+ */
+static void
+read_starts(proxy_model_t *model, proxy_model_daemon_t *daemon)
+{
+	uint32_t i;
+
+	if (model->plan->troubles.start_listed_max_us == 0 ||
+	    model->now_us < daemon->object_store_cut_until_us)
+		return;
+	for (i = 0; i < model->plan->databases; i++) {
+		if (daemon->born_us[i] == model->dbs[i].listed_start_us)
+			continue;
+		daemon->born_us[i] = model->dbs[i].listed_start_us;
+		lease_cancel(&daemon->lease);
+		lease_member_lost(&daemon->lease);
+		proxy_model_members_update(model, daemon);
+	}
+}
+
 /*
  * Have a coordinator request a handover if the primary leaves and another
  * database can succeed it.
@@ -631,6 +650,7 @@
 		daemon->pause_began_us = 0;
 	}
 	proxy_model_place(model, event->daemon);
+	read_starts(model, daemon);
 	for (i = 0; i < model->plan->databases; i++) {
 		if (daemon->status_pending[i] &&
 		    model->now_us - daemon->status_sent_us[i] <
--- a/tools/proxy_model_orders.c
+++ b/tools/proxy_model_orders.c
@@ -269,8 +269,8 @@
 }
 
 /*
- * Hold an order up on its way.  A sender that runs and is connected has it
- * dropped when it gives it up.
+ * Hold an order up on its way.  When a sender that runs and is connected gives
+ * it up, it is dropped, unless the reset of the connection is held up as well.
  */
 static void
 hold_in_socket(proxy_model_t *model, const event_t *order, int64_t after_us)
@@ -281,7 +281,8 @@
 	check_token(model, order);
 	proxy_model_schedule(model, after_us + held_us, order);
 	given_up.kind = EVENT_ORDER_GIVEN_UP;
-	given_up.ok = draw_fate(model, order->daemon, held_us) == SENDER_RUNS;
+	given_up.ok = draw_fate(model, order->daemon, held_us) == SENDER_RUNS &&
+	    proxy_model_chance(model, 500);
 	proxy_model_schedule(model, ORDER_TIMEOUT_US, &given_up);
 }
 
