--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -11,13 +11,6 @@
 #define STATUS_TIMEOUT_US (200 * US_PER_MS)
 #define STATEMENT_TIMEOUT_US (1000 * US_PER_MS)
 #define FAULT_DURATION_MAX_US (4 * US_PER_SECOND)
-#define LEASE_STUCK_US (1500 * US_PER_MS)
-#define STUCK_TAKEOVER_US (5 * US_PER_SECOND)
-#define RESTART_DURATION_MAX_US (1 * US_PER_SECOND)
-#define PROMOTION_MIN_US (100 * US_PER_MS)
-#define PROMOTION_SPREAD_US (200 * US_PER_MS)
-#define LATE_PROMOTION_MAX_US (3 * US_PER_SECOND)
-#define ORDER_HELD_MAX_US (8 * US_PER_SECOND)
 #define FAILOVER_VISIBLE_US (2 * US_PER_SECOND)
 #define TAKEOVER_DELAY_US (900 * US_PER_MS)
 #define TAKEOVER_DELAY_SPREAD_US (600 * US_PER_MS)
@@ -60,7 +53,7 @@
 	}
 	model->result->acknowledged++;
 	model->result->split_brain_acks +=
-	    (model->plan->order_held_permille > 0
+	    (proxy_model_orders_overtake(model->plan)
 		    ? stmt->newest_term_when_executed
 		    : model->newest_term) > stmt->position.term;
 	g_array_append_val(model->acked_writes, stmt->write_id);
@@ -124,9 +117,10 @@
 	    .store_era = model->store_era,
 	    .orders = model->orders,
 	    .open = model->open,
-	    .members = model->members};
+	    .members = model->members,
+	    .token = model->coordinator_token};
 
-	if (daemon->orders_pending ||
+	if (daemon->orders_pending || model->record_unreadable ||
 	    model->now_us < daemon->object_store_cut_until_us)
 		return;
 	daemon->orders_pending = true;
@@ -187,6 +181,9 @@
 	recorded_orders_t orders = event->orders;
 
 	daemon->orders_pending = false;
+	daemon->token_read = true;
+	daemon->newest_token_seen =
+	    MAX(daemon->newest_token_seen, event->token);
 	proxy_model_era_reached(model, daemon, event->store_era);
 	if (event->store_era < daemon->store_era)
 		return;
@@ -228,9 +225,10 @@
 	if (event->call == CALL_STATUS)
 		daemon->status_pending[event->db] = false;
 	view.order_open = failover->views[event->db].order_open;
-	daemon->born_us[event->db] = event->born_us;
+	if (model->plan->troubles.start_listed_max_us == 0)
+		daemon->born_us[event->db] = event->born_us;
 	view.member = daemon->members.count > 0 &&
-	    daemon->members.born_us[event->db] == event->born_us;
+	    daemon->members.born_us[event->db] == daemon->born_us[event->db];
 	failover_replace_view(failover, event->db, &view, model->now_us);
 	if (event->call == CALL_STEP_DOWN)
 		proxy_model_stepped_down(model, event->daemon, event->db);
@@ -345,203 +343,6 @@
 		    daemon->holders_left == 0, model->now_us);
 }
 
-/*
- * Record an order in the store, before it is sent.
- */
-static void
-record_order(proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db)
-{
-	failover_t *failover = &daemon->failover;
-
-	if (model->plan->pauses_last ||
-	    model->plan->injected_bug == PROXY_BUG_ORDER_UNRECORDED)
-		return;
-	if (model->orders.attempt_term != failover->term) {
-		daemon->orders_before = model->orders;
-		daemon->members_before = model->members;
-	}
-	proxy_model_members_record(model, daemon);
-	model->orders.attempt_term = failover->term;
-	model->orders.era = model->store_era;
-	recorded_orders_add(&model->orders,
-	    MAX(failover_term_to_replace(failover),
-		lease_newest_term(&daemon->lease)),
-	    failover_base(failover));
-	proxy_model_open_note(model, daemon, db);
-	failover_orders_recorded(failover, &model->orders, model->now_us);
-}
-
-/*
- * Have the lease of a daemon know the order that the daemon has recorded.
- */
-static void
-own_order_read(proxy_model_t *model, proxy_model_daemon_t *daemon)
-{
-	recorded_orders_t orders = model->orders;
-
-	if (model->plan->pauses_last ||
-	    model->plan->injected_bug == PROXY_BUG_ORDER_UNRECORDED ||
-	    model->plan->injected_bug == PROXY_BUG_UNVERIFIED_LEASE)
-		return;
-	orders.read_us = model->now_us;
-	orders.read_era = daemon->store_era;
-	proxy_model_members_read(model, daemon, &model->members, model->now_us);
-	if (model->plan->injected_bug != PROXY_BUG_RESTORED_ORDERS)
-		orders.lost_us = daemon->store_restored_us;
-	lease_orders_read(&daemon->lease, &orders);
-}
-
-/*
- * Withdraw the record of an order that was refused.
- */
-static void
-withdraw_order(proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db)
-{
-	failover_t *failover = &daemon->failover;
-
-	if (model->orders.attempt_term != failover->term)
-		return;
-	model->orders = daemon->orders_before;
-	model->members = daemon->members_before;
-	proxy_model_open_withdraw(model, daemon, db);
-	failover_orders_recorded(failover, &model->orders, model->now_us);
-}
-
-/*
- * Write an order to the coordinator record, which shows whether the daemon is
- * still the coordinator.
- */
-static void
-write_coordinator_record(
-    proxy_model_t *model, uint32_t daemon_index, uint32_t db, uint64_t term)
-{
-	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
-	event_t event = {.kind = EVENT_COORDINATOR_WRITTEN,
-	    .daemon = daemon_index,
-	    .db = db,
-	    .term = term,
-	    .sent_us = model->now_us};
-
-	event.ok = model->now_us >= daemon->object_store_cut_until_us &&
-	    model->coordinator == daemon_index &&
-	    model->coordinator_token == daemon->fencing_token &&
-	    model->store_era == daemon->store_era;
-	if (event.ok) {
-		record_order(model, daemon, db);
-		proxy_model_sender_paused(model, daemon_index, db);
-	}
-	proxy_model_schedule(
-	    model, proxy_model_random_us(model, NETWORK_DELAY_MAX_US), &event);
-}
-
-/*
- * Tell whether a promotion that the failover has chosen may still be ordered.
- */
-static bool
-order_stands(const proxy_model_t *model, const proxy_model_daemon_t *daemon,
-    uint64_t term)
-{
-	proxy_model_bug_t bug = model->plan->injected_bug;
-
-	if (bug == PROXY_BUG_STALE_COORDINATOR_CHECK)
-		return true; /* the rules on orders would hide this bug */
-	return failover_order_stands(&daemon->failover, term) &&
-	    model->now_us - daemon->failover.state_entered_us <=
-	    ORDER_MAX_AGE_US;
-}
-
-/*
- * Send an order that may be held up.  Then it gets no answer; otherwise the
- * platform accepts it.
- */
-static void
-send_open_order(proxy_model_t *model, proxy_model_daemon_t *daemon,
-    const event_t *promotion, int64_t after_us)
-{
-	if (proxy_model_chance(model, model->plan->order_held_permille)) {
-		after_us += proxy_model_random_us(model, ORDER_HELD_MAX_US);
-		model->result->late_promotions++;
-	} else {
-		proxy_model_open_accepted(daemon, promotion->db, model->now_us);
-	}
-	proxy_model_schedule(model, after_us, promotion);
-}
-
-/*
- * Handle the coordinator record that was read: order the promotion if it still
- * names this daemon and the database is up.  A record that was read too long
- * ago is read again.  One order in 20 takes effect up to LATE_PROMOTION_MAX_US
- * late, unless owners change.
- */
-static void
-on_coordinator_written(proxy_model_t *model, const event_t *event)
-{
-	proxy_model_daemon_t *daemon = &model->daemons[event->daemon];
-	failover_t *failover = &daemon->failover;
-	event_t promotion = {.kind = EVENT_PROMOTED, .db = event->db};
-	int64_t after_us = PROMOTION_MIN_US +
-	    proxy_model_random_us(model, PROMOTION_SPREAD_US);
-	int64_t late_us;
-
-	if (failover->state != FAILOVER_PROMOTING ||
-	    failover->term != event->term)
-		return;
-	if (!order_stands(model, daemon, event->term)) {
-		failover_promotion_answered(failover, event->db, event->term,
-		    false, &failover->views[event->db], model->now_us);
-		return;
-	}
-	if (!daemon->order_sent &&
-	    model->now_us - failover->revoked_by_most_us <
-		FIRST_ORDER_DELAY_US) {
-		event_t again = *event;
-
-		again.sent_us = 0;
-		proxy_model_schedule(model,
-		    FIRST_ORDER_DELAY_US -
-			(model->now_us - failover->revoked_by_most_us),
-		    &again);
-		return;
-	}
-	if (event->ok &&
-	    model->plan->injected_bug != PROXY_BUG_STALE_COORDINATOR_CHECK &&
-	    model->now_us - event->sent_us > COORDINATOR_CHECK_MAX_AGE_US) {
-		write_coordinator_record(
-		    model, event->daemon, event->db, event->term);
-		return;
-	}
-	if (!event->ok || model->now_us < model->dbs[event->db].down_until_us) {
-		daemon->is_coordinator &= event->ok;
-		if (event->ok)
-			withdraw_order(model, daemon, event->db);
-		failover_promotion_answered(failover, event->db, event->term,
-		    false, &failover->views[event->db], model->now_us);
-		return;
-	}
-	own_order_read(model, daemon);
-	daemon->order_sent = true;
-	model->result->promotions_requested++;
-	proxy_model_order_followed(model, event->daemon);
-	late_us = proxy_model_order_late(model, event->daemon, event->db);
-	if (late_us > 0) {
-		promotion.ok = true;
-		model->result->late_promotions++;
-		proxy_model_schedule(model, after_us + late_us, &promotion);
-		return;
-	}
-	if (model->plan->order_held_permille > 0) {
-		send_open_order(model, daemon, &promotion, after_us);
-		return;
-	}
-	if (model->plan->placement_permille == 0 &&
-	    proxy_model_chance(model, 50)) {
-		after_us += proxy_model_random_us(model, LATE_PROMOTION_MAX_US);
-		model->result->late_promotions++;
-	}
-	proxy_model_open_accepted(daemon, promotion.db, model->now_us);
-	proxy_model_schedule(model, after_us, &promotion);
-}
-
 /*
  * Tell whether no order of a former coordinator may take effect any more.
  */
@@ -566,8 +367,7 @@
 	if (bug == PROXY_BUG_FORMER_RESUMES)
 		return true;
 	return model->now_us >= daemon->object_store_cut_until_us &&
-	    model->coordinator == daemon_index &&
-	    model->coordinator_token == daemon->fencing_token &&
+	    proxy_model_holds_role(model, daemon, daemon_index) &&
 	    (no_order_of_former(model, daemon) ||
 		bug == PROXY_BUG_EARLY_RESUME);
 }
@@ -610,7 +410,7 @@
 		    daemon->failover.witness_request, false, model->now_us);
 		break;
 	case FAILOVER_PROMOTE:
-		write_coordinator_record(
+		proxy_model_write_order(
 		    model, daemon_index, action->database, action->term);
 		break;
 	case FAILOVER_RELEASE:
@@ -632,55 +432,6 @@
 	}
 }
 
-/*
- * Become the coordinator if the primary has been suspected for
- * takeover_delay_us.  If the coordinator record has a new fencing token since
- * the last read, wait for another takeover_delay_us first.
- */
-static void
-become_coordinator(proxy_model_t *model, uint32_t daemon_index)
-{
-	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
-	bool hurries = proxy_model_hurries(model, daemon_index), stuck;
-
-	if (daemon->is_coordinator)
-		return;
-	if (daemon->lease.expires_us > model->now_us)
-		daemon->lease_seen_us = model->now_us;
-	stuck = !failover_primary_suspected(&daemon->failover, model->now_us);
-	if (stuck &&
-	    (model->plan->pauses_last ||
-		!lease_held_up(&daemon->lease, model->now_us) ||
-		model->now_us - daemon->lease_seen_us < LEASE_STUCK_US)) {
-		daemon->failover_due_since_us = 0;
-		return;
-	}
-	if (daemon->failover_due_since_us == 0)
-		daemon->failover_due_since_us = model->now_us;
-	if ((!hurries &&
-		model->now_us - daemon->failover_due_since_us <
-		    daemon->takeover_delay_us +
-			(stuck ? STUCK_TAKEOVER_US : 0)) ||
-	    model->now_us < daemon->object_store_cut_until_us)
-		return;
-	daemon->failover_due_since_us = model->now_us;
-	if (!hurries && model->coordinator != daemon_index &&
-	    model->coordinator_token != daemon->last_read_token) {
-		daemon->last_read_token = model->coordinator_token;
-		return;
-	}
-	model->coordinator = daemon_index;
-	daemon->fencing_token = daemon->newest_token_seen =
-	    ++model->coordinator_token;
-	daemon->is_coordinator = true;
-	daemon->order_sent = false;
-	daemon->coordinator_since_us = model->now_us;
-	failover_orders_recorded(
-	    &daemon->failover, &model->orders, model->now_us);
-	proxy_model_members_read(model, daemon, &model->members, model->now_us);
-	proxy_model_open_recorded(model, daemon, &model->open);
-}
-
 /*
  * Promote the next database at a random tick while the primary is suspected,
  * without a majority that has promised a new term (PROXY_BUG_PROMOTE_UNFENCED).
@@ -789,7 +540,8 @@
 	limits.sync_replicas = model->plan->sync_replicas;
 	if (model->plan->injected_bug == PROXY_BUG_NO_LEASE_WAIT)
 		limits.lease_wait_us = limits.lease_wait_min_us = 0;
-	if (model->plan->injected_bug == PROXY_BUG_ORDERS_FORGOTTEN)
+	if (model->plan->injected_bug == PROXY_BUG_ORDERS_FORGOTTEN ||
+	    model->plan->injected_bug == PROXY_BUG_ACCEPTED_IS_DONE)
 		limits.order_late_us = 0;
 	failover_init(&daemon->failover, &limits, model->plan->databases,
 	    g_rand_int(model->rand), model->now_us);
@@ -806,8 +558,8 @@
  * Restart a daemon.  Its record in the store still says that it may hold
  * leases, but its process counts on it only once it has written it again.
  */
-static void
-daemon_restart(proxy_model_t *model, uint32_t daemon_index)
+void
+proxy_model_daemon_restart(proxy_model_t *model, uint32_t daemon_index)
 {
 	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
 	proxy_model_daemon_t before = *daemon;
@@ -824,8 +576,7 @@
 }
 
 /*
- * Restart a daemon or a database at random.  A database keeps its log and its
- * role, and forgets a pause.
+ * Restart a daemon or a database at random.
  */
 static void
 inject_restart(proxy_model_t *model, uint32_t daemon_index)
@@ -834,20 +585,52 @@
 
 	if (plan->daemon_restart_permille > 0 &&
 	    proxy_model_chance(model, plan->daemon_restart_permille))
-		daemon_restart(model, daemon_index);
+		proxy_model_daemon_restart(model, daemon_index);
 	if (plan->database_restart_permille > 0 &&
-	    proxy_model_chance(model, plan->database_restart_permille)) {
-		proxy_model_db_t *db = &model->dbs[g_rand_int_range(
-		    model->rand, 0, (gint32)plan->databases)];
+	    proxy_model_chance(model, plan->database_restart_permille))
+		proxy_model_db_restart(model,
+		    (uint32_t)g_rand_int_range(
+			model->rand, 0, (gint32)plan->databases));
+}
 
-		db->replication_paused_term = 0;
-		db->new_primary_seen_us = 0;
-		db->restarted_us = model->now_us;
-		db->down_until_us = model->now_us +
-		    proxy_model_random_us(model, RESTART_DURATION_MAX_US);
+/*
+ * Have a daemon read from the store which databases have started again.  Its
+ * lease relied on those before.
+ */
+static void
+read_starts(proxy_model_t *model, proxy_model_daemon_t *daemon)
+{
+	uint32_t i;
+
+	if (model->plan->troubles.start_listed_max_us == 0 ||
+	    model->now_us < daemon->object_store_cut_until_us)
+		return;
+	for (i = 0; i < model->plan->databases; i++) {
+		if (daemon->born_us[i] == model->dbs[i].listed_start_us)
+			continue;
+		daemon->born_us[i] = model->dbs[i].listed_start_us;
+		lease_cancel(&daemon->lease);
+		lease_member_lost(&daemon->lease);
+		proxy_model_members_update(model, daemon);
 	}
 }
 
+/*
+ * Have a coordinator request a handover if the primary leaves and another
+ * database can succeed it.
+ */
+static void
+request_handover(proxy_model_t *model, proxy_model_daemon_t *daemon)
+{
+	failover_t *failover = &daemon->failover;
+	int32_t primary = failover_primary(failover);
+
+	if (primary >= 0 && failover->state == FAILOVER_STEADY &&
+	    failover->views[primary].leaving &&
+	    failover_successor_answers(failover, model->now_us))
+		failover_request_handover(failover, model->now_us);
+}
+
 /*
  * Run a daemon's timer: request status, answer and send statements, and carry
  * out the failover's actions while the daemon is the coordinator.  May begin a
@@ -867,6 +650,7 @@
 		daemon->pause_began_us = 0;
 	}
 	proxy_model_place(model, event->daemon);
+	read_starts(model, daemon);
 	for (i = 0; i < model->plan->databases; i++) {
 		if (daemon->status_pending[i] &&
 		    model->now_us - daemon->status_sent_us[i] <
@@ -881,7 +665,7 @@
 	}
 	release_confirmed(model, daemon);
 	send_statement(model, event->daemon);
-	become_coordinator(model, event->daemon);
+	proxy_model_take_role(model, event->daemon);
 	if (daemon->is_coordinator &&
 	    model->plan->injected_bug == PROXY_BUG_PROMOTE_UNFENCED) {
 		promote_unfenced(model, event->daemon);
@@ -889,14 +673,21 @@
 		proxy_model_open_update(model, daemon);
 		proxy_model_members_update(model, daemon);
 		proxy_model_members_check(model, event->daemon);
+		request_handover(model, daemon);
 		failover_tick(&daemon->failover, model->now_us, &actions);
 		for (i = 0; i < actions.count; i++)
 			perform_action(model, event->daemon, &actions.list[i]);
 	}
 	proxy_model_primary_cut(model, event->daemon);
+	proxy_model_member_cut(model, event->daemon);
 	if (proxy_model_chance(model, model->plan->fault_permille))
 		inject_fault(model, event->daemon);
 	inject_restart(model, event->daemon);
+	if (event->daemon == 0) {
+		proxy_model_record_troubles(model);
+		proxy_model_db_troubles(model);
+		proxy_model_member_restarts(model);
+	}
 	proxy_model_schedule(model, TICK_US, event);
 }
 
@@ -913,6 +704,7 @@
 	if (event->kind != EVENT_CALL && event->kind != EVENT_REPLICATE &&
 	    event->kind != EVENT_PROMOTED &&
 	    event->kind != EVENT_RECORD_STORED &&
+	    event->kind != EVENT_ROLE_STORED &&
 	    model->now_us < model->daemons[recipient].paused_until_us) {
 		proxy_model_schedule(model,
 		    model->daemons[recipient].paused_until_us - model->now_us,
@@ -939,11 +731,20 @@
 		on_revoked(model, event);
 		break;
 	case EVENT_COORDINATOR_WRITTEN:
-		on_coordinator_written(model, event);
+		proxy_model_order_written(model, event);
 		break;
 	case EVENT_ORDERS_READ:
 		on_orders_read(model, event);
 		break;
+	case EVENT_ORDER_SENT:
+		proxy_model_order_sent(model, event);
+		break;
+	case EVENT_ORDER_GIVEN_UP:
+		proxy_model_order_given_up(model, event);
+		break;
+	case EVENT_ROLE_STORED:
+		proxy_model_role_stored(model, event);
+		break;
 	case EVENT_PROMOTED:
 		proxy_model_promote(model, event);
 		break;
@@ -974,6 +775,17 @@
 	    model, proxy_model_random_us(model, TICK_US), &tick);
 }
 
+/*
+ * Return the number of violations in a run.
+ */
+uint64_t
+proxy_model_violations(const proxy_model_result_t *result)
+{
+	return result->split_brain_acks + result->stale_primary_reads +
+	    result->lost_writes + result->repeated_tokens +
+	    result->lower_tokens;
+}
+
 /*
  * Run the model.  The plan, with its seed, determines the result.
  */
@@ -991,6 +803,8 @@
 
 	memset(result, 0, sizeof(*result));
 	model.events = eventq_new(sizeof(event_t));
+	model.token_users = g_hash_table_new(g_int64_hash, g_int64_equal);
+	model.dropped_orders = g_hash_table_new(g_int64_hash, g_int64_equal);
 	model.acked_writes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	for (i = 0; i < plan->databases; i++) {
 		model.dbs[i].log = g_array_new(FALSE, FALSE, sizeof(entry_t));
@@ -1006,6 +820,7 @@
 	model.coordinator_token = 1;
 	model.daemons[0].is_coordinator = model.daemons[0].order_sent = true;
 	model.daemons[0].fencing_token = model.daemons[0].newest_token_seen = 1;
+	model.daemons[0].written_token = 1;
 	proxy_model_schedule(&model, REPLICATE_INTERVAL_US, &replicate);
 	while (result->steps++ < plan->steps) {
 		event_t event;
@@ -1020,6 +835,8 @@
 		g_ptr_array_unref(model.daemons[i].stmts);
 		open_orders_clear(&model.daemons[i].open_orders);
 	}
+	g_hash_table_unref(model.token_users);
+	g_hash_table_unref(model.dropped_orders);
 	g_array_unref(model.acked_writes);
 	arena_free(model.arena);
 	eventq_free(model.events);
