A member that left and ended is known to have ended

A primary that leaves ended while another member was cut off: the two databases that stay answered and promised, but no order followed for 3 s, until the one that was cut off was reached again, and callers got nothing that needs a primary.

Of four recorded members three promises are needed. A member that has ended counts as having promised, but only once a connection to it was refused. A server whose entry ends after it said that it leaves was dropped from the group at once, and its connection was not tried again: a daemon that read the list before the first refusal never learned that the member had ended, nor could the members be recorded anew, which needs a lease.

Such a server stays in the group now, as one that vanishes without a word does, if it is a recorded member: until it refuses a connection or is silent for 10 s. It gets no statements and is not promoted. That it is gone from the list is no proof: entries expire while their server lives.

--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -121,6 +121,9 @@
 	/* not in the catalog, but did not say that it leaves: it gets no new
 	   work, and its answers count for leases and failovers */
 	bool unlisted;
+	/* the same, although it said so: it counts until its process is known
+	   to have ended */
+	bool departed;
 	dbconn_t *control;  /* control connection; NULL: not connected */
 	GPtrArray *conns;   /* of dbconn_t: the other connections */
 	uint32_t in_flight; /* statements sent here and not yet answered */
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -302,7 +302,8 @@
 	const failover_t *failover = &group->failover;
 	int32_t primary = failover_primary(failover);
 
-	if (primary < 0 || failover->state == FAILOVER_FENCING ||
+	if (primary < 0 || group->servers[primary]->departed ||
+	    failover->state == FAILOVER_FENCING ||
 	    failover->state == FAILOVER_PROMOTING)
 		return -1;
 	return primary;
@@ -371,7 +372,7 @@
 	if (server->leaving == entry->leaving && !server->unlisted)
 		return;
 	server->leaving = entry->leaving;
-	server->unlisted = false;
+	server->unlisted = server->departed = false;
 	log_server_listed(server);
 }
 
@@ -422,16 +423,18 @@
 
 /*
  * Tell whether a server that is not listed stays a member of its group: it has
- * not said that it leaves, and may be alive.  The list of another daemon may
- * still have it, or have it again, so its answers count for leases and
- * failovers, as its promises do there.
+ * not said that it leaves, or is a recorded member, and may be alive.  The list
+ * of another daemon may still have it, or have it again, so its answers count
+ * for leases and failovers, as its promises do there.  A recorded member counts
+ * as ended only once it has refused a connection.
  */
 static bool
 stays_member(const server_t *server, int64_t now_us)
 {
 	const failover_t *failover = &server->group->failover;
 
-	return (server->unlisted || !server->leaving) &&
+	return (server->unlisted || !server->leaving ||
+		   failover->views[server->index].member) &&
 	    server->group->active && failover->views[server->index].known &&
 	    failover->connect_refusals[server->index] == 0 &&
 	    now_us - failover->views[server->index].requested_us <
@@ -458,6 +461,7 @@
 {
 	if (server->unlisted)
 		return;
+	server->departed = server->leaving;
 	server->unlisted = server->leaving = true;
 	log_server_listed(server);
 }
@@ -497,7 +501,7 @@
 	for (i = 0; i < old_count; i++) {
 		if (old[i] == NULL)
 			continue;
-		if (!old[i]->leaving || old[i]->unlisted)
+		if (!old[i]->leaving || (old[i]->unlisted && !old[i]->departed))
 			lease_member_lost(&group->lease);
 		server_remove(old[i]);
 	}
--- a/tests/fake/fakesite.c
+++ b/tests/fake/fakesite.c
@@ -322,6 +322,7 @@
  * Run the fake platform of the proxy.
  *
  * Usage: fakesite --port N --databases N [--lag-ms N] [--work-ms N]
+ * [--count N]
  */
 int
 main(int argc, char **argv)
@@ -335,8 +336,11 @@
 	    NULL, "work-ms", "N", "service time of an item access or commit");
 	struct arg_int *store_ports = arg_intn(NULL, "store-port", "N", 0,
 	    STORE_PORTS_MAX, "further port of the HTTP server");
+	struct arg_int *count =
+	    arg_int0(NULL, "count", "N", "number of databases");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {port, first_port, lag, service, store_ports, end};
+	void *table[] = {
+	    port, first_port, lag, service, store_ports, count, end};
 	int32_t i;
 	fake_platform_t platform = {0};
 	GMainLoop *loop = g_main_loop_new(NULL, FALSE);
@@ -349,7 +353,8 @@
 	platform.server = soup_server_new(NULL, NULL);
 	platform.store = object_store_new(platform.server);
 	platform.group = db_group_new(platform.store, "ledger",
-	    (uint32_t)first_port->ival[0], 3,
+	    (uint32_t)first_port->ival[0],
+	    count->count > 0 ? (uint32_t)count->ival[0] : 3,
 	    lag->count > 0 ? (uint32_t)lag->ival[0] : 5,
 	    service->count > 0 ? (uint32_t)service->ival[0] : 0);
 	soup_server_add_handler(
--- a/tests/fake/testbed.c
+++ b/tests/fake/testbed.c
@@ -18,7 +18,7 @@
 /* Time limit for an answer that a test expects. */
 #define EXPECT_TIMEOUT_MS 5000
 
-/* Databases of the group; they listen on consecutive ports. */
+/* Default number of databases; they listen on consecutive ports. */
 #define DATABASES 3
 #define LINE_MAX_BYTES (UINT64_C(2) << 20)
 
@@ -246,6 +246,16 @@
 	g_ptr_array_add(argv, g_strdup_printf("%u", value));
 }
 
+/*
+ * Return the number of databases of the group.
+ */
+static uint32_t
+testbed_databases(const testbed_t *testbed)
+{
+	return testbed->plan.databases == 0 ? DATABASES
+					    : testbed->plan.databases;
+}
+
 /*
  * Spawn the fake platform.
  */
@@ -261,6 +271,7 @@
 	append_option(argv, "--databases", testbed->first_database_port);
 	append_option(argv, "--lag-ms", plan->lag_ms);
 	append_option(argv, "--work-ms", plan->service_time_ms);
+	append_option(argv, "--count", testbed_databases(testbed));
 	for (i = 0; plan->store_ports && i < plan->proxies; i++)
 		append_option(
 		    argv, "--store-port", testbed->first_store_port + i);
@@ -282,7 +293,8 @@
 
 	testbed->platform.port = fleet_unused_port();
 	testbed->platform.name = g_strdup("platform");
-	testbed->first_database_port = fleet_unused_ports(DATABASES);
+	testbed->first_database_port =
+	    fleet_unused_ports(testbed_databases(testbed));
 	if (testbed->plan.store_ports)
 		testbed->first_store_port =
 		    fleet_unused_ports(testbed->plan.proxies);
--- a/tests/fake/testbed.h
+++ b/tests/fake/testbed.h
@@ -12,6 +12,7 @@
 
 typedef struct testbed_plan {
 	uint32_t proxies;
+	uint32_t databases;       /* 0: 3 */
 	uint32_t lag_ms;          /* replication lag */
 	uint32_t service_time_ms; /* service time of an item access or commit */
 	double grace_s;           /* grace_s setting of the proxies; 0: 6 s */
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -883,6 +883,46 @@
 	testbed_stop(testbed);
 }
 
+/*
+ * Test that a primary that has left and ended is replaced although one of the
+ * other recorded members is silent: the daemons find out that it has ended,
+ * since its promise would be needed otherwise.
+ */
+static void
+test_ended_member(void)
+{
+	testbed_plan_t plan = {.proxies = 3, .databases = 4, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	bool replaced = false;
+	int64_t end_us;
+	uint32_t i, left = 0;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_usleep(4500 * US_PER_MS); /* until the members are recorded */
+	for (i = 0; i < plan.databases; i++)
+		testbed_inject_fault(testbed, "database", "deaf", (int32_t)i);
+	testbed_inject_fault(testbed, "database", "cut", 0);
+	for (end_us = g_get_monotonic_time() + FAILOVER_TIMEOUT_MS * US_PER_MS;
+	     left == 0 && g_get_monotonic_time() < end_us;) {
+		for (i = 1; i < plan.databases && left == 0; i++)
+			left = testbed_wait_primary(testbed, i, "", 50) ? i : 0;
+	}
+	g_assert_cmpuint(left, !=, 0);
+	g_usleep(1000 * US_PER_MS); /* until the coordinator knows it */
+	testbed_inject_fault(testbed, "database", "leave", (int32_t)left);
+	g_usleep(2500 * US_PER_MS); /* the handover is due, and nobody can */
+	testbed_inject_fault(testbed, "database", "unlist", (int32_t)left);
+	testbed_inject_fault(testbed, "database", "crash", (int32_t)left);
+	for (end_us = g_get_monotonic_time() + FAILOVER_TIMEOUT_MS * US_PER_MS;
+	     !replaced && g_get_monotonic_time() < end_us;) {
+		for (i = 1; i < plan.databases; i++)
+			replaced |= i != left &&
+			    testbed_wait_primary(testbed, i, "", 50);
+	}
+	g_assert_true(replaced);
+	testbed_stop(testbed);
+}
+
 /*
  * Test that a restarted daemon takes the role of coordinator with a new fencing
  * token, or orders sent before the restart could pass for its own.  The
@@ -1589,6 +1629,7 @@
 	CASES("/proxy/unanswered-read", silent_replica_cases,
 	    test_silent_replica);
 	g_test_add_func("/proxy/no-successor", test_no_successor);
+	g_test_add_func("/proxy/ended-member", test_ended_member);
 	g_test_add_func("/proxy/restarted-holder", test_restarted_coordinator);
 	g_test_add_func("/proxy/just-started", test_start_without_primary);
 	g_test_add_func("/proxy/status", test_status);
