Test of databases that start again around a change of primary

No write was acknowledged at a primary that was replaced, in nine rows of /late-order/restarts, in which a replica starts again (with its old start listed, during the change, between two cuts), the promoted one restarts with its log, or the primary starts again twice.

--- a/tests/t_late_order.c
+++ b/tests/t_late_order.c
@@ -198,6 +198,162 @@
 	testbed_stop(testbed);
 }
 
+/* A fault of a database, or of its entry in the store, at a time. */
+typedef struct step {
+	int64_t at_ms;
+	const char *fault; /* ENTRY_OLD: its entry shows the start before */
+	int32_t database;
+} step_t;
+
+#define STEPS_MAX 8
+#define ENTRY_OLD "entry-old"
+
+typedef struct restarts_case {
+	const char *name;
+	step_t steps[STEPS_MAX]; /* up to one without a fault */
+} restarts_case_t;
+
+static const restarts_case_t restarts_cases[] = {
+    {"a replica starts again, and the primary is cut off and back",
+	{{0, "crash", 2}, {50, "reborn", 2}, {100, "cut", 0},
+	    {4000, "heal", 0}}},
+    {"the same, and the new start is not listed",
+	{{0, "crash", 2}, {50, "reborn", 2}, {50, ENTRY_OLD, 2},
+	    {100, "cut", 0}, {2500, "heal", 0}, {3000, "list", 2}}},
+    {"the same, and the primary receives no news of the others",
+	{{0, "deaf", 0}, {0, "crash", 2}, {50, "reborn", 2}, {50, ENTRY_OLD, 2},
+	    {100, "cut", 0}, {2500, "heal", 0}, {4000, "list", 2}}},
+    {"a replica is cut off, starts again and is cut off again",
+	{{0, "cut", 2}, {300, "crash", 2}, {350, "reborn", 2}, {400, "heal", 2},
+	    {900, "cut", 2}, {1000, "cut", 0}, {4000, "heal", 2},
+	    {6000, "heal", 0}}},
+    {"the promoted one restarts with its log, the primary is back",
+	{{0, "deaf", 0}, {0, "cut", 0}, {1000, "crash", 1}, {1050, "return", 1},
+	    {1200, "heal", 0}}},
+    {"the other replica starts again during the change of primary",
+	{{0, "deaf", 0}, {0, "cut", 0}, {700, "crash", 2}, {750, "reborn", 2},
+	    {750, ENTRY_OLD, 2}, {1200, "heal", 0}, {4000, "list", 2}}},
+    {"the same, sooner",
+	{{0, "deaf", 0}, {0, "cut", 0}, {400, "crash", 2}, {430, "reborn", 2},
+	    {430, ENTRY_OLD, 2}, {700, "heal", 0}, {4000, "list", 2}}},
+    {"the same, and the promoted one is cut off",
+	{{0, "deaf", 0}, {0, "cut", 0}, {700, "crash", 2}, {750, "reborn", 2},
+	    {750, ENTRY_OLD, 2}, {1000, "cut", 1}, {1200, "heal", 0},
+	    {6000, "heal", 1}}},
+    {"the primary starts again twice",
+	{{0, "crash", 0}, {100, "reborn", 0}, {900, "crash", 0},
+	    {1000, "reborn", 0}}},
+};
+
+/* Time for which clients write. */
+#define WRITES_MS 9000
+
+/* Time in which writes are acknowledged again after that. */
+#define RECOVERY_MS 16000
+
+/* An entry of a server that was started first. */
+#define FIRST_ENTRY \
+	"{\"backend\":\"ledger\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\"," \
+	"\"version\":\"v1\",\"capacity\":4,\"state\":\"ready\"," \
+	"\"cold-remaining-ms\":0,\"sequence\":1,\"born\":1}"
+
+/*
+ * Carry out a step.
+ */
+static void
+carry_out(testbed_t *testbed, const step_t *step)
+{
+	char *name, *entry;
+
+	if (strcmp(step->fault, ENTRY_OLD) != 0) {
+		testbed_inject_fault(
+		    testbed, "database", step->fault, step->database);
+		return;
+	}
+	name = g_strdup_printf("i-%d", step->database);
+	entry = g_strdup_printf(FIRST_ENTRY,
+	    testbed->first_database_port + (uint32_t)step->database);
+	testbed_put_object(testbed, "servers", name, entry);
+	g_free(entry);
+	g_free(name);
+}
+
+/*
+ * Write a value through a proxy, and add it to a list if it is acknowledged.
+ */
+static void
+write_value(client_t **client, testbed_t *testbed, uint32_t proxy,
+    uint32_t number, GPtrArray *acknowledged)
+{
+	char *text = g_strdup_printf("WRITE k v%u", number), *answer = NULL;
+
+	if (*client == NULL)
+		*client = client_open_session(testbed, proxy, "intake");
+	if (*client != NULL)
+		answer = client_query(*client, text, ANSWER_TIMEOUT_MS);
+	if (answer != NULL && g_str_has_prefix(answer, "DONE"))
+		g_ptr_array_add(acknowledged, g_strdup_printf(" v%u ", number));
+	if (answer == NULL && *client != NULL) {
+		client_close(*client);
+		*client = NULL;
+	}
+	g_free(answer);
+	g_free(text);
+}
+
+/*
+ * Test that no write is acknowledged at a primary that was replaced when
+ * databases start again, and forget their promises, around the change.
+ */
+static void
+test_restarts(gconstpointer data)
+{
+	const restarts_case_t *c = data;
+	const step_t *step = c->steps;
+	testbed_plan_t plan = {.proxies = 3, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	GPtrArray *acknowledged = g_ptr_array_new_with_free_func(g_free);
+	client_t *clients[TESTBED_PROXIES_MAX] = {NULL};
+	char *outdated, *revived;
+	int64_t began_us, now_ms = 0;
+	uint32_t i, n;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_usleep(LISTED_MS * G_TIME_SPAN_MILLISECOND);
+	began_us = g_get_monotonic_time();
+	for (n = 0; now_ms < WRITES_MS; n++) {
+		now_ms = (g_get_monotonic_time() - began_us) /
+		    G_TIME_SPAN_MILLISECOND;
+		while (step < c->steps + STEPS_MAX && step->fault != NULL &&
+		    step->at_ms <= now_ms)
+			carry_out(testbed, step++);
+		i = n % plan.proxies;
+		write_value(&clients[i], testbed, i, n, acknowledged);
+		g_usleep(G_TIME_SPAN_MILLISECOND);
+	}
+	outdated = testbed_get(testbed, "/outdated");
+	revived = testbed_get(testbed, "/revived");
+	g_test_message("%u acknowledged, outdated:%.200s, revived:%s",
+	    acknowledged->len, outdated, revived);
+	for (i = 0; i < acknowledged->len; i++) {
+		const char *value = g_ptr_array_index(acknowledged, i);
+
+		if (strstr(outdated, value) != NULL)
+			g_test_message("acknowledged:%s", value);
+		g_assert_null(strstr(outdated, value));
+	}
+	assert_tokens_valid(testbed);
+	g_assert_true(write_served(testbed, 0, RECOVERY_MS));
+	for (i = 0; i < plan.proxies; i++) {
+		if (clients[i] != NULL)
+			client_close(clients[i]);
+	}
+	g_ptr_array_unref(acknowledged);
+	g_free(outdated);
+	g_free(revived);
+	testbed_stop(testbed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -209,5 +365,6 @@
 	curl_global_init(CURL_GLOBAL_ALL);
 	CASES("/late-order/record", record_cases, test_record);
 	CASES("/late-order/late-write", late_write_cases, test_late_write);
+	CASES("/late-order/restarts", restarts_cases, test_restarts);
 	return g_test_run();
 }
