Test of an order that is held up while a replica forgets its promise

The order takes effect 6 s late, its database is silent, and the other replica has started again: empty, with its old start listed, or with its log.

--- a/tests/t_late_order.c
+++ b/tests/t_late_order.c
@@ -302,39 +302,32 @@
 }
 
 /*
- * Test that no write is acknowledged at a primary that was replaced when
- * databases start again, and forget their promises, around the change.
+ * Carry out steps while clients write, and assert that no write is acknowledged
+ * at a primary that was replaced.
  */
 static void
-test_restarts(gconstpointer data)
+write_during(testbed_t *testbed, const step_t *step)
 {
-	const restarts_case_t *c = data;
-	const step_t *step = c->steps;
-	testbed_plan_t plan = {.proxies = 3, .lag_ms = 5};
-	testbed_t *testbed = testbed_start(&plan);
+	const step_t *end = step + STEPS_MAX;
 	GPtrArray *acknowledged = g_ptr_array_new_with_free_func(g_free);
 	client_t *clients[TESTBED_PROXIES_MAX] = {NULL};
-	char *outdated, *revived;
-	int64_t began_us, now_ms = 0;
+	int64_t began_us = g_get_monotonic_time(), now_ms = 0;
+	char *outdated;
 	uint32_t i, n;
 
-	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
-	g_usleep(LISTED_MS * G_TIME_SPAN_MILLISECOND);
-	began_us = g_get_monotonic_time();
 	for (n = 0; now_ms < WRITES_MS; n++) {
 		now_ms = (g_get_monotonic_time() - began_us) /
 		    G_TIME_SPAN_MILLISECOND;
-		while (step < c->steps + STEPS_MAX && step->fault != NULL &&
-		    step->at_ms <= now_ms)
+		while (
+		    step < end && step->fault != NULL && step->at_ms <= now_ms)
 			carry_out(testbed, step++);
-		i = n % plan.proxies;
+		i = n % testbed->plan.proxies;
 		write_value(&clients[i], testbed, i, n, acknowledged);
 		g_usleep(G_TIME_SPAN_MILLISECOND);
 	}
 	outdated = testbed_get(testbed, "/outdated");
-	revived = testbed_get(testbed, "/revived");
-	g_test_message("%u acknowledged, outdated:%.200s, revived:%s",
-	    acknowledged->len, outdated, revived);
+	g_test_message(
+	    "%u acknowledged, outdated:%.200s", acknowledged->len, outdated);
 	for (i = 0; i < acknowledged->len; i++) {
 		const char *value = g_ptr_array_index(acknowledged, i);
 
@@ -342,15 +335,90 @@
 			g_test_message("acknowledged:%s", value);
 		g_assert_null(strstr(outdated, value));
 	}
-	assert_tokens_valid(testbed);
-	g_assert_true(write_served(testbed, 0, RECOVERY_MS));
-	for (i = 0; i < plan.proxies; i++) {
+	for (i = 0; i < testbed->plan.proxies; i++) {
 		if (clients[i] != NULL)
 			client_close(clients[i]);
 	}
 	g_ptr_array_unref(acknowledged);
 	g_free(outdated);
-	g_free(revived);
+}
+
+/*
+ * Test that no write is acknowledged at a primary that was replaced when
+ * databases start again, and forget their promises, around the change.
+ */
+static void
+test_restarts(gconstpointer data)
+{
+	const restarts_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 3, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_usleep(LISTED_MS * G_TIME_SPAN_MILLISECOND);
+	write_during(testbed, c->steps);
+	assert_tokens_valid(testbed);
+	g_assert_true(write_served(testbed, 0, RECOVERY_MS));
+	testbed_stop(testbed);
+}
+
+typedef struct forgotten_case {
+	const char *name;
+	const char *start; /* how the other replica starts again */
+	bool old_entry;    /* its entry shows its start before */
+} forgotten_case_t;
+
+static const forgotten_case_t forgotten_cases[] = {
+    {"it is empty", "reborn", false},
+    {"it is empty, and its new start is not listed", "reborn", true},
+    {"it has its log", "return", false},
+};
+
+/*
+ * Test that no write is acknowledged at a primary that an order replaces 6 s
+ * after it was sent, while the database that it names is silent and the other
+ * replica has started again, so that it has forgotten its promise.
+ */
+static void
+test_forgotten_promise(gconstpointer data)
+{
+	const forgotten_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 3, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	step_t steps[STEPS_MAX] = {{0}};
+	int32_t named = -1, other, i;
+	int64_t end_us;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_usleep(LISTED_MS * G_TIME_SPAN_MILLISECOND);
+	for (i = 0; i < 3; i++)
+		testbed_inject_fault(testbed, "database", "deaf", i);
+	testbed_inject_fault(testbed, "order", "hold", -1);
+	testbed_inject_fault(testbed, "database", "mute", 0);
+	end_us =
+	    g_get_monotonic_time() + PROMOTION_MS * G_TIME_SPAN_MILLISECOND;
+	while (named < 0 && g_get_monotonic_time() < end_us) {
+		char *held = testbed_get(testbed, "/held");
+
+		if (held[0] != '\0')
+			named = atoi(held + strlen("i-"));
+		g_free(held);
+		g_usleep(5 * G_TIME_SPAN_MILLISECOND);
+	}
+	g_assert_cmpint(named, >, 0);
+	other = 3 - named;
+	testbed_inject_fault(testbed, "database", "mute", named);
+	testbed_inject_fault(testbed, "database", "crash", other);
+	testbed_inject_fault(testbed, "database", c->start, other);
+	testbed_inject_fault(testbed, "database", "speak", 0);
+	if (c->old_entry)
+		steps[0] = (step_t){0, ENTRY_OLD, other};
+	write_during(testbed, steps);
+	testbed_inject_fault(testbed, "database", "speak", named);
+	for (i = 0; i < 3; i++)
+		testbed_inject_fault(testbed, "database", "hear", i);
+	g_assert_true(write_served(testbed, 0, RECOVERY_MS));
+	assert_tokens_valid(testbed);
 	testbed_stop(testbed);
 }
 
@@ -366,5 +434,7 @@
 	CASES("/late-order/record", record_cases, test_record);
 	CASES("/late-order/late-write", late_write_cases, test_late_write);
 	CASES("/late-order/restarts", restarts_cases, test_restarts);
+	CASES("/late-order/forgotten-promise", forgotten_cases,
+	    test_forgotten_promise);
 	return g_test_run();
 }
