A lost answer of the store does not restart the wait for a coordinator

Cause: a daemon that is held up asks the store for the coordinator role after 5.9 to 6.5 s, the time that a coordinator has. If the store refuses or does not answer in time, once, that counted as the word that another daemon has the role, and the whole time ran again.

The registry now tells the pool that the store has not told. The daemon asks again after 0.9 to 1.5 s, as it does where the primary is silent.

--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -2163,7 +2163,7 @@
   (ProtobufCMessageInit) bp__duty_wanted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__duty_changed__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bp__duty_changed__field_descriptors[3] =
 {
   {
     "held",
@@ -2189,15 +2189,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unknown",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Bp__DutyChanged, has_unknown),
+    offsetof(Bp__DutyChanged, unknown),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__duty_changed__field_indices_by_name[] = {
   0,   /* field[0] = held */
   1,   /* field[1] = token */
+  2,   /* field[2] = unknown */
 };
 static const ProtobufCIntRange bp__duty_changed__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bp__duty_changed__descriptor =
 {
@@ -2207,7 +2220,7 @@
   "Bp__DutyChanged",
   "bp",
   sizeof(Bp__DutyChanged),
-  2,
+  3,
   bp__duty_changed__field_descriptors,
   bp__duty_changed__field_indices_by_name,
   1,  bp__duty_changed__number_ranges,
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -337,10 +337,15 @@
    * fencing token; 0 when not held
    */
   uint64_t token;
+  /*
+   * not held, as the store did not tell
+   */
+  protobuf_c_boolean has_unknown;
+  protobuf_c_boolean unknown;
 };
 #define BP__DUTY_CHANGED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__duty_changed__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -28,10 +28,11 @@
 #define RECORD_AGAIN_US (1000 * US_PER_MS)
 
 /*
- * Tell the pool task whether this daemon is the coordinator.
+ * Tell the pool task whether this daemon is the coordinator.  unknown: it is
+ * not, as far as is known, since the store did not tell.
  */
-void
-coordinator_send_changed(registry_t *registry, bool held)
+static void
+send_changed(registry_t *registry, bool held, bool unknown)
 {
 	msg_t *msg = msg_new(&bp__duty_changed__descriptor);
 	Bp__DutyChanged *changed = (Bp__DutyChanged *)msg->body;
@@ -40,9 +41,31 @@
 		registry->fencing_token = 0;
 	changed->held = held;
 	changed->token = registry->fencing_token;
+	changed->has_unknown = changed->unknown = unknown;
 	task_send(registry->proxy->pool, registry->task, msg);
 }
 
+/*
+ * Tell the pool task whether this daemon is the coordinator.
+ */
+void
+coordinator_send_changed(registry_t *registry, bool held)
+{
+	send_changed(registry, held, false);
+}
+
+/*
+ * Tell the pool task that this daemon has not become the coordinator with a
+ * call that had this status.
+ */
+static void
+send_denied(registry_t *registry, object_store_status_t status)
+{
+	send_changed(registry, false,
+	    status == OBJECT_STORE_REFUSED ||
+		status == OBJECT_STORE_NO_RESPONSE);
+}
+
 /*
  * Parse the coordinator record in a response.  Returns NULL if there is none.
  */
@@ -135,7 +158,7 @@
 		coordinator_write(
 		    registry, response->list[0].revision, record->token);
 	} else {
-		coordinator_send_changed(registry, false);
+		send_denied(registry, status);
 	}
 	arena_free(arena);
 }
@@ -293,7 +316,7 @@
 	} else if (status != OBJECT_STORE_OK ||
 	    !record_unreadable(response, record) ||
 	    !restore_begin(registry, response->list[0].revision)) {
-		coordinator_send_changed(registry, false);
+		send_denied(registry, status);
 	}
 	arena_free(arena);
 }
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -223,15 +223,55 @@
 	    ended->state == BP__REVOKE_STATE__ALL, now_us);
 }
 
+/*
+ * Tell whether the primary of a group is shutting down.
+ */
+static bool
+primary_leaving(const group_t *group)
+{
+	int32_t primary = failover_primary(&group->failover);
+
+	return primary >= 0 && group->servers[primary]->leaving;
+}
+
+/*
+ * Return the time that the coordinator has to act.  It is longer after a sign
+ * of a failover, which may have to wait for leases to expire.
+ */
+static int64_t
+takeover_delay_us(const group_t *group)
+{
+	return group->pool->takeover_delay_us +
+	    (primary_leaving(group) || group->unresponsive ? 0
+							   : STUCK_TAKEOVER_US);
+}
+
+/*
+ * Return the time at which this daemon asks for the coordinator role if the
+ * coordinator does not act; 0 if there is nothing to do for it.
+ */
+int64_t
+monitor_takeover_us(const group_t *group)
+{
+	return group->failover_due_since_us == 0
+	    ? 0
+	    : group->failover_due_since_us + takeover_delay_us(group);
+}
+
 /*
  * Restart the time that the coordinator has for a failover, since the store
- * has just named another daemon as the coordinator.
+ * has just named another daemon as the coordinator.  unknown: the store has not
+ * told; ask again after the shortest time.
  */
 void
-monitor_coordinator_denied(group_t *group, int64_t now_us)
+monitor_coordinator_denied(group_t *group, bool unknown, int64_t now_us)
 {
-	if (group->failover_due_since_us != 0)
-		group->failover_due_since_us = now_us;
+	if (group->failover_due_since_us == 0)
+		return;
+	group->failover_due_since_us = now_us;
+	if (unknown)
+		group->failover_due_since_us -=
+		    takeover_delay_us(group) - group->pool->takeover_delay_us;
 }
 
 /*
@@ -643,9 +683,8 @@
 static void
 check_takeover(group_t *group, int64_t now_us)
 {
-	int32_t primary = failover_primary(&group->failover);
-	bool leaving = primary >= 0 && group->servers[primary]->leaving;
-	int64_t delay_us;
+	bool leaving = primary_leaving(group);
+	int64_t delay_us = takeover_delay_us(group);
 
 	if ((!leaving && !group->unresponsive &&
 		!group_lease_stuck(group, now_us)) ||
@@ -656,12 +695,7 @@
 	}
 	if (group->failover_due_since_us == 0)
 		group->failover_due_since_us = now_us;
-	/* longer after a sign of a failover, which may have to wait for leases
-	   to expire */
-	delay_us = group->pool->takeover_delay_us;
-	if (!leaving && !group->unresponsive)
-		delay_us += STUCK_TAKEOVER_US;
-	if (now_us - group->failover_due_since_us >= delay_us &&
+	if (now_us >= monitor_takeover_us(group) &&
 	    !group->pool->is_coordinator &&
 	    (group->failover_seen_us == 0 ||
 		now_us - group->failover_seen_us >=
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -265,7 +265,8 @@
 	g_hash_table_iter_init(&iter, pool->groups);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		if (!changed->held)
-			monitor_coordinator_denied(value, clock_us());
+			monitor_coordinator_denied(
+			    value, changed->unknown, clock_us());
 		if (began)
 			group_orders_report(value);
 		if (began && changed->token == FIRST_TOKEN)
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -108,8 +108,22 @@
 	msg_free(msg);
 }
 
+/* The last message about the coordinator role. */
+static Bp__DutyChanged last_duty;
+
+/*
+ * Note whether the daemon is the coordinator.
+ */
+static void
+note_duty(void *context, msg_t *msg)
+{
+	(void)context;
+	last_duty = *(const Bp__DutyChanged *)msg->body;
+	msg_free(msg);
+}
+
 static const task_handler_t pool_handlers[] = {
-    {&bp__duty_changed__descriptor, drop},
+    {&bp__duty_changed__descriptor, note_duty},
     {&bp__promotion_ended__descriptor, drop},
     {&bp__orders_read__descriptor, drop},
     {&bp__revoke_wanted__descriptor, drop},
@@ -1080,6 +1094,57 @@
 	bed_stop(&bed);
 }
 
+typedef struct denied_case {
+	const char *name;
+	object_store_status_t status; /* of the read of the record */
+	bool unknown;                 /* it does not tell the coordinator */
+} denied_case_t;
+
+static const denied_case_t denied_cases[] = {
+    {"another daemon is named", OBJECT_STORE_OK, false},
+    {"the store refuses", OBJECT_STORE_REFUSED, true},
+    {"the store does not answer", OBJECT_STORE_NO_RESPONSE, true},
+};
+
+/* Status of the answer to a read. */
+static object_store_status_t read_status;
+
+/*
+ * Answer a read of the record with a status.
+ */
+static void
+get_with_status(object_store_t *store, object_kind_t kind, const char *name,
+    object_store_cb callback, void *context)
+{
+	object_store_response_t response = {.status = read_status};
+
+	if (read_status == OBJECT_STORE_OK)
+		get_record(store, kind, name, callback, context);
+	else
+		callback(context, &response);
+}
+
+/*
+ * Test that the pool is told whether the store has named another coordinator,
+ * or has not told.
+ */
+static void
+test_denied(gconstpointer data)
+{
+	static const object_store_ops_t ops = {
+	    .read_coordinator = read_coordinator, .get = get_with_status};
+	const denied_case_t *c = data;
+	bed_t bed;
+	registry_t *registry = bed_start(&bed, &ops, &dropping_ops);
+
+	read_status = c->status;
+	coordinator_check(registry, msg_new(&bp__duty_wanted__descriptor));
+	bed_run(&bed);
+	g_assert_false(last_duty.held);
+	g_assert_cmpint(last_duty.unknown, ==, c->unknown);
+	bed_stop(&bed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -1101,6 +1166,7 @@
 	CASES("/coordinator/members", taken_members_cases, test_taken_members);
 	CASES("/coordinator/role-again", role_again_cases, test_role_again);
 	CASES("/coordinator/unreadable", unreadable_cases, test_unreadable);
+	CASES("/coordinator/denied", denied_cases, test_denied);
 	CASES("/coordinator/heard", heard_cases, test_heard);
 	return g_test_run();
 }
--- a/tests/t_monitor.c
+++ b/tests/t_monitor.c
@@ -19,6 +19,43 @@
 	failover_clear(&group.failover);
 }
 
+typedef struct denied_case {
+	const char *name;
+	bool unresponsive; /* the primary does not answer */
+	bool unknown;      /* the store has not told who is the coordinator */
+	int64_t due_ms;    /* time since which there is something to do */
+	int64_t asked_ms;  /* next time of asking for the role */
+} denied_case_t;
+
+#define DENIED_MS 8000
+#define DELAY_MS 1000
+
+static const denied_case_t denied_cases[] = {
+    {"another daemon, and the primary is silent", true, false, 7000, 9000},
+    {"no answer, and the primary is silent", true, true, 7000, 9000},
+    {"another daemon, and leases are held up", false, false, 2000, 14000},
+    {"no answer, and leases are held up", false, true, 2000, 9000},
+    {"there is nothing to do", false, true, 0, 0},
+};
+
+/*
+ * Test when a daemon asks for the coordinator role again.  A single answer of
+ * the store that was lost does not cost the time that a coordinator has.
+ */
+static void
+test_denied(gconstpointer data)
+{
+	const denied_case_t *c = data;
+	pool_t pool = {.takeover_delay_us = DELAY_MS * US_PER_MS};
+	group_t group = {.pool = &pool,
+	    .unresponsive = c->unresponsive,
+	    .failover_due_since_us = c->due_ms * US_PER_MS};
+
+	monitor_coordinator_denied(&group, c->unknown, DENIED_MS * US_PER_MS);
+	g_assert_cmpint(
+	    monitor_takeover_us(&group), ==, c->asked_ms * US_PER_MS);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -28,5 +65,6 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions();
 	g_test_add_func("/monitor/position-kept", test_position_kept);
+	CASES("/monitor/coordinator-denied", denied_cases, test_denied);
 	return g_test_run();
 }
