Log a silent primary also when most of its group is silent

The line now depends on the primary alone, and so does its description. Whether the primary is replaced still depends on the others.

The fence of the old row depended on the same moment, since a daemon begins no failover without a majority; its order is held up instead now, so that the whole trail of a failover is expected as before.

--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -802,6 +802,24 @@
 	log_no_candidate(group, now_us);
 }
 
+/*
+ * Log when the primary falls silent, also if so many others do that it cannot
+ * be replaced, and when it answers again.
+ */
+static void
+check_primary_silent(group_t *group, int64_t now_us)
+{
+	int32_t primary = failover_primary(&group->failover);
+	bool silent = group->unresponsive ||
+	    (primary >= 0 &&
+		!failover_answers(&group->failover, (uint32_t)primary, now_us));
+
+	if (silent == group->primary_silent)
+		return;
+	group->primary_silent = silent;
+	log_primary_suspected(group, now_us);
+}
+
 /*
  * Probe the servers of a group, and run failovers and handovers if this daemon
  * is the coordinator.
@@ -811,7 +829,6 @@
 {
 	failover_t *failover = &group->failover;
 	failover_actions_t actions;
-	bool unresponsive;
 	int32_t primary;
 	uint32_t i;
 
@@ -830,11 +847,8 @@
 	}
 	failover_set_store(
 	    failover, group->pool->store_away, group->stored_attempt_term);
-	unresponsive = failover_primary_suspected(failover, now_us);
-	if (unresponsive != group->unresponsive) {
-		group->unresponsive = unresponsive;
-		log_primary_suspected(group, now_us);
-	}
+	group->unresponsive = failover_primary_suspected(failover, now_us);
+	check_primary_silent(group, now_us);
 	if (now_us - group->pool->started_us < STARTUP_US)
 		return;
 	check_takeover(group, now_us);
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -217,6 +217,7 @@
 	uint32_t sync_replicas;
 	/* the primary does not respond, but a majority of the group does */
 	bool unresponsive;
+	bool primary_silent; /* the primary does not respond, as was logged */
 	/* this daemon is the coordinator, a change of primary is due, and no
 	   server that answers can take over */
 	bool no_candidate;
--- a/src/proxy/pool_log.c
+++ b/src/proxy/pool_log.c
@@ -315,7 +315,7 @@
 	suspected.group = group->name;
 	if (primary >= 0)
 		suspected.server = group->servers[primary]->id;
-	suspected.silent = group->unresponsive;
+	suspected.silent = group->primary_silent;
 	suspected.belief = group_belief_new(arena, group, now_us);
 	log_event(G_LOG_LEVEL_INFO, &suspected.base);
 	arena_free(arena);
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -236,7 +236,7 @@
 	set_unable(group, false);
 	if (--group->pool->active_groups == 0)
 		send_leases_needed(group->pool, false);
-	group->unresponsive = false;
+	group->unresponsive = group->primary_silent = false;
 	lease_cancel(&group->lease);
 }
 
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -693,16 +693,21 @@
 
 #define LOG_CASE_ITEMS_MAX 4
 
+/* Time in which each database is sent a request. */
+#define REQUESTED_MS 50
+
 typedef struct log_case {
 	const char *name;
 	uint32_t lag_ms;
 	const char *database;
 	const char *setup[LOG_CASE_ITEMS_MAX]; /* statements that succeed */
 	struct {
-		const char *fault;       /* NULL: none */
+		const char *target; /* NULL: none */
+		const char *fault;
 		int32_t database_number; /* -1: the primary */
 	} faults[2];
-	uint32_t wait_ms; /* time from the faults to the failing statement */
+	uint32_t held_ms; /* time from then on in which the proxy is held up */
+	uint32_t wait_ms; /* time from then to the failing statement */
 	const char *failing_statement;
 	const char *expected; /* prefix of the answer */
 	/* expected in the log line about the failed statement */
@@ -713,7 +718,8 @@
 
 static const log_case_t log_cases[] = {
     {"refused while the primary fails", 5, "intake", {"WRITE a x"},
-	{{"mute", 0}, {"mute", 1}}, 2500, "WRITE b y", "ERR BUSY",
+	{{"order", "hold", -1}, {"database", "mute", 0}}, 0, 1500, "WRITE b y",
+	"ERR BUSY",
 	{"\"verdict\":\"busy\"",
 	    "\"text\":\"no database was free in time; not "
 	    "run; retry-after-ms=",
@@ -723,13 +729,26 @@
 	    "\"event\":\"server_connection_lost\",\"server\":\"i-0\"",
 	    "\"event\":\"change_step_taken\",\"group\":\"ledger\","
 	    "\"step\":\"fence\""}},
+    {"the same, a replica fails as well, and the daemon is held up", 5,
+	"intake", {"WRITE a x"},
+	{{"database", "mute", 0}, {"database", "mute", 1}}, 1000, 700,
+	"WRITE b y", "ERR BUSY",
+	{"\"verdict\":\"busy\"",
+	    "\"text\":\"no database was free in time; not "
+	    "run; retry-after-ms=",
+	    "\"primary\":\"i-0\"", "\"!i-0:"},
+	{"\"event\":\"primary_suspected\",\"group\":\"ledger\","
+	 "\"server\":\"i-0\",\"silent\":true",
+	    "\"event\":\"server_connection_lost\",\"server\":\"i-0\"",
+	    "\"event\":\"server_connection_lost\",\"server\":\"i-1\""}},
     {"a commit whose outcome is unknown", 5, "intake", {"BEGIN", "WRITE a x"},
-	{{"lose-commit", -1}}, 0, "COMMIT", "ERR INDOUBT",
+	{{"database", "lose-commit", -1}}, 0, 0, "COMMIT", "ERR INDOUBT",
 	{"\"verdict\":\"in_doubt\"", "\"kind\":\"commit_transaction\"",
 	    "\"server\":\"i-0\""},
 	{"\"event\":\"server_connection_lost\",\"server\":\"i-0\""}},
     {"a read refused because the replicas lag", 60000, "quotes", {"WRITE a x"},
-	{{"mute", 0}, {"crash", 1}}, 700, "READ a", "ERR BUSY",
+	{{"database", "mute", 0}, {"database", "crash", 1}}, 0, 700, "READ a",
+	"ERR BUSY",
 	{"\"verdict\":\"busy\"", "\"freshness\":\"own_writes\"", "\"tries\":4",
 	    "\"floor\":\"1.1\""},
 	{"\"event\":\"statement_retried\",\"request\":\"q2\","
@@ -787,10 +806,16 @@
 	for (n = 0; n < LOG_CASE_ITEMS_MAX && c->setup[n] != NULL; n++)
 		client_expect(client, c->setup[n], "DONE");
 	for (i = 0; i < G_N_ELEMENTS(c->faults); i++) {
-		if (c->faults[i].fault != NULL)
-			testbed_inject_fault(testbed, "database",
+		if (c->faults[i].target != NULL)
+			testbed_inject_fault(testbed, c->faults[i].target,
 			    c->faults[i].fault, c->faults[i].database_number);
 	}
+	if (c->held_ms > 0) {
+		g_usleep(REQUESTED_MS * US_PER_MS);
+		fleet_process_signal(&testbed->proxies[0], SIGSTOP);
+		g_usleep(c->held_ms * US_PER_MS);
+		fleet_process_signal(&testbed->proxies[0], SIGCONT);
+	}
 	g_usleep(c->wait_ms * US_PER_MS);
 	client_expect(client, c->failing_statement, c->expected);
 	request = g_strdup_printf("q%u", n + 1);
