--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -223,15 +223,59 @@
 	    ended->state == BP__REVOKE_STATE__ALL, now_us);
 }
 
+/*
+ * Tell whether the coordinator should replace the primary now: it is
+ * unresponsive or leaving, and a server that can take over answers.
+ */
+static bool
+replacement_due(const group_t *group, int64_t now_us)
+{
+	int32_t primary = failover_primary(&group->failover);
+
+	if (group->unresponsive)
+		return failover_candidate_answers(&group->failover, now_us);
+	return primary >= 0 && group->servers[primary]->leaving &&
+	    failover_handover_possible(&group->failover, now_us);
+}
+
+/*
+ * Return the time that the coordinator has to act.  It is longer after a sign
+ * of a failover, which may have to wait for leases to expire.
+ */
+static int64_t
+takeover_delay_us(const group_t *group, int64_t now_us)
+{
+	return group->pool->takeover_delay_us +
+	    (replacement_due(group, now_us) ? 0 : STUCK_TAKEOVER_US);
+}
+
+/*
+ * Return the time at which this daemon asks for the coordinator role if the
+ * coordinator does not act; 0 if there is nothing to do for it.
+ */
+int64_t
+monitor_takeover_us(const group_t *group, int64_t now_us)
+{
+	return group->failover_due_since_us == 0
+	    ? 0
+	    : group->failover_due_since_us + takeover_delay_us(group, now_us);
+}
+
 /*
  * Restart the time that the coordinator has for a failover, since the store
- * has just named another daemon as the coordinator.
+ * has just named another daemon as the coordinator.  unknown: the store has not
+ * told; ask again after the shortest time.
  */
 void
-monitor_coordinator_denied(group_t *group, int64_t now_us)
+monitor_coordinator_denied(group_t *group, bool unknown, int64_t now_us)
 {
-	if (group->failover_due_since_us != 0)
-		group->failover_due_since_us = now_us;
+	if (group->failover_due_since_us == 0)
+		return;
+	group->failover_due_since_us = now_us;
+	if (unknown)
+		group->failover_due_since_us -=
+		    takeover_delay_us(group, now_us) -
+		    group->pool->takeover_delay_us;
 }
 
 /*
@@ -635,21 +679,6 @@
 	monitor_request_status(server, now_us);
 }
 
-/*
- * Tell whether the coordinator should replace the primary now: it is
- * unresponsive or leaving, and a server that can take over answers.
- */
-static bool
-replacement_due(const group_t *group, int64_t now_us)
-{
-	int32_t primary = failover_primary(&group->failover);
-
-	if (group->unresponsive)
-		return failover_candidate_answers(&group->failover, now_us);
-	return primary >= 0 && group->servers[primary]->leaving &&
-	    failover_handover_possible(&group->failover, now_us);
-}
-
 /*
  * Ask for the coordinator role if the coordinator does not act: the primary
  * has been unresponsive or shutting down for longer than the coordinator
@@ -659,22 +688,16 @@
 static void
 check_takeover(group_t *group, int64_t now_us)
 {
-	bool due = replacement_due(group, now_us);
 	bool stuck = !group->unresponsive && group_lease_stuck(group, now_us);
-	int64_t delay_us;
+	int64_t delay_us = takeover_delay_us(group, now_us);
 
-	if (!due && !stuck) {
+	if (!replacement_due(group, now_us) && !stuck) {
 		group->failover_due_since_us = 0;
 		return;
 	}
 	if (group->failover_due_since_us == 0)
 		group->failover_due_since_us = now_us;
-	/* longer after a sign of a failover, which may have to wait for leases
-	   to expire */
-	delay_us = group->pool->takeover_delay_us;
-	if (!due)
-		delay_us += STUCK_TAKEOVER_US;
-	if (now_us - group->failover_due_since_us >= delay_us &&
+	if (now_us >= monitor_takeover_us(group, now_us) &&
 	    !group->pool->is_coordinator &&
 	    (group->failover_seen_us == 0 ||
 		now_us - group->failover_seen_us >=
@@ -781,6 +804,24 @@
 	log_no_candidate(group, now_us);
 }
 
+/*
+ * Log when the primary falls silent, also if so many others do that it cannot
+ * be replaced, and when it answers again.
+ */
+static void
+check_primary_silent(group_t *group, int64_t now_us)
+{
+	int32_t primary = failover_primary(&group->failover);
+	bool silent = group->unresponsive ||
+	    (primary >= 0 &&
+		!failover_answers(&group->failover, (uint32_t)primary, now_us));
+
+	if (silent == group->primary_silent)
+		return;
+	group->primary_silent = silent;
+	log_primary_suspected(group, now_us);
+}
+
 /*
  * Probe the servers of a group, and run failovers and handovers if this daemon
  * is the coordinator.
@@ -790,7 +831,6 @@
 {
 	failover_t *failover = &group->failover;
 	failover_actions_t actions;
-	bool unresponsive;
 	int32_t primary;
 	uint32_t i;
 
@@ -810,11 +850,8 @@
 	}
 	failover_set_store(
 	    failover, group->pool->store_away, group->stored_attempt_term);
-	unresponsive = failover_primary_suspected(failover, now_us);
-	if (unresponsive != group->unresponsive) {
-		group->unresponsive = unresponsive;
-		log_primary_suspected(group, now_us);
-	}
+	group->unresponsive = failover_primary_suspected(failover, now_us);
+	check_primary_silent(group, now_us);
 	if (now_us - group->pool->started_us < STARTUP_US)
 		return;
 	check_takeover(group, now_us);
