Model of the site: troubles of orders, tokens and members

New steps: an order is held up in its sender, in a socket (its sender runs, pauses, is cut off or ends) or at the platform (before its answer or after it); the coordinator record is deleted, cannot be read, or is written late; a member starts again in a failover, also listed late; a database leaves, and a new one has its address. Each run checks the fencing tokens of the orders: none is used by two daemons, none is lower than one sent before.

--- a/tests/t_proxy_model.c
+++ b/tests/t_proxy_model.c
@@ -28,6 +28,7 @@
 	uint32_t sender_paused_permille;
 	uint32_t primary_cut_permille;
 	uint32_t alone_permille;
+	proxy_model_troubles_t troubles;
 } correct_case_t;
 
 static const correct_case_t correct_cases[] = {
@@ -81,17 +82,63 @@
 	120, 0, 0, 0, 0, 0, 0, 0, 300},
     {"a daemon that the store has lost alone reaches the primary", 3, 4, 4, 0,
 	40, 120, 3, 0, 4, 0, 0, 0, 3, 700},
+    {"orders wait in their sender", 3, 4, 12, 0, 0, 100,
+	.troubles = {.order_held_permille = {[PROXY_PLACE_SENDER] = 400}}},
+    {"orders are held up in a socket", 3, 4, 12, 0, 0, 100,
+	.troubles = {.order_held_permille = {[PROXY_PLACE_SOCKET] = 400}}},
+    {"orders are held up at the platform", 3, 4, 12, 0, 0, 100,
+	.troubles = {.order_held_permille = {[PROXY_PLACE_PLATFORM] = 400}}},
+    {"orders are held up in each place, five databases", 5, 5, 12, 0, 0, 60,
+	.troubles = {.order_held_permille = {200, 250, 300}}},
+    {"orders are held up in each place, daemons and databases restart", 3, 4, 8,
+	0, 0, 100, 3, 1, .troubles = {.order_held_permille = {200, 250, 300}}},
+    {"writes to take the role are late", 3, 4, 12, 0, 0, 100, 3, 0, 4,
+	.troubles = {.role_late_permille = 400}},
+    {"a coordinator record that cannot be read", 3, 4, 12, 0, 0, 100, 3,
+	.troubles = {.role_late_permille = 200,
+	    .record_unreadable_permille = 2}},
+    {"a coordinator record that is deleted", 3, 4, 8, 0,
+	.troubles = {.record_deleted_permille = 1}},
+    {"a coordinator record that is deleted, daemons restart", 3, 4, 8, 0, 0, 0,
+	4, .troubles = {.record_deleted_permille = 3}},
+    {"a member starts again in a failover", 3, 4, 4, 0, 0, 100,
+	.troubles = {.member_restart_permille = 3}},
+    {"a member starts again in a failover and is listed late", 3, 3, 4, 0,
+	.troubles = {.member_restart_permille = 3,
+	    .start_listed_max_us = 1000000}},
+    {"databases leave, many faults", 3, 4, 14, 0, 0, 100, 2,
+	.troubles = {.leaving_permille = 5}},
+    {"a member leaves in a failover, and a new one has its address", 3, 3, 4, 0,
+	0, 100,
+	.troubles = {.member_restart_permille = 3, .leaving_permille = 3}},
 };
 
+/*
+ * Tell whether troubles are drawn.
+ */
+static bool
+has_troubles(const proxy_model_troubles_t *troubles)
+{
+	uint32_t i, held = 0;
+
+	for (i = 0; i < PROXY_PLACES; i++)
+		held += troubles->order_held_permille[i];
+	return held + troubles->role_late_permille +
+	    troubles->record_deleted_permille +
+	    troubles->record_unreadable_permille +
+	    troubles->member_restart_permille + troubles->leaving_permille >
+	    0;
+}
+
 /*
  * Test that no invariant is violated, that writes are acknowledged and, with
- * faults, that the primary changes.
+ * faults, that the primary changes, and that troubles begin.
  */
 static void
 test_correct_rules(gconstpointer data)
 {
 	const correct_case_t *c = data;
-	uint64_t acknowledged = 0, primary_changes = 0;
+	uint64_t acknowledged = 0, primary_changes = 0, troubles = 0;
 	uint32_t i, seeds = c->seeds == 0 ? SEEDS : c->seeds;
 
 	for (i = 1; i <= seeds; i++) {
@@ -109,29 +156,34 @@
 		    .order_late_permille = c->order_late_permille,
 		    .sender_paused_permille = c->sender_paused_permille,
 		    .primary_cut_permille = c->primary_cut_permille,
-		    .alone_permille = c->alone_permille};
+		    .alone_permille = c->alone_permille,
+		    .troubles = c->troubles};
 		proxy_model_result_t result;
 
 		proxy_model_run(&plan, &result);
+		troubles += result.troubles + result.late_promotions;
 		acknowledged += result.acknowledged;
 		primary_changes += result.primary_changes;
-		if (result.split_brain_acks + result.stale_primary_reads +
-			result.lost_writes ==
-		    0)
+		if (proxy_model_violations(&result) == 0)
 			continue;
 		g_test_message("seed %u: split %" G_GUINT64_FORMAT
 			       ", stale %" G_GUINT64_FORMAT
-			       ", lost %" G_GUINT64_FORMAT,
+			       ", lost %" G_GUINT64_FORMAT
+			       ", tokens: repeated %" G_GUINT64_FORMAT
+			       ", lower %" G_GUINT64_FORMAT,
 		    i, result.split_brain_acks, result.stale_primary_reads,
-		    result.lost_writes);
+		    result.lost_writes, result.repeated_tokens,
+		    result.lower_tokens);
 		g_test_fail(); /* continue with the other seeds */
 	}
 	g_test_message("%" G_GUINT64_FORMAT " acknowledged, %" G_GUINT64_FORMAT
-		       " primary changes",
-	    acknowledged, primary_changes);
+		       " primary changes, %" G_GUINT64_FORMAT " troubles",
+	    acknowledged, primary_changes, troubles);
 	g_assert_cmpuint(acknowledged, >, 0);
 	if (c->fault_permille > 0)
 		g_assert_cmpuint(primary_changes, >, 0);
+	if (has_troubles(&c->troubles))
+		g_assert_cmpuint(troubles, >, 0);
 }
 
 typedef struct bug_case {
@@ -154,6 +206,7 @@
 	/* the open orders would hide the bug */
 	bool open_orders_unknown;
 	uint32_t database_restart_permille;
+	proxy_model_troubles_t troubles;
 } bug_case_t;
 
 static const bug_case_t bug_cases[] = {
@@ -196,6 +249,31 @@
 	PROXY_BUG_OPEN_ORDERS_UNTOLD, 4, 0, 12, 3, 1, false, 0, 0, 300},
     {"recorded members that have restarted", PROXY_BUG_MEMBERS_IGNORED, 4, 0, 8,
 	3, 1, false, 0, 0, 1000, 0, 0, 0, 0, false, 20},
+    {"an order that is sent after its timeout", PROXY_BUG_SENT_AFTER_TIMEOUT, 4,
+	0, 8,
+	.troubles = {.order_held_permille = {[PROXY_PLACE_SENDER] = 1000}}},
+    {"an order that its sender has given up counts as not sent",
+	PROXY_BUG_GIVEN_UP_IS_VOID, 4, 0, 4,
+	.troubles = {.order_held_permille = {[PROXY_PLACE_SOCKET] = 1000}}},
+    {"an order that the platform has accepted counts as carried out",
+	PROXY_BUG_ACCEPTED_IS_DONE, 4, 0, 12,
+	.troubles = {.order_held_permille = {[PROXY_PLACE_PLATFORM] = 1000}}},
+    {"a token that does not depend on the era", PROXY_BUG_TOKEN_WITHOUT_ERA, 4,
+	0, 8, .returns_permille = 4},
+    {"a write of the role that counts without an answer",
+	PROXY_BUG_ROLE_UNCONFIRMED, 4, 0, 8,
+	.troubles = {.role_late_permille = 300}},
+    {"a record that is replaced without asking the others",
+	PROXY_BUG_RECORD_REPLACED, 4, 0, 8,
+	.troubles = {.record_unreadable_permille = 5}},
+    {"a member that has started again", PROXY_BUG_STARTED_IS_MEMBER, 3, 0, 4,
+	.troubles = {.member_restart_permille = 3}},
+    {"a lease in a term when a newer one is known, with open orders",
+	PROXY_BUG_OLD_TERM, 3, 0, 4,
+	.troubles = {.member_restart_permille = 3, .leaving_permille = 3}},
+    {"a new database at the address of a member", PROXY_BUG_STARTED_IS_MEMBER,
+	3, 0, 4,
+	.troubles = {.member_restart_permille = 3, .leaving_permille = 3}},
 };
 
 /*
@@ -228,17 +306,17 @@
 		    .order_late_permille = c->order_late_permille,
 		    .sender_paused_permille = c->sender_paused_permille,
 		    .primary_cut_permille = c->primary_cut_permille,
-		    .alone_permille = c->alone_permille};
+		    .alone_permille = c->alone_permille,
+		    .troubles = c->troubles};
 		proxy_model_result_t result;
 
 		proxy_model_run(&plan, &result);
-		violations =
-		    result.split_brain_acks + result.stale_primary_reads;
+		violations = proxy_model_violations(&result);
 		if (violations == 0)
 			continue;
 		plan.injected_bug = PROXY_BUG_NONE;
 		proxy_model_run(&plan, &result);
-		without = result.split_brain_acks + result.stale_primary_reads;
+		without = proxy_model_violations(&result);
 	}
 	g_test_message("seed %u: violation found", i - 1);
 	g_assert_cmpuint(violations, >, 0);
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -595,7 +595,7 @@
 
 /*
  * Have a daemon read from the store which databases have started again.  Its
- * lease relied on those before.
+ * lease relied on those before, and it opens new connections to them.
  */
 static void
 read_starts(proxy_model_t *model, proxy_model_daemon_t *daemon)
@@ -609,6 +609,8 @@
 		if (daemon->born_us[i] == model->dbs[i].listed_start_us)
 			continue;
 		daemon->born_us[i] = model->dbs[i].listed_start_us;
+		daemon->failover.views[i] = (db_view_t){0};
+		daemon->connected_us[i] = 0;
 		lease_cancel(&daemon->lease);
 		lease_member_lost(&daemon->lease);
 		proxy_model_members_update(model, daemon);
--- a/tools/proxy_model_sequences.c
+++ b/tools/proxy_model_sequences.c
@@ -224,7 +224,9 @@
 		if (i != (uint32_t)primary)
 			model->dbs[i].daemon_cut_until_us[daemon] = until_us;
 	}
-	sequence->restarts = true;
+	if (plan->troubles.leaving_permille > 0)
+		model->dbs[member].leaves_us = sequence->member_restarts_us;
+	sequence->restarts = plan->troubles.leaving_permille == 0;
 	sequence->member = member;
 	sequence->member_cut_us = sequence->member_restarts_us +
 	    proxy_model_random_us(model, MEMBER_RESTART_MAX_US);
