--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -68,6 +68,9 @@
 	PROXY_BUG_ACCEPTED_IS_DONE,
 	/* the fencing token does not depend on the era of the store */
 	PROXY_BUG_TOKEN_WITHOUT_ERA,
+	/* the token follows the one in the record, also where a higher one is
+	   known */
+	PROXY_BUG_TOKEN_OF_RECORD,
 	/* a write of the coordinator record without an answer counts as done */
 	PROXY_BUG_ROLE_UNCONFIRMED,
 	/* who has written a record that cannot be read replaces it without
--- a/tools/proxy_model_orders.c
+++ b/tools/proxy_model_orders.c
@@ -12,6 +12,9 @@
    connection. */
 #define ORDER_TIMEOUT_US (600 * US_PER_MS)
 
+/* Time in which an order is written after its check, or not at all. */
+#define ORDER_WRITTEN_US (200 * US_PER_MS)
+
 /* Longest wait of an order in its sender, unless the process pauses. */
 #define ORDER_WAIT_MAX_US (1200 * US_PER_MS)
 
@@ -328,14 +331,14 @@
 
 /*
  * Handle that an order that has waited in its sender can be written to the
- * socket, unless its timeout is over.
+ * socket, unless the time for that is over.
  */
 void
 proxy_model_order_sent(proxy_model_t *model, const event_t *event)
 {
 	event_t order = *event;
 
-	if (model->now_us - event->sent_us > ORDER_TIMEOUT_US &&
+	if (model->now_us - event->sent_us > ORDER_WRITTEN_US &&
 	    model->plan->injected_bug != PROXY_BUG_SENT_AFTER_TIMEOUT)
 		return;
 	check_token(model, &order);
--- a/tools/proxy_model_role.c
+++ b/tools/proxy_model_role.c
@@ -126,6 +126,18 @@
 	begin_role(model, daemon_index, model->coordinator_token);
 }
 
+/*
+ * Return the token above which a daemon takes the role: the highest one that
+ * it knows, also if the record has a lower one.
+ */
+static uint64_t
+token_known(const proxy_model_t *model, const proxy_model_daemon_t *daemon)
+{
+	return model->plan->injected_bug == PROXY_BUG_TOKEN_OF_RECORD
+	    ? model->coordinator_token
+	    : MAX(model->coordinator_token, daemon->newest_token_seen);
+}
+
 /*
  * Have a daemon write the record to take the role.  The write may get no
  * answer.
@@ -139,7 +151,7 @@
 	    .daemon = daemon_index,
 	    .store_era = model->store_era,
 	    .revision = model->record_revision,
-	    .token = model->coordinator_token};
+	    .token = token_known(model, daemon)};
 
 	if (late_permille > 0 && proxy_model_chance(model, late_permille)) {
 		model->result->troubles++;
@@ -150,10 +162,10 @@
 			begin_role(model, daemon_index,
 			    fencing_token_next(
 				model->store_era + STORE_ERA_FIRST,
-				model->coordinator_token));
+				late.token));
 		return;
 	}
-	write_role(model, daemon_index, model->coordinator_token);
+	write_role(model, daemon_index, late.token);
 	begin_role(model, daemon_index, model->coordinator_token);
 }
 
