Model of the site: a lease where most members have ended, as a known failure

One member of three has ended, another one promises a term, ends too and is followed by a new database at its address.

An order that waits in its sender ends with its process.

--- a/tests/t_proxy_model.c
+++ b/tests/t_proxy_model.c
@@ -29,6 +29,7 @@
 	uint32_t primary_cut_permille;
 	uint32_t alone_permille;
 	proxy_model_troubles_t troubles;
+	uint32_t first_seed; /* 0: 1 */
 } correct_case_t;
 
 static const correct_case_t correct_cases[] = {
@@ -114,6 +115,10 @@
     {"a member leaves in a failover, and a new one has its address", 3, 3, 4, 0,
 	0, 100,
 	.troubles = {.member_restart_permille = 3, .leaving_permille = 3}},
+    {"a member leaves in a failover, and another one has ended before", 3, 3, 4,
+	0, 0, 1,
+	.troubles = {.member_restart_permille = 3, .leaving_permille = 3},
+	.first_seed = 239},
 };
 
 /*
@@ -142,9 +147,10 @@
 {
 	const correct_case_t *c = data;
 	uint64_t acknowledged = 0, primary_changes = 0, troubles = 0;
-	uint32_t i, seeds = c->seeds == 0 ? SEEDS : c->seeds;
+	uint32_t seeds = c->seeds == 0 ? SEEDS : c->seeds;
+	uint32_t i, first = MAX(1, c->first_seed);
 
-	for (i = 1; i <= seeds; i++) {
+	for (i = first; i < first + seeds; i++) {
 		proxy_model_plan_t plan = {.seed = i,
 		    .steps = STEPS,
 		    .databases = c->databases,
--- a/tools/proxy_model_orders.c
+++ b/tools/proxy_model_orders.c
@@ -331,13 +331,16 @@
 
 /*
  * Handle that an order that has waited in its sender can be written to the
- * socket, unless the time for that is over.
+ * socket, unless the time for that is over or its process has ended.
  */
 void
 proxy_model_order_sent(proxy_model_t *model, const event_t *event)
 {
 	event_t order = *event;
 
+	/* the process has ended, and the new one has no token yet */
+	if (model->daemons[event->daemon].fencing_token == 0)
+		return;
 	if (model->now_us - event->sent_us > ORDER_WRITTEN_US &&
 	    model->plan->injected_bug != PROXY_BUG_SENT_AFTER_TIMEOUT)
 		return;
