Failover: a file for each subject

The state machine stays there; what is known of the databases, the recorded orders, the handover, promotion, fencing and the state itself are in files of their own. failover_internal.h lists them in the order of their calls.

The functions are unchanged, but those that another file calls are no longer static.

--- /dev/null
+++ b/src/decide/failover_promotion.c
@@ -0,0 +1,131 @@
+#include "failover_internal.h"
+#include "failover_standing.h"
+
+/* Interval at which FOLLOW is repeated. */
+#define FOLLOW_INTERVAL_US (US_PER_SECOND / 5)
+
+/*
+ * Note that the chosen database is ordered to become primary.
+ */
+void
+note_order(failover_t *failover, int64_t now_us)
+{
+	int32_t primary = failover_primary(failover);
+
+	failover->order_before = failover->order;
+	failover->order = (failover_order_t){.term = failover->term,
+	    .primary_term = primary < 0 ? 0 : failover->views[primary].promised,
+	    .database = (int32_t)failover->chosen,
+	    .until_us = now_us +
+		MAX(failover->limits.promotion_us,
+		    failover->limits.order_late_us)};
+}
+
+/*
+ * Tell whether an order may have taken effect, or may still do so: the database
+ * has neither shown that it became primary nor, after the time for it, that it
+ * did not.
+ */
+bool
+order_pending(failover_t *failover, int64_t now_us)
+{
+	failover_order_t *order = &failover->order;
+	const db_view_t *view;
+
+	if (order->term == 0)
+		return false;
+	if (order->database < 0) {
+		if (now_us >= order->until_us)
+			order->term = 0;
+		return order->term != 0;
+	}
+	view = &failover->views[order->database];
+	if (view->known &&
+	    (view->requested_us >= order->until_us ||
+		(view->primary && view->promised > order->primary_term)))
+		order->term = 0;
+	return order->term != 0;
+}
+
+/*
+ * Tell whether an order to another database may still take effect.  It would
+ * replace the chosen one without a majority that is fenced.
+ */
+bool
+order_pending_elsewhere(failover_t *failover, int32_t chosen, int64_t now_us)
+{
+	return order_pending(failover, now_us) &&
+	    now_us < failover->order.until_us &&
+	    failover->order.database != chosen;
+}
+
+/*
+ * Tell whether the promotion that was last ordered is still wanted: no newer
+ * term has begun since the attempt began.  If one has, another promotion took
+ * effect, and the daemons may hold leases on that primary.
+ */
+bool
+failover_order_stands(const failover_t *failover, uint64_t term)
+{
+	return failover->state == FAILOVER_PROMOTING &&
+	    failover->term == term &&
+	    newest_term(failover) <= failover->fenced_from_term;
+}
+
+/*
+ * Return the end of the log of the database to be promoted, as last reported.
+ */
+position_t
+failover_base(const failover_t *failover)
+{
+	return failover->views[failover->chosen].last_entry;
+}
+
+/*
+ * Process the answer of the database that was ordered to become primary.
+ */
+void
+failover_promotion_answered(failover_t *failover, uint32_t database,
+    uint64_t term, bool ok, const db_view_t *view, int64_t now_us)
+{
+	failover_merge_view(failover, database, view, now_us);
+	if (!ok && term == failover->order.term) {
+		failover->order = failover->order_before;
+		standing_ordered(failover, term, false);
+	}
+	if (failover->state != FAILOVER_PROMOTING || term != failover->term ||
+	    database != failover->chosen)
+		return;
+	if (!ok) {
+		back_off(failover, now_us);
+		return;
+	}
+	failover->order.term = 0;
+	failover->failures = 0;
+	failover->handover = false;
+	failover->isolated = -1;
+	failover->unconfirmed_since_us = 0;
+	enter_state(failover, FAILOVER_STEADY, now_us);
+}
+
+/*
+ * Tell every database that has not reached the primary's term to follow the
+ * primary.  This makes an old primary that has come back step down.
+ */
+void
+send_follow(failover_t *failover, int64_t now_us, failover_actions_t *actions)
+{
+	int32_t primary = failover_primary(failover);
+	uint64_t term = failover->views[primary].promised;
+	uint32_t i;
+
+	for (i = 0; i < failover->count; i++) {
+		if ((int32_t)i == primary || !failover->views[i].known ||
+		    failover->views[i].promised >= term ||
+		    now_us - failover->follow_sent_us[i] < FOLLOW_INTERVAL_US)
+			continue;
+		failover->follow_sent_us[i] = now_us;
+		actions->list[actions->count++] =
+		    (failover_action_t){FAILOVER_FOLLOW, i, term};
+	}
+}
