Test of a server that leaves: an entry that is taken

Cause: its entry of the leaving server lacks the version, which entries need since, so it was rejected and the server left the list. The test passed where the daemon saw that before the store went back. Where it kept the server as unlisted and leaving, the older entry was taken at once, and the test failed.

The entry is complete now. The test waits until the daemon has logged that the server leaves, and also checks that this was before the store went back and that no entry was rejected.

--- a/tests/t_restored.c
+++ b/tests/t_restored.c
@@ -218,11 +218,47 @@
 
 #define LEAVING_ENTRY \
 	"{\"backend\":\"ledger\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\"," \
-	"\"capacity\":4,\"state\":\"draining\",\"born\":1}"
+	"\"version\":\"v1\",\"capacity\":4,\"state\":\"draining\"," \
+	"\"cold-remaining-ms\":0,\"sequence\":1,\"born\":1}"
+
+#define LISTED_EVENT \
+	"\"event\":\"server_listed\",\"server\":\"i-1\",\"group\":\"ledger\","
 
 /* Time after which the entries of the older copy are taken. */
 #define ENTRIES_SETTLED_MS 4000
 
+/*
+ * Read the log of the proxy.  The caller frees it.
+ */
+static char *
+read_log(const testbed_t *testbed)
+{
+	char *path = g_strdup_printf("%s/proxy-0.log", testbed->work_dir), *log;
+
+	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+	g_free(path);
+	return log;
+}
+
+/*
+ * Wait until the proxy has logged a text.
+ */
+static bool
+wait_logged(const testbed_t *testbed, const char *text)
+{
+	int64_t began_us = g_get_monotonic_time();
+	bool logged = false;
+
+	while (!logged && elapsed_ms(began_us) < READY_TIMEOUT_MS) {
+		char *log = read_log(testbed);
+
+		logged = strstr(log, text) != NULL;
+		g_free(log);
+		g_usleep(POLL_US);
+	}
+	return logged;
+}
+
 /*
  * Test that a server that has said that it leaves gets no work again while the
  * store has an older entry, which says that it does not.
@@ -232,8 +268,7 @@
 {
 	testbed_plan_t plan = {.proxies = 1, .lag_ms = 5};
 	testbed_t *testbed = testbed_start(&plan);
-	char *path = g_strdup_printf("%s/proxy-0.log", testbed->work_dir), *log;
-	char *entry;
+	char *entry, *log;
 	const char *leaving;
 
 	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
@@ -241,19 +276,18 @@
 	entry =
 	    g_strdup_printf(LEAVING_ENTRY, testbed->first_database_port + 1);
 	testbed_put_object(testbed, "servers", "i-1", entry);
-	g_usleep(1000 * US_PER_MS);
+	g_assert_true(wait_logged(testbed, "\"leaving\":true"));
 	testbed_inject_fault(testbed, "store", "restored", -1);
 	g_usleep(ENTRIES_SETTLED_MS * US_PER_MS);
-	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
-	leaving = strstr(log,
-	    "\"event\":\"server_listed\",\"server\":\"i-1\","
-	    "\"group\":\"ledger\",");
+	log = read_log(testbed);
+	g_assert_null(strstr(log, "\"event\":\"entry_rejected\""));
+	leaving = strstr(log, LISTED_EVENT);
 	g_assert_nonnull(leaving);
 	leaving = strstr(leaving, "\"leaving\":true");
 	g_assert_nonnull(leaving);
+	g_assert_nonnull(strstr(leaving, "\"event\":\"store_restored\""));
 	g_assert_null(strstr(leaving, "\"leaving\":false"));
 	g_free(log);
-	g_free(path);
 	g_free(entry);
 	testbed_stop(testbed);
 }
