A server that no longer leaves is not kept leaving by failing calls

A server that had said that it leaves, and no longer does, got no work for as long as any call of the daemon to the store failed every 2.5 s, also one that is always refused.

Cause: its entry may be that of an older copy of the store, so it is kept leaving until the store counts as settled, 2.5 s after the last failed call of any kind.

It is now kept for at most 5 s, counted from then or from the time since which the servers are watched again, and as long as that watch fails.

--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -21,6 +21,12 @@
  */
 #define EXPIRY_GRACE_US (INT64_C(2500) * US_PER_MS)
 
+/*
+ * Longest time for which a server is kept leaving while calls of the store
+ * fail.  An entry that the store still has then is no old one.
+ */
+#define KEPT_LEAVING_US (2 * EXPIRY_GRACE_US)
+
 /*
  * A daemon that starts claims the coordinator role if fewer daemons than this
  * are listed.  Where there are more, some have claimed it before.
@@ -36,7 +42,9 @@
 	Bp__Server *server;
 	/* time since which the store has no registration; 0: it has one */
 	int64_t missing_since_us;
-	bool kept_leaving; /* the store says that the server does not leave */
+	/* time since which the store says that the server does not leave, while
+	   it is kept leaving; 0: it is not kept */
+	int64_t kept_since_us;
 } registration_t;
 
 /*
@@ -265,6 +273,21 @@
 		watch_request_next(&registry->servers_watch);
 }
 
+/*
+ * Tell whether a server is to be kept leaving that has been since a time, or
+ * since the servers were watched again if that is later.
+ */
+static bool
+stays_leaving(const registry_t *registry, int64_t since_us)
+{
+	const object_watch_t *watch = &registry->servers_watch;
+
+	return registrations_unsettled(registry) &&
+	    (watch->failing ||
+		clock_us() - MAX(since_us, watch->recovered_us) <
+		    KEPT_LEAVING_US);
+}
+
 /*
  * Handle the expiry timer: remove the servers whose registrations were not
  * renewed within EXPIRY_GRACE_US, and read again whether servers leave for
@@ -275,7 +298,6 @@
 {
 	registry_t *registry = context;
 	int64_t now_us = clock_us();
-	bool unsettled = registrations_unsettled(registry);
 	bool changed = false, waiting = false, outdated = false;
 	GHashTableIter iter;
 	gpointer value;
@@ -284,8 +306,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const registration_t *registration = value;
 
-		waiting |= registration->kept_leaving && unsettled;
-		outdated |= registration->kept_leaving && !unsettled;
+		if (registration->kept_since_us != 0 &&
+		    stays_leaving(registry, registration->kept_since_us))
+			waiting = true;
+		else if (registration->kept_since_us != 0)
+			outdated = true;
 		if (registration->missing_since_us == 0)
 			continue;
 		if (now_us - registration->missing_since_us >=
@@ -347,13 +372,16 @@
     const registration_t *before)
 {
 	Bp__Server *server = registration->server;
+	int64_t since_us = before == NULL || before->kept_since_us == 0
+	    ? clock_us()
+	    : before->kept_since_us;
 
 	if (before == NULL || !before->server->leaving || server->leaving ||
 	    before->server->born != server->born ||
-	    !registrations_unsettled(registry))
+	    !stays_leaving(registry, since_us))
 		return;
 	server->leaving = true;
-	registration->kept_leaving = true;
+	registration->kept_since_us = since_us;
 	start_expiry_timer(registry);
 }
 
--- a/tests/t_restored.c
+++ b/tests/t_restored.c
@@ -216,9 +216,9 @@
 	testbed_stop(testbed);
 }
 
-#define LEAVING_ENTRY \
+#define SERVER_ENTRY \
 	"{\"backend\":\"ledger\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\"," \
-	"\"version\":\"v1\",\"capacity\":4,\"state\":\"draining\"," \
+	"\"version\":\"v1\",\"capacity\":4,\"state\":\"%s\"," \
 	"\"cold-remaining-ms\":0,\"sequence\":1,\"born\":1}"
 
 #define LISTED_EVENT \
@@ -273,8 +273,8 @@
 
 	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
 	testbed_inject_fault(testbed, "store", "copy", -1);
-	entry =
-	    g_strdup_printf(LEAVING_ENTRY, testbed->first_database_port + 1);
+	entry = g_strdup_printf(
+	    SERVER_ENTRY, testbed->first_database_port + 1, "draining");
 	testbed_put_object(testbed, "servers", "i-1", entry);
 	g_assert_true(wait_logged(testbed, "\"leaving\":true"));
 	testbed_inject_fault(testbed, "store", "restored", -1);
@@ -292,6 +292,57 @@
 	testbed_stop(testbed);
 }
 
+/* Time after which the entries that the store had lost are there again. */
+#define WRITTEN_AGAIN_MS 1000
+
+/*
+ * Wait until the last that the proxy has logged of the server has a text.
+ */
+static bool
+wait_last_listed(const testbed_t *testbed, const char *text)
+{
+	int64_t began_us = g_get_monotonic_time();
+	bool found = false;
+
+	while (!found && elapsed_ms(began_us) < READY_TIMEOUT_MS) {
+		char *log = read_log(testbed);
+		const char *last = g_strrstr(log, LISTED_EVENT);
+
+		found = last != NULL && strstr(last, text) != NULL;
+		g_free(log);
+		g_usleep(POLL_US);
+	}
+	return found;
+}
+
+/*
+ * Test that a server that no longer leaves gets work again, also while some
+ * calls of the store go on to fail.
+ */
+static void
+test_leaving_ends(void)
+{
+	testbed_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	char *leaving = g_strdup_printf(
+	    SERVER_ENTRY, testbed->first_database_port + 1, "draining");
+	char *ready = g_strdup_printf(
+	    SERVER_ENTRY, testbed->first_database_port + 1, "ready");
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	testbed_inject_fault(testbed, "store", "copy", -1);
+	testbed_put_object(testbed, "servers", "i-1", leaving);
+	g_assert_true(wait_last_listed(testbed, "\"leaving\":true"));
+	testbed_inject_fault(testbed, "store", "restored", -1);
+	g_usleep(WRITTEN_AGAIN_MS * US_PER_MS);
+	testbed_put_object(testbed, "servers", "i-1", ready);
+	testbed_inject_fault(testbed, "store", "losing", -1);
+	g_assert_true(wait_last_listed(testbed, "\"leaving\":false"));
+	g_free(leaving);
+	g_free(ready);
+	testbed_stop(testbed);
+}
+
 typedef struct token_case {
 	const char *name;
 	const char *copy;
@@ -471,6 +522,7 @@
 	CASES("/restored/record", record_cases, test_record);
 	g_test_add_func("/restored/list", test_list_of_two_eras);
 	g_test_add_func("/restored/leaving", test_leaving_kept);
+	g_test_add_func("/restored/leaving-ends", test_leaving_ends);
 	CASES("/restored/token", token_cases, test_token);
 	return g_test_run();
 }
