An order is not sent once one for a later attempt is learned

A coordinator's order that waited for a write of the record was noted and sent although an order of a former coordinator for a later attempt had been learned meanwhile; the record then had the older attempt, and leases may rest on the later order having had no effect.

Cause: an order is noted when it is written, and the waiting ones were not compared with what is learned.

--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -781,15 +781,26 @@
 }
 
 /*
- * Handle OrderLearned: record an order of a former coordinator.
+ * Handle OrderLearned: record an order of a former coordinator.  Orders for
+ * earlier attempts that have not been sent yet are not sent: they were decided
+ * without it.
  */
 void
 order_learned(void *context, msg_t *msg)
 {
+	const Bp__RecordedOrder *learned =
+	    ((const Bp__OrderLearned *)msg->body)->order;
 	registry_t *registry = context;
+	GList *l;
+
+	for (l = registry->pending_orders; l != NULL; l = l->next) {
+		order_t *order = l->data;
 
-	if (orders_learn(
-		registry, ((const Bp__OrderLearned *)msg->body)->order))
+		if (order_request(order)->term < learned->attempt_term &&
+		    strcmp(order_request(order)->group, learned->group) == 0)
+			order->cancelled = true;
+	}
+	if (orders_learn(registry, learned))
 		update_recorded_orders(registry);
 	msg_free(msg);
 }
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -1158,6 +1158,64 @@
 	bed_stop(&bed);
 }
 
+typedef struct older_order_case {
+	const char *name;
+	uint64_t learned_term; /* attempt of the order that is learned */
+	uint64_t sent;         /* orders of attempt 3 that are sent */
+	uint64_t noted_term;   /* attempt that is noted in the end */
+} older_order_case_t;
+
+static const older_order_case_t older_order_cases[] = {
+    {"an order for an earlier attempt", 2, 1, 3},
+    {"an order for a later attempt", 4, 0, 4},
+};
+
+/*
+ * Test that an order that waits for a write of the record does not replace one
+ * of a former coordinator for a later attempt that is learned meanwhile.
+ */
+static void
+test_older_order(gconstpointer data)
+{
+	const older_order_case_t *c = data;
+	msg_t *msg = msg_new(&bp__order_learned__descriptor);
+	Bp__OrderLearned *learned = (Bp__OrderLearned *)msg->body;
+	Bp__DutyRecord record = BP__DUTY_RECORD__INIT;
+	arena_t *arena = arena_new();
+	uint64_t noted = 0;
+	write_t *next;
+	bed_t bed;
+	registry_t *registry = bed_start(&bed, &store_ops, NULL);
+	size_t i;
+
+	registry->fencing_token = 5;
+	registry->coordinator_revision = 10;
+	registry->order_sent = true;
+	promoted_count = 0;
+	g_queue_clear_full(&pending_writes, g_free);
+	want_order(registry, "other", 2, clock_us());
+	want_order(registry, "ledger", 3, clock_us());
+	learned->order = (Bp__RecordedOrder *)message_new(
+	    msg->arena, &bp__recorded_order__descriptor);
+	learned->order->group = arena_strdup(msg->arena, "ledger");
+	learned->order->replaced_term = 1;
+	learned->order->attempt_term = c->learned_term;
+	order_learned(registry, msg);
+	while ((next = g_queue_pop_head(&pending_writes)) != NULL) {
+		answer_write(next, ANSWER_OK);
+		g_free(next);
+	}
+	g_assert_cmpuint(promoted_count, ==, 1 + c->sent);
+	orders_fill(registry, arena, &record);
+	for (i = 0; i < record.n_orders; i++) {
+		if (strcmp(record.orders[i]->group, "ledger") == 0)
+			noted = record.orders[i]->attempt_term;
+	}
+	g_assert_cmpuint(noted, ==, c->noted_term);
+	arena_free(arena);
+	bed_stop(&bed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -1180,6 +1238,7 @@
 	CASES("/coordinator/role-again", role_again_cases, test_role_again);
 	CASES("/coordinator/unreadable", unreadable_cases, test_unreadable);
 	CASES("/coordinator/heard", heard_cases, test_heard);
+	CASES("/coordinator/older-order", older_order_cases, test_older_order);
 	CASES("/coordinator/confirmed", confirmed_cases, test_confirmed);
 	CASES("/coordinator/token-seen", token_seen_cases, test_token_seen);
 	return g_test_run();
