Test: an order whose segments are lost arrives in the time allowed for it

Callers saw: nothing yet; found by reading. The delay of the first order under a new token counts on 0.2 s in which the kernel delivers a former order that was written. It may take longer: TCP_USER_TIMEOUT counts from the first retransmission, so that the second one is still sent.

The part of the delay that is the kernel's has a name, with the same value.

--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -69,17 +69,20 @@
 
 /*
  * Time in which an order is written after it was confirmed or recorded, and
- * again in which the kernel delivers it.
+ * user timeout of its connection.
  */
 #define ORDER_DELIVERY_MS 200
 
+/* Time in which the kernel delivers an order that was written. */
+#define ORDER_KERNEL_MS 200
+
 /*
  * The first order under a new token is sent this long after most daemons were
  * told of the token, so that an order of the previous coordinator has reached
  * the platform by then.  That one was confirmed before, or recorded.
  */
 #define FIRST_ORDER_DELAY_US \
-	((CONFIRM_TIMEOUT_MS + 2 * ORDER_DELIVERY_MS) * US_PER_MS)
+	((CONFIRM_TIMEOUT_MS + ORDER_DELIVERY_MS + ORDER_KERNEL_MS) * US_PER_MS)
 
 /*
  * Maximum time from the decision on a promotion to its order.  After a longer
--- a/tests/t_http.c
+++ b/tests/t_http.c
@@ -1,10 +1,13 @@
 #include "../src/http.h"
+#include "../src/proxy/proxy.h"
 
 #include "cases.h"
 
+#include <linux/filter.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 
 /* Tests of the HTTP client against a server that sends its response in parts.
@@ -718,6 +721,92 @@
 	g_free(address);
 }
 
+typedef struct lost_case {
+	const char *name;
+	int64_t lost_ms; /* time for which what is sent to the server is lost */
+} lost_case_t;
+
+static const lost_case_t lost_cases[] = {
+    {"once", 150},
+    {"twice", 300},
+    {"for as long as the kernel tries", 400},
+};
+
+/*
+ * Let the kernel drop what arrives on the connections of a server, or no more.
+ */
+static void
+set_lost(const first_server_t *server, bool lost)
+{
+	struct sock_filter none = {.code = BPF_RET | BPF_K};
+	struct sock_fprog filter = {.len = 1, .filter = &none};
+	uint32_t i;
+
+	for (i = 0; i < server->sockets->len; i++) {
+		GSocket *socket = g_ptr_array_index(server->sockets, i);
+
+		g_assert_cmpint(setsockopt(g_socket_get_fd(socket), SOL_SOCKET,
+				    lost ? SO_ATTACH_FILTER : SO_DETACH_FILTER,
+				    &filter, sizeof(filter)),
+		    ==, 0);
+	}
+}
+
+/*
+ * Accept the connection that was opened for an order, and lose what is sent on
+ * it.
+ */
+static void
+on_order_connected(SoupMessage *message, GSocketClientEvent event,
+    GIOStream *stream, gpointer context)
+{
+	first_server_t *server = context;
+
+	(void)message;
+	(void)stream;
+	if (event != G_SOCKET_CLIENT_CONNECTED)
+		return;
+	first_server_run(server);
+	set_lost(server, true);
+}
+
+/*
+ * Test that an order whose segments are lost arrives in the time in which the
+ * kernel is said to deliver it, or not at all.
+ */
+static void
+test_lost(gconstpointer data)
+{
+	const lost_case_t *c = data;
+	int64_t began_us = clock_us(), taken_ms = 0;
+	first_server_t server;
+	result_t result = {0};
+	SoupMessage *order;
+	http_client_t *http;
+	char *address;
+
+	first_server_start(&server, WAITING_MAX);
+	address = first_server_address(&server);
+	http = http_client_new(address, DELIVERY_TIMEOUT_MS);
+	http_client_limit_delivery(http, ORDER_DELIVERY_MS);
+	order = http_request_new(http, "POST", "/order");
+	g_signal_connect(
+	    order, "network-event", G_CALLBACK(on_order_connected), &server);
+	http_request_send(http, order, NULL, 0, on_result, &result);
+	run_for(c->lost_ms * US_PER_MS);
+	first_server_run(&server);
+	g_assert_cmpuint(first_server_count(&server, " /order "), ==, 0);
+	set_lost(&server, false);
+	run_until_ended(&server, &result);
+	if (first_server_count(&server, " /order ") > 0)
+		taken_ms = (clock_us() - began_us) / US_PER_MS;
+	g_test_message("received after %" G_GINT64_FORMAT " ms", taken_ms);
+	g_assert_cmpint(taken_ms, <=, ORDER_KERNEL_MS);
+	http_client_free(http);
+	first_server_stop(&server);
+	g_free(address);
+}
+
 /* Where a process that sends an order is frozen. */
 typedef enum frozen_at {
 	FROZEN_AT_SEND,    /* before anything is done */
@@ -900,6 +989,7 @@
 	g_test_add_func("/http/not-sent-later", test_not_sent_later);
 	CASES("/http/repeated", repeated_cases, test_repeated);
 	CASES("/http/delivery", delivery_cases, test_delivery);
+	CASES("/http/lost", lost_cases, test_lost);
 	CASES("/http/frozen-sender", frozen_cases, test_frozen_sender);
 	return g_test_run();
 }
