A leaving primary that nobody uses is not promoted again

Callers saw: nothing yet; found by reading. Where no replica has received the term of a leaving primary whose limit is over, all databases are asked for a promise. Were those of the primary and one replica the first two of three, the primary was promoted again: one log alone may not be passed over. Callers are refused there, and the next attempt may end in the same way.

The coordinator now waits for the other promise while a database that stays, and would be chosen with it, answers.

Evidence: /attempt/expired, the row in which the promise of one replica is late, had database 0 promoted before, and none since.

--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -471,9 +471,22 @@
 		members_granted(failover));
 }
 
+/*
+ * Tell whether a promotion is in vain: nobody uses the database any more, and
+ * one that stays may be promoted once it has promised the term as well.
+ */
+static bool
+promoted_in_vain(const failover_t *failover, int32_t chosen, int64_t now_us)
+{
+	return chosen >= 0 && failover->views[chosen].leaving &&
+	    failover->views[chosen].expired &&
+	    failover_staying_answers(failover, now_us);
+}
+
 /*
  * Return the database to promote now, or -1 while promises are missing, leases
- * on the old primary may still be valid, or open orders forbid it.
+ * on the old primary may still be valid, open orders forbid it, or it would be
+ * in vain.
  */
 int32_t
 ready_to_promote(const failover_t *failover, int64_t now_us)
@@ -490,7 +503,10 @@
 	chosen = failover->stepping_down >= 0
 	    ? choose_successor(failover, now_us)
 	    : (int32_t)choose_most_advanced(failover);
-	return open_orders_allow(failover, chosen) ? chosen : -1;
+	return open_orders_allow(failover, chosen) &&
+		!promoted_in_vain(failover, chosen, now_us)
+	    ? chosen
+	    : -1;
 }
 
 /*
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -1061,6 +1061,7 @@
 	uint32_t sync_replicas;
 	uint32_t fenced; /* number of databases that are asked to promise */
 	int32_t chosen;  /* expected; -1: none */
+	uint32_t mute;   /* database that answers no promise; 0: none */
 } expired_case_t;
 
 static const expired_case_t expired_cases[] = {
@@ -1072,6 +1073,8 @@
 	-1},
     {"no replica has, and it has expired",
 	{{2, {2, 60}}, {1, {1, 50}}, {1, {1, 45}}}, true, 0, 3, 1},
+    {"the same, and the promise of one replica is late",
+	{{2, {2, 60}}, {1, {1, 50}}, {1, {1, 45}}}, true, 0, 3, -1, 2},
     {"the same, and only one replica answers",
 	{{2, {2, 60}}, {1, {1, 50}}, {0}}, true, 0, 0, -1},
     {"the same, and a replica holds each commit",
@@ -1112,7 +1115,8 @@
 			if (c->views[i].term == 0)
 				continue;
 			failover_replace_view(&failover, i, &view, MS(at_ms));
-			if (fenced[i] && !failover.granted[i])
+			if (fenced[i] && !failover.granted[i] &&
+			    (i == 0 || i != c->mute))
 				failover_fence_answered(&failover, i,
 				    failover.term, true, &view, MS(at_ms));
 		}
