Test of a coordinator that waits: its primary is not drained meanwhile; a departed server may be drained

/proxy/no-successor expects that a database which has received the primary's term takes over, after 5 s in which none has.

The model takes the time in which an order is written from the product.

--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -341,7 +341,7 @@
 bool
 server_drained(const server_t *server, int64_t now_us)
 {
-	return server->leaving && !server->unlisted &&
+	return server->leaving && (!server->unlisted || server->departed) &&
 	    now_us >= server->drain_limit_us;
 }
 
--- a/tools/proxy_model_orders.c
+++ b/tools/proxy_model_orders.c
@@ -13,7 +13,7 @@
 #define ORDER_TIMEOUT_US (600 * US_PER_MS)
 
 /* Time in which an order is written after its check, or not at all. */
-#define ORDER_WRITTEN_US (200 * US_PER_MS)
+#define ORDER_WRITTEN_US (ORDER_DELIVERY_MS * US_PER_MS)
 
 /* Longest wait of an order in its sender, unless the process pauses. */
 #define ORDER_WAIT_MAX_US (1200 * US_PER_MS)
