Monitor: whether a replacement is due is computed once a tick

check_takeover() asked three times whether a database can replace the primary, which compares the logs of the group, and monitor_takeover_us() derived its delay a second time. The answer is passed on instead; behaviour and assertions are the same.

Run: /monitor (6), /proxy/no-successor, /leaving/the-others-receive-nothing, passed.

--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -239,14 +239,14 @@
 }
 
 /*
- * Return the time that the coordinator has to act.  It is longer after a sign
- * of a failover, which may have to wait for leases to expire.
+ * Return the time that the coordinator has to act.  due: it should replace the
+ * primary now; the time is longer after a mere sign of a failover, which may
+ * have to wait for leases to expire.
  */
 static int64_t
-takeover_delay_us(const group_t *group, int64_t now_us)
+takeover_delay_us(const group_t *group, bool due)
 {
-	return group->pool->takeover_delay_us +
-	    (replacement_due(group, now_us) ? 0 : STUCK_TAKEOVER_US);
+	return group->pool->takeover_delay_us + (due ? 0 : STUCK_TAKEOVER_US);
 }
 
 /*
@@ -254,11 +254,11 @@
  * coordinator does not act; 0 if there is nothing to do for it.
  */
 int64_t
-monitor_takeover_us(const group_t *group, int64_t now_us)
+monitor_takeover_us(const group_t *group, bool due)
 {
 	return group->failover_due_since_us == 0
 	    ? 0
-	    : group->failover_due_since_us + takeover_delay_us(group, now_us);
+	    : group->failover_due_since_us + takeover_delay_us(group, due);
 }
 
 /*
@@ -274,7 +274,7 @@
 	group->failover_due_since_us = now_us;
 	if (unknown)
 		group->failover_due_since_us -=
-		    takeover_delay_us(group, now_us) -
+		    takeover_delay_us(group, replacement_due(group, now_us)) -
 		    group->pool->takeover_delay_us;
 }
 
@@ -689,19 +689,20 @@
 check_takeover(group_t *group, int64_t now_us)
 {
 	bool stuck = !group->unresponsive && group_lease_stuck(group, now_us);
-	int64_t delay_us = takeover_delay_us(group, now_us);
+	bool due = replacement_due(group, now_us);
 
-	if (!replacement_due(group, now_us) && !stuck) {
+	if (!due && !stuck) {
 		group->failover_due_since_us = 0;
 		return;
 	}
 	if (group->failover_due_since_us == 0)
 		group->failover_due_since_us = now_us;
-	if (now_us >= monitor_takeover_us(group, now_us) &&
+	if (now_us >= monitor_takeover_us(group, due) &&
 	    !group->pool->is_coordinator &&
 	    (group->failover_seen_us == 0 ||
 		now_us - group->failover_seen_us >=
-		    delay_us + group->pool->lease_durations.long_us))
+		    takeover_delay_us(group, due) +
+			group->pool->lease_durations.long_us))
 		request_coordinator_check(group->pool);
 }
 
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -520,7 +520,7 @@
 bool group_failover_in_progress(const group_t *, int64_t now_us);
 void monitor_request_status(server_t *, int64_t now_us);
 void monitor_coordinator_denied(group_t *, bool unknown, int64_t now_us);
-int64_t monitor_takeover_us(const group_t *, int64_t now_us);
+int64_t monitor_takeover_us(const group_t *, bool due);
 int64_t monitor_takeover_delay_us(GRand *);
 void monitor_revocation_progress(group_t *, const Bp__RevokeEnded *);
 void monitor_promotion_ended(
--- a/tests/t_monitor.c
+++ b/tests/t_monitor.c
@@ -52,7 +52,7 @@
 	    .failover_due_since_us = c->due_ms * US_PER_MS};
 
 	monitor_coordinator_denied(&group, c->unknown, DENIED_MS * US_PER_MS);
-	g_assert_cmpint(monitor_takeover_us(&group, DENIED_MS * US_PER_MS), ==,
+	g_assert_cmpint(monitor_takeover_us(&group, c->unresponsive), ==,
 	    c->asked_ms * US_PER_MS);
 }
 
