--- a/tests/fake/testbed.c
+++ b/tests/fake/testbed.c
@@ -18,6 +18,9 @@
 /* Time limit for an answer that a test expects. */
 #define EXPECT_TIMEOUT_MS 5000
 
+/* Time in which a write is answered. */
+#define WRITE_TIMEOUT_MS 5000
+
 /* Default number of databases; they listen on consecutive ports. */
 #define DATABASES 3
 #define LINE_MAX_BYTES (UINT64_C(2) << 20)
@@ -679,6 +682,54 @@
 	return primary;
 }
 
+/*
+ * Tell whether a write through a proxy is acknowledged within a time.
+ */
+bool
+testbed_write_served(testbed_t *testbed, uint32_t proxy, int64_t time_ms)
+{
+	int64_t end_us =
+	    g_get_monotonic_time() + time_ms * G_TIME_SPAN_MILLISECOND;
+	bool served = false;
+
+	while (!served && g_get_monotonic_time() < end_us) {
+		client_t *client =
+		    client_open_session(testbed, proxy, "intake");
+		char *answer = client == NULL
+		    ? NULL
+		    : client_query(client, "WRITE k v", WRITE_TIMEOUT_MS);
+
+		served = answer != NULL && g_str_has_prefix(answer, "DONE");
+		g_free(answer);
+		if (client != NULL)
+			client_close(client);
+		g_usleep(20 * G_TIME_SPAN_MILLISECOND);
+	}
+	return served;
+}
+
+/*
+ * Wait until an order is held up, and return the number of its database.
+ */
+int32_t
+testbed_wait_held_order(const testbed_t *testbed, int64_t wait_ms)
+{
+	int64_t end_us =
+	    g_get_monotonic_time() + wait_ms * G_TIME_SPAN_MILLISECOND;
+	int32_t database = -1;
+
+	while (database < 0 && g_get_monotonic_time() < end_us) {
+		char *held = testbed_get(testbed, "/held");
+
+		if (held[0] != '\0')
+			database = atoi(held + strlen("i-"));
+		g_free(held);
+		g_usleep(5 * G_TIME_SPAN_MILLISECOND);
+	}
+	g_assert_cmpint(database, >=, 0);
+	return database;
+}
+
 /*
  * Return the number of the proxy that the coordinator record names.
  */
--- a/tests/fake/testbed.h
+++ b/tests/fake/testbed.h
@@ -62,6 +62,8 @@
     testbed_t *, uint32_t version, const char *omitted_database);
 bool testbed_wait_primary(
     const testbed_t *, uint32_t server, const char *term, int64_t wait_ms);
+bool testbed_write_served(testbed_t *, uint32_t proxy, int64_t time_ms);
+int32_t testbed_wait_held_order(const testbed_t *, int64_t wait_ms);
 uint32_t testbed_coordinator(const testbed_t *);
 char *testbed_item_value(
     testbed_t *, const char *item, uint32_t *invalid_token_requests);
