An order whose segments are lost is not delivered after its time

An order that was written had 200 ms for the kernel to deliver it, and the first order of a successor relies on that.

The process now looks 20 ms before that limit whether the platform's system has acknowledged the order, and resets the connection if not: the kernel's first retransmission comes after 200 ms or more. Each order opens a connection of its own, so that this one is known. Where the kernel does not tell, the user timeout holds as before; so it does for a process that is stopped meanwhile.

Cost: an order whose only segment is lost is not retransmitted any more and counts as unanswered, where it used to arrive 214 ms after it was written.

--- a/src/http.c
+++ b/src/http.c
@@ -4,9 +4,11 @@
 #include "task.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #define LOG_PART "http"
@@ -28,6 +30,13 @@
  */
 #define GIVEN_BACK_MS 20
 
+/*
+ * A request with a limit for its delivery that the server's system has not
+ * acknowledged is reset this long before the limit, so that the kernel does not
+ * send it again after that.
+ */
+#define RESET_EARLY_MS 20
+
 struct http_client {
 	SoupSession *session;
 	char *base_url;
@@ -44,6 +53,7 @@
 	SoupMessage *message;
 	GCancellable *cancellable;
 	GSource *timeout;
+	GSocket *socket;        /* its connection, if its delivery is limited */
 	uint32_t extra_wait_ms; /* for the answer, beyond the timeout */
 	int64_t write_by_us;    /* time after which it is not written */
 	int64_t
@@ -74,8 +84,10 @@
 
 /*
  * Limit the time in which a request reaches the server: to delivery_ms until it
- * is written, and to as much for the kernel to deliver it, even if this process
- * does not run.  The response may take the whole timeout after that.
+ * is written, and to as much for the kernel to deliver it.  If this process
+ * does not run as the second limit ends, the kernel gives up at its next
+ * retransmission only.  The response may take the whole timeout after that.
+ * Each request opens a connection of its own.
  */
 void
 http_client_limit_delivery(http_client_t *http, uint32_t delivery_ms)
@@ -138,6 +150,7 @@
 	g_signal_handlers_disconnect_by_data(request->message, request);
 	g_queue_unlink(&request->http->requests, &request->link);
 	g_clear_object(&request->stream);
+	g_clear_object(&request->socket);
 	g_byte_array_unref(request->body);
 	g_object_unref(request->message);
 	g_object_unref(request->cancellable);
@@ -295,6 +308,53 @@
 		on_timeout(request);
 }
 
+/*
+ * Note the connection that was opened for a request whose delivery is limited.
+ */
+static void
+on_delivery_connected(SoupMessage *message, GSocketClientEvent event,
+    GIOStream *stream, gpointer context)
+{
+	request_t *request = context;
+
+	(void)message;
+	if (event == G_SOCKET_CLIENT_CONNECTED &&
+	    G_IS_SOCKET_CONNECTION(stream))
+		g_set_object(&request->socket,
+		    g_socket_connection_get_socket(
+			G_SOCKET_CONNECTION(stream)));
+}
+
+/*
+ * Tell whether the server's system has acknowledged all that was written on a
+ * connection, as far as the kernel tells.
+ */
+static bool
+all_acknowledged(GSocket *socket)
+{
+	int waiting_bytes = 0;
+
+	return ioctl(g_socket_get_fd(socket), SIOCOUTQ, &waiting_bytes) != 0 ||
+	    waiting_bytes == 0;
+}
+
+/*
+ * Handle that the time for the kernel to deliver a request is over: cancel the
+ * request if it was not delivered, which resets its connection; otherwise wait
+ * for its response.
+ */
+static gboolean
+on_delivery_time(gpointer context)
+{
+	request_t *request = context;
+
+	if (all_acknowledged(request->socket))
+		timeout_start(request, request->http->timeout_ms);
+	else
+		on_timeout(request);
+	return G_SOURCE_REMOVE;
+}
+
 /*
  * Handle that a request was written: from now on it waits for its answer.
  */
@@ -302,9 +362,15 @@
 on_written(SoupMessage *message, gpointer context)
 {
 	request_t *request = context;
+	uint32_t delivery_ms = request->http->delivery_ms;
 
 	(void)message;
-	if (!g_cancellable_is_cancelled(request->cancellable))
+	if (g_cancellable_is_cancelled(request->cancellable))
+		return;
+	if (request->socket != NULL && delivery_ms > RESET_EARLY_MS)
+		timer_start(
+		    request, delivery_ms - RESET_EARLY_MS, on_delivery_time);
+	else
 		timeout_start(request,
 		    request->http->timeout_ms + request->extra_wait_ms);
 }
@@ -363,6 +429,11 @@
 	if (extra_wait_ms > 0 || http->delivery_ms < http->timeout_ms)
 		g_signal_connect(
 		    message, "wrote-body", G_CALLBACK(on_written), request);
+	if (http->delivery_ms < http->timeout_ms) {
+		soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+		g_signal_connect(message, "network-event",
+		    G_CALLBACK(on_delivery_connected), request);
+	}
 	if (extra_wait_ms > 0)
 		g_signal_connect(message, "restarted",
 		    G_CALLBACK(on_long_poll_restarted), request);
