Reads of own writes: a floor for each group that a session wrote to

A session on a route of the type own could miss its own acknowledged write: its route led to another group for a while, it wrote there (or committed a transaction that only read), and the route came back. It had the position of its last write for one group only, so its next read was served by a replica that had none of its writes.

A floor counts as long as the session does, since a route may come back at any time and its max-staleness-ms may grow. If one had to be dropped, reads of groups without a floor go to the primary.

--- a/src/proxy/session.c
+++ b/src/proxy/session.c
@@ -49,7 +49,7 @@
 	g_free(session->database);
 	g_free(session->account);
 	g_free(session->sent_group);
-	g_free(session->last_write_group);
+	session_floors_clear(&session->floors);
 	arena_free(session->route_arena);
 	if (session->values != NULL)
 		g_hash_table_unref(session->values);
@@ -240,6 +240,23 @@
 	    : g_hash_table_lookup(session->clients->routes, session->database);
 }
 
+/*
+ * Set the position that the session's writes require of a read.  If it is not
+ * known any more, only the primary may serve the read.
+ */
+static void
+set_floor(const session_t *session, Bp__RunOperation *operation)
+{
+	Bp__Route *route = operation->route;
+	position_t floor;
+
+	if (!session_floors_find(&session->floors, route->group, &floor) &&
+	    route->freshness == BP__FRESHNESS__OWN_WRITES)
+		route->freshness = BP__FRESHNESS__NEWEST;
+	operation->floor_term = floor.term;
+	operation->floor_index = floor.index;
+}
+
 /*
  * Send a statement to the pool.
  */
@@ -278,11 +295,7 @@
 		operation->prepared->writes = prepared->writes;
 	}
 	copy_session_values(session, msg->arena, operation);
-	if (session->last_write_group != NULL &&
-	    strcmp(session->last_write_group, route->group) == 0) {
-		operation->floor_term = session->last_write.term;
-		operation->floor_index = session->last_write.index;
-	}
+	set_floor(session, operation);
 	g_free(session->sent_group);
 	session->sent_group = g_strdup(route->group);
 	session->transaction_sent = in_transaction;
@@ -556,24 +569,6 @@
 	session_process_input(session);
 }
 
-/*
- * Note the position of a write or commit that has been acknowledged.  That of a
- * read-only transaction on a replica may be before the session's last write.
- */
-static void
-note_last_write(session_t *session, position_t position)
-{
-	if (session->last_write_group != NULL &&
-	    strcmp(session->last_write_group, session->sent_group) == 0) {
-		session->last_write =
-		    position_max(session->last_write, position);
-		return;
-	}
-	g_free(session->last_write_group);
-	session->last_write_group = g_steal_pointer(&session->sent_group);
-	session->last_write = position;
-}
-
 /*
  * Write the rows of a result, and send them in pieces, so that they are not
  * kept twice.
@@ -656,7 +651,8 @@
 		clear_transaction(session, TRANSACTION_FAILED);
 	if (done && session->operation_kind != BP__OPERATION_KIND__READ_ITEM &&
 	    session->state == TRANSACTION_NONE)
-		note_last_write(session, position);
+		session_floors_note(
+		    &session->floors, session->sent_group, position);
 	wire->write_ready(session->out, session->state, position);
 	session_process_input(session);
 }
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -1,6 +1,7 @@
 #ifndef PROXY_SESSION_H
 #define PROXY_SESSION_H
 
+#include "decide/session_floors.h"
 #include "lines.h"
 #include "listener.h"
 #include "log.h"
@@ -55,8 +56,7 @@
 	GHashTable *values;              /* session variables by name */
 	GHashTable *prepared_statements; /* of prepared_statement_t by name */
 	char *sent_group;                /* group of the last statement sent */
-	char *last_write_group; /* group in whose log last_write lies */
-	position_t last_write;  /* position of the last acknowledged write */
+	session_floors_t floors;         /* by its acknowledged writes */
 } session_t;
 
 /* Counters and gauges of the clients task. */
--- a/tests/fake/fakegroup.c
+++ b/tests/fake/fakegroup.c
@@ -1138,17 +1138,16 @@
  * first database is the primary.
  */
 db_group_t *
-db_group_new(object_store_t *store, const char *name, uint32_t first_port,
-    uint32_t databases_count, uint32_t lag_ms, uint32_t service_ms)
+db_group_new(object_store_t *store, const db_group_plan_t *plan)
 {
 	db_group_t *group = g_new0(db_group_t, 1);
 	uint32_t i;
 
 	group->store = store;
-	group->name = g_strdup(name);
-	group->databases_count = databases_count;
-	group->lag_ms = lag_ms;
-	group->service_ms = service_ms;
+	group->name = g_strdup(plan->name);
+	group->databases_count = plan->databases_count;
+	group->lag_ms = plan->lag_ms;
+	group->service_ms = plan->service_ms;
 	group->promotions = g_array_new(FALSE, FALSE, sizeof(promotion_t));
 	group->outdated = g_string_new(" ");
 	group->drained = g_string_new(" ");
@@ -1156,13 +1155,13 @@
 	group->revived = g_string_new(" ");
 	group->executed = g_string_new(NULL);
 	group->received = g_string_new(NULL);
-	for (i = 0; i < databases_count; i++) {
+	for (i = 0; i < plan->databases_count; i++) {
 		database_t *database = &group->databases[i];
 
 		database->group = group;
-		database->number = i;
-		database->id = g_strdup_printf("i-%u", i);
-		database->port = first_port + i;
+		database->number = plan->first_number + i;
+		database->id = g_strdup_printf("i-%u", database->number);
+		database->port = plan->first_port + i;
 		database->primary = i == 0;
 		database->running = true;
 		database->term = 1;
--- a/tests/fake/fakesite.c
+++ b/tests/fake/fakesite.c
@@ -44,6 +44,7 @@
 	SoupServer *server;
 	object_store_t *store;
 	db_group_t *group;
+	db_group_t *second_group;        /* or NULL; it has no faults */
 	uint64_t highest_token;          /* highest fencing token so far */
 	char *last_holder;               /* lease holder of the last request */
 	uint32_t invalid_token_requests; /* promotions with an invalid token */
@@ -157,7 +158,12 @@
 		return;
 	}
 	soup_server_message_set_status(message,
-	    id != NULL && db_group_promote(platform->group, id) ? 200 : 409,
+	    id != NULL &&
+		    (db_group_promote(platform->group, id) ||
+			(platform->second_group != NULL &&
+			    db_group_promote(platform->second_group, id)))
+		? 200
+		: 409,
 	    NULL);
 	g_free(id);
 	g_free(body);
@@ -326,7 +332,7 @@
  * Run the fake platform of the proxy.
  *
  * Usage: fakesite --port N --databases N [--lag-ms N] [--work-ms N]
- * [--count N]
+ * [--count N] [--second-databases N]
  */
 int
 main(int argc, char **argv)
@@ -342,9 +348,13 @@
 	    STORE_PORTS_MAX, "further port of the HTTP server");
 	struct arg_int *count =
 	    arg_int0(NULL, "count", "N", "number of databases");
+	struct arg_int *second_port = arg_int0(NULL, "second-databases", "N",
+	    "first port of the databases of a second group");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {
-	    port, first_port, lag, service, store_ports, count, end};
+	void *table[] = {port, first_port, lag, service, store_ports, count,
+	    second_port, end};
+	db_group_plan_t plan = {
+	    .name = "ledger", .databases_count = 3, .lag_ms = 5};
 	int32_t i;
 	fake_platform_t platform = {0};
 	GMainLoop *loop = g_main_loop_new(NULL, FALSE);
@@ -356,11 +366,20 @@
 	signal(SIGPIPE, SIG_IGN);
 	platform.server = soup_server_new(NULL, NULL);
 	platform.store = object_store_new(platform.server);
-	platform.group = db_group_new(platform.store, "ledger",
-	    (uint32_t)first_port->ival[0],
-	    count->count > 0 ? (uint32_t)count->ival[0] : 3,
-	    lag->count > 0 ? (uint32_t)lag->ival[0] : 5,
-	    service->count > 0 ? (uint32_t)service->ival[0] : 0);
+	plan.first_port = (uint32_t)first_port->ival[0];
+	if (count->count > 0)
+		plan.databases_count = (uint32_t)count->ival[0];
+	if (lag->count > 0)
+		plan.lag_ms = (uint32_t)lag->ival[0];
+	if (service->count > 0)
+		plan.service_ms = (uint32_t)service->ival[0];
+	platform.group = db_group_new(platform.store, &plan);
+	if (second_port->count > 0) {
+		plan.name = "archive";
+		plan.first_number = plan.databases_count;
+		plan.first_port = (uint32_t)second_port->ival[0];
+		platform.second_group = db_group_new(platform.store, &plan);
+	}
 	soup_server_add_handler(
 	    platform.server, "/promote", on_promote, &platform, NULL);
 	soup_server_add_handler(
--- a/tests/fake/fakesite.h
+++ b/tests/fake/fakesite.h
@@ -40,9 +40,16 @@
 /* A group of databases. */
 typedef struct db_group db_group_t;
 
-db_group_t *db_group_new(object_store_t *, const char *name,
-    uint32_t first_port, uint32_t databases_count, uint32_t lag_ms,
-    uint32_t service_ms);
+typedef struct db_group_plan {
+	const char *name;
+	uint32_t first_number; /* of its databases, which also have their ids */
+	uint32_t first_port;
+	uint32_t databases_count;
+	uint32_t lag_ms;
+	uint32_t service_ms;
+} db_group_plan_t;
+
+db_group_t *db_group_new(object_store_t *, const db_group_plan_t *);
 bool db_group_promote(db_group_t *, const char *id);
 bool db_group_inject_fault(db_group_t *, const char *fault, uint32_t database);
 char *db_group_item_value(db_group_t *, const char *item);
--- a/tests/fake/testbed.c
+++ b/tests/fake/testbed.c
@@ -21,13 +21,16 @@
 /* Time in which a write is answered. */
 #define WRITE_TIMEOUT_MS 5000
 
+/* Time limit for a configuration to be in force at a proxy. */
+#define CONFIGURED_TIMEOUT_MS 5000
+
 /* Default number of databases; they listen on consecutive ports. */
 #define DATABASES 3
 #define LINE_MAX_BYTES (UINT64_C(2) << 20)
 
 /*
- * A route of the configuration: a database name and its JSON.  The three routes
- * lead to one group and differ in the freshness that reads need.
+ * A route of the configuration: a database name and its JSON up to the name of
+ * the group.  The three routes differ in the freshness that reads need.
  */
 typedef struct route {
 	const char *database;
@@ -38,17 +41,21 @@
     {"intake",
 	"{\"name\":\"r1\",\"host\":\"intake\",\"type\":\"primary\","
 	"\"timeout-ms\":1000,\"target-latency-ms\":400,\"priority\":0,"
-	"\"backend\":\"ledger\"}"},
+	"\"backend\":"},
     {"quotes",
 	"{\"name\":\"r2\",\"host\":\"quotes\",\"type\":\"own\","
 	"\"timeout-ms\":1000,\"target-latency-ms\":400,\"priority\":1,"
-	"\"max-staleness-ms\":2500,\"backend\":\"ledger\"}"},
+	"\"max-staleness-ms\":2500,\"backend\":"},
     {"lookup",
 	"{\"name\":\"r3\",\"host\":\"lookup\",\"type\":\"bounded\","
 	"\"timeout-ms\":1000,\"target-latency-ms\":400,\"priority\":2,"
-	"\"max-staleness-ms\":1500,\"backend\":\"ledger\"}"},
+	"\"max-staleness-ms\":1500,\"backend\":"},
 };
 
+/* Names of the groups. */
+#define FIRST_GROUP "ledger"
+#define SECOND_GROUP "archive"
+
 #define CONNECTIONS_MAX_DEFAULT 40
 #define TRANSACTION_IDLE_MS 700
 
@@ -118,34 +125,73 @@
 }
 
 /*
- * Write a version of the configuration that omits one database name, or none
- * if NULL.
+ * Write a version of the configuration that omits one database name, and has
+ * another one lead to the second group; NULL: none.
  */
-void
-testbed_configure(
-    testbed_t *testbed, uint32_t version, const char *omitted_database)
+static void
+configure(testbed_t *testbed, uint32_t version, const char *omitted_database,
+    const char *moved_database)
 {
+	const testbed_plan_t *plan = &testbed->plan;
+	uint32_t i, n = 0,
+		    connections_max = plan->connections_max == 0
+	    ? CONNECTIONS_MAX_DEFAULT
+	    : plan->connections_max;
 	GString *text = g_string_new(NULL);
-	uint32_t i, n = 0;
 
 	g_string_printf(text, "{\"version\":%u,\"routes\":[", version);
 	for (i = 0; i < G_N_ELEMENTS(routes); i++) {
-		if (g_strcmp0(routes[i].database, omitted_database) != 0)
-			g_string_append_printf(
-			    text, "%s%s", n++ > 0 ? "," : "", routes[i].json);
+		if (g_strcmp0(routes[i].database, omitted_database) == 0)
+			continue;
+		g_string_append_printf(text, "%s%s\"%s\"}", n++ > 0 ? "," : "",
+		    routes[i].json,
+		    g_strcmp0(routes[i].database, moved_database) == 0
+			? SECOND_GROUP
+			: FIRST_GROUP);
 	}
-	g_string_append_printf(text,
-	    "],\"services\":[{\"name\":\"ledger\",\"max-conns\":%u,"
-	    "\"sync-replicas\":0}],\"limits\":{\"tx-idle-ms\":%u}}",
-	    testbed->plan.connections_max == 0 ? CONNECTIONS_MAX_DEFAULT
-					       : testbed->plan.connections_max,
-	    testbed->plan.transaction_idle_ms == 0
-		? TRANSACTION_IDLE_MS
-		: testbed->plan.transaction_idle_ms);
+	g_string_append(text, "],\"services\":[");
+	for (i = 0; i < (plan->second_group ? 2 : 1); i++)
+		g_string_append_printf(text,
+		    "%s{\"name\":\"%s\",\"max-conns\":%u,\"sync-replicas\":0}",
+		    i > 0 ? "," : "", i > 0 ? SECOND_GROUP : FIRST_GROUP,
+		    connections_max);
+	g_string_append_printf(text, "],\"limits\":{\"tx-idle-ms\":%u}}",
+	    plan->transaction_idle_ms == 0 ? TRANSACTION_IDLE_MS
+					   : plan->transaction_idle_ms);
 	testbed_put_object(testbed, "config", "main", text->str);
 	g_string_free(text, TRUE);
 }
 
+/*
+ * Write a version of the configuration that omits one database name, or none
+ * if NULL.
+ */
+void
+testbed_configure(
+    testbed_t *testbed, uint32_t version, const char *omitted_database)
+{
+	configure(testbed, version, omitted_database, NULL);
+}
+
+/*
+ * Write a version of the configuration in which a database name leads to the
+ * second group, or none if NULL, and wait until a proxy has it in force.
+ */
+void
+testbed_move_route(testbed_t *testbed, uint32_t version,
+    const char *moved_database, uint32_t proxy)
+{
+	int64_t deadline_us =
+	    g_get_monotonic_time() + CONFIGURED_TIMEOUT_MS * US_PER_MS;
+
+	configure(testbed, version, NULL, moved_database);
+	while (
+	    testbed_metric(testbed, proxy, "configuration_version") < version) {
+		g_assert_cmpint(g_get_monotonic_time(), <, deadline_us);
+		g_usleep(READY_POLL_US);
+	}
+}
+
 /*
  * Return the value of an item at the primary, to be freed by the caller, and
  * the number of promotion requests with an invalid fencing token.
@@ -255,7 +301,7 @@
 }
 
 /*
- * Return the number of databases of the group.
+ * Return the number of databases of a group.
  */
 static uint32_t
 testbed_databases(const testbed_t *testbed)
@@ -280,6 +326,9 @@
 	append_option(argv, "--lag-ms", plan->lag_ms);
 	append_option(argv, "--work-ms", plan->service_time_ms);
 	append_option(argv, "--count", testbed_databases(testbed));
+	if (plan->second_group)
+		append_option(argv, "--second-databases",
+		    testbed->first_database_port + testbed_databases(testbed));
 	for (i = 0; plan->store_ports && i < plan->proxies; i++)
 		append_option(
 		    argv, "--store-port", testbed->first_store_port + i);
@@ -301,8 +350,8 @@
 
 	testbed->platform.port = fleet_unused_port();
 	testbed->platform.name = g_strdup("platform");
-	testbed->first_database_port =
-	    fleet_unused_ports(testbed_databases(testbed));
+	testbed->first_database_port = fleet_unused_ports(
+	    testbed_databases(testbed) * (testbed->plan.second_group ? 2 : 1));
 	if (testbed->plan.store_ports)
 		testbed->first_store_port =
 		    fleet_unused_ports(testbed->plan.proxies);
--- a/tests/fake/testbed.h
+++ b/tests/fake/testbed.h
@@ -31,6 +31,9 @@
 	/* each proxy reaches the store by a port of its own, for
 	   testbed_store_fault() */
 	bool store_ports;
+	/* there is a second group, with as many databases and no faults, to
+	   which testbed_move_route() has routes lead */
+	bool second_group;
 } testbed_plan_t;
 
 typedef struct testbed {
@@ -60,6 +63,8 @@
     testbed_t *, const char *kind, const char *name, const char *content);
 void testbed_configure(
     testbed_t *, uint32_t version, const char *omitted_database);
+void testbed_move_route(
+    testbed_t *, uint32_t version, const char *moved_database, uint32_t proxy);
 bool testbed_wait_primary(
     const testbed_t *, uint32_t server, const char *term, int64_t wait_ms);
 bool testbed_write_served(testbed_t *, uint32_t proxy, int64_t time_ms);
--- a/tests/t_decide.c
+++ b/tests/t_decide.c
@@ -9,6 +9,7 @@
 #include "../src/decide/replica.h"
 #include "../src/decide/reqid.h"
 #include "../src/decide/result_budget.h"
+#include "../src/decide/session_floors.h"
 
 #include "cases.h"
 
@@ -318,6 +319,73 @@
 	    replica_choose(c->views, c->loads, 3, 0, c->needed), ==, c->chosen);
 }
 
+/* A write of a session, in order. */
+typedef struct floor_write {
+	const char *group;
+	position_t position;
+} floor_write_t;
+
+typedef struct floors_case {
+	const char *name;
+	floor_write_t writes[4];
+	uint32_t others; /* number of other groups that are written to then */
+	const char *group;
+	bool known;
+	position_t floor;
+} floors_case_t;
+
+static const floors_case_t floors_cases[] = {
+    {"no write", {{NULL}}, 0, "a", true, {0, 0}},
+    {"a write to another group", {{"b", {1, 5}}}, 0, "a", true, {0, 0}},
+    {"a write", {{"a", {1, 5}}}, 0, "a", true, {1, 5}},
+    {"a write before one to another group", {{"a", {1, 5}}, {"b", {2, 9}}}, 0,
+	"a", true, {1, 5}},
+    {"a later position", {{"a", {1, 5}}, {"b", {1, 9}}, {"a", {1, 6}}}, 0, "a",
+	true, {1, 6}},
+    {"a later position that is lower", {{"a", {2, 5}}, {"a", {1, 9}}}, 0, "a",
+	true, {2, 5}},
+    {"as many groups as are kept", {{"a", {1, 5}}}, SESSION_FLOORS_MAX - 1, "a",
+	true, {1, 5}},
+    {"the oldest of more groups", {{"a", {1, 5}}}, SESSION_FLOORS_MAX, "a",
+	false, {0, 0}},
+    {"the second oldest of more groups", {{"b", {1, 4}}, {"a", {1, 5}}},
+	SESSION_FLOORS_MAX - 1, "a", true, {1, 5}},
+    {"the oldest that was written again",
+	{{"a", {1, 5}}, {"b", {1, 4}}, {"a", {1, 5}}}, SESSION_FLOORS_MAX - 1,
+	"a", true, {1, 5}},
+    {"a group that was never written, one was dropped", {{"b", {1, 4}}},
+	SESSION_FLOORS_MAX, "a", false, {0, 0}},
+};
+
+/*
+ * Test which floor a session has for a group after writes: its last position
+ * there, or a sign that it is not known any more.
+ */
+static void
+test_floors(gconstpointer data)
+{
+	const floors_case_t *c = data;
+	session_floors_t floors = {0};
+	position_t floor, other = {3, 1};
+	char name[16];
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(c->writes) && c->writes[i].group != NULL;
+	     i++)
+		session_floors_note(
+		    &floors, c->writes[i].group, c->writes[i].position);
+	for (i = 0; i < c->others; i++) {
+		g_snprintf(name, sizeof(name), "other-%u", i);
+		session_floors_note(&floors, name, other);
+	}
+	g_assert_cmpuint(floors.count, <=, SESSION_FLOORS_MAX);
+	g_assert_true(
+	    session_floors_find(&floors, c->group, &floor) == c->known);
+	g_assert_cmpint(position_compare(floor, c->floor), ==, 0);
+	session_floors_clear(&floors);
+	g_assert_cmpuint(floors.count, ==, 0);
+}
+
 typedef struct budget_case {
 	const char *name;
 	uint32_t limit;
@@ -932,6 +1000,7 @@
 	CASES("/decide/sample", sample_cases, test_sample);
 	CASES("/decide/age", staleness_cases, test_staleness);
 	CASES("/decide/replica", choose_cases, test_choose);
+	CASES("/decide/floors", floors_cases, test_floors);
 	CASES("/decide/budget", budget_cases, test_budget);
 	CASES("/decide/drain-limit", drain_cases, test_drain_limit);
 	CASES("/decide/keepalive", keepalive_cases, test_keepalive);
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -1364,6 +1364,76 @@
 	testbed_stop(testbed);
 }
 
+/* Lag of replicas that receive no entry during a test. */
+#define NEVER_MS 60000
+
+/* Time after which the proxies know positions of primaries without entries. */
+#define SAMPLED_MS 1500
+
+typedef struct moved_route_case {
+	const char *name;
+	/* statements on the first group, on the second, and back again */
+	exchange_t before[3];
+	exchange_t meanwhile[3];
+	exchange_t after[3];
+} moved_route_case_t;
+
+static const moved_route_case_t moved_route_cases[] = {
+    {"a write in each group", {{"WRITE a x", "DONE p"}},
+	{{"WRITE a y", "DONE p"}, {"READ a", "ROW y|DONE p"}},
+	{{"READ a", "ROW x|DONE p"}}},
+    {"a read in the second group", {{"WRITE a x", "DONE p"}},
+	{{"READ a", "ROW none|DONE p"}}, {{"READ a", "ROW x|DONE p"}}},
+    {"a transaction that reads in the second group", {{"WRITE a x", "DONE p"}},
+	{{"BEGIN READ", "DONE"}, {"READ a", "ROW none|DONE p"},
+	    {"COMMIT", "DONE p"}},
+	{{"BEGIN READ", "DONE"}, {"READ a", "ROW x|DONE p"}}},
+    {"a transaction that is open when the route moves",
+	{{"BEGIN", "DONE"}, {"WRITE a x", "DONE p"}},
+	{{"COMMIT", "DONE p"}, {"WRITE a y", "DONE p"}},
+	{{"READ a", "ROW x|DONE p"}}},
+};
+
+/*
+ * Send statements, and check their answers.
+ */
+static void
+run_exchanges(client_t *client, const exchange_t *exchanges, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count && exchanges[i].statement != NULL; i++)
+		client_expect(
+		    client, exchanges[i].statement, exchanges[i].expected);
+}
+
+/*
+ * Test that a session whose route leads to another group for a while reads its
+ * own writes to both, although no replica has any of them.
+ */
+static void
+test_moved_route(gconstpointer data)
+{
+	const moved_route_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 1,
+	    .lag_ms = NEVER_MS,
+	    .transaction_idle_ms = ANSWER_TIMEOUT_MS,
+	    .second_group = true};
+	testbed_t *testbed = testbed_start(&plan);
+	client_t *client;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_usleep(SAMPLED_MS * US_PER_MS);
+	client = client_open_session(testbed, 0, "quotes");
+	run_exchanges(client, c->before, G_N_ELEMENTS(c->before));
+	testbed_move_route(testbed, 2, "quotes", 0);
+	run_exchanges(client, c->meanwhile, G_N_ELEMENTS(c->meanwhile));
+	testbed_move_route(testbed, 3, NULL, 0);
+	run_exchanges(client, c->after, G_N_ELEMENTS(c->after));
+	client_close(client);
+	testbed_stop(testbed);
+}
+
 /*
  * Test that on SIGTERM a proxy closes idle sessions, lets open transactions
  * finish, and then exits with status 0.
@@ -1649,6 +1719,7 @@
 	g_test_add_func("/proxy/results-at-once", test_results_at_once);
 	CASES("/proxy/entry", server_object_cases, test_server_object);
 	CASES("/proxy/dropped-route", dropped_route_cases, test_dropped_route);
+	CASES("/proxy/moved-route", moved_route_cases, test_moved_route);
 	CASES("/proxy/list", list_cases, test_list);
 	CASES("/proxy/full-server", full_server_cases, test_full_server);
 	CASES("/proxy/no-connection", no_connection_cases, test_no_connection);
