Log: what a read and a lease rest on, from the request id

The lines per second stay limited as before, and nothing is formatted for lines beyond the limit; a renewal copies the answers of the group's servers.

--- a/gen/event.pb-c.c
+++ b/gen/event.pb-c.c
@@ -142,6 +142,96 @@
   assert(message->base.descriptor == &bp__group_belief__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__lease_basis__init
+                     (Bp__LeaseBasis         *message)
+{
+  static const Bp__LeaseBasis init_value = BP__LEASE_BASIS__INIT;
+  *message = init_value;
+}
+size_t bp__lease_basis__get_packed_size
+                     (const Bp__LeaseBasis *message)
+{
+  assert(message->base.descriptor == &bp__lease_basis__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__lease_basis__pack
+                     (const Bp__LeaseBasis *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__lease_basis__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__lease_basis__pack_to_buffer
+                     (const Bp__LeaseBasis *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__lease_basis__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__LeaseBasis *
+       bp__lease_basis__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__LeaseBasis *)
+     protobuf_c_message_unpack (&bp__lease_basis__descriptor,
+                                allocator, len, data);
+}
+void   bp__lease_basis__free_unpacked
+                     (Bp__LeaseBasis *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__lease_basis__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bp__position_sample__init
+                     (Bp__PositionSample         *message)
+{
+  static const Bp__PositionSample init_value = BP__POSITION_SAMPLE__INIT;
+  *message = init_value;
+}
+size_t bp__position_sample__get_packed_size
+                     (const Bp__PositionSample *message)
+{
+  assert(message->base.descriptor == &bp__position_sample__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__position_sample__pack
+                     (const Bp__PositionSample *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__position_sample__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__position_sample__pack_to_buffer
+                     (const Bp__PositionSample *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__position_sample__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__PositionSample *
+       bp__position_sample__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__PositionSample *)
+     protobuf_c_message_unpack (&bp__position_sample__descriptor,
+                                allocator, len, data);
+}
+void   bp__position_sample__free_unpacked
+                     (Bp__PositionSample *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__position_sample__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__statement_ended__init
                      (Bp__StatementEnded         *message)
 {
@@ -1980,7 +2070,226 @@
   (ProtobufCMessageInit) bp__group_belief__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__statement_ended__field_descriptors[21] =
+static const ProtobufCFieldDescriptor bp__lease_basis__field_descriptors[9] =
+{
+  {
+    "lease",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__LeaseBasis, lease),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__LeaseBasis, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__LeaseBasis, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "proof",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Bp__LeaseBasis, proof),
+    &bp__lease_proof__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_ms",
+    5,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__LeaseBasis, asked_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "record_ms",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Bp__LeaseBasis, has_record_ms),
+    offsetof(Bp__LeaseBasis, record_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "record_attempt",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__LeaseBasis, has_record_attempt),
+    offsetof(Bp__LeaseBasis, record_attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "record_era",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__LeaseBasis, has_record_era),
+    offsetof(Bp__LeaseBasis, record_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bp__LeaseBasis, n_servers),
+    offsetof(Bp__LeaseBasis, servers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__lease_basis__field_indices_by_name[] = {
+  4,   /* field[4] = asked_ms */
+  0,   /* field[0] = lease */
+  3,   /* field[3] = proof */
+  6,   /* field[6] = record_attempt */
+  7,   /* field[7] = record_era */
+  5,   /* field[5] = record_ms */
+  1,   /* field[1] = server */
+  8,   /* field[8] = servers */
+  2,   /* field[2] = term */
+};
+static const ProtobufCIntRange bp__lease_basis__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor bp__lease_basis__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.LeaseBasis",
+  "LeaseBasis",
+  "Bp__LeaseBasis",
+  "bp",
+  sizeof(Bp__LeaseBasis),
+  9,
+  bp__lease_basis__field_descriptors,
+  bp__lease_basis__field_indices_by_name,
+  1,  bp__lease_basis__number_ranges,
+  (ProtobufCMessageInit) bp__lease_basis__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bp__position_sample__field_descriptors[4] =
+{
+  {
+    "position",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PositionSample, position),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PositionSample, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PositionSample, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PositionSample, lease),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__position_sample__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  3,   /* field[3] = lease */
+  0,   /* field[0] = position */
+  2,   /* field[2] = server */
+};
+static const ProtobufCIntRange bp__position_sample__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor bp__position_sample__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.PositionSample",
+  "PositionSample",
+  "Bp__PositionSample",
+  "bp",
+  sizeof(Bp__PositionSample),
+  4,
+  bp__position_sample__field_descriptors,
+  bp__position_sample__field_indices_by_name,
+  1,  bp__position_sample__number_ranges,
+  (ProtobufCMessageInit) bp__position_sample__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bp__statement_ended__field_descriptors[24] =
 {
   {
     "request",
@@ -2234,6 +2543,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "needed_from",
+    22,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_ENUM,
+    offsetof(Bp__StatementEnded, has_needed_from),
+    offsetof(Bp__StatementEnded, needed_from),
+    &bp__needed_from__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sample",
+    23,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__StatementEnded, sample),
+    &bp__position_sample__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease",
+    24,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__StatementEnded, lease),
+    &bp__lease_basis__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__statement_ended__field_indices_by_name[] = {
   17,   /* field[17] = applied */
@@ -2245,11 +2590,14 @@
   3,   /* field[3] = group */
   7,   /* field[7] = in_transaction */
   4,   /* field[4] = kind */
+  23,   /* field[23] = lease */
   20,   /* field[20] = left_out */
   6,   /* field[6] = max_age_ms */
   15,   /* field[15] = needed */
+  21,   /* field[21] = needed_from */
   0,   /* field[0] = request */
   11,   /* field[11] = running_ms */
+  22,   /* field[22] = sample */
   14,   /* field[14] = server */
   1,   /* field[1] = session */
   10,   /* field[10] = spent_ms */
@@ -2261,7 +2609,7 @@
 static const ProtobufCIntRange bp__statement_ended__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor bp__statement_ended__descriptor =
 {
@@ -2271,14 +2619,14 @@
   "Bp__StatementEnded",
   "bp",
   sizeof(Bp__StatementEnded),
-  21,
+  24,
   bp__statement_ended__field_descriptors,
   bp__statement_ended__field_indices_by_name,
   1,  bp__statement_ended__number_ranges,
   (ProtobufCMessageInit) bp__statement_ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__statement_retried__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bp__statement_retried__field_descriptors[12] =
 {
   {
     "request",
@@ -2400,13 +2748,39 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "needed_from",
+    11,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_ENUM,
+    offsetof(Bp__StatementRetried, has_needed_from),
+    offsetof(Bp__StatementRetried, needed_from),
+    &bp__needed_from__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sample",
+    12,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__StatementRetried, sample),
+    &bp__position_sample__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__statement_retried__field_indices_by_name[] = {
   8,   /* field[8] = applied */
   1,   /* field[1] = group */
   9,   /* field[9] = left_out */
   7,   /* field[7] = needed */
+  10,   /* field[10] = needed_from */
   0,   /* field[0] = request */
+  11,   /* field[11] = sample */
   2,   /* field[2] = server */
   6,   /* field[6] = spent_ms */
   4,   /* field[4] = text */
@@ -2416,7 +2790,7 @@
 static const ProtobufCIntRange bp__statement_retried__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor bp__statement_retried__descriptor =
 {
@@ -2426,7 +2800,7 @@
   "Bp__StatementRetried",
   "bp",
   sizeof(Bp__StatementRetried),
-  10,
+  12,
   bp__statement_retried__field_descriptors,
   bp__statement_retried__field_indices_by_name,
   1,  bp__statement_retried__number_ranges,
@@ -3128,7 +3502,7 @@
   (ProtobufCMessageInit) bp__server_listed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__primary_confirmed__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bp__primary_confirmed__field_descriptors[5] =
 {
   {
     "group",
@@ -3178,8 +3552,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "basis",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PrimaryConfirmed, basis),
+    &bp__lease_basis__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__primary_confirmed__field_indices_by_name[] = {
+  4,   /* field[4] = basis */
   0,   /* field[0] = group */
   3,   /* field[3] = lease_ms */
   1,   /* field[1] = server */
@@ -3188,7 +3575,7 @@
 static const ProtobufCIntRange bp__primary_confirmed__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bp__primary_confirmed__descriptor =
 {
@@ -3198,7 +3585,7 @@
   "Bp__PrimaryConfirmed",
   "bp",
   sizeof(Bp__PrimaryConfirmed),
-  4,
+  5,
   bp__primary_confirmed__field_descriptors,
   bp__primary_confirmed__field_indices_by_name,
   1,  bp__primary_confirmed__number_ranges,
@@ -3474,7 +3861,7 @@
   (ProtobufCMessageInit) bp__lease_given_back__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__lease_regained__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bp__lease_regained__field_descriptors[6] =
 {
   {
     "group",
@@ -3536,8 +3923,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "basis",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__LeaseRegained, basis),
+    &bp__lease_basis__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__lease_regained__field_indices_by_name[] = {
+  5,   /* field[5] = basis */
   0,   /* field[0] = group */
   1,   /* field[1] = server */
   4,   /* field[4] = servers */
@@ -3547,7 +3947,7 @@
 static const ProtobufCIntRange bp__lease_regained__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bp__lease_regained__descriptor =
 {
@@ -3557,7 +3957,7 @@
   "Bp__LeaseRegained",
   "bp",
   sizeof(Bp__LeaseRegained),
-  5,
+  6,
   bp__lease_regained__field_descriptors,
   bp__lease_regained__field_indices_by_name,
   1,  bp__lease_regained__number_ranges,
@@ -5036,6 +5436,66 @@
   bp__change_step__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue bp__lease_proof__enum_values_by_number[4] =
+{
+  { "BY_ALL", "BP__LEASE_PROOF__BY_ALL", 0 },
+  { "BY_RECORD", "BP__LEASE_PROOF__BY_RECORD", 1 },
+  { "CONTINUED", "BP__LEASE_PROOF__CONTINUED", 2 },
+  { "ALONE", "BP__LEASE_PROOF__ALONE", 3 },
+};
+static const ProtobufCIntRange bp__lease_proof__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex bp__lease_proof__enum_values_by_name[4] =
+{
+  { "ALONE", 3 },
+  { "BY_ALL", 0 },
+  { "BY_RECORD", 1 },
+  { "CONTINUED", 2 },
+};
+const ProtobufCEnumDescriptor bp__lease_proof__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "bp.LeaseProof",
+  "LeaseProof",
+  "Bp__LeaseProof",
+  "bp",
+  4,
+  bp__lease_proof__enum_values_by_number,
+  4,
+  bp__lease_proof__enum_values_by_name,
+  1,
+  bp__lease_proof__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCEnumValue bp__needed_from__enum_values_by_number[2] =
+{
+  { "FROM_SAMPLE", "BP__NEEDED_FROM__FROM_SAMPLE", 0 },
+  { "FROM_FLOOR", "BP__NEEDED_FROM__FROM_FLOOR", 1 },
+};
+static const ProtobufCIntRange bp__needed_from__value_ranges[] = {
+{0, 0},{0, 2}
+};
+static const ProtobufCEnumValueIndex bp__needed_from__enum_values_by_name[2] =
+{
+  { "FROM_FLOOR", 1 },
+  { "FROM_SAMPLE", 0 },
+};
+const ProtobufCEnumDescriptor bp__needed_from__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "bp.NeededFrom",
+  "NeededFrom",
+  "Bp__NeededFrom",
+  "bp",
+  2,
+  bp__needed_from__enum_values_by_number,
+  2,
+  bp__needed_from__enum_values_by_name,
+  1,
+  bp__needed_from__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCEnumValue bp__promotion_answer__enum_values_by_number[6] =
 {
   { "ORDER_ACCEPTED", "BP__PROMOTION_ANSWER__ORDER_ACCEPTED", 0 },
--- a/gen/event.pb-c.h
+++ b/gen/event.pb-c.h
@@ -20,6 +20,8 @@
 typedef struct Bp__Note Bp__Note;
 typedef struct Bp__LinesLost Bp__LinesLost;
 typedef struct Bp__GroupBelief Bp__GroupBelief;
+typedef struct Bp__LeaseBasis Bp__LeaseBasis;
+typedef struct Bp__PositionSample Bp__PositionSample;
 typedef struct Bp__StatementEnded Bp__StatementEnded;
 typedef struct Bp__StatementRetried Bp__StatementRetried;
 typedef struct Bp__StatementRefused Bp__StatementRefused;
@@ -128,6 +130,42 @@
   BP__CHANGE_STEP__CANCEL_PROMOTION = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__CHANGE_STEP)
 } Bp__ChangeStep;
+/*
+ * What shows that the answers that a lease rests on hide no newer primary.
+ */
+typedef enum _Bp__LeaseProof {
+  /*
+   * all servers have answered
+   */
+  BP__LEASE_PROOF__BY_ALL = 0,
+  /*
+   * the recorded orders, read after the requests
+   */
+  BP__LEASE_PROOF__BY_RECORD = 1,
+  /*
+   * an earlier certain time, less than a lease ago
+   */
+  BP__LEASE_PROOF__CONTINUED = 2,
+  /*
+   * the primary has no replicas
+   */
+  BP__LEASE_PROOF__ALONE = 3
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__LEASE_PROOF)
+} Bp__LeaseProof;
+/*
+ * Where the position that a read required of a replica came from.
+ */
+typedef enum _Bp__NeededFrom {
+  /*
+   * a sample of the primary, by max_age_ms
+   */
+  BP__NEEDED_FROM__FROM_SAMPLE = 0,
+  /*
+   * the session's last write, which is later
+   */
+  BP__NEEDED_FROM__FROM_FLOOR = 1
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__NEEDED_FROM)
+} Bp__NeededFrom;
 /*
  * Outcome of an order to promote.
  */
@@ -237,6 +275,72 @@
     , NULL, 0, 0, 0, 0, BP__CHANGE_STATE__LEARNING, 0, 0, 0, 0, 0,NULL }
 
 
+/*
+ * What the lease of this daemon on a primary rests on, as last renewed.
+ */
+struct  Bp__LeaseBasis
+{
+  ProtobufCMessage base;
+  /*
+   * number of the lease in the group at this daemon, given when
+   * PrimaryConfirmed or LeaseRegained is logged
+   */
+  uint64_t lease;
+  char *server;
+  uint64_t term;
+  Bp__LeaseProof proof;
+  /*
+   * time since the requests were sent that the lease is counted from
+   */
+  int64_t asked_ms;
+  /*
+   * time since the recorded orders were asked for, as last read by then,
+   * the attempt of the last one, and the era of the store
+   */
+  protobuf_c_boolean has_record_ms;
+  int64_t record_ms;
+  protobuf_c_boolean has_record_attempt;
+  uint64_t record_attempt;
+  protobuf_c_boolean has_record_era;
+  uint64_t record_era;
+  /*
+   * the servers' answers: id, role, newest term promised, age of the
+   * request, and age of the connection in milliseconds
+   */
+  size_t n_servers;
+  char **servers;
+};
+#define BP__LEASE_BASIS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__lease_basis__descriptor) \
+    , 0, NULL, 0, BP__LEASE_PROOF__BY_ALL, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * Position of a primary's log at a time: what was acknowledged by then is at or
+ * before it.
+ */
+struct  Bp__PositionSample
+{
+  ProtobufCMessage base;
+  char *position;
+  /*
+   * when the statement arrived
+   */
+  int64_t age_ms;
+  /*
+   * the primary; left out: not listed now
+   */
+  char *server;
+  /*
+   * as LeaseBasis.lease
+   */
+  uint64_t lease;
+};
+#define BP__POSITION_SAMPLE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__position_sample__descriptor) \
+    , NULL, 0, NULL, 0 }
+
+
 /*
  * A statement has ended.  The lines per second are limited; a success within
  * the target has the lowest limit.
@@ -286,7 +390,7 @@
    */
   char *needed;
   /*
-   * log position of the session's last write
+   * log position of the session's last write to the group
    */
   char *floor;
   /*
@@ -307,10 +411,20 @@
    */
   protobuf_c_boolean has_left_out;
   uint32_t left_out;
+  /*
+   * of a read, or the first statement of a transaction, at a replica
+   */
+  protobuf_c_boolean has_needed_from;
+  Bp__NeededFrom needed_from;
+  Bp__PositionSample *sample;
+  /*
+   * of a read at the primary: the lease when it was answered
+   */
+  Bp__LeaseBasis *lease;
 };
 #define BP__STATEMENT_ENDED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__statement_ended__descriptor) \
-    , NULL, 0, NULL, NULL, BP__OPERATION_KIND__READ_ITEM, BP__FRESHNESS__NEWEST, 0, 0, BP__VERDICT__SUCCEEDED, NULL, 0, 0, 0, 0, 0, NULL, NULL, NULL, NULL, 0, NULL, 0, 0 }
+    , NULL, 0, NULL, NULL, BP__OPERATION_KIND__READ_ITEM, BP__FRESHNESS__NEWEST, 0, 0, BP__VERDICT__SUCCEEDED, NULL, 0, 0, 0, 0, 0, NULL, NULL, NULL, NULL, 0, NULL, 0, 0, 0, BP__NEEDED_FROM__FROM_SAMPLE, NULL, NULL }
 
 
 /*
@@ -342,10 +456,19 @@
   char *applied;
   protobuf_c_boolean has_left_out;
   uint32_t left_out;
+  /*
+   * as in StatementEnded
+   */
+  protobuf_c_boolean has_needed_from;
+  Bp__NeededFrom needed_from;
+  /*
+   * as in StatementEnded
+   */
+  Bp__PositionSample *sample;
 };
 #define BP__STATEMENT_RETRIED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__statement_retried__descriptor) \
-    , NULL, NULL, NULL, BP__VERDICT__SUCCEEDED, NULL, 0, 0, NULL, NULL, 0, 0 }
+    , NULL, NULL, NULL, BP__VERDICT__SUCCEEDED, NULL, 0, 0, NULL, NULL, 0, 0, 0, BP__NEEDED_FROM__FROM_SAMPLE, NULL }
 
 
 /*
@@ -529,10 +652,11 @@
    */
   protobuf_c_boolean has_lease_ms;
   int64_t lease_ms;
+  Bp__LeaseBasis *basis;
 };
 #define BP__PRIMARY_CONFIRMED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__primary_confirmed__descriptor) \
-    , NULL, NULL, 0, 0, 0 }
+    , NULL, NULL, 0, 0, 0, NULL }
 
 
 /*
@@ -640,10 +764,11 @@
    */
   size_t n_servers;
   char **servers;
+  Bp__LeaseBasis *basis;
 };
 #define BP__LEASE_REGAINED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__lease_regained__descriptor) \
-    , NULL, NULL, 0, 0, 0,NULL }
+    , NULL, NULL, 0, 0, 0,NULL, NULL }
 
 
 /*
@@ -1127,6 +1252,44 @@
 void   bp__group_belief__free_unpacked
                      (Bp__GroupBelief *message,
                       ProtobufCAllocator *allocator);
+/* Bp__LeaseBasis methods */
+void   bp__lease_basis__init
+                     (Bp__LeaseBasis         *message);
+size_t bp__lease_basis__get_packed_size
+                     (const Bp__LeaseBasis   *message);
+size_t bp__lease_basis__pack
+                     (const Bp__LeaseBasis   *message,
+                      uint8_t             *out);
+size_t bp__lease_basis__pack_to_buffer
+                     (const Bp__LeaseBasis   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__LeaseBasis *
+       bp__lease_basis__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__lease_basis__free_unpacked
+                     (Bp__LeaseBasis *message,
+                      ProtobufCAllocator *allocator);
+/* Bp__PositionSample methods */
+void   bp__position_sample__init
+                     (Bp__PositionSample         *message);
+size_t bp__position_sample__get_packed_size
+                     (const Bp__PositionSample   *message);
+size_t bp__position_sample__pack
+                     (const Bp__PositionSample   *message,
+                      uint8_t             *out);
+size_t bp__position_sample__pack_to_buffer
+                     (const Bp__PositionSample   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__PositionSample *
+       bp__position_sample__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__position_sample__free_unpacked
+                     (Bp__PositionSample *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__StatementEnded methods */
 void   bp__statement_ended__init
                      (Bp__StatementEnded         *message);
@@ -1822,6 +1985,12 @@
 typedef void (*Bp__GroupBelief_Closure)
                  (const Bp__GroupBelief *message,
                   void *closure_data);
+typedef void (*Bp__LeaseBasis_Closure)
+                 (const Bp__LeaseBasis *message,
+                  void *closure_data);
+typedef void (*Bp__PositionSample_Closure)
+                 (const Bp__PositionSample *message,
+                  void *closure_data);
 typedef void (*Bp__StatementEnded_Closure)
                  (const Bp__StatementEnded *message,
                   void *closure_data);
@@ -1938,10 +2107,14 @@
 
 extern const ProtobufCEnumDescriptor    bp__change_state__descriptor;
 extern const ProtobufCEnumDescriptor    bp__change_step__descriptor;
+extern const ProtobufCEnumDescriptor    bp__lease_proof__descriptor;
+extern const ProtobufCEnumDescriptor    bp__needed_from__descriptor;
 extern const ProtobufCEnumDescriptor    bp__promotion_answer__descriptor;
 extern const ProtobufCMessageDescriptor bp__note__descriptor;
 extern const ProtobufCMessageDescriptor bp__lines_lost__descriptor;
 extern const ProtobufCMessageDescriptor bp__group_belief__descriptor;
+extern const ProtobufCMessageDescriptor bp__lease_basis__descriptor;
+extern const ProtobufCMessageDescriptor bp__position_sample__descriptor;
 extern const ProtobufCMessageDescriptor bp__statement_ended__descriptor;
 extern const ProtobufCMessageDescriptor bp__statement_retried__descriptor;
 extern const ProtobufCMessageDescriptor bp__statement_refused__descriptor;
--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -142,12 +142,22 @@
 recorded_orders_t told_orders_merge(
     const told_orders_t *, const recorded_orders_t *);
 
+/* What shows that the answers that a lease rests on hide no newer primary. */
+typedef enum lease_proof {
+	LEASE_BY_ALL,    /* all databases have answered */
+	LEASE_BY_RECORD, /* the recorded orders, read after the requests */
+	LEASE_CONTINUED, /* an earlier certain time, less than a lease ago */
+	LEASE_ALONE,     /* the primary has no replicas */
+} lease_proof_t;
+
 /*
  * Lease on a primary: until it expires, no other database can have become
  * primary, so this daemon may rely on the primary: lease.c
  */
 typedef struct lease {
 	uint64_t term;
+	/* what its last renewal rested on, besides the answers */
+	lease_proof_t proof;
 	/* time of expiry; 0: no lease */
 	int64_t expires_us;
 	/* a failover is under way: no lease in this term or an older one is
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -310,10 +310,11 @@
  * after such a certain time, answers on connections that were open then do show
  * it.  Otherwise all databases must have answered, or the store must have
  * recorded no order to replace the primary when it was read after the requests.
+ * Which of these it was goes to *proof.
  */
 static int64_t
 certain_us(lease_t *lease, const db_view_t *views, uint32_t count,
-    uint32_t primary, const lease_duration_t *durations)
+    uint32_t primary, const lease_duration_t *durations, lease_proof_t *proof)
 {
 	uint32_t members = recorded_members(lease, views[primary].promised);
 	int64_t known_us =
@@ -326,8 +327,10 @@
 	if (record_allows(lease, &views[primary])) {
 		asked_us = supported_us(lease, views, count, primary,
 		    lease->orders.read_us, INT64_MAX, members);
-		if (asked_us > known_us)
+		if (asked_us > known_us) {
 			known_us = asked_us;
+			*proof = LEASE_BY_RECORD;
+		}
 	}
 	if (known_us > lease->verified_us)
 		lease->verified_us = known_us;
@@ -335,8 +338,10 @@
 	    lease, views, count, primary, INT64_MAX, lease->verified_us, 0);
 	if (lease->verified_us != 0 && asked_us > known_us &&
 	    asked_us - lease->verified_us <=
-		duration_us(durations, lease->verified_us))
+		duration_us(durations, lease->verified_us)) {
 		known_us = asked_us;
+		*proof = LEASE_CONTINUED;
+	}
 	return known_us;
 }
 
@@ -409,6 +414,7 @@
     uint32_t primary, int64_t now_us, const lease_duration_t *durations)
 {
 	const db_view_t *view = &views[primary];
+	lease_proof_t proof = count == 1 ? LEASE_ALONE : LEASE_BY_ALL;
 	int64_t asked_us, until_us, ends_us;
 
 	lease->unverified = false;
@@ -424,7 +430,7 @@
 	}
 	asked_us = count == 1
 	    ? alone_us(lease, view, now_us)
-	    : certain_us(lease, views, count, primary, durations);
+	    : certain_us(lease, views, count, primary, durations, &proof);
 	if (asked_us > lease->verified_us)
 		lease->verified_us = asked_us;
 	lease_primary_led(lease, view->promised, view->requested_us);
@@ -444,6 +450,7 @@
 	lease->incomplete &= view->promised == lease->term;
 	lease->term = view->promised;
 	lease->expires_us = until_us;
+	lease->proof = proof;
 	return true;
 }
 
--- a/src/decide/replica.c
+++ b/src/decide/replica.c
@@ -1,5 +1,7 @@
 #include "replica.h"
 
+#include <stddef.h>
+
 /*
  * Return the i-th oldest sample.
  */
@@ -46,24 +48,38 @@
 	    : now_us - sample_at(history, history->count - 1)->at_us;
 }
 
+/*
+ * Return the oldest sample within an age, or NULL: a database that has applied
+ * its position has data that are at most max_age_us old.
+ */
+const position_sample_t *
+position_history_find(
+    const position_history_t *history, int64_t now_us, int64_t max_age_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < history->count; i++) {
+		if (sample_at(history, i)->at_us >= now_us - max_age_us)
+			return sample_at(history, i);
+	}
+	return NULL;
+}
+
 /*
  * Look up the position that a database must have applied for its data to be
- * at most max_age_us old: that of the oldest sample within this age.  Returns
- * false when there is no such sample.
+ * at most max_age_us old.  Returns false when there is no such sample.
  */
 bool
 position_history_lookup(const position_history_t *history, int64_t now_us,
     int64_t max_age_us, position_t *needed)
 {
-	uint32_t i;
+	const position_sample_t *sample =
+	    position_history_find(history, now_us, max_age_us);
 
-	for (i = 0; i < history->count; i++) {
-		if (sample_at(history, i)->at_us >= now_us - max_age_us) {
-			*needed = sample_at(history, i)->position;
-			return true;
-		}
-	}
-	return false;
+	if (sample == NULL)
+		return false;
+	*needed = sample->position;
+	return true;
 }
 
 /*
--- a/src/decide/replica.h
+++ b/src/decide/replica.h
@@ -15,6 +15,9 @@
 typedef struct position_sample {
 	int64_t at_us;
 	position_t position;
+	/* for the log: key of the primary, and number of the lease on it */
+	uint64_t server;
+	uint64_t lease;
 } position_sample_t;
 
 /* Ring buffer of the latest samples. */
@@ -43,6 +46,8 @@
 int64_t position_history_age_us(const position_history_t *, int64_t now_us);
 void position_history_add(
     position_history_t *, position_sample_t, int64_t spacing_us);
+const position_sample_t *position_history_find(
+    const position_history_t *, int64_t now_us, int64_t max_age_us);
 bool position_history_lookup(const position_history_t *, int64_t now_us,
     int64_t max_age_us, position_t *);
 int32_t replica_choose(const db_view_t *, const replica_load_t *,
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -24,6 +24,7 @@
 
 	operation->state = OPERATION_SENT;
 	operation->needed = after == NULL ? (position_t){0, 0} : *after;
+	operation->on_primary = after == NULL;
 	if (transaction != NULL) {
 		transaction->conn = conn;
 		transaction->on_replica = after != NULL;
@@ -101,15 +102,18 @@
  * serve the read.
  */
 static bool
-required_position(const operation_t *operation, position_t *required)
+required_position(operation_t *operation, position_t *required)
 {
 	const Bp__RunOperation *run = operation->run;
 	position_t floor = {run->floor_term, run->floor_index};
+	const position_sample_t *sample = position_history_find(
+	    &operation->group->position_history, operation->arrived_us,
+	    (int64_t)run->route->max_age_ms * US_PER_MS);
 
-	if (!position_history_lookup(&operation->group->position_history,
-		operation->arrived_us,
-		(int64_t)run->route->max_age_ms * US_PER_MS, required))
+	if (sample == NULL)
 		return false;
+	operation->sample = *sample;
+	*required = sample->position;
 	if (run->route->freshness == BP__FRESHNESS__OWN_WRITES &&
 	    position_compare(floor, *required) > 0)
 		*required = floor;
--- a/src/proxy/group_lease.c
+++ b/src/proxy/group_lease.c
@@ -118,12 +118,16 @@
 			operations_release_held(group, now_us);
 		return;
 	}
-	if (group->lease.term != before)
+	lease_basis_note(group, (uint32_t)primary);
+	if (group->lease.term != before) {
+		group->lease_basis.number++;
 		log_primary_confirmed(group, group->servers[primary], now_us);
-	else if (group->lease.expires_us > now_us &&
-	    now_us - group->lease_seen_us >= LEASE_GAP_LOGGED_US)
+	} else if (group->lease.expires_us > now_us &&
+	    now_us - group->lease_seen_us >= LEASE_GAP_LOGGED_US) {
+		group->lease_basis.number++;
 		log_lease_regained(
 		    group, group->servers[primary], group->lease_seen_us);
+	}
 	operations_release_held(group, now_us);
 }
 
@@ -160,7 +164,10 @@
 {
 	group_t *group = server->group;
 	position_sample_t sample = {
-	    MIN(sent_us, group_orders_checked_us(group)), position};
+	    .at_us = MIN(sent_us, group_orders_checked_us(group)),
+	    .position = position,
+	    .server = server->key,
+	    .lease = group->lease_basis.number};
 
 	if (server->removed || position.term != group->lease.term ||
 	    (int32_t)server->index != failover_primary(&group->failover) ||
--- a/src/proxy/operation.c
+++ b/src/proxy/operation.c
@@ -329,6 +329,7 @@
 		transaction->operation = operation;
 		transaction->last_used_us = operation->arrived_us;
 		operation->state = OPERATION_SENT;
+		operation->on_primary = !transaction->on_replica;
 		dbconn_run(transaction->conn, operation, NULL);
 		return;
 	}
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -27,6 +27,7 @@
  * group_orders.c	orders to promote a server: open ones, those told
  * group_members.c	servers that the store has recorded for a group
  * pool_log.c		log events
+ * read_log.c		what a read or a lease rests on, in log events
  * pool_status.c	status page and metrics
  *
  * The terms used here:
@@ -171,6 +172,31 @@
 	bool gone;     /* it is not listed, and has refused a connection */
 } member_t;
 
+/* An answer of a server that a lease rests on. */
+typedef struct lease_answer {
+	uint64_t server; /* server_t.key */
+	bool known;
+	bool primary;
+	uint64_t promised;
+	int64_t requested_us;
+	int64_t connected_us;
+} lease_answer_t;
+
+/* What a lease rests on, for the log. */
+typedef struct lease_basis {
+	uint64_t number; /* of the lease; 0: none yet */
+	uint64_t term;
+	uint64_t server; /* key of the primary */
+	lease_proof_t proof;
+	int64_t asked_us; /* time that it is counted from */
+	int64_t
+	    record_us; /* send time of the request for the orders; 0: none */
+	uint64_t record_attempt;
+	uint64_t record_era;
+	uint32_t answers_count;
+	lease_answer_t answers[GROUP_DATABASES_MAX];
+} lease_basis_t;
+
 /* A primary and its replicas, as listed in the catalog. */
 struct group {
 	pool_t *pool;
@@ -198,6 +224,7 @@
 	/* log positions of the primary over time */
 	position_history_t position_history;
 	lease_t lease;              /* lease of this daemon on the primary */
+	lease_basis_t lease_basis;  /* of its last renewal */
 	open_orders_t open_orders;  /* orders that may still take effect */
 	uint32_t open_orders_count; /* as last logged */
 	/* orders to replace a primary that the store has recorded, and those
@@ -306,7 +333,9 @@
 	   server may have been freed */
 	server_t *server;
 	const char *server_id; /* id of that server; NULL: not sent yet */
-	position_t needed;  /* log position required of the server; 0: none */
+	position_t needed; /* log position required of the server; 0: none */
+	position_sample_t sample; /* that it follows from; at_us 0: none */
+	bool on_primary;          /* it was sent to a server as the primary */
 	position_t applied; /* position known of the server when it was sent */
 	int64_t sent_us;    /* time at which it was last sent */
 	/* number of retries, including the last one if TRIES_MAX prevented it;
@@ -435,6 +464,7 @@
 void pool_status(void *pool, msg_t *msg);
 
 /* pool_log.c */
+void lease_basis_note(group_t *, uint32_t primary);
 void log_statement_ended(const operation_t *, Bp__Verdict, const char *text);
 void log_statement_retried(const operation_t *, Bp__Verdict, const char *text);
 void log_transaction_rolled_back(const transaction_t *, int64_t now_us);
--- a/src/proxy/pool_log.c
+++ b/src/proxy/pool_log.c
@@ -1,5 +1,4 @@
-#include "event.pb-c.h"
-#include "pool.h"
+#include "read_log.h"
 
 #include <inttypes.h>
 
@@ -32,18 +31,6 @@
 	return allowed;
 }
 
-/*
- * Format a log position as TERM.INDEX.  Returns NULL if there is none.
- */
-static char *
-format_position(arena_t *arena, position_t position)
-{
-	return position.term == 0
-	    ? NULL
-	    : arena_printf(arena, "%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
-		  position.term, position.index);
-}
-
 /*
  * Set *left_ms to the remaining time of a group's lease, negative if it has
  * expired.  Returns false if the group has no lease.
@@ -142,6 +129,11 @@
 	}
 	ended.needed = format_position(arena, operation->needed);
 	ended.floor = format_position(arena, floor);
+	ended.has_needed_from = operation->needed.term != 0;
+	ended.needed_from = read_needed_from(operation);
+	ended.sample = read_sample_message(arena, operation);
+	if (run->kind == BP__OPERATION_KIND__READ_ITEM && operation->on_primary)
+		ended.lease = lease_basis_message(arena, group, now_us);
 	ended.config = pool->config_version;
 	if (kind != LIMITED_STATEMENT_DONE)
 		ended.belief = group_belief_new(arena, group, now_us);
@@ -176,6 +168,9 @@
 	retried.tries = operation->tries;
 	retried.spent_ms = (now_us - operation->arrived_us) / US_PER_MS;
 	retried.needed = format_position(arena, operation->needed);
+	retried.has_needed_from = operation->needed.term != 0;
+	retried.needed_from = read_needed_from(operation);
+	retried.sample = read_sample_message(arena, operation);
 	log_event(G_LOG_LEVEL_INFO, &retried.base);
 	arena_free(arena);
 }
@@ -292,6 +287,7 @@
     const group_t *group, const server_t *server, int64_t now_us)
 {
 	Bp__PrimaryConfirmed confirmed = BP__PRIMARY_CONFIRMED__INIT;
+	arena_t *arena = arena_new();
 
 	group->pool->counts[COUNT_PRIMARIES_CONFIRMED]++;
 	confirmed.group = group->name;
@@ -299,7 +295,9 @@
 	confirmed.term = group->lease.term;
 	confirmed.has_lease_ms =
 	    lease_left_ms(group, now_us, &confirmed.lease_ms);
+	confirmed.basis = lease_basis_message(arena, group, now_us);
 	log_event(G_LOG_LEVEL_INFO, &confirmed.base);
+	arena_free(arena);
 }
 
 /*
@@ -416,6 +414,7 @@
 {
 	Bp__LeaseRegained regained = BP__LEASE_REGAINED__INIT;
 	char *servers[GROUP_DATABASES_MAX];
+	arena_t *arena = arena_new();
 	int64_t now_us = clock_us();
 	uint32_t i;
 
@@ -437,7 +436,9 @@
 	}
 	regained.servers = servers;
 	regained.n_servers = group->count;
+	regained.basis = lease_basis_message(arena, group, now_us);
 	log_event(G_LOG_LEVEL_MESSAGE, &regained.base);
+	arena_free(arena);
 	for (i = 0; i < group->count; i++)
 		g_free(servers[i]);
 }
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -696,8 +696,12 @@
 /* Time in which each database is sent a request. */
 #define REQUESTED_MS 50
 
+/* Time after which the proxies know positions of primaries without entries. */
+#define SAMPLED_MS 1500
+
 typedef struct log_case {
 	const char *name;
+	bool sampled; /* the setup begins SAMPLED_MS after the proxy is ready */
 	uint32_t lag_ms;
 	const char *database;
 	const char *setup[LOG_CASE_ITEMS_MAX]; /* statements that succeed */
@@ -717,7 +721,7 @@
 } log_case_t;
 
 static const log_case_t log_cases[] = {
-    {"refused while the primary fails", 5, "intake", {"WRITE a x"},
+    {"refused while the primary fails", false, 5, "intake", {"WRITE a x"},
 	{{"order", "hold", -1}, {"database", "mute", 0}}, 0, 1500, "WRITE b y",
 	"ERR BUSY",
 	{"\"verdict\":\"busy\"",
@@ -729,7 +733,7 @@
 	    "\"event\":\"server_connection_lost\",\"server\":\"i-0\"",
 	    "\"event\":\"change_step_taken\",\"group\":\"ledger\","
 	    "\"step\":\"fence\""}},
-    {"the same, a replica fails as well, and the daemon is held up", 5,
+    {"the same, a replica fails as well, and the daemon is held up", false, 5,
 	"intake", {"WRITE a x"},
 	{{"database", "mute", 0}, {"database", "mute", 1}}, 1000, 700,
 	"WRITE b y", "ERR BUSY",
@@ -741,14 +745,15 @@
 	 "\"server\":\"i-0\",\"silent\":true",
 	    "\"event\":\"server_connection_lost\",\"server\":\"i-0\"",
 	    "\"event\":\"server_connection_lost\",\"server\":\"i-1\""}},
-    {"a commit whose outcome is unknown", 5, "intake", {"BEGIN", "WRITE a x"},
-	{{"database", "lose-commit", -1}}, 0, 0, "COMMIT", "ERR INDOUBT",
+    {"a commit whose outcome is unknown", false, 5, "intake",
+	{"BEGIN", "WRITE a x"}, {{"database", "lose-commit", -1}}, 0, 0,
+	"COMMIT", "ERR INDOUBT",
 	{"\"verdict\":\"in_doubt\"", "\"kind\":\"commit_transaction\"",
 	    "\"server\":\"i-0\""},
 	{"\"event\":\"server_connection_lost\",\"server\":\"i-0\""}},
-    {"a read refused because the replicas lag", 60000, "quotes", {"WRITE a x"},
-	{{"database", "mute", 0}, {"database", "crash", 1}}, 0, 700, "READ a",
-	"ERR BUSY",
+    {"a read refused because the replicas lag", false, 60000, "quotes",
+	{"WRITE a x"}, {{"database", "mute", 0}, {"database", "crash", 1}}, 0,
+	700, "READ a", "ERR BUSY",
 	{"\"verdict\":\"busy\"", "\"freshness\":\"own_writes\"", "\"tries\":4",
 	    "\"floor\":\"1.1\""},
 	{"\"event\":\"statement_retried\",\"request\":\"q2\","
@@ -759,6 +764,29 @@
 	    "\"group\":\"ledger\",\"server\":\"i-0\","
 	    "\"verdict\":\"other_error\"",
 	    "\"text\":\"no answer for half of the target\""}},
+    {"a read at a replica, by a sample", false, 5, "lookup", {NULL}, {{NULL}},
+	0, 1500, "READ a", "ROW none",
+	{"\"needed\":\"1.0\"", "\"needed_from\":\"from_sample\"",
+	    "\"sample\":{\"position\":\"1.0\",\"age_ms\":",
+	    "\"server\":\"i-0\",\"lease\":1}"},
+	{"\"event\":\"primary_confirmed\",\"group\":\"ledger\","
+	 "\"server\":\"i-0\",\"term\":1",
+	    "\"basis\":{\"lease\":1,\"server\":\"i-0\",\"term\":1,"
+	    "\"proof\":\"by_",
+	    "\"record_attempt\":", "\"servers\":[\"i-0:primary:1:"}},
+    {"a read at a replica, by the last write", true, 5, "quotes", {"WRITE a x"},
+	{{NULL}}, 0, 100, "READ a", "ROW x",
+	{"\"needed\":\"1.1\"", "\"floor\":\"1.1\"",
+	    "\"needed_from\":\"from_floor\"",
+	    "\"sample\":{\"position\":\"1.0\",\"age_ms\":"},
+	{"\"basis\":{\"lease\":1,\"server\":\"i-0\",\"term\":1,"
+	 "\"proof\":\"by_"}},
+    {"a read at the primary", false, 5, "intake", {NULL}, {{NULL}}, 0, 1500,
+	"READ a", "ROW none",
+	{"\"lease\":{\"lease\":1,\"server\":\"i-0\",\"term\":1,\"proof\":\"",
+	    "\"asked_ms\":", "\"record_ms\":", "\"servers\":[\"i-0:primary:1:"},
+	{"\"basis\":{\"lease\":1,\"server\":\"i-0\",\"term\":1,"
+	 "\"proof\":\"by_"}},
 };
 
 /*
@@ -802,6 +830,8 @@
 	uint32_t i, n;
 
 	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	if (c->sampled)
+		g_usleep(SAMPLED_MS * US_PER_MS);
 	client = client_open_session(testbed, 0, c->database);
 	for (n = 0; n < LOG_CASE_ITEMS_MAX && c->setup[n] != NULL; n++)
 		client_expect(client, c->setup[n], "DONE");
@@ -1367,9 +1397,6 @@
 /* Lag of replicas that receive no entry during a test. */
 #define NEVER_MS 60000
 
-/* Time after which the proxies know positions of primaries without entries. */
-#define SAMPLED_MS 1500
-
 typedef struct moved_route_case {
 	const char *name;
 	/* statements on the first group, on the second, and back again */
