Tests: reads after a failover that gives up the tail of a leaving primary

After the drain limit a failover gives up what only the leaving primary has. /leaving/given-up has sessions and samples that hold positions of that tail: own, bounded and newest reads through three proxies, where the old primary rejoins, is cut off from the new one, or ends. They are answered from the log that counts, at most 2.5 s after there is another primary, and see the writes of the new term as their route promises.

--- a/tests/t_leaving.c
+++ b/tests/t_leaving.c
@@ -291,6 +291,151 @@
 	testbed_stop(callers.testbed);
 }
 
+/* Time from the leaving of a primary in which another one follows. */
+#define FOLLOWS_MS (DRAIN_MS + 6000)
+
+/* Time in which reads are served again once there is another primary. */
+#define SERVED_MS 2500
+
+/* Largest staleness of the bounded route, and a margin. */
+#define STALENESS_MS 1700
+
+/* Time after which the proxies know positions of the primary. */
+#define SAMPLED_MS 1000
+
+typedef struct given_up_case {
+	const char *name;
+	const char *database;
+	const char
+	    *before;    /* last statement of the reading sessions, or NULL */
+	bool reads_own; /* they see their own writes at once */
+	bool cut_off;   /* the old primary does not learn of the new one */
+	bool crashed;   /* it ends at the drain limit */
+} given_up_case_t;
+
+static const given_up_case_t given_up_cases[] = {
+    {"own writes, its position is gone", "quotes", "WRITE k lost", true, false,
+	false},
+    {"own writes, the old primary is cut off", "quotes", "WRITE k lost", true,
+	true, false},
+    {"own writes, the old primary ends", "quotes", "WRITE k lost", true, false,
+	true},
+    {"bounded staleness, the samples are gone", "lookup", NULL, false, false,
+	false},
+    {"bounded staleness, the old primary is cut off", "lookup", NULL, false,
+	true, false},
+    {"bounded staleness, the old primary ends", "lookup", NULL, false, false,
+	true},
+    {"newest", "intake", NULL, true, false, false},
+    {"newest, the old primary is cut off", "intake", NULL, true, true, false},
+};
+
+/*
+ * Wait until a replica is the primary of the second term.  Returns its number.
+ */
+static int32_t
+wait_successor(const testbed_t *testbed)
+{
+	int64_t end_us =
+	    g_get_monotonic_time() + FOLLOWS_MS * G_TIME_SPAN_MILLISECOND;
+	uint32_t i;
+
+	while (g_get_monotonic_time() < end_us) {
+		for (i = 1; i < DATABASES; i++) {
+			if (testbed_wait_primary(testbed, i, "2", 50))
+				return (int32_t)i;
+		}
+	}
+	g_error("no other primary has followed");
+}
+
+/*
+ * Read through a session until it gets an answer other than a refusal, and
+ * check the value.
+ */
+static void
+expect_value(client_t *client, const char *value, int64_t within_ms)
+{
+	int64_t began_us = g_get_monotonic_time(), spent_ms;
+	char *expected = g_strdup_printf("ROW %s|DONE p", value);
+	char *answer;
+
+	for (;;) {
+		answer = client_query(client, "READ k", ANSWER_TIMEOUT_MS);
+		spent_ms = (g_get_monotonic_time() - began_us) /
+		    G_TIME_SPAN_MILLISECOND;
+		if (answer != NULL && !g_str_has_prefix(answer, "ERR "))
+			break;
+		g_test_message("after %" G_GINT64_FORMAT " ms: %s", spent_ms,
+		    answer == NULL ? "no answer" : answer);
+		g_assert_cmpint(spent_ms, <, within_ms);
+		g_free(answer);
+		g_usleep(POLL_US);
+	}
+	g_test_message("after %" G_GINT64_FORMAT " ms: %s", spent_ms, answer);
+	if (!g_str_has_prefix(answer, expected))
+		g_error("expected %s, found %s", expected, answer);
+	g_assert_cmpint(spent_ms, <, within_ms);
+	g_free(answer);
+	g_free(expected);
+}
+
+/*
+ * Test the reads after a failover that gives up what only the leaving primary
+ * had: sessions and samples that hold positions of it are served the log that
+ * counts, in bounded time, before and after the first write of the new term.
+ */
+static void
+test_given_up(gconstpointer data)
+{
+	const given_up_case_t *c = data;
+	testbed_plan_t plan = {
+	    .proxies = PROXIES, .lag_ms = 5, .drain_ms = DRAIN_MS};
+	testbed_t *testbed = testbed_start(&plan);
+	client_t *clients[PROXIES], *writer;
+	int32_t successor;
+	uint32_t i;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_usleep(LISTED_MS * G_TIME_SPAN_MILLISECOND);
+	writer = client_open_session(testbed, 0, "intake");
+	client_expect(writer, "WRITE k kept", "DONE p");
+	g_usleep(SAMPLED_MS * G_TIME_SPAN_MILLISECOND);
+	for (i = 1; i < DATABASES; i++)
+		testbed_inject_fault(testbed, "database", "deaf", (int32_t)i);
+	client_expect(writer, "WRITE k lost", "DONE p");
+	for (i = 0; i < PROXIES; i++) {
+		clients[i] = client_open_session(testbed, i, c->database);
+		if (c->before != NULL)
+			client_expect(clients[i], c->before, "DONE p");
+	}
+	if (c->cut_off)
+		testbed_inject_fault(testbed, "database", "deaf", 0);
+	leave(testbed, 0, false);
+	if (c->crashed) {
+		g_usleep(DRAIN_MS * G_TIME_SPAN_MILLISECOND);
+		testbed_inject_fault(testbed, "database", "crash", 0);
+	}
+	successor = wait_successor(testbed);
+	for (i = 1; i < DATABASES; i++)
+		testbed_inject_fault(testbed, "database", "hear", (int32_t)i);
+	g_test_message("i-%d follows", successor);
+	for (i = 0; i < PROXIES; i++)
+		expect_value(clients[i], "kept", SERVED_MS);
+	client_expect(writer, "WRITE k new", "DONE p");
+	g_usleep(STALENESS_MS * G_TIME_SPAN_MILLISECOND);
+	for (i = 0; i < PROXIES; i++)
+		expect_value(clients[i], "new", SERVED_MS);
+	if (c->reads_own) {
+		client_expect(clients[0], "WRITE k newer", "DONE p");
+		expect_value(clients[0], "newer", SERVED_MS);
+	}
+	for (i = 0; i < PROXIES; i++)
+		client_close(clients[i]);
+	client_close(writer);
+	testbed_stop(testbed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -299,5 +444,6 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	CASES("/leaving", leaving_cases, test_leaving);
+	CASES("/leaving/given-up", given_up_cases, test_given_up);
 	return g_test_run();
 }
