Failover: a database that has ended is no primary, and hides no next start

The address answered connections to the former start with WRONGNODE, which counted as a sign of life, so the former start stayed the primary and nothing was due. It and other crashed members counted for the majority of promises that an attempt needs, until their entries lapsed. Then it was listed as leaving, and a handover was asked of it alone, again and again, while the daemons took the coordinator role from each other.

What tells that a start has ended is now decided in src/decide/start.c: a later start that is listed under its id or at its address, the word of the process at its address, or a refused connection where it is not listed. Such a server leaves its group at once, or is marked (db_view_t.ended) until a list shows it. So choice, lease, handover and the take-over of the role no longer see it. A database that has refused a connection does not count as one that answers, and a handover is neither begun nor due from a primary that does not answer.

As ends become known during an attempt now, the wait for leases to expire is counted from then on where fewer promises suffice than before: leases may rest on what those members answered last (failover_members_lost()).

--- a/src/decide/failover_handover.c
+++ b/src/decide/failover_handover.c
@@ -16,6 +16,18 @@
 	    failover_staying_answers(failover, now_us);
 }
 
+/*
+ * Tell whether there is a primary that answers, as it must to step down.
+ */
+static bool
+primary_answers(const failover_t *failover, int64_t now_us)
+{
+	int32_t primary = failover_primary(failover);
+
+	return primary >= 0 &&
+	    failover_answers(failover, (uint32_t)primary, now_us);
+}
+
 /*
  * Tell whether there is a primary that steps down alone in a handover.
  */
@@ -23,7 +35,7 @@
 can_hand_over(const failover_t *failover, int64_t now_us)
 {
 	return failover->limits.catch_up_us > 0 &&
-	    failover_primary(failover) >= 0 &&
+	    primary_answers(failover, now_us) &&
 	    !replaces_expired(failover, now_us);
 }
 
@@ -33,7 +45,8 @@
 bool
 failover_handover_possible(const failover_t *failover, int64_t now_us)
 {
-	return failover_successor_answers(failover, now_us) ||
+	return (primary_answers(failover, now_us) &&
+		   failover_successor_answers(failover, now_us)) ||
 	    replaces_expired(failover, now_us);
 }
 
--- a/src/decide/failover_state.c
+++ b/src/decide/failover_state.c
@@ -66,7 +66,8 @@
  * Change the databases of the group: the database with index i had index
  * old_index[i] before, or is new when that is negative.  A failover under way
  * continues unless the database to be promoted, or the primary that hands over,
- * has left the group.
+ * has left the group.  A handover from a primary that has left is not wanted
+ * any more.
  */
 void
 failover_remap(failover_t *failover, const int32_t *old_index, uint32_t count,
@@ -74,6 +75,7 @@
 {
 	failover_t old = *failover;
 	int32_t chosen = new_index(old_index, count, (int32_t)old.chosen);
+	int32_t primary = failover_primary(&old);
 	uint32_t i;
 
 	failover->count = count;
@@ -106,6 +108,10 @@
 		failover->wait_until_us = now_us;
 		enter_state(failover, FAILOVER_LEARNING, now_us);
 	}
+	failover->handover &=
+	    primary < 0 || new_index(old_index, count, primary) >= 0;
+	if (majority_of(count) < majority_of(old.count))
+		failover_members_lost(failover, now_us);
 	failover->chosen = chosen < 0 ? 0 : (uint32_t)chosen;
 	failover->order.database =
 	    new_index(old_index, count, old.order.database);
@@ -113,6 +119,19 @@
 	    new_index(old_index, count, old.order_before.database);
 }
 
+/*
+ * Note that databases have ended or left the group, so that fewer promises may
+ * suffice for the attempt under way.  The leases that rest on their last
+ * answers have to expire before the promotion, as if the promises were given
+ * now.
+ */
+void
+failover_members_lost(failover_t *failover, int64_t now_us)
+{
+	if (failover->state == FAILOVER_FENCING && failover->granted_us != 0)
+		failover->granted_us = MAX(failover->granted_us, now_us);
+}
+
 /*
  * Give up an attempt and wait for a random time before the next.  The range
  * of the wait doubles with each failure, so that of two daemons that compete
--- a/src/decide/failover_views.c
+++ b/src/decide/failover_views.c
@@ -22,8 +22,8 @@
 
 /*
  * Return the database that reports itself as primary in the highest term, or
- * -1, also if a newer term has begun.  The result is only a hint: a majority
- * may already have promised a newer term.
+ * -1, also if a newer term has begun.  One that has ended is none.  The result
+ * is only a hint: a majority may already have promised a newer term.
  */
 int32_t
 failover_primary(const failover_t *failover)
@@ -35,7 +35,8 @@
 	for (i = 0; i < failover->count; i++) {
 		const db_view_t *view = &failover->views[i];
 
-		if (view->known && view->primary && view->promised >= newest &&
+		if (view->known && view->primary && !view->ended &&
+		    view->promised >= newest &&
 		    (best < 0 ||
 			view->promised > failover->views[best].promised))
 			best = (int32_t)i;
@@ -158,12 +159,15 @@
 }
 
 /*
- * Tell whether a database answers: its state is known, and not too old.
+ * Tell whether a database answers: its state is known, and not too old, and it
+ * has refused no connection since.
  */
 bool
 failover_answers(const failover_t *failover, uint32_t database, int64_t now_us)
 {
 	return failover->views[database].known &&
+	    !failover->views[database].ended &&
+	    failover->connect_refusals[database] == 0 &&
 	    now_us - failover->last_alive_us[database] <
 	    failover->limits.suspect_us;
 }
--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -424,7 +424,7 @@
 	conn->last_change_us = now_us;
 	server->group->pool->counts[COUNT_CONNECTIONS_OPENED]++;
 	reconnect_succeeded(&server->reconnect);
-	server->full = false;
+	server->full = server->denied = false;
 	if (server->unreachable_since_us != 0)
 		log_server_reached(server, now_us);
 	server->unreachable_since_us = 0;
@@ -628,6 +628,11 @@
 		conn->verdict = reply.verdict;
 		if (conn->open)
 			break;
+		if (reply.verdict == BP__VERDICT__WRONG_SERVER) {
+			monitor_denied(conn->server);
+			dbconn_fail(conn, reply.text);
+			return false;
+		}
 		on_turned_away(conn, reply.position, now_us);
 		dbconn_fail(conn, reply.text);
 		return false;
--- a/src/proxy/group_members.c
+++ b/src/proxy/group_members.c
@@ -1,5 +1,7 @@
 #include "pool.h"
 
+#include "decide/start.h"
+
 #include <string.h>
 
 /*
@@ -36,26 +38,23 @@
 }
 
 /*
- * Tell whether a recorded member has ended: it has refused a connection, was
- * started again, or another server has its address.  A server that is started
- * holds and knows nothing of before.
+ * Tell whether a recorded member has ended.  A server that is started holds and
+ * knows nothing of before.
  */
 static bool
 member_ended(const group_t *group, const member_t *member)
 {
+	start_t start = {member->id, member->address, member->born};
 	arena_t *arena = arena_new();
 	bool ended = member->gone;
 	uint32_t i;
 
 	for (i = 0; i < group->count; i++) {
 		const server_t *server = group->servers[i];
+		start_t other = {server->id, server_address(server, arena),
+		    server->generation};
 
-		if (strcmp(server->id, member->id) == 0) {
-			ended = server->generation != member->born;
-			break;
-		}
-		ended |= g_strcmp0(server_address(server, arena),
-			     member->address) == 0;
+		ended |= start_follows(&other, &start);
 	}
 	arena_free(arena);
 	return ended;
@@ -76,8 +75,8 @@
 		const server_t *server = group->servers[i];
 		const member_t *member = member_find(group, server->id);
 
-		failover->views[i].member =
-		    member != NULL && member->born == server->generation;
+		failover->views[i].member = member != NULL &&
+		    member->born == server->generation && !member->gone;
 	}
 	for (i = 0; i < count; i++)
 		ended += member_ended(group, &group->members[i]);
@@ -85,13 +84,14 @@
 	    count > 0 && count - ended < majority_of(count);
 	if (group->lease.members_ended)
 		count = ended = 0;
+	if (count < failover->members || ended > failover->members_ended)
+		failover_members_lost(failover, clock_us());
 	group->lease.members = failover->members = count;
 	failover->members_ended = ended;
 }
 
 /*
- * Note that a server that is not listed has refused a connection, so that its
- * process has ended.
+ * Note that the process of a server has ended.
  */
 void
 group_member_gone(group_t *group, const server_t *server)
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -166,6 +166,21 @@
 		    &server->group->failover, server->index, now_us);
 }
 
+/*
+ * Note that the process at the address of a server has said that it is another
+ * one.
+ */
+void
+monitor_denied(server_t *server)
+{
+	monitor_connection_refused(server);
+	if (server->removed || server->denied)
+		return;
+	server->denied = true;
+	group_member_gone(server->group, server);
+	group_members_update(server->group);
+}
+
 /*
  * Note that a server has refused a connection.
  */
@@ -780,6 +795,7 @@
 		return;
 	}
 	leaving = group->servers[primary]->leaving &&
+	    failover_answers(&group->failover, (uint32_t)primary, now_us) &&
 	    has_usable_server(group, now_us);
 	if (!leaving &&
 	    !overload_handover_wanted(group, (uint32_t)primary, now_us)) {
@@ -844,6 +860,7 @@
 		failover->views[i].leaving = server->leaving;
 		failover->views[i].expired = server_drained(server, now_us);
 		failover->views[i].unlisted = server->unlisted;
+		failover->views[i].ended = server_ended(server);
 		if (server->outstanding == 0 && !server->unresponsive)
 			failover_not_probed(failover, i, now_us);
 		probe_server(group->servers[i], now_us);
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -161,6 +161,8 @@
 	reconnect_t reconnect; /* delay of the next attempt to connect */
 	/* the last attempt to connect was turned away */
 	bool full;
+	/* the process at its address has said that it is another one */
+	bool denied;
 };
 
 /* A server that the store has recorded as a member of its group. */
@@ -168,7 +170,7 @@
 	char *id;
 	uint64_t born; /* server_t.generation */
 	char *address; /* "IP:PORT", or NULL */
-	bool gone;     /* it is not listed, and has refused a connection */
+	bool gone;     /* it has ended */
 } member_t;
 
 /* A primary and its replicas, as listed in the catalog. */
@@ -397,6 +399,7 @@
 bool server_answers(const server_t *, int64_t now_us);
 bool server_usable(const server_t *, int64_t now_us);
 bool server_drained(const server_t *, int64_t now_us);
+bool server_ended(const server_t *);
 bool group_primary_drained(const group_t *, int64_t now_us);
 
 /* dbconn.c */
@@ -517,6 +520,7 @@
 void monitor_reply_received(server_t *, position_t, int64_t now_us);
 void monitor_turned_away(server_t *, position_t, int64_t now_us);
 void monitor_connection_refused(server_t *);
+void monitor_denied(server_t *);
 bool group_failover_in_progress(const group_t *, int64_t now_us);
 void monitor_request_status(server_t *, int64_t now_us);
 void monitor_coordinator_denied(group_t *, bool unknown, int64_t now_us);
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -1,6 +1,7 @@
 #include "pool.h"
 
 #include "decide/drain_limit.h"
+#include "decide/start.h"
 #include "order_messages.h"
 
 #include <string.h>
@@ -456,12 +457,60 @@
 	    server->port == entry->port;
 }
 
+/*
+ * Tell whether a later start than that of a server is listed.  entries: of
+ * Bp__Server, or NULL.
+ */
+static bool
+server_followed(const char *id, const char *address, uint32_t port,
+    uint64_t born, const GPtrArray *entries)
+{
+	arena_t *arena = arena_new();
+	start_t start = {id, arena_printf(arena, "%s:%u", address, port), born};
+	bool followed = false;
+	uint32_t i;
+
+	for (i = 0; entries != NULL && i < entries->len && !followed; i++) {
+		const Bp__Server *entry = g_ptr_array_index(entries, i);
+		start_t other = {entry->id,
+		    arena_printf(arena, "%s:%u", entry->address, entry->port),
+		    entry->born};
+
+		followed = start_follows(&other, &start);
+	}
+	arena_free(arena);
+	return followed;
+}
+
+/*
+ * Tell whether the process of a server has ended.  followed: a later start is
+ * listed.
+ */
+static bool
+has_ended(const server_t *server, bool listed, bool followed)
+{
+	const failover_t *failover = &server->group->failover;
+	start_evidence_t evidence = {listed, followed, server->denied,
+	    failover->connect_refusals[server->index] > 0};
+
+	return start_ended(&evidence);
+}
+
+/*
+ * Tell whether the process of a server of the group has ended, by what is known
+ * since the last list.
+ */
+bool
+server_ended(const server_t *server)
+{
+	return has_ended(server, !server->unlisted, false);
+}
+
 /*
  * Tell whether a server that is not listed stays a member of its group: it has
  * not said that it leaves, or is a recorded member, and may be alive.  The list
  * of another daemon may still have it, or have it again, so its answers count
- * for leases and failovers, as its promises do there.  A recorded member counts
- * as ended only once it has refused a connection.
+ * for leases and failovers, as its promises do there.
  */
 static bool
 stays_member(const server_t *server, int64_t now_us)
@@ -471,20 +520,19 @@
 	return (server->unlisted || !server->leaving ||
 		   failover->views[server->index].member) &&
 	    server->group->active && failover->views[server->index].known &&
-	    failover->connect_refusals[server->index] == 0 &&
+	    !has_ended(server, false, false) &&
 	    now_us - failover->views[server->index].requested_us <
 	    UNLISTED_SILENT_US;
 }
 
 /*
- * Note that a server that is removed has refused a connection, if it has.
+ * Note that a server that is removed has ended, if it has.  followed: a later
+ * start is listed.
  */
 static void
-check_gone(const server_t *server)
+check_gone(const server_t *server, bool followed)
 {
-	const failover_t *failover = &server->group->failover;
-
-	if (failover->connect_refusals[server->index] > 0)
+	if (has_ended(server, false, followed))
 		group_member_gone(server->group, server);
 }
 
@@ -544,8 +592,8 @@
 
 /*
  * Replace the servers of a group by those that the catalog lists for it, and
- * those that stay members without being listed.  entries: of Bp__Server; NULL:
- * the catalog lists none.
+ * those that stay members without being listed, but for those that are known to
+ * have ended.  entries: of Bp__Server; NULL: the catalog lists none.
  */
 static void
 servers_apply(group_t *group, const GPtrArray *entries, int64_t now_us)
@@ -556,11 +604,15 @@
 	for (i = 0; i < group->count; i++) {
 		server_t *server = group->servers[i];
 		const Bp__Server *entry = entry_find(entries, server->id);
+		bool followed = server_followed(server->id, server->address,
+		    server->port, server->generation, entries);
 
-		if (entry == NULL && stays_member(server, now_us)) {
+		if (entry == NULL && !followed &&
+		    stays_member(server, now_us)) {
 			server_unlist(server);
-		} else if (entry == NULL || !same_server(server, entry)) {
-			check_gone(server);
+		} else if (entry == NULL || followed ||
+		    !same_server(server, entry)) {
+			check_gone(server, followed);
 			continue;
 		} else {
 			server_update(server, entry);
@@ -573,7 +625,9 @@
 		const Bp__Server *entry = g_ptr_array_index(entries, i);
 		const server_t *known = server_find(group, entry->id);
 
-		if (known != NULL && same_server(known, entry))
+		if ((known != NULL && same_server(known, entry)) ||
+		    server_followed(entry->id, entry->address, entry->port,
+			entry->born, entries))
 			continue;
 		servers[count] = server_new(group, entry);
 		server_update(servers[count++], entry);
@@ -598,7 +652,7 @@
 		if (!server->unlisted || stays_member(server, now_us))
 			servers[count++] = server;
 		else
-			check_gone(server);
+			check_gone(server, false);
 	}
 	if (count < group->count)
 		servers_replace(group, servers, count, now_us);
--- a/tests/fake/fakegroup.c
+++ b/tests/fake/fakegroup.c
@@ -22,6 +22,9 @@
  */
 #define REJOIN_MS 1000
 
+/* Time after which the entry of a database that has ended lapses. */
+#define ENTRY_LAPSES_MS 2100
+
 /* Shape that the databases refuse to prepare. */
 #define REFUSED_SHAPE "refused"
 
@@ -1007,6 +1010,43 @@
 	database_restart(database);
 }
 
+/* An entry of a database that has ended, which has not lapsed yet. */
+typedef struct former_entry {
+	object_store_t *store;
+	char *id;
+} former_entry_t;
+
+/*
+ * Remove the entry of a database that has ended.
+ */
+static gboolean
+on_entry_lapsed(gpointer context)
+{
+	former_entry_t *former = context;
+
+	object_store_remove(former->store, "servers", former->id);
+	g_free(former->id);
+	g_free(former);
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * Start a database that has crashed, with its log, under a new id.  The entry
+ * of its former start stays until it lapses.
+ */
+static void
+database_again(database_t *database)
+{
+	former_entry_t *former = g_new0(former_entry_t, 1);
+
+	former->store = database->group->store;
+	former->id = database->id;
+	g_timeout_add(ENTRY_LAPSES_MS, on_entry_lapsed, former);
+	database->id = g_strdup_printf(
+	    "i-%u-%" G_GUINT64_FORMAT, database->number, ++database->born);
+	database_restart(database);
+}
+
 /*
  * Reach a database again.  Its connections from before are gone.
  */
@@ -1019,12 +1059,12 @@
 }
 
 /*
- * Inject or end a fault: crash, return, renewed, reborn; mute, speak; cut (off
- * from the daemons, though not from the other databases), heal; deaf (receives
- * nothing from the primary), hear; unlist, list; leave, full (also closes the
- * open connections), crowded, slow-open, lose-commit.  Applies to the primary
- * if no database has that number. Returns false if the fault is unknown or
- * there is no primary.
+ * Inject or end a fault: crash, return, renewed, again, reborn; mute, speak;
+ * cut (off from the daemons, though not from the other databases), heal; deaf
+ * (receives nothing from the primary), hear; unlist, list; leave, full (also
+ * closes the open connections), crowded, slow-open, lose-commit.  Applies to
+ * the primary if no database has that number. Returns false if the fault is
+ * unknown or there is no primary.
  */
 bool
 db_group_inject_fault(db_group_t *group, const char *fault, uint32_t number)
@@ -1041,6 +1081,8 @@
 		database_restart(database);
 	} else if (strcmp(fault, "renewed") == 0) {
 		database_renewed(database);
+	} else if (strcmp(fault, "again") == 0) {
+		database_again(database);
 	} else if (strcmp(fault, "reborn") == 0) {
 		database_reborn(database);
 	} else if (strcmp(fault, "mute") == 0) {
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -1259,6 +1259,99 @@
 	failover_clear(&failover);
 }
 
+/* What becomes of a primary from which a handover is requested. */
+typedef enum ended_fate {
+	FATE_ANSWERS,
+	FATE_SILENT,
+	FATE_ENDED,
+	FATE_REMOVED, /* its end is known by a later start in its place */
+} ended_fate_t;
+
+typedef struct ended_case {
+	const char *name;
+	ended_fate_t fate;
+	bool handover; /* requested before */
+	bool attempt;  /* expected */
+	bool alone;    /* the primary alone is asked to step down */
+} ended_case_t;
+
+/*
+ * Time of that, time after which the silence shows, and time within which an
+ * attempt begins.
+ */
+#define FATE_MS 200
+#define SILENCE_MS 100
+#define ATTEMPT_BEGINS_MS 120
+
+static const ended_case_t ended_cases[] = {
+    {"it answers", FATE_ANSWERS, true, true, true},
+    {"it answers, no handover", FATE_ANSWERS, false, false, false},
+    {"it is silent", FATE_SILENT, true, true, false},
+    {"it has ended", FATE_ENDED, true, true, false},
+    {"it has ended, no handover", FATE_ENDED, false, true, false},
+    {"a later start has its place", FATE_REMOVED, true, true, false},
+    {"a later start has its place, no handover", FATE_REMOVED, false, true,
+	false},
+};
+
+/*
+ * Test that nothing is handed over from a primary that has ended or is silent:
+ * a failover begins, which asks the others.
+ */
+static void
+test_ended(gconstpointer data)
+{
+	static const int32_t without_first[] = {1, 2};
+	const ended_case_t *c = data;
+	int64_t requested_ms =
+	    c->fate == FATE_SILENT ? FATE_MS + SILENCE_MS : FATE_MS;
+	failover_actions_t actions;
+	failover_t failover;
+	int64_t at_ms;
+	uint32_t i;
+
+	failover_init(&failover, &test_limits, DATABASES, 1, 0);
+	failover.limits.catch_up_us = MS(150);
+	for (at_ms = 0; at_ms < FATE_MS + ATTEMPT_BEGINS_MS &&
+	     failover.state != FAILOVER_FENCING;
+	     at_ms += 10) {
+		for (i = 0; i < failover.count; i++) {
+			if (at_ms < FATE_MS || c->fate == FATE_ANSWERS ||
+			    i > 0 || failover.count < DATABASES)
+				report(&failover, i,
+				    i == 0 && failover.count == DATABASES, 1, 0,
+				    MS(at_ms));
+		}
+		if (at_ms == requested_ms && c->handover)
+			failover_request_handover(&failover, MS(at_ms));
+		if (at_ms >= FATE_MS && c->fate == FATE_ENDED)
+			failover.views[0].ended = true;
+		if (at_ms == FATE_MS && c->fate == FATE_REMOVED)
+			failover_remap(&failover, without_first, 2, MS(at_ms));
+		failover_tick(&failover, MS(at_ms), &actions);
+	}
+	g_assert_cmpint(failover.state == FAILOVER_FENCING, ==, c->attempt);
+	g_assert_cmpint(failover.stepping_down, ==, c->alone ? 0 : -1);
+	failover_clear(&failover);
+}
+
+/*
+ * Test that promises that suffice only since a member has ended are as old as
+ * the knowledge of its end: leases may rest on its last answers until then.
+ */
+static void
+test_lost_during_attempt(void)
+{
+	failover_t failover;
+
+	failover_init(&failover, &test_limits, DATABASES, 1, 0);
+	failover.state = FAILOVER_FENCING;
+	failover.granted_us = MS(10);
+	failover_members_lost(&failover, MS(300));
+	g_assert_cmpint(failover.granted_us, ==, MS(300));
+	failover_clear(&failover);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -1284,5 +1377,7 @@
 	CASES("/attempt/expired", expired_cases, test_expired);
 	CASES("/attempt/reach", reach_cases, test_reach);
 	CASES("/attempt/open-order", open_order_cases, test_open_order);
+	CASES("/attempt/ended", ended_cases, test_ended);
+	g_test_add_func("/attempt/lost-during", test_lost_during_attempt);
 	return g_test_run();
 }
--- a/tests/t_decide.c
+++ b/tests/t_decide.c
@@ -9,6 +9,7 @@
 #include "../src/decide/replica.h"
 #include "../src/decide/reqid.h"
 #include "../src/decide/result_budget.h"
+#include "../src/decide/start.h"
 
 #include "cases.h"
 
@@ -918,6 +919,67 @@
 	    ==, c->unknown);
 }
 
+typedef struct start_case {
+	const char *name;
+	start_evidence_t evidence;
+	bool ended;
+} start_case_t;
+
+static const start_case_t start_cases[] = {
+    {"listed", {.listed = true}, false},
+    {"not listed", {0}, false},
+    {"listed, and refuses connections", {.listed = true, .refused = true},
+	false},
+    {"not listed, and refuses connections", {.refused = true}, true},
+    {"listed, and another one answers in its place",
+	{.listed = true, .denied = true}, true},
+    {"listed, and followed by a later start",
+	{.listed = true, .followed = true}, true},
+};
+
+/*
+ * Test what tells that a start of a database has ended.
+ */
+static void
+test_start_ended(gconstpointer data)
+{
+	const start_case_t *c = data;
+
+	g_assert_cmpint(start_ended(&c->evidence), ==, c->ended);
+}
+
+typedef struct follows_case {
+	const char *name;
+	start_t later;
+	start_t start;
+	bool follows;
+} follows_case_t;
+
+static const follows_case_t follows_cases[] = {
+    {"the same", {"i-1", "h:1", 5}, {"i-1", "h:1", 5}, false},
+    {"another time under the same id", {"i-1", "h:2", 6}, {"i-1", "h:1", 5},
+	true},
+    {"another id at the address, later", {"i-2", "h:1", 6}, {"i-1", "h:1", 5},
+	true},
+    {"another id at the address, earlier", {"i-2", "h:1", 4}, {"i-1", "h:1", 5},
+	false},
+    {"another id at another address", {"i-2", "h:2", 6}, {"i-1", "h:1", 5},
+	false},
+    {"an address that is not known", {"i-2", "h:1", 6}, {"i-1", NULL, 5},
+	false},
+};
+
+/*
+ * Test which start of a database shows that another one has ended.
+ */
+static void
+test_start_follows(gconstpointer data)
+{
+	const follows_case_t *c = data;
+
+	g_assert_cmpint(start_follows(&c->later, &c->start), ==, c->follows);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -944,6 +1006,8 @@
 	CASES("/decide/queue-limit", queue_limit_cases, test_queue_limit);
 	CASES("/decide/result", result_cases, test_result);
 	CASES("/decide/reconnect", reconnect_cases, test_reconnect);
+	CASES("/decide/start/ended", start_cases, test_start_ended);
+	CASES("/decide/start/follows", follows_cases, test_start_follows);
 	CASES("/decide/base-unknown", base_cases, test_base);
 	g_test_add_func("/decide/samples-ring", test_position_history);
 	g_test_add_func("/decide/retry", test_retry);
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -748,9 +748,11 @@
 
 typedef struct members_case {
 	const char *name;
-	uint32_t count;        /* databases that are listed */
-	uint32_t members;      /* number of members that are recorded */
-	const char *is_member; /* of each database: 'm': it is one of them */
+	uint32_t count;   /* databases that are listed */
+	uint32_t members; /* number of members that are recorded */
+	/* of each database: 'm': it is one of them; 'e': so it is, and has
+	   ended since it answered */
+	const char *is_member;
 	/* time of the last status request to each; 0: it has not answered */
 	int64_t answer_ms[4];
 	bool renewed;
@@ -791,6 +793,10 @@
 	false, .read_ms = 5800, .list_new = true},
     {"all answer, except one that has joined", 4, 3, "mmm-", {5900, 5900, 5900},
 	true, false, .read_ms = 5800},
+    {"one of two that answered has ended since", 3, 3, "mem", {5900, 5900},
+	false, false},
+    {"one has ended, the other answers", 3, 3, "mme", {5900, 5900, 5900}, true,
+	false},
     {"one was started again, the other answers", 3, 3, "mm-", {5900, 5900},
 	true, false},
     {"one was started again, the other is silent", 3, 3, "m-m", {5900, 5900},
@@ -854,7 +860,8 @@
 		    .promised = MAX(c->promised[i], 1),
 		    .requested_us = MS(c->answer_ms[i]),
 		    .term = 1,
-		    .member = c->is_member[i] == 'm'};
+		    .member = c->is_member[i] != '-',
+		    .ended = c->is_member[i] == 'e'};
 	g_assert_cmpint(renew(&lease, views, c->count, 0, MS(RENEWED_MS),
 			    &listed_durations),
 	    ==, c->renewed);
