Recorded orders: each read of the record has its own send time

A lease begins with a read of the coordinator record that was sent after the members were asked. The send time was one field of the registry task, while two reads may be under way: any report of orders, also of a write of the record, lets the pool ask again. The answer to the first, held up on its connection, then counted as sent with the second, so that a record from before an order could begin a lease.

--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -445,13 +445,20 @@
 	task_send(registry->proxy->peers, registry->task, msg_copy(&read.base));
 }
 
+/* A read of the recorded orders.  Several may be under way. */
+typedef struct orders_request {
+	registry_t *registry;
+	int64_t sent_us;
+} orders_request_t;
+
 /*
  * Handle the coordinator record that was read for its orders.
  */
 static void
 on_record_read(void *context, const object_store_response_t *response)
 {
-	registry_t *registry = context;
+	orders_request_t *request = context;
+	registry_t *registry = request->registry;
 	object_store_status_t status =
 	    store_response_status(registry, response);
 	arena_t *arena = arena_new();
@@ -461,8 +468,9 @@
 
 	if (record != NULL)
 		orders_report_token(registry, record);
-	orders_report(registry, record, read ? registry->orders_sent_us : 0);
+	orders_report(registry, record, read ? request->sent_us : 0);
 	arena_free(arena);
+	g_free(request);
 }
 
 /*
@@ -472,11 +480,13 @@
 orders_wanted(void *context, msg_t *msg)
 {
 	registry_t *registry = context;
+	orders_request_t *request = g_new0(orders_request_t, 1);
 
 	msg_free(msg);
-	registry->orders_sent_us = clock_us();
+	request->registry = registry;
+	request->sent_us = clock_us();
 	registry->proxy->objects->get(registry->objects, OBJECT_COORDINATOR,
-	    COORDINATOR_OBJECT_NAME, on_record_read, registry);
+	    COORDINATOR_OBJECT_NAME, on_record_read, request);
 }
 
 /*
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -88,7 +88,6 @@
 	GSource *restore_timer;
 	uint32_t daemons_most;  /* daemons listed at once since that record */
 	GHashTable *orders;     /* of recorded_order_t, by group */
-	int64_t orders_sent_us; /* send time of the request for the orders */
 	bool orders_unrecorded; /* the record lacks noted orders */
 	bool orders_updating;   /* noted orders are being written */
 	bool orders_changed;    /* noted since that write began */
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -1281,6 +1281,115 @@
 	bed_stop(&bed);
 }
 
+/* Reads of the record that the store has not answered, oldest first. */
+typedef struct held_read {
+	object_store_cb callback;
+	void *context;
+	int64_t sent_us;
+} held_read_t;
+
+static GQueue held_reads = G_QUEUE_INIT;
+
+/*
+ * Hold a read of the record.
+ */
+static void
+hold_read(object_store_t *store, object_kind_t kind, const char *name,
+    object_store_cb callback, void *context)
+{
+	held_read_t read = {callback, context, clock_us()};
+
+	(void)store;
+	(void)kind;
+	(void)name;
+	g_queue_push_tail(&held_reads, g_memdup2(&read, sizeof(read)));
+}
+
+/* The last age of the recorded orders that was reported. */
+static int64_t last_read_us;
+
+/*
+ * Note when the orders that are reported were asked for.
+ */
+static void
+note_orders_read(void *context, msg_t *msg)
+{
+	(void)context;
+	last_read_us = (int64_t)((const Bp__OrdersRead *)msg->body)->read_us;
+	msg_free(msg);
+}
+
+static const task_handler_t read_handlers[] = {
+    {&bp__orders_read__descriptor, note_orders_read},
+    {&bp__token_read__descriptor, drop},
+};
+static const task_ops_t reading_ops = {
+    "reader", NULL, NULL, read_handlers, G_N_ELEMENTS(read_handlers)};
+
+#define READS_MAX 3
+
+typedef struct read_age_case {
+	const char *name;
+	uint32_t reads;            /* that are sent one after the other */
+	uint32_t order[READS_MAX]; /* in which they are answered */
+	object_store_status_t status;
+} read_age_case_t;
+
+static const read_age_case_t read_age_cases[] = {
+    {"one", 1, {0}, OBJECT_STORE_OK},
+    {"the first is answered after the second was sent", 2, {0, 1},
+	OBJECT_STORE_OK},
+    {"the first is answered after the second", 2, {1, 0}, OBJECT_STORE_OK},
+    {"there is no record", 2, {0, 1}, OBJECT_STORE_NOT_FOUND},
+    {"three, the oldest last", 3, {2, 1, 0}, OBJECT_STORE_OK},
+    {"none is answered", 2, {0, 1}, OBJECT_STORE_NO_RESPONSE},
+};
+
+/*
+ * Test that the recorded orders are as old as the read that they come from,
+ * while other reads are under way: a lease begins with a read that was sent
+ * after the members were asked.
+ */
+static void
+test_read_age(gconstpointer data)
+{
+	static const object_store_ops_t holding_store = {
+	    .read_coordinator = read_coordinator, .get = hold_read};
+	const read_age_case_t *c = data;
+	Bp__DutyRecord record = BP__DUTY_RECORD__INIT;
+	object_t object = {.revision = OTHER_REVISION, .content = &record};
+	object_store_response_t response = {
+	    c->status, &object, c->status == OBJECT_STORE_OK, OTHER_REVISION};
+	bed_t bed;
+	registry_t *registry = bed_start(&bed, &holding_store, &reading_ops);
+	uint32_t i;
+
+	task_free(bed.proxy.pool);
+	bed.proxy.pool = task_new_hosted(&reading_ops, NULL, bed.host);
+	record.holder = "other";
+	record.token = OTHER_TOKEN;
+	for (i = 0; i < c->reads; i++) {
+		orders_wanted(
+		    registry, msg_new(&bp__orders_wanted__descriptor));
+		g_usleep(2000);
+	}
+	for (i = 0; i < c->reads; i++) {
+		held_read_t *read = g_queue_peek_nth(&held_reads, c->order[i]);
+
+		last_read_us = -1;
+		read->callback(read->context, &response);
+		bed_run(&bed);
+		if (c->status == OBJECT_STORE_NO_RESPONSE) {
+			g_assert_cmpint(last_read_us, ==, 0);
+			continue;
+		}
+		g_assert_cmpint(last_read_us, >, 0);
+		g_assert_cmpint(last_read_us, <=, read->sent_us);
+	}
+	g_queue_clear_full(&held_reads, g_free);
+	bed_stop(&bed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -1307,5 +1416,6 @@
 	CASES("/coordinator/older-order", older_order_cases, test_older_order);
 	CASES("/coordinator/confirmed", confirmed_cases, test_confirmed);
 	CASES("/coordinator/token-seen", token_seen_cases, test_token_seen);
+	CASES("/coordinator/read-age", read_age_cases, test_read_age);
 	return g_test_run();
 }
