HTTP client: connections that go silent together cost one timeout

The client keeps up to eight connections to the store. When those go silent and stay open, a request that was not answered in time was repeated by the next of them: a daemon lost one call, and store_ms, for each connection that had been idle, where the table behind config_apply_ms allows for one lost call.

After a request that was not answered in time new requests use new connections; requests that are under way go on where they are.

Orders were not concerned: each has a connection of its own (0 timeouts).

--- a/src/http.c
+++ b/src/http.c
@@ -29,7 +29,7 @@
 #define GIVEN_BACK_MS 20
 
 struct http_client {
-	SoupSession *session;
+	SoupSession *session; /* of new requests */
 	char *base_url;
 	uint32_t timeout_ms;
 	uint32_t delivery_ms; /* time in which a request is written */
@@ -41,11 +41,13 @@
 typedef struct request {
 	http_client_t *http;
 	GList link; /* in the client's requests */
+	SoupSession *session;
 	SoupMessage *message;
 	GCancellable *cancellable;
 	GSource *timeout;
 	uint32_t extra_wait_ms; /* for the answer, beyond the timeout */
 	int64_t write_by_us;    /* time after which it is not written */
+	bool started;           /* a connection was found for it */
 	int64_t
 	    last_timeout_us;  /* time at which the response must be complete */
 	GInputStream *stream; /* of the response, once it has begun */
@@ -55,6 +57,16 @@
 	void *context;
 } request_t;
 
+/*
+ * Create a session, which has connections of its own.
+ */
+static SoupSession *
+session_new(void)
+{
+	return soup_session_new_with_options("max-conns-per-host",
+	    CONNECTIONS_MAX, "proxy-resolver", NULL, NULL);
+}
+
 /*
  * Create a client for the server at "IP:PORT".  The client connects with its
  * first request.
@@ -64,8 +76,7 @@
 {
 	http_client_t *http = g_new0(http_client_t, 1);
 
-	http->session = soup_session_new_with_options("max-conns-per-host",
-	    CONNECTIONS_MAX, "proxy-resolver", NULL, NULL);
+	http->session = session_new();
 	http->base_url = g_strdup_printf("http://%s", address);
 	http->timeout_ms = http->delivery_ms = timeout_ms;
 	g_queue_init(&http->requests);
@@ -141,6 +152,7 @@
 	g_byte_array_unref(request->body);
 	g_object_unref(request->message);
 	g_object_unref(request->cancellable);
+	g_object_unref(request->session);
 	g_free(request);
 }
 
@@ -199,6 +211,22 @@
 	g_source_attach(request->timeout, g_main_context_get_thread_default());
 }
 
+/*
+ * Open new connections for the requests that follow, since one was not answered
+ * in time: the connections that are open may have gone silent with its own, and
+ * each would cost a timeout.  Those with requests go on until these end.
+ */
+static void
+leave_connections(const request_t *request)
+{
+	http_client_t *http = request->http;
+
+	if (!request->started || request->session != http->session)
+		return;
+	g_object_unref(http->session);
+	http->session = session_new();
+}
+
 /*
  * Cancel a request that has timed out, which resets its connection.
  */
@@ -207,6 +235,7 @@
 {
 	request_t *request = context;
 
+	leave_connections(request);
 	timer_start(request, GIVEN_BACK_MS, on_not_given_back);
 	g_cancellable_cancel(request->cancellable);
 	return G_SOURCE_REMOVE;
@@ -293,6 +322,7 @@
 	(void)message;
 	if (clock_us() >= request->write_by_us)
 		on_timeout(request);
+	request->started = true;
 }
 
 /*
@@ -340,6 +370,7 @@
 	GBytes *bytes;
 
 	request->http = http;
+	request->session = g_object_ref(http->session);
 	request->link.data = request;
 	g_queue_push_tail_link(&http->requests, &request->link);
 	request->message = message;
@@ -371,18 +402,34 @@
 	    request->cancellable, on_response, request);
 }
 
+/*
+ * End the requests of a session, also those that wait for a connection.
+ */
+static void
+abort_session(gpointer session, gpointer context)
+{
+	(void)context;
+	soup_session_abort(session);
+}
+
 /*
  * Abort all requests without calling their callbacks, and free the client.
  */
 void
 http_client_free(http_client_t *http)
 {
+	GPtrArray *sessions = g_ptr_array_new_with_free_func(g_object_unref);
 	GList *l;
 
 	http->closing = true;
-	for (l = http->requests.head; l != NULL; l = l->next)
-		g_cancellable_cancel(((request_t *)l->data)->cancellable);
-	soup_session_abort(http->session);
+	for (l = http->requests.head; l != NULL; l = l->next) {
+		const request_t *request = l->data;
+
+		g_cancellable_cancel(request->cancellable);
+		g_ptr_array_add(sessions, g_object_ref(request->session));
+	}
+	g_ptr_array_foreach(sessions, abort_session, NULL);
+	g_ptr_array_unref(sessions);
 	/* a cancelled request is freed by its callback */
 	while (!g_queue_is_empty(&http->requests))
 		g_main_context_iteration(
--- a/tests/t_http.c
+++ b/tests/t_http.c
@@ -971,6 +971,128 @@
 	g_free(at);
 }
 
+/* A server that answers on connections that it has accepted late enough. */
+typedef struct silent_server {
+	first_server_t server;
+	uint32_t silent; /* number of connections that are silent, the oldest */
+	uint32_t wanted; /* number of them from which on it answers */
+} silent_server_t;
+
+/*
+ * Accept connections, and answer what is received on those that are not silent.
+ * The silent ones stay open.
+ */
+static void
+silent_server_run(silent_server_t *silent)
+{
+	static const char answer[] =
+	    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+	first_server_t *server = &silent->server;
+	GSocket *socket;
+	gsize before;
+	uint32_t i;
+
+	while (
+	    (socket = g_socket_accept(server->listener, NULL, NULL)) != NULL) {
+		g_socket_set_blocking(socket, FALSE);
+		g_ptr_array_add(server->sockets, socket);
+	}
+	for (i = silent->silent;
+	     i < server->sockets->len && silent->wanted <= server->sockets->len;
+	     i++) {
+		socket = g_ptr_array_index(server->sockets, i);
+		before = server->received->len;
+		connection_read(socket, server->received);
+		if (server->received->len > before)
+			(void)g_socket_send(
+			    socket, answer, sizeof(answer) - 1, NULL, NULL);
+	}
+}
+
+/*
+ * Send requests at once and wait until they have ended.  Returns how many of
+ * them were answered.
+ */
+static uint32_t
+send_at_once(silent_server_t *server, http_client_t *http, const char *method,
+    uint32_t count)
+{
+	result_t results[CONNECTIONS_MAX] = {0};
+	uint32_t i, ended, answered = 0;
+
+	for (i = 0; i < count; i++)
+		http_request_send(http, http_request_new(http, method, "/"),
+		    NULL, 0, on_result, &results[i]);
+	do {
+		g_main_context_iteration(NULL, FALSE);
+		silent_server_run(server);
+		g_usleep(1000);
+		for (i = ended = 0; i < count; i++)
+			ended += results[i].ended;
+	} while (ended < count);
+	for (i = 0; i < count; i++)
+		answered += results[i].status == 200;
+	return answered;
+}
+
+typedef struct silent_case {
+	const char *name;
+	const char *method;
+	uint32_t connections; /* that are open and go silent */
+	uint32_t at_once;     /* requests that are sent at once then */
+	bool poll;            /* a long poll waits on one of them */
+	uint32_t lost; /* number of times that requests are not answered */
+} silent_case_t;
+
+static const silent_case_t silent_cases[] = {
+    {"one, a read", "GET", 1, 1, false, 1},
+    {"one, a write", "PUT", 1, 1, false, 1},
+    {"three, a read", "GET", 3, 1, false, 1},
+    {"three, a write", "PUT", 3, 1, false, 1},
+    /* an order always has a connection of its own */
+    {"three, an order", "POST", 3, 1, false, 0},
+    {"three, two reads at once", "GET", 3, 2, false, 1},
+    {"three, one of them with a long poll", "GET", 3, 1, true, 1},
+    {"as many as there may be", "GET", CONNECTIONS_MAX, 1, false, 1},
+};
+
+/*
+ * Test that connections which go silent together cost one timeout: the request
+ * after one that was not answered is sent by a new connection.
+ */
+static void
+test_silent(gconstpointer data)
+{
+	const silent_case_t *c = data;
+	silent_server_t server = {0};
+	result_t poll = {0};
+	uint32_t lost = 0;
+	http_client_t *http;
+	char *address;
+
+	first_server_start(&server.server, WAITING_MAX);
+	address = first_server_address(&server.server);
+	http = http_client_new(address, TIMEOUT_MS);
+	server.wanted = c->connections;
+	g_assert_cmpuint(send_at_once(&server, http, "GET", c->connections), ==,
+	    c->connections);
+	g_assert_cmpuint(server.server.sockets->len, ==, c->connections);
+	server.silent = c->connections;
+	if (c->poll)
+		http_request_send(http, http_request_new(http, "GET", "/poll"),
+		    NULL, 20 * TIMEOUT_MS, on_result, &poll);
+	while (
+	    send_at_once(&server, http, c->method, c->at_once) < c->at_once) {
+		lost++;
+		g_assert_cmpuint(lost, <=, c->connections);
+	}
+	g_test_message("%u timeouts", lost);
+	g_assert_cmpuint(lost, ==, c->lost);
+	http_client_free(http);
+	first_server_stop(&server.server);
+	g_free(address);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -990,6 +1112,7 @@
 	CASES("/http/repeated", repeated_cases, test_repeated);
 	CASES("/http/delivery", delivery_cases, test_delivery);
 	CASES("/http/lost", lost_cases, test_lost);
+	CASES("/http/silent", silent_cases, test_silent);
 	CASES("/http/frozen-sender", frozen_cases, test_frozen_sender);
 	return g_test_run();
 }
