Links to owners: a link that goes silent for good is replaced

A link whose other end acknowledged and dropped all that was sent stayed open: its owner counted as silent, was probed by the same link, and got no statements from this daemon as long as the link was open. Where most links had gone silent, daemons without connections to the databases opened their own.

The link is now closed after 2 s without a message, once no statement is in flight on it, and opened again. The owner gets statements when it has answered on the new link, as the kernel opens links to a process that does not run, too. A link that was closed no longer counts as one that could not be opened in time, which logged the owner as lost twice and lengthened the delay before the next attempt.

--- a/src/proxy/owner_link.c
+++ b/src/proxy/owner_link.c
@@ -5,7 +5,8 @@
 /*
  * Links to other daemons.  A link is opened when a statement needs it.  While
  * an answer is due and nothing arrives, the owner is probed; one that stays
- * silent gets no new statements until it answers.
+ * silent gets no new statements until it answers.  Its link is replaced then,
+ * since the link may be silent, not the owner.
  */
 
 /* Time limit for opening a link. */
@@ -17,6 +18,9 @@
 /* Time without a message, while an answer is due, until it counts as silent. */
 #define SILENT_US (450 * US_PER_MS)
 
+/* The same, until a link with no statement in flight is replaced. */
+#define LINK_SILENT_US (2000 * US_PER_MS)
+
 /* Time after which news of the store are overdue. */
 #define NEWS_DUE_US (1000 * US_PER_MS)
 
@@ -95,8 +99,9 @@
 		owner->router->counts[COUNT_OWNERS_LINKED]--;
 	frame_free(owner->link);
 	owner->link = NULL;
+	owner->unproved |= owner->silent;
 	owner->open = owner->silent = owner->leaving = owner->followed = false;
-	owner->waiting_us = 0;
+	owner->waiting_us = owner->connect_us = 0;
 	reconnect_failed(
 	    &owner->reconnect, true, g_random_double(), clock_us());
 	note_lost(owner, why);
@@ -157,16 +162,40 @@
 }
 
 /*
- * Handle the established link: send what waits for it.
+ * Ask an owner for an answer that only shows that it and the link work.
+ */
+static void
+send_probe(owner_t *owner, int64_t now_us)
+{
+	Bp__PeerMessage message = BP__PEER_MESSAGE__INIT;
+	Bp__OwnerProbe probe = BP__OWNER_PROBE__INIT;
+
+	owner->probe_sent_us = now_us;
+	message.body_case = BP__PEER_MESSAGE__BODY_OWNER_PROBE;
+	message.owner_probe = &probe;
+	frame_send(owner->link, &message);
+}
+
+/*
+ * Handle the established link: send what waits for it.  After a link that was
+ * silent the owner is avoided until it answers, since a process that does not
+ * run has its links established by the kernel.
  */
 static void
 on_opened(void *context)
 {
 	owner_t *owner = context;
+	int64_t now_us = clock_us();
 
 	owner->open = true;
 	owner->clock = (clock_offset_t){0};
-	owner->received_us = clock_us();
+	owner->received_us = now_us;
+	owner->silent = owner->unproved;
+	if (owner->unproved) {
+		owner->waiting_us = now_us;
+		send_probe(owner, now_us);
+		return;
+	}
 	if (owner->reconnect.failures > 0)
 		note_regained(owner);
 	reconnect_succeeded(&owner->reconnect);
@@ -195,8 +224,10 @@
 	owner->waiting_us = owner->received_us;
 	if (!owner->silent)
 		return;
-	owner->silent = false;
+	owner->silent = owner->unproved = false;
+	reconnect_succeeded(&owner->reconnect);
 	note_regained(owner);
+	remote_send_waiting(owner);
 }
 
 /*
@@ -254,25 +285,29 @@
 
 static const frame_ops_t link_ops = {on_opened, on_received, on_closed};
 
+/*
+ * Return the time for which an owner has sent nothing while an answer was due;
+ * 0: none is due.
+ */
+static int64_t
+silent_for_us(const owner_t *owner, int64_t now_us)
+{
+	return owner->waiting_us == 0
+	    ? 0
+	    : now_us - MAX(owner->received_us, owner->waiting_us);
+}
+
 /*
  * Probe an owner that owes an answer, and note when it stays silent.
  */
 static void
 check_silence(owner_t *owner, int64_t now_us)
 {
-	Bp__PeerMessage message = BP__PEER_MESSAGE__INIT;
-	Bp__OwnerProbe probe = BP__OWNER_PROBE__INIT;
-	int64_t silent_us = now_us - MAX(owner->received_us, owner->waiting_us);
-
-	if (owner->waiting_us == 0 || silent_us < PROBE_US)
+	if (silent_for_us(owner, now_us) < PROBE_US)
 		return;
-	if (now_us - owner->probe_sent_us >= PROBE_US) {
-		owner->probe_sent_us = now_us;
-		message.body_case = BP__PEER_MESSAGE__BODY_OWNER_PROBE;
-		message.owner_probe = &probe;
-		frame_send(owner->link, &message);
-	}
-	if (silent_us < SILENT_US)
+	if (now_us - owner->probe_sent_us >= PROBE_US)
+		send_probe(owner, now_us);
+	if (silent_for_us(owner, now_us) < SILENT_US)
 		return;
 	if (!owner->silent) {
 		owner->silent = true;
@@ -305,7 +340,10 @@
 	} else if (owner->open) {
 		check_silence(owner, now_us);
 		remote_expire(owner, now_us);
-		if (news_due(owner, now_us))
+		if (silent_for_us(owner, now_us) >= LINK_SILENT_US &&
+		    !remote_answer_due(owner))
+			owner_fail(owner, "no answer, the link is replaced");
+		else if (news_due(owner, now_us))
 			owner->waiting_us = owner->news_us;
 		else if (!owner->silent && !remote_answer_due(owner))
 			owner->waiting_us = 0;
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -34,6 +34,7 @@
 	frame_link_t *link;    /* NULL: not connected */
 	bool open;             /* the link is established */
 	bool silent;           /* has not answered for SILENT_US */
+	bool unproved;         /* nor on a link since one that was silent */
 	bool leaving;          /* shuts down */
 	bool followed;         /* was asked for news of the store */
 	int64_t news_us;       /* time of the last news, or of the request */
--- a/tests/fake/fakesite.c
+++ b/tests/fake/fakesite.c
@@ -342,9 +342,11 @@
 	    STORE_PORTS_MAX, "further port of the HTTP server");
 	struct arg_int *count =
 	    arg_int0(NULL, "count", "N", "number of databases");
+	struct arg_str *daemons_at = arg_str0(
+	    NULL, "daemons-at", "ADDRESS", "address in the records of daemons");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {
-	    port, first_port, lag, service, store_ports, count, end};
+	void *table[] = {port, first_port, lag, service, store_ports, count,
+	    daemons_at, end};
 	int32_t i;
 	fake_platform_t platform = {0};
 	GMainLoop *loop = g_main_loop_new(NULL, FALSE);
@@ -356,6 +358,8 @@
 	signal(SIGPIPE, SIG_IGN);
 	platform.server = soup_server_new(NULL, NULL);
 	platform.store = object_store_new(platform.server);
+	if (daemons_at->count > 0)
+		object_store_daemons_at(platform.store, daemons_at->sval[0]);
 	platform.group = db_group_new(platform.store, "ledger",
 	    (uint32_t)first_port->ival[0],
 	    count->count > 0 ? (uint32_t)count->ival[0] : 3,
--- a/tests/fake/fakestore.c
+++ b/tests/fake/fakestore.c
@@ -26,6 +26,7 @@
 #define WRITTEN_AGAIN_MS 700
 
 /* Kind of the coordinator record, and the delay of late writes of it. */
+#define DAEMON_KIND "bergamotplank-daemons"
 #define RECORD_KIND "bergamotplank-duties"
 #define LATE_WRITE_MS 3000
 
@@ -96,6 +97,7 @@
 	uint64_t oldest_revision; /* watches of older ones get 410 */
 	store_fault_t fault;
 	GHashTable *port_faults; /* of port_fault_t by port */
+	const char *daemons_at; /* address in the records of daemons, or NULL */
 };
 
 /*
@@ -725,6 +727,32 @@
 	return value;
 }
 
+/*
+ * Have the records of daemons name another address than 127.0.0.1.
+ */
+void
+object_store_daemons_at(object_store_t *store, const char *address)
+{
+	store->daemons_at = address;
+}
+
+/*
+ * Return what is to be stored for the text of an object.  Frees spec.
+ */
+static char *
+stored_spec(const object_store_t *store, const char *kind, char *spec)
+{
+	GString *text;
+
+	if (spec == NULL || store->daemons_at == NULL ||
+	    strcmp(kind, DAEMON_KIND) != 0)
+		return spec;
+	text = g_string_new(spec);
+	g_free(spec);
+	g_string_replace(text, "127.0.0.1", store->daemons_at, 0);
+	return g_string_free(text, FALSE);
+}
+
 /*
  * Create an object, or replace one.  A request without a name in the path
  * creates an object, which must not exist.  A request with one replaces the
@@ -737,7 +765,7 @@
 	char *meta = object_field(body, "meta"), *created_name = NULL,
 	     *name_field;
 	uint64_t revision = meta == NULL ? 0 : number_field(meta, "revision");
-	char *spec = object_field(body, "spec");
+	char *spec = stored_spec(store, kind, object_field(body, "spec"));
 	GString *out = g_string_new(NULL);
 	object_t *object;
 
--- a/tests/fake/testbed.c
+++ b/tests/fake/testbed.c
@@ -49,6 +49,9 @@
 	"\"max-staleness-ms\":1500,\"backend\":\"ledger\"}"},
 };
 
+/* Address of the relays to the ports that the proxies have for each other. */
+#define PEER_RELAY_ADDRESS "127.0.0.2"
+
 #define CONNECTIONS_MAX_DEFAULT 40
 #define TRANSACTION_IDLE_MS 700
 
@@ -196,6 +199,23 @@
 	g_free(path);
 }
 
+/*
+ * Start the relays of a proxy, and return the port by which it reaches the
+ * store.
+ */
+static uint32_t
+start_relays(testbed_t *testbed, uint32_t i)
+{
+	uint16_t peer_port = (uint16_t)testbed->proxies[i].peer_port,
+		 store_port = (uint16_t)fleet_unused_port();
+
+	testbed->peer_relays[i] =
+	    relay_start(PEER_RELAY_ADDRESS, peer_port, peer_port);
+	testbed->store_relays[i] = relay_start(
+	    "127.0.0.1", store_port, (uint16_t)testbed->platform.port);
+	return store_port;
+}
+
 /*
  * Assign the ports of a proxy and write its settings file.
  */
@@ -214,6 +234,8 @@
 	proxy->operator_port = fleet_unused_port();
 	proxy->peer_port = fleet_unused_port();
 	proxy->metrics_port = fleet_unused_port();
+	if (testbed->plan.relays)
+		store_port = start_relays(testbed, i);
 	apply_setting = testbed->plan.config_apply_ms == 0
 	    ? g_strdup("")
 	    : g_strdup_printf(
@@ -280,6 +302,10 @@
 	append_option(argv, "--lag-ms", plan->lag_ms);
 	append_option(argv, "--work-ms", plan->service_time_ms);
 	append_option(argv, "--count", testbed_databases(testbed));
+	if (plan->relays) {
+		g_ptr_array_add(argv, g_strdup("--daemons-at"));
+		g_ptr_array_add(argv, g_strdup(PEER_RELAY_ADDRESS));
+	}
 	for (i = 0; plan->store_ports && i < plan->proxies; i++)
 		append_option(
 		    argv, "--store-port", testbed->first_store_port + i);
@@ -472,6 +498,10 @@
 	for (i = 0; i < testbed->plan.proxies; i++)
 		fleet_process_kill(&testbed->proxies[i]);
 	fleet_process_kill(&testbed->platform);
+	for (i = 0; i < testbed->plan.proxies; i++) {
+		relay_stop(testbed->peer_relays[i]);
+		relay_stop(testbed->store_relays[i]);
+	}
 	fleet_work_dir_remove(testbed->work_dir);
 	g_free(testbed->work_dir);
 	g_free(testbed);
--- a/tests/fake/testbed.h
+++ b/tests/fake/testbed.h
@@ -2,6 +2,7 @@
 #define TESTBED_H
 
 #include "../../tools/fleet.h"
+#include "relay.h"
 
 /*
  * Testbed for the proxy: the fake platform with its databases, and a number of
@@ -31,6 +32,9 @@
 	/* each proxy reaches the store by a port of its own, for
 	   testbed_store_fault() */
 	bool store_ports;
+	/* daemons reach each other and the store by relays; without
+	   store_ports */
+	bool relays;
 } testbed_plan_t;
 
 typedef struct testbed {
@@ -40,6 +44,8 @@
 	uint32_t first_store_port;    /* first of the consecutive ports */
 	uint32_t first_database_port; /* first of the consecutive ports */
 	fleet_process_t proxies[TESTBED_PROXIES_MAX];
+	relay_t *peer_relays[TESTBED_PROXIES_MAX];  /* to each proxy */
+	relay_t *store_relays[TESTBED_PROXIES_MAX]; /* of each, to the store */
 } testbed_t;
 
 /* A connection to a proxy or a database, with one message per line. */
--- a/tests/t_forward.c
+++ b/tests/t_forward.c
@@ -915,6 +915,202 @@
 	forward_bed_stop(bed);
 }
 
+/*
+ * Time limits after a link has gone silent: for the answer to a statement that
+ * may be sent elsewhere, for that to another one, and for the use of the owner
+ * by a new link.
+ */
+#define ELSEWHERE_MS STATEMENT_TIMEOUT_MS
+#define GIVEN_UP_MS (2 * STATEMENT_TIMEOUT_MS)
+#define LINK_AGAIN_MS 8000
+
+/* A statement whose link goes silent. */
+typedef struct flight {
+	step_t before[STATEMENTS_MAX]; /* in the same session */
+	step_t during;
+	uint32_t answered_ms; /* latest time at which it is answered */
+	step_t after;         /* in the same session */
+	const char *item;
+	const char *value; /* of the item in the end */
+} flight_t;
+
+#define FLIGHTS_MAX 3
+
+typedef struct silent_case {
+	const char *name;
+	uint32_t ways; /* that go silent of the links to the owner */
+	bool all;      /* the links to all daemons do */
+	bool late;  /* before the statements are sent; otherwise as they run */
+	bool again; /* test that the owner is used again */
+	flight_t flights[FLIGHTS_MAX]; /* at once */
+} silent_case_t;
+
+/* A statement of a session with an open transaction that has written to "c". */
+#define WROTE_C \
+	{ \
+		BEGIN, \
+		{ \
+			"WRITE c x", "DONE p" \
+		} \
+	}
+
+#define READ_A \
+	{ \
+		{{NULL}}, {"READ a", "ROW none|DONE p"}, ELSEWHERE_MS, {NULL}, \
+		    "a", "none" \
+	}
+
+static const silent_case_t silent_cases[] = {
+    {"statements run", RELAY_BOTH, false, false, false,
+	{READ_A,
+	    {{{NULL}}, {"WRITE b x", "ERR INDOUBT"}, GIVEN_UP_MS, {NULL}, "b",
+		"x"},
+	    {WROTE_C, {"COMMIT", "ERR INDOUBT"}, GIVEN_UP_MS, {NULL}, "c",
+		"x"}}},
+    {"transactions run", RELAY_BOTH, false, false, false,
+	{{{BEGIN}, {"WRITE a x", "DONE p"}, ELSEWHERE_MS, {"COMMIT", "DONE p"},
+	     "a", "x"},
+	    {WROTE_C, {"WRITE b x", "ERR ABORTED"}, GIVEN_UP_MS,
+		{"ROLLBACK", "DONE -|READY I"}, "c", "none"}}},
+    {"statements are lost", RELAY_BOTH, false, true, true,
+	{READ_A,
+	    {{{NULL}}, {"WRITE b x", "ERR INDOUBT"}, GIVEN_UP_MS, {NULL}, "b",
+		"none"},
+	    {WROTE_C, {"COMMIT", "ERR INDOUBT"}, GIVEN_UP_MS, {NULL}, "c",
+		"none"}}},
+    {"answers are lost", RELAY_TO_CLIENT, false, true, true,
+	{READ_A,
+	    {{{NULL}}, {"WRITE b x", "ERR INDOUBT"}, GIVEN_UP_MS, {NULL}, "b",
+		"x"},
+	    {WROTE_C, {"COMMIT", "ERR INDOUBT"}, GIVEN_UP_MS, {NULL}, "c",
+		"x"}}},
+    {"later statements are lost", RELAY_TO_SERVER, false, false, true,
+	{READ_A,
+	    {{{NULL}}, {"WRITE b x", "DONE p"}, ELSEWHERE_MS, {NULL}, "b", "x"},
+	    {WROTE_C, {"COMMIT", "DONE p"}, ELSEWHERE_MS, {NULL}, "c", "x"}}},
+    {"all links", RELAY_BOTH, true, false, true,
+	{{{{NULL}}, {"WRITE b x", "ERR INDOUBT"}, GIVEN_UP_MS, {NULL}, "b",
+	    "x"}}},
+};
+
+/*
+ * Let the links to an owner, or to all daemons, go silent.
+ */
+static void
+silence_links(const forward_bed_t *bed, uint32_t ways, bool all)
+{
+	uint32_t i;
+
+	for (i = 0; i < PROXIES; i++) {
+		if (all || i == bed->owner)
+			relay_silence(bed->testbed->peer_relays[i], ways);
+	}
+}
+
+/*
+ * Read at a front whose links have gone silent until the owner gets statements
+ * again, which it does by new links.
+ */
+static void
+expect_used_again(
+    const forward_bed_t *bed, const silent_case_t *c, int64_t silent_us)
+{
+	uint64_t sent, sent_again = 0;
+
+	do {
+		sent =
+		    testbed_metric(bed->testbed, bed->owner, "statements_sent");
+		if (c->all)
+			expect_served_late(bed->client);
+		else
+			client_expect(bed->client, "READ d", "ROW none|DONE p");
+		/* of a read that is lost, one may arrive */
+		sent_again += testbed_metric(bed->testbed, bed->owner,
+				  "statements_sent") > sent;
+		g_assert_cmpint(
+		    clock_us() - silent_us, <, LINK_AGAIN_MS * US_PER_MS);
+	} while (sent_again < 2);
+	g_test_message("measured: %s: used again after %" G_GINT64_FORMAT " ms",
+	    c->name, (clock_us() - silent_us) / US_PER_MS);
+}
+
+/*
+ * Check the answers to the statements of a case, and the time that they took.
+ */
+static void
+expect_flights(
+    const silent_case_t *c, client_t *const *clients, int64_t began_us)
+{
+	int64_t taken_ms;
+	uint32_t i;
+
+	for (i = 0; i < FLIGHTS_MAX; i++) {
+		const flight_t *flight = &c->flights[i];
+
+		if (clients[i] == NULL)
+			continue;
+		expect_pending(clients[i], &flight->during);
+		taken_ms = (clock_us() - began_us) / US_PER_MS;
+		g_test_message("measured: %s: %s: %" G_GINT64_FORMAT " ms",
+		    c->name, flight->during.statement, taken_ms);
+		g_assert_cmpint(taken_ms, <=, (int64_t)flight->answered_ms);
+		if (flight->after.statement != NULL)
+			client_expect(clients[i], flight->after.statement,
+			    flight->after.expected);
+	}
+}
+
+/*
+ * Test what the clients of statements are told whose link goes silent and stays
+ * open, and when: it is true at the database.  Then test that the owner is used
+ * again by a new link.
+ */
+static void
+test_silent(gconstpointer data)
+{
+	const silent_case_t *c = data;
+	testbed_plan_t plan = forward_plan;
+	client_t *clients[FLIGHTS_MAX] = {NULL};
+	forward_bed_t *bed;
+	int64_t began_us;
+	char *value;
+	uint32_t i;
+
+	plan.relays = true;
+	bed = forward_bed_start_plan(&plan);
+	for (i = 0; i < FLIGHTS_MAX; i++) {
+		if (c->flights[i].item == NULL)
+			continue;
+		clients[i] =
+		    client_open_session(bed->testbed, bed->front, "intake");
+		run_steps(clients[i], c->flights[i].before);
+	}
+	if (c->late)
+		silence_links(bed, c->ways, c->all);
+	began_us = clock_us();
+	for (i = 0; i < FLIGHTS_MAX; i++)
+		g_assert_true(clients[i] == NULL ||
+		    client_send_query(
+			clients[i], c->flights[i].during.statement));
+	if (!c->late) {
+		g_usleep(IN_FLIGHT_MS * US_PER_MS);
+		silence_links(bed, c->ways, c->all);
+	}
+	expect_flights(c, clients, began_us);
+	if (c->again)
+		expect_used_again(bed, c, began_us);
+	for (i = 0; i < FLIGHTS_MAX; i++) {
+		if (clients[i] == NULL)
+			continue;
+		value =
+		    testbed_item_value(bed->testbed, c->flights[i].item, NULL);
+		g_assert_cmpstr(value, ==, c->flights[i].value);
+		g_free(value);
+		client_close(clients[i]);
+	}
+	forward_bed_stop(bed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -924,6 +1120,7 @@
 	g_test_init(&argc, &argv, NULL);
 	CASES("/forward/start", start_cases, test_start);
 	CASES("/forward/loss", loss_cases, test_loss);
+	CASES("/forward/silent", silent_cases, test_silent);
 	CASES("/forward/result", result_cases, test_result);
 	CASES("/forward/front", front_cases, test_front_lost);
 	CASES("/forward/news", news_cases, test_store_news);
