--- a/tests/fake/fakesite.c
+++ b/tests/fake/fakesite.c
@@ -350,9 +350,11 @@
 	    arg_int0(NULL, "count", "N", "number of databases");
 	struct arg_int *second_port = arg_int0(NULL, "second-databases", "N",
 	    "first port of the databases of a second group");
+	struct arg_str *daemons_at = arg_str0(
+	    NULL, "daemons-at", "ADDRESS", "address in the records of daemons");
 	struct arg_end *end = arg_end(4);
 	void *table[] = {port, first_port, lag, service, store_ports, count,
-	    second_port, end};
+	    second_port, daemons_at, end};
 	db_group_plan_t plan = {
 	    .name = "ledger", .databases_count = 3, .lag_ms = 5};
 	int32_t i;
@@ -366,6 +368,8 @@
 	signal(SIGPIPE, SIG_IGN);
 	platform.server = soup_server_new(NULL, NULL);
 	platform.store = object_store_new(platform.server);
+	if (daemons_at->count > 0)
+		object_store_daemons_at(platform.store, daemons_at->sval[0]);
 	plan.first_port = (uint32_t)first_port->ival[0];
 	if (count->count > 0)
 		plan.databases_count = (uint32_t)count->ival[0];
--- a/tests/fake/testbed.c
+++ b/tests/fake/testbed.c
@@ -55,6 +55,8 @@
 /* Names of the groups. */
 #define FIRST_GROUP "ledger"
 #define SECOND_GROUP "archive"
+/* Address of the relays to the ports that the proxies have for each other. */
+#define PEER_RELAY_ADDRESS "127.0.0.2"
 
 #define CONNECTIONS_MAX_DEFAULT 40
 #define TRANSACTION_IDLE_MS 700
@@ -242,6 +244,23 @@
 	g_free(path);
 }
 
+/*
+ * Start the relays of a proxy, and return the port by which it reaches the
+ * store.
+ */
+static uint32_t
+start_relays(testbed_t *testbed, uint32_t i)
+{
+	uint16_t peer_port = (uint16_t)testbed->proxies[i].peer_port,
+		 store_port = (uint16_t)fleet_unused_port();
+
+	testbed->peer_relays[i] =
+	    relay_start(PEER_RELAY_ADDRESS, peer_port, peer_port);
+	testbed->store_relays[i] = relay_start(
+	    "127.0.0.1", store_port, (uint16_t)testbed->platform.port);
+	return store_port;
+}
+
 /*
  * Assign the ports of a proxy and write its settings file.
  */
@@ -260,6 +279,8 @@
 	proxy->operator_port = fleet_unused_port();
 	proxy->peer_port = fleet_unused_port();
 	proxy->metrics_port = fleet_unused_port();
+	if (testbed->plan.relays)
+		store_port = start_relays(testbed, i);
 	apply_setting = testbed->plan.config_apply_ms == 0
 	    ? g_strdup("")
 	    : g_strdup_printf(
@@ -329,6 +350,10 @@
 	if (plan->second_group)
 		append_option(argv, "--second-databases",
 		    testbed->first_database_port + testbed_databases(testbed));
+	if (plan->relays) {
+		g_ptr_array_add(argv, g_strdup("--daemons-at"));
+		g_ptr_array_add(argv, g_strdup(PEER_RELAY_ADDRESS));
+	}
 	for (i = 0; plan->store_ports && i < plan->proxies; i++)
 		append_option(
 		    argv, "--store-port", testbed->first_store_port + i);
@@ -521,6 +546,10 @@
 	for (i = 0; i < testbed->plan.proxies; i++)
 		fleet_process_kill(&testbed->proxies[i]);
 	fleet_process_kill(&testbed->platform);
+	for (i = 0; i < testbed->plan.proxies; i++) {
+		relay_stop(testbed->peer_relays[i]);
+		relay_stop(testbed->store_relays[i]);
+	}
 	fleet_work_dir_remove(testbed->work_dir);
 	g_free(testbed->work_dir);
 	g_free(testbed);
