--- a/src/decide/replica.c
+++ b/src/decide/replica.c
@@ -1,5 +1,7 @@
 #include "replica.h"
 
+#include <stddef.h>
+
 /*
  * Return the i-th oldest sample.
  */
@@ -104,6 +106,42 @@
 	return found;
 }
 
+/*
+ * Make a sample of the log position in an answer of the primary to a request
+ * that was sent at sent_us.  Every write acknowledged before sent_us is at or
+ * before this position if the lease covers that time; with open orders, every
+ * one before checked_us, the latest time at which none of them had taken
+ * effect.  Returns false if the lease does not cover it.
+ */
+bool
+position_sample_under_lease(const lease_t *lease, position_t position,
+    int64_t sent_us, int64_t checked_us, position_sample_t *sample)
+{
+	if (position.term != lease->term || lease->expires_us < sent_us)
+		return false;
+	sample->at_us = sent_us < checked_us ? sent_us : checked_us;
+	sample->position = position;
+	return true;
+}
+
+/*
+ * Determine the log position that a replica must have applied to serve a read
+ * that arrived at arrived_us: at most max_age_us old, and not before
+ * the last write of the session; NULL: the session need not see its own writes.
+ * Returns false if no known position is recent enough, so that only the primary
+ * may serve the read.
+ */
+bool
+read_required_position(const position_history_t *history, int64_t arrived_us,
+    int64_t max_age_us, const position_t *last_write, position_t *required)
+{
+	if (!position_history_lookup(history, arrived_us, max_age_us, required))
+		return false;
+	if (last_write != NULL)
+		*required = position_max(*last_write, *required);
+	return true;
+}
+
 /*
  * Choose the least loaded replica that has reached a position.  Returns
  * REPLICA_BUSY when all such replicas are fully loaded, and REPLICA_NONE when
--- a/src/decide/replica.h
+++ b/src/decide/replica.h
@@ -45,6 +45,10 @@
     position_history_t *, position_sample_t, int64_t spacing_us);
 bool position_history_lookup(const position_history_t *, int64_t now_us,
     int64_t max_age_us, position_t *);
+bool position_sample_under_lease(const lease_t *, position_t, int64_t sent_us,
+    int64_t checked_us, position_sample_t *);
+bool read_required_position(const position_history_t *, int64_t arrived_us,
+    int64_t max_age_us, const position_t *last_write, position_t *required);
 int32_t replica_choose(const db_view_t *, const replica_load_t *,
     uint32_t count, int32_t primary, position_t needed);
 
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -106,14 +106,10 @@
 	const Bp__RunOperation *run = operation->run;
 	position_t floor = {run->floor_term, run->floor_index};
 
-	if (!position_history_lookup(&operation->group->position_history,
-		operation->arrived_us,
-		(int64_t)run->route->max_age_ms * US_PER_MS, required))
-		return false;
-	if (run->route->freshness == BP__FRESHNESS__OWN_WRITES &&
-	    position_compare(floor, *required) > 0)
-		*required = floor;
-	return true;
+	return read_required_position(&operation->group->position_history,
+	    operation->arrived_us, (int64_t)run->route->max_age_ms * US_PER_MS,
+	    run->route->freshness == BP__FRESHNESS__OWN_WRITES ? &floor : NULL,
+	    required);
 }
 
 /*
--- a/src/proxy/group_lease.c
+++ b/src/proxy/group_lease.c
@@ -151,20 +151,18 @@
 
 /*
  * Record the log position in an answer of the primary to a request that was
- * sent at sent_us.  Every write acknowledged before sent_us is at or before
- * this position; with open orders, every one before the last check that none
- * of them had taken effect.
+ * sent at sent_us, if the lease covers it.
  */
 void
 group_sample_primary(server_t *server, position_t position, int64_t sent_us)
 {
 	group_t *group = server->group;
-	position_sample_t sample = {
-	    MIN(sent_us, group_orders_checked_us(group)), position};
+	position_sample_t sample;
 
-	if (server->removed || position.term != group->lease.term ||
+	if (server->removed ||
 	    (int32_t)server->index != failover_primary(&group->failover) ||
-	    group->lease.expires_us < sent_us)
+	    !position_sample_under_lease(&group->lease, position, sent_us,
+		group_orders_checked_us(group), &sample))
 		return;
 	position_history_add(
 	    &group->position_history, sample, SAMPLE_SPACING_US);
