Reads: one sent to a former primary waits for the lease or runs again

A session on an own route, or on a bounded one with a small limit, could read from a former primary that lacked its acknowledged commit. A read that replicas may serve is sent to the primary without a required position, since the lease covers it; while an order is open, the lease covers it only together with a check of the database that the order names. The check is made when the result is released. But where the daemon learned of the new primary between the sending and the answer, the result counted as that of a replica, and was passed on without lease or check.

What counts now is how the read was sent. One without a position whose server is not the primary any more goes back to the queue, where a replica may serve it.

/operation/answered: two of five cases failed before (answered at once, not queued).

--- a/src/proxy/operation.c
+++ b/src/proxy/operation.c
@@ -473,6 +473,22 @@
 	    operation->executed_position.term == group->lease.term;
 }
 
+/*
+ * Tell whether a held read has run on a server that is not the primary any
+ * more, while replicas may serve it, so that it need not wait for a lease on
+ * the new one.
+ */
+static bool
+replicas_may_serve(const operation_t *operation)
+{
+	const group_t *group = operation->group;
+	int32_t primary = failover_primary(&group->failover);
+
+	return operation->transaction == NULL &&
+	    operation->backlog == group->replica_backlog &&
+	    (primary < 0 || group->servers[primary] != operation->server);
+}
+
 /*
  * Handle a held statement whose server is no longer the primary, or ran it in
  * another term.  A read outside a transaction is retried.  Any other statement
@@ -515,7 +531,9 @@
 		if (on_primary && required_us <= group->lease.expires_us &&
 		    ran_before_open_orders(operation, required_us))
 			operation_succeed(operation);
-		else if (!on_primary && group->lease.expires_us > now_us)
+		else if (!on_primary &&
+		    (group->lease.expires_us > now_us ||
+			replicas_may_serve(operation)))
 			operation_primary_replaced(operation);
 	}
 }
@@ -566,8 +584,10 @@
 }
 
 /*
- * Handle the success of a statement.  The result of a replica is sent at once,
- * that of the primary is held until the lease covers it.
+ * Handle the success of a statement.  The result of a server that had to have
+ * applied a position is sent at once.  That of a server to which it was sent as
+ * the primary is held until the lease covers it, also if that server is not the
+ * primary any more: another one may have led before the read arrived.
  */
 static void
 operation_executed(operation_t *operation, dbconn_t *conn, int64_t now_us)
@@ -575,9 +595,8 @@
 	const server_t *server = operation->server;
 	transaction_t *transaction = operation->transaction;
 	int32_t primary = failover_primary(&operation->group->failover);
-	bool replica = transaction != NULL
-	    ? transaction->on_replica
-	    : operation->backlog == operation->group->replica_backlog;
+	bool replica = transaction != NULL ? transaction->on_replica
+					   : operation->needed.term != 0;
 
 	operation->ack_token =
 	    arena_strdup(operation->msg->arena, conn->ack_token);
--- a/tests/t_operation.c
+++ b/tests/t_operation.c
@@ -42,49 +42,66 @@
 };
 
 /*
- * Apply a catalog with one group of one server.  Returns the group.
+ * Apply a catalog with one group of two servers.  Returns the group.
  */
 static group_t *
 add_group(pool_t *pool)
 {
 	Bp__Catalog catalog = BP__CATALOG__INIT;
 	Bp__ServerGroup entry = BP__SERVER_GROUP__INIT, *entries = &entry;
-	Bp__Server server = BP__SERVER__INIT, *servers = &server;
+	Bp__Server list[2], *servers[] = {&list[0], &list[1]};
+	uint32_t i;
 
 	entry.name = "ledger";
 	entry.connections_max = 8;
-	server.id = "i-0";
-	server.group = "ledger";
-	server.address = "127.0.0.1";
-	server.port = 1;
-	server.zone = "z";
-	server.slots = 4;
-	catalog.n_groups = catalog.n_servers = 1;
+	for (i = 0; i < G_N_ELEMENTS(list); i++) {
+		bp__server__init(&list[i]);
+		list[i].id = i == 0 ? "i-0" : "i-1";
+		list[i].group = "ledger";
+		list[i].address = "127.0.0.1";
+		list[i].port = 1;
+		list[i].zone = "z";
+		list[i].slots = 4;
+	}
+	catalog.n_groups = 1;
+	catalog.n_servers = G_N_ELEMENTS(list);
 	catalog.groups = &entries;
-	catalog.servers = &servers;
+	catalog.servers = servers;
 	catalog_apply(pool, &catalog);
 	return g_hash_table_lookup(pool->groups, "ledger");
 }
 
 /*
- * Create a read that has run in a transaction of a connection and is held.
+ * Create the message of a read for a client.
  */
-static void
-hold_read(pool_t *pool, group_t *group, dbconn_t *conn, task_t *client)
+static msg_t *
+read_msg(task_t *client)
 {
 	msg_t *msg = msg_new(&bp__run_operation__descriptor);
 	Bp__RunOperation *run = (Bp__RunOperation *)msg->body;
-	operation_t *operation = arena_zalloc(msg->arena, sizeof(*operation));
-	transaction_t *transaction = g_new0(transaction_t, 1);
 
 	run->id = arena_strdup(msg->arena, "q1");
 	run->session = 1;
 	run->kind = BP__OPERATION_KIND__READ_ITEM;
-	run->in_transaction = 1;
 	run->route =
 	    (Bp__Route *)message_new(msg->arena, &bp__route__descriptor);
 	run->route->database = arena_strdup(msg->arena, "intake");
 	msg->from = client;
+	return msg;
+}
+
+/*
+ * Create a read that has run in a transaction of a connection and is held.
+ */
+static void
+hold_read(pool_t *pool, group_t *group, dbconn_t *conn, task_t *client)
+{
+	msg_t *msg = read_msg(client);
+	Bp__RunOperation *run = (Bp__RunOperation *)msg->body;
+	operation_t *operation = arena_zalloc(msg->arena, sizeof(*operation));
+	transaction_t *transaction = g_new0(transaction_t, 1);
+
+	run->in_transaction = 1;
 	*operation = (operation_t){.group = group,
 	    .msg = msg,
 	    .run = run,
@@ -105,6 +122,60 @@
 	g_queue_push_tail_link(&group->held, &operation->link);
 }
 
+/* What a test of statements uses. */
+typedef struct bed {
+	Bp__ProxyTimeouts timeouts;
+	Bp__ProxySettings settings;
+	proxy_t proxy;
+	task_t *host;
+	task_t *client;
+	pool_t *pool;
+	group_t *group;
+} bed_t;
+
+/*
+ * Create a pool with one group.
+ */
+static void
+bed_init(bed_t *bed)
+{
+	bp__proxy_timeouts__init(&bed->timeouts);
+	bp__proxy_settings__init(&bed->settings);
+	bed->settings.name = "this";
+	bed->settings.zone = "z";
+	bed->settings.timeouts = &bed->timeouts;
+	bed->proxy =
+	    (proxy_t){.settings = &bed->settings, .wire = &platform_wire};
+	bed->host = task_new(&host_ops, NULL);
+	bed->client = task_new_hosted(&client_ops, NULL, bed->host);
+	bed->pool = pool_new(&bed->proxy);
+	bed->pool->task = task_new_hosted(&idle_ops, bed->pool, bed->host);
+	bed->group = add_group(bed->pool);
+	answers = 0;
+}
+
+/*
+ * Have the tasks handle their messages.
+ */
+static void
+bed_run(bed_t *bed)
+{
+	while (g_main_context_iteration(task_main_context(bed->host), FALSE))
+		;
+}
+
+/*
+ * Free what bed_init() created.
+ */
+static void
+bed_clear(bed_t *bed)
+{
+	task_free(bed->pool->task);
+	pool_free(bed->pool);
+	task_free(bed->client);
+	task_free(bed->host);
+}
+
 /*
  * Test that a statement whose result is held ends once, and with it its
  * transaction.
@@ -113,37 +184,108 @@
 test_held(gconstpointer data)
 {
 	const held_case_t *c = data;
-	Bp__ProxyTimeouts timeouts = BP__PROXY_TIMEOUTS__INIT;
-	Bp__ProxySettings settings = BP__PROXY_SETTINGS__INIT;
-	task_t *host = task_new(&host_ops, NULL);
-	task_t *client = task_new_hosted(&client_ops, NULL, host);
-	proxy_t proxy = {.settings = &settings, .wire = &platform_wire};
-	pool_t *pool;
-	group_t *group;
+	bed_t bed;
 	dbconn_t *conn;
 
-	settings.name = "this";
-	settings.zone = "z";
-	settings.timeouts = &timeouts;
-	pool = pool_new(&proxy);
-	pool->task = task_new_hosted(&idle_ops, pool, host);
-	group = add_group(pool);
-	conn = dbconn_open(group->servers[0], false);
-	answers = 0;
-	hold_read(pool, group, conn, client);
+	bed_init(&bed);
+	conn = dbconn_open(bed.group->servers[0], false);
+	hold_read(bed.pool, bed.group, conn, bed.client);
 	if (c->lost)
 		dbconn_fail(conn, "Connection reset by peer");
-	operations_expire(group, clock_us());
-	while (g_main_context_iteration(task_main_context(host), FALSE))
-		;
+	operations_expire(bed.group, clock_us());
+	bed_run(&bed);
 	g_assert_cmpuint(answers, ==, 1);
 	g_assert_cmpint(verdict, ==, c->verdict);
-	g_assert_cmpuint(g_hash_table_size(pool->transactions), ==, 0);
-	g_assert_true(g_queue_is_empty(&group->held));
-	task_free(pool->task);
-	pool_free(pool);
-	task_free(client);
-	task_free(host);
+	g_assert_cmpuint(g_hash_table_size(bed.pool->transactions), ==, 0);
+	g_assert_true(g_queue_is_empty(&bed.group->held));
+	bed_clear(&bed);
+}
+
+typedef struct answered_case {
+	const char *name;
+	position_t needed; /* position that it required; 0: none */
+	int32_t primary;   /* known when the answer comes; -1: none */
+	bool answered;     /* at once */
+	bool queued;       /* again */
+} answered_case_t;
+
+static const answered_case_t answered_cases[] = {
+    {"by the primary", {0, 0}, 0, true, false},
+    {"by a replica", {3, 7}, 1, true, false},
+    {"by a replica, and no primary is known", {3, 7}, -1, true, false},
+    {"by a primary that was replaced", {0, 0}, 1, false, true},
+    {"by a primary, and none is known any more", {0, 0}, -1, false, true},
+};
+
+/*
+ * Have a primary be known, with a lease on it if it is the server with index 0.
+ */
+static void
+set_primary(group_t *group, int32_t primary)
+{
+	int64_t now_us = clock_us();
+	db_view_t view = {.known = true,
+	    .primary = true,
+	    .promised = 3,
+	    .term = 3,
+	    .last_entry = {3, 7},
+	    .requested_us = now_us};
+
+	if (primary < 0)
+		return;
+	failover_replace_view(
+	    &group->failover, (uint32_t)primary, &view, now_us);
+	if (primary != 0)
+		return;
+	group->lease.term = 3;
+	group->lease.expires_us = now_us + US_PER_SECOND;
+}
+
+/*
+ * Test that the result of a read that replicas may serve is passed on if the
+ * server had to have applied a position or, if it was sent to the server as the
+ * primary, if that server still is the primary.
+ */
+static void
+test_answered(gconstpointer data)
+{
+	const answered_case_t *c = data;
+	Bp__RunOperation *run;
+	operation_t *operation;
+	dbconn_t *conn;
+	msg_t *msg;
+	bed_t bed;
+
+	bed_init(&bed);
+	set_primary(bed.group, c->primary);
+	conn = dbconn_open(bed.group->servers[0], false);
+	conn->ack_token = g_strdup("proof");
+	msg = read_msg(bed.client);
+	run = (Bp__RunOperation *)msg->body;
+	run->route->freshness = BP__FRESHNESS__OWN_WRITES;
+	operation = arena_zalloc(msg->arena, sizeof(*operation));
+	*operation = (operation_t){.group = bed.group,
+	    .msg = msg,
+	    .run = run,
+	    .state = OPERATION_SENT,
+	    .backlog = bed.group->replica_backlog,
+	    .server = conn->server,
+	    .needed = c->needed,
+	    .executed_position = {3, 7},
+	    .arrived_us = clock_us(),
+	    .deadline_us = clock_us() + US_PER_SECOND,
+	    .link = {.data = operation}};
+	operation->item.account = "u1";
+	operation->item.owner = operation;
+	operation_answered(operation, conn, clock_us());
+	bed_run(&bed);
+	g_assert_cmpuint(answers, ==, c->answered);
+	g_assert_cmpuint(
+	    rankq_count(bed.group->replica_backlog), ==, c->queued);
+	if (answers == 0)
+		operation_refuse(operation, "the test ends");
+	bed_run(&bed);
+	bed_clear(&bed);
 }
 
 /*
@@ -155,5 +297,6 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions();
 	CASES("/operation/held", held_cases, test_held);
+	CASES("/operation/answered", answered_cases, test_answered);
 	return g_test_run();
 }
