Read model: read-only transactions, long pauses and late status answers

Sessions pause for up to a second at times, so that statements are sent while a daemon is frozen, and a status answer may be held up for longer than a lease lasts.

--- a/tools/read_model.c
+++ b/tools/read_model.c
@@ -8,12 +8,15 @@
 
 #define STATUS_INTERVAL_US (40 * US_PER_MS)
 #define NO_REPLY_US (300 * US_PER_MS)
+#define STATUS_TIMEOUT_US (1000 * US_PER_MS)
 #define SAMPLE_SPACING_US (50 * US_PER_MS)
 #define APPLIED_MAX_AGE_US (100 * US_PER_MS)
 #define STATEMENT_TIMEOUT_US (1500 * US_PER_MS)
 #define PAUSE_MAX_US (30 * US_PER_MS)
+#define LONG_PAUSE_MAX_US (1000 * US_PER_MS)
+#define LONG_PAUSE_PERMILLE 60
 #define HELD_MAX_US (1200 * US_PER_MS)
-#define FROZEN_MAX_US (1200 * US_PER_MS)
+#define FROZEN_MAX_US (1500 * US_PER_MS)
 #define SILENT_MAX_US (1500 * US_PER_MS)
 #define SLOTS 4
 
@@ -180,12 +183,13 @@
 			    READ_BUG_PRIMARY_UNCONFIRMED))
 			finish(model, known, op, true);
 		else if (!on_primary &&
-		    known->lease.expires_us > model->now_us && op->write)
+		    known->lease.expires_us > model->now_us &&
+		    (op->write || op->transaction))
 			finish(model, known, op, false);
 		else if (!on_primary &&
 		    (known->lease.expires_us > model->now_us ||
 			(op->route != READ_ROUTE_PRIMARY && !op->write &&
-			    (int32_t)op->db != primary)))
+			    !op->transaction && (int32_t)op->db != primary)))
 			op->state = OP_QUEUED;
 	}
 }
@@ -340,7 +344,7 @@
 	op->with_position = chosen != failover_primary(&known->failover);
 	op->sent_us = event.sent_us = model->now_us;
 	event.attempt = ++op->attempt;
-	event.born = known->conns[chosen].born;
+	op->born = event.born = known->conns[chosen].born;
 	if (read_model_chance(model, model->plan->troubles.frozen_permille)) {
 		frozen_us = read_model_random_us(model, FROZEN_MAX_US);
 		model->result->freezes++;
@@ -368,7 +372,7 @@
 			finish(model, known, op, false);
 			continue;
 		}
-		if (op->state == OP_SENT && !op->write &&
+		if (op->state == OP_SENT && !op->write && !op->second &&
 		    model->now_us - op->sent_us >= NO_REPLY_US)
 			op->state = OP_QUEUED;
 		if (op->state == OP_QUEUED)
@@ -406,7 +410,7 @@
 		conn_t *conn = &known->conns[event.db];
 
 		if (conn->pending &&
-		    model->now_us - conn->asked_us >= NO_REPLY_US)
+		    model->now_us - conn->asked_us >= STATUS_TIMEOUT_US)
 			reopen(model, group, event.db, conn);
 		if (conn->pending ||
 		    model->now_us - conn->asked_us < STATUS_INTERVAL_US)
@@ -481,6 +485,7 @@
 	op->route = session->route;
 	op->entry = event.daemon = session->entry;
 	op->write = read_model_chance(model, 300);
+	op->transaction = !op->write && read_model_chance(model, 200);
 	op->begun_us = model->now_us;
 	if (!one_floor || session->last_write_group == session->group)
 		op->floor = session->floors[session->group];
@@ -503,7 +508,7 @@
 
 	op->entry_us =
 	    model->plan->injected_bug == READ_BUG_ARRIVAL_BEFORE_FREEZE
-	    ? daemon->last_step_us
+	    ? daemon->previous_step_us
 	    : model->now_us;
 	op->owner = (uint32_t)g_rand_int_range(model->rand, 0, DAEMONS);
 	accepted.daemon = op->owner;
@@ -545,6 +550,32 @@
 	schedule_step(model, 0, &chosen);
 }
 
+/*
+ * Handle the second read of a transaction at its owner: send it on the
+ * connection of the first one.
+ */
+static void
+on_continued(model_t *model, const event_t *event)
+{
+	op_t *op = event->op;
+	known_group_t *known = &model->daemons[event->daemon].groups[op->group];
+	event_t run = {.kind = EVENT_RUN,
+	    .daemon = event->daemon,
+	    .group = op->group,
+	    .db = op->db,
+	    .op = op,
+	    .attempt = ++op->attempt,
+	    .born = op->born,
+	    .sent_us = model->now_us};
+
+	op->second = true;
+	op->state = OP_SENT;
+	op->sent_us = model->now_us;
+	g_ptr_array_add(known->ops, op);
+	read_model_schedule(model,
+	    message_us(model, known->conns[op->db].silent_until_us), &run);
+}
+
 /*
  * Run a statement at a database, unless its connection has ended.
  */
@@ -563,7 +594,7 @@
 	    event->attempt != op->attempt)
 		return;
 	answer.ok = op->write ? db->primary
-			      : !op->with_position ||
+			      : !op->with_position || op->second ||
 		model->plan->injected_bug == READ_BUG_NO_POSITION ||
 		position_compare(position, op->needed) >= 0;
 	if (answer.ok && op->write)
@@ -630,6 +661,14 @@
 
 	if (event->ok)
 		read_model_acknowledged(model, op);
+	if (event->ok && op->transaction && !op->second) {
+		next.kind = EVENT_CONTINUED;
+		next.daemon = op->owner;
+		next.op = op;
+		schedule_step(
+		    model, read_model_random_us(model, PAUSE_MAX_US), &next);
+		return;
+	}
 	if (event->ok && op->write) {
 		session->floors[op->group] =
 		    model->plan->injected_bug == READ_BUG_FLOOR_WITHOUT_TERM &&
@@ -638,8 +677,12 @@
 		    : position_max(session->floors[op->group], op->executed);
 		session->last_write_group = op->group;
 	}
-	read_model_schedule(
-	    model, read_model_random_us(model, PAUSE_MAX_US), &next);
+	read_model_schedule(model,
+	    read_model_random_us(model,
+		read_model_chance(model, LONG_PAUSE_PERMILLE)
+		    ? LONG_PAUSE_MAX_US
+		    : PAUSE_MAX_US),
+	    &next);
 }
 
 /*
@@ -663,7 +706,7 @@
 	read_model_schedule(model,
 	    message_us(model, conn->silent_until_us) +
 		(read_model_chance(model, model->plan->troubles.held_permille)
-			? read_model_random_us(model, NO_REPLY_US)
+			? read_model_random_us(model, HELD_MAX_US)
 			: 0),
 	    &answer);
 }
@@ -722,6 +765,10 @@
 {
 	daemon_state_t *daemon = &model->daemons[event->daemon];
 
+	if (daemon->step_us < model->now_us) {
+		daemon->previous_step_us = daemon->step_us;
+		daemon->step_us = model->now_us;
+	}
 	switch (event->kind) {
 	case EVENT_DAEMON_TICK:
 		daemon_tick(model, event->daemon);
@@ -732,6 +779,9 @@
 	case EVENT_ACCEPTED:
 		on_accepted(model, event);
 		break;
+	case EVENT_CONTINUED:
+		on_continued(model, event);
+		break;
 	case EVENT_CHOSEN:
 		if (event->op->state == OP_QUEUED)
 			send_statement(model, event->op);
@@ -756,7 +806,6 @@
 		on_restored(model, event->daemon, event->era);
 		break;
 	}
-	daemon->last_step_us = model->now_us;
 }
 
 /*
--- a/tools/read_model_internal.h
+++ b/tools/read_model_internal.h
@@ -20,7 +20,7 @@
 #define MISSING_MAX 8
 
 #define TICK_US (20 * US_PER_MS)
-#define LEASE_US (600 * US_PER_MS)
+#define LEASE_US (400 * US_PER_MS)
 #define MAX_AGE_US (250 * US_PER_MS)
 #define SUSPECT_US (300 * US_PER_MS)
 #define NETWORK_DELAY_MAX_US (3 * US_PER_MS)
@@ -103,8 +103,9 @@
 	known_group_t groups[GROUPS];
 	lease_duration_t durations;
 	int64_t frozen_until_us;
-	int64_t last_step_us; /* time of the last event that it has handled */
-	int64_t restored_us;  /* time it learned that the store went back */
+	int64_t step_us;          /* time at which it handles events */
+	int64_t previous_step_us; /* and at which it did before */
+	int64_t restored_us;      /* time it learned that the store went back */
 	uint64_t era;
 	int64_t link_silent_until_us[DAEMONS];
 } daemon_state_t;
@@ -116,7 +117,7 @@
 	OP_DONE,
 } op_state_t;
 
-/* A statement. */
+/* A statement, or a read-only transaction. */
 typedef struct op {
 	uint32_t session;
 	uint32_t group;
@@ -124,6 +125,8 @@
 	uint32_t owner; /* daemon that runs it */
 	read_model_route_t route;
 	bool write;
+	bool transaction; /* two reads on one connection */
+	bool second;      /* it is the second of them */
 	op_state_t state;
 	int64_t begun_us;   /* its first byte was sent */
 	int64_t entry_us;   /* it arrived at the entry */
@@ -132,6 +135,7 @@
 	position_t floor;
 	uint32_t attempt; /* number of times that it was sent */
 	uint32_t db;
+	uint64_t born; /* start of the database to which it was sent */
 	int64_t sent_us;
 	bool with_position; /* it required a position */
 	position_t needed;
@@ -159,6 +163,7 @@
 	EVENT_SESSION,       /* a session sends its next statement */
 	EVENT_ENTERED,       /* a statement reaches its entry */
 	EVENT_ACCEPTED,      /* and its owner */
+	EVENT_CONTINUED,     /* so does the second of a transaction */
 	EVENT_CHOSEN,        /* which chooses a database */
 	EVENT_RUN,           /* it reaches the database */
 	EVENT_ANSWERED,      /* its answer reaches the owner */
