--- a/src/decide/replica.c
+++ b/src/decide/replica.c
@@ -120,6 +120,45 @@
 	return found;
 }
 
+/*
+ * Make a sample of the log position in an answer of the primary to a request
+ * that was sent at sent_us.  Every write acknowledged before sent_us is at or
+ * before this position if the lease covers that time; with open orders, every
+ * one before checked_us, the latest time at which none of them had taken
+ * effect.  Returns false if the lease does not cover it.
+ */
+bool
+position_sample_under_lease(const lease_t *lease, position_t position,
+    int64_t sent_us, int64_t checked_us, position_sample_t *sample)
+{
+	if (position.term != lease->term || lease->expires_us < sent_us)
+		return false;
+	sample->at_us = sent_us < checked_us ? sent_us : checked_us;
+	sample->position = position;
+	return true;
+}
+
+/*
+ * Determine the log position that a replica must have applied to serve a read
+ * that arrived at arrived_us: at most max_age_us old, and not before
+ * the last write of the session; NULL: the session need not see its own writes.
+ * Returns the sample that it rests on, or NULL if no known position is recent
+ * enough, so that only the primary may serve the read.
+ */
+const position_sample_t *
+read_required_position(const position_history_t *history, int64_t arrived_us,
+    int64_t max_age_us, const position_t *last_write, position_t *required)
+{
+	const position_sample_t *sample =
+	    position_history_find(history, arrived_us, max_age_us);
+
+	if (sample != NULL)
+		*required = last_write == NULL
+		    ? sample->position
+		    : position_max(*last_write, sample->position);
+	return sample;
+}
+
 /*
  * Choose the least loaded replica that has reached a position.  Returns
  * REPLICA_BUSY when all such replicas are fully loaded, and REPLICA_NONE when
--- a/src/proxy/dispatch.c
+++ b/src/proxy/dispatch.c
@@ -106,17 +106,15 @@
 {
 	const Bp__RunOperation *run = operation->run;
 	position_t floor = {run->floor_term, run->floor_index};
-	const position_sample_t *sample = position_history_find(
+	const position_sample_t *sample = read_required_position(
 	    &operation->group->position_history, operation->arrived_us,
-	    (int64_t)run->route->max_age_ms * US_PER_MS);
+	    (int64_t)run->route->max_age_ms * US_PER_MS,
+	    run->route->freshness == BP__FRESHNESS__OWN_WRITES ? &floor : NULL,
+	    required);
 
 	if (sample == NULL)
 		return false;
 	operation->sample = *sample;
-	*required = sample->position;
-	if (run->route->freshness == BP__FRESHNESS__OWN_WRITES &&
-	    position_compare(floor, *required) > 0)
-		*required = floor;
 	return true;
 }
 
