Model: a daemon whose record says no more that it has leases ends its own

Traced: a daemon that was no owner any more was paused, and got the answer to an earlier write of its record, which said that it was one. With that it renewed a long lease, at 38.48 s, until 40.47. Then it wrote that it holds none (38.51), became an owner again (38.67), and read at the old primary under the old lease (39.55), which a coordinator that found no lease in its record had replaced (39.54).

It is a fault of the model, not of the decisions: the registry task reports that the daemon is not listed before it writes such a record (write_record() of src/proxy/daemons.c), and the pool ends its leases then (pool_check_listed()). The model's daemon did so only as it ceased to be an owner.

--- a/tools/proxy_model_records.c
+++ b/tools/proxy_model_records.c
@@ -100,7 +100,8 @@
 
 /*
  * Write the record of a daemon.  From here on it may not say that the daemon
- * holds leases, so those that it gets from now on are short ones.
+ * holds leases, so the one that it has ends, and those that it gets from now on
+ * are short ones.
  */
 static void
 write_record(proxy_model_t *model, uint32_t daemon_index)
@@ -114,7 +115,7 @@
 	daemon->record_written = daemon->owner;
 	if (!daemon->owner &&
 	    model->plan->injected_bug != PROXY_BUG_LEASE_UNTIL_ACK)
-		daemon->lease_durations.listed_since_us = 0;
+		distrust_record(daemon);
 	proxy_model_schedule(
 	    model, proxy_model_random_us(model, STORE_DELAY_MAX_US), &event);
 }
