Model: a restarted daemon gets no answers to its former process

A process of the proxy has one write of its record under way at a time, and hears nothing of those before it: a fault of the model.

--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -571,6 +571,7 @@
 	daemon->object_store_cut_until_us = before.object_store_cut_until_us;
 	daemon->daemons_cut_until_us = before.daemons_cut_until_us;
 	daemon->record_leases = before.record_leases;
+	daemon->process = before.process + 1;
 	daemon->paused_until_us = model->now_us +
 	    proxy_model_random_us(model, RESTART_DURATION_MAX_US);
 }
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -122,6 +122,7 @@
 	bool record_leases;    /* its record in the store says so */
 	bool record_written;   /* what the last write of the record said */
 	bool record_pending;   /* that write is not acknowledged yet */
+	uint64_t process;      /* rises with each restart */
 	uint64_t store_era;    /* newest era of the store that it knows */
 	int64_t
 	    store_restored_us;    /* time at which it learned of it; 0: never */
@@ -171,6 +172,7 @@
 	uint64_t store_era; /* of the store's answer */
 	int64_t sent_us;
 	uint64_t order;    /* identifies an order */
+	uint64_t process;  /* that wrote a record */
 	uint64_t revision; /* that the record must have for a write of it */
 	bool ok;
 	stmt_t *stmt;
--- a/tools/proxy_model_records.c
+++ b/tools/proxy_model_records.c
@@ -109,6 +109,7 @@
 	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
 	event_t event = {.kind = EVENT_RECORD_STORED,
 	    .daemon = daemon_index,
+	    .process = daemon->process,
 	    .ok = daemon->owner};
 
 	daemon->record_pending = true;
@@ -169,13 +170,15 @@
 /*
  * Handle the store's answer to a record: leases from now on may be long ones if
  * the record says so.  An answer from before the store went back does not
- * count.
+ * count, and one to a former process does not reach the present one.
  */
 void
 proxy_model_record_acked(proxy_model_t *model, const event_t *event)
 {
 	proxy_model_daemon_t *daemon = &model->daemons[event->daemon];
 
+	if (event->process != daemon->process)
+		return;
 	daemon->record_pending = false;
 	if (event->store_era < daemon->store_era) {
 		daemon->record_written = !daemon->owner;
