--- a/tools/proxy_model_records.c
+++ b/tools/proxy_model_records.c
@@ -100,7 +100,8 @@
 
 /*
  * Write the record of a daemon.  From here on it may not say that the daemon
- * holds leases, so those that it gets from now on are short ones.
+ * holds leases, so the one that it has ends, and those that it gets from now on
+ * are short ones.
  */
 static void
 write_record(proxy_model_t *model, uint32_t daemon_index)
@@ -108,13 +109,14 @@
 	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
 	event_t event = {.kind = EVENT_RECORD_STORED,
 	    .daemon = daemon_index,
+	    .process = daemon->process,
 	    .ok = daemon->owner};
 
 	daemon->record_pending = true;
 	daemon->record_written = daemon->owner;
 	if (!daemon->owner &&
 	    model->plan->injected_bug != PROXY_BUG_LEASE_UNTIL_ACK)
-		daemon->lease_durations.listed_since_us = 0;
+		distrust_record(daemon);
 	proxy_model_schedule(
 	    model, proxy_model_random_us(model, STORE_DELAY_MAX_US), &event);
 }
@@ -168,13 +170,15 @@
 /*
  * Handle the store's answer to a record: leases from now on may be long ones if
  * the record says so.  An answer from before the store went back does not
- * count.
+ * count, and one to a former process does not reach the present one.
  */
 void
 proxy_model_record_acked(proxy_model_t *model, const event_t *event)
 {
 	proxy_model_daemon_t *daemon = &model->daemons[event->daemon];
 
+	if (event->process != daemon->process)
+		return;
 	daemon->record_pending = false;
 	if (event->store_era < daemon->store_era) {
 		daemon->record_written = !daemon->owner;
