Members: one that is listed again has not ended

A recorded member that was taken as ended counted so for good: as having given each promise that an attempt needs, and as no support of a lease. That was also so if the very start was listed again, after a list of an older copy of the store had shown the start before it, or after its entry had lapsed while something refused a connection in its place. Nothing recorded it anew, as the record already named it. A start that is listed and was not known counts as a member again; so an attempt needs its promise.

The rows "a list of before its start, and the present one again" and "not listed and refused, and listed again" of /members/listed failed before (members that have ended: 1, not 0).

--- a/src/proxy/group_members.c
+++ b/src/proxy/group_members.c
@@ -91,21 +91,41 @@
 }
 
 /*
- * Note that the process of a server has ended.
+ * Note whether the process of a server has ended.
  */
-void
-group_member_gone(group_t *group, const server_t *server)
+static void
+set_gone(group_t *group, const server_t *server, bool gone)
 {
 	uint32_t i;
 
 	for (i = 0; i < group->members_count; i++) {
 		member_t *member = &group->members[i];
 
-		member->gone |= strcmp(member->id, server->id) == 0 &&
-		    member->born == server->generation;
+		if (strcmp(member->id, server->id) == 0 &&
+		    member->born == server->generation)
+			member->gone = gone;
 	}
 }
 
+/*
+ * Note that the process of a server has ended.
+ */
+void
+group_member_gone(group_t *group, const server_t *server)
+{
+	set_gone(group, server, true);
+}
+
+/*
+ * Note that a server is listed that was not known.  If it was taken as ended
+ * before, its entry had lapsed, or the list was one of before its start.
+ */
+void
+group_member_listed(group_t *group, const server_t *server)
+{
+	set_gone(group, server, false);
+}
+
 /*
  * Free members.
  */
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -517,6 +517,7 @@
     group_t *, Bp__RecordedMember *const *, size_t count, int64_t read_us);
 void group_members_clear(group_t *);
 void group_member_gone(group_t *, const server_t *);
+void group_member_listed(group_t *, const server_t *);
 Bp__RecordedMember **group_members_write(
     const group_t *, arena_t *, size_t *count);
 void group_members_check(group_t *, int64_t now_us);
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -630,6 +630,7 @@
 			entry->born, entries))
 			continue;
 		servers[count] = server_new(group, entry);
+		group_member_listed(group, servers[count]);
 		server_update(servers[count++], entry);
 	}
 	if (group->listed_us == 0 && count > 0)
--- /dev/null
+++ b/tests/t_members.c
@@ -0,0 +1,159 @@
+#include "../platform/platform.h"
+#include "../src/proxy/pool.h"
+#include "cases.h"
+
+/*
+ * Tests of the recorded members of a group, without databases.
+ */
+
+static const task_ops_t host_ops = {"host", NULL, NULL, NULL, 0};
+static const task_ops_t idle_ops = {"pool", NULL, NULL, NULL, 0};
+
+#define SERVERS 3
+#define LISTS_MAX 4
+
+/* What a list says of the server with index 1; the others stay as they are. */
+typedef struct listing {
+	uint64_t born;    /* 0: it is not listed */
+	bool refused;     /* a connection to it, after this list */
+	bool denied;      /* the process at its address is another one */
+	uint32_t ended;   /* expected: members that have ended */
+	uint32_t members; /* expected: servers that are members */
+} listing_t;
+
+typedef struct listed_case {
+	const char *name;
+	listing_t lists[LISTS_MAX]; /* until one expects no members */
+} listed_case_t;
+
+static const listed_case_t listed_cases[] = {
+    {"all the same", {{5, false, false, 0, 3}, {5, false, false, 0, 3}}},
+    {"a later start", {{5, false, false, 0, 3}, {6, false, false, 1, 2}}},
+    {"a list of before its start, and the present one again",
+	{{5, false, false, 0, 3}, {4, false, false, 1, 2},
+	    {5, false, false, 0, 3}}},
+    {"not listed and refused, and listed again",
+	{{5, true, false, 0, 3}, {0, false, false, 1, 2},
+	    {5, false, false, 0, 3}}},
+    {"another process at its address",
+	{{5, false, true, 1, 2}, {5, false, false, 1, 2}}},
+    {"another process at its address, and a later start",
+	{{5, false, true, 1, 2}, {6, false, false, 1, 2}}},
+};
+
+/*
+ * Apply a list of the servers.
+ */
+static void
+apply_list(pool_t *pool, uint64_t born)
+{
+	static const char *const ids[SERVERS] = {"i-0", "i-1", "i-2"};
+	Bp__Catalog catalog = BP__CATALOG__INIT;
+	Bp__ServerGroup entry = BP__SERVER_GROUP__INIT, *entries = &entry;
+	Bp__Server list[SERVERS], *servers[SERVERS];
+	uint32_t i;
+
+	entry.name = "ledger";
+	entry.connections_max = 8;
+	for (i = 0; i < SERVERS; i++) {
+		if (i == 1 && born == 0)
+			continue;
+		bp__server__init(&list[i]);
+		list[i].id = (char *)ids[i];
+		list[i].group = "ledger";
+		list[i].address = "127.0.0.1";
+		list[i].port = 1 + i;
+		list[i].zone = "z";
+		list[i].slots = 4;
+		list[i].born = i == 1 ? born : 5;
+		servers[catalog.n_servers++] = &list[i];
+	}
+	catalog.n_groups = 1;
+	catalog.groups = &entries;
+	catalog.servers = servers;
+	catalog_apply(pool, &catalog);
+}
+
+/*
+ * Have the servers that are known be the recorded members of their group.
+ */
+static void
+record_members(group_t *group)
+{
+	arena_t *arena = arena_new();
+	size_t count;
+	Bp__RecordedMember **members =
+	    group_members_write(group, arena, &count);
+
+	group_members_recorded(group, members, count, clock_us());
+	arena_free(arena);
+}
+
+/*
+ * Return the number of servers that count as members.
+ */
+static uint32_t
+count_members(const group_t *group)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < group->count; i++)
+		n += group->failover.views[i].member;
+	return n;
+}
+
+/*
+ * Test that a member counts as ended while the lists, or its address, say so,
+ * and not any more when the list has that very start again.
+ */
+static void
+test_listed(gconstpointer data)
+{
+	const listed_case_t *c = data;
+	Bp__ProxyTimeouts timeouts = BP__PROXY_TIMEOUTS__INIT;
+	Bp__ProxySettings settings = BP__PROXY_SETTINGS__INIT;
+	proxy_t proxy = {.settings = &settings, .wire = &platform_wire};
+	task_t *host = task_new(&host_ops, NULL);
+	pool_t *pool;
+	group_t *group = NULL;
+	uint32_t i;
+
+	settings.name = "this";
+	settings.zone = "z";
+	settings.timeouts = &timeouts;
+	pool = pool_new(&proxy);
+	pool->task = task_new_hosted(&idle_ops, pool, host);
+	for (i = 0; i < LISTS_MAX && c->lists[i].members > 0; i++) {
+		const listing_t *listing = &c->lists[i];
+
+		apply_list(pool, listing->born);
+		if (group == NULL) {
+			group = g_hash_table_lookup(pool->groups, "ledger");
+			record_members(group);
+		}
+		if (listing->refused)
+			monitor_connection_refused(group->servers[1]);
+		if (listing->denied)
+			monitor_denied(group->servers[1]);
+		g_test_message("list %u", i);
+		g_assert_cmpuint(group->failover.members, ==, SERVERS);
+		g_assert_cmpuint(
+		    group->failover.members_ended, ==, listing->ended);
+		g_assert_cmpuint(count_members(group), ==, listing->members);
+	}
+	task_free(pool->task);
+	pool_free(pool);
+	task_free(host);
+}
+
+/*
+ * Register the tests and run them.
+ */
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions();
+	CASES("/members/listed", listed_cases, test_listed);
+	return g_test_run();
+}
