Leases: what a server knows is counted from its first answer on a connection

A lease may be continued on the answers of replicas without a new read of the record, if their connections were open when it was last certain that there was no newer primary: such a replica has not started again since, and holds what it had promised. The time of a connection was that at which it was begun. While its first segments are lost, or a connect waits, up to connect-ms, the server may promise a term to another daemon, start again and forget it, and the new process accepts the connection: it counted as one that had not started since. The time is that of the server's answer to the opening now.

Both rows of /dbconn/opened failed before: counted from 0 ms after the begin of a connection that was answered after 200 ms.

--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -82,12 +82,10 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	conn->prepared =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	if (control) {
+	if (control)
 		server->control = conn;
-		server->control_us = conn->last_change_us;
-	} else {
+	else
 		g_ptr_array_add(server->conns, conn);
-	}
 	pool->wire->open_session(conn->out, server->group->name, server->id);
 	dbconn_expect_answer(conn, EXPECT_OPEN, 0);
 	dbconn_send(conn);
@@ -413,7 +411,8 @@
 
 /*
  * Handle the answer to the request that opens the session: the connection is
- * ready for use.
+ * ready for use.  The server may have started since the connection was begun,
+ * so that what it knows is counted from here.
  */
 static void
 on_session_opened(dbconn_t *conn, int64_t now_us)
@@ -428,10 +427,12 @@
 	if (server->unreachable_since_us != 0)
 		log_server_reached(server, now_us);
 	server->unreachable_since_us = 0;
-	if (conn->control)
+	if (conn->control) {
+		server->control_us = now_us;
 		monitor_request_status(server, now_us);
-	else
+	} else {
 		dispatch(server->group, now_us);
+	}
 }
 
 /*
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -147,7 +147,7 @@
 	uint32_t busy;          /* reported number of slots in use */
 	uint32_t lag_ms;        /* reported replication lag */
 	bool status_pending;    /* a status request is outstanding */
-	int64_t control_us;     /* time the control connection was opened */
+	int64_t control_us;     /* time it answered on the control connection */
 	int64_t status_sent_us; /* time of the last status request */
 	uint32_t outstanding;   /* outstanding answers, on all connections */
 	/* time of the last answer or, if none was outstanding then, of the
