Model: where an order is open, a write counts as of the check

Since a write that a daemon with an open order had acknowledged was judged by the time at which it had run, also if a newer primary had begun before the database that the order names was asked: what was between went unseen. It is judged by the time of that question now, which is no earlier, and for which the answer shows that the order had not taken effect. Daemons that know no open order are judged as of the acknowledgement, as before.

--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -38,18 +38,22 @@
 /*
  * Answer a statement.  Counts a stale read if a newer primary existed when
  * the read was sent, and a split brain if a newer primary exists when a write
- * is acknowledged.  Where orders are held up for longer than leases last, or
- * the daemon knows that one to another database is open, a split brain is
- * counted if a newer primary existed when the write was executed; another one
- * may begin while the answer that shows that there was none is on its way.
+ * is acknowledged.  Where the daemon knows that an order to another database is
+ * open, a split brain is counted if a newer primary existed when that database
+ * was asked, after the write was executed; it may begin to lead while its
+ * answer is on its way.  Where orders are held up for longer than leases last,
+ * the time at which the write was executed counts.
  */
 static void
 stmt_done(proxy_model_t *model, const proxy_model_daemon_t *daemon,
     const stmt_t *stmt)
 {
-	bool order_open = proxy_model_orders_overtake(model->plan) ||
-	    proxy_model_checked_us(model, daemon) != INT64_MAX;
+	uint64_t newest_term = stmt->newest_term_when_executed;
 
+	if (!proxy_model_orders_overtake(model->plan))
+		newest_term = MAX(newest_term,
+		    proxy_model_newest_term_at(
+			model, proxy_model_checked_us(model, daemon)));
 	if (stmt->is_read) {
 		model->result->reads++;
 		model->result->stale_primary_reads +=
@@ -57,9 +61,7 @@
 		return;
 	}
 	model->result->acknowledged++;
-	model->result->split_brain_acks +=
-	    (order_open ? stmt->newest_term_when_executed
-			: model->newest_term) > stmt->position.term;
+	model->result->split_brain_acks += newest_term > stmt->position.term;
 	g_array_append_val(model->acked_writes, stmt->write_id);
 }
 
@@ -818,6 +820,7 @@
 	model.token_users = g_hash_table_new(g_int64_hash, g_int64_equal);
 	model.dropped_orders = g_hash_table_new(g_int64_hash, g_int64_equal);
 	model.acked_writes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	model.terms_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	for (i = 0; i < plan->databases; i++) {
 		model.dbs[i].log = g_array_new(FALSE, FALSE, sizeof(entry_t));
 		model.dbs[i].primary = i == 0;
@@ -851,6 +854,7 @@
 	g_hash_table_unref(model.token_users);
 	g_hash_table_unref(model.dropped_orders);
 	g_array_unref(model.acked_writes);
+	g_array_unref(model.terms_us);
 	arena_free(model.arena);
 	eventq_free(model.events);
 	g_rand_free(model.rand);
--- a/tools/proxy_model_dbs.c
+++ b/tools/proxy_model_dbs.c
@@ -261,6 +261,7 @@
 	    model->now_us < db->down_until_us || db->primary)
 		return;
 	db->term = ++model->newest_term;
+	g_array_append_val(model->terms_us, model->now_us);
 	db->primary = true;
 	db->replication_paused_term = 0;
 	if (!model->plan->pauses_last)
@@ -283,6 +284,21 @@
 	g_array_set_size(model->acked_writes, 0);
 }
 
+/*
+ * Return the newest term that had begun at a time.
+ */
+uint64_t
+proxy_model_newest_term_at(const proxy_model_t *model, int64_t at_us)
+{
+	uint64_t term = model->newest_term;
+
+	/* the first term has no time */
+	while (term > 1 &&
+	    g_array_index(model->terms_us, int64_t, term - 2) > at_us)
+		term--;
+	return term;
+}
+
 /*
  * Return the primary of the newest term, or NULL.
  */
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -213,6 +213,7 @@
 	proxy_model_db_t dbs[DBS_MAX];
 	proxy_model_daemon_t daemons[DAEMONS_MAX];
 	uint64_t newest_term;       /* highest term of any primary */
+	GArray *terms_us;           /* int64_t times at which terms began */
 	uint32_t coordinator;       /* index of the coordinator */
 	uint64_t coordinator_token; /* its fencing token; 0: none yet */
 	uint64_t record_revision;
@@ -302,6 +303,7 @@
 uint32_t proxy_model_count_copies(
     const proxy_model_t *, uint32_t except, uint64_t write_id);
 void proxy_model_promote(proxy_model_t *, const event_t *);
+uint64_t proxy_model_newest_term_at(const proxy_model_t *, int64_t at_us);
 void proxy_model_replicate(proxy_model_t *, const event_t *);
 
 #endif
