--- a/tests/fake/fakesite.c
+++ b/tests/fake/fakesite.c
@@ -328,11 +328,45 @@
 	return listens;
 }
 
+/* A path of the HTTP server and its handler. */
+typedef struct route {
+	const char *path;
+	SoupServerCallback handler;
+} route_t;
+
+/*
+ * Add the handlers of the tests' own paths, and of the platform's.
+ */
+static void
+add_handlers(fake_platform_t *platform)
+{
+	static const route_t routes[] = {
+	    {"/promote", on_promote},
+	    {"/fault", on_fault},
+	    {"/put", on_put},
+	    {"/value", on_value},
+	    {"/watches", on_request_count},
+	    {"/requests", on_request_count},
+	    {"/held", on_seen},
+	    {"/outdated", on_seen},
+	    {"/drained", on_seen},
+	    {"/promoted", on_seen},
+	    {"/revived", on_seen},
+	    {"/executed", on_seen},
+	    {"/received", on_seen},
+	};
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(routes); i++)
+		soup_server_add_handler(platform->server, routes[i].path,
+		    routes[i].handler, platform, NULL);
+}
+
 /*
  * Run the fake platform of the proxy.
  *
  * Usage: fakesite --port N --databases N [--lag-ms N] [--work-ms N]
- * [--count N] [--second-databases N]
+ * [--count N] [--second-databases N] [--daemons-at ADDRESS]
  */
 int
 main(int argc, char **argv)
@@ -384,32 +418,7 @@
 		plan.first_port = (uint32_t)second_port->ival[0];
 		platform.second_group = db_group_new(platform.store, &plan);
 	}
-	soup_server_add_handler(
-	    platform.server, "/promote", on_promote, &platform, NULL);
-	soup_server_add_handler(
-	    platform.server, "/fault", on_fault, &platform, NULL);
-	soup_server_add_handler(
-	    platform.server, "/put", on_put, &platform, NULL);
-	soup_server_add_handler(
-	    platform.server, "/value", on_value, &platform, NULL);
-	soup_server_add_handler(
-	    platform.server, "/watches", on_request_count, &platform, NULL);
-	soup_server_add_handler(
-	    platform.server, "/requests", on_request_count, &platform, NULL);
-	soup_server_add_handler(
-	    platform.server, "/held", on_seen, &platform, NULL);
-	soup_server_add_handler(
-	    platform.server, "/outdated", on_seen, &platform, NULL);
-	soup_server_add_handler(
-	    platform.server, "/drained", on_seen, &platform, NULL);
-	soup_server_add_handler(
-	    platform.server, "/promoted", on_seen, &platform, NULL);
-	soup_server_add_handler(
-	    platform.server, "/revived", on_seen, &platform, NULL);
-	soup_server_add_handler(
-	    platform.server, "/executed", on_seen, &platform, NULL);
-	soup_server_add_handler(
-	    platform.server, "/received", on_seen, &platform, NULL);
+	add_handlers(&platform);
 	if (!server_listen(platform.server, (uint16_t)port->ival[0]))
 		return 1;
 	for (i = 0; i < store_ports->count; i++) {
