A write extends the lease also long before its end

A write of the primary postpones its next status request by 1.3 s, until 35% of a lease of 2 s are left from the write on. It renewed the lease only if that had less than 35% left; if it had more, nothing did so until a replica was asked again, and the lease could end meanwhile, though the write and the replicas supported a longer one.

The lease is renewed after a write whenever both sides support a longer one. That rests on the same answers as before.

--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -234,6 +234,7 @@
 uint64_t lease_newest_term(const lease_t *);
 void lease_term_begun(lease_t *, uint64_t term);
 void lease_primary_led(lease_t *, uint64_t term, int64_t at_us);
+bool lease_extendable(const lease_t *, const lease_duration_t *);
 void lease_orders_read(lease_t *, const recorded_orders_t *);
 bool lease_held_up(const lease_t *, int64_t now_us);
 int64_t lease_unaware_since_us(const lease_t *, uint64_t term, int64_t now_us);
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -467,6 +467,21 @@
 	return asked_us == 0 ? 0 : asked_us + duration_us(durations, asked_us);
 }
 
+/*
+ * Tell whether a lease, if renewed now, may last longer: it rested on an answer
+ * of the primary that was older than those of the other databases, and the
+ * primary has carried out a write since.
+ */
+bool
+lease_extendable(const lease_t *lease, const lease_duration_t *durations)
+{
+	return lease->led_term == lease->term &&
+	    lease_supported_until_us(lease, durations, true) >
+	    lease->expires_us &&
+	    lease_supported_until_us(lease, durations, false) >
+	    lease->expires_us;
+}
+
 /*
  * Return the latest time at which it is certain that no open order to promote
  * another database than the primary had taken effect: each of these databases
--- a/src/proxy/group_lease.c
+++ b/src/proxy/group_lease.c
@@ -175,7 +175,8 @@
 
 /*
  * Note that a server has carried out a request that only a primary does, which
- * was sent at sent_us.  Renew the lease if it is due.
+ * was sent at sent_us.  Renew the lease if it is due, or then lasts longer: the
+ * primary is not asked until as long after the request as after a status.
  */
 void
 group_primary_led(server_t *server, position_t position, int64_t sent_us)
@@ -187,8 +188,10 @@
 	    (int32_t)server->index != failover_primary(&group->failover))
 		return;
 	lease_primary_led(&group->lease, position.term, sent_us);
-	if (group->lease.expires_us - now_us <
-	    group->pool->lease_durations.long_us * LEASE_RENEW_PERCENT / 100)
+	if (lease_extendable(&group->lease, &group->pool->lease_durations) ||
+	    group->lease.expires_us - now_us <
+		group->pool->lease_durations.long_us * LEASE_RENEW_PERCENT /
+		    100)
 		group_lease_update(group, now_us);
 }
 
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -295,6 +295,61 @@
 	    MS(1000 + SHORT_MS));
 }
 
+typedef struct extend_case {
+	const char *name;
+	int64_t primary_asked_ms;
+	int64_t replicas_asked_ms;
+	uint64_t led_term;  /* term of a write after the lease was renewed */
+	int64_t led_ms;     /* send time of that write */
+	bool extendable;    /* the lease lasts longer if it is renewed again */
+	int64_t expires_ms; /* end of the lease of 2 s when it was */
+} extend_case_t;
+
+static const extend_case_t extend_cases[] = {
+    {"by a write, as the primary was asked before the replicas", 100, 900, 2,
+	1200, true, 2900},
+    {"by a write that was sent before the replicas were asked", 100, 900, 2,
+	700, true, 2700},
+    {"not by a write, as the replicas were asked before the primary", 900, 100,
+	2, 1200, false, 2100},
+    {"not by a write that is older than the answer", 700, 900, 2, 500, false,
+	2700},
+    {"not by a write in an older term", 100, 900, 1, 1200, false, 2100},
+    {"not by a write in a newer term", 100, 900, 3, 1200, false, 2100},
+};
+
+/*
+ * Test that a write of the primary tells that a lease can be renewed, however
+ * long it still lasts: after the write the primary is not asked for a while, as
+ * after an answer, and the other databases not until theirs are as old.
+ */
+static void
+test_extend(gconstpointer data)
+{
+	const extend_case_t *c = data;
+	lease_t lease = {.orders.read_us = READ_AT_START_US};
+	db_view_t views[3];
+	uint32_t i;
+
+	for (i = 0; i < 3; i++)
+		views[i] = (db_view_t){true, i == 0, false, 2, {0, 0},
+		    MS(i == 0 ? c->primary_asked_ms : c->replicas_asked_ms),
+		    .term = 2};
+	g_assert_true(
+	    lease_renew(&lease, views, 3, 0, MS(1100), &listed_durations));
+	g_assert_false(lease_extendable(&lease, &listed_durations));
+	lease_primary_led(&lease, c->led_term, MS(c->led_ms));
+	g_assert_cmpint(
+	    lease_extendable(&lease, &listed_durations), ==, c->extendable);
+	if (c->led_term == 2)
+		g_assert_cmpint(lease_renew(&lease, views, 3, 0, MS(1300),
+				    &listed_durations),
+		    ==, c->extendable);
+	g_assert_cmpint(lease.expires_us, ==, MS(c->expires_ms));
+	g_assert_false(
+	    c->led_term == 2 && lease_extendable(&lease, &listed_durations));
+}
+
 typedef struct revoke_case {
 	const char *name;
 	uint64_t term; /* leases of older terms are revoked */
@@ -1541,6 +1596,7 @@
 	g_test_set_nonfatal_assertions(); /* run every case */
 	CASES("/lease/until", lease_cases, test_lease);
 	CASES("/lease/led", led_cases, test_led);
+	CASES("/lease/extend", extend_cases, test_extend);
 	CASES("/lease/revoke", revoke_cases, test_revoke);
 	CASES("/lease/bar", block_cases, test_block);
 	CASES("/lease/shrunk-group", shrunk_cases, test_shrunk_group);
