Handover: one connection that is refused makes it no failover

The handover now waits for the next answer, refusal or silence, and begins then, or the failover does.

/attempt/ended/it-has-refused-a-connection failed before: all were asked to promise (stepping_down -1, not 0).

--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -85,7 +85,8 @@
 		enter_state(failover, FAILOVER_WITNESS, now_us);
 		return;
 	}
-	if (attempt_possible(failover, now_us))
+	if (!handover_waits(failover, now_us) &&
+	    attempt_possible(failover, now_us))
 		start_fencing(failover, failover->handover, now_us, actions);
 }
 
@@ -124,7 +125,7 @@
 	    stray_promises_releasable(failover, now_us, actions))
 		/* again with each tick, until the coordinator may do so */
 		release_stray_promises(failover, actions);
-	if ((failover->handover ||
+	if (((failover->handover && !handover_waits(failover, now_us)) ||
 		(stray_promise(failover, now_us) &&
 		    (!failover->limits.revocable ||
 			order_pending(failover, now_us)))) &&
--- a/src/decide/failover_handover.c
+++ b/src/decide/failover_handover.c
@@ -39,6 +39,23 @@
 	    !replaces_expired(failover, now_us);
 }
 
+/*
+ * Tell whether a handover that is requested waits until it is clear whether the
+ * primary answers.  It, or something between, has refused a connection; its
+ * next answer, refusal or silence shows which.
+ */
+bool
+handover_waits(const failover_t *failover, int64_t now_us)
+{
+	int32_t primary = failover_primary(failover);
+
+	return failover->handover && primary >= 0 &&
+	    failover->connect_refusals[primary] > 0 &&
+	    !replaces_expired(failover, now_us) &&
+	    !primary_unresponsive(
+		failover, now_us, failover->limits.suspect_us);
+}
+
 /*
  * Tell whether a primary that is leaving can be replaced now.
  */
--- a/src/decide/failover_internal.h
+++ b/src/decide/failover_internal.h
@@ -39,6 +39,7 @@
 
 /* failover_handover.c */
 bool can_hand_over(const failover_t *, int64_t now_us);
+bool handover_waits(const failover_t *, int64_t now_us);
 
 /* failover_orders.c */
 uint64_t newest_number(const failover_t *);
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -1265,6 +1265,7 @@
 	FATE_SILENT,
 	FATE_ENDED,
 	FATE_REMOVED, /* its end is known by a later start in its place */
+	FATE_REFUSES, /* it has refused a connection, and answers again */
 } ended_fate_t;
 
 typedef struct ended_case {
@@ -1287,6 +1288,7 @@
     {"it answers", FATE_ANSWERS, true, true, true},
     {"it answers, no handover", FATE_ANSWERS, false, false, false},
     {"it is silent", FATE_SILENT, true, true, false},
+    {"it has refused a connection", FATE_REFUSES, true, true, true},
     {"it has ended", FATE_ENDED, true, true, false},
     {"it has ended, no handover", FATE_ENDED, false, true, false},
     {"a later start has its place", FATE_REMOVED, true, true, false},
@@ -1317,6 +1319,7 @@
 	     at_ms += 10) {
 		for (i = 0; i < failover.count; i++) {
 			if (at_ms < FATE_MS || c->fate == FATE_ANSWERS ||
+			    (c->fate == FATE_REFUSES && at_ms > FATE_MS) ||
 			    i > 0 || failover.count < DATABASES)
 				report(&failover, i,
 				    i == 0 && failover.count == DATABASES, 1, 0,
@@ -1324,6 +1327,8 @@
 		}
 		if (at_ms == requested_ms && c->handover)
 			failover_request_handover(&failover, MS(at_ms));
+		if (at_ms == FATE_MS && c->fate == FATE_REFUSES)
+			failover_connection_refused(&failover, 0, MS(at_ms));
 		if (at_ms >= FATE_MS && c->fate == FATE_ENDED)
 			failover.views[0].ended = true;
 		if (at_ms == FATE_MS && c->fate == FATE_REMOVED)
