--- a/tools/read_model.c
+++ b/tools/read_model.c
@@ -58,6 +58,19 @@
 	    read_model_random_us(model, NETWORK_DELAY_MAX_US);
 }
 
+/*
+ * Return the time that an answer takes on a connection.  It may be held up.
+ */
+static int64_t
+answer_us(model_t *model, const conn_t *conn)
+{
+	int64_t delay_us = message_us(model, conn->silent_until_us);
+
+	if (read_model_chance(model, model->plan->troubles.held_permille))
+		delay_us += read_model_random_us(model, HELD_MAX_US);
+	return delay_us;
+}
+
 /*
  * Schedule a step of a statement at a daemon, which may freeze before it.
  */
@@ -603,12 +616,7 @@
 		read_model_read(model, op);
 	answer.kind = EVENT_ANSWERED;
 	answer.position = read_model_position(db, db->applied);
-	schedule_step(model,
-	    message_us(model, conn->silent_until_us) +
-		(read_model_chance(model, model->plan->troubles.held_permille)
-			? read_model_random_us(model, HELD_MAX_US)
-			: 0),
-	    &answer);
+	schedule_step(model, answer_us(model, conn), &answer);
 }
 
 /*
@@ -703,12 +711,7 @@
 	answer.of_daemon = true;
 	read_model_status(model, event, &answer.view);
 	answer.position = read_model_position(db, db->applied);
-	read_model_schedule(model,
-	    message_us(model, conn->silent_until_us) +
-		(read_model_chance(model, model->plan->troubles.held_permille)
-			? read_model_random_us(model, HELD_MAX_US)
-			: 0),
-	    &answer);
+	read_model_schedule(model, answer_us(model, conn), &answer);
 }
 
 /*
