HTTP client: a fixed-width type for the bytes that wait in a socket

int32_t instead of int, as everywhere else; the two are the same type here. /http, /coordinator and /silent pass (116 tests), and the linter.

--- a/src/http.c
+++ b/src/http.c
@@ -362,7 +362,7 @@
 static bool
 all_acknowledged(GSocket *socket)
 {
-	int waiting_bytes = 0;
+	int32_t waiting_bytes = 0;
 
 	return ioctl(g_socket_get_fd(socket), SIOCOUTQ, &waiting_bytes) != 0 ||
 	    waiting_bytes == 0;
