Starts of databases: which stay in a group is a decision

They move to src/decide/, so that the model can drive them; behaviour is unchanged. t_decide, t_members and t_lease pass.

--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -257,6 +257,8 @@
 void failover_remap(
     failover_t *, const int32_t *old_index, uint32_t count, int64_t);
 void failover_members_lost(failover_t *, int64_t now_us);
+void failover_set_members(
+    failover_t *, lease_t *, uint32_t count, uint32_t ended, int64_t now_us);
 void failover_merge_view(
     failover_t *, uint32_t database, const db_view_t *, int64_t);
 void failover_replace_view(
--- a/src/decide/failover_state.c
+++ b/src/decide/failover_state.c
@@ -133,6 +133,24 @@
 		failover->granted_us = MAX(failover->granted_us, now_us);
 }
 
+/*
+ * Set the number of members of the group that the store has recorded, and of
+ * those that have ended.  If so many have ended that the others are no
+ * majority, none counts as recorded until they are recorded again.
+ */
+void
+failover_set_members(failover_t *failover, lease_t *lease, uint32_t count,
+    uint32_t ended, int64_t now_us)
+{
+	lease->members_ended = count > 0 && count - ended < majority_of(count);
+	if (lease->members_ended)
+		count = ended = 0;
+	if (count < failover->members || ended > failover->members_ended)
+		failover_members_lost(failover, now_us);
+	lease->members = failover->members = count;
+	failover->members_ended = ended;
+}
+
 /*
  * Give up an attempt and wait for a random time before the next.  The range
  * of the wait doubles with each failure, so that of two daemons that compete
--- a/src/decide/start.h
+++ b/src/decide/start.h
@@ -17,16 +17,20 @@
 	uint64_t born;       /* time of the start, as the database reports it */
 } start_t;
 
-/* What tells that a start has ended. */
+/* What is known of a start of a database that is or was in a group. */
 typedef struct start_evidence {
 	bool listed;   /* it has an entry in the store */
 	bool followed; /* a later start is listed: start_follows() */
 	bool
 	    denied; /* the process at its address is another one, by its word */
 	bool refused; /* it has refused a connection since its last answer */
+	bool left;  /* it has said that it leaves, and is no recorded member */
+	bool known; /* it has answered */
+	int64_t silent_us; /* time since the request that it answered last */
 } start_evidence_t;
 
 bool start_follows(const start_t *later, const start_t *start);
 bool start_ended(const start_evidence_t *);
+bool start_stays(const start_evidence_t *);
 
 #endif
--- a/src/proxy/group_members.c
+++ b/src/proxy/group_members.c
@@ -61,9 +61,8 @@
 }
 
 /*
- * Mark the servers of a group that are recorded members.  If so many have ended
- * that the others are no majority, none counts as recorded until they are
- * recorded again.
+ * Mark the servers of a group that are recorded members, and count those that
+ * have ended.
  */
 void
 group_members_update(group_t *group)
@@ -80,14 +79,7 @@
 	}
 	for (i = 0; i < count; i++)
 		ended += member_ended(group, &group->members[i]);
-	group->lease.members_ended =
-	    count > 0 && count - ended < majority_of(count);
-	if (group->lease.members_ended)
-		count = ended = 0;
-	if (count < failover->members || ended > failover->members_ended)
-		failover_members_lost(failover, clock_us());
-	group->lease.members = failover->members = count;
-	failover->members_ended = ended;
+	failover_set_members(failover, &group->lease, count, ended, clock_us());
 }
 
 /*
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -431,7 +431,7 @@
 bool server_answers(const server_t *, int64_t now_us);
 bool server_usable(const server_t *, int64_t now_us);
 bool server_drained(const server_t *, int64_t now_us);
-bool server_ended(const server_t *);
+bool server_ended(const server_t *, int64_t now_us);
 bool group_primary_drained(const group_t *, int64_t now_us);
 
 /* dbconn.c */
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -21,12 +21,6 @@
  */
 #define UNABLE_US (300 * US_PER_MS)
 
-/*
- * Time without an answer after which a server that is not listed any more is no
- * longer a member of its group.
- */
-#define UNLISTED_SILENT_US (10 * US_PER_SECOND)
-
 /* Number of owners assumed until it is known. */
 #define OWNERS_ASSUMED 12
 
@@ -483,17 +477,22 @@
 }
 
 /*
- * Tell whether the process of a server has ended.  followed: a later start is
- * listed.
+ * Return what is known of a server.  followed: a later start is listed.
  */
-static bool
-has_ended(const server_t *server, bool listed, bool followed)
+static start_evidence_t
+server_evidence(
+    const server_t *server, bool listed, bool followed, int64_t now_us)
 {
 	const failover_t *failover = &server->group->failover;
-	start_evidence_t evidence = {listed, followed, server->denied,
-	    failover->connect_refusals[server->index] > 0};
+	const db_view_t *view = &failover->views[server->index];
 
-	return start_ended(&evidence);
+	return (start_evidence_t){.listed = listed,
+	    .followed = followed,
+	    .denied = server->denied,
+	    .refused = failover->connect_refusals[server->index] > 0,
+	    .left = server->leaving && !server->unlisted && !view->member,
+	    .known = view->known,
+	    .silent_us = now_us - view->requested_us};
 }
 
 /*
@@ -501,28 +500,24 @@
  * since the last list.
  */
 bool
-server_ended(const server_t *server)
+server_ended(const server_t *server, int64_t now_us)
 {
-	return has_ended(server, !server->unlisted, false);
+	start_evidence_t evidence =
+	    server_evidence(server, !server->unlisted, false, now_us);
+
+	return start_ended(&evidence);
 }
 
 /*
- * Tell whether a server that is not listed stays a member of its group: it has
- * not said that it leaves, or is a recorded member, and may be alive.  The list
- * of another daemon may still have it, or have it again, so its answers count
- * for leases and failovers, as its promises do there.
+ * Tell whether a server that is not listed stays a member of its group.
  */
 static bool
 stays_member(const server_t *server, int64_t now_us)
 {
-	const failover_t *failover = &server->group->failover;
+	start_evidence_t evidence =
+	    server_evidence(server, false, false, now_us);
 
-	return (server->unlisted || !server->leaving ||
-		   failover->views[server->index].member) &&
-	    server->group->active && failover->views[server->index].known &&
-	    !has_ended(server, false, false) &&
-	    now_us - failover->views[server->index].requested_us <
-	    UNLISTED_SILENT_US;
+	return server->group->active && start_stays(&evidence);
 }
 
 /*
@@ -530,9 +525,12 @@
  * start is listed.
  */
 static void
-check_gone(const server_t *server, bool followed)
+check_gone(const server_t *server, bool followed, int64_t now_us)
 {
-	if (has_ended(server, false, followed))
+	start_evidence_t evidence =
+	    server_evidence(server, false, followed, now_us);
+
+	if (start_ended(&evidence))
 		group_member_gone(server->group, server);
 }
 
@@ -612,7 +610,7 @@
 			server_unlist(server);
 		} else if (entry == NULL || followed ||
 		    !same_server(server, entry)) {
-			check_gone(server, followed);
+			check_gone(server, followed, now_us);
 			continue;
 		} else {
 			server_update(server, entry);
@@ -653,7 +651,7 @@
 		if (!server->unlisted || stays_member(server, now_us))
 			servers[count++] = server;
 		else
-			check_gone(server, false);
+			check_gone(server, false, now_us);
 	}
 	if (count < group->count)
 		servers_replace(group, servers, count, now_us);
