Model: lists that differ, lapsed entries, refused connections, ends

The model of a group on the platform had the same databases in each daemon's group. Now each daemon has its own list, which changes as it reads the store; entries of databases that run lapse and come back; a database, or something between, refuses connections; a database that ended starts again under its id or a new one; members are recorded from the coordinator's list. What a daemon takes as ended is decided by the product's rule (src/decide/start.c).

--- a/tests/t_proxy_model.c
+++ b/tests/t_proxy_model.c
@@ -120,6 +120,32 @@
 	0, 0, 100,
 	.troubles = {.member_restart_permille = 3, .leaving_permille = 3},
 	.first_seed = 201},
+    {"lists change and differ, databases are refused", 3, 4, 8, 0, 0, 500,
+	.troubles = {.start_listed_max_us = 1000000,
+	    .lapse_permille = 4,
+	    .refused_permille = 6,
+	    .crash_permille = 2}},
+    {"lists change, databases are refused, daemons restart", 3, 4, 8, 0, 0, 500,
+	3,
+	.troubles = {.start_listed_max_us = 1000000,
+	    .lapse_permille = 4,
+	    .refused_permille = 6,
+	    .crash_permille = 2}},
+    {"lists change, databases are refused, five databases", 5, 4, 8, 0, 0, 500,
+	.troubles = {.start_listed_max_us = 1000000,
+	    .lapse_permille = 6,
+	    .refused_permille = 8,
+	    .crash_permille = 3}},
+    {"most databases refuse all daemons but one", 3, 4, 4, 0, 0, 500,
+	.troubles = {.start_listed_max_us = 1000000,
+	    .lapse_permille = 1,
+	    .refused_permille = 1,
+	    .most_refused_permille = 3}},
+    {"most of five databases refuse all daemons but one", 5, 4, 4, 0, 0, 500,
+	.troubles = {.start_listed_max_us = 1000000,
+	    .lapse_permille = 1,
+	    .refused_permille = 1,
+	    .most_refused_permille = 3}},
 };
 
 /*
@@ -135,7 +161,9 @@
 	return held + troubles->role_late_permille +
 	    troubles->record_deleted_permille +
 	    troubles->record_unreadable_permille +
-	    troubles->member_restart_permille + troubles->leaving_permille >
+	    troubles->member_restart_permille + troubles->leaving_permille +
+	    troubles->lapse_permille + troubles->refused_permille +
+	    troubles->crash_permille + troubles->most_refused_permille >
 	    0;
 }
 
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -15,6 +15,9 @@
 #define TAKEOVER_DELAY_US (900 * US_PER_MS)
 #define TAKEOVER_DELAY_SPREAD_US (600 * US_PER_MS)
 
+/* Time in which the first list of a process counts as new. */
+#define LIST_NEW_US (3 * US_PER_SECOND)
+
 /*
  * Send a call from a daemon to a database.  A call over a cut link gets no
  * answer.
@@ -73,7 +76,7 @@
 release_confirmed(proxy_model_t *model, proxy_model_daemon_t *daemon)
 {
 	const lease_t *lease = &daemon->lease;
-	int32_t primary = failover_primary(&daemon->failover);
+	int32_t primary = proxy_model_primary(daemon);
 	uint32_t i = daemon->stmts->len;
 
 	while (i-- > 0) {
@@ -167,10 +170,11 @@
 		    &(recorded_orders_t){.read_us = model->now_us});
 	proxy_model_open_update(model, daemon);
 	proxy_model_members_update(model, daemon);
+	daemon->lease.list_new = daemon->listed_us != 0 &&
+	    model->now_us - daemon->listed_us < LIST_NEW_US;
 	if (primary >= 0)
-		lease_renew(&daemon->lease, failover->views,
-		    model->plan->databases, (uint32_t)primary, model->now_us,
-		    &daemon->lease_durations);
+		lease_renew(&daemon->lease, failover->views, failover->count,
+		    (uint32_t)primary, model->now_us, &daemon->lease_durations);
 	if (primary >= 0 && daemon->lease.unverified)
 		read_orders(model, daemon_index);
 	release_confirmed(model, daemon);
@@ -203,6 +207,21 @@
 	update_lease(model, event->daemon);
 }
 
+/*
+ * Handle that a connection to a database was refused, or that another process
+ * has answered in its place.
+ */
+static void
+on_refused(
+    proxy_model_t *model, proxy_model_daemon_t *daemon, const event_t *event)
+{
+	daemon->connected_us[event->db] = 0;
+	failover_connection_refused(&daemon->failover,
+	    (uint32_t)proxy_model_index(daemon, event->db), model->now_us);
+	if (event->denied)
+		proxy_model_denied(model, daemon, event->db);
+}
+
 /*
  * Handle the answer of a database to a daemon's call.
  */
@@ -211,6 +230,7 @@
 {
 	proxy_model_daemon_t *daemon = &model->daemons[event->daemon];
 	failover_t *failover = &daemon->failover;
+	int32_t server = proxy_model_index(daemon, event->db);
 	db_view_t view = event->view;
 
 	if (model->plan->injected_bug == PROXY_BUG_OLD_TERM)
@@ -230,12 +250,20 @@
 	}
 	if (event->call == CALL_STATUS)
 		daemon->status_pending[event->db] = false;
-	view.order_open = failover->views[event->db].order_open;
+	/* it was removed meanwhile, or is another start */
+	if (server < 0 || event->sent_us < daemon->added_us[event->db])
+		return;
+	if (event->refused) {
+		on_refused(model, daemon, event);
+		return;
+	}
+	view.order_open = failover->views[server].order_open;
+	view.unlisted = daemon->unlisted[event->db];
 	if (model->plan->troubles.start_listed_max_us == 0)
 		daemon->born_us[event->db] = event->born_us;
-	view.member = daemon->members.count > 0 &&
+	view.member = failover->views[server].member &&
 	    daemon->members.born_us[event->db] == daemon->born_us[event->db];
-	failover_replace_view(failover, event->db, &view, model->now_us);
+	failover_replace_view(failover, (uint32_t)server, &view, model->now_us);
 	if (event->call == CALL_STEP_DOWN)
 		proxy_model_stepped_down(model, event->daemon, event->db);
 	if (event->call == CALL_PAUSE_REPLICATION ||
@@ -243,17 +271,17 @@
 		model->plan->injected_bug == PROXY_BUG_STEP_DOWN_FENCES)) {
 		if (event->ok)
 			view.promised = MAX(view.promised, event->term);
-		failover_fence_answered(failover, event->db, event->term,
+		failover_fence_answered(failover, (uint32_t)server, event->term,
 		    event->ok, &view, model->now_us);
 	} else if (event->call == CALL_STEP_DOWN && event->ok) {
 		proxy_model_send_call(model, event->daemon, event->db,
 		    CALL_PAUSE_REPLICATION, event->term, NULL);
 	}
 	if (failover->state == FAILOVER_PROMOTING &&
-	    event->db == failover->chosen && view.primary &&
+	    (uint32_t)server == failover->chosen && view.primary &&
 	    view.promised > daemon->lease.term)
-		failover_promotion_answered(failover, event->db, failover->term,
-		    true, &view, model->now_us);
+		failover_promotion_answered(failover, (uint32_t)server,
+		    failover->term, true, &view, model->now_us);
 	proxy_model_order_waits(model, event->daemon);
 	update_lease(model, event->daemon);
 }
@@ -383,12 +411,12 @@
  * Ask a primary to step down.
  */
 static void
-step_down(proxy_model_t *model, uint32_t daemon_index,
-    const failover_action_t *action)
+step_down(
+    proxy_model_t *model, uint32_t daemon_index, uint32_t db, uint64_t term)
 {
-	proxy_model_steps_down(model, daemon_index, action->database);
-	proxy_model_send_call(model, daemon_index, action->database,
-	    CALL_STEP_DOWN, action->term, NULL);
+	proxy_model_steps_down(model, daemon_index, db);
+	proxy_model_send_call(
+	    model, daemon_index, db, CALL_STEP_DOWN, term, NULL);
 }
 
 /*
@@ -400,6 +428,7 @@
 {
 	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
 	const db_view_t *view = &daemon->failover.views[action->database];
+	uint32_t db = daemon->servers[action->database];
 
 	switch (action->kind) {
 	case FAILOVER_REVOKE_LEASES:
@@ -417,25 +446,23 @@
 		    daemon->failover.witness_request, false, model->now_us);
 		break;
 	case FAILOVER_PROMOTE:
-		proxy_model_write_order(
-		    model, daemon_index, action->database, action->term);
+		proxy_model_write_order(model, daemon_index, db, action->term);
 		break;
 	case FAILOVER_RELEASE:
 		if ((action->term == 0 || view->promised == action->term) &&
 		    may_resume(model, daemon_index))
-			proxy_model_send_call(model, daemon_index,
-			    action->database, CALL_RESUME_REPLICATION, 0, NULL);
+			proxy_model_send_call(model, daemon_index, db,
+			    CALL_RESUME_REPLICATION, 0, NULL);
 		break;
 	case FAILOVER_CANCEL_PROMOTION:
 		break;
 	case FAILOVER_FENCE:
 	case FAILOVER_FOLLOW:
 		if (view->primary)
-			step_down(model, daemon_index, action);
+			step_down(model, daemon_index, db, action->term);
 		else if (action->kind == FAILOVER_FENCE)
-			proxy_model_send_call(model, daemon_index,
-			    action->database, CALL_PAUSE_REPLICATION,
-			    action->term, NULL);
+			proxy_model_send_call(model, daemon_index, db,
+			    CALL_PAUSE_REPLICATION, action->term, NULL);
 		break;
 	}
 }
@@ -449,7 +476,7 @@
 {
 	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
 	event_t promotion = {.kind = EVENT_PROMOTED};
-	int32_t primary = failover_primary(&daemon->failover);
+	int32_t primary = proxy_model_primary(daemon);
 	uint32_t count = model->plan->databases;
 
 	if (count == 0 || primary < 0 ||
@@ -468,7 +495,7 @@
 send_statement(proxy_model_t *model, uint32_t daemon_index)
 {
 	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
-	int32_t primary = failover_primary(&daemon->failover);
+	int32_t primary = proxy_model_primary(daemon);
 	stmt_t *stmt;
 
 	if (!daemon->owner || primary < 0 ||
@@ -554,6 +581,7 @@
 		limits.order_late_us = 0;
 	failover_init(&daemon->failover, &limits, model->plan->databases,
 	    g_rand_int(model->rand), model->now_us);
+	proxy_model_lists_init(model, daemon);
 	daemon->lease_durations = (lease_duration_t){limits.lease_wait_min_us,
 	    (int64_t)timeouts.lease_ms * US_PER_MS, 0};
 	daemon->takeover_delay_us = TAKEOVER_DELAY_US +
@@ -613,6 +641,7 @@
 	uint32_t i;
 
 	if (model->plan->troubles.start_listed_max_us == 0 ||
+	    proxy_model_has_lists(model->plan) ||
 	    model->now_us < daemon->object_store_cut_until_us)
 		return;
 	for (i = 0; i < model->plan->databases; i++) {
@@ -663,19 +692,22 @@
 	}
 	proxy_model_place(model, event->daemon);
 	read_starts(model, daemon);
+	proxy_model_lists_tick(model, event->daemon);
 	proxy_model_order_waits(model, event->daemon);
-	for (i = 0; i < model->plan->databases; i++) {
-		if (daemon->status_pending[i] &&
-		    model->now_us - daemon->status_sent_us[i] <
+	for (i = 0; i < daemon->failover.count; i++) {
+		uint32_t db = daemon->servers[i];
+
+		if (daemon->status_pending[db] &&
+		    model->now_us - daemon->status_sent_us[db] <
 			STATUS_TIMEOUT_US)
 			continue;
-		if (model->now_us - daemon->status_sent_us[i] <
+		if (model->now_us - daemon->status_sent_us[db] <
 		    STATUS_INTERVAL_US)
 			continue;
-		daemon->status_pending[i] = true;
-		daemon->status_sent_us[i] = model->now_us;
+		daemon->status_pending[db] = true;
+		daemon->status_sent_us[db] = model->now_us;
 		proxy_model_send_call(
-		    model, event->daemon, i, CALL_STATUS, 0, NULL);
+		    model, event->daemon, db, CALL_STATUS, 0, NULL);
 	}
 	release_confirmed(model, daemon);
 	send_statement(model, event->daemon);
@@ -693,6 +725,7 @@
 			perform_action(model, event->daemon, &actions.list[i]);
 	}
 	proxy_model_primary_cut(model, event->daemon);
+	proxy_model_most_refused(model, event->daemon);
 	proxy_model_member_cut(model, event->daemon);
 	if (proxy_model_chance(model, model->plan->fault_permille))
 		inject_fault(model, event->daemon);
@@ -700,6 +733,7 @@
 	if (event->daemon == 0) {
 		proxy_model_record_troubles(model);
 		proxy_model_db_troubles(model);
+		proxy_model_list_troubles(model);
 		proxy_model_member_restarts(model);
 	}
 	proxy_model_schedule(model, TICK_US, event);
@@ -784,6 +818,9 @@
 
 	daemon_forget(model, daemon_index);
 	daemon->lease_durations.listed_since_us = 1;
+	/* the databases are listed, and have been for long */
+	daemon->failover.count = model->plan->databases;
+	daemon->listed_us = model->now_us - LIST_NEW_US;
 	daemon->record_leases = daemon->record_written = true;
 	proxy_model_schedule(
 	    model, proxy_model_random_us(model, TICK_US), &tick);
@@ -827,6 +864,8 @@
 		model.dbs[i].term = 1;
 	}
 	model.members.count = plan->pauses_last ? 0 : plan->databases;
+	for (i = 0; i < plan->databases; i++)
+		model.members.member[i] = !plan->pauses_last;
 	for (i = 0; i < plan->daemons; i++) {
 		daemon_init(&model, i);
 		model.daemons[i].members = model.members;
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -112,6 +112,17 @@
 	/* chance per 20 ms that a database announces that it leaves; it ends
 	   seconds later, and a new one at its address gets its log */
 	uint32_t leaving_permille;
+	/* chances per 20 ms that the store loses the entry of a database that
+	   runs, that something between refuses the connections of some daemons
+	   to a database in its place, and that a database ends, refuses
+	   connections and starts again; the lists of the daemons change then */
+	uint32_t lapse_permille;
+	uint32_t refused_permille;
+	uint32_t crash_permille;
+	/* chance per daemon and 20 ms tick that it reaches nothing but the
+	   primary and other databases, most of which refuse the other daemons
+	   and have no entry */
+	uint32_t most_refused_permille;
 } proxy_model_troubles_t;
 
 typedef struct proxy_model_plan {
--- a/tools/proxy_model_dbs.c
+++ b/tools/proxy_model_dbs.c
@@ -47,7 +47,30 @@
 	const proxy_model_db_t *database = &model->dbs[db];
 
 	return model->now_us >= database->down_until_us &&
-	    model->now_us >= database->daemon_cut_until_us[daemon];
+	    model->now_us >= database->daemon_cut_until_us[daemon] &&
+	    model->now_us >= database->refused_until_us[daemon];
+}
+
+/*
+ * Tell a daemon that its connection to a database was refused, if a refusal
+ * reaches it.  denied: another process has answered.
+ */
+static void
+refuse(proxy_model_t *model, const event_t *call, bool denied)
+{
+	const proxy_model_db_t *db = &model->dbs[call->db];
+	event_t answer = *call;
+
+	if (call->call != CALL_STATUS ||
+	    model->now_us < db->daemon_cut_until_us[call->daemon] ||
+	    (!denied && !db->refuses &&
+		model->now_us >= db->refused_until_us[call->daemon]))
+		return;
+	answer.kind = EVENT_ANSWER;
+	answer.refused = true;
+	answer.denied = denied;
+	proxy_model_schedule(
+	    model, proxy_model_random_us(model, NETWORK_DELAY_MAX_US), &answer);
 }
 
 /*
@@ -98,8 +121,16 @@
 	int64_t *connected_us = model->daemons[event->daemon].connected_us;
 	entry_t entry;
 
-	if (!reachable(model, event->daemon, event->db))
+	if (!reachable(model, event->daemon, event->db)) {
+		refuse(model, event, false);
 		return;
+	}
+	if (db->new_id &&
+	    model->daemons[event->daemon].born_us[event->db] !=
+		db->restarted_us) {
+		refuse(model, event, true);
+		return;
+	}
 	answer.kind = EVENT_ANSWER;
 	answer.ok = true;
 	switch (event->call) {
@@ -153,6 +184,7 @@
 	db->replication_paused_term = 0;
 	db->new_primary_seen_us = 0;
 	db->restarted_us = model->now_us;
+	db->refuses = db->new_id = false;
 	db->down_until_us = model->now_us +
 	    proxy_model_random_us(model, RESTART_DURATION_MAX_US);
 	if (listed_max_us > 0)
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -14,6 +14,7 @@
  * proxy_model_role.c: the coordinator role.
  * proxy_model_orders.c: orders to promote a database.
  * proxy_model_open.c: the orders that may still take effect.
+ * proxy_model_lists.c: the lists of the databases, and what has ended.
  * proxy_model_sequences.c: directed sequences of faults.
  * proxy_model_dbs.c: the databases, their replication and promotions, and the
  * simulated clock.
@@ -48,6 +49,13 @@
 	int64_t listed_start_us; /* last restart that the store lists */
 	int64_t start_listed_at_us;
 	int64_t leaves_us; /* time at which it ends; 0: it does not leave */
+	/* something between refuses the connections of the daemon */
+	int64_t refused_until_us[DAEMONS_MAX];
+	bool refuses; /* while it is down */
+	bool new_id;  /* its last start has another id than the one before */
+	/* the store has no entry from the one time to the other */
+	int64_t entry_lapses_us;
+	int64_t entry_back_us;
 } proxy_model_db_t;
 
 /* A statement that a daemon has sent and not yet answered. */
@@ -65,7 +73,8 @@
 
 /* The members of the group that the store has recorded. */
 typedef struct recorded_members {
-	uint32_t count;           /* 0: none are recorded */
+	uint32_t count; /* 0: none are recorded */
+	bool member[DBS_MAX];
 	int64_t born_us[DBS_MAX]; /* last restart of each when recorded */
 } recorded_members_t;
 
@@ -138,7 +147,15 @@
 	GPtrArray *stmts;         /* of stmt_t */
 	recorded_members_t members;
 	int64_t members_read_us;
-	int64_t born_us[DBS_MAX]; /* as the databases have answered */
+	bool member_gone[DBS_MAX]; /* recorded member that has ended */
+	/* database of each index of the failover */
+	uint32_t servers[DBS_MAX];
+	bool unlisted[DBS_MAX]; /* in the group, but not in the last list */
+	bool denied[DBS_MAX];   /* another process has answered in its place */
+	int64_t added_us[DBS_MAX]; /* time it was added to the group */
+	int64_t listed_us;         /* time of the first list; 0: none yet */
+	int64_t born_us[DBS_MAX];  /* as the databases have answered, or as
+				      listed */
 	/* what the store had recorded before the last order */
 	recorded_members_t members_before;
 } proxy_model_daemon_t;
@@ -183,6 +200,8 @@
 	uint64_t process;  /* that wrote a record */
 	uint64_t revision; /* that the record must have for a write of it */
 	bool ok;
+	bool refused; /* the connection was refused */
+	bool denied;  /* the process is another one, by its word */
 	stmt_t *stmt;
 	db_view_t view;
 	recorded_orders_t orders;
@@ -265,6 +284,16 @@
     proxy_model_daemon_t *, uint32_t db, int64_t now_us);
 void proxy_model_open_update(proxy_model_t *, proxy_model_daemon_t *);
 void proxy_model_members_update(proxy_model_t *, proxy_model_daemon_t *);
+bool proxy_model_has_lists(const proxy_model_plan_t *);
+void proxy_model_lists_init(proxy_model_t *, proxy_model_daemon_t *);
+void proxy_model_lists_tick(proxy_model_t *, uint32_t daemon);
+void proxy_model_list_troubles(proxy_model_t *);
+void proxy_model_entry_lost(proxy_model_t *, uint32_t db, int64_t until_us);
+void proxy_model_denied(proxy_model_t *, proxy_model_daemon_t *, uint32_t db);
+bool proxy_model_member_ended(
+    const proxy_model_t *, const proxy_model_daemon_t *, uint32_t db);
+int32_t proxy_model_index(const proxy_model_daemon_t *, uint32_t db);
+int32_t proxy_model_primary(const proxy_model_daemon_t *);
 void proxy_model_members_read(proxy_model_t *, proxy_model_daemon_t *,
     const recorded_members_t *, int64_t read_us);
 void proxy_model_members_check(proxy_model_t *, uint32_t daemon);
@@ -292,6 +321,7 @@
 void proxy_model_take_role(proxy_model_t *, uint32_t daemon);
 void proxy_model_sender_paused(proxy_model_t *, uint32_t daemon, uint32_t db);
 void proxy_model_primary_cut(proxy_model_t *, uint32_t daemon);
+void proxy_model_most_refused(proxy_model_t *, uint32_t daemon);
 void proxy_model_unlisted_cut(proxy_model_t *, uint32_t daemon);
 int64_t proxy_model_order_late(proxy_model_t *, uint32_t daemon, uint32_t db);
 void proxy_model_order_followed(proxy_model_t *, uint32_t daemon);
--- /dev/null
+++ b/tools/proxy_model_lists.c
@@ -0,0 +1,366 @@
+#include "proxy_model_internal.h"
+
+#include "../src/decide/start.h"
+
+/*
+ * The proxy model: the databases that the store lists, those that each daemon
+ * has in its group, and which of them it takes as ended.  Without troubles of
+ * the lists all databases are in each group.
+ */
+
+/* Longest time for which a database that runs has no entry. */
+#define ENTRY_MISSING_MAX_US (14 * US_PER_SECOND)
+
+/* Time within which the entry of a database that has ended lapses. */
+#define ENTRY_LAPSES_MAX_US (1500 * US_PER_MS)
+
+#define REFUSED_MAX_US (6 * US_PER_SECOND)
+#define CRASH_MAX_US (4 * US_PER_SECOND)
+
+/* Chance per tick that a daemon reads the list. */
+#define LIST_READ_PERMILLE 200
+
+/*
+ * Tell whether the lists of a plan change.
+ */
+bool
+proxy_model_has_lists(const proxy_model_plan_t *plan)
+{
+	const proxy_model_troubles_t *troubles = &plan->troubles;
+
+	return troubles->lapse_permille + troubles->refused_permille +
+	    troubles->crash_permille + troubles->most_refused_permille >
+	    0;
+}
+
+/*
+ * Return the index of a database in the group of a daemon, or -1.
+ */
+int32_t
+proxy_model_index(const proxy_model_daemon_t *daemon, uint32_t db)
+{
+	uint32_t i;
+
+	for (i = 0; i < daemon->failover.count; i++) {
+		if (daemon->servers[i] == db)
+			return (int32_t)i;
+	}
+	return -1;
+}
+
+/*
+ * Return the database that a daemon knows as the primary, or -1.
+ */
+int32_t
+proxy_model_primary(const proxy_model_daemon_t *daemon)
+{
+	int32_t primary = failover_primary(&daemon->failover);
+
+	return primary < 0 ? -1 : (int32_t)daemon->servers[primary];
+}
+
+/*
+ * Initialize the group of a daemon that has started.  Where lists change, it
+ * has none until it has read one.
+ */
+void
+proxy_model_lists_init(proxy_model_t *model, proxy_model_daemon_t *daemon)
+{
+	uint32_t i;
+
+	for (i = 0; i < model->plan->databases; i++)
+		daemon->servers[i] = i;
+	if (proxy_model_has_lists(model->plan))
+		daemon->failover.count = 0;
+}
+
+/*
+ * Return what a daemon knows of a database of its group.  followed: a later
+ * start is listed.
+ */
+static start_evidence_t
+evidence_of(const proxy_model_t *model, const proxy_model_daemon_t *daemon,
+    uint32_t server, bool listed, bool followed)
+{
+	const failover_t *failover = &daemon->failover;
+	const db_view_t *view = &failover->views[server];
+	uint32_t db = daemon->servers[server];
+
+	return (start_evidence_t){.listed = listed,
+	    .followed = followed,
+	    .denied = daemon->denied[db],
+	    .refused = failover->connect_refusals[server] > 0,
+	    .left = view->leaving && !daemon->unlisted[db] && !view->member,
+	    .known = view->known,
+	    .silent_us = model->now_us - view->requested_us};
+}
+
+/*
+ * Note that the start of a database that a daemon has in its group has ended.
+ */
+static void
+member_gone(proxy_model_daemon_t *daemon, uint32_t db)
+{
+	daemon->member_gone[db] |= daemon->members.member[db] &&
+	    daemon->members.born_us[db] == daemon->born_us[db];
+}
+
+/*
+ * Note that another process has answered a daemon in place of a database.
+ */
+void
+proxy_model_denied(
+    proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db)
+{
+	daemon->denied[db] = true;
+	member_gone(daemon, db);
+	proxy_model_members_update(model, daemon);
+}
+
+/*
+ * Tell whether a daemon takes a recorded member as ended.
+ */
+bool
+proxy_model_member_ended(
+    const proxy_model_t *model, const proxy_model_daemon_t *daemon, uint32_t db)
+{
+	int32_t server = proxy_model_index(daemon, db);
+	bool other_start =
+	    server >= 0 && daemon->members.born_us[db] != daemon->born_us[db];
+
+	if (!daemon->members.member[db])
+		return false;
+	if (!proxy_model_has_lists(model->plan))
+		return daemon->failover.views[server].known && other_start;
+	return daemon->member_gone[db] || other_start;
+}
+
+/*
+ * Have the group of a daemon consist of these databases.  old_index: as for
+ * failover_remap().  lost: one has left that had not said so.
+ */
+static void
+replace_servers(proxy_model_t *model, proxy_model_daemon_t *daemon,
+    const uint32_t *dbs, const int32_t *old_index, uint32_t count, bool lost)
+{
+	uint32_t i;
+
+	failover_remap(&daemon->failover, old_index, count, model->now_us);
+	for (i = 0; i < count; i++)
+		daemon->servers[i] = dbs[i];
+	proxy_model_members_update(model, daemon);
+	lease_cancel(&daemon->lease);
+	if (lost)
+		lease_member_lost(&daemon->lease);
+}
+
+/*
+ * Tell whether the store has an entry of a database.
+ */
+static bool
+has_entry(const proxy_model_t *model, uint32_t db)
+{
+	const proxy_model_db_t *database = &model->dbs[db];
+
+	return model->now_us < database->entry_lapses_us ||
+	    model->now_us >= database->entry_back_us;
+}
+
+/*
+ * Tell whether a database stays in the group of a daemon, as of a list that has
+ * this entry of it, and note its end if not.
+ */
+static bool
+keep_server(proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t server,
+    bool listed)
+{
+	uint32_t db = daemon->servers[server];
+	bool followed =
+	    listed && model->dbs[db].listed_start_us != daemon->born_us[db];
+	start_evidence_t evidence =
+	    evidence_of(model, daemon, server, false, followed);
+
+	if (!followed && (listed || start_stays(&evidence))) {
+		daemon->unlisted[db] = !listed;
+		return true;
+	}
+	if (start_ended(&evidence))
+		member_gone(daemon, db);
+	return false;
+}
+
+/*
+ * Add a database to the group of a daemon, which has not asked it yet.
+ */
+static void
+add_server(proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db)
+{
+	daemon->born_us[db] = model->dbs[db].listed_start_us;
+	daemon->unlisted[db] = daemon->denied[db] = false;
+	daemon->status_pending[db] = false;
+	daemon->connected_us[db] = 0;
+	daemon->added_us[db] = model->now_us;
+	if (daemon->members.born_us[db] == daemon->born_us[db])
+		daemon->member_gone[db] = false;
+}
+
+/*
+ * Have a daemon read the list of the databases.
+ */
+static void
+read_list(proxy_model_t *model, proxy_model_daemon_t *daemon)
+{
+	uint32_t i, count = 0, before = daemon->failover.count;
+	int32_t old_index[DBS_MAX];
+	uint32_t dbs[DBS_MAX];
+	bool kept[DBS_MAX] = {false}, changed = false;
+
+	for (i = 0; i < before; i++) {
+		uint32_t db = daemon->servers[i];
+
+		if (!keep_server(model, daemon, i, has_entry(model, db)))
+			continue;
+		kept[db] = true;
+		old_index[count] = (int32_t)i;
+		dbs[count++] = db;
+	}
+	changed = count < before;
+	for (i = 0; i < model->plan->databases; i++) {
+		if (kept[i] || !has_entry(model, i))
+			continue;
+		add_server(model, daemon, i);
+		old_index[count] = -1;
+		dbs[count++] = i;
+		changed = true;
+	}
+	if (daemon->listed_us == 0) {
+		daemon->listed_us = model->now_us;
+		daemon->lease.watched_since_us = model->now_us;
+	}
+	if (changed)
+		replace_servers(
+		    model, daemon, dbs, old_index, count, before > 0);
+}
+
+/*
+ * Remove the databases that are not listed and do not stay.
+ */
+static void
+remove_unlisted(proxy_model_t *model, proxy_model_daemon_t *daemon)
+{
+	uint32_t i, count = 0, before = daemon->failover.count;
+	int32_t old_index[DBS_MAX];
+	uint32_t dbs[DBS_MAX];
+
+	for (i = 0; i < before; i++) {
+		uint32_t db = daemon->servers[i];
+
+		if (!keep_server(model, daemon, i, !daemon->unlisted[db]))
+			continue;
+		old_index[count] = (int32_t)i;
+		dbs[count++] = db;
+	}
+	if (count < before)
+		replace_servers(model, daemon, dbs, old_index, count, true);
+}
+
+/*
+ * Have a daemon read the list at random, and note what has ended.
+ */
+void
+proxy_model_lists_tick(proxy_model_t *model, uint32_t daemon_index)
+{
+	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
+	uint32_t i;
+
+	if (!proxy_model_has_lists(model->plan))
+		return;
+	if (model->now_us >= daemon->object_store_cut_until_us &&
+	    proxy_model_chance(model, LIST_READ_PERMILLE))
+		read_list(model, daemon);
+	remove_unlisted(model, daemon);
+	for (i = 0; i < daemon->failover.count; i++) {
+		uint32_t db = daemon->servers[i];
+		start_evidence_t evidence =
+		    evidence_of(model, daemon, i, !daemon->unlisted[db], false);
+
+		daemon->failover.views[i].unlisted = daemon->unlisted[db];
+		daemon->failover.views[i].ended = start_ended(&evidence);
+	}
+}
+
+/*
+ * Return a database drawn at random.
+ */
+static uint32_t
+draw_db(proxy_model_t *model)
+{
+	return (uint32_t)g_rand_int_range(
+	    model->rand, 0, (gint32)model->plan->databases);
+}
+
+/*
+ * Have the store lose the entry of a database that runs, until a time.
+ */
+void
+proxy_model_entry_lost(proxy_model_t *model, uint32_t db, int64_t until_us)
+{
+	model->dbs[db].entry_lapses_us = model->now_us;
+	model->dbs[db].entry_back_us = until_us;
+}
+
+/*
+ * End a database, which starts again later, under its id or a new one.
+ */
+static void
+crash(proxy_model_t *model, uint32_t db_index)
+{
+	proxy_model_db_t *db = &model->dbs[db_index];
+
+	proxy_model_db_restart(model, db_index);
+	db->refuses = true;
+	db->new_id = proxy_model_chance(model, 500);
+	db->down_until_us =
+	    model->now_us + proxy_model_random_us(model, CRASH_MAX_US);
+	db->start_listed_at_us = db->down_until_us +
+	    proxy_model_random_us(
+		model, model->plan->troubles.start_listed_max_us);
+	db->entry_lapses_us =
+	    model->now_us + proxy_model_random_us(model, ENTRY_LAPSES_MAX_US);
+	db->entry_back_us = MAX(db->start_listed_at_us, db->entry_lapses_us);
+}
+
+/*
+ * Have the store lose entries, daemons be refused and databases end at random.
+ */
+void
+proxy_model_list_troubles(proxy_model_t *model)
+{
+	const proxy_model_troubles_t *troubles = &model->plan->troubles;
+	uint32_t i, db;
+
+	if (!proxy_model_has_lists(model->plan))
+		return;
+	if (proxy_model_chance(model, troubles->lapse_permille)) {
+		db = draw_db(model);
+		model->result->troubles++;
+		proxy_model_entry_lost(model, db,
+		    model->now_us +
+			proxy_model_random_us(model, ENTRY_MISSING_MAX_US));
+	}
+	if (proxy_model_chance(model, troubles->refused_permille)) {
+		db = draw_db(model);
+		model->result->troubles++;
+		for (i = 0; i < model->plan->daemons; i++) {
+			if (proxy_model_chance(model, 600))
+				model->dbs[db].refused_until_us[i] =
+				    model->now_us +
+				    proxy_model_random_us(
+					model, REFUSED_MAX_US);
+		}
+	}
+	if (proxy_model_chance(model, troubles->crash_permille)) {
+		model->result->troubles++;
+		crash(model, draw_db(model));
+	}
+}
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -135,6 +135,30 @@
 	    daemon->failover.term, now_us + ORDER_LATE_US);
 }
 
+/* The daemon whose open orders are marked. */
+typedef struct order_marker {
+	proxy_model_daemon_t *daemon;
+	int64_t now_us;
+} order_marker_t;
+
+/*
+ * Mark the database that an open order names.  One that has left the group
+ * cannot be asked.
+ */
+static void
+mark_order(void *context, const open_order_t *order)
+{
+	const order_marker_t *marker = context;
+	proxy_model_daemon_t *daemon = marker->daemon;
+	int32_t i =
+	    proxy_model_index(daemon, (uint32_t)(order->database[0] - '0'));
+
+	if (i >= 0)
+		daemon->failover.views[i].order_open = true;
+	else if (order->until_us > marker->now_us)
+		daemon->lease.order_open_outside = true;
+}
+
 /*
  * Bring the open orders of a daemon up to date, and mark the databases that
  * they name.
@@ -146,18 +170,23 @@
 	int32_t primary = failover_primary(failover);
 	uint32_t i;
 
-	for (i = 0; i < model->plan->databases; i++) {
+	for (i = 0; i < failover->count; i++) {
 		if (failover->views[i].known)
-			open_orders_checked(&daemon->open_orders, db_names[i],
+			open_orders_checked(&daemon->open_orders,
+			    db_names[daemon->servers[i]],
 			    failover->views[i].requested_us);
 	}
 	if (primary >= 0)
-		open_orders_term_begun(&daemon->open_orders, db_names[primary],
+		open_orders_term_begun(&daemon->open_orders,
+		    db_names[daemon->servers[primary]],
 		    failover->views[primary].promised);
 	open_orders_expire(&daemon->open_orders, false, model->now_us);
-	for (i = 0; i < model->plan->databases; i++)
-		failover->views[i].order_open =
-		    open_orders_has(&daemon->open_orders, db_names[i]);
+	for (i = 0; i < failover->count; i++)
+		failover->views[i].order_open = false;
+	daemon->lease.order_open_outside = false;
+	open_orders_each(&daemon->open_orders, mark_order,
+	    &(order_marker_t){daemon, model->now_us});
+	failover->order_open_outside = daemon->lease.order_open_outside;
 }
 
 /*
@@ -175,7 +204,7 @@
 	return primary < 0
 	    ? 0
 	    : lease_checked_us(&daemon->lease, daemon->failover.views,
-		  model->plan->databases, (uint32_t)primary);
+		  daemon->failover.count, (uint32_t)primary);
 }
 
 /*
@@ -192,19 +221,20 @@
 
 	if (model->plan->injected_bug == PROXY_BUG_MEMBERS_IGNORED)
 		count = 0;
-	for (i = 0; i < model->plan->databases; i++) {
+	for (i = 0; i < failover->count; i++) {
+		uint32_t db = daemon->servers[i];
+
 		failover->views[i].member = count > 0 &&
+		    daemon->members.member[db] &&
 		    (any_start ||
-			daemon->members.born_us[i] == daemon->born_us[i]);
-		ended += count > 0 && failover->views[i].known &&
-		    !failover->views[i].member;
+			(daemon->members.born_us[db] == daemon->born_us[db] &&
+			    !daemon->member_gone[db]));
 	}
-	daemon->lease.members_ended =
-	    count > 0 && count - ended < majority_of(count);
-	if (daemon->lease.members_ended)
-		count = ended = 0;
-	daemon->lease.members = failover->members = count;
-	failover->members_ended = ended;
+	for (i = 0; i < model->plan->databases; i++)
+		ended += count > 0 && !any_start &&
+		    proxy_model_member_ended(model, daemon, i);
+	failover_set_members(
+	    failover, &daemon->lease, count, ended, model->now_us);
 }
 
 /*
@@ -214,13 +244,51 @@
 proxy_model_members_read(proxy_model_t *model, proxy_model_daemon_t *daemon,
     const recorded_members_t *members, int64_t read_us)
 {
+	uint32_t i;
+
 	if (read_us < daemon->members_read_us)
 		return;
 	daemon->members_read_us = read_us;
+	for (i = 0; i < model->plan->databases; i++)
+		daemon->member_gone[i] &= members->member[i] &&
+		    members->born_us[i] == daemon->members.born_us[i];
 	daemon->members = *members;
 	proxy_model_members_update(model, daemon);
 }
 
+/*
+ * Return the databases of the group, as a daemon knows them.
+ */
+static recorded_members_t
+listed_members(const proxy_model_daemon_t *daemon)
+{
+	recorded_members_t members = {.count = daemon->failover.count};
+	uint32_t i;
+
+	for (i = 0; i < members.count; i++) {
+		uint32_t db = daemon->servers[i];
+
+		members.member[db] = true;
+		members.born_us[db] = daemon->born_us[db];
+	}
+	return members;
+}
+
+/*
+ * Tell whether two sets of members are the same.
+ */
+static bool
+members_equal(const recorded_members_t *a, const recorded_members_t *b)
+{
+	bool equal = a->count == b->count;
+	uint32_t i;
+
+	for (i = 0; i < DBS_MAX; i++)
+		equal &= a->member[i] == b->member[i] &&
+		    a->born_us[i] == b->born_us[i];
+	return equal;
+}
+
 /*
  * Record the databases, as a daemon knows them, as the members of the group.
  */
@@ -229,9 +297,7 @@
 {
 	if (model->plan->pauses_last)
 		return;
-	model->members.count = model->plan->databases;
-	memcpy(
-	    model->members.born_us, daemon->born_us, sizeof(daemon->born_us));
+	model->members = listed_members(daemon);
 	proxy_model_record_changed(model, daemon);
 }
 
@@ -244,6 +310,7 @@
 {
 	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
 	failover_t *failover = &daemon->failover;
+	recorded_members_t listed = listed_members(daemon);
 	int32_t primary = failover_primary(failover);
 
 	if (model->plan->pauses_last || primary < 0 ||
@@ -253,9 +320,7 @@
 	    model->now_us < daemon->object_store_cut_until_us ||
 	    !proxy_model_holds_role(model, daemon, daemon_index) ||
 	    model->store_era != daemon->store_era ||
-	    (daemon->members.count > 0 &&
-		memcmp(daemon->members.born_us, daemon->born_us,
-		    sizeof(daemon->born_us)) == 0))
+	    members_equal(&daemon->members, &listed))
 		return;
 	proxy_model_members_record(model, daemon);
 	proxy_model_members_read(model, daemon, &model->members, model->now_us);
--- a/tools/proxy_model_orders.c
+++ b/tools/proxy_model_orders.c
@@ -379,6 +379,18 @@
 	    g_hash_table_contains(model->dropped_orders, &promotion->order);
 }
 
+/*
+ * End the attempt of an order that was refused or not sent.
+ */
+static void
+order_failed(proxy_model_t *model, const event_t *event)
+{
+	failover_t *failover = &model->daemons[event->daemon].failover;
+
+	failover_promotion_answered(failover, failover->chosen, event->term,
+	    false, &failover->views[failover->chosen], model->now_us);
+}
+
 /*
  * Tell whether the promises for an order that was recorded are held still.
  * Until enough databases have answered, the order waits; when they cannot, it
@@ -399,16 +411,15 @@
 	failover_ask_promises(failover, event->term, model->now_us);
 	for (i = 0; first && i < failover->count; i++) {
 		if (failover_promise_asked(failover, i))
-			proxy_model_send_call(
-			    model, event->daemon, i, CALL_STATUS, 0, NULL);
+			proxy_model_send_call(model, event->daemon,
+			    daemon->servers[i], CALL_STATUS, 0, NULL);
 	}
 	switch (failover_promises(failover)) {
 	case FAILOVER_PROMISES_HELD:
 		return true;
 	case FAILOVER_PROMISES_LOST:
 		withdraw_order(model, daemon, event->db);
-		failover_promotion_answered(failover, event->db, event->term,
-		    false, &failover->views[event->db], model->now_us);
+		order_failed(model, event);
 		return false;
 	default:
 		daemon->waiting_order =
@@ -465,8 +476,7 @@
 	    failover->term != event->term)
 		return;
 	if (!order_stands(model, daemon, event->term)) {
-		failover_promotion_answered(failover, event->db, event->term,
-		    false, &failover->views[event->db], model->now_us);
+		order_failed(model, event);
 		return;
 	}
 	if (!daemon->order_sent &&
@@ -492,8 +502,7 @@
 		daemon->is_coordinator &= event->ok;
 		if (event->ok)
 			withdraw_order(model, daemon, event->db);
-		failover_promotion_answered(failover, event->db, event->term,
-		    false, &failover->views[event->db], model->now_us);
+		order_failed(model, event);
 		return;
 	}
 	if (!promises_held(model, event))
--- a/tools/proxy_model_sequences.c
+++ b/tools/proxy_model_sequences.c
@@ -23,6 +23,9 @@
  * It may be cut off from the store as well; then the sequence also begins as it
  * becomes an owner, or as the store loses its record, and it does not pause.
  *
+ * The refused majority: the same, but the primary and others run, refuse the
+ * other daemons and have no entry in the store.
+ *
  * The restarted member: only one daemon reaches the primary, and reaches
  * nothing else but the store.  A database that is to promise a new term
  * meanwhile starts again, and from then on that daemon reaches it, until it is
@@ -54,7 +57,7 @@
 proxy_model_order_late(proxy_model_t *model, uint32_t daemon, uint32_t db)
 {
 	const proxy_model_plan_t *plan = model->plan;
-	int32_t primary = failover_primary(&model->daemons[daemon].failover);
+	int32_t primary = proxy_model_primary(&model->daemons[daemon]);
 	sequence_t *sequence = &model->sequence;
 	proxy_model_daemon_t *sender = &model->daemons[daemon];
 	uint32_t i, unaware;
@@ -151,7 +154,7 @@
 proxy_model_primary_cut(proxy_model_t *model, uint32_t daemon)
 {
 	const proxy_model_plan_t *plan = model->plan;
-	int32_t primary = failover_primary(&model->daemons[daemon].failover);
+	int32_t primary = proxy_model_primary(&model->daemons[daemon]);
 	uint32_t i;
 
 	if (plan->primary_cut_permille == 0 || primary < 0 ||
@@ -181,7 +184,7 @@
 {
 	const proxy_model_plan_t *plan = model->plan;
 	proxy_model_daemon_t *alone = &model->daemons[daemon];
-	int32_t primary = failover_primary(&alone->failover);
+	int32_t primary = proxy_model_primary(alone);
 
 	if (plan->alone_permille == 0 || primary < 0 || alone->is_coordinator ||
 	    model->now_us < model->sequence.until_us ||
@@ -191,6 +194,50 @@
 	alone->object_store_cut_until_us = model->sequence.until_us;
 }
 
+/*
+ * Begin the sequence of a refused majority at random, with the daemon that
+ * still reaches it.
+ */
+void
+proxy_model_most_refused(proxy_model_t *model, uint32_t daemon)
+{
+	const proxy_model_plan_t *plan = model->plan;
+	uint32_t permille = plan->troubles.most_refused_permille;
+	int32_t primary = proxy_model_primary(&model->daemons[daemon]);
+	sequence_t *sequence = &model->sequence;
+	uint32_t i, j, refused = 0;
+
+	if (permille == 0 || primary < 0 ||
+	    model->daemons[daemon].is_coordinator ||
+	    model->now_us < sequence->until_us ||
+	    !proxy_model_chance(model, permille))
+		return;
+	model->result->troubles++;
+	cut_primary(model, daemon, (uint32_t)primary);
+	model->daemons[daemon].object_store_cut_until_us = sequence->until_us;
+	for (i = 0; i < plan->databases; i++) {
+		proxy_model_db_t *db =
+		    &model->dbs[((uint32_t)primary + i) % plan->databases];
+
+		/* one database at least stays in the list */
+		if (refused == plan->databases - 1 ||
+		    (i > 0 && proxy_model_chance(model, 300))) {
+			if (proxy_model_chance(model, 500))
+				db->daemon_cut_until_us[daemon] =
+				    sequence->until_us;
+			continue;
+		}
+		refused++;
+		db->entry_lapses_us = model->now_us;
+		db->entry_back_us = sequence->until_us;
+		for (j = 0; j < plan->daemons; j++) {
+			db->daemon_cut_until_us[j] = 0;
+			if (j != daemon)
+				db->refused_until_us[j] = sequence->until_us;
+		}
+	}
+}
+
 /*
  * Begin the sequence of a restarted member at random, with the daemon that
  * reaches the primary alone.
@@ -200,7 +247,7 @@
 {
 	const proxy_model_plan_t *plan = model->plan;
 	uint32_t permille = plan->troubles.member_restart_permille;
-	int32_t primary = failover_primary(&model->daemons[daemon].failover);
+	int32_t primary = proxy_model_primary(&model->daemons[daemon]);
 	sequence_t *sequence = &model->sequence;
 	uint32_t i, member;
 
