Starts: a refused connection takes no vote from a database that runs

Where something between refused the connections of some daemons to databases that had lost their entries, those daemons removed the databases from their group as ended, counted them as members that had promised, and, where most had ended so, needed the promise of the last one only. A daemon that reached the others still, and neither the store nor the other daemons, went on with its lease: callers would have seen two primaries.

Cause: one rule for two questions. That a primary is gone, so that a failover starts, may rest on what is likely; that a vote is not needed any more only on what every daemon will find: a later start at its id or address, or the word of the process there. decide/start.h has the two, and which use asks for which. A removal logs its reason. A recorded member stays in the group for 10 s also if it has not answered this process.

--- a/gen/event.pb-c.c
+++ b/gen/event.pb-c.c
@@ -3399,7 +3399,7 @@
   (ProtobufCMessageInit) bp__server_changed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__server_listed__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bp__server_listed__field_descriptors[7] =
 {
   {
     "server",
@@ -3473,19 +3473,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reason",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_ENUM,
+    offsetof(Bp__ServerListed, has_reason),
+    offsetof(Bp__ServerListed, reason),
+    &bp__removal_reason__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__server_listed__field_indices_by_name[] = {
   2,   /* field[2] = address */
   4,   /* field[4] = gone */
   1,   /* field[1] = group */
   3,   /* field[3] = leaving */
+  6,   /* field[6] = reason */
   0,   /* field[0] = server */
   5,   /* field[5] = unlisted */
 };
 static const ProtobufCIntRange bp__server_listed__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bp__server_listed__descriptor =
 {
@@ -3495,7 +3508,7 @@
   "Bp__ServerListed",
   "bp",
   sizeof(Bp__ServerListed),
-  6,
+  7,
   bp__server_listed__field_descriptors,
   bp__server_listed__field_indices_by_name,
   1,  bp__server_listed__number_ranges,
@@ -5496,6 +5509,42 @@
   bp__needed_from__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue bp__removal_reason__enum_values_by_number[6] =
+{
+  { "LATER_START", "BP__REMOVAL_REASON__LATER_START", 1 },
+  { "MOVED", "BP__REMOVAL_REASON__MOVED", 2 },
+  { "OTHER_PROCESS", "BP__REMOVAL_REASON__OTHER_PROCESS", 3 },
+  { "LEFT", "BP__REMOVAL_REASON__LEFT", 4 },
+  { "UNANSWERED", "BP__REMOVAL_REASON__UNANSWERED", 5 },
+  { "SILENT", "BP__REMOVAL_REASON__SILENT", 6 },
+};
+static const ProtobufCIntRange bp__removal_reason__value_ranges[] = {
+{1, 0},{0, 6}
+};
+static const ProtobufCEnumValueIndex bp__removal_reason__enum_values_by_name[6] =
+{
+  { "LATER_START", 0 },
+  { "LEFT", 3 },
+  { "MOVED", 1 },
+  { "OTHER_PROCESS", 2 },
+  { "SILENT", 5 },
+  { "UNANSWERED", 4 },
+};
+const ProtobufCEnumDescriptor bp__removal_reason__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "bp.RemovalReason",
+  "RemovalReason",
+  "Bp__RemovalReason",
+  "bp",
+  6,
+  bp__removal_reason__enum_values_by_number,
+  6,
+  bp__removal_reason__enum_values_by_name,
+  1,
+  bp__removal_reason__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCEnumValue bp__promotion_answer__enum_values_by_number[7] =
 {
   { "ORDER_ACCEPTED", "BP__PROMOTION_ANSWER__ORDER_ACCEPTED", 0 },
--- a/gen/event.pb-c.h
+++ b/gen/event.pb-c.h
@@ -166,6 +166,37 @@
   BP__NEEDED_FROM__FROM_FLOOR = 1
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__NEEDED_FROM)
 } Bp__NeededFrom;
+/*
+ * Why a server is removed from its group.  Only the first and the third show
+ * that its process has ended.
+ */
+typedef enum _Bp__RemovalReason {
+  /*
+   * a later start is listed, by id or address
+   */
+  BP__REMOVAL_REASON__LATER_START = 1,
+  /*
+   * it is listed at another address
+   */
+  BP__REMOVAL_REASON__MOVED = 2,
+  /*
+   * the process at its address is another one
+   */
+  BP__REMOVAL_REASON__OTHER_PROCESS = 3,
+  /*
+   * not listed, and it has said that it leaves
+   */
+  BP__REMOVAL_REASON__LEFT = 4,
+  /*
+   * not listed, and it has never answered
+   */
+  BP__REMOVAL_REASON__UNANSWERED = 5,
+  /*
+   * not listed, and it has not answered for long
+   */
+  BP__REMOVAL_REASON__SILENT = 6
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__REMOVAL_REASON)
+} Bp__RemovalReason;
 /*
  * Outcome of an order to promote.
  */
@@ -636,10 +667,15 @@
    */
   protobuf_c_boolean has_unlisted;
   protobuf_c_boolean unlisted;
+  /*
+   * if gone
+   */
+  protobuf_c_boolean has_reason;
+  Bp__RemovalReason reason;
 };
 #define BP__SERVER_LISTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__server_listed__descriptor) \
-    , NULL, NULL, NULL, 0, 0, 0, 0 }
+    , NULL, NULL, NULL, 0, 0, 0, 0, 0, BP__REMOVAL_REASON__LATER_START }
 
 
 /*
@@ -2113,6 +2149,7 @@
 extern const ProtobufCEnumDescriptor    bp__change_step__descriptor;
 extern const ProtobufCEnumDescriptor    bp__lease_proof__descriptor;
 extern const ProtobufCEnumDescriptor    bp__needed_from__descriptor;
+extern const ProtobufCEnumDescriptor    bp__removal_reason__descriptor;
 extern const ProtobufCEnumDescriptor    bp__promotion_answer__descriptor;
 extern const ProtobufCMessageDescriptor bp__note__descriptor;
 extern const ProtobufCMessageDescriptor bp__lines_lost__descriptor;
--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -52,8 +52,8 @@
 	uint64_t key; /* identifies the database; 0: not known */
 	/* it has been leaving for so long that it gets no more work */
 	bool expired;
-	/* this start of it has ended: start_ended() */
-	bool ended;
+	/* this start of it has likely ended: start_likely_ended() */
+	bool likely_ended;
 } db_view_t;
 
 void db_view_merge(db_view_t *, const db_view_t *answer);
--- a/src/decide/failover_views.c
+++ b/src/decide/failover_views.c
@@ -22,8 +22,8 @@
 
 /*
  * Return the database that reports itself as primary in the highest term, or
- * -1, also if a newer term has begun.  One that has ended is none.  The result
- * is only a hint: a majority may already have promised a newer term.
+ * -1, also if a newer term has begun.  One that has likely ended is none.  The
+ * result is only a hint: a majority may already have promised a newer term.
  */
 int32_t
 failover_primary(const failover_t *failover)
@@ -35,7 +35,7 @@
 	for (i = 0; i < failover->count; i++) {
 		const db_view_t *view = &failover->views[i];
 
-		if (view->known && view->primary && !view->ended &&
+		if (view->known && view->primary && !view->likely_ended &&
 		    view->promised >= newest &&
 		    (best < 0 ||
 			view->promised > failover->views[best].promised))
@@ -166,7 +166,7 @@
 failover_answers(const failover_t *failover, uint32_t database, int64_t now_us)
 {
 	return failover->views[database].known &&
-	    !failover->views[database].ended &&
+	    !failover->views[database].likely_ended &&
 	    failover->connect_refusals[database] == 0 &&
 	    now_us - failover->last_alive_us[database] <
 	    failover->limits.suspect_us;
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -70,7 +70,8 @@
 	if (members > 0 && needed == 0)
 		return before_us;
 	for (i = 0; i < count; i++)
-		counts[i] = i != primary && views[i].known && !views[i].ended &&
+		counts[i] = i != primary && views[i].known &&
+		    !views[i].likely_ended &&
 		    !promise_blocks(lease, &views[i], &views[primary]) &&
 		    views[i].connected_us <= connected_us &&
 		    (members == 0 || views[i].member);
@@ -107,7 +108,7 @@
 	for (i = 0; i < count; i++) {
 		if (i == primary || (members > 0 && !views[i].member))
 			continue;
-		if (!views[i].known || views[i].ended ||
+		if (!views[i].known || views[i].likely_ended ||
 		    promise_blocks(lease, &views[i], &views[primary]))
 			return 0;
 		if (views[i].requested_us < oldest_us)
--- a/src/decide/start.c
+++ b/src/decide/start.c
@@ -23,26 +23,48 @@
 }
 
 /*
- * Tell whether a start has ended.  One that is silent or slow has not.  Nor has
- * one that is listed and refuses connections: something between may refuse them
- * in its place.
+ * Tell whether a start has ended, as every daemon will find.  One that is
+ * silent, slow or not listed has not, nor has one that refuses connections:
+ * something between may refuse them in its place, while others reach it.
  */
 bool
 start_ended(const start_evidence_t *evidence)
 {
-	return evidence->followed || evidence->denied ||
-	    (evidence->refused && !evidence->listed);
+	return evidence->followed || evidence->denied;
 }
 
 /*
- * Tell whether a start that is not listed stays in its group: it has not said
- * that it leaves, or is a recorded member, and may be alive.  The list of
- * another daemon may still have it, or have it again, so its answers count for
- * leases and failovers, as its promises do there.
+ * Tell whether a start has likely ended: it refuses connections, and its entry
+ * has lapsed.
  */
 bool
-start_stays(const start_evidence_t *evidence)
+start_likely_ended(const start_evidence_t *evidence)
+{
+	return start_ended(evidence) ||
+	    (evidence->refused && !evidence->listed);
+}
+
+/*
+ * Tell whether and why a start is removed from its group.  One that is not
+ * listed stays if it has not said that it leaves, or is a recorded member, and
+ * may be alive: the list of another daemon may still have it, or have it again,
+ * so its answers count for leases and failovers, as its promises do there.
+ */
+start_removal_t
+start_removal(const start_evidence_t *evidence)
 {
-	return evidence->known && !evidence->left && !start_ended(evidence) &&
-	    evidence->silent_us < UNLISTED_SILENT_US;
+	if (evidence->followed)
+		return START_FOLLOWED;
+	if (evidence->moved)
+		return START_MOVED;
+	if (evidence->denied && !evidence->listed)
+		return START_DENIED;
+	if (evidence->listed)
+		return START_STAYS;
+	if (evidence->left)
+		return START_LEFT;
+	if (!evidence->known)
+		return START_UNANSWERED;
+	return evidence->silent_us < UNLISTED_SILENT_US ? START_STAYS
+							: START_SILENT;
 }
--- a/src/proxy/group_members.c
+++ b/src/proxy/group_members.c
@@ -46,7 +46,7 @@
 {
 	start_t start = {member->id, member->address, member->born};
 	arena_t *arena = arena_new();
-	bool ended = member->gone;
+	bool ended = member->ended != START_STAYS;
 	uint32_t i;
 
 	for (i = 0; i < group->count; i++) {
@@ -75,7 +75,8 @@
 		const member_t *member = member_find(group, server->id);
 
 		failover->views[i].member = member != NULL &&
-		    member->born == server->generation && !member->gone;
+		    member->born == server->generation &&
+		    member->ended == START_STAYS;
 	}
 	for (i = 0; i < count; i++)
 		ended += member_ended(group, &group->members[i]);
@@ -83,10 +84,10 @@
 }
 
 /*
- * Note whether the process of a server has ended.
+ * Note by what the process of a server is known to have ended.
  */
-static void
-set_gone(group_t *group, const server_t *server, bool gone)
+void
+group_member_ended(group_t *group, const server_t *server, start_removal_t by)
 {
 	uint32_t i;
 
@@ -95,27 +96,18 @@
 
 		if (strcmp(member->id, server->id) == 0 &&
 		    member->born == server->generation)
-			member->gone = gone;
+			member->ended = by;
 	}
 }
 
-/*
- * Note that the process of a server has ended.
- */
-void
-group_member_gone(group_t *group, const server_t *server)
-{
-	set_gone(group, server, true);
-}
-
 /*
  * Note that a server is listed that was not known.  If it was taken as ended
- * before, its entry had lapsed, or the list was one of before its start.
+ * before, the list was one of before its start.
  */
 void
 group_member_listed(group_t *group, const server_t *server)
 {
-	set_gone(group, server, false);
+	group_member_ended(group, server, START_STAYS);
 }
 
 /*
@@ -162,8 +154,9 @@
 
 		members[n++] = (member_t){g_strdup(list[i]->server),
 		    list[i]->born, g_strdup(list[i]->address),
-		    known != NULL && known->born == list[i]->born &&
-			known->gone};
+		    known != NULL && known->born == list[i]->born
+			? known->ended
+			: START_STAYS};
 	}
 	group_members_clear(group);
 	memcpy(group->members, members, sizeof(members[0]) * n);
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -177,7 +177,7 @@
 	if (server->removed || server->denied)
 		return;
 	server->denied = true;
-	group_member_gone(server->group, server);
+	group_member_ended(server->group, server, START_DENIED);
 	group_members_update(server->group);
 }
 
@@ -862,7 +862,8 @@
 		failover->views[i].leaving = server->leaving;
 		failover->views[i].expired = server_drained(server, now_us);
 		failover->views[i].unlisted = server->unlisted;
-		failover->views[i].ended = server_ended(server, now_us);
+		failover->views[i].likely_ended =
+		    server_likely_ended(server, now_us);
 		if (server->outstanding == 0 && !server->unresponsive)
 			failover_not_probed(failover, i, now_us);
 		probe_server(group->servers[i], now_us);
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -7,6 +7,7 @@
 #include "decide/rankq.h"
 #include "decide/reconnect.h"
 #include "decide/replica.h"
+#include "decide/start.h"
 #include "lines.h"
 #include "log.h"
 #include "proxy.h"
@@ -121,7 +122,9 @@
 	   drain_limit_us */
 	bool leaving;
 	int64_t drain_limit_us;
-	bool removed; /* not in the catalog: finishes what it runs */
+	int64_t added_us;        /* time it was added to its group */
+	bool removed;            /* not in the catalog: finishes what it runs */
+	start_removal_t removal; /* why */
 	/* not in the catalog, but did not say that it leaves: it gets no new
 	   work, and its answers count for leases and failovers */
 	bool unlisted;
@@ -169,9 +172,9 @@
 /* A server that the store has recorded as a member of its group. */
 typedef struct member {
 	char *id;
-	uint64_t born; /* server_t.generation */
-	char *address; /* "IP:PORT", or NULL */
-	bool gone;     /* it has ended */
+	uint64_t born;         /* server_t.generation */
+	char *address;         /* "IP:PORT", or NULL */
+	start_removal_t ended; /* by what; START_STAYS: not known to have */
 } member_t;
 
 /* An answer of a server that a lease rests on. */
@@ -431,7 +434,7 @@
 bool server_answers(const server_t *, int64_t now_us);
 bool server_usable(const server_t *, int64_t now_us);
 bool server_drained(const server_t *, int64_t now_us);
-bool server_ended(const server_t *, int64_t now_us);
+bool server_likely_ended(const server_t *, int64_t now_us);
 bool group_primary_drained(const group_t *, int64_t now_us);
 
 /* dbconn.c */
@@ -516,7 +519,7 @@
 void group_members_recorded(
     group_t *, Bp__RecordedMember *const *, size_t count, int64_t read_us);
 void group_members_clear(group_t *);
-void group_member_gone(group_t *, const server_t *);
+void group_member_ended(group_t *, const server_t *, start_removal_t);
 void group_member_listed(group_t *, const server_t *);
 Bp__RecordedMember **group_members_write(
     const group_t *, arena_t *, size_t *count);
--- a/src/proxy/pool_log.c
+++ b/src/proxy/pool_log.c
@@ -275,6 +275,8 @@
 	listed.has_unlisted = server->unlisted;
 	listed.unlisted = server->unlisted;
 	listed.gone = server->removed;
+	listed.has_reason = server->removed;
+	listed.reason = (Bp__RemovalReason)server->removal;
 	log_event(G_LOG_LEVEL_INFO, &listed.base);
 	arena_free(arena);
 }
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -386,6 +386,7 @@
 	server->same_zone =
 	    strcmp(entry->zone, group->pool->proxy->settings->zone) == 0;
 	server->conns = g_ptr_array_new();
+	server->added_us = clock_us();
 	log_server_listed(server);
 	return server;
 }
@@ -477,61 +478,45 @@
 }
 
 /*
- * Return what is known of a server.  followed: a later start is listed.
+ * Return what is known of a server since the last list.
  */
 static start_evidence_t
-server_evidence(
-    const server_t *server, bool listed, bool followed, int64_t now_us)
+server_evidence(const server_t *server, int64_t now_us)
 {
 	const failover_t *failover = &server->group->failover;
 	const db_view_t *view = &failover->views[server->index];
 
-	return (start_evidence_t){.listed = listed,
-	    .followed = followed,
+	return (start_evidence_t){.listed = !server->unlisted,
 	    .denied = server->denied,
 	    .refused = failover->connect_refusals[server->index] > 0,
 	    .left = server->leaving && !server->unlisted && !view->member,
-	    .known = view->known,
-	    .silent_us = now_us - view->requested_us};
+	    .known = server->group->active && (view->known || view->member),
+	    .silent_us = now_us - MAX(view->requested_us, server->added_us)};
 }
 
 /*
- * Tell whether the process of a server of the group has ended, by what is known
- * since the last list.
+ * Tell whether the process of a server of the group has likely ended, by what
+ * is known since the last list.
  */
 bool
-server_ended(const server_t *server, int64_t now_us)
+server_likely_ended(const server_t *server, int64_t now_us)
 {
-	start_evidence_t evidence =
-	    server_evidence(server, !server->unlisted, false, now_us);
+	start_evidence_t evidence = server_evidence(server, now_us);
 
-	return start_ended(&evidence);
+	return start_likely_ended(&evidence);
 }
 
 /*
- * Tell whether a server that is not listed stays a member of its group.
+ * Decide by what is known of a server whether it stays in its group, and note
+ * why if not.  Returns whether it does.
  */
 static bool
-stays_member(const server_t *server, int64_t now_us)
+server_stays(server_t *server, const start_evidence_t *evidence)
 {
-	start_evidence_t evidence =
-	    server_evidence(server, false, false, now_us);
-
-	return server->group->active && start_stays(&evidence);
-}
-
-/*
- * Note that a server that is removed has ended, if it has.  followed: a later
- * start is listed.
- */
-static void
-check_gone(const server_t *server, bool followed, int64_t now_us)
-{
-	start_evidence_t evidence =
-	    server_evidence(server, false, followed, now_us);
-
-	if (start_ended(&evidence))
-		group_member_gone(server->group, server);
+	server->removal = start_removal(evidence);
+	if (server->removal != START_STAYS && start_ended(evidence))
+		group_member_ended(server->group, server, server->removal);
+	return server->removal == START_STAYS;
 }
 
 /*
@@ -602,19 +587,18 @@
 	for (i = 0; i < group->count; i++) {
 		server_t *server = group->servers[i];
 		const Bp__Server *entry = entry_find(entries, server->id);
-		bool followed = server_followed(server->id, server->address,
-		    server->port, server->generation, entries);
+		start_evidence_t evidence = server_evidence(server, now_us);
 
-		if (entry == NULL && !followed &&
-		    stays_member(server, now_us)) {
-			server_unlist(server);
-		} else if (entry == NULL || followed ||
-		    !same_server(server, entry)) {
-			check_gone(server, followed, now_us);
+		evidence.listed = entry != NULL;
+		evidence.followed = server_followed(server->id, server->address,
+		    server->port, server->generation, entries);
+		evidence.moved = entry != NULL && !same_server(server, entry);
+		if (!server_stays(server, &evidence))
 			continue;
-		} else {
+		if (entry == NULL)
+			server_unlist(server);
+		else
 			server_update(server, entry);
-		}
 		servers[count++] = server;
 	}
 	for (i = 0;
@@ -648,10 +632,10 @@
 	for (i = 0; i < group->count; i++) {
 		server_t *server = group->servers[i];
 
-		if (!server->unlisted || stays_member(server, now_us))
+		start_evidence_t evidence = server_evidence(server, now_us);
+
+		if (server_stays(server, &evidence))
 			servers[count++] = server;
-		else
-			check_gone(server, false, now_us);
 	}
 	if (count < group->count)
 		servers_replace(group, servers, count, now_us);
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -1330,7 +1330,7 @@
 		if (at_ms == FATE_MS && c->fate == FATE_REFUSES)
 			failover_connection_refused(&failover, 0, MS(at_ms));
 		if (at_ms >= FATE_MS && c->fate == FATE_ENDED)
-			failover.views[0].ended = true;
+			failover.views[0].likely_ended = true;
 		if (at_ms == FATE_MS && c->fate == FATE_REMOVED)
 			failover_remap(&failover, without_first, 2, MS(at_ms));
 		failover_tick(&failover, MS(at_ms), &actions);
--- a/tests/t_decide.c
+++ b/tests/t_decide.c
@@ -990,30 +990,69 @@
 typedef struct start_case {
 	const char *name;
 	start_evidence_t evidence;
+	bool likely;
 	bool ended;
+	start_removal_t removal;
 } start_case_t;
 
+#define SILENT_US (10 * US_PER_SECOND)
+
 static const start_case_t start_cases[] = {
-    {"listed", {.listed = true}, false},
-    {"not listed", {0}, false},
-    {"listed, and refuses connections", {.listed = true, .refused = true},
-	false},
-    {"not listed, and refuses connections", {.refused = true}, true},
+    {"listed", {.listed = true, .known = true}, false, false, START_STAYS},
+    {"listed, has not answered yet", {.listed = true}, false, false,
+	START_STAYS},
+    {"listed, and silent",
+	{.listed = true, .known = true, .silent_us = SILENT_US}, false, false,
+	START_STAYS},
+    {"listed, and refuses connections",
+	{.listed = true, .known = true, .refused = true}, false, false,
+	START_STAYS},
     {"listed, and another one answers in its place",
-	{.listed = true, .denied = true}, true},
+	{.listed = true, .known = true, .denied = true}, true, true,
+	START_STAYS},
     {"listed, and followed by a later start",
-	{.listed = true, .followed = true}, true},
+	{.listed = true, .known = true, .followed = true}, true, true,
+	START_FOLLOWED},
+    {"listed at another address",
+	{.listed = true, .known = true, .moved = true}, false, false,
+	START_MOVED},
+    {"listed, and has said that it leaves",
+	{.listed = true, .known = true, .left = true}, false, false,
+	START_STAYS},
+    {"not listed", {.known = true}, false, false, START_STAYS},
+    {"not listed, and refuses connections", {.known = true, .refused = true},
+	true, false, START_STAYS},
+    {"not listed, refuses connections and is almost silent",
+	{.known = true, .refused = true, .silent_us = SILENT_US - 1}, true,
+	false, START_STAYS},
+    {"not listed, refuses connections and is silent",
+	{.known = true, .refused = true, .silent_us = SILENT_US}, true, false,
+	START_SILENT},
+    {"not listed, and silent", {.known = true, .silent_us = SILENT_US}, false,
+	false, START_SILENT},
+    {"not listed, and has never answered", {.refused = true}, true, false,
+	START_UNANSWERED},
+    {"not listed, and has said that it leaves", {.known = true, .left = true},
+	false, false, START_LEFT},
+    {"not listed, and another one answers in its place",
+	{.known = true, .denied = true}, true, true, START_DENIED},
+    {"not listed, and followed by a later start",
+	{.known = true, .refused = true, .followed = true}, true, true,
+	START_FOLLOWED},
 };
 
 /*
- * Test what tells that a start of a database has ended.
+ * Test what tells that a start of a database has ended, or likely has, and why
+ * it is removed from its group.
  */
 static void
 test_start_ended(gconstpointer data)
 {
 	const start_case_t *c = data;
 
+	g_assert_cmpint(start_likely_ended(&c->evidence), ==, c->likely);
 	g_assert_cmpint(start_ended(&c->evidence), ==, c->ended);
+	g_assert_cmpint(start_removal(&c->evidence), ==, c->removal);
 }
 
 typedef struct follows_case {
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -916,7 +916,7 @@
 		    .requested_us = MS(c->answer_ms[i]),
 		    .term = 1,
 		    .member = c->is_member[i] != '-',
-		    .ended = c->is_member[i] == 'e'};
+		    .likely_ended = c->is_member[i] == 'e'};
 	g_assert_cmpint(renew(&lease, views, c->count, 0, MS(RENEWED_MS),
 			    &listed_durations),
 	    ==, c->renewed);
--- a/tests/t_members.c
+++ b/tests/t_members.c
@@ -33,8 +33,11 @@
 	{{5, false, false, 0, 3}, {4, false, false, 1, 2},
 	    {5, false, false, 0, 3}}},
     {"not listed and refused, and listed again",
-	{{5, true, false, 0, 3}, {0, false, false, 1, 2},
+	{{5, true, false, 0, 3}, {0, false, false, 0, 3},
 	    {5, false, false, 0, 3}}},
+    {"not listed and refused, and a later start",
+	{{5, true, false, 0, 3}, {0, false, false, 0, 3},
+	    {6, false, false, 1, 2}}},
     {"another process at its address",
 	{{5, false, true, 1, 2}, {5, false, false, 1, 2}}},
     {"another process at its address, and a later start",
@@ -129,6 +132,7 @@
 		apply_list(pool, listing->born);
 		if (group == NULL) {
 			group = g_hash_table_lookup(pool->groups, "ledger");
+			group->active = true;
 			record_members(group);
 		}
 		if (listing->refused)
--- a/tests/t_proxy_model.c
+++ b/tests/t_proxy_model.c
@@ -324,6 +324,21 @@
     {"a new database at the address of a member", PROXY_BUG_STARTED_IS_MEMBER,
 	3, 0, 4, .first_seed = 41, .promises_asked_once = true,
 	.troubles = {.member_restart_permille = 3, .leaving_permille = 3}},
+    {"a database that refuses connections has no vote", PROXY_BUG_REFUSED_ENDS,
+	4, 0, 4,
+	.troubles = {.start_listed_max_us = 1000000,
+	    .most_refused_permille = 3}},
+    {"none recorded where most databases refuse connections",
+	PROXY_BUG_REFUSED_UNRECORDED, 4, 0, 4,
+	.troubles = {.start_listed_max_us = 1000000,
+	    .most_refused_permille = 3}},
+    {"members of the list of each daemon", PROXY_BUG_MEMBERS_IGNORED, 4, 0, 8,
+	.first_seed = 201,
+	.troubles = {.start_listed_max_us = 1000000,
+	    .lapse_permille = 4,
+	    .refused_permille = 4,
+	    .crash_permille = 4,
+	    .most_refused_permille = 3}},
 };
 
 /*
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -82,6 +82,13 @@
 	/* a database that has started again, or has the address of a member
 	   that has ended, counts as that member */
 	PROXY_BUG_STARTED_IS_MEMBER,
+	/* a database that is not listed and refuses connections has ended: it
+	   is removed from the group, and counts as a member that has
+	   promised */
+	PROXY_BUG_REFUSED_ENDS,
+	/* it is removed, and where most members have ended or been removed so,
+	   none counts as recorded */
+	PROXY_BUG_REFUSED_UNRECORDED,
 } proxy_model_bug_t;
 
 /* Places where an order to promote a database may be held up. */
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -148,6 +148,8 @@
 	recorded_members_t members;
 	int64_t members_read_us;
 	bool member_gone[DBS_MAX]; /* recorded member that has ended */
+	/* the same, that was removed since it refuses connections */
+	bool member_refused[DBS_MAX];
 	/* database of each index of the failover */
 	uint32_t servers[DBS_MAX];
 	bool unlisted[DBS_MAX]; /* in the group, but not in the last list */
--- a/tools/proxy_model_lists.c
+++ b/tools/proxy_model_lists.c
@@ -75,24 +75,23 @@
 }
 
 /*
- * Return what a daemon knows of a database of its group.  followed: a later
- * start is listed.
+ * Return what a daemon knows of a database of its group since the last list.
  */
 static start_evidence_t
 evidence_of(const proxy_model_t *model, const proxy_model_daemon_t *daemon,
-    uint32_t server, bool listed, bool followed)
+    uint32_t server)
 {
 	const failover_t *failover = &daemon->failover;
 	const db_view_t *view = &failover->views[server];
 	uint32_t db = daemon->servers[server];
 
-	return (start_evidence_t){.listed = listed,
-	    .followed = followed,
+	return (start_evidence_t){.listed = !daemon->unlisted[db],
 	    .denied = daemon->denied[db],
 	    .refused = failover->connect_refusals[server] > 0,
 	    .left = view->leaving && !daemon->unlisted[db] && !view->member,
-	    .known = view->known,
-	    .silent_us = model->now_us - view->requested_us};
+	    .known = view->known || view->member,
+	    .silent_us =
+		model->now_us - MAX(view->requested_us, daemon->added_us[db])};
 }
 
 /*
@@ -167,25 +166,41 @@
 }
 
 /*
- * Tell whether a database stays in the group of a daemon, as of a list that has
- * this entry of it, and note its end if not.
+ * Tell whether an injected bug removes a database from a group.
+ */
+static bool
+removed_by_bug(const proxy_model_t *model, const start_evidence_t *evidence)
+{
+	proxy_model_bug_t bug = model->plan->injected_bug;
+
+	return (bug == PROXY_BUG_REFUSED_ENDS ||
+		   bug == PROXY_BUG_REFUSED_UNRECORDED) &&
+	    start_likely_ended(evidence);
+}
+
+/*
+ * Tell whether a database stays in the group of a daemon, and note its end if
+ * not.  followed: a later start is listed.
  */
 static bool
 keep_server(proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t server,
-    bool listed)
+    bool listed, bool followed)
 {
 	uint32_t db = daemon->servers[server];
-	bool followed =
-	    listed && model->dbs[db].listed_start_us != daemon->born_us[db];
-	start_evidence_t evidence =
-	    evidence_of(model, daemon, server, false, followed);
+	start_evidence_t evidence = evidence_of(model, daemon, server);
 
-	if (!followed && (listed || start_stays(&evidence))) {
+	evidence.listed = listed;
+	evidence.followed = followed;
+	if (start_removal(&evidence) == START_STAYS &&
+	    !removed_by_bug(model, &evidence)) {
 		daemon->unlisted[db] = !listed;
 		return true;
 	}
-	if (start_ended(&evidence))
+	if (start_ended(&evidence) ||
+	    (model->plan->injected_bug == PROXY_BUG_REFUSED_ENDS &&
+		start_likely_ended(&evidence)))
 		member_gone(daemon, db);
+	daemon->member_refused[db] = removed_by_bug(model, &evidence);
 	return false;
 }
 
@@ -201,7 +216,7 @@
 	daemon->connected_us[db] = 0;
 	daemon->added_us[db] = model->now_us;
 	if (daemon->members.born_us[db] == daemon->born_us[db])
-		daemon->member_gone[db] = false;
+		daemon->member_gone[db] = daemon->member_refused[db] = false;
 }
 
 /*
@@ -218,7 +233,11 @@
 	for (i = 0; i < before; i++) {
 		uint32_t db = daemon->servers[i];
 
-		if (!keep_server(model, daemon, i, has_entry(model, db)))
+		bool listed = has_entry(model, db);
+		bool followed = listed &&
+		    model->dbs[db].listed_start_us != daemon->born_us[db];
+
+		if (!keep_server(model, daemon, i, listed, followed))
 			continue;
 		kept[db] = true;
 		old_index[count] = (int32_t)i;
@@ -255,7 +274,8 @@
 	for (i = 0; i < before; i++) {
 		uint32_t db = daemon->servers[i];
 
-		if (!keep_server(model, daemon, i, !daemon->unlisted[db]))
+		if (!keep_server(
+			model, daemon, i, !daemon->unlisted[db], false))
 			continue;
 		old_index[count] = (int32_t)i;
 		dbs[count++] = db;
@@ -280,12 +300,11 @@
 		read_list(model, daemon);
 	remove_unlisted(model, daemon);
 	for (i = 0; i < daemon->failover.count; i++) {
-		uint32_t db = daemon->servers[i];
-		start_evidence_t evidence =
-		    evidence_of(model, daemon, i, !daemon->unlisted[db], false);
+		start_evidence_t evidence = evidence_of(model, daemon, i);
+		db_view_t *view = &daemon->failover.views[i];
 
-		daemon->failover.views[i].unlisted = daemon->unlisted[db];
-		daemon->failover.views[i].ended = start_ended(&evidence);
+		view->unlisted = daemon->unlisted[daemon->servers[i]];
+		view->likely_ended = start_likely_ended(&evidence);
 	}
 }
 
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -215,7 +215,7 @@
 proxy_model_members_update(proxy_model_t *model, proxy_model_daemon_t *daemon)
 {
 	failover_t *failover = &daemon->failover;
-	uint32_t i, ended = 0, count = daemon->members.count;
+	uint32_t i, ended = 0, refused = 0, count = daemon->members.count;
 	bool any_start =
 	    model->plan->injected_bug == PROXY_BUG_STARTED_IS_MEMBER;
 
@@ -230,9 +230,16 @@
 			(daemon->members.born_us[db] == daemon->born_us[db] &&
 			    !daemon->member_gone[db]));
 	}
-	for (i = 0; i < model->plan->databases; i++)
-		ended += count > 0 && !any_start &&
+	for (i = 0; i < model->plan->databases; i++) {
+		bool gone = count > 0 && !any_start &&
 		    proxy_model_member_ended(model, daemon, i);
+
+		ended += gone;
+		refused += count > 0 && !gone && daemon->member_refused[i];
+	}
+	if (model->plan->injected_bug == PROXY_BUG_REFUSED_UNRECORDED &&
+	    count - ended - refused < majority_of(count))
+		count = ended = 0;
 	failover_set_members(
 	    failover, &daemon->lease, count, ended, model->now_us);
 }
