Leases: continued on the recorded members, not on the daemon's own list

A lease is begun on the answers of a majority of the recorded members, but was continued on one of the servers that the daemon has in its list. Where lists differ, that majority and the one that promises a new term need not meet: a daemon whose list has a new server in the place of one that is not listed any more went on with the new one's answers, which nobody asks for a promise.

--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -335,8 +335,8 @@
 	}
 	if (known_us > lease->verified_us)
 		lease->verified_us = known_us;
-	asked_us = supported_us(
-	    lease, views, count, primary, INT64_MAX, lease->verified_us, 0);
+	asked_us = supported_us(lease, views, count, primary, INT64_MAX,
+	    lease->verified_us, members);
 	if (lease->verified_us != 0 && asked_us > known_us &&
 	    asked_us - lease->verified_us <=
 		duration_us(durations, lease->verified_us)) {
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -923,6 +923,55 @@
 	g_assert_cmpint(lease.unverified, ==, c->unverified);
 }
 
+typedef struct continued_case {
+	const char *name;
+	uint32_t members;      /* number of recorded members */
+	const char *is_member; /* of each database of the list */
+	const char *answers;   /* later, while the lease lasts */
+	bool renewed;
+} continued_case_t;
+
+static const continued_case_t continued_cases[] = {
+    {"one member of three answers", 3, "mmm-", "yyn-", true},
+    {"one that has joined answers", 3, "mmm-", "ynny", false},
+    {"one that has joined, in the place of one that is not listed", 3, "mm-",
+	"yny", false},
+    {"two of five members answer", 5, "mmmm", "yyyn", true},
+    {"one of five members answers, two are not listed", 5, "mmm", "yyn", false},
+    {"none are recorded, one of three answers", 0, "---", "yny", true},
+    {"none are recorded, one of four answers", 0, "----", "yynn", false},
+};
+
+/*
+ * Test that a lease is continued on the answers of a majority of the recorded
+ * members, whatever the list of the databases has.
+ */
+static void
+test_continued(gconstpointer data)
+{
+	const continued_case_t *c = data;
+	uint32_t i, count = (uint32_t)strlen(c->is_member);
+	lease_t lease = {.orders.read_us = MS(60), .members = c->members};
+	db_view_t views[4] = {0};
+
+	for (i = 0; i < count; i++)
+		views[i] = (db_view_t){.known = true,
+		    .primary = i == 0,
+		    .promised = 1,
+		    .requested_us = MS(50),
+		    .term = 1,
+		    .member = c->is_member[i] == 'm'};
+	g_assert_true(
+	    renew(&lease, views, count, 0, MS(70), &listed_durations));
+	for (i = 0; i < count; i++) {
+		if (c->answers[i] == 'y')
+			views[i].requested_us = MS(200);
+	}
+	g_assert_cmpint(
+	    renew(&lease, views, count, 0, MS(220), &listed_durations), ==,
+	    c->renewed);
+}
+
 typedef struct unlisted_case {
 	const char *name;
 	int64_t requested_ms; /* time of the last request to a replica */
@@ -1607,6 +1656,7 @@
 	CASES("/lease/newer-term", newer_term_cases, test_newer_term);
 	CASES("/lease/lapse", lapse_cases, test_lapse);
 	CASES("/lease/unaware", unaware_cases, test_unaware);
+	CASES("/lease/continued", continued_cases, test_continued);
 	CASES("/lease/members", members_cases, test_members);
 	CASES("/lease/deregister", unlisted_cases, test_unlisted);
 	CASES("/change", failover_cases, test_failover);
