Leases: an answer of all includes servers that are not recorded yet

A lease also begins when all members answer that they know no newer term. The members are those that the daemon has read: one that was recorded since, and promoted, was not asked, although it stood in the daemon's list. The promises of the others ended with the promotion, so that nothing told of it. Each server of the list has to answer now; until it does, the record is read instead.

--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -91,8 +91,9 @@
  * Return the send time of the oldest of the last status requests to the
  * databases other than the primary, if all have answered theirs and know of no
  * newer term; otherwise 0.  At that time none of them led a newer term.
- * members: number of recorded members, which alone are asked; 0: none are
- * recorded.
+ * members: number of recorded members, which must be among them; 0: none are
+ * recorded.  Those that are no members count as well, since they may have been
+ * recorded after this process read the record.
  */
 static int64_t
 denied_by_all_us(const lease_t *lease, const db_view_t *views, uint32_t count,
@@ -106,7 +107,7 @@
 	if (members > 0 && found < members)
 		return 0;
 	for (i = 0; i < count; i++) {
-		if (i == primary || (members > 0 && !views[i].member))
+		if (i == primary)
 			continue;
 		if (!views[i].known || views[i].likely_ended ||
 		    promise_blocks(lease, &views[i], &views[primary]))
@@ -238,9 +239,9 @@
  * is lifted when every database has answered, to a later request, that it holds
  * no such promise.  When some do not answer, a majority suffices, and the store
  * must record that the attempt has led to this primary or, after
- * ATTEMPT_MAX_US, to none.  Where the members are recorded, only they count.  A
- * standing promise for an order to replace this primary blocks leases as long
- * as it is there.
+ * ATTEMPT_MAX_US, to none.  Where the members are recorded, only they count for
+ * a majority.  A standing promise for an order to replace this primary blocks
+ * leases as long as it is there.
  */
 static bool
 renewal_blocked(
@@ -286,7 +287,7 @@
 		return true;
 	}
 	/* a primary alone has nobody else's answer */
-	by_all = denied == all && all > 1 && !promised &&
+	by_all = denied == all && answered == count && all > 1 && !promised &&
 	    !members_missing(lease, term) &&
 	    !order_recorded(lease, &views[primary]);
 	lease->unverified = !by_all;
