--- a/gen/event.pb-c.c
+++ b/gen/event.pb-c.c
@@ -997,6 +997,51 @@
   assert(message->base.descriptor == &bp__change_step_taken__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__promotion_basis__init
+                     (Bp__PromotionBasis         *message)
+{
+  static const Bp__PromotionBasis init_value = BP__PROMOTION_BASIS__INIT;
+  *message = init_value;
+}
+size_t bp__promotion_basis__get_packed_size
+                     (const Bp__PromotionBasis *message)
+{
+  assert(message->base.descriptor == &bp__promotion_basis__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__promotion_basis__pack
+                     (const Bp__PromotionBasis *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__promotion_basis__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__promotion_basis__pack_to_buffer
+                     (const Bp__PromotionBasis *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__promotion_basis__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__PromotionBasis *
+       bp__promotion_basis__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__PromotionBasis *)
+     protobuf_c_message_unpack (&bp__promotion_basis__descriptor,
+                                allocator, len, data);
+}
+void   bp__promotion_basis__free_unpacked
+                     (Bp__PromotionBasis *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__promotion_basis__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__promotion_ordered__init
                      (Bp__PromotionOrdered         *message)
 {
@@ -1042,6 +1087,96 @@
   assert(message->base.descriptor == &bp__promotion_ordered__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__promises_counted__init
+                     (Bp__PromisesCounted         *message)
+{
+  static const Bp__PromisesCounted init_value = BP__PROMISES_COUNTED__INIT;
+  *message = init_value;
+}
+size_t bp__promises_counted__get_packed_size
+                     (const Bp__PromisesCounted *message)
+{
+  assert(message->base.descriptor == &bp__promises_counted__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__promises_counted__pack
+                     (const Bp__PromisesCounted *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__promises_counted__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__promises_counted__pack_to_buffer
+                     (const Bp__PromisesCounted *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__promises_counted__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__PromisesCounted *
+       bp__promises_counted__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__PromisesCounted *)
+     protobuf_c_message_unpack (&bp__promises_counted__descriptor,
+                                allocator, len, data);
+}
+void   bp__promises_counted__free_unpacked
+                     (Bp__PromisesCounted *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__promises_counted__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bp__leases_revoked__init
+                     (Bp__LeasesRevoked         *message)
+{
+  static const Bp__LeasesRevoked init_value = BP__LEASES_REVOKED__INIT;
+  *message = init_value;
+}
+size_t bp__leases_revoked__get_packed_size
+                     (const Bp__LeasesRevoked *message)
+{
+  assert(message->base.descriptor == &bp__leases_revoked__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__leases_revoked__pack
+                     (const Bp__LeasesRevoked *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__leases_revoked__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__leases_revoked__pack_to_buffer
+                     (const Bp__LeasesRevoked *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__leases_revoked__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__LeasesRevoked *
+       bp__leases_revoked__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__LeasesRevoked *)
+     protobuf_c_message_unpack (&bp__leases_revoked__descriptor,
+                                allocator, len, data);
+}
+void   bp__leases_revoked__free_unpacked
+                     (Bp__LeasesRevoked *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__leases_revoked__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__promotion_answered__init
                      (Bp__PromotionAnswered         *message)
 {
@@ -4105,7 +4240,136 @@
   (ProtobufCMessageInit) bp__change_step_taken__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__promotion_ordered__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bp__promotion_basis__field_descriptors[8] =
+{
+  {
+    "needed",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PromotionBasis, needed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members_needed",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PromotionBasis, members_needed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members_ended",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PromotionBasis, members_ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bp__PromotionBasis, n_members),
+    offsetof(Bp__PromotionBasis, members),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bp__PromotionBasis, n_servers),
+    offsetof(Bp__PromotionBasis, servers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "promised_ms",
+    6,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PromotionBasis, promised_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revoked_by_all",
+    7,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PromotionBasis, revoked_by_all),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replaced_term",
+    8,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PromotionBasis, replaced_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__promotion_basis__field_indices_by_name[] = {
+  3,   /* field[3] = members */
+  2,   /* field[2] = members_ended */
+  1,   /* field[1] = members_needed */
+  0,   /* field[0] = needed */
+  5,   /* field[5] = promised_ms */
+  7,   /* field[7] = replaced_term */
+  6,   /* field[6] = revoked_by_all */
+  4,   /* field[4] = servers */
+};
+static const ProtobufCIntRange bp__promotion_basis__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor bp__promotion_basis__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.PromotionBasis",
+  "PromotionBasis",
+  "Bp__PromotionBasis",
+  "bp",
+  sizeof(Bp__PromotionBasis),
+  8,
+  bp__promotion_basis__field_descriptors,
+  bp__promotion_basis__field_indices_by_name,
+  1,  bp__promotion_basis__number_ranges,
+  (ProtobufCMessageInit) bp__promotion_basis__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bp__promotion_ordered__field_descriptors[5] =
 {
   {
     "group",
@@ -4155,8 +4419,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "basis",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PromotionOrdered, basis),
+    &bp__promotion_basis__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__promotion_ordered__field_indices_by_name[] = {
+  4,   /* field[4] = basis */
   0,   /* field[0] = group */
   1,   /* field[1] = server */
   2,   /* field[2] = term */
@@ -4165,7 +4442,7 @@
 static const ProtobufCIntRange bp__promotion_ordered__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bp__promotion_ordered__descriptor =
 {
@@ -4175,13 +4452,193 @@
   "Bp__PromotionOrdered",
   "bp",
   sizeof(Bp__PromotionOrdered),
-  4,
+  5,
   bp__promotion_ordered__field_descriptors,
   bp__promotion_ordered__field_indices_by_name,
   1,  bp__promotion_ordered__number_ranges,
   (ProtobufCMessageInit) bp__promotion_ordered__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__promises_counted__field_descriptors[4] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PromisesCounted, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PromisesCounted, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PromisesCounted, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bp__PromisesCounted, n_servers),
+    offsetof(Bp__PromisesCounted, servers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__promises_counted__field_indices_by_name[] = {
+  0,   /* field[0] = group */
+  2,   /* field[2] = held */
+  3,   /* field[3] = servers */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange bp__promises_counted__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor bp__promises_counted__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.PromisesCounted",
+  "PromisesCounted",
+  "Bp__PromisesCounted",
+  "bp",
+  sizeof(Bp__PromisesCounted),
+  4,
+  bp__promises_counted__field_descriptors,
+  bp__promises_counted__field_indices_by_name,
+  1,  bp__promises_counted__number_ranges,
+  (ProtobufCMessageInit) bp__promises_counted__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bp__leases_revoked__field_descriptors[6] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__LeasesRevoked, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__LeasesRevoked, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "token",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__LeasesRevoked, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "all",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bp__LeasesRevoked, all),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "confirmed",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bp__LeasesRevoked, n_confirmed),
+    offsetof(Bp__LeasesRevoked, confirmed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "missing",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bp__LeasesRevoked, n_missing),
+    offsetof(Bp__LeasesRevoked, missing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__leases_revoked__field_indices_by_name[] = {
+  3,   /* field[3] = all */
+  4,   /* field[4] = confirmed */
+  0,   /* field[0] = group */
+  5,   /* field[5] = missing */
+  1,   /* field[1] = term */
+  2,   /* field[2] = token */
+};
+static const ProtobufCIntRange bp__leases_revoked__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor bp__leases_revoked__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.LeasesRevoked",
+  "LeasesRevoked",
+  "Bp__LeasesRevoked",
+  "bp",
+  sizeof(Bp__LeasesRevoked),
+  6,
+  bp__leases_revoked__field_descriptors,
+  bp__leases_revoked__field_indices_by_name,
+  1,  bp__leases_revoked__number_ranges,
+  (ProtobufCMessageInit) bp__leases_revoked__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__promotion_answered__field_descriptors[4] =
 {
   {
--- a/gen/event.pb-c.h
+++ b/gen/event.pb-c.h
@@ -39,7 +39,10 @@
 typedef struct Bp__LeaseRegained Bp__LeaseRegained;
 typedef struct Bp__OpenOrdersChanged Bp__OpenOrdersChanged;
 typedef struct Bp__ChangeStepTaken Bp__ChangeStepTaken;
+typedef struct Bp__PromotionBasis Bp__PromotionBasis;
 typedef struct Bp__PromotionOrdered Bp__PromotionOrdered;
+typedef struct Bp__PromisesCounted Bp__PromisesCounted;
+typedef struct Bp__LeasesRevoked Bp__LeasesRevoked;
 typedef struct Bp__PromotionAnswered Bp__PromotionAnswered;
 typedef struct Bp__DutyHeld Bp__DutyHeld;
 typedef struct Bp__ConfigurationTaken Bp__ConfigurationTaken;
@@ -846,6 +849,55 @@
     , NULL, BP__CHANGE_STEP__ASK_WITNESS, NULL, 0 }
 
 
+/*
+ * What allows an order to promote a server.
+ */
+struct  Bp__PromotionBasis
+{
+  ProtobufCMessage base;
+  /*
+   * promises that are needed: of the servers of the list, and of the
+   * recorded members; 0: none are recorded
+   */
+  uint32_t needed;
+  uint32_t members_needed;
+  /*
+   * recorded members that have ended, so that each counts as a promise
+   */
+  uint32_t members_ended;
+  /*
+   * "ID:BORN:REASON": the recorded members; the reason is "-" for one that
+   * is not known to have ended, or as in ServerListed
+   */
+  size_t n_members;
+  char **members;
+  /*
+   * "ID:VOTE:PROMISED:REQUESTED_MS:CONNECTED_MS": the servers of the list.
+   * The vote is member or other, with a leading "!" if it has not promised
+   * the term; then its newest term, the age of the request that it
+   * answered last, and of the connection.
+   */
+  size_t n_servers;
+  char **servers;
+  /*
+   * time since the last promise, for which leases were waited for
+   */
+  int64_t promised_ms;
+  /*
+   * all daemons that may hold leases have revoked them; otherwise most
+   * have, and the others' have expired
+   */
+  protobuf_c_boolean revoked_by_all;
+  /*
+   * newest term whose primary it replaces
+   */
+  uint64_t replaced_term;
+};
+#define BP__PROMOTION_BASIS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__promotion_basis__descriptor) \
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+
+
 /*
  * This daemon wants a server to be promoted to primary.
  */
@@ -859,10 +911,62 @@
    * fencing token of the coordinator
    */
   uint64_t token;
+  Bp__PromotionBasis *basis;
 };
 #define BP__PROMOTION_ORDERED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__promotion_ordered__descriptor) \
-    , NULL, NULL, 0, 0 }
+    , NULL, NULL, 0, 0, NULL }
+
+
+/*
+ * The servers were asked for their promises again, once the store has recorded
+ * an order.
+ */
+struct  Bp__PromisesCounted
+{
+  ProtobufCMessage base;
+  char *group;
+  uint64_t term;
+  protobuf_c_boolean held;
+  /*
+   * as in PromotionBasis
+   */
+  size_t n_servers;
+  char **servers;
+};
+#define BP__PROMISES_COUNTED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__promises_counted__descriptor) \
+    , NULL, 0, 0, 0,NULL }
+
+
+/*
+ * Daemons have revoked their leases for a failover: most of them, or all that
+ * may hold some.
+ */
+struct  Bp__LeasesRevoked
+{
+  ProtobufCMessage base;
+  char *group;
+  /*
+   * leases in lower terms are revoked
+   */
+  uint64_t term;
+  uint64_t token;
+  protobuf_c_boolean all;
+  /*
+   * names of the others that have
+   */
+  size_t n_confirmed;
+  char **confirmed;
+  /*
+   * and of those that have not
+   */
+  size_t n_missing;
+  char **missing;
+};
+#define BP__LEASES_REVOKED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__leases_revoked__descriptor) \
+    , NULL, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -1653,6 +1757,25 @@
 void   bp__change_step_taken__free_unpacked
                      (Bp__ChangeStepTaken *message,
                       ProtobufCAllocator *allocator);
+/* Bp__PromotionBasis methods */
+void   bp__promotion_basis__init
+                     (Bp__PromotionBasis         *message);
+size_t bp__promotion_basis__get_packed_size
+                     (const Bp__PromotionBasis   *message);
+size_t bp__promotion_basis__pack
+                     (const Bp__PromotionBasis   *message,
+                      uint8_t             *out);
+size_t bp__promotion_basis__pack_to_buffer
+                     (const Bp__PromotionBasis   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__PromotionBasis *
+       bp__promotion_basis__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__promotion_basis__free_unpacked
+                     (Bp__PromotionBasis *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__PromotionOrdered methods */
 void   bp__promotion_ordered__init
                      (Bp__PromotionOrdered         *message);
@@ -1672,6 +1795,44 @@
 void   bp__promotion_ordered__free_unpacked
                      (Bp__PromotionOrdered *message,
                       ProtobufCAllocator *allocator);
+/* Bp__PromisesCounted methods */
+void   bp__promises_counted__init
+                     (Bp__PromisesCounted         *message);
+size_t bp__promises_counted__get_packed_size
+                     (const Bp__PromisesCounted   *message);
+size_t bp__promises_counted__pack
+                     (const Bp__PromisesCounted   *message,
+                      uint8_t             *out);
+size_t bp__promises_counted__pack_to_buffer
+                     (const Bp__PromisesCounted   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__PromisesCounted *
+       bp__promises_counted__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__promises_counted__free_unpacked
+                     (Bp__PromisesCounted *message,
+                      ProtobufCAllocator *allocator);
+/* Bp__LeasesRevoked methods */
+void   bp__leases_revoked__init
+                     (Bp__LeasesRevoked         *message);
+size_t bp__leases_revoked__get_packed_size
+                     (const Bp__LeasesRevoked   *message);
+size_t bp__leases_revoked__pack
+                     (const Bp__LeasesRevoked   *message,
+                      uint8_t             *out);
+size_t bp__leases_revoked__pack_to_buffer
+                     (const Bp__LeasesRevoked   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__LeasesRevoked *
+       bp__leases_revoked__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__leases_revoked__free_unpacked
+                     (Bp__LeasesRevoked *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__PromotionAnswered methods */
 void   bp__promotion_answered__init
                      (Bp__PromotionAnswered         *message);
@@ -2082,9 +2243,18 @@
 typedef void (*Bp__ChangeStepTaken_Closure)
                  (const Bp__ChangeStepTaken *message,
                   void *closure_data);
+typedef void (*Bp__PromotionBasis_Closure)
+                 (const Bp__PromotionBasis *message,
+                  void *closure_data);
 typedef void (*Bp__PromotionOrdered_Closure)
                  (const Bp__PromotionOrdered *message,
                   void *closure_data);
+typedef void (*Bp__PromisesCounted_Closure)
+                 (const Bp__PromisesCounted *message,
+                  void *closure_data);
+typedef void (*Bp__LeasesRevoked_Closure)
+                 (const Bp__LeasesRevoked *message,
+                  void *closure_data);
 typedef void (*Bp__PromotionAnswered_Closure)
                  (const Bp__PromotionAnswered *message,
                   void *closure_data);
@@ -2173,7 +2343,10 @@
 extern const ProtobufCMessageDescriptor bp__lease_regained__descriptor;
 extern const ProtobufCMessageDescriptor bp__open_orders_changed__descriptor;
 extern const ProtobufCMessageDescriptor bp__change_step_taken__descriptor;
+extern const ProtobufCMessageDescriptor bp__promotion_basis__descriptor;
 extern const ProtobufCMessageDescriptor bp__promotion_ordered__descriptor;
+extern const ProtobufCMessageDescriptor bp__promises_counted__descriptor;
+extern const ProtobufCMessageDescriptor bp__leases_revoked__descriptor;
 extern const ProtobufCMessageDescriptor bp__promotion_answered__descriptor;
 extern const ProtobufCMessageDescriptor bp__duty_held__descriptor;
 extern const ProtobufCMessageDescriptor bp__configuration_taken__descriptor;
--- a/src/proxy/group_members.c
+++ b/src/proxy/group_members.c
@@ -38,23 +38,24 @@
 }
 
 /*
- * Tell whether a recorded member has ended.  A server that is started holds and
- * knows nothing of before.
+ * Return what shows that a recorded member has ended, or START_STAYS.  A server
+ * that is started holds and knows nothing of before.
  */
-static bool
-member_ended(const group_t *group, const member_t *member)
+start_removal_t
+group_member_ended_by(const group_t *group, const member_t *member)
 {
 	start_t start = {member->id, member->address, member->born};
 	arena_t *arena = arena_new();
-	bool ended = member->ended != START_STAYS;
+	start_removal_t ended = member->ended;
 	uint32_t i;
 
-	for (i = 0; i < group->count; i++) {
+	for (i = 0; i < group->count && ended == START_STAYS; i++) {
 		const server_t *server = group->servers[i];
 		start_t other = {server->id, server_address(server, arena),
 		    server->generation};
 
-		ended |= start_follows(&other, &start);
+		if (start_follows(&other, &start))
+			ended = START_FOLLOWED;
 	}
 	arena_free(arena);
 	return ended;
@@ -79,7 +80,8 @@
 		    member->ended == START_STAYS;
 	}
 	for (i = 0; i < count; i++)
-		ended += member_ended(group, &group->members[i]);
+		ended += group_member_ended_by(group, &group->members[i]) !=
+		    START_STAYS;
 	failover_set_members(failover, &group->lease, count, ended, clock_us());
 }
 
--- a/src/proxy/group_promises.c
+++ b/src/proxy/group_promises.c
@@ -43,6 +43,7 @@
 	checked.group = group->name;
 	checked.term = group->promises_term;
 	checked.held = promises == FAILOVER_PROMISES_HELD;
+	log_promises_counted(group, checked.term, checked.held);
 	group->promises_term = 0;
 	task_send(pool->proxy->registry, pool->task, msg_copy(&checked.base));
 }
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -1,6 +1,7 @@
 #include "peers.h"
 
 #include "decide/decide.h"
+#include "event.pb-c.h"
 #include "order_messages.h"
 
 #include <errno.h>
@@ -167,6 +168,48 @@
 	task_send(revocation->requester, peers->task, msg);
 }
 
+/*
+ * Log which daemons have revoked their leases for a failover.
+ */
+static void
+log_revoked(const revocation_t *revocation, bool all)
+{
+	Bp__LeasesRevoked revoked = BP__LEASES_REVOKED__INIT;
+	arena_t *arena = arena_new();
+	uint64_t size_bytes = sizeof(char *) * (revocation->targets->len + 1);
+	uint32_t i;
+
+	revoked.group = revocation->group;
+	revoked.term = revocation->term;
+	revoked.token = revocation->token;
+	revoked.all = all;
+	revoked.confirmed = arena_zalloc(arena, size_bytes);
+	revoked.missing = arena_zalloc(arena, size_bytes);
+	for (i = 0; i < revocation->targets->len; i++) {
+		const target_t *target =
+		    g_ptr_array_index(revocation->targets, i);
+
+		if (target->answered)
+			revoked.confirmed[revoked.n_confirmed++] = target->name;
+		else
+			revoked.missing[revoked.n_missing++] = target->name;
+	}
+	log_event(G_LOG_LEVEL_INFO, &revoked.base);
+	arena_free(arena);
+}
+
+/*
+ * Log and report that most daemons have revoked their leases, or all that may
+ * hold some.
+ */
+static void
+report_revoked(const revocation_t *revocation, Bp__RevokeState state)
+{
+	if (!revocation->begun)
+		log_revoked(revocation, state == BP__REVOKE_STATE__ALL);
+	revocation_report(revocation, state);
+}
+
 /*
  * Report to the requester when a majority of the daemons has confirmed the
  * token.  One that does not run, or has not read the coordinator record since
@@ -220,12 +263,12 @@
 	if (holders_left == 0 && !revocation->incomplete &&
 	    answered >= majority_of(count)) {
 		if (!revocation->all_reported)
-			revocation_report(revocation, BP__REVOKE_STATE__ALL);
+			report_revoked(revocation, BP__REVOKE_STATE__ALL);
 		revocation->all_reported = true;
 	} else if (!revocation->majority_reported &&
 	    answered >= majority_of(count)) {
 		revocation->majority_reported = true;
-		revocation_report(revocation, BP__REVOKE_STATE__MOST);
+		report_revoked(revocation, BP__REVOKE_STATE__MOST);
 	}
 }
 
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -29,6 +29,7 @@
  * group_members.c	servers that the store has recorded for a group
  * pool_log.c		log events
  * read_log.c		what a read or a lease rests on, in log events
+ * order_log.c		what an order to promote a server rests on, the same
  * pool_status.c	status page and metrics
  *
  * The terms used here:
@@ -492,6 +493,7 @@
     const group_t *, const server_t *primary, int64_t ended_us);
 void log_change_step(const group_t *, const failover_action_t *);
 void log_promotion_ordered(const server_t *, uint64_t term);
+void log_promises_counted(const group_t *, uint64_t term, bool held);
 void log_process_paused(int64_t paused_ms);
 void log_coordinator_changed(bool held, uint64_t token);
 void log_daemons_known(const pool_t *);
@@ -521,6 +523,7 @@
 void group_members_clear(group_t *);
 void group_member_ended(group_t *, const server_t *, start_removal_t);
 void group_member_listed(group_t *, const server_t *);
+start_removal_t group_member_ended_by(const group_t *, const member_t *);
 Bp__RecordedMember **group_members_write(
     const group_t *, arena_t *, size_t *count);
 void group_members_check(group_t *, int64_t now_us);
--- a/src/proxy/pool_log.c
+++ b/src/proxy/pool_log.c
@@ -1,3 +1,4 @@
+#include "order_log.h"
 #include "read_log.h"
 
 #include <inttypes.h>
@@ -467,13 +468,17 @@
 log_promotion_ordered(const server_t *server, uint64_t term)
 {
 	Bp__PromotionOrdered ordered = BP__PROMOTION_ORDERED__INIT;
+	arena_t *arena = arena_new();
 
 	server->group->pool->counts[COUNT_PROMOTIONS_ORDERED]++;
 	ordered.group = server->group->name;
 	ordered.server = server->id;
 	ordered.term = term;
 	ordered.token = server->group->pool->fencing_token;
+	ordered.basis =
+	    promotion_basis_message(arena, server->group, clock_us());
 	log_event(G_LOG_LEVEL_MESSAGE, &ordered.base);
+	arena_free(arena);
 }
 
 /*
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -867,6 +867,86 @@
 	testbed_stop(testbed);
 }
 
+/* Time after which the members of a group are recorded. */
+#define RECORDED_MS 4500
+
+/* Time in which a silent primary is replaced. */
+#define REPLACED_MS 6000
+
+typedef struct order_log_case {
+	const char *name;
+	const char *part; /* of a line of the coordinator's log */
+} order_log_case_t;
+
+/* The members that are recorded, the votes and leases of an order, in turn. */
+static const order_log_case_t order_log_cases[] = {
+    {"who has revoked leases",
+	"\"event\":\"leases_revoked\",\"group\":\"ledger\",\"term\":2,"
+	"\"token\":1,\"all\":true,\"confirmed\":[\"proxy-"},
+    {"the order, by its term and token",
+	"\"event\":\"promotion_ordered\",\"group\":\"ledger\","
+	"\"server\":\"i-1\",\"term\":2,\"token\":1,"},
+    {"the promises needed, and the members",
+	"\"basis\":{\"needed\":2,\"members_needed\":2,\"members_ended\":0,"
+	"\"members\":[\"i-0:"},
+    {"who has promised", "\"servers\":[\"i-0:!member:1:"},
+    {"that the leases were waited for",
+	"\"revoked_by_all\":true,\"replaced_term\":1}"},
+    {"the promises, once the order is recorded",
+	"\"event\":\"promises_counted\",\"group\":\"ledger\",\"term\":2,"
+	"\"held\":true,\"servers\":[\"i-0:!member:1:"},
+};
+
+/*
+ * Return the log of the proxy that has ordered a promotion, or NULL.
+ */
+static char *
+coordinator_log(const testbed_t *testbed)
+{
+	uint32_t i;
+
+	for (i = 0; i < 3; i++) {
+		char *path =
+		    g_strdup_printf("%s/proxy-%u.log", testbed->work_dir, i);
+		char *log;
+
+		g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+		g_free(path);
+		if (strstr(log, "\"event\":\"promotion_ordered\"") != NULL)
+			return log;
+		g_free(log);
+	}
+	return NULL;
+}
+
+/*
+ * Test that the log of the coordinator tells all that has allowed an order to
+ * promote a server.
+ */
+static void
+test_order_logged(void)
+{
+	testbed_plan_t plan = {.proxies = 3, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	char *log;
+	uint32_t i;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_usleep(RECORDED_MS * US_PER_MS);
+	testbed_inject_fault(testbed, "database", "mute", 0);
+	g_usleep(REPLACED_MS * US_PER_MS);
+	log = coordinator_log(testbed);
+	g_assert_nonnull(log);
+	for (i = 0; i < G_N_ELEMENTS(order_log_cases); i++) {
+		if (strstr(log, order_log_cases[i].part) == NULL)
+			g_error("%s: %s not found in %s",
+			    order_log_cases[i].name, order_log_cases[i].part,
+			    log);
+	}
+	g_free(log);
+	testbed_stop(testbed);
+}
+
 /* Time for which no replica receives anything from a leaving primary. */
 #define DEAF_MS 4500
 
@@ -1752,6 +1832,7 @@
 	CASES("/proxy/no-connection", no_connection_cases, test_no_connection);
 	CASES("/proxy/release", resume_cases, test_replication_resumed);
 	CASES("/proxy/trail", log_cases, test_failure_logged);
+	g_test_add_func("/proxy/order-trail", test_order_logged);
 	CASES("/proxy/page", http_cases, test_http_endpoint);
 	CASES("/proxy/unanswered-read", silent_replica_cases,
 	    test_silent_replica);
