Starts: one that is not listed and silent is removed after 60 s, not 10 s

It counts from when the database was not listed any more at the earliest, and lasts 60 s; a database that has said that it leaves is removed after 10 s as before, or at once if it is no recorded member.

--- a/src/decide/start.c
+++ b/src/decide/start.c
@@ -4,8 +4,12 @@
 
 #include <string.h>
 
-/* Time without an answer after which a start that is not listed has left. */
-#define UNLISTED_SILENT_US (10 * US_PER_SECOND)
+/*
+ * Time without an answer after which a start that is not listed is removed: if
+ * it has said that it leaves, and if it has not.
+ */
+#define LEAVING_SILENT_US (10 * US_PER_SECOND)
+#define UNLISTED_SILENT_US (60 * US_PER_SECOND)
 
 /*
  * Tell whether a listed start shows that another one has ended: it has the same
@@ -61,10 +65,12 @@
 		return START_DENIED;
 	if (evidence->listed)
 		return START_STAYS;
-	if (evidence->left)
+	if (!evidence->member && evidence->leaving)
 		return START_LEFT;
-	if (!evidence->known)
+	if (!evidence->member && !evidence->known)
 		return START_UNANSWERED;
-	return evidence->silent_us < UNLISTED_SILENT_US ? START_STAYS
-							: START_SILENT;
+	return evidence->silent_us <
+		(evidence->leaving ? LEAVING_SILENT_US : UNLISTED_SILENT_US)
+	    ? START_STAYS
+	    : START_SILENT;
 }
--- a/src/decide/start.h
+++ b/src/decide/start.h
@@ -30,10 +30,11 @@
 	bool
 	    denied; /* the process at its address is another one, by its word */
 	bool refused; /* it has refused a connection since its last answer */
-	bool left;  /* it has said that it leaves, and is no recorded member */
-	bool known; /* it has answered, or is a recorded member */
-	/* time since the request that it answered last, or since it was added
-	   to its group */
+	bool leaving; /* it has said that it leaves */
+	bool member;  /* it is a recorded member */
+	bool known;   /* it has answered */
+	/* time since the request that it answered last or, if that is shorter,
+	   since it has not been listed */
 	int64_t silent_us;
 } start_evidence_t;
 
@@ -46,8 +47,8 @@
 	START_FOLLOWED,   /* a later start is listed */
 	START_MOVED,      /* it is listed at another address */
 	START_DENIED,     /* the process at its address is another one */
-	START_LEFT,       /* not listed, and it has said that it leaves */
-	START_UNANSWERED, /* not listed, and has never answered */
+	START_LEFT,       /* not listed, has said that it leaves, no member */
+	START_UNANSWERED, /* not listed, has never answered, no member */
 	START_SILENT,     /* not listed, and has not answered for long */
 } start_removal_t;
 
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -123,12 +123,12 @@
 	   drain_limit_us */
 	bool leaving;
 	int64_t drain_limit_us;
-	int64_t added_us;        /* time it was added to its group */
 	bool removed;            /* not in the catalog: finishes what it runs */
 	start_removal_t removal; /* why */
 	/* not in the catalog, but did not say that it leaves: it gets no new
 	   work, and its answers count for leases and failovers */
 	bool unlisted;
+	int64_t unlisted_us; /* time at which that became known */
 	/* the same, although it said so: it counts until its process is known
 	   to have ended */
 	bool departed;
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -386,7 +386,6 @@
 	server->same_zone =
 	    strcmp(entry->zone, group->pool->proxy->settings->zone) == 0;
 	server->conns = g_ptr_array_new();
-	server->added_us = clock_us();
 	log_server_listed(server);
 	return server;
 }
@@ -489,9 +488,12 @@
 	return (start_evidence_t){.listed = !server->unlisted,
 	    .denied = server->denied,
 	    .refused = failover->connect_refusals[server->index] > 0,
-	    .left = server->leaving && !server->unlisted && !view->member,
-	    .known = server->group->active && (view->known || view->member),
-	    .silent_us = now_us - MAX(view->requested_us, server->added_us)};
+	    .leaving = server->unlisted ? server->departed : server->leaving,
+	    .member = view->member && server->group->active,
+	    .known = view->known && server->group->active,
+	    .silent_us = server->unlisted
+		? now_us - MAX(view->requested_us, server->unlisted_us)
+		: 0};
 }
 
 /*
@@ -523,10 +525,11 @@
  * Note that a server is not listed any more, but stays a member of its group.
  */
 static void
-server_unlist(server_t *server)
+server_unlist(server_t *server, int64_t now_us)
 {
 	if (server->unlisted)
 		return;
+	server->unlisted_us = now_us;
 	server->departed = server->leaving;
 	server->unlisted = server->leaving = true;
 	log_server_listed(server);
@@ -596,7 +599,7 @@
 		if (!server_stays(server, &evidence))
 			continue;
 		if (entry == NULL)
-			server_unlist(server);
+			server_unlist(server, now_us);
 		else
 			server_update(server, entry);
 		servers[count++] = server;
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -153,7 +153,8 @@
 	/* database of each index of the failover */
 	uint32_t servers[DBS_MAX];
 	bool unlisted[DBS_MAX]; /* in the group, but not in the last list */
-	bool denied[DBS_MAX];   /* another process has answered in its place */
+	int64_t unlisted_us[DBS_MAX]; /* time at which that became known */
+	bool denied[DBS_MAX]; /* another process has answered in its place */
 	int64_t added_us[DBS_MAX]; /* time it was added to the group */
 	int64_t listed_us;         /* time of the first list; 0: none yet */
 	int64_t born_us[DBS_MAX];  /* as the databases have answered, or as
--- a/tools/proxy_model_lists.c
+++ b/tools/proxy_model_lists.c
@@ -88,10 +88,12 @@
 	return (start_evidence_t){.listed = !daemon->unlisted[db],
 	    .denied = daemon->denied[db],
 	    .refused = failover->connect_refusals[server] > 0,
-	    .left = view->leaving && !daemon->unlisted[db] && !view->member,
-	    .known = view->known || view->member,
-	    .silent_us =
-		model->now_us - MAX(view->requested_us, daemon->added_us[db])};
+	    .leaving = view->leaving,
+	    .member = view->member,
+	    .known = view->known,
+	    .silent_us = daemon->unlisted[db] ? model->now_us -
+		    MAX(view->requested_us, daemon->unlisted_us[db])
+					      : 0};
 }
 
 /*
@@ -193,6 +195,8 @@
 	evidence.followed = followed;
 	if (start_removal(&evidence) == START_STAYS &&
 	    !removed_by_bug(model, &evidence)) {
+		if (!daemon->unlisted[db] && !listed)
+			daemon->unlisted_us[db] = model->now_us;
 		daemon->unlisted[db] = !listed;
 		return true;
 	}
