Failover: a database that answers during an attempt is asked for its promise

Where two of three databases ended within a moment, the attempt asked the third one and those two, whose requests were lost. Now a database that has joined, or whose later answer shows that the request was lost, is asked again, and the attempt lasts from then on.

--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -170,10 +170,10 @@
 }
 
 /*
- * Handle FENCING: when enough databases have promised the term, tell the
- * daemons to revoke their leases, wait until these have ended, and promote the
- * most advanced database.  Back off when that takes too long, or when none can
- * be promoted.
+ * Handle FENCING: until enough databases have promised the term, ask those as
+ * well that answer only now.  Then tell the daemons to revoke their leases,
+ * wait until these have ended, and promote the most advanced database.  Back
+ * off when that takes too long, or when none can be promoted.
  */
 static void
 tick_fencing(failover_t *failover, int64_t now_us, failover_actions_t *actions)
@@ -183,6 +183,8 @@
 	bool provable =
 	    !failover->store_away || standing_proves_order(failover, chosen);
 
+	if (!enough)
+		ask_again(failover, now_us, actions);
 	if (enough && !failover->revocation_sent &&
 	    failover->limits.lease_wait_us > 0) {
 		failover->revocation_sent = true;
@@ -208,7 +210,7 @@
 		failover->no_candidate = true;
 		release_attempt_promises(failover, now_us, actions);
 		back_off(failover, now_us);
-	} else if (now_us - failover->state_entered_us >=
+	} else if (now_us - failover->fence_began_us >=
 	    failover->limits.fence_us +
 		(enough ? failover->limits.lease_wait_us : 0)) {
 		release_attempt_promises(failover, now_us, actions);
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -191,6 +191,11 @@
 	bool standing_asked;
 	bool standing[GROUP_DATABASES_MAX];
 
+	/* FENCING: time each database was last asked for the promise, 0: not
+	   yet; and time of the start of the attempt, or at which one that has
+	   joined since was first asked */
+	int64_t fence_sent_us[GROUP_DATABASES_MAX];
+	int64_t fence_began_us;
 	/* FENCING: databases that promised the new term, the last entry of the
 	   log of each at that moment, and the time of the last promise */
 	bool granted[GROUP_DATABASES_MAX];
--- a/src/decide/failover_fencing.c
+++ b/src/decide/failover_fencing.c
@@ -143,6 +143,8 @@
 	failover->fenced_from_term = newest_term(failover);
 	failover->term = failover->fenced_term = next_attempt(failover);
 	failover->standing_asked = false;
+	memset(failover->fence_sent_us, 0, sizeof(failover->fence_sent_us));
+	failover->fence_began_us = now_us;
 	memset(failover->granted, 0, sizeof(failover->granted));
 	memset(failover->standing, 0, sizeof(failover->standing));
 	failover->revocation_sent = failover->revoked_by_all = false;
@@ -155,12 +157,55 @@
 		    (failover->stepping_down >= 0 && !failover->doubtful &&
 			(int32_t)i != failover->stepping_down))
 			continue;
+		failover->fence_sent_us[i] = now_us;
 		actions->list[actions->count++] =
 		    (failover_action_t){FAILOVER_FENCE, i, failover->term};
 	}
 	enter_state(failover, FAILOVER_FENCING, now_us);
 }
 
+/*
+ * Tell whether a database is to be asked for the promise once more, or for the
+ * first time: it has joined since the attempt began, or its answer to a later
+ * request shows that the request for the promise was lost.
+ */
+static bool
+fence_due(const failover_t *failover, uint32_t database, int64_t now_us)
+{
+	const db_view_t *view = &failover->views[database];
+	int64_t sent_us = failover->fence_sent_us[database];
+
+	return (int32_t)database != failover->isolated &&
+	    !failover->granted[database] &&
+	    failover_answers(failover, database, now_us) &&
+	    (sent_us == 0 ||
+		(view->requested_us > sent_us &&
+		    view->promised < failover->fenced_term));
+}
+
+/*
+ * Ask the databases for the promise that have started again, or were out of
+ * reach, when the attempt began.
+ */
+void
+ask_again(failover_t *failover, int64_t now_us, failover_actions_t *actions)
+{
+	uint32_t i;
+
+	if (failover->standing_asked ||
+	    (failover->stepping_down >= 0 && !failover->doubtful))
+		return;
+	for (i = 0; i < failover->count; i++) {
+		if (!fence_due(failover, i, now_us))
+			continue;
+		if (failover->fence_sent_us[i] == 0)
+			failover->fence_began_us = now_us;
+		failover->fence_sent_us[i] = now_us;
+		actions->list[actions->count++] = (failover_action_t){
+		    FAILOVER_FENCE, i, failover->fenced_term};
+	}
+}
+
 /*
  * Process the answer to FENCE.  Only a promise of the current attempt's term
  * counts, with the position that the log had at that moment.
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -1340,6 +1340,80 @@
 	failover_clear(&failover);
 }
 
+typedef struct asked_case {
+	const char *name;
+	int64_t again_ms; /* database 1 answers again; 0: it does not */
+	bool started;     /* it has started again */
+	bool asked;       /* expected */
+} asked_case_t;
+
+/*
+ * Time of the last answers of the primary and of database 1 before the attempt
+ * begins, and time after which it is given up if nobody else answers.
+ */
+#define LAST_ANSWER_MS 200
+#define GIVEN_UP_MS 900
+
+static const asked_case_t asked_cases[] = {
+    {"it is gone", 0, false, false},
+    {"it was out of reach", 500, false, true},
+    {"it has started again", 500, true, true},
+    {"it has started again, late", 800, true, true},
+    {"it answers when the attempt is over", 1000, false, false},
+};
+
+/*
+ * Test that a database that answers only after an attempt began is asked for
+ * its promise, with which the attempt succeeds.
+ */
+static void
+test_asked(gconstpointer data)
+{
+	static const int32_t started_again[] = {0, -1, 2};
+	const asked_case_t *c = data;
+	failover_actions_t actions;
+	failover_t failover;
+	int64_t at_ms;
+	uint32_t i;
+	bool asked = false, revoked = false;
+
+	failover_init(&failover, &test_limits, DATABASES, 1, 0);
+	for (at_ms = 0; at_ms < GIVEN_UP_MS + 200; at_ms += 10) {
+		bool again = c->again_ms != 0 && at_ms >= c->again_ms;
+
+		if (c->started && at_ms == c->again_ms)
+			failover_remap(
+			    &failover, started_again, DATABASES, MS(at_ms));
+		for (i = 0; i < DATABASES; i++) {
+			uint64_t held = failover.granted[i] ? failover.term : 0;
+
+			if (i == 2 || at_ms <= LAST_ANSWER_MS ||
+			    (i == 1 && (again || at_ms <= LAST_ANSWER_MS + 90)))
+				report(
+				    &failover, i, i == 0, 1, held, MS(at_ms));
+		}
+		failover_tick(&failover, MS(at_ms), &actions);
+		for (i = 0; i < actions.count; i++) {
+			const failover_action_t *action = &actions.list[i];
+			db_view_t view = failover.views[action->database];
+
+			revoked |= action->kind == FAILOVER_REVOKE_LEASES;
+			if (action->kind != FAILOVER_FENCE ||
+			    action->database == 0 ||
+			    (action->database == 1 && !again))
+				continue;
+			asked |= action->database == 1;
+			view.requested_us = MS(at_ms);
+			view.promised = action->term;
+			failover_fence_answered(&failover, action->database,
+			    action->term, true, &view, MS(at_ms));
+		}
+	}
+	g_assert_cmpint(asked, ==, c->asked);
+	g_assert_cmpint(revoked, ==, c->asked);
+	failover_clear(&failover);
+}
+
 /*
  * Test that promises that suffice only since a member has ended are as old as
  * the knowledge of its end: leases may rest on its last answers until then.
@@ -1524,6 +1598,7 @@
 	CASES("/attempt/reach", reach_cases, test_reach);
 	CASES("/attempt/open-order", open_order_cases, test_open_order);
 	CASES("/attempt/ended", ended_cases, test_ended);
+	CASES("/attempt/asked", asked_cases, test_asked);
 	g_test_add_func("/attempt/lost-during", test_lost_during_attempt);
 	return g_test_run();
 }
