Monitor: split into the files that monitor_internal.h lists

Code is only moved: the status and failover of a group (src/proxy/monitor.c, 898 lines) are in six files, of which each calls only those below it in the list. Eight functions are external now, since another of the files calls them; their bodies and all others are the same. monitor_takeover_us(), which only these files and t_monitor use, is declared in monitor_internal.h, and t_monitor includes that.

Checked: the 36 functions and the constants with their comments, compared as blocks with those of the former file; the calls between the files; the build without warnings, the format, clang-tidy on the new files and t_monitor. Run, all passed, one run each beside other work: t_monitor 6, t_decide 160, t_members 7, t_attempt 138, t_log 9, t_restart 7. Not run: the other tests.

--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -24,9 +24,12 @@
  * operation.c		life cycle of a statement
  * transaction.c	end of transactions
  * dispatch.c		selection of a server and connection for a statement
- * monitor.c		server status, leases and failover
+ * monitor.c		server status and failover; monitor_internal.h lists its
+ *			files
+ * group_lease.c	lease on the primary of a group
  * group_orders.c	orders to promote a server: open ones, those told
  * group_members.c	servers that the store has recorded for a group
+ * group_promises.c	promises behind an order of this daemon
  * pool_log.c		log events
  * read_log.c		what a read or a lease rests on, in log events
  * order_log.c		what an order to promote a server rests on, the same
@@ -559,19 +562,26 @@
 /* monitor.c */
 void monitor_init(group_t *, int64_t now_us);
 void monitor_tick(group_t *, int64_t now_us);
+
+/* monitor_answers.c */
 void monitor_status_received(
     server_t *, const server_status_t *, const expected_answer_t *, position_t);
 void monitor_reply_received(server_t *, position_t, int64_t now_us);
 void monitor_turned_away(server_t *, position_t, int64_t now_us);
 void monitor_connection_refused(server_t *);
 void monitor_denied(server_t *);
-bool group_failover_in_progress(const group_t *, int64_t now_us);
+
+/* monitor_probe.c */
 void monitor_request_status(server_t *, int64_t now_us);
-void monitor_coordinator_denied(group_t *, bool unknown, int64_t now_us);
-int64_t monitor_takeover_us(const group_t *, bool due);
-int64_t monitor_takeover_delay_us(GRand *);
+
+/* monitor_change.c */
+bool group_failover_in_progress(const group_t *, int64_t now_us);
 void monitor_revocation_progress(group_t *, const Bp__RevokeEnded *);
 void monitor_promotion_ended(
     group_t *, const Bp__PromotionEnded *, int64_t now_us);
 
+/* monitor_role.c */
+void monitor_coordinator_denied(group_t *, bool unknown, int64_t now_us);
+int64_t monitor_takeover_delay_us(GRand *);
+
 #endif
--- a/tests/t_monitor.c
+++ b/tests/t_monitor.c
@@ -1,4 +1,4 @@
-#include "../src/proxy/pool.h"
+#include "../src/proxy/monitor_internal.h"
 #include "cases.h"
 
 /*
