--- a/tests/fake/fakesite.c
+++ b/tests/fake/fakesite.c
@@ -367,6 +367,7 @@
  *
  * Usage: fakesite --port N --databases N [--lag-ms N] [--work-ms N]
  * [--count N] [--second-databases N] [--daemons-at ADDRESS]
+ * [--store-port N]... [--address-at-port ADDRESS]...
  */
 int
 main(int argc, char **argv)
@@ -380,6 +381,9 @@
 	    NULL, "work-ms", "N", "service time of an item access or commit");
 	struct arg_int *store_ports = arg_intn(NULL, "store-port", "N", 0,
 	    STORE_PORTS_MAX, "further port of the HTTP server");
+	struct arg_str *addresses = arg_strn(NULL, "address-at-port", "ADDRESS",
+	    0, STORE_PORTS_MAX,
+	    "address that stands for 127.0.0.1 at a further port, in order");
 	struct arg_int *count =
 	    arg_int0(NULL, "count", "N", "number of databases");
 	struct arg_int *second_port = arg_int0(NULL, "second-databases", "N",
@@ -387,8 +391,8 @@
 	struct arg_str *daemons_at = arg_str0(
 	    NULL, "daemons-at", "ADDRESS", "address in the records of daemons");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {port, first_port, lag, service, store_ports, count,
-	    second_port, daemons_at, end};
+	void *table[] = {port, first_port, lag, service, store_ports, addresses,
+	    count, second_port, daemons_at, end};
 	db_group_plan_t plan = {
 	    .name = "ledger", .databases_count = 3, .lag_ms = 5};
 	int32_t i;
@@ -425,6 +429,9 @@
 		if (!server_listen(
 			platform.server, (uint16_t)store_ports->ival[i]))
 			return 1;
+		if (i < addresses->count)
+			object_store_port_address(platform.store,
+			    (uint16_t)store_ports->ival[i], addresses->sval[i]);
 	}
 	g_unix_signal_add(SIGTERM, on_sigterm, loop);
 	g_main_loop_run(loop);
--- a/tests/fake/fakesite.h
+++ b/tests/fake/fakesite.h
@@ -35,6 +35,8 @@
 uint32_t object_store_requests(const object_store_t *);
 void object_store_inject_fault(object_store_t *, const char *fault);
 void object_store_daemons_at(object_store_t *, const char *address);
+void object_store_port_address(
+    object_store_t *, uint16_t port, const char *address);
 bool object_store_port_fault(
     object_store_t *, uint16_t port, const char *fault);
 
--- a/tests/fake/fakestore.c
+++ b/tests/fake/fakestore.c
@@ -22,6 +22,9 @@
  */
 #define DISCARD_DELAY_MS 50
 
+/* Beginning of the addresses in the objects. */
+#define LOOPBACK "127.0.0.1:"
+
 /* Time after which the operator and the databases write again what is gone. */
 #define WRITTEN_AGAIN_MS 700
 
@@ -97,6 +100,9 @@
 	uint64_t oldest_revision; /* watches of older ones get 410 */
 	store_fault_t fault;
 	GHashTable *port_faults; /* of port_fault_t by port */
+	/* by port: address that stands for 127.0.0.1 in its requests and
+	   responses */
+	GHashTable *port_addresses;
 	const char *daemons_at; /* address in the records of daemons, or NULL */
 };
 
@@ -139,14 +145,44 @@
 	    object->revision, object->spec);
 }
 
+/*
+ * Return the port by which a request came, or 0 if its connection is gone.
+ */
+static uint16_t
+request_port(SoupServerMessage *message)
+{
+	GSocketAddress *address =
+	    soup_server_message_get_local_address(message);
+
+	return address == NULL
+	    ? 0
+	    : g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(address));
+}
+
+/*
+ * Return the address that stands for 127.0.0.1 where a request came from, with
+ * a colon, or NULL.
+ */
+static const char *
+request_address(const object_store_t *store, SoupServerMessage *message)
+{
+	return g_hash_table_lookup(
+	    store->port_addresses, GUINT_TO_POINTER(request_port(message)));
+}
+
 /*
  * Answer with a JSON body, which is freed.
  */
 static void
-send_json(SoupServerMessage *message, uint32_t status, GString *body)
+send_json(const object_store_t *store, SoupServerMessage *message,
+    uint32_t status, GString *body)
 {
-	gsize size = body->len;
+	const char *address = request_address(store, message);
+	gsize size;
 
+	if (address != NULL)
+		g_string_replace(body, LOOPBACK, address, 0);
+	size = body->len;
 	soup_server_message_set_status(message, status, NULL);
 	soup_server_message_set_response(message, "application/json",
 	    SOUP_MEMORY_TAKE, g_string_free(body, FALSE), size);
@@ -195,16 +231,6 @@
 	return n;
 }
 
-/*
- * Return the port by which a request came.
- */
-static uint16_t
-request_port(SoupServerMessage *message)
-{
-	return g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(
-	    soup_server_message_get_local_address(message)));
-}
-
 /*
  * Return the fault of a port.
  */
@@ -250,13 +276,14 @@
 	    watch->after_revision >= watch->store->oldest_revision;
 	bool busy = watch->store->fault == STORE_FAULT_BUSY ||
 	    port_fault(watch->store, watch->port) == PORT_FAULT_REFUSED;
+	uint32_t status = busy ? 503 : known ? 200 : 410;
 	GString *out = g_string_new(NULL);
 
 	if (known && !busy)
 		append_events(
 		    watch->store, out, watch->kind, watch->after_revision);
 	append_era(watch->store, watch->message);
-	send_json(watch->message, busy ? 503 : known ? 200 : 410, out);
+	send_json(watch->store, watch->message, status, out);
 	soup_server_message_unpause(watch->message);
 	watch_free(watch);
 }
@@ -306,7 +333,7 @@
 	case PORT_FAULT_NONE:
 		return false;
 	case PORT_FAULT_REFUSED:
-		send_json(message, 503, g_string_new(NULL));
+		send_json(store, message, 503, g_string_new(NULL));
 		return true;
 	case PORT_FAULT_RESET:
 		request_disconnect(message);
@@ -663,7 +690,7 @@
 	store->watch_requests += text != NULL;
 	if (text != NULL &&
 	    (after < store->oldest_revision || after > store->revision)) {
-		send_json(message, 410, out);
+		send_json(store, message, 410, out);
 		return;
 	}
 	if (text != NULL &&
@@ -685,7 +712,7 @@
 	}
 	if (text == NULL)
 		append_list(store, out, kind, query);
-	send_json(message, 200, out);
+	send_json(store, message, 200, out);
 }
 
 /*
@@ -736,6 +763,18 @@
 	store->daemons_at = address;
 }
 
+/*
+ * Have another address stand for 127.0.0.1 in the requests and responses by a
+ * port.
+ */
+void
+object_store_port_address(
+    object_store_t *store, uint16_t port, const char *address)
+{
+	g_hash_table_insert(store->port_addresses, GUINT_TO_POINTER(port),
+	    g_strdup_printf("%s:", address));
+}
+
 /*
  * Return what is to be stored for the text of an object.  Frees spec.
  */
@@ -779,14 +818,14 @@
 	if (object != NULL && object->deleted && created_name == NULL)
 		object = NULL;
 	if (spec == NULL || name == NULL) {
-		send_json(message, 400, out);
+		send_json(store, message, 400, out);
 	} else if (created_name == NULL && object == NULL) {
-		send_json(message, 404, out);
+		send_json(store, message, 404, out);
 	} else if (object != NULL && !object->deleted &&
 	    (created_name != NULL ||
 		(revision != 0 && revision != object->revision))) {
 		append_object(out, object);
-		send_json(message, 409, out);
+		send_json(store, message, 409, out);
 	} else {
 		object_store_put(store, kind, name, spec);
 		append_object(out, find_object(store, kind, name));
@@ -794,7 +833,7 @@
 			g_string_free(out, TRUE);
 			soup_server_message_pause(message);
 		} else {
-			send_json(message, 200, out);
+			send_json(store, message, 200, out);
 		}
 	}
 	g_free(meta);
@@ -855,13 +894,31 @@
 	GString *out = g_string_new(NULL);
 
 	if (object == NULL || object->deleted) {
-		send_json(message, 404, out);
+		send_json(store, message, 404, out);
 		return;
 	}
 	append_object(out, object);
 	if (remove)
 		object_store_remove(store, kind, name);
-	send_json(message, 200, out);
+	send_json(store, message, 200, out);
+}
+
+/*
+ * Return the body of a request, to be freed by the caller.
+ */
+static char *
+request_text(const object_store_t *store, SoupServerMessage *message)
+{
+	GBytes *bytes = soup_message_body_flatten(
+	    soup_server_message_get_request_body(message));
+	const char *address = request_address(store, message);
+	GString *text = g_string_new_len(
+	    g_bytes_get_data(bytes, NULL), (gssize)g_bytes_get_size(bytes));
+
+	if (address != NULL)
+		g_string_replace(text, address, LOOPBACK, 0);
+	g_bytes_unref(bytes);
+	return g_string_free(text, FALSE);
 }
 
 /*
@@ -873,13 +930,10 @@
 {
 	object_store_t *store = context;
 	const char *method = soup_server_message_get_method(message);
-	SoupMessageBody *body = soup_server_message_get_request_body(message);
 	char **parts = g_strsplit(path, "/", 4);
 	const char *kind = parts[1] == NULL ? NULL : parts[2];
 	const char *name = kind == NULL ? NULL : parts[3];
-	GBytes *bytes = soup_message_body_flatten(body);
-	char *text =
-	    g_strndup(g_bytes_get_data(bytes, NULL), g_bytes_get_size(bytes));
+	char *text = request_text(store, message);
 
 	(void)server;
 	store->requests++;
@@ -889,7 +943,7 @@
 	else if (store->fault == STORE_FAULT_NO_ANSWER)
 		soup_server_message_pause(message);
 	else if (store->fault == STORE_FAULT_BUSY || kind == NULL)
-		send_json(message, 503, g_string_new(NULL));
+		send_json(store, message, 503, g_string_new(NULL));
 	else if (store->fault == STORE_FAULT_LATE_RECORD &&
 	    strcmp(kind, RECORD_KIND) == 0 &&
 	    (strcmp(method, "POST") == 0 || strcmp(method, "PUT") == 0))
@@ -902,7 +956,6 @@
 	else
 		list_or_watch_objects(store, message, kind, query);
 	g_free(text);
-	g_bytes_unref(bytes);
 	g_strfreev(parts);
 }
 
@@ -937,6 +990,7 @@
 	store->revision = store->copy_revision = FIRST_REVISION;
 	store->era = 1;
 	store->port_faults = g_hash_table_new(NULL, NULL);
+	store->port_addresses = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	soup_server_add_handler(server, "/objects", on_objects, store, NULL);
 	return store;
 }
--- a/tests/fake/relay.c
+++ b/tests/fake/relay.c
@@ -20,13 +20,17 @@
 typedef struct relayed {
 	way_t ways[2]; /* to the server, to the client */
 	uint32_t silent;
+	bool reset; /* it is to be reset */
 } relayed_t;
 
 struct relay {
 	GThread *thread;
 	GMutex mutex; /* guards what follows */
 	int listen_fd;
-	int wake_fds[2]; /* a pipe; closed at one end to stop the thread */
+	/* a pipe; a byte wakes the thread, and its end stops it */
+	int wake_fds[2];
+	bool cut;     /* new connections are silent */
+	bool refuses; /* new connections are refused */
 	uint16_t server_port;
 	GPtrArray *connections; /* of relayed_t */
 	int64_t last_used_us;
@@ -82,6 +86,7 @@
 	relayed = g_new0(relayed_t, 1);
 	relayed->ways[0] = (way_t){client, server, RELAY_TO_SERVER};
 	relayed->ways[1] = (way_t){server, client, RELAY_TO_CLIENT};
+	relayed->silent = relay->cut ? RELAY_BOTH : 0;
 	g_ptr_array_add(relay->connections, relayed);
 }
 
@@ -108,19 +113,24 @@
 }
 
 /*
- * Remove the connections that have ended in both ways.
+ * Remove the connections that have ended in both ways or are to be reset.
  */
 static void
 remove_ended(relay_t *relay)
 {
+	const struct linger reset = {.l_onoff = 1, .l_linger = 0};
 	uint32_t i = relay->connections->len;
 
 	while (i-- > 0) {
 		const relayed_t *relayed =
 		    g_ptr_array_index(relay->connections, i);
 
-		if (relayed->ways[0].from_fd < 0 &&
-		    relayed->ways[1].from_fd < 0)
+		if (relayed->reset)
+			setsockopt(relayed->ways[1].to_fd, SOL_SOCKET,
+			    SO_LINGER, &reset, sizeof(reset));
+		if (relayed->reset ||
+		    (relayed->ways[0].from_fd < 0 &&
+			relayed->ways[1].from_fd < 0))
 			g_ptr_array_remove_index(relay->connections, i);
 	}
 }
@@ -137,7 +147,7 @@
 	uint32_t i;
 
 	g_array_append_val(fds, fd);
-	fd.fd = relay->listen_fd;
+	fd.fd = relay->refuses ? -1 : relay->listen_fd;
 	g_array_append_val(fds, fd);
 	for (i = 0; i < 2 * relay->connections->len; i++) {
 		const relayed_t *relayed =
@@ -149,6 +159,18 @@
 	return fds;
 }
 
+/*
+ * Take the byte that woke the thread.  Returns false if there is none, as the
+ * relay is stopped.
+ */
+static bool
+was_woken(const relay_t *relay)
+{
+	char byte;
+
+	return read(relay->wake_fds[0], &byte, 1) == 1;
+}
+
 /*
  * Pass on what arrives until the relay is stopped.
  */
@@ -169,7 +191,7 @@
 		fd = (struct pollfd *)(void *)fds->data;
 		(void)poll(fd, fds->len, -1);
 		g_mutex_lock(&relay->mutex);
-		stopped = fd[0].revents != 0;
+		stopped = fd[0].revents != 0 && !was_woken(relay);
 		for (i = 2; i < fds->len; i++) {
 			relayed_t *relayed =
 			    g_ptr_array_index(relay->connections, (i - 2) / 2);
@@ -178,7 +200,7 @@
 				relay_pass(
 				    relay, relayed, &relayed->ways[i % 2]);
 		}
-		if (fd[1].revents != 0)
+		if (fd[1].revents != 0 && !relay->refuses)
 			relay_accept(relay);
 		remove_ended(relay);
 		g_mutex_unlock(&relay->mutex);
@@ -228,6 +250,44 @@
 	g_mutex_unlock(&relay->mutex);
 }
 
+/*
+ * Let the connections that are open now go silent for good, and new ones as
+ * long as the relay is cut.
+ */
+void
+relay_cut(relay_t *relay, bool cut)
+{
+	g_mutex_lock(&relay->mutex);
+	relay->cut = cut;
+	g_mutex_unlock(&relay->mutex);
+	if (cut)
+		relay_silence(relay, RELAY_BOTH);
+}
+
+/*
+ * Reset the connections that are open now and refuse new ones, as a port does
+ * at which nothing listens, or accept them again.
+ */
+void
+relay_refuse(relay_t *relay, bool refuses)
+{
+	uint32_t i;
+
+	g_mutex_lock(&relay->mutex);
+	relay->refuses = refuses;
+	if (refuses)
+		shutdown(relay->listen_fd, SHUT_RDWR);
+	else
+		g_assert_cmpint(listen(relay->listen_fd, BACKLOG), ==, 0);
+	for (i = 0; refuses && i < relay->connections->len; i++) {
+		relayed_t *relayed = g_ptr_array_index(relay->connections, i);
+
+		relayed->reset = true;
+	}
+	g_mutex_unlock(&relay->mutex);
+	g_assert_cmpint(write(relay->wake_fds[1], "", 1), ==, 1);
+}
+
 /*
  * Count the connections that their clients keep open, all or the silent ones.
  */
--- a/tests/fake/testbed.c
+++ b/tests/fake/testbed.c
@@ -57,6 +57,9 @@
 #define SECOND_GROUP "archive"
 /* Address of the relays to the ports that the proxies have for each other. */
 #define PEER_RELAY_ADDRESS "127.0.0.2"
+/* Address of the relays that a proxy has of its own. */
+#define OWN_RELAYS_ADDRESS "127.0.0.%u"
+#define OWN_RELAYS_FIRST 10
 
 #define CONNECTIONS_MAX_DEFAULT 40
 #define TRANSACTION_IDLE_MS 700
@@ -109,6 +112,36 @@
 	    (int32_t)(testbed->first_store_port + proxy));
 }
 
+/*
+ * Cut a proxy off from the store and the other proxies, or end that.  What is
+ * sent between them is lost.
+ */
+void
+testbed_cut_off(testbed_t *testbed, uint32_t proxy, bool cut)
+{
+	uint32_t i;
+
+	g_assert_true(testbed->plan.own_relays);
+	testbed_store_fault(testbed, proxy, cut ? "silent" : "up");
+	for (i = 0; i < testbed->plan.proxies; i++) {
+		if (i == proxy)
+			continue;
+		relay_cut(testbed->own_peer_relays[i][proxy], cut);
+		relay_cut(testbed->own_peer_relays[proxy][i], cut);
+	}
+}
+
+/*
+ * Refuse the connections of a proxy to a database, or end that.
+ */
+void
+testbed_refuse(
+    testbed_t *testbed, uint32_t proxy, uint32_t database, bool refuses)
+{
+	g_assert_true(testbed->plan.own_relays);
+	relay_refuse(testbed->database_relays[proxy][database], refuses);
+}
+
 /*
  * Write an object into the store without a revision check.
  */
@@ -331,6 +364,57 @@
 					    : testbed->plan.databases;
 }
 
+/*
+ * Return the address of the relays that a proxy has of its own, to be freed by
+ * the caller.
+ */
+static char *
+own_relays_address(uint32_t proxy)
+{
+	return g_strdup_printf(OWN_RELAYS_ADDRESS, OWN_RELAYS_FIRST + proxy);
+}
+
+/*
+ * Start the relays that a proxy has of its own.
+ */
+static void
+start_own_relays(testbed_t *testbed, uint32_t proxy)
+{
+	char *address = own_relays_address(proxy);
+	uint32_t i;
+
+	for (i = 0; i < testbed_databases(testbed); i++) {
+		uint16_t port = (uint16_t)(testbed->first_database_port + i);
+
+		testbed->database_relays[proxy][i] =
+		    relay_start(address, port, port);
+	}
+	for (i = 0; i < testbed->plan.proxies; i++) {
+		uint16_t port = (uint16_t)testbed->proxies[i].peer_port;
+
+		if (i != proxy)
+			testbed->own_peer_relays[proxy][i] =
+			    relay_start(address, port, port);
+	}
+	g_free(address);
+}
+
+/*
+ * Stop the relays of a proxy.
+ */
+static void
+stop_relays(testbed_t *testbed, uint32_t proxy)
+{
+	uint32_t i;
+
+	relay_stop(testbed->peer_relays[proxy]);
+	relay_stop(testbed->store_relays[proxy]);
+	for (i = 0; i < TESTBED_DATABASES_MAX; i++)
+		relay_stop(testbed->database_relays[proxy][i]);
+	for (i = 0; i < TESTBED_PROXIES_MAX; i++)
+		relay_stop(testbed->own_peer_relays[proxy][i]);
+}
+
 /*
  * Spawn the fake platform.
  */
@@ -357,6 +441,10 @@
 	for (i = 0; plan->store_ports && i < plan->proxies; i++)
 		append_option(
 		    argv, "--store-port", testbed->first_store_port + i);
+	for (i = 0; plan->own_relays && i < plan->proxies; i++) {
+		g_ptr_array_add(argv, g_strdup("--address-at-port"));
+		g_ptr_array_add(argv, own_relays_address(i));
+	}
 	g_ptr_array_add(argv, NULL);
 	fleet_process_spawn(testbed->work_dir, &testbed->platform,
 	    (const char *const *)argv->pdata);
@@ -435,6 +523,8 @@
 
 	for (i = 0; i < count; i++)
 		write_proxy_settings(testbed, i);
+	for (i = 0; testbed->plan.own_relays && i < count; i++)
+		start_own_relays(testbed, i);
 	if (testbed->plan.last_coordinates)
 		start_coordinator(testbed, --count);
 	if (testbed->plan.platform_paused_ms > 0)
@@ -546,10 +636,8 @@
 	for (i = 0; i < testbed->plan.proxies; i++)
 		fleet_process_kill(&testbed->proxies[i]);
 	fleet_process_kill(&testbed->platform);
-	for (i = 0; i < testbed->plan.proxies; i++) {
-		relay_stop(testbed->peer_relays[i]);
-		relay_stop(testbed->store_relays[i]);
-	}
+	for (i = 0; i < testbed->plan.proxies; i++)
+		stop_relays(testbed, i);
 	fleet_work_dir_remove(testbed->work_dir);
 	g_free(testbed->work_dir);
 	g_free(testbed);
--- a/tests/fake/testbed.h
+++ b/tests/fake/testbed.h
@@ -10,6 +10,7 @@
  */
 
 #define TESTBED_PROXIES_MAX 5
+#define TESTBED_DATABASES_MAX 5
 
 typedef struct testbed_plan {
 	uint32_t proxies;
@@ -38,6 +39,10 @@
 	/* daemons reach each other and the store by relays; without
 	   store_ports */
 	bool relays;
+	/* each proxy has a relay of its own to each database and to each other
+	   proxy, by addresses that only it gets from the store; with
+	   store_ports */
+	bool own_relays;
 } testbed_plan_t;
 
 typedef struct testbed {
@@ -49,6 +54,9 @@
 	fleet_process_t proxies[TESTBED_PROXIES_MAX];
 	relay_t *peer_relays[TESTBED_PROXIES_MAX];  /* to each proxy */
 	relay_t *store_relays[TESTBED_PROXIES_MAX]; /* of each, to the store */
+	/* with own_relays: of each, to each database and to each other proxy */
+	relay_t *database_relays[TESTBED_PROXIES_MAX][TESTBED_DATABASES_MAX];
+	relay_t *own_peer_relays[TESTBED_PROXIES_MAX][TESTBED_PROXIES_MAX];
 } testbed_t;
 
 /* A connection to a proxy or a database, with one message per line. */
@@ -65,6 +73,9 @@
 void testbed_inject_fault(
     testbed_t *, const char *target, const char *fault, int32_t database);
 void testbed_store_fault(testbed_t *, uint32_t proxy, const char *fault);
+void testbed_cut_off(testbed_t *, uint32_t proxy, bool cut);
+void testbed_refuse(
+    testbed_t *, uint32_t proxy, uint32_t database, bool refuses);
 void testbed_put_object(
     testbed_t *, const char *kind, const char *name, const char *content);
 void testbed_configure(
