Write an order again where the store's answer is lost

Cause: the coordinator gave up its role where the write of the record with an order got no answer within the timeout of a call, 600 ms. Nobody else knew of that; the primary's next start answered in the same term, so the others waited for 1.5 s and STUCK_TAKEOVER_US. The record kept the order, which a daemon without the role did not withdraw.

Change: a write without an answer within COORDINATOR_CHECK_MAX_AGE_US, after which an answer does not count in any case, is followed by another one on the same revision, four in all. Of writes on one revision the store carries out one, so the next one is either confirmed, or its conflict shows who is the coordinator. After the last, the order is withdrawn from the record, and the role stays. An order is sent as before only on a confirmation that is no older than 150 ms and that is the answer to the last write; an answer that comes later counts for nothing. A refused write (503, 429) ends the role as before.

--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -24,6 +24,12 @@
  * coordinator's first one.
  */
 
+/*
+ * Number of writes of an order that get no answer before the order is given up.
+ * None is awaited for longer than COORDINATOR_CHECK_MAX_AGE_US.
+ */
+#define ORDER_WRITES_MAX 4
+
 /* Interval of writes of orders that are not recorded yet. */
 #define RECORD_AGAIN_US (1000 * US_PER_MS)
 
@@ -378,17 +384,18 @@
 /* A promotion order that is not sent yet, or has no response yet. */
 typedef struct order {
 	registry_t *registry;
-	msg_t *msg;       /* the PromotionWanted message */
-	GSource *timer;   /* delay of a first order, or confirmation timeout */
-	bool cancelled;   /* the pool does not want it any more */
-	uint64_t token;   /* fencing token under which it was decided */
-	bool noted;       /* it is among the orders to be recorded */
-	bool recording;   /* it is sent when a write with it was confirmed */
-	bool written;     /* the write that is under way has it */
-	bool checking;    /* the pool checks the promises for it */
-	bool promised;    /* it has found that they are held */
-	int64_t put_us;   /* time of the write that recorded it */
-	int64_t asked_us; /* time of the request to confirm the token */
+	msg_t *msg;     /* the PromotionWanted message */
+	GSource *timer; /* delay of a first order, or confirmation timeout */
+	bool cancelled; /* the pool does not want it any more */
+	uint64_t token; /* fencing token under which it was decided */
+	bool noted;     /* it is among the orders to be recorded */
+	bool recording; /* it is sent when a write with it was confirmed */
+	bool written;   /* the write that is under way has it */
+	uint32_t unanswered; /* writes that had it and got no answer in time */
+	bool checking;       /* the pool checks the promises for it */
+	bool promised;       /* it has found that they are held */
+	int64_t put_us;      /* time of the write that recorded it */
+	int64_t asked_us;    /* time of the request to confirm the token */
 } order_t;
 
 /*
@@ -603,12 +610,34 @@
 		order_check_promises(order);
 }
 
+/* What the answer to a write of the record with orders shows. */
+typedef enum orders_write {
+	ORDERS_WRITE_CONFIRMED, /* the record has the orders */
+	ORDERS_WRITE_AGAIN,     /* this daemon is the coordinator still */
+	ORDERS_WRITE_UNKNOWN,   /* nothing, as there was none in time */
+	ORDERS_WRITE_DENIED, /* another daemon is the coordinator, or may be */
+} orders_write_t;
+
+/*
+ * Handle that a write which had an order got no answer in time.  It may have
+ * been carried out, or may be later.  The order is written again, which shows
+ * who is the coordinator, or withdrawn after ORDER_WRITES_MAX writes.
+ */
+static void
+order_unanswered(order_t *order)
+{
+	if (++order->unanswered == ORDER_WRITES_MAX)
+		order_finish(order, BP__PROMOTION_ANSWER__ORDER_WITHHELD);
+	else
+		order->recording = true;
+}
+
 /*
- * Handle the orders that a confirmed write of the record has, or drop them if
- * the write has failed.
+ * Handle the orders of a write of the record that has ended: check the promises
+ * for them or send them, have them written again, or drop them.
  */
 static void
-finish_written_orders(registry_t *registry, bool confirmed)
+finish_written_orders(registry_t *registry, orders_write_t result)
 {
 	GList *l, *previous;
 
@@ -617,53 +646,122 @@
 		order_t *order = l->data;
 
 		previous = l->prev;
-		if (!order->written)
+		if (!order->written || result == ORDERS_WRITE_AGAIN)
 			continue;
 		order->written = order->recording = false;
-		if (confirmed)
+		if (result == ORDERS_WRITE_CONFIRMED)
 			order_recorded(order);
+		else if (result == ORDERS_WRITE_UNKNOWN)
+			order_unanswered(order);
 		else
 			order_withhold(order);
 	}
 }
 
 /*
- * Handle the response to the write of the coordinator record with orders.  Its
+ * Return what the answer to a write of the record with orders shows.  Its
  * success shows that this daemon is still the coordinator, and a conflict with
- * another write of this daemon does too; then, or if the response took too
- * long, the orders are written again.
+ * another write of this daemon does too; then, or if the answer took too long,
+ * the orders are written again.
  */
-static void
-on_orders_written(void *context, const object_store_response_t *response)
+static orders_write_t
+orders_write_result(const registry_t *registry, object_store_status_t status,
+    const Bp__DutyRecord *record)
 {
-	registry_t *registry = context;
-	object_store_status_t status =
-	    store_response_status(registry, response);
-	arena_t *arena = arena_new();
-	Bp__DutyRecord *record = coordinator_record(registry, response, arena);
 	bool held_here = registry->fencing_token != 0 &&
 	    names_this_daemon(registry, record) &&
 	    record->token == registry->fencing_token;
-	bool confirmed = held_here && status == OBJECT_STORE_OK;
-	bool again = held_here &&
-	    (status == OBJECT_STORE_CONFLICT ||
-		(confirmed &&
-		    clock_us() - registry->orders_put_us >
-			COORDINATOR_CHECK_MAX_AGE_US));
-	bool unreadable = record_unreadable(response, record);
 
+	if (status == OBJECT_STORE_NO_RESPONSE && registry->fencing_token != 0)
+		return ORDERS_WRITE_UNKNOWN;
+	if (!held_here ||
+	    (status != OBJECT_STORE_OK && status != OBJECT_STORE_CONFLICT))
+		return ORDERS_WRITE_DENIED;
+	return status == OBJECT_STORE_CONFLICT ||
+		clock_us() - registry->orders_put_us >
+		    COORDINATOR_CHECK_MAX_AGE_US
+	    ? ORDERS_WRITE_AGAIN
+	    : ORDERS_WRITE_CONFIRMED;
+}
+
+/* A write of the record with orders. */
+typedef struct orders_put {
+	registry_t *registry;
+	uint64_t number; /* of the write */
+} orders_put_t;
+
+/*
+ * Handle the response to a write of the coordinator record with orders.  It
+ * shows nothing if it comes after the time for it: another write has followed,
+ * or the orders were withdrawn.
+ */
+static void
+on_orders_written(void *context, const object_store_response_t *response)
+{
+	orders_put_t *put = context;
+	registry_t *registry = put->registry;
+	object_store_status_t status =
+	    store_response_status(registry, response);
+	bool late = !registry->orders_put_pending ||
+	    put->number != registry->orders_put_number;
+	arena_t *arena;
+	Bp__DutyRecord *record;
+	orders_write_t result;
+	bool unreadable;
+
+	g_free(put);
+	if (late)
+		return;
+	arena = arena_new();
+	record = coordinator_record(registry, response, arena);
+	result = orders_write_result(registry, status, record);
+	unreadable = record_unreadable(response, record);
 	registry->orders_put_pending = false;
+	source_clear(&registry->orders_put_timer);
 	note_coordinator_record(registry, status, response, record);
-	if (confirmed)
+	if (status == OBJECT_STORE_OK && result != ORDERS_WRITE_DENIED)
 		orders_report(registry, record, registry->orders_put_us);
 	arena_free(arena);
-	if (!again)
-		finish_written_orders(registry, confirmed);
+	finish_written_orders(registry, result);
 	write_orders(registry);
 	if (unreadable)
 		read_coordinator(registry);
 }
 
+/*
+ * Handle that a write of the record with orders got no answer in time.
+ */
+static gboolean
+on_orders_put_timeout(gpointer context)
+{
+	registry_t *registry = context;
+
+	source_clear(&registry->orders_put_timer);
+	registry->orders_put_pending = false;
+	finish_written_orders(registry, ORDERS_WRITE_UNKNOWN);
+	write_orders(registry);
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * Begin a write of the record with the noted orders that are to be sent.
+ */
+static void
+put_orders(registry_t *registry)
+{
+	orders_put_t *put = g_new0(orders_put_t, 1);
+
+	put->registry = registry;
+	put->number = ++registry->orders_put_number;
+	registry->orders_put_pending = true;
+	registry->orders_put_us = clock_us();
+	registry->orders_put_timer =
+	    task_timer(registry->task, COORDINATOR_CHECK_MAX_AGE_US / US_PER_MS,
+		on_orders_put_timeout, registry);
+	put_coordinator_record(registry, registry->coordinator_revision,
+	    registry->fencing_token, on_orders_written, put);
+}
+
 /*
  * Write the coordinator record with all orders that are to be recorded before
  * they are sent.  As writes at the same time would conflict, only one is under
@@ -698,12 +796,8 @@
 		any |= order->written;
 	}
 	g_hash_table_unref(groups);
-	registry->orders_put_pending = any;
-	if (!any)
-		return;
-	registry->orders_put_us = clock_us();
-	put_coordinator_record(registry, registry->coordinator_revision,
-	    registry->fencing_token, on_orders_written, registry);
+	if (any)
+		put_orders(registry);
 }
 
 /*
@@ -989,5 +1083,6 @@
 {
 	g_list_free_full(registry->pending_orders, order_free);
 	registry->pending_orders = NULL;
+	source_clear(&registry->orders_put_timer);
 	restore_stop(registry);
 }
