Tests: a database that has ended is removed after 60 s of silence

/refused/ended-primary waited for 15 s, written before the limit of silence was 60 s instead of 10 s; both rows failed on the merged code for that alone. They wait for 70 s now, for the same removals and reasons.

--- a/tests/t_refused.c
+++ b/tests/t_refused.c
@@ -35,7 +35,7 @@
  * which it is then removed from its group.
  */
 #define ENTRY_LAPSES_MS 2100
-#define REMOVAL_MS 15000
+#define REMOVAL_MS 70000
 
 /* Time for which databases that end and start again do not run. */
 #define AWAY_MS 2000
