Fencing tokens: rest on the store's revision, so that none is used twice

Seen: where the coordinator record is deleted, or replaced by an older one, while all daemons that knew its token restart, the next coordinator begins again with the lowest token of the era. The platform sees a number that another daemon has used, or a lower one than before (known failure of the model, and now of processes).

Cause: a token was counted from what the record says and what a daemon remembers; both may be gone.

Now a token is above the revision of the record that it replaces. Where there is none, it is the revision at which the store creates the record; the record says "created", since its writer does not know the revision yet. The store's revision grows with each change, also with a deletion, so each token is above all before. After a return of the store from an older copy the era is above it; it has moved from bit 32 to bit 40, as 2^32 revisions are 124 days of 400 writes per second. Records of before are read as they were, and the next token is above theirs; in an era after the first, a daemon of before counts as one of an earlier era until its token is replaced. A daemon of before reads a record that was just created with its small number. The store is written and read as often as before.

The model's store: the revision goes back with an older copy, and a late write that creates the record is carried out if there is none by then, at whatever revision. A new wrong rule has the former choice of tokens.

Ruled out: a token above the revision of a list (a late write of the record may come after others; an old list may lack the last writes); the token in each daemon's record (a read at each start).

--- a/gen/catalog.pb-c.c
+++ b/gen/catalog.pb-c.c
@@ -884,7 +884,8 @@
   (ProtobufCMessageInit) bp__catalog__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__duty_record__field_descriptors[3] =
+static const protobuf_c_boolean bp__duty_record__created__default_value = 0;
+static const ProtobufCFieldDescriptor bp__duty_record__field_descriptors[4] =
 {
   {
     "holder",
@@ -922,8 +923,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "created",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Bp__DutyRecord, has_created),
+    offsetof(Bp__DutyRecord, created),
+    NULL,
+    &bp__duty_record__created__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__duty_record__field_indices_by_name[] = {
+  3,   /* field[3] = created */
   0,   /* field[0] = holder */
   2,   /* field[2] = orders */
   1,   /* field[1] = token */
@@ -931,7 +945,7 @@
 static const ProtobufCIntRange bp__duty_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bp__duty_record__descriptor =
 {
@@ -941,7 +955,7 @@
   "Bp__DutyRecord",
   "bp",
   sizeof(Bp__DutyRecord),
-  3,
+  4,
   bp__duty_record__field_descriptors,
   bp__duty_record__field_indices_by_name,
   1,  bp__duty_record__number_ranges,
--- a/gen/catalog.pb-c.h
+++ b/gen/catalog.pb-c.h
@@ -187,10 +187,16 @@
   uint64_t token;
   size_t n_orders;
   Bp__RecordedOrder **orders;
+  /*
+   * the record has not been changed since the store created it: the token
+   * is at least the store's revision at that time
+   */
+  protobuf_c_boolean has_created;
+  protobuf_c_boolean created;
 };
 #define BP__DUTY_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__duty_record__descriptor) \
-    , NULL, 0, 0,NULL }
+    , NULL, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -2298,7 +2298,8 @@
   (ProtobufCMessageInit) bp__duty_wanted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__duty_changed__field_descriptors[3] =
+static const protobuf_c_boolean bp__duty_changed__first__default_value = 0;
+static const ProtobufCFieldDescriptor bp__duty_changed__field_descriptors[4] =
 {
   {
     "held",
@@ -2336,8 +2337,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "first",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Bp__DutyChanged, has_first),
+    offsetof(Bp__DutyChanged, first),
+    NULL,
+    &bp__duty_changed__first__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__duty_changed__field_indices_by_name[] = {
+  3,   /* field[3] = first */
   0,   /* field[0] = held */
   1,   /* field[1] = token */
   2,   /* field[2] = unknown */
@@ -2345,7 +2359,7 @@
 static const ProtobufCIntRange bp__duty_changed__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bp__duty_changed__descriptor =
 {
@@ -2355,7 +2369,7 @@
   "Bp__DutyChanged",
   "bp",
   sizeof(Bp__DutyChanged),
-  3,
+  4,
   bp__duty_changed__field_descriptors,
   bp__duty_changed__field_indices_by_name,
   1,  bp__duty_changed__number_ranges,
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -345,10 +345,15 @@
    */
   protobuf_c_boolean has_unknown;
   protobuf_c_boolean unknown;
+  /*
+   * no record was there before, and no other token is known
+   */
+  protobuf_c_boolean has_first;
+  protobuf_c_boolean first;
 };
 #define BP__DUTY_CHANGED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__duty_changed__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -290,7 +290,8 @@
 #define STORE_ERA_FIRST 1
 
 /* Fencing tokens of the coordinator: fencing_token.c */
-uint64_t fencing_token_next(uint64_t era, uint64_t recorded);
+uint64_t fencing_token_next(uint64_t era, uint64_t known, uint64_t revision);
+uint64_t fencing_token_created(uint64_t token, uint64_t revision);
 bool fencing_token_is_current(uint64_t era, uint64_t token);
 uint64_t fencing_token_highest(
     uint64_t token, uint64_t written_revision, uint64_t revision);
--- a/src/decide/fencing_token.c
+++ b/src/decide/fencing_token.c
@@ -1,13 +1,20 @@
 #include "decide.h"
 
 /*
- * Fencing tokens of the coordinator.  When the store comes back from an older
- * copy, the record with the last token is gone or has an older one, and another
- * daemon may have ordered with a higher one since.  So the era of the store is
- * the upper part of the token: all tokens of an era are higher than those of
- * the eras before.
+ * Fencing tokens of the coordinator.  No token is used twice, also if the
+ * record is deleted, replaced by an older one or lost while all daemons
+ * restart, since a token rests on the store's revision, which grows with each
+ * change and is never reset: each token is above the revision of the record
+ * that it replaces, or is the one at which the store created the record, and is
+ * at most the revision of its own record.  So it is above those of all records
+ * before, in whatever they say.  A token that is known to be higher all the
+ * same was not chosen so; the next one is above it.
+ *
+ * When the store comes back from an older copy, it gives revisions out again.
+ * So the era of the store is the upper part of the token: all tokens of an era
+ * are higher than those of the eras before.
  */
-#define ERA_SHIFT 32
+#define ERA_SHIFT 40
 
 /*
  * Return the number above which the tokens of an era are.
@@ -20,15 +27,29 @@
 }
 
 /*
- * Return the token of a new coordinator.  recorded: token in the record of the
- * last one; 0: there is no record.
+ * Return the token of a new coordinator.  known: highest token that is known,
+ * in the record of the last one or elsewhere; 0: none.  revision: of the record
+ * that is replaced; 0: there is none, so the token is not complete before the
+ * store has created one; see fencing_token_created().
  */
 uint64_t
-fencing_token_next(uint64_t era, uint64_t recorded)
+fencing_token_next(uint64_t era, uint64_t known, uint64_t revision)
 {
-	uint64_t base = era_base(era);
+	uint64_t written = era_base(era) + revision;
 
-	return (recorded > base ? recorded : base) + 1;
+	return (known > written ? known : written) + 1;
+}
+
+/*
+ * Return the token of a coordinator whose record did not exist before.  token:
+ * what the record says; revision: the one at which the store created it.
+ */
+uint64_t
+fencing_token_created(uint64_t token, uint64_t revision)
+{
+	uint64_t created = (token >> ERA_SHIFT << ERA_SHIFT) + revision;
+
+	return token > created ? token : created;
 }
 
 /*
@@ -43,9 +64,9 @@
 /*
  * Return the highest token that a coordinator may have had after the one with
  * this token, whose record had written_revision, until the record was
- * overwritten at another revision.  Each new coordinator raises the token by
- * one with a write, which raises the revision; one that has replaced an
- * overwritten record raises the token by less than the revision.
+ * overwritten at another revision.  Each new coordinator raises a token that is
+ * not below the revisions by one with a write, which raises the revision; a
+ * token that is below them counts for nothing in the choice of the next.
  */
 uint64_t
 fencing_token_highest(
--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -42,6 +42,7 @@
 	changed->held = held;
 	changed->token = registry->fencing_token;
 	changed->has_unknown = changed->unknown = unknown;
+	changed->has_first = changed->first = held && registry->first_token;
 	task_send(registry->proxy->pool, registry->task, msg);
 }
 
@@ -67,16 +68,25 @@
 }
 
 /*
- * Parse the coordinator record in a response.  Returns NULL if there is none.
+ * Parse the coordinator record in a response, and complete its token if the
+ * store has just created it.  Returns NULL if there is none.
  */
 Bp__DutyRecord *
 coordinator_record(const registry_t *registry,
     const object_store_response_t *response, arena_t *arena)
 {
-	return response->count != 1
-	    ? NULL
-	    : registry->proxy->objects->read_coordinator(
-		  &response->list[0], arena);
+	Bp__DutyRecord *record;
+
+	if (response->count != 1)
+		return NULL;
+	record = registry->proxy->objects->read_coordinator(
+	    &response->list[0], arena);
+	if (record != NULL && record->created) {
+		record->token = fencing_token_created(
+		    record->token, response->list[0].revision);
+		record->has_created = record->created = 0;
+	}
+	return record;
 }
 
 /*
@@ -166,6 +176,8 @@
 	arena_t *arena = arena_new();
 	Bp__DutyRecord *record = coordinator_record(registry, response, arena);
 	bool held_here = names_this_daemon(registry, record);
+	bool first = registry->highest_token == 0 &&
+	    registry->store_era <= STORE_ERA_FIRST;
 
 	registry->coordinator_call_pending = false;
 	note_coordinator_record(registry, status, response, record);
@@ -177,8 +189,8 @@
 		restore_note_written(
 		    registry, record->token, response->list[0].revision);
 		orders_report(registry, record, registry->coordinator_sent_us);
-		/* token 1: no previous coordinator to wait for */
-		registry->order_sent = record->token == 1;
+		/* no previous coordinator to wait for is known */
+		registry->order_sent = registry->first_token = first;
 		coordinator_send_changed(registry, true);
 	} else if ((status == OBJECT_STORE_OK ||
 		       status == OBJECT_STORE_CONFLICT) &&
@@ -194,7 +206,7 @@
 
 /*
  * Write the coordinator record, with the noted orders, so that it names this
- * daemon.
+ * daemon.  revision: of the record that is replaced; 0: it is created.
  */
 static void
 put_coordinator_record(registry_t *registry, uint64_t revision, uint64_t token,
@@ -205,6 +217,7 @@
 
 	record.holder = registry->proxy->settings->name;
 	record.token = token;
+	record.has_created = record.created = revision == 0;
 	orders_fill(registry, arena, &record);
 	registry->proxy->objects->put_coordinator(registry->objects,
 	    COORDINATOR_OBJECT_NAME, revision, &record, callback, context);
@@ -213,7 +226,8 @@
 
 /*
  * Write the coordinator record to take over the role, with a token above the
- * one in it and all others that are known.
+ * one in it, all others that are known, and all that were used under a record
+ * that is gone.
  */
 void
 coordinator_write(
@@ -223,7 +237,7 @@
 	registry->coordinator_sent_us = clock_us();
 	put_coordinator_record(registry, revision,
 	    fencing_token_next(registry->store_era,
-		MAX(recorded_token, registry->highest_token)),
+		MAX(recorded_token, registry->highest_token), revision),
 	    on_coordinator_written, registry);
 }
 
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -9,9 +9,6 @@
 /* Interval of the periodic work of all groups. */
 #define TICK_MS 20
 
-/* Fencing token of a coordinator that has no predecessor. */
-#define FIRST_TOKEN 1
-
 /*
  * When two ticks are this far apart, the process was not running in between,
  * for example because its VM was suspended.  No answer of a server is read in
@@ -255,9 +252,8 @@
 		log_coordinator_changed(changed->held, changed->token);
 	pool->is_coordinator = changed->held;
 	if (began)
-		pool->coordinator_since_us =
-		    changed->token == FIRST_TOKEN ? 0 : clock_us();
-	pool->first_coordinator |= began && changed->token == FIRST_TOKEN;
+		pool->coordinator_since_us = changed->first ? 0 : clock_us();
+	pool->first_coordinator |= began && changed->first;
 	pool->fencing_token = changed->token;
 	if (changed->held)
 		pool->coordinator_confirmed_us = clock_us();
@@ -269,7 +265,7 @@
 			    value, changed->unknown, clock_us());
 		if (began)
 			group_orders_report(value);
-		if (began && changed->token == FIRST_TOKEN)
+		if (began && changed->first)
 			group_first_coordinator(value);
 	}
 	msg_free(msg);
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -78,6 +78,7 @@
 	uint64_t coordinator_revision; /* last known revision of the record */
 	uint64_t coordinator_token;    /* last known token in the record */
 	uint64_t highest_token; /* highest that this or another daemon knows */
+	bool first_token;       /* no other one was known when it was chosen */
 	int64_t coordinator_sent_us; /* time of the last write that takes it */
 	/* token and revision of the record with which this process last took
 	   the role, while no other one is known to have followed; 0: none */
--- a/tests/t_objects.c
+++ b/tests/t_objects.c
@@ -474,10 +474,17 @@
 	const char *name;
 	const char *content;
 	bool readable;
+	bool created;
 } coordinator_case_t;
 
 static const coordinator_case_t coordinator_cases[] = {
     {"a holder and a token", "{\"holder\":\"d1\",\"token\":5}", true},
+    {"one that was created", "{\"holder\":\"d1\",\"token\":1,\"created\":true}",
+	true, true},
+    {"one that was written again",
+	"{\"holder\":\"d1\",\"token\":41,\"created\":false}", true},
+    {"one whose flag is none", "{\"holder\":\"d1\",\"token\":41,\"created\":1}",
+	true},
     {"an empty object", "{}", false},
     {"a text", "\"promotion\"", false},
     {"no holder", "{\"token\":5}", false},
@@ -504,6 +511,7 @@
 	Bp__DutyRecord *record = decode_coordinator(&object, arena, &why);
 
 	g_assert_cmpint(record != NULL, ==, c->readable);
+	g_assert_cmpint(record != NULL && record->created, ==, c->created);
 	g_assert_cmpint(why == NULL, ==, c->readable);
 	arena_free(arena);
 	json_tree_free(json);
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -74,6 +74,9 @@
 	/* the token follows the one in the record, also where a higher one is
 	   known */
 	PROXY_BUG_TOKEN_OF_RECORD,
+	/* the token follows the highest one that is known, whatever the
+	   revision of the store is */
+	PROXY_BUG_TOKEN_WITHOUT_REVISION,
 	/* a write of the coordinator record without an answer counts as done */
 	PROXY_BUG_ROLE_UNCONFIRMED,
 	/* who has written a record that cannot be read replaces it without
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -216,11 +216,12 @@
 	GArray *terms_us;           /* int64_t times at which terms began */
 	uint32_t coordinator;       /* index of the coordinator */
 	uint64_t coordinator_token; /* its fencing token; 0: none yet */
-	uint64_t record_revision;
+	uint64_t record_revision;   /* of its last change or deletion */
 	bool record_unreadable;
 	/* the role in an older copy of the record */
 	uint32_t older_coordinator;
 	uint64_t older_token;
+	uint64_t older_revision;
 	/* the daemon that has used each token, and the highest of them */
 	GHashTable *token_users;
 	uint64_t highest_token_sent;
--- a/tools/proxy_model_records.c
+++ b/tools/proxy_model_records.c
@@ -34,6 +34,7 @@
 		model->members.count = 0;
 		model->coordinator = model->older_coordinator;
 		model->coordinator_token = model->older_token;
+		model->record_revision = model->older_revision;
 	}
 	for (i = 0; i < model->plan->daemons; i++) {
 		proxy_model_daemon_t *daemon = &model->daemons[i];
