Failover: promises of recorded members that the list lacks are needed, too

Where a commit needs a replica, an attempt asks for so many promises that one of them holds each commit. The number came from the daemon's own list: with four of five members listed, three sufficed, and the fifth could be the only replica with the last commit, which was lost.

No site of ours has synchronous replicas. /attempt/leaving: the row of five recorded members, one not listed, expected a promotion with three promises where a replica holds each commit, which is that fault; it expects none.

--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -402,9 +402,11 @@
 {
 	uint32_t sync = failover->limits.sync_replicas;
 	uint32_t needed = majority_of(failover->count);
+	uint32_t all =
+	    MAX(failover->count, failover->members - failover->members_ended);
 
-	if (sync > 0 && sync < failover->count)
-		needed = MAX(needed, failover->count - sync);
+	if (sync > 0 && sync < all)
+		needed = MAX(needed, all - sync);
 	return needed;
 }
 
