Failover: databases that join an attempt extend it four times its limit at most

Each database that joined began the limit of an attempt anew, so that one that ends and starts again fast could keep it open without end, and the promises of the others kept leases away. Found by the review of the change that asks such databases; by reading, no test.

--- a/src/decide/failover_fencing.c
+++ b/src/decide/failover_fencing.c
@@ -26,6 +26,12 @@
 #define NOTICE_VALID_US (US_PER_SECOND / 2)
 #define NOTICE_ALL_US (3 * US_PER_SECOND)
 
+/*
+ * Limit of an attempt that databases join, as a multiple of the limit for the
+ * promises of a majority.
+ */
+#define FENCES_MAX 4
+
 /*
  * Tell whether a term is that of the attempt under way, or was until its
  * promises became standing ones.
@@ -198,7 +204,9 @@
 	for (i = 0; i < failover->count; i++) {
 		if (!fence_due(failover, i, now_us))
 			continue;
-		if (failover->fence_sent_us[i] == 0)
+		if (failover->fence_sent_us[i] == 0 &&
+		    now_us - failover->state_entered_us <
+			FENCES_MAX * failover->limits.fence_us)
 			failover->fence_began_us = now_us;
 		failover->fence_sent_us[i] = now_us;
 		actions->list[actions->count++] = (failover_action_t){
