Starts: an earlier start under the same id does not end a later one

Any other time of start under an id counted as a later start, and so as an end that is certain. An entry of before, from an older copy of the store or an old list, took the vote of the start that runs. Only a later time does now; the server of the list is replaced as before, without an end.

--- a/src/decide/start.c
+++ b/src/decide/start.c
@@ -12,15 +12,15 @@
 #define UNLISTED_SILENT_US (60 * US_PER_SECOND)
 
 /*
- * Tell whether a listed start shows that another one has ended: it has the same
- * id, or was started later at the same address.  The entry of the earlier one
- * may not have lapsed yet.
+ * Tell whether a listed start shows that another one has ended: it was started
+ * later, under the same id or at the same address.  The entry of the earlier
+ * one may not have lapsed yet.
  */
 bool
 start_follows(const start_t *later, const start_t *start)
 {
 	if (strcmp(later->id, start->id) == 0)
-		return later->born != start->born;
+		return later->born > start->born;
 	return later->address != NULL && start->address != NULL &&
 	    strcmp(later->address, start->address) == 0 &&
 	    later->born > start->born;
--- a/tests/t_decide.c
+++ b/tests/t_decide.c
@@ -1194,6 +1194,8 @@
     {"the same", {"i-1", "h:1", 5}, {"i-1", "h:1", 5}, false},
     {"another time under the same id", {"i-1", "h:2", 6}, {"i-1", "h:1", 5},
 	true},
+    {"an earlier time under the same id", {"i-1", "h:1", 4}, {"i-1", "h:1", 5},
+	false},
     {"another id at the address, later", {"i-2", "h:1", 6}, {"i-1", "h:1", 5},
 	true},
     {"another id at the address, earlier", {"i-2", "h:1", 4}, {"i-1", "h:1", 5},
