Members: one that is not known to have ended stays recorded

A coordinator under a lease recorded the servers of its list as the members. One that had started while entries were missing recorded fewer at once, and a daemon that was cut off with the members of before had a majority of those, which did not meet one of the new ones. A recorded member that is not in the group stays one for 60 s, unless it has ended, has left, or was silent for as long. So does one whose address another process seemed to have, once it answers there again.

--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -423,7 +423,9 @@
 	conn->last_change_us = now_us;
 	server->group->pool->counts[COUNT_CONNECTIONS_OPENED]++;
 	reconnect_succeeded(&server->reconnect);
-	server->full = server->denied = false;
+	if (server->denied)
+		monitor_denial_over(server);
+	server->full = false;
 	if (server->unreachable_since_us != 0)
 		log_server_reached(server, now_us);
 	server->unreachable_since_us = 0;
--- a/src/proxy/group_members.c
+++ b/src/proxy/group_members.c
@@ -13,6 +13,12 @@
 /* Interval at which the registry is asked to record the members. */
 #define MEMBERS_INTERVAL_US (1000 * US_PER_MS)
 
+/*
+ * Time for which a member stays one though it is not in the group: this process
+ * has started since its entry lapsed.
+ */
+#define MEMBER_KEPT_US (60 * US_PER_SECOND)
+
 /*
  * Return the recorded member with the id of a server, or NULL.
  */
@@ -86,10 +92,10 @@
 }
 
 /*
- * Note by what the process of a server is known to have ended.
+ * Return the recorded member that is this start of a server, or NULL.
  */
-void
-group_member_ended(group_t *group, const server_t *server, start_removal_t by)
+static member_t *
+member_of_server(group_t *group, const server_t *server)
 {
 	uint32_t i;
 
@@ -98,16 +104,47 @@
 
 		if (strcmp(member->id, server->id) == 0 &&
 		    member->born == server->generation)
-			member->ended = by;
+			return member;
 	}
+	return NULL;
+}
+
+/*
+ * Note that the process of a server is known to have ended, and by what.
+ */
+void
+group_member_ended(group_t *group, const server_t *server, start_removal_t by)
+{
+	member_t *member = member_of_server(group, server);
+
+	if (member != NULL)
+		member->ended = by;
+}
+
+/*
+ * Note that a server was removed from the group without having ended.  One that
+ * has left, or was silent for long, is no member any more when the members are
+ * recorded next.
+ */
+void
+group_member_removed(
+    group_t *group, const server_t *server, start_removal_t by, int64_t now_us)
+{
+	member_t *member = member_of_server(group, server);
+
+	if (member != NULL)
+		member->kept_until_us = by == START_LEFT || by == START_SILENT
+		    ? 0
+		    : now_us + MEMBER_KEPT_US;
 }
 
 /*
- * Note that a server is listed that was not known.  If it was taken as ended
- * before, the list was one of before its start.
+ * Note that a server runs that may have been taken as ended: it is listed
+ * again, so that the list was one of before its start, or answers at its
+ * address.
  */
 void
-group_member_listed(group_t *group, const server_t *server)
+group_member_runs(group_t *group, const server_t *server)
 {
 	group_member_ended(group, server, START_STAYS);
 }
@@ -154,11 +191,14 @@
 	for (i = 0; i < count && i < GROUP_DATABASES_MAX; i++) {
 		const member_t *known = member_find(group, list[i]->server);
 
-		members[n++] = (member_t){g_strdup(list[i]->server),
-		    list[i]->born, g_strdup(list[i]->address),
-		    known != NULL && known->born == list[i]->born
-			? known->ended
-			: START_STAYS};
+		members[n] = (member_t){g_strdup(list[i]->server),
+		    list[i]->born, g_strdup(list[i]->address), START_STAYS,
+		    clock_us() + MEMBER_KEPT_US};
+		if (known != NULL && known->born == list[i]->born) {
+			members[n].ended = known->ended;
+			members[n].kept_until_us = known->kept_until_us;
+		}
+		n++;
 	}
 	group_members_clear(group);
 	memcpy(group->members, members, sizeof(members[0]) * n);
@@ -167,33 +207,69 @@
 }
 
 /*
- * Return the servers of a group, to be recorded, as messages in an arena.
+ * Tell whether a recorded member that is not in the group stays a member: it is
+ * not known to have ended, and may be alive.  Another daemon may rest a lease
+ * on it.
+ */
+static bool
+member_kept(const group_t *group, const member_t *member, int64_t now_us)
+{
+	return server_find(group, member->id) == NULL &&
+	    now_us < member->kept_until_us &&
+	    group_member_ended_by(group, member) == START_STAYS;
+}
+
+/*
+ * Return a member to be recorded, as a message in an arena.
+ */
+static Bp__RecordedMember *
+member_write(arena_t *arena, const char *id, uint64_t born, const char *address)
+{
+	Bp__RecordedMember *member = (Bp__RecordedMember *)message_new(
+	    arena, &bp__recorded_member__descriptor);
+
+	member->server = arena_strdup(arena, id);
+	member->born = born;
+	member->address = arena_strdup(arena, address);
+	return member;
+}
+
+/*
+ * Return the members of a group to be recorded, as messages in an arena: its
+ * servers, and the recorded members that are kept.
  */
 Bp__RecordedMember **
 group_members_write(const group_t *group, arena_t *arena, size_t *count)
 {
 	Bp__RecordedMember **list =
-	    arena_zalloc(arena, sizeof(list[0]) * (group->count + 1));
-	uint32_t i;
+	    arena_zalloc(arena, sizeof(list[0]) * (GROUP_DATABASES_MAX + 1));
+	int64_t now_us = clock_us();
+	uint32_t i, n = 0;
 
 	for (i = 0; i < group->count; i++) {
-		list[i] = (Bp__RecordedMember *)message_new(
-		    arena, &bp__recorded_member__descriptor);
-		list[i]->server = arena_strdup(arena, group->servers[i]->id);
-		list[i]->born = group->servers[i]->generation;
-		list[i]->address = server_address(group->servers[i], arena);
+		const server_t *server = group->servers[i];
+
+		list[n++] = member_write(arena, server->id, server->generation,
+		    server_address(server, arena));
+	}
+	for (i = 0; i < group->members_count && n < GROUP_DATABASES_MAX; i++) {
+		const member_t *member = &group->members[i];
+
+		if (member_kept(group, member, now_us))
+			list[n++] = member_write(
+			    arena, member->id, member->born, member->address);
 	}
-	*count = group->count;
+	*count = n;
 	return list;
 }
 
 /*
- * Tell whether the store has recorded exactly the servers of a group.
+ * Tell whether the store has recorded exactly the members that it should.
  */
 static bool
-members_current(const group_t *group)
+members_current(const group_t *group, int64_t now_us)
 {
-	uint32_t i, found = 0;
+	uint32_t i, found = 0, kept = 0;
 
 	for (i = 0; i < group->count; i++) {
 		const member_t *member =
@@ -202,7 +278,9 @@
 		found += member != NULL &&
 		    member->born == group->servers[i]->generation;
 	}
-	return found == group->count && found == group->members_count;
+	for (i = 0; i < group->members_count; i++)
+		kept += member_kept(group, &group->members[i], now_us);
+	return found == group->count && found + kept == group->members_count;
 }
 
 /*
@@ -222,7 +300,7 @@
 	    failover->handover || group_failover_in_progress(group, now_us) ||
 	    group->lease.expires_us <= now_us ||
 	    group->lease.term != failover->views[primary].promised ||
-	    group_list_new(group, now_us) || members_current(group) ||
+	    group_list_new(group, now_us) || members_current(group, now_us) ||
 	    now_us - group->members_sent_us < MEMBERS_INTERVAL_US)
 		return;
 	group->members_sent_us = now_us;
--- a/src/proxy/monitor_answers.c
+++ b/src/proxy/monitor_answers.c
@@ -51,6 +51,20 @@
 	group_members_update(server->group);
 }
 
+/*
+ * Note that a server answers at its address, where another process did before:
+ * that one was not its successor.
+ */
+void
+monitor_denial_over(server_t *server)
+{
+	server->denied = false;
+	if (server->removed)
+		return;
+	group_member_runs(server->group, server);
+	group_members_update(server->group);
+}
+
 /*
  * Note that a server has refused a connection.
  */
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -179,6 +179,8 @@
 	uint64_t born;         /* server_t.generation */
 	char *address;         /* "IP:PORT", or NULL */
 	start_removal_t ended; /* by what; START_STAYS: not known to have */
+	/* until then it stays a member without being in the group */
+	int64_t kept_until_us;
 } member_t;
 
 /* An answer of a server that a lease rests on. */
@@ -438,6 +440,7 @@
 bool server_answers(const server_t *, int64_t now_us);
 bool server_usable(const server_t *, int64_t now_us);
 bool server_drained(const server_t *, int64_t now_us);
+server_t *server_find(const group_t *, const char *id);
 bool server_likely_ended(const server_t *, int64_t now_us);
 bool group_primary_drained(const group_t *, int64_t now_us);
 
@@ -525,7 +528,9 @@
     group_t *, Bp__RecordedMember *const *, size_t count, int64_t read_us);
 void group_members_clear(group_t *);
 void group_member_ended(group_t *, const server_t *, start_removal_t);
-void group_member_listed(group_t *, const server_t *);
+void group_member_removed(
+    group_t *, const server_t *, start_removal_t, int64_t now_us);
+void group_member_runs(group_t *, const server_t *);
 start_removal_t group_member_ended_by(const group_t *, const member_t *);
 Bp__RecordedMember **group_members_write(
     const group_t *, arena_t *, size_t *count);
@@ -570,6 +575,7 @@
 void monitor_turned_away(server_t *, position_t, int64_t now_us);
 void monitor_connection_refused(server_t *);
 void monitor_denied(server_t *);
+void monitor_denial_over(server_t *);
 
 /* monitor_probe.c */
 void monitor_request_status(server_t *, int64_t now_us);
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -357,7 +357,7 @@
 /*
  * Return the server of a group that has an id, or NULL if there is none.
  */
-static server_t *
+server_t *
 server_find(const group_t *group, const char *id)
 {
 	uint32_t i;
@@ -513,12 +513,17 @@
  * why if not.  Returns whether it does.
  */
 static bool
-server_stays(server_t *server, const start_evidence_t *evidence)
+server_stays(server_t *server, const start_evidence_t *evidence, int64_t now_us)
 {
 	server->removal = start_removal(evidence);
-	if (server->removal != START_STAYS && start_ended(evidence))
+	if (server->removal == START_STAYS)
+		return true;
+	if (start_ended(evidence))
 		group_member_ended(server->group, server, server->removal);
-	return server->removal == START_STAYS;
+	else
+		group_member_removed(
+		    server->group, server, server->removal, now_us);
+	return false;
 }
 
 /*
@@ -596,7 +601,7 @@
 		evidence.followed = server_followed(server->id, server->address,
 		    server->port, server->generation, entries);
 		evidence.moved = entry != NULL && !same_server(server, entry);
-		if (!server_stays(server, &evidence))
+		if (!server_stays(server, &evidence, now_us))
 			continue;
 		if (entry == NULL)
 			server_unlist(server, now_us);
@@ -615,7 +620,7 @@
 			entry->born, entries))
 			continue;
 		servers[count] = server_new(group, entry);
-		group_member_listed(group, servers[count]);
+		group_member_runs(group, servers[count]);
 		server_update(servers[count++], entry);
 	}
 	if (group->listed_us == 0 && count > 0)
@@ -637,7 +642,7 @@
 
 		start_evidence_t evidence = server_evidence(server, now_us);
 
-		if (server_stays(server, &evidence))
+		if (server_stays(server, &evidence, now_us))
 			servers[count++] = server;
 	}
 	if (count < group->count)
--- a/tests/t_members.c
+++ b/tests/t_members.c
@@ -150,6 +150,86 @@
 	task_free(host);
 }
 
+typedef struct written_case {
+	const char *name;
+	uint64_t born;  /* of i-1 in the list of a process; 0: not listed */
+	bool denied;    /* another process has answered at its address */
+	bool left;      /* it was removed, having left */
+	size_t written; /* expected: members that are recorded */
+} written_case_t;
+
+static const written_case_t written_cases[] = {
+    {"all are listed", 5, false, false, 3},
+    {"one has lost its entry before this process started", 0, false, false, 3},
+    {"the same, and it had left", 0, false, true, 2},
+    {"a later start is listed", 6, false, false, 3},
+    {"an earlier start is listed", 4, false, false, 3},
+    {"another process is at its address, and it is listed", 5, true, false, 3},
+};
+
+/*
+ * Have three servers be the recorded members of a group.
+ */
+static void
+record_three(group_t *group)
+{
+	Bp__RecordedMember list[SERVERS], *members[SERVERS];
+	char ids[SERVERS][4], addresses[SERVERS][16];
+	uint32_t i;
+
+	for (i = 0; i < SERVERS; i++) {
+		g_snprintf(ids[i], sizeof(ids[i]), "i-%u", i);
+		g_snprintf(
+		    addresses[i], sizeof(addresses[i]), "127.0.0.1:%u", 1 + i);
+		bp__recorded_member__init(&list[i]);
+		list[i].server = ids[i];
+		list[i].born = 5;
+		list[i].address = addresses[i];
+		members[i] = &list[i];
+	}
+	group_members_recorded(group, members, SERVERS, clock_us());
+}
+
+/*
+ * Test which members are recorded by a process that reads the list of the
+ * servers first, and then the recorded members: one that is not known to have
+ * ended stays a member.
+ */
+static void
+test_written(gconstpointer data)
+{
+	const written_case_t *c = data;
+	Bp__ProxyTimeouts timeouts = BP__PROXY_TIMEOUTS__INIT;
+	Bp__ProxySettings settings = BP__PROXY_SETTINGS__INIT;
+	proxy_t proxy = {.settings = &settings, .wire = &platform_wire};
+	task_t *host = task_new(&host_ops, NULL);
+	server_t gone = {.id = (char *)"i-1", .generation = 5};
+	arena_t *arena = arena_new();
+	pool_t *pool;
+	group_t *group;
+	size_t written;
+
+	settings.name = "this";
+	settings.zone = "z";
+	settings.timeouts = &timeouts;
+	pool = pool_new(&proxy);
+	pool->task = task_new_hosted(&idle_ops, pool, host);
+	apply_list(pool, c->born);
+	group = g_hash_table_lookup(pool->groups, "ledger");
+	group->active = true;
+	record_three(group);
+	if (c->denied)
+		monitor_denied(group->servers[1]);
+	if (c->left)
+		group_member_removed(group, &gone, START_LEFT, clock_us());
+	(void)group_members_write(group, arena, &written);
+	g_assert_cmpuint(written, ==, c->written);
+	arena_free(arena);
+	task_free(pool->task);
+	pool_free(pool);
+	task_free(host);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -159,5 +239,6 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions();
 	CASES("/members/listed", listed_cases, test_listed);
+	CASES("/members/written", written_cases, test_written);
 	return g_test_run();
 }
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -264,20 +264,30 @@
 }
 
 /*
- * Return the databases of the group, as a daemon knows them.
+ * Return the members to be recorded, as a daemon knows them: the databases of
+ * its group, and the recorded members that are not known to have ended.
  */
 static recorded_members_t
-listed_members(const proxy_model_daemon_t *daemon)
+members_to_record(
+    const proxy_model_t *model, const proxy_model_daemon_t *daemon)
 {
-	recorded_members_t members = {.count = daemon->failover.count};
+	recorded_members_t members = {0};
 	uint32_t i;
 
-	for (i = 0; i < members.count; i++) {
+	for (i = 0; i < daemon->failover.count; i++) {
 		uint32_t db = daemon->servers[i];
 
 		members.member[db] = true;
 		members.born_us[db] = daemon->born_us[db];
 	}
+	for (i = 0; i < model->plan->databases; i++) {
+		if (daemon->members.member[i] && !members.member[i] &&
+		    !daemon->member_gone[i]) {
+			members.member[i] = true;
+			members.born_us[i] = daemon->members.born_us[i];
+		}
+		members.count += members.member[i];
+	}
 	return members;
 }
 
@@ -304,7 +314,7 @@
 {
 	if (model->plan->pauses_last)
 		return;
-	model->members = listed_members(daemon);
+	model->members = members_to_record(model, daemon);
 	proxy_model_record_changed(model, daemon);
 }
 
@@ -317,7 +327,7 @@
 {
 	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
 	failover_t *failover = &daemon->failover;
-	recorded_members_t listed = listed_members(daemon);
+	recorded_members_t listed = members_to_record(model, daemon);
 	int32_t primary = failover_primary(failover);
 
 	if (model->plan->pauses_last || primary < 0 ||
