--- a/tests/t_old_primary.c
+++ b/tests/t_old_primary.c
@@ -229,6 +229,9 @@
 /* Time for the members to be recorded, from the start or from a change. */
 #define MEMBERS_MS 8000
 
+/* Time in which the leases on a primary end that is alone. */
+#define LEASES_END_MS 3000
+
 /* Time for a member to be dropped that is silent and not listed. */
 #define DROPPED_MS 70000
 
@@ -288,6 +291,8 @@
 		testbed_inject_fault(
 		    testbed, "database", "unlist", c->crashed[i] - '0');
 	}
+	if (!c->served)
+		g_usleep(LEASES_END_MS * G_TIME_SPAN_MILLISECOND);
 	g_assert_cmpint(
 	    testbed_write_served(testbed, 0, MEMBERS_MS), ==, c->served);
 	if (c->again) {
