Model: one rule for the begin of a sequence

Three sequences of faults that begin with a daemon that is not the coordinator had the same condition each, and one wrote the two times of a lost entry by itself beside proxy_model_entry_lost().

--- a/tools/proxy_model_sequences.c
+++ b/tools/proxy_model_sequences.c
@@ -175,6 +175,21 @@
 	model->daemons[daemon].pause_began_us = model->now_us;
 }
 
+/*
+ * Tell whether a sequence begins at random with a daemon that is not the
+ * coordinator and knows a primary, while no other sequence runs.
+ */
+static bool
+begins(proxy_model_t *model, uint32_t daemon, uint32_t permille)
+{
+	const proxy_model_daemon_t *first = &model->daemons[daemon];
+
+	return permille > 0 && proxy_model_primary(first) >= 0 &&
+	    !first->is_coordinator &&
+	    model->now_us >= model->sequence.until_us &&
+	    proxy_model_chance(model, permille);
+}
+
 /*
  * Begin the sequence of a cut off primary at random, now that the store has no
  * record that the daemon holds leases.
@@ -186,9 +201,7 @@
 	proxy_model_daemon_t *alone = &model->daemons[daemon];
 	int32_t primary = proxy_model_primary(alone);
 
-	if (plan->alone_permille == 0 || primary < 0 || alone->is_coordinator ||
-	    model->now_us < model->sequence.until_us ||
-	    !proxy_model_chance(model, plan->alone_permille))
+	if (!begins(model, daemon, plan->alone_permille))
 		return;
 	cut_primary(model, daemon, (uint32_t)primary);
 	alone->object_store_cut_until_us = model->sequence.until_us;
@@ -207,10 +220,7 @@
 	sequence_t *sequence = &model->sequence;
 	uint32_t i, j, refused = 0;
 
-	if (permille == 0 || primary < 0 ||
-	    model->daemons[daemon].is_coordinator ||
-	    model->now_us < sequence->until_us ||
-	    !proxy_model_chance(model, permille))
+	if (!begins(model, daemon, permille))
 		return;
 	model->result->troubles++;
 	cut_primary(model, daemon, (uint32_t)primary);
@@ -228,8 +238,9 @@
 			continue;
 		}
 		refused++;
-		db->entry_lapses_us = model->now_us;
-		db->entry_back_us = sequence->until_us;
+		proxy_model_entry_lost(model,
+		    ((uint32_t)primary + i) % plan->databases,
+		    sequence->until_us);
 		for (j = 0; j < plan->daemons; j++) {
 			db->daemon_cut_until_us[j] = 0;
 			if (j != daemon)
@@ -251,10 +262,7 @@
 	sequence_t *sequence = &model->sequence;
 	uint32_t i, member;
 
-	if (permille == 0 || primary < 0 ||
-	    model->daemons[daemon].is_coordinator ||
-	    model->now_us < sequence->until_us ||
-	    !proxy_model_chance(model, permille))
+	if (!begins(model, daemon, permille))
 		return;
 	model->result->troubles++;
 	cut_primary(model, daemon, (uint32_t)primary);
