Tests: one reader of a proxy's log in t_proxy

The change read the log of a proxy, and the token in it, by code that stood in the file already or twice in the change. The checks are the same; /proxy/trail, /order-trail, /restarted-holder and /no-successor pass.

--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -789,6 +789,21 @@
 	 "\"proof\":\"by_"}},
 };
 
+/*
+ * Return the log of a proxy, to be freed by the caller.
+ */
+static char *
+read_log(const testbed_t *testbed, uint32_t proxy)
+{
+	char *path =
+	    g_strdup_printf("%s/proxy-%u.log", testbed->work_dir, proxy);
+	char *log;
+
+	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+	g_free(path);
+	return log;
+}
+
 /*
  * Return the log of proxy 0 up to the last line that reports the end of a
  * request; that line goes to *ended.  The caller frees both.
@@ -797,12 +812,10 @@
 log_up_to_request_end(
     const testbed_t *testbed, const char *request, char **ended)
 {
-	char *path = g_strdup_printf("%s/proxy-0.log", testbed->work_dir);
 	char *pattern = g_strdup_printf(
 	    "\"event\":\"statement_ended\",\"request\":\"%s\"", request);
-	char *log, *match, *line_start;
+	char *log = read_log(testbed, 0), *match, *line_start;
 
-	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
 	match = g_strrstr(log, pattern);
 	g_assert_nonnull(match);
 	for (line_start = match; line_start > log && line_start[-1] != '\n';
@@ -811,7 +824,6 @@
 	*ended = g_strndup(line_start, strcspn(line_start, "\n"));
 	*line_start = '\0';
 	g_free(pattern);
-	g_free(path);
 	return log;
 }
 
@@ -906,13 +918,9 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < 3; i++) {
-		char *path =
-		    g_strdup_printf("%s/proxy-%u.log", testbed->work_dir, i);
-		char *log;
+	for (i = 0; i < testbed->plan.proxies; i++) {
+		char *log = read_log(testbed, i);
 
-		g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
-		g_free(path);
 		if (strstr(log, "\"event\":\"promotion_ordered\"") != NULL)
 			return log;
 		g_free(log);
@@ -932,7 +940,8 @@
 {
 	const char *token = g_strrstr(log, DUTY_HELD);
 
-	g_assert_nonnull(token);
+	if (token == NULL)
+		g_error("%s not found in %s", DUTY_HELD, log);
 	token += strlen(DUTY_HELD);
 	return g_strndup(token, strspn(token, "0123456789"));
 }
@@ -988,17 +997,13 @@
 	uint32_t i, n = 0;
 
 	for (i = 0; i < testbed->plan.proxies; i++) {
-		char *path =
-		    g_strdup_printf("%s/proxy-%u.log", testbed->work_dir, i);
+		char *log = read_log(testbed, i);
 		const char *next;
-		char *log;
 
-		g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
 		for (next = strstr(log, text); next != NULL;
 		     next = strstr(next + 1, text))
 			n++;
 		g_free(log);
-		g_free(path);
 	}
 	return n;
 }
@@ -1098,27 +1103,24 @@
 {
 	testbed_plan_t plan = {.proxies = 1, .lag_ms = 5};
 	testbed_t *testbed = testbed_start(&plan);
-	char *path = g_strdup_printf("%s/proxy-0.log", testbed->work_dir), *log;
 	uint64_t last = 0, token;
 	uint32_t i;
 
 	for (i = 0; i < 3; i++) {
-		const char *found;
+		char *log, *held;
 
 		g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
 		g_usleep(300 * US_PER_MS);
-		g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
-		found = g_strrstr(log, DUTY_HELD);
-		if (found == NULL)
-			g_error("%s not found in %s", DUTY_HELD, log);
-		token = g_ascii_strtoull(found + strlen(DUTY_HELD), NULL, 10);
+		log = read_log(testbed, 0);
+		held = held_token(log);
+		token = g_ascii_strtoull(held, NULL, 10);
 		g_assert_cmpuint(token, >, last);
 		last = token;
 		fleet_process_kill(&testbed->proxies[0]);
 		testbed_proxy_start(testbed, 0);
+		g_free(held);
 		g_free(log);
 	}
-	g_free(path);
 	testbed_stop(testbed);
 }
 
