Tests: the testbed reads the log of a proxy

The checks are the same; the tests of t_proxy, t_entry, t_refused, t_restored and t_forward that read logs pass.

--- a/tests/fake/testbed.c
+++ b/tests/fake/testbed.c
@@ -250,6 +250,21 @@
 	return value;
 }
 
+/*
+ * Return the log of a proxy, to be freed by the caller.
+ */
+char *
+testbed_read_log(const testbed_t *testbed, uint32_t proxy)
+{
+	char *path =
+	    g_strdup_printf("%s/proxy-%u.log", testbed->work_dir, proxy);
+	char *log;
+
+	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+	g_free(path);
+	return log;
+}
+
 /*
  * Return the body of a GET request to the platform, to be freed by the caller.
  */
--- a/tests/fake/testbed.h
+++ b/tests/fake/testbed.h
@@ -70,6 +70,7 @@
 uint64_t testbed_metric(const testbed_t *, uint32_t proxy, const char *name);
 bool testbed_wait_ready(testbed_t *, uint32_t timeout_ms);
 char *testbed_get(const testbed_t *, const char *path);
+char *testbed_read_log(const testbed_t *, uint32_t proxy);
 void testbed_inject_fault(
     testbed_t *, const char *target, const char *fault, int32_t database);
 void testbed_store_fault(testbed_t *, uint32_t proxy, const char *fault);
--- a/tests/t_entry.c
+++ b/tests/t_entry.c
@@ -66,18 +66,15 @@
 static uint32_t
 count_logged(const testbed_t *testbed, const char *first, const char *second)
 {
-	char *path = g_strdup_printf("%s/proxy-0.log", testbed->work_dir), *log,
-	     **lines;
+	char *log = testbed_read_log(testbed, 0), **lines;
 	uint32_t i, count = 0;
 
-	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
 	lines = g_strsplit(log, "\n", -1);
 	for (i = 0; lines[i] != NULL; i++)
 		count += strstr(lines[i], first) != NULL &&
 		    strstr(lines[i], second) != NULL;
 	g_strfreev(lines);
 	g_free(log);
-	g_free(path);
 	return count;
 }
 
--- a/tests/t_forward.c
+++ b/tests/t_forward.c
@@ -94,21 +94,6 @@
 	    testbed_metric(testbed, proxy, "server_connections_opened") > 0;
 }
 
-/*
- * Return the log of a proxy.
- */
-static char *
-read_log(const testbed_t *testbed, uint32_t proxy)
-{
-	char *path =
-	    g_strdup_printf("%s/proxy-%u.log", testbed->work_dir, proxy);
-	char *log;
-
-	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
-	g_free(path);
-	return log;
-}
-
 /*
  * Tell whether the store has left a call of a proxy unanswered, by the logs.
  */
@@ -119,7 +104,7 @@
 	uint32_t i;
 
 	for (i = 0; i < PROXIES; i++) {
-		char *log = read_log(testbed, i);
+		char *log = testbed_read_log(testbed, i);
 
 		silent |= strstr(log, "\"dependency_lost\"") != NULL ||
 		    strstr(log, "Cannot list the daemons") != NULL;
@@ -716,7 +701,7 @@
 static bool
 follows_news(const testbed_t *testbed, uint32_t proxy)
 {
-	char *log = read_log(testbed, proxy);
+	char *log = testbed_read_log(testbed, proxy);
 	const char *event;
 	bool follows;
 
@@ -831,13 +816,13 @@
 	testbed_inject_fault(bed->testbed, "database", "leave", 2);
 	deadline_us = clock_us() + LEAVING_TIMEOUT_MS * US_PER_MS;
 	for (i = 0; i < PROXIES; i++) {
-		char *log = read_log(bed->testbed, i);
+		char *log = testbed_read_log(bed->testbed, i);
 
 		while (strstr(log, "\"leaving\":true") == NULL) {
 			g_assert_cmpint(clock_us(), <, deadline_us);
 			g_usleep(POLL_US);
 			g_free(log);
-			log = read_log(bed->testbed, i);
+			log = testbed_read_log(bed->testbed, i);
 		}
 		g_free(log);
 	}
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -518,7 +518,7 @@
 	char *statement =
 	    g_strdup_printf("READ large.%u.%u", c->rows, c->row_bytes);
 	client_t *client;
-	char *answer, *head, *path, *log;
+	char *answer, *head, *log;
 	uint32_t i;
 
 	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
@@ -550,12 +550,10 @@
 		g_free(answer);
 		g_free(head);
 	}
-	path = g_strdup_printf("%s/proxy-0.log", testbed->work_dir);
-	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+	log = testbed_read_log(testbed, 0);
 	g_assert_cmpint(strstr(log, "\"result_discarded\"") != NULL, ==,
 	    c->expected != NULL);
 	g_free(log);
-	g_free(path);
 	client_close(client);
 	g_free(statement);
 	testbed_stop(testbed);
@@ -789,21 +787,6 @@
 	 "\"proof\":\"by_"}},
 };
 
-/*
- * Return the log of a proxy, to be freed by the caller.
- */
-static char *
-read_log(const testbed_t *testbed, uint32_t proxy)
-{
-	char *path =
-	    g_strdup_printf("%s/proxy-%u.log", testbed->work_dir, proxy);
-	char *log;
-
-	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
-	g_free(path);
-	return log;
-}
-
 /*
  * Return the log of proxy 0 up to the last line that reports the end of a
  * request; that line goes to *ended.  The caller frees both.
@@ -814,7 +797,7 @@
 {
 	char *pattern = g_strdup_printf(
 	    "\"event\":\"statement_ended\",\"request\":\"%s\"", request);
-	char *log = read_log(testbed, 0), *match, *line_start;
+	char *log = testbed_read_log(testbed, 0), *match, *line_start;
 
 	match = g_strrstr(log, pattern);
 	g_assert_nonnull(match);
@@ -919,7 +902,7 @@
 	uint32_t i;
 
 	for (i = 0; i < testbed->plan.proxies; i++) {
-		char *log = read_log(testbed, i);
+		char *log = testbed_read_log(testbed, i);
 
 		if (strstr(log, "\"event\":\"promotion_ordered\"") != NULL)
 			return log;
@@ -997,7 +980,7 @@
 	uint32_t i, n = 0;
 
 	for (i = 0; i < testbed->plan.proxies; i++) {
-		char *log = read_log(testbed, i);
+		char *log = testbed_read_log(testbed, i);
 		const char *next;
 
 		for (next = strstr(log, text); next != NULL;
@@ -1111,7 +1094,7 @@
 
 		g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
 		g_usleep(300 * US_PER_MS);
-		log = read_log(testbed, 0);
+		log = testbed_read_log(testbed, 0);
 		held = held_token(log);
 		token = g_ascii_strtoull(held, NULL, 10);
 		g_assert_cmpuint(token, >, last);
--- a/tests/t_refused.c
+++ b/tests/t_refused.c
@@ -287,21 +287,6 @@
 	}
 }
 
-/*
- * Read the log of a proxy.  The caller frees it.
- */
-static char *
-read_log(const bed_t *bed, uint32_t proxy)
-{
-	char *path = g_strdup_printf(
-		 "%s/proxy-%u.log", bed->testbed->work_dir, proxy),
-	     *log;
-
-	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
-	g_free(path);
-	return log;
-}
-
 /*
  * Find the event in a log that a server was removed from its group.  server:
  * NULL: any.  The caller frees it.  Returns NULL if there is none.
@@ -335,7 +320,7 @@
 	uint32_t i;
 
 	for (i = 0; i < PROXIES; i++) {
-		char *log = read_log(bed, i);
+		char *log = testbed_read_log(bed->testbed, i);
 		char *removal = find_removal(log, NULL);
 
 		g_assert_nonnull(strstr(log, "\"event\":\"server_listed\""));
@@ -459,7 +444,7 @@
 	char *removal = NULL;
 
 	while (removal == NULL && g_get_monotonic_time() < end_us) {
-		char *log = read_log(bed, proxy);
+		char *log = testbed_read_log(bed->testbed, proxy);
 
 		removal = find_removal(log, "i-0");
 		g_free(log);
--- a/tests/t_restored.c
+++ b/tests/t_restored.c
@@ -227,19 +227,6 @@
 /* Time after which the entries of the older copy are taken. */
 #define ENTRIES_SETTLED_MS 4000
 
-/*
- * Read the log of the proxy.  The caller frees it.
- */
-static char *
-read_log(const testbed_t *testbed)
-{
-	char *path = g_strdup_printf("%s/proxy-0.log", testbed->work_dir), *log;
-
-	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
-	g_free(path);
-	return log;
-}
-
 /*
  * Wait until the proxy has logged a text.
  */
@@ -250,7 +237,7 @@
 	bool logged = false;
 
 	while (!logged && elapsed_ms(began_us) < READY_TIMEOUT_MS) {
-		char *log = read_log(testbed);
+		char *log = testbed_read_log(testbed, 0);
 
 		logged = strstr(log, text) != NULL;
 		g_free(log);
@@ -279,7 +266,7 @@
 	g_assert_true(wait_logged(testbed, "\"leaving\":true"));
 	testbed_inject_fault(testbed, "store", "restored", -1);
 	g_usleep(ENTRIES_SETTLED_MS * US_PER_MS);
-	log = read_log(testbed);
+	log = testbed_read_log(testbed, 0);
 	g_assert_null(strstr(log, "\"event\":\"entry_rejected\""));
 	leaving = strstr(log, LISTED_EVENT);
 	g_assert_nonnull(leaving);
@@ -305,7 +292,7 @@
 	bool found = false;
 
 	while (!found && elapsed_ms(began_us) < READY_TIMEOUT_MS) {
-		char *log = read_log(testbed);
+		char *log = testbed_read_log(testbed, 0);
 		const char *last = g_strrstr(log, LISTED_EVENT);
 
 		found = last != NULL && strstr(last, text) != NULL;
