Coordinator: a write of orders is under way while its timer runs

Two fields said the same: the timer that limits the wait for the answer, and a flag that was set and cleared with it. t_coordinator passes (85 rows).

--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -716,7 +716,7 @@
 	registry_t *registry = put->registry;
 	object_store_status_t status =
 	    store_response_status(registry, response);
-	bool late = !registry->orders_put_pending ||
+	bool late = registry->orders_put_timer == NULL ||
 	    put->number != registry->orders_put_number;
 	arena_t *arena;
 	Bp__DutyRecord *record;
@@ -730,7 +730,6 @@
 	record = coordinator_record(registry, response, arena);
 	result = orders_write_result(registry, status, record);
 	unreadable = record_unreadable(response, record);
-	registry->orders_put_pending = false;
 	source_clear(&registry->orders_put_timer);
 	note_coordinator_record(registry, status, response, record);
 	if (status == OBJECT_STORE_OK && result != ORDERS_WRITE_DENIED)
@@ -751,7 +750,6 @@
 	registry_t *registry = context;
 
 	source_clear(&registry->orders_put_timer);
-	registry->orders_put_pending = false;
 	finish_written_orders(registry, ORDERS_WRITE_UNKNOWN);
 	write_orders(registry);
 	return G_SOURCE_REMOVE;
@@ -767,7 +765,6 @@
 
 	put->registry = registry;
 	put->number = ++registry->orders_put_number;
-	registry->orders_put_pending = true;
 	registry->orders_put_us = clock_us();
 	registry->orders_put_timer =
 	    task_timer(registry->task, COORDINATOR_CHECK_MAX_AGE_US / US_PER_MS,
@@ -790,7 +787,7 @@
 	GList *l, *previous;
 	bool any = false;
 
-	if (registry->orders_put_pending)
+	if (registry->orders_put_timer != NULL)
 		return;
 	groups = g_hash_table_new(g_str_hash, g_str_equal);
 	/* the oldest order first */
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -93,10 +93,10 @@
 	bool orders_updating;   /* noted orders are being written */
 	bool orders_changed;    /* noted since that write began */
 	int64_t orders_written_us;  /* time of the last write of noted orders */
-	bool orders_put_pending;    /* orders to be sent are being recorded */
 	int64_t orders_put_us;      /* time of the last write of such orders */
 	uint64_t orders_put_number; /* of that write */
-	GSource *orders_put_timer;  /* limit for its answer to count */
+	GSource *orders_put_timer;  /* limit for its answer to count; NULL: no
+				       orders to be sent are being recorded */
 	/* a promotion was ordered with this token, or no older token exists */
 	bool order_sent;
 	/* the last listing of the daemons for a revocation has failed */
