Starts: one constant for the time after which a lost start is no member

The removal from a group and the time for which a member stays recorded without being in it are the same rule, with 60 s written in two files. t_decide and t_members pass.

--- a/src/decide/start.c
+++ b/src/decide/start.c
@@ -1,15 +1,9 @@
 #include "start.h"
 
-#include "decide.h"
-
 #include <string.h>
 
-/*
- * Time without an answer after which a start that is not listed is removed: if
- * it has said that it leaves, and if it has not.
- */
-#define LEAVING_SILENT_US (10 * US_PER_SECOND)
-#define UNLISTED_SILENT_US (60 * US_PER_SECOND)
+/* The same as START_LOST_US where it has said that it leaves. */
+#define LEAVING_LOST_US (10 * US_PER_SECOND)
 
 /*
  * Tell whether a listed start shows that another one has ended: it was started
@@ -70,7 +64,7 @@
 	if (!evidence->member && !evidence->known)
 		return START_UNANSWERED;
 	return evidence->silent_us <
-		(evidence->leaving ? LEAVING_SILENT_US : UNLISTED_SILENT_US)
+		(evidence->leaving ? LEAVING_LOST_US : START_LOST_US)
 	    ? START_STAYS
 	    : START_SILENT;
 }
--- a/src/decide/start.h
+++ b/src/decide/start.h
@@ -1,9 +1,17 @@
 #ifndef DECIDE_START_H
 #define DECIDE_START_H
 
+#include "decide.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
+/*
+ * Time after which a start that is not listed, and does not answer, is no
+ * member of its group any more although it has not said that it leaves.
+ */
+#define START_LOST_US (60 * US_PER_SECOND)
+
 /*
  * One start of a database: a process.  With it end the promises that it has
  * given, its support of leases, its role as primary, its membership of the
--- a/src/proxy/group_members.c
+++ b/src/proxy/group_members.c
@@ -13,12 +13,6 @@
 /* Interval at which the registry is asked to record the members. */
 #define MEMBERS_INTERVAL_US (1000 * US_PER_MS)
 
-/*
- * Time for which a member stays one though it is not in the group: this process
- * has started since its entry lapsed.
- */
-#define MEMBER_KEPT_US (60 * US_PER_SECOND)
-
 /*
  * Return the recorded member with the id of a server, or NULL.
  */
@@ -135,7 +129,7 @@
 	if (member != NULL)
 		member->kept_until_us = by == START_LEFT || by == START_SILENT
 		    ? 0
-		    : now_us + MEMBER_KEPT_US;
+		    : now_us + START_LOST_US;
 }
 
 /*
@@ -193,7 +187,7 @@
 
 		members[n] = (member_t){g_strdup(list[i]->server),
 		    list[i]->born, g_strdup(list[i]->address), START_STAYS,
-		    clock_us() + MEMBER_KEPT_US};
+		    clock_us() + START_LOST_US};
 		if (known != NULL && known->born == list[i]->born) {
 			members[n].ended = known->ended;
 			members[n].kept_until_us = known->kept_until_us;
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -639,7 +639,6 @@
 
 	for (i = 0; i < group->count; i++) {
 		server_t *server = group->servers[i];
-
 		start_evidence_t evidence = server_evidence(server, now_us);
 
 		if (server_stays(server, &evidence, now_us))
