--- a/tests/t_members.c
+++ b/tests/t_members.c
@@ -77,6 +77,44 @@
 	catalog_apply(pool, &catalog);
 }
 
+/* A pool task that is not connected to anything. */
+typedef struct bed {
+	Bp__ProxyTimeouts timeouts;
+	Bp__ProxySettings settings;
+	proxy_t proxy;
+	task_t *host;
+	pool_t *pool;
+} bed_t;
+
+/*
+ * Create a pool that has read no list yet.
+ */
+static void
+bed_start(bed_t *bed)
+{
+	bp__proxy_timeouts__init(&bed->timeouts);
+	bp__proxy_settings__init(&bed->settings);
+	bed->settings.name = (char *)"this";
+	bed->settings.zone = (char *)"z";
+	bed->settings.timeouts = &bed->timeouts;
+	bed->proxy =
+	    (proxy_t){.settings = &bed->settings, .wire = &platform_wire};
+	bed->host = task_new(&host_ops, NULL);
+	bed->pool = pool_new(&bed->proxy);
+	bed->pool->task = task_new_hosted(&idle_ops, bed->pool, bed->host);
+}
+
+/*
+ * Free the pool.
+ */
+static void
+bed_stop(bed_t *bed)
+{
+	task_free(bed->pool->task);
+	pool_free(bed->pool);
+	task_free(bed->host);
+}
+
 /*
  * Have the servers that are known be the recorded members of their group.
  */
@@ -113,25 +151,17 @@
 test_listed(gconstpointer data)
 {
 	const listed_case_t *c = data;
-	Bp__ProxyTimeouts timeouts = BP__PROXY_TIMEOUTS__INIT;
-	Bp__ProxySettings settings = BP__PROXY_SETTINGS__INIT;
-	proxy_t proxy = {.settings = &settings, .wire = &platform_wire};
-	task_t *host = task_new(&host_ops, NULL);
-	pool_t *pool;
+	bed_t bed;
 	group_t *group = NULL;
 	uint32_t i;
 
-	settings.name = "this";
-	settings.zone = "z";
-	settings.timeouts = &timeouts;
-	pool = pool_new(&proxy);
-	pool->task = task_new_hosted(&idle_ops, pool, host);
+	bed_start(&bed);
 	for (i = 0; i < LISTS_MAX && c->lists[i].members > 0; i++) {
 		const listing_t *listing = &c->lists[i];
 
-		apply_list(pool, listing->born);
+		apply_list(bed.pool, listing->born);
 		if (group == NULL) {
-			group = g_hash_table_lookup(pool->groups, "ledger");
+			group = g_hash_table_lookup(bed.pool->groups, "ledger");
 			group->active = true;
 			record_members(group);
 		}
@@ -145,9 +175,7 @@
 		    group->failover.members_ended, ==, listing->ended);
 		g_assert_cmpuint(count_members(group), ==, listing->members);
 	}
-	task_free(pool->task);
-	pool_free(pool);
-	task_free(host);
+	bed_stop(&bed);
 }
 
 typedef struct written_case {
@@ -199,23 +227,15 @@
 test_written(gconstpointer data)
 {
 	const written_case_t *c = data;
-	Bp__ProxyTimeouts timeouts = BP__PROXY_TIMEOUTS__INIT;
-	Bp__ProxySettings settings = BP__PROXY_SETTINGS__INIT;
-	proxy_t proxy = {.settings = &settings, .wire = &platform_wire};
-	task_t *host = task_new(&host_ops, NULL);
 	server_t gone = {.id = (char *)"i-1", .generation = 5};
 	arena_t *arena = arena_new();
-	pool_t *pool;
+	bed_t bed;
 	group_t *group;
 	size_t written;
 
-	settings.name = "this";
-	settings.zone = "z";
-	settings.timeouts = &timeouts;
-	pool = pool_new(&proxy);
-	pool->task = task_new_hosted(&idle_ops, pool, host);
-	apply_list(pool, c->born);
-	group = g_hash_table_lookup(pool->groups, "ledger");
+	bed_start(&bed);
+	apply_list(bed.pool, c->born);
+	group = g_hash_table_lookup(bed.pool->groups, "ledger");
 	group->active = true;
 	record_three(group);
 	if (c->denied)
@@ -225,9 +245,7 @@
 	(void)group_members_write(group, arena, &written);
 	g_assert_cmpuint(written, ==, c->written);
 	arena_free(arena);
-	task_free(pool->task);
-	pool_free(pool);
-	task_free(host);
+	bed_stop(&bed);
 }
 
 /*
