Coordinator: promotion orders in files of their own

The orders are now in promotion.c (what the pool wants, and what others answer), promotion_record.c (writes of the record with orders) and promotion_order.c (one order); promotion_internal.h says which calls which. Calls go one way: when the store comes back from an older copy, store_era.c has the orders dropped before the role is given up, where coordinator.c reached into them.

--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -549,7 +549,8 @@
 	    &registry->config_watch, &registry->servers_watch};
 	uint32_t i;
 
-	coordinator_stop(registry);
+	promotions_stop(registry);
+	restore_stop(registry);
 	daemons_stop(registry);
 	news_stop(registry);
 	source_clear(&registry->expiry_timer);
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -11,7 +11,8 @@
  *
  * registry.c		the catalog: configuration and registrations
  * store_watch.c	lists and watches of the store
- * coordinator.c	coordinator role and promotion orders
+ * promotion.c		promotion orders; promotion_internal.h lists its files
+ * coordinator.c	coordinator role
  * record_restore.c	replacement of a record that cannot be read
  * orders.c		the orders and members that the coordinator record holds
  * daemons.c		heartbeat records of the daemons
@@ -153,12 +154,24 @@
 void coordinator_note_unrecorded(registry_t *);
 void coordinator_check(void *registry, msg_t *);
 void coordinator_store_restored(registry_t *);
+void coordinator_read(registry_t *);
+void coordinator_put_record(registry_t *, uint64_t revision, uint64_t token,
+    object_store_cb, void *context);
+void coordinator_note_record(registry_t *, object_store_status_t,
+    const object_store_response_t *, const Bp__DutyRecord *);
+bool coordinator_is_named(const registry_t *, const Bp__DutyRecord *);
+bool coordinator_record_unreadable(
+    const object_store_response_t *, const Bp__DutyRecord *);
+void coordinator_update_orders(registry_t *);
+
+/* promotion.c */
 void promotion_wanted(void *registry, msg_t *);
 void promotion_cancelled(void *registry, msg_t *);
 void promises_checked(void *, msg_t *);
 void order_confirmed(void *registry, msg_t *);
 void order_learned(void *registry, msg_t *);
-void coordinator_stop(registry_t *);
+void promotions_store_restored(registry_t *);
+void promotions_stop(registry_t *);
 
 /* record_restore.c */
 void restore_note_written(registry_t *, uint64_t token, uint64_t revision);
--- a/src/proxy/store_era.c
+++ b/src/proxy/store_era.c
@@ -51,6 +51,7 @@
 	/* a daemon that starts cannot know how long ago that was */
 	if (era > STORE_ERA_FIRST)
 		daemons_store_restored(registry);
+	promotions_store_restored(registry);
 	coordinator_store_restored(registry);
 }
 
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -247,7 +247,8 @@
 static void
 bed_stop(bed_t *bed)
 {
-	coordinator_stop(bed->registry);
+	promotions_stop(bed->registry);
+	restore_stop(bed->registry);
 	task_free(bed->registry->task);
 	if (bed->proxy.peers != NULL)
 		task_free(bed->proxy.peers);
