Operations: answers and expiry in files of their own

What becomes of a statement once a server has answered is in operation_answer.c, what becomes of one whose time is over, or whose group is gone, in operation_expire.c; operation_internal.h says which calls which, one way.

--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -21,7 +21,8 @@
  * pool.c		task callbacks and message handlers
  * server.c		groups and servers of the catalog
  * dbconn.c		one connection to a database
- * operation.c		life cycle of a statement
+ * operation.c		life cycle of a statement; operation_internal.h lists
+ *			its files
  * transaction.c	end of transactions
  * dispatch.c		selection of a server and connection for a statement
  * monitor.c		server status and failover; monitor_internal.h lists its
