Tests: the newer token of /proxy/outdated-holder is above any revision

The test tells three daemons of a newer fencing token, 7, and expects that they order nothing. Since tokens rest on the store's revision the coordinator's own is 6 in most runs, and 7 where one more object was written before: then 7 is no newer token, and the order is right. The token is above all revisions now, which is what the test means; its checks are the same.

--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -1586,6 +1586,9 @@
 /* Number of writes attempted while no daemon may order a promotion. */
 #define REJECTED_WRITES 60
 
+/* Fencing token above those that rest on the revisions of the store. */
+#define NEWER_TOKEN (UINT64_C(1) << 32)
+
 /*
  * Send a proxy the LeaseRevoke message that a coordinator with the given
  * fencing token would send.
@@ -1631,7 +1634,7 @@
 	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
 	g_usleep(2500 * US_PER_MS); /* until the daemons know each other */
 	for (i = 0; i < plan.proxies; i++)
-		send_lease_revoke(testbed, i, 7);
+		send_lease_revoke(testbed, i, NEWER_TOKEN);
 	testbed_inject_fault(testbed, "store", "busy", -1);
 	testbed_inject_fault(testbed, "database", "crash", 0);
 	for (i = 0; i < REJECTED_WRITES; i++) {
