--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 TOOLS_O = $(patsubst %,$(BUILD)/tools/%.o, \
 	eventq failover_model fleet history load proxy_model \
 	proxy_model_dbs proxy_model_open proxy_model_orders \
-	proxy_model_lists proxy_model_records proxy_model_role \
+	proxy_model_lists proxy_model_members proxy_model_records proxy_model_role \
 	proxy_model_sequences \
 	quantile queuesim read_model read_model_dbs)
 FAKES = $(BUILD)/fakedb $(BUILD)/fakeplatform $(BUILD)/fakesite
@@ -89,7 +89,7 @@
     $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
 
-TESTS = t_decide t_config_delay t_lease t_attempt t_standing t_open_orders t_wire t_objects t_poller t_log t_queue t_parse t_history \
+TESTS = t_decide t_config_delay t_lease t_former t_attempt t_standing t_open_orders t_wire t_objects t_poller t_log t_queue t_parse t_history \
 	t_failover_model t_proxy_model t_read_model t_placement t_http t_command t_fuzz t_entry \
 	t_coordinator t_monitor t_members t_dbconn t_operation t_proxy t_leaving t_restart t_restored t_old_primary t_late_order t_forgotten t_refused t_forward t_store_news t_silent t_fleet t_drain t_holds
 
--- a/gen/catalog.pb-c.c
+++ b/gen/catalog.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &bp__recorded_order__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__former_members__init
+                     (Bp__FormerMembers         *message)
+{
+  static const Bp__FormerMembers init_value = BP__FORMER_MEMBERS__INIT;
+  *message = init_value;
+}
+size_t bp__former_members__get_packed_size
+                     (const Bp__FormerMembers *message)
+{
+  assert(message->base.descriptor == &bp__former_members__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__former_members__pack
+                     (const Bp__FormerMembers *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__former_members__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__former_members__pack_to_buffer
+                     (const Bp__FormerMembers *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__former_members__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__FormerMembers *
+       bp__former_members__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__FormerMembers *)
+     protobuf_c_message_unpack (&bp__former_members__descriptor,
+                                allocator, len, data);
+}
+void   bp__former_members__free_unpacked
+                     (Bp__FormerMembers *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__former_members__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__recorded_member__init
                      (Bp__RecordedMember         *message)
 {
@@ -966,7 +1011,7 @@
 static const uint64_t bp__recorded_order__base_index__default_value = 0ull;
 static const uint64_t bp__recorded_order__era__default_value = 0ull;
 static const uint64_t bp__recorded_order__named__default_value = 0ull;
-static const ProtobufCFieldDescriptor bp__recorded_order__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bp__recorded_order__field_descriptors[11] =
 {
   {
     "group",
@@ -1088,6 +1133,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "former",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__RecordedOrder, n_former),
+    offsetof(Bp__RecordedOrder, former),
+    &bp__former_members__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__recorded_order__field_indices_by_name[] = {
   2,   /* field[2] = attempt_term */
@@ -1095,6 +1152,7 @@
   3,   /* field[3] = base_term */
   7,   /* field[7] = earlier */
   5,   /* field[5] = era */
+  10,   /* field[10] = former */
   0,   /* field[0] = group */
   8,   /* field[8] = members */
   9,   /* field[9] = named */
@@ -1104,7 +1162,7 @@
 static const ProtobufCIntRange bp__recorded_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bp__recorded_order__descriptor =
 {
@@ -1114,13 +1172,64 @@
   "Bp__RecordedOrder",
   "bp",
   sizeof(Bp__RecordedOrder),
-  10,
+  11,
   bp__recorded_order__field_descriptors,
   bp__recorded_order__field_indices_by_name,
   1,  bp__recorded_order__number_ranges,
   (ProtobufCMessageInit) bp__recorded_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__former_members__field_descriptors[2] =
+{
+  {
+    "until_term",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__FormerMembers, until_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__FormerMembers, n_members),
+    offsetof(Bp__FormerMembers, members),
+    &bp__recorded_member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__former_members__field_indices_by_name[] = {
+  1,   /* field[1] = members */
+  0,   /* field[0] = until_term */
+};
+static const ProtobufCIntRange bp__former_members__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bp__former_members__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.FormerMembers",
+  "FormerMembers",
+  "Bp__FormerMembers",
+  "bp",
+  sizeof(Bp__FormerMembers),
+  2,
+  bp__former_members__field_descriptors,
+  bp__former_members__field_indices_by_name,
+  1,  bp__former_members__number_ranges,
+  (ProtobufCMessageInit) bp__former_members__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__recorded_member__field_descriptors[3] =
 {
   {
--- a/gen/catalog.pb-c.h
+++ b/gen/catalog.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Bp__Catalog Bp__Catalog;
 typedef struct Bp__DutyRecord Bp__DutyRecord;
 typedef struct Bp__RecordedOrder Bp__RecordedOrder;
+typedef struct Bp__FormerMembers Bp__FormerMembers;
 typedef struct Bp__RecordedMember Bp__RecordedMember;
 typedef struct Bp__EarlierOrder Bp__EarlierOrder;
 typedef struct Bp__OpenOrder Bp__OpenOrder;
@@ -245,10 +246,33 @@
    */
   protobuf_c_boolean has_named;
   uint64_t named;
+  /*
+   * members that were recorded before, on which leases may still rest
+   */
+  size_t n_former;
+  Bp__FormerMembers **former;
 };
 #define BP__RECORDED_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__recorded_order__descriptor) \
-    , NULL, 0, 0, 0, 0ull, 0, 0ull, 0, 0ull, 0,NULL, 0,NULL, 0,NULL, 0, 0ull }
+    , NULL, 0, 0, 0, 0ull, 0, 0ull, 0, 0ull, 0,NULL, 0,NULL, 0,NULL, 0, 0ull, 0,NULL }
+
+
+/*
+ * Members of a group that were recorded before.
+ */
+struct  Bp__FormerMembers
+{
+  ProtobufCMessage base;
+  /*
+   * newest term in which leases may rest on them
+   */
+  uint64_t until_term;
+  size_t n_members;
+  Bp__RecordedMember **members;
+};
+#define BP__FORMER_MEMBERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__former_members__descriptor) \
+    , 0, 0,NULL }
 
 
 /*
@@ -467,6 +491,25 @@
 void   bp__recorded_order__free_unpacked
                      (Bp__RecordedOrder *message,
                       ProtobufCAllocator *allocator);
+/* Bp__FormerMembers methods */
+void   bp__former_members__init
+                     (Bp__FormerMembers         *message);
+size_t bp__former_members__get_packed_size
+                     (const Bp__FormerMembers   *message);
+size_t bp__former_members__pack
+                     (const Bp__FormerMembers   *message,
+                      uint8_t             *out);
+size_t bp__former_members__pack_to_buffer
+                     (const Bp__FormerMembers   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__FormerMembers *
+       bp__former_members__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__former_members__free_unpacked
+                     (Bp__FormerMembers *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__RecordedMember methods */
 void   bp__recorded_member__init
                      (Bp__RecordedMember         *message);
@@ -563,6 +606,9 @@
 typedef void (*Bp__RecordedOrder_Closure)
                  (const Bp__RecordedOrder *message,
                   void *closure_data);
+typedef void (*Bp__FormerMembers_Closure)
+                 (const Bp__FormerMembers *message,
+                  void *closure_data);
 typedef void (*Bp__RecordedMember_Closure)
                  (const Bp__RecordedMember *message,
                   void *closure_data);
@@ -588,6 +634,7 @@
 extern const ProtobufCMessageDescriptor bp__catalog__descriptor;
 extern const ProtobufCMessageDescriptor bp__duty_record__descriptor;
 extern const ProtobufCMessageDescriptor bp__recorded_order__descriptor;
+extern const ProtobufCMessageDescriptor bp__former_members__descriptor;
 extern const ProtobufCMessageDescriptor bp__recorded_member__descriptor;
 extern const ProtobufCMessageDescriptor bp__earlier_order__descriptor;
 extern const ProtobufCMessageDescriptor bp__open_order__descriptor;
--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -637,6 +637,51 @@
   assert(message->base.descriptor == &bp__group_members_wanted__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__members_change__init
+                     (Bp__MembersChange         *message)
+{
+  static const Bp__MembersChange init_value = BP__MEMBERS_CHANGE__INIT;
+  *message = init_value;
+}
+size_t bp__members_change__get_packed_size
+                     (const Bp__MembersChange *message)
+{
+  assert(message->base.descriptor == &bp__members_change__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__members_change__pack
+                     (const Bp__MembersChange *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__members_change__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__members_change__pack_to_buffer
+                     (const Bp__MembersChange *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__members_change__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__MembersChange *
+       bp__members_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__MembersChange *)
+     protobuf_c_message_unpack (&bp__members_change__descriptor,
+                                allocator, len, data);
+}
+void   bp__members_change__free_unpacked
+                     (Bp__MembersChange *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__members_change__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__order_learned__init
                      (Bp__OrderLearned         *message)
 {
@@ -2537,7 +2582,7 @@
   (ProtobufCMessageInit) bp__store_away__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__group_members_wanted__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bp__group_members_wanted__field_descriptors[3] =
 {
   {
     "group",
@@ -2563,15 +2608,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "change",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__GroupMembersWanted, change),
+    &bp__members_change__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__group_members_wanted__field_indices_by_name[] = {
+  2,   /* field[2] = change */
   0,   /* field[0] = group */
   1,   /* field[1] = members */
 };
 static const ProtobufCIntRange bp__group_members_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bp__group_members_wanted__descriptor =
 {
@@ -2581,13 +2639,90 @@
   "Bp__GroupMembersWanted",
   "bp",
   sizeof(Bp__GroupMembersWanted),
-  2,
+  3,
   bp__group_members_wanted__field_descriptors,
   bp__group_members_wanted__field_indices_by_name,
   1,  bp__group_members_wanted__number_ranges,
   (ProtobufCMessageInit) bp__group_members_wanted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__members_change__field_descriptors[4] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__MembersChange, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "newest_term",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__MembersChange, newest_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unproven",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__MembersChange, unproven),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__MembersChange, n_ended),
+    offsetof(Bp__MembersChange, ended),
+    &bp__recorded_member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__members_change__field_indices_by_name[] = {
+  3,   /* field[3] = ended */
+  1,   /* field[1] = newest_term */
+  0,   /* field[0] = term */
+  2,   /* field[2] = unproven */
+};
+static const ProtobufCIntRange bp__members_change__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor bp__members_change__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.MembersChange",
+  "MembersChange",
+  "Bp__MembersChange",
+  "bp",
+  sizeof(Bp__MembersChange),
+  4,
+  bp__members_change__field_descriptors,
+  bp__members_change__field_indices_by_name,
+  1,  bp__members_change__number_ranges,
+  (ProtobufCMessageInit) bp__members_change__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__order_learned__field_descriptors[1] =
 {
   {
@@ -2702,7 +2837,7 @@
   (ProtobufCMessageInit) bp__token_seen__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__promotion_wanted__field_descriptors[11] =
+static const ProtobufCFieldDescriptor bp__promotion_wanted__field_descriptors[12] =
 {
   {
     "group",
@@ -2836,10 +2971,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "change",
+    12,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__PromotionWanted, change),
+    &bp__members_change__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__promotion_wanted__field_indices_by_name[] = {
   7,   /* field[7] = base_index */
   6,   /* field[6] = base_term */
+  11,   /* field[11] = change */
   4,   /* field[4] = decided_us */
   0,   /* field[0] = group */
   10,   /* field[10] = heard_token */
@@ -2853,7 +3001,7 @@
 static const ProtobufCIntRange bp__promotion_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor bp__promotion_wanted__descriptor =
 {
@@ -2863,7 +3011,7 @@
   "Bp__PromotionWanted",
   "bp",
   sizeof(Bp__PromotionWanted),
-  11,
+  12,
   bp__promotion_wanted__field_descriptors,
   bp__promotion_wanted__field_indices_by_name,
   1,  bp__promotion_wanted__number_ranges,
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -30,6 +30,7 @@
 typedef struct Bp__OrdersRead Bp__OrdersRead;
 typedef struct Bp__StoreAway Bp__StoreAway;
 typedef struct Bp__GroupMembersWanted Bp__GroupMembersWanted;
+typedef struct Bp__MembersChange Bp__MembersChange;
 typedef struct Bp__OrderLearned Bp__OrderLearned;
 typedef struct Bp__TokenRead Bp__TokenRead;
 typedef struct Bp__TokenSeen Bp__TokenSeen;
@@ -445,10 +446,43 @@
   char *group;
   size_t n_members;
   Bp__RecordedMember **members;
+  /*
+   * what allows the members
+   */
+  Bp__MembersChange *change;
 };
 #define BP__GROUP_MEMBERS_WANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__group_members_wanted__descriptor) \
-    , NULL, 0,NULL }
+    , NULL, 0,NULL, NULL }
+
+
+/*
+ * What a change of the members rests on, and which former ones still count.
+ */
+struct  Bp__MembersChange
+{
+  ProtobufCMessage base;
+  /*
+   * term of the leases now, or the one whose primary is to be replaced
+   */
+  uint64_t term;
+  /*
+   * newest term that is known to have begun
+   */
+  uint64_t newest_term;
+  /*
+   * attempt whose order only standing promises prove; 0: none
+   */
+  uint64_t unproven;
+  /*
+   * that have ended
+   */
+  size_t n_ended;
+  Bp__RecordedMember **ended;
+};
+#define BP__MEMBERS_CHANGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__members_change__descriptor) \
+    , 0, 0, 0, 0,NULL }
 
 
 /*
@@ -531,10 +565,14 @@
    * fencing token that a majority of the daemons was told for the attempt
    */
   uint64_t heard_token;
+  /*
+   * what allows the members
+   */
+  Bp__MembersChange *change;
 };
 #define BP__PROMOTION_WANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__promotion_wanted__descriptor) \
-    , NULL, NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , NULL, NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL }
 
 
 /*
@@ -1214,6 +1252,25 @@
 void   bp__group_members_wanted__free_unpacked
                      (Bp__GroupMembersWanted *message,
                       ProtobufCAllocator *allocator);
+/* Bp__MembersChange methods */
+void   bp__members_change__init
+                     (Bp__MembersChange         *message);
+size_t bp__members_change__get_packed_size
+                     (const Bp__MembersChange   *message);
+size_t bp__members_change__pack
+                     (const Bp__MembersChange   *message,
+                      uint8_t             *out);
+size_t bp__members_change__pack_to_buffer
+                     (const Bp__MembersChange   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__MembersChange *
+       bp__members_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__members_change__free_unpacked
+                     (Bp__MembersChange *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__OrderLearned methods */
 void   bp__order_learned__init
                      (Bp__OrderLearned         *message);
@@ -1695,6 +1752,9 @@
 typedef void (*Bp__GroupMembersWanted_Closure)
                  (const Bp__GroupMembersWanted *message,
                   void *closure_data);
+typedef void (*Bp__MembersChange_Closure)
+                 (const Bp__MembersChange *message,
+                  void *closure_data);
 typedef void (*Bp__OrderLearned_Closure)
                  (const Bp__OrderLearned *message,
                   void *closure_data);
@@ -1787,6 +1847,7 @@
 extern const ProtobufCMessageDescriptor bp__orders_read__descriptor;
 extern const ProtobufCMessageDescriptor bp__store_away__descriptor;
 extern const ProtobufCMessageDescriptor bp__group_members_wanted__descriptor;
+extern const ProtobufCMessageDescriptor bp__members_change__descriptor;
 extern const ProtobufCMessageDescriptor bp__order_learned__descriptor;
 extern const ProtobufCMessageDescriptor bp__token_read__descriptor;
 extern const ProtobufCMessageDescriptor bp__token_seen__descriptor;
--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -206,6 +206,12 @@
 	/* number of members of the group that the store has recorded; 0: none
 	   are recorded */
 	uint32_t members;
+	/* newest term in which a lease may rest on them: lease_members_read();
+	   0: they were not read */
+	uint64_t members_term;
+	/* newest term in which a primary was seen, and the time of that */
+	uint64_t seen_term;
+	int64_t seen_us;
 } lease_t;
 
 /*
@@ -236,6 +242,7 @@
 void lease_primary_led(lease_t *, uint64_t term, int64_t at_us);
 bool lease_extendable(const lease_t *, const lease_duration_t *);
 void lease_orders_read(lease_t *, const recorded_orders_t *);
+void lease_members_read(lease_t *, uint64_t replaced_term, int64_t read_us);
 bool lease_held_up(const lease_t *, int64_t now_us);
 int64_t lease_unaware_since_us(const lease_t *, uint64_t term, int64_t now_us);
 void lease_member_lost(lease_t *);
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -121,6 +121,16 @@
 	uint64_t proved_before; /* the same before its own order was sent */
 } failover_standing_t;
 
+/* Number of sets of former members that are kept. */
+#define FORMER_MEMBERS_MAX 4
+
+/* Members of a group that were recorded before: former_members.c */
+typedef struct former_members {
+	uint32_t count;                   /* of all */
+	uint32_t ended;                   /* of those that have ended since */
+	bool member[GROUP_DATABASES_MAX]; /* which databases are among them */
+} former_members_t;
+
 /* State of the failover of a group. */
 typedef struct failover {
 	failover_limits_t limits;
@@ -215,6 +225,10 @@
 	   is left of what they had promised */
 	uint32_t members;
 	uint32_t members_ended;
+	/* former members that leases of other daemons may rest on, and the
+	   present ones with later starts in place of those that have ended */
+	former_members_t former[FORMER_MEMBERS_MAX + 1];
+	uint32_t former_count;
 	/* FENCING: the daemons were told to revoke their leases; all have
 	   confirmed; time at which a majority had confirmed, 0: not yet */
 	bool revocation_sent;
@@ -264,6 +278,12 @@
 void failover_members_lost(failover_t *, int64_t now_us);
 void failover_set_members(
     failover_t *, lease_t *, uint32_t count, uint32_t ended, int64_t now_us);
+void failover_set_former(
+    failover_t *, const former_members_t *, uint32_t count, int64_t now_us);
+uint64_t former_members_until(
+    const recorded_orders_t *, uint64_t term, uint64_t unproven);
+uint64_t former_members_from(const recorded_orders_t *, uint64_t newest_term);
+bool former_members_hold(const failover_t *, const bool *databases, bool ended);
 void failover_merge_view(
     failover_t *, uint32_t database, const db_view_t *, int64_t);
 void failover_replace_view(
--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -443,7 +443,8 @@
 }
 
 /*
- * Tell whether a majority of the recorded members has promised the term, or
+ * Tell whether a majority of the recorded members, and of each set of former
+ * ones that leases may rest on, has promised the term, or
  * there are none.  Leases rest on such a majority, for which one that has
  * ended does not count: nor can it support a lease.
  */
@@ -454,7 +455,9 @@
 
 	for (i = 0; i < failover->count; i++)
 		n += promised[i] && failover->views[i].member;
-	return failover->members == 0 || n >= majority_of(failover->members);
+	return (failover->members == 0 ||
+		   n >= majority_of(failover->members)) &&
+	    former_members_hold(failover, promised, true);
 }
 
 /*
--- a/src/decide/failover_fencing.c
+++ b/src/decide/failover_fencing.c
@@ -253,7 +253,7 @@
 	uint64_t standing = attempt_term_standing(
 	    newest_number(failover), failover_term_to_replace(failover));
 	uint32_t i, granted = 1;
-	bool all;
+	bool all, asked[GROUP_DATABASES_MAX];
 
 	failover->standing_asked = true;
 	if (standing == 0)
@@ -261,10 +261,13 @@
 	memset(failover->standing, 0, sizeof(failover->standing));
 	failover->term = standing;
 	standing_begin(failover, standing);
-	for (i = 0; i < failover->count; i++)
+	for (i = 0; i < failover->count; i++) {
+		asked[i] = (int32_t)i == chosen || failover->granted[i];
 		granted += (int32_t)i != chosen && failover->granted[i] &&
 		    (failover->members == 0 || failover->views[i].member);
-	all = granted < majority_of(MAX(failover->count, failover->members));
+	}
+	all = granted < majority_of(MAX(failover->count, failover->members)) ||
+	    !former_members_hold(failover, asked, false);
 	for (i = 0; i < failover->count; i++) {
 		if ((int32_t)i == chosen || !failover->views[i].known ||
 		    (!failover->granted[i] && !all))
--- a/src/decide/failover_internal.h
+++ b/src/decide/failover_internal.h
@@ -14,6 +14,7 @@
  * failover_orders.c	recorded orders, and what they may have replaced
  * failover_views.c	what is known of each database, and of the primary
  * failover_standing.c	standing promises
+ * former_members.c	members that were recorded before
  * failover_state.c	change of the state and of the databases; back-off
  */
 
--- a/src/decide/failover_standing.c
+++ b/src/decide/failover_standing.c
@@ -110,10 +110,14 @@
 	uint32_t i, holders = 0;
 	uint32_t all =
 	    failover->members > 0 ? failover->members : failover->count;
+	bool knows[GROUP_DATABASES_MAX];
 
-	for (i = 0; i < failover->count; i++)
-		holders += ((int32_t)i == chosen || failover->standing[i]) &&
+	for (i = 0; i < failover->count; i++) {
+		knows[i] = (int32_t)i == chosen || failover->standing[i];
+		holders += knows[i] &&
 		    (failover->members == 0 || failover->views[i].member);
+	}
 	return attempt_term_replaces(failover->term) != 0 &&
-	    holders >= majority_of(all);
+	    holders >= majority_of(all) &&
+	    former_members_hold(failover, knows, false);
 }
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -398,6 +398,54 @@
 	lease->led_us = at_us;
 }
 
+/*
+ * Note that the members were read from a record that was asked for at read_us.
+ * Leases may rest on them in the term that its last order leads to, and in the
+ * newest one that was seen before.  replaced_term: the newest term whose
+ * primary that order was to replace.
+ */
+void
+lease_members_read(lease_t *lease, uint64_t replaced_term, int64_t read_us)
+{
+	uint64_t term = replaced_term + 1;
+
+	if (read_us >= lease->seen_us && lease->seen_term > term)
+		term = lease->seen_term;
+	if (term > lease->members_term)
+		lease->members_term = term;
+}
+
+/*
+ * Tell whether the members must be read before a lease rests on them in a term:
+ * others may have been recorded in the term before, and the former ones do not
+ * count any more.  They still do if the order that led to the term was sent
+ * without a record: former_members_from().
+ */
+static bool
+members_outdated(lease_t *lease, uint64_t term)
+{
+	const recorded_orders_t *orders = &lease->orders;
+
+	if (lease->members_term == 0 || recorded_members(lease, term) == 0)
+		return false;
+	if (orders->replaced_term == lease->members_term &&
+	    attempt_term_replaces(orders->attempt_term) != 0)
+		lease->members_term++;
+	return term > lease->members_term;
+}
+
+/*
+ * Note the newest term in which a primary is seen.
+ */
+static void
+note_seen(lease_t *lease, uint64_t term, int64_t now_us)
+{
+	if (term <= lease->seen_term)
+		return;
+	lease->seen_term = term;
+	lease->seen_us = now_us;
+}
+
 /*
  * Renew a lease from the status answers of the databases.  Returns whether
  * the lease has changed.  A lease never goes back to an older term.
@@ -424,9 +472,11 @@
 	    term_is_over(lease, views, count, view->promised))
 		return false;
 	note_aware(lease, views, count, primary);
+	note_seen(lease, view->promised, now_us);
 	if (renewal_blocked(lease, views, count, primary))
 		return false;
-	if (lease->orders.read_us == 0) {
+	if (lease->orders.read_us == 0 ||
+	    members_outdated(lease, view->promised)) {
 		lease->unverified = true;
 		return false;
 	}
--- a/src/proxy/group_members.c
+++ b/src/proxy/group_members.c
@@ -83,6 +83,7 @@
 		ended += group_member_ended_by(group, &group->members[i]) !=
 		    START_STAYS;
 	failover_set_members(failover, &group->lease, count, ended, clock_us());
+	group_former_update(group);
 }
 
 /*
@@ -146,8 +147,8 @@
 /*
  * Free members.
  */
-static void
-members_free(member_t *members, uint32_t count)
+void
+group_members_free(member_t *members, uint32_t count)
 {
 	uint32_t i;
 
@@ -163,7 +164,7 @@
 void
 group_members_clear(group_t *group)
 {
-	members_free(group->members, group->members_count);
+	group_members_free(group->members, group->members_count);
 	group->members_count = 0;
 }
 
@@ -216,8 +217,9 @@
 /*
  * Return a member to be recorded, as a message in an arena.
  */
-static Bp__RecordedMember *
-member_write(arena_t *arena, const char *id, uint64_t born, const char *address)
+Bp__RecordedMember *
+group_member_write(
+    arena_t *arena, const char *id, uint64_t born, const char *address)
 {
 	Bp__RecordedMember *member = (Bp__RecordedMember *)message_new(
 	    arena, &bp__recorded_member__descriptor);
@@ -243,14 +245,14 @@
 	for (i = 0; i < group->count; i++) {
 		const server_t *server = group->servers[i];
 
-		list[n++] = member_write(arena, server->id, server->generation,
-		    server_address(server, arena));
+		list[n++] = group_member_write(arena, server->id,
+		    server->generation, server_address(server, arena));
 	}
 	for (i = 0; i < group->members_count && n < GROUP_DATABASES_MAX; i++) {
 		const member_t *member = &group->members[i];
 
 		if (member_kept(group, member, now_us))
-			list[n++] = member_write(
+			list[n++] = group_member_write(
 			    arena, member->id, member->born, member->address);
 	}
 	*count = n;
@@ -303,5 +305,7 @@
 	wanted->group = arena_strdup(msg->arena, group->name);
 	wanted->members =
 	    group_members_write(group, msg->arena, &wanted->n_members);
+	wanted->change =
+	    group_members_change(group, group->lease.term, msg->arena);
 	task_send(group->pool->proxy->registry, group->pool->task, msg);
 }
--- a/src/proxy/monitor_change.c
+++ b/src/proxy/monitor_change.c
@@ -79,6 +79,8 @@
 	wanted->base_index = base.index;
 	wanted->members =
 	    group_members_write(server->group, msg->arena, &wanted->n_members);
+	wanted->change = group_members_change(
+	    server->group, wanted->replaced_term, msg->arena);
 	task_send(pool->proxy->registry, pool->task, msg);
 }
 
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -2,6 +2,7 @@
 
 #include "decide/decide.h"
 #include "order_messages.h"
+#include "recorded_members.h"
 
 #include <string.h>
 
@@ -12,13 +13,6 @@
  * answer, reads the record.
  */
 
-/* The members of a group, as they are recorded, or to be. */
-typedef struct group_members {
-	arena_t *arena; /* of the list */
-	Bp__RecordedMember **list;
-	size_t count; /* 0: none are recorded */
-} group_members_t;
-
 /* What is recorded of a group. */
 typedef struct group_orders {
 	recorded_orders_t recorded;
@@ -26,56 +20,10 @@
 	bool sent;                /* an order of the last attempt was sent */
 	bool announced; /* other daemons were told of the last attempt */
 	open_orders_t open;
-	group_members_t members;
-	group_members_t members_before; /* before the last order */
+	recorded_members_t members;
+	recorded_members_t members_before; /* before the last order */
 } group_orders_t;
 
-/*
- * Replace the members of a group by a copy of a list.
- */
-static void
-members_set(
-    group_members_t *members, Bp__RecordedMember *const *list, size_t count)
-{
-	group_members_t copy = {NULL, NULL, count};
-	size_t i;
-
-	if (count > 0) {
-		copy.arena = arena_new();
-		copy.list =
-		    arena_zalloc(copy.arena, sizeof(copy.list[0]) * count);
-	}
-	for (i = 0; i < count; i++)
-		copy.list[i] = (Bp__RecordedMember *)message_copy(
-		    copy.arena, &list[i]->base);
-	arena_free(members->arena);
-	*members = copy;
-}
-
-/*
- * Tell whether a list has the same members, in any order.
- */
-static bool
-members_equal(const group_members_t *members, Bp__RecordedMember *const *list,
-    size_t count)
-{
-	size_t i, j;
-
-	if (members->count != count)
-		return false;
-	for (i = 0; i < count; i++) {
-		for (j = 0; j < count; j++) {
-			if (strcmp(members->list[i]->server, list[j]->server) ==
-				0 &&
-			    members->list[i]->born == list[j]->born)
-				break;
-		}
-		if (j == count)
-			return false;
-	}
-	return true;
-}
-
 /*
  * Free what is recorded of a group.
  */
@@ -85,8 +33,8 @@
 	group_orders_t *order = p;
 
 	open_orders_clear(&order->open);
-	arena_free(order->members.arena);
-	arena_free(order->members_before.arena);
+	recorded_members_clear(&order->members);
+	recorded_members_clear(&order->members_before);
 	g_free(order);
 }
 
@@ -156,14 +104,13 @@
 
 	if (order->recorded.attempt_term != wanted->term) {
 		order->before = order->recorded;
-		members_set(&order->members_before, order->members.list,
-		    order->members.count);
+		recorded_members_set(&order->members_before,
+		    order->members.list, order->members.count, NULL, 0);
 		order->sent = order->announced = false;
 	}
-	/* a recorded order ends the leases in the terms before */
 	if (wanted->n_members > 0)
-		members_set(
-		    &order->members, wanted->members, wanted->n_members);
+		recorded_members_replace(&order->members, wanted->members,
+		    wanted->n_members, wanted->change, &order->recorded);
 	order->recorded.attempt_term = wanted->term;
 	order->recorded.named = server_key(wanted->server);
 	recorded_orders_add(&order->recorded, wanted->replaced_term,
@@ -197,21 +144,27 @@
 
 /*
  * Withdraw an order that was refused or not sent; in the latter case, unless
- * another one of the same attempt was.  Returns whether it was noted.
+ * another one of the same attempt was.  Others may have read the members that
+ * were recorded with it, so that these are former ones.  Returns whether it was
+ * noted.
  */
 bool
 orders_withdraw(
     registry_t *registry, const Bp__PromotionWanted *wanted, bool refused)
 {
 	group_orders_t *order = order_of(registry, wanted->group);
+	Bp__MembersChange change = BP__MEMBERS_CHANGE__INIT;
 
+	change.term = wanted->replaced_term;
 	if (order->recorded.attempt_term != wanted->term ||
 	    (order->sent && !refused))
 		return false;
 	open_orders_remove(&order->open, wanted->server, wanted->term);
+	if (order->members_before.count > 0)
+		recorded_members_replace(&order->members,
+		    order->members_before.list, order->members_before.count,
+		    &change, &order->recorded);
 	order->recorded = order->before;
-	members_set(&order->members, order->members_before.list,
-	    order->members_before.count);
 	return true;
 }
 
@@ -226,7 +179,8 @@
     bool current)
 {
 	if (order->n_members > 0 ? current || noted->members.count == 0 : !kept)
-		members_set(&noted->members, order->members, order->n_members);
+		recorded_members_set(&noted->members, order->members,
+		    order->n_members, order->former, order->n_former);
 }
 
 /*
@@ -324,12 +278,13 @@
 entry_recorded(
     const Bp__RecordedOrder *noted, const Bp__RecordedOrder *recorded)
 {
-	group_members_t members = {NULL, noted->members, noted->n_members};
+	recorded_members_t members = {NULL, noted->members, noted->n_members,
+	    noted->former, noted->n_former};
 
 	return strcmp(noted->group, recorded->group) == 0 &&
 	    noted->replaced_term == recorded->replaced_term &&
 	    noted->attempt_term == recorded->attempt_term &&
-	    members_equal(&members, recorded->members, recorded->n_members);
+	    recorded_members_equal(&members, recorded);
 }
 
 /*
@@ -378,6 +333,8 @@
 		    &noted->open, arena, clock_us(), &order->n_open);
 		order->members = noted->members.list;
 		order->n_members = noted->members.count;
+		order->former = noted->members.former;
+		order->n_former = noted->members.former_count;
 		record->orders[record->n_orders++] = order;
 	}
 }
@@ -503,8 +460,8 @@
 
 	if (registry->fencing_token != 0) {
 		noted = order_of(registry, wanted->group);
-		members_set(
-		    &noted->members, wanted->members, wanted->n_members);
+		recorded_members_replace(&noted->members, wanted->members,
+		    wanted->n_members, wanted->change, &noted->recorded);
 		coordinator_note_unrecorded(registry);
 	}
 	msg_free(msg);
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -365,7 +365,8 @@
 		recorded_orders_t recorded = {0};
 		Bp__OpenOrder *const *open = NULL;
 		Bp__RecordedMember *const *members = NULL;
-		size_t i, n_open = 0, n_members = 0;
+		Bp__FormerMembers *const *former = NULL;
+		size_t i, n_open = 0, n_members = 0, n_former = 0;
 
 		for (i = 0; i < read->n_orders; i++) {
 			const Bp__RecordedOrder *order = read->orders[i];
@@ -378,12 +379,16 @@
 			n_open = order->n_open;
 			members = order->members;
 			n_members = order->n_members;
+			former = order->former;
+			n_former = order->n_former;
 		}
 		recorded.read_us = (int64_t)read->read_us;
 		recorded.lost_us = (int64_t)read->lost_us;
 		recorded.read_era = read->era;
 		group_orders_recorded(value, open, n_open, clock_us());
 		if (!read->unrecorded) {
+			group_former_recorded(value, former, n_former,
+			    recorded.replaced_term, (int64_t)read->read_us);
 			group_members_recorded(
 			    value, members, n_members, (int64_t)read->read_us);
 			((group_t *)value)->stored_attempt_term =
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -29,6 +29,7 @@
  *			files
  * group_lease.c	lease on the primary of a group
  * group_orders.c	orders to promote a server: open ones, those told
+ * group_former.c	those that it had recorded before
  * group_members.c	servers that the store has recorded for a group
  * group_promises.c	promises behind an order of this daemon
  * pool_log.c		log events
@@ -184,6 +185,13 @@
 	int64_t kept_until_us;
 } member_t;
 
+/* Members that were recorded before, on which leases may rest until a term. */
+typedef struct former_set {
+	uint64_t until_term;
+	member_t members[GROUP_DATABASES_MAX];
+	uint32_t count;
+} former_set_t;
+
 /* An answer of a server that a lease rests on. */
 typedef struct lease_answer {
 	uint64_t server; /* server_t.key */
@@ -250,6 +258,8 @@
 	   recorded */
 	member_t members[GROUP_DATABASES_MAX];
 	uint32_t members_count;
+	former_set_t former[FORMER_MEMBERS_MAX];
+	uint32_t former_count;
 	int64_t members_read_us;
 	int64_t members_sent_us;
 	/* fencing token that most daemons were told in the last revocation */
@@ -537,6 +547,18 @@
     const group_t *, arena_t *, size_t *count);
 void group_members_check(group_t *, int64_t now_us);
 
+Bp__RecordedMember *group_member_write(
+    arena_t *, const char *id, uint64_t born, const char *address);
+void group_members_free(member_t *, uint32_t count);
+
+/* group_former.c */
+void group_former_recorded(group_t *, Bp__FormerMembers *const *, size_t count,
+    uint64_t replaced_term, int64_t read_us);
+void group_former_clear(group_t *);
+void group_former_update(group_t *);
+Bp__MembersChange *group_members_change(
+    const group_t *, uint64_t term, arena_t *);
+
 /* group_promises.c */
 void group_promises_wanted(group_t *, uint64_t term, int64_t now_us);
 void group_promises_update(group_t *, int64_t now_us);
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -88,6 +88,7 @@
 	g_ptr_array_unref(group->removed);
 	open_orders_clear(&group->open_orders);
 	group_members_clear(group);
+	group_former_clear(group);
 	failover_clear(&group->failover);
 	rankq_free(group->primary_backlog);
 	rankq_free(group->replica_backlog);
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -201,8 +201,8 @@
 	if (model->plan->injected_bug != PROXY_BUG_RESTORED_ORDERS)
 		orders.lost_us = daemon->store_restored_us;
 	lease_orders_read(&daemon->lease, &orders);
-	proxy_model_members_read(
-	    model, daemon, &event->members, orders.read_us);
+	proxy_model_members_read(model, daemon, &event->members,
+	    orders.replaced_term, orders.read_us);
 	proxy_model_open_recorded(model, daemon, &event->open);
 	update_lease(model, event->daemon);
 }
@@ -262,7 +262,8 @@
 	if (model->plan->troubles.start_listed_max_us == 0)
 		daemon->born_us[event->db] = event->born_us;
 	view.member = failover->views[server].member &&
-	    daemon->members.born_us[event->db] == daemon->born_us[event->db];
+	    daemon->members.now.born_us[event->db] ==
+		daemon->born_us[event->db];
 	failover_replace_view(failover, (uint32_t)server, &view, model->now_us);
 	if (event->call == CALL_STEP_DOWN)
 		proxy_model_stepped_down(model, event->daemon, event->db);
@@ -727,6 +728,7 @@
 	proxy_model_primary_cut(model, event->daemon);
 	proxy_model_most_refused(model, event->daemon);
 	proxy_model_member_cut(model, event->daemon);
+	proxy_model_members_tick(model, event->daemon);
 	if (proxy_model_chance(model, model->plan->fault_permille))
 		inject_fault(model, event->daemon);
 	inject_restart(model, event->daemon);
@@ -819,7 +821,7 @@
 	daemon_forget(model, daemon_index);
 	daemon->lease_durations.listed_since_us = 1;
 	/* the databases are listed, and have been for long */
-	daemon->failover.count = model->plan->databases;
+	daemon->failover.count = proxy_model_first_members(model->plan);
 	daemon->listed_us = model->now_us - LIST_NEW_US;
 	daemon->record_leases = daemon->record_written = true;
 	proxy_model_schedule(
@@ -863,9 +865,11 @@
 		model.dbs[i].primary = i == 0;
 		model.dbs[i].term = 1;
 	}
-	model.members.count = plan->pauses_last ? 0 : plan->databases;
-	for (i = 0; i < plan->databases; i++)
-		model.members.member[i] = !plan->pauses_last;
+	model.members.now.count =
+	    plan->pauses_last ? 0 : proxy_model_first_members(plan);
+	for (i = 0; i < model.members.now.count; i++)
+		model.members.now.member[i] = true;
+	proxy_model_members_init(&model);
 	for (i = 0; i < plan->daemons; i++) {
 		daemon_init(&model, i);
 		model.daemons[i].members = model.members;
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -92,6 +92,10 @@
 	/* it is removed, and where most members have ended or been removed so,
 	   none counts as recorded */
 	PROXY_BUG_REFUSED_UNRECORDED,
+	/* the members that are replaced do not count any more */
+	PROXY_BUG_FORMER_IGNORED,
+	/* leases rest on members that were read before their term began */
+	PROXY_BUG_MEMBERS_OUTLIVE,
 } proxy_model_bug_t;
 
 /* Places where an order to promote a database may be held up. */
@@ -102,6 +106,20 @@
 	PROXY_PLACES,
 } proxy_model_place_t;
 
+/* Change of the members while a daemon has the former ones, once in a run. */
+typedef struct proxy_model_members_change {
+	uint32_t permille; /* chance per daemon and 20 ms tick that it begins */
+	uint32_t added;    /* number of databases that are added */
+	uint32_t dropped;  /* number of members that leave, and still run */
+	/* chance that the daemon reaches the store again meanwhile */
+	uint32_t store_permille;
+	/* chance that the primary is lost before the members are recorded */
+	uint32_t unrecorded_permille;
+	/* the primary leaves, and its successor is the one that is lost; the
+	   daemon hears nothing but the databases of the former majority */
+	bool handover;
+} proxy_model_members_change_t;
+
 /* Troubles that are drawn at random; chances are 0 if not set. */
 typedef struct proxy_model_troubles {
 	/* chance that an order is held up in each place; the sender may pause,
@@ -133,6 +151,7 @@
 	   primary and other databases, most of which refuse the other daemons
 	   and have no entry */
 	uint32_t most_refused_permille;
+	proxy_model_members_change_t members;
 } proxy_model_troubles_t;
 
 typedef struct proxy_model_plan {
--- a/tools/proxy_model_dbs.c
+++ b/tools/proxy_model_dbs.c
@@ -332,19 +332,19 @@
 }
 
 /*
- * Return the primary of the newest term, or NULL.
+ * Return the index of the primary of the newest term, or -1.
  */
-static proxy_model_db_t *
-newest_primary(proxy_model_t *model)
+int32_t
+proxy_model_newest_primary(const proxy_model_t *model)
 {
 	uint32_t i;
 
 	for (i = 0; i < model->plan->databases; i++) {
 		if (model->dbs[i].primary &&
 		    model->dbs[i].term == model->newest_term)
-			return &model->dbs[i];
+			return (int32_t)i;
 	}
-	return NULL;
+	return -1;
 }
 
 /*
@@ -355,7 +355,8 @@
 void
 proxy_model_replicate(proxy_model_t *model, const event_t *event)
 {
-	proxy_model_db_t *from = newest_primary(model);
+	int32_t primary = proxy_model_newest_primary(model);
+	proxy_model_db_t *from = primary < 0 ? NULL : &model->dbs[primary];
 	uint32_t i, common;
 	bool primary_up = from != NULL &&
 	    model->now_us >= from->down_until_us &&
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -15,13 +15,14 @@
  * proxy_model_orders.c: orders to promote a database.
  * proxy_model_open.c: the orders that may still take effect.
  * proxy_model_lists.c: the lists of the databases, and what has ended.
+ * proxy_model_members.c: members that change while a daemon has former ones.
  * proxy_model_sequences.c: directed sequences of faults.
  * proxy_model_dbs.c: the databases, their replication and promotions, and the
  * simulated clock.
  */
 
 #define DAEMONS_MAX 5
-#define DBS_MAX 5
+#define DBS_MAX 7
 #define OPEN_LIST_MAX 8
 #define REPLICATE_INTERVAL_US (5 * US_PER_MS)
 #define PROMOTION_MIN_US (100 * US_PER_MS)
@@ -71,11 +72,19 @@
 	uint64_t newest_term_when_executed;
 } stmt_t;
 
-/* The members of the group that the store has recorded. */
-typedef struct recorded_members {
+/* Members of the group. */
+typedef struct member_set {
 	uint32_t count; /* 0: none are recorded */
 	bool member[DBS_MAX];
 	int64_t born_us[DBS_MAX]; /* last restart of each when recorded */
+	uint64_t until_term; /* former ones: leases may rest on them until it */
+} member_set_t;
+
+/* The members of the group that the store has recorded, and former ones. */
+typedef struct recorded_members {
+	member_set_t now;
+	member_set_t former[FORMER_MEMBERS_MAX];
+	uint32_t former_count;
 } recorded_members_t;
 
 /* Open orders in a message. */
@@ -148,6 +157,9 @@
 	recorded_members_t members;
 	int64_t members_read_us;
 	bool member_gone[DBS_MAX]; /* recorded member that has ended */
+	/* what the store had recorded before the last order */
+	member_set_t members_before;
+	bool member_dropped[DBS_MAX]; /* it was removed as silent */
 	/* the same, that was removed since it refuses connections */
 	bool member_refused[DBS_MAX];
 	/* database of each index of the failover */
@@ -159,8 +171,6 @@
 	int64_t listed_us;         /* time of the first list; 0: none yet */
 	int64_t born_us[DBS_MAX];  /* as the databases have answered, or as
 				      listed */
-	/* what the store had recorded before the last order */
-	recorded_members_t members_before;
 } proxy_model_daemon_t;
 
 typedef enum event_kind {
@@ -226,6 +236,17 @@
 	int64_t member_cut_us; /* time at which it is cut off; 0: never */
 } sequence_t;
 
+/* The sequence in which the members change. */
+typedef struct members_sequence {
+	int64_t until_us;  /* its end; 0: it has not begun */
+	int64_t leaves_us; /* time at which the primary leaves */
+	int64_t silent_us; /* time at which members that leave are cut off */
+	int64_t cut_us;    /* time at which the primary is cut off */
+	int64_t store_us;  /* time at which the store is back; 0: it is not */
+	uint32_t daemon;   /* the daemon that is alone */
+	uint32_t primary;
+} members_sequence_t;
+
 typedef struct proxy_model {
 	const proxy_model_plan_t *plan;
 	proxy_model_result_t *result;
@@ -259,6 +280,7 @@
 	int64_t old_holders_us;  /* time of that listing */
 	GArray *acked_writes; /* uint64_t write ids, since the last promotion */
 	sequence_t sequence;  /* the last one */
+	members_sequence_t members_sequence;
 	arena_t *arena;
 } proxy_model_t;
 
@@ -299,9 +321,18 @@
 int32_t proxy_model_index(const proxy_model_daemon_t *, uint32_t db);
 int32_t proxy_model_primary(const proxy_model_daemon_t *);
 void proxy_model_members_read(proxy_model_t *, proxy_model_daemon_t *,
-    const recorded_members_t *, int64_t read_us);
+    const recorded_members_t *, uint64_t replaced_term, int64_t read_us);
+bool proxy_model_members_equal(const member_set_t *, const member_set_t *);
+void proxy_model_members_replace(proxy_model_t *, const proxy_model_daemon_t *,
+    const member_set_t *, uint64_t term);
+void proxy_model_former_update(proxy_model_t *, proxy_model_daemon_t *);
 void proxy_model_members_check(proxy_model_t *, uint32_t daemon);
-void proxy_model_members_record(proxy_model_t *, proxy_model_daemon_t *);
+void proxy_model_members_record(
+    proxy_model_t *, proxy_model_daemon_t *, uint64_t term);
+bool proxy_model_members_change(const proxy_model_plan_t *);
+uint32_t proxy_model_first_members(const proxy_model_plan_t *);
+void proxy_model_members_init(proxy_model_t *);
+void proxy_model_members_tick(proxy_model_t *, uint32_t daemon);
 int64_t proxy_model_checked_us(
     const proxy_model_t *, const proxy_model_daemon_t *);
 void proxy_model_write_order(
@@ -337,6 +368,7 @@
 uint32_t proxy_model_count_copies(
     const proxy_model_t *, uint32_t except, uint64_t write_id);
 void proxy_model_promote(proxy_model_t *, const event_t *);
+int32_t proxy_model_newest_primary(const proxy_model_t *);
 uint64_t proxy_model_newest_term_at(const proxy_model_t *, int64_t at_us);
 void proxy_model_replicate(proxy_model_t *, const event_t *);
 
--- a/tools/proxy_model_lists.c
+++ b/tools/proxy_model_lists.c
@@ -29,7 +29,8 @@
 	const proxy_model_troubles_t *troubles = &plan->troubles;
 
 	return troubles->lapse_permille + troubles->refused_permille +
-	    troubles->crash_permille + troubles->most_refused_permille >
+	    troubles->crash_permille + troubles->most_refused_permille +
+	    troubles->members.permille >
 	    0;
 }
 
@@ -102,8 +103,8 @@
 static void
 member_gone(proxy_model_daemon_t *daemon, uint32_t db)
 {
-	daemon->member_gone[db] |= daemon->members.member[db] &&
-	    daemon->members.born_us[db] == daemon->born_us[db];
+	daemon->member_gone[db] |= daemon->members.now.member[db] &&
+	    daemon->members.now.born_us[db] == daemon->born_us[db];
 }
 
 /*
@@ -126,10 +127,10 @@
     const proxy_model_t *model, const proxy_model_daemon_t *daemon, uint32_t db)
 {
 	int32_t server = proxy_model_index(daemon, db);
-	bool other_start =
-	    server >= 0 && daemon->members.born_us[db] != daemon->born_us[db];
+	bool other_start = server >= 0 &&
+	    daemon->members.now.born_us[db] != daemon->born_us[db];
 
-	if (!daemon->members.member[db])
+	if (!daemon->members.now.member[db])
 		return false;
 	if (!proxy_model_has_lists(model->plan))
 		return daemon->failover.views[server].known && other_start;
@@ -205,6 +206,7 @@
 		start_likely_ended(&evidence)))
 		member_gone(daemon, db);
 	daemon->member_refused[db] = removed_by_bug(model, &evidence);
+	daemon->member_dropped[db] = start_removal(&evidence) == START_SILENT;
 	return false;
 }
 
@@ -219,7 +221,8 @@
 	daemon->status_pending[db] = false;
 	daemon->connected_us[db] = 0;
 	daemon->added_us[db] = model->now_us;
-	if (daemon->members.born_us[db] == daemon->born_us[db])
+	daemon->member_dropped[db] = false;
+	if (daemon->members.now.born_us[db] == daemon->born_us[db])
 		daemon->member_gone[db] = daemon->member_refused[db] = false;
 }
 
--- /dev/null
+++ b/tools/proxy_model_members.c
@@ -0,0 +1,393 @@
+#include "proxy_model_internal.h"
+
+/*
+ * The proxy model: a sequence in which the members of the group change while
+ * one daemon, which has read the former ones, does not hear of that.
+ *
+ * The daemon loses the store and the other daemons.  Databases get their first
+ * entries; others say that they leave, lose their entries, and are reached by
+ * this daemon alone.  The coordinator records that, in most cases.  Then the
+ * primary, and others so that they are a majority of the former members, are
+ * reached by this daemon alone, and the other databases by the others.
+ */
+
+/* Time after the start of a run before which the sequence does not begin. */
+#define BEGINS_AFTER_US (2 * US_PER_SECOND)
+
+/* Time in which databases that are added get recorded. */
+#define ADDED_MIN_US (300 * US_PER_MS)
+#define ADDED_SPREAD_US (2 * US_PER_SECOND)
+
+/* Time in which the daemons hear that a member leaves. */
+#define LEAVING_HEARD_US (400 * US_PER_MS)
+
+/* Time after which a member that leaves and is silent is dropped. */
+#define DROPPED_AFTER_US (12 * US_PER_SECOND)
+
+/* Time in which a primary that leaves hands over. */
+#define HANDOVER_US (3 * US_PER_SECOND)
+
+/* Time for which the primary is cut off. */
+#define CUT_US (8 * US_PER_SECOND)
+
+/*
+ * Return whether a plan has the sequence.
+ */
+bool
+proxy_model_members_change(const proxy_model_plan_t *plan)
+{
+	return plan->troubles.members.permille > 0;
+}
+
+/*
+ * Return the number of databases that are members from the start.  The others
+ * have no entry until the sequence begins.
+ */
+uint32_t
+proxy_model_first_members(const proxy_model_plan_t *plan)
+{
+	return plan->databases - plan->troubles.members.added;
+}
+
+/*
+ * Take the entries of the databases that are added later.
+ */
+void
+proxy_model_members_init(proxy_model_t *model)
+{
+	uint32_t i;
+
+	for (i = proxy_model_first_members(model->plan);
+	     i < model->plan->databases; i++)
+		proxy_model_entry_lost(model, i, INT64_MAX);
+}
+
+/*
+ * Have a database be reached by one daemon alone until a time.
+ */
+static void
+cut_off(proxy_model_t *model, uint32_t db, uint32_t daemon, int64_t until_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < model->plan->daemons; i++)
+		model->dbs[db].daemon_cut_until_us[i] =
+		    i == daemon ? 0 : until_us;
+	model->dbs[db].peers_cut_until_us = until_us;
+	model->dbs[db].down_until_us = 0;
+}
+
+/*
+ * Have some databases get their first entries, and others leave.
+ */
+static void
+change_lists(proxy_model_t *model)
+{
+	const proxy_model_members_change_t *change =
+	    &model->plan->troubles.members;
+	members_sequence_t *sequence = &model->members_sequence;
+	uint32_t i, first = proxy_model_first_members(model->plan);
+
+	for (i = first; i < model->plan->databases; i++)
+		model->dbs[i].entry_back_us = model->now_us;
+	for (i = 0; i < change->dropped; i++) {
+		uint32_t db = (sequence->primary + 1 + i) % first;
+
+		model->dbs[db].leaves_us = INT64_MAX;
+	}
+	sequence->silent_us = model->now_us + LEAVING_HEARD_US;
+}
+
+/*
+ * Have the members that leave be reached by the daemon alone, and lose their
+ * entries.
+ */
+static void
+silence_leaving(proxy_model_t *model)
+{
+	members_sequence_t *sequence = &model->members_sequence;
+	uint32_t i, first = proxy_model_first_members(model->plan);
+
+	for (i = 0; i < model->plan->troubles.members.dropped; i++) {
+		uint32_t db = (sequence->primary + 1 + i) % first;
+
+		cut_off(model, db, sequence->daemon, sequence->until_us);
+		proxy_model_entry_lost(model, db, INT64_MAX);
+	}
+	sequence->silent_us = INT64_MAX;
+}
+
+/*
+ * Have the daemon lose the store and the other daemons.
+ */
+static void
+cut_daemon(proxy_model_t *model)
+{
+	members_sequence_t *sequence = &model->members_sequence;
+	proxy_model_daemon_t *daemon = &model->daemons[sequence->daemon];
+
+	daemon->daemons_cut_until_us = sequence->until_us;
+	daemon->object_store_cut_until_us = sequence->until_us;
+}
+
+/*
+ * Begin the sequence at random, with a daemon that is not the coordinator, has
+ * a lease and knows the members from the start.
+ */
+static void
+begin(proxy_model_t *model, uint32_t daemon_index)
+{
+	const proxy_model_members_change_t *change =
+	    &model->plan->troubles.members;
+	const proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
+	members_sequence_t *sequence = &model->members_sequence;
+	int32_t primary = proxy_model_primary(daemon);
+
+	if (sequence->until_us != 0 || model->now_us < BEGINS_AFTER_US ||
+	    daemon->is_coordinator || primary < 0 ||
+	    daemon->lease.expires_us <= model->now_us ||
+	    daemon->lease.term != model->newest_term ||
+	    !proxy_model_chance(model, change->permille))
+		return;
+	model->result->troubles++;
+	sequence->daemon = daemon_index;
+	sequence->primary = (uint32_t)primary;
+	sequence->cut_us = model->now_us + ADDED_MIN_US +
+	    proxy_model_random_us(model, ADDED_SPREAD_US);
+	if (change->dropped > 0)
+		sequence->cut_us += DROPPED_AFTER_US;
+	if (proxy_model_chance(model, change->unrecorded_permille))
+		sequence->cut_us = model->now_us;
+	sequence->leaves_us = INT64_MAX;
+	if (change->handover) {
+		sequence->leaves_us = sequence->cut_us;
+		sequence->cut_us += HANDOVER_US;
+	}
+	sequence->until_us =
+	    sequence->cut_us + CUT_US + proxy_model_random_us(model, CUT_US);
+	cut_daemon(model);
+	if (proxy_model_chance(model, change->store_permille))
+		sequence->store_us = model->now_us +
+		    proxy_model_random_us(
+			model, sequence->cut_us + CUT_US / 2 - model->now_us);
+	change_lists(model);
+}
+
+/*
+ * Have the primary, and others so that they are a majority of the members from
+ * the start, be reached by the daemon alone, and the other databases by the
+ * other daemons.
+ */
+static void
+cut_primary(proxy_model_t *model)
+{
+	const proxy_model_plan_t *plan = model->plan;
+	members_sequence_t *sequence = &model->members_sequence;
+	uint32_t i, first = proxy_model_first_members(plan);
+	uint32_t left = majority_of(first);
+	int32_t primary = proxy_model_newest_primary(model);
+
+	/* after a handover to a new database there is no such majority */
+	if (model->plan->troubles.members.handover && primary >= 0 &&
+	    (uint32_t)primary < first)
+		sequence->primary = (uint32_t)primary;
+	for (i = 0; i < first; i++) {
+		uint32_t db = (sequence->primary + i) % first;
+
+		if (i < left)
+			cut_off(
+			    model, db, sequence->daemon, sequence->until_us);
+		else
+			model->dbs[db].daemon_cut_until_us[sequence->daemon] =
+			    sequence->until_us;
+	}
+	for (i = first; i < plan->databases; i++)
+		model->dbs[i].daemon_cut_until_us[sequence->daemon] =
+		    sequence->until_us;
+	sequence->cut_us = INT64_MAX;
+}
+
+/*
+ * Have the primary leave, so that it hands over.
+ */
+static void
+hand_over(proxy_model_t *model)
+{
+	model->dbs[model->members_sequence.primary].leaves_us = INT64_MAX;
+	model->members_sequence.leaves_us = INT64_MAX;
+}
+
+/*
+ * Begin the sequence at random, or go on with it.
+ */
+void
+proxy_model_members_tick(proxy_model_t *model, uint32_t daemon)
+{
+	members_sequence_t *sequence = &model->members_sequence;
+
+	if (!proxy_model_members_change(model->plan))
+		return;
+	begin(model, daemon);
+	if (sequence->until_us == 0 || daemon != sequence->daemon)
+		return;
+	if (model->now_us >= sequence->silent_us)
+		silence_leaving(model);
+	if (model->now_us >= sequence->leaves_us)
+		hand_over(model);
+	if (model->now_us >= sequence->cut_us)
+		cut_primary(model);
+	if (sequence->store_us != 0 && model->now_us >= sequence->store_us) {
+		/* it reaches the store again, and not the other daemons */
+		model->daemons[daemon].object_store_cut_until_us = 0;
+		sequence->store_us = 0;
+	}
+}
+
+/*
+ * Tell whether two sets of members are the same.
+ */
+bool
+proxy_model_members_equal(const member_set_t *a, const member_set_t *b)
+{
+	bool equal = a->count == b->count;
+	uint32_t i;
+
+	for (i = 0; i < DBS_MAX; i++)
+		equal &= a->member[i] == b->member[i] &&
+		    (!a->member[i] || a->born_us[i] == b->born_us[i]);
+	return equal;
+}
+
+/*
+ * Tell whether a daemon takes a member of a set as ended.
+ */
+static bool
+has_ended(const proxy_model_t *model, const proxy_model_daemon_t *daemon,
+    const member_set_t *set, uint32_t db)
+{
+	const member_set_t *now = &daemon->members.now;
+	int32_t server = proxy_model_index(daemon, db);
+
+	if (!set->member[db])
+		return false;
+	if (now->member[db] && now->born_us[db] == set->born_us[db])
+		return proxy_model_member_ended(model, daemon, db);
+	return (now->member[db] && now->born_us[db] > set->born_us[db]) ||
+	    (server >= 0 && daemon->born_us[db] > set->born_us[db]);
+}
+
+/*
+ * Tell whether members are replaced that have all ended, and as many are new: a
+ * majority of these and one of the former ones have a member in common.
+ */
+static bool
+only_ended(const proxy_model_t *model, const proxy_model_daemon_t *daemon,
+    const member_set_t *before, const member_set_t *members)
+{
+	uint32_t i;
+
+	if (before->count != members->count)
+		return false;
+	for (i = 0; i < DBS_MAX; i++) {
+		if (before->member[i] &&
+		    !(members->member[i] &&
+			members->born_us[i] == before->born_us[i]) &&
+		    !has_ended(model, daemon, before, i))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Return the newest term that a daemon knows to have begun.
+ */
+static uint64_t
+newest_known(const proxy_model_daemon_t *daemon)
+{
+	return MAX(
+	    lease_newest_term(&daemon->lease), daemon->failover.reported_term);
+}
+
+/*
+ * Replace the recorded members, and keep the former ones as long as leases may
+ * rest on them.  If there is no room, nothing changes.
+ */
+void
+proxy_model_members_replace(proxy_model_t *model,
+    const proxy_model_daemon_t *daemon, const member_set_t *members,
+    uint64_t term)
+{
+	recorded_members_t *recorded = &model->members;
+	recorded_members_t next = {.now = *members};
+	uint64_t from =
+	    former_members_from(&model->orders, newest_known(daemon));
+	member_set_t before = recorded->now;
+	uint32_t i;
+
+	before.until_term = former_members_until(&model->orders, term, 0);
+	for (i = 0; i < recorded->former_count; i++) {
+		const member_set_t *former = &recorded->former[i];
+
+		if (proxy_model_members_equal(former, &before))
+			before.until_term =
+			    MAX(before.until_term, former->until_term);
+		else if (former->until_term >= from &&
+		    !proxy_model_members_equal(former, members))
+			next.former[next.former_count++] = *former;
+	}
+	if (before.count > 0 && !proxy_model_members_equal(&before, members) &&
+	    !only_ended(model, daemon, &before, members)) {
+		if (next.former_count == FORMER_MEMBERS_MAX)
+			return;
+		next.former[next.former_count++] = before;
+	}
+	*recorded = next;
+}
+
+/*
+ * Return how a set of members counts for the failover of a daemon.  A later
+ * start takes the place of a member: daemons that do not know of it yet take
+ * its answers as those of the member.
+ */
+static former_members_t
+former_of(const proxy_model_t *model, const proxy_model_daemon_t *daemon,
+    const member_set_t *set)
+{
+	former_members_t former = {.count = set->count};
+	uint32_t i;
+
+	for (i = 0; i < model->plan->databases; i++)
+		former.ended += proxy_model_index(daemon, i) < 0 &&
+		    has_ended(model, daemon, set, i);
+	for (i = 0; i < daemon->failover.count; i++) {
+		uint32_t db = daemon->servers[i];
+
+		former.member[i] =
+		    set->member[db] && daemon->born_us[db] >= set->born_us[db];
+	}
+	return former;
+}
+
+/*
+ * Set the former members that count for the failover of a daemon.
+ */
+void
+proxy_model_former_update(proxy_model_t *model, proxy_model_daemon_t *daemon)
+{
+	const recorded_members_t *recorded = &daemon->members;
+	former_members_t list[FORMER_MEMBERS_MAX + 1];
+	uint64_t from =
+	    former_members_from(&daemon->lease.orders, newest_known(daemon));
+	uint32_t i, count = 0;
+
+	if (model->plan->injected_bug == PROXY_BUG_FORMER_IGNORED)
+		return;
+	for (i = 0; i < recorded->former_count; i++) {
+		if (recorded->former[i].until_term >= from)
+			list[count++] =
+			    former_of(model, daemon, &recorded->former[i]);
+	}
+	if (daemon->failover.members_ended > 0)
+		list[count++] = former_of(model, daemon, &recorded->now);
+	failover_set_former(&daemon->failover, list, count, model->now_us);
+}
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -7,7 +7,7 @@
  * members of the group.
  */
 
-static char *const db_names[DBS_MAX] = {"0", "1", "2", "3", "4"};
+static char *const db_names[DBS_MAX] = {"0", "1", "2", "3", "4", "5", "6"};
 
 /*
  * Return the name of a database.
@@ -215,7 +215,7 @@
 proxy_model_members_update(proxy_model_t *model, proxy_model_daemon_t *daemon)
 {
 	failover_t *failover = &daemon->failover;
-	uint32_t i, ended = 0, refused = 0, count = daemon->members.count;
+	uint32_t i, ended = 0, refused = 0, count = daemon->members.now.count;
 	bool any_start =
 	    model->plan->injected_bug == PROXY_BUG_STARTED_IS_MEMBER;
 
@@ -225,9 +225,10 @@
 		uint32_t db = daemon->servers[i];
 
 		failover->views[i].member = count > 0 &&
-		    daemon->members.member[db] &&
+		    daemon->members.now.member[db] &&
 		    (any_start ||
-			(daemon->members.born_us[db] == daemon->born_us[db] &&
+			(daemon->members.now.born_us[db] ==
+				daemon->born_us[db] &&
 			    !daemon->member_gone[db]));
 	}
 	for (i = 0; i < model->plan->databases; i++) {
@@ -242,14 +243,16 @@
 		count = ended = 0;
 	failover_set_members(
 	    failover, &daemon->lease, count, ended, model->now_us);
+	proxy_model_former_update(model, daemon);
 }
 
 /*
- * Have a daemon know the members that the store had recorded at a time.
+ * Have a daemon know the members that the store had recorded at a time, with
+ * orders to replace the primary of a term.
  */
 void
 proxy_model_members_read(proxy_model_t *model, proxy_model_daemon_t *daemon,
-    const recorded_members_t *members, int64_t read_us)
+    const recorded_members_t *members, uint64_t replaced_term, int64_t read_us)
 {
 	uint32_t i;
 
@@ -257,9 +260,11 @@
 		return;
 	daemon->members_read_us = read_us;
 	for (i = 0; i < model->plan->databases; i++)
-		daemon->member_gone[i] &= members->member[i] &&
-		    members->born_us[i] == daemon->members.born_us[i];
+		daemon->member_gone[i] &= members->now.member[i] &&
+		    members->now.born_us[i] == daemon->members.now.born_us[i];
 	daemon->members = *members;
+	if (model->plan->injected_bug != PROXY_BUG_MEMBERS_OUTLIVE)
+		lease_members_read(&daemon->lease, replaced_term, read_us);
 	proxy_model_members_update(model, daemon);
 }
 
@@ -267,11 +272,11 @@
  * Return the members to be recorded, as a daemon knows them: the databases of
  * its group, and the recorded members that are not known to have ended.
  */
-static recorded_members_t
+static member_set_t
 members_to_record(
     const proxy_model_t *model, const proxy_model_daemon_t *daemon)
 {
-	recorded_members_t members = {0};
+	member_set_t members = {0};
 	uint32_t i;
 
 	for (i = 0; i < daemon->failover.count; i++) {
@@ -281,40 +286,30 @@
 		members.born_us[db] = daemon->born_us[db];
 	}
 	for (i = 0; i < model->plan->databases; i++) {
-		if (daemon->members.member[i] && !members.member[i] &&
-		    !daemon->member_gone[i]) {
+		if (daemon->members.now.member[i] && !members.member[i] &&
+		    !daemon->member_gone[i] && !daemon->member_dropped[i]) {
 			members.member[i] = true;
-			members.born_us[i] = daemon->members.born_us[i];
+			members.born_us[i] = daemon->members.now.born_us[i];
 		}
 		members.count += members.member[i];
 	}
 	return members;
 }
 
-/*
- * Tell whether two sets of members are the same.
- */
-static bool
-members_equal(const recorded_members_t *a, const recorded_members_t *b)
-{
-	bool equal = a->count == b->count;
-	uint32_t i;
-
-	for (i = 0; i < DBS_MAX; i++)
-		equal &= a->member[i] == b->member[i] &&
-		    a->born_us[i] == b->born_us[i];
-	return equal;
-}
-
 /*
  * Record the databases, as a daemon knows them, as the members of the group.
+ * term: of its lease, or the one whose primary an order replaces.
  */
 void
-proxy_model_members_record(proxy_model_t *model, proxy_model_daemon_t *daemon)
+proxy_model_members_record(
+    proxy_model_t *model, proxy_model_daemon_t *daemon, uint64_t term)
 {
+	member_set_t members;
+
 	if (model->plan->pauses_last)
 		return;
-	model->members = members_to_record(model, daemon);
+	members = members_to_record(model, daemon);
+	proxy_model_members_replace(model, daemon, &members, term);
 	proxy_model_record_changed(model, daemon);
 }
 
@@ -327,7 +322,7 @@
 {
 	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
 	failover_t *failover = &daemon->failover;
-	recorded_members_t listed = members_to_record(model, daemon);
+	member_set_t listed = members_to_record(model, daemon);
 	int32_t primary = failover_primary(failover);
 
 	if (model->plan->pauses_last || primary < 0 ||
@@ -337,8 +332,9 @@
 	    model->now_us < daemon->object_store_cut_until_us ||
 	    !proxy_model_holds_role(model, daemon, daemon_index) ||
 	    model->store_era != daemon->store_era ||
-	    members_equal(&daemon->members, &listed))
+	    proxy_model_members_equal(&daemon->members.now, &listed))
 		return;
-	proxy_model_members_record(model, daemon);
-	proxy_model_members_read(model, daemon, &model->members, model->now_us);
+	proxy_model_members_record(model, daemon, daemon->lease.term);
+	proxy_model_members_read(model, daemon, &model->members,
+	    model->orders.replaced_term, model->now_us);
 }
--- a/tools/proxy_model_orders.c
+++ b/tools/proxy_model_orders.c
@@ -34,21 +34,22 @@
 record_order(proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db)
 {
 	failover_t *failover = &daemon->failover;
+	uint64_t replaced_term;
 
 	if (model->plan->pauses_last ||
 	    model->plan->injected_bug == PROXY_BUG_ORDER_UNRECORDED)
 		return;
 	if (model->orders.attempt_term != failover->term) {
 		daemon->orders_before = model->orders;
-		daemon->members_before = model->members;
+		daemon->members_before = model->members.now;
 	}
-	proxy_model_members_record(model, daemon);
+	replaced_term = MAX(failover_term_to_replace(failover),
+	    lease_newest_term(&daemon->lease));
+	proxy_model_members_record(model, daemon, replaced_term);
 	model->orders.attempt_term = failover->term;
 	model->orders.era = model->store_era;
-	recorded_orders_add(&model->orders,
-	    MAX(failover_term_to_replace(failover),
-		lease_newest_term(&daemon->lease)),
-	    failover_base(failover));
+	recorded_orders_add(
+	    &model->orders, replaced_term, failover_base(failover));
 	proxy_model_open_note(model, daemon, db);
 	proxy_model_record_changed(model, daemon);
 	failover_orders_recorded(failover, &model->orders, model->now_us);
@@ -68,14 +69,16 @@
 		return;
 	orders.read_us = model->now_us;
 	orders.read_era = daemon->store_era;
-	proxy_model_members_read(model, daemon, &model->members, model->now_us);
+	proxy_model_members_read(model, daemon, &model->members,
+	    orders.replaced_term, model->now_us);
 	if (model->plan->injected_bug != PROXY_BUG_RESTORED_ORDERS)
 		orders.lost_us = daemon->store_restored_us;
 	lease_orders_read(&daemon->lease, &orders);
 }
 
 /*
- * Withdraw the record of an order that was refused.
+ * Withdraw the record of an order that was refused.  Others may have read the
+ * members that were recorded with it, so that these are former ones.
  */
 static void
 withdraw_order(proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db)
@@ -84,8 +87,9 @@
 
 	if (model->orders.attempt_term != failover->term)
 		return;
+	proxy_model_members_replace(model, daemon, &daemon->members_before,
+	    model->orders.replaced_term);
 	model->orders = daemon->orders_before;
-	model->members = daemon->members_before;
 	proxy_model_open_withdraw(model, daemon, db);
 	proxy_model_record_changed(model, daemon);
 	failover_orders_recorded(failover, &model->orders, model->now_us);
--- a/tools/proxy_model_records.c
+++ b/tools/proxy_model_records.c
@@ -31,7 +31,7 @@
 	if (proxy_model_chance(model, 500)) {
 		model->orders = (recorded_orders_t){0};
 		model->open.count = 0;
-		model->members.count = 0;
+		model->members = (recorded_members_t){0};
 		model->coordinator = model->older_coordinator;
 		model->coordinator_token = model->older_token;
 		model->record_revision = model->older_revision;
--- a/tools/proxy_model_role.c
+++ b/tools/proxy_model_role.c
@@ -100,7 +100,8 @@
 	daemon->coordinator_since_us = model->now_us;
 	failover_orders_recorded(
 	    &daemon->failover, &model->orders, model->now_us);
-	proxy_model_members_read(model, daemon, &model->members, model->now_us);
+	proxy_model_members_read(model, daemon, &model->members,
+	    model->orders.replaced_term, model->now_us);
 	proxy_model_open_recorded(model, daemon, &model->open);
 }
 
@@ -228,7 +229,7 @@
 		model->record_unreadable = false;
 		model->orders = (recorded_orders_t){0};
 		model->open.count = 0;
-		model->members.count = 0;
+		model->members = (recorded_members_t){0};
 		model->record_revision++;
 	}
 	if (troubles->record_unreadable_permille > 0 &&
