Members: those that are sent to be recorded count until it is known

A write of the record that the store does not confirm may have been carried out. A coordinator that then loses the store decided on the former members alone, and an order without a record is not checked again, while another daemon may have read the new ones. They count besides the others until the record shows them, or was read 10 s after they were sent.

--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -121,9 +121,12 @@
 	uint64_t proved_before; /* the same before its own order was sent */
 } failover_standing_t;
 
-/* Number of sets of former members that are kept. */
+/* Number of sets of former members that are kept in the record. */
 #define FORMER_MEMBERS_MAX 4
 
+/* Number of sets that count for a failover besides the members. */
+#define FORMER_SETS_MAX (FORMER_MEMBERS_MAX + 3)
+
 /* Members of a group that were recorded before: former_members.c */
 typedef struct former_members {
 	uint32_t count;                   /* of all */
@@ -225,9 +228,10 @@
 	   is left of what they had promised */
 	uint32_t members;
 	uint32_t members_ended;
-	/* former members that leases of other daemons may rest on, and the
-	   present ones with later starts in place of those that have ended */
-	former_members_t former[FORMER_MEMBERS_MAX + 1];
+	/* former members that leases of other daemons may rest on, those that
+	   may have been recorded, and the present ones with later starts in
+	   place of those that have ended */
+	former_members_t former[FORMER_SETS_MAX];
 	uint32_t former_count;
 	/* FENCING: the daemons were told to revoke their leases; all have
 	   confirmed; time at which a majority had confirmed, 0: not yet */
--- a/src/proxy/group_former.c
+++ b/src/proxy/group_former.c
@@ -9,18 +9,126 @@
  * that a change of the primary needs a majority of each set of them as well.
  */
 
+/* Time after which a write of the record has taken effect or never will. */
+#define WRITE_LATE_US (10 * US_PER_SECOND)
+
+/*
+ * Free sets of members.
+ */
+static void
+sets_free(former_set_t *sets, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		group_members_free(sets[i].members, sets[i].count);
+}
+
 /*
- * Free the former members of a group.
+ * Forget the former members of a group, and those that are to be recorded.
  */
 void
 group_former_clear(group_t *group)
 {
+	sets_free(group->former, group->former_count);
+	sets_free(group->pending, group->pending_count);
+	group->former_count = group->pending_count = 0;
+}
+
+/*
+ * Copy a list of members into a set.
+ */
+static void
+set_fill(former_set_t *set, Bp__RecordedMember *const *list, size_t count)
+{
+	size_t i;
+
+	*set = (former_set_t){0};
+	for (i = 0; i < count && i < GROUP_DATABASES_MAX; i++)
+		set->members[set->count++] =
+		    (member_t){.id = g_strdup(list[i]->server),
+			.born = list[i]->born,
+			.address = g_strdup(list[i]->address)};
+}
+
+/*
+ * Tell whether two sets have the same members.
+ */
+static bool
+sets_equal(
+    const member_t *a, uint32_t a_count, const member_t *b, uint32_t b_count)
+{
+	uint32_t i, j;
+
+	for (i = 0; i < a_count; i++) {
+		for (j = 0; j < b_count; j++) {
+			if (strcmp(a[i].id, b[j].id) == 0 &&
+			    a[i].born == b[j].born)
+				break;
+		}
+		if (j == b_count)
+			return false;
+	}
+	return a_count == b_count;
+}
+
+/*
+ * Note members that are sent to be recorded.  They count besides the present
+ * ones until the record shows what came of that: the store may carry out
+ * a write that it does not confirm.
+ */
+void
+group_members_sent(group_t *group, Bp__RecordedMember *const *list,
+    size_t count, int64_t now_us)
+{
+	former_set_t sent;
 	uint32_t i;
 
-	for (i = 0; i < group->former_count; i++)
-		group_members_free(
-		    group->former[i].members, group->former[i].count);
-	group->former_count = 0;
+	set_fill(&sent, list, count);
+	sent.sent_us = now_us;
+	for (i = 0; i < group->pending_count; i++) {
+		former_set_t *pending = &group->pending[i];
+
+		if (!sets_equal(pending->members, pending->count, sent.members,
+			sent.count))
+			continue;
+		sets_free(pending, 1);
+		*pending = sent;
+		return;
+	}
+	if (group->pending_count == PENDING_MEMBERS_MAX) {
+		sets_free(group->pending, 1);
+		group->pending[0] = group->pending[1];
+		group->pending_count--;
+	}
+	group->pending[group->pending_count++] = sent;
+	group_former_update(group);
+}
+
+/*
+ * Note that the record was read at read_us: members that it has, or that were
+ * sent long before, are not pending any more.
+ */
+void
+group_members_confirmed(group_t *group, int64_t read_us)
+{
+	uint32_t i, j, n = 0;
+
+	for (i = 0; i < group->pending_count; i++) {
+		former_set_t *set = &group->pending[i];
+		bool over = read_us >= set->sent_us + WRITE_LATE_US ||
+		    sets_equal(set->members, set->count, group->members,
+			group->members_count);
+
+		for (j = 0; j < group->former_count; j++)
+			over |= sets_equal(set->members, set->count,
+			    group->former[j].members, group->former[j].count);
+		if (over)
+			sets_free(set, 1);
+		else
+			group->pending[n++] = *set;
+	}
+	group->pending_count = n;
 }
 
 /*
@@ -32,26 +140,18 @@
 group_former_recorded(group_t *group, Bp__FormerMembers *const *list,
     size_t count, uint64_t replaced_term, int64_t read_us)
 {
-	size_t i, j;
+	size_t i;
 
 	if (read_us < group->members_read_us)
 		return;
 	lease_members_read(&group->lease, replaced_term, read_us);
-	group_former_clear(group);
+	sets_free(group->former, group->former_count);
+	group->former_count = 0;
 	for (i = 0; i < count && i < FORMER_MEMBERS_MAX; i++) {
 		former_set_t *set = &group->former[group->former_count++];
 
+		set_fill(set, list[i]->members, list[i]->n_members);
 		set->until_term = list[i]->until_term;
-		set->count = 0;
-		for (j = 0; j < list[i]->n_members && j < GROUP_DATABASES_MAX;
-		     j++) {
-			const Bp__RecordedMember *member = list[i]->members[j];
-
-			set->members[set->count++] =
-			    (member_t){.id = g_strdup(member->server),
-				.born = member->born,
-				.address = g_strdup(member->address)};
-		}
 	}
 }
 
@@ -112,7 +212,7 @@
 void
 group_former_update(group_t *group)
 {
-	former_members_t list[FORMER_MEMBERS_MAX + 1];
+	former_members_t list[FORMER_SETS_MAX];
 	uint64_t from =
 	    former_members_from(&group->lease.orders, newest_term_known(group));
 	uint32_t i, count = 0;
@@ -124,6 +224,9 @@
 			list[count++] =
 			    former_of(group, set->members, set->count);
 	}
+	for (i = 0; i < group->pending_count; i++)
+		list[count++] = former_of(
+		    group, group->pending[i].members, group->pending[i].count);
 	if (group->failover.members_ended > 0)
 		list[count++] =
 		    former_of(group, group->members, group->members_count);
--- a/src/proxy/group_members.c
+++ b/src/proxy/group_members.c
@@ -198,6 +198,7 @@
 	group_members_clear(group);
 	memcpy(group->members, members, sizeof(members[0]) * n);
 	group->members_count = n;
+	group_members_confirmed(group, read_us);
 	group_members_update(group);
 }
 
@@ -307,5 +308,6 @@
 	    group_members_write(group, msg->arena, &wanted->n_members);
 	wanted->change =
 	    group_members_change(group, group->lease.term, msg->arena);
+	group_members_sent(group, wanted->members, wanted->n_members, now_us);
 	task_send(group->pool->proxy->registry, group->pool->task, msg);
 }
--- a/src/proxy/monitor_change.c
+++ b/src/proxy/monitor_change.c
@@ -81,6 +81,8 @@
 	    group_members_write(server->group, msg->arena, &wanted->n_members);
 	wanted->change = group_members_change(
 	    server->group, wanted->replaced_term, msg->arena);
+	group_members_sent(
+	    server->group, wanted->members, wanted->n_members, clock_us());
 	task_send(pool->proxy->registry, pool->task, msg);
 }
 
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -185,9 +185,13 @@
 	int64_t kept_until_us;
 } member_t;
 
-/* Members that were recorded before, on which leases may rest until a term. */
+/* Number of sets of members whose record is not confirmed yet. */
+#define PENDING_MEMBERS_MAX 2
+
+/* Members that were recorded before, or that are to be. */
 typedef struct former_set {
-	uint64_t until_term;
+	uint64_t until_term; /* leases may rest on the former ones until it */
+	int64_t sent_us;     /* time at which the others were sent */
 	member_t members[GROUP_DATABASES_MAX];
 	uint32_t count;
 } former_set_t;
@@ -260,6 +264,9 @@
 	uint32_t members_count;
 	former_set_t former[FORMER_MEMBERS_MAX];
 	uint32_t former_count;
+	/* those that were sent to be recorded, and may have been */
+	former_set_t pending[PENDING_MEMBERS_MAX];
+	uint32_t pending_count;
 	int64_t members_read_us;
 	int64_t members_sent_us;
 	/* fencing token that most daemons were told in the last revocation */
@@ -555,6 +562,9 @@
 void group_former_recorded(group_t *, Bp__FormerMembers *const *, size_t count,
     uint64_t replaced_term, int64_t read_us);
 void group_former_clear(group_t *);
+void group_members_sent(
+    group_t *, Bp__RecordedMember *const *, size_t count, int64_t now_us);
+void group_members_confirmed(group_t *, int64_t read_us);
 void group_former_update(group_t *);
 Bp__MembersChange *group_members_change(
     const group_t *, uint64_t term, arena_t *);
--- a/tests/t_members.c
+++ b/tests/t_members.c
@@ -248,6 +248,56 @@
 	bed_stop(&bed);
 }
 
+typedef struct sent_case {
+	const char *name;
+	bool again;     /* the members are the recorded ones */
+	int64_t read_s; /* time from that to a read of the record */
+	uint32_t sets;  /* expected: that count besides the members */
+} sent_case_t;
+
+static const sent_case_t sent_cases[] = {
+    {"the record does not have them yet", false, 1, 1},
+    {"the record does not have them, long after", false, 11, 0},
+    {"the record has them", true, 1, 0},
+    {"a read from before", true, -1, 1},
+};
+
+/*
+ * Test that members that are sent to be recorded count besides those that are,
+ * until the record shows what came of that.
+ */
+static void
+test_sent(gconstpointer data)
+{
+	const sent_case_t *c = data;
+	Bp__RecordedMember one = BP__RECORDED_MEMBER__INIT;
+	Bp__RecordedMember *list[] = {&one}, **written;
+	arena_t *arena = arena_new();
+	int64_t now_us = clock_us();
+	bed_t bed;
+	group_t *group;
+	size_t count;
+
+	one.server = (char *)"i-0";
+	one.born = 5;
+	bed_start(&bed);
+	apply_list(bed.pool, 5);
+	group = g_hash_table_lookup(bed.pool->groups, "ledger");
+	group->active = true;
+	record_three(group);
+	written = group_members_write(group, arena, &count);
+	if (c->again)
+		group_members_sent(group, written, count, now_us);
+	else
+		group_members_sent(group, list, 1, now_us);
+	g_assert_cmpuint(group->failover.former_count, ==, 1);
+	group_members_recorded(
+	    group, written, count, now_us + c->read_s * US_PER_SECOND);
+	g_assert_cmpuint(group->failover.former_count, ==, c->sets);
+	arena_free(arena);
+	bed_stop(&bed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -258,5 +308,6 @@
 	g_test_set_nonfatal_assertions();
 	CASES("/members/listed", listed_cases, test_listed);
 	CASES("/members/written", written_cases, test_written);
+	CASES("/members/sent", sent_cases, test_sent);
 	return g_test_run();
 }
