--- a/tests/t_members.c
+++ b/tests/t_members.c
@@ -1,5 +1,6 @@
 #include "../platform/platform.h"
 #include "../src/proxy/pool.h"
+#include "attempt.h"
 #include "cases.h"
 
 /*
@@ -12,6 +13,12 @@
 #define SERVERS 3
 #define LISTS_MAX 4
 
+/* Servers, as bits. */
+#define PRIMARY 1U
+#define REPLICA 2U
+#define OTHER 4U
+#define ALL (PRIMARY | REPLICA | OTHER)
+
 /* What a list says of the server with index 1; the others stay as they are. */
 typedef struct listing {
 	uint64_t born;    /* 0: it is not listed */
@@ -45,10 +52,11 @@
 };
 
 /*
- * Apply a list of the servers.
+ * Apply a list of the servers.  listed: servers that it has, as bits; born: of
+ * that with index 1.
  */
 static void
-apply_list(pool_t *pool, uint64_t born)
+apply_list(pool_t *pool, uint32_t listed, uint64_t born)
 {
 	static const char *const ids[SERVERS] = {"i-0", "i-1", "i-2"};
 	Bp__Catalog catalog = BP__CATALOG__INIT;
@@ -59,7 +67,7 @@
 	entry.name = "ledger";
 	entry.connections_max = 8;
 	for (i = 0; i < SERVERS; i++) {
-		if (i == 1 && born == 0)
+		if ((listed & (1U << i)) == 0)
 			continue;
 		bp__server__init(&list[i]);
 		list[i].id = (char *)ids[i];
@@ -159,7 +167,8 @@
 	for (i = 0; i < LISTS_MAX && c->lists[i].members > 0; i++) {
 		const listing_t *listing = &c->lists[i];
 
-		apply_list(bed.pool, listing->born);
+		apply_list(bed.pool, listing->born == 0 ? ALL & ~REPLICA : ALL,
+		    listing->born);
 		if (group == NULL) {
 			group = g_hash_table_lookup(bed.pool->groups, "ledger");
 			group->active = true;
@@ -234,7 +243,7 @@
 	size_t written;
 
 	bed_start(&bed);
-	apply_list(bed.pool, c->born);
+	apply_list(bed.pool, c->born == 0 ? ALL & ~REPLICA : ALL, c->born);
 	group = g_hash_table_lookup(bed.pool->groups, "ledger");
 	group->active = true;
 	record_three(group);
@@ -281,7 +290,7 @@
 	one.server = (char *)"i-0";
 	one.born = 5;
 	bed_start(&bed);
-	apply_list(bed.pool, 5);
+	apply_list(bed.pool, ALL, 5);
 	group = g_hash_table_lookup(bed.pool->groups, "ledger");
 	group->active = true;
 	record_three(group);
@@ -298,6 +307,172 @@
 	bed_stop(&bed);
 }
 
+typedef struct divided_case {
+	const char *name;
+	/* servers that refuse the connections of most daemons, and have no
+	   entries in the store */
+	uint32_t refused;
+	uint32_t reached; /* by the daemon that is alone */
+	bool ordered;     /* expected: most daemons order another primary */
+	bool leased; /* expected: the daemon that is alone has a lease then */
+} divided_case_t;
+
+static const divided_case_t divided_cases[] = {
+    {"a daemon alone keeps its lease, the primary and a replica refuse others",
+	PRIMARY | REPLICA, PRIMARY | REPLICA, false, true},
+    {"a daemon alone keeps its lease, both replicas refuse others",
+	REPLICA | OTHER, PRIMARY | REPLICA, false, true},
+    {"a daemon alone loses its lease, the primary refuses others", PRIMARY, ALL,
+	true, false},
+};
+
+/* Time in which an attempt orders another primary, if it does. */
+#define ATTEMPT_MS 4000
+#define TICK_STEP_MS 10
+
+/*
+ * Return a server of a group as a bit.
+ */
+static uint32_t
+server_bit(const server_t *server)
+{
+	return 1U << (server->id[2] - '0');
+}
+
+/*
+ * Have those servers of a group that a daemon reaches answer it.
+ */
+static void
+answer(group_t *group, uint32_t reached, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < group->count; i++) {
+		const server_t *server = group->servers[i];
+
+		group->failover.views[i].likely_ended =
+		    server_likely_ended(server, now_us);
+		if ((server_bit(server) & reached) != 0)
+			failover_alive(&group->failover, i, now_us);
+	}
+}
+
+/*
+ * Have those servers of a group that a daemon reaches promise the term of an
+ * attempt, and note them in *promised, as bits.  Returns whether the attempt
+ * orders another primary, before the daemon that is alone has confirmed that it
+ * revoked its lease.
+ */
+static bool
+attempt_orders(group_t *group, uint32_t reached, uint32_t *promised)
+{
+	failover_t *failover = &group->failover;
+	int64_t began_us = clock_us(), at_ms;
+	bool ordered = false;
+	uint32_t i;
+
+	for (at_ms = 0; at_ms < ATTEMPT_MS && !ordered; at_ms += TICK_STEP_MS) {
+		int64_t now_us = began_us + MS(at_ms);
+		failover_actions_t actions;
+
+		answer(group, reached, now_us);
+		failover_witness_answered(
+		    failover, failover->witness_request, false, now_us);
+		failover_tick(failover, now_us, &actions);
+		for (i = 0; i < actions.count; i++) {
+			const failover_action_t *action = &actions.list[i];
+			uint32_t bit =
+			    server_bit(group->servers[action->database]);
+			db_view_t view = {true, false, false, action->term,
+			    {1, 8}, now_us, .term = 1, .member = true};
+
+			ordered |= action->kind == FAILOVER_PROMOTE;
+			if (action->kind == FAILOVER_REVOKE_LEASES)
+				failover_leases_revoked(
+				    failover, action->term, false, now_us);
+			if (action->kind != FAILOVER_FENCE ||
+			    (bit & reached) == 0)
+				continue;
+			*promised |= bit;
+			failover_fence_answered(failover, action->database,
+			    action->term, true, &view, now_us);
+		}
+	}
+	return ordered;
+}
+
+/*
+ * Tell whether a daemon can continue its lease on the primary by the answers of
+ * the servers that it reaches.  promised: those that have promised a newer
+ * term.
+ */
+static bool
+lease_continues(uint32_t reached, uint32_t promised)
+{
+	static const lease_duration_t durations = {MS(250), MS(2000), MS(1)};
+	lease_t lease = {.orders.read_us = MS(60), .members = SERVERS};
+	db_view_t views[SERVERS];
+	uint32_t i;
+
+	for (i = 0; i < SERVERS; i++)
+		views[i] = (db_view_t){.known = true,
+		    .primary = i == 0,
+		    .promised = 1,
+		    .requested_us = MS(50),
+		    .term = 1,
+		    .member = true};
+	g_assert_true(
+	    lease_renew(&lease, views, SERVERS, 0, MS(70), &durations));
+	for (i = 0; i < SERVERS; i++) {
+		if ((reached & (1U << i)) == 0)
+			continue;
+		views[i].requested_us = MS(200);
+		if ((promised & (1U << i)) != 0)
+			views[i].promised = 2;
+	}
+	return lease_renew(&lease, views, SERVERS, 0, MS(220), &durations);
+}
+
+/*
+ * Test that most daemons, to which something between refuses the connections to
+ * servers that run, do not order another primary on promises that leave the
+ * lease of a daemon as it is that reaches those servers, and neither the store
+ * nor the other daemons.
+ */
+static void
+test_divided(gconstpointer data)
+{
+	const divided_case_t *c = data;
+	failover_actions_t actions;
+	uint32_t i, promised = 0;
+	group_t *group;
+	bed_t bed;
+
+	bed_start(&bed);
+	apply_list(bed.pool, ALL, 5);
+	group = g_hash_table_lookup(bed.pool->groups, "ledger");
+	group->active = true;
+	group->failover.limits = test_limits;
+	record_members(group);
+	for (i = 0; i < SERVERS; i++)
+		report(&group->failover, i, i == 0, 1, 0, clock_us());
+	group_members_update(group);
+	failover_tick(&group->failover, clock_us(), &actions);
+	for (i = 0; i < SERVERS; i++) {
+		if ((c->refused & (1U << i)) == 0)
+			continue;
+		monitor_connection_refused(group->servers[i]);
+		monitor_connection_refused(group->servers[i]);
+	}
+	apply_list(bed.pool, ALL & ~c->refused, 5);
+	g_test_message("%u servers, %u of %u members have ended", group->count,
+	    group->failover.members_ended, group->failover.members);
+	g_assert_cmpint(attempt_orders(group, ALL & ~c->refused, &promised), ==,
+	    c->ordered);
+	g_assert_cmpint(lease_continues(c->reached, promised), ==, c->leased);
+	bed_stop(&bed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -309,5 +484,6 @@
 	CASES("/members/listed", listed_cases, test_listed);
 	CASES("/members/written", written_cases, test_written);
 	CASES("/members/sent", sent_cases, test_sent);
+	CASES("/members/divided", divided_cases, test_divided);
 	return g_test_run();
 }
