Tests: which results of the primary the end of a lease covers

The read model has that rule in a copy; the code itself was not tested for it.

/operation/covered: results of reads, reads of transactions and writes, whose arrival, begin or answer is on either side of the end. /operation/sent: a read is sent to the primary within the lease only, also if replicas might serve it. No fault was found.

--- a/tests/t_operation.c
+++ b/tests/t_operation.c
@@ -81,6 +81,7 @@
 	Bp__RunOperation *run = (Bp__RunOperation *)msg->body;
 
 	run->id = arena_strdup(msg->arena, "q1");
+	run->text = arena_strdup(msg->arena, "READ 1a4");
 	run->session = 1;
 	run->kind = BP__OPERATION_KIND__READ_ITEM;
 	run->route =
@@ -90,6 +91,27 @@
 	return msg;
 }
 
+/*
+ * Create the transaction of a statement on a connection.
+ */
+static void
+begin_transaction(
+    pool_t *pool, operation_t *operation, dbconn_t *conn, int64_t began_us)
+{
+	transaction_t *transaction = g_new0(transaction_t, 1);
+
+	*transaction = (transaction_t){.pool = pool,
+	    .session = 1,
+	    .requester = operation->msg->from,
+	    .group = operation->group,
+	    .conn = conn,
+	    .operation = operation,
+	    .began_us = began_us};
+	operation->transaction = conn->transaction = transaction;
+	g_hash_table_insert(
+	    pool->transactions, &transaction->session, transaction);
+}
+
 /*
  * Create a read that has run in a transaction of a connection and is held.
  */
@@ -99,7 +121,6 @@
 	msg_t *msg = read_msg(client);
 	Bp__RunOperation *run = (Bp__RunOperation *)msg->body;
 	operation_t *operation = arena_zalloc(msg->arena, sizeof(*operation));
-	transaction_t *transaction = g_new0(transaction_t, 1);
 
 	run->in_transaction = 1;
 	*operation = (operation_t){.group = group,
@@ -107,18 +128,9 @@
 	    .run = run,
 	    .state = OPERATION_HELD,
 	    .backlog = group->primary_backlog,
-	    .transaction = transaction,
 	    .server = conn->server,
 	    .link = {.data = operation}};
-	*transaction = (transaction_t){.pool = pool,
-	    .session = 1,
-	    .requester = client,
-	    .group = group,
-	    .conn = conn,
-	    .operation = operation};
-	conn->transaction = transaction;
-	g_hash_table_insert(
-	    pool->transactions, &transaction->session, transaction);
+	begin_transaction(pool, operation, conn, 0);
 	g_queue_push_tail_link(&group->held, &operation->link);
 }
 
@@ -241,6 +253,32 @@
 	group->lease.expires_us = now_us + US_PER_SECOND;
 }
 
+/*
+ * Create a read that replicas may serve and that has run on a connection.
+ */
+static operation_t *
+running_read(const bed_t *bed, dbconn_t *conn)
+{
+	msg_t *msg = read_msg(bed->client);
+	Bp__RunOperation *run = (Bp__RunOperation *)msg->body;
+	operation_t *operation = arena_zalloc(msg->arena, sizeof(*operation));
+
+	run->route->freshness = BP__FRESHNESS__OWN_WRITES;
+	*operation = (operation_t){.group = bed->group,
+	    .msg = msg,
+	    .run = run,
+	    .state = OPERATION_SENT,
+	    .backlog = bed->group->replica_backlog,
+	    .server = conn->server,
+	    .executed_position = {3, 7},
+	    .arrived_us = clock_us(),
+	    .deadline_us = clock_us() + US_PER_SECOND,
+	    .link = {.data = operation}};
+	operation->item.account = "u1";
+	operation->item.owner = operation;
+	return operation;
+}
+
 /*
  * Test that the result of a read that replicas may serve is passed on if the
  * server had to have applied a position or, if it was sent to the server as the
@@ -250,33 +288,16 @@
 test_answered(gconstpointer data)
 {
 	const answered_case_t *c = data;
-	Bp__RunOperation *run;
 	operation_t *operation;
 	dbconn_t *conn;
-	msg_t *msg;
 	bed_t bed;
 
 	bed_init(&bed);
 	set_primary(bed.group, c->primary);
 	conn = dbconn_open(bed.group->servers[0], false);
 	conn->ack_token = g_strdup("proof");
-	msg = read_msg(bed.client);
-	run = (Bp__RunOperation *)msg->body;
-	run->route->freshness = BP__FRESHNESS__OWN_WRITES;
-	operation = arena_zalloc(msg->arena, sizeof(*operation));
-	*operation = (operation_t){.group = bed.group,
-	    .msg = msg,
-	    .run = run,
-	    .state = OPERATION_SENT,
-	    .backlog = bed.group->replica_backlog,
-	    .server = conn->server,
-	    .needed = c->needed,
-	    .executed_position = {3, 7},
-	    .arrived_us = clock_us(),
-	    .deadline_us = clock_us() + US_PER_SECOND,
-	    .link = {.data = operation}};
-	operation->item.account = "u1";
-	operation->item.owner = operation;
+	operation = running_read(&bed, conn);
+	operation->needed = c->needed;
 	operation_answered(operation, conn, clock_us());
 	bed_run(&bed);
 	g_assert_cmpuint(answers, ==, c->answered);
@@ -288,6 +309,143 @@
 	bed_clear(&bed);
 }
 
+typedef struct covered_case {
+	const char *name;
+	Bp__OperationKind kind;
+	bool replicas; /* replicas may serve it */
+	/* arrival of its transaction, relative to the end of the lease, if it
+	   belongs to one: its own is later */
+	bool in_transaction;
+	int32_t began_ms;
+	int32_t arrived_ms;  /* its arrival, the same */
+	int32_t answered_ms; /* answer of the primary, the same */
+	uint32_t tries;
+	bool covered; /* expected: it is answered */
+} covered_case_t;
+
+static const covered_case_t covered_cases[] = {
+    {"a read within the lease", BP__OPERATION_KIND__READ_ITEM, false, false, 0,
+	-500, -400, 0, true},
+    {"a read that arrives within the lease and runs after it",
+	BP__OPERATION_KIND__READ_ITEM, false, false, 0, -20, 700, 0, true},
+    {"a read that arrives within the lease and is retried at the same server",
+	BP__OPERATION_KIND__READ_ITEM, false, false, 0, -20, 700, 1, true},
+    {"a read that arrives after the lease", BP__OPERATION_KIND__READ_ITEM,
+	false, false, 0, 20, 700, 0, false},
+    {"a read that arrives after the lease and is retried at the same server",
+	BP__OPERATION_KIND__READ_ITEM, false, false, 0, 20, 700, 1, false},
+    {"a read that replicas may serve, within the lease",
+	BP__OPERATION_KIND__READ_ITEM, true, false, 0, -20, 700, 0, true},
+    {"a read that replicas may serve, after the lease",
+	BP__OPERATION_KIND__READ_ITEM, true, false, 0, 20, 700, 0, false},
+    {"a read of a transaction that begins within the lease",
+	BP__OPERATION_KIND__READ_ITEM, false, true, -20, 300, 700, 0, true},
+    {"a read of a transaction that begins after the lease",
+	BP__OPERATION_KIND__READ_ITEM, false, true, 20, 300, 700, 0, false},
+    {"a write that is answered within the lease",
+	BP__OPERATION_KIND__WRITE_ITEM, false, false, 0, -500, -400, 0, true},
+    {"a write that is answered after the lease", BP__OPERATION_KIND__WRITE_ITEM,
+	false, false, 0, -20, 700, 0, false},
+};
+
+/*
+ * Test which results of the primary the end of the lease covers.  Another
+ * primary acknowledges nothing before that end, so the result of a read counts
+ * if the read or its transaction arrived by then, whenever it runs; that of a
+ * write, if it is answered by then.
+ */
+static void
+test_covered(gconstpointer data)
+{
+	const covered_case_t *c = data;
+	int64_t end_us = clock_us();
+	Bp__RunOperation *run;
+	operation_t *operation;
+	dbconn_t *conn;
+	bed_t bed;
+
+	bed_init(&bed);
+	set_primary(bed.group, 0);
+	bed.group->lease.expires_us = end_us;
+	conn = dbconn_open(bed.group->servers[0], false);
+	conn->ack_token = g_strdup("proof");
+	operation = running_read(&bed, conn);
+	run = (Bp__RunOperation *)operation->msg->body;
+	run->kind = c->kind;
+	run->in_transaction = c->in_transaction;
+	if (!c->replicas)
+		operation->backlog = bed.group->primary_backlog;
+	operation->arrived_us = end_us + c->arrived_ms * US_PER_MS;
+	operation->tries = c->tries;
+	if (c->in_transaction)
+		begin_transaction(bed.pool, operation, conn,
+		    end_us + c->began_ms * US_PER_MS);
+	operation_answered(
+	    operation, conn, end_us + c->answered_ms * US_PER_MS);
+	g_assert_cmpuint(g_queue_get_length(&bed.group->held), ==, !c->covered);
+	if (!g_queue_is_empty(&bed.group->held))
+		operation_refuse(operation, "the test ends");
+	bed_run(&bed);
+	g_assert_cmpuint(answers, ==, 1);
+	g_assert_cmpint(verdict, ==,
+	    c->covered ? BP__VERDICT__SUCCEEDED : BP__VERDICT__BUSY);
+	bed_clear(&bed);
+}
+
+typedef struct sent_case {
+	const char *name;
+	bool replicas;  /* replicas may serve it, but none is known to be recent
+			 */
+	int32_t now_ms; /* time of the look at the lease, relative to its end */
+	bool sent;
+} sent_case_t;
+
+static const sent_case_t sent_cases[] = {
+    {"within the lease", false, -1, true},
+    {"at the end of the lease", false, 0, false},
+    {"after the lease", false, 1, false},
+    {"within the lease, and replicas may serve it", true, -1, true},
+    {"at the end of the lease, and replicas may serve it", true, 0, false},
+    {"after the lease, and replicas may serve it", true, 1, false},
+};
+
+/*
+ * Test that a queued read is sent to the primary within the lease only, so that
+ * also one whose result is given up lacks nothing that was acknowledged before
+ * it arrived.
+ */
+static void
+test_sent(gconstpointer data)
+{
+	const sent_case_t *c = data;
+	operation_t *operation;
+	server_t *server;
+	dbconn_t *conn;
+	bed_t bed;
+
+	bed_init(&bed);
+	set_primary(bed.group, 0);
+	bed.group->lease.expires_us = clock_us();
+	server = bed.group->servers[0];
+	conn = dbconn_open(server, true);
+	conn->open = true;
+	server->outstanding -= conn->expected->len;
+	g_array_set_size(conn->expected, 0);
+	operation = running_read(&bed, conn);
+	if (!c->replicas)
+		operation->run->route->freshness = BP__FRESHNESS__NEWEST;
+	operation_queue(operation, false);
+	dispatch(
+	    bed.group, bed.group->lease.expires_us + c->now_ms * US_PER_MS);
+	g_assert_cmpint(
+	    operation->state, ==, c->sent ? OPERATION_SENT : OPERATION_QUEUED);
+	if (operation->state == OPERATION_SENT)
+		dbconn_abandon(conn);
+	operation_refuse(operation, "the test ends");
+	bed_run(&bed);
+	bed_clear(&bed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -298,5 +456,7 @@
 	g_test_set_nonfatal_assertions();
 	CASES("/operation/held", held_cases, test_held);
 	CASES("/operation/answered", answered_cases, test_answered);
+	CASES("/operation/covered", covered_cases, test_covered);
+	CASES("/operation/sent", sent_cases, test_sent);
 	return g_test_run();
 }
