Open orders: one that took effect before the record is read is not open

Callers got "no database was free in time" for up to 10 s after a change of coordinator, at daemons that had a lease on the new primary and reached it.

The record tells for how long an order was open as of its writing. A daemon that reads it later, such as the next coordinator, counted the order that had promoted the former primary as open for 10 s from then, although it had seen that database lead the term; it told the others, and while the database, which has left, cannot be asked, nothing is sent to the new primary. An order that is known when its database leads is done at once; one that is read afterwards now is, too, if the database was seen to lead a newer term than those that the order replaces, and no other order may have begun that term. The order names a database that has promised its attempt, and so was in no newer term when it was decided. Not so for orders that others tell of, which may know of more orders, and for those that the record lists beside a later one.

--- a/src/decide/open_orders.c
+++ b/src/decide/open_orders.c
@@ -14,6 +14,18 @@
 	g_free(order);
 }
 
+/*
+ * Free a leader.
+ */
+static void
+leader_free(gpointer p)
+{
+	seen_leader_t *leader = p;
+
+	g_free(leader->database);
+	g_free(leader);
+}
+
 /*
  * Initialize an empty set of open orders.
  */
@@ -21,6 +33,7 @@
 open_orders_init(open_orders_t *orders)
 {
 	orders->list = g_ptr_array_new_with_free_func(order_free);
+	orders->leaders = g_ptr_array_new_with_free_func(leader_free);
 }
 
 /*
@@ -30,6 +43,7 @@
 open_orders_clear(open_orders_t *orders)
 {
 	g_clear_pointer(&orders->list, g_ptr_array_unref);
+	g_clear_pointer(&orders->leaders, g_ptr_array_unref);
 }
 
 /*
@@ -61,6 +75,53 @@
 	return NULL;
 }
 
+/*
+ * Return the newest term that a database was seen to lead, or NULL if there is
+ * none.
+ */
+static seen_leader_t *
+leader_find(const open_orders_t *orders, const char *database)
+{
+	uint32_t i;
+
+	for (i = 0; i < orders->leaders->len; i++) {
+		seen_leader_t *leader = g_ptr_array_index(orders->leaders, i);
+
+		if (strcmp(leader->database, database) == 0)
+			return leader;
+	}
+	return NULL;
+}
+
+/*
+ * Note that a database leads a term.
+ */
+static void
+note_leader(open_orders_t *orders, const char *database, uint64_t term)
+{
+	seen_leader_t *leader = leader_find(orders, database);
+
+	if (leader == NULL) {
+		leader = g_new0(seen_leader_t, 1);
+		leader->database = g_strdup(database);
+		g_ptr_array_add(orders->leaders, leader);
+	}
+	leader->term = MAX(leader->term, term);
+}
+
+/*
+ * Forget which term a database was seen to lead, since this start of it is
+ * over, or it has left the group.
+ */
+void
+open_orders_forget_leader(open_orders_t *orders, const char *database)
+{
+	seen_leader_t *leader = leader_find(orders, database);
+
+	if (leader != NULL)
+		g_ptr_array_remove(orders->leaders, leader);
+}
+
 /*
  * Tell whether an order began a term, as no other one may have done so.
  */
@@ -105,6 +166,26 @@
 	g_ptr_array_remove_index(orders->list, forgotten);
 }
 
+/*
+ * Add a copy of an order.  The record may be read after the database that the
+ * order names was seen to lead a newer term than those that it replaces.
+ */
+static void
+add_copy(open_orders_t *orders, const open_order_t *added)
+{
+	const seen_leader_t *leader = leader_find(orders, added->database);
+	open_order_t *order = g_new0(open_order_t, 1);
+
+	*order = *added;
+	order->database = g_strdup(added->database);
+	order->begun_term = 0;
+	order->in_doubt = order->checked = false;
+	if (added->source == OPEN_ORDER_RECORDED && leader != NULL &&
+	    order->replaced_term < leader->term)
+		order->begun_term = leader->term;
+	g_ptr_array_add(orders->list, order);
+}
+
 /*
  * Add an order, or leave it as it is known.  Each daemon counts the time for
  * which it is open from when it hears of it, so the earliest end is the most
@@ -129,12 +210,7 @@
 		order->in_doubt = true;
 		return true;
 	}
-	order = g_new0(open_order_t, 1);
-	*order = *added;
-	order->database = g_strdup(added->database);
-	order->begun_term = 0;
-	order->in_doubt = order->checked = false;
-	g_ptr_array_add(orders->list, order);
+	add_copy(orders, added);
 	return true;
 }
 
@@ -193,10 +269,14 @@
 	for (j = 0; j < count; j++) {
 		open_order_t *order = order_find(
 		    orders, recorded[j].database, recorded[j].attempt_term);
+		bool known = order != NULL;
 
-		if (order != NULL && order->attempt_term != last_attempt)
-			order->in_doubt = true;
 		open_orders_add(orders, &recorded[j]);
+		order = order_find(
+		    orders, recorded[j].database, recorded[j].attempt_term);
+		if (order->attempt_term != last_attempt &&
+		    (known || order->begun_term != 0))
+			order->in_doubt = true;
 	}
 }
 
@@ -210,6 +290,8 @@
 {
 	uint32_t i;
 
+	if (database != NULL)
+		note_leader(orders, database, term);
 	for (i = 0; i < orders->list->len; i++) {
 		open_order_t *order = order_at(orders, i);
 
--- a/src/decide/open_orders.h
+++ b/src/decide/open_orders.h
@@ -34,8 +34,15 @@
 	bool checked; /* its database was asked after until_us */
 } open_order_t;
 
+/* A database that was seen to lead a term. */
+typedef struct seen_leader {
+	char *database;
+	uint64_t term; /* the newest one */
+} seen_leader_t;
+
 typedef struct open_orders {
-	GPtrArray *list; /* of open_order_t, oldest first */
+	GPtrArray *list;    /* of open_order_t, oldest first */
+	GPtrArray *leaders; /* of seen_leader_t, one for each database */
 } open_orders_t;
 
 /*
@@ -54,6 +61,7 @@
     open_orders_t *, const open_order_t *recorded, uint32_t count);
 void open_orders_term_begun(
     open_orders_t *, const char *database, uint64_t term);
+void open_orders_forget_leader(open_orders_t *, const char *database);
 void open_orders_checked(
     open_orders_t *, const char *database, int64_t asked_us);
 void open_orders_expire(open_orders_t *, bool all, int64_t now_us);
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -415,6 +415,7 @@
 server_remove(server_t *server)
 {
 	server->removed = true;
+	open_orders_forget_leader(&server->group->open_orders, server->id);
 	log_server_listed(server);
 	if (server->control != NULL)
 		dbconn_close(server->control);
--- a/tests/t_open_orders.c
+++ b/tests/t_open_orders.c
@@ -16,8 +16,12 @@
 	STEP_RECORDED, /* the record has it, alone */
 	/* the record has it, and an order to database b in a later attempt */
 	STEP_RECORDED_WITH_B,
+	/* the record has it, and one to the same database in the next attempt,
+	   which replaces the same term */
+	STEP_RECORDED_TWICE,
 	STEP_READ_EMPTY, /* the record has none */
 	STEP_LEADS,      /* a database leads a term */
+	STEP_STARTED,    /* a database has started again, or left */
 	STEP_TERM,       /* a term has begun; the set is complete */
 	STEP_CHECKED,    /* a database is asked for its status, and answers */
 	STEP_ACCEPTED,   /* the platform accepts the order */
@@ -85,6 +89,29 @@
 	{{STEP_RECORDED, "a", 2, 500}, {STEP_LEADS, "a", 2},
 	    {STEP_RECORDED_WITH_B, "a", 2, 900}},
 	100, true, true},
+    {"it took effect before it is read",
+	{{STEP_LEADS, "a", 2}, {STEP_RECORDED, "a", 2, 500}}, 100, false,
+	false},
+    {"its database led the term to be replaced before it is read",
+	{{STEP_LEADS, "a", 1}, {STEP_RECORDED, "a", 2, 500}}, 100, true, false},
+    {"another database led before it is read",
+	{{STEP_LEADS, "b", 2}, {STEP_RECORDED, "a", 2, 500}}, 100, true, false},
+    {"its database led before it is read, and has started again",
+	{{STEP_LEADS, "a", 2}, {STEP_STARTED, "a"},
+	    {STEP_RECORDED, "a", 2, 500}},
+	100, true, false},
+    {"its database led before it is told of",
+	{{STEP_LEADS, "a", 2}, {STEP_TOLD, "a", 2, 500}}, 100, true, false},
+    {"its database led before it is read with a later one",
+	{{STEP_LEADS, "a", 2}, {STEP_RECORDED_WITH_B, "a", 2, 500}}, 100, true,
+	true},
+    {"its database led before two to it are read",
+	{{STEP_LEADS, "a", 2}, {STEP_RECORDED_TWICE, "a", 2, 500}}, 100, true,
+	false},
+    {"its database led before two to it are read, the first is over",
+	{{STEP_LEADS, "a", 2}, {STEP_RECORDED_TWICE, "a", 2, 500},
+	    {STEP_RECORDED, "a", 3, 500}},
+	100, true, false},
     {"another one to the same database is told afterwards",
 	{{STEP_TOLD, "a", 2, 500}, {STEP_LEADS, "a", 3},
 	    {STEP_TOLD, "a", 3, 500}, {STEP_LEADS, "a", 3}},
@@ -143,12 +170,21 @@
 		list[1].attempt_term++;
 		open_orders_replace_recorded(orders, list, 2);
 		break;
+	case STEP_RECORDED_TWICE:
+		order.source = OPEN_ORDER_RECORDED;
+		list[0] = list[1] = order;
+		list[1].attempt_term++;
+		open_orders_replace_recorded(orders, list, 2);
+		break;
 	case STEP_READ_EMPTY:
 		open_orders_replace_recorded(orders, NULL, 0);
 		break;
 	case STEP_LEADS:
 		open_orders_term_begun(orders, step->database, step->term);
 		break;
+	case STEP_STARTED:
+		open_orders_forget_leader(orders, step->database);
+		break;
 	case STEP_TERM:
 		open_orders_term_begun(orders, NULL, step->term);
 		break;
