Store: a watch whose last call failed does not wait

Cause, from a log line for each repeated call (trial): front-abertawe-1 is cut off from the store until 8.52 s, and the store is silent until 9.10 s. Its watch of the servers is sent again at 8.475 s, gets through at the end of the cut, and is not answered. It asks for a wait of servers_watch_ms, so it counts as lost only after 4,000 and 600 ms, at 13.650 s; the next one, at 13.901 s, tells at once that the database left at 5.288 s. The daemon was in touch from 13.1 s on. Ruled out: the back-off (retries came 250 ms after each failure), news of other daemons (it follows none), a kept connection that is dead (each failed call is followed by new ones).

A watch whose last call failed now asks for no wait, as one whose answer is needed at once: it is answered, or lost after store_ms. The next one waits.

Test: /leaving/known, 2 rows. Before: failed, "1255 < 1250" (with a longer limit, trial: known after 4,596 and 4,607 ms); now 594 to 607 ms.

--- a/src/proxy/store_watch.c
+++ b/src/proxy/store_watch.c
@@ -268,7 +268,8 @@
 /*
  * Return the time for which a watch waits for changes.  One that other daemons
  * rely on ends no later than the longest wait after the time up to which all
- * changes are known.
+ * changes are known.  One whose last call failed does not wait, as a store that
+ * is silent ends it only with its wait.
  */
 static uint32_t
 watch_wait_ms(const object_watch_t *watch, int64_t now_us)
@@ -276,7 +277,7 @@
 	uint32_t longest_ms = longest_wait_ms(watch);
 	int64_t known_ms = (now_us - watch->known_us) / US_PER_MS;
 
-	if (news_covers(watch))
+	if (news_covers(watch) || watch->failing)
 		return WAIT_MIN_MS;
 	if (watch->registry->followers == 0 || watch->known_us == 0)
 		return longest_ms;
--- a/tests/t_leaving.c
+++ b/tests/t_leaving.c
@@ -436,6 +436,83 @@
 	testbed_stop(testbed);
 }
 
+/* Proxy whose way to the store has the faults. */
+#define FAULTY_PROXY 0
+
+/* Time limit for a watch to fail, once its way to the store has a fault. */
+#define LOST_MS 3000
+
+/* Time for which the store is silent; a call that failed is repeated in it. */
+#define SILENT_MS 400
+
+/*
+ * Time limit for a proxy to know who leaves once its way to the store is good
+ * again: a call that is lost, in the settings of the testbed, the delay before
+ * the next one, and an allowance for a busy machine.
+ */
+#define KNOWN_MS (500 + 250 + 500)
+
+typedef struct known_case {
+	const char *name;
+	const char *fault; /* of the way to the store before it is silent */
+} known_case_t;
+
+static const known_case_t known_cases[] = {
+    {"the store refuses, then is silent", "refused"},
+    {"the store resets connections, then is silent", "reset"},
+};
+
+/*
+ * Wait until the watch of the servers at the proxy with the faults fails, or
+ * until it no longer does.  Returns the time that it took in ms.
+ */
+static int64_t
+wait_servers_lost(const testbed_t *testbed, bool lost, int64_t within_ms)
+{
+	int64_t began_us = g_get_monotonic_time(), spent_ms = 0;
+
+	while ((testbed_metric(testbed, FAULTY_PROXY, "store_lost_servers") ==
+		   1) != lost) {
+		g_assert_cmpint(spent_ms, <, within_ms);
+		g_usleep(POLL_US);
+		spent_ms = (g_get_monotonic_time() - began_us) /
+		    G_TIME_SPAN_MILLISECOND;
+	}
+	return spent_ms;
+}
+
+/*
+ * Test that a proxy whose way to the store fails in two manners, while a
+ * primary says that it leaves, knows of it soon after the last of them.
+ */
+static void
+test_known(gconstpointer data)
+{
+	const known_case_t *c = data;
+	testbed_plan_t plan = {
+	    .proxies = PROXIES, .lag_ms = 5, .store_ports = true};
+	testbed_t *testbed = testbed_start(&plan);
+	char *log;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_usleep(LISTED_MS * G_TIME_SPAN_MILLISECOND);
+	testbed_store_fault(testbed, FAULTY_PROXY, c->fault);
+	wait_servers_lost(testbed, true, LOST_MS);
+	leave(testbed, 0, false);
+	testbed_store_fault(testbed, FAULTY_PROXY, "silent");
+	g_usleep(SILENT_MS * G_TIME_SPAN_MILLISECOND);
+	log = testbed_read_log(testbed, FAULTY_PROXY);
+	g_assert_null(strstr(log, "\"leaving\":true"));
+	g_free(log);
+	testbed_store_fault(testbed, FAULTY_PROXY, "up");
+	g_test_message("measured: %s: known after %" G_GINT64_FORMAT " ms",
+	    c->name, wait_servers_lost(testbed, false, KNOWN_MS));
+	log = testbed_read_log(testbed, FAULTY_PROXY);
+	g_assert_nonnull(strstr(log, "\"leaving\":true"));
+	g_free(log);
+	testbed_stop(testbed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -445,5 +522,6 @@
 	g_test_init(&argc, &argv, NULL);
 	CASES("/leaving", leaving_cases, test_leaving);
 	CASES("/leaving/given-up", given_up_cases, test_given_up);
+	CASES("/leaving/known", known_cases, test_known);
 	return g_test_run();
 }
