Members: one search for a start among members

Three loops looked for an id and its start among members; they call group_member_index() now. The model's sequence of changed members tests its own chance. The comment of members_promised() is filled, and says what the code does: a member that has ended counts as having promised.

--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -444,9 +444,9 @@
 
 /*
  * Tell whether a majority of the recorded members, and of each set of former
- * ones that leases may rest on, has promised the term, or
- * there are none.  Leases rest on such a majority, for which one that has
- * ended does not count: nor can it support a lease.
+ * ones that leases may rest on, has promised the term, or there are none.
+ * Leases rest on such a majority.  One that has ended counts: it cannot support
+ * a lease.
  */
 static bool
 members_promised(const failover_t *failover, const bool *promised)
--- a/src/proxy/group_former.c
+++ b/src/proxy/group_former.c
@@ -2,8 +2,6 @@
 
 #include "decide/start.h"
 
-#include <string.h>
-
 /*
  * Former members of a group: leases of other daemons may still rest on them, so
  * that a change of the primary needs a majority of each set of them as well.
@@ -58,15 +56,10 @@
 sets_equal(
     const member_t *a, uint32_t a_count, const member_t *b, uint32_t b_count)
 {
-	uint32_t i, j;
+	uint32_t i;
 
 	for (i = 0; i < a_count; i++) {
-		for (j = 0; j < b_count; j++) {
-			if (strcmp(a[i].id, b[j].id) == 0 &&
-			    a[i].born == b[j].born)
-				break;
-		}
-		if (j == b_count)
+		if (group_member_index(b, b_count, a[i].id, a[i].born) < 0)
 			return false;
 	}
 	return a_count == b_count;
@@ -161,15 +154,11 @@
 static bool
 has_ended(const group_t *group, const member_t *member)
 {
-	uint32_t i;
+	int32_t present = group_member_index(
+	    group->members, group->members_count, member->id, member->born);
 
-	for (i = 0; i < group->members_count; i++) {
-		const member_t *present = &group->members[i];
-
-		if (strcmp(present->id, member->id) == 0 &&
-		    present->born == member->born)
-			member = present;
-	}
+	if (present >= 0)
+		member = &group->members[present];
 	return group_member_ended_by(group, member) != START_STAYS;
 }
 
--- a/src/proxy/group_members.c
+++ b/src/proxy/group_members.c
@@ -86,22 +86,32 @@
 	group_former_update(group);
 }
 
+/*
+ * Return the index of a start among members, or -1.
+ */
+int32_t
+group_member_index(
+    const member_t *members, uint32_t count, const char *id, uint64_t born)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (strcmp(members[i].id, id) == 0 && members[i].born == born)
+			return (int32_t)i;
+	}
+	return -1;
+}
+
 /*
  * Return the recorded member that is this start of a server, or NULL.
  */
 static member_t *
 member_of_server(group_t *group, const server_t *server)
 {
-	uint32_t i;
+	int32_t i = group_member_index(group->members, group->members_count,
+	    server->id, server->generation);
 
-	for (i = 0; i < group->members_count; i++) {
-		member_t *member = &group->members[i];
-
-		if (strcmp(member->id, server->id) == 0 &&
-		    member->born == server->generation)
-			return member;
-	}
-	return NULL;
+	return i < 0 ? NULL : &group->members[i];
 }
 
 /*
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -550,6 +550,8 @@
     group_t *, const server_t *, start_removal_t, int64_t now_us);
 void group_member_runs(group_t *, const server_t *);
 start_removal_t group_member_ended_by(const group_t *, const member_t *);
+int32_t group_member_index(
+    const member_t *, uint32_t count, const char *id, uint64_t born);
 Bp__RecordedMember **group_members_write(
     const group_t *, arena_t *, size_t *count);
 void group_members_check(group_t *, int64_t now_us);
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -329,7 +329,6 @@
 void proxy_model_members_check(proxy_model_t *, uint32_t daemon);
 void proxy_model_members_record(
     proxy_model_t *, proxy_model_daemon_t *, uint64_t term);
-bool proxy_model_members_change(const proxy_model_plan_t *);
 uint32_t proxy_model_first_members(const proxy_model_plan_t *);
 void proxy_model_members_init(proxy_model_t *);
 void proxy_model_members_tick(proxy_model_t *, uint32_t daemon);
--- a/tools/proxy_model_members.c
+++ b/tools/proxy_model_members.c
@@ -30,15 +30,6 @@
 /* Time for which the primary is cut off. */
 #define CUT_US (8 * US_PER_SECOND)
 
-/*
- * Return whether a plan has the sequence.
- */
-bool
-proxy_model_members_change(const proxy_model_plan_t *plan)
-{
-	return plan->troubles.members.permille > 0;
-}
-
 /*
  * Return the number of databases that are members from the start.  The others
  * have no entry until the sequence begins.
@@ -225,7 +216,7 @@
 {
 	members_sequence_t *sequence = &model->members_sequence;
 
-	if (!proxy_model_members_change(model->plan))
+	if (model->plan->troubles.members.permille == 0)
 		return;
 	begin(model, daemon);
 	if (sequence->until_us == 0 || daemon != sequence->daemon)
