Tests: runs of the model in which members change, in a program of their own

The model's tests are one program, which takes 8 to 10 minutes of one processor and is the last of the tests to end. The rows in which the members of the group change while a daemon is alone move to t_members_model.c, under /membersmodel; the types and test functions that both programs use, to proxy_model_cases.h.

--- a/tests/t_proxy_model.c
+++ b/tests/t_proxy_model.c
@@ -1,37 +1,10 @@
-#include "../tools/proxy_model.h"
-#include "cases.h"
+#include "proxy_model_cases.h"
 
 /*
- * Tests with the proxy model, a simulation of one database group and several
- * proxies with random faults.  Injected bugs check that the model detects
- * violations.
+ * Tests with the proxy model.  Those in which members change while a daemon is
+ * alone: t_members_model.c.
  */
 
-#define STEPS 60000
-#define SEEDS 10
-#define BUG_SEEDS 40
-#define FAULT_PERMILLE 12
-
-typedef struct correct_case {
-	const char *name;
-	uint32_t databases;
-	uint32_t daemons;
-	uint32_t fault_permille;
-	uint32_t sync_replicas;
-	uint32_t placement_permille;
-	uint32_t seeds; /* 0: SEEDS */
-	uint32_t daemon_restart_permille;
-	uint32_t database_restart_permille;
-	uint32_t returns_permille;
-	uint32_t order_held_permille;
-	uint32_t order_late_permille;
-	uint32_t sender_paused_permille;
-	uint32_t primary_cut_permille;
-	uint32_t alone_permille;
-	proxy_model_troubles_t troubles;
-	uint32_t first_seed; /* 0: 1 */
-} correct_case_t;
-
 static const correct_case_t correct_cases[] = {
     {"no faults", 3, 3, 0, 0},
     {"some faults", 3, 3, 4, 0},
@@ -146,121 +119,8 @@
 	    .lapse_permille = 1,
 	    .refused_permille = 1,
 	    .most_refused_permille = 3}},
-    {"two databases added while a daemon is alone", 3 + 2, 4, 2, 0, 0, 500,
-	.troubles = {.start_listed_max_us = 1000000,
-	    .members = {.permille = 20, .added = 2}}},
-    {"two databases added while a daemon is alone and reads the record", 3 + 2,
-	4, 2, 0, 0, 500,
-	.troubles = {.start_listed_max_us = 1000000,
-	    .members = {.permille = 20, .added = 2, .store_permille = 1000}}},
-    {"three databases added to four while a daemon is alone", 4 + 3, 4, 2, 0, 0,
-	500,
-	.troubles = {.start_listed_max_us = 1000000,
-	    .members = {.permille = 20, .added = 3}}},
-    {"a database added and one dropped while a daemon is alone", 3 + 1, 4, 2, 0,
-	0, 500,
-	.troubles = {.start_listed_max_us = 1000000,
-	    .members = {.permille = 20, .added = 1, .dropped = 1}}},
-    {"two of five databases dropped while a daemon is alone", 5, 4, 2, 0, 0,
-	500,
-	.troubles = {.start_listed_max_us = 1000000,
-	    .members = {.permille = 20, .dropped = 2}}},
-    {"two databases added with an order that is held up or void", 3 + 2, 4, 4,
-	0, 0, 500,
-	.troubles = {.order_held_permille = {300, 300, 200},
-	    .start_listed_max_us = 1000000,
-	    .members = {.permille = 20,
-		.added = 2,
-		.store_permille = 300,
-		.unrecorded_permille = 700}}},
-    {"two databases added before a handover that a daemon does not hear of",
-	3 + 2, 4, 2, 0, 0, 500,
-	.troubles = {.start_listed_max_us = 1000000,
-	    .members = {.permille = 20, .added = 2, .handover = true}}},
-    {"two databases added, daemons and databases restart", 3 + 2, 4, 4, 0, 0,
-	500, 3, 1,
-	.troubles = {.start_listed_max_us = 1000000,
-	    .crash_permille = 1,
-	    .members = {.permille = 20, .added = 2, .store_permille = 500}}},
 };
 
-/*
- * Tell whether troubles are drawn.
- */
-static bool
-has_troubles(const proxy_model_troubles_t *troubles)
-{
-	uint32_t i, held = 0;
-
-	for (i = 0; i < PROXY_PLACES; i++)
-		held += troubles->order_held_permille[i];
-	return held + troubles->role_late_permille +
-	    troubles->record_deleted_permille +
-	    troubles->record_unreadable_permille +
-	    troubles->member_restart_permille + troubles->leaving_permille +
-	    troubles->lapse_permille + troubles->refused_permille +
-	    troubles->crash_permille + troubles->most_refused_permille +
-	    troubles->members.permille >
-	    0;
-}
-
-/*
- * Test that no invariant is violated, that writes are acknowledged and, with
- * faults, that the primary changes, and that troubles begin.
- */
-static void
-test_correct_rules(gconstpointer data)
-{
-	const correct_case_t *c = data;
-	uint64_t acknowledged = 0, primary_changes = 0, troubles = 0;
-	uint32_t seeds = c->seeds == 0 ? SEEDS : c->seeds;
-	uint32_t i, first = MAX(1, c->first_seed);
-
-	for (i = first; i < first + seeds; i++) {
-		proxy_model_plan_t plan = {.seed = i,
-		    .steps = STEPS,
-		    .databases = c->databases,
-		    .daemons = c->daemons,
-		    .fault_permille = c->fault_permille,
-		    .sync_replicas = c->sync_replicas,
-		    .placement_permille = c->placement_permille,
-		    .daemon_restart_permille = c->daemon_restart_permille,
-		    .database_restart_permille = c->database_restart_permille,
-		    .returns_permille = c->returns_permille,
-		    .order_held_permille = c->order_held_permille,
-		    .order_late_permille = c->order_late_permille,
-		    .sender_paused_permille = c->sender_paused_permille,
-		    .primary_cut_permille = c->primary_cut_permille,
-		    .alone_permille = c->alone_permille,
-		    .troubles = c->troubles};
-		proxy_model_result_t result;
-
-		proxy_model_run(&plan, &result);
-		troubles += result.troubles + result.late_promotions;
-		acknowledged += result.acknowledged;
-		primary_changes += result.primary_changes;
-		if (proxy_model_violations(&result) == 0)
-			continue;
-		g_test_message("seed %u: split %" G_GUINT64_FORMAT
-			       ", stale %" G_GUINT64_FORMAT
-			       ", lost %" G_GUINT64_FORMAT
-			       ", tokens: repeated %" G_GUINT64_FORMAT
-			       ", lower %" G_GUINT64_FORMAT,
-		    i, result.split_brain_acks, result.stale_primary_reads,
-		    result.lost_writes, result.repeated_tokens,
-		    result.lower_tokens);
-		g_test_fail(); /* continue with the other seeds */
-	}
-	g_test_message("%" G_GUINT64_FORMAT " acknowledged, %" G_GUINT64_FORMAT
-		       " primary changes, %" G_GUINT64_FORMAT " troubles",
-	    acknowledged, primary_changes, troubles);
-	g_assert_cmpuint(acknowledged, >, 0);
-	if (c->fault_permille > 0)
-		g_assert_cmpuint(primary_changes, >, 0);
-	if (has_troubles(&c->troubles))
-		g_assert_cmpuint(troubles, >, 0);
-}
-
 #define TOKEN_SEEDS 500
 
 typedef struct token_case {
@@ -323,33 +183,6 @@
 	g_assert_cmpuint(troubles, >, 0);
 }
 
-typedef struct bug_case {
-	const char *name;
-	proxy_model_bug_t injected_bug;
-	uint32_t daemons;
-	uint32_t placement_permille;
-	uint32_t fault_permille; /* 0: FAULT_PERMILLE */
-	uint32_t databases;      /* 0: 3 */
-	uint32_t first_seed;     /* 0: 1 */
-	/* the check of the recorded orders would hide the bug */
-	bool pauses_last;
-	uint32_t daemon_restart_permille;
-	uint32_t returns_permille;
-	uint32_t order_held_permille;
-	uint32_t order_late_permille;
-	uint32_t sender_paused_permille;
-	uint32_t primary_cut_permille;
-	uint32_t alone_permille;
-	/* the open orders would hide the bug */
-	bool open_orders_unknown;
-	uint32_t database_restart_permille;
-	proxy_model_troubles_t troubles;
-	/* asking again for the promises would hide the bug */
-	bool promises_asked_once;
-	/* reading the members for each term would hide the bug */
-	bool members_read_once;
-} bug_case_t;
-
 static const bug_case_t bug_cases[] = {
     {"acknowledged without a valid lease", PROXY_BUG_ACK_WITHOUT_LEASE, 3},
     {"a lease that does not expire during a process pause",
@@ -444,69 +277,8 @@
 	    .refused_permille = 4,
 	    .crash_permille = 4,
 	    .most_refused_permille = 3}},
-    {"two members added at once, without the former ones",
-	PROXY_BUG_FORMER_IGNORED, 4, 0, 2, 3 + 2,
-	.troubles = {.start_listed_max_us = 1000000,
-	    .members = {.permille = 20, .added = 2}}},
-    {"one member added and one dropped, without the former ones",
-	PROXY_BUG_FORMER_IGNORED, 4, 0, 2, 3 + 1,
-	.troubles = {.start_listed_max_us = 1000000,
-	    .members = {.permille = 20, .added = 1, .dropped = 1}}},
-    {"a lease that outlives a change of the members", PROXY_BUG_MEMBERS_OUTLIVE,
-	4, 0, 4, 3 + 2,
-	.troubles = {.start_listed_max_us = 1000000,
-	    .members = {.permille = 20, .added = 2, .handover = true}}},
 };
 
-/*
- * Test that each injected bug violates an invariant within BUG_SEEDS seeds, and
- * that the run with that seed and without the bug violates none.
- */
-static void
-test_injected_bugs(gconstpointer data)
-{
-	const bug_case_t *c = data;
-	uint64_t violations = 0, without = 0;
-	uint32_t i, first = MAX(1, c->first_seed);
-
-	for (i = first; i < first + BUG_SEEDS && violations == 0; i++) {
-		proxy_model_plan_t plan = {.seed = i,
-		    .steps = STEPS,
-		    .databases = c->databases == 0 ? 3 : c->databases,
-		    .daemons = c->daemons,
-		    .fault_permille = c->fault_permille == 0
-			? FAULT_PERMILLE
-			: c->fault_permille,
-		    .injected_bug = c->injected_bug,
-		    .pauses_last = c->pauses_last,
-		    .open_orders_unknown = c->open_orders_unknown,
-		    .promises_asked_once = c->promises_asked_once,
-		    .members_read_once = c->members_read_once,
-		    .daemon_restart_permille = c->daemon_restart_permille,
-		    .database_restart_permille = c->database_restart_permille,
-		    .placement_permille = c->placement_permille,
-		    .returns_permille = c->returns_permille,
-		    .order_held_permille = c->order_held_permille,
-		    .order_late_permille = c->order_late_permille,
-		    .sender_paused_permille = c->sender_paused_permille,
-		    .primary_cut_permille = c->primary_cut_permille,
-		    .alone_permille = c->alone_permille,
-		    .troubles = c->troubles};
-		proxy_model_result_t result;
-
-		proxy_model_run(&plan, &result);
-		violations = proxy_model_violations(&result);
-		if (violations == 0)
-			continue;
-		plan.injected_bug = PROXY_BUG_NONE;
-		proxy_model_run(&plan, &result);
-		without = proxy_model_violations(&result);
-	}
-	g_test_message("seed %u: violation found", i - 1);
-	g_assert_cmpuint(violations, >, 0);
-	g_assert_cmpuint(without, ==, 0);
-}
-
 /*
  * Register the tests and run them.
  */
