--- a/gen/event.pb-c.c
+++ b/gen/event.pb-c.c
@@ -2205,7 +2205,7 @@
   (ProtobufCMessageInit) bp__group_belief__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__lease_basis__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bp__lease_basis__field_descriptors[10] =
 {
   {
     "lease",
@@ -2315,10 +2315,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "list_ms",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Bp__LeaseBasis, has_list_ms),
+    offsetof(Bp__LeaseBasis, list_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__lease_basis__field_indices_by_name[] = {
   4,   /* field[4] = asked_ms */
   0,   /* field[0] = lease */
+  9,   /* field[9] = list_ms */
   3,   /* field[3] = proof */
   6,   /* field[6] = record_attempt */
   7,   /* field[7] = record_era */
@@ -2330,7 +2343,7 @@
 static const ProtobufCIntRange bp__lease_basis__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bp__lease_basis__descriptor =
 {
@@ -2340,7 +2353,7 @@
   "Bp__LeaseBasis",
   "bp",
   sizeof(Bp__LeaseBasis),
-  9,
+  10,
   bp__lease_basis__field_descriptors,
   bp__lease_basis__field_indices_by_name,
   1,  bp__lease_basis__number_ranges,
@@ -4240,7 +4253,7 @@
   (ProtobufCMessageInit) bp__change_step_taken__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__promotion_basis__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bp__promotion_basis__field_descriptors[9] =
 {
   {
     "needed",
@@ -4338,12 +4351,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "passed_over",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bp__PromotionBasis, n_passed_over),
+    offsetof(Bp__PromotionBasis, passed_over),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__promotion_basis__field_indices_by_name[] = {
   3,   /* field[3] = members */
   2,   /* field[2] = members_ended */
   1,   /* field[1] = members_needed */
   0,   /* field[0] = needed */
+  8,   /* field[8] = passed_over */
   5,   /* field[5] = promised_ms */
   7,   /* field[7] = replaced_term */
   6,   /* field[6] = revoked_by_all */
@@ -4352,7 +4378,7 @@
 static const ProtobufCIntRange bp__promotion_basis__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bp__promotion_basis__descriptor =
 {
@@ -4362,7 +4388,7 @@
   "Bp__PromotionBasis",
   "bp",
   sizeof(Bp__PromotionBasis),
-  8,
+  9,
   bp__promotion_basis__field_descriptors,
   bp__promotion_basis__field_indices_by_name,
   1,  bp__promotion_basis__number_ranges,
--- a/gen/event.pb-c.h
+++ b/gen/event.pb-c.h
@@ -347,10 +347,15 @@
    */
   size_t n_servers;
   char **servers;
+  /*
+   * age of the list: all servers that had registered by then are known
+   */
+  protobuf_c_boolean has_list_ms;
+  int64_t list_ms;
 };
 #define BP__LEASE_BASIS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__lease_basis__descriptor) \
-    , 0, NULL, 0, BP__LEASE_PROOF__BY_ALL, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, NULL, 0, BP__LEASE_PROOF__BY_ALL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
@@ -892,10 +897,16 @@
    * newest term whose primary it replaces
    */
   uint64_t replaced_term;
+  /*
+   * ids of servers that were passed over, as other daemons may not know
+   * of them yet
+   */
+  size_t n_passed_over;
+  char **passed_over;
 };
 #define BP__PROMOTION_BASIS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__promotion_basis__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL }
 
 
 /*
--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &bp__catalog_in_force__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__servers_known__init
+                     (Bp__ServersKnown         *message)
+{
+  static const Bp__ServersKnown init_value = BP__SERVERS_KNOWN__INIT;
+  *message = init_value;
+}
+size_t bp__servers_known__get_packed_size
+                     (const Bp__ServersKnown *message)
+{
+  assert(message->base.descriptor == &bp__servers_known__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__servers_known__pack
+                     (const Bp__ServersKnown *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__servers_known__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__servers_known__pack_to_buffer
+                     (const Bp__ServersKnown *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__servers_known__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__ServersKnown *
+       bp__servers_known__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__ServersKnown *)
+     protobuf_c_message_unpack (&bp__servers_known__descriptor,
+                                allocator, len, data);
+}
+void   bp__servers_known__free_unpacked
+                     (Bp__ServersKnown *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__servers_known__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__duty_wanted__init
                      (Bp__DutyWanted         *message)
 {
@@ -2325,6 +2370,44 @@
   (ProtobufCMessageInit) bp__catalog_in_force__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__servers_known__field_descriptors[1] =
+{
+  {
+    "known_us",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__ServersKnown, known_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__servers_known__field_indices_by_name[] = {
+  0,   /* field[0] = known_us */
+};
+static const ProtobufCIntRange bp__servers_known__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bp__servers_known__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.ServersKnown",
+  "ServersKnown",
+  "Bp__ServersKnown",
+  "bp",
+  sizeof(Bp__ServersKnown),
+  1,
+  bp__servers_known__field_descriptors,
+  bp__servers_known__field_indices_by_name,
+  1,  bp__servers_known__number_ranges,
+  (ProtobufCMessageInit) bp__servers_known__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 #define bp__duty_wanted__field_descriptors NULL
 #define bp__duty_wanted__field_indices_by_name NULL
 #define bp__duty_wanted__number_ranges NULL
@@ -2646,7 +2729,7 @@
   (ProtobufCMessageInit) bp__group_members_wanted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__members_change__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bp__members_change__field_descriptors[5] =
 {
   {
     "term",
@@ -2696,8 +2779,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "before",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__MembersChange, n_before),
+    offsetof(Bp__MembersChange, before),
+    &bp__recorded_member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__members_change__field_indices_by_name[] = {
+  4,   /* field[4] = before */
   3,   /* field[3] = ended */
   1,   /* field[1] = newest_term */
   0,   /* field[0] = term */
@@ -2706,7 +2802,7 @@
 static const ProtobufCIntRange bp__members_change__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bp__members_change__descriptor =
 {
@@ -2716,7 +2812,7 @@
   "Bp__MembersChange",
   "bp",
   sizeof(Bp__MembersChange),
-  4,
+  5,
   bp__members_change__field_descriptors,
   bp__members_change__field_indices_by_name,
   1,  bp__members_change__number_ranges,
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Bp__DropTransaction Bp__DropTransaction;
 typedef struct Bp__TransactionDropped Bp__TransactionDropped;
 typedef struct Bp__CatalogInForce Bp__CatalogInForce;
+typedef struct Bp__ServersKnown Bp__ServersKnown;
 typedef struct Bp__DutyWanted Bp__DutyWanted;
 typedef struct Bp__DutyChanged Bp__DutyChanged;
 typedef struct Bp__AttemptsVoid Bp__AttemptsVoid;
@@ -318,6 +319,20 @@
     , NULL }
 
 
+/*
+ * registry -> pool: the last catalog has all servers that had registered by
+ * known_us.
+ */
+struct  Bp__ServersKnown
+{
+  ProtobufCMessage base;
+  uint64_t known_us;
+};
+#define BP__SERVERS_KNOWN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__servers_known__descriptor) \
+    , 0 }
+
+
 /*
  * pool -> registry: check that this daemon is the coordinator, or make it so.
  */
@@ -479,10 +494,16 @@
    */
   size_t n_ended;
   Bp__RecordedMember **ended;
+  /*
+   * where the record has no members, those that leases may rest on: as
+   * they were known, or the servers that each daemon should know
+   */
+  size_t n_before;
+  Bp__RecordedMember **before;
 };
 #define BP__MEMBERS_CHANGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__members_change__descriptor) \
-    , 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -1119,6 +1140,25 @@
 void   bp__catalog_in_force__free_unpacked
                      (Bp__CatalogInForce *message,
                       ProtobufCAllocator *allocator);
+/* Bp__ServersKnown methods */
+void   bp__servers_known__init
+                     (Bp__ServersKnown         *message);
+size_t bp__servers_known__get_packed_size
+                     (const Bp__ServersKnown   *message);
+size_t bp__servers_known__pack
+                     (const Bp__ServersKnown   *message,
+                      uint8_t             *out);
+size_t bp__servers_known__pack_to_buffer
+                     (const Bp__ServersKnown   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__ServersKnown *
+       bp__servers_known__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__servers_known__free_unpacked
+                     (Bp__ServersKnown *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__DutyWanted methods */
 void   bp__duty_wanted__init
                      (Bp__DutyWanted         *message);
@@ -1731,6 +1771,9 @@
 typedef void (*Bp__CatalogInForce_Closure)
                  (const Bp__CatalogInForce *message,
                   void *closure_data);
+typedef void (*Bp__ServersKnown_Closure)
+                 (const Bp__ServersKnown *message,
+                  void *closure_data);
 typedef void (*Bp__DutyWanted_Closure)
                  (const Bp__DutyWanted *message,
                   void *closure_data);
@@ -1840,6 +1883,7 @@
 extern const ProtobufCMessageDescriptor bp__drop_transaction__descriptor;
 extern const ProtobufCMessageDescriptor bp__transaction_dropped__descriptor;
 extern const ProtobufCMessageDescriptor bp__catalog_in_force__descriptor;
+extern const ProtobufCMessageDescriptor bp__servers_known__descriptor;
 extern const ProtobufCMessageDescriptor bp__duty_wanted__descriptor;
 extern const ProtobufCMessageDescriptor bp__duty_changed__descriptor;
 extern const ProtobufCMessageDescriptor bp__attempts_void__descriptor;
--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -44,6 +44,8 @@
 	   restarted since, and knows what it has promised since */
 	int64_t connected_us;
 	bool unlisted; /* has no entry in the store: not to be promoted */
+	/* it has been listed for less than new_database_us() */
+	bool newly_listed;
 	/* it was ordered to become primary, and may still do so */
 	bool order_open;
 	/* the store has recorded it as a member of its group, and it has not
@@ -77,6 +79,11 @@
  */
 #define ORDER_OPEN_US (10 * US_PER_SECOND)
 
+/* Time for which a list shows all databases that may have been promoted. */
+#define LIST_VALID_US (12 * US_PER_SECOND)
+
+int64_t new_database_us(int64_t lease_us);
+
 /* Number of earlier orders whose effect on the logs is known. */
 #define EARLIER_ORDERS_MAX 8
 
@@ -190,6 +197,11 @@
 	/* a database has left the list without having said so: the others do
 	   not know whether it leads a newer term */
 	bool incomplete;
+	/* one has been removed that may run, and may be promoted */
+	bool removed_alive;
+	/* the list shows all databases that may have been promoted until then;
+	   0: it does not change */
+	int64_t list_until_us;
 	/* members were recorded, and so many have ended since that the others
 	   are no majority */
 	bool members_ended;
@@ -245,7 +257,7 @@
 void lease_members_read(lease_t *, uint64_t replaced_term, int64_t read_us);
 bool lease_held_up(const lease_t *, int64_t now_us);
 int64_t lease_unaware_since_us(const lease_t *, uint64_t term, int64_t now_us);
-void lease_member_lost(lease_t *);
+void lease_member_lost(lease_t *, bool ended);
 void lease_cancel(lease_t *);
 
 /* Detection of dead connections by pings: keepalive.c */
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -288,6 +288,7 @@
     const recorded_orders_t *, uint64_t term, uint64_t unproven);
 uint64_t former_members_from(const recorded_orders_t *, uint64_t newest_term);
 bool former_members_hold(const failover_t *, const bool *databases, bool ended);
+bool former_members_lack(const failover_t *, uint32_t database);
 void failover_merge_view(
     failover_t *, uint32_t database, const db_view_t *, int64_t);
 void failover_replace_view(
@@ -326,6 +327,7 @@
 void failover_tick_denied(failover_t *, int64_t now_us, failover_actions_t *);
 int32_t failover_primary(const failover_t *);
 bool failover_primary_suspected(const failover_t *, int64_t now_us);
+bool failover_is_new(const failover_t *, uint32_t database);
 bool failover_candidate_answers(const failover_t *, int64_t now_us);
 bool failover_successor_answers(const failover_t *, int64_t now_us);
 bool failover_staying_answers(const failover_t *, int64_t now_us);
--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -27,14 +27,26 @@
 } log_set_t;
 
 /*
- * Tell whether a database is listed.  Where commits are synchronous, one that
- * is not may be the only one that holds the last.
+ * Tell whether a database was listed so recently that a daemon may not know of
+ * it, and takes the answers of the others for those of all.
+ */
+bool
+failover_is_new(const failover_t *failover, uint32_t database)
+{
+	return failover->views[database].newly_listed &&
+	    former_members_lack(failover, database);
+}
+
+/*
+ * Tell whether a database is listed, and is not new.  Where commits are
+ * synchronous, one that is not may be the only one that holds the last.
  */
 static bool
 may_be_promoted(const failover_t *failover, uint32_t database)
 {
-	return !failover->views[database].unlisted ||
-	    failover->limits.sync_replicas > 0;
+	return failover->limits.sync_replicas > 0 ||
+	    (!failover->views[database].unlisted &&
+		!failover_is_new(failover, database));
 }
 
 /*
@@ -356,6 +368,21 @@
 	return !elsewhere || failover->revoked_by_all;
 }
 
+/*
+ * Return the database with the best log among the eligible ones, or UINT32_MAX
+ * if there is none, or it is new: then it has to be waited for, as only it may
+ * hold the last commits.
+ */
+static uint32_t
+best_known_log(const failover_t *failover, const log_set_t *logs)
+{
+	uint32_t best = best_log(failover, logs, false);
+
+	return best != UINT32_MAX && failover_is_new(failover, best)
+	    ? UINT32_MAX
+	    : best;
+}
+
 /*
  * Return the best database to promote among those that promised the term and
  * are listed, or UINT32_MAX if there is none whose log may be used.  Where
@@ -375,7 +402,7 @@
 	if (staying != UINT32_MAX &&
 	    open_orders_allow(failover, (int32_t)staying))
 		return staying;
-	return best_log(failover, &logs, false);
+	return best_known_log(failover, &logs);
 }
 
 /*
@@ -526,7 +553,8 @@
 
 /*
  * Tell whether a database that answers can take over, or whether there is no
- * doubt about any log, so that the promises of a majority show it.
+ * doubt about any log, so that the promises of a majority show it.  Where
+ * commits are synchronous, the one with the best log must not be new.
  */
 bool
 failover_candidate_answers(const failover_t *failover, int64_t now_us)
@@ -536,7 +564,8 @@
 	uint32_t i;
 
 	if (!only_clean_logs(failover))
-		return true;
+		return !any_eligible(failover, &logs) ||
+		    best_known_log(failover, &logs) != UINT32_MAX;
 	for (i = 0; i < failover->count; i++)
 		doubt |= failover->views[i].known &&
 		    (base_unknown(failover, &logs, i, UINT64_MAX) ||
--- a/src/decide/former_members.c
+++ b/src/decide/former_members.c
@@ -84,3 +84,38 @@
 	}
 	return true;
 }
+
+/* Longest delay of what is decided by the time since a database is listed. */
+#define NEW_DATABASE_MARGIN_US US_PER_SECOND
+
+/*
+ * Return the time for which a database that is listed is not promoted where a
+ * daemon may not know of it.  A lease of lease_us that rests on the list of
+ * before has ended by then.
+ */
+int64_t
+new_database_us(int64_t lease_us)
+{
+	return LIST_VALID_US + lease_us + NEW_DATABASE_MARGIN_US;
+}
+
+/*
+ * Tell whether a daemon may know all members of a set that lacks a database:
+ * the present ones, or former ones.  It then may take the answers of those for
+ * those of all, unless one has ended.
+ */
+bool
+former_members_lack(const failover_t *failover, uint32_t database)
+{
+	uint32_t i;
+
+	if (failover->members > 0 && failover->members_ended == 0 &&
+	    !failover->views[database].member)
+		return true;
+	for (i = 0; i < failover->former_count; i++) {
+		if (failover->former[i].ended == 0 &&
+		    !failover->former[i].member[database])
+			return true;
+	}
+	return false;
+}
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -87,10 +87,32 @@
 	return asked_us;
 }
 
+/*
+ * Tell whether the list may lack databases that count by a time: those that
+ * registered since are promoted, or have a vote where none are recorded.
+ */
+static bool
+list_outdated(const lease_t *lease, int64_t at_us)
+{
+	return lease->list_until_us != 0 && at_us > lease->list_until_us;
+}
+
+/*
+ * Tell whether a database that this process does not know may have been
+ * promoted by a time, so that the answers of all others do not show that there
+ * was no newer primary then.
+ */
+static bool
+all_unknown(const lease_t *lease, int64_t at_us)
+{
+	return lease->removed_alive || list_outdated(lease, at_us);
+}
+
 /*
  * Return the send time of the oldest of the last status requests to the
  * databases other than the primary, if all have answered theirs and know of no
- * newer term; otherwise 0.  At that time none of them led a newer term.
+ * newer term; otherwise 0.  At that time none of them led a newer term, nor did
+ * any other one, unless the list is out of date.
  * members: number of recorded members, which must be among them; 0: none are
  * recorded.  Those that are no members count as well, since they may have been
  * recorded after this process read the record.
@@ -116,7 +138,9 @@
 			oldest_us = views[i].requested_us;
 	}
 	/* the primary is the only member: there is nobody to ask */
-	return oldest_us == INT64_MAX ? 0 : oldest_us;
+	return oldest_us == INT64_MAX || all_unknown(lease, oldest_us)
+	    ? 0
+	    : oldest_us;
 }
 
 /*
@@ -175,7 +199,7 @@
     lease_t *lease, const db_view_t *views, uint32_t count, uint32_t primary)
 {
 	int64_t ended_us = lease->watched_since_us + ATTEMPT_MAX_US;
-	bool all = !lease->incomplete;
+	bool all = !lease->incomplete && !all_unknown(lease, ended_us);
 	uint32_t i;
 
 	for (i = 0; i < count; i++)
@@ -236,12 +260,12 @@
  * primary's term is a sign of a failover, and the block outlasts the promise
  * itself: promises also disappear when the failover ends, at once at all
  * databases, also at those that do not know of the new primary yet.  The block
- * is lifted when every database has answered, to a later request, that it holds
- * no such promise.  When some do not answer, a majority suffices, and the store
- * must record that the attempt has led to this primary or, after
- * ATTEMPT_MAX_US, to none.  Where the members are recorded, only they count for
- * a majority.  A standing promise for an order to replace this primary blocks
- * leases as long as it is there.
+ * is lifted when every database that the attempt may promote has answered, to a
+ * later request, that it holds no such promise.  When some do not answer, or
+ * the list is out of date, a majority suffices, and the store must record that
+ * the attempt has led to this primary or, after ATTEMPT_MAX_US, to none.  Where
+ * the members are recorded, only they count for a majority.  A standing promise
+ * for an order to replace this primary blocks leases as long as it is there.
  */
 static bool
 renewal_blocked(
@@ -252,6 +276,7 @@
 	uint32_t i, denied = 0, answered = 0;
 	uint32_t all = members > 0 ? members : count;
 	bool by_all, promised = false, shown = false;
+	int64_t oldest_us = INT64_MAX;
 
 	for (i = 0; i < count; i++) {
 		shown |= order_shown(&views[i], term);
@@ -279,6 +304,8 @@
 			continue;
 		answered++;
 		denied += members == 0 || views[i].member;
+		if (views[i].requested_us < oldest_us)
+			oldest_us = views[i].requested_us;
 	}
 	if (denied < majority_of(all)) {
 		/* others may have been recorded since */
@@ -288,7 +315,7 @@
 	}
 	/* a primary alone has nobody else's answer */
 	by_all = denied == all && answered == count && all > 1 && !promised &&
-	    !members_missing(lease, term) &&
+	    !members_missing(lease, term) && !all_unknown(lease, oldest_us) &&
 	    !order_recorded(lease, &views[primary]);
 	lease->unverified = !by_all;
 	if (!by_all &&
@@ -351,7 +378,7 @@
  * Return the time at which it is certain that a primary without replicas was
  * not replaced: it needs no answers of others, unless it had replicas, or they
  * may not be listed yet.  Where the members are recorded, it must be the only
- * one.
+ * one; then nobody replaces it without its promise, whatever is listed.
  */
 static int64_t
 alone_us(const lease_t *lease, const db_view_t *view, int64_t now_us)
@@ -361,7 +388,8 @@
 
 	if (members > 0 && (members > 1 || !view->member))
 		return 0;
-	if (!members_missing(lease, term) && !order_recorded(lease, view))
+	if (!members_missing(lease, term) && !order_recorded(lease, view) &&
+	    (members > 0 || !all_unknown(lease, now_us)))
 		return now_us;
 	return record_allows(lease, view) ? lease->orders.read_us : 0;
 }
@@ -439,16 +467,16 @@
 }
 
 /*
- * Tell whether the members must be read before a lease rests on them in a term:
- * others may have been recorded in the term before, and the former ones do not
- * count any more.  They still do if the order that led to the term was sent
- * without a record: former_members_from().
+ * Tell whether the members must be read before a lease rests on them in a term,
+ * or on the list where none were recorded: others may have been recorded in the
+ * term before, and the former ones do not count any more.  They still do if the
+ * order that led to the term was sent without a record: former_members_from().
  */
 static bool
 members_outdated(
     lease_t *lease, const db_view_t *views, uint32_t count, uint64_t term)
 {
-	if (lease->members_term == 0 || recorded_members(lease, term) == 0)
+	if (lease->members_term == 0)
 		return false;
 	if (term == lease->members_term + 1 &&
 	    lease->orders.replaced_term == lease->members_term &&
@@ -499,7 +527,9 @@
 	if (renewal_blocked(lease, views, count, primary))
 		return false;
 	if (lease->orders.read_us == 0 ||
-	    members_outdated(lease, views, count, view->promised)) {
+	    members_outdated(lease, views, count, view->promised) ||
+	    (recorded_members(lease, view->promised) == 0 &&
+		list_outdated(lease, now_us))) {
 		lease->unverified = true;
 		return false;
 	}
@@ -523,6 +553,7 @@
 	if (asked_us == 0 || until_us <= ends_us)
 		return false;
 	lease->incomplete &= view->promised == lease->term;
+	lease->removed_alive &= view->promised == lease->term;
 	lease->term = view->promised;
 	lease->expires_us = until_us;
 	lease->proof = proof;
@@ -640,12 +671,14 @@
 }
 
 /*
- * Note that a database has left the list without having said so.
+ * Note that a database has been removed from the group that had not said that
+ * it leaves.  ended: its process has ended for certain.
  */
 void
-lease_member_lost(lease_t *lease)
+lease_member_lost(lease_t *lease, bool ended)
 {
 	lease->incomplete = true;
+	lease->removed_alive |= !ended;
 }
 
 /*
--- a/src/proxy/group_former.c
+++ b/src/proxy/group_former.c
@@ -195,6 +195,26 @@
 	    lease_newest_term(&group->lease), group->failover.reported_term);
 }
 
+/*
+ * Return the servers of a group that each daemon should know, as a set.  Where
+ * no members are recorded, leases rest on the daemons' lists, which may lack
+ * the others.
+ */
+static former_members_t
+listed_for_long(const group_t *group)
+{
+	former_members_t former = {0};
+	int64_t now_us = clock_us();
+	uint32_t i;
+
+	for (i = 0; i < group->count; i++) {
+		former.member[i] =
+		    !server_newly_listed(group->servers[i], now_us);
+		former.count += former.member[i];
+	}
+	return former;
+}
+
 /*
  * Set the former members that count for the failover of a group.
  */
@@ -219,9 +239,40 @@
 	if (group->failover.members_ended > 0)
 		list[count++] =
 		    former_of(group, group->members, group->members_count);
+	if (group->members_count == 0) {
+		list[count] = listed_for_long(group);
+		count += list[count].count > 0;
+	}
 	failover_set_former(&group->failover, list, count, clock_us());
 }
 
+/*
+ * Return the members that leases may rest on where the record has none, as
+ * messages in an arena.
+ */
+static Bp__RecordedMember **
+members_before(const group_t *group, arena_t *arena, size_t *count)
+{
+	former_members_t listed = listed_for_long(group);
+	Bp__RecordedMember **list =
+	    arena_zalloc(arena, sizeof(list[0]) * (GROUP_DATABASES_MAX + 1));
+	uint32_t i;
+
+	*count = 0;
+	for (i = 0; i < group->members_count; i++) {
+		const member_t *member = &group->members[i];
+
+		list[(*count)++] = group_member_write(
+		    arena, member->id, member->born, member->address);
+	}
+	for (i = 0; i < group->count && group->members_count == 0; i++) {
+		if (listed.member[i])
+			list[(*count)++] =
+			    group_server_write(arena, group->servers[i]);
+	}
+	return list;
+}
+
 /*
  * Return what a change of the members rests on, as a message in an arena.
  * term: of the leases now, or the one whose primary is to be replaced.
@@ -245,5 +296,6 @@
 			change->ended[change->n_ended++] = group_member_write(
 			    arena, member->id, member->born, member->address);
 	}
+	change->before = members_before(group, arena, &change->n_before);
 	return change;
 }
--- a/src/proxy/group_lease.c
+++ b/src/proxy/group_lease.c
@@ -76,6 +76,18 @@
 	    pool->store_first_away_us <= pool->listed_first_us;
 }
 
+/*
+ * Return the time until which the list shows all servers that may have been
+ * promoted, or one that is over if it does not.
+ */
+static int64_t
+list_until_us(const pool_t *pool)
+{
+	return pool->servers_known_us == 0
+	    ? 1
+	    : pool->servers_known_us + LIST_VALID_US;
+}
+
 /*
  * Ask the registry task for the recorded orders, unless that was done recently.
  */
@@ -107,6 +119,7 @@
 	group_orders_update(group, now_us);
 	group->lease.list_new = group_list_new(group, now_us);
 	group->lease.list_after_outage = list_after_outage(group->pool);
+	group->lease.list_until_us = list_until_us(group->pool);
 	renewed = primary >= 0 &&
 	    lease_renew(&group->lease, failover->views, group->count,
 		(uint32_t)primary, now_us, &group->pool->lease_durations);
--- a/src/proxy/group_members.c
+++ b/src/proxy/group_members.c
@@ -241,6 +241,16 @@
 	return member;
 }
 
+/*
+ * Return a server as a member to be recorded, as a message in an arena.
+ */
+Bp__RecordedMember *
+group_server_write(arena_t *arena, const server_t *server)
+{
+	return group_member_write(arena, server->id, server->generation,
+	    server_address(server, arena));
+}
+
 /*
  * Return the members of a group to be recorded, as messages in an arena: its
  * servers, and the recorded members that are kept.
@@ -253,12 +263,8 @@
 	int64_t now_us = clock_us();
 	uint32_t i, n = 0;
 
-	for (i = 0; i < group->count; i++) {
-		const server_t *server = group->servers[i];
-
-		list[n++] = group_member_write(arena, server->id,
-		    server->generation, server_address(server, arena));
-	}
+	for (i = 0; i < group->count; i++)
+		list[n++] = group_server_write(arena, group->servers[i]);
 	for (i = 0; i < group->members_count && n < GROUP_DATABASES_MAX; i++) {
 		const member_t *member = &group->members[i];
 
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -143,6 +143,8 @@
 		failover->views[i].leaving = server->leaving;
 		failover->views[i].expired = server_drained(server, now_us);
 		failover->views[i].unlisted = server->unlisted;
+		failover->views[i].newly_listed =
+		    server_newly_listed(server, now_us);
 		failover->views[i].likely_ended =
 		    server_likely_ended(server, now_us);
 		if (server->outstanding == 0 && !server->unresponsive)
@@ -150,6 +152,9 @@
 		probe_server(group->servers[i], now_us);
 		dbconns_tick(group->servers[i], now_us);
 	}
+	/* the servers that each daemon should know grow with time */
+	if (group->members_count == 0)
+		group_former_update(group);
 	failover_set_store(
 	    failover, group->pool->store_away, group->stored_attempt_term);
 	group->unresponsive = failover_primary_suspected(failover, now_us);
--- a/src/proxy/monitor_answers.c
+++ b/src/proxy/monitor_answers.c
@@ -137,6 +137,7 @@
 	view.leaving = server->leaving;
 	view.expired = failover->views[server->index].expired;
 	view.unlisted = server->unlisted;
+	view.newly_listed = server_newly_listed(server, now_us);
 	view.promised = status->primary
 	    ? status->term
 	    : MAX(status->term, status->paused_until_term);
--- a/src/proxy/news.c
+++ b/src/proxy/news.c
@@ -164,6 +164,7 @@
 		}
 		watch_news(config, news->config_revision);
 		watch_news(servers, news->servers_revision);
+		registry_servers_known(registry);
 	}
 	msg_free(msg);
 }
--- a/src/proxy/order_log.c
+++ b/src/proxy/order_log.c
@@ -68,6 +68,26 @@
 	return members;
 }
 
+/*
+ * Return the ids of the servers that are not promoted, as other daemons may not
+ * know of them.  In a handover that does not matter.
+ */
+static char **
+new_servers(arena_t *arena, const group_t *group, size_t *count)
+{
+	char **ids = arena_zalloc(arena, sizeof(ids[0]) * (group->count + 1));
+	size_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < group->count; i++) {
+		if (group->failover.stepping_down < 0 &&
+		    failover_is_new(&group->failover, i))
+			ids[n++] = arena_strdup(arena, group->servers[i]->id);
+	}
+	*count = n;
+	return ids;
+}
+
 /*
  * Return what allows the order of the attempt under way.
  */
@@ -87,6 +107,7 @@
 	basis->promised_ms = (now_us - failover->granted_us) / US_PER_MS;
 	basis->revoked_by_all = failover->revoked_by_all;
 	basis->replaced_term = failover_term_to_replace(failover);
+	basis->passed_over = new_servers(arena, group, &basis->n_passed_over);
 	return basis;
 }
 
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -410,6 +410,18 @@
 	msg_free(msg);
 }
 
+/*
+ * Handle ServersKnown.
+ */
+static void
+on_servers_known(void *context, msg_t *msg)
+{
+	const Bp__ServersKnown *known = (const Bp__ServersKnown *)msg->body;
+
+	((pool_t *)context)->servers_known_us = (int64_t)known->known_us;
+	msg_free(msg);
+}
+
 /*
  * Handle RevokeEnded: a majority of the daemons, or all, have revoked their
  * leases of a group below a term, or one of them knows a newer coordinator.
@@ -459,6 +471,7 @@
     {&bp__run_operation__descriptor, on_run_operation},
     {&bp__drop_transaction__descriptor, on_drop_transaction},
     {&bp__catalog_in_force__descriptor, on_catalog_in_force},
+    {&bp__servers_known__descriptor, on_servers_known},
     {&bp__groups_placed__descriptor, on_groups_placed},
     {&bp__leave__descriptor, on_leave},
     {&bp__duty_changed__descriptor, on_coordinator_changed},
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -134,6 +134,7 @@
 	   work, and its answers count for leases and failovers */
 	bool unlisted;
 	int64_t unlisted_us; /* time at which that became known */
+	int64_t listed_us;   /* time since which its id is in the catalog */
 	/* the same, although it said so: it counts until its process is known
 	   to have ended */
 	bool departed;
@@ -217,6 +218,8 @@
 	    record_us; /* send time of the request for the orders; 0: none */
 	uint64_t record_attempt;
 	uint64_t record_era;
+	int64_t list_us; /* all servers that had registered by then are known;
+			    0: not known */
 	uint32_t answers_count;
 	lease_answer_t answers[GROUP_DATABASES_MAX];
 } lease_basis_t;
@@ -395,6 +398,8 @@
 	int64_t started_us;
 	/* time of the first list of the servers of any group; 0: none */
 	int64_t listed_first_us;
+	/* time up to which all servers that registered are known; 0: none */
+	int64_t servers_known_us;
 	/* time at which the store first refused or did not answer a call of
 	   this process, as last told with the recorded orders; 0: never */
 	int64_t store_first_away_us;
@@ -458,6 +463,7 @@
 bool server_answers(const server_t *, int64_t now_us);
 bool server_usable(const server_t *, int64_t now_us);
 bool server_drained(const server_t *, int64_t now_us);
+bool server_newly_listed(const server_t *, int64_t now_us);
 server_t *server_find(const group_t *, const char *id);
 bool server_likely_ended(const server_t *, int64_t now_us);
 bool group_primary_drained(const group_t *, int64_t now_us);
@@ -556,6 +562,7 @@
     const group_t *, arena_t *, size_t *count);
 void group_members_check(group_t *, int64_t now_us);
 
+Bp__RecordedMember *group_server_write(arena_t *, const server_t *);
 Bp__RecordedMember *group_member_write(
     arena_t *, const char *id, uint64_t born, const char *address);
 void group_members_free(member_t *, uint32_t count);
--- a/src/proxy/read_log.c
+++ b/src/proxy/read_log.c
@@ -35,6 +35,7 @@
 	basis->record_us = lease->orders.read_us;
 	basis->record_attempt = lease->orders.attempt_term;
 	basis->record_era = lease->orders.era;
+	basis->list_us = group->pool->servers_known_us;
 	basis->answers_count = group->count;
 	for (i = 0; i < group->count; i++) {
 		const db_view_t *view = &group->failover.views[i];
@@ -101,6 +102,8 @@
 	message->record_ms = (now_us - basis->record_us) / US_PER_MS;
 	message->record_attempt = basis->record_attempt;
 	message->record_era = basis->record_era;
+	message->has_list_ms = basis->list_us != 0;
+	message->list_ms = (now_us - basis->list_us) / US_PER_MS;
 	message->servers = arena_zalloc(
 	    arena, sizeof(message->servers[0]) * (basis->answers_count + 1));
 	for (i = 0; i < basis->answers_count; i++) {
--- a/src/proxy/recorded_members.c
+++ b/src/proxy/recorded_members.c
@@ -84,15 +84,15 @@
  * run.
  */
 static bool
-only_ended(const recorded_members_t *before, Bp__RecordedMember *const *list,
+only_ended(const Bp__FormerMembers *before, Bp__RecordedMember *const *list,
     size_t count, const Bp__MembersChange *change)
 {
 	size_t i;
 
-	if (before->count != count)
+	if (before->n_members != count)
 		return false;
 	for (i = 0; i < count; i++) {
-		const Bp__RecordedMember *member = before->list[i];
+		const Bp__RecordedMember *member = before->members[i];
 
 		if (!has_start(list, count, member) &&
 		    !has_start(change->ended, change->n_ended, member))
@@ -122,24 +122,25 @@
 		return;
 	}
 	from = former_members_from(orders, change->newest_term);
-	before.members = members->list;
-	before.n_members = members->count;
+	before.members = members->count > 0 ? members->list : change->before;
+	before.n_members =
+	    members->count > 0 ? members->count : change->n_before;
 	before.until_term =
 	    former_members_until(orders, change->term, change->unproven);
 	for (i = 0; i < members->former_count; i++) {
 		Bp__FormerMembers *set = members->former[i];
 
-		if (lists_equal(set->members, set->n_members, members->list,
-			members->count))
+		if (lists_equal(set->members, set->n_members, before.members,
+			before.n_members))
 			before.until_term =
 			    MAX(before.until_term, set->until_term);
 		else if (set->until_term >= from &&
 		    !lists_equal(set->members, set->n_members, list, count))
 			former[n++] = set;
 	}
-	if (members->count > 0 &&
-	    !lists_equal(members->list, members->count, list, count) &&
-	    !only_ended(members, list, count, change)) {
+	if (before.n_members > 0 &&
+	    !lists_equal(before.members, before.n_members, list, count) &&
+	    !only_ended(&before, list, count, change)) {
 		if (n == FORMER_MEMBERS_MAX)
 			return;
 		former[n++] = &before;
--- a/src/proxy/registry.c
+++ b/src/proxy/registry.c
@@ -246,20 +246,50 @@
 	return true;
 }
 
+/*
+ * Tell whether the store is unavailable, or has recently been until
+ * recovered_us.  A watch that waited meanwhile has not failed, other calls
+ * have.
+ */
+static bool
+store_unsettled(const registry_t *registry, int64_t recovered_us)
+{
+	return registry->servers_watch.failing || registry->store_failing ||
+	    clock_us() - recovered_us < EXPIRY_GRACE_US;
+}
+
 /*
  * Tell whether the store is or has recently been unavailable, so that its
- * registrations may be missing or older than those read before.  A watch that
- * waited meanwhile has not failed, other calls have.
+ * registrations may be missing or older than those read before.
  */
 static bool
 registrations_unsettled(const registry_t *registry)
 {
+	return store_unsettled(registry,
+	    MAX(registry->servers_watch.recovered_us,
+		registry->store_recovered_us));
+}
+
+/*
+ * Tell the pool task up to which time all servers that registered are in the
+ * catalog, if that is later than before.  Registrations may be missing while
+ * the store is unavailable, but not because this process has just started.
+ */
+void
+registry_servers_known(registry_t *registry)
+{
+	Bp__ServersKnown known = BP__SERVERS_KNOWN__INIT;
 	const object_watch_t *watch = &registry->servers_watch;
+	int64_t recovered_us = registry->store_recovered_us;
 
-	return watch->failing || registry->store_failing ||
-	    clock_us() -
-		MAX(watch->recovered_us, registry->store_recovered_us) <
-	    EXPIRY_GRACE_US;
+	if (watch->recovered_us != registry->first_response_us)
+		recovered_us = MAX(recovered_us, watch->recovered_us);
+	if (watch->applied_us <= registry->servers_told_us ||
+	    store_unsettled(registry, recovered_us))
+		return;
+	registry->servers_told_us = watch->applied_us;
+	known.known_us = (uint64_t)watch->applied_us;
+	task_send(registry->proxy->pool, registry->task, msg_copy(&known.base));
 }
 
 /*
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -129,6 +129,9 @@
 	/* when the store first refused or did not answer a call; 0: never */
 	int64_t store_first_away_us;
 	bool store_failing; /* it refused or did not answer the last call */
+	int64_t servers_told_us; /* last ServersKnown; 0: none */
+	/* first response, if no call had failed before; 0: none */
+	int64_t first_response_us;
 	int64_t store_recovered_us; /* first success after failures; 0: none */
 	int64_t heartbeat_acked_us; /* send time of the last acknowledged
 				       heartbeat */
@@ -204,6 +207,7 @@
 /* registry.c */
 void registry_publish(registry_t *);
 void registry_publish_first(registry_t *);
+void registry_servers_known(registry_t *);
 bool registry_apply_objects(object_watch_t *, const object_store_response_t *);
 void registry_find_missing(registry_t *, const object_store_response_t *);
 
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -341,6 +341,17 @@
 	    now_us >= server->drain_limit_us;
 }
 
+/*
+ * Tell whether a server was listed so recently that other daemons may not know
+ * of it.
+ */
+bool
+server_newly_listed(const server_t *server, int64_t now_us)
+{
+	return now_us - server->listed_us <
+	    new_database_us(server->group->pool->lease_durations.long_us);
+}
+
 /*
  * Tell whether the primary of a group is drained and no other one is about to
  * replace it, so that statements for a primary cannot be served.
@@ -371,10 +382,12 @@
 }
 
 /*
- * Create a server from its catalog entry, without a connection.
+ * Create a server from its catalog entry, without a connection.  before: an
+ * earlier start of it, or NULL; daemons that know that one ask the new one.
  */
 static server_t *
-server_new(group_t *group, const Bp__Server *entry)
+server_new(group_t *group, const Bp__Server *entry, const server_t *before,
+    int64_t now_us)
 {
 	server_t *server = g_new0(server_t, 1);
 
@@ -384,6 +397,7 @@
 	server->address = g_strdup(entry->address);
 	server->port = entry->port;
 	server->generation = entry->born;
+	server->listed_us = before == NULL ? now_us : before->listed_us;
 	server->same_zone =
 	    strcmp(entry->zone, group->pool->proxy->settings->zone) == 0;
 	server->conns = g_ptr_array_new();
@@ -395,9 +409,11 @@
  * Update the properties that a running server may change.
  */
 static void
-server_update(server_t *server, const Bp__Server *entry)
+server_update(server_t *server, const Bp__Server *entry, int64_t now_us)
 {
 	server->slots = entry->slots;
+	if (server->unlisted)
+		server->listed_us = now_us;
 	server->drain_limit_us = drain_limit_us((int64_t)entry->stayed_us,
 	    server->group->pool->proxy->settings->timeouts->drain_ms);
 	if (server->leaving == entry->leaving && !server->unlisted)
@@ -542,6 +558,17 @@
 	log_server_listed(server);
 }
 
+/*
+ * Tell whether a server was removed because this start of it has ended, or is
+ * known at another address.
+ */
+static bool
+removed_ended(start_removal_t removal)
+{
+	return removal == START_FOLLOWED || removal == START_MOVED ||
+	    removal == START_DENIED;
+}
+
 /*
  * Replace the servers of a group.
  */
@@ -578,7 +605,8 @@
 		if (old[i] == NULL)
 			continue;
 		if (!old[i]->leaving || (old[i]->unlisted && !old[i]->departed))
-			lease_member_lost(&group->lease);
+			lease_member_lost(
+			    &group->lease, removed_ended(old[i]->removal));
 		server_remove(old[i]);
 	}
 }
@@ -608,7 +636,7 @@
 		if (entry == NULL)
 			server_unlist(server, now_us);
 		else
-			server_update(server, entry);
+			server_update(server, entry, now_us);
 		servers[count++] = server;
 	}
 	for (i = 0;
@@ -621,9 +649,9 @@
 		    server_followed(entry->id, entry->address, entry->port,
 			entry->born, entries))
 			continue;
-		servers[count] = server_new(group, entry);
+		servers[count] = server_new(group, entry, known, now_us);
 		group_member_runs(group, servers[count]);
-		server_update(servers[count++], entry);
+		server_update(servers[count++], entry, now_us);
 	}
 	if (group->listed_us == 0 && count > 0)
 		group_first_listed(group, now_us);
--- a/src/proxy/store_era.c
+++ b/src/proxy/store_era.c
@@ -33,6 +33,7 @@
 	object_watch_t *watches[] = {
 	    &registry->config_watch, &registry->servers_watch};
 	uint32_t i;
+	bool first = registry->store_era == 0 && era == STORE_ERA_FIRST;
 
 	if (era <= registry->store_era)
 		return;
@@ -41,6 +42,9 @@
 	registry->store_era = era;
 	/* databases write their registrations again, as after an outage */
 	registry->servers_watch.recovered_us = clock_us();
+	if (first && registry->store_first_away_us == 0)
+		registry->first_response_us =
+		    registry->servers_watch.recovered_us;
 	for (i = 0; i < G_N_ELEMENTS(watches); i++) {
 		watches[i]->wanted_revision = 0;
 		watches[i]->known_us = watches[i]->news_known_us = 0;
--- a/src/proxy/store_watch.c
+++ b/src/proxy/store_watch.c
@@ -165,6 +165,7 @@
 	watch->watch_revision = watch->changed_revision = response->revision;
 	watch_note_applied(watch);
 	registry_publish(registry);
+	registry_servers_known(registry);
 	news_send(registry);
 }
 
@@ -236,6 +237,7 @@
 			watch->changed_revision = watch->watch_revision;
 			registry_publish(watch->registry);
 		}
+		registry_servers_known(watch->registry);
 		news_send(watch->registry);
 		watch_request_next(watch);
 		break;
@@ -269,7 +271,8 @@
  * Return the time for which a watch waits for changes.  One that other daemons
  * rely on ends no later than the longest wait after the time up to which all
  * changes are known.  One whose last call failed does not wait, as a store that
- * is silent ends it only with its wait.
+ * is silent ends it only with its wait; nor does the first one after a list of
+ * the servers that may be old, as leases rest on the age of that.
  */
 static uint32_t
 watch_wait_ms(const object_watch_t *watch, int64_t now_us)
@@ -277,7 +280,8 @@
 	uint32_t longest_ms = longest_wait_ms(watch);
 	int64_t known_ms = (now_us - watch->known_us) / US_PER_MS;
 
-	if (news_covers(watch) || watch->failing)
+	if (news_covers(watch) || watch->failing ||
+	    (watch->kind == OBJECT_SERVER && watch->known_us == 0))
 		return WAIT_MIN_MS;
 	if (watch->registry->followers == 0 || watch->known_us == 0)
 		return longest_ms;
--- a/tests/t_former.c
+++ b/tests/t_former.c
@@ -111,12 +111,17 @@
 	uint64_t term;
 	bool shown; /* a replica holds the promise for the last order */
 	bool renewed;
+	bool unrecorded; /* the record has no members */
 } read_case_t;
 
 static const read_case_t read_cases[] = {
     {"members that were read in the term", 0, 0, 0, 200, 1, false, true},
     {"before the term was seen", 0, 0, 0, 50, 2, false, false},
     {"after it was seen", 0, 0, 0, 150, 2, false, true},
+    {"before it was seen, and none were recorded", 0, 0, 0, 50, 2, false, false,
+	true},
+    {"after it was seen, and none were recorded", 0, 0, 0, 150, 2, false, true,
+	true},
     {"with the order that led to it", 1, ORDINARY, 1, 50, 2, false, true},
     {"before an order without a record led to it", 1, STANDING(1), 0, 50, 2,
 	true, true},
@@ -136,7 +141,7 @@
 	recorded_orders_t orders = {.replaced_term = c->replaced,
 	    .attempt_term = c->attempt,
 	    .read_us = 1};
-	lease_t lease = {.members = 3};
+	lease_t lease = {.members = c->unrecorded ? 0 : 3};
 	db_view_t views[3];
 	uint32_t i;
 
@@ -175,10 +180,18 @@
 	const char *ended;    /* members that have ended */
 	uint64_t begun;       /* newest term, for the last one; 0: as before */
 	const char *expected; /* members, and former ones with their term */
+	/* those that leases rest on where the record has none; NULL: none */
+	const char *before;
 } change_case_t;
 
 static const change_case_t change_cases[] = {
     {"the first ones", {"abc"}, "", 0, "abc"},
+    {"the first ones, and leases rest on lists without two of them", {"abcde"},
+	"", 0, "abcde abc/1", "abc"},
+    {"the first ones, and leases rest on all of them", {"abc"}, "", 0, "abc",
+	"abc"},
+    {"two are added, whatever leases rested on before", {"abc", "abcde"}, "", 0,
+	"abcde abc/1", "abc"},
     {"two are added", {"abc", "abcde"}, "", 0, "abcde abc/1"},
     {"one is dropped", {"abc", "ab"}, "", 0, "ab abc/1"},
     {"as many that have ended are replaced", {"abc", "abd"}, "c", 0, "abd"},
@@ -197,13 +210,14 @@
  * Record members that are named by letters.
  */
 static void
-record(recorded_members_t *members, const char *ids, const char *ended,
+record(recorded_members_t *members, const char *ids, const change_case_t *c,
     uint64_t newest_term)
 {
 	recorded_orders_t orders = {
 	    .replaced_term = newest_term - 1, .attempt_term = newest_term - 1};
 	Bp__MembersChange change = BP__MEMBERS_CHANGE__INIT;
-	Bp__RecordedMember all[26], *list[26], *gone[26];
+	Bp__RecordedMember all[26], *list[26], *gone[26], *before[26];
+	const char *ended = c->ended;
 	char names[26][2];
 	size_t i;
 
@@ -220,6 +234,11 @@
 	     change.n_ended++)
 		gone[change.n_ended] = &all[ended[change.n_ended] - 'a'];
 	change.ended = gone;
+	for (; c->before != NULL && c->before[change.n_before] != '\0';
+	     change.n_before++)
+		before[change.n_before] =
+		    &all[c->before[change.n_before] - 'a'];
+	change.before = before;
 	change.term = change.newest_term = newest_term;
 	recorded_members_replace(members, list, i, &change, &orders);
 }
@@ -250,7 +269,7 @@
 	for (i = 0; i < CHANGES_MAX && c->lists[i] != NULL; i++) {
 		bool last = i + 1 == CHANGES_MAX || c->lists[i + 1] == NULL;
 
-		record(&members, c->lists[i], c->ended,
+		record(&members, c->lists[i], c,
 		    last && c->begun != 0 ? c->begun : 1);
 	}
 	append_ids(text, members.list, members.count);
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -817,6 +817,9 @@
 	uint64_t promised[4]; /* newer terms that were promised */
 	recorded_orders_t orders;
 	bool list_new; /* databases may be missing from the list */
+	/* until when the list shows all databases; 0: it does not change */
+	int64_t list_until_ms;
+	bool removed_alive; /* one that may run was removed */
 } members_case_t;
 
 /* Time at which the lease is to be renewed. */
@@ -846,6 +849,18 @@
 	{5900, 5900, 5900}, true, false, .read_ms = 5800},
     {"all answer, and the list is new", 3, 3, "mmm", {5900, 5900, 5900}, true,
 	false, .read_ms = 5800, .list_new = true},
+    {"all answer, and the list shows all that may be promoted", 3, 3, "mmm",
+	{5900, 5900, 5900}, true, false, .read_ms = 5800,
+	.list_until_ms = 5900},
+    {"all answer, and the list is out of date", 3, 3, "mmm", {5900, 5900, 5900},
+	false, true, .read_ms = 5800, .list_until_ms = 5899},
+    {"all answer, the list is out of date, and the record was read since", 3, 3,
+	"mmm", {5900, 5900, 5900}, true, false, .list_until_ms = 5899},
+    {"all answer, and one that may run was removed", 3, 3, "mmm",
+	{5900, 5900, 5900}, false, true, .read_ms = 5800,
+	.removed_alive = true},
+    {"the only one, and the list is out of date", 1, 1, "m", {5900}, true,
+	false, .list_until_ms = 5899},
     {"all answer, except one that has joined", 4, 3, "mmm-", {5900, 5900, 5900},
 	false, true, .read_ms = 5800},
     {"all answer, and one that has joined", 4, 3, "mmm-",
@@ -876,6 +891,12 @@
     {"the record may lack orders, all that are listed answer", 2, 3, "mm",
 	{5900, 5900}, true, false,
 	.orders = {.lost_us = MS(5000), .read_era = 2}},
+    {"the same, and the list is out of date", 2, 3, "mm", {5900, 5900}, false,
+	true, .orders = {.lost_us = MS(5000), .read_era = 2},
+	.list_until_ms = 5899},
+    {"the record may lack orders, the only one, and the list is out of date", 1,
+	3, "m", {5900}, false, true,
+	.orders = {.lost_us = MS(5000), .read_era = 2}, .list_until_ms = 5899},
     {"revoked long ago, two of three answer", 3, 3, "mmm", {5900, 5900}, true,
 	true, .revoked_ms = 1000},
     {"revoked long ago, one of them was started again", 3, 3, "m-m",
@@ -884,6 +905,12 @@
 	.revoked_ms = 5000},
     {"revoked, all answer", 3, 3, "mmm", {5900, 5900, 5900}, true, false,
 	.revoked_ms = 5000},
+    {"revoked, all answer, and the list is out of date", 3, 3, "mmm",
+	{5900, 5900, 5900}, false, true, .revoked_ms = 5000,
+	.list_until_ms = 5899},
+    {"revoked, all answer, and one that may run was removed", 3, 3, "mmm",
+	{5900, 5900, 5900}, false, true, .revoked_ms = 5000,
+	.removed_alive = true},
     {"revoked, all answer, and the list is new", 3, 3, "mmm",
 	{5900, 5900, 5900}, true, false, .revoked_ms = 5000, .list_new = true},
     {"revoked, all that are listed answer, of three", 2, 3, "mm", {5900, 5900},
@@ -901,7 +928,9 @@
 	recorded_orders_t orders = c->orders;
 	lease_t lease = {.watched_since_us = MS(WATCHED_MS),
 	    .members = c->members,
-	    .list_new = c->list_new};
+	    .list_new = c->list_new,
+	    .list_until_us = MS(c->list_until_ms),
+	    .removed_alive = c->removed_alive};
 	db_view_t views[4];
 	uint32_t i;
 
@@ -931,6 +960,7 @@
 	const char *is_member; /* of each database of the list */
 	const char *answers;   /* later, while the lease lasts */
 	bool renewed;
+	bool list_outdated; /* then */
 } continued_case_t;
 
 static const continued_case_t continued_cases[] = {
@@ -942,6 +972,10 @@
     {"one of five members answers, two are not listed", 5, "mmm", "yyn", false},
     {"none are recorded, one of three answers", 0, "---", "yny", true},
     {"none are recorded, one of four answers", 0, "----", "yynn", false},
+    {"none are recorded, one of three answers, the list is out of date", 0,
+	"---", "yny", false, true},
+    {"one member of three answers, the list is out of date", 3, "mmm-", "yyn-",
+	true, true},
 };
 
 /*
@@ -953,7 +987,9 @@
 {
 	const continued_case_t *c = data;
 	uint32_t i, count = (uint32_t)strlen(c->is_member);
-	lease_t lease = {.orders.read_us = MS(60), .members = c->members};
+	lease_t lease = {.orders.read_us = MS(60),
+	    .members = c->members,
+	    .list_until_us = c->list_outdated ? MS(219) : 0};
 	db_view_t views[4] = {0};
 
 	for (i = 0; i < count; i++)
--- a/tests/t_members.c
+++ b/tests/t_members.c
@@ -187,6 +187,48 @@
 	bed_stop(&bed);
 }
 
+typedef struct new_case {
+	const char *name;
+	uint64_t born;  /* of i-1 in the second list; 0: it is not listed */
+	int64_t age_s;  /* time from the first list to that; it starts at 5 */
+	bool again;     /* a third list has it as the first */
+	bool new_after; /* expected: i-1 is newly listed then */
+} new_case_t;
+
+static const new_case_t new_cases[] = {
+    {"since the last list", 5, 1, false, true},
+    {"for long", 5, 16, false, false},
+    {"a later start under its id, for long", 6, 16, false, false},
+    {"lapsed for a moment", 0, 16, true, true},
+};
+
+/*
+ * Test for how long other daemons may not know of a server.
+ */
+static void
+test_new(gconstpointer data)
+{
+	const new_case_t *c = data;
+	group_t *group;
+	uint32_t i;
+	bed_t bed;
+
+	bed_start(&bed);
+	apply_list(bed.pool, ALL, 5);
+	group = g_hash_table_lookup(bed.pool->groups, "ledger");
+	group->active = true;
+	record_members(group);
+	for (i = 0; i < group->count; i++)
+		group->servers[i]->listed_us -= c->age_s * US_PER_SECOND;
+	apply_list(bed.pool, c->born == 0 ? ALL & ~REPLICA : ALL, c->born);
+	if (c->again)
+		apply_list(bed.pool, ALL, 5);
+	g_assert_cmpint(
+	    server_newly_listed(server_find(group, "i-1"), clock_us()), ==,
+	    c->new_after);
+	bed_stop(&bed);
+}
+
 typedef struct written_case {
 	const char *name;
 	uint64_t born;  /* of i-1 in the list of a process; 0: not listed */
@@ -482,6 +524,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions();
 	CASES("/members/listed", listed_cases, test_listed);
+	CASES("/members/new", new_cases, test_new);
 	CASES("/members/written", written_cases, test_written);
 	CASES("/members/sent", sent_cases, test_sent);
 	CASES("/members/divided", divided_cases, test_divided);
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -887,7 +887,7 @@
 	"\"members\":[\"i-0:"},
     {"who has promised", "\"servers\":[\"i-0:!member:1:"},
     {"that the leases were waited for",
-	"\"revoked_by_all\":true,\"replaced_term\":1}"},
+	"\"revoked_by_all\":true,\"replaced_term\":1,\"passed_over\":[]}"},
     {"the promises, once the order is recorded",
 	"\"event\":\"promises_counted\",\"group\":\"ledger\",\"term\":2,"
 	"\"held\":true,\"servers\":[\"i-0:!member:1:"},
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -18,6 +18,9 @@
 /* Time in which the first list of a process counts as new. */
 #define LIST_NEW_US (3 * US_PER_SECOND)
 
+/* Time for which the first databases have been listed at the start of a run. */
+#define LISTED_FOR_US (60 * US_PER_SECOND)
+
 /*
  * Send a call from a daemon to a database.  A call over a cut link gets no
  * answer.
@@ -172,6 +175,7 @@
 	proxy_model_members_update(model, daemon);
 	daemon->lease.list_new = daemon->listed_us != 0 &&
 	    model->now_us - daemon->listed_us < LIST_NEW_US;
+	daemon->lease.list_until_us = proxy_model_list_until_us(model, daemon);
 	if (primary >= 0)
 		lease_renew(&daemon->lease, failover->views, failover->count,
 		    (uint32_t)primary, model->now_us, &daemon->lease_durations);
@@ -259,6 +263,7 @@
 	}
 	view.order_open = failover->views[server].order_open;
 	view.unlisted = daemon->unlisted[event->db];
+	view.newly_listed = proxy_model_newly_listed(model, daemon, event->db);
 	if (model->plan->troubles.start_listed_max_us == 0)
 		daemon->born_us[event->db] = event->born_us;
 	view.member = failover->views[server].member &&
@@ -348,6 +353,8 @@
 		lease_term_begun(&daemon->lease, event->term);
 	proxy_model_schedule(
 	    model, proxy_model_random_us(model, NETWORK_DELAY_MAX_US), &answer);
+	if (answer.ok)
+		proxy_model_members_revoked(model, event->peer);
 }
 
 /*
@@ -652,7 +659,7 @@
 		daemon->failover.views[i] = (db_view_t){0};
 		daemon->connected_us[i] = 0;
 		lease_cancel(&daemon->lease);
-		lease_member_lost(&daemon->lease);
+		lease_member_lost(&daemon->lease, true);
 		proxy_model_members_update(model, daemon);
 	}
 }
@@ -817,12 +824,16 @@
 {
 	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
 	event_t tick = {.kind = EVENT_TICK, .daemon = daemon_index};
+	uint32_t i;
 
 	daemon_forget(model, daemon_index);
 	daemon->lease_durations.listed_since_us = 1;
 	/* the databases are listed, and have been for long */
 	daemon->failover.count = proxy_model_first_members(model->plan);
 	daemon->listed_us = model->now_us - LIST_NEW_US;
+	daemon->list_read_us = model->now_us;
+	for (i = 0; i < daemon->failover.count; i++)
+		daemon->listed_since_us[i] = model->now_us - LISTED_FOR_US;
 	daemon->record_leases = daemon->record_written = true;
 	proxy_model_schedule(
 	    model, proxy_model_random_us(model, TICK_US), &tick);
@@ -866,7 +877,9 @@
 		model.dbs[i].term = 1;
 	}
 	model.members.now.count =
-	    plan->pauses_last ? 0 : proxy_model_first_members(plan);
+	    plan->pauses_last || plan->troubles.members.first_unrecorded
+	    ? 0
+	    : proxy_model_first_members(plan);
 	for (i = 0; i < model.members.now.count; i++)
 		model.members.now.member[i] = true;
 	proxy_model_members_init(&model);
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -96,6 +96,11 @@
 	PROXY_BUG_FORMER_IGNORED,
 	/* leases rest on members that were read before their term began */
 	PROXY_BUG_MEMBERS_OUTLIVE,
+	/* the answers of all databases of a list prove something, however old
+	   it is */
+	PROXY_BUG_OLD_LIST,
+	/* a database that others may not know of yet is promoted */
+	PROXY_BUG_NEW_PROMOTED,
 } proxy_model_bug_t;
 
 /* Places where an order to promote a database may be held up. */
@@ -118,6 +123,18 @@
 	/* the primary leaves, and its successor is the one that is lost; the
 	   daemon hears nothing but the databases of the former majority */
 	bool handover;
+	/* only the primary is reached by the daemon alone; the other former
+	   members are reached by all daemons, and not by the new primary */
+	bool former_reached;
+	/* longest time that replication takes to them instead; 0: they are cut
+	   off from it */
+	int64_t slow_max_us;
+	/* the daemon hears the others until it has confirmed a revocation */
+	bool told;
+	/* time that passes besides before the primary is cut off */
+	int64_t wait_us;
+	/* no members are recorded before the databases are added */
+	bool first_unrecorded;
 } proxy_model_members_change_t;
 
 /* Troubles that are drawn at random; chances are 0 if not set. */
--- a/tools/proxy_model_dbs.c
+++ b/tools/proxy_model_dbs.c
@@ -236,7 +236,8 @@
 
 /*
  * Count the databases, without the excepted one, whose newest
- * SEARCHED_ENTRIES_MAX log entries contain a write.
+ * SEARCHED_ENTRIES_MAX log entries contain a write.  One that has not been
+ * added to the group yet holds no commit for it.
  */
 uint32_t
 proxy_model_count_copies(
@@ -247,8 +248,10 @@
 	for (i = 0; i < model->plan->databases; i++) {
 		const GArray *log = model->dbs[i].log;
 
-		for (j = log->len; i != except && j-- > 0 &&
-		     log->len - j < SEARCHED_ENTRIES_MAX;) {
+		if (i == except || proxy_model_added_later(model, i))
+			continue;
+		for (j = log->len;
+		     j-- > 0 && log->len - j < SEARCHED_ENTRIES_MAX;) {
 			if (g_array_index(log, entry_t, j).write_id ==
 			    write_id) {
 				n++;
@@ -380,7 +383,8 @@
 		if (to->replication_paused_term > from->term ||
 		    (to->replication_paused_term != 0 &&
 			to->term == from->term) ||
-		    proxy_model_chance(model, 300))
+		    proxy_model_chance(model, 300) ||
+		    !proxy_model_replicates(model, i))
 			continue;
 		to->replication_paused_term = 0;
 		to->term = from->term;
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -44,6 +44,9 @@
 	int64_t down_until_us;            /* handles no calls */
 	int64_t daemon_cut_until_us[DAEMONS_MAX]; /* no link to the daemon */
 	int64_t peers_cut_until_us;               /* no replication */
+	int64_t slow_until_us;                    /* replication is slow */
+	int64_t slow_us;                          /* time that it takes then */
+	int64_t replicated_us;                    /* its last arrival then */
 	int64_t restarted_us;                     /* time of the last restart */
 	/* since when an old primary reaches the newest; 0: not reached */
 	int64_t new_primary_seen_us;
@@ -169,8 +172,10 @@
 	bool denied[DBS_MAX]; /* another process has answered in its place */
 	int64_t added_us[DBS_MAX]; /* time it was added to the group */
 	int64_t listed_us;         /* time of the first list; 0: none yet */
-	int64_t born_us[DBS_MAX];  /* as the databases have answered, or as
-				      listed */
+	int64_t list_read_us;      /* time of the last one */
+	int64_t listed_since_us[DBS_MAX]; /* time since which it has each id */
+	int64_t born_us[DBS_MAX]; /* as the databases have answered, or as
+				     listed */
 } proxy_model_daemon_t;
 
 typedef enum event_kind {
@@ -241,10 +246,12 @@
 	int64_t until_us;  /* its end; 0: it has not begun */
 	int64_t leaves_us; /* time at which the primary leaves */
 	int64_t silent_us; /* time at which members that leave are cut off */
+	int64_t behind_us; /* time at which former members fall behind */
 	int64_t cut_us;    /* time at which the primary is cut off */
 	int64_t store_us;  /* time at which the store is back; 0: it is not */
 	uint32_t daemon;   /* the daemon that is alone */
 	uint32_t primary;
+	bool cut; /* the primary has been cut off */
 } members_sequence_t;
 
 typedef struct proxy_model {
@@ -314,6 +321,10 @@
 void proxy_model_lists_init(proxy_model_t *, proxy_model_daemon_t *);
 void proxy_model_lists_tick(proxy_model_t *, uint32_t daemon);
 void proxy_model_list_troubles(proxy_model_t *);
+int64_t proxy_model_list_until_us(
+    const proxy_model_t *, const proxy_model_daemon_t *);
+bool proxy_model_newly_listed(
+    const proxy_model_t *, const proxy_model_daemon_t *, uint32_t db);
 void proxy_model_entry_lost(proxy_model_t *, uint32_t db, int64_t until_us);
 void proxy_model_denied(proxy_model_t *, proxy_model_daemon_t *, uint32_t db);
 bool proxy_model_member_ended(
@@ -330,8 +341,12 @@
 void proxy_model_members_record(
     proxy_model_t *, proxy_model_daemon_t *, uint64_t term);
 uint32_t proxy_model_first_members(const proxy_model_plan_t *);
+bool proxy_model_added_later(const proxy_model_t *, uint32_t db);
 void proxy_model_members_init(proxy_model_t *);
 void proxy_model_members_tick(proxy_model_t *, uint32_t daemon);
+bool proxy_model_members_begun(const proxy_model_t *);
+void proxy_model_members_revoked(proxy_model_t *, uint32_t daemon);
+bool proxy_model_replicates(proxy_model_t *, uint32_t db);
 int64_t proxy_model_checked_us(
     const proxy_model_t *, const proxy_model_daemon_t *);
 void proxy_model_write_order(
--- a/tools/proxy_model_lists.c
+++ b/tools/proxy_model_lists.c
@@ -153,7 +153,7 @@
 	proxy_model_members_update(model, daemon);
 	lease_cancel(&daemon->lease);
 	if (lost)
-		lease_member_lost(&daemon->lease);
+		lease_member_lost(&daemon->lease, true);
 }
 
 /*
@@ -205,6 +205,8 @@
 	    (model->plan->injected_bug == PROXY_BUG_REFUSED_ENDS &&
 		start_likely_ended(&evidence)))
 		member_gone(daemon, db);
+	else
+		lease_member_lost(&daemon->lease, false);
 	daemon->member_refused[db] = removed_by_bug(model, &evidence);
 	daemon->member_dropped[db] = start_removal(&evidence) == START_SILENT;
 	return false;
@@ -212,10 +214,14 @@
 
 /*
  * Add a database to the group of a daemon, which has not asked it yet.
+ * started: an earlier start of it under the same id was in the group.
  */
 static void
-add_server(proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db)
+add_server(proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db,
+    bool started)
 {
+	if (!started)
+		daemon->listed_since_us[db] = model->now_us;
 	daemon->born_us[db] = model->dbs[db].listed_start_us;
 	daemon->unlisted[db] = daemon->denied[db] = false;
 	daemon->status_pending[db] = false;
@@ -235,7 +241,8 @@
 	uint32_t i, count = 0, before = daemon->failover.count;
 	int32_t old_index[DBS_MAX];
 	uint32_t dbs[DBS_MAX];
-	bool kept[DBS_MAX] = {false}, changed = false;
+	bool kept[DBS_MAX] = {false}, started[DBS_MAX] = {false};
+	bool changed = false;
 
 	for (i = 0; i < before; i++) {
 		uint32_t db = daemon->servers[i];
@@ -244,6 +251,9 @@
 		bool followed = listed &&
 		    model->dbs[db].listed_start_us != daemon->born_us[db];
 
+		started[db] = followed && !model->dbs[db].new_id;
+		if (listed && daemon->unlisted[db])
+			daemon->listed_since_us[db] = model->now_us;
 		if (!keep_server(model, daemon, i, listed, followed))
 			continue;
 		kept[db] = true;
@@ -254,11 +264,12 @@
 	for (i = 0; i < model->plan->databases; i++) {
 		if (kept[i] || !has_entry(model, i))
 			continue;
-		add_server(model, daemon, i);
+		add_server(model, daemon, i, started[i]);
 		old_index[count] = -1;
 		dbs[count++] = i;
 		changed = true;
 	}
+	daemon->list_read_us = model->now_us;
 	if (daemon->listed_us == 0) {
 		daemon->listed_us = model->now_us;
 		daemon->lease.watched_since_us = model->now_us;
@@ -291,6 +302,35 @@
 		replace_servers(model, daemon, dbs, old_index, count, true);
 }
 
+/*
+ * Return the time until which the list of a daemon shows all databases that may
+ * have been promoted; 0: it does not change.
+ */
+int64_t
+proxy_model_list_until_us(
+    const proxy_model_t *model, const proxy_model_daemon_t *daemon)
+{
+	if (!proxy_model_has_lists(model->plan) ||
+	    model->plan->injected_bug == PROXY_BUG_OLD_LIST)
+		return 0;
+	return daemon->listed_us == 0 ? 1
+				      : daemon->list_read_us + LIST_VALID_US;
+}
+
+/*
+ * Tell whether a daemon has listed a database so recently that others may not
+ * know of it.
+ */
+bool
+proxy_model_newly_listed(
+    const proxy_model_t *model, const proxy_model_daemon_t *daemon, uint32_t db)
+{
+	return proxy_model_has_lists(model->plan) &&
+	    model->plan->injected_bug != PROXY_BUG_NEW_PROMOTED &&
+	    model->now_us - daemon->listed_since_us[db] <
+	    new_database_us(daemon->lease_durations.long_us);
+}
+
 /*
  * Have a daemon read the list at random, and note what has ended.
  */
@@ -311,6 +351,8 @@
 		db_view_t *view = &daemon->failover.views[i];
 
 		view->unlisted = daemon->unlisted[daemon->servers[i]];
+		view->newly_listed =
+		    proxy_model_newly_listed(model, daemon, daemon->servers[i]);
 		view->likely_ended = start_likely_ended(&evidence);
 	}
 }
--- a/tools/proxy_model_members.c
+++ b/tools/proxy_model_members.c
@@ -8,7 +8,10 @@
  * entries; others say that they leave, lose their entries, and are reached by
  * this daemon alone.  The coordinator records that, in most cases.  Then the
  * primary, and others so that they are a majority of the former members, are
- * reached by this daemon alone, and the other databases by the others.
+ * reached by this daemon alone, and the other databases by the others.  Or the
+ * primary alone is, and the other former members, which all daemons reach,
+ * follow a new primary late or not at all: their promises are gone before they
+ * know of it.
  */
 
 /* Time after the start of a run before which the sequence does not begin. */
@@ -27,6 +30,9 @@
 /* Time in which a primary that leaves hands over. */
 #define HANDOVER_US (3 * US_PER_SECOND)
 
+/* Time for which members fall behind before the primary is cut off. */
+#define BEHIND_US (200 * US_PER_MS)
+
 /* Time for which the primary is cut off. */
 #define CUT_US (8 * US_PER_SECOND)
 
@@ -40,6 +46,16 @@
 	return plan->databases - plan->troubles.members.added;
 }
 
+/*
+ * Tell whether a database has not been added to the group yet.
+ */
+bool
+proxy_model_added_later(const proxy_model_t *model, uint32_t db)
+{
+	return db >= proxy_model_first_members(model->plan) &&
+	    model->members_sequence.until_us == 0;
+}
+
 /*
  * Take the entries of the databases that are added later.
  */
@@ -109,7 +125,8 @@
 }
 
 /*
- * Have the daemon lose the store and the other daemons.
+ * Have the daemon lose the store, and the other daemons if it is not told of a
+ * revocation first.
  */
 static void
 cut_daemon(proxy_model_t *model)
@@ -117,7 +134,8 @@
 	members_sequence_t *sequence = &model->members_sequence;
 	proxy_model_daemon_t *daemon = &model->daemons[sequence->daemon];
 
-	daemon->daemons_cut_until_us = sequence->until_us;
+	if (!model->plan->troubles.members.told)
+		daemon->daemons_cut_until_us = sequence->until_us;
 	daemon->object_store_cut_until_us = sequence->until_us;
 }
 
@@ -138,6 +156,7 @@
 	    daemon->is_coordinator || primary < 0 ||
 	    daemon->lease.expires_us <= model->now_us ||
 	    daemon->lease.term != model->newest_term ||
+	    (change->first_unrecorded && daemon->members.now.count > 0) ||
 	    !proxy_model_chance(model, change->permille))
 		return;
 	model->result->troubles++;
@@ -145,6 +164,7 @@
 	sequence->primary = (uint32_t)primary;
 	sequence->cut_us = model->now_us + ADDED_MIN_US +
 	    proxy_model_random_us(model, ADDED_SPREAD_US);
+	sequence->cut_us += change->wait_us;
 	if (change->dropped > 0)
 		sequence->cut_us += DROPPED_AFTER_US;
 	if (proxy_model_chance(model, change->unrecorded_permille))
@@ -154,6 +174,11 @@
 		sequence->leaves_us = sequence->cut_us;
 		sequence->cut_us += HANDOVER_US;
 	}
+	sequence->behind_us = INT64_MAX;
+	if (change->former_reached) {
+		sequence->behind_us = sequence->cut_us;
+		sequence->cut_us += BEHIND_US;
+	}
 	sequence->until_us =
 	    sequence->cut_us + CUT_US + proxy_model_random_us(model, CUT_US);
 	cut_daemon(model);
@@ -164,23 +189,71 @@
 	change_lists(model);
 }
 
+/*
+ * Have the former members other than the primary get no replication, or get it
+ * late.  They fall behind, so that one of the others is promoted.
+ */
+static void
+cut_replication(proxy_model_t *model)
+{
+	int64_t slow_max_us = model->plan->troubles.members.slow_max_us;
+	members_sequence_t *sequence = &model->members_sequence;
+	uint32_t i, first = proxy_model_first_members(model->plan);
+
+	for (i = 1; i < first; i++) {
+		proxy_model_db_t *db =
+		    &model->dbs[(sequence->primary + i) % first];
+
+		if (slow_max_us == 0) {
+			db->peers_cut_until_us = sequence->until_us;
+			continue;
+		}
+		db->slow_until_us = sequence->until_us;
+		db->slow_us = proxy_model_random_us(model, slow_max_us);
+		db->replicated_us = model->now_us;
+	}
+	sequence->behind_us = INT64_MAX;
+}
+
+/*
+ * Tell whether replication arrives at a database.  Where that is slow, it takes
+ * its time after the last arrival, and after a promotion.
+ */
+bool
+proxy_model_replicates(proxy_model_t *model, uint32_t db_index)
+{
+	proxy_model_db_t *db = &model->dbs[db_index];
+	int64_t since_us = db->replicated_us;
+
+	if (model->now_us >= db->slow_until_us)
+		return true;
+	if (model->terms_us->len > 0)
+		since_us = MAX(since_us,
+		    g_array_index(
+			model->terms_us, int64_t, model->terms_us->len - 1));
+	if (model->now_us - since_us < db->slow_us)
+		return false;
+	db->replicated_us = model->now_us;
+	return true;
+}
+
 /*
  * Have the primary, and others so that they are a majority of the members from
  * the start, be reached by the daemon alone, and the other databases by the
- * other daemons.
+ * other daemons; or the primary alone, and the other former members by all.
  */
 static void
 cut_primary(proxy_model_t *model)
 {
 	const proxy_model_plan_t *plan = model->plan;
+	const proxy_model_members_change_t *change = &plan->troubles.members;
 	members_sequence_t *sequence = &model->members_sequence;
 	uint32_t i, first = proxy_model_first_members(plan);
-	uint32_t left = majority_of(first);
+	uint32_t left = change->former_reached ? 1 : majority_of(first);
 	int32_t primary = proxy_model_newest_primary(model);
 
 	/* after a handover to a new database there is no such majority */
-	if (model->plan->troubles.members.handover && primary >= 0 &&
-	    (uint32_t)primary < first)
+	if (change->handover && primary >= 0 && (uint32_t)primary < first)
 		sequence->primary = (uint32_t)primary;
 	for (i = 0; i < first; i++) {
 		uint32_t db = (sequence->primary + i) % first;
@@ -188,7 +261,7 @@
 		if (i < left)
 			cut_off(
 			    model, db, sequence->daemon, sequence->until_us);
-		else
+		else if (!change->former_reached)
 			model->dbs[db].daemon_cut_until_us[sequence->daemon] =
 			    sequence->until_us;
 	}
@@ -196,6 +269,7 @@
 		model->dbs[i].daemon_cut_until_us[sequence->daemon] =
 		    sequence->until_us;
 	sequence->cut_us = INT64_MAX;
+	sequence->cut = true;
 }
 
 /*
@@ -225,6 +299,8 @@
 		silence_leaving(model);
 	if (model->now_us >= sequence->leaves_us)
 		hand_over(model);
+	if (model->now_us >= sequence->behind_us)
+		cut_replication(model);
 	if (model->now_us >= sequence->cut_us)
 		cut_primary(model);
 	if (sequence->store_us != 0 && model->now_us >= sequence->store_us) {
@@ -234,6 +310,36 @@
 	}
 }
 
+/*
+ * Tell whether members may be recorded: where none are at first, the databases
+ * must have been added, and the primary be cut off if that is long after.
+ */
+bool
+proxy_model_members_begun(const proxy_model_t *model)
+{
+	const proxy_model_members_change_t *change =
+	    &model->plan->troubles.members;
+	const members_sequence_t *sequence = &model->members_sequence;
+
+	return !change->first_unrecorded || sequence->cut ||
+	    (sequence->until_us != 0 && change->wait_us == 0);
+}
+
+/*
+ * Handle that a daemon has confirmed a revocation.  The one of the sequence is
+ * alone from then on, if the primary has been cut off.
+ */
+void
+proxy_model_members_revoked(proxy_model_t *model, uint32_t daemon)
+{
+	const members_sequence_t *sequence = &model->members_sequence;
+
+	if (!model->plan->troubles.members.told || !sequence->cut ||
+	    daemon != sequence->daemon || model->now_us >= sequence->until_us)
+		return;
+	model->daemons[daemon].daemons_cut_until_us = sequence->until_us;
+}
+
 /*
  * Tell whether two sets of members are the same.
  */
@@ -299,6 +405,29 @@
 	    lease_newest_term(&daemon->lease), daemon->failover.reported_term);
 }
 
+/*
+ * Return the members that leases may rest on where the record has none: those
+ * that a daemon has known, or the databases that each daemon should know.
+ */
+static member_set_t
+members_before(const proxy_model_t *model, const proxy_model_daemon_t *daemon)
+{
+	member_set_t before = daemon->members.now;
+	uint32_t i;
+
+	if (before.count > 0 || !proxy_model_has_lists(model->plan))
+		return before;
+	for (i = 0; i < daemon->failover.count; i++) {
+		uint32_t db = daemon->servers[i];
+
+		before.member[db] =
+		    !proxy_model_newly_listed(model, daemon, db);
+		before.born_us[db] = daemon->born_us[db];
+		before.count += before.member[db];
+	}
+	return before;
+}
+
 /*
  * Replace the recorded members, and keep the former ones as long as leases may
  * rest on them.  If there is no room, nothing changes.
@@ -312,7 +441,9 @@
 	recorded_members_t next = {.now = *members};
 	uint64_t from =
 	    former_members_from(&model->orders, newest_known(daemon));
-	member_set_t before = recorded->now;
+	member_set_t before = recorded->now.count > 0
+	    ? recorded->now
+	    : members_before(model, daemon);
 	uint32_t i;
 
 	before.until_term = former_members_until(&model->orders, term, 0);
@@ -380,5 +511,11 @@
 	}
 	if (daemon->failover.members_ended > 0)
 		list[count++] = former_of(model, daemon, &recorded->now);
+	if (recorded->now.count == 0) {
+		member_set_t before = members_before(model, daemon);
+
+		list[count] = former_of(model, daemon, &before);
+		count += before.count > 0;
+	}
 	failover_set_former(&daemon->failover, list, count, model->now_us);
 }
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -327,6 +327,7 @@
 	int32_t primary = failover_primary(failover);
 
 	if (model->plan->pauses_last || primary < 0 ||
+	    !proxy_model_members_begun(model) ||
 	    failover->state != FAILOVER_STEADY ||
 	    daemon->lease.expires_us <= model->now_us ||
 	    daemon->lease.term != failover->views[primary].promised ||
