Coordinator: keep the role of one that the store did not answer

Callers were refused for up to 7 s after the store and the primary were back. A coordinator that wants to end the pauses of a failed attempt has the store confirm it; without an answer it gives up the role and the attempt, and the pauses stay, so that no daemon has a lease. When the store answered again nobody asked: the coordinator and all others count a sign of a failover as the work of a coordinator for 5.9 to 6.5 s (STUCK_TAKEOVER_US and the delay) after the primary answers, and for the duration of a lease longer after the last sign. The one that took the role, mostly the same daemon, did so with a new token, and waited 3.5 s for orders of a former coordinator before it ended the pauses.

A coordinator that has given up the role without an answer reads the record as soon as the store answers any call. If the record still has its token, and no newer one or return of the store is known, no other daemon can have had the role: it has the role as before, and there are no other orders to wait for. Otherwise the read takes nothing that the pool does not want. The delays of the other daemons are as before.

Fail before: /coordinator/resumed (5 of 10 rows), /proxy/release (2 of 5). t_coordinator, t_monitor, t_old_primary and t_restored pass.

--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -168,7 +168,7 @@
 	bool first = registry->highest_token == 0 &&
 	    registry->store_era <= STORE_ERA_FIRST;
 
-	registry->coordinator_call_pending = false;
+	registry->coordinator_call_pending = registry->role_wanted = false;
 	coordinator_note_record(registry, status, response, record);
 	if (record != NULL)
 		orders_report_token(registry, record);
@@ -310,13 +310,29 @@
 		coordinator_update_orders(registry);
 }
 
+/*
+ * Tell whether the record still has the token with which this process is or was
+ * the coordinator.  Then no other daemon has had the role since: this one had
+ * given it up only because the store did not answer.
+ */
+static bool
+token_kept(const registry_t *registry, const Bp__DutyRecord *record)
+{
+	return coordinator_is_named(registry, record) &&
+	    (record->token == registry->fencing_token ||
+		(record->token == registry->written_token &&
+		    token_is_newest(registry, record->token)));
+}
+
 /*
  * Handle the coordinator record, read because the pool wants to change a
- * primary.  The coordinator only verifies that the record still has its token.
- * Any other daemon takes over the role with a higher token, unless the token
- * has changed since that daemon last read it, so that a new coordinator has
- * time to act.  A restarted daemon that the record names takes over at once.
- * A record that cannot be read is replaced by the one that wrote the last.
+ * primary, or to resume the role.  The coordinator, also one that has given the
+ * role up without an answer of the store, only verifies that the record still
+ * has its token.  Any other daemon takes over the role with a higher token, if
+ * the pool wants it, unless the token has changed since that daemon last read
+ * it, so that a new coordinator has time to act.  A restarted daemon that the
+ * record names takes over at once.  A record that cannot be read is replaced by
+ * the one that wrote the last.
  */
 static void
 on_coordinator_read(void *context, const object_store_response_t *response)
@@ -327,21 +343,21 @@
 	arena_t *arena = arena_new();
 	Bp__DutyRecord *record = coordinator_record(registry, response, arena);
 	uint64_t known_token = registry->coordinator_token;
+	bool wanted = registry->role_wanted;
 
-	registry->coordinator_call_pending = false;
+	registry->coordinator_call_pending = registry->role_wanted = false;
 	coordinator_note_record(registry, status, response, record);
 	if (status == OBJECT_STORE_NOT_FOUND) {
 		restore_forget(registry);
 		coordinator_write(registry, 0, 0);
-	} else if (status == OBJECT_STORE_OK &&
-	    coordinator_is_named(registry, record) &&
-	    record->token == registry->fencing_token) {
+	} else if (status == OBJECT_STORE_OK && token_kept(registry, record)) {
+		registry->fencing_token = record->token;
 		coordinator_send_changed(registry, true);
 		if (!orders_recorded(registry, record))
 			coordinator_update_orders(registry);
 	} else if (status == OBJECT_STORE_OK && record != NULL &&
 	    (coordinator_is_named(registry, record) ||
-		record->token == known_token)) {
+		(wanted && record->token == known_token))) {
 		orders_take(registry, record);
 		coordinator_write(
 		    registry, response->list[0].revision, record->token);
@@ -354,10 +370,10 @@
 }
 
 /*
- * Read the coordinator record, to take the role or to verify it.
+ * Read the coordinator record, unless it is being read or written.
  */
-void
-coordinator_read(registry_t *registry)
+static void
+read_record(registry_t *registry)
 {
 	if (registry->coordinator_call_pending)
 		return;
@@ -366,6 +382,28 @@
 	    COORDINATOR_OBJECT_NAME, on_coordinator_read, registry);
 }
 
+/*
+ * Read the coordinator record, to take the role or to verify it.
+ */
+void
+coordinator_read(registry_t *registry)
+{
+	registry->role_wanted = true;
+	read_record(registry);
+}
+
+/*
+ * Read the coordinator record, since the store answers again, if this process
+ * has given up the role without its answer and may still be named in it.
+ */
+void
+coordinator_resume(registry_t *registry)
+{
+	if (registry->fencing_token == 0 && registry->written_token != 0 &&
+	    token_is_newest(registry, registry->written_token))
+		read_record(registry);
+}
+
 /*
  * Handle DutyWanted: the pool wants to change a primary, or to verify that
  * this daemon is still the coordinator.
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -237,14 +237,15 @@
 
 /*
  * Handle DutyChanged: note whether this daemon is the coordinator, according to
- * the coordinator record.
+ * the coordinator record.  One that has the role again under its last token has
+ * no orders of another one to wait for.
  */
 static void
 on_coordinator_changed(void *context, msg_t *msg)
 {
 	const Bp__DutyChanged *changed = (const Bp__DutyChanged *)msg->body;
 	pool_t *pool = context;
-	bool began = changed->held && changed->token != pool->fencing_token;
+	bool began = changed->held && changed->token != pool->last_token;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -255,8 +256,10 @@
 		pool->coordinator_since_us = changed->first ? 0 : clock_us();
 	pool->first_coordinator |= began && changed->first;
 	pool->fencing_token = changed->token;
-	if (changed->held)
+	if (changed->held) {
+		pool->last_token = changed->token;
 		pool->coordinator_confirmed_us = clock_us();
+	}
 	pool->coordinator_check_pending = false;
 	g_hash_table_iter_init(&iter, pool->groups);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -407,6 +407,7 @@
 	bool is_coordinator;
 	bool first_coordinator; /* nobody was the coordinator before */
 	uint64_t fencing_token; /* token of this daemon's coordinator role */
+	uint64_t last_token;    /* with which it has last had the role */
 	bool coordinator_check_pending; /* a request to check or take the role
 					   is outstanding */
 	/* time that the coordinator has for a change of primary before this
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -76,6 +76,8 @@
 	uint64_t fencing_token; /* token of the coordinator role; 0: not held */
 	bool coordinator_call_pending; /* the coordinator record is being read
 					  or written */
+	bool role_wanted; /* take the role if the record that is being read
+			     allows it */
 	uint64_t coordinator_revision; /* last known revision of the record */
 	uint64_t coordinator_token;    /* last known token in the record */
 	uint64_t highest_token; /* highest that this or another daemon knows */
@@ -158,6 +160,7 @@
 void coordinator_check(void *registry, msg_t *);
 void coordinator_store_restored(registry_t *);
 void coordinator_read(registry_t *);
+void coordinator_resume(registry_t *);
 void coordinator_put_record(registry_t *, uint64_t revision, uint64_t token,
     object_store_cb, void *context);
 void coordinator_note_record(registry_t *, object_store_status_t,
--- a/src/proxy/store_era.c
+++ b/src/proxy/store_era.c
@@ -70,13 +70,16 @@
 {
 	bool failed = response->status == OBJECT_STORE_NO_RESPONSE ||
 	    response->status == OBJECT_STORE_REFUSED;
+	bool recovered = !failed && registry->store_failing;
 
 	if (failed && registry->store_first_away_us == 0)
 		registry->store_first_away_us = clock_us();
-	if (!failed && registry->store_failing)
+	if (recovered)
 		registry->store_recovered_us = clock_us();
 	registry->store_failing = failed;
 	store_era_reached(registry, response->era);
+	if (recovered)
+		coordinator_resume(registry);
 	return response->era != 0 && response->era < registry->store_era
 	    ? OBJECT_STORE_NO_RESPONSE
 	    : response->status;
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -187,6 +187,7 @@
     {&bp__promises_wanted__descriptor, check_promises},
     {&bp__orders_read__descriptor, drop},
     {&bp__revoke_wanted__descriptor, drop},
+    {&bp__attempts_void__descriptor, drop},
 };
 static const task_ops_t host_ops = {"host", NULL, NULL, NULL, 0};
 static const task_ops_t dropping_ops = {
@@ -1327,6 +1328,163 @@
 	bed_stop(&bed);
 }
 
+/* Reads of the record that the store has not answered, oldest first. */
+typedef struct held_read {
+	object_store_cb callback;
+	void *context;
+	int64_t sent_us;
+} held_read_t;
+
+static GQueue held_reads = G_QUEUE_INIT;
+
+/*
+ * Hold a read of the record.
+ */
+static void
+hold_read(object_store_t *store, object_kind_t kind, const char *name,
+    object_store_cb callback, void *context)
+{
+	held_read_t read = {callback, context, clock_us()};
+
+	(void)store;
+	(void)kind;
+	(void)name;
+	g_queue_push_tail(&held_reads, g_memdup2(&read, sizeof(read)));
+}
+
+/* The last age of the recorded orders that was reported. */
+static int64_t last_read_us;
+
+/*
+ * Note when the orders that are reported were asked for.
+ */
+static void
+note_orders_read(void *context, msg_t *msg)
+{
+	(void)context;
+	last_read_us = (int64_t)((const Bp__OrdersRead *)msg->body)->read_us;
+	msg_free(msg);
+}
+
+static const task_handler_t read_handlers[] = {
+    {&bp__orders_read__descriptor, note_orders_read},
+    {&bp__token_read__descriptor, drop},
+};
+static const task_ops_t reading_ops = {
+    "reader", NULL, NULL, read_handlers, G_N_ELEMENTS(read_handlers)};
+
+/* What the store tells of the record after it has not answered. */
+typedef struct resumed_case {
+	const char *name;
+	bool wanted;        /* the pool asks for the role */
+	const char *holder; /* in the record; NULL: there is none */
+	uint64_t token;     /* in the record */
+	uint64_t told;      /* by another daemon; 0: none */
+	uint64_t era;       /* of the store */
+	uint64_t written;   /* token in the write that follows; 0: none */
+	uint64_t held;      /* token of the role before that write; 0: none */
+} resumed_case_t;
+
+/* Token and revision of the record before that. */
+#define HELD_TOKEN 5
+#define HELD_REVISION 2
+
+/* Lowest token of the second era of the store. */
+#define SECOND_ERA_TOKEN (UINT64_C(1) << 40)
+
+static const resumed_case_t resumed_cases[] = {
+    {"the token is the same", false, "this", HELD_TOKEN, 0, 1, 0, HELD_TOKEN},
+    {"the token is the same, and the role is wanted", true, "this", HELD_TOKEN,
+	0, 1, 0, HELD_TOKEN},
+    {"another token of this daemon", false, "this", 6, 0, 1, 7, 0},
+    {"another daemon has followed", false, "other", 6, 0, 1, 0, 0},
+    {"another daemon has followed, and the role is wanted", true, "other", 6, 0,
+	1, 0, 0},
+    {"another daemon has the same token", false, "other", HELD_TOKEN, 0, 1, 0,
+	0},
+    {"a newer token was told", false, "this", HELD_TOKEN, 7, 1, 0, 0},
+    {"a newer token was told, and the role is wanted", true, "this", HELD_TOKEN,
+	7, 1, 8, 0},
+    {"the store came back from an older copy", true, "this", HELD_TOKEN, 0, 2,
+	SECOND_ERA_TOKEN + HELD_REVISION + 2, 0},
+    {"the record was deleted, and the role is wanted", true, NULL, 0, 0, 1,
+	HELD_TOKEN + 1, 0},
+};
+
+/*
+ * Answer the oldest read of the record that is held.
+ */
+static void
+answer_held_read(const object_store_response_t *response)
+{
+	held_read_t *read = g_queue_pop_head(&held_reads);
+
+	g_assert_nonnull(read);
+	if (read != NULL)
+		read->callback(read->context, response);
+	g_free(read);
+}
+
+/*
+ * Test that a coordinator which has given up the role because the store did not
+ * answer has it again, under the same token, once the store answers and the
+ * record is still its own, and that it takes no new token unless the role is
+ * wanted.
+ */
+static void
+test_resumed(gconstpointer data)
+{
+	static const object_store_ops_t ops = {
+	    .put_coordinator = put_coordinator,
+	    .read_coordinator = read_coordinator,
+	    .get = hold_read};
+	const resumed_case_t *c = data;
+	msg_t *told = msg_new(&bp__token_seen__descriptor);
+	Bp__DutyRecord record = BP__DUTY_RECORD__INIT;
+	object_t object = {.name = "promotion",
+	    .revision = HELD_REVISION + 1,
+	    .content = &record};
+	object_store_response_t silent = {OBJECT_STORE_NO_RESPONSE};
+	object_store_response_t listed = {
+	    OBJECT_STORE_OK, NULL, 0, HELD_REVISION, c->era};
+	object_store_response_t response = {
+	    c->holder == NULL ? OBJECT_STORE_NOT_FOUND : OBJECT_STORE_OK,
+	    &object, c->holder != NULL, object.revision, c->era};
+	bed_t bed;
+	registry_t *registry = bed_start(&bed, &ops, &reading_ops);
+
+	registry->store_era = 1;
+	coordinator_write(registry, 0, HELD_TOKEN - 1);
+	answer_last_write(OBJECT_STORE_OK, "this", HELD_TOKEN, HELD_REVISION);
+	coordinator_check(registry, msg_new(&bp__duty_wanted__descriptor));
+	store_response_status(registry, &silent);
+	answer_held_read(&silent);
+	bed_run(&bed);
+	g_assert_false(last_duty.held);
+	((Bp__TokenSeen *)told->body)->token = c->told;
+	token_seen(registry, told);
+	last_write.count = 0;
+	store_response_status(registry, &listed);
+	if (c->wanted)
+		coordinator_check(
+		    registry, msg_new(&bp__duty_wanted__descriptor));
+	record.holder = (char *)c->holder;
+	record.token = c->token;
+	/* not read if the token cannot be the newest one */
+	g_assert_cmpint(
+	    g_queue_get_length(&held_reads), ==, c->wanted || c->told == 0);
+	if (!g_queue_is_empty(&held_reads))
+		answer_held_read(&response);
+	bed_run(&bed);
+	g_assert_cmpuint(last_write.count, ==, c->written != 0);
+	if (c->written != 0)
+		g_assert_cmpuint(last_write.token, ==, c->written);
+	g_assert_cmpint(last_duty.held, ==, c->held != 0);
+	g_assert_cmpuint(last_duty.token, ==, c->held);
+	g_assert_cmpuint(registry->fencing_token, ==, c->held);
+	bed_stop(&bed);
+}
+
 typedef struct older_order_case {
 	const char *name;
 	uint64_t learned_term; /* attempt of the order that is learned */
@@ -1386,51 +1544,6 @@
 	bed_stop(&bed);
 }
 
-/* Reads of the record that the store has not answered, oldest first. */
-typedef struct held_read {
-	object_store_cb callback;
-	void *context;
-	int64_t sent_us;
-} held_read_t;
-
-static GQueue held_reads = G_QUEUE_INIT;
-
-/*
- * Hold a read of the record.
- */
-static void
-hold_read(object_store_t *store, object_kind_t kind, const char *name,
-    object_store_cb callback, void *context)
-{
-	held_read_t read = {callback, context, clock_us()};
-
-	(void)store;
-	(void)kind;
-	(void)name;
-	g_queue_push_tail(&held_reads, g_memdup2(&read, sizeof(read)));
-}
-
-/* The last age of the recorded orders that was reported. */
-static int64_t last_read_us;
-
-/*
- * Note when the orders that are reported were asked for.
- */
-static void
-note_orders_read(void *context, msg_t *msg)
-{
-	(void)context;
-	last_read_us = (int64_t)((const Bp__OrdersRead *)msg->body)->read_us;
-	msg_free(msg);
-}
-
-static const task_handler_t read_handlers[] = {
-    {&bp__orders_read__descriptor, note_orders_read},
-    {&bp__token_read__descriptor, drop},
-};
-static const task_ops_t reading_ops = {
-    "reader", NULL, NULL, read_handlers, G_N_ELEMENTS(read_handlers)};
-
 #define READS_MAX 3
 
 typedef struct read_age_case {
@@ -1664,6 +1777,7 @@
 	CASES("/coordinator/role-again", role_again_cases, test_role_again);
 	CASES("/coordinator/unreadable", unreadable_cases, test_unreadable);
 	CASES("/coordinator/denied", denied_cases, test_denied);
+	CASES("/coordinator/resumed", resumed_cases, test_resumed);
 	CASES("/coordinator/heard", heard_cases, test_heard);
 	CASES("/coordinator/older-order", older_order_cases, test_older_order);
 	CASES("/coordinator/confirmed", confirmed_cases, test_confirmed);
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -1655,15 +1655,24 @@
 typedef struct resume_case {
 	const char *name;
 	const char *coordinator_record; /* NULL: as the proxy wrote it */
-	bool resumed;                   /* replication is resumed */
+	/* of the store, for STORE_FAULT_MS from before the pause; NULL: none */
+	const char *store_fault;
+	bool resumed; /* replication is resumed */
 } resume_case_t;
 
 static const resume_case_t resume_cases[] = {
-    {"by the coordinator", NULL, true},
-    {"not by a former coordinator", "{\"holder\":\"other\",\"token\":5}",
+    {"by the coordinator", NULL, NULL, true},
+    {"by the coordinator, once the store is back", NULL, "busy", true},
+    {"by the coordinator, once the store answers", NULL, "silent", true},
+    {"not by a former coordinator", "{\"holder\":\"other\",\"token\":5}", NULL,
 	false},
+    {"not by a former coordinator, once the store is back",
+	"{\"holder\":\"other\",\"token\":5}", "busy", false},
 };
 
+/* Time for the coordinator to find that the store does not answer. */
+#define STORE_FAULT_MS 2000
+
 /* Time in which the coordinator resumes replication. */
 #define RESUME_WAIT_MS 3000
 
@@ -1686,10 +1695,16 @@
 	if (c->coordinator_record != NULL)
 		testbed_put_object(testbed, "bergamotplank-duties", "promotion",
 		    c->coordinator_record);
+	if (c->store_fault != NULL)
+		testbed_inject_fault(testbed, "store", c->store_fault, -1);
 	database = client_connect(testbed->first_database_port + 1);
 	client_send(database, "START ledger test i-1\r\n", 23);
 	g_free(client_read_line(database, ANSWER_TIMEOUT_MS));
 	client_expect(database, "PAUSE 2", "ROW replica 1 ");
+	if (c->store_fault != NULL) {
+		g_usleep(STORE_FAULT_MS * US_PER_MS);
+		testbed_inject_fault(testbed, "store", "up", -1);
+	}
 	g_usleep(RESUME_WAIT_MS * US_PER_MS);
 	answer = client_query(database, "STATUS", ANSWER_TIMEOUT_MS);
 	g_assert_nonnull(answer);
