Coordinator: learn that the store is back after a failed listing

A coordinator that cannot list the daemons for a revocation takes the store to be away, and withdraws no promises, until it is told of a record that was read. The pool asks for one only while its own lease lacks the recorded orders. Where promises block the lease before that, it never asks: they stay, and nobody has a lease, until another daemon takes the role.

The registry notes that it has said so, and the coordinator reads the record as soon as the store answers any call; it reports the orders if none are missing from it, as one that has its role again after such a time does. A coordinator to which that does not apply reads nothing more than before.

--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -353,7 +353,10 @@
 	} else if (status == OBJECT_STORE_OK && token_kept(registry, record)) {
 		registry->fencing_token = record->token;
 		coordinator_send_changed(registry, true);
-		if (!orders_recorded(registry, record))
+		if (orders_recorded(registry, record))
+			orders_report(
+			    registry, record, registry->coordinator_sent_us);
+		else
 			coordinator_update_orders(registry);
 	} else if (status == OBJECT_STORE_OK && record != NULL &&
 	    (coordinator_is_named(registry, record) ||
@@ -378,6 +381,7 @@
 	if (registry->coordinator_call_pending)
 		return;
 	registry->coordinator_call_pending = true;
+	registry->coordinator_sent_us = clock_us();
 	registry->proxy->objects->get(registry->objects, OBJECT_COORDINATOR,
 	    COORDINATOR_OBJECT_NAME, on_coordinator_read, registry);
 }
@@ -393,14 +397,16 @@
 }
 
 /*
- * Read the coordinator record, since the store answers again, if this process
- * has given up the role without its answer and may still be named in it.
+ * Read the coordinator record, since the store answers again: if this process
+ * has given up the role without an answer and may still be named in it, or if
+ * it is the coordinator and takes the store to be away.
  */
 void
 coordinator_resume(registry_t *registry)
 {
-	if (registry->fencing_token == 0 && registry->written_token != 0 &&
-	    token_is_newest(registry, registry->written_token))
+	if (registry->fencing_token != 0 ? registry->away_told
+					 : registry->written_token != 0 &&
+		    token_is_newest(registry, registry->written_token))
 		read_record(registry);
 }
 
--- a/src/proxy/daemons.c
+++ b/src/proxy/daemons.c
@@ -566,6 +566,7 @@
 	registry->daemons_list_failed =
 	    store_response_status(registry, response) != OBJECT_STORE_OK;
 	if (registry->daemons_list_failed) {
+		registry->away_told = true;
 		task_send(registry->proxy->pool, registry->task,
 		    msg_new(&bp__store_away__descriptor));
 		log_line(LOG_PART, G_LOG_LEVEL_INFO,
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -348,6 +348,8 @@
 {
 	Bp__OrdersRead read = BP__ORDERS_READ__INIT;
 
+	if (read_us != 0 && !unrecorded)
+		registry->away_told = false;
 	read.read_us = (uint64_t)read_us;
 	read.has_unrecorded = 1;
 	read.unrecorded = unrecorded;
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -82,7 +82,9 @@
 	uint64_t coordinator_token;    /* last known token in the record */
 	uint64_t highest_token; /* highest that this or another daemon knows */
 	bool first_token;       /* no other one was known when it was chosen */
-	int64_t coordinator_sent_us; /* time of the last write that takes it */
+	int64_t coordinator_sent_us; /* time of the last read of the record to
+					take or verify the role, or of the last
+					write that takes it */
 	/* token and revision of the record with which this process last took
 	   the role, while no other one is known to have followed; 0: none */
 	uint64_t written_token;
@@ -104,6 +106,8 @@
 	bool order_sent;
 	/* the last listing of the daemons for a revocation has failed */
 	bool daemons_list_failed;
+	/* the pool was told that the store is away, and no record since */
+	bool away_told;
 	GList *pending_orders; /* of order_t: orders not answered yet */
 	/* records of the daemons; "the record" is that of this daemon */
 	bool daemons_list_ended; /* the first listing was answered, or failed */
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -181,13 +181,28 @@
 	msg_free(msg);
 }
 
+/* The last age of the recorded orders that was reported. */
+static int64_t last_read_us;
+
+/*
+ * Note when the orders that are reported were asked for.
+ */
+static void
+note_orders_read(void *context, msg_t *msg)
+{
+	(void)context;
+	last_read_us = (int64_t)((const Bp__OrdersRead *)msg->body)->read_us;
+	msg_free(msg);
+}
+
 static const task_handler_t pool_handlers[] = {
     {&bp__duty_changed__descriptor, note_duty},
     {&bp__promotion_ended__descriptor, note_ended},
     {&bp__promises_wanted__descriptor, check_promises},
-    {&bp__orders_read__descriptor, drop},
+    {&bp__orders_read__descriptor, note_orders_read},
     {&bp__revoke_wanted__descriptor, drop},
     {&bp__attempts_void__descriptor, drop},
+    {&bp__store_away__descriptor, drop},
 };
 static const task_ops_t host_ops = {"host", NULL, NULL, NULL, 0};
 static const task_ops_t dropping_ops = {
@@ -1352,20 +1367,6 @@
 	g_queue_push_tail(&held_reads, g_memdup2(&read, sizeof(read)));
 }
 
-/* The last age of the recorded orders that was reported. */
-static int64_t last_read_us;
-
-/*
- * Note when the orders that are reported were asked for.
- */
-static void
-note_orders_read(void *context, msg_t *msg)
-{
-	(void)context;
-	last_read_us = (int64_t)((const Bp__OrdersRead *)msg->body)->read_us;
-	msg_free(msg);
-}
-
 static const task_handler_t read_handlers[] = {
     {&bp__orders_read__descriptor, note_orders_read},
     {&bp__token_read__descriptor, drop},
@@ -1376,7 +1377,9 @@
 /* What the store tells of the record after it has not answered. */
 typedef struct resumed_case {
 	const char *name;
-	bool wanted;        /* the pool asks for the role */
+	bool given_up; /* the role, as the store did not answer; otherwise it
+			  did not list the daemons */
+	bool wanted;   /* the pool asks for the role */
 	const char *holder; /* in the record; NULL: there is none */
 	uint64_t token;     /* in the record */
 	uint64_t told;      /* by another daemon; 0: none */
@@ -1393,24 +1396,42 @@
 #define SECOND_ERA_TOKEN (UINT64_C(1) << 40)
 
 static const resumed_case_t resumed_cases[] = {
-    {"the token is the same", false, "this", HELD_TOKEN, 0, 1, 0, HELD_TOKEN},
-    {"the token is the same, and the role is wanted", true, "this", HELD_TOKEN,
-	0, 1, 0, HELD_TOKEN},
-    {"another token of this daemon", false, "this", 6, 0, 1, 7, 0},
-    {"another daemon has followed", false, "other", 6, 0, 1, 0, 0},
-    {"another daemon has followed, and the role is wanted", true, "other", 6, 0,
+    {"the role was not given up", false, false, "this", HELD_TOKEN, 0, 1, 0,
+	HELD_TOKEN},
+    {"the token is the same", true, false, "this", HELD_TOKEN, 0, 1, 0,
+	HELD_TOKEN},
+    {"the token is the same, and the role is wanted", true, true, "this",
+	HELD_TOKEN, 0, 1, 0, HELD_TOKEN},
+    {"another token of this daemon", true, false, "this", 6, 0, 1, 7, 0},
+    {"another daemon has followed", true, false, "other", 6, 0, 1, 0, 0},
+    {"another daemon has followed, and the role is wanted", true, true, "other",
+	6, 0, 1, 0, 0},
+    {"another daemon has the same token", true, false, "other", HELD_TOKEN, 0,
 	1, 0, 0},
-    {"another daemon has the same token", false, "other", HELD_TOKEN, 0, 1, 0,
-	0},
-    {"a newer token was told", false, "this", HELD_TOKEN, 7, 1, 0, 0},
-    {"a newer token was told, and the role is wanted", true, "this", HELD_TOKEN,
-	7, 1, 8, 0},
-    {"the store came back from an older copy", true, "this", HELD_TOKEN, 0, 2,
-	SECOND_ERA_TOKEN + HELD_REVISION + 2, 0},
-    {"the record was deleted, and the role is wanted", true, NULL, 0, 0, 1,
-	HELD_TOKEN + 1, 0},
+    {"a newer token was told", true, false, "this", HELD_TOKEN, 7, 1, 0, 0},
+    {"a newer token was told, and the role is wanted", true, true, "this",
+	HELD_TOKEN, 7, 1, 8, 0},
+    {"the store came back from an older copy", true, true, "this", HELD_TOKEN,
+	0, 2, SECOND_ERA_TOKEN + HELD_REVISION + 2, 0},
+    {"the record was deleted, and the role is wanted", true, true, NULL, 0, 0,
+	1, HELD_TOKEN + 1, 0},
 };
 
+/*
+ * Fail a list.
+ */
+static void
+list_silent(object_store_t *store, object_kind_t kind, object_age_t age,
+    object_store_cb callback, void *context)
+{
+	object_store_response_t response = {OBJECT_STORE_NO_RESPONSE};
+
+	(void)store;
+	(void)kind;
+	(void)age;
+	callback(context, &response);
+}
+
 /*
  * Answer the oldest read of the record that is held.
  */
@@ -1429,7 +1450,8 @@
  * Test that a coordinator which has given up the role because the store did not
  * answer has it again, under the same token, once the store answers and the
  * record is still its own, and that it takes no new token unless the role is
- * wanted.
+ * wanted.  It then reports the recorded orders, as one that has kept the role
+ * does.
  */
 static void
 test_resumed(gconstpointer data)
@@ -1437,13 +1459,17 @@
 	static const object_store_ops_t ops = {
 	    .put_coordinator = put_coordinator,
 	    .read_coordinator = read_coordinator,
-	    .get = hold_read};
+	    .get = hold_read,
+	    .list = list_silent};
 	const resumed_case_t *c = data;
+	msg_t *revocation = msg_new(&bp__revoke_wanted__descriptor);
+	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)revocation->body;
 	msg_t *told = msg_new(&bp__token_seen__descriptor);
 	Bp__DutyRecord record = BP__DUTY_RECORD__INIT;
 	object_t object = {.name = "promotion",
 	    .revision = HELD_REVISION + 1,
 	    .content = &record};
+	int64_t recovered_us;
 	object_store_response_t silent = {OBJECT_STORE_NO_RESPONSE};
 	object_store_response_t listed = {
 	    OBJECT_STORE_OK, NULL, 0, HELD_REVISION, c->era};
@@ -1456,15 +1482,23 @@
 	registry->store_era = 1;
 	coordinator_write(registry, 0, HELD_TOKEN - 1);
 	answer_last_write(OBJECT_STORE_OK, "this", HELD_TOKEN, HELD_REVISION);
-	coordinator_check(registry, msg_new(&bp__duty_wanted__descriptor));
-	store_response_status(registry, &silent);
-	answer_held_read(&silent);
+	if (c->given_up) {
+		coordinator_check(
+		    registry, msg_new(&bp__duty_wanted__descriptor));
+		answer_held_read(&silent);
+	} else {
+		wanted->group = arena_strdup(revocation->arena, "ledger");
+		wanted->token = HELD_TOKEN;
+		revoke_wanted(registry, msg_copy(&wanted->base));
+	}
 	bed_run(&bed);
-	g_assert_false(last_duty.held);
+	g_assert_cmpint(last_duty.held, ==, !c->given_up);
 	((Bp__TokenSeen *)told->body)->token = c->told;
 	token_seen(registry, told);
 	last_write.count = 0;
+	last_read_us = 0;
 	store_response_status(registry, &listed);
+	recovered_us = clock_us();
 	if (c->wanted)
 		coordinator_check(
 		    registry, msg_new(&bp__duty_wanted__descriptor));
@@ -1482,6 +1516,10 @@
 	g_assert_cmpint(last_duty.held, ==, c->held != 0);
 	g_assert_cmpuint(last_duty.token, ==, c->held);
 	g_assert_cmpuint(registry->fencing_token, ==, c->held);
+	/* the orders, so that the store does not count as away any more */
+	g_assert_cmpint(last_read_us != 0, ==, c->held != 0);
+	g_assert_cmpint(last_read_us, <=, recovered_us);
+	msg_free(revocation);
 	bed_stop(&bed);
 }
 
