Failover: a database that is not new goes before a new one with an equal log

Where commits need a replica, the choice among equal logs went by the place in the list; if that was a new database, which is not promoted for 15 s, nobody was, although an older one held the same log. Of equal logs that of a database that is not new is taken. /added/promoted, "the same log of synchronous commits as the others", orders nobody without this.

--- a/gen/event.pb-c.h
+++ b/gen/event.pb-c.h
@@ -898,8 +898,8 @@
    */
   uint64_t replaced_term;
   /*
-   * ids of servers that were passed over, as other daemons may not know
-   * of them yet
+   * ids of servers that may not be promoted, as other daemons may not
+   * know of them yet
    */
   size_t n_passed_over;
   char **passed_over;
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -288,7 +288,7 @@
     const recorded_orders_t *, uint64_t term, uint64_t unproven);
 uint64_t former_members_from(const recorded_orders_t *, uint64_t newest_term);
 bool former_members_hold(const failover_t *, const bool *databases, bool ended);
-bool former_members_lack(const failover_t *, uint32_t database);
+bool failover_members_lack(const failover_t *, uint32_t database);
 void failover_merge_view(
     failover_t *, uint32_t database, const db_view_t *, int64_t);
 void failover_replace_view(
--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -34,12 +34,13 @@
 failover_is_new(const failover_t *failover, uint32_t database)
 {
 	return failover->views[database].newly_listed &&
-	    former_members_lack(failover, database);
+	    failover_members_lack(failover, database);
 }
 
 /*
  * Tell whether a database is listed, and is not new.  Where commits are
- * synchronous, one that is not may be the only one that holds the last.
+ * synchronous, one that is not listed may be the only one that holds the last;
+ * so may a new one, for which best_known_log() waits.
  */
 static bool
 may_be_promoted(const failover_t *failover, uint32_t database)
@@ -287,17 +288,23 @@
  * Tell whether a database is preferred to another with an equal log.
  */
 static bool
-preferred(const db_view_t *a, const db_view_t *b)
+preferred(const failover_t *failover, uint32_t a, uint32_t b)
 {
-	return a->leaving != b->leaving ? b->leaving
-					: a->order_open && !b->order_open;
+	const db_view_t *views = failover->views;
+
+	if (failover_is_new(failover, a) != failover_is_new(failover, b))
+		return failover_is_new(failover, b);
+	return views[a].leaving != views[b].leaving
+	    ? views[b].leaving
+	    : views[a].order_open && !views[b].order_open;
 }
 
 /*
  * Return the database with the best log among the eligible ones, or UINT32_MAX
  * if there is none.  staying: leave out those that are leaving.  Of equal ones,
- * a database that is not leaving is preferred, then one to which an order is
- * open, since another order to the same database does no harm.
+ * a database that is not new is preferred, then one that is not leaving, then
+ * one to which an order is open, since another order to the same database does
+ * no harm.
  */
 static uint32_t
 best_log(const failover_t *failover, const log_set_t *logs, bool staying)
@@ -314,7 +321,7 @@
 			continue;
 		}
 		cmp = compare_logs(failover, logs->ends[i], logs->ends[best]);
-		if (cmp > 0 || (cmp == 0 && preferred(&views[i], &views[best])))
+		if (cmp > 0 || (cmp == 0 && preferred(failover, i, best)))
 			best = i;
 	}
 	return best;
--- a/src/decide/former_members.c
+++ b/src/decide/former_members.c
@@ -105,7 +105,7 @@
  * those of all, unless one has ended.
  */
 bool
-former_members_lack(const failover_t *failover, uint32_t database)
+failover_members_lack(const failover_t *failover, uint32_t database)
 {
 	uint32_t i;
 
--- a/tests/t_added.c
+++ b/tests/t_added.c
@@ -68,47 +68,53 @@
 
 	failover_init(&failover, &test_limits, ADDED, 1, 0);
 	set_members(&failover, c->members, c->former);
-	g_assert_cmpint(former_members_lack(&failover, 3), ==, c->lacked);
+	g_assert_cmpint(failover_members_lack(&failover, 3), ==, c->lacked);
 	failover_clear(&failover);
 }
 
 typedef struct promoted_case {
 	const char *name;
-	const char *former; /* besides all as members; NULL: none */
-	bool newly_listed;  /* databases 3 and 4 */
+	const char *former;       /* besides all as members; NULL: none */
+	const char *newly_listed; /* n: it is */
 	uint32_t sync_replicas;
 	uint64_t ends[ADDED]; /* of the logs; 0: it does not answer */
 	uint32_t promoted;    /* expected; 0: none */
 } promoted_case_t;
 
+/* None is new; those that are added are. */
+#define OLD "-----"
+#define NEW "---nn"
+
 static const promoted_case_t promoted_cases[] = {
-    {"listed for long, with the longest log", "mmm--", false, 0,
-	{0, 8, 8, 9, 8}, 3},
-    {"new, with the longest log", "mmm--", true, 0, {0, 8, 7, 9, 8}, 1},
-    {"new, and a member since before the term", NULL, true, 0, {0, 8, 8, 9, 8},
+    {"listed for long, with the longest log", "mmm--", OLD, 0, {0, 8, 8, 9, 8},
 	3},
-    {"new, and a former member has ended", "mme--", true, 0, {0, 8, 8, 9, 8},
+    {"new, with the longest log", "mmm--", NEW, 0, {0, 8, 7, 9, 8}, 1},
+    {"new, and a member since before the term", NULL, NEW, 0, {0, 8, 8, 9, 8},
 	3},
-    {"new, with the longest log of synchronous commits", "mmm--", true, 1,
+    {"new, and a former member has ended", "mme--", NEW, 0, {0, 8, 8, 9, 8}, 3},
+    {"new, with the longest log of synchronous commits", "mmm--", NEW, 1,
 	{0, 8, 8, 9, 8}, 0},
-    {"new, another has the longest log of synchronous commits", "mmm--", true,
-	1, {0, 9, 8, 8, 8}, 1},
+    {"new, the same log of synchronous commits as the others", "m-mmm", "-n---",
+	1, {0, 8, 8, 8, 8}, 2},
+    {"new, another has the longest log of synchronous commits", "mmm--", NEW, 1,
+	{0, 9, 8, 8, 8}, 1},
     {"listed for long, with the longest log of synchronous commits", "mmm--",
-	false, 1, {0, 8, 8, 9, 8}, 3},
+	OLD, 1, {0, 8, 8, 9, 8}, 3},
 };
 
 /*
  * Have the databases report how far their logs are.
  */
 static void
-report_logs(failover_t *failover, const uint64_t *ends, bool newly_listed)
+report_logs(
+    failover_t *failover, const uint64_t *ends, const char *newly_listed)
 {
 	uint32_t i;
 
 	for (i = 0; i < ADDED; i++) {
 		report(failover, i, i == 0, 1, 0, 0);
 		failover->views[i].last_entry.index = ends[i];
-		failover->views[i].newly_listed = newly_listed && i >= 3;
+		failover->views[i].newly_listed = newly_listed[i] == 'n';
 	}
 }
 
@@ -236,8 +242,8 @@
 	uint32_t promoted;
 
 	failover_init(&failover, &test_limits, ADDED, 1, 0);
-	report_logs(
-	    &failover, ends, MS(c->listed_ms) < new_database_us(MS(LEASE_MS)));
+	report_logs(&failover, ends,
+	    MS(c->listed_ms) < new_database_us(MS(LEASE_MS)) ? NEW : OLD);
 	set_members(&failover, "mmmmm", "mmm--");
 	promoted = ordered(&failover, ends);
 	g_test_message("database %u is promoted", promoted);
--- a/tests/t_members.c
+++ b/tests/t_members.c
@@ -229,6 +229,38 @@
 	bed_stop(&bed);
 }
 
+typedef struct known_case {
+	const char *name;
+	int64_t known_ms; /* time up to which all servers are known; 0: none */
+	int64_t until_ms; /* expected end of the time in which the list counts,
+			     after that; 0: it does not count */
+} known_case_t;
+
+static const known_case_t known_cases[] = {
+    {"the list may be an old one", 0, 0},
+    {"all that had registered by a time", 5000, 12000},
+};
+
+/*
+ * Test until when the answers of all servers of a list prove something.
+ */
+static void
+test_known(gconstpointer data)
+{
+	const known_case_t *c = data;
+	group_t *group;
+	bed_t bed;
+
+	bed_start(&bed);
+	apply_list(bed.pool, ALL, 5);
+	group = g_hash_table_lookup(bed.pool->groups, "ledger");
+	bed.pool->servers_known_us = MS(c->known_ms);
+	group_lease_update(group, clock_us());
+	g_assert_cmpint(group->lease.list_until_us, ==,
+	    c->until_ms == 0 ? 1 : MS(c->known_ms + c->until_ms));
+	bed_stop(&bed);
+}
+
 typedef struct written_case {
 	const char *name;
 	uint64_t born;  /* of i-1 in the list of a process; 0: not listed */
@@ -525,6 +557,7 @@
 	g_test_set_nonfatal_assertions();
 	CASES("/members/listed", listed_cases, test_listed);
 	CASES("/members/new", new_cases, test_new);
+	CASES("/members/known", known_cases, test_known);
 	CASES("/members/written", written_cases, test_written);
 	CASES("/members/sent", sent_cases, test_sent);
 	CASES("/members/divided", divided_cases, test_divided);
