Tests: a later coordinator that has its role again ends pauses at once

A first coordinator has no orders of a former one to wait for, so the rows of /proxy/release did not show that one that has its role again under its token does not wait either. The new row fails in a trial in which on_coordinator_changed() takes the role for a new one then, and passes without it (2 of 2). In a first form of the row, with the pause 1 s after the restart and not 6 s, it failed with the change as well (3 of 3 runs; not traced, likely the role was too new).

--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -1658,12 +1658,16 @@
 	/* of the store, for STORE_FAULT_MS from before the pause; NULL: none */
 	const char *store_fault;
 	bool resumed; /* replication is resumed */
+	bool
+	    restarted; /* the daemon, so that it is not the first coordinator */
 } resume_case_t;
 
 static const resume_case_t resume_cases[] = {
     {"by the coordinator", NULL, NULL, true},
     {"by the coordinator, once the store is back", NULL, "busy", true},
     {"by the coordinator, once the store answers", NULL, "silent", true},
+    {"by a later coordinator, once the store is back", NULL, "busy", true,
+	true},
     {"not by a former coordinator", "{\"holder\":\"other\",\"token\":5}", NULL,
 	false},
     {"not by a former coordinator, once the store is back",
@@ -1673,6 +1677,9 @@
 /* Time for the coordinator to find that the store does not answer. */
 #define STORE_FAULT_MS 2000
 
+/* Time in which orders of a former coordinator may still take effect. */
+#define ROLE_SETTLED_MS 5000
+
 /* Time in which the coordinator resumes replication. */
 #define RESUME_WAIT_MS 3000
 
@@ -1691,6 +1698,12 @@
 	char *answer;
 
 	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	if (c->restarted) {
+		fleet_process_kill(&testbed->proxies[0]);
+		testbed_proxy_start(testbed, 0);
+		g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+		g_usleep(ROLE_SETTLED_MS * US_PER_MS);
+	}
 	g_usleep(1000 * US_PER_MS);
 	if (c->coordinator_record != NULL)
 		testbed_put_object(testbed, "bergamotplank-duties", "promotion",
