Proxy model: with a replica for commits, open orders must have received them

It is a fault of the model. The daemon asks more of a commit: the servers that open orders name must also have received it (ran_before_open_orders(), src/proxy/operation_answer.c). The model asked only whether they led a newer term.

That the daemon has the rule is read, and not shown by a test of its processes.

--- a/tests/proxy_model_cases.h
+++ b/tests/proxy_model_cases.h
@@ -64,6 +64,7 @@
 	bool old_record_counts;
 	/* the members that the store has lost would hide the bug */
 	bool lost_members_forgotten;
+	uint32_t sync_replicas;
 } bug_case_t;
 
 /*
@@ -162,6 +163,7 @@
 		    .fault_permille = c->fault_permille == 0
 			? FAULT_PERMILLE
 			: c->fault_permille,
+		    .sync_replicas = c->sync_replicas,
 		    .injected_bug = c->injected_bug,
 		    .pauses_last = c->pauses_last,
 		    .open_orders_unknown = c->open_orders_unknown,
--- a/tests/t_proxy_model.c
+++ b/tests/t_proxy_model.c
@@ -125,6 +125,13 @@
 	1000, .returns_permille = 2},
     {"a store that goes back, more faults", 3, 4, 8, 0, 0, 1000,
 	.returns_permille = 2},
+    {"synchronous replica, orders held up, databases leave", 3, 3, 0, 1, 0, 500,
+	.troubles = {.order_held_permille = {0, 668, 0},
+	    .start_listed_max_us = 1000000,
+	    .leaving_permille = 4}},
+    {"synchronous replica, orders held up, databases restart", 4, 3, 0, 1, 0,
+	500, 0, 6, 0, 977, 542,
+	.troubles = {.order_held_permille = {0, 0, 563}}},
 };
 
 #define TOKEN_SEEDS 500
@@ -293,6 +300,9 @@
     {"an open order is over when the store has gone back",
 	PROXY_BUG_OPEN_ORDERS_LOST, 4, 0, 12, 3, 130, .returns_permille = 5,
 	.order_held_permille = 1000, .database_restart_permille = 20},
+    {"a commit that the database of an open order lacks",
+	PROXY_BUG_OPEN_ORDERS_LACK_COMMITS, 3, 0, 4, .sync_replicas = 1,
+	.order_held_permille = 1000, .database_restart_permille = 6},
 };
 
 /*
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -71,6 +71,31 @@
 	g_array_append_val(model->acked_writes, stmt->write_id);
 }
 
+/*
+ * Tell whether the databases that open orders name have received a write.
+ * Where commits are synchronous, one that lacks it must not become primary.
+ */
+static bool
+open_orders_received(const proxy_model_t *model,
+    const proxy_model_daemon_t *daemon, const stmt_t *stmt)
+{
+	const failover_t *failover = &daemon->failover;
+	int32_t primary = failover_primary(failover);
+	uint32_t i;
+
+	if (stmt->is_read || model->plan->sync_replicas == 0 ||
+	    model->plan->injected_bug == PROXY_BUG_OPEN_ORDERS_LACK_COMMITS)
+		return true;
+	for (i = 0; i < failover->count; i++) {
+		const db_view_t *view = &failover->views[i];
+
+		if (view->order_open && (int32_t)i != primary &&
+		    position_compare(view->last_entry, stmt->position) < 0)
+			return false;
+	}
+	return true;
+}
+
 /*
  * Answer the statements that a daemon's lease, and a replica where commits
  * are synchronous, confirm by now.  Drop those that have timed out.
@@ -90,7 +115,8 @@
 		    (int32_t)stmt->db == primary &&
 		    needed_until_us <= lease->expires_us &&
 		    (stmt->is_read ? stmt->sent_us : stmt->executed_us) <=
-			proxy_model_checked_us(model, daemon);
+			proxy_model_checked_us(model, daemon) &&
+		    open_orders_received(model, daemon, stmt);
 		bool replicated = stmt->is_read ||
 		    model->plan->sync_replicas == 0 ||
 		    proxy_model_count_copies(model, stmt->db, stmt->write_id) >
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -119,6 +119,9 @@
 	/* open orders are over once the store has gone back to a copy without
 	   them */
 	PROXY_BUG_OPEN_ORDERS_LOST,
+	/* where commits are synchronous, a write is answered though a database
+	   that an open order names has not received it */
+	PROXY_BUG_OPEN_ORDERS_LACK_COMMITS,
 } proxy_model_bug_t;
 
 /* Places where an order to promote a database may be held up. */
