Open orders: time does not end an order to a database outside of the group

Callers could be answered at a replaced primary: an order that was held up took effect at a database that a daemon had dropped from its group, as the entry had lapsed and it refused connections. The daemon counted the order as void once its time was over, though nobody had asked the database since, began a lease in the older term by the record, and read there. Time ends the chance that an order takes effect, and says nothing of the effect.

The rule stood twice, in the daemon (mark_server()) and in the model (mark_order()). Both now call open_orders_update(), and an order to a database outside of the group is open until something shows its outcome.

--- a/src/decide/open_orders.c
+++ b/src/decide/open_orders.c
@@ -406,3 +406,63 @@
 			callback(context, order_at(orders, i));
 	}
 }
+
+/* The open orders of a group that are being marked. */
+typedef struct marker {
+	failover_t *failover;
+	lease_t *lease;
+	database_name_cb name;
+	void *context;
+} marker_t;
+
+/*
+ * Mark the database that an open order names.  One that is not in the group is
+ * not asked, so that the outcome stays unknown, also when the time of the order
+ * is over.
+ */
+static void
+mark(void *context, const open_order_t *order)
+{
+	const marker_t *marker = context;
+	failover_t *failover = marker->failover;
+	uint32_t i;
+
+	for (i = 0; i < failover->count; i++) {
+		if (strcmp(order->database, marker->name(marker->context, i)) ==
+		    0) {
+			failover->views[i].order_open = true;
+			return;
+		}
+	}
+	marker->lease->order_open_outside = true;
+}
+
+/*
+ * Bring the open orders of a group up to date with the answers of its
+ * databases, and mark the databases that open orders name.
+ */
+void
+open_orders_update(open_orders_t *orders, failover_t *failover, lease_t *lease,
+    database_name_cb name, void *context, int64_t now_us)
+{
+	marker_t marker = {failover, lease, name, context};
+	int32_t primary = failover_primary(failover);
+	uint32_t i;
+
+	for (i = 0; i < failover->count; i++) {
+		const db_view_t *view = &failover->views[i];
+
+		if ((int32_t)i == primary)
+			open_orders_term_begun(
+			    orders, name(context, i), view->promised);
+		if (view->known)
+			open_orders_checked(
+			    orders, name(context, i), view->requested_us);
+	}
+	open_orders_expire(orders, false, now_us);
+	for (i = 0; i < failover->count; i++)
+		failover->views[i].order_open = false;
+	lease->order_open_outside = false;
+	open_orders_each(orders, mark, &marker);
+	failover->order_open_outside = lease->order_open_outside;
+}
--- a/src/decide/open_orders.h
+++ b/src/decide/open_orders.h
@@ -1,7 +1,7 @@
 #ifndef DECIDE_OPEN_ORDERS_H
 #define DECIDE_OPEN_ORDERS_H
 
-#include "decide.h"
+#include "failover.h"
 
 #include <glib.h>
 
@@ -50,6 +50,11 @@
  */
 typedef void (*open_order_cb)(void *context, const open_order_t *);
 
+/*
+ * Callback that returns the name of a database of the group.
+ */
+typedef const char *(*database_name_cb)(void *context, uint32_t database);
+
 void open_orders_init(open_orders_t *);
 void open_orders_clear(open_orders_t *);
 bool open_orders_add(open_orders_t *, const open_order_t *);
@@ -69,5 +74,7 @@
 uint32_t open_orders_count(const open_orders_t *);
 bool open_orders_has(const open_orders_t *, const char *database);
 void open_orders_each(const open_orders_t *, open_order_cb, void *context);
+void open_orders_update(open_orders_t *, failover_t *, lease_t *,
+    database_name_cb, void *context, int64_t now_us);
 
 #endif
--- a/src/proxy/group_orders.c
+++ b/src/proxy/group_orders.c
@@ -12,35 +12,12 @@
  */
 
 /*
- * Return the index of the server that an order names, or -1 if it is not in the
- * group.
+ * Return the id of a server of a group.
  */
-static int32_t
-server_index(const group_t *group, const open_order_t *order)
+static const char *
+server_name(void *context, uint32_t server)
 {
-	uint32_t i;
-
-	for (i = 0; i < group->count; i++) {
-		if (strcmp(group->servers[i]->id, order->database) == 0)
-			return (int32_t)i;
-	}
-	return -1;
-}
-
-/*
- * Mark the server that an open order names.  One that has left the group cannot
- * be asked.
- */
-static void
-mark_server(void *context, const open_order_t *order)
-{
-	group_t *group = context;
-	int32_t i = server_index(group, order);
-
-	if (i >= 0)
-		group->failover.views[i].order_open = true;
-	else if (order->until_us > clock_us())
-		group->lease.order_open_outside = true;
+	return ((const group_t *)context)->servers[server]->id;
 }
 
 /*
@@ -50,25 +27,10 @@
 void
 group_orders_update(group_t *group, int64_t now_us)
 {
-	int32_t primary = failover_primary(&group->failover);
-	uint32_t i, count;
+	uint32_t count;
 
-	for (i = 0; i < group->count; i++) {
-		const db_view_t *view = &group->failover.views[i];
-
-		if ((int32_t)i == primary)
-			open_orders_term_begun(&group->open_orders,
-			    group->servers[i]->id, view->promised);
-		if (view->known)
-			open_orders_checked(&group->open_orders,
-			    group->servers[i]->id, view->requested_us);
-	}
-	open_orders_expire(&group->open_orders, false, now_us);
-	for (i = 0; i < group->count; i++)
-		group->failover.views[i].order_open = false;
-	group->lease.order_open_outside = false;
-	open_orders_each(&group->open_orders, mark_server, group);
-	group->failover.order_open_outside = group->lease.order_open_outside;
+	open_orders_update(&group->open_orders, &group->failover, &group->lease,
+	    server_name, group, now_us);
 	count = open_orders_count(&group->open_orders);
 	if (count == group->open_orders_count)
 		return;
--- a/tests/t_open_orders.c
+++ b/tests/t_open_orders.c
@@ -294,6 +294,76 @@
 	    c->checked_ms < 0 ? INT64_MAX : MS(c->checked_ms));
 }
 
+/* Databases that are asked, and the one that is ordered and has left. */
+static const char *const group_names[] = {"a", "b"};
+
+typedef struct update_case {
+	const char *name;
+	const char *ordered;  /* the database that an order to replace term 2 of
+				 until 500 ms names */
+	uint64_t term;        /* of database a */
+	bool leads;           /* database a leads it */
+	int64_t requested_ms; /* time of the answered requests */
+	bool open;            /* expected: the order to database a is open */
+	bool outside;         /* expected: one outside of the group is */
+} update_case_t;
+
+static const update_case_t update_cases[] = {
+    {"it is asked within the time", "a", 2, false, 499, true, false},
+    {"it is asked after the time", "a", 2, false, 500, false, false},
+    {"it leads a newer term", "a", 3, true, 499, false, false},
+    {"another one is ordered, which has left the group", "c", 2, false, 499,
+	false, true},
+    {"the same, and its time is over", "c", 2, false, 500, false, true},
+    {"the same, and another one leads a newer term", "c", 3, true, 500, false,
+	true},
+};
+
+/*
+ * Return the name of a database of the group.
+ */
+static const char *
+group_name(void *context, uint32_t database)
+{
+	(void)context;
+	return group_names[database];
+}
+
+/*
+ * Test which databases are marked as those that an open order names, by the
+ * answers of the group.
+ */
+static void
+test_update(gconstpointer data)
+{
+	const update_case_t *c = data;
+	failover_t failover = {.count = G_N_ELEMENTS(group_names)};
+	lease_t lease = {0};
+	open_order_t order = {.database = (char *)c->ordered,
+	    .attempt_term = 3,
+	    .replaced_term = 2,
+	    .until_us = MS(500),
+	    .source = OPEN_ORDER_RECORDED};
+	open_orders_t orders;
+	uint32_t i;
+
+	for (i = 0; i < failover.count; i++)
+		failover.views[i] = (db_view_t){.known = true,
+		    .promised = i == 0 ? c->term : 2,
+		    .term = i == 0 ? c->term : 2,
+		    .primary = i == 0 ? c->leads : !c->leads,
+		    .requested_us = MS(c->requested_ms)};
+	open_orders_init(&orders);
+	open_orders_replace_recorded(&orders, &order, 1);
+	open_orders_update(
+	    &orders, &failover, &lease, group_name, NULL, MS(c->requested_ms));
+	g_assert_cmpint(failover.views[0].order_open, ==, c->open);
+	g_assert_cmpint(failover.views[1].order_open, ==, false);
+	g_assert_cmpint(lease.order_open_outside, ==, c->outside);
+	g_assert_cmpint(failover.order_open_outside, ==, c->outside);
+	open_orders_clear(&orders);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -304,5 +374,6 @@
 	g_test_set_nonfatal_assertions();
 	CASES("/open-orders/set", set_cases, test_set);
 	CASES("/open-orders/checked", checked_cases, test_checked);
+	CASES("/open-orders/update", update_cases, test_update);
 	return g_test_run();
 }
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -119,6 +119,8 @@
 	/* open orders are over once the store has gone back to a copy without
 	   them */
 	PROXY_BUG_OPEN_ORDERS_LOST,
+	/* an order to a database outside of the group is over by its time */
+	PROXY_BUG_ORDER_OUTSIDE_VOID,
 } proxy_model_bug_t;
 
 /* Places where an order to promote a database may be held up. */
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -135,28 +135,36 @@
 	    daemon->failover.term, now_us + ORDER_LATE_US);
 }
 
-/* The daemon whose open orders are marked. */
-typedef struct order_marker {
-	proxy_model_daemon_t *daemon;
+/*
+ * Return the name of a database of a daemon's group.
+ */
+static const char *
+server_name(void *context, uint32_t server)
+{
+	const proxy_model_daemon_t *daemon = context;
+
+	return db_names[daemon->servers[server]];
+}
+
+/* The open orders that count in place of those outside of a group. */
+typedef struct outside {
+	const proxy_model_daemon_t *daemon;
 	int64_t now_us;
-} order_marker_t;
+	bool open;
+} outside_t;
 
 /*
- * Mark the database that an open order names.  One that has left the group
- * cannot be asked.
+ * Count an order to a database that is not in the group as open until its time
+ * is over.
  */
 static void
-mark_order(void *context, const open_order_t *order)
+count_outside(void *context, const open_order_t *order)
 {
-	const order_marker_t *marker = context;
-	proxy_model_daemon_t *daemon = marker->daemon;
-	int32_t i =
-	    proxy_model_index(daemon, (uint32_t)(order->database[0] - '0'));
-
-	if (i >= 0)
-		daemon->failover.views[i].order_open = true;
-	else if (order->until_us > marker->now_us)
-		daemon->lease.order_open_outside = true;
+	outside_t *outside = context;
+
+	outside->open |= order->until_us > outside->now_us &&
+	    proxy_model_index(
+		outside->daemon, (uint32_t)(order->database[0] - '0')) < 0;
 }
 
 /*
@@ -166,27 +174,15 @@
 void
 proxy_model_open_update(proxy_model_t *model, proxy_model_daemon_t *daemon)
 {
-	failover_t *failover = &daemon->failover;
-	int32_t primary = failover_primary(failover);
-	uint32_t i;
+	outside_t outside = {daemon, model->now_us, false};
 
-	for (i = 0; i < failover->count; i++) {
-		if (failover->views[i].known)
-			open_orders_checked(&daemon->open_orders,
-			    db_names[daemon->servers[i]],
-			    failover->views[i].requested_us);
-	}
-	if (primary >= 0)
-		open_orders_term_begun(&daemon->open_orders,
-		    db_names[daemon->servers[primary]],
-		    failover->views[primary].promised);
-	open_orders_expire(&daemon->open_orders, false, model->now_us);
-	for (i = 0; i < failover->count; i++)
-		failover->views[i].order_open = false;
-	daemon->lease.order_open_outside = false;
-	open_orders_each(&daemon->open_orders, mark_order,
-	    &(order_marker_t){daemon, model->now_us});
-	failover->order_open_outside = daemon->lease.order_open_outside;
+	open_orders_update(&daemon->open_orders, &daemon->failover,
+	    &daemon->lease, server_name, daemon, model->now_us);
+	if (model->plan->injected_bug != PROXY_BUG_ORDER_OUTSIDE_VOID)
+		return;
+	open_orders_each(&daemon->open_orders, count_outside, &outside);
+	daemon->lease.order_open_outside = daemon->failover.order_open_outside =
+	    outside.open;
 }
 
 /*
