Open orders: no order is struck off by elimination

Callers could be answered at a replaced primary: before an order was recorded, each other order that might have begun the term to be replaced next counted as having begun it (open_orders_term_begun(NULL)). Where all but one had begun a term that was seen, the one that was left counted as done, left the record, and each daemon that read that forgot it. But one database may lead two terms by two orders, so that the one that is left has begun nothing, and takes effect seconds later with nobody watching.

An order is taken as done only if its own database was seen to lead a newer term and no other order to it may have begun that term.

/open-orders/set/a-newer-term-began-by-the-only-order expected the elimination, and the two rows beside it called it. Four rows replace them, in which a database leads a term that no order to it explains, or two terms: the orders to the others stay open. /coordinator/open-orders shows the record: three of its five rows fail on the former code ("b/4" in place of "a/2 b/4").

--- a/src/decide/open_orders.c
+++ b/src/decide/open_orders.c
@@ -299,8 +299,7 @@
 }
 
 /*
- * Note that a term has begun by an order to promote a database; NULL: it is not
- * known which, and the set has all orders up to that term.
+ * Note that a database leads a term.
  */
 void
 open_orders_term_begun(
@@ -308,14 +307,12 @@
 {
 	uint32_t i;
 
-	if (database != NULL)
-		note_leader(orders, database, term);
+	note_leader(orders, database, term);
 	for (i = 0; i < orders->list->len; i++) {
 		open_order_t *order = order_at(orders, i);
 
 		if (order->begun_term == 0 && order->replaced_term < term &&
-		    (database == NULL ||
-			strcmp(order->database, database) == 0))
+		    strcmp(order->database, database) == 0)
 			order->begun_term = term;
 	}
 }
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -99,7 +99,6 @@
 
 	open_orders_read(&order->open, wanted->open, wanted->n_open,
 	    OPEN_ORDER_RECORDED, clock_us());
-	open_orders_term_begun(&order->open, NULL, wanted->replaced_term);
 	open_orders_expire(&order->open, true, clock_us());
 
 	if (order->recorded.attempt_term != wanted->term) {
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -772,6 +772,71 @@
 	registry_free(registry);
 }
 
+#define NOTED_MAX 3
+
+/* An order that is to be recorded. */
+typedef struct noted_order {
+	const char *server;
+	uint64_t term;
+	uint64_t replaced_term;
+	bool refused; /* it is withdrawn */
+} noted_order_t;
+
+typedef struct noted_open_case {
+	const char *name;
+	noted_order_t noted[NOTED_MAX];
+	const char *open; /* the open orders that are to be recorded */
+} noted_open_case_t;
+
+static const noted_open_case_t noted_open_cases[] = {
+    {"one", {{"a", 2, 1}}, "a/2 "},
+    {"one, which is refused", {{"a", 2, 1, true}}, ""},
+    {"one, and the next replaces a newer term", {{"a", 2, 1}, {"b", 4, 3}},
+	"a/2 b/4 "},
+    {"two, and the next replaces a newer term",
+	{{"a", 2, 1}, {"a", 3, 2}, {"b", 5, 4}}, "a/2 a/3 b/5 "},
+    {"the same, which is refused",
+	{{"a", 2, 1}, {"a", 3, 2}, {"b", 5, 4, true}}, "a/2 a/3 "},
+};
+
+/*
+ * Test which open orders the record names after some were noted, none of which
+ * the pool task counts as open.
+ */
+static void
+test_noted_open(gconstpointer data)
+{
+	const noted_open_case_t *c = data;
+	registry_t *registry = registry_new(&(proxy_t){0});
+	Bp__DutyRecord record = BP__DUTY_RECORD__INIT;
+	GString *open = g_string_new(NULL);
+	arena_t *arena = arena_new();
+	size_t i;
+
+	for (i = 0; i < NOTED_MAX && c->noted[i].server != NULL; i++) {
+		Bp__PromotionWanted wanted = BP__PROMOTION_WANTED__INIT;
+
+		wanted.group = "ledger";
+		wanted.server = (char *)c->noted[i].server;
+		wanted.term = c->noted[i].term;
+		wanted.replaced_term = c->noted[i].replaced_term;
+		orders_note(registry, &wanted);
+		if (c->noted[i].refused)
+			g_assert_true(orders_withdraw(registry, &wanted, true));
+	}
+	orders_fill(registry, arena, &record);
+	for (i = 0; record.n_orders > 0 && i < record.orders[0]->n_open; i++) {
+		const Bp__OpenOrder *order = record.orders[0]->open[i];
+
+		g_string_append_printf(open, "%s/%" G_GUINT64_FORMAT " ",
+		    order->server, order->attempt_term);
+	}
+	g_assert_cmpstr(open->str, ==, c->open);
+	g_string_free(open, TRUE);
+	arena_free(arena);
+	registry_free(registry);
+}
+
 typedef struct taken_members_case {
 	const char *name;
 	const char *noted;  /* record that is taken first; NULL: none */
@@ -1966,6 +2031,7 @@
 	CASES("/coordinator/unlisted", unlisted_cases, test_unlisted_daemons);
 	g_test_add_func("/coordinator/token-read", test_token_read);
 	CASES("/coordinator/given-up", given_up_cases, test_given_up);
+	CASES("/coordinator/open-orders", noted_open_cases, test_noted_open);
 	CASES("/coordinator/members", taken_members_cases, test_taken_members);
 	CASES("/coordinator/role-again", role_again_cases, test_role_again);
 	CASES("/coordinator/unreadable", unreadable_cases, test_unreadable);
--- a/tests/t_members_model.c
+++ b/tests/t_members_model.c
@@ -275,6 +275,13 @@
 	    .start_listed_max_us = 1000000,
 	    .lapse_permille = 6,
 	    .refused_permille = 2}},
+    {"an order is struck off as all others have begun newer terms",
+	PROXY_BUG_ORDER_ELIMINATED, 3, 0, 8, 3, 1541,
+	.daemon_restart_permille = 1, .order_held_permille = 990,
+	.troubles = {.order_held_permille[PROXY_PLACE_SOCKET] = 500,
+	    .member_restart_permille = 1,
+	    .start_listed_max_us = 1000000,
+	    .lapse_permille = 6}},
 };
 
 /*
--- a/tests/t_open_orders.c
+++ b/tests/t_open_orders.c
@@ -22,7 +22,6 @@
 	STEP_READ_EMPTY, /* the record has none */
 	STEP_LEADS,      /* a database leads a term */
 	STEP_STARTED,    /* a database has started again, or left */
-	STEP_TERM,       /* a term has begun; the set is complete */
 	STEP_CHECKED,    /* a database is asked for its status, and answers */
 	STEP_ACCEPTED,   /* the platform accepts the order */
 	STEP_REFUSED,    /* the platform refuses the order */
@@ -139,15 +138,20 @@
 	{{STEP_TOLD, "a", 2, 500}, {STEP_READ_EMPTY}}, 100, true, false},
     {"recorded ones go when the record is read",
 	{{STEP_RECORDED, "a", 2, 500}, {STEP_READ_EMPTY}}, 100, false, false},
-    {"a newer term began by the only order",
-	{{STEP_RECORDED, "a", 2, 500}, {STEP_TERM, NULL, 2}}, 100, false,
-	false},
-    {"a newer term began by one of two",
+    {"it is the only one, and a database has begun a newer term that no known "
+     "order names",
+	{{STEP_RECORDED, "a", 2, 500}, {STEP_LEADS, "b", 2}}, 100, true, false},
+    {"two are known, and the database of neither has begun a newer term",
 	{{STEP_TOLD, "a", 2, 500}, {STEP_TOLD, "b", 3, 500},
-	    {STEP_TERM, NULL, 3}},
+	    {STEP_LEADS, "c", 3}},
 	100, true, true},
-    {"the term to be replaced has begun",
-	{{STEP_RECORDED, "a", 2, 500}, {STEP_TERM, NULL, 1}}, 100, true, false},
+    {"a database leads two terms by two orders, and it is the only other one",
+	{{STEP_TOLD, "b", 2, 500}, {STEP_TOLD, "b", 3, 500},
+	    {STEP_TOLD, "a", 4, 900}, {STEP_LEADS, "b", 4},
+	    {STEP_LEADS, "b", 5}, {STEP_CHECKED, "b", 5, 600}},
+	700, true, false},
+    {"a database leads the term to be replaced",
+	{{STEP_RECORDED, "a", 2, 500}, {STEP_LEADS, "b", 1}}, 100, true, false},
     {"accepted",
 	{{STEP_RECORDED, "a", 2, 500}, {STEP_ACCEPTED, "a", 2, 300},
 	    {STEP_CHECKED, "a", 2, 350}},
@@ -201,9 +205,6 @@
 	case STEP_STARTED:
 		open_orders_forget_leader(orders, step->database);
 		break;
-	case STEP_TERM:
-		open_orders_term_begun(orders, NULL, step->term);
-		break;
 	case STEP_CHECKED:
 		open_orders_checked(orders, step->database, MS(step->at_ms));
 		break;
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -121,6 +121,9 @@
 	PROXY_BUG_OPEN_ORDERS_LOST,
 	/* an order to a database outside of the group is over by its time */
 	PROXY_BUG_ORDER_OUTSIDE_VOID,
+	/* where all other open orders may have begun newer terms, the one that
+	   is left has begun the term that is replaced next */
+	PROXY_BUG_ORDER_ELIMINATED,
 } proxy_model_bug_t;
 
 /* Places where an order to promote a database may be held up. */
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -86,6 +86,22 @@
 	proxy_model_open_update(model, daemon);
 }
 
+/*
+ * Take a term as begun by one of the orders that have begun none yet.
+ */
+static void
+eliminate(const open_orders_t *orders, uint64_t term)
+{
+	uint32_t i;
+
+	for (i = 0; i < orders->list->len; i++) {
+		open_order_t *order = g_ptr_array_index(orders->list, i);
+
+		if (order->begun_term == 0 && order->replaced_term < term)
+			order->begun_term = term;
+	}
+}
+
 /*
  * Note an order of a daemon's failover as open, and record it.
  */
@@ -101,8 +117,9 @@
 
 	if (model->plan->open_orders_unknown)
 		return;
-	open_orders_term_begun(&daemon->open_orders, NULL,
-	    failover_term_to_replace(&daemon->failover));
+	if (model->plan->injected_bug == PROXY_BUG_ORDER_ELIMINATED)
+		eliminate(&daemon->open_orders,
+		    failover_term_to_replace(&daemon->failover));
 	open_orders_expire(&daemon->open_orders, true, model->now_us);
 
 	open_orders_remove(
