Open orders: a record asked for before an order was recorded does not end it

A daemon forgot each recorded order that a record lacks, whichever record that was: a read that was asked for earlier and answered later, or what a coordinator reports as noted while the store is away, could strike off an order that had been recorded in between. Members and the last order were protected from that by the time of the request; open orders were not.

A record ends an order only if it was asked for after the last time at which the record had the order here; what is noted, and not recorded, ends none.

/open-orders/set/a-record-that-was-asked-for-before-it-was-recorded-lacks-it fails with the former rule in its place.

--- a/src/decide/open_orders.c
+++ b/src/decide/open_orders.c
@@ -242,13 +242,32 @@
 }
 
 /*
- * Replace the recorded orders of a set by those that the store has recorded
- * now.  The coordinator writes the record with each order, so that all but the
- * last one were open when it was written, as if the coordinator had told so.
+ * Tell whether an order is in a list.
+ */
+static bool
+is_listed(const open_order_t *order, const open_order_t *list, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (list[i].attempt_term == order->attempt_term &&
+		    strcmp(list[i].database, order->database) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Replace the recorded orders of a set by those that the store had recorded
+ * when it was asked at asked_us.  One that was recorded later stays, also if an
+ * older record is answered after a newer one.  The coordinator writes the
+ * record with each order, so that all but the last one were open when it was
+ * written, as if the coordinator had told so.
  */
 void
-open_orders_replace_recorded(
-    open_orders_t *orders, const open_order_t *recorded, uint32_t count)
+open_orders_replace_recorded(open_orders_t *orders,
+    const open_order_t *recorded, uint32_t count, int64_t asked_us,
+    int64_t now_us)
 {
 	uint32_t i = orders->list->len, j;
 	uint64_t last_attempt = 0;
@@ -256,12 +275,9 @@
 	while (i-- > 0) {
 		const open_order_t *order = order_at(orders, i);
 
-		for (j = 0; j < count; j++) {
-			if (recorded[j].attempt_term == order->attempt_term &&
-			    strcmp(recorded[j].database, order->database) == 0)
-				break;
-		}
-		if (order->source == OPEN_ORDER_RECORDED && j == count)
+		if (order->source == OPEN_ORDER_RECORDED &&
+		    order->recorded_us <= asked_us &&
+		    !is_listed(order, recorded, count))
 			forget_order(orders, i);
 	}
 	for (j = 0; j < count; j++)
@@ -274,6 +290,7 @@
 		open_orders_add(orders, &recorded[j]);
 		order = order_find(
 		    orders, recorded[j].database, recorded[j].attempt_term);
+		order->recorded_us = now_us;
 		if (order->attempt_term != last_attempt &&
 		    (known || order->begun_term != 0))
 			order->in_doubt = true;
--- a/src/decide/open_orders.h
+++ b/src/decide/open_orders.h
@@ -25,6 +25,7 @@
 	uint64_t replaced_term; /* newest term whose primary it replaces */
 	int64_t until_us;       /* time until which it may take effect */
 	open_order_source_t source;
+	int64_t recorded_us; /* last time at which the record had it */
 	/* first term that it may have begun; 0: none.  If no other order may
 	   have begun that term, this one did, and is not open any more. */
 	uint64_t begun_term;
@@ -62,8 +63,8 @@
     open_orders_t *, const char *database, uint64_t attempt_term);
 void open_orders_shorten(open_orders_t *, const char *database,
     uint64_t attempt_term, int64_t until_us);
-void open_orders_replace_recorded(
-    open_orders_t *, const open_order_t *recorded, uint32_t count);
+void open_orders_replace_recorded(open_orders_t *, const open_order_t *recorded,
+    uint32_t count, int64_t asked_us, int64_t now_us);
 void open_orders_store_restored(open_orders_t *);
 void open_orders_term_begun(
     open_orders_t *, const char *database, uint64_t term);
--- a/src/proxy/group_orders.c
+++ b/src/proxy/group_orders.c
@@ -132,11 +132,12 @@
 }
 
 /*
- * Note the open orders that the store has recorded.
+ * Note the open orders that the store had recorded when it was asked at
+ * asked_us; 0: those that are to be recorded.
  */
 void
-group_orders_recorded(
-    group_t *group, Bp__OpenOrder *const *list, size_t count, int64_t now_us)
+group_orders_recorded(group_t *group, Bp__OpenOrder *const *list, size_t count,
+    int64_t asked_us, int64_t now_us)
 {
 	open_order_t *recorded = g_new0(open_order_t, count + 1);
 	size_t i;
@@ -145,7 +146,7 @@
 		recorded[i] =
 		    open_order_read(list[i], OPEN_ORDER_RECORDED, now_us);
 	open_orders_replace_recorded(
-	    &group->open_orders, recorded, (uint32_t)count);
+	    &group->open_orders, recorded, (uint32_t)count, asked_us, now_us);
 	g_free(recorded);
 	group_orders_update(group, now_us);
 }
--- a/tests/t_open_orders.c
+++ b/tests/t_open_orders.c
@@ -20,12 +20,14 @@
 	   which replaces the same term */
 	STEP_RECORDED_TWICE,
 	STEP_READ_EMPTY, /* the record has none */
-	STEP_LEADS,      /* a database leads a term */
-	STEP_STARTED,    /* a database has started again, or left */
-	STEP_CHECKED,    /* a database is asked for its status, and answers */
-	STEP_ACCEPTED,   /* the platform accepts the order */
-	STEP_REFUSED,    /* the platform refuses the order */
-	STEP_RESTORED,   /* the store has come back from an older copy */
+	/* a record that was asked for before has none */
+	STEP_READ_EARLIER,
+	STEP_LEADS,    /* a database leads a term */
+	STEP_STARTED,  /* a database has started again, or left */
+	STEP_CHECKED,  /* a database is asked for its status, and answers */
+	STEP_ACCEPTED, /* the platform accepts the order */
+	STEP_REFUSED,  /* the platform refuses the order */
+	STEP_RESTORED, /* the store has come back from an older copy */
 } step_kind_t;
 
 /* An event; an order of attempt N is to replace term N - 1. */
@@ -136,6 +138,11 @@
 	false, true},
     {"told ones stay when the record is read",
 	{{STEP_TOLD, "a", 2, 500}, {STEP_READ_EMPTY}}, 100, true, false},
+    {"a record that was asked for before it was recorded lacks it",
+	{{STEP_RECORDED, "a", 2, 500}, {STEP_READ_EARLIER}}, 100, true, false},
+    {"the same, and one that was asked for later",
+	{{STEP_RECORDED, "a", 2, 500}, {STEP_READ_EARLIER}, {STEP_READ_EMPTY}},
+	100, false, false},
     {"recorded ones go when the record is read",
 	{{STEP_RECORDED, "a", 2, 500}, {STEP_READ_EMPTY}}, 100, false, false},
     {"it is the only one, and a database has begun a newer term that no known "
@@ -181,23 +188,26 @@
 		break;
 	case STEP_RECORDED:
 		order.source = OPEN_ORDER_RECORDED;
-		open_orders_replace_recorded(orders, &order, 1);
+		open_orders_replace_recorded(orders, &order, 1, 0, 0);
 		break;
 	case STEP_RECORDED_WITH_B:
 		order.source = OPEN_ORDER_RECORDED;
 		list[0] = list[1] = order;
 		list[1].database = "b";
 		list[1].attempt_term++;
-		open_orders_replace_recorded(orders, list, 2);
+		open_orders_replace_recorded(orders, list, 2, 0, 0);
 		break;
 	case STEP_RECORDED_TWICE:
 		order.source = OPEN_ORDER_RECORDED;
 		list[0] = list[1] = order;
 		list[1].attempt_term++;
-		open_orders_replace_recorded(orders, list, 2);
+		open_orders_replace_recorded(orders, list, 2, 0, 0);
 		break;
 	case STEP_READ_EMPTY:
-		open_orders_replace_recorded(orders, NULL, 0);
+		open_orders_replace_recorded(orders, NULL, 0, 0, 0);
+		break;
+	case STEP_READ_EARLIER:
+		open_orders_replace_recorded(orders, NULL, 0, MS(-1), 0);
 		break;
 	case STEP_LEADS:
 		open_orders_term_begun(orders, step->database, step->term);
@@ -355,7 +365,7 @@
 		    .primary = i == 0 ? c->leads : !c->leads,
 		    .requested_us = MS(c->requested_ms)};
 	open_orders_init(&orders);
-	open_orders_replace_recorded(&orders, &order, 1);
+	open_orders_replace_recorded(&orders, &order, 1, 0, 0);
 	open_orders_update(
 	    &orders, &failover, &lease, group_name, NULL, MS(c->requested_ms));
 	g_assert_cmpint(failover.views[0].order_open, ==, c->open);
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -225,7 +225,8 @@
 	lease_orders_read(&daemon->lease, &orders);
 	proxy_model_members_read(model, daemon, &event->members,
 	    orders.replaced_term, orders.read_us);
-	proxy_model_open_recorded(model, daemon, &event->open);
+	proxy_model_open_recorded(
+	    model, daemon, &event->open, event->orders.read_us);
 	update_lease(model, event->daemon);
 }
 
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -314,8 +314,8 @@
     const proxy_model_t *, const proxy_model_daemon_t *, open_list_t *);
 bool proxy_model_open_told(
     proxy_model_t *, proxy_model_daemon_t *, const open_list_t *);
-void proxy_model_open_recorded(
-    proxy_model_t *, proxy_model_daemon_t *, const open_list_t *);
+void proxy_model_open_recorded(proxy_model_t *, proxy_model_daemon_t *,
+    const open_list_t *, int64_t asked_us);
 void proxy_model_open_note(
     proxy_model_t *, proxy_model_daemon_t *, uint32_t db);
 void proxy_model_open_withdraw(
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -67,11 +67,12 @@
 }
 
 /*
- * Have a daemon note the open orders that the store has recorded.
+ * Have a daemon note the open orders that the store had recorded when it was
+ * asked at asked_us.
  */
 void
-proxy_model_open_recorded(
-    proxy_model_t *model, proxy_model_daemon_t *daemon, const open_list_t *list)
+proxy_model_open_recorded(proxy_model_t *model, proxy_model_daemon_t *daemon,
+    const open_list_t *list, int64_t asked_us)
 {
 	open_list_t recorded = *list;
 	uint32_t i;
@@ -81,8 +82,8 @@
 		/* each process counts from when it reads the record */
 		recorded.orders[i].until_us = model->now_us + ORDER_OPEN_US;
 	}
-	open_orders_replace_recorded(
-	    &daemon->open_orders, recorded.orders, recorded.count);
+	open_orders_replace_recorded(&daemon->open_orders, recorded.orders,
+	    recorded.count, asked_us, model->now_us);
 	proxy_model_open_update(model, daemon);
 }
 
@@ -113,7 +114,8 @@
 	    .attempt_term = daemon->failover.term,
 	    .replaced_term = model->orders.replaced_term,
 	    .until_us = model->now_us + ORDER_OPEN_US,
-	    .source = OPEN_ORDER_RECORDED};
+	    .source = OPEN_ORDER_RECORDED,
+	    .recorded_us = model->now_us};
 
 	if (model->plan->open_orders_unknown)
 		return;
