Open orders: a record leaves out only orders that the answers show to be over

Before an order was recorded, each order that had been over in time for 10 s left the record, whether its database had been asked or not, and each daemon that read the record forgot it. Callers are affected where the next order comes to nothing: it is withdrawn, and a daemon may go on with a primary that the order that was left out has replaced.

The coordinator's registry now leaves out only what the pool task does not count as open, and a withdrawn order gives the open orders back that were left out for it. While it stands, the record replaces all terms that the coordinator knows, so no lease begins in one that an order left out has replaced. Where two terms have begun of which the coordinator knows neither, that does not help, so an order that is open for the coordinator stays.

/open-orders/set has the cases; "the next one is recorded later, and it is open by the answers" and "the same, and it is not known" fail with the former rule in its place. The model has the former rule as PROXY_BUG_ORDER_EXPIRES.

--- a/src/decide/open_orders.c
+++ b/src/decide/open_orders.c
@@ -354,27 +354,67 @@
 }
 
 /*
- * Forget the orders that are not open and have been over for so long that no
- * other one is open that may have begun the same term; but not recorded ones,
- * which may be read again.  all: forget any order that has been over for so
- * long.
+ * Tell whether the time in which an order may take effect has been over for so
+ * long that no other one is open that may have begun the same term.
+ */
+static bool
+order_expired(const open_order_t *order, int64_t now_us)
+{
+	return order->until_us + ORDER_OPEN_US <= now_us;
+}
+
+/*
+ * Forget the expired orders that are not open; but not recorded ones, which may
+ * be read again.
  */
 void
-open_orders_expire(open_orders_t *orders, bool all, int64_t now_us)
+open_orders_expire(open_orders_t *orders, int64_t now_us)
 {
 	uint32_t i = orders->list->len;
 
 	while (i-- > 0) {
 		const open_order_t *order = order_at(orders, i);
 
-		if (order->until_us + ORDER_OPEN_US <= now_us &&
-		    (all ||
-			(order->source == OPEN_ORDER_TOLD &&
-			    !order_open(orders, order))))
+		if (order->source == OPEN_ORDER_TOLD &&
+		    order_expired(order, now_us) && !order_open(orders, order))
 			forget_order(orders, i);
 	}
 }
 
+/*
+ * Forget the expired orders of a set without answers of databases, before the
+ * next order is recorded with it: those that are not among the ones that are
+ * open by the answers, which are added.
+ */
+void
+open_orders_settle(open_orders_t *orders, const open_order_t *open,
+    uint32_t count, int64_t now_us)
+{
+	uint32_t i = orders->list->len;
+
+	while (i-- > 0) {
+		const open_order_t *order = order_at(orders, i);
+
+		if (order_expired(order, now_us) &&
+		    !is_listed(order, open, count))
+			forget_order(orders, i);
+	}
+	for (i = 0; i < count; i++)
+		open_orders_add(orders, &open[i]);
+}
+
+/*
+ * Add the orders of another set.
+ */
+void
+open_orders_add_all(open_orders_t *orders, const open_orders_t *added)
+{
+	uint32_t i;
+
+	for (i = 0; i < added->list->len; i++)
+		open_orders_add(orders, order_at(added, i));
+}
+
 /*
  * Return the number of open orders.
  */
@@ -473,7 +513,7 @@
 			open_orders_checked(
 			    orders, name(context, i), view->requested_us);
 	}
-	open_orders_expire(orders, false, now_us);
+	open_orders_expire(orders, now_us);
 	for (i = 0; i < failover->count; i++)
 		failover->views[i].order_open = false;
 	lease->order_open_outside = false;
--- a/src/decide/open_orders.h
+++ b/src/decide/open_orders.h
@@ -71,7 +71,10 @@
 void open_orders_forget_leader(open_orders_t *, const char *database);
 void open_orders_checked(
     open_orders_t *, const char *database, int64_t asked_us);
-void open_orders_expire(open_orders_t *, bool all, int64_t now_us);
+void open_orders_expire(open_orders_t *, int64_t now_us);
+void open_orders_settle(
+    open_orders_t *, const open_order_t *open, uint32_t count, int64_t now_us);
+void open_orders_add_all(open_orders_t *, const open_orders_t *added);
 uint32_t open_orders_count(const open_orders_t *);
 bool open_orders_has(const open_orders_t *, const char *database);
 void open_orders_each(const open_orders_t *, open_order_cb, void *context);
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -20,6 +20,7 @@
 	bool sent;                /* an order of the last attempt was sent */
 	bool announced; /* other daemons were told of the last attempt */
 	open_orders_t open;
+	open_orders_t open_before; /* before the last order */
 	recorded_members_t members;
 	recorded_members_t members_before; /* before the last order */
 } group_orders_t;
@@ -33,6 +34,7 @@
 	group_orders_t *order = p;
 
 	open_orders_clear(&order->open);
+	open_orders_clear(&order->open_before);
 	recorded_members_clear(&order->members);
 	recorded_members_clear(&order->members_before);
 	g_free(order);
@@ -68,6 +70,7 @@
 	if (order == NULL) {
 		order = g_new0(group_orders_t, 1);
 		open_orders_init(&order->open);
+		open_orders_init(&order->open_before);
 		g_hash_table_insert(registry->orders, g_strdup(group), order);
 	}
 	return order;
@@ -89,6 +92,25 @@
 	open_orders_add(&order->open, &open);
 }
 
+/*
+ * Leave those open orders out of the record that are over, as the pool task
+ * does not count them as open.
+ */
+static void
+settle_open(
+    group_orders_t *order, const Bp__PromotionWanted *wanted, int64_t now_us)
+{
+	open_order_t *open = g_new0(open_order_t, wanted->n_open + 1);
+	size_t i;
+
+	for (i = 0; i < wanted->n_open; i++)
+		open[i] = open_order_read(
+		    wanted->open[i], OPEN_ORDER_RECORDED, now_us);
+	open_orders_settle(
+	    &order->open, open, (uint32_t)wanted->n_open, now_us);
+	g_free(open);
+}
+
 /*
  * Note an order that is to be recorded.
  */
@@ -97,12 +119,11 @@
 {
 	group_orders_t *order = order_of(registry, wanted->group);
 
-	open_orders_read(&order->open, wanted->open, wanted->n_open,
-	    OPEN_ORDER_RECORDED, clock_us());
-	open_orders_expire(&order->open, true, clock_us());
-
 	if (order->recorded.attempt_term != wanted->term) {
 		order->before = order->recorded;
+		open_orders_clear(&order->open_before);
+		open_orders_init(&order->open_before);
+		open_orders_add_all(&order->open_before, &order->open);
 		recorded_members_set(&order->members_before,
 		    order->members.list, order->members.count, NULL, 0);
 		order->sent = order->announced = false;
@@ -115,6 +136,7 @@
 	recorded_orders_add(&order->recorded, wanted->replaced_term,
 	    (position_t){wanted->base_term, wanted->base_index});
 	order->recorded.era = registry->store_era;
+	settle_open(order, wanted, clock_us());
 	note_open(order, wanted);
 }
 
@@ -159,6 +181,8 @@
 	    (order->sent && !refused))
 		return false;
 	open_orders_remove(&order->open, wanted->server, wanted->term);
+	/* what was left out may have begun a term that only this order names */
+	open_orders_add_all(&order->open, &order->open_before);
 	if (order->members_before.count > 0)
 		recorded_members_replace(&order->members,
 		    order->members_before.list, order->members_before.count,
--- a/tests/t_open_orders.c
+++ b/tests/t_open_orders.c
@@ -28,6 +28,10 @@
 	STEP_ACCEPTED, /* the platform accepts the order */
 	STEP_REFUSED,  /* the platform refuses the order */
 	STEP_RESTORED, /* the store has come back from an older copy */
+	/* the next order is recorded: by the answers, the order to the database
+	   is open until 500 ms, or none is */
+	STEP_SETTLED_OPEN,
+	STEP_SETTLED,
 } step_kind_t;
 
 /* An event; an order of attempt N is to replace term N - 1. */
@@ -165,6 +169,17 @@
 	350, false, false},
     {"refused", {{STEP_RECORDED, "a", 2, 500}, {STEP_REFUSED, "a", 2}}, 100,
 	false, false},
+    {"the next one is recorded within 10 s of its time",
+	{{STEP_RECORDED, "a", 2, 500}, {STEP_SETTLED, NULL, 0, 10499}}, 10499,
+	true, false},
+    {"the next one is recorded later, and it is over by the answers",
+	{{STEP_RECORDED, "a", 2, 500}, {STEP_SETTLED, NULL, 0, 10500}}, 10500,
+	false, false},
+    {"the next one is recorded later, and it is open by the answers",
+	{{STEP_RECORDED, "a", 2, 500}, {STEP_SETTLED_OPEN, "a", 2, 10500}},
+	10500, true, false},
+    {"the same, and it is not known", {{STEP_SETTLED_OPEN, "a", 2, 10500}},
+	10500, true, false},
     {"another attempt is refused",
 	{{STEP_RECORDED, "a", 2, 500}, {STEP_REFUSED, "a", 3}}, 100, true,
 	false},
@@ -228,6 +243,13 @@
 	case STEP_RESTORED:
 		open_orders_store_restored(orders);
 		break;
+	case STEP_SETTLED_OPEN:
+		order.until_us = MS(500);
+		open_orders_settle(orders, &order, 1, MS(step->at_ms));
+		break;
+	case STEP_SETTLED:
+		open_orders_settle(orders, NULL, 0, MS(step->at_ms));
+		break;
 	case STEP_NONE:
 		break;
 	}
@@ -246,7 +268,7 @@
 	open_orders_init(&orders);
 	for (i = 0; i < STEPS_MAX; i++)
 		apply(&orders, &c->steps[i]);
-	open_orders_expire(&orders, false, MS(c->now_ms));
+	open_orders_expire(&orders, MS(c->now_ms));
 	g_assert_cmpint(open_orders_has(&orders, "a"), ==, c->a_open);
 	g_assert_cmpint(open_orders_has(&orders, "b"), ==, c->b_open);
 	g_assert_cmpint(
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -124,6 +124,9 @@
 	/* where all other open orders may have begun newer terms, the one that
 	   is left has begun the term that is replaced next */
 	PROXY_BUG_ORDER_ELIMINATED,
+	/* an order is left out of the record by its time alone, also of one
+	   that is withdrawn */
+	PROXY_BUG_ORDER_EXPIRES,
 } proxy_model_bug_t;
 
 /* Places where an order to promote a database may be held up. */
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -116,14 +116,18 @@
 	    .until_us = model->now_us + ORDER_OPEN_US,
 	    .source = OPEN_ORDER_RECORDED,
 	    .recorded_us = model->now_us};
+	open_list_t open;
 
 	if (model->plan->open_orders_unknown)
 		return;
 	if (model->plan->injected_bug == PROXY_BUG_ORDER_ELIMINATED)
 		eliminate(&daemon->open_orders,
 		    failover_term_to_replace(&daemon->failover));
-	open_orders_expire(&daemon->open_orders, true, model->now_us);
-
+	proxy_model_open_list(model, daemon, &open);
+	open_orders_settle(&daemon->open_orders, open.orders,
+	    model->plan->injected_bug == PROXY_BUG_ORDER_EXPIRES ? 0
+								 : open.count,
+	    model->now_us);
 	open_orders_remove(
 	    &daemon->open_orders, order.database, order.attempt_term);
 	open_orders_add(&daemon->open_orders, &order);
@@ -131,16 +135,40 @@
 }
 
 /*
- * Withdraw an order that was refused or not sent.
+ * Append an order to a list that may have it.
+ */
+static void
+add_listed(open_list_t *list, const open_order_t *order)
+{
+	uint32_t i;
+
+	for (i = 0; i < list->count; i++) {
+		if (list->orders[i].attempt_term == order->attempt_term &&
+		    strcmp(list->orders[i].database, order->database) == 0)
+			return;
+	}
+	append_order(list, order);
+}
+
+/*
+ * Withdraw an order that was refused or not sent.  What was left out when it
+ * was recorded is recorded again.
  */
 void
 proxy_model_open_withdraw(
     proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db)
 {
+	uint32_t i;
+
 	open_orders_remove(
 	    &daemon->open_orders, db_names[db], daemon->failover.term);
-	if (!model->plan->open_orders_unknown)
-		proxy_model_open_list(model, daemon, &model->open);
+	if (model->plan->open_orders_unknown)
+		return;
+	proxy_model_open_list(model, daemon, &model->open);
+	for (i = 0; model->plan->injected_bug != PROXY_BUG_ORDER_EXPIRES &&
+	     i < daemon->open_before.count;
+	     i++)
+		add_listed(&model->open, &daemon->open_before.orders[i]);
 }
 
 /*
