--- a/src/decide/open_orders.c
+++ b/src/decide/open_orders.c
@@ -242,13 +242,32 @@
 }
 
 /*
- * Replace the recorded orders of a set by those that the store has recorded
- * now.  The coordinator writes the record with each order, so that all but the
- * last one were open when it was written, as if the coordinator had told so.
+ * Tell whether an order is in a list.
+ */
+static bool
+is_listed(const open_order_t *order, const open_order_t *list, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (list[i].attempt_term == order->attempt_term &&
+		    strcmp(list[i].database, order->database) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Replace the recorded orders of a set by those that the store had recorded
+ * when it was asked at asked_us.  One that was recorded later stays, also if an
+ * older record is answered after a newer one.  The coordinator writes the
+ * record with each order, so that all but the last one were open when it was
+ * written, as if the coordinator had told so.
  */
 void
-open_orders_replace_recorded(
-    open_orders_t *orders, const open_order_t *recorded, uint32_t count)
+open_orders_replace_recorded(open_orders_t *orders,
+    const open_order_t *recorded, uint32_t count, int64_t asked_us,
+    int64_t now_us)
 {
 	uint32_t i = orders->list->len, j;
 	uint64_t last_attempt = 0;
@@ -256,12 +275,9 @@
 	while (i-- > 0) {
 		const open_order_t *order = order_at(orders, i);
 
-		for (j = 0; j < count; j++) {
-			if (recorded[j].attempt_term == order->attempt_term &&
-			    strcmp(recorded[j].database, order->database) == 0)
-				break;
-		}
-		if (order->source == OPEN_ORDER_RECORDED && j == count)
+		if (order->source == OPEN_ORDER_RECORDED &&
+		    order->recorded_us <= asked_us &&
+		    !is_listed(order, recorded, count))
 			forget_order(orders, i);
 	}
 	for (j = 0; j < count; j++)
@@ -274,6 +290,7 @@
 		open_orders_add(orders, &recorded[j]);
 		order = order_find(
 		    orders, recorded[j].database, recorded[j].attempt_term);
+		order->recorded_us = now_us;
 		if (order->attempt_term != last_attempt &&
 		    (known || order->begun_term != 0))
 			order->in_doubt = true;
@@ -299,8 +316,7 @@
 }
 
 /*
- * Note that a term has begun by an order to promote a database; NULL: it is not
- * known which, and the set has all orders up to that term.
+ * Note that a database leads a term.
  */
 void
 open_orders_term_begun(
@@ -308,14 +324,12 @@
 {
 	uint32_t i;
 
-	if (database != NULL)
-		note_leader(orders, database, term);
+	note_leader(orders, database, term);
 	for (i = 0; i < orders->list->len; i++) {
 		open_order_t *order = order_at(orders, i);
 
 		if (order->begun_term == 0 && order->replaced_term < term &&
-		    (database == NULL ||
-			strcmp(order->database, database) == 0))
+		    strcmp(order->database, database) == 0)
 			order->begun_term = term;
 	}
 }
@@ -340,25 +354,65 @@
 }
 
 /*
- * Forget the orders that are not open and have been over for so long that no
- * other one is open that may have begun the same term; but not recorded ones,
- * which may be read again.  all: forget any order that has been over for so
- * long.
+ * Tell whether the time in which an order may take effect has been over for so
+ * long that no other one is open that may have begun the same term.
+ */
+static bool
+order_expired(const open_order_t *order, int64_t now_us)
+{
+	return order->until_us + ORDER_OPEN_US <= now_us;
+}
+
+/*
+ * Forget the expired orders that are not open; but not recorded ones, which may
+ * be read again.
+ */
+void
+open_orders_expire(open_orders_t *orders, int64_t now_us)
+{
+	uint32_t i = orders->list->len;
+
+	while (i-- > 0) {
+		const open_order_t *order = order_at(orders, i);
+
+		if (order->source == OPEN_ORDER_TOLD &&
+		    order_expired(order, now_us) && !order_open(orders, order))
+			forget_order(orders, i);
+	}
+}
+
+/*
+ * Forget the expired orders of a set without answers of databases, before the
+ * next order is recorded with it: those that are not among the ones that are
+ * open by the answers, which are added.
  */
 void
-open_orders_expire(open_orders_t *orders, bool all, int64_t now_us)
+open_orders_settle(open_orders_t *orders, const open_order_t *open,
+    uint32_t count, int64_t now_us)
 {
 	uint32_t i = orders->list->len;
 
 	while (i-- > 0) {
 		const open_order_t *order = order_at(orders, i);
 
-		if (order->until_us + ORDER_OPEN_US <= now_us &&
-		    (all ||
-			(order->source == OPEN_ORDER_TOLD &&
-			    !order_open(orders, order))))
+		if (order_expired(order, now_us) &&
+		    !is_listed(order, open, count))
 			forget_order(orders, i);
 	}
+	for (i = 0; i < count; i++)
+		open_orders_add(orders, &open[i]);
+}
+
+/*
+ * Add the orders of another set.
+ */
+void
+open_orders_add_all(open_orders_t *orders, const open_orders_t *added)
+{
+	uint32_t i;
+
+	for (i = 0; i < added->list->len; i++)
+		open_orders_add(orders, order_at(added, i));
 }
 
 /*
@@ -406,3 +460,63 @@
 			callback(context, order_at(orders, i));
 	}
 }
+
+/* The open orders of a group that are being marked. */
+typedef struct marker {
+	failover_t *failover;
+	lease_t *lease;
+	database_name_cb name;
+	void *context;
+} marker_t;
+
+/*
+ * Mark the database that an open order names.  One that is not in the group is
+ * not asked, so that the outcome stays unknown, also when the time of the order
+ * is over.
+ */
+static void
+mark(void *context, const open_order_t *order)
+{
+	const marker_t *marker = context;
+	failover_t *failover = marker->failover;
+	uint32_t i;
+
+	for (i = 0; i < failover->count; i++) {
+		if (strcmp(order->database, marker->name(marker->context, i)) ==
+		    0) {
+			failover->views[i].order_open = true;
+			return;
+		}
+	}
+	marker->lease->order_open_outside = true;
+}
+
+/*
+ * Bring the open orders of a group up to date with the answers of its
+ * databases, and mark the databases that open orders name.
+ */
+void
+open_orders_update(open_orders_t *orders, failover_t *failover, lease_t *lease,
+    database_name_cb name, void *context, int64_t now_us)
+{
+	marker_t marker = {failover, lease, name, context};
+	int32_t primary = failover_primary(failover);
+	uint32_t i;
+
+	for (i = 0; i < failover->count; i++) {
+		const db_view_t *view = &failover->views[i];
+
+		if ((int32_t)i == primary)
+			open_orders_term_begun(
+			    orders, name(context, i), view->promised);
+		if (view->known)
+			open_orders_checked(
+			    orders, name(context, i), view->requested_us);
+	}
+	open_orders_expire(orders, now_us);
+	for (i = 0; i < failover->count; i++)
+		failover->views[i].order_open = false;
+	lease->order_open_outside = false;
+	open_orders_each(orders, mark, &marker);
+	failover->order_open_outside = lease->order_open_outside;
+}
--- a/src/decide/open_orders.h
+++ b/src/decide/open_orders.h
@@ -1,7 +1,7 @@
 #ifndef DECIDE_OPEN_ORDERS_H
 #define DECIDE_OPEN_ORDERS_H
 
-#include "decide.h"
+#include "failover.h"
 
 #include <glib.h>
 
@@ -25,6 +25,7 @@
 	uint64_t replaced_term; /* newest term whose primary it replaces */
 	int64_t until_us;       /* time until which it may take effect */
 	open_order_source_t source;
+	int64_t recorded_us; /* last time at which the record had it */
 	/* first term that it may have begun; 0: none.  If no other order may
 	   have begun that term, this one did, and is not open any more. */
 	uint64_t begun_term;
@@ -50,6 +51,11 @@
  */
 typedef void (*open_order_cb)(void *context, const open_order_t *);
 
+/*
+ * Callback that returns the name of a database of the group.
+ */
+typedef const char *(*database_name_cb)(void *context, uint32_t database);
+
 void open_orders_init(open_orders_t *);
 void open_orders_clear(open_orders_t *);
 bool open_orders_add(open_orders_t *, const open_order_t *);
@@ -57,17 +63,22 @@
     open_orders_t *, const char *database, uint64_t attempt_term);
 void open_orders_shorten(open_orders_t *, const char *database,
     uint64_t attempt_term, int64_t until_us);
-void open_orders_replace_recorded(
-    open_orders_t *, const open_order_t *recorded, uint32_t count);
+void open_orders_replace_recorded(open_orders_t *, const open_order_t *recorded,
+    uint32_t count, int64_t asked_us, int64_t now_us);
 void open_orders_store_restored(open_orders_t *);
 void open_orders_term_begun(
     open_orders_t *, const char *database, uint64_t term);
 void open_orders_forget_leader(open_orders_t *, const char *database);
 void open_orders_checked(
     open_orders_t *, const char *database, int64_t asked_us);
-void open_orders_expire(open_orders_t *, bool all, int64_t now_us);
+void open_orders_expire(open_orders_t *, int64_t now_us);
+void open_orders_settle(
+    open_orders_t *, const open_order_t *open, uint32_t count, int64_t now_us);
+void open_orders_add_all(open_orders_t *, const open_orders_t *added);
 uint32_t open_orders_count(const open_orders_t *);
 bool open_orders_has(const open_orders_t *, const char *database);
 void open_orders_each(const open_orders_t *, open_order_cb, void *context);
+void open_orders_update(open_orders_t *, failover_t *, lease_t *,
+    database_name_cb, void *context, int64_t now_us);
 
 #endif
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -122,6 +122,14 @@
 	/* where commits are synchronous, a write is answered though a database
 	   that an open order names has not received it */
 	PROXY_BUG_OPEN_ORDERS_LACK_COMMITS,
+	/* an order to a database outside of the group is over by its time */
+	PROXY_BUG_ORDER_OUTSIDE_VOID,
+	/* where all other open orders may have begun newer terms, the one that
+	   is left has begun the term that is replaced next */
+	PROXY_BUG_ORDER_ELIMINATED,
+	/* an order is left out of the record by its time alone, also of one
+	   that is withdrawn */
+	PROXY_BUG_ORDER_EXPIRES,
 } proxy_model_bug_t;
 
 /* Places where an order to promote a database may be held up. */
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -23,7 +23,7 @@
 
 #define DAEMONS_MAX 5
 #define DBS_MAX 7
-#define OPEN_LIST_MAX 8
+#define OPEN_LIST_MAX 64
 #define REPLICATE_INTERVAL_US (5 * US_PER_MS)
 #define PROMOTION_MIN_US (100 * US_PER_MS)
 #define RESTART_DURATION_MAX_US (1 * US_PER_SECOND)
@@ -125,6 +125,7 @@
 	bool orders_pending; /* the recorded orders are being read */
 	/* what the store had recorded before the last order */
 	recorded_orders_t orders_before;
+	open_list_t open_before;
 	int64_t coordinator_since_us; /* time it took the role */
 	int64_t role_confirmed_us; /* last time the record named it; 0: never */
 	waiting_order_t waiting_order;
@@ -314,8 +315,8 @@
     const proxy_model_t *, const proxy_model_daemon_t *, open_list_t *);
 bool proxy_model_open_told(
     proxy_model_t *, proxy_model_daemon_t *, const open_list_t *);
-void proxy_model_open_recorded(
-    proxy_model_t *, proxy_model_daemon_t *, const open_list_t *);
+void proxy_model_open_recorded(proxy_model_t *, proxy_model_daemon_t *,
+    const open_list_t *, int64_t asked_us);
 void proxy_model_open_note(
     proxy_model_t *, proxy_model_daemon_t *, uint32_t db);
 void proxy_model_open_withdraw(
