Failover: an ended member's later start may hold commits before it is listed

Where commits need a replica, an attempt could promote a database that lacks an acknowledged commit, after a database had ended and its later start was not listed yet.

The number of promises that an attempt needs came from MAX(listed, members without those that have ended). An end is certain for what a process had promised, not for its log, and its place is taken: the later start follows the primary, and is the one replica of a commit before its entry is in the list. The maximum is not the union either: a database that is listed and no member stood in for a member that is not listed.

Members in whose place nobody is listed, neither they nor a later start, are now counted on top of those that are listed (members_absent), also while so many have ended that none counts as recorded. Model and daemon compute it alike.

--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -234,6 +234,9 @@
 	   is left of what they had promised */
 	uint32_t members;
 	uint32_t members_ended;
+	/* recorded members in whose place no database is listed: neither they,
+	   nor later starts of theirs, which may hold commits */
+	uint32_t members_absent;
 	/* former members that leases of other daemons may rest on, those that
 	   may have been recorded, and the present ones with later starts in
 	   place of those that have ended */
@@ -286,8 +289,8 @@
 void failover_remap(
     failover_t *, const int32_t *old_index, uint32_t count, int64_t);
 void failover_members_lost(failover_t *, int64_t now_us);
-void failover_set_members(
-    failover_t *, lease_t *, uint32_t count, uint32_t ended, int64_t now_us);
+void failover_set_members(failover_t *, lease_t *, uint32_t count,
+    uint32_t ended, uint32_t absent, int64_t now_us);
 void failover_set_former(
     failover_t *, const former_members_t *, uint32_t count, int64_t now_us);
 uint64_t former_members_until(
--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -429,15 +429,15 @@
  * Return the number of promises that a choice needs: a majority, and so many
  * that at least one of these databases holds each acknowledged commit, given
  * that a commit is acknowledged once sync_replicas replicas besides the primary
- * hold it.
+ * hold it.  A later start of a member that has ended may be one of these before
+ * it is listed.
  */
 uint32_t
 grants_needed(const failover_t *failover)
 {
 	uint32_t sync = failover->limits.sync_replicas;
 	uint32_t needed = majority_of(failover->count);
-	uint32_t all =
-	    MAX(failover->count, failover->members - failover->members_ended);
+	uint32_t all = failover->count + failover->members_absent;
 
 	if (sync > 0 && sync < all)
 		needed = MAX(needed, all - sync);
--- a/src/decide/failover_state.c
+++ b/src/decide/failover_state.c
@@ -136,13 +136,14 @@
 }
 
 /*
- * Set the number of members of the group that the store has recorded, and of
- * those that have ended.  If so many have ended that the others are no
- * majority, none counts as recorded until they are recorded again.
+ * Set the number of members of the group that the store has recorded, of those
+ * that have ended, and of those in whose place no database is listed.  If so
+ * many have ended that the others are no majority, none counts as recorded
+ * until they are recorded again; they are absent nevertheless.
  */
 void
 failover_set_members(failover_t *failover, lease_t *lease, uint32_t count,
-    uint32_t ended, int64_t now_us)
+    uint32_t ended, uint32_t absent, int64_t now_us)
 {
 	lease->members_ended = count > 0 && count - ended < majority_of(count);
 	if (lease->members_ended)
@@ -151,6 +152,7 @@
 		failover_members_lost(failover, now_us);
 	lease->members = failover->members = count;
 	failover->members_ended = ended;
+	failover->members_absent = absent;
 }
 
 /*
--- a/src/proxy/group_members.c
+++ b/src/proxy/group_members.c
@@ -61,15 +61,39 @@
 	return ended;
 }
 
+/*
+ * Tell whether no server of a group is a recorded member or a later start of
+ * it.
+ */
+static bool
+member_absent(const group_t *group, const member_t *member)
+{
+	start_t start = {member->id, member->address, member->born};
+	arena_t *arena = arena_new();
+	bool absent = true;
+	uint32_t i;
+
+	for (i = 0; i < group->count && absent; i++) {
+		const server_t *server = group->servers[i];
+		start_t other = {server->id, server_address(server, arena),
+		    server->generation};
+
+		absent = strcmp(server->id, member->id) != 0 &&
+		    !start_follows(&other, &start);
+	}
+	arena_free(arena);
+	return absent;
+}
+
 /*
  * Mark the servers of a group that are recorded members, and count those that
- * have ended.
+ * have ended or are absent.
  */
 void
 group_members_update(group_t *group)
 {
 	failover_t *failover = &group->failover;
-	uint32_t i, ended = 0, count = group->members_count;
+	uint32_t i, ended = 0, absent = 0, count = group->members_count;
 
 	for (i = 0; i < group->count; i++) {
 		const server_t *server = group->servers[i];
@@ -79,10 +103,13 @@
 		    member->born == server->generation &&
 		    member->ended == START_STAYS;
 	}
-	for (i = 0; i < count; i++)
+	for (i = 0; i < count; i++) {
 		ended += group_member_ended_by(group, &group->members[i]) !=
 		    START_STAYS;
-	failover_set_members(failover, &group->lease, count, ended, clock_us());
+		absent += member_absent(group, &group->members[i]);
+	}
+	failover_set_members(
+	    failover, &group->lease, count, ended, absent, clock_us());
 	group_former_update(group);
 }
 
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -1,3 +1,4 @@
+#include "../src/decide/failover_choice.h"
 #include "attempt.h"
 #include "cases.h"
 
@@ -483,6 +484,8 @@
 	failover_init(&failover, &test_limits, c->count, 1, 0);
 	failover.limits.sync_replicas = sync_replicas;
 	failover.members = c->members;
+	failover.members_absent =
+	    c->members > c->count ? c->members - c->count : 0;
 	failover_orders_recorded(&failover, &c->recorded, 0);
 	report(&failover, 0, true, c->recorded.replaced_term + 1, 0, 0);
 	for (i = 1; i < c->count; i++)
@@ -526,6 +529,47 @@
 	check_leaving(c, 1, c->chosen_sync);
 }
 
+typedef struct needed_case {
+	const char *name;
+	uint32_t sync_replicas;
+	uint32_t listed;
+	uint32_t members;
+	uint32_t ended;
+	uint32_t absent;
+	uint32_t needed;
+} needed_case_t;
+
+static const needed_case_t needed_cases[] = {
+    {"all are listed", 1, 4, 4, 0, 0, 3},
+    {"one is not", 1, 3, 4, 0, 1, 3},
+    {"one has ended, a later start is listed", 1, 4, 4, 1, 0, 3},
+    {"one has ended, a later start is not listed", 1, 3, 4, 1, 1, 3},
+    {"most have ended, and one later start is listed", 1, 3, 4, 2, 1, 3},
+    {"one has ended, and another one is listed", 1, 4, 4, 1, 1, 4},
+    {"none are recorded", 1, 4, 0, 0, 0, 3},
+    {"commits need no replica", 0, 3, 4, 1, 1, 2},
+};
+
+/*
+ * Test how many promises an attempt needs, so that one of them holds each
+ * commit.  The later start of a member that has ended holds commits also before
+ * it is listed.
+ */
+static void
+test_needed(gconstpointer data)
+{
+	const needed_case_t *c = data;
+	lease_t lease = {0};
+	failover_t failover;
+
+	failover_init(&failover, &test_limits, c->listed, 1, 0);
+	failover.limits.sync_replicas = c->sync_replicas;
+	failover_set_members(
+	    &failover, &lease, c->members, c->ended, c->absent, 0);
+	g_assert_cmpuint(grants_needed(&failover), ==, c->needed);
+	failover_clear(&failover);
+}
+
 #define CANDIDATE_ORDERS 2
 
 /* What a database reports at a time. */
@@ -1597,6 +1641,7 @@
 	CASES("/attempt/expired", expired_cases, test_expired);
 	CASES("/attempt/reach", reach_cases, test_reach);
 	CASES("/attempt/open-order", open_order_cases, test_open_order);
+	CASES("/attempt/needed", needed_cases, test_needed);
 	CASES("/attempt/ended", ended_cases, test_ended);
 	CASES("/attempt/asked", asked_cases, test_asked);
 	g_test_add_func("/attempt/lost-during", test_lost_during_attempt);
--- a/tests/t_members.c
+++ b/tests/t_members.c
@@ -26,6 +26,7 @@
 	bool denied;      /* the process at its address is another one */
 	uint32_t ended;   /* expected: members that have ended */
 	uint32_t members; /* expected: servers that are members */
+	uint32_t absent;  /* expected: members in whose place none is listed */
 } listing_t;
 
 typedef struct listed_case {
@@ -49,6 +50,9 @@
 	{{5, false, true, 1, 2}, {5, false, false, 1, 2}}},
     {"another process at its address, and a later start",
 	{{5, false, true, 1, 2}, {6, false, false, 1, 2}}},
+    {"another process at its address, not listed, and a later start",
+	{{5, false, true, 1, 2}, {0, false, false, 1, 2, 1},
+	    {6, false, false, 1, 2}}},
 };
 
 /*
@@ -153,7 +157,8 @@
 
 /*
  * Test that a member counts as ended while the lists, or its address, say so,
- * and not any more when the list has that very start again.
+ * and not any more when the list has that very start again; and as absent while
+ * neither it nor a later start is in the group.
  */
 static void
 test_listed(gconstpointer data)
@@ -182,6 +187,8 @@
 		g_assert_cmpuint(group->failover.members, ==, SERVERS);
 		g_assert_cmpuint(
 		    group->failover.members_ended, ==, listing->ended);
+		g_assert_cmpuint(
+		    group->failover.members_absent, ==, listing->absent);
 		g_assert_cmpuint(count_members(group), ==, listing->members);
 	}
 	bed_stop(&bed);
--- a/tests/t_members_model.c
+++ b/tests/t_members_model.c
@@ -152,8 +152,8 @@
 	    .lapse_permille = 6,
 	    .refused_permille = 2}},
     {"the same, daemons and databases restart", 3, 3, 6, .seeds = 1000,
-	.daemon_restart_permille = 5,
-	.database_restart_permille = 7, .order_held_permille = 456,
+	.daemon_restart_permille = 5, .database_restart_permille = 7,
+	.order_held_permille = 456,
 	.troubles = {.order_held_permille[PROXY_PLACE_SOCKET] = 236,
 	    .member_restart_permille = 1,
 	    .start_listed_max_us = 1000000,
@@ -188,6 +188,23 @@
 		.former_reached = true,
 		.first_unrecorded = true,
 		.just_started = true}}},
+    {"synchronous replica, databases end", 4, 3, 8, 1, 0, 500,
+	.troubles = {.start_listed_max_us = 1000000, .crash_permille = 3}},
+    {"synchronous replica, databases end, seeds to 226", 4, 3, 0, 1, 0, 226, 2,
+	.troubles = {.start_listed_max_us = 1000000,
+	    .lapse_permille = 5,
+	    .crash_permille = 4}},
+    {"synchronous replica, databases end, seed 227", 4, 3, 0, 1, 0, 1, 2,
+	.troubles = {.start_listed_max_us = 1000000,
+	    .lapse_permille = 5,
+	    .crash_permille = 4},
+	.first_seed = 227},
+    {"synchronous replica, databases end, seeds from 228", 4, 3, 0, 1, 0, 273,
+	2,
+	.troubles = {.start_listed_max_us = 1000000,
+	    .lapse_permille = 5,
+	    .crash_permille = 4},
+	.first_seed = 228},
 };
 
 static const bug_case_t bug_cases[] = {
@@ -267,6 +284,9 @@
 	5, .returns_permille = 5,
 	.troubles = {.start_listed_max_us = 1000000,
 	    .members = {.permille = 20, .dropped = 2}}},
+    {"a later start that is not listed holds no commit",
+	PROXY_BUG_ENDED_HOLDS_NOTHING, 3, 0, 8, 4, .sync_replicas = 1,
+	.troubles = {.start_listed_max_us = 1000000, .crash_permille = 3}},
 };
 
 /*
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -122,6 +122,9 @@
 	/* where commits are synchronous, a write is answered though a database
 	   that an open order names has not received it */
 	PROXY_BUG_OPEN_ORDERS_LACK_COMMITS,
+	/* where commits are synchronous, a member that has ended holds none,
+	   nor does a later start of it that is not listed */
+	PROXY_BUG_ENDED_HOLDS_NOTHING,
 } proxy_model_bug_t;
 
 /* Places where an order to promote a database may be held up. */
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -215,7 +215,8 @@
 proxy_model_members_update(proxy_model_t *model, proxy_model_daemon_t *daemon)
 {
 	failover_t *failover = &daemon->failover;
-	uint32_t i, ended = 0, refused = 0, count = daemon->members.now.count;
+	uint32_t i, ended = 0, absent = 0, refused = 0;
+	uint32_t count = daemon->members.now.count;
 	bool any_start =
 	    model->plan->injected_bug == PROXY_BUG_STARTED_IS_MEMBER;
 
@@ -236,13 +237,18 @@
 		    proxy_model_member_ended(model, daemon, i);
 
 		ended += gone;
+		absent += count > 0 && daemon->members.now.member[i] &&
+		    proxy_model_index(daemon, i) < 0 &&
+		    !(gone &&
+			model->plan->injected_bug ==
+			    PROXY_BUG_ENDED_HOLDS_NOTHING);
 		refused += count > 0 && !gone && daemon->member_refused[i];
 	}
 	if (model->plan->injected_bug == PROXY_BUG_REFUSED_UNRECORDED &&
 	    count - ended - refused < majority_of(count))
 		count = ended = 0;
 	failover_set_members(
-	    failover, &daemon->lease, count, ended, model->now_us);
+	    failover, &daemon->lease, count, ended, absent, model->now_us);
 	proxy_model_former_update(model, daemon);
 }
 
