Failover: with a replica for commits, a first list does not show all databases

Where commits need a replica and no members are recorded, a coordinator that had just started could promote a database that lacks an acknowledged commit.

How long a database has run shows that the other daemons know it. It does not show that this list has all others, which is what the promises of all but one rest on. Groups whose commits need no replica stay as they are; a handover, and the first set beside members that are recorded, do as well. Weighed: the promise of the primary of the newest term that is followed, if it is not listed; that leaves replicas without an entry.

--- a/src/proxy/group_former.c
+++ b/src/proxy/group_former.c
@@ -300,12 +300,12 @@
 
 /*
  * Return the servers of a group that each daemon should know, as an open set:
- * those that this process has listed for long, or that were listed long before
- * its first list.  Where no members are recorded, leases rest on the daemons'
- * lists, which may lack the others.
+ * those that this process has listed for long, or, by_start, that were listed
+ * long before its first list.  Where no members are recorded, leases rest on
+ * the daemons' lists, which may lack the others.
  */
 static former_members_t
-listed_for_long(const group_t *group)
+listed_for_long(const group_t *group, bool by_start)
 {
 	former_members_t former = {.open = true};
 	int64_t now_us = clock_us();
@@ -314,7 +314,7 @@
 	for (i = 0; i < group->count; i++) {
 		const server_t *server = group->servers[i];
 
-		former.member[i] = server->started_for_long ||
+		former.member[i] = (by_start && server->started_for_long) ||
 		    !server_newly_listed(server, now_us);
 		former.count += former.member[i];
 	}
@@ -322,7 +322,10 @@
 }
 
 /*
- * Set the former members that count for the failover of a group.
+ * Set the former members that count for the failover of a group.  Where commits
+ * are synchronous and no members are recorded, the time of a start does not
+ * suffice: the first list of a process may lack databases whose entries are
+ * missing for the moment, and these may alone hold the last commits.
  */
 void
 group_former_update(group_t *group)
@@ -353,7 +356,8 @@
 		list[count++] =
 		    former_of(group, group->members, group->members_count);
 	if (group->members_count == 0 && group->count > 0)
-		list[count++] = listed_for_long(group);
+		list[count++] = listed_for_long(
+		    group, group->failover.limits.sync_replicas == 0);
 	failover_set_former(&group->failover, list, count, clock_us());
 }
 
@@ -364,7 +368,7 @@
 static Bp__RecordedMember **
 members_before(const group_t *group, arena_t *arena, size_t *count)
 {
-	former_members_t listed = listed_for_long(group);
+	former_members_t listed = listed_for_long(group, true);
 	Bp__RecordedMember **list =
 	    arena_zalloc(arena, sizeof(list[0]) * (GROUP_DATABASES_MAX + 1));
 	uint32_t i;
--- a/tests/t_members.c
+++ b/tests/t_members.c
@@ -55,6 +55,9 @@
 	    {6, false, false, 1, 2}}},
 };
 
+/* Number of replicas that hold each commit, in the lists. */
+static uint32_t sync_replicas;
+
 /*
  * Apply a list of the servers.  listed: servers that it has, as bits; born: of
  * that with index 1.
@@ -70,6 +73,7 @@
 
 	entry.name = "ledger";
 	entry.connections_max = 8;
+	entry.sync_replicas = sync_replicas;
 	for (i = 0; i < SERVERS; i++) {
 		if ((listed & (1U << i)) == 0)
 			continue;
@@ -508,6 +512,7 @@
 	bool recorded;         /* the members are recorded then */
 	uint32_t sets;         /* expected: sets besides the members */
 	uint32_t known_to_all; /* expected: servers in the first of these */
+	uint32_t sync_replicas;
 } open_case_t;
 
 static const open_case_t open_cases[] = {
@@ -518,6 +523,8 @@
     {"one is listed again", ALL, false, ALL & ~REPLICA, false, 1,
 	ALL & ~REPLICA},
     {"the members are recorded", ALL, false, ALL, true, 0, 0},
+    {"all have started long before, a replica holds each commit", ALL, false,
+	ALL, false, 1, 0, 1},
 };
 
 /*
@@ -535,6 +542,7 @@
 	bed_t bed;
 
 	bed_start(&bed);
+	sync_replicas = c->sync_replicas;
 	apply_list(bed.pool, c->first, born);
 	apply_list(bed.pool, c->second, born);
 	apply_list(bed.pool, ALL, born);
@@ -552,6 +560,7 @@
 		g_free(id);
 	}
 	g_assert_cmphex(known, ==, c->known_to_all);
+	sync_replicas = 0;
 	bed_stop(&bed);
 }
 
--- a/tests/t_members_model.c
+++ b/tests/t_members_model.c
@@ -205,6 +205,9 @@
 	    .lapse_permille = 5,
 	    .crash_permille = 4},
 	.first_seed = 228},
+    {"synchronous replica, entries lapse, daemons restart, the store goes back",
+	5, 3, 0, 1, 0, 300, 10, 0, 4,
+	.troubles = {.start_listed_max_us = 1000000, .lapse_permille = 4}},
 };
 
 static const bug_case_t bug_cases[] = {
@@ -287,6 +290,10 @@
     {"a later start that is not listed holds no commit",
 	PROXY_BUG_ENDED_HOLDS_NOTHING, 3, 0, 8, 4, .sync_replicas = 1,
 	.troubles = {.start_listed_max_us = 1000000, .crash_permille = 3}},
+    {"a first list without entries that are missing for the moment",
+	PROXY_BUG_FIRST_LIST_COMPLETE, 3, 0, 2, 5, .sync_replicas = 1,
+	.daemon_restart_permille = 10, .returns_permille = 4,
+	.troubles = {.start_listed_max_us = 1000000, .lapse_permille = 4}},
 };
 
 /*
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -125,6 +125,9 @@
 	/* where commits are synchronous, a member that has ended holds none,
 	   nor does a later start of it that is not listed */
 	PROXY_BUG_ENDED_HOLDS_NOTHING,
+	/* where commits are synchronous and no members are recorded, the first
+	   list of a process lacks no database that has started long before */
+	PROXY_BUG_FIRST_LIST_COMPLETE,
 } proxy_model_bug_t;
 
 /* Places where an order to promote a database may be held up. */
--- a/tools/proxy_model_members.c
+++ b/tools/proxy_model_members.c
@@ -584,6 +584,32 @@
 	return former;
 }
 
+/*
+ * Return the databases of the group of a daemon that each daemon should know,
+ * where no members are recorded.  Where commits are synchronous, the time of a
+ * start does not suffice.
+ */
+static member_set_t
+listed_for_long(const proxy_model_t *model, const proxy_model_daemon_t *daemon)
+{
+	member_set_t set = members_before(model, daemon);
+	uint32_t i;
+
+	if (model->plan->sync_replicas == 0 ||
+	    model->plan->injected_bug == PROXY_BUG_FIRST_LIST_COMPLETE)
+		return set;
+	for (i = 0; i < daemon->failover.count; i++) {
+		uint32_t db = daemon->servers[i];
+
+		if (!set.member[db] ||
+		    !proxy_model_newly_listed(model, daemon, db))
+			continue;
+		set.member[db] = false;
+		set.count--;
+	}
+	return set;
+}
+
 /*
  * Set the former members that count for the failover of a daemon.
  */
@@ -612,7 +638,7 @@
 	if (daemon->failover.members_ended > 0)
 		list[count++] = former_of(model, daemon, &recorded->now);
 	if (recorded->now.count == 0) {
-		member_set_t before = members_before(model, daemon);
+		member_set_t before = listed_for_long(model, daemon);
 
 		list[count] = former_of(model, daemon, &before);
 		list[count].open = bug != PROXY_BUG_JUST_STARTED;
