--- a/tests/t_members.c
+++ b/tests/t_members.c
@@ -26,6 +26,7 @@
 	bool denied;      /* the process at its address is another one */
 	uint32_t ended;   /* expected: members that have ended */
 	uint32_t members; /* expected: servers that are members */
+	uint32_t absent;  /* expected: members in whose place none is listed */
 } listing_t;
 
 typedef struct listed_case {
@@ -49,8 +50,14 @@
 	{{5, false, true, 1, 2}, {5, false, false, 1, 2}}},
     {"another process at its address, and a later start",
 	{{5, false, true, 1, 2}, {6, false, false, 1, 2}}},
+    {"another process at its address, not listed, and a later start",
+	{{5, false, true, 1, 2}, {0, false, false, 1, 2, 1},
+	    {6, false, false, 1, 2}}},
 };
 
+/* Number of replicas that hold each commit, in the lists. */
+static uint32_t sync_replicas;
+
 /*
  * Apply a list of the servers.  listed: servers that it has, as bits; born: of
  * that with index 1.
@@ -66,6 +73,7 @@
 
 	entry.name = "ledger";
 	entry.connections_max = 8;
+	entry.sync_replicas = sync_replicas;
 	for (i = 0; i < SERVERS; i++) {
 		if ((listed & (1U << i)) == 0)
 			continue;
@@ -153,7 +161,8 @@
 
 /*
  * Test that a member counts as ended while the lists, or its address, say so,
- * and not any more when the list has that very start again.
+ * and not any more when the list has that very start again; and as absent while
+ * neither it nor a later start is in the group.
  */
 static void
 test_listed(gconstpointer data)
@@ -182,6 +191,8 @@
 		g_assert_cmpuint(group->failover.members, ==, SERVERS);
 		g_assert_cmpuint(
 		    group->failover.members_ended, ==, listing->ended);
+		g_assert_cmpuint(
+		    group->failover.members_absent, ==, listing->absent);
 		g_assert_cmpuint(count_members(group), ==, listing->members);
 	}
 	bed_stop(&bed);
@@ -501,6 +512,7 @@
 	bool recorded;         /* the members are recorded then */
 	uint32_t sets;         /* expected: sets besides the members */
 	uint32_t known_to_all; /* expected: servers in the first of these */
+	uint32_t sync_replicas;
 } open_case_t;
 
 static const open_case_t open_cases[] = {
@@ -511,6 +523,8 @@
     {"one is listed again", ALL, false, ALL & ~REPLICA, false, 1,
 	ALL & ~REPLICA},
     {"the members are recorded", ALL, false, ALL, true, 0, 0},
+    {"all have started long before, a replica holds each commit", ALL, false,
+	ALL, false, 1, 0, 1},
 };
 
 /*
@@ -528,6 +542,7 @@
 	bed_t bed;
 
 	bed_start(&bed);
+	sync_replicas = c->sync_replicas;
 	apply_list(bed.pool, c->first, born);
 	apply_list(bed.pool, c->second, born);
 	apply_list(bed.pool, ALL, born);
@@ -545,6 +560,7 @@
 		g_free(id);
 	}
 	g_assert_cmphex(known, ==, c->known_to_all);
+	sync_replicas = 0;
 	bed_stop(&bed);
 }
 
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -130,6 +130,12 @@
 	/* an order is left out of the record by its time alone, also of one
 	   that is withdrawn */
 	PROXY_BUG_ORDER_EXPIRES,
+	/* where commits are synchronous, a member that has ended holds none,
+	   nor does a later start of it that is not listed */
+	PROXY_BUG_ENDED_HOLDS_NOTHING,
+	/* where commits are synchronous and no members are recorded, the first
+	   list of a process lacks no database that has started long before */
+	PROXY_BUG_FIRST_LIST_COMPLETE,
 } proxy_model_bug_t;
 
 /* Places where an order to promote a database may be held up. */
