Open orders: a term that began after an order's time ends it; a handover begins one

What callers saw: while an order is open, no answer of another database is valid. A database that is lost for good after it was ordered, before it led or answered, held that up until it had left the group after 60 s, when time ended the order; since time does not any more, without an end.

Terms are numbered in the order in which they begin, so an order can only have begun an older term than one that began when it could not take effect any more. What the order has begun is then an old primary, against which the promises of the newer term guard. A daemon knows that a term began later if the database that leads it was asked after the order's time and did not lead it yet, or if an order recorded after that time has certainly begun it. The record names that one (followed_by), so that a daemon that starts later knows it, too.

A coordinator has the primary hand over when an order has been over in time for a second and its database has not answered (order_unanswered). Such a handover needs the promises of a majority, since the primary may have been replaced, and all listed daemons must answer; so does any handover while an order to another database is open. That promise is above any term that the order may have begun, as each order has an attempt number of its own.

What ends an order is decided in one function, order_end(). That its start has ended for certain does not: it may have led a term before.

/open-orders/overtaken, /open-orders/update and /coordinator/open-orders have the cases; "an order to a database that has left is open" of /attempt/handover fails without the majority, and two rows of /coordinator/open-orders if followed_by is not read. The model forgets what a database led when it leaves the group, as the daemon does.

--- a/gen/catalog.pb-c.c
+++ b/gen/catalog.pb-c.c
@@ -1358,7 +1358,7 @@
   (ProtobufCMessageInit) bp__earlier_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__open_order__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bp__open_order__field_descriptors[5] =
 {
   {
     "server",
@@ -1408,9 +1408,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "followed_by",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__OpenOrder, has_followed_by),
+    offsetof(Bp__OpenOrder, followed_by),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__open_order__field_indices_by_name[] = {
   1,   /* field[1] = attempt_term */
+  4,   /* field[4] = followed_by */
   3,   /* field[3] = left_ms */
   2,   /* field[2] = replaced_term */
   0,   /* field[0] = server */
@@ -1418,7 +1431,7 @@
 static const ProtobufCIntRange bp__open_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bp__open_order__descriptor =
 {
@@ -1428,7 +1441,7 @@
   "Bp__OpenOrder",
   "bp",
   sizeof(Bp__OpenOrder),
-  4,
+  5,
   bp__open_order__field_descriptors,
   bp__open_order__field_indices_by_name,
   1,  bp__open_order__number_ranges,
--- a/gen/catalog.pb-c.h
+++ b/gen/catalog.pb-c.h
@@ -338,10 +338,16 @@
    * time for which it may take effect
    */
   uint32_t left_ms;
+  /*
+   * attempt_term of the first order that was recorded after that time;
+   * none: not known
+   */
+  protobuf_c_boolean has_followed_by;
+  uint64_t followed_by;
 };
 #define BP__OPEN_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__open_order__descriptor) \
-    , NULL, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/gen/event.pb-c.c
+++ b/gen/event.pb-c.c
@@ -3946,7 +3946,7 @@
   (ProtobufCMessageInit) bp__no_candidate__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__handover_due__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bp__handover_due__field_descriptors[4] =
 {
   {
     "group",
@@ -3984,16 +3984,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "order_open",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Bp__HandoverDue, has_order_open),
+    offsetof(Bp__HandoverDue, order_open),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__handover_due__field_indices_by_name[] = {
   0,   /* field[0] = group */
   2,   /* field[2] = leaving */
+  3,   /* field[3] = order_open */
   1,   /* field[1] = server */
 };
 static const ProtobufCIntRange bp__handover_due__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bp__handover_due__descriptor =
 {
@@ -4003,7 +4016,7 @@
   "Bp__HandoverDue",
   "bp",
   sizeof(Bp__HandoverDue),
-  3,
+  4,
   bp__handover_due__field_descriptors,
   bp__handover_due__field_indices_by_name,
   1,  bp__handover_due__number_ranges,
--- a/gen/event.pb-c.h
+++ b/gen/event.pb-c.h
@@ -796,13 +796,20 @@
    */
   char *server;
   /*
-   * the primary is draining; false: no replica is recent enough for reads
+   * the primary is draining; false: no replica is recent enough for reads,
+   * or order_open
    */
   protobuf_c_boolean leaving;
+  /*
+   * an order may have promoted a server that cannot be asked, and a newer
+   * term ends that doubt
+   */
+  protobuf_c_boolean has_order_open;
+  protobuf_c_boolean order_open;
 };
 #define BP__HANDOVER_DUE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__handover_due__descriptor) \
-    , NULL, NULL, 0 }
+    , NULL, NULL, 0, 0, 0 }
 
 
 /*
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -185,6 +185,9 @@
 	uint64_t reported_term;
 	/* an open order names a database that is not in the group */
 	bool order_open_outside;
+	/* an open order cannot take effect any more, and names a database,
+	   other than the primary, that has not answered since */
+	bool order_unanswered;
 	/* the recorded orders, and the time since which they are known */
 	recorded_orders_t recorded;
 	int64_t recorded_us;
--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -358,6 +358,20 @@
 	    : UINT32_MAX;
 }
 
+/*
+ * Tell whether an order to another database is open.
+ */
+bool
+order_open_elsewhere(const failover_t *failover, int32_t database)
+{
+	bool elsewhere = failover->order_open_outside;
+	int32_t i;
+
+	for (i = 0; i < (int32_t)failover->count; i++)
+		elsewhere |= i != database && failover->views[i].order_open;
+	return elsewhere;
+}
+
 /*
  * Tell whether the open orders allow the promotion of a database.  An order to
  * another one may take effect after this promotion, and the daemons check that
@@ -367,12 +381,8 @@
 static bool
 open_orders_allow(const failover_t *failover, int32_t chosen)
 {
-	bool elsewhere = failover->order_open_outside;
-	int32_t i;
-
-	for (i = 0; i < (int32_t)failover->count; i++)
-		elsewhere |= i != chosen && failover->views[i].order_open;
-	return !elsewhere || failover->revoked_by_all;
+	return !order_open_elsewhere(failover, chosen) ||
+	    failover->revoked_by_all;
 }
 
 /*
--- a/src/decide/failover_fencing.c
+++ b/src/decide/failover_fencing.c
@@ -141,7 +141,9 @@
     failover_actions_t *actions)
 {
 	int32_t primary = failover_primary(failover);
-	bool doubt = primary >= 0 && maybe_replaced(failover);
+	bool doubt = primary >= 0 &&
+	    (maybe_replaced(failover) ||
+		order_open_elsewhere(failover, primary));
 	bool hands_over = handover && can_hand_over(failover, now_us);
 	uint32_t i;
 
--- a/src/decide/open_orders.c
+++ b/src/decide/open_orders.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* Time in which a database that can be asked answers. */
+#define ANSWER_US US_PER_SECOND
+
 /*
  * Free an order.
  */
@@ -94,10 +97,10 @@
 }
 
 /*
- * Note that a database leads a term.
+ * Return what the answers of a database have shown, which is nothing at first.
  */
-static void
-note_leader(open_orders_t *orders, const char *database, uint64_t term)
+static seen_leader_t *
+leader_of(open_orders_t *orders, const char *database)
 {
 	seen_leader_t *leader = leader_find(orders, database);
 
@@ -106,9 +109,38 @@
 		leader->database = g_strdup(database);
 		g_ptr_array_add(orders->leaders, leader);
 	}
+	return leader;
+}
+
+/*
+ * Note that a database leads a term.
+ */
+static void
+note_leader(open_orders_t *orders, const char *database, uint64_t term)
+{
+	seen_leader_t *leader = leader_of(orders, database);
+
 	leader->term = MAX(leader->term, term);
 }
 
+/*
+ * Note which term a database leads by its answer to a request; 0: none.  A term
+ * that is newer than before had not begun when the request was sent that the
+ * database has answered before.
+ */
+static void
+note_answered(open_orders_t *orders, const char *database, uint64_t led_term,
+    int64_t asked_us)
+{
+	seen_leader_t *leader = leader_of(orders, database);
+
+	if (led_term > leader->told_term) {
+		leader->told_term = led_term;
+		leader->before_us = leader->asked_us;
+	}
+	leader->asked_us = asked_us;
+}
+
 /*
  * Forget which term a database was seen to lead, since this start of it is
  * over, or it has left the group.
@@ -140,13 +172,62 @@
 	return true;
 }
 
+/*
+ * Tell whether the first order that was recorded after the time of another one
+ * has begun a term.
+ */
+static bool
+next_done(const open_orders_t *orders, const open_order_t *order)
+{
+	uint32_t i;
+
+	for (i = 0; order->followed_by != 0 && i < orders->list->len; i++) {
+		if (order_at(orders, i)->attempt_term == order->followed_by &&
+		    order_done(orders, order_at(orders, i)))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Return what has ended an order of a set, if anything has.  An order is over
+ * when an answer of its database shows the outcome: one to a request that was
+ * sent when the order could not take effect any more, or one by which the
+ * database leads the term that the order began.  Or when a term is led that
+ * began later than that: what the order has begun, if anything, is older.
+ */
+static open_order_end_t
+order_end(const open_orders_t *orders, const open_order_t *order)
+{
+	if (order->checked)
+		return OPEN_ORDER_ASKED;
+	if (order_done(orders, order))
+		return OPEN_ORDER_LED;
+	return order->overtaken || next_done(orders, order)
+	    ? OPEN_ORDER_OVERTAKEN
+	    : OPEN_ORDER_OPEN;
+}
+
 /*
  * Tell whether the outcome of an order is not known.
  */
 static bool
 order_open(const open_orders_t *orders, const open_order_t *order)
 {
-	return !order->checked && !order_done(orders, order);
+	return order_end(orders, order) == OPEN_ORDER_OPEN;
+}
+
+/*
+ * Note which orders are open now.
+ */
+static void
+note_open(open_orders_t *orders)
+{
+	uint32_t i;
+
+	for (i = 0; i < orders->list->len; i++)
+		order_at(orders, i)->was_open =
+		    order_open(orders, order_at(orders, i));
 }
 
 /*
@@ -159,6 +240,8 @@
 	uint64_t term = order_at(orders, forgotten)->begun_term;
 	uint32_t i;
 
+	if (order_open(orders, order_at(orders, forgotten)))
+		orders->last_end = OPEN_ORDER_UNRECORDED;
 	for (i = 0; term != 0 && i < orders->list->len; i++) {
 		if (i != forgotten && order_at(orders, i)->begun_term == term)
 			order_at(orders, i)->in_doubt = true;
@@ -179,7 +262,7 @@
 	*order = *added;
 	order->database = g_strdup(added->database);
 	order->begun_term = 0;
-	order->in_doubt = order->checked = false;
+	order->in_doubt = order->checked = order->overtaken = false;
 	if (added->source == OPEN_ORDER_RECORDED && leader != NULL &&
 	    order->replaced_term < leader->term)
 		order->begun_term = leader->term;
@@ -205,6 +288,8 @@
 		if (added->until_us < order->until_us)
 			order->until_us = added->until_us;
 		order->source = MAX(order->source, added->source);
+		if (order->followed_by == 0)
+			order->followed_by = added->followed_by;
 		if (!done || added->source != OPEN_ORDER_TOLD)
 			return false;
 		order->in_doubt = true;
@@ -222,9 +307,16 @@
     open_orders_t *orders, const char *database, uint64_t attempt_term)
 {
 	open_order_t *order = order_find(orders, database, attempt_term);
+	uint32_t i;
 
-	if (order != NULL)
-		g_ptr_array_remove(orders->list, order);
+	if (order == NULL)
+		return;
+	orders->last_end = OPEN_ORDER_REFUSED;
+	g_ptr_array_remove(orders->list, order);
+	for (i = 0; i < orders->list->len; i++) {
+		if (order_at(orders, i)->followed_by == attempt_term)
+			order_at(orders, i)->followed_by = 0;
+	}
 }
 
 /*
@@ -335,15 +427,56 @@
 }
 
 /*
- * Note that a database was asked for its status at a time, and has answered.
- * If an order has taken effect by then, its term shows.
+ * Note an order that is sent.  Those whose time is over can only have begun
+ * older terms than the one that it begins.
  */
 void
-open_orders_checked(
-    open_orders_t *orders, const char *database, int64_t asked_us)
+open_orders_note(
+    open_orders_t *orders, const open_order_t *noted, int64_t now_us)
+{
+	uint32_t i;
+
+	open_orders_remove(orders, noted->database, noted->attempt_term);
+	for (i = 0; i < orders->list->len; i++) {
+		open_order_t *order = order_at(orders, i);
+
+		if (order->followed_by == 0 && order->until_us <= now_us)
+			order->followed_by = noted->attempt_term;
+	}
+	open_orders_add(orders, noted);
+}
+
+/*
+ * Note which orders could not take effect any more when the term began that a
+ * database leads.
+ */
+static void
+note_overtaken(open_orders_t *orders, const char *database, uint64_t term)
 {
+	const seen_leader_t *leader = leader_find(orders, database);
 	uint32_t i;
 
+	if (leader == NULL || leader->told_term != term)
+		return;
+	for (i = 0; i < orders->list->len; i++) {
+		open_order_t *order = order_at(orders, i);
+
+		order->overtaken |= order->until_us <= leader->before_us;
+	}
+}
+
+/*
+ * Note that a database was asked for its status at a time, and which term it
+ * leads by its answer; 0: none.  If an order has taken effect by then, its term
+ * shows.
+ */
+void
+open_orders_checked(open_orders_t *orders, const char *database,
+    uint64_t led_term, int64_t asked_us)
+{
+	uint32_t i;
+
+	note_answered(orders, database, led_term, asked_us);
 	for (i = 0; i < orders->list->len; i++) {
 		open_order_t *order = order_at(orders, i);
 
@@ -372,11 +505,12 @@
 {
 	uint32_t i = orders->list->len;
 
+	note_open(orders);
 	while (i-- > 0) {
 		const open_order_t *order = order_at(orders, i);
 
 		if (order->source == OPEN_ORDER_TOLD &&
-		    order_expired(order, now_us) && !order_open(orders, order))
+		    order_expired(order, now_us) && !order->was_open)
 			forget_order(orders, i);
 	}
 }
@@ -467,6 +601,7 @@
 	lease_t *lease;
 	database_name_cb name;
 	void *context;
+	int64_t now_us;
 } marker_t;
 
 /*
@@ -477,18 +612,46 @@
 static void
 mark(void *context, const open_order_t *order)
 {
-	const marker_t *marker = context;
+	marker_t *marker = context;
 	failover_t *failover = marker->failover;
+	int32_t primary = failover_primary(failover);
 	uint32_t i;
 
+	for (i = 0; i < failover->count &&
+	     strcmp(order->database, marker->name(marker->context, i)) != 0;
+	     i++)
+		;
+	if (i < failover->count)
+		failover->views[i].order_open = true;
+	else
+		marker->lease->order_open_outside = true;
+	failover->order_unanswered |= (int32_t)i != primary &&
+	    order->until_us + ANSWER_US <= marker->now_us;
+}
+
+/*
+ * Note what the answers of a group's databases show of its open orders.
+ */
+static void
+note_answers(open_orders_t *orders, const failover_t *failover,
+    database_name_cb name, void *context)
+{
+	int32_t primary = failover_primary(failover);
+	uint32_t i;
+
+	if (primary >= 0)
+		open_orders_term_begun(orders, name(context, (uint32_t)primary),
+		    failover->views[primary].promised);
 	for (i = 0; i < failover->count; i++) {
-		if (strcmp(order->database, marker->name(marker->context, i)) ==
-		    0) {
-			failover->views[i].order_open = true;
-			return;
-		}
+		const db_view_t *view = &failover->views[i];
+
+		if (view->known)
+			open_orders_checked(orders, name(context, i),
+			    view->primary ? view->term : 0, view->requested_us);
 	}
-	marker->lease->order_open_outside = true;
+	if (primary >= 0)
+		note_overtaken(orders, name(context, (uint32_t)primary),
+		    failover->views[primary].promised);
 }
 
 /*
@@ -499,24 +662,21 @@
 open_orders_update(open_orders_t *orders, failover_t *failover, lease_t *lease,
     database_name_cb name, void *context, int64_t now_us)
 {
-	marker_t marker = {failover, lease, name, context};
-	int32_t primary = failover_primary(failover);
+	marker_t marker = {failover, lease, name, context, now_us};
 	uint32_t i;
 
-	for (i = 0; i < failover->count; i++) {
-		const db_view_t *view = &failover->views[i];
+	note_open(orders);
+	note_answers(orders, failover, name, context);
+	for (i = 0; i < orders->list->len; i++) {
+		const open_order_t *order = order_at(orders, i);
 
-		if ((int32_t)i == primary)
-			open_orders_term_begun(
-			    orders, name(context, i), view->promised);
-		if (view->known)
-			open_orders_checked(
-			    orders, name(context, i), view->requested_us);
+		if (order->was_open && !order_open(orders, order))
+			orders->last_end = order_end(orders, order);
 	}
 	open_orders_expire(orders, now_us);
 	for (i = 0; i < failover->count; i++)
 		failover->views[i].order_open = false;
-	lease->order_open_outside = false;
+	lease->order_open_outside = failover->order_unanswered = false;
 	open_orders_each(orders, mark, &marker);
 	failover->order_open_outside = lease->order_open_outside;
 }
--- a/src/decide/open_orders.h
+++ b/src/decide/open_orders.h
@@ -13,6 +13,16 @@
  * the time in which it may take effect.
  */
 
+/* What ends an order: open_orders.c. */
+typedef enum open_order_end {
+	OPEN_ORDER_OPEN,       /* nothing yet */
+	OPEN_ORDER_ASKED,      /* its database has answered after its time */
+	OPEN_ORDER_LED,        /* its database leads the term that it began */
+	OPEN_ORDER_OVERTAKEN,  /* a term is led that began after its time */
+	OPEN_ORDER_REFUSED,    /* it was refused or not sent */
+	OPEN_ORDER_UNRECORDED, /* a later record lacks it */
+} open_order_end_t;
+
 /* Where an open order is known from. */
 typedef enum open_order_source {
 	OPEN_ORDER_TOLD,     /* another daemon */
@@ -32,18 +42,30 @@
 	/* it stays open although no other order is known that may have begun
 	   that term */
 	bool in_doubt;
-	bool checked; /* its database was asked after until_us */
+	/* attempt of the first order that was recorded after until_us; 0: none
+	   is known */
+	uint64_t followed_by;
+	bool checked;   /* its database was asked after until_us */
+	bool overtaken; /* a term that began after until_us is led */
+	bool was_open;  /* it was open when that was noted last */
 } open_order_t;
 
-/* A database that was seen to lead a term. */
+/* What the answers of a database have shown. */
 typedef struct seen_leader {
 	char *database;
-	uint64_t term; /* the newest one */
+	/* newest term that it was seen to lead as the primary of the group; 0:
+	   none */
+	uint64_t term;
+	uint64_t told_term; /* newest one that it said to lead; 0: none */
+	int64_t asked_us;   /* send time of the last answered request */
+	/* a time at which told_term had not begun; 0: none is known */
+	int64_t before_us;
 } seen_leader_t;
 
 typedef struct open_orders {
-	GPtrArray *list;    /* of open_order_t, oldest first */
-	GPtrArray *leaders; /* of seen_leader_t, one for each database */
+	GPtrArray *list;           /* of open_order_t, oldest first */
+	GPtrArray *leaders;        /* of seen_leader_t, one for each database */
+	open_order_end_t last_end; /* of the order that has ended last */
 } open_orders_t;
 
 /*
@@ -59,6 +81,8 @@
 void open_orders_init(open_orders_t *);
 void open_orders_clear(open_orders_t *);
 bool open_orders_add(open_orders_t *, const open_order_t *);
+void open_orders_note(
+    open_orders_t *, const open_order_t *noted, int64_t now_us);
 void open_orders_remove(
     open_orders_t *, const char *database, uint64_t attempt_term);
 void open_orders_shorten(open_orders_t *, const char *database,
@@ -70,7 +94,7 @@
     open_orders_t *, const char *database, uint64_t term);
 void open_orders_forget_leader(open_orders_t *, const char *database);
 void open_orders_checked(
-    open_orders_t *, const char *database, int64_t asked_us);
+    open_orders_t *, const char *database, uint64_t led_term, int64_t asked_us);
 void open_orders_expire(open_orders_t *, int64_t now_us);
 void open_orders_settle(
     open_orders_t *, const open_order_t *open, uint32_t count, int64_t now_us);
--- a/src/proxy/monitor_handover.c
+++ b/src/proxy/monitor_handover.c
@@ -30,16 +30,18 @@
 /*
  * Tell whether a handover that is due may begin.  It requires the daemons to
  * revoke their leases in time, so they are first asked whether they answer.
+ * all: all of them must.
  */
 static bool
-handover_allowed(group_t *group, int64_t now_us)
+handover_allowed(group_t *group, bool all, int64_t now_us)
 {
 	pool_t *pool = group->pool;
 
 	if (group->handover_due_since_us == 0)
 		group->handover_due_since_us = now_us;
 	if (now_us - pool->all_answered_us < DAEMONS_ANSWERED_US ||
-	    (now_us - group->handover_due_since_us >= DAEMONS_ANSWERED_US &&
+	    (!all &&
+		now_us - group->handover_due_since_us >= DAEMONS_ANSWERED_US &&
 		now_us - pool->majority_answered_us < DAEMONS_ANSWERED_US))
 		return true;
 	if (now_us - pool->daemons_queried_us >= DAEMONS_QUERY_INTERVAL_US)
@@ -70,15 +72,27 @@
 	    &group->overload_handover, views, group->count, primary, now_us);
 }
 
+/*
+ * Tell whether an order may have promoted a server that cannot be asked.
+ * Nothing is answered until a term begins that is newer than any that the order
+ * may have begun.
+ */
+static bool
+order_left_open(const group_t *group, int64_t now_us)
+{
+	return group->failover.order_unanswered &&
+	    failover_successor_answers(&group->failover, now_us);
+}
+
 /*
  * Begin a handover to a replica if the primary is shutting down, or overloaded
- * because it serves all reads alone.
+ * because it serves all reads alone, or an order stays open.
  */
 void
 check_handover(group_t *group, int64_t now_us)
 {
 	int32_t primary = failover_primary(&group->failover);
-	bool leaving;
+	bool leaving, order_open;
 
 	if (primary < 0 || group->failover.state != FAILOVER_STEADY) {
 		group->handover_due_since_us = 0;
@@ -87,14 +101,16 @@
 	leaving = group->servers[primary]->leaving &&
 	    failover_answers(&group->failover, (uint32_t)primary, now_us) &&
 	    has_usable_server(group, now_us);
-	if (!leaving &&
+	order_open = !leaving && order_left_open(group, now_us);
+	if (!leaving && !order_open &&
 	    !overload_handover_wanted(group, (uint32_t)primary, now_us)) {
 		group->handover_due_since_us = 0;
 		return;
 	}
-	if (!handover_allowed(group, now_us) || group->failover.handover)
+	if (!handover_allowed(group, order_open, now_us) ||
+	    group->failover.handover)
 		return;
-	log_handover_due(group, group->servers[primary], leaving);
+	log_handover_due(group, group->servers[primary], leaving, order_open);
 	overload_handover_begun(&group->overload_handover, now_us);
 	failover_request_handover(&group->failover, now_us);
 }
--- a/src/proxy/order_messages.c
+++ b/src/proxy/order_messages.c
@@ -97,6 +97,8 @@
 	message->left_ms = order->until_us <= list->now_us
 	    ? 0
 	    : (uint32_t)((order->until_us - list->now_us) / US_PER_MS) + 1;
+	message->has_followed_by = order->followed_by != 0;
+	message->followed_by = order->followed_by;
 	list->list[list->count++] = message;
 }
 
@@ -146,6 +148,7 @@
 	    .attempt_term = message->attempt_term,
 	    .replaced_term = message->replaced_term,
 	    .until_us = now_us + left_us,
+	    .followed_by = message->followed_by,
 	    .source = source};
 }
 
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -88,8 +88,7 @@
 	    .until_us = clock_us() + ORDER_OPEN_US,
 	    .source = OPEN_ORDER_RECORDED};
 
-	open_orders_remove(&order->open, wanted->server, wanted->term);
-	open_orders_add(&order->open, &open);
+	open_orders_note(&order->open, &open, clock_us());
 }
 
 /*
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -527,7 +527,8 @@
 void log_primary_confirmed(const group_t *, const server_t *, int64_t now_us);
 void log_primary_suspected(const group_t *, int64_t now_us);
 void log_no_candidate(const group_t *, int64_t now_us);
-void log_handover_due(const group_t *, const server_t *primary, bool leaving);
+void log_handover_due(
+    const group_t *, const server_t *primary, bool leaving, bool order_open);
 void log_lease_revoked(const group_t *, uint64_t term, int64_t now_us);
 void log_open_orders(const group_t *);
 void log_lease_regained(
--- a/src/proxy/pool_log.c
+++ b/src/proxy/pool_log.c
@@ -355,13 +355,15 @@
  * Log that a handover from a working primary to a replica is due.
  */
 void
-log_handover_due(const group_t *group, const server_t *primary, bool leaving)
+log_handover_due(const group_t *group, const server_t *primary, bool leaving,
+    bool order_open)
 {
 	Bp__HandoverDue handover = BP__HANDOVER_DUE__INIT;
 
 	handover.group = group->name;
 	handover.server = primary->id;
 	handover.leaving = leaving;
+	handover.has_order_open = handover.order_open = order_open;
 	log_event(G_LOG_LEVEL_MESSAGE, &handover.base);
 }
 
--- a/tests/proxy_model_cases.h
+++ b/tests/proxy_model_cases.h
@@ -64,6 +64,8 @@
 	bool old_record_counts;
 	/* the members that the store has lost would hide the bug */
 	bool lost_members_forgotten;
+	/* a handover would hide the bug */
+	bool unanswered_stay;
 } bug_case_t;
 
 /*
@@ -169,6 +171,7 @@
 		    .members_read_once = c->members_read_once,
 		    .old_record_counts = c->old_record_counts,
 		    .lost_members_forgotten = c->lost_members_forgotten,
+		    .unanswered_stay = c->unanswered_stay,
 		    .daemon_restart_permille = c->daemon_restart_permille,
 		    .database_restart_permille = c->database_restart_permille,
 		    .placement_permille = c->placement_permille,
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -975,6 +975,8 @@
 	int64_t requested_ms;    /* of the primary: when it is requested */
 	int64_t stepped_down_ms; /* expected; 0: not */
 	int32_t chosen;          /* expected; -1: none */
+	/* an order to a database that has left the group is open */
+	bool outside;
 } handover_case_t;
 
 static const handover_case_t handover_cases[] = {
@@ -990,6 +992,8 @@
 	{{1, {1, 60}}, {1, {1, 60}}, {1, {1, 55}}}, 5000, 3500, 1},
     {"the same, and one does not answer", {1, 2, 0, {1, 50}},
 	{{1, {1, 60}}, {1, {1, 60}}, {0}}, 5000, 0, -1},
+    {"an order to a database that has left is open", {0},
+	{{1, {1, 60}}, {1, {1, 60}}, {1, {1, 55}}}, 500, 500, 1, true},
 };
 
 /*
@@ -1009,6 +1013,7 @@
 
 	failover_init(&failover, &test_limits, DATABASES, 1, 0);
 	failover.limits.catch_up_us = MS(150);
+	failover.order_open_outside = c->outside;
 	failover_orders_recorded(&failover, &c->recorded, 0);
 	for (at_ms = 0; at_ms < 5000 && chosen < 0; at_ms += 10) {
 		for (i = 0; i < DATABASES; i++) {
@@ -1049,8 +1054,10 @@
 	g_assert_cmpint(chosen, ==, c->chosen);
 	/* a primary that may have been replaced steps down with a majority */
 	g_assert_cmpint(fenced[1], ==,
-	    stepped_down_ms != 0 && c->recorded.replaced_term >= 1 &&
-		c->views[0].term <= c->recorded.replaced_term);
+	    stepped_down_ms != 0 &&
+		(c->outside ||
+		    (c->recorded.replaced_term >= 1 &&
+			c->views[0].term <= c->recorded.replaced_term)));
 	failover_clear(&failover);
 }
 
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -784,35 +784,58 @@
 
 typedef struct noted_open_case {
 	const char *name;
+	const char *taken; /* open order of the record that is taken first */
 	noted_order_t noted[NOTED_MAX];
-	const char *open; /* the open orders that are to be recorded */
+	/* the open orders that are to be recorded, each with the attempt that
+	   has followed its time */
+	const char *open;
 } noted_open_case_t;
 
+#define OPEN_ORDER(more) \
+	"{\"server\":\"o\",\"attempt_term\":1,\"replaced_term\":1," more "}"
+
 static const noted_open_case_t noted_open_cases[] = {
-    {"one", {{"a", 2, 1}}, "a/2 "},
-    {"one, which is refused", {{"a", 2, 1, true}}, ""},
-    {"one, and the next replaces a newer term", {{"a", 2, 1}, {"b", 4, 3}},
-	"a/2 b/4 "},
-    {"two, and the next replaces a newer term",
-	{{"a", 2, 1}, {"a", 3, 2}, {"b", 5, 4}}, "a/2 a/3 b/5 "},
-    {"the same, which is refused",
-	{{"a", 2, 1}, {"a", 3, 2}, {"b", 5, 4, true}}, "a/2 a/3 "},
+    {"one", "", {{"a", 2, 1}}, "a/2/0 "},
+    {"one, which is refused", "", {{"a", 2, 1, true}}, ""},
+    {"one, and the next replaces a newer term", "", {{"a", 2, 1}, {"b", 4, 3}},
+	"a/2/0 b/4/0 "},
+    {"two, and the next replaces a newer term", "",
+	{{"a", 2, 1}, {"a", 3, 2}, {"b", 5, 4}}, "a/2/0 a/3/0 b/5/0 "},
+    {"the same, which is refused", "",
+	{{"a", 2, 1}, {"a", 3, 2}, {"b", 5, 4, true}}, "a/2/0 a/3/0 "},
+    {"one of a former coordinator", OPEN_ORDER("\"left_ms\":9000"),
+	{{"a", 2, 1}}, "o/1/0 a/2/0 "},
+    {"the same, and its time is over", OPEN_ORDER("\"left_ms\":0"),
+	{{"a", 2, 1}, {"a", 3, 1}}, "o/1/2 a/2/0 a/3/0 "},
+    {"the same, and the next is refused", OPEN_ORDER("\"left_ms\":0"),
+	{{"a", 2, 1, true}}, "o/1/0 "},
+    {"the same, and another one was recorded before",
+	OPEN_ORDER("\"left_ms\":0,\"followed_by\":7"), {{"a", 8, 1}},
+	"o/1/7 a/8/0 "},
 };
 
 /*
- * Test which open orders the record names after some were noted, none of which
- * the pool task counts as open.
+ * Test which open orders a daemon reads of the record after some were noted,
+ * none of which the pool task counts as open.
  */
 static void
 test_noted_open(gconstpointer data)
 {
 	const noted_open_case_t *c = data;
 	registry_t *registry = registry_new(&(proxy_t){0});
+	registry_t *reader = registry_new(&(proxy_t){0});
 	Bp__DutyRecord record = BP__DUTY_RECORD__INIT;
 	GString *open = g_string_new(NULL);
 	arena_t *arena = arena_new();
+	uint64_t size_bytes;
 	size_t i;
 
+	take_record(registry,
+	    arena_printf(arena,
+		"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":"
+		"\"ledger\",\"replaced_term\":1,\"attempt_term\":1,"
+		"\"open\":[%s]}]}",
+		c->taken));
 	for (i = 0; i < NOTED_MAX && c->noted[i].server != NULL; i++) {
 		Bp__PromotionWanted wanted = BP__PROMOTION_WANTED__INIT;
 
@@ -824,16 +847,30 @@
 		if (c->noted[i].refused)
 			g_assert_true(orders_withdraw(registry, &wanted, true));
 	}
+	record.holder = "this";
+	record.token = 8;
 	orders_fill(registry, arena, &record);
-	for (i = 0; record.n_orders > 0 && i < record.orders[0]->n_open; i++) {
+	take_record(reader, json_write(arena, &record.base, &size_bytes));
+	record.n_orders = 0;
+	orders_note(reader,
+	    &(Bp__PromotionWanted){.group = "ledger",
+		.server = "r",
+		.term = 99,
+		.replaced_term = 1});
+	orders_fill(reader, arena, &record);
+	for (i = 0; record.n_orders > 0 && i + 1 < record.orders[0]->n_open;
+	     i++) {
 		const Bp__OpenOrder *order = record.orders[0]->open[i];
 
-		g_string_append_printf(open, "%s/%" G_GUINT64_FORMAT " ",
-		    order->server, order->attempt_term);
+		g_string_append_printf(open,
+		    "%s/%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT " ",
+		    order->server, order->attempt_term,
+		    order->followed_by == 99 ? 0 : order->followed_by);
 	}
 	g_assert_cmpstr(open->str, ==, c->open);
 	g_string_free(open, TRUE);
 	arena_free(arena);
+	registry_free(reader);
 	registry_free(registry);
 }
 
--- a/tests/t_hunt_model.c
+++ b/tests/t_hunt_model.c
@@ -112,7 +112,7 @@
 	return plan->injected_bug == PROXY_BUG_NONE && !plan->pauses_last &&
 	    !plan->open_orders_unknown && !plan->promises_asked_once &&
 	    !plan->members_read_once && !plan->old_record_counts &&
-	    !plan->lost_members_forgotten;
+	    !plan->lost_members_forgotten && !plan->unanswered_stay;
 }
 
 /*
--- a/tests/t_open_orders.c
+++ b/tests/t_open_orders.c
@@ -231,7 +231,7 @@
 		open_orders_forget_leader(orders, step->database);
 		break;
 	case STEP_CHECKED:
-		open_orders_checked(orders, step->database, MS(step->at_ms));
+		open_orders_checked(orders, step->database, 0, MS(step->at_ms));
 		break;
 	case STEP_ACCEPTED:
 		open_orders_shorten(
@@ -337,19 +337,30 @@
 	uint64_t term;        /* of database a */
 	bool leads;           /* database a leads it */
 	int64_t requested_ms; /* time of the answered requests */
-	bool open;            /* expected: the order to database a is open */
-	bool outside;         /* expected: one outside of the group is */
+	int64_t now_ms;
+	bool open;       /* expected: the order to database a is open */
+	bool outside;    /* expected: one outside of the group is */
+	bool unanswered; /* expected: its database cannot be asked */
 } update_case_t;
 
 static const update_case_t update_cases[] = {
-    {"it is asked within the time", "a", 2, false, 499, true, false},
-    {"it is asked after the time", "a", 2, false, 500, false, false},
-    {"it leads a newer term", "a", 3, true, 499, false, false},
-    {"another one is ordered, which has left the group", "c", 2, false, 499,
+    {"it is asked within the time", "a", 2, false, 499, 499, true, false,
+	false},
+    {"it is asked after the time", "a", 2, false, 500, 500, false, false,
+	false},
+    {"it leads a newer term", "a", 3, true, 499, 499, false, false, false},
+    {"it has not answered for a second since", "a", 2, false, 499, 1500, true,
 	false, true},
-    {"the same, and its time is over", "c", 2, false, 500, false, true},
-    {"the same, and another one leads a newer term", "c", 3, true, 500, false,
-	true},
+    {"the same, for less", "a", 2, false, 499, 1499, true, false, false},
+    {"the same, and it is the primary", "a", 2, true, 499, 1500, true, false,
+	false},
+    {"another one is ordered, which has left the group", "c", 2, false, 499,
+	499, false, true, false},
+    {"the same, and its time is over", "c", 2, false, 500, 500, false, true,
+	false},
+    {"the same, and another one leads a newer term", "c", 3, true, 500, 500,
+	false, true, false},
+    {"the same, for a second", "c", 3, true, 1500, 1500, false, true, true},
 };
 
 /*
@@ -389,7 +400,8 @@
 	open_orders_init(&orders);
 	open_orders_replace_recorded(&orders, &order, 1, 0, 0);
 	open_orders_update(
-	    &orders, &failover, &lease, group_name, NULL, MS(c->requested_ms));
+	    &orders, &failover, &lease, group_name, NULL, MS(c->now_ms));
+	g_assert_cmpint(failover.order_unanswered, ==, c->unanswered);
 	g_assert_cmpint(failover.views[0].order_open, ==, c->open);
 	g_assert_cmpint(failover.views[1].order_open, ==, false);
 	g_assert_cmpint(lease.order_open_outside, ==, c->outside);
@@ -397,6 +409,79 @@
 	open_orders_clear(&orders);
 }
 
+/* An answer of database a to a request. */
+typedef struct led_answer {
+	int64_t requested_ms;
+	uint64_t led_term; /* 0: it leads none */
+} led_answer_t;
+
+typedef struct overtaken_case {
+	const char *name;
+	/* times at which orders to database a are noted, after one to a
+	   database that has left, which may take effect until 500 ms; 0: none
+	 */
+	int64_t noted_ms[2];
+	led_answer_t answers[2];
+	bool open; /* expected: the order to the database that has left is */
+} overtaken_case_t;
+
+static const overtaken_case_t overtaken_cases[] = {
+    {"a term began after its time", {0}, {{500, 0}, {600, 3}}, false},
+    {"a term may have begun before", {0}, {{499, 0}, {600, 3}}, true},
+    {"a term had begun when it was asked first", {0}, {{600, 3}, {700, 3}},
+	true},
+    {"the same, and the next one began after its time", {0},
+	{{600, 3}, {700, 4}}, false},
+    {"no term has begun", {0}, {{600, 0}, {700, 0}}, true},
+    {"a term had begun, by an order after its time", {500},
+	{{600, 3}, {700, 3}}, false},
+    {"a term had begun, by an order before", {499}, {{600, 3}, {700, 3}}, true},
+    {"a term had begun, by one of two orders after its time", {500, 500},
+	{{600, 3}, {700, 3}}, true},
+    {"an order after its time has begun no term", {500}, {{600, 0}, {700, 0}},
+	true},
+};
+
+/*
+ * Test which answers show that an order cannot have begun the newest term.
+ */
+static void
+test_overtaken(gconstpointer data)
+{
+	const overtaken_case_t *c = data;
+	failover_t failover = {.count = 1};
+	lease_t lease = {0};
+	open_order_t order = {.database = (char *)"c",
+	    .attempt_term = 3,
+	    .replaced_term = 2,
+	    .until_us = MS(500),
+	    .source = OPEN_ORDER_RECORDED};
+	open_orders_t orders;
+	uint32_t i;
+
+	open_orders_init(&orders);
+	open_orders_note(&orders, &order, 0);
+	order.database = (char *)"a";
+	for (i = 0; i < 2 && c->noted_ms[i] != 0; i++) {
+		order.attempt_term++;
+		order.until_us = MS(c->noted_ms[i] + 10000);
+		open_orders_note(&orders, &order, MS(c->noted_ms[i]));
+	}
+	for (i = 0; i < 2; i++) {
+		const led_answer_t *answer = &c->answers[i];
+
+		failover.views[0] = (db_view_t){.known = true,
+		    .promised = answer->led_term,
+		    .term = answer->led_term,
+		    .primary = answer->led_term != 0,
+		    .requested_us = MS(answer->requested_ms)};
+		open_orders_update(&orders, &failover, &lease, group_name, NULL,
+		    MS(answer->requested_ms));
+	}
+	g_assert_cmpint(lease.order_open_outside, ==, c->open);
+	open_orders_clear(&orders);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -408,5 +493,6 @@
 	CASES("/open-orders/set", set_cases, test_set);
 	CASES("/open-orders/checked", checked_cases, test_checked);
 	CASES("/open-orders/update", update_cases, test_update);
+	CASES("/open-orders/overtaken", overtaken_cases, test_overtaken);
 	return g_test_run();
 }
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -675,6 +675,8 @@
 			continue;
 		daemon->born_us[i] = model->dbs[i].listed_start_us;
 		daemon->failover.views[i] = (db_view_t){0};
+		open_orders_forget_leader(
+		    &daemon->open_orders, proxy_model_db_name(i));
 		daemon->connected_us[i] = 0;
 		lease_cancel(&daemon->lease);
 		lease_member_lost(&daemon->lease, true);
@@ -683,8 +685,9 @@
 }
 
 /*
- * Have a coordinator request a handover if the primary leaves and another
- * database can succeed it.
+ * Have a coordinator request a handover if the primary leaves, or an order to a
+ * database that cannot be asked stays open, and another database can succeed
+ * the primary.
  */
 static void
 request_handover(proxy_model_t *model, proxy_model_daemon_t *daemon)
@@ -693,7 +696,9 @@
 	int32_t primary = failover_primary(failover);
 
 	if (primary >= 0 && failover->state == FAILOVER_STEADY &&
-	    failover->views[primary].leaving &&
+	    (failover->views[primary].leaving ||
+		(failover->order_unanswered &&
+		    !model->plan->unanswered_stay)) &&
 	    failover_successor_answers(failover, model->now_us))
 		failover_request_handover(failover, model->now_us);
 }
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -124,9 +124,9 @@
 	/* where all other open orders may have begun newer terms, the one that
 	   is left has begun the term that is replaced next */
 	PROXY_BUG_ORDER_ELIMINATED,
-	/* an order is left out of the record by its time alone, also of one
-	   that is withdrawn */
-	PROXY_BUG_ORDER_EXPIRES,
+	/* a newer term that is led ends the orders to all databases, also those
+	   that may take effect later */
+	PROXY_BUG_ORDER_TERM_ENDS,
 } proxy_model_bug_t;
 
 /* Places where an order to promote a database may be held up. */
@@ -228,6 +228,9 @@
 	/* members that the store has lost do not count: a setting in which they
 	   hide no injected bug */
 	bool lost_members_forgotten;
+	/* an order to a database that cannot be asked is no reason for a
+	   handover: a setting in which that hides no injected bug */
+	bool unanswered_stay;
 	/* chance per daemon and 20 ms tick that it restarts, or a database */
 	uint32_t daemon_restart_permille;
 	uint32_t database_restart_permille;
--- a/tools/proxy_model_lists.c
+++ b/tools/proxy_model_lists.c
@@ -204,6 +204,8 @@
 		daemon->unlisted[db] = !listed;
 		return true;
 	}
+	open_orders_forget_leader(
+	    &daemon->open_orders, proxy_model_db_name(db));
 	if (start_ended(&evidence) ||
 	    (model->plan->injected_bug == PROXY_BUG_REFUSED_ENDS &&
 		start_likely_ended(&evidence)))
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -124,13 +124,9 @@
 		eliminate(&daemon->open_orders,
 		    failover_term_to_replace(&daemon->failover));
 	proxy_model_open_list(model, daemon, &open);
-	open_orders_settle(&daemon->open_orders, open.orders,
-	    model->plan->injected_bug == PROXY_BUG_ORDER_EXPIRES ? 0
-								 : open.count,
-	    model->now_us);
-	open_orders_remove(
-	    &daemon->open_orders, order.database, order.attempt_term);
-	open_orders_add(&daemon->open_orders, &order);
+	open_orders_settle(
+	    &daemon->open_orders, open.orders, open.count, model->now_us);
+	open_orders_note(&daemon->open_orders, &order, model->now_us);
 	proxy_model_open_list(model, daemon, &model->open);
 }
 
@@ -165,9 +161,7 @@
 	if (model->plan->open_orders_unknown)
 		return;
 	proxy_model_open_list(model, daemon, &model->open);
-	for (i = 0; model->plan->injected_bug != PROXY_BUG_ORDER_EXPIRES &&
-	     i < daemon->open_before.count;
-	     i++)
+	for (i = 0; i < daemon->open_before.count; i++)
 		add_listed(&model->open, &daemon->open_before.orders[i]);
 }
 
@@ -214,6 +208,24 @@
 		outside->daemon, (uint32_t)(order->database[0] - '0')) < 0;
 }
 
+/*
+ * Take the orders as over that replace older terms than the primary's.
+ */
+static void
+end_by_term(proxy_model_daemon_t *daemon)
+{
+	int32_t primary = failover_primary(&daemon->failover);
+	uint32_t i;
+
+	for (i = 0; primary >= 0 && i < daemon->open_orders.list->len; i++) {
+		open_order_t *order =
+		    g_ptr_array_index(daemon->open_orders.list, i);
+
+		order->overtaken |= order->replaced_term <
+		    daemon->failover.views[primary].promised;
+	}
+}
+
 /*
  * Bring the open orders of a daemon up to date, and mark the databases that
  * they name.
@@ -223,6 +235,8 @@
 {
 	outside_t outside = {daemon, model->now_us, false};
 
+	if (model->plan->injected_bug == PROXY_BUG_ORDER_TERM_ENDS)
+		end_by_term(daemon);
 	open_orders_update(&daemon->open_orders, &daemon->failover,
 	    &daemon->lease, server_name, daemon, model->now_us);
 	if (model->plan->injected_bug != PROXY_BUG_ORDER_OUTSIDE_VOID)
@@ -230,6 +244,7 @@
 	open_orders_each(&daemon->open_orders, count_outside, &outside);
 	daemon->lease.order_open_outside = daemon->failover.order_open_outside =
 	    outside.open;
+	daemon->failover.order_unanswered = false;
 }
 
 /*
