Log: what has shown that an order is over

open_orders_changed told which orders are open, and not by which rule one ceased to be. The event has ended_by now, for the order that was over last.

/open-orders/end, /open-orders/update and /open-orders/overtaken check it.

--- a/gen/event.pb-c.c
+++ b/gen/event.pb-c.c
@@ -4190,7 +4190,7 @@
   (ProtobufCMessageInit) bp__lease_regained__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__open_orders_changed__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bp__open_orders_changed__field_descriptors[3] =
 {
   {
     "group",
@@ -4216,15 +4216,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ended_by",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_ENUM,
+    offsetof(Bp__OpenOrdersChanged, has_ended_by),
+    offsetof(Bp__OpenOrdersChanged, ended_by),
+    &bp__order_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__open_orders_changed__field_indices_by_name[] = {
+  2,   /* field[2] = ended_by */
   0,   /* field[0] = group */
   1,   /* field[1] = servers */
 };
 static const ProtobufCIntRange bp__open_orders_changed__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bp__open_orders_changed__descriptor =
 {
@@ -4234,7 +4247,7 @@
   "Bp__OpenOrdersChanged",
   "bp",
   sizeof(Bp__OpenOrdersChanged),
-  2,
+  3,
   bp__open_orders_changed__field_descriptors,
   bp__open_orders_changed__field_indices_by_name,
   1,  bp__open_orders_changed__number_ranges,
@@ -6125,6 +6138,40 @@
   bp__removal_reason__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue bp__order_end__enum_values_by_number[5] =
+{
+  { "SERVER_ASKED", "BP__ORDER_END__SERVER_ASKED", 1 },
+  { "SERVER_LED", "BP__ORDER_END__SERVER_LED", 2 },
+  { "TERM_BEGUN", "BP__ORDER_END__TERM_BEGUN", 3 },
+  { "NOT_CARRIED_OUT", "BP__ORDER_END__NOT_CARRIED_OUT", 4 },
+  { "NOT_RECORDED", "BP__ORDER_END__NOT_RECORDED", 5 },
+};
+static const ProtobufCIntRange bp__order_end__value_ranges[] = {
+{1, 0},{0, 5}
+};
+static const ProtobufCEnumValueIndex bp__order_end__enum_values_by_name[5] =
+{
+  { "NOT_CARRIED_OUT", 3 },
+  { "NOT_RECORDED", 4 },
+  { "SERVER_ASKED", 0 },
+  { "SERVER_LED", 1 },
+  { "TERM_BEGUN", 2 },
+};
+const ProtobufCEnumDescriptor bp__order_end__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "bp.OrderEnd",
+  "OrderEnd",
+  "Bp__OrderEnd",
+  "bp",
+  5,
+  bp__order_end__enum_values_by_number,
+  5,
+  bp__order_end__enum_values_by_name,
+  1,
+  bp__order_end__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCEnumValue bp__promotion_answer__enum_values_by_number[7] =
 {
   { "ORDER_ACCEPTED", "BP__PROMOTION_ANSWER__ORDER_ACCEPTED", 0 },
--- a/gen/event.pb-c.h
+++ b/gen/event.pb-c.h
@@ -219,6 +219,32 @@
   BP__REMOVAL_REASON__SILENT = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__REMOVAL_REASON)
 } Bp__RemovalReason;
+/*
+ * What shows that an order is over.
+ */
+typedef enum _Bp__OrderEnd {
+  /*
+   * an answer of its server after its time
+   */
+  BP__ORDER_END__SERVER_ASKED = 1,
+  /*
+   * its server leads the term that it began
+   */
+  BP__ORDER_END__SERVER_LED = 2,
+  /*
+   * a term is led that began after its time
+   */
+  BP__ORDER_END__TERM_BEGUN = 3,
+  /*
+   * it was refused or not sent
+   */
+  BP__ORDER_END__NOT_CARRIED_OUT = 4,
+  /*
+   * a later record lacks it
+   */
+  BP__ORDER_END__NOT_RECORDED = 5
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__ORDER_END)
+} Bp__OrderEnd;
 /*
  * Outcome of an order to promote.
  */
@@ -873,10 +899,15 @@
    */
   size_t n_servers;
   char **servers;
+  /*
+   * of the one that was over last
+   */
+  protobuf_c_boolean has_ended_by;
+  Bp__OrderEnd ended_by;
 };
 #define BP__OPEN_ORDERS_CHANGED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__open_orders_changed__descriptor) \
-    , NULL, 0,NULL }
+    , NULL, 0,NULL, 0, BP__ORDER_END__SERVER_ASKED }
 
 
 /*
@@ -2373,6 +2404,7 @@
 extern const ProtobufCEnumDescriptor    bp__block_end__descriptor;
 extern const ProtobufCEnumDescriptor    bp__needed_from__descriptor;
 extern const ProtobufCEnumDescriptor    bp__removal_reason__descriptor;
+extern const ProtobufCEnumDescriptor    bp__order_end__descriptor;
 extern const ProtobufCEnumDescriptor    bp__promotion_answer__descriptor;
 extern const ProtobufCMessageDescriptor bp__note__descriptor;
 extern const ProtobufCMessageDescriptor bp__lines_lost__descriptor;
--- a/src/decide/open_orders.c
+++ b/src/decide/open_orders.c
@@ -37,6 +37,7 @@
 {
 	orders->list = g_ptr_array_new_with_free_func(order_free);
 	orders->leaders = g_ptr_array_new_with_free_func(leader_free);
+	orders->last_end = OPEN_ORDER_OPEN;
 }
 
 /*
--- a/src/proxy/pool_log.c
+++ b/src/proxy/pool_log.c
@@ -383,6 +383,15 @@
 	log_event(G_LOG_LEVEL_INFO, &given_back.base);
 }
 
+/* What shows that an order is over, in the log. */
+static const Bp__OrderEnd order_ends[] = {
+    [OPEN_ORDER_ASKED] = BP__ORDER_END__SERVER_ASKED,
+    [OPEN_ORDER_LED] = BP__ORDER_END__SERVER_LED,
+    [OPEN_ORDER_OVERTAKEN] = BP__ORDER_END__TERM_BEGUN,
+    [OPEN_ORDER_REFUSED] = BP__ORDER_END__NOT_CARRIED_OUT,
+    [OPEN_ORDER_UNRECORDED] = BP__ORDER_END__NOT_RECORDED,
+};
+
 /*
  * Append the server that an open order names to an event.
  */
@@ -405,6 +414,8 @@
 	changed.group = group->name;
 	changed.servers = g_new0(char *, group->open_orders_count + 1);
 	open_orders_each(&group->open_orders, append_server, &changed);
+	changed.has_ended_by = group->open_orders.last_end != OPEN_ORDER_OPEN;
+	changed.ended_by = order_ends[group->open_orders.last_end];
 	log_event(G_LOG_LEVEL_MESSAGE, &changed.base);
 	g_free(changed.servers);
 }
--- a/tests/t_open_orders.c
+++ b/tests/t_open_orders.c
@@ -327,6 +327,39 @@
 	    c->checked_ms < 0 ? INT64_MAX : MS(c->checked_ms));
 }
 
+typedef struct end_case {
+	const char *name;
+	step_t steps[STEPS_MAX];
+	open_order_end_t end; /* expected */
+} end_case_t;
+
+static const end_case_t end_cases[] = {
+    {"open", {{STEP_RECORDED, "a", 2, 500}}, OPEN_ORDER_OPEN},
+    {"refused", {{STEP_RECORDED, "a", 2, 500}, {STEP_REFUSED, "a", 2}},
+	OPEN_ORDER_REFUSED},
+    {"a record lacks it", {{STEP_RECORDED, "a", 2, 500}, {STEP_READ_EMPTY}},
+	OPEN_ORDER_UNRECORDED},
+    {"a record that was asked for before lacks it",
+	{{STEP_RECORDED, "a", 2, 500}, {STEP_READ_EARLIER}}, OPEN_ORDER_OPEN},
+};
+
+/*
+ * Test what is noted as the end of an order, without an answer.
+ */
+static void
+test_end(gconstpointer data)
+{
+	const end_case_t *c = data;
+	open_orders_t orders;
+	uint32_t i;
+
+	open_orders_init(&orders);
+	for (i = 0; i < STEPS_MAX; i++)
+		apply(&orders, &c->steps[i]);
+	g_assert_cmpint(orders.last_end, ==, c->end);
+	open_orders_clear(&orders);
+}
+
 /* Databases that are asked, and the one that is ordered and has left. */
 static const char *const group_names[] = {"a", "b"};
 
@@ -338,17 +371,19 @@
 	bool leads;           /* database a leads it */
 	int64_t requested_ms; /* time of the answered requests */
 	int64_t now_ms;
-	bool open;       /* expected: the order to database a is open */
-	bool outside;    /* expected: one outside of the group is */
-	bool unanswered; /* expected: its database cannot be asked */
+	bool open;            /* expected: the order to database a is open */
+	bool outside;         /* expected: one outside of the group is */
+	bool unanswered;      /* expected: its database cannot be asked */
+	open_order_end_t end; /* expected: what has ended it */
 } update_case_t;
 
 static const update_case_t update_cases[] = {
     {"it is asked within the time", "a", 2, false, 499, 499, true, false,
 	false},
-    {"it is asked after the time", "a", 2, false, 500, 500, false, false,
-	false},
-    {"it leads a newer term", "a", 3, true, 499, 499, false, false, false},
+    {"it is asked after the time", "a", 2, false, 500, 500, false, false, false,
+	OPEN_ORDER_ASKED},
+    {"it leads a newer term", "a", 3, true, 499, 499, false, false, false,
+	OPEN_ORDER_LED},
     {"it has not answered for a second since", "a", 2, false, 499, 1500, true,
 	false, true},
     {"the same, for less", "a", 2, false, 499, 1499, true, false, false},
@@ -402,6 +437,7 @@
 	open_orders_update(
 	    &orders, &failover, &lease, group_name, NULL, MS(c->now_ms));
 	g_assert_cmpint(failover.order_unanswered, ==, c->unanswered);
+	g_assert_cmpint(orders.last_end, ==, c->end);
 	g_assert_cmpint(failover.views[0].order_open, ==, c->open);
 	g_assert_cmpint(failover.views[1].order_open, ==, false);
 	g_assert_cmpint(lease.order_open_outside, ==, c->outside);
@@ -479,6 +515,9 @@
 		    MS(answer->requested_ms));
 	}
 	g_assert_cmpint(lease.order_open_outside, ==, c->open);
+	if (c->noted_ms[0] == 0) /* others have ended as well if not */
+		g_assert_cmpint(orders.last_end, ==,
+		    c->open ? OPEN_ORDER_OPEN : OPEN_ORDER_OVERTAKEN);
 	open_orders_clear(&orders);
 }
 
@@ -491,6 +530,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions();
 	CASES("/open-orders/set", set_cases, test_set);
+	CASES("/open-orders/end", end_cases, test_end);
 	CASES("/open-orders/checked", checked_cases, test_checked);
 	CASES("/open-orders/update", update_cases, test_update);
 	CASES("/open-orders/overtaken", overtaken_cases, test_overtaken);
