--- a/tests/t_late_order.c
+++ b/tests/t_late_order.c
@@ -410,6 +410,49 @@
 	testbed_stop(testbed);
 }
 
+typedef struct lost_case {
+	const char *name;
+	const char *fault; /* of the database that the order names */
+} lost_case_t;
+
+static const lost_case_t lost_cases[] = {
+    {"it has ended", "crash"},
+    {"it is silent", "mute"},
+};
+
+/* Time in which an order may take effect, and a primary hands over then. */
+#define LOST_RECOVERY_MS 20000
+
+/*
+ * Test that writes are acknowledged again soon after the time of an order is
+ * over, although the database that it names is lost before it can be asked what
+ * came of the order.
+ */
+static void
+test_lost(gconstpointer data)
+{
+	const lost_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 3, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	int64_t held_us;
+	int32_t named;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_usleep(LISTED_MS * G_TIME_SPAN_MILLISECOND);
+	testbed_inject_fault(testbed, "order", "hold", -1);
+	testbed_inject_fault(testbed, "database", "mute", 0);
+	named = testbed_wait_held_order(testbed, PROMOTION_MS);
+	g_assert_cmpint(named, >, 0);
+	held_us = g_get_monotonic_time();
+	testbed_inject_fault(testbed, "database", c->fault, named);
+	testbed_inject_fault(testbed, "database", "speak", 0);
+	g_assert_true(testbed_write_served(testbed, 0, LOST_RECOVERY_MS));
+	g_test_message("served after %" G_GINT64_FORMAT " ms",
+	    (g_get_monotonic_time() - held_us) / G_TIME_SPAN_MILLISECOND);
+	assert_tokens_valid(testbed);
+	testbed_stop(testbed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -424,5 +467,6 @@
 	CASES("/late-order/restarts", restarts_cases, test_restarts);
 	CASES("/late-order/forgotten-promise", forgotten_cases,
 	    test_forgotten_promise);
+	CASES("/late-order/lost", lost_cases, test_lost);
 	return g_test_run();
 }
