--- a/gen/event.pb-c.c
+++ b/gen/event.pb-c.c
@@ -3946,7 +3946,7 @@
   (ProtobufCMessageInit) bp__no_candidate__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__handover_due__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bp__handover_due__field_descriptors[4] =
 {
   {
     "group",
@@ -3984,16 +3984,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "order_open",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Bp__HandoverDue, has_order_open),
+    offsetof(Bp__HandoverDue, order_open),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__handover_due__field_indices_by_name[] = {
   0,   /* field[0] = group */
   2,   /* field[2] = leaving */
+  3,   /* field[3] = order_open */
   1,   /* field[1] = server */
 };
 static const ProtobufCIntRange bp__handover_due__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bp__handover_due__descriptor =
 {
@@ -4003,7 +4016,7 @@
   "Bp__HandoverDue",
   "bp",
   sizeof(Bp__HandoverDue),
-  3,
+  4,
   bp__handover_due__field_descriptors,
   bp__handover_due__field_indices_by_name,
   1,  bp__handover_due__number_ranges,
@@ -4177,7 +4190,7 @@
   (ProtobufCMessageInit) bp__lease_regained__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__open_orders_changed__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bp__open_orders_changed__field_descriptors[3] =
 {
   {
     "group",
@@ -4203,15 +4216,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ended_by",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_ENUM,
+    offsetof(Bp__OpenOrdersChanged, has_ended_by),
+    offsetof(Bp__OpenOrdersChanged, ended_by),
+    &bp__order_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__open_orders_changed__field_indices_by_name[] = {
+  2,   /* field[2] = ended_by */
   0,   /* field[0] = group */
   1,   /* field[1] = servers */
 };
 static const ProtobufCIntRange bp__open_orders_changed__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bp__open_orders_changed__descriptor =
 {
@@ -4221,7 +4247,7 @@
   "Bp__OpenOrdersChanged",
   "bp",
   sizeof(Bp__OpenOrdersChanged),
-  2,
+  3,
   bp__open_orders_changed__field_descriptors,
   bp__open_orders_changed__field_indices_by_name,
   1,  bp__open_orders_changed__number_ranges,
@@ -6112,6 +6138,40 @@
   bp__removal_reason__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue bp__order_end__enum_values_by_number[5] =
+{
+  { "SERVER_ASKED", "BP__ORDER_END__SERVER_ASKED", 1 },
+  { "SERVER_LED", "BP__ORDER_END__SERVER_LED", 2 },
+  { "TERM_BEGUN", "BP__ORDER_END__TERM_BEGUN", 3 },
+  { "NOT_CARRIED_OUT", "BP__ORDER_END__NOT_CARRIED_OUT", 4 },
+  { "NOT_RECORDED", "BP__ORDER_END__NOT_RECORDED", 5 },
+};
+static const ProtobufCIntRange bp__order_end__value_ranges[] = {
+{1, 0},{0, 5}
+};
+static const ProtobufCEnumValueIndex bp__order_end__enum_values_by_name[5] =
+{
+  { "NOT_CARRIED_OUT", 3 },
+  { "NOT_RECORDED", 4 },
+  { "SERVER_ASKED", 0 },
+  { "SERVER_LED", 1 },
+  { "TERM_BEGUN", 2 },
+};
+const ProtobufCEnumDescriptor bp__order_end__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "bp.OrderEnd",
+  "OrderEnd",
+  "Bp__OrderEnd",
+  "bp",
+  5,
+  bp__order_end__enum_values_by_number,
+  5,
+  bp__order_end__enum_values_by_name,
+  1,
+  bp__order_end__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCEnumValue bp__promotion_answer__enum_values_by_number[7] =
 {
   { "ORDER_ACCEPTED", "BP__PROMOTION_ANSWER__ORDER_ACCEPTED", 0 },
