--- a/tests/fake/fakesite.c
+++ b/tests/fake/fakesite.c
@@ -20,7 +20,10 @@
  *                          token, and value of an item at the primary
  * GET /watches             number of watch requests to the store
  * GET /requests            number of all requests to the store
- * POST /fault?on=order     hold up the next order to promote
+ * POST /fault?on=order&what=hold
+ *                          hold up the next order to promote
+ * POST /fault?on=order&what=release
+ *                          carry it out now
  * GET /held                database that this order names
  * GET /outdated            values written, and items read, at a primary that
  *                          had been replaced
@@ -50,6 +53,7 @@
 	uint32_t invalid_token_requests; /* promotions with an invalid token */
 	bool hold_next_order;
 	char *held_order; /* database that the held order names, or NULL */
+	guint held_timer; /* 0: none is held */
 } fake_platform_t;
 
 /*
@@ -118,6 +122,7 @@
 {
 	fake_platform_t *platform = context;
 
+	platform->held_timer = 0;
 	db_group_promote(platform->group, platform->held_order);
 	return G_SOURCE_REMOVE;
 }
@@ -131,10 +136,29 @@
 {
 	platform->hold_next_order = false;
 	platform->held_order = g_strdup(id);
-	g_timeout_add(HELD_ORDER_MS, on_held_order, platform);
+	platform->held_timer =
+	    g_timeout_add(HELD_ORDER_MS, on_held_order, platform);
 	soup_server_message_pause(message);
 }
 
+/*
+ * Hold up the next order, or carry out the one that is held.  Returns false if
+ * the fault is unknown or no order is held.
+ */
+static bool
+order_fault(fake_platform_t *platform, const char *fault)
+{
+	if (strcmp(fault, "hold") == 0) {
+		platform->hold_next_order = true;
+		return true;
+	}
+	if (strcmp(fault, "release") != 0 || platform->held_timer == 0)
+		return false;
+	g_source_remove(platform->held_timer);
+	on_held_order(platform);
+	return true;
+}
+
 /*
  * Handle POST /promote: request a promotion.  An invalid fencing token is
  * counted but not refused, so that tests notice a daemon that uses a superseded
@@ -191,7 +215,7 @@
 		known = object_store_port_fault(
 		    platform->store, (uint16_t)atoi(number), fault);
 	else if (strcmp(target, "order") == 0)
-		platform->hold_next_order = true;
+		known = order_fault(platform, fault);
 	else
 		known = db_group_inject_fault(platform->group, fault,
 		    number == NULL ? UINT32_MAX : (uint32_t)atoi(number));
