--- a/tests/t_late_order.c
+++ b/tests/t_late_order.c
@@ -410,6 +410,97 @@
 	testbed_stop(testbed);
 }
 
+typedef struct unlisted_case {
+	const char *name;
+	bool unlisted; /* the entry of the named database is missing */
+} unlisted_case_t;
+
+static const unlisted_case_t unlisted_cases[] = {
+    {"it is listed", false},
+    {"its entry is missing", true},
+};
+
+/*
+ * A record of the second of two orders to replace the first primary; the first
+ * one is open.
+ */
+#define SECOND_ORDER_RECORD \
+	"{\"holder\":\"other\",\"token\":5,\"orders\":[{\"group\":\"ledger\"," \
+	"\"replaced_term\":1,\"attempt_term\":3,\"open\":[" \
+	"{\"server\":\"i-1\",\"attempt_term\":2,\"replaced_term\":1," \
+	"\"left_ms\":8000}],\"members\":[{\"server\":\"i-0\",\"born\":1}," \
+	"{\"server\":\"i-1\",\"born\":1},{\"server\":\"i-2\",\"born\":1}]}]}"
+
+/* Time in which an order takes effect at once. */
+#define EFFECT_MS 2000
+
+/* Time after which a daemon counts no order of before its start as open. */
+#define ORDERS_OVER_MS 12000
+
+/* Time in which writes are served once none is open. */
+#define UNCHECKED_MS 3000
+
+/*
+ * Order the promotion of a database, as a coordinator does, and wait until it
+ * leads a term.
+ */
+static void
+promote(const testbed_t *testbed, uint32_t database, const char *term)
+{
+	client_t *client = client_connect(testbed->platform.port);
+	char *body = g_strdup_printf(
+	    "{\"backend\":\"ledger\",\"id\":\"i-%u\"}", database);
+	char *request =
+	    g_strdup_printf("POST /promote HTTP/1.1\r\nHost: platform\r\n"
+			    "Bergamotplank-Lease-Holder: other\r\n"
+			    "Bergamotplank-Fencing-Token: 5\r\n"
+			    "Content-Type: application/json\r\n"
+			    "Content-Length: %zu\r\n\r\n%s",
+		strlen(body), body);
+
+	g_assert_true(client_send(client, request, strlen(request)));
+	g_assert_true(testbed_wait_primary(testbed, database, term, EFFECT_MS));
+	client_close(client);
+	g_free(request);
+	g_free(body);
+}
+
+/*
+ * Test that a daemon that starts while an order is held up has no write
+ * acknowledged at a primary that this order replaces meanwhile, also where the
+ * database that it names is not listed.
+ */
+static void
+test_unlisted(gconstpointer data)
+{
+	const unlisted_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 1, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	char *outdated;
+	bool served;
+	int32_t i;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	fleet_process_kill(&testbed->proxies[0]);
+	for (i = 0; i < 3; i++)
+		testbed_inject_fault(testbed, "database", "deaf", i);
+	promote(testbed, 2, "2 ");
+	if (c->unlisted)
+		testbed_inject_fault(testbed, "database", "unlist", 1);
+	testbed_put_object(
+	    testbed, "bergamotplank-duties", "promotion", SECOND_ORDER_RECORD);
+	testbed_proxy_start(testbed, 0);
+	g_usleep(LISTED_MS * G_TIME_SPAN_MILLISECOND);
+	promote(testbed, 1, "3 ");
+	g_usleep(ORDERS_OVER_MS * G_TIME_SPAN_MILLISECOND);
+	served = testbed_write_served(testbed, 0, UNCHECKED_MS);
+	outdated = testbed_get(testbed, "/outdated");
+	g_test_message("served: %d, outdated:%.200s", served, outdated);
+	g_assert_null(strstr(outdated, " v "));
+	g_free(outdated);
+	testbed_stop(testbed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -424,5 +515,6 @@
 	CASES("/late-order/restarts", restarts_cases, test_restarts);
 	CASES("/late-order/forgotten-promise", forgotten_cases,
 	    test_forgotten_promise);
+	CASES("/late-order/unlisted", unlisted_cases, test_unlisted);
 	return g_test_run();
 }
