Lease: a block ends by the answers of all only if they show one moment

Cause: a block by the signs of an attempt ended once every database had denied since the latest sign, each at a moment of its own. The candidate had started again after the order was sent, and denied at 10.4199; the promotion took effect at 10.4395 and ended the promise of the other database, which denied at 10.4399. At no moment did both deny. Ruled out: that the candidate's connection tells, as it is newer than its promise and older than the latest sign.

Change: lease_denials.c notes rounds of answers in which all deny. A round whose requests were sent when all answers of the round before had come, and that came on the same connections, shows a moment at which all denied: when it began. The round before must have taken less than half a lease.

Four rows of /lease claimed that one round ends the block: "unblocked when no database reports it", "the replicas are listed", "revoked, all answer", "revoked, all answer, and the list is new". The trace is a case of each, in which the claim is wrong. Each is now a row in which all answer twice, with the same claim, beside the row in which one round does not suffice; the rows with a list that is out of date, or that lacks a server, answer twice as well, so that nothing else keeps the block.

--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -183,6 +183,22 @@
 	int64_t sign_us; /* time of the latest sign of the attempt */
 } lease_last_block_t;
 
+/*
+ * Rounds of answers in which all databases other than the primary deny that
+ * there is a newer one, or an attempt to make one: lease_denials.c
+ */
+typedef struct lease_denials {
+	uint64_t term;      /* of the primary; 0: there was no round */
+	uint32_t databases; /* number of them in the group */
+	/* send time of the oldest request of the last round; 0: it took too
+	   long to prove anything */
+	int64_t begun_us;
+	/* time at which all answers of that round had come */
+	int64_t ended_us;
+	/* latest time at which all certainly denied at once; 0: unknown */
+	int64_t certain_us;
+} lease_denials_t;
+
 /*
  * Lease on a primary: until it expires, no other database can have become
  * primary, so this daemon may rely on the primary: lease.c, lease_block.c
@@ -201,6 +217,7 @@
 	/* time of the latest sign of that failover */
 	int64_t blocked_us;
 	lease_last_block_t last_block;
+	lease_denials_t denials;
 	/* newest term that any database was known to lead or follow */
 	uint64_t newest_term;
 	/* latest time at which there was certainly no newer primary than the
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -1,18 +1,5 @@
 #include "lease_internal.h"
 
-/*
- * Return how long a lease lasts that rests on a status request sent at
- * asked_us.
- */
-static int64_t
-duration_us(const lease_duration_t *durations, int64_t asked_us)
-{
-	return durations->listed_since_us != 0 &&
-		asked_us >= durations->listed_since_us
-	    ? durations->long_us
-	    : durations->short_us;
-}
-
 /*
  * Return the send time of the latest status requests, sent no later than
  * before_us, that found no newer promise at so many replicas that every
@@ -147,7 +134,7 @@
 	    lease->verified_us, members);
 	if (lease->verified_us != 0 && asked_us > known_us &&
 	    asked_us - lease->verified_us <=
-		duration_us(durations, lease->verified_us)) {
+		lease_duration_us(durations, lease->verified_us)) {
 		known_us = asked_us;
 		*proof = LEASE_CONTINUED;
 	}
@@ -309,6 +296,7 @@
 	    term_is_over(lease, views, count, view->promised))
 		return false;
 	note_aware(lease, views, count, primary);
+	denials_note(lease, views, count, primary, now_us, durations);
 	note_seen(lease, view->promised, now_us);
 	if (renewal_blocked(lease, views, count, primary))
 		return false;
@@ -328,9 +316,10 @@
 	lease->supported_us = asked_us;
 	if (count > 1 && asked_us > lease->led_us)
 		asked_us = lease->led_us;
-	until_us = asked_us + duration_us(durations, asked_us);
+	until_us = asked_us + lease_duration_us(durations, asked_us);
 	if (lease->supported_us == 0 ||
-	    lease->supported_us + duration_us(durations, lease->supported_us) <=
+	    lease->supported_us +
+		    lease_duration_us(durations, lease->supported_us) <=
 		now_us)
 		lease->unverified = count == 1 ||
 		    supported_us(lease, views, count, primary, INT64_MAX,
@@ -356,7 +345,9 @@
 {
 	int64_t asked_us = primary ? lease->led_us : lease->supported_us;
 
-	return asked_us == 0 ? 0 : asked_us + duration_us(durations, asked_us);
+	return asked_us == 0
+	    ? 0
+	    : asked_us + lease_duration_us(durations, asked_us);
 }
 
 /*
@@ -458,6 +449,7 @@
 {
 	lease->incomplete = true;
 	lease->removed_alive |= !ended;
+	denials_forget(lease);
 }
 
 /*
@@ -493,4 +485,5 @@
 lease_cancel(lease_t *lease)
 {
 	lease->expires_us = lease->supported_us = 0;
+	denials_forget(lease);
 }
--- a/src/decide/lease_block.c
+++ b/src/decide/lease_block.c
@@ -2,25 +2,6 @@
 
 /* The block of leases by the signs of an attempt at a failover. */
 
-/*
- * Tell whether a promise of a database blocks leases on a primary.  The
- * standing promise of the attempt that has led to its term does not: the
- * primary is the one that the order of that attempt named.
- */
-bool
-promise_blocks(
-    const lease_t *lease, const db_view_t *view, const db_view_t *primary)
-{
-	const recorded_orders_t *orders = &lease->orders;
-
-	if (view->promised <= primary->promised)
-		return false;
-	return attempt_term_replaces(view->promised) == 0 ||
-	    view->promised != orders->attempt_term ||
-	    orders->replaced_term >= primary->promised ||
-	    (orders->named != 0 && orders->named != primary->key);
-}
-
 /*
  * Tell whether a standing promise of a database names this term or a newer one:
  * an order to replace its primary may have been sent.
@@ -81,8 +62,8 @@
  * primary's term is a sign of a failover, and the block outlasts the promise
  * itself: promises also disappear when the failover ends, at once at all
  * databases, also at those that do not know of the new primary yet.  The block
- * is lifted when every database that the attempt may promote has answered, to a
- * later request, that it holds no such promise.  When some do not answer, or
+ * is lifted when every database that the attempt may promote has denied since,
+ * at one moment, that it holds such a promise.  When some do not answer, or
  * the list is out of date, a majority suffices, and the store must record that
  * the attempt has led to this primary or, after ATTEMPT_MAX_US, to none.  Where
  * the members are recorded, only they count for a majority.  A standing promise
@@ -97,7 +78,6 @@
 	uint32_t i, denied = 0, answered = 0;
 	uint32_t all = members > 0 ? members : count;
 	bool by_all, promised = false, shown = false;
-	int64_t oldest_us = INT64_MAX;
 
 	for (i = 0; i < count; i++) {
 		shown |= order_shown(&views[i], term);
@@ -125,8 +105,6 @@
 			continue;
 		answered++;
 		denied += members == 0 || views[i].member;
-		if (views[i].requested_us < oldest_us)
-			oldest_us = views[i].requested_us;
 	}
 	if (denied < majority_of(all)) {
 		/* others may have been recorded since */
@@ -136,7 +114,9 @@
 	}
 	/* a primary alone has nobody else's answer */
 	by_all = denied == all && answered == count && all > 1 && !promised &&
-	    !members_missing(lease, term) && !all_unknown(lease, oldest_us) &&
+	    lease->denials.certain_us > lease->blocked_us &&
+	    !members_missing(lease, term) &&
+	    !all_unknown(lease, lease->denials.certain_us) &&
 	    !order_recorded(lease, &views[primary]);
 	lease->unverified = !by_all;
 	if (!by_all &&
@@ -165,4 +145,5 @@
 	if (lease->attempt_term < term)
 		lease->attempt_term = term;
 	lease->blocked_us = now_us;
+	denials_forget(lease);
 }
--- a/src/decide/lease_record.c
+++ b/src/decide/lease_record.c
@@ -5,6 +5,38 @@
  * show to a daemon that needs a lease.
  */
 
+/*
+ * Return how long a lease lasts that rests on a status request sent at
+ * asked_us.
+ */
+int64_t
+lease_duration_us(const lease_duration_t *durations, int64_t asked_us)
+{
+	return durations->listed_since_us != 0 &&
+		asked_us >= durations->listed_since_us
+	    ? durations->long_us
+	    : durations->short_us;
+}
+
+/*
+ * Tell whether a promise of a database blocks leases on a primary.  The
+ * standing promise of the attempt that has led to its term does not: the
+ * primary is the one that the order of that attempt named.
+ */
+bool
+promise_blocks(
+    const lease_t *lease, const db_view_t *view, const db_view_t *primary)
+{
+	const recorded_orders_t *orders = &lease->orders;
+
+	if (view->promised <= primary->promised)
+		return false;
+	return attempt_term_replaces(view->promised) == 0 ||
+	    view->promised != orders->attempt_term ||
+	    orders->replaced_term >= primary->promised ||
+	    (orders->named != 0 && orders->named != primary->key);
+}
+
 /*
  * Tell whether the list may lack databases that count by a time: those that
  * registered since are promoted, or have a vote where none are recorded.
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -20,13 +20,15 @@
 	bool primary;
 	uint64_t promised;
 	int64_t requested_ms;
+	/* time the connection was opened; 0: before all requests */
+	int64_t connected_ms;
 } status_reply_t;
 
 typedef struct lease_case {
 	const char *name;
 	uint32_t count;
 	/* status answers in the order of arrival; requested_ms 0 ends them */
-	status_reply_t answers[6];
+	status_reply_t answers[9];
 	int64_t listed_since_ms; /* time the daemon was listed; 0: never */
 	int64_t now_ms;
 	int64_t expires_ms; /* expected end of the lease; 0: no lease */
@@ -100,10 +102,44 @@
     {"a newer promise that is withdrawn still blocks", 3,
 	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40}}, 0, 40, 0,
 	{0, 0, 40}},
-    {"unblocked when no database reports it", 3,
+    {"not unblocked when no database reports it in one round", 3,
 	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40},
 	    {2, false, 1, 50}, {0, true, 1, 60}},
-	0, 60, 300},
+	0, 60, 0},
+    {"nor before a second round is complete", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40},
+	    {2, false, 1, 50}, {0, true, 1, 60}, {1, false, 1, 70}},
+	0, 70, 0},
+    {"unblocked when no database reports it in two rounds", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40},
+	    {2, false, 1, 50}, {0, true, 1, 60}, {1, false, 1, 70},
+	    {2, false, 1, 80}},
+	0, 80, 330},
+    {"the second round was asked as the first one ended", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40},
+	    {2, false, 1, 50}, {0, true, 1, 60}, {1, false, 1, 50},
+	    {2, false, 1, 80}},
+	0, 80, 0},
+    {"a database has started again between the rounds", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40},
+	    {2, false, 1, 50}, {0, true, 1, 60}, {1, false, 1, 70},
+	    {2, false, 1, 80, 60}},
+	0, 80, 0},
+    {"a database has promised between the rounds", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40},
+	    {2, false, 1, 50}, {0, true, 1, 60}, {1, false, 3, 70},
+	    {1, false, 1, 80}, {2, false, 1, 90}},
+	0, 90, 0},
+    {"the first round took half a lease", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40},
+	    {2, false, 1, 165}, {0, true, 1, 170}, {1, false, 1, 180},
+	    {2, false, 1, 190}},
+	0, 190, 0},
+    {"the first round took less than half a lease", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40},
+	    {2, false, 1, 164}, {0, true, 1, 170}, {1, false, 1, 180},
+	    {2, false, 1, 190}},
+	0, 190, 440},
     {"not unblocked by a majority alone", 3,
 	{{0, true, 1, 10}, {1, false, 2, 20}, {0, true, 1, 4900},
 	    {1, false, 1, 5000}},
@@ -194,6 +230,7 @@
 		view->primary = answer->primary;
 		view->promised = answer->promised;
 		view->requested_us = MS(answer->requested_ms);
+		view->connected_us = MS(answer->connected_ms);
 		primary = primary_of(views, c->count);
 		if (primary >= 0)
 			renew(&lease, views, c->count, (uint32_t)primary,
@@ -383,13 +420,15 @@
 
 typedef struct shrunk_case {
 	const char *name;
-	uint32_t count; /* databases that are still listed */
-	bool renewed;   /* the lease is renewed after the revocation */
+	uint32_t count;  /* databases that are still listed */
+	uint32_t rounds; /* number of times that they answer */
+	bool renewed;    /* the lease is renewed after the revocation */
 } shrunk_case_t;
 
 static const shrunk_case_t shrunk_cases[] = {
-    {"the replicas are listed", 3, true},
-    {"the replicas are not listed any more", 1, false},
+    {"the replicas are listed, and answer once", 3, 1, false},
+    {"the replicas are listed, and answer twice", 3, 2, true},
+    {"the replicas are not listed any more", 1, 2, false},
 };
 
 /*
@@ -403,15 +442,20 @@
 	const shrunk_case_t *c = data;
 	db_view_t views[3];
 	lease_t lease;
-	uint32_t i;
+	bool renewed = false;
+	int64_t asked_us;
+	uint32_t i, round;
 
 	lease_start(&lease, views, 1);
 	lease_revoke(&lease, 2, MS(100));
-	for (i = 0; i < c->count; i++)
-		views[i].requested_us = MS(200);
-	g_assert_cmpint(
-	    renew(&lease, views, c->count, 0, MS(210), &listed_durations), ==,
-	    c->renewed);
+	for (round = 0; round < c->rounds; round++) {
+		asked_us = MS(200 + 60 * (int64_t)round);
+		for (i = 0; i < c->count; i++)
+			views[i].requested_us = asked_us;
+		renewed = renew(&lease, views, c->count, 0, asked_us + MS(10),
+		    &listed_durations);
+	}
+	g_assert_cmpint(renewed, ==, c->renewed);
 }
 
 #define TOLD_MAX 3
@@ -943,9 +987,12 @@
 	/* until when the list shows all databases; 0: it does not change */
 	int64_t list_until_ms;
 	bool removed_alive; /* one that may run was removed */
+	bool asked_before;  /* they have answered a request before, too */
 } members_case_t;
 
-/* Time at which the lease is to be renewed. */
+/* Time of a round of requests before, and time at which the lease is to be
+   renewed. */
+#define ASKED_BEFORE_MS 5800
 #define RENEWED_MS 6000
 
 static const members_case_t members_cases[] = {
@@ -1026,18 +1073,26 @@
 	{5900, 5900}, false, true, .revoked_ms = 1000},
     {"revoked, two of three answer", 3, 3, "mmm", {5900, 5900}, false, true,
 	.revoked_ms = 5000},
-    {"revoked, all answer", 3, 3, "mmm", {5900, 5900, 5900}, true, false,
+    {"revoked, all answer once", 3, 3, "mmm", {5900, 5900, 5900}, false, true,
 	.revoked_ms = 5000},
-    {"revoked, all answer, and the list is out of date", 3, 3, "mmm",
+    {"revoked, all answer twice", 3, 3, "mmm", {5900, 5900, 5900}, true, false,
+	.revoked_ms = 5000, .asked_before = true},
+    {"revoked between the answers, all answer twice", 3, 3, "mmm",
+	{5900, 5900, 5900}, false, true, .revoked_ms = ASKED_BEFORE_MS,
+	.asked_before = true},
+    {"revoked, all answer twice, and the list is out of date", 3, 3, "mmm",
 	{5900, 5900, 5900}, false, true, .revoked_ms = 5000,
-	.list_until_ms = 5899},
-    {"revoked, all answer, and one that may run was removed", 3, 3, "mmm",
+	.list_until_ms = 5899, .asked_before = true},
+    {"revoked, all answer twice, and one that may run was removed", 3, 3, "mmm",
 	{5900, 5900, 5900}, false, true, .revoked_ms = 5000,
-	.removed_alive = true},
-    {"revoked, all answer, and the list is new", 3, 3, "mmm",
-	{5900, 5900, 5900}, true, false, .revoked_ms = 5000, .list_new = true},
-    {"revoked, all that are listed answer, of three", 2, 3, "mm", {5900, 5900},
-	false, true, .revoked_ms = 5000},
+	.removed_alive = true, .asked_before = true},
+    {"revoked, all answer once, and the list is new", 3, 3, "mmm",
+	{5900, 5900, 5900}, false, true, .revoked_ms = 5000, .list_new = true},
+    {"revoked, all answer twice, and the list is new", 3, 3, "mmm",
+	{5900, 5900, 5900}, true, false, .revoked_ms = 5000, .list_new = true,
+	.asked_before = true},
+    {"revoked, all that are listed answer twice, of three", 2, 3, "mm",
+	{5900, 5900}, false, true, .revoked_ms = 5000, .asked_before = true},
 };
 
 /*
@@ -1054,7 +1109,7 @@
 	    .list_new = c->list_new,
 	    .list_until_us = MS(c->list_until_ms),
 	    .removed_alive = c->removed_alive};
-	db_view_t views[4];
+	db_view_t views[4], before[4];
 	uint32_t i;
 
 	orders.read_us = MS(WATCHED_MS + 10);
@@ -1071,6 +1126,13 @@
 		    .term = 1,
 		    .member = c->is_member[i] != '-',
 		    .likely_ended = c->is_member[i] == 'e'};
+	if (c->asked_before) {
+		memcpy(before, views, sizeof(before));
+		for (i = 0; i < c->count; i++)
+			before[i].requested_us = MS(ASKED_BEFORE_MS);
+		renew(&lease, before, c->count, 0, MS(ASKED_BEFORE_MS + 10),
+		    &listed_durations);
+	}
 	g_assert_cmpint(renew(&lease, views, c->count, 0, MS(RENEWED_MS),
 			    &listed_durations),
 	    ==, c->renewed);
--- a/tests/t_members_model.c
+++ b/tests/t_members_model.c
@@ -152,8 +152,8 @@
 	    .lapse_permille = 6,
 	    .refused_permille = 2}},
     {"the same, daemons and databases restart", 3, 3, 6, .seeds = 1000,
-	.daemon_restart_permille = 5,
-	.database_restart_permille = 7, .order_held_permille = 456,
+	.daemon_restart_permille = 5, .database_restart_permille = 7,
+	.order_held_permille = 456,
 	.troubles = {.order_held_permille[PROXY_PLACE_SOCKET] = 236,
 	    .member_restart_permille = 1,
 	    .start_listed_max_us = 1000000,
@@ -267,6 +267,13 @@
 	5, .returns_permille = 5,
 	.troubles = {.start_listed_max_us = 1000000,
 	    .members = {.permille = 20, .dropped = 2}}},
+    {"answers of different moments count as one", PROXY_BUG_MOMENTS_AS_ONE, 3,
+	0, 6, 3, 71, .order_held_permille = 456,
+	.troubles = {.order_held_permille[PROXY_PLACE_SOCKET] = 236,
+	    .member_restart_permille = 1,
+	    .start_listed_max_us = 1000000,
+	    .lapse_permille = 6,
+	    .refused_permille = 2}},
 };
 
 /*
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -171,6 +171,23 @@
 	orders->era = orders->read_era;
 }
 
+/*
+ * Have a daemon take a round of answers for the second one
+ * (PROXY_BUG_MOMENTS_AS_ONE).
+ */
+static void
+assume_round_before(const proxy_model_t *model, proxy_model_daemon_t *daemon)
+{
+	const failover_t *failover = &daemon->failover;
+	int32_t primary = failover_primary(failover);
+
+	if (primary >= 0)
+		daemon->lease.denials =
+		    (lease_denials_t){.term = failover->views[primary].promised,
+			.databases = failover->count,
+			.begun_us = model->now_us};
+}
+
 /*
  * Renew a daemon's lease from the answers of the databases, read the recorded
  * orders if needed, and answer the statements that the lease confirms.
@@ -189,6 +206,8 @@
 		    &(recorded_orders_t){.read_us = model->now_us});
 	if (model->plan->injected_bug == PROXY_BUG_RECORD_BEFORE_SIGN)
 		assume_record_after_sign(daemon);
+	if (model->plan->injected_bug == PROXY_BUG_MOMENTS_AS_ONE)
+		assume_round_before(model, daemon);
 	proxy_model_open_update(model, daemon);
 	proxy_model_members_update(model, daemon);
 	daemon->lease.list_new = daemon->listed_us != 0 &&
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -119,6 +119,9 @@
 	/* open orders are over once the store has gone back to a copy without
 	   them */
 	PROXY_BUG_OPEN_ORDERS_LOST,
+	/* answers of all databases that belong to different moments count as
+	   answers of one moment */
+	PROXY_BUG_MOMENTS_AS_ONE,
 } proxy_model_bug_t;
 
 /* Places where an order to promote a database may be held up. */
