Lease: one round of answers of all databases begins no lease

What callers may see: the same as with the end of a block, on a daemon that has no lease and has seen no sign of the attempt. Cause: denied_by_all_us() took the send time of the oldest request for a moment at which all denied. Nobody led a newer term then, but a lease from that time also needs that no promise stood that leads to a promotion within it. The candidate has started again, and denies before the promotion; the others deny after it.

The time between the rounds does not matter, so on connections that were open when the last round of answers came, one more suffices.

The rows of /lease in which one round of answers began a lease now have a second one and the same claim, and beside them the row in which one does not suffice; rows that claim that something else keeps a lease from beginning (a list, an order, the record) have the second round, too, so that only that does.

A lease that rests on all answers begins a round of status requests later on new connections.

--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -40,38 +40,24 @@
 }
 
 /*
- * Return the send time of the oldest of the last status requests to the
- * databases other than the primary, if all have answered theirs and know of no
- * newer term; otherwise 0.  At that time none of them led a newer term, nor did
- * any other one, unless the list is out of date.
+ * Return the latest time at which all databases other than the primary
+ * certainly denied that there is a newer one, or an attempt to make one; or 0.
+ * None led a newer term then, nor did any other one, unless the list is out of
+ * date.
  * members: number of recorded members, which must be among them; 0: none are
  * recorded.  Those that are no members count as well, since they may have been
  * recorded after this process read the record.
  */
 static int64_t
 denied_by_all_us(const lease_t *lease, const db_view_t *views, uint32_t count,
-    uint32_t primary, uint32_t members)
+    uint32_t members)
 {
-	int64_t oldest_us = INT64_MAX;
+	int64_t denied_us = lease->denials.certain_us;
 	uint32_t i, found = 0;
 
 	for (i = 0; i < count; i++)
 		found += views[i].member;
-	if (members > 0 && found < members)
-		return 0;
-	for (i = 0; i < count; i++) {
-		if (i == primary)
-			continue;
-		if (!views[i].known || views[i].likely_ended ||
-		    promise_blocks(lease, &views[i], &views[primary]))
-			return 0;
-		if (views[i].requested_us < oldest_us)
-			oldest_us = views[i].requested_us;
-	}
-	/* the primary is the only member: there is nobody to ask */
-	return oldest_us == INT64_MAX || all_unknown(lease, oldest_us)
-	    ? 0
-	    : oldest_us;
+	return found < members || all_unknown(lease, denied_us) ? 0 : denied_us;
 }
 
 /*
@@ -113,8 +99,7 @@
     uint32_t primary, const lease_duration_t *durations, lease_proof_t *proof)
 {
 	uint32_t members = recorded_members(lease, views[primary].promised);
-	int64_t known_us =
-	    denied_by_all_us(lease, views, count, primary, members);
+	int64_t known_us = denied_by_all_us(lease, views, count, members);
 	int64_t asked_us;
 
 	if (members_missing(lease, views[primary].promised) ||
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -60,11 +60,24 @@
 	{{0, true, 1, 10}, {1, false, 1, 20}}, 0, 20, 0, {1, 2, 20}},
     {"the same, and one was to replace an older one", 3,
 	{{0, true, 2, 10}, {1, false, 2, 20}}, 0, 20, 270, {1, 2, 20}},
-    {"all have answered", 3,
-	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 20}}, 0, 20, 270},
-    {"all have answered, and the recorded orders were not read", 3,
-	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 20}}, 0, 20, 0, {0},
-	true},
+    {"all have answered once", 3,
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 20}}, 0, 20, 0},
+    {"all have answered, and one twice", 3,
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 20},
+	    {1, false, 1, 40}},
+	0, 40, 0},
+    {"all have answered twice", 3,
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 20},
+	    {1, false, 1, 40}, {2, false, 1, 40}},
+	0, 40, 290},
+    {"all have answered twice, and the recorded orders were not read", 3,
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 20},
+	    {1, false, 1, 40}, {2, false, 1, 40}},
+	0, 40, 0, {0}, true},
+    {"answered twice, and one has started again in between", 3,
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 20},
+	    {1, false, 1, 40, 30}, {2, false, 1, 40}},
+	0, 40, 0},
     {"the old primary is listed alone, and they were not read", 1,
 	{{0, true, 1, 10}}, 0, 10, 0, {0}, true, true},
     {"it is listed alone at first, and they were read", 1, {{0, true, 1, 10}},
@@ -74,21 +87,25 @@
     {"it has always been alone", 1, {{0, true, 1, 10}}, 0, 300, 550,
 	{0, 0, 10}},
     {"the newest primary is not listed yet, and one was to replace the old one",
-	2, {{0, true, 1, 10}, {1, false, 1, 20}}, 0, 30, 0, {1, 2, 30}, false,
-	true},
+	2, {{0, true, 1, 10}, {1, false, 1, 20}, {1, false, 1, 25}}, 0, 30, 0,
+	{1, 2, 30}, false, true},
     {"a list that is new, and the store may have lost orders", 2,
 	{{0, true, 1, 10}, {1, false, 1, 20}}, 0, 30, 270,
 	{.read_us = 30, .lost_us = 5}, false, true},
     {"a replica is not listed yet, and they were read before", 2,
-	{{0, true, 1, 10}, {1, false, 1, 20}}, 0, 30, 0, {0, 0, 15}, false,
-	true},
+	{{0, true, 1, 10}, {1, false, 1, 20}, {1, false, 1, 25}}, 0, 30, 0,
+	{0, 0, 15}, false, true},
     {"a replica is not listed yet, and they were read since", 2,
 	{{0, true, 1, 10}, {1, false, 1, 20}, {1, false, 1, 25}}, 0, 30, 275,
 	{0, 0, 25}, false, true},
     {"the newer answer counts", 3,
-	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 90}}, 0, 90, 340},
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 30},
+	    {1, false, 1, 40}, {2, false, 1, 90}},
+	0, 90, 340},
     {"the newer answer is too long after the older one", 3,
-	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 290}}, 0, 290, 0},
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 30},
+	    {1, false, 1, 40}, {2, false, 1, 300}},
+	0, 300, 0},
     {"two replicas of a group of five are needed", 5,
 	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 90}}, 0, 90, 270,
 	{0, 0, 90}},
@@ -167,7 +184,9 @@
     {"answers of the primary alone", 3, {{0, true, 1, 10}, {0, true, 1, 50}}, 0,
 	50, 0, {0, 0, 50}},
     {"the primary of the newer term counts", 3,
-	{{0, true, 1, 10}, {1, true, 2, 20}, {2, false, 2, 30}}, 0, 30, 280},
+	{{0, true, 1, 10}, {1, true, 2, 20}, {2, false, 2, 30},
+	    {0, true, 1, 40}, {2, false, 2, 50}},
+	0, 50, 300},
     {"a group without replicas needs no answers", 1, {{0, true, 1, 10}}, 0, 100,
 	350},
 };
@@ -260,13 +279,30 @@
 	g_assert_cmpint(lease.expires_us, ==, MS(1250));
 }
 
+/*
+ * Have all databases answer requests that were sent at a time, as they do to
+ * later ones.
+ */
+static void
+answer_before(lease_t *lease, const db_view_t *views, uint32_t count,
+    uint32_t primary, int64_t at_ms, const lease_duration_t *durations)
+{
+	db_view_t before[DATABASES_MAX];
+	uint32_t i;
+
+	memcpy(before, views, count * sizeof(*before));
+	for (i = 0; i < count; i++)
+		before[i].requested_us = MS(at_ms);
+	lease_renew(lease, before, count, primary, MS(at_ms) + 1, durations);
+}
+
 /* Lease durations of a daemon that was listed before all status requests. */
 static const lease_duration_t listed_durations = {
     MS(SHORT_MS), MS(LONG_MS), MS(1)};
 
 /*
- * Start a lease on database 0 as the primary of a term.  The status requests to
- * the databases were sent at 10, 20 and 30 ms.
+ * Start a lease on database 0 as the primary of a term.  The last status
+ * requests to the databases were sent at 10, 20 and 30 ms.
  */
 static void
 lease_start(lease_t *lease, db_view_t views[3], uint64_t term)
@@ -278,6 +314,7 @@
 	for (i = 0; i < 3; i++)
 		views[i] = (db_view_t){true, i == 0, false, term, {0, 0},
 		    MS(10 * ((int64_t)i + 1))};
+	answer_before(lease, views, 3, 0, 5, &listed_durations);
 	g_assert_true(renew(lease, views, 3, 0, MS(30), &listed_durations));
 }
 
@@ -316,6 +353,7 @@
 		views[i] = (db_view_t){true, i == 0, false, 2, {0, 0},
 		    MS(i == 0 ? c->primary_asked_ms : c->replicas_asked_ms),
 		    .term = 2};
+	answer_before(&lease, views, 3, 0, 50, &listed_durations);
 	if (c->led_ms != 0)
 		lease_primary_led(&lease, c->led_term, MS(c->led_ms));
 	g_assert_true(
@@ -372,6 +410,7 @@
 		views[i] = (db_view_t){true, i == 0, false, 2, {0, 0},
 		    MS(i == 0 ? c->primary_asked_ms : c->replicas_asked_ms),
 		    .term = 2};
+	answer_before(&lease, views, 3, 0, 50, &listed_durations);
 	g_assert_true(
 	    lease_renew(&lease, views, 3, 0, MS(1100), &listed_durations));
 	g_assert_false(lease_extendable(&lease, &listed_durations));
@@ -794,6 +833,7 @@
 	bool unverified;          /* the recorded orders are needed for it */
 	/* time the connection to database 1 was opened; 0: before the lease */
 	int64_t connected_ms;
+	bool asked_before; /* all have answered a request at 3850 ms, too */
 } lapse_case_t;
 
 static const lapse_case_t lapse_cases[] = {
@@ -806,12 +846,16 @@
 	{0}, false, true},
     {"all replicas answer after it has lapsed", 0, {30, 3900, 3950}, 1, {0},
 	true, false},
+    {"all replicas answer once, one on a connection opened since", 0,
+	{30, 3900, 3950}, 1, {0}, false, true, 1000},
+    {"the same, and they answer twice", 0, {30, 3900, 3950}, 1, {0}, true,
+	false, 1000, true},
     {"no order is recorded when it has lapsed", 0, {3900, 3900, 30}, 1,
 	{0, 0, 3950}, true, false},
     {"all replicas answer, and an order was recorded a moment ago", 0,
-	{30, 3900, 3950}, 1, {1, 2, 3800}, false, true},
+	{30, 3900, 3950}, 1, {1, 2, 3800}, false, true, .asked_before = true},
     {"the same, a long time ago", 0, {30, 3900, 3950}, 1, {1, 2, 300}, false,
-	true},
+	true, .asked_before = true},
     {"an order was recorded since", 0, {3900, 3900, 30}, 1, {1, 2, 3950}, false,
 	true},
     {"the record was read before the answer", 0, {3900, 3900, 30}, 1,
@@ -861,6 +905,8 @@
 	orders.lost_us = MS(c->orders.lost_us);
 	orders.read_us = MS(c->orders.read_us);
 	lease_orders_read(&lease, &orders);
+	if (c->asked_before)
+		answer_before(&lease, views, 3, 0, 3850, &listed_durations);
 	g_assert_cmpint(renew(&lease, views, 3, 0, MS(4000), &listed_durations),
 	    ==, c->renewed);
 	g_assert_cmpint(lease.unverified, ==, c->unverified);
@@ -879,6 +925,7 @@
 	bool renewed;
 	bool unaware; /* there is no lease, as an unknown order is possible */
 	bool list_after_outage; /* the store was away before the list came */
+	bool asked_before;      /* all have answered a request before, too */
 } unaware_case_t;
 
 /* Time since which the process watches the group. */
@@ -891,15 +938,18 @@
 	{0}, true, false, true},
     {"a majority answers, much later", 3, 0, {9000, 9000, 0}, 0, 1, {0}, {0},
 	false, false, true},
-    {"all answer", 3, 0, {900, 900, 900}, 0, 1, {0}, {0}, false, true, false},
+    {"all answer once", 3, 0, {900, 900, 900}, 0, 1, {0}, {0}, false, false,
+	true},
+    {"all answer", 3, 0, {900, 900, 900}, 0, 1, {0}, {0}, false, true, false,
+	.asked_before = true},
     {"all answer, and the list is new", 3, 0, {900, 900, 900}, 0, 1, {0}, {0},
-	true, true, false},
+	true, true, false, .asked_before = true},
     {"the same, and an order is recorded", 3, 0, {900, 900, 900}, 0, 1, {1, 2},
-	{1, 2}, true, false, true},
+	{1, 2}, true, false, true, .asked_before = true},
     {"all answer, and the list is new after an outage", 3, 0, {900, 900, 900},
-	0, 1, {0}, {0}, true, false, true, true},
+	0, 1, {0}, {0}, true, false, true, true, .asked_before = true},
     {"all answer, and there was an outage before", 3, 0, {900, 900, 900}, 0, 1,
-	{0}, {0}, false, true, false, true},
+	{0}, {0}, false, true, false, true, .asked_before = true},
     {"the primary is listed alone, and the list is new", 1, 0, {900, 0, 0}, 0,
 	1, {0}, {0}, true, true, false},
     {"the same, after an outage", 1, 0, {900, 0, 0}, 0, 1, {0}, {0}, true,
@@ -960,6 +1010,9 @@
 	views[1].promised = MAX(c->promised, c->term);
 	last.read_us = MS(now_ms);
 	lease_orders_read(&lease, &last);
+	if (c->asked_before)
+		answer_before(&lease, views, c->count, 0, c->answer_ms[0] - 60,
+		    &listed_durations);
 	g_assert_cmpint(
 	    renew(&lease, views, c->count, 0, MS(now_ms), &listed_durations),
 	    ==, c->renewed);
@@ -992,7 +1045,7 @@
 
 /* Time of a round of requests before, and time at which the lease is to be
    renewed. */
-#define ASKED_BEFORE_MS 5800
+#define ASKED_BEFORE_MS 5820
 #define RENEWED_MS 6000
 
 static const members_case_t members_cases[] = {
@@ -1015,26 +1068,30 @@
     {"two of three are listed", 2, 3, "mm", {5900, 5900}, true, false},
     {"two of three are listed, and the record was read before", 2, 3, "mm",
 	{5900, 5900}, false, true, .read_ms = 5800},
+    {"all answer once, and the record was read before", 3, 3, "mmm",
+	{5900, 5900, 5900}, false, true, .read_ms = 5800},
     {"all answer, and the record was read before", 3, 3, "mmm",
-	{5900, 5900, 5900}, true, false, .read_ms = 5800},
+	{5900, 5900, 5900}, true, false, .read_ms = 5800, .asked_before = true},
     {"all answer, and the list is new", 3, 3, "mmm", {5900, 5900, 5900}, true,
-	false, .read_ms = 5800, .list_new = true},
+	false, .read_ms = 5800, .list_new = true, .asked_before = true},
     {"all answer, and the list shows all that may be promoted", 3, 3, "mmm",
-	{5900, 5900, 5900}, true, false, .read_ms = 5800,
-	.list_until_ms = 5900},
+	{5900, 5900, 5900}, true, false, .read_ms = 5800, .list_until_ms = 5900,
+	.asked_before = true},
     {"all answer, and the list is out of date", 3, 3, "mmm", {5900, 5900, 5900},
-	false, true, .read_ms = 5800, .list_until_ms = 5899},
+	false, true, .read_ms = 5800, .list_until_ms = 5899,
+	.asked_before = true},
     {"all answer, the list is out of date, and the record was read since", 3, 3,
 	"mmm", {5900, 5900, 5900}, true, false, .list_until_ms = 5899},
     {"all answer, and one that may run was removed", 3, 3, "mmm",
-	{5900, 5900, 5900}, false, true, .read_ms = 5800,
-	.removed_alive = true},
+	{5900, 5900, 5900}, false, true, .read_ms = 5800, .removed_alive = true,
+	.asked_before = true},
     {"the only one, and the list is out of date", 1, 1, "m", {5900}, true,
 	false, .list_until_ms = 5899},
     {"all answer, except one that has joined", 4, 3, "mmm-", {5900, 5900, 5900},
-	false, true, .read_ms = 5800},
+	false, true, .read_ms = 5800, .asked_before = true},
     {"all answer, and one that has joined", 4, 3, "mmm-",
-	{5900, 5900, 5900, 5900}, true, false, .read_ms = 5800},
+	{5900, 5900, 5900, 5900}, true, false, .read_ms = 5800,
+	.asked_before = true},
     {"one of two that answered has ended since", 3, 3, "mem", {5900, 5900},
 	false, false},
     {"one has ended, the other answers", 3, 3, "mme", {5900, 5900, 5900}, true,
@@ -1060,10 +1117,10 @@
 	.orders = {.lost_us = MS(5000), .read_era = 2}},
     {"the record may lack orders, all that are listed answer", 2, 3, "mm",
 	{5900, 5900}, true, false,
-	.orders = {.lost_us = MS(5000), .read_era = 2}},
+	.orders = {.lost_us = MS(5000), .read_era = 2}, .asked_before = true},
     {"the same, and the list is out of date", 2, 3, "mm", {5900, 5900}, false,
 	true, .orders = {.lost_us = MS(5000), .read_era = 2},
-	.list_until_ms = 5899},
+	.list_until_ms = 5899, .asked_before = true},
     {"the record may lack orders, the only one, and the list is out of date", 1,
 	3, "m", {5900}, false, true,
 	.orders = {.lost_us = MS(5000), .read_era = 2}, .list_until_ms = 5899},
@@ -1109,7 +1166,7 @@
 	    .list_new = c->list_new,
 	    .list_until_us = MS(c->list_until_ms),
 	    .removed_alive = c->removed_alive};
-	db_view_t views[4], before[4];
+	db_view_t views[4];
 	uint32_t i;
 
 	orders.read_us = MS(WATCHED_MS + 10);
@@ -1126,13 +1183,9 @@
 		    .term = 1,
 		    .member = c->is_member[i] != '-',
 		    .likely_ended = c->is_member[i] == 'e'};
-	if (c->asked_before) {
-		memcpy(before, views, sizeof(before));
-		for (i = 0; i < c->count; i++)
-			before[i].requested_us = MS(ASKED_BEFORE_MS);
-		renew(&lease, before, c->count, 0, MS(ASKED_BEFORE_MS + 10),
+	if (c->asked_before)
+		answer_before(&lease, views, c->count, 0, ASKED_BEFORE_MS,
 		    &listed_durations);
-	}
 	g_assert_cmpint(renew(&lease, views, c->count, 0, MS(RENEWED_MS),
 			    &listed_durations),
 	    ==, c->renewed);
@@ -1221,6 +1274,7 @@
 	    {true, false, false, 2, {0, 0}, MS(20)}};
 	lease_t lease = {.orders.read_us = READ_AT_START_US};
 
+	answer_before(&lease, views, 3, 0, 5, &durations);
 	g_assert_true(renew(&lease, views, 3, 0, MS(30), &durations));
 	g_assert_cmpint(lease.expires_us, ==, MS(2020));
 	lease_cancel(&lease);
