Lease: an answer counts from when it came, not from when it was asked for

What callers may see: a read or write at a replaced primary, where a status answer came late: a request waits behind a statement on the control connection, or in the network. Cause: the proof by the record, and the continuation of a lease, took an answer without a promise for one of the time of its request. Executed after a promotion, which ends the promises at all databases, it shows nothing: the record was read between its request and the order, or the lease ended between its request and the promotion. With five databases an answer to a request that was sent after the record even counted to the majority.

Change: db_view_t has answered_us, and supported_us() counts answers that came before the record was asked for, or within the duration of a lease after the certain time that is continued. Then each is from before the order, or before the promotion.

The model can't show it, as its answers take 4 ms at most.

--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -57,6 +57,9 @@
 	bool expired;
 	/* this start of it has likely ended: start_likely_ended() */
 	bool likely_ended;
+	/* time the answer came: the database may have answered any time from
+	   the request until then */
+	int64_t answered_us;
 } db_view_t;
 
 void db_view_merge(db_view_t *, const db_view_t *answer);
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -1,11 +1,11 @@
 #include "lease_internal.h"
 
 /*
- * Return the send time of the latest status requests, sent no later than
- * before_us, that found no newer promise at so many replicas that every
- * majority contains one of them or the primary itself; or 0.  Only answers on
- * connections that were opened by connected_us count.  members: number of
- * recorded members, which alone count; 0: the majority is one of all databases.
+ * Return the send time of the latest status requests, answered by before_us,
+ * that found no newer promise at so many replicas that every majority contains
+ * one of them or the primary itself; or 0.  Only answers on connections that
+ * were opened by connected_us count.  members: number of recorded members,
+ * which alone count; 0: the majority is one of all databases.
  */
 static int64_t
 supported_us(const lease_t *lease, const db_view_t *views, uint32_t count,
@@ -26,9 +26,11 @@
 		    !views[i].likely_ended &&
 		    !promise_blocks(lease, &views[i], &views[primary]) &&
 		    views[i].connected_us <= connected_us &&
+		    views[i].requested_us <= before_us &&
+		    views[i].answered_us <= before_us &&
 		    (members == 0 || views[i].member);
 	for (i = 0; i < count; i++) {
-		if (!counts[i] || views[i].requested_us > before_us)
+		if (!counts[i])
 			continue;
 		for (j = as_recent = 0; j < count; j++)
 			as_recent += counts[j] &&
@@ -88,11 +90,12 @@
  * An answer without a promise does not show that: a promotion ends the promises
  * also of databases that have not heard of it, and a database that restarts
  * forgets its own.  A promotion takes effect no earlier than the duration of a
- * lease after the last database has promised its term.  So within that time
- * after such a certain time, answers on connections that were open then do show
- * it.  Otherwise all databases must have answered, or the store must have
- * recorded no order to replace the primary when it was read after the requests.
- * Which of these it was goes to *proof.
+ * lease after the last database has promised its term.  So answers that come
+ * within that time after such a certain time, on connections that were open
+ * then, do show it.  Otherwise all databases must have denied at one moment, or
+ * the store must have recorded no order to replace the primary when it was read
+ * after the answers had come: an order is recorded before it is sent.  Which of
+ * these it was goes to *proof.
  */
 static int64_t
 certain_us(lease_t *lease, const db_view_t *views, uint32_t count,
@@ -115,11 +118,11 @@
 	}
 	if (known_us > lease->verified_us)
 		lease->verified_us = known_us;
-	asked_us = supported_us(lease, views, count, primary, INT64_MAX,
+	asked_us = supported_us(lease, views, count, primary,
+	    lease->verified_us +
+		lease_duration_us(durations, lease->verified_us),
 	    lease->verified_us, members);
-	if (lease->verified_us != 0 && asked_us > known_us &&
-	    asked_us - lease->verified_us <=
-		lease_duration_us(durations, lease->verified_us)) {
+	if (lease->verified_us != 0 && asked_us > known_us) {
 		known_us = asked_us;
 		*proof = LEASE_CONTINUED;
 	}
--- a/src/proxy/monitor_answers.c
+++ b/src/proxy/monitor_answers.c
@@ -143,6 +143,7 @@
 	    : MAX(status->term, status->paused_until_term);
 	view.last_entry = status->received;
 	view.requested_us = expect->sent_us;
+	view.answered_us = now_us;
 	view.term = status->term;
 	view.key = server->key;
 	view.connected_us = server->control_us;
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -109,6 +109,9 @@
     {"two replicas of a group of five are needed", 5,
 	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 90}}, 0, 90, 270,
 	{0, 0, 90}},
+    {"the same, and the second one was asked after the record", 5,
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 95}}, 0, 95, 0,
+	{0, 0, 90}},
     {"requested after the registration", 3,
 	{{0, true, 1, 10}, {1, false, 1, 20}}, 15, 20, 2020, {0, 0, 20}},
     {"requested before the registration", 3,
@@ -834,6 +837,8 @@
 	/* time the connection to database 1 was opened; 0: before the lease */
 	int64_t connected_ms;
 	bool asked_before; /* all have answered a request at 3850 ms, too */
+	/* time the answer of database 1 came; 0: at once */
+	int64_t answered_ms;
 } lapse_case_t;
 
 static const lapse_case_t lapse_cases[] = {
@@ -856,6 +861,14 @@
 	{30, 3900, 3950}, 1, {1, 2, 3800}, false, true, .asked_before = true},
     {"the same, a long time ago", 0, {30, 3900, 3950}, 1, {1, 2, 300}, false,
 	true, .asked_before = true},
+    {"the same, and the answer came before the record was asked for", 0,
+	{3900, 3900, 30}, 1, {0, 0, 3950}, true, false, .answered_ms = 3950},
+    {"the same, and the answer came afterwards", 0, {3900, 3900, 30}, 1,
+	{0, 0, 3950}, false, true, .answered_ms = 3951},
+    {"the answer came within the duration of the lease", 0, {1900, 1900, 30}, 1,
+	{0}, true, false, .answered_ms = 2030},
+    {"a replica was asked within it, and answered later", 0, {1900, 1900, 30},
+	1, {0}, false, true, .answered_ms = 2031},
     {"an order was recorded since", 0, {3900, 3900, 30}, 1, {1, 2, 3950}, false,
 	true},
     {"the record was read before the answer", 0, {3900, 3900, 30}, 1,
@@ -902,6 +915,7 @@
 		views[i].promised = i < 2 ? c->term : 1;
 	}
 	views[1].connected_us = MS(c->connected_ms);
+	views[1].answered_us = MS(c->answered_ms);
 	orders.lost_us = MS(c->orders.lost_us);
 	orders.read_us = MS(c->orders.read_us);
 	lease_orders_read(&lease, &orders);
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -298,6 +298,7 @@
 		on_refused(model, daemon, event);
 		return;
 	}
+	view.answered_us = model->now_us;
 	view.order_open = failover->views[server].order_open;
 	view.unlisted = daemon->unlisted[event->db];
 	view.newly_listed = proxy_model_newly_listed(model, daemon, event->db);
--- a/tools/read_model.c
+++ b/tools/read_model.c
@@ -730,6 +730,7 @@
 		return;
 	conn->pending = false;
 	view.connected_us = conn->connected_us;
+	view.answered_us = model->now_us;
 	if (model->plan->injected_bug == READ_BUG_LEASE_AGE_OF_ANSWER)
 		view.requested_us = model->now_us;
 	known->applied[event->db] = event->position;
