Failover: leases are revoked again if the promises of a majority were lost

What callers may see: a daemon that has confirmed a revocation ends its block by a moment at which all deny, since the databases that had promised have started again; its lease of 2 s may then outlast the promotion of the same attempt. Cause: the attempt asked for the promises again, but counted the confirmation of before, and waited for 0.25 s only.

Change: when too few promises are left, the revocation counts as not sent.

Run on the code before: /change/a-grant-that-is-lost-and-given-again,-and-leases- revoked-before fails (promoted 150 ms after the second promise).

--- a/src/decide/failover.c
+++ b/src/decide/failover.c
@@ -183,8 +183,10 @@
 	bool provable =
 	    !failover->store_away || standing_proves_order(failover, chosen);
 
-	if (!enough)
+	if (!enough) {
+		revoke_again(failover);
 		ask_again(failover, now_us, actions);
+	}
 	if (enough && !failover->revocation_sent &&
 	    failover->limits.lease_wait_us > 0) {
 		failover->revocation_sent = true;
--- a/src/decide/failover_fencing.c
+++ b/src/decide/failover_fencing.c
@@ -157,8 +157,7 @@
 	failover->fence_began_us = now_us;
 	memset(failover->granted, 0, sizeof(failover->granted));
 	memset(failover->standing, 0, sizeof(failover->standing));
-	failover->revocation_sent = failover->revoked_by_all = false;
-	failover->revoked_by_most_us = 0;
+	revoke_again(failover);
 	failover->stepping_down = hands_over ? primary : -1;
 	for (i = 0; i < failover->count; i++) {
 		/* one that has not answered may hold a standing promise */
@@ -193,6 +192,18 @@
 		    view->promised < failover->fenced_term));
 }
 
+/*
+ * Have the leases revoked once enough databases have promised the term.  What
+ * was confirmed before a majority's promises were lost does not count: leases
+ * may have begun while no promise stood.
+ */
+void
+revoke_again(failover_t *failover)
+{
+	failover->revocation_sent = failover->revoked_by_all = false;
+	failover->revoked_by_most_us = 0;
+}
+
 /*
  * Ask the databases for the promise that have started again, or were out of
  * reach, when the attempt began.
--- a/src/decide/failover_internal.h
+++ b/src/decide/failover_internal.h
@@ -24,6 +24,7 @@
 /* failover_fencing.c */
 void start_fencing(
     failover_t *, bool handover, int64_t now_us, failover_actions_t *);
+void revoke_again(failover_t *);
 void ask_again(failover_t *, int64_t now_us, failover_actions_t *);
 void request_standing(failover_t *, int32_t chosen, failover_actions_t *);
 void release_attempt_promises(
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -1321,7 +1321,7 @@
 	const char *name;
 	bool handover;
 	uint32_t sync_replicas;
-	step_t steps[5];
+	step_t steps[8];
 	int64_t promoted_at_ms; /* expected time; 0: none within a second */
 	uint32_t promoted;      /* expected new primary */
 	/* recorded members, those of them that have ended, and of each
@@ -1371,6 +1371,17 @@
 	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8},
 	    {4, STEP_WITHDRAWN, 2, 8}, {5, STEP_REVOKED_BY_ALL, 0, 0}},
 	0, 0},
+    {"a grant that is lost and given again, and leases revoked before", false,
+	0,
+	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8},
+	    {5, STEP_REVOKED_BY_ALL, 0, 0}, {20, STEP_WITHDRAWN, 2, 8},
+	    {40, STEP_GRANT, 2, 8}},
+	0, 0},
+    {"the same, and leases revoked since", false, 0,
+	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8},
+	    {5, STEP_REVOKED_BY_ALL, 0, 0}, {20, STEP_WITHDRAWN, 2, 8},
+	    {40, STEP_GRANT, 2, 8}, {45, STEP_REVOKED_BY_ALL, 0, 0}},
+	190, 2},
     {"two of three members grant", false, 0,
 	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8},
 	    {5, STEP_REVOKED_BY_ALL, 0, 0}},
