--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -20,13 +20,15 @@
 	bool primary;
 	uint64_t promised;
 	int64_t requested_ms;
+	/* time the connection was opened; 0: before all requests */
+	int64_t connected_ms;
 } status_reply_t;
 
 typedef struct lease_case {
 	const char *name;
 	uint32_t count;
 	/* status answers in the order of arrival; requested_ms 0 ends them */
-	status_reply_t answers[6];
+	status_reply_t answers[9];
 	int64_t listed_since_ms; /* time the daemon was listed; 0: never */
 	int64_t now_ms;
 	int64_t expires_ms; /* expected end of the lease; 0: no lease */
@@ -58,11 +60,24 @@
 	{{0, true, 1, 10}, {1, false, 1, 20}}, 0, 20, 0, {1, 2, 20}},
     {"the same, and one was to replace an older one", 3,
 	{{0, true, 2, 10}, {1, false, 2, 20}}, 0, 20, 270, {1, 2, 20}},
-    {"all have answered", 3,
-	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 20}}, 0, 20, 270},
-    {"all have answered, and the recorded orders were not read", 3,
-	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 20}}, 0, 20, 0, {0},
-	true},
+    {"all have answered once", 3,
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 20}}, 0, 20, 0},
+    {"all have answered, and one twice", 3,
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 20},
+	    {1, false, 1, 40}},
+	0, 40, 0},
+    {"all have answered twice", 3,
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 20},
+	    {1, false, 1, 40}, {2, false, 1, 40}},
+	0, 40, 290},
+    {"all have answered twice, and the recorded orders were not read", 3,
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 20},
+	    {1, false, 1, 40}, {2, false, 1, 40}},
+	0, 40, 0, {0}, true},
+    {"answered twice, and one has started again in between", 3,
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 20},
+	    {1, false, 1, 40, 30}, {2, false, 1, 40}},
+	0, 40, 0},
     {"the old primary is listed alone, and they were not read", 1,
 	{{0, true, 1, 10}}, 0, 10, 0, {0}, true, true},
     {"it is listed alone at first, and they were read", 1, {{0, true, 1, 10}},
@@ -72,24 +87,31 @@
     {"it has always been alone", 1, {{0, true, 1, 10}}, 0, 300, 550,
 	{0, 0, 10}},
     {"the newest primary is not listed yet, and one was to replace the old one",
-	2, {{0, true, 1, 10}, {1, false, 1, 20}}, 0, 30, 0, {1, 2, 30}, false,
-	true},
+	2, {{0, true, 1, 10}, {1, false, 1, 20}, {1, false, 1, 25}}, 0, 30, 0,
+	{1, 2, 30}, false, true},
     {"a list that is new, and the store may have lost orders", 2,
 	{{0, true, 1, 10}, {1, false, 1, 20}}, 0, 30, 270,
 	{.read_us = 30, .lost_us = 5}, false, true},
     {"a replica is not listed yet, and they were read before", 2,
-	{{0, true, 1, 10}, {1, false, 1, 20}}, 0, 30, 0, {0, 0, 15}, false,
-	true},
+	{{0, true, 1, 10}, {1, false, 1, 20}, {1, false, 1, 25}}, 0, 30, 0,
+	{0, 0, 15}, false, true},
     {"a replica is not listed yet, and they were read since", 2,
 	{{0, true, 1, 10}, {1, false, 1, 20}, {1, false, 1, 25}}, 0, 30, 275,
 	{0, 0, 25}, false, true},
     {"the newer answer counts", 3,
-	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 90}}, 0, 90, 340},
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 30},
+	    {1, false, 1, 40}, {2, false, 1, 90}},
+	0, 90, 340},
     {"the newer answer is too long after the older one", 3,
-	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 290}}, 0, 290, 0},
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 30},
+	    {1, false, 1, 40}, {2, false, 1, 300}},
+	0, 300, 0},
     {"two replicas of a group of five are needed", 5,
 	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 90}}, 0, 90, 270,
 	{0, 0, 90}},
+    {"the same, and the second one was asked after the record", 5,
+	{{0, true, 1, 10}, {1, false, 1, 20}, {2, false, 1, 95}}, 0, 95, 0,
+	{0, 0, 90}},
     {"requested after the registration", 3,
 	{{0, true, 1, 10}, {1, false, 1, 20}}, 15, 20, 2020, {0, 0, 20}},
     {"requested before the registration", 3,
@@ -100,10 +122,44 @@
     {"a newer promise that is withdrawn still blocks", 3,
 	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40}}, 0, 40, 0,
 	{0, 0, 40}},
-    {"unblocked when no database reports it", 3,
+    {"not unblocked when no database reports it in one round", 3,
 	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40},
 	    {2, false, 1, 50}, {0, true, 1, 60}},
-	0, 60, 300},
+	0, 60, 0},
+    {"nor before a second round is complete", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40},
+	    {2, false, 1, 50}, {0, true, 1, 60}, {1, false, 1, 70}},
+	0, 70, 0},
+    {"unblocked when no database reports it in two rounds", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40},
+	    {2, false, 1, 50}, {0, true, 1, 60}, {1, false, 1, 70},
+	    {2, false, 1, 80}},
+	0, 80, 330},
+    {"the second round was asked as the first one ended", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40},
+	    {2, false, 1, 50}, {0, true, 1, 60}, {1, false, 1, 50},
+	    {2, false, 1, 80}},
+	0, 80, 0},
+    {"a database has started again between the rounds", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40},
+	    {2, false, 1, 50}, {0, true, 1, 60}, {1, false, 1, 70},
+	    {2, false, 1, 80, 60}},
+	0, 80, 0},
+    {"a database has promised between the rounds", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40},
+	    {2, false, 1, 50}, {0, true, 1, 60}, {1, false, 3, 70},
+	    {1, false, 1, 80}, {2, false, 1, 90}},
+	0, 90, 0},
+    {"the first round took half a lease", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40},
+	    {2, false, 1, 165}, {0, true, 1, 170}, {1, false, 1, 180},
+	    {2, false, 1, 190}},
+	0, 190, 0},
+    {"the first round took less than half a lease", 3,
+	{{0, true, 1, 10}, {1, false, 2, 20}, {1, false, 1, 40},
+	    {2, false, 1, 164}, {0, true, 1, 170}, {1, false, 1, 180},
+	    {2, false, 1, 190}},
+	0, 190, 440},
     {"not unblocked by a majority alone", 3,
 	{{0, true, 1, 10}, {1, false, 2, 20}, {0, true, 1, 4900},
 	    {1, false, 1, 5000}},
@@ -131,7 +187,9 @@
     {"answers of the primary alone", 3, {{0, true, 1, 10}, {0, true, 1, 50}}, 0,
 	50, 0, {0, 0, 50}},
     {"the primary of the newer term counts", 3,
-	{{0, true, 1, 10}, {1, true, 2, 20}, {2, false, 2, 30}}, 0, 30, 280},
+	{{0, true, 1, 10}, {1, true, 2, 20}, {2, false, 2, 30},
+	    {0, true, 1, 40}, {2, false, 2, 50}},
+	0, 50, 300},
     {"a group without replicas needs no answers", 1, {{0, true, 1, 10}}, 0, 100,
 	350},
 };
@@ -194,6 +252,7 @@
 		view->primary = answer->primary;
 		view->promised = answer->promised;
 		view->requested_us = MS(answer->requested_ms);
+		view->connected_us = MS(answer->connected_ms);
 		primary = primary_of(views, c->count);
 		if (primary >= 0)
 			renew(&lease, views, c->count, (uint32_t)primary,
@@ -223,13 +282,30 @@
 	g_assert_cmpint(lease.expires_us, ==, MS(1250));
 }
 
+/*
+ * Have all databases answer requests that were sent at a time, as they do to
+ * later ones.
+ */
+static void
+answer_before(lease_t *lease, const db_view_t *views, uint32_t count,
+    uint32_t primary, int64_t at_ms, const lease_duration_t *durations)
+{
+	db_view_t before[DATABASES_MAX];
+	uint32_t i;
+
+	memcpy(before, views, count * sizeof(*before));
+	for (i = 0; i < count; i++)
+		before[i].requested_us = MS(at_ms);
+	lease_renew(lease, before, count, primary, MS(at_ms) + 1, durations);
+}
+
 /* Lease durations of a daemon that was listed before all status requests. */
 static const lease_duration_t listed_durations = {
     MS(SHORT_MS), MS(LONG_MS), MS(1)};
 
 /*
- * Start a lease on database 0 as the primary of a term.  The status requests to
- * the databases were sent at 10, 20 and 30 ms.
+ * Start a lease on database 0 as the primary of a term.  The last status
+ * requests to the databases were sent at 10, 20 and 30 ms.
  */
 static void
 lease_start(lease_t *lease, db_view_t views[3], uint64_t term)
@@ -241,6 +317,7 @@
 	for (i = 0; i < 3; i++)
 		views[i] = (db_view_t){true, i == 0, false, term, {0, 0},
 		    MS(10 * ((int64_t)i + 1))};
+	answer_before(lease, views, 3, 0, 5, &listed_durations);
 	g_assert_true(renew(lease, views, 3, 0, MS(30), &listed_durations));
 }
 
@@ -279,6 +356,7 @@
 		views[i] = (db_view_t){true, i == 0, false, 2, {0, 0},
 		    MS(i == 0 ? c->primary_asked_ms : c->replicas_asked_ms),
 		    .term = 2};
+	answer_before(&lease, views, 3, 0, 50, &listed_durations);
 	if (c->led_ms != 0)
 		lease_primary_led(&lease, c->led_term, MS(c->led_ms));
 	g_assert_true(
@@ -335,6 +413,7 @@
 		views[i] = (db_view_t){true, i == 0, false, 2, {0, 0},
 		    MS(i == 0 ? c->primary_asked_ms : c->replicas_asked_ms),
 		    .term = 2};
+	answer_before(&lease, views, 3, 0, 50, &listed_durations);
 	g_assert_true(
 	    lease_renew(&lease, views, 3, 0, MS(1100), &listed_durations));
 	g_assert_false(lease_extendable(&lease, &listed_durations));
@@ -383,13 +462,15 @@
 
 typedef struct shrunk_case {
 	const char *name;
-	uint32_t count; /* databases that are still listed */
-	bool renewed;   /* the lease is renewed after the revocation */
+	uint32_t count;  /* databases that are still listed */
+	uint32_t rounds; /* number of times that they answer */
+	bool renewed;    /* the lease is renewed after the revocation */
 } shrunk_case_t;
 
 static const shrunk_case_t shrunk_cases[] = {
-    {"the replicas are listed", 3, true},
-    {"the replicas are not listed any more", 1, false},
+    {"the replicas are listed, and answer once", 3, 1, false},
+    {"the replicas are listed, and answer twice", 3, 2, true},
+    {"the replicas are not listed any more", 1, 2, false},
 };
 
 /*
@@ -403,15 +484,20 @@
 	const shrunk_case_t *c = data;
 	db_view_t views[3];
 	lease_t lease;
-	uint32_t i;
+	bool renewed = false;
+	int64_t asked_us;
+	uint32_t i, round;
 
 	lease_start(&lease, views, 1);
 	lease_revoke(&lease, 2, MS(100));
-	for (i = 0; i < c->count; i++)
-		views[i].requested_us = MS(200);
-	g_assert_cmpint(
-	    renew(&lease, views, c->count, 0, MS(210), &listed_durations), ==,
-	    c->renewed);
+	for (round = 0; round < c->rounds; round++) {
+		asked_us = MS(200 + 60 * (int64_t)round);
+		for (i = 0; i < c->count; i++)
+			views[i].requested_us = asked_us;
+		renewed = renew(&lease, views, c->count, 0, asked_us + MS(10),
+		    &listed_durations);
+	}
+	g_assert_cmpint(renewed, ==, c->renewed);
 }
 
 #define TOLD_MAX 3
@@ -750,6 +836,9 @@
 	bool unverified;          /* the recorded orders are needed for it */
 	/* time the connection to database 1 was opened; 0: before the lease */
 	int64_t connected_ms;
+	bool asked_before; /* all have answered a request at 3850 ms, too */
+	/* time the answer of database 1 came; 0: at once */
+	int64_t answered_ms;
 } lapse_case_t;
 
 static const lapse_case_t lapse_cases[] = {
@@ -762,12 +851,24 @@
 	{0}, false, true},
     {"all replicas answer after it has lapsed", 0, {30, 3900, 3950}, 1, {0},
 	true, false},
+    {"all replicas answer once, one on a connection opened since", 0,
+	{30, 3900, 3950}, 1, {0}, false, true, 1000},
+    {"the same, and they answer twice", 0, {30, 3900, 3950}, 1, {0}, true,
+	false, 1000, true},
     {"no order is recorded when it has lapsed", 0, {3900, 3900, 30}, 1,
 	{0, 0, 3950}, true, false},
     {"all replicas answer, and an order was recorded a moment ago", 0,
-	{30, 3900, 3950}, 1, {1, 2, 3800}, false, true},
+	{30, 3900, 3950}, 1, {1, 2, 3800}, false, true, .asked_before = true},
     {"the same, a long time ago", 0, {30, 3900, 3950}, 1, {1, 2, 300}, false,
-	true},
+	true, .asked_before = true},
+    {"the same, and the answer came before the record was asked for", 0,
+	{3900, 3900, 30}, 1, {0, 0, 3950}, true, false, .answered_ms = 3950},
+    {"the same, and the answer came afterwards", 0, {3900, 3900, 30}, 1,
+	{0, 0, 3950}, false, true, .answered_ms = 3951},
+    {"the answer came within the duration of the lease", 0, {1900, 1900, 30}, 1,
+	{0}, true, false, .answered_ms = 2030},
+    {"a replica was asked within it, and answered later", 0, {1900, 1900, 30},
+	1, {0}, false, true, .answered_ms = 2031},
     {"an order was recorded since", 0, {3900, 3900, 30}, 1, {1, 2, 3950}, false,
 	true},
     {"the record was read before the answer", 0, {3900, 3900, 30}, 1,
@@ -814,9 +915,12 @@
 		views[i].promised = i < 2 ? c->term : 1;
 	}
 	views[1].connected_us = MS(c->connected_ms);
+	views[1].answered_us = MS(c->answered_ms);
 	orders.lost_us = MS(c->orders.lost_us);
 	orders.read_us = MS(c->orders.read_us);
 	lease_orders_read(&lease, &orders);
+	if (c->asked_before)
+		answer_before(&lease, views, 3, 0, 3850, &listed_durations);
 	g_assert_cmpint(renew(&lease, views, 3, 0, MS(4000), &listed_durations),
 	    ==, c->renewed);
 	g_assert_cmpint(lease.unverified, ==, c->unverified);
@@ -835,6 +939,7 @@
 	bool renewed;
 	bool unaware; /* there is no lease, as an unknown order is possible */
 	bool list_after_outage; /* the store was away before the list came */
+	bool asked_before;      /* all have answered a request before, too */
 } unaware_case_t;
 
 /* Time since which the process watches the group. */
@@ -847,15 +952,18 @@
 	{0}, true, false, true},
     {"a majority answers, much later", 3, 0, {9000, 9000, 0}, 0, 1, {0}, {0},
 	false, false, true},
-    {"all answer", 3, 0, {900, 900, 900}, 0, 1, {0}, {0}, false, true, false},
+    {"all answer once", 3, 0, {900, 900, 900}, 0, 1, {0}, {0}, false, false,
+	true},
+    {"all answer", 3, 0, {900, 900, 900}, 0, 1, {0}, {0}, false, true, false,
+	.asked_before = true},
     {"all answer, and the list is new", 3, 0, {900, 900, 900}, 0, 1, {0}, {0},
-	true, true, false},
+	true, true, false, .asked_before = true},
     {"the same, and an order is recorded", 3, 0, {900, 900, 900}, 0, 1, {1, 2},
-	{1, 2}, true, false, true},
+	{1, 2}, true, false, true, .asked_before = true},
     {"all answer, and the list is new after an outage", 3, 0, {900, 900, 900},
-	0, 1, {0}, {0}, true, false, true, true},
+	0, 1, {0}, {0}, true, false, true, true, .asked_before = true},
     {"all answer, and there was an outage before", 3, 0, {900, 900, 900}, 0, 1,
-	{0}, {0}, false, true, false, true},
+	{0}, {0}, false, true, false, true, .asked_before = true},
     {"the primary is listed alone, and the list is new", 1, 0, {900, 0, 0}, 0,
 	1, {0}, {0}, true, true, false},
     {"the same, after an outage", 1, 0, {900, 0, 0}, 0, 1, {0}, {0}, true,
@@ -916,6 +1024,9 @@
 	views[1].promised = MAX(c->promised, c->term);
 	last.read_us = MS(now_ms);
 	lease_orders_read(&lease, &last);
+	if (c->asked_before)
+		answer_before(&lease, views, c->count, 0, c->answer_ms[0] - 60,
+		    &listed_durations);
 	g_assert_cmpint(
 	    renew(&lease, views, c->count, 0, MS(now_ms), &listed_durations),
 	    ==, c->renewed);
@@ -943,9 +1054,12 @@
 	/* until when the list shows all databases; 0: it does not change */
 	int64_t list_until_ms;
 	bool removed_alive; /* one that may run was removed */
+	bool asked_before;  /* they have answered a request before, too */
 } members_case_t;
 
-/* Time at which the lease is to be renewed. */
+/* Time of a round of requests before, and time at which the lease is to be
+   renewed. */
+#define ASKED_BEFORE_MS 5820
 #define RENEWED_MS 6000
 
 static const members_case_t members_cases[] = {
@@ -968,26 +1082,30 @@
     {"two of three are listed", 2, 3, "mm", {5900, 5900}, true, false},
     {"two of three are listed, and the record was read before", 2, 3, "mm",
 	{5900, 5900}, false, true, .read_ms = 5800},
+    {"all answer once, and the record was read before", 3, 3, "mmm",
+	{5900, 5900, 5900}, false, true, .read_ms = 5800},
     {"all answer, and the record was read before", 3, 3, "mmm",
-	{5900, 5900, 5900}, true, false, .read_ms = 5800},
+	{5900, 5900, 5900}, true, false, .read_ms = 5800, .asked_before = true},
     {"all answer, and the list is new", 3, 3, "mmm", {5900, 5900, 5900}, true,
-	false, .read_ms = 5800, .list_new = true},
+	false, .read_ms = 5800, .list_new = true, .asked_before = true},
     {"all answer, and the list shows all that may be promoted", 3, 3, "mmm",
-	{5900, 5900, 5900}, true, false, .read_ms = 5800,
-	.list_until_ms = 5900},
+	{5900, 5900, 5900}, true, false, .read_ms = 5800, .list_until_ms = 5900,
+	.asked_before = true},
     {"all answer, and the list is out of date", 3, 3, "mmm", {5900, 5900, 5900},
-	false, true, .read_ms = 5800, .list_until_ms = 5899},
+	false, true, .read_ms = 5800, .list_until_ms = 5899,
+	.asked_before = true},
     {"all answer, the list is out of date, and the record was read since", 3, 3,
 	"mmm", {5900, 5900, 5900}, true, false, .list_until_ms = 5899},
     {"all answer, and one that may run was removed", 3, 3, "mmm",
-	{5900, 5900, 5900}, false, true, .read_ms = 5800,
-	.removed_alive = true},
+	{5900, 5900, 5900}, false, true, .read_ms = 5800, .removed_alive = true,
+	.asked_before = true},
     {"the only one, and the list is out of date", 1, 1, "m", {5900}, true,
 	false, .list_until_ms = 5899},
     {"all answer, except one that has joined", 4, 3, "mmm-", {5900, 5900, 5900},
-	false, true, .read_ms = 5800},
+	false, true, .read_ms = 5800, .asked_before = true},
     {"all answer, and one that has joined", 4, 3, "mmm-",
-	{5900, 5900, 5900, 5900}, true, false, .read_ms = 5800},
+	{5900, 5900, 5900, 5900}, true, false, .read_ms = 5800,
+	.asked_before = true},
     {"one of two that answered has ended since", 3, 3, "mem", {5900, 5900},
 	false, false},
     {"one has ended, the other answers", 3, 3, "mme", {5900, 5900, 5900}, true,
@@ -1013,10 +1131,10 @@
 	.orders = {.lost_us = MS(5000), .read_era = 2}},
     {"the record may lack orders, all that are listed answer", 2, 3, "mm",
 	{5900, 5900}, true, false,
-	.orders = {.lost_us = MS(5000), .read_era = 2}},
+	.orders = {.lost_us = MS(5000), .read_era = 2}, .asked_before = true},
     {"the same, and the list is out of date", 2, 3, "mm", {5900, 5900}, false,
 	true, .orders = {.lost_us = MS(5000), .read_era = 2},
-	.list_until_ms = 5899},
+	.list_until_ms = 5899, .asked_before = true},
     {"the record may lack orders, the only one, and the list is out of date", 1,
 	3, "m", {5900}, false, true,
 	.orders = {.lost_us = MS(5000), .read_era = 2}, .list_until_ms = 5899},
@@ -1026,18 +1144,26 @@
 	{5900, 5900}, false, true, .revoked_ms = 1000},
     {"revoked, two of three answer", 3, 3, "mmm", {5900, 5900}, false, true,
 	.revoked_ms = 5000},
-    {"revoked, all answer", 3, 3, "mmm", {5900, 5900, 5900}, true, false,
+    {"revoked, all answer once", 3, 3, "mmm", {5900, 5900, 5900}, false, true,
 	.revoked_ms = 5000},
-    {"revoked, all answer, and the list is out of date", 3, 3, "mmm",
+    {"revoked, all answer twice", 3, 3, "mmm", {5900, 5900, 5900}, true, false,
+	.revoked_ms = 5000, .asked_before = true},
+    {"revoked between the answers, all answer twice", 3, 3, "mmm",
+	{5900, 5900, 5900}, false, true, .revoked_ms = ASKED_BEFORE_MS,
+	.asked_before = true},
+    {"revoked, all answer twice, and the list is out of date", 3, 3, "mmm",
 	{5900, 5900, 5900}, false, true, .revoked_ms = 5000,
-	.list_until_ms = 5899},
-    {"revoked, all answer, and one that may run was removed", 3, 3, "mmm",
+	.list_until_ms = 5899, .asked_before = true},
+    {"revoked, all answer twice, and one that may run was removed", 3, 3, "mmm",
 	{5900, 5900, 5900}, false, true, .revoked_ms = 5000,
-	.removed_alive = true},
-    {"revoked, all answer, and the list is new", 3, 3, "mmm",
-	{5900, 5900, 5900}, true, false, .revoked_ms = 5000, .list_new = true},
-    {"revoked, all that are listed answer, of three", 2, 3, "mm", {5900, 5900},
-	false, true, .revoked_ms = 5000},
+	.removed_alive = true, .asked_before = true},
+    {"revoked, all answer once, and the list is new", 3, 3, "mmm",
+	{5900, 5900, 5900}, false, true, .revoked_ms = 5000, .list_new = true},
+    {"revoked, all answer twice, and the list is new", 3, 3, "mmm",
+	{5900, 5900, 5900}, true, false, .revoked_ms = 5000, .list_new = true,
+	.asked_before = true},
+    {"revoked, all that are listed answer twice, of three", 2, 3, "mm",
+	{5900, 5900}, false, true, .revoked_ms = 5000, .asked_before = true},
 };
 
 /*
@@ -1071,6 +1197,9 @@
 		    .term = 1,
 		    .member = c->is_member[i] != '-',
 		    .likely_ended = c->is_member[i] == 'e'};
+	if (c->asked_before)
+		answer_before(&lease, views, c->count, 0, ASKED_BEFORE_MS,
+		    &listed_durations);
 	g_assert_cmpint(renew(&lease, views, c->count, 0, MS(RENEWED_MS),
 			    &listed_durations),
 	    ==, c->renewed);
@@ -1159,6 +1288,7 @@
 	    {true, false, false, 2, {0, 0}, MS(20)}};
 	lease_t lease = {.orders.read_us = READ_AT_START_US};
 
+	answer_before(&lease, views, 3, 0, 5, &durations);
 	g_assert_true(renew(&lease, views, 3, 0, MS(30), &durations));
 	g_assert_cmpint(lease.expires_us, ==, MS(2020));
 	lease_cancel(&lease);
@@ -1191,7 +1321,7 @@
 	const char *name;
 	bool handover;
 	uint32_t sync_replicas;
-	step_t steps[5];
+	step_t steps[8];
 	int64_t promoted_at_ms; /* expected time; 0: none within a second */
 	uint32_t promoted;      /* expected new primary */
 	/* recorded members, those of them that have ended, and of each
@@ -1241,6 +1371,17 @@
 	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8},
 	    {4, STEP_WITHDRAWN, 2, 8}, {5, STEP_REVOKED_BY_ALL, 0, 0}},
 	0, 0},
+    {"a grant that is lost and given again, and leases revoked before", false,
+	0,
+	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8},
+	    {5, STEP_REVOKED_BY_ALL, 0, 0}, {20, STEP_WITHDRAWN, 2, 8},
+	    {40, STEP_GRANT, 2, 8}},
+	0, 0},
+    {"the same, and leases revoked since", false, 0,
+	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8},
+	    {5, STEP_REVOKED_BY_ALL, 0, 0}, {20, STEP_WITHDRAWN, 2, 8},
+	    {40, STEP_GRANT, 2, 8}, {45, STEP_REVOKED_BY_ALL, 0, 0}},
+	190, 2},
     {"two of three members grant", false, 0,
 	{{1, STEP_GRANT, 1, 7}, {2, STEP_GRANT, 2, 8},
 	    {5, STEP_REVOKED_BY_ALL, 0, 0}},
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -136,6 +136,9 @@
 	/* a newer term that is led ends the orders to all databases, also those
 	   that may take effect later */
 	PROXY_BUG_ORDER_TERM_ENDS,
+	/* answers of all databases that belong to different moments count as
+	   answers of one moment */
+	PROXY_BUG_MOMENTS_AS_ONE,
 } proxy_model_bug_t;
 
 /* Places where an order to promote a database may be held up. */
