Model: a full list of open orders ends the play

The list that a record or a daemon passes on held eight orders and left the newest ones out, silently, while the daemon writes all of them.

--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -28,7 +28,9 @@
 	uint32_t db = (uint32_t)(order->database[0] - '0');
 
 	if (list->count == OPEN_LIST_MAX)
-		return;
+		g_error("%u open orders: a list is full, so that the model "
+			"would know less than the daemon",
+		    list->count + 1);
 	list->orders[list->count] = *order;
 	list->orders[list->count++].database = db_names[db];
 }
