Model: an open order's remaining time is passed on, as by the daemon

Each process of the model counted ten seconds anew for each order that it read in the record, so that orders of a minute ago were passed on from process to process. The daemon writes the time that is left of each order, as it counts it, and its reader goes on from there; only the time in which nobody reads the record does not count, as a reader does not know when it was written. Nor may it count from when it asked for the record: that may be written between the request and the store's answer.

The model had more open orders than the daemon, and for longer, which may hide faults, and showed a price that the daemon does not have.

--- a/tests/t_proxy_model.c
+++ b/tests/t_proxy_model.c
@@ -1,3 +1,4 @@
+#include "../tools/proxy_model_internal.h"
 #include "proxy_model_cases.h"
 
 /*
@@ -295,6 +296,61 @@
 	.order_held_permille = 1000, .database_restart_permille = 20},
 };
 
+#define WRITERS_MAX 4
+
+typedef struct passed_on_case {
+	const char *name;
+	/* how long each process counts before it writes the record; -1: there
+	   is no such process */
+	int64_t counted_ms[WRITERS_MAX];
+	int64_t unread_ms; /* time from each write to the next read */
+	uint32_t left_ms;  /* expected in the last record; 10,000 at first */
+} passed_on_case_t;
+
+static const passed_on_case_t passed_on_cases[] = {
+    {"written at once", {0, -1, -1, -1}, 0, 10000},
+    {"written later", {3000, -1, -1, -1}, 0, 7000},
+    {"by one process after the other", {3000, 2000, 1000, 500}, 0, 3500},
+    {"until nothing is left", {6000, 3000, 2000, 1000}, 0, 0},
+    {"nobody counts while the record is not read", {3000, 2000, -1, -1}, 9000,
+	5000},
+};
+
+/*
+ * Test that a process that reads the record goes on counting where the one that
+ * wrote it stopped: the time for which an order may take effect does not begin
+ * anew.
+ */
+static void
+test_passed_on(gconstpointer data)
+{
+	const passed_on_case_t *c = data;
+	proxy_model_plan_t plan = {.databases = 3, .daemons = 1};
+	proxy_model_t model = {.plan = &plan, .now_us = US_PER_SECOND};
+	open_list_t record = {.count = 1,
+	    .orders = {{.db = 1,
+		.left_ms = ORDER_OPEN_US / US_PER_MS,
+		.attempt_term = 2,
+		.replaced_term = 1}}};
+	uint32_t i;
+
+	for (i = 0; i < WRITERS_MAX && c->counted_ms[i] >= 0; i++) {
+		proxy_model_daemon_t daemon = {.is_coordinator = true};
+
+		open_orders_init(&daemon.open_orders);
+		proxy_model_open_recorded(&model, &daemon, &record);
+		model.now_us += c->counted_ms[i] * US_PER_MS;
+		proxy_model_open_list(&model, &daemon, &record);
+		model.now_us += c->unread_ms * US_PER_MS;
+		open_orders_clear(&daemon.open_orders);
+		g_assert_cmpuint(record.count, ==, 1);
+	}
+	/* a millisecond that has begun counts as whole */
+	g_assert_cmpuint(record.orders[0].left_ms, >=, c->left_ms);
+	g_assert_cmpuint(record.orders[0].left_ms, <=,
+	    c->left_ms + (c->left_ms == 0 ? 0 : i));
+}
+
 /*
  * Register the tests and run them.
  */
@@ -305,6 +361,7 @@
 	g_test_set_nonfatal_assertions(); /* run every case */
 	CASES("/sitemodel/right", correct_cases, test_correct_rules);
 	CASES("/sitemodel/tokens", token_cases, test_tokens);
+	CASES("/sitemodel/passed-on", passed_on_cases, test_passed_on);
 	CASES("/sitemodel/wrong", bug_cases, test_injected_bugs);
 	return g_test_run();
 }
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -90,9 +90,17 @@
 	uint32_t former_count;
 } recorded_members_t;
 
+/* An open order in a message. */
+typedef struct listed_order {
+	uint32_t db;
+	uint32_t left_ms; /* time for which it may take effect */
+	uint64_t attempt_term;
+	uint64_t replaced_term;
+} listed_order_t;
+
 /* Open orders in a message. */
 typedef struct open_list {
-	open_order_t orders[OPEN_LIST_MAX];
+	listed_order_t orders[OPEN_LIST_MAX];
 	uint32_t count;
 } open_list_t;
 
@@ -316,6 +324,7 @@
     proxy_model_t *, proxy_model_daemon_t *, const open_list_t *);
 void proxy_model_open_recorded(
     proxy_model_t *, proxy_model_daemon_t *, const open_list_t *);
+void proxy_model_open_rewrite(proxy_model_t *, const proxy_model_daemon_t *);
 void proxy_model_open_note(
     proxy_model_t *, proxy_model_daemon_t *, uint32_t db);
 void proxy_model_open_withdraw(
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -18,21 +18,41 @@
 	return db_names[db];
 }
 
+/* A list of open orders that is being written. */
+typedef struct list_writer {
+	open_list_t *list;
+	int64_t now_us;
+} list_writer_t;
+
+/*
+ * Return the time for which an order may take effect, as the daemon writes it.
+ */
+static uint32_t
+left_ms(int64_t until_us, int64_t now_us)
+{
+	return until_us <= now_us
+	    ? 0
+	    : (uint32_t)((until_us - now_us) / US_PER_MS) + 1;
+}
+
 /*
  * Append an order to a list.
  */
 static void
 append_order(void *context, const open_order_t *order)
 {
-	open_list_t *list = context;
-	uint32_t db = (uint32_t)(order->database[0] - '0');
+	const list_writer_t *writer = context;
+	open_list_t *list = writer->list;
 
 	if (list->count == OPEN_LIST_MAX)
 		g_error("%u open orders: a list is full, so that the model "
 			"would know less than the daemon",
 		    list->count + 1);
-	list->orders[list->count] = *order;
-	list->orders[list->count++].database = db_names[db];
+	list->orders[list->count++] =
+	    (listed_order_t){.db = (uint32_t)(order->database[0] - '0'),
+		.left_ms = left_ms(order->until_us, writer->now_us),
+		.attempt_term = order->attempt_term,
+		.replaced_term = order->replaced_term};
 }
 
 /*
@@ -43,8 +63,23 @@
     const proxy_model_daemon_t *daemon, open_list_t *list)
 {
 	list->count = 0;
-	(void)model;
-	open_orders_each(&daemon->open_orders, append_order, list);
+	open_orders_each(&daemon->open_orders, append_order,
+	    &(list_writer_t){list, model->now_us});
+}
+
+/*
+ * Return an order of a list that has arrived now.
+ */
+static open_order_t
+listed_order(const proxy_model_t *model, const listed_order_t *listed,
+    open_order_source_t source)
+{
+	return (open_order_t){.database = db_names[listed->db],
+	    .attempt_term = listed->attempt_term,
+	    .replaced_term = listed->replaced_term,
+	    .until_us = model->now_us +
+		MIN((int64_t)listed->left_ms * US_PER_MS, ORDER_OPEN_US),
+	    .source = source};
 }
 
 /*
@@ -59,9 +94,9 @@
 	uint32_t i;
 
 	for (i = 0; i < list->count; i++) {
-		open_order_t order = list->orders[i];
+		open_order_t order =
+		    listed_order(model, &list->orders[i], OPEN_ORDER_TOLD);
 
-		order.source = OPEN_ORDER_TOLD;
 		added |= open_orders_add(&daemon->open_orders, &order);
 	}
 	proxy_model_open_update(model, daemon);
@@ -69,25 +104,64 @@
 }
 
 /*
- * Have a daemon note the open orders that the store has recorded.
+ * Have a daemon note the open orders that the store has recorded.  The time
+ * that is left of each counts from the arrival of the record, as in the daemon:
+ * its reader does not know when it was written.
  */
 void
 proxy_model_open_recorded(
     proxy_model_t *model, proxy_model_daemon_t *daemon, const open_list_t *list)
 {
-	open_list_t recorded = *list;
+	open_order_t recorded[OPEN_LIST_MAX];
 	uint32_t i;
 
-	for (i = 0; i < recorded.count; i++) {
-		recorded.orders[i].source = OPEN_ORDER_RECORDED;
-		/* each process counts from when it reads the record */
-		recorded.orders[i].until_us = model->now_us + ORDER_OPEN_US;
-	}
+	for (i = 0; i < list->count; i++)
+		recorded[i] =
+		    listed_order(model, &list->orders[i], OPEN_ORDER_RECORDED);
 	open_orders_replace_recorded(
-	    &daemon->open_orders, recorded.orders, recorded.count);
+	    &daemon->open_orders, recorded, list->count);
 	proxy_model_open_update(model, daemon);
 }
 
+/*
+ * Return the order of a list as a daemon knows it, or NULL if it does not.
+ */
+static const open_order_t *
+known_order(const proxy_model_daemon_t *daemon, const listed_order_t *listed)
+{
+	const GPtrArray *known = daemon->open_orders.list;
+	uint32_t i;
+
+	for (i = 0; i < known->len; i++) {
+		const open_order_t *order = g_ptr_array_index(known, i);
+
+		if (order->attempt_term == listed->attempt_term &&
+		    strcmp(order->database, db_names[listed->db]) == 0)
+			return order;
+	}
+	return NULL;
+}
+
+/*
+ * Have a daemon that writes the record write the time that is left of each open
+ * order in it, as it counts it.
+ */
+void
+proxy_model_open_rewrite(
+    proxy_model_t *model, const proxy_model_daemon_t *daemon)
+{
+	uint32_t i;
+
+	for (i = 0; i < model->open.count; i++) {
+		listed_order_t *listed = &model->open.orders[i];
+		const open_order_t *known = known_order(daemon, listed);
+
+		if (known != NULL)
+			listed->left_ms =
+			    left_ms(known->until_us, model->now_us);
+	}
+}
+
 /*
  * Note an order of a daemon's failover as open, and record it.
  */
--- a/tools/proxy_model_role.c
+++ b/tools/proxy_model_role.c
@@ -61,6 +61,7 @@
 proxy_model_record_changed(proxy_model_t *model, proxy_model_daemon_t *daemon)
 {
 	model->record_revision++;
+	proxy_model_open_rewrite(model, daemon);
 	daemon->written =
 	    (coordinator_record_t){model->orders, model->open, model->members};
 }
@@ -123,8 +124,6 @@
 	daemon->fencing_token = daemon->newest_token_seen = token;
 	daemon->written_token = token;
 	daemon->written_revision = model->record_revision;
-	daemon->written =
-	    (coordinator_record_t){model->orders, model->open, model->members};
 	daemon->token_read = true;
 	daemon->is_coordinator = true;
 	daemon->order_sent = false;
@@ -134,6 +133,9 @@
 	proxy_model_members_read(model, daemon, &model->members,
 	    model->orders.replaced_term, model->now_us);
 	proxy_model_open_recorded(model, daemon, &model->open);
+	proxy_model_open_rewrite(model, daemon);
+	daemon->written =
+	    (coordinator_record_t){model->orders, model->open, model->members};
 }
 
 /*
