Orders: the record leaves out those that are over

Callers were served later: while a record names an order to a database that does not answer, no other database is promoted unless all daemons have answered, and statements are held until the database has been asked. The coordinator's registry task wrote each order until ten seconds after the time in which it could take effect, counted from when each process took the record over, although its pool task had asked the database since.

The pool task says with each order which ones are over, by the rule that it uses for all else, and the record leaves them out. If that order is refused or not sent, the record names them again: it also loses the newest term that it had as replaced, which was what showed that the terms that they may have begun are known. The model left them out already, but did not name them again; it does both now.

Six processes, each of which reads the record, sends an order and ends, while each order is over before the next one: 6 orders named before, 1 now.

--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -2966,7 +2966,7 @@
   (ProtobufCMessageInit) bp__token_seen__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__promotion_wanted__field_descriptors[12] =
+static const ProtobufCFieldDescriptor bp__promotion_wanted__field_descriptors[13] =
 {
   {
     "group",
@@ -3112,6 +3112,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "over",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__PromotionWanted, n_over),
+    offsetof(Bp__PromotionWanted, over),
+    &bp__open_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__promotion_wanted__field_indices_by_name[] = {
   7,   /* field[7] = base_index */
@@ -3123,6 +3135,7 @@
   3,   /* field[3] = heard_us */
   9,   /* field[9] = members */
   8,   /* field[8] = open */
+  12,   /* field[12] = over */
   5,   /* field[5] = replaced_term */
   1,   /* field[1] = server */
   2,   /* field[2] = term */
@@ -3130,7 +3143,7 @@
 static const ProtobufCIntRange bp__promotion_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor bp__promotion_wanted__descriptor =
 {
@@ -3140,7 +3153,7 @@
   "Bp__PromotionWanted",
   "bp",
   sizeof(Bp__PromotionWanted),
-  12,
+  13,
   bp__promotion_wanted__field_descriptors,
   bp__promotion_wanted__field_indices_by_name,
   1,  bp__promotion_wanted__number_ranges,
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -600,10 +600,15 @@
    * what allows the members
    */
   Bp__MembersChange *change;
+  /*
+   * orders of the group that are over
+   */
+  size_t n_over;
+  Bp__OpenOrder **over;
 };
 #define BP__PROMOTION_WANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__promotion_wanted__descriptor) \
-    , NULL, NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL }
+    , NULL, NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL, 0,NULL }
 
 
 /*
--- a/src/decide/open_orders.c
+++ b/src/decide/open_orders.c
@@ -227,6 +227,21 @@
 		g_ptr_array_remove(orders->list, order);
 }
 
+/*
+ * Forget an order that is over by what another set shows.  The others that may
+ * have begun the same term stay in doubt.
+ */
+void
+open_orders_forget(
+    open_orders_t *orders, const char *database, uint64_t attempt_term)
+{
+	open_order_t *order = order_find(orders, database, attempt_term);
+	guint i;
+
+	if (order != NULL && g_ptr_array_find(orders->list, order, &i))
+		forget_order(orders, i);
+}
+
 /*
  * Note that an order takes effect until a time or never, since the platform has
  * accepted it.
@@ -406,3 +421,18 @@
 			callback(context, order_at(orders, i));
 	}
 }
+
+/*
+ * Call back for each order that is over and not forgotten yet.
+ */
+void
+open_orders_each_over(
+    const open_orders_t *orders, open_order_cb callback, void *context)
+{
+	uint32_t i;
+
+	for (i = 0; i < orders->list->len; i++) {
+		if (!order_open(orders, order_at(orders, i)))
+			callback(context, order_at(orders, i));
+	}
+}
--- a/src/decide/open_orders.h
+++ b/src/decide/open_orders.h
@@ -55,6 +55,8 @@
 bool open_orders_add(open_orders_t *, const open_order_t *);
 void open_orders_remove(
     open_orders_t *, const char *database, uint64_t attempt_term);
+void open_orders_forget(
+    open_orders_t *, const char *database, uint64_t attempt_term);
 void open_orders_shorten(open_orders_t *, const char *database,
     uint64_t attempt_term, int64_t until_us);
 void open_orders_replace_recorded(
@@ -69,5 +71,6 @@
 uint32_t open_orders_count(const open_orders_t *);
 bool open_orders_has(const open_orders_t *, const char *database);
 void open_orders_each(const open_orders_t *, open_order_cb, void *context);
+void open_orders_each_over(const open_orders_t *, open_order_cb, void *context);
 
 #endif
--- a/src/proxy/group_orders.c
+++ b/src/proxy/group_orders.c
@@ -197,6 +197,16 @@
 	return open_orders_write(&group->open_orders, arena, clock_us(), count);
 }
 
+/*
+ * Return the orders of a group that are over as messages in an arena.
+ */
+Bp__OpenOrder **
+group_orders_write_over(const group_t *group, arena_t *arena, size_t *count)
+{
+	return open_orders_write_over(
+	    &group->open_orders, arena, clock_us(), count);
+}
+
 /*
  * Return the latest time at which it is certain that no open order had taken
  * effect; INT64_MAX if there is none.
--- a/src/proxy/monitor_change.c
+++ b/src/proxy/monitor_change.c
@@ -74,6 +74,8 @@
 		lease_newest_term(&server->group->lease));
 	wanted->open =
 	    group_orders_write(server->group, msg->arena, &wanted->n_open);
+	wanted->over =
+	    group_orders_write_over(server->group, msg->arena, &wanted->n_over);
 	base = failover_base(&server->group->failover);
 	wanted->base_term = base.term;
 	wanted->base_index = base.index;
--- a/src/proxy/order_messages.c
+++ b/src/proxy/order_messages.c
@@ -116,6 +116,22 @@
 	return list.list;
 }
 
+/*
+ * Return the orders of a set that are over as messages in an arena.
+ */
+Bp__OpenOrder **
+open_orders_write_over(
+    const open_orders_t *orders, arena_t *arena, int64_t now_us, size_t *count)
+{
+	order_list_t list = {.arena = arena, .now_us = now_us};
+
+	list.list =
+	    arena_zalloc(arena, sizeof(list.list[0]) * (orders->list->len + 1));
+	open_orders_each_over(orders, append_order, &list);
+	*count = list.count;
+	return list.list;
+}
+
 /*
  * Return a copy of a list of messages in another arena.
  */
--- a/src/proxy/order_messages.h
+++ b/src/proxy/order_messages.h
@@ -18,6 +18,8 @@
 
 Bp__OpenOrder **open_orders_write(
     const open_orders_t *, arena_t *, int64_t now_us, size_t *count);
+Bp__OpenOrder **open_orders_write_over(
+    const open_orders_t *, arena_t *, int64_t now_us, size_t *count);
 Bp__OpenOrder **open_orders_copy(
     arena_t *, Bp__OpenOrder *const *list, size_t count);
 open_order_t open_order_read(
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -20,6 +20,7 @@
 	bool sent;                /* an order of the last attempt was sent */
 	bool announced; /* other daemons were told of the last attempt */
 	open_orders_t open;
+	open_orders_t open_before; /* before the last order */
 	recorded_members_t members;
 	recorded_members_t members_before; /* before the last order */
 } group_orders_t;
@@ -33,6 +34,7 @@
 	group_orders_t *order = p;
 
 	open_orders_clear(&order->open);
+	open_orders_clear(&order->open_before);
 	recorded_members_clear(&order->members);
 	recorded_members_clear(&order->members_before);
 	g_free(order);
@@ -68,6 +70,7 @@
 	if (order == NULL) {
 		order = g_new0(group_orders_t, 1);
 		open_orders_init(&order->open);
+		open_orders_init(&order->open_before);
 		g_hash_table_insert(registry->orders, g_strdup(group), order);
 	}
 	return order;
@@ -90,15 +93,56 @@
 }
 
 /*
- * Note an order that is to be recorded.
+ * Add a copy of an open order to a set.
+ */
+static void
+add_order(void *context, const open_order_t *order)
+{
+	open_orders_add(context, order);
+}
+
+/*
+ * Note the open orders before the order that is to be recorded.
+ */
+static void
+keep_open(group_orders_t *order)
+{
+	open_orders_clear(&order->open_before);
+	open_orders_init(&order->open_before);
+	open_orders_each(&order->open, add_order, &order->open_before);
+}
+
+/*
+ * Add the orders back that were open before the last order.
+ */
+static void
+restore_open(group_orders_t *order)
+{
+	open_orders_t since = order->open;
+
+	open_orders_each(&since, add_order, &order->open_before);
+	order->open = order->open_before;
+	order->open_before = since;
+}
+
+/*
+ * Note an order that is to be recorded.  The record does not name the orders
+ * any more that are over: it says that the primary is replaced of each term
+ * that one of them may have begun.
  */
 void
 orders_note(registry_t *registry, const Bp__PromotionWanted *wanted)
 {
 	group_orders_t *order = order_of(registry, wanted->group);
+	size_t i;
 
+	if (order->recorded.attempt_term != wanted->term)
+		keep_open(order);
 	open_orders_read(&order->open, wanted->open, wanted->n_open,
 	    OPEN_ORDER_RECORDED, clock_us());
+	for (i = 0; i < wanted->n_over; i++)
+		open_orders_forget(&order->open, wanted->over[i]->server,
+		    wanted->over[i]->attempt_term);
 	open_orders_term_begun(&order->open, NULL, wanted->replaced_term);
 	open_orders_expire(&order->open, true, clock_us());
 
@@ -145,8 +189,9 @@
 /*
  * Withdraw an order that was refused or not sent; in the latter case, unless
  * another one of the same attempt was.  Others may have read the members that
- * were recorded with it, so that these are former ones.  Returns whether it was
- * noted.
+ * were recorded with it, so that these are former ones.  The record names the
+ * orders again that it named before, as it does not say any more which terms
+ * they may have begun.  Returns whether it was noted.
  */
 bool
 orders_withdraw(
@@ -159,6 +204,7 @@
 	if (order->recorded.attempt_term != wanted->term ||
 	    (order->sent && !refused))
 		return false;
+	restore_open(order);
 	open_orders_remove(&order->open, wanted->server, wanted->term);
 	if (order->members_before.count > 0)
 		recorded_members_replace(&order->members,
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -546,6 +546,8 @@
 void group_orders_recorded(
     group_t *, Bp__OpenOrder *const *, size_t count, int64_t now_us);
 Bp__OpenOrder **group_orders_write(const group_t *, arena_t *, size_t *count);
+Bp__OpenOrder **group_orders_write_over(
+    const group_t *, arena_t *, size_t *count);
 void group_orders_told_note(group_t *, const told_orders_t *, int64_t now_us);
 Bp__RecordedOrder *group_orders_told_write(const group_t *, arena_t *);
 void group_orders_learned(
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -1001,6 +1001,130 @@
 	GIVEN_UP_RECORD("\"replaced_term\":3,\"attempt_term\":4"), 4},
 };
 
+#define NAMED_ORDERS_MAX 6
+
+/* An order of a process. */
+typedef struct named_order {
+	const char *server;
+	uint64_t term;
+	/* attempt of an order to a server that the pool has found to be over;
+	   0: none */
+	const char *over_server;
+	uint64_t over_term;
+	bool refused;
+} named_order_t;
+
+typedef struct named_case {
+	const char *name;
+	/* each is of a process that has just started, and has read the record
+	   of the one before */
+	named_order_t orders[NAMED_ORDERS_MAX];
+	const char *named; /* expected in the last record */
+} named_case_t;
+
+static const named_case_t named_cases[] = {
+    {"one", {{"a", 2}}, "a:2"},
+    {"one after the other",
+	{{"a", 2}, {"b", 3}, {"a", 4}, {"c", 5}, {"b", 6}, {"a", 7}},
+	"a:2 b:3 a:4 c:5 b:6 a:7"},
+    {"each is over when the next is sent",
+	{{"a", 2}, {"b", 3, "a", 2}, {"a", 4, "b", 3}, {"c", 5, "a", 4},
+	    {"b", 6, "c", 5}, {"a", 7, "b", 6}},
+	"a:7"},
+    {"one is over late", {{"a", 2}, {"b", 3}, {"c", 4}, {"b", 5, "a", 2}},
+	"b:3 c:4 b:5"},
+    {"another order to the same server is over",
+	{{"a", 2}, {"a", 3}, {"b", 4, "a", 2}}, "a:3 b:4"},
+    {"one that the record does not name is over", {{"a", 2}, {"b", 3, "c", 2}},
+	"a:2 b:3"},
+    {"the last is refused", {{"a", 2}, {"b", 3}, {"c", 4, .refused = true}},
+	"a:2 b:3"},
+    {"one is over, and the order that leaves it out is refused",
+	{{"a", 2}, {"b", 3}, {"c", 4, "a", 2, .refused = true}}, "a:2 b:3"},
+    {"the same, and one more order",
+	{{"a", 2}, {"b", 3}, {"c", 4, "a", 2, .refused = true},
+	    {"c", 5, "a", 2}},
+	"b:3 c:5"},
+};
+
+/*
+ * Have a process note an order, or note it and withdraw it.
+ */
+static void
+note_order(registry_t *registry, const named_order_t *order)
+{
+	Bp__OpenOrder over = BP__OPEN_ORDER__INIT;
+	Bp__OpenOrder *list[] = {&over};
+	Bp__PromotionWanted wanted = BP__PROMOTION_WANTED__INIT;
+
+	wanted.group = "ledger";
+	wanted.server = (char *)order->server;
+	wanted.term = order->term;
+	wanted.replaced_term = 1;
+	over.server = (char *)order->over_server;
+	over.attempt_term = order->over_term;
+	wanted.over = list;
+	wanted.n_over = order->over_term != 0;
+	orders_note(registry, &wanted);
+	if (order->refused)
+		g_assert_true(orders_withdraw(registry, &wanted, true));
+}
+
+/*
+ * Return the orders that a record names as a text.
+ */
+static char *
+named_orders(const Bp__DutyRecord *record)
+{
+	GString *text = g_string_new(NULL);
+	size_t i;
+
+	for (i = 0; i < record->orders[0]->n_open; i++) {
+		const Bp__OpenOrder *order = record->orders[0]->open[i];
+
+		g_string_append_printf(text, "%s%s:%" G_GUINT64_FORMAT,
+		    i == 0 ? "" : " ", order->server, order->attempt_term);
+	}
+	return g_string_free(text, FALSE);
+}
+
+/*
+ * Test which orders the record names after processes that each read it, send an
+ * order and end: those that are not over, and, if the last order was refused,
+ * those that it had left out as well.
+ */
+static void
+test_named(gconstpointer data)
+{
+	const named_case_t *c = data;
+	char *text = NULL, *named = NULL;
+	uint32_t i;
+
+	for (i = 0; i < NAMED_ORDERS_MAX && c->orders[i].term != 0; i++) {
+		Bp__DutyRecord record = BP__DUTY_RECORD__INIT;
+		registry_t *registry = registry_new(&(proxy_t){0});
+		arena_t *arena = arena_new();
+		uint64_t size_bytes;
+
+		registry->store_era = STORE_ERA_FIRST;
+		if (text != NULL)
+			take_record(registry, text);
+		note_order(registry, &c->orders[i]);
+		record.holder = "this";
+		record.token = 8;
+		orders_fill(registry, arena, &record);
+		g_free(text);
+		g_free(named);
+		text = g_strdup(json_write(arena, &record.base, &size_bytes));
+		named = named_orders(&record);
+		arena_free(arena);
+		registry_free(registry);
+	}
+	g_assert_cmpstr(named, ==, c->named);
+	g_free(named);
+	g_free(text);
+}
+
 /*
  * Test that a coordinator that takes the role again does not forget an order
  * that the record lacks.
@@ -1967,6 +2091,7 @@
 	g_test_add_func("/coordinator/token-read", test_token_read);
 	CASES("/coordinator/given-up", given_up_cases, test_given_up);
 	CASES("/coordinator/members", taken_members_cases, test_taken_members);
+	CASES("/coordinator/named", named_cases, test_named);
 	CASES("/coordinator/role-again", role_again_cases, test_role_again);
 	CASES("/coordinator/unreadable", unreadable_cases, test_unreadable);
 	CASES("/coordinator/denied", denied_cases, test_denied);
--- a/tests/t_late_order.c
+++ b/tests/t_late_order.c
@@ -196,6 +196,68 @@
 	testbed_stop(testbed);
 }
 
+typedef struct named_case {
+	const char *name;
+	bool killed;     /* the coordinator is, after the first order */
+	int64_t over_ms; /* time in which the first order is over */
+} named_case_t;
+
+static const named_case_t named_cases[] = {
+    {"its process is the coordinator still", false, 4500},
+    {"another process has read the record", true, 11000},
+};
+
+/*
+ * Return the number of orders that the coordinator record names.
+ */
+static uint32_t
+named_orders(const testbed_t *testbed)
+{
+	char *record =
+	    testbed_get(testbed, "/objects/bergamotplank-duties/promotion");
+	const char *order = record;
+	uint32_t count = 0;
+
+	while ((order = strstr(order, "left_ms")) != NULL) {
+		order++;
+		count++;
+	}
+	g_test_message("%s", record);
+	g_free(record);
+	return count;
+}
+
+/*
+ * Test that the record does not name an order any more that was over before the
+ * last one.
+ */
+static void
+test_named(gconstpointer data)
+{
+	const named_case_t *c = data;
+	testbed_plan_t plan = {.proxies = 3, .lag_ms = 5};
+	testbed_t *testbed = testbed_start(&plan);
+	uint32_t coordinator;
+	int32_t promoted;
+
+	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
+	g_usleep(LISTED_MS * G_TIME_SPAN_MILLISECOND);
+	testbed_inject_fault(testbed, "database", "crash", 0);
+	g_assert_true(testbed_write_served(testbed, 0, PROMOTION_MS));
+	g_assert_cmpuint(named_orders(testbed), ==, 1);
+	promoted = testbed_wait_primary(testbed, 1, "", 1000) ? 1 : 2;
+	testbed_inject_fault(testbed, "database", "return", 0);
+	coordinator = testbed_coordinator(testbed);
+	if (c->killed)
+		fleet_process_kill(&testbed->proxies[coordinator]);
+	g_usleep(c->over_ms * G_TIME_SPAN_MILLISECOND);
+	testbed_inject_fault(testbed, "database", "crash", promoted);
+	g_assert_true(testbed_write_served(
+	    testbed, (coordinator + 1) % plan.proxies, PROMOTION_MS));
+	g_assert_cmpuint(named_orders(testbed), ==, 1);
+	testbed_stop(testbed);
+}
+
 /* A fault of a database, or of its entry in the store, at a time. */
 typedef struct step {
 	int64_t at_ms;
@@ -421,6 +483,7 @@
 	curl_global_init(CURL_GLOBAL_ALL);
 	CASES("/late-order/record", record_cases, test_record);
 	CASES("/late-order/late-write", late_write_cases, test_late_write);
+	CASES("/late-order/named", named_cases, test_named);
 	CASES("/late-order/restarts", restarts_cases, test_restarts);
 	CASES("/late-order/forgotten-promise", forgotten_cases,
 	    test_forgotten_promise);
--- a/tests/t_open_orders.c
+++ b/tests/t_open_orders.c
@@ -27,6 +27,7 @@
 	STEP_ACCEPTED,   /* the platform accepts the order */
 	STEP_REFUSED,    /* the platform refuses the order */
 	STEP_RESTORED,   /* the store has come back from an older copy */
+	STEP_OVER,       /* another set shows that the order is over */
 } step_kind_t;
 
 /* An event; an order of attempt N is to replace term N - 1. */
@@ -154,6 +155,14 @@
 	350, false, false},
     {"refused", {{STEP_RECORDED, "a", 2, 500}, {STEP_REFUSED, "a", 2}}, 100,
 	false, false},
+    {"over", {{STEP_RECORDED, "a", 2, 500}, {STEP_OVER, "a", 2}}, 100, false,
+	false},
+    {"another attempt is over",
+	{{STEP_RECORDED, "a", 2, 500}, {STEP_OVER, "a", 3}}, 100, true, false},
+    {"one of two that may have begun a term is over",
+	{{STEP_TOLD, "a", 2, 500}, {STEP_TOLD, "a", 3, 500},
+	    {STEP_LEADS, "a", 4}, {STEP_OVER, "a", 2}},
+	100, true, false},
     {"another attempt is refused",
 	{{STEP_RECORDED, "a", 2, 500}, {STEP_REFUSED, "a", 3}}, 100, true,
 	false},
@@ -214,6 +223,9 @@
 	case STEP_REFUSED:
 		open_orders_remove(orders, step->database, step->term);
 		break;
+	case STEP_OVER:
+		open_orders_forget(orders, step->database, step->term);
+		break;
 	case STEP_RESTORED:
 		open_orders_store_restored(orders);
 		break;
@@ -223,14 +235,27 @@
 }
 
 /*
- * Test which orders are open after a series of events.
+ * Count an order.
+ */
+static void
+count_order(void *context, const open_order_t *order)
+{
+	uint32_t *count = context;
+
+	g_assert_nonnull(order);
+	(*count)++;
+}
+
+/*
+ * Test which orders are open after a series of events, and that the others are
+ * over.
  */
 static void
 test_set(gconstpointer data)
 {
 	const set_case_t *c = data;
 	open_orders_t orders;
-	uint32_t i;
+	uint32_t i, over = 0;
 
 	open_orders_init(&orders);
 	for (i = 0; i < STEPS_MAX; i++)
@@ -240,6 +265,9 @@
 	g_assert_cmpint(open_orders_has(&orders, "b"), ==, c->b_open);
 	g_assert_cmpint(
 	    open_orders_count(&orders) > 0, ==, c->a_open || c->b_open);
+	open_orders_each_over(&orders, count_order, &over);
+	g_assert_cmpuint(
+	    open_orders_count(&orders) + over, ==, orders.list->len);
 	open_orders_clear(&orders);
 }
 
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -133,6 +133,7 @@
 	bool orders_pending; /* the recorded orders are being read */
 	/* what the store had recorded before the last order */
 	recorded_orders_t orders_before;
+	open_list_t open_before;
 	int64_t coordinator_since_us; /* time it took the role */
 	int64_t role_confirmed_us; /* last time the record named it; 0: never */
 	waiting_order_t waiting_order;
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -39,20 +39,28 @@
  * Append an order to a list.
  */
 static void
-append_order(void *context, const open_order_t *order)
+list_append(open_list_t *list, const listed_order_t *order)
 {
-	const list_writer_t *writer = context;
-	open_list_t *list = writer->list;
-
 	if (list->count == OPEN_LIST_MAX)
 		g_error("%u open orders: a list is full, so that the model "
 			"would know less than the daemon",
 		    list->count + 1);
-	list->orders[list->count++] =
-	    (listed_order_t){.db = (uint32_t)(order->database[0] - '0'),
+	list->orders[list->count++] = *order;
+}
+
+/*
+ * Append an order of a daemon to a list.
+ */
+static void
+append_order(void *context, const open_order_t *order)
+{
+	const list_writer_t *writer = context;
+
+	list_append(writer->list,
+	    &(listed_order_t){.db = (uint32_t)(order->database[0] - '0'),
 		.left_ms = left_ms(order->until_us, writer->now_us),
 		.attempt_term = order->attempt_term,
-		.replaced_term = order->replaced_term};
+		.replaced_term = order->replaced_term});
 }
 
 /*
@@ -188,16 +196,42 @@
 }
 
 /*
- * Withdraw an order that was refused or not sent.
+ * Tell whether the record names an order of a list.
+ */
+static bool
+names_order(const proxy_model_t *model, const listed_order_t *listed)
+{
+	uint32_t i;
+
+	for (i = 0; i < model->open.count; i++) {
+		if (model->open.orders[i].db == listed->db &&
+		    model->open.orders[i].attempt_term == listed->attempt_term)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Withdraw an order that was refused or not sent.  The record names the orders
+ * again that it named before, as it does not say any more which terms they may
+ * have begun.
  */
 void
 proxy_model_open_withdraw(
     proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db)
 {
+	const open_list_t *before = &daemon->open_before;
+	uint32_t i;
+
 	open_orders_remove(
 	    &daemon->open_orders, db_names[db], daemon->failover.term);
-	if (!model->plan->open_orders_unknown)
-		proxy_model_open_list(model, daemon, &model->open);
+	if (model->plan->open_orders_unknown)
+		return;
+	proxy_model_open_list(model, daemon, &model->open);
+	for (i = 0; i < before->count; i++) {
+		if (!names_order(model, &before->orders[i]))
+			list_append(&model->open, &before->orders[i]);
+	}
 }
 
 /*
--- a/tools/proxy_model_orders.c
+++ b/tools/proxy_model_orders.c
@@ -41,6 +41,7 @@
 		return;
 	if (model->orders.attempt_term != failover->term) {
 		daemon->orders_before = model->orders;
+		daemon->open_before = model->open;
 		daemon->members_before = model->members.now;
 	}
 	replaced_term = MAX(failover_term_to_replace(failover),
