--- a/src/decide/open_orders.c
+++ b/src/decide/open_orders.c
@@ -320,6 +320,21 @@
 	}
 }
 
+/*
+ * Forget an order that is over by what another set shows.  The others that may
+ * have begun the same term stay in doubt.
+ */
+void
+open_orders_forget(
+    open_orders_t *orders, const char *database, uint64_t attempt_term)
+{
+	open_order_t *order = order_find(orders, database, attempt_term);
+	guint i;
+
+	if (order != NULL && g_ptr_array_find(orders->list, order, &i))
+		forget_order(orders, i);
+}
+
 /*
  * Note that an order takes effect until a time or never, since the platform has
  * accepted it.
@@ -516,10 +531,25 @@
 	}
 }
 
+/*
+ * Tell whether an order of a list names a database.
+ */
+static bool
+database_listed(const char *database, const open_order_t *list, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (strcmp(list[i].database, database) == 0)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Forget the expired orders of a set without answers of databases, before the
- * next order is recorded with it: those that are not among the ones that are
- * open by the answers, which are added.
+ * next order is recorded with it: those to databases that none of the orders
+ * names that are open by the answers, which are added.
  */
 void
 open_orders_settle(open_orders_t *orders, const open_order_t *open,
@@ -531,7 +561,7 @@
 		const open_order_t *order = order_at(orders, i);
 
 		if (order_expired(order, now_us) &&
-		    !is_listed(order, open, count))
+		    !database_listed(order->database, open, count))
 			forget_order(orders, i);
 	}
 	for (i = 0; i < count; i++)
@@ -596,6 +626,32 @@
 	}
 }
 
+/*
+ * Tell whether a record must name an order: it is open, or another order to its
+ * database is, which the term that this one began would seem to end.
+ */
+static bool
+order_named(const open_orders_t *orders, const open_order_t *order)
+{
+	return order_open(orders, order) ||
+	    open_orders_has(orders, order->database);
+}
+
+/*
+ * Call back for each order that a record must name, or need not name.
+ */
+void
+open_orders_each_named(const open_orders_t *orders, bool named,
+    open_order_cb callback, void *context)
+{
+	uint32_t i;
+
+	for (i = 0; i < orders->list->len; i++) {
+		if (order_named(orders, order_at(orders, i)) == named)
+			callback(context, order_at(orders, i));
+	}
+}
+
 /* The open orders of a group that are being marked. */
 typedef struct marker {
 	failover_t *failover;
--- a/src/decide/open_orders.h
+++ b/src/decide/open_orders.h
@@ -85,6 +85,8 @@
     open_orders_t *, const open_order_t *noted, int64_t now_us);
 void open_orders_remove(
     open_orders_t *, const char *database, uint64_t attempt_term);
+void open_orders_forget(
+    open_orders_t *, const char *database, uint64_t attempt_term);
 void open_orders_shorten(open_orders_t *, const char *database,
     uint64_t attempt_term, int64_t until_us);
 void open_orders_replace_recorded(open_orders_t *, const open_order_t *recorded,
@@ -104,5 +106,7 @@
 void open_orders_each(const open_orders_t *, open_order_cb, void *context);
 void open_orders_update(open_orders_t *, failover_t *, lease_t *,
     database_name_cb, void *context, int64_t now_us);
+void open_orders_each_named(
+    const open_orders_t *, bool named, open_order_cb, void *context);
 
 #endif
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -93,7 +93,7 @@
 
 /*
  * Leave those open orders out of the record that are over, as the pool task
- * does not count them as open.
+ * says or does not count them as open.
  */
 static void
 settle_open(
@@ -107,11 +107,30 @@
 		    wanted->open[i], OPEN_ORDER_RECORDED, now_us);
 	open_orders_settle(
 	    &order->open, open, (uint32_t)wanted->n_open, now_us);
+	for (i = 0; i < wanted->n_over; i++)
+		open_orders_forget(&order->open, wanted->over[i]->server,
+		    wanted->over[i]->attempt_term);
 	g_free(open);
 }
 
 /*
- * Note an order that is to be recorded.
+ * Have the record name the orders again that were left out for the last one:
+ * they may have begun a term that only that one names.
+ */
+static void
+restore_open(group_orders_t *order)
+{
+	open_orders_t since = order->open;
+
+	open_orders_add_all(&order->open_before, &since);
+	order->open = order->open_before;
+	order->open_before = since;
+}
+
+/*
+ * Note an order that is to be recorded.  The record does not name the orders
+ * any more that are over: it says that the primary is replaced of each term
+ * that one of them may have begun.
  */
 void
 orders_note(registry_t *registry, const Bp__PromotionWanted *wanted)
@@ -165,8 +184,9 @@
 /*
  * Withdraw an order that was refused or not sent; in the latter case, unless
  * another one of the same attempt was.  Others may have read the members that
- * were recorded with it, so that these are former ones.  Returns whether it was
- * noted.
+ * were recorded with it, so that these are former ones.  The record names the
+ * orders again that it named before, as it does not say any more which terms
+ * they may have begun.  Returns whether it was noted.
  */
 bool
 orders_withdraw(
@@ -180,8 +200,7 @@
 	    (order->sent && !refused))
 		return false;
 	open_orders_remove(&order->open, wanted->server, wanted->term);
-	/* what was left out may have begun a term that only this order names */
-	open_orders_add_all(&order->open, &order->open_before);
+	restore_open(order);
 	if (order->members_before.count > 0)
 		recorded_members_replace(&order->members,
 		    order->members_before.list, order->members_before.count,
--- a/tests/t_open_orders.c
+++ b/tests/t_open_orders.c
@@ -28,6 +28,7 @@
 	STEP_ACCEPTED, /* the platform accepts the order */
 	STEP_REFUSED,  /* the platform refuses the order */
 	STEP_RESTORED, /* the store has come back from an older copy */
+	STEP_OVER,     /* another set shows that the order is over */
 	/* the next order is recorded: by the answers, the order to the database
 	   is open until 500 ms, or none is */
 	STEP_SETTLED_OPEN,
@@ -178,8 +179,20 @@
     {"the next one is recorded later, and it is open by the answers",
 	{{STEP_RECORDED, "a", 2, 500}, {STEP_SETTLED_OPEN, "a", 2, 10500}},
 	10500, true, false},
-    {"the same, and it is not known", {{STEP_SETTLED_OPEN, "a", 2, 10500}},
+    {"the same, and its database leads a term that an older one may have begun",
+	{{STEP_RECORDED_TWICE, "a", 2, 500}, {STEP_SETTLED_OPEN, "a", 3, 10500},
+	    {STEP_LEADS, "a", 4}},
 	10500, true, false},
+    {"the next one is recorded later, and it is not known",
+	{{STEP_SETTLED_OPEN, "a", 2, 10500}}, 10500, true, false},
+    {"over", {{STEP_RECORDED, "a", 2, 500}, {STEP_OVER, "a", 2}}, 100, false,
+	false},
+    {"another attempt is over",
+	{{STEP_RECORDED, "a", 2, 500}, {STEP_OVER, "a", 3}}, 100, true, false},
+    {"one of two that may have begun a term is over",
+	{{STEP_TOLD, "a", 2, 500}, {STEP_TOLD, "a", 3, 500},
+	    {STEP_LEADS, "a", 4}, {STEP_OVER, "a", 2}},
+	100, true, false},
     {"another attempt is refused",
 	{{STEP_RECORDED, "a", 2, 500}, {STEP_REFUSED, "a", 3}}, 100, true,
 	false},
@@ -240,6 +253,9 @@
 	case STEP_REFUSED:
 		open_orders_remove(orders, step->database, step->term);
 		break;
+	case STEP_OVER:
+		open_orders_forget(orders, step->database, step->term);
+		break;
 	case STEP_RESTORED:
 		open_orders_store_restored(orders);
 		break;
@@ -255,14 +271,37 @@
 	}
 }
 
+/* Orders that a record must name, or need not name. */
+typedef struct named_orders {
+	const open_orders_t *orders;
+	bool named;
+	uint32_t count;
+} named_orders_t;
+
+/*
+ * Count an order, and check that it is named if an order to its database is
+ * open.
+ */
+static void
+count_order(void *context, const open_order_t *order)
+{
+	named_orders_t *named = context;
+
+	g_assert_cmpint(
+	    open_orders_has(named->orders, order->database), ==, named->named);
+	named->count++;
+}
+
 /*
- * Test which orders are open after a series of events.
+ * Test which orders are open after a series of events, and that a record must
+ * name the orders to their databases, and no others.
  */
 static void
 test_set(gconstpointer data)
 {
 	const set_case_t *c = data;
 	open_orders_t orders;
+	named_orders_t must = {&orders, true}, need_not = {&orders};
 	uint32_t i;
 
 	open_orders_init(&orders);
@@ -273,6 +312,9 @@
 	g_assert_cmpint(open_orders_has(&orders, "b"), ==, c->b_open);
 	g_assert_cmpint(
 	    open_orders_count(&orders) > 0, ==, c->a_open || c->b_open);
+	open_orders_each_named(&orders, true, count_order, &must);
+	open_orders_each_named(&orders, false, count_order, &need_not);
+	g_assert_cmpuint(must.count + need_not.count, ==, orders.list->len);
 	open_orders_clear(&orders);
 }
 
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -18,19 +18,50 @@
 	return db_names[db];
 }
 
+/* A list of open orders that is being written. */
+typedef struct list_writer {
+	open_list_t *list;
+	int64_t now_us;
+} list_writer_t;
+
+/*
+ * Return the time for which an order may take effect, as the daemon writes it.
+ */
+static uint32_t
+left_ms(int64_t until_us, int64_t now_us)
+{
+	return until_us <= now_us
+	    ? 0
+	    : (uint32_t)((until_us - now_us) / US_PER_MS) + 1;
+}
+
 /*
  * Append an order to a list.
  */
 static void
-append_order(void *context, const open_order_t *order)
+list_append(open_list_t *list, const listed_order_t *order)
 {
-	open_list_t *list = context;
-	uint32_t db = (uint32_t)(order->database[0] - '0');
-
 	if (list->count == OPEN_LIST_MAX)
-		return;
-	list->orders[list->count] = *order;
-	list->orders[list->count++].database = db_names[db];
+		g_error("%u open orders: a list is full, so that the model "
+			"would know less than the daemon",
+		    list->count + 1);
+	list->orders[list->count++] = *order;
+}
+
+/*
+ * Append an order of a daemon to a list.
+ */
+static void
+append_order(void *context, const open_order_t *order)
+{
+	const list_writer_t *writer = context;
+
+	list_append(writer->list,
+	    &(listed_order_t){.db = (uint32_t)(order->database[0] - '0'),
+		.left_ms = left_ms(order->until_us, writer->now_us),
+		.attempt_term = order->attempt_term,
+		.replaced_term = order->replaced_term,
+		.followed_by = order->followed_by});
 }
 
 /*
@@ -41,8 +72,35 @@
     const proxy_model_daemon_t *daemon, open_list_t *list)
 {
 	list->count = 0;
-	(void)model;
-	open_orders_each(&daemon->open_orders, append_order, list);
+	open_orders_each(&daemon->open_orders, append_order,
+	    &(list_writer_t){list, model->now_us});
+}
+
+/*
+ * Have the record name the orders that it must name, as a daemon knows them.
+ */
+static void
+record_orders(proxy_model_t *model, const proxy_model_daemon_t *daemon)
+{
+	model->open.count = 0;
+	open_orders_each_named(&daemon->open_orders, true, append_order,
+	    &(list_writer_t){&model->open, model->now_us});
+}
+
+/*
+ * Return an order of a list that has arrived now.
+ */
+static open_order_t
+listed_order(const proxy_model_t *model, const listed_order_t *listed,
+    open_order_source_t source)
+{
+	return (open_order_t){.database = db_names[listed->db],
+	    .attempt_term = listed->attempt_term,
+	    .replaced_term = listed->replaced_term,
+	    .until_us = model->now_us +
+		MIN((int64_t)listed->left_ms * US_PER_MS, ORDER_OPEN_US),
+	    .followed_by = listed->followed_by,
+	    .source = source};
 }
 
 /*
@@ -57,9 +115,9 @@
 	uint32_t i;
 
 	for (i = 0; i < list->count; i++) {
-		open_order_t order = list->orders[i];
+		open_order_t order =
+		    listed_order(model, &list->orders[i], OPEN_ORDER_TOLD);
 
-		order.source = OPEN_ORDER_TOLD;
 		added |= open_orders_add(&daemon->open_orders, &order);
 	}
 	proxy_model_open_update(model, daemon);
@@ -68,22 +126,21 @@
 
 /*
  * Have a daemon note the open orders that the store had recorded when it was
- * asked at asked_us.
+ * asked at asked_us.  The time that is left of each counts from the arrival of
+ * the record, as in the daemon: its reader does not know when it was written.
  */
 void
 proxy_model_open_recorded(proxy_model_t *model, proxy_model_daemon_t *daemon,
     const open_list_t *list, int64_t asked_us)
 {
-	open_list_t recorded = *list;
+	open_order_t recorded[OPEN_LIST_MAX];
 	uint32_t i;
 
-	for (i = 0; i < recorded.count; i++) {
-		recorded.orders[i].source = OPEN_ORDER_RECORDED;
-		/* each process counts from when it reads the record */
-		recorded.orders[i].until_us = model->now_us + ORDER_OPEN_US;
-	}
-	open_orders_replace_recorded(&daemon->open_orders, recorded.orders,
-	    recorded.count, asked_us, model->now_us);
+	for (i = 0; i < list->count; i++)
+		recorded[i] =
+		    listed_order(model, &list->orders[i], OPEN_ORDER_RECORDED);
+	open_orders_replace_recorded(&daemon->open_orders, recorded,
+	    list->count, asked_us, model->now_us);
 	proxy_model_open_update(model, daemon);
 }
 
@@ -103,6 +160,45 @@
 	}
 }
 
+/*
+ * Return the order of a list as a daemon knows it, or NULL if it does not.
+ */
+static const open_order_t *
+known_order(const proxy_model_daemon_t *daemon, const listed_order_t *listed)
+{
+	const GPtrArray *known = daemon->open_orders.list;
+	uint32_t i;
+
+	for (i = 0; i < known->len; i++) {
+		const open_order_t *order = g_ptr_array_index(known, i);
+
+		if (order->attempt_term == listed->attempt_term &&
+		    strcmp(order->database, db_names[listed->db]) == 0)
+			return order;
+	}
+	return NULL;
+}
+
+/*
+ * Have a daemon that writes the record write the time that is left of each open
+ * order in it, as it counts it.
+ */
+void
+proxy_model_open_rewrite(
+    proxy_model_t *model, const proxy_model_daemon_t *daemon)
+{
+	uint32_t i;
+
+	for (i = 0; i < model->open.count; i++) {
+		listed_order_t *listed = &model->open.orders[i];
+		const open_order_t *known = known_order(daemon, listed);
+
+		if (known != NULL)
+			listed->left_ms =
+			    left_ms(known->until_us, model->now_us);
+	}
+}
+
 /*
  * Note an order of a daemon's failover as open, and record it.
  */
@@ -116,53 +212,53 @@
 	    .until_us = model->now_us + ORDER_OPEN_US,
 	    .source = OPEN_ORDER_RECORDED,
 	    .recorded_us = model->now_us};
-	open_list_t open;
 
 	if (model->plan->open_orders_unknown)
 		return;
 	if (model->plan->injected_bug == PROXY_BUG_ORDER_ELIMINATED)
 		eliminate(&daemon->open_orders,
 		    failover_term_to_replace(&daemon->failover));
-	proxy_model_open_list(model, daemon, &open);
-	open_orders_settle(
-	    &daemon->open_orders, open.orders, open.count, model->now_us);
 	open_orders_note(&daemon->open_orders, &order, model->now_us);
-	proxy_model_open_list(model, daemon, &model->open);
+	record_orders(model, daemon);
 }
 
 /*
- * Append an order to a list that may have it.
+ * Tell whether the record names an order of a list.
  */
-static void
-add_listed(open_list_t *list, const open_order_t *order)
+static bool
+names_order(const proxy_model_t *model, const listed_order_t *listed)
 {
 	uint32_t i;
 
-	for (i = 0; i < list->count; i++) {
-		if (list->orders[i].attempt_term == order->attempt_term &&
-		    strcmp(list->orders[i].database, order->database) == 0)
-			return;
+	for (i = 0; i < model->open.count; i++) {
+		if (model->open.orders[i].db == listed->db &&
+		    model->open.orders[i].attempt_term == listed->attempt_term)
+			return true;
 	}
-	append_order(list, order);
+	return false;
 }
 
 /*
- * Withdraw an order that was refused or not sent.  What was left out when it
- * was recorded is recorded again.
+ * Withdraw an order that was refused or not sent.  The record names the orders
+ * again that it named before, as it does not say any more which terms they may
+ * have begun.
  */
 void
 proxy_model_open_withdraw(
     proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db)
 {
+	const open_list_t *before = &daemon->open_before;
 	uint32_t i;
 
 	open_orders_remove(
 	    &daemon->open_orders, db_names[db], daemon->failover.term);
 	if (model->plan->open_orders_unknown)
 		return;
-	proxy_model_open_list(model, daemon, &model->open);
-	for (i = 0; i < daemon->open_before.count; i++)
-		add_listed(&model->open, &daemon->open_before.orders[i]);
+	record_orders(model, daemon);
+	for (i = 0; i < before->count; i++) {
+		if (!names_order(model, &before->orders[i]))
+			list_append(&model->open, &before->orders[i]);
+	}
 }
 
 /*
