Open orders: an order is done only if no other one may have begun its term

Callers could be answered at a replaced primary where one database led two terms by two orders. Each order that may have begun the first of these terms was noted with that one, and so did not count as one that may have begun the second; a later order to the same database seemed to be the only one left, counted as done, and took effect unwatched.

Any other order to that database that replaces an older term than the one that was begun keeps the order open now, until its database has been asked.

--- a/src/decide/open_orders.c
+++ b/src/decide/open_orders.c
@@ -156,7 +156,8 @@
 }
 
 /*
- * Tell whether an order began a term, as no other one may have done so.
+ * Tell whether an order began a term, as no other one to its database may have
+ * done so.
  */
 static bool
 order_done(const open_orders_t *orders, const open_order_t *order)
@@ -166,8 +167,11 @@
 	if (order->begun_term == 0 || order->in_doubt)
 		return false;
 	for (i = 0; i < orders->list->len; i++) {
-		if (order_at(orders, i) != order &&
-		    order_at(orders, i)->begun_term == order->begun_term)
+		const open_order_t *other = order_at(orders, i);
+
+		if (other != order &&
+		    strcmp(other->database, order->database) == 0 &&
+		    other->replaced_term < order->begun_term)
 			return false;
 	}
 	return true;
