Lease: an open order is checked against the term of the lease

An answer of the primary counts only up to the last time at which the databases of open orders were certainly no newer primaries. They were compared with the term that the primary leads now: one that leads term 7, loses it to another database and leads term 9 covered a write of term 7 that ran while the other one led term 8.

/open-orders/checked/its-database-has-led-a-term-between-that-of-the-lease-and- that-of-the-primary fails without.

--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -357,9 +357,10 @@
  * Return the latest time at which it is certain that no open order to promote
  * another database than the primary had taken effect: each of these databases
  * was asked for its status then, and has answered that it follows.  INT64_MAX
- * if there is no such order.  The promises of an attempt keep a lease safe from
- * its own order only, so an answer of the primary is valid only if both the
- * lease and this time cover it.
+ * if there is no such order; 0 if one of these has led or followed a newer term
+ * than that of the lease, also if the primary has begun a newer one since.  The
+ * promises of an attempt keep a lease safe from its own order only, so an
+ * answer of the primary is valid only if both the lease and this time cover it.
  */
 int64_t
 lease_checked_us(const lease_t *lease, const db_view_t *views, uint32_t count,
@@ -373,7 +374,8 @@
 
 		if (i == primary || !view->order_open)
 			continue;
-		if (!view->known || view->term > views[primary].promised)
+		if (!view->known || view->term > views[primary].promised ||
+		    (lease->term != 0 && view->term > lease->term))
 			return 0;
 		if (view->requested_us < checked_us)
 			checked_us = view->requested_us;
--- a/tests/t_open_orders.c
+++ b/tests/t_open_orders.c
@@ -330,7 +330,8 @@
 	uint64_t term[2];        /* 0: it has not answered */
 	int64_t requested_ms[2]; /* time of the last answered request */
 	bool outside;
-	int64_t checked_ms; /* expected; -1: no order is open */
+	int64_t checked_ms;  /* expected; -1: no order is open */
+	uint64_t lease_term; /* 0: there was no lease */
 } checked_case_t;
 
 static const checked_case_t checked_cases[] = {
@@ -345,6 +346,11 @@
 	0},
     {"its database is not in the group", {false, false}, {2, 2}, {10, 20}, true,
 	0},
+    {"its database follows the term of the lease", {true, false}, {2, 2},
+	{10, 20}, false, 10, 2},
+    {"its database has led a term between that of the lease and that of the "
+     "primary",
+	{true, false}, {2, 2}, {10, 20}, false, 0, 1},
 };
 
 /*
@@ -354,7 +360,8 @@
 test_checked(gconstpointer data)
 {
 	const checked_case_t *c = data;
-	lease_t lease = {.order_open_outside = c->outside};
+	lease_t lease = {
+	    .order_open_outside = c->outside, .term = c->lease_term};
 	db_view_t views[3] = {{.known = true,
 	    .primary = true,
 	    .promised = 2,
