Lease: a database that has started again since the sign does not deny the attempt

A daemon without the store went on with its lease and acknowledged at the old primary: the databases that had promised had started again after the order was sent, all denied at one moment, and the order took effect within the lease.

A round of denials ends a block only if its connections were open at the latest sign of the attempt, or when an order of it takes effect no more. The record ends the block as before.

--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -200,6 +200,9 @@
 	int64_t ended_us;
 	/* latest time at which all certainly denied at once; 0: unknown */
 	int64_t certain_us;
+	/* time at which the latest of the connections was opened on which the
+	   last round came */
+	int64_t connected_us;
 } lease_denials_t;
 
 /*
--- a/src/decide/lease_block.c
+++ b/src/decide/lease_block.c
@@ -40,6 +40,22 @@
 	return lease->orders.read_us - lease->blocked_us >= ATTEMPT_MAX_US;
 }
 
+/*
+ * Tell whether all databases deny the attempt whose signs block leases.  One
+ * that has started again since the latest sign has forgotten its promise, and
+ * an order of the attempt may be on its way; so its answer counts only when
+ * such an order takes effect no more.
+ */
+static bool
+attempt_denied(const lease_t *lease)
+{
+	const lease_denials_t *denials = &lease->denials;
+
+	return denials->certain_us > lease->blocked_us &&
+	    (denials->connected_us <= lease->blocked_us ||
+		denials->certain_us - lease->blocked_us >= ORDER_OPEN_US);
+}
+
 /*
  * End the block of leases by the signs of an attempt.
  */
@@ -114,8 +130,7 @@
 	}
 	/* a primary alone has nobody else's answer */
 	by_all = denied == all && answered == count && all > 1 && !promised &&
-	    lease->denials.certain_us > lease->blocked_us &&
-	    !members_missing(lease, term) &&
+	    attempt_denied(lease) && !members_missing(lease, term) &&
 	    !all_unknown(lease, lease->denials.certain_us) &&
 	    !order_recorded(lease, &views[primary]);
 	lease->unverified = !by_all;
--- a/src/decide/lease_denials.c
+++ b/src/decide/lease_denials.c
@@ -76,6 +76,7 @@
 		denials->certain_us = begun_us;
 	denials->term = views[primary].promised;
 	denials->databases = count;
+	denials->connected_us = connected_us;
 	denials->ended_us = now_us;
 	denials->begun_us =
 	    now_us - begun_us < lease_duration_us(durations, begun_us) / 2
