--- a/tests/proxy_model_cases.h
+++ b/tests/proxy_model_cases.h
@@ -67,6 +67,9 @@
 	uint32_t sync_replicas;
 	/* a handover would hide the bug */
 	bool unanswered_stay;
+	/* the answers of databases that have started again would hide the bug
+	 */
+	bool new_starts_deny;
 } bug_case_t;
 
 /*
@@ -174,6 +177,7 @@
 		    .old_record_counts = c->old_record_counts,
 		    .lost_members_forgotten = c->lost_members_forgotten,
 		    .unanswered_stay = c->unanswered_stay,
+		    .new_starts_deny = c->new_starts_deny,
 		    .daemon_restart_permille = c->daemon_restart_permille,
 		    .database_restart_permille = c->database_restart_permille,
 		    .placement_permille = c->placement_permille,
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -197,6 +197,24 @@
 	orders->era = orders->read_era;
 }
 
+/*
+ * Have a daemon take a new connection for the latest sign of an attempt, so
+ * that the answers on it count afterwards.
+ */
+static void
+assume_sign_since(proxy_model_daemon_t *daemon)
+{
+	const failover_t *failover = &daemon->failover;
+	uint32_t i;
+
+	for (i = 0; daemon->lease.blocked_term != 0 && i < failover->count;
+	     i++) {
+		if (failover->views[i].known)
+			daemon->lease.blocked_us = MAX(daemon->lease.blocked_us,
+			    failover->views[i].connected_us);
+	}
+}
+
 /*
  * Have a daemon take a round of answers for the second one
  * (PROXY_BUG_MOMENTS_AS_ONE).
@@ -230,6 +248,8 @@
 	if (model->plan->injected_bug == PROXY_BUG_UNVERIFIED_LEASE)
 		lease_orders_read(&daemon->lease,
 		    &(recorded_orders_t){.read_us = model->now_us});
+	if (model->plan->new_starts_deny)
+		assume_sign_since(daemon);
 	if (model->plan->injected_bug == PROXY_BUG_RECORD_BEFORE_SIGN)
 		assume_record_after_sign(daemon);
 	if (model->plan->injected_bug == PROXY_BUG_MOMENTS_AS_ONE)
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -243,6 +243,9 @@
 	/* an order to a database that cannot be asked is no reason for a
 	   handover: a setting in which that hides no injected bug */
 	bool unanswered_stay;
+	/* a database that has started again since the sign of an attempt denies
+	   it: a setting in which its answers hide no injected bug */
+	bool new_starts_deny;
 	/* chance per daemon and 20 ms tick that it restarts, or a database */
 	uint32_t daemon_restart_permille;
 	uint32_t database_restart_permille;
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -145,19 +145,25 @@
 }
 
 /*
- * Take a term as begun by one of the orders that have begun none yet.
+ * Take the order that is left as the one that began a term, as all others that
+ * may have begun it have begun another one.
  */
 static void
 eliminate(const open_orders_t *orders, uint64_t term)
 {
-	uint32_t i;
+	open_order_t *left = NULL;
+	uint32_t i, count = 0;
 
 	for (i = 0; i < orders->list->len; i++) {
 		open_order_t *order = g_ptr_array_index(orders->list, i);
 
-		if (order->begun_term == 0 && order->replaced_term < term)
-			order->begun_term = term;
+		if (order->begun_term != 0 || order->replaced_term >= term)
+			continue;
+		left = order;
+		count++;
 	}
+	if (count == 1)
+		left->checked = true;
 }
 
 /*
