--- a/src/decide/open_orders.h
+++ b/src/decide/open_orders.h
@@ -8,12 +8,12 @@
 /*
  * The open orders of a group: orders to promote a database whose outcome is not
  * known.  The network or the platform may hold an order up for seconds, and
- * then it replaces whichever database leads by then.  An order is open until a
- * term is known that it began, or its database was asked for its status after
- * the time in which it may take effect.
+ * then it replaces whichever database leads by then.  An order is open until an
+ * answer of its database shows the outcome, or a term is led that began when it
+ * could not take effect any more.
  */
 
-/* What ends an order: open_orders.c. */
+/* What ends an order: open_orders_end.c */
 typedef enum open_order_end {
 	OPEN_ORDER_OPEN,       /* nothing yet */
 	OPEN_ORDER_ASKED,      /* its database has answered after its time */
@@ -36,8 +36,9 @@
 	int64_t until_us;       /* time until which it may take effect */
 	open_order_source_t source;
 	int64_t recorded_us; /* last time at which the record had it */
-	/* first term that it may have begun; 0: none.  If no other order may
-	   have begun that term, this one did, and is not open any more. */
+	/* first term that it may have begun; 0: none.  If no other order to its
+	   database may have begun that term, this one did, and is not open any
+	   more. */
 	uint64_t begun_term;
 	/* it stays open although no other order is known that may have begun
 	   that term */
