Log: leases_revoked tells answered, refused and silent daemons apart

The event named a daemon whose connection was refused as confirmed, so that the log of a coordinator could not tell it from one that has given up its lease. confirmed has only those that have answered now; of the missing ones, refused and reset are named, and the others are silent. wait tells what the wait for leases then rests on: answers, expiry or refusals; waited_for names those whose leases have to expire.

--- a/gen/event.pb-c.c
+++ b/gen/event.pb-c.c
@@ -4640,7 +4640,7 @@
   (ProtobufCMessageInit) bp__promises_counted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__leases_revoked__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bp__leases_revoked__field_descriptors[10] =
 {
   {
     "group",
@@ -4714,19 +4714,71 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refused",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bp__LeasesRevoked, n_refused),
+    offsetof(Bp__LeasesRevoked, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reset",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bp__LeasesRevoked, n_reset),
+    offsetof(Bp__LeasesRevoked, reset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait",
+    9,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Bp__LeasesRevoked, wait),
+    &bp__lease_wait__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waited_for",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bp__LeasesRevoked, n_waited_for),
+    offsetof(Bp__LeasesRevoked, waited_for),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__leases_revoked__field_indices_by_name[] = {
   3,   /* field[3] = all */
   4,   /* field[4] = confirmed */
   0,   /* field[0] = group */
   5,   /* field[5] = missing */
+  6,   /* field[6] = refused */
+  7,   /* field[7] = reset */
   1,   /* field[1] = term */
   2,   /* field[2] = token */
+  8,   /* field[8] = wait */
+  9,   /* field[9] = waited_for */
 };
 static const ProtobufCIntRange bp__leases_revoked__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bp__leases_revoked__descriptor =
 {
@@ -4736,7 +4788,7 @@
   "Bp__LeasesRevoked",
   "bp",
   sizeof(Bp__LeasesRevoked),
-  6,
+  10,
   bp__leases_revoked__field_descriptors,
   bp__leases_revoked__field_indices_by_name,
   1,  bp__leases_revoked__number_ranges,
@@ -6172,6 +6224,36 @@
   bp__order_end__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue bp__lease_wait__enum_values_by_number[3] =
+{
+  { "ANSWERS", "BP__LEASE_WAIT__ANSWERS", 0 },
+  { "EXPIRY", "BP__LEASE_WAIT__EXPIRY", 1 },
+  { "REFUSALS", "BP__LEASE_WAIT__REFUSALS", 2 },
+};
+static const ProtobufCIntRange bp__lease_wait__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex bp__lease_wait__enum_values_by_name[3] =
+{
+  { "ANSWERS", 0 },
+  { "EXPIRY", 1 },
+  { "REFUSALS", 2 },
+};
+const ProtobufCEnumDescriptor bp__lease_wait__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "bp.LeaseWait",
+  "LeaseWait",
+  "Bp__LeaseWait",
+  "bp",
+  3,
+  bp__lease_wait__enum_values_by_number,
+  3,
+  bp__lease_wait__enum_values_by_name,
+  1,
+  bp__lease_wait__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCEnumValue bp__promotion_answer__enum_values_by_number[7] =
 {
   { "ORDER_ACCEPTED", "BP__PROMOTION_ANSWER__ORDER_ACCEPTED", 0 },
--- a/gen/event.pb-c.h
+++ b/gen/event.pb-c.h
@@ -245,6 +245,24 @@
   BP__ORDER_END__NOT_RECORDED = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__ORDER_END)
 } Bp__OrderEnd;
+/*
+ * What the wait for the leases on the old primary rests on.
+ */
+typedef enum _Bp__LeaseWait {
+  /*
+   * all daemons that may hold leases have given them up
+   */
+  BP__LEASE_WAIT__ANSWERS = 0,
+  /*
+   * the leases of the others have to expire
+   */
+  BP__LEASE_WAIT__EXPIRY = 1,
+  /*
+   * as ANSWERS, but some have refused connections
+   */
+  BP__LEASE_WAIT__REFUSALS = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__LEASE_WAIT)
+} Bp__LeaseWait;
 /*
  * Outcome of an order to promote.
  */
@@ -1046,10 +1064,24 @@
    */
   size_t n_missing;
   char **missing;
+  /*
+   * of those that have not: their connections were refused, or reset; the
+   * others are silent
+   */
+  size_t n_refused;
+  char **refused;
+  size_t n_reset;
+  char **reset;
+  Bp__LeaseWait wait;
+  /*
+   * names of those whose leases have to expire
+   */
+  size_t n_waited_for;
+  char **waited_for;
 };
 #define BP__LEASES_REVOKED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__leases_revoked__descriptor) \
-    , NULL, 0, 0, 0, 0,NULL, 0,NULL }
+    , NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, BP__LEASE_WAIT__ANSWERS, 0,NULL }
 
 
 /*
@@ -2405,6 +2437,7 @@
 extern const ProtobufCEnumDescriptor    bp__needed_from__descriptor;
 extern const ProtobufCEnumDescriptor    bp__removal_reason__descriptor;
 extern const ProtobufCEnumDescriptor    bp__order_end__descriptor;
+extern const ProtobufCEnumDescriptor    bp__lease_wait__descriptor;
 extern const ProtobufCEnumDescriptor    bp__promotion_answer__descriptor;
 extern const ProtobufCMessageDescriptor bp__note__descriptor;
 extern const ProtobufCMessageDescriptor bp__lines_lost__descriptor;
--- /dev/null
+++ b/src/decide/contact.c
@@ -0,0 +1,25 @@
+#include "contact.h"
+
+#include <errno.h>
+
+/*
+ * Return what a connection has shown that has ended before an answer came.
+ * opened: it was established; error: a negative error number.
+ */
+contact_t
+contact_ended(bool opened, int32_t error)
+{
+	if (opened)
+		return CONTACT_RESET;
+	return error == -ECONNREFUSED ? CONTACT_REFUSED : CONTACT_SILENT;
+}
+
+/*
+ * Tell whether a connection has shown what the process at its other end knows,
+ * holds, or has given up.  Only its own answer does.
+ */
+bool
+contact_shows_state(contact_t contact)
+{
+	return contact == CONTACT_ANSWERED;
+}
--- /dev/null
+++ b/src/decide/contact.h
@@ -0,0 +1,22 @@
+#ifndef DECIDE_CONTACT_H
+#define DECIDE_CONTACT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * What a connection to another process has shown: a daemon, a database, the
+ * store or the platform.  Something between the two may refuse or reset the
+ * connection in place of that process, which runs on and which others reach.
+ */
+typedef enum contact {
+	CONTACT_SILENT,   /* nothing has come, or it cannot be reached */
+	CONTACT_REFUSED,  /* the connection was refused */
+	CONTACT_RESET,    /* the connection was opened, and has ended */
+	CONTACT_ANSWERED, /* the process itself has answered */
+} contact_t;
+
+contact_t contact_ended(bool opened, int32_t error);
+bool contact_shows_state(contact_t);
+
+#endif
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -1,10 +1,9 @@
 #include "peers.h"
 
-#include "decide/decide.h"
+#include "decide/revocation.h"
 #include "event.pb-c.h"
 #include "order_messages.h"
 
-#include <errno.h>
 #include <string.h>
 
 /*
@@ -21,15 +20,10 @@
 /* A daemon that is asked to revoke its lease. */
 typedef struct target {
 	struct revocation *revocation;
+	uint32_t index; /* of its state in the revocation */
 	char *name;
-	/* its record says so, or it must learn of a new term or of open orders
-	   in any case */
-	bool holds_leases;
 	frame_link_t *link;
-	bool answered;
-	bool refused; /* the connection was refused: no daemon runs there */
-	/* it has read a fencing token from the coordinator record */
-	bool token_recorded;
+	bool opened; /* the connection was established */
 } target_t;
 
 /* Revocation of the leases of a group below a term, at all daemons. */
@@ -61,6 +55,7 @@
 	uint32_t of_daemons; /* most of at least so many */
 	arena_t *arena;      /* of these orders */
 	GPtrArray *targets;  /* of target_t */
+	GArray *states;      /* of revocation_target_t, one for each target */
 	GSource *timeout;
 } revocation_t;
 
@@ -108,6 +103,7 @@
 
 	source_clear(&revocation->timeout);
 	g_ptr_array_unref(revocation->targets);
+	g_array_unref(revocation->states);
 	open_orders_clear(&revocation->open_orders);
 	open_orders_clear(&revocation->reported_orders);
 	arena_free(revocation->arena);
@@ -115,6 +111,16 @@
 	g_free(revocation);
 }
 
+/*
+ * Return the state of a target.
+ */
+static revocation_target_t *
+target_state(const target_t *target)
+{
+	return &g_array_index(
+	    target->revocation->states, revocation_target_t, target->index);
+}
+
 /*
  * End a revocation after its timeout.  A failover that depends on it waits
  * until the leases of the daemons that have not answered have expired.
@@ -130,7 +136,8 @@
 		const target_t *target =
 		    g_ptr_array_index(revocation->targets, i);
 
-		if (!target->answered && revocation->unreadable_revision == 0)
+		if (!contact_shows_state(target_state(target)->contact) &&
+		    revocation->unreadable_revision == 0)
 			log_line(LOG_PART, G_LOG_LEVEL_INFO,
 			    "Daemon %s has not confirmed that it revoked its "
 			    "lease of %s below term %" G_GUINT64_FORMAT ".",
@@ -169,10 +176,24 @@
 }
 
 /*
- * Log which daemons have revoked their leases for a failover.
+ * Return what the wait for the leases on the old primary rests on.
+ */
+static Bp__LeaseWait
+lease_wait(const revocation_count_t *count, bool all)
+{
+	if (!all)
+		return BP__LEASE_WAIT__EXPIRY;
+	return count->refused > 0 ? BP__LEASE_WAIT__REFUSALS
+				  : BP__LEASE_WAIT__ANSWERS;
+}
+
+/*
+ * Log which daemons have revoked their leases for a failover, how the others
+ * were found, and what the wait for leases rests on.
  */
 static void
-log_revoked(const revocation_t *revocation, bool all)
+log_revoked(
+    const revocation_t *revocation, const revocation_count_t *count, bool all)
 {
 	Bp__LeasesRevoked revoked = BP__LEASES_REVOKED__INIT;
 	arena_t *arena = arena_new();
@@ -185,14 +206,27 @@
 	revoked.all = all;
 	revoked.confirmed = arena_zalloc(arena, size_bytes);
 	revoked.missing = arena_zalloc(arena, size_bytes);
+	revoked.refused = arena_zalloc(arena, size_bytes);
+	revoked.reset = arena_zalloc(arena, size_bytes);
+	revoked.waited_for = arena_zalloc(arena, size_bytes);
+	revoked.wait = lease_wait(count, all);
 	for (i = 0; i < revocation->targets->len; i++) {
 		const target_t *target =
 		    g_ptr_array_index(revocation->targets, i);
+		const revocation_target_t *state = target_state(target);
 
-		if (target->answered)
+		if (contact_shows_state(state->contact)) {
 			revoked.confirmed[revoked.n_confirmed++] = target->name;
-		else
-			revoked.missing[revoked.n_missing++] = target->name;
+			continue;
+		}
+		revoked.missing[revoked.n_missing++] = target->name;
+		if (state->contact == CONTACT_REFUSED)
+			revoked.refused[revoked.n_refused++] = target->name;
+		else if (state->contact == CONTACT_RESET)
+			revoked.reset[revoked.n_reset++] = target->name;
+		if (!all && state->holds_leases)
+			revoked.waited_for[revoked.n_waited_for++] =
+			    target->name;
 	}
 	log_event(G_LOG_LEVEL_INFO, &revoked.base);
 	arena_free(arena);
@@ -203,72 +237,44 @@
  * hold some.
  */
 static void
-report_revoked(const revocation_t *revocation, Bp__RevokeState state)
+report_revoked(const revocation_t *revocation, const revocation_count_t *count,
+    Bp__RevokeState state)
 {
 	if (!revocation->begun)
-		log_revoked(revocation, state == BP__REVOKE_STATE__ALL);
+		log_revoked(revocation, count, state == BP__REVOKE_STATE__ALL);
 	revocation_report(revocation, state);
 }
 
-/*
- * Report to the requester when a majority of the daemons has confirmed the
- * token.  One that does not run, or has not read the coordinator record since
- * it started, may have forgotten a newer token, so it confirms none.
- */
-static void
-confirmation_check(revocation_t *revocation)
-{
-	uint32_t i, confirmed = 1;
-
-	for (i = 0; i < revocation->targets->len; i++) {
-		const target_t *target =
-		    g_ptr_array_index(revocation->targets, i);
-
-		confirmed += target->answered && target->token_recorded;
-	}
-	if (revocation->majority_reported ||
-	    confirmed < majority_of(MAX(revocation->targets->len + 1,
-			    revocation->of_daemons)))
-		return;
-	revocation->majority_reported = true;
-	revocation_report(revocation, BP__REVOKE_STATE__MOST);
-}
-
 /*
  * Report to the requester when a majority of the daemons has answered, and when
- * in addition all that hold leases have.  This daemon counts as one that has
- * answered.  One that does not run has answered, but knows of no order.
+ * in addition all that hold leases have; or when a majority has confirmed the
+ * token, if that is what they were asked for.
  */
 static void
 revocation_check(revocation_t *revocation)
 {
-	uint32_t i, answered = 1, refused = 0, holders_left = 0;
-	uint32_t count = revocation->targets->len + 1;
+	const revocation_target_t *states =
+	    (const revocation_target_t *)(void *)revocation->states->data;
+	revocation_count_t count =
+	    revocation_count(states, revocation->states->len);
+	revocation_progress_t progress = revocation_progress(
+	    &count, revocation->incomplete, revocation->must_know);
 
 	if (revocation->unreadable_revision != 0) {
-		confirmation_check(revocation);
-		return;
-	}
-	for (i = 0; i < revocation->targets->len; i++) {
-		const target_t *target =
-		    g_ptr_array_index(revocation->targets, i);
-
-		answered += target->answered;
-		refused += target->refused;
-		holders_left += target->holds_leases && !target->answered;
-	}
-	if (revocation->must_know &&
-	    answered - refused < majority_of(count - refused))
-		return;
-	if (holders_left == 0 && !revocation->incomplete &&
-	    answered >= majority_of(count)) {
+		if (revocation->majority_reported ||
+		    !revocation_confirms_token(&count, revocation->of_daemons))
+			return;
+		revocation->majority_reported = true;
+		revocation_report(revocation, BP__REVOKE_STATE__MOST);
+	} else if (progress == REVOCATION_BY_ALL) {
 		if (!revocation->all_reported)
-			report_revoked(revocation, BP__REVOKE_STATE__ALL);
+			report_revoked(
+			    revocation, &count, BP__REVOKE_STATE__ALL);
 		revocation->all_reported = true;
-	} else if (!revocation->majority_reported &&
-	    answered >= majority_of(count)) {
+	} else if (progress == REVOCATION_BY_MOST &&
+	    !revocation->majority_reported) {
 		revocation->majority_reported = true;
-		report_revoked(revocation, BP__REVOKE_STATE__MOST);
+		report_revoked(revocation, &count, BP__REVOKE_STATE__MOST);
 	}
 }
 
@@ -290,12 +296,13 @@
 }
 
 /*
- * Handle the answer of a target.  token: the highest fencing token that the
- * target knows; 0 if no daemon runs there.  newest_term: the newest term in
- * which it knows a primary of the group.
+ * Handle the answer of a target, or a refused connection to it.  token: the
+ * highest fencing token that the target knows; 0 if no daemon runs there.
+ * newest_term: the newest term in which it knows a primary of the group.
  */
 static void
-target_answered(target_t *target, uint64_t token, uint64_t newest_term)
+target_answered(
+    target_t *target, contact_t contact, uint64_t token, uint64_t newest_term)
 {
 	revocation_t *revocation = target->revocation;
 
@@ -309,7 +316,7 @@
 		revocation_report(revocation, BP__REVOKE_STATE__OUTDATED);
 		return;
 	}
-	target->answered = true;
+	target_state(target)->contact = contact;
 	revocation_check(revocation);
 }
 
@@ -362,6 +369,7 @@
 {
 	target_t *target = context;
 
+	target->opened = true;
 	if (target->revocation->unreadable_revision != 0)
 		ask_token(target);
 	else
@@ -395,21 +403,24 @@
 	target_t *target = context;
 	const Bp__LeaseRevoked *revoked = message->lease_revoked;
 	const Bp__TokenTell *told = message->token_tell;
+	revocation_target_t *state = target_state(target);
+	bool answered = contact_shows_state(state->contact);
 
 	if (message->body_case == BP__PEER_MESSAGE__BODY_TOKEN_TELL &&
 	    target->revocation->unreadable_revision != 0 &&
-	    told->id == target->revocation->id && !target->answered) {
-		target->token_recorded = told->recorded;
-		target_answered(target, told->token, 0);
+	    told->id == target->revocation->id && !answered) {
+		state->token_recorded = told->recorded;
+		target_answered(target, CONTACT_ANSWERED, told->token, 0);
 	} else if (message->body_case == BP__PEER_MESSAGE__BODY_LEASE_REVOKED &&
-	    revoked->id == target->revocation->id && !target->answered) {
+	    revoked->id == target->revocation->id && !answered) {
 		open_orders_read(&target->revocation->reported_orders,
 		    revoked->open, revoked->n_open, OPEN_ORDER_TOLD,
 		    clock_us());
 		if (order_reported(target->revocation, revoked->order))
 			target->revocation->majority_reported =
 			    target->revocation->all_reported = false;
-		target_answered(target, revoked->token, revoked->newest_term);
+		target_answered(target, CONTACT_ANSWERED, revoked->token,
+		    revoked->newest_term);
 	}
 	arena_free(arena);
 }
@@ -422,11 +433,14 @@
 on_target_closed(void *context, int32_t error)
 {
 	target_t *target = context;
+	contact_t contact = contact_ended(target->opened, error);
 
-	if (error == -ECONNREFUSED && !target->answered) {
-		target->refused = true;
-		target_answered(target, 0, 0);
-	}
+	if (contact_shows_state(target_state(target)->contact))
+		return;
+	if (contact == CONTACT_REFUSED)
+		target_answered(target, contact, 0, 0);
+	else
+		target_state(target)->contact = contact;
 }
 
 static const frame_ops_t target_ops = {
@@ -439,13 +453,16 @@
 target_add(revocation_t *revocation, const Bp__DaemonRecord *daemon)
 {
 	target_t *target = g_new0(target_t, 1);
+	revocation_target_t state = {.holds_leases = daemon->leases ||
+		revocation->begun ||
+		open_orders_count(&revocation->open_orders) > 0};
 	char *address;
 	uint32_t port;
 
 	target->revocation = revocation;
+	target->index = revocation->states->len;
 	target->name = g_strdup(daemon->name);
-	target->holds_leases = daemon->leases || revocation->begun ||
-	    open_orders_count(&revocation->open_orders) > 0;
+	g_array_append_val(revocation->states, state);
 	g_ptr_array_add(revocation->targets, target);
 	if (address_split(daemon->address, &address, &port) < 0) {
 		log_line(LOG_PART, G_LOG_LEVEL_WARNING,
@@ -494,6 +511,8 @@
 	open_orders_read(&revocation->open_orders, wanted->open, wanted->n_open,
 	    OPEN_ORDER_TOLD, clock_us());
 	revocation->targets = g_ptr_array_new_with_free_func(target_free);
+	revocation->states =
+	    g_array_new(FALSE, FALSE, sizeof(revocation_target_t));
 	revocation->timeout = task_timer(
 	    peers->task, REVOCATION_TIMEOUT_MS, on_timeout, revocation);
 	peers->revocations = g_list_prepend(peers->revocations, revocation);
