Revocation: a refused connection is no answer of a daemon

Cause: a daemon whose connection was refused counted as one that has ended, so that it had revoked its lease, knew no newer token, term or order, and had a vote in the majority. Something between may refuse in its place: the daemon runs on, reaches the old primary, and goes on with its lease, while the order is sent without the wait for the leases.

Change: only an answer counts (contact_shows_state()). The leases of a daemon that refuses have to expire, as those of a silent one; most daemons must answer. must_know of a revocation falls out of that.

--- a/gen/event.pb-c.c
+++ b/gen/event.pb-c.c
@@ -6224,20 +6224,18 @@
   bp__order_end__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue bp__lease_wait__enum_values_by_number[3] =
+static const ProtobufCEnumValue bp__lease_wait__enum_values_by_number[2] =
 {
   { "ANSWERS", "BP__LEASE_WAIT__ANSWERS", 0 },
   { "EXPIRY", "BP__LEASE_WAIT__EXPIRY", 1 },
-  { "REFUSALS", "BP__LEASE_WAIT__REFUSALS", 2 },
 };
 static const ProtobufCIntRange bp__lease_wait__value_ranges[] = {
-{0, 0},{0, 3}
+{0, 0},{0, 2}
 };
-static const ProtobufCEnumValueIndex bp__lease_wait__enum_values_by_name[3] =
+static const ProtobufCEnumValueIndex bp__lease_wait__enum_values_by_name[2] =
 {
   { "ANSWERS", 0 },
   { "EXPIRY", 1 },
-  { "REFUSALS", 2 },
 };
 const ProtobufCEnumDescriptor bp__lease_wait__descriptor =
 {
@@ -6246,9 +6244,9 @@
   "LeaseWait",
   "Bp__LeaseWait",
   "bp",
-  3,
+  2,
   bp__lease_wait__enum_values_by_number,
-  3,
+  2,
   bp__lease_wait__enum_values_by_name,
   1,
   bp__lease_wait__value_ranges,
--- a/gen/event.pb-c.h
+++ b/gen/event.pb-c.h
@@ -256,11 +256,7 @@
   /*
    * the leases of the others have to expire
    */
-  BP__LEASE_WAIT__EXPIRY = 1,
-  /*
-   * as ANSWERS, but some have refused connections
-   */
-  BP__LEASE_WAIT__REFUSALS = 2
+  BP__LEASE_WAIT__EXPIRY = 1
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__LEASE_WAIT)
 } Bp__LeaseWait;
 /*
--- a/src/decide/revocation.c
+++ b/src/decide/revocation.c
@@ -4,17 +4,6 @@
 
 #include <glib.h>
 
-/*
- * Tell whether a daemon has revoked its lease.  One whose connection was
- * refused has none.
- */
-static bool
-target_answered(const revocation_target_t *target)
-{
-	return contact_shows_state(target->contact) ||
-	    target->contact == CONTACT_REFUSED;
-}
-
 /*
  * Count the daemons that have answered.  The daemon that asks counts as one.
  */
@@ -26,10 +15,9 @@
 	uint32_t i;
 
 	for (i = 0; i < target_count; i++) {
-		bool answered = target_answered(&targets[i]);
+		bool answered = contact_shows_state(targets[i].contact);
 
 		count.answered += answered;
-		count.refused += targets[i].contact == CONTACT_REFUSED;
 		count.token_recorded += answered && targets[i].token_recorded;
 		count.holders_left += !answered && targets[i].holds_leases;
 	}
@@ -38,17 +26,12 @@
 
 /*
  * Tell how far a revocation is.  incomplete: daemons that were not asked may
- * hold leases.  must_know: most of the daemons that run must know of an order;
- * one whose connection was refused does not run, but knows of no order.
+ * hold leases.
  */
 revocation_progress_t
-revocation_progress(
-    const revocation_count_t *count, bool incomplete, bool must_know)
+revocation_progress(const revocation_count_t *count, bool incomplete)
 {
-	if (count->answered < majority_of(count->daemons) ||
-	    (must_know &&
-		count->answered - count->refused <
-		    majority_of(count->daemons - count->refused)))
+	if (count->answered < majority_of(count->daemons))
 		return REVOCATION_BEGUN;
 	return count->holders_left == 0 && !incomplete ? REVOCATION_BY_ALL
 						       : REVOCATION_BY_MOST;
--- a/src/decide/revocation.h
+++ b/src/decide/revocation.h
@@ -38,7 +38,7 @@
 revocation_count_t revocation_count(
     const revocation_target_t *, uint32_t target_count);
 revocation_progress_t revocation_progress(
-    const revocation_count_t *, bool incomplete, bool must_know);
+    const revocation_count_t *, bool incomplete);
 bool revocation_confirms_token(const revocation_count_t *, uint32_t of_daemons);
 
 #endif
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -47,8 +47,6 @@
 	   order that the targets have reported, or NULL */
 	const Bp__RecordedOrder *order;
 	Bp__RecordedOrder *reported_order;
-	/* most of the daemons that run must know of the order */
-	bool must_know;
 	/* if not 0, most daemons only have to confirm the token, so that the
 	   coordinator record of this revision may be replaced */
 	uint64_t unreadable_revision;
@@ -175,25 +173,12 @@
 	task_send(revocation->requester, peers->task, msg);
 }
 
-/*
- * Return what the wait for the leases on the old primary rests on.
- */
-static Bp__LeaseWait
-lease_wait(const revocation_count_t *count, bool all)
-{
-	if (!all)
-		return BP__LEASE_WAIT__EXPIRY;
-	return count->refused > 0 ? BP__LEASE_WAIT__REFUSALS
-				  : BP__LEASE_WAIT__ANSWERS;
-}
-
 /*
  * Log which daemons have revoked their leases for a failover, how the others
  * were found, and what the wait for leases rests on.
  */
 static void
-log_revoked(
-    const revocation_t *revocation, const revocation_count_t *count, bool all)
+log_revoked(const revocation_t *revocation, bool all)
 {
 	Bp__LeasesRevoked revoked = BP__LEASES_REVOKED__INIT;
 	arena_t *arena = arena_new();
@@ -209,7 +194,7 @@
 	revoked.refused = arena_zalloc(arena, size_bytes);
 	revoked.reset = arena_zalloc(arena, size_bytes);
 	revoked.waited_for = arena_zalloc(arena, size_bytes);
-	revoked.wait = lease_wait(count, all);
+	revoked.wait = all ? BP__LEASE_WAIT__ANSWERS : BP__LEASE_WAIT__EXPIRY;
 	for (i = 0; i < revocation->targets->len; i++) {
 		const target_t *target =
 		    g_ptr_array_index(revocation->targets, i);
@@ -237,11 +222,10 @@
  * hold some.
  */
 static void
-report_revoked(const revocation_t *revocation, const revocation_count_t *count,
-    Bp__RevokeState state)
+report_revoked(const revocation_t *revocation, Bp__RevokeState state)
 {
 	if (!revocation->begun)
-		log_revoked(revocation, count, state == BP__REVOKE_STATE__ALL);
+		log_revoked(revocation, state == BP__REVOKE_STATE__ALL);
 	revocation_report(revocation, state);
 }
 
@@ -257,8 +241,8 @@
 	    (const revocation_target_t *)(void *)revocation->states->data;
 	revocation_count_t count =
 	    revocation_count(states, revocation->states->len);
-	revocation_progress_t progress = revocation_progress(
-	    &count, revocation->incomplete, revocation->must_know);
+	revocation_progress_t progress =
+	    revocation_progress(&count, revocation->incomplete);
 
 	if (revocation->unreadable_revision != 0) {
 		if (revocation->majority_reported ||
@@ -268,13 +252,12 @@
 		revocation_report(revocation, BP__REVOKE_STATE__MOST);
 	} else if (progress == REVOCATION_BY_ALL) {
 		if (!revocation->all_reported)
-			report_revoked(
-			    revocation, &count, BP__REVOKE_STATE__ALL);
+			report_revoked(revocation, BP__REVOKE_STATE__ALL);
 		revocation->all_reported = true;
 	} else if (progress == REVOCATION_BY_MOST &&
 	    !revocation->majority_reported) {
 		revocation->majority_reported = true;
-		report_revoked(revocation, &count, BP__REVOKE_STATE__MOST);
+		report_revoked(revocation, BP__REVOKE_STATE__MOST);
 	}
 }
 
@@ -296,13 +279,12 @@
 }
 
 /*
- * Handle the answer of a target, or a refused connection to it.  token: the
- * highest fencing token that the target knows; 0 if no daemon runs there.
- * newest_term: the newest term in which it knows a primary of the group.
+ * Handle the answer of a target.  token: the highest fencing token that the
+ * target knows; newest_term: the newest term in which it knows a primary of the
+ * group.
  */
 static void
-target_answered(
-    target_t *target, contact_t contact, uint64_t token, uint64_t newest_term)
+target_answered(target_t *target, uint64_t token, uint64_t newest_term)
 {
 	revocation_t *revocation = target->revocation;
 
@@ -316,7 +298,7 @@
 		revocation_report(revocation, BP__REVOKE_STATE__OUTDATED);
 		return;
 	}
-	target_state(target)->contact = contact;
+	target_state(target)->contact = CONTACT_ANSWERED;
 	revocation_check(revocation);
 }
 
@@ -410,7 +392,7 @@
 	    target->revocation->unreadable_revision != 0 &&
 	    told->id == target->revocation->id && !answered) {
 		state->token_recorded = told->recorded;
-		target_answered(target, CONTACT_ANSWERED, told->token, 0);
+		target_answered(target, told->token, 0);
 	} else if (message->body_case == BP__PEER_MESSAGE__BODY_LEASE_REVOKED &&
 	    revoked->id == target->revocation->id && !answered) {
 		open_orders_read(&target->revocation->reported_orders,
@@ -419,28 +401,22 @@
 		if (order_reported(target->revocation, revoked->order))
 			target->revocation->majority_reported =
 			    target->revocation->all_reported = false;
-		target_answered(target, CONTACT_ANSWERED, revoked->token,
-		    revoked->newest_term);
+		target_answered(target, revoked->token, revoked->newest_term);
 	}
 	arena_free(arena);
 }
 
 /*
- * Handle the end of the connection to a target.  If it was refused, no daemon
- * runs there, so there is no lease to revoke.
+ * Handle the end of the connection to a target.
  */
 static void
 on_target_closed(void *context, int32_t error)
 {
 	target_t *target = context;
-	contact_t contact = contact_ended(target->opened, error);
+	revocation_target_t *state = target_state(target);
 
-	if (contact_shows_state(target_state(target)->contact))
-		return;
-	if (contact == CONTACT_REFUSED)
-		target_answered(target, contact, 0, 0);
-	else
-		target_state(target)->contact = contact;
+	if (!contact_shows_state(state->contact))
+		state->contact = contact_ended(target->opened, error);
 }
 
 static const frame_ops_t target_ops = {
@@ -505,7 +481,6 @@
 	if (wanted->order != NULL)
 		revocation->order = (const Bp__RecordedOrder *)message_copy(
 		    revocation->arena, &wanted->order->base);
-	revocation->must_know = wanted->confirms && wanted->order != NULL;
 	open_orders_init(&revocation->open_orders);
 	open_orders_init(&revocation->reported_orders);
 	open_orders_read(&revocation->open_orders, wanted->open, wanted->n_open,
