Revocation: daemons whose connections have ended are asked again

A refusal or reset may pass while the revocation goes on, and a daemon that was killed may have started again at its address. It was asked once, so that the attempt waited for the longest lease, or had no majority until the next one. Now it is asked again each 200 ms, in revocations that a failover waits for; the others are repeated by their requester.

--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -17,13 +17,19 @@
 /* Time limit for the other daemons to answer a revocation. */
 #define REVOCATION_TIMEOUT_MS 2500
 
+/* Interval at which daemons are asked again whose connections have ended. */
+#define TARGET_RETRY_MS 200
+
 /* A daemon that is asked to revoke its lease. */
 typedef struct target {
 	struct revocation *revocation;
 	uint32_t index; /* of its state in the revocation */
 	char *name;
-	frame_link_t *link;
-	bool opened; /* the connection was established */
+	char *address; /* without the port */
+	uint32_t port;
+	frame_link_t *link; /* NULL: not connected */
+	bool opened;        /* the connection was established */
+	bool closed;        /* the connection has ended */
 } target_t;
 
 /* Revocation of the leases of a group below a term, at all daemons. */
@@ -55,6 +61,7 @@
 	GPtrArray *targets;  /* of target_t */
 	GArray *states;      /* of revocation_target_t, one for each target */
 	GSource *timeout;
+	GSource *retry_timer;
 } revocation_t;
 
 /*
@@ -87,6 +94,7 @@
 	target_t *target = p;
 
 	frame_free(target->link);
+	g_free(target->address);
 	g_free(target->name);
 	g_free(target);
 }
@@ -100,6 +108,7 @@
 	revocation_t *revocation = p;
 
 	source_clear(&revocation->timeout);
+	source_clear(&revocation->retry_timer);
 	g_ptr_array_unref(revocation->targets);
 	g_array_unref(revocation->states);
 	open_orders_clear(&revocation->open_orders);
@@ -415,6 +424,7 @@
 	target_t *target = context;
 	revocation_target_t *state = target_state(target);
 
+	target->closed = true;
 	if (!contact_shows_state(state->contact))
 		state->contact = contact_ended(target->opened, error);
 }
@@ -422,6 +432,41 @@
 static const frame_ops_t target_ops = {
     on_target_opened, on_target_received, on_target_closed};
 
+/*
+ * Connect to a target.
+ */
+static void
+target_connect(target_t *target)
+{
+	frame_free(target->link);
+	target->opened = target->closed = false;
+	target->link = frame_connect(
+	    task_main_context(target->revocation->peers->task), target->address,
+	    target->port, PEER_FRAME_BYTES_MAX, &target_ops, target);
+}
+
+/*
+ * Connect again to the targets that have not answered, and whose connections
+ * have ended: something between may have refused or reset them, or the daemon
+ * has started again.
+ */
+static gboolean
+on_retry(gpointer context)
+{
+	revocation_t *revocation = context;
+	uint32_t i;
+
+	for (i = 0; !revocation->all_reported && i < revocation->targets->len;
+	     i++) {
+		target_t *target = g_ptr_array_index(revocation->targets, i);
+
+		if (target->closed &&
+		    !contact_shows_state(target_state(target)->contact))
+			target_connect(target);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
 /*
  * Add a daemon to the targets of a revocation, and connect to it.
  */
@@ -432,23 +477,20 @@
 	revocation_target_t state = {.holds_leases = daemon->leases ||
 		revocation->begun ||
 		open_orders_count(&revocation->open_orders) > 0};
-	char *address;
-	uint32_t port;
 
 	target->revocation = revocation;
 	target->index = revocation->states->len;
 	target->name = g_strdup(daemon->name);
 	g_array_append_val(revocation->states, state);
 	g_ptr_array_add(revocation->targets, target);
-	if (address_split(daemon->address, &address, &port) < 0) {
+	if (address_split(daemon->address, &target->address, &target->port) <
+	    0) {
 		log_line(LOG_PART, G_LOG_LEVEL_WARNING,
 		    "Daemon %s has an invalid address: %s.", daemon->name,
 		    daemon->address);
 		return;
 	}
-	target->link = frame_connect(task_main_context(revocation->peers->task),
-	    address, port, PEER_FRAME_BYTES_MAX, &target_ops, target);
-	g_free(address);
+	target_connect(target);
 }
 
 /*
@@ -490,6 +532,11 @@
 	    g_array_new(FALSE, FALSE, sizeof(revocation_target_t));
 	revocation->timeout = task_timer(
 	    peers->task, REVOCATION_TIMEOUT_MS, on_timeout, revocation);
+	/* the requester repeats those that revoke no lease, or tell of a term
+	 */
+	if (wanted->term != 0 && !wanted->begun)
+		revocation->retry_timer = task_timer(
+		    peers->task, TARGET_RETRY_MS, on_retry, revocation);
 	peers->revocations = g_list_prepend(peers->revocations, revocation);
 	if (outdated)
 		revocation_report(revocation, BP__REVOKE_STATE__OUTDATED);
