--- a/tests/t_http.c
+++ b/tests/t_http.c
@@ -1,3 +1,4 @@
+#include "../platform/platform.h"
 #include "../src/http.h"
 #include "../src/proxy/proxy.h"
 
@@ -1093,6 +1094,114 @@
 	g_free(address);
 }
 
+typedef struct outcome_case {
+	const char *name;
+	uint32_t status;
+	promoter_status_t promotion;  /* expected */
+	object_store_status_t object; /* expected */
+} outcome_case_t;
+
+static const outcome_case_t outcome_cases[] = {
+    {"200", 200, PROMOTER_ACCEPTED, OBJECT_STORE_OK},
+    {"409", 409, PROMOTER_REFUSED, OBJECT_STORE_CONFLICT},
+    {"429", 429, PROMOTER_REFUSED, OBJECT_STORE_REFUSED},
+    {"503", 503, PROMOTER_NO_RESPONSE, OBJECT_STORE_REFUSED},
+    {"403", 403, PROMOTER_NO_RESPONSE, OBJECT_STORE_NO_RESPONSE},
+    {"408", 408, PROMOTER_NO_RESPONSE, OBJECT_STORE_NO_RESPONSE},
+    {"500", 500, PROMOTER_NO_RESPONSE, OBJECT_STORE_NO_RESPONSE},
+    {"502", 502, PROMOTER_NO_RESPONSE, OBJECT_STORE_NO_RESPONSE},
+    {"504", 504, PROMOTER_NO_RESPONSE, OBJECT_STORE_NO_RESPONSE},
+};
+
+/* What the two clients of the platform have made of a status. */
+typedef struct outcome {
+	const outcome_case_t *c;
+	uint32_t ended; /* number of calls */
+	promoter_status_t promotion;
+	object_store_status_t object;
+} outcome_t;
+
+/*
+ * Answer a request of either client with the status of the case.
+ */
+static void
+on_outcome_request(SoupServer *server, SoupServerMessage *message,
+    const char *path, GHashTable *query, gpointer context)
+{
+	const outcome_t *outcome = context;
+
+	(void)server;
+	(void)path;
+	(void)query;
+	soup_server_message_set_status(message, outcome->c->status, NULL);
+	soup_server_message_set_response(
+	    message, "application/json", SOUP_MEMORY_STATIC, "{}", 2);
+}
+
+/*
+ * Note the outcome of an order.
+ */
+static void
+on_promoted(void *context, promoter_status_t status)
+{
+	outcome_t *outcome = context;
+
+	outcome->promotion = status;
+	outcome->ended++;
+}
+
+/*
+ * Note the outcome of a write.
+ */
+static void
+on_written_object(void *context, const object_store_response_t *response)
+{
+	outcome_t *outcome = context;
+
+	outcome->object = response->status;
+	outcome->ended++;
+}
+
+/*
+ * Test what a status shows of an order, and of a write of an object.  One that
+ * the platform's protocol does not name shows nothing.
+ */
+static void
+test_outcome(gconstpointer data)
+{
+	Bp__DutyRecord record = BP__DUTY_RECORD__INIT;
+	outcome_t outcome = {.c = data};
+	SoupServer *server = soup_server_new(NULL, NULL);
+	object_store_t *store;
+	promoter_t *promoter;
+	GSList *uris;
+	char *address;
+
+	soup_server_add_handler(
+	    server, NULL, on_outcome_request, &outcome, NULL);
+	g_assert_true(soup_server_listen_local(
+	    server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL));
+	uris = soup_server_get_uris(server);
+	address = g_strdup_printf("127.0.0.1:%d", g_uri_get_port(uris->data));
+	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
+	promoter = platform_promoter.open(
+	    address, DELIVERY_TIMEOUT_MS, ORDER_DELIVERY_MS);
+	store = platform_object_store.open(address, DELIVERY_TIMEOUT_MS);
+	record.holder = (char *)"vm-a-1";
+	platform_promoter.promote(
+	    promoter, "group", "i-0", "vm-a-1", 1, on_promoted, &outcome);
+	platform_object_store.put_coordinator(
+	    store, "record", 1, &record, on_written_object, &outcome);
+	while (outcome.ended < 2)
+		g_main_context_iteration(NULL, TRUE);
+	g_assert_cmpint(outcome.promotion, ==, outcome.c->promotion);
+	g_assert_cmpint(outcome.object, ==, outcome.c->object);
+	platform_promoter.close(promoter);
+	platform_object_store.close(store);
+	g_object_unref(server);
+	g_free(address);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -1113,6 +1222,7 @@
 	CASES("/http/delivery", delivery_cases, test_delivery);
 	CASES("/http/lost", lost_cases, test_lost);
 	CASES("/http/silent", silent_cases, test_silent);
+	CASES("/http/outcome", outcome_cases, test_outcome);
 	CASES("/http/frozen-sender", frozen_cases, test_frozen_sender);
 	return g_test_run();
 }
