Sockets: an error of connect() itself opens no connection

Cause: where connect() fails at once (no route, no port left, an address that no connection has), nothing is left in SO_ERROR, so that g_socket_check_connect_result() succeeds and marks the socket as connected: opened() was called, and the connection ended with -ENOTCONN afterwards. The statements that waited for a link to another daemon counted as sent then, so that a write was in doubt, and a daemon that was never reached counted as one whose connection was reset. The code behind it would have called the same error a refusal.

Change: the error is kept and reported as one of a connection that was never opened. -ECONNREFUSED stands for a refused connection only.

Evidence: /connect/an-address-that-no-connection-has fails before (opened) and passes after; all of t_poller passes.

--- a/src/sock.c
+++ b/src/sock.c
@@ -32,6 +32,7 @@
 	GByteArray *send_buffer; /* data that the socket has not taken yet */
 	uint32_t sent_bytes;     /* at its start: already taken */
 	uint32_t callback_depth; /* number of on_ready() calls on the stack */
+	int32_t connect_error;   /* of connect() itself; 0: none */
 	bool connecting;
 	bool closed;
 	bool discarding; /* set by sock_discard_all() */
@@ -187,6 +188,20 @@
 	return 0;
 }
 
+/*
+ * Return the error number for a connection that could not be established.  Only
+ * a refusal by the other end, or by something between, is -ECONNREFUSED.
+ */
+static int32_t
+connect_error_number(const GError *error)
+{
+	if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED))
+		return -ECONNREFUSED;
+	if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_CLOSED))
+		return -ECONNRESET;
+	return -EHOSTUNREACH;
+}
+
 /*
  * Check the result of a connection attempt.  Returns whether it succeeded and
  * the connection is still open after the owner's callback.
@@ -196,21 +211,19 @@
 {
 	GError *error = NULL;
 
+	if (sock->connect_error != 0) {
+		sock_fail(sock, sock->connect_error);
+		return false;
+	}
 	if (!g_socket_check_connect_result(sock->socket, &error)) {
-		int32_t number = -EHOSTUNREACH;
-
-		if (g_error_matches(
-			error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED))
-			number = -ECONNREFUSED;
-		else if (g_error_matches(
-			     error, G_IO_ERROR, G_IO_ERROR_CONNECTION_CLOSED))
-			number = -ECONNRESET;
+		int32_t number = connect_error_number(error);
+
 		g_clear_error(&error);
 		sock_fail(sock, number);
 		return false;
 	}
 	if (!g_socket_is_connected(sock->socket)) {
-		sock_fail(sock, -ECONNREFUSED);
+		sock_fail(sock, -EHOSTUNREACH);
 		return false;
 	}
 	sock->connecting = false;
@@ -320,6 +333,7 @@
 {
 	GSocketAddress *peer_address =
 	    g_inet_socket_address_new_from_string(address, port);
+	GError *error = NULL;
 	GSocket *socket;
 	sock_t *sock;
 
@@ -333,8 +347,11 @@
 	}
 	sock = sock_new(main_context, socket, ops, context);
 	sock->connecting = true;
-	/* sock_finish_connect() reports an immediate error as well. */
-	g_socket_connect(socket, peer_address, NULL, NULL);
+	/* sock_finish_connect() reports an immediate error */
+	if (!g_socket_connect(socket, peer_address, NULL, &error) &&
+	    !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING))
+		sock->connect_error = connect_error_number(error);
+	g_clear_error(&error);
 	g_object_unref(peer_address);
 	poller_add(&sock->poller_item, main_context, g_socket_get_fd(socket),
 	    EPOLLOUT);
--- a/tests/t_poller.c
+++ b/tests/t_poller.c
@@ -1,8 +1,10 @@
 #include "../src/poller.h"
 #include "../src/proxy/listener.h"
+#include "../src/sock.h"
 #include "../tools/fleet.h"
 #include "cases.h"
 
+#include <errno.h>
 #include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -241,6 +243,85 @@
 	g_free((char *)argv[0]);
 }
 
+typedef struct connect_case {
+	const char *name;
+	const char *address;
+	bool listens;  /* a port is open there, which is asked for */
+	int32_t error; /* expected; 0: the connection is opened */
+} connect_case_t;
+
+static const connect_case_t connect_cases[] = {
+    {"a port that is open", "127.0.0.1", true, 0},
+    {"a port that is closed", "127.0.0.1", false, -ECONNREFUSED},
+    /* connect() itself fails, and nobody was asked */
+    {"an address that no connection has", "224.0.0.1", false, -EHOSTUNREACH},
+};
+
+/* What was told of a connection that is being opened. */
+typedef struct connect_result {
+	bool ended;
+	bool opened;
+	int32_t error;
+} connect_result_t;
+
+/*
+ * Note that a connection was opened.
+ */
+static void
+on_connect_opened(void *context)
+{
+	connect_result_t *result = context;
+
+	result->ended = result->opened = true;
+}
+
+/*
+ * Note that a connection could not be opened.
+ */
+static void
+on_connect_closed(void *context, int32_t error)
+{
+	connect_result_t *result = context;
+
+	result->ended = true;
+	result->error = error;
+}
+
+/*
+ * Test that an error counts as a refusal only if the connection was refused,
+ * and that no connection counts as opened that was not.
+ */
+static void
+test_connect(gconstpointer data)
+{
+	static const sock_ops_t ops = {
+	    on_connect_opened, NULL, on_connect_closed};
+	const connect_case_t *c = data;
+	connect_result_t result = {0};
+	GSocket *listener =
+	    g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, 0, NULL);
+	GSocketAddress *any =
+	    g_inet_socket_address_new_from_string("127.0.0.1", 0);
+	GSocketAddress *bound;
+	sock_t *sock;
+
+	/* a port that is bound and does not listen refuses */
+	g_assert_true(g_socket_bind(listener, any, FALSE, NULL));
+	g_assert_true(!c->listens || g_socket_listen(listener, NULL));
+	bound = g_socket_get_local_address(listener, NULL);
+	sock = sock_connect(NULL, c->address,
+	    g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound)), &ops,
+	    &result);
+	while (!result.ended)
+		g_main_context_iteration(NULL, TRUE);
+	g_assert_cmpint(result.opened, ==, c->error == 0);
+	g_assert_cmpint(result.error, ==, c->error);
+	sock_free(sock);
+	g_object_unref(bound);
+	g_object_unref(any);
+	g_object_unref(listener);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -253,6 +334,7 @@
 	log_start(G_LOG_LEVEL_CRITICAL, STDERR_FILENO);
 	CASES("/poller", poller_cases, test_poller);
 	CASES("/listener", listener_cases, test_listener);
+	CASES("/connect", connect_cases, test_connect);
 	g_test_add_func("/ports/side-by-side", test_ports);
 	return g_test_run();
 }
