Daemons: an answer counts for the daemon that gives it

Cause: LeaseRevoked and TokenTell named nobody, so that an answer at the address in a daemon's record counted as that of this daemon. A record stays for 13 s without a heartbeat (40 s without leases); if another daemon has taken over the address by then, it counted twice towards the majority that must know no newer token, and the lease of the first one as revoked.

Change: both answers name their sender. One of another name counts as no answer and is logged; contact_answered() decides. An answer without a name, of a former version, counts as before.

Evidence: /refused/taken-address (a record with the address of another daemon, the primary ends) logs "all": true without the change of peers.c, and waits for the leases with it; /revocation/answered, 3 rows.

--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -1919,7 +1919,7 @@
   (ProtobufCMessageInit) bp__lease_revoke__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__lease_revoked__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bp__lease_revoked__field_descriptors[6] =
 {
   {
     "id",
@@ -1981,8 +1981,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "daemon",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__LeaseRevoked, daemon),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__lease_revoked__field_indices_by_name[] = {
+  5,   /* field[5] = daemon */
   0,   /* field[0] = id */
   2,   /* field[2] = newest_term */
   3,   /* field[3] = open */
@@ -1992,7 +2005,7 @@
 static const ProtobufCIntRange bp__lease_revoked__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bp__lease_revoked__descriptor =
 {
@@ -2002,7 +2015,7 @@
   "Bp__LeaseRevoked",
   "bp",
   sizeof(Bp__LeaseRevoked),
-  5,
+  6,
   bp__lease_revoked__field_descriptors,
   bp__lease_revoked__field_indices_by_name,
   1,  bp__lease_revoked__number_ranges,
@@ -2060,7 +2073,7 @@
   (ProtobufCMessageInit) bp__token_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__token_tell__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bp__token_tell__field_descriptors[4] =
 {
   {
     "id",
@@ -2098,8 +2111,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "daemon",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__TokenTell, daemon),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__token_tell__field_indices_by_name[] = {
+  3,   /* field[3] = daemon */
   0,   /* field[0] = id */
   2,   /* field[2] = recorded */
   1,   /* field[1] = token */
@@ -2107,7 +2133,7 @@
 static const ProtobufCIntRange bp__token_tell__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bp__token_tell__descriptor =
 {
@@ -2117,7 +2143,7 @@
   "Bp__TokenTell",
   "bp",
   sizeof(Bp__TokenTell),
-  3,
+  4,
   bp__token_tell__field_descriptors,
   bp__token_tell__field_indices_by_name,
   1,  bp__token_tell__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -354,10 +354,14 @@
    * record that has it
    */
   Bp__RecordedOrder *order;
+  /*
+   * name of the sender
+   */
+  char *daemon;
 };
 #define BP__LEASE_REVOKED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__lease_revoked__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, NULL }
+    , 0, 0, 0, 0, 0,NULL, NULL, NULL }
 
 
 /*
@@ -390,10 +394,14 @@
    * knows of all that the processes before it may have been told
    */
   protobuf_c_boolean recorded;
+  /*
+   * name of the sender
+   */
+  char *daemon;
 };
 #define BP__TOKEN_TELL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__token_tell__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, NULL }
 
 
 /*
--- a/src/decide/contact.c
+++ b/src/decide/contact.c
@@ -1,6 +1,7 @@
 #include "contact.h"
 
 #include <errno.h>
+#include <string.h>
 
 /*
  * Return what a connection has shown that has ended before an answer came.
@@ -14,6 +15,19 @@
 	return error == -ECONNREFUSED ? CONTACT_REFUSED : CONTACT_SILENT;
 }
 
+/*
+ * Return what an answer has shown of the process that was asked, by its name
+ * and that of the sender.  Another process may have taken over its address, and
+ * answers for itself only.  NULL: the sender names nobody, as former versions
+ * did.
+ */
+contact_t
+contact_answered(const char *asked, const char *sender)
+{
+	return sender == NULL || strcmp(asked, sender) == 0 ? CONTACT_ANSWERED
+							    : CONTACT_SILENT;
+}
+
 /*
  * Tell whether a connection has shown what the process at its other end knows,
  * holds, or has given up.  Only its own answer does.
--- a/src/decide/contact.h
+++ b/src/decide/contact.h
@@ -17,6 +17,7 @@
 } contact_t;
 
 contact_t contact_ended(bool opened, int32_t error);
+contact_t contact_answered(const char *asked, const char *sender);
 bool contact_shows_state(contact_t);
 
 #endif
--- a/src/proxy/incoming.c
+++ b/src/proxy/incoming.c
@@ -137,6 +137,7 @@
 	revoked.open = asked->open;
 	revoked.n_open = asked->n_open;
 	revoked.order = asked->order;
+	revoked.daemon = incoming->peers->proxy->settings->name;
 	message.body_case = BP__PEER_MESSAGE__BODY_LEASE_REVOKED;
 	message.lease_revoked = &revoked;
 	frame_send(incoming->link, &message);
@@ -196,6 +197,7 @@
 	tell.id = ask->id;
 	tell.token = peers->token;
 	tell.recorded = peers->token_recorded;
+	tell.daemon = peers->proxy->settings->name;
 	message.body_case = BP__PEER_MESSAGE__BODY_TOKEN_TELL;
 	message.token_tell = &tell;
 	frame_send(incoming->link, &message);
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -384,6 +384,22 @@
 	return true;
 }
 
+/*
+ * Tell whether an answer is that of a target.  If not, log that another daemon
+ * has its address.
+ */
+static bool
+answer_is_of(const target_t *target, const char *sender)
+{
+	if (contact_shows_state(contact_answered(target->name, sender)))
+		return true;
+	log_line(LOG_PART, G_LOG_LEVEL_WARNING,
+	    "Daemon %s answers at the address of daemon %s; its answer does "
+	    "not count.",
+	    sender, target->name);
+	return false;
+}
+
 /*
  * Handle a message from a target.  An order that it reports is passed on also
  * after the majority, or all, were reported.
@@ -399,11 +415,13 @@
 
 	if (message->body_case == BP__PEER_MESSAGE__BODY_TOKEN_TELL &&
 	    target->revocation->unreadable_revision != 0 &&
-	    told->id == target->revocation->id && !answered) {
+	    told->id == target->revocation->id && !answered &&
+	    answer_is_of(target, told->daemon)) {
 		state->token_recorded = told->recorded;
 		target_answered(target, told->token, 0);
 	} else if (message->body_case == BP__PEER_MESSAGE__BODY_LEASE_REVOKED &&
-	    revoked->id == target->revocation->id && !answered) {
+	    revoked->id == target->revocation->id && !answered &&
+	    answer_is_of(target, revoked->daemon)) {
 		open_orders_read(&target->revocation->reported_orders,
 		    revoked->open, revoked->n_open, OPEN_ORDER_TOLD,
 		    clock_us());
--- a/tests/t_refused.c
+++ b/tests/t_refused.c
@@ -530,6 +530,51 @@
 	bed_stop(bed);
 }
 
+typedef struct taken_address_case {
+	const char *name;
+	const char *daemon; /* in a record with the address of another one */
+	bool all;           /* its answer counts as that of the record's */
+} taken_address_case_t;
+
+static const taken_address_case_t taken_address_cases[] = {
+    {"the record of another daemon", "vm-z-9", false},
+};
+
+/*
+ * Test that an answer at the address in a daemon's record counts as that of
+ * this daemon only if it comes from it: here another daemon has the address, so
+ * that the leases of the first are waited for.
+ */
+static void
+test_taken_address(gconstpointer data)
+{
+	const taken_address_case_t *c = data;
+	bed_t *bed = bed_start();
+	uint32_t coordinator = testbed_coordinator(bed->testbed);
+	uint32_t other = (coordinator + 1) % PROXIES;
+	char *record, *log;
+	bool all;
+
+	record = g_strdup_printf(
+	    "{\"address\":\"127.0.0.1:%u\",\"beat\":1,\"zone\":\"a\","
+	    "\"weight\":1,\"leases\":true}",
+	    bed->testbed->proxies[other].peer_port);
+	testbed_put_object(
+	    bed->testbed, "bergamotplank-daemons", c->daemon, record);
+	inject_fault(bed, PRIMARY, "crash");
+	refuse(bed, PRIMARY, PROXIES, true);
+	g_assert_true(served_again(bed, FAILOVER_MS));
+	log = testbed_read_log(bed->testbed, coordinator);
+	g_assert_nonnull(strstr(log, "\"event\":\"leases_revoked\""));
+	all = g_regex_match_simple(
+	    "\"leases_revoked\"[^\n]*\"all\":true", log, 0, 0);
+	g_assert_cmpint(all, ==, c->all);
+	g_free(log);
+	g_free(record);
+	check_one_primary(bed);
+	bed_stop(bed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -542,5 +587,7 @@
 	CASES("/refused/between", between_cases, test_between);
 	CASES("/refused/ended-primary", ended_cases, test_ended_primary);
 	CASES("/refused/restart", restart_cases, test_restart);
+	CASES(
+	    "/refused/taken-address", taken_address_cases, test_taken_address);
 	return g_test_run();
 }
--- a/tests/t_revocation.c
+++ b/tests/t_revocation.c
@@ -40,6 +40,29 @@
 	g_assert_false(contact_shows_state(contact));
 }
 
+typedef struct answered_case {
+	const char *name;
+	const char *sender;
+	contact_t contact; /* expected */
+} answered_case_t;
+
+static const answered_case_t answered_cases[] = {
+    {"by the daemon that was asked", "vm-a-1", CONTACT_ANSWERED},
+    {"by another one at its address", "vm-a-2", CONTACT_SILENT},
+    {"by one of a former version", NULL, CONTACT_ANSWERED},
+};
+
+/*
+ * Test of which daemon an answer shows something.
+ */
+static void
+test_answered(gconstpointer data)
+{
+	const answered_case_t *c = data;
+
+	g_assert_cmpint(contact_answered("vm-a-1", c->sender), ==, c->contact);
+}
+
 typedef struct progress_case {
 	const char *name;
 	/* a letter for each of the other daemons: a answered, f refused, x
@@ -146,6 +169,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions(); /* run every case */
 	CASES("/revocation/ended", ended_cases, test_ended);
+	CASES("/revocation/answered", answered_cases, test_answered);
 	CASES("/revocation/progress", progress_cases, test_progress);
 	CASES("/revocation/token", token_cases, test_token);
 	return g_test_run();
