Databases: resets show that a primary is alive for 5 s at most

Cause: a connection that was reset before the database answered counted as turned away by a full one, so as an answer. If something between resets the connections to a primary that has ended, or that it does not reach, the primary counted as alive for as long as that lasted: no change of primary.

Change: failover_connection_reset() counts it as alive for turned_away_us (5 s) after the first reset since its last status, the time for which one that turns connections away may be the primary already. After that a reset is a failed connection like any other.

Evidence: /refused/reset, 2 rows (the primary has ended, the relays accept and reset): no write for the 12 s of the row before, both pass with the change.

--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -315,6 +315,7 @@
 void failover_alive(failover_t *, uint32_t database, int64_t now_us);
 bool failover_answers(const failover_t *, uint32_t database, int64_t now_us);
 void failover_turned_away(failover_t *, uint32_t database, int64_t now_us);
+bool failover_connection_reset(failover_t *, uint32_t database, int64_t now_us);
 void failover_connection_refused(
     failover_t *, uint32_t database, int64_t now_us);
 void failover_witness_answered(
--- a/src/decide/failover_views.c
+++ b/src/decide/failover_views.c
@@ -184,6 +184,25 @@
 		failover->turned_away_since_us[database] = now_us;
 }
 
+/*
+ * Record that a connection to a database was reset before it answered.  One
+ * that is full may have turned it away, and its answer was lost, so it counts
+ * as alive; but for turned_away_us only, since something between may reset the
+ * connections in its place.  Returns whether it counts as alive.
+ */
+bool
+failover_connection_reset(
+    failover_t *failover, uint32_t database, int64_t now_us)
+{
+	if (failover->turned_away_since_us[database] == 0)
+		failover->turned_away_since_us[database] = now_us;
+	if (now_us - failover->turned_away_since_us[database] >=
+	    failover->limits.turned_away_us)
+		return false;
+	failover_alive(failover, database, now_us);
+	return true;
+}
+
 /*
  * Record that a database refused a connection.  REFUSALS_SUSPECT refusals in a
  * row make a primary suspect at once, without waiting for a time limit.
--- a/src/proxy/dbconn.c
+++ b/src/proxy/dbconn.c
@@ -559,11 +559,11 @@
 }
 
 /*
- * Handle the refusal of a connection by a server that is alive.  The server may
- * have reached its connection limit.
+ * Note that a server has turned a connection away, or may have.  It may have
+ * reached its connection limit.
  */
 static void
-on_turned_away(dbconn_t *conn, position_t position, int64_t now_us)
+note_turned_away(dbconn_t *conn, int64_t now_us)
 {
 	server_t *server = conn->server;
 
@@ -572,7 +572,6 @@
 	server->outstanding_since_us = now_us;
 	server->unresponsive = false;
 	g_array_set_size(conn->expected, 0);
-	monitor_turned_away(server, position, now_us);
 	server->connections = server->group->connections_max;
 }
 
@@ -636,7 +635,8 @@
 			dbconn_fail(conn, reply.text);
 			return false;
 		}
-		on_turned_away(conn, reply.position, now_us);
+		note_turned_away(conn, now_us);
+		monitor_turned_away(conn->server, reply.position, now_us);
 		dbconn_fail(conn, reply.text);
 		return false;
 	case REPLY_READY:
@@ -676,22 +676,21 @@
 }
 
 /*
- * Handle the end of a connection, or its failure.  A server that closes a
- * connection before it has opened the session is alive: its refusal may be lost
- * with the reset of the connection.
+ * Handle the end of a connection, or its failure.  If it ends before it has
+ * opened the session, the server may have turned it away: its answer may be
+ * lost with the reset of the connection.
  */
 static void
 on_closed(void *context, int32_t error)
 {
-	static const position_t no_position = {0, 0};
 	dbconn_t *conn = context;
 	server_t *server = conn->server;
 	bool refused = !conn->open && error == -ECONNREFUSED;
 	group_t *group = server->group;
 
-	if (!conn->open && (error == -ECONNRESET || error == -EPIPE))
-		on_turned_away(conn, no_position, clock_us());
-
+	if (!conn->open && (error == -ECONNRESET || error == -EPIPE) &&
+	    monitor_connection_reset(server, clock_us()))
+		note_turned_away(conn, clock_us());
 	dbconn_fail(conn, g_strerror(-error));
 	if (refused)
 		monitor_connection_refused(server);
--- a/src/proxy/monitor_answers.c
+++ b/src/proxy/monitor_answers.c
@@ -36,6 +36,18 @@
 		    &server->group->failover, server->index, now_us);
 }
 
+/*
+ * Note that a connection to a server was reset before the server answered.
+ * Returns whether the server counts as one that has turned it away.
+ */
+bool
+monitor_connection_reset(server_t *server, int64_t now_us)
+{
+	return server->removed ||
+	    failover_connection_reset(
+		&server->group->failover, server->index, now_us);
+}
+
 /*
  * Note that the process at the address of a server has said that it is another
  * one.
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -630,6 +630,7 @@
     server_t *, const server_status_t *, const expected_answer_t *, position_t);
 void monitor_reply_received(server_t *, position_t, int64_t now_us);
 void monitor_turned_away(server_t *, position_t, int64_t now_us);
+bool monitor_connection_reset(server_t *, int64_t now_us);
 void monitor_connection_refused(server_t *);
 void monitor_denied(server_t *);
 void monitor_denial_over(server_t *);
--- a/tests/t_refused.c
+++ b/tests/t_refused.c
@@ -30,6 +30,12 @@
 /* Time in which all proxies serve writes after a primary has ended. */
 #define FAILOVER_MS 8000
 
+/*
+ * The same where its connections are reset: a full database may do so, and
+ * counts as alive for 5 s.
+ */
+#define RESET_FAILOVER_MS 12000
+
 /*
  * Time after which the entry of a database that has ended lapses, and time in
  * which it is then removed from its group.
@@ -530,6 +536,37 @@
 	bed_stop(bed);
 }
 
+typedef struct reset_case {
+	const char *name;
+	bool entry_gone;
+	int64_t served_ms; /* latest time until writes are served again */
+} reset_case_t;
+
+static const reset_case_t reset_cases[] = {
+    {"its entry stays", false, RESET_FAILOVER_MS},
+    {"its entry is gone", true, RESET_FAILOVER_MS},
+};
+
+/*
+ * Test that a primary that has ended is replaced if something between, here the
+ * relays, accepts the connections to it and resets them.
+ */
+static void
+test_reset(gconstpointer data)
+{
+	const reset_case_t *c = data;
+	bed_t *bed = bed_start();
+
+	g_assert_true(served_again(bed, SERVED_AGAIN_MS));
+	inject_fault(bed, PRIMARY, "crash");
+	if (c->entry_gone)
+		inject_fault(bed, PRIMARY, "unlist");
+	g_assert_true(served_again(bed, c->served_ms));
+	check_promoted(bed, true);
+	check_one_primary(bed);
+	bed_stop(bed);
+}
+
 typedef struct taken_address_case {
 	const char *name;
 	const char *daemon; /* in a record with the address of another one */
@@ -587,6 +624,7 @@
 	CASES("/refused/between", between_cases, test_between);
 	CASES("/refused/ended-primary", ended_cases, test_ended_primary);
 	CASES("/refused/restart", restart_cases, test_restart);
+	CASES("/refused/reset", reset_cases, test_reset);
 	CASES(
 	    "/refused/taken-address", taken_address_cases, test_taken_address);
 	return g_test_run();
