Tests: refused and reset connections between daemons

No test refused connections between daemons while both reach the databases and the store, so a refusal that counted as a revoked lease went unseen.

Relays can reset connections now.

--- a/tests/fake/relay.c
+++ b/tests/fake/relay.c
@@ -31,6 +31,7 @@
 	int wake_fds[2];
 	bool cut;     /* new connections are silent */
 	bool refuses; /* new connections are refused */
+	bool resets;  /* new connections are accepted and reset */
 	uint16_t server_port;
 	GPtrArray *connections; /* of relayed_t */
 	int64_t last_used_us;
@@ -63,7 +64,18 @@
 }
 
 /*
- * Accept a connection, and open the one to the server.
+ * Have the end of a connection reset it.
+ */
+static void
+reset_at_close(int fd)
+{
+	const struct linger reset = {.l_onoff = 1, .l_linger = 0};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+/*
+ * Accept a connection, and open the one to the server, or reset it.
  */
 static void
 relay_accept(relay_t *relay)
@@ -74,7 +86,9 @@
 	    server = socket(AF_INET, SOCK_STREAM, 0), on = 1;
 	relayed_t *relayed;
 
-	if (client < 0 ||
+	if (client >= 0 && relay->resets)
+		reset_at_close(client);
+	if (client < 0 || relay->resets ||
 	    connect(server, (struct sockaddr *)&address, sizeof(address)) < 0) {
 		if (client >= 0)
 			close(client);
@@ -118,7 +132,6 @@
 static void
 remove_ended(relay_t *relay)
 {
-	const struct linger reset = {.l_onoff = 1, .l_linger = 0};
 	uint32_t i = relay->connections->len;
 
 	while (i-- > 0) {
@@ -126,8 +139,7 @@
 		    g_ptr_array_index(relay->connections, i);
 
 		if (relayed->reset)
-			setsockopt(relayed->ways[1].to_fd, SOL_SOCKET,
-			    SO_LINGER, &reset, sizeof(reset));
+			reset_at_close(relayed->ways[1].to_fd);
 		if (relayed->reset ||
 		    (relayed->ways[0].from_fd < 0 &&
 			relayed->ways[1].from_fd < 0))
@@ -264,6 +276,21 @@
 		relay_silence(relay, RELAY_BOTH);
 }
 
+/*
+ * Have the connections that are open now reset, under the mutex.
+ */
+static void
+reset_connections(relay_t *relay)
+{
+	uint32_t i;
+
+	for (i = 0; i < relay->connections->len; i++) {
+		relayed_t *relayed = g_ptr_array_index(relay->connections, i);
+
+		relayed->reset = true;
+	}
+}
+
 /*
  * Reset the connections that are open now and refuse new ones, as a port does
  * at which nothing listens, or accept them again.
@@ -271,23 +298,33 @@
 void
 relay_refuse(relay_t *relay, bool refuses)
 {
-	uint32_t i;
-
 	g_mutex_lock(&relay->mutex);
 	relay->refuses = refuses;
-	if (refuses)
+	if (refuses) {
 		shutdown(relay->listen_fd, SHUT_RDWR);
-	else
+		reset_connections(relay);
+	} else {
 		g_assert_cmpint(listen(relay->listen_fd, BACKLOG), ==, 0);
-	for (i = 0; refuses && i < relay->connections->len; i++) {
-		relayed_t *relayed = g_ptr_array_index(relay->connections, i);
-
-		relayed->reset = true;
 	}
 	g_mutex_unlock(&relay->mutex);
 	g_assert_cmpint(write(relay->wake_fds[1], "", 1), ==, 1);
 }
 
+/*
+ * Reset the connections that are open now, and new ones once they are
+ * established, or pass on new ones again.
+ */
+void
+relay_reset(relay_t *relay, bool resets)
+{
+	g_mutex_lock(&relay->mutex);
+	relay->resets = resets;
+	if (resets)
+		reset_connections(relay);
+	g_mutex_unlock(&relay->mutex);
+	g_assert_cmpint(write(relay->wake_fds[1], "", 1), ==, 1);
+}
+
 /*
  * Count the connections that their clients keep open, all or the silent ones.
  */
--- a/tests/fake/testbed.c
+++ b/tests/fake/testbed.c
@@ -142,6 +142,28 @@
 	relay_refuse(testbed->database_relays[proxy][database], refuses);
 }
 
+/*
+ * Refuse the connections of a proxy to another one, or end that.
+ */
+void
+testbed_refuse_daemon(
+    testbed_t *testbed, uint32_t proxy, uint32_t other, bool refuses)
+{
+	g_assert_true(testbed->plan.own_relays);
+	relay_refuse(testbed->own_peer_relays[proxy][other], refuses);
+}
+
+/*
+ * Reset the connections of a proxy to another one, or end that.
+ */
+void
+testbed_reset_daemon(
+    testbed_t *testbed, uint32_t proxy, uint32_t other, bool resets)
+{
+	g_assert_true(testbed->plan.own_relays);
+	relay_reset(testbed->own_peer_relays[proxy][other], resets);
+}
+
 /*
  * Write an object into the store without a revision check.
  */
--- /dev/null
+++ b/tests/t_unheard.c
@@ -0,0 +1,608 @@
+#include "../src/frame.h"
+#include "../src/proxy/listener.h"
+#include "../src/proxy/registry.h"
+#include "../tools/fleet.h"
+#include "cases.h"
+
+#include <string.h>
+#include <sys/socket.h>
+
+/*
+ * Tests of what a coordinator concludes where the connections to other daemons
+ * are refused or reset: with its peers task, and its registry without a store.
+ * The test plays the other daemons.  t_peers.c has the same with processes.
+ */
+
+/* Interval at which daemons are asked again whose connections have ended. */
+#define RETRY_MS 200
+
+#define DAEMONS_MAX 4
+#define GROUP "ledger"
+#define TERM 5
+#define TOKEN 4
+
+/* Time for which connections are refused, in which the others answer. */
+#define REFUSED_MS 500
+
+/* Time in which a daemon is asked again after that, and has answered. */
+#define ASKED_AGAIN_MS (RETRY_MS + 300)
+
+/* What a daemon knows that is newer than what it is told. */
+typedef struct knowledge {
+	uint64_t token;
+	uint64_t newest_term;
+	uint64_t order_term; /* of an order's attempt; 0: none */
+} knowledge_t;
+
+typedef struct bed bed_t;
+
+/* Another daemon, which the test plays. */
+typedef struct daemon {
+	bed_t *bed;
+	char *name;
+	char *address;
+	listener_t *listener; /* NULL: its port refuses connections */
+	bool resets;          /* its connections are reset at once */
+	bool resets_asked;    /* they are when something has been asked */
+	knowledge_t knowledge;
+	GPtrArray *links; /* of daemon_link_t */
+} daemon_t;
+
+/* A connection to it. */
+typedef struct daemon_link {
+	daemon_t *daemon;
+	frame_link_t *frames;
+} daemon_link_t;
+
+/* What the requester of a revocation was told of it. */
+typedef struct reported {
+	bool most;
+	bool all;
+	bool outdated;
+	knowledge_t knowledge;
+} reported_t;
+
+/* The peers task of a daemon whose other tasks are fakes. */
+struct bed {
+	Bp__ProxySettings settings;
+	proxy_t proxy;
+	task_t *host;
+	void *peers;
+	daemon_t daemons[DAEMONS_MAX];
+	uint32_t daemons_count;
+	reported_t reported;
+	/* with bed_start_registry() */
+	proxy_t registry_proxy;
+	registry_t *registry;
+	uint32_t orders; /* that were sent */
+};
+
+/*
+ * Note the progress of the revocation.
+ */
+static void
+note_revoke_ended(void *context, msg_t *msg)
+{
+	const Bp__RevokeEnded *ended = (const Bp__RevokeEnded *)msg->body;
+	reported_t *reported = &((bed_t *)context)->reported;
+	knowledge_t *knowledge = &reported->knowledge;
+
+	reported->most |= ended->state != BP__REVOKE_STATE__OUTDATED;
+	reported->all |= ended->state == BP__REVOKE_STATE__ALL;
+	reported->outdated |= ended->state == BP__REVOKE_STATE__OUTDATED;
+	knowledge->newest_term =
+	    MAX(knowledge->newest_term, ended->newest_term);
+	if (ended->order != NULL)
+		knowledge->order_term = ended->order->attempt_term;
+	if (((bed_t *)context)->registry != NULL)
+		order_confirmed(((bed_t *)context)->registry, msg);
+	else
+		msg_free(msg);
+}
+
+/*
+ * Note a token that a daemon has told.
+ */
+static void
+note_token(void *context, msg_t *msg)
+{
+	bed_t *bed = context;
+
+	bed->reported.knowledge.token =
+	    ((const Bp__TokenSeen *)msg->body)->token;
+	msg_free(msg);
+}
+
+static const task_handler_t requester_handlers[] = {
+    {&bp__revoke_ended__descriptor, note_revoke_ended},
+    {&bp__token_seen__descriptor, note_token},
+};
+static const task_ops_t host_ops = {"host", NULL, NULL, NULL, 0};
+static const task_ops_t requester_ops = {"requester", NULL, NULL,
+    requester_handlers, G_N_ELEMENTS(requester_handlers)};
+
+/*
+ * Free a connection to a daemon.
+ */
+static void
+link_free(gpointer p)
+{
+	daemon_link_t *link = p;
+
+	frame_free(link->frames);
+	g_free(link);
+}
+
+/*
+ * Answer a revocation with all that the daemon knows, or reset the connection.
+ */
+static void
+on_link_received(void *context, arena_t *arena, Bp__PeerMessage *asked)
+{
+	const daemon_link_t *link = context;
+	const knowledge_t *knowledge = &link->daemon->knowledge;
+	Bp__PeerMessage message = BP__PEER_MESSAGE__INIT;
+	Bp__LeaseRevoked revoked = BP__LEASE_REVOKED__INIT;
+	Bp__RecordedOrder order = BP__RECORDED_ORDER__INIT;
+
+	g_assert_cmpint(
+	    asked->body_case, ==, BP__PEER_MESSAGE__BODY_LEASE_REVOKE);
+	if (link->daemon->resets_asked) {
+		g_ptr_array_remove_fast(link->daemon->links, context);
+		arena_free(arena);
+		return;
+	}
+	revoked.id = asked->lease_revoke->id;
+	revoked.token = MAX(asked->lease_revoke->token, knowledge->token);
+	revoked.has_newest_term = 1;
+	revoked.newest_term = knowledge->newest_term;
+	order.group = arena_strdup(arena, GROUP);
+	order.attempt_term = knowledge->order_term;
+	order.replaced_term = 1;
+	if (knowledge->order_term != 0)
+		revoked.order = &order;
+	message.body_case = BP__PEER_MESSAGE__BODY_LEASE_REVOKED;
+	message.lease_revoked = &revoked;
+	frame_send(link->frames, &message);
+	arena_free(arena);
+}
+
+/*
+ * Handle the end of a connection to a daemon.
+ */
+static void
+on_link_closed(void *context, int32_t error)
+{
+	daemon_link_t *link = context;
+
+	(void)error;
+	g_ptr_array_remove_fast(link->daemon->links, link);
+}
+
+static const frame_ops_t link_ops = {NULL, on_link_received, on_link_closed};
+
+/*
+ * Accept a connection to a daemon, or reset it.
+ */
+static void
+daemon_accept(void *context, GSocket *socket)
+{
+	const struct linger at_once = {.l_onoff = 1, .l_linger = 0};
+	daemon_t *daemon = context;
+	daemon_link_t *link;
+
+	if (daemon->resets || daemon->resets_asked)
+		setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER,
+		    &at_once, sizeof(at_once));
+	if (daemon->resets) {
+		g_object_unref(socket);
+		return;
+	}
+	link = g_new0(daemon_link_t, 1);
+	link->daemon = daemon;
+	link->frames = frame_accept(task_main_context(daemon->bed->host),
+	    socket, PEER_FRAME_BYTES_MAX, &link_ops, link);
+	g_ptr_array_add(daemon->links, link);
+}
+
+/*
+ * Have a daemon listen at its port.
+ */
+static void
+daemon_listen(daemon_t *daemon)
+{
+	if (daemon->listener == NULL)
+		daemon->listener =
+		    listener_open(task_main_context(daemon->bed->host),
+			daemon->address, daemon_accept, daemon);
+	g_assert_nonnull(daemon->listener);
+}
+
+/*
+ * Return an address on loopback at which nothing listens, to be freed by the
+ * caller.
+ */
+static char *
+unused_address(void)
+{
+	return g_strdup_printf("127.0.0.1:%u", fleet_unused_port());
+}
+
+/*
+ * Start the peers task, and the daemons: a letter for each, a answers, f
+ * refuses, x resets at once, y when it has been asked.  knowledge: of those
+ * that do not answer.
+ */
+static void
+bed_start(bed_t *bed, const char *daemons, const knowledge_t *knowledge)
+{
+	uint32_t i;
+
+	*bed = (bed_t){.daemons_count = (uint32_t)strlen(daemons)};
+	g_assert_cmpuint(bed->daemons_count, <=, DAEMONS_MAX);
+	bp__proxy_settings__init(&bed->settings);
+	bed->settings.name = (char *)"this";
+	bed->settings.peer_address = unused_address();
+	bed->host = task_new(&host_ops, NULL);
+	bed->proxy.settings = &bed->settings;
+	bed->proxy.pool = task_new_hosted(&requester_ops, bed, bed->host);
+	bed->proxy.registry = task_new_hosted(&requester_ops, bed, bed->host);
+	bed->peers = peers_new(&bed->proxy);
+	bed->proxy.peers = task_new_hosted(&peers_ops, bed->peers, bed->host);
+	g_assert_cmpint(task_start_hosted(bed->proxy.peers), ==, 0);
+	for (i = 0; i < bed->daemons_count; i++) {
+		daemon_t *daemon = &bed->daemons[i];
+
+		daemon->bed = bed;
+		daemon->name = g_strdup_printf("other-%u", i);
+		daemon->address = unused_address();
+		daemon->links = g_ptr_array_new_with_free_func(link_free);
+		daemon->resets = daemons[i] == 'x';
+		daemon->resets_asked = daemons[i] == 'y';
+		if (daemons[i] != 'a')
+			daemon->knowledge = *knowledge;
+		if (daemons[i] != 'f')
+			daemon_listen(daemon);
+	}
+}
+
+/*
+ * Stop and free the tasks and the daemons.
+ */
+static void
+bed_stop(bed_t *bed)
+{
+	uint32_t i;
+
+	task_stop_hosted(bed->proxy.peers);
+	for (i = 0; i < bed->daemons_count; i++) {
+		daemon_t *daemon = &bed->daemons[i];
+
+		if (daemon->listener != NULL)
+			listener_close(daemon->listener);
+		g_ptr_array_unref(daemon->links);
+		g_free(daemon->address);
+		g_free(daemon->name);
+	}
+	task_free(bed->proxy.peers);
+	peers_free(bed->peers);
+	task_free(bed->proxy.registry);
+	task_free(bed->proxy.pool);
+	task_free(bed->host);
+	g_free(bed->settings.peer_address);
+}
+
+/*
+ * Handle what is due until a time has passed, or until all daemons have given
+ * up their leases or one has told a newer token, if until_ended is set.
+ */
+static void
+bed_run(bed_t *bed, int64_t time_ms, bool until_ended)
+{
+	int64_t end_us = clock_us() + time_ms * US_PER_MS;
+
+	while (clock_us() < end_us &&
+	    !(until_ended && (bed->reported.all || bed->reported.outdated))) {
+		while (g_main_context_iteration(
+		    task_main_context(bed->host), FALSE))
+			;
+		g_usleep(US_PER_MS);
+	}
+}
+
+/*
+ * Have a revocation go to all daemons.
+ */
+static void
+add_daemons(const bed_t *bed, msg_t *msg)
+{
+	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
+	uint32_t i;
+
+	wanted->n_daemons = bed->daemons_count;
+	wanted->daemons = arena_zalloc(
+	    msg->arena, sizeof(Bp__DaemonRecord *) * bed->daemons_count);
+	for (i = 0; i < bed->daemons_count; i++) {
+		Bp__DaemonRecord *record = (Bp__DaemonRecord *)message_new(
+		    msg->arena, &bp__daemon_record__descriptor);
+
+		record->name = arena_strdup(msg->arena, bed->daemons[i].name);
+		record->address =
+		    arena_strdup(msg->arena, bed->daemons[i].address);
+		wanted->daemons[i] = record;
+	}
+}
+
+/*
+ * Ask for the revocation of the leases of all daemons.
+ */
+static void
+bed_revoke(const bed_t *bed)
+{
+	msg_t *msg = msg_new(&bp__revoke_wanted__descriptor);
+	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
+
+	wanted->group = arena_strdup(msg->arena, GROUP);
+	wanted->term = TERM;
+	wanted->token = TOKEN;
+	add_daemons(bed, msg);
+	task_send(bed->proxy.peers, NULL, msg);
+}
+
+typedef struct unheard_case {
+	const char *name;
+	const char *daemons;   /* as in bed_start() */
+	knowledge_t knowledge; /* of those that do not answer */
+	bool most;             /* a majority answers nevertheless */
+} unheard_case_t;
+
+static const unheard_case_t unheard_cases[] = {
+    {"a lease", "af", {0}, true},
+    {"a lease, reset", "ay", {0}, true},
+    {"a lease, reset at once", "ax", {0}, true},
+    {"a newer token", "f", {.token = TOKEN + 75}, false},
+    {"a newer token, one of three answers", "aff", {.token = TOKEN + 75},
+	false},
+    {"a newer token, reset", "ayy", {.token = TOKEN + 75}, false},
+    {"an order", "aff", {.order_term = 4}, false},
+    {"an order, reset", "ayy", {.order_term = 4}, false},
+    {"a newer term", "aff", {.newest_term = 3}, false},
+    {"a newer term, reset", "ayy", {.newest_term = 3}, false},
+    {"the majority", "ff", {0}, false},
+    {"the majority of five", "afff", {0}, false},
+    {"the majority, refused and reset", "afxy", {0}, false},
+};
+
+/*
+ * Test that what a daemon holds or knows whose connection is refused or reset
+ * is not passed over: a majority counts only those that have answered, all are
+ * reported only once it has, and it is asked again soon after the refusal has
+ * ended.  No order is sent before a majority is reported.
+ */
+static void
+test_unheard(gconstpointer data)
+{
+	const unheard_case_t *c = data;
+	const knowledge_t *told;
+	bed_t bed;
+	int64_t ended_us;
+	uint32_t i;
+
+	bed_start(&bed, c->daemons, &c->knowledge);
+	bed_revoke(&bed);
+	bed_run(&bed, REFUSED_MS, false);
+	g_test_message("meanwhile: most %d, all %d, outdated %d",
+	    bed.reported.most, bed.reported.all, bed.reported.outdated);
+	g_assert_cmpint(bed.reported.most, ==, c->most);
+	g_assert_false(bed.reported.all);
+	g_assert_false(bed.reported.outdated);
+	for (i = 0; i < bed.daemons_count; i++) {
+		bed.daemons[i].resets = bed.daemons[i].resets_asked = false;
+		daemon_listen(&bed.daemons[i]);
+	}
+	ended_us = clock_us();
+	bed_run(&bed, ASKED_AGAIN_MS, true);
+	told = &bed.reported.knowledge;
+	g_test_message("%" G_GINT64_FORMAT " ms later: most %d, all %d, "
+		       "outdated %d, token %" G_GUINT64_FORMAT
+		       ", newest term %" G_GUINT64_FORMAT
+		       ", order %" G_GUINT64_FORMAT,
+	    (clock_us() - ended_us) / US_PER_MS, bed.reported.most,
+	    bed.reported.all, bed.reported.outdated, told->token,
+	    told->newest_term, told->order_term);
+	g_assert_cmpint(bed.reported.outdated, ==, c->knowledge.token > TOKEN);
+	g_assert_cmpint(bed.reported.all, ==, c->knowledge.token <= TOKEN);
+	g_assert_cmpuint(told->token, ==, c->knowledge.token);
+	g_assert_cmpuint(told->newest_term, ==, c->knowledge.newest_term);
+	g_assert_cmpuint(told->order_term, ==, c->knowledge.order_term);
+	bed_stop(&bed);
+}
+
+/* An attempt with standing promises, to replace the primary of term 1. */
+#define STANDING_TERM ((UINT64_C(1) << 20) | 1)
+
+/*
+ * Drop a message.
+ */
+static void
+drop(void *context, msg_t *msg)
+{
+	(void)context;
+	msg_free(msg);
+}
+
+/*
+ * Pass a revocation on to the peers task, for all daemons.
+ */
+static void
+pass_revocation(void *context, msg_t *msg)
+{
+	const bed_t *bed = context;
+
+	add_daemons(bed, msg);
+	task_send(bed->proxy.peers, NULL, msg);
+}
+
+static const task_handler_t passing_handlers[] = {
+    {&bp__revoke_wanted__descriptor, pass_revocation},
+};
+static const task_handler_t pool_handlers[] = {
+    {&bp__duty_changed__descriptor, drop},
+    {&bp__promotion_ended__descriptor, drop},
+    {&bp__orders_read__descriptor, drop},
+    {&bp__attempts_void__descriptor, drop},
+    {&bp__store_away__descriptor, drop},
+};
+static const task_ops_t passing_ops = {
+    "passing", NULL, NULL, passing_handlers, G_N_ELEMENTS(passing_handlers)};
+static const task_ops_t fake_pool_ops = {
+    "pool", NULL, NULL, pool_handlers, G_N_ELEMENTS(pool_handlers)};
+
+/*
+ * Leave a write of the record without an answer.
+ */
+static void
+put_coordinator(object_store_t *store, const char *name, uint64_t revision,
+    const Bp__DutyRecord *record, object_store_cb callback, void *context)
+{
+	(void)store;
+	(void)name;
+	(void)revision;
+	(void)record;
+	(void)callback;
+	(void)context;
+}
+
+static const object_store_ops_t silent_store = {
+    .put_coordinator = put_coordinator};
+
+/* The platform, which counts the orders. */
+struct promoter {
+	bed_t *bed;
+};
+
+/*
+ * Note an order.
+ */
+static void
+promote(promoter_t *promoter, const char *group, const char *server,
+    const char *holder, uint64_t token, promoter_cb callback, void *context)
+{
+	(void)group;
+	(void)server;
+	(void)holder;
+	(void)token;
+	(void)callback;
+	(void)context;
+	promoter->bed->orders++;
+}
+
+static const promoter_ops_t counting_promoter = {.promote = promote};
+
+/*
+ * Start the registry of a coordinator that does not reach the store, and has
+ * sent an order under its token before.
+ */
+static void
+bed_start_registry(bed_t *bed)
+{
+	bed->registry_proxy = bed->proxy;
+	bed->registry_proxy.objects = &silent_store;
+	bed->registry_proxy.promoter = &counting_promoter;
+	bed->registry_proxy.pool =
+	    task_new_hosted(&fake_pool_ops, NULL, bed->host);
+	bed->registry_proxy.peers =
+	    task_new_hosted(&passing_ops, bed, bed->host);
+	bed->registry = registry_new(&bed->registry_proxy);
+	bed->registry->task = bed->proxy.registry;
+	bed->registry->promoter = g_new0(promoter_t, 1);
+	bed->registry->promoter->bed = bed;
+	bed->registry->heartbeats = g_hash_table_new(g_str_hash, g_str_equal);
+	bed->registry->daemons_listed = true;
+	bed->registry->fencing_token = TOKEN;
+	bed->registry->order_sent = true;
+	bed->registry->daemons_list_failed = true;
+}
+
+/*
+ * Stop and free the registry.
+ */
+static void
+bed_stop_registry(bed_t *bed)
+{
+	promotions_stop(bed->registry);
+	restore_stop(bed->registry);
+	g_hash_table_unref(bed->registry->heartbeats);
+	g_free(bed->registry->promoter);
+	registry_free(bed->registry);
+	task_free(bed->registry_proxy.peers);
+	task_free(bed->registry_proxy.pool);
+}
+
+/*
+ * Ask for an order that was decided now.
+ */
+static void
+want_order(bed_t *bed)
+{
+	msg_t *msg = msg_new(&bp__promotion_wanted__descriptor);
+	Bp__PromotionWanted *wanted = (Bp__PromotionWanted *)msg->body;
+
+	wanted->group = arena_strdup(msg->arena, GROUP);
+	wanted->server = arena_strdup(msg->arena, "s-1");
+	wanted->term = STANDING_TERM;
+	wanted->replaced_term = 1;
+	wanted->heard_us = wanted->decided_us = (uint64_t)clock_us();
+	wanted->heard_token = TOKEN;
+	promotion_wanted(bed->registry, msg);
+}
+
+typedef struct order_case {
+	const char *name;
+	const char *daemons;   /* as in bed_start() */
+	knowledge_t knowledge; /* of those that do not answer */
+	uint32_t orders;       /* expected to be sent */
+} order_case_t;
+
+static const order_case_t order_cases[] = {
+    {"most answer", "aaff", {0}, 1},
+    {"the majority", "ff", {0}, 0},
+    {"a newer token", "aff", {.token = TOKEN + 75}, 0},
+    {"a newer token, reset", "ayy", {.token = TOKEN + 75}, 0},
+    {"an order", "aff", {.order_term = 4}, 0},
+    {"a newer term", "aff", {.newest_term = 3}, 0},
+};
+
+/*
+ * Test that a coordinator that does not reach the store sends no order where
+ * too few daemons answer to rule out a newer token, term or order.
+ */
+static void
+test_order(gconstpointer data)
+{
+	const order_case_t *c = data;
+	bed_t bed;
+
+	bed_start(&bed, c->daemons, &c->knowledge);
+	bed_start_registry(&bed);
+	want_order(&bed);
+	bed_run(&bed, REFUSED_MS, false);
+	g_test_message("%u orders sent", bed.orders);
+	g_assert_cmpuint(bed.orders, ==, c->orders);
+	g_assert_cmpuint(bed.registry->fencing_token, ==, TOKEN);
+	bed_stop_registry(&bed);
+	bed_stop(&bed);
+}
+
+/*
+ * Register the tests and run them.
+ */
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions(); /* run every case */
+	CASES("/peers/unheard", unheard_cases, test_unheard);
+	CASES("/peers/order", order_cases, test_order);
+	return g_test_run();
+}
