Tests: a primary to which something resets connections, whether it has ended or runs

/refused/reset had rows of a primary that has ended. One that runs and reaches the other databases is replaced as well.

--- a/tests/fake/testbed.c
+++ b/tests/fake/testbed.c
@@ -142,6 +142,17 @@
 	relay_refuse(testbed->database_relays[proxy][database], refuses);
 }
 
+/*
+ * Reset the connections of a proxy to a database, or end that.
+ */
+void
+testbed_reset(
+    testbed_t *testbed, uint32_t proxy, uint32_t database, bool resets)
+{
+	g_assert_true(testbed->plan.own_relays);
+	relay_reset(testbed->database_relays[proxy][database], resets);
+}
+
 /*
  * Refuse the connections of a proxy to another one, or end that.
  */
--- a/tests/fake/testbed.h
+++ b/tests/fake/testbed.h
@@ -77,6 +77,7 @@
 void testbed_cut_off(testbed_t *, uint32_t proxy, bool cut);
 void testbed_refuse(
     testbed_t *, uint32_t proxy, uint32_t database, bool refuses);
+void testbed_reset(testbed_t *, uint32_t proxy, uint32_t database, bool resets);
 void testbed_refuse_daemon(
     testbed_t *, uint32_t proxy, uint32_t other, bool refuses);
 void testbed_reset_daemon(
--- a/tests/t_refused.c
+++ b/tests/t_refused.c
@@ -538,30 +538,36 @@
 
 typedef struct reset_case {
 	const char *name;
+	bool ended; /* the primary has ended */
 	bool entry_gone;
-	int64_t served_ms; /* latest time until writes are served again */
 } reset_case_t;
 
 static const reset_case_t reset_cases[] = {
-    {"its entry stays", false, RESET_FAILOVER_MS},
-    {"its entry is gone", true, RESET_FAILOVER_MS},
+    {"it has ended", true, false},
+    {"it has ended, its entry is gone", true, true},
+    {"it runs", false, false},
 };
 
 /*
- * Test that a primary that has ended is replaced if something between, here the
- * relays, accepts the connections to it and resets them.
+ * Test that a primary that no daemon reaches is replaced where something
+ * between accepts the connections to it and resets them at once.  It reaches
+ * the other databases.
  */
 static void
 test_reset(gconstpointer data)
 {
 	const reset_case_t *c = data;
 	bed_t *bed = bed_start();
+	uint32_t i;
 
 	g_assert_true(served_again(bed, SERVED_AGAIN_MS));
-	inject_fault(bed, PRIMARY, "crash");
+	if (c->ended)
+		inject_fault(bed, PRIMARY, "crash");
 	if (c->entry_gone)
 		inject_fault(bed, PRIMARY, "unlist");
-	g_assert_true(served_again(bed, c->served_ms));
+	for (i = 0; i < PROXIES; i++)
+		testbed_reset(bed->testbed, i, 0, true);
+	g_assert_true(served_again(bed, RESET_FAILOVER_MS));
 	check_promoted(bed, true);
 	check_one_primary(bed);
 	bed_stop(bed);
