--- a/src/decide/contact.c
+++ b/src/decide/contact.c
@@ -10,7 +10,7 @@
 contact_t
 contact_ended(bool opened, int32_t error)
 {
-	if (opened)
+	if (opened || error == -ECONNRESET)
 		return CONTACT_RESET;
 	return error == -ECONNREFUSED ? CONTACT_REFUSED : CONTACT_SILENT;
 }
--- a/src/decide/contact.h
+++ b/src/decide/contact.h
@@ -12,7 +12,7 @@
 typedef enum contact {
 	CONTACT_SILENT,   /* nothing has come, or it cannot be reached */
 	CONTACT_REFUSED,  /* the connection was refused */
-	CONTACT_RESET,    /* the connection was opened, and has ended */
+	CONTACT_RESET,    /* it was reset, or has ended after it was opened */
 	CONTACT_ANSWERED, /* the process itself has answered */
 } contact_t;
 
