Revocation: only the latest one of a group is repeated

An attempt that was given up had its revocation repeated for up to 2.5 s, beside that of the next one, and began a block anew at a daemon that could be reached again (found in the review of the class; by reading, a lease is missed for seconds).

/peers/superseded: without the change the daemon is asked for both.

--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -511,6 +511,23 @@
 	target_connect(target);
 }
 
+/*
+ * Ask no daemon again for the revocations of a group so far, since another one
+ * begins.
+ */
+static void
+stop_retries(const peers_t *peers, const char *group)
+{
+	GList *l;
+
+	for (l = peers->revocations; l != NULL; l = l->next) {
+		revocation_t *revocation = l->data;
+
+		if (strcmp(revocation->group, group) == 0)
+			source_clear(&revocation->retry_timer);
+	}
+}
+
 /*
  * Handle RevokeWanted: start a revocation at all other daemons that the message
  * lists.
@@ -550,8 +567,9 @@
 	    g_array_new(FALSE, FALSE, sizeof(revocation_target_t));
 	revocation->timeout = task_timer(
 	    peers->task, REVOCATION_TIMEOUT_MS, on_timeout, revocation);
-	/* the requester repeats those that revoke no lease, or tell of a term
-	 */
+	if (wanted->term != 0)
+		stop_retries(peers, wanted->group);
+	/* the requester repeats what it only asks, or tells of a term */
 	if (wanted->term != 0 && !wanted->begun)
 		revocation->retry_timer = task_timer(
 		    peers->task, TARGET_RETRY_MS, on_retry, revocation);
--- a/tests/t_unheard.c
+++ b/tests/t_unheard.c
@@ -45,6 +45,7 @@
 	bool resets;          /* its connections are reset at once */
 	bool resets_asked;    /* they are when something has been asked */
 	knowledge_t knowledge;
+	uint32_t asked;   /* number of revocations that have reached it */
 	GPtrArray *links; /* of daemon_link_t */
 } daemon_t;
 
@@ -139,7 +140,7 @@
 static void
 on_link_received(void *context, arena_t *arena, Bp__PeerMessage *asked)
 {
-	const daemon_link_t *link = context;
+	daemon_link_t *link = context;
 	const knowledge_t *knowledge = &link->daemon->knowledge;
 	Bp__PeerMessage message = BP__PEER_MESSAGE__INIT;
 	Bp__LeaseRevoked revoked = BP__LEASE_REVOKED__INIT;
@@ -147,8 +148,9 @@
 
 	g_assert_cmpint(
 	    asked->body_case, ==, BP__PEER_MESSAGE__BODY_LEASE_REVOKE);
+	link->daemon->asked++;
 	if (link->daemon->resets_asked) {
-		g_ptr_array_remove_fast(link->daemon->links, context);
+		g_ptr_array_remove_fast(link->daemon->links, link);
 		arena_free(arena);
 		return;
 	}
@@ -334,16 +336,16 @@
 }
 
 /*
- * Ask for the revocation of the leases of all daemons.
+ * Ask for the revocation of the leases of all daemons on a group.
  */
 static void
-bed_revoke(const bed_t *bed)
+bed_revoke(const bed_t *bed, const char *group, uint64_t term)
 {
 	msg_t *msg = msg_new(&bp__revoke_wanted__descriptor);
 	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
 
-	wanted->group = arena_strdup(msg->arena, GROUP);
-	wanted->term = TERM;
+	wanted->group = arena_strdup(msg->arena, group);
+	wanted->term = term;
 	wanted->token = TOKEN;
 	add_daemons(bed, msg);
 	task_send(bed->proxy.peers, NULL, msg);
@@ -389,7 +391,7 @@
 	uint32_t i;
 
 	bed_start(&bed, c->daemons, &c->knowledge);
-	bed_revoke(&bed);
+	bed_revoke(&bed, GROUP, TERM);
 	bed_run(&bed, REFUSED_MS, false);
 	g_test_message("meanwhile: most %d, all %d, outdated %d",
 	    bed.reported.most, bed.reported.all, bed.reported.outdated);
@@ -418,6 +420,40 @@
 	bed_stop(&bed);
 }
 
+typedef struct superseded_case {
+	const char *name;
+	const char *group; /* of a later revocation */
+	uint32_t asked;    /* revocations that reach the daemon in the end */
+} superseded_case_t;
+
+static const superseded_case_t superseded_cases[] = {
+    {"by one of the same group", GROUP, 1},
+    {"not by one of another group", "other", 2},
+};
+
+/*
+ * Test that a daemon whose connection was refused is asked again for the latest
+ * revocation of a group alone.
+ */
+static void
+test_superseded(gconstpointer data)
+{
+	const superseded_case_t *c = data;
+	const knowledge_t nothing = {0};
+	bed_t bed;
+
+	bed_start(&bed, "f", &nothing);
+	bed_revoke(&bed, GROUP, TERM);
+	bed_run(&bed, REFUSED_MS, false);
+	bed_revoke(&bed, c->group, TERM + 1);
+	bed_run(&bed, REFUSED_MS, false);
+	daemon_listen(&bed.daemons[0]);
+	bed_run(&bed, ASKED_AGAIN_MS, false);
+	g_assert_cmpuint(bed.daemons[0].asked, ==, c->asked);
+	g_assert_true(bed.reported.all);
+	bed_stop(&bed);
+}
+
 /* An attempt with standing promises, to replace the primary of term 1. */
 #define STANDING_TERM ((UINT64_C(1) << 20) | 1)
 
@@ -603,6 +639,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions(); /* run every case */
 	CASES("/peers/unheard", unheard_cases, test_unheard);
+	CASES("/peers/superseded", superseded_cases, test_superseded);
 	CASES("/peers/order", order_cases, test_order);
 	return g_test_run();
 }
