--- a/src/decide/revocation.h
+++ b/src/decide/revocation.h
@@ -23,7 +23,6 @@
 typedef struct revocation_count {
 	uint32_t daemons;
 	uint32_t answered;
-	uint32_t refused;        /* of those, the connection was refused */
 	uint32_t token_recorded; /* of those that have answered */
 	uint32_t holders_left;   /* may hold leases, and have not answered */
 } revocation_count_t;
