--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	proxy_model_lists proxy_model_members proxy_model_reads \
 	proxy_model_records proxy_model_role \
 	proxy_model_sequences \
-	quantile queuesim read_model read_model_dbs)
+	quantile queuesim read_model read_model_dbs read_plan)
 FAKES = $(BUILD)/fakedb $(BUILD)/fakeplatform $(BUILD)/fakesite
 
 all: $(BIN) $(FAKES)
--- a/tests/t_read_model.c
+++ b/tests/t_read_model.c
@@ -1,4 +1,4 @@
-#include "../tools/read_model.h"
+#include "../tools/read_plan.h"
 #include "cases.h"
 
 /*
@@ -150,6 +150,51 @@
 	check_troubles(&c->troubles, &sum);
 }
 
+typedef struct drawn_case {
+	const char *name;
+	uint32_t first_seed;
+	uint32_t seeds;
+	read_model_bug_t injected_bug;
+} drawn_case_t;
+
+static const drawn_case_t drawn_cases[] = {
+    {"right", 1, 100, READ_BUG_NONE},
+    {"a sample without a lease", 1, 40, READ_BUG_SAMPLE_WITHOUT_LEASE},
+    {"no floor", 1, 40, READ_BUG_NO_FLOOR},
+    {"a read without a position", 1, 40, READ_BUG_NO_POSITION},
+};
+
+/*
+ * Test that drawn plans cause no stale read, and that with a wrong rule at
+ * least one of them does.
+ */
+static void
+test_drawn_plans(gconstpointer data)
+{
+	const drawn_case_t *c = data;
+	uint32_t seed, broken = 0;
+
+	for (seed = c->first_seed; seed < c->first_seed + c->seeds; seed++) {
+		GString *text = g_string_new(NULL);
+		read_model_plan_t plan;
+		read_model_result_t result;
+
+		read_plan_draw(seed, &plan);
+		plan.injected_bug = c->injected_bug;
+		read_model_run(&plan, &result);
+		read_plan_print(&plan, text);
+		if (read_model_violations(&result) > 0) {
+			broken++;
+			g_test_message("%s", text->str);
+		}
+		g_string_free(text, TRUE);
+	}
+	if (c->injected_bug == READ_BUG_NONE)
+		g_assert_cmpuint(broken, ==, 0);
+	else
+		g_assert_cmpuint(broken, >, 0);
+}
+
 typedef struct wrong_case {
 	const char *name;
 	read_model_bug_t injected_bug;
@@ -236,6 +281,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions(); /* run every case */
 	CASES("/readmodel/right", right_cases, test_right_rules);
+	CASES("/readmodel/drawn", drawn_cases, test_drawn_plans);
 	CASES("/readmodel/wrong", wrong_cases, test_wrong_rules);
 	return g_test_run();
 }
--- a/tools/hunt_model.c
+++ b/tools/hunt_model.c
@@ -1,6 +1,7 @@
 #include "../src/decide/decide.h"
 #include "model_plan.h"
 #include "model_pool.h"
+#include "read_plan.h"
 
 #include <argtable2.h>
 #include <stdio.h>
@@ -11,7 +12,8 @@
  * each that violates an invariant.  The seed of a play determines it; --play
  * repeats one.  --reduce takes troubles away from the plan of a seed as long as
  * it still violates one, and counts the seeds that do with what is left.
- * --reads adds reads that replicas may serve to each plan.
+ * --reads adds reads that replicas may serve to each plan.  --read-model plays
+ * drawn plans of the read model instead, in one process.
  */
 
 /* Processors that are left to others. */
@@ -302,6 +304,51 @@
 	return !breaks(&result);
 }
 
+/*
+ * Play drawn plans of the read model from a seed on.  Returns whether no read
+ * lacked a commit which it had to see.
+ */
+static bool
+search_read_model(uint32_t seed, uint64_t plays, int64_t duration_us)
+{
+	int64_t until_us = g_get_monotonic_time() + duration_us;
+	uint64_t reads[READ_ROUTES] = {0}, played = 0, broken = 0, i;
+	uint64_t by_replicas = 0, changes = 0;
+
+	for (; played < plays && g_get_monotonic_time() < until_us; played++) {
+		GString *text = g_string_new(NULL);
+		read_model_plan_t plan;
+		read_model_result_t result;
+
+		read_plan_draw(seed + (uint32_t)played, &plan);
+		read_model_run(&plan, &result);
+		by_replicas += result.replica_reads;
+		changes += result.changes;
+		for (i = 0; i < READ_ROUTES; i++)
+			reads[i] += result.reads[i];
+		read_plan_print(&plan, text);
+		if (read_model_violations(&result) > 0) {
+			broken++;
+			printf("BROKEN: stale %" G_GUINT64_FORMAT
+			       " primary, %" G_GUINT64_FORMAT
+			       " bounded, %" G_GUINT64_FORMAT " own; %s\n",
+			    result.stale[READ_ROUTE_PRIMARY],
+			    result.stale[READ_ROUTE_BOUNDED],
+			    result.stale[READ_ROUTE_OWN], text->str);
+		}
+		g_string_free(text, TRUE);
+	}
+	printf("read model, from seed %u: %" G_GUINT64_FORMAT
+	       " plays, %" G_GUINT64_FORMAT " broken; reads %" G_GUINT64_FORMAT
+	       " primary, %" G_GUINT64_FORMAT " bounded, %" G_GUINT64_FORMAT
+	       " own, %" G_GUINT64_FORMAT " by replicas; %" G_GUINT64_FORMAT
+	       " changes of primary\n",
+	    seed, played, broken, reads[READ_ROUTE_PRIMARY],
+	    reads[READ_ROUTE_BOUNDED], reads[READ_ROUTE_OWN], by_replicas,
+	    changes);
+	return broken == 0;
+}
+
 /*
  * Search, or repeat or reduce one play.  Exits 1 if an invariant was violated.
  */
@@ -316,9 +363,10 @@
 	struct arg_int *reduced = arg_int0(NULL, "reduce", "SEED", NULL);
 	struct arg_int *seeds = arg_int0(NULL, "reduce-seeds", "N", NULL);
 	struct arg_int *reads = arg_int0(NULL, "reads", "PERMILLE", NULL);
+	struct arg_lit *read_model = arg_lit0(NULL, "read-model", NULL);
 	struct arg_end *end = arg_end(4);
-	void *table[] = {
-	    seed, seconds, plays, jobs, played, reduced, seeds, reads, end};
+	void *table[] = {seed, seconds, plays, jobs, played, reduced, seeds,
+	    reads, read_model, end};
 	uint32_t processes, reads_permille;
 
 	seed->ival[0] = 1;
@@ -335,6 +383,12 @@
 	}
 	processes = (uint32_t)jobs->ival[0];
 	reads_permille = (uint32_t)reads->ival[0];
+	if (read_model->count > 0)
+		return search_read_model((uint32_t)seed->ival[0],
+			   (uint64_t)plays->ival[0],
+			   seconds->ival[0] * US_PER_SECOND)
+		    ? 0
+		    : 1;
 	if (played->count > 0)
 		return play((uint32_t)played->ival[0], reads_permille) ? 0 : 1;
 	if (reduced->count > 0)
