Model: connections between daemons that are refused or reset

Cause: a daemon of the proxy model that did not reach the others was silent, so no play showed that a refusal counted as a revoked lease; and the model counted the answers to a revocation by its own rule.

Change: something between refuses or resets the connections of some daemons to others for 1 to 5 s, both ways or one way, while the primary may be cut off from some daemons, and some may not reach the store. A reset loses the request, or its answer alone. A daemon that starts again refuses. The model counts with src/decide/revocation.c, also for the confirmation of a token, and asks daemons whose connection has ended again while the revocation lasts. Answers count for the revocation that they belong to, as in the daemon; before, answers to an earlier one of the same term counted again, so plays with many changes of primary take another course. The requests are in proxy_model_peers.c.

--- a/tests/proxy_model_cases.h
+++ b/tests/proxy_model_cases.h
@@ -92,7 +92,7 @@
 	    troubles->member_restart_permille + troubles->leaving_permille +
 	    troubles->lapse_permille + troubles->refused_permille +
 	    troubles->crash_permille + troubles->most_refused_permille +
-	    troubles->members.permille >
+	    troubles->peers.permille + troubles->members.permille >
 	    0;
 }
 
--- a/tools/model_plan.c
+++ b/tools/model_plan.c
@@ -71,15 +71,22 @@
     FIELD(troubles.members.told, 1, 1, 1),
     FIELD(troubles.members.wait_us, 1, 16, US_PER_SECOND),
     FIELD(troubles.members.first_unrecorded, 1, 1, 1),
+    FIELD(troubles.peers.permille, 1, 8, 1),
+    FIELD(troubles.peers.reset_permille, 100, 1000, 1),
+    FIELD(troubles.peers.one_way_permille, 100, 1000, 1),
+    FIELD(troubles.peers.store_cut_permille, 100, 1000, 1),
 };
 
 #define FIRST_MEMBERS_FIELD \
 	offsetof(proxy_model_plan_t, troubles.members.permille)
 
+#define FIRST_PEERS_FIELD offsetof(proxy_model_plan_t, troubles.peers.permille)
+
 /* Chances that a field is drawn; each plan has one of them. */
 static const uint32_t chances_permille[] = {40, 80, 160, 320};
 
-/* Chances of faults, and of the fields of a change of the members. */
+/* Chances of faults, and of the fields of a change of the members and of
+   refused connections between daemons. */
 #define FAULT_CHANCE_PERMILLE 950
 #define MEMBERS_CHANCE_PERMILLE 250
 #define DETAIL_CHANCE_PERMILLE 350
@@ -203,6 +210,9 @@
 	/* the sequences are of a sender, its successor and another daemon */
 	if (plan->daemons < SEQUENCE_DAEMONS)
 		plan->order_late_permille = plan->sender_paused_permille = 0;
+	/* these tell how connections between daemons are refused */
+	if (troubles->peers.permille == 0)
+		troubles->peers = (proxy_model_peers_refused_t){0};
 	/* a daemon is alone with a primary that is cut off, or as its record
 	   or entry in the store changes */
 	if (plan->primary_cut_permille + plan->placement_permille +
@@ -267,9 +277,8 @@
 		return FAULT_CHANCE_PERMILLE;
 	if (field->offset_bytes == FIRST_MEMBERS_FIELD)
 		return MEMBERS_CHANCE_PERMILLE;
-	return field->offset_bytes > FIRST_MEMBERS_FIELD
-	    ? DETAIL_CHANCE_PERMILLE
-	    : chance_permille;
+	return field->offset_bytes > FIRST_PEERS_FIELD ? DETAIL_CHANCE_PERMILLE
+						       : chance_permille;
 }
 
 /*
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -389,100 +389,6 @@
 	    model, daemon, event->db, view.last_entry, event->sent_us);
 }
 
-/*
- * Revoke a daemon's own lease of a term below the given one, and ask all other
- * daemons to revoke theirs.
- */
-static void
-revoke_leases(
-    proxy_model_t *model, uint32_t daemon_index, uint64_t term, bool begun)
-{
-	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
-	event_t event = {.kind = EVENT_REVOKE,
-	    .daemon = daemon_index,
-	    .term = term,
-	    .ok = begun,
-	    .token = daemon->fencing_token};
-	uint32_t i;
-
-	lease_revoke(&daemon->lease, term, model->now_us);
-	if (model->plan->injected_bug != PROXY_BUG_OPEN_ORDERS_UNTOLD)
-		proxy_model_open_list(model, daemon, &event.open);
-	daemon->revocation_term = term;
-	daemon->revocation_answers = 1;
-	daemon->holders_left =
-	    (begun || event.open.count > 0
-		    ? UINT32_MAX >> (32 - model->plan->daemons)
-		    : proxy_model_holders(model, daemon_index)) &
-	    ~(UINT32_C(1) << daemon_index);
-	for (i = 0; i < model->plan->daemons; i++) {
-		event.peer = i;
-		if (i != daemon_index)
-			proxy_model_schedule(model,
-			    proxy_model_random_us(model, NETWORK_DELAY_MAX_US),
-			    &event);
-	}
-}
-
-/*
- * Handle a revocation from a daemon that is changing the primary.  The answer
- * is negative if a newer fencing token than the sender's is known.
- */
-static void
-on_revoke(proxy_model_t *model, const event_t *event)
-{
-	proxy_model_daemon_t *daemon = &model->daemons[event->peer];
-	event_t answer = *event;
-
-	if (model->now_us < daemon->daemons_cut_until_us)
-		return;
-	answer.kind = EVENT_REVOKED;
-	answer.ok = daemon->newest_token_seen <= event->token;
-	answer.view.term = lease_newest_term(&daemon->lease);
-	if (answer.ok) {
-		proxy_model_open_told(model, daemon, &event->open);
-		proxy_model_open_list(model, daemon, &answer.open);
-	}
-	daemon->newest_token_seen =
-	    MAX(daemon->newest_token_seen, event->token);
-	lease_revoke(&daemon->lease, event->term, model->now_us);
-	if (event->ok)
-		lease_term_begun(&daemon->lease, event->term);
-	proxy_model_schedule(
-	    model, proxy_model_random_us(model, NETWORK_DELAY_MAX_US), &answer);
-	if (answer.ok)
-		proxy_model_members_revoked(model, event->peer);
-}
-
-/*
- * Handle a peer's answer to a revocation.  A negative one means that another
- * daemon has become coordinator: give up the role.
- */
-static void
-on_revoked(proxy_model_t *model, const event_t *event)
-{
-	proxy_model_daemon_t *daemon = &model->daemons[event->daemon];
-	uint32_t daemons_count = model->plan->daemons;
-
-	if (event->term != daemon->revocation_term)
-		return;
-	if (!event->ok) {
-		daemon->is_coordinator = false;
-		failover_superseded(
-		    &daemon->failover, event->term, model->now_us);
-		return;
-	}
-	failover_term_reported(
-	    &daemon->failover, event->view.term, model->now_us);
-	if (proxy_model_open_told(model, daemon, &event->open))
-		failover_superseded(
-		    &daemon->failover, event->term, model->now_us);
-	daemon->holders_left &= ~(UINT32_C(1) << event->peer);
-	if (++daemon->revocation_answers >= majority_of(daemons_count))
-		failover_leases_revoked(&daemon->failover, event->term,
-		    daemon->holders_left == 0, model->now_us);
-}
-
 /*
  * Tell whether no order of a former coordinator may take effect any more.
  */
@@ -536,14 +442,15 @@
 
 	switch (action->kind) {
 	case FAILOVER_REVOKE_LEASES:
-		revoke_leases(model, daemon_index, action->term, false);
+		proxy_model_revoke(model, daemon_index, action->term, false);
 		break;
 	case FAILOVER_ANNOUNCE_TERM:
 		if (model->plan->injected_bug == PROXY_BUG_NO_NOTICE)
 			failover_leases_revoked(&daemon->failover, action->term,
 			    true, model->now_us);
 		else
-			revoke_leases(model, daemon_index, action->term, true);
+			proxy_model_revoke(
+			    model, daemon_index, action->term, true);
 		break;
 	case FAILOVER_ASK_WITNESS:
 		failover_witness_answered(&daemon->failover,
@@ -715,8 +622,9 @@
 	daemon->daemons_cut_until_us = before.daemons_cut_until_us;
 	daemon->record_leases = before.record_leases;
 	daemon->process = before.process + 1;
-	daemon->paused_until_us = model->now_us +
+	daemon->restarting_until_us = model->now_us +
 	    proxy_model_random_us(model, RESTART_DURATION_MAX_US);
+	daemon->paused_until_us = daemon->restarting_until_us;
 }
 
 /*
@@ -848,6 +756,7 @@
 		proxy_model_db_troubles(model);
 		proxy_model_list_troubles(model);
 		proxy_model_member_restarts(model);
+		proxy_model_peer_troubles(model);
 	}
 	proxy_model_schedule(model, TICK_US, event);
 }
@@ -886,10 +795,16 @@
 		on_answer(model, event);
 		break;
 	case EVENT_REVOKE:
-		on_revoke(model, event);
+		proxy_model_asked_to_revoke(model, event);
 		break;
 	case EVENT_REVOKED:
-		on_revoked(model, event);
+		proxy_model_revoked(model, event);
+		break;
+	case EVENT_PEER_CLOSED:
+		proxy_model_peer_closed(model, event);
+		break;
+	case EVENT_REVOKE_AGAIN:
+		proxy_model_revoke_again(model, event);
 		break;
 	case EVENT_COORDINATOR_WRITTEN:
 		proxy_model_order_written(model, event);
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -151,6 +151,13 @@
 	PROXY_BUG_READ_WITHOUT_POSITION,
 	/* reads of sessions that must see their own writes have no floor */
 	PROXY_BUG_READ_WITHOUT_FLOOR,
+	/* a daemon that refuses a connection counts as one that has revoked its
+	   lease */
+	PROXY_BUG_REFUSED_REVOKED,
+	/* so does one whose connection is reset */
+	PROXY_BUG_RESET_REVOKED,
+	/* a daemon that refuses a connection holds no lease */
+	PROXY_BUG_REFUSED_HOLDS_NOTHING,
 } proxy_model_bug_t;
 
 /* Places where an order to promote a database may be held up. */
@@ -189,6 +196,17 @@
 	bool just_started;
 } proxy_model_members_change_t;
 
+/* Connections between daemons that something between refuses, for seconds. */
+typedef struct proxy_model_peers_refused {
+	uint32_t permille;       /* chance per 20 ms that it begins */
+	uint32_t reset_permille; /* chance that it resets them instead */
+	/* chance that those of some daemons to others are refused, and not
+	   those of the others to them */
+	uint32_t one_way_permille;
+	/* chance that some daemons do not reach the store meanwhile */
+	uint32_t store_cut_permille;
+} proxy_model_peers_refused_t;
+
 /* Troubles that are drawn at random; chances are 0 if not set. */
 typedef struct proxy_model_troubles {
 	/* chance that an order is held up in each place; the sender may pause,
@@ -220,6 +238,8 @@
 	   primary and other databases, most of which refuse the other daemons
 	   and have no entry */
 	uint32_t most_refused_permille;
+	/* the primary may be cut off from some daemons meanwhile */
+	proxy_model_peers_refused_t peers;
 	proxy_model_members_change_t members;
 } proxy_model_troubles_t;
 
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -5,6 +5,7 @@
 #include "../src/decide/failover.h"
 #include "../src/decide/open_orders.h"
 #include "../src/decide/replica.h"
+#include "../src/decide/revocation.h"
 #include "../src/decide/session_floors.h"
 #include "eventq.h"
 #include "proxy_model.h"
@@ -14,6 +15,7 @@
  * proxy_model_records.c: the daemons' records in the store, which say who may
  * hold leases.
  * proxy_model_role.c: the coordinator role.
+ * proxy_model_peers.c: requests between daemons, and what may refuse them.
  * proxy_model_orders.c: orders to promote a database.
  * proxy_model_open.c: the orders that may still take effect.
  * proxy_model_lists.c: the lists of the databases, and what has ended.
@@ -191,14 +193,17 @@
 	bool status_pending[DBS_MAX];
 	int64_t connected_us[DBS_MAX]; /* time the connection was opened */
 	uint64_t revocation_term;      /* leases of lower terms are revoked */
-	uint32_t revocation_answers;   /* positive answers, own included */
-	uint32_t holders_left; /* bit set: holders that have not answered */
-	bool owner;            /* sends statements, and needs leases */
-	bool record_leases;    /* its record in the store says so */
-	bool record_written;   /* what the last write of the record said */
-	bool record_pending;   /* that write is not acknowledged yet */
-	uint64_t process;      /* rises with each restart */
-	uint64_t store_era;    /* newest era of the store that it knows */
+	uint64_t revocation;           /* identifies its last revocation */
+	int64_t revocation_us;         /* time at which that began */
+	/* the other daemons, by their index */
+	revocation_target_t revocation_targets[DAEMONS_MAX - 1];
+	bool owner;          /* sends statements, and needs leases */
+	bool record_leases;  /* its record in the store says so */
+	bool record_written; /* what the last write of the record said */
+	bool record_pending; /* that write is not acknowledged yet */
+	uint64_t process;    /* rises with each restart */
+	int64_t restarting_until_us; /* its last start */
+	uint64_t store_era;          /* newest era of the store that it knows */
 	int64_t
 	    store_restored_us;    /* time at which it learned of it; 0: never */
 	int64_t store_answers_us; /* time at which it learns of a newer one */
@@ -238,6 +243,8 @@
 	EVENT_ANSWER,              /* a database's answer reaches a daemon */
 	EVENT_REVOKE,              /* a lease revocation reaches a peer */
 	EVENT_REVOKED,             /* a peer's answer reaches the daemon */
+	EVENT_PEER_CLOSED,         /* the connection to a peer has ended */
+	EVENT_REVOKE_AGAIN,        /* the peer is to be asked once more */
 	EVENT_COORDINATOR_WRITTEN, /* the store's answer to the coordinator */
 	EVENT_ORDERS_READ,         /* the recorded orders reach the daemon */
 	EVENT_ORDER_SENT,          /* an order is written to the socket */
@@ -269,9 +276,12 @@
 	uint64_t token;     /* the sender's fencing token */
 	uint64_t store_era; /* of the store's answer */
 	int64_t sent_us;
-	uint64_t order;    /* identifies an order */
-	uint64_t process;  /* that wrote a record */
-	uint64_t revision; /* that the record must have for a write of it */
+	uint64_t order;      /* identifies an order */
+	uint64_t process;    /* that wrote a record */
+	uint64_t revocation; /* identifies a revocation */
+	contact_t contact;   /* what a connection has shown that has ended */
+	bool answer_lost;    /* the connection of a revocation is reset */
+	uint64_t revision;   /* that the record must have for a write of it */
 	bool ok;
 	bool refused; /* the connection was refused */
 	bool denied;  /* the process is another one, by its word */
@@ -311,6 +321,15 @@
 	bool cut; /* the primary has been cut off */
 } members_sequence_t;
 
+/* Connections between daemons that something between refuses or resets. */
+typedef struct refused_peers {
+	int64_t until_us; /* its end; 0: there was none */
+	contact_t contact;
+	bool ends[DAEMONS_MAX][DAEMONS_MAX]; /* from the one to the other */
+	/* time at which the primary is cut off from some daemons; 0: never */
+	int64_t primary_cut_us;
+} refused_peers_t;
+
 typedef struct proxy_model {
 	const proxy_model_plan_t *plan;
 	proxy_model_result_t *result;
@@ -346,6 +365,8 @@
 	sequence_t sequence;  /* the last one */
 	members_sequence_t members_sequence;
 	proxy_model_reads_t *reads;
+	refused_peers_t refused_peers; /* the last ones */
+	uint64_t last_revocation;      /* identifies the last revocation */
 	arena_t *arena;
 } proxy_model_t;
 
@@ -355,6 +376,15 @@
 void proxy_model_send_call(proxy_model_t *, uint32_t daemon, uint32_t db,
     call_kind_t, uint64_t term, stmt_t *);
 void proxy_model_place(proxy_model_t *, uint32_t daemon);
+contact_t proxy_model_contact(
+    const proxy_model_t *, uint32_t daemon, uint32_t peer);
+void proxy_model_revoke(
+    proxy_model_t *, uint32_t daemon, uint64_t term, bool begun);
+void proxy_model_asked_to_revoke(proxy_model_t *, const event_t *);
+void proxy_model_revoked(proxy_model_t *, const event_t *);
+void proxy_model_peer_closed(proxy_model_t *, const event_t *);
+void proxy_model_revoke_again(proxy_model_t *, const event_t *);
+void proxy_model_peer_troubles(proxy_model_t *);
 void proxy_model_era_reached(
     proxy_model_t *, proxy_model_daemon_t *, uint64_t era);
 void proxy_model_record_stored(proxy_model_t *, const event_t *);
--- a/tools/proxy_model_role.c
+++ b/tools/proxy_model_role.c
@@ -139,30 +139,54 @@
 }
 
 /*
- * Ask the daemons that can be reached whether they know of a newer token than
- * that of a daemon, and tell them of it.  Returns whether most daemons have
- * read one since they started, and none knows a newer one.
+ * Ask a daemon whether it knows of a newer token, and tell it of one.  Returns
+ * what the connection has shown.
+ */
+static revocation_target_t
+ask_token(proxy_model_t *model, uint32_t daemon_index, uint32_t peer,
+    uint64_t token, bool *newer)
+{
+	proxy_model_daemon_t *asked = &model->daemons[peer];
+	revocation_target_t target = {
+	    .contact = proxy_model_contact(model, daemon_index, peer),
+	    .token_recorded = asked->token_read};
+
+	if (target.contact == CONTACT_REFUSED ||
+	    (target.contact == CONTACT_RESET && proxy_model_chance(model, 500)))
+		return target;
+	if (model->now_us < asked->paused_until_us ||
+	    model->now_us < asked->daemons_cut_until_us)
+		return (revocation_target_t){.contact = CONTACT_SILENT};
+	/* the answer of a connection that is reset is lost */
+	*newer |= contact_shows_state(target.contact) &&
+	    asked->newest_token_seen > token;
+	asked->newest_token_seen = MAX(asked->newest_token_seen, token);
+	return target;
+}
+
+/*
+ * Tell whether most daemons have read a token since they started, and none of
+ * those that can be reached knows a newer one than a daemon.  They are told of
+ * it.
  */
 static bool
 token_confirmed(proxy_model_t *model, uint32_t daemon_index)
 {
 	uint64_t token = model->daemons[daemon_index].written_token;
-	uint32_t i, confirmed = 0;
-	bool newer = false;
+	revocation_target_t targets[DAEMONS_MAX - 1];
+	revocation_count_t count;
+	uint32_t i, asked = 0;
+	bool newer = model->daemons[daemon_index].newest_token_seen > token;
 
 	if (model->now_us < model->daemons[daemon_index].daemons_cut_until_us)
 		return false;
 	for (i = 0; i < model->plan->daemons; i++) {
-		proxy_model_daemon_t *asked = &model->daemons[i];
-
-		if (model->now_us < asked->paused_until_us ||
-		    model->now_us < asked->daemons_cut_until_us)
-			continue;
-		newer |= asked->newest_token_seen > token;
-		confirmed += asked->token_read;
-		asked->newest_token_seen = MAX(asked->newest_token_seen, token);
+		if (i != daemon_index)
+			targets[asked++] =
+			    ask_token(model, daemon_index, i, token, &newer);
 	}
-	return !newer && confirmed >= majority_of(model->plan->daemons);
+	count = revocation_count(targets, asked);
+	return !newer && revocation_confirms_token(&count, 0);
 }
 
 /*
