Handover: a daemon that gets the role does not wait anew before a leaving primary

Callers had no primary for seconds: with a listed daemon that does not answer, a handover waits for 2 s (DAEMONS_ANSWERED_US), and the role moves to another daemon every 1.0 to 1.4 s while the primary leaves. Each began to wait anew, until one had the role a second time, 6 to 8 s after the primary said that it leaves (it ends after 9 s). So it was with silent daemons before, and with refused ones since a refusal is no answer.

Each daemon notes since when the primary leaves (watch_handover()).

--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -164,6 +164,7 @@
 	check_takeover(group, now_us);
 	if (!group->pool->is_coordinator || group->count == 0) {
 		set_no_candidate(group, false, now_us);
+		watch_handover(group, now_us);
 		failover_tick_denied(failover, now_us, &actions);
 		execute_actions(group, &actions, now_us);
 		return;
--- a/src/proxy/monitor_handover.c
+++ b/src/proxy/monitor_handover.c
@@ -84,6 +84,31 @@
 	    failover_successor_answers(&group->failover, now_us);
 }
 
+/*
+ * Tell whether there is a primary that is shutting down.
+ */
+static bool
+primary_leaving(const group_t *group)
+{
+	int32_t primary = failover_primary(&group->failover);
+
+	return primary >= 0 && group->servers[primary]->leaving;
+}
+
+/*
+ * Note since when a handover is due because the primary is shutting down, at a
+ * daemon that is not the coordinator: it may get the role before the one that
+ * has it may begin the handover.
+ */
+void
+watch_handover(group_t *group, int64_t now_us)
+{
+	if (!primary_leaving(group))
+		group->handover_due_since_us = 0;
+	else if (group->handover_due_since_us == 0)
+		group->handover_due_since_us = now_us;
+}
+
 /*
  * Begin a handover to a replica if the primary is shutting down, or overloaded
  * because it serves all reads alone, or an order stays open.
@@ -98,13 +123,14 @@
 		group->handover_due_since_us = 0;
 		return;
 	}
-	leaving = group->servers[primary]->leaving &&
+	leaving = primary_leaving(group) &&
 	    failover_answers(&group->failover, (uint32_t)primary, now_us) &&
 	    has_usable_server(group, now_us);
 	order_open = !leaving && order_left_open(group, now_us);
 	if (!leaving && !order_open &&
 	    !overload_handover_wanted(group, (uint32_t)primary, now_us)) {
-		group->handover_due_since_us = 0;
+		if (!primary_leaving(group))
+			group->handover_due_since_us = 0;
 		return;
 	}
 	if (!handover_allowed(group, order_open, now_us) ||
--- a/src/proxy/monitor_internal.h
+++ b/src/proxy/monitor_internal.h
@@ -20,6 +20,7 @@
 
 /* monitor_handover.c */
 void check_handover(group_t *, int64_t now_us);
+void watch_handover(group_t *, int64_t now_us);
 
 /* monitor_change.c */
 void pause_replication(server_t *, uint64_t term);
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -303,7 +303,7 @@
 	/* time of the last sign of a change of primary under way; 0: none */
 	int64_t failover_seen_us;
 	overload_handover_t overload_handover;
-	/* time since which a handover by this daemon is due; 0: not due */
+	/* time since which a handover is due; 0: not due */
 	int64_t handover_due_since_us;
 };
 
--- a/tests/t_monitor.c
+++ b/tests/t_monitor.c
@@ -149,6 +149,45 @@
 	pool_free(pool);
 }
 
+typedef struct due_case {
+	const char *name;
+	bool leaving;
+	bool primary;     /* there is one */
+	int64_t since_ms; /* noted before; 0: not due */
+	int64_t due_ms;   /* expected */
+} due_case_t;
+
+#define DUE_MS 8000
+
+static const due_case_t due_cases[] = {
+    {"the primary has begun to leave", true, true, 0, DUE_MS},
+    {"it has been leaving", true, true, 6000, 6000},
+    {"it stays", false, true, 6000, 0},
+    {"no primary is known", true, false, 6000, 0},
+};
+
+/*
+ * Test since when a handover is due at a daemon that is not the coordinator: it
+ * does not wait anew when it gets the role.
+ */
+static void
+test_due(gconstpointer data)
+{
+	const due_case_t *c = data;
+	failover_limits_t limits = {.suspect_us = US_PER_SECOND};
+	server_t server = {.leaving = c->leaving};
+	group_t group = {
+	    .count = 1, .handover_due_since_us = c->since_ms * US_PER_MS};
+
+	group.servers[0] = &server;
+	failover_init(&group.failover, &limits, group.count, 1, 0);
+	group.failover.views[0] =
+	    (db_view_t){.known = true, .primary = c->primary, .promised = 1};
+	watch_handover(&group, DUE_MS * US_PER_MS);
+	g_assert_cmpint(group.handover_due_since_us, ==, c->due_ms * US_PER_MS);
+	failover_clear(&group.failover);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -161,5 +200,6 @@
 	CASES("/monitor/coordinator-denied", denied_cases, test_denied);
 	CASES("/monitor/role-lost", role_lost_cases, test_role_lost);
 	CASES("/monitor/confirmed", confirmed_cases, test_confirmed);
+	CASES("/monitor/handover-due", due_cases, test_due);
 	return g_test_run();
 }
