Revocation: an answer counts for the request that it answers

Numbers of attempts come again: a revocation is sent once more when a majority's promises were lost, and after promises were released the next attempt has the same number. In the same way a newer token than one that this daemon had before ended its present role.

RevokeWanted and RevokeEnded carry the time of the request. What is learned from an older one (terms, orders, tokens) still counts.

/monitor/progress: 2 of 4 rows fail without the change of monitor_change.c.

--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -4001,7 +4001,8 @@
 static const protobuf_c_boolean bp__revoke_wanted__incomplete__default_value = 0;
 static const uint64_t bp__revoke_wanted__unreadable_revision__default_value = 0ull;
 static const uint64_t bp__revoke_wanted__of_daemons__default_value = 0ull;
-static const ProtobufCFieldDescriptor bp__revoke_wanted__field_descriptors[11] =
+static const uint64_t bp__revoke_wanted__asked_us__default_value = 0ull;
+static const ProtobufCFieldDescriptor bp__revoke_wanted__field_descriptors[12] =
 {
   {
     "group",
@@ -4135,8 +4136,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked_us",
+    12,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__RevokeWanted, has_asked_us),
+    offsetof(Bp__RevokeWanted, asked_us),
+    NULL,
+    &bp__revoke_wanted__asked_us__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__revoke_wanted__field_indices_by_name[] = {
+  11,   /* field[11] = asked_us */
   5,   /* field[5] = begun */
   4,   /* field[4] = confirms */
   2,   /* field[2] = daemons */
@@ -4152,7 +4166,7 @@
 static const ProtobufCIntRange bp__revoke_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor bp__revoke_wanted__descriptor =
 {
@@ -4162,7 +4176,7 @@
   "Bp__RevokeWanted",
   "bp",
   sizeof(Bp__RevokeWanted),
-  11,
+  12,
   bp__revoke_wanted__field_descriptors,
   bp__revoke_wanted__field_indices_by_name,
   1,  bp__revoke_wanted__number_ranges,
@@ -4171,7 +4185,8 @@
 };
 static const uint64_t bp__revoke_ended__unreadable_revision__default_value = 0ull;
 static const uint64_t bp__revoke_ended__token__default_value = 0ull;
-static const ProtobufCFieldDescriptor bp__revoke_ended__field_descriptors[8] =
+static const uint64_t bp__revoke_ended__asked_us__default_value = 0ull;
+static const ProtobufCFieldDescriptor bp__revoke_ended__field_descriptors[9] =
 {
   {
     "group",
@@ -4269,8 +4284,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked_us",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__RevokeEnded, has_asked_us),
+    offsetof(Bp__RevokeEnded, asked_us),
+    NULL,
+    &bp__revoke_ended__asked_us__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__revoke_ended__field_indices_by_name[] = {
+  8,   /* field[8] = asked_us */
   0,   /* field[0] = group */
   3,   /* field[3] = newest_term */
   4,   /* field[4] = open */
@@ -4283,7 +4311,7 @@
 static const ProtobufCIntRange bp__revoke_ended__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bp__revoke_ended__descriptor =
 {
@@ -4293,7 +4321,7 @@
   "Bp__RevokeEnded",
   "bp",
   sizeof(Bp__RevokeEnded),
-  8,
+  9,
   bp__revoke_ended__field_descriptors,
   bp__revoke_ended__field_indices_by_name,
   1,  bp__revoke_ended__number_ranges,
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -929,10 +929,15 @@
    */
   protobuf_c_boolean has_of_daemons;
   uint64_t of_daemons;
+  /*
+   * time of the request
+   */
+  protobuf_c_boolean has_asked_us;
+  uint64_t asked_us;
 };
 #define BP__REVOKE_WANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__revoke_wanted__descriptor) \
-    , NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0, 0ull, 0, 0ull }
+    , NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0, 0ull, 0, 0ull, 0, 0ull }
 
 
 /*
@@ -969,10 +974,15 @@
    */
   protobuf_c_boolean has_token;
   uint64_t token;
+  /*
+   * RevokeWanted.asked_us
+   */
+  protobuf_c_boolean has_asked_us;
+  uint64_t asked_us;
 };
 #define BP__REVOKE_ENDED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__revoke_ended__descriptor) \
-    , NULL, 0, BP__REVOKE_STATE__MOST, 0, 0, 0,NULL, NULL, 0, 0ull, 0, 0ull }
+    , NULL, 0, BP__REVOKE_STATE__MOST, 0, 0, 0,NULL, NULL, 0, 0ull, 0, 0ull, 0, 0ull }
 
 
 /*
--- a/src/proxy/monitor_change.c
+++ b/src/proxy/monitor_change.c
@@ -120,6 +120,8 @@
 	wanted->group = arena_strdup(msg->arena, group->name);
 	wanted->term = term;
 	wanted->token = pool->fencing_token;
+	wanted->has_asked_us = 1;
+	wanted->asked_us = (uint64_t)now_us;
 	wanted->has_begun = 1;
 	wanted->begun = begun;
 	wanted->open = group_orders_write(group, msg->arena, &wanted->n_open);
@@ -139,6 +141,7 @@
 
 	switch (action->kind) {
 	case FAILOVER_REVOKE_LEASES:
+		group->leases_asked_us = now_us;
 		request_revocation(group, action->term, false, now_us);
 		return;
 	case FAILOVER_ANNOUNCE_TERM:
@@ -180,7 +183,9 @@
 /*
  * Handle the progress of a revocation: a majority of the daemons, or all, have
  * revoked their leases below a term; or one of them knows a newer coordinator,
- * so that this daemon has lost the role.
+ * so that this daemon has lost the role, unless it has got it again since.  A
+ * number may come again, so that what daemons have answered to a request before
+ * the last one confirms nothing; a daemon may have begun a lease since.
  */
 void
 monitor_revocation_progress(group_t *group, const Bp__RevokeEnded *ended)
@@ -188,6 +193,8 @@
 	int64_t now_us = clock_us();
 
 	if (ended->state == BP__REVOKE_STATE__OUTDATED) {
+		if (ended->token < group->pool->fencing_token)
+			return;
 		group->pool->is_coordinator = false;
 		failover_superseded(&group->failover, ended->term, now_us);
 		return;
@@ -198,6 +205,8 @@
 	if (group_orders_told(group, ended->open, ended->n_open, now_us))
 		failover_superseded(&group->failover, ended->term, now_us);
 	group_orders_learned(group, ended->order, ended->term, now_us);
+	if ((int64_t)ended->asked_us < group->leases_asked_us)
+		return;
 	group->pool->majority_answered_us = now_us;
 	if (ended->state == BP__REVOKE_STATE__ALL)
 		group->pool->all_answered_us = now_us;
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -42,6 +42,7 @@
 	bool begun;           /* a primary leads the term */
 	bool incomplete;      /* other daemons may have leases */
 	uint64_t newest_term; /* newest term that a target has reported */
+	uint64_t asked_us;    /* time of the request */
 	task_t *requester;    /* receives RevokeEnded */
 	bool majority_reported;
 	bool all_reported;
@@ -172,6 +173,8 @@
 	ended->unreadable_revision = revocation->unreadable_revision;
 	ended->has_token = 1;
 	ended->token = revocation->token;
+	ended->has_asked_us = 1;
+	ended->asked_us = revocation->asked_us;
 	ended->has_newest_term = 1;
 	ended->newest_term = revocation->newest_term;
 	ended->open = open_orders_write(&revocation->reported_orders,
@@ -546,6 +549,7 @@
 	revocation->group = g_strdup(wanted->group);
 	revocation->term = wanted->term;
 	revocation->token = wanted->token;
+	revocation->asked_us = wanted->asked_us;
 	revocation->begun = wanted->begun;
 	revocation->incomplete = wanted->incomplete;
 	revocation->requester =
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -303,6 +303,8 @@
 	/* time of the last sign of a change of primary under way; 0: none */
 	int64_t failover_seen_us;
 	overload_handover_t overload_handover;
+	/* time of the last request to revoke leases for an attempt */
+	int64_t leases_asked_us;
 	/* time since which a handover is due; 0: not due */
 	int64_t handover_due_since_us;
 };
--- a/tests/t_monitor.c
+++ b/tests/t_monitor.c
@@ -188,6 +188,59 @@
 	failover_clear(&group.failover);
 }
 
+typedef struct progress_case {
+	const char *name;
+	Bp__RevokeState state;
+	int64_t asked_ms; /* time of the request that was answered */
+	uint64_t token;
+	bool revoked;     /* expected: all have revoked their leases */
+	bool coordinator; /* this daemon still is */
+} progress_case_t;
+
+/* Time and token of the last request; an earlier one had the same number. */
+#define ASKED_MS 5000
+#define ASKED_TOKEN 7
+
+static const progress_case_t progress_cases[] = {
+    {"the last request", BP__REVOKE_STATE__ALL, ASKED_MS, ASKED_TOKEN, true,
+	true},
+    {"an earlier request of the same number", BP__REVOKE_STATE__ALL,
+	ASKED_MS - 400, ASKED_TOKEN, false, true},
+    {"a newer token", BP__REVOKE_STATE__OUTDATED, ASKED_MS, ASKED_TOKEN, false,
+	false},
+    {"a newer token than one that was replaced here",
+	BP__REVOKE_STATE__OUTDATED, ASKED_MS - 400, ASKED_TOKEN - 1, false,
+	true},
+};
+
+/*
+ * Test that an answer counts for the request that it answers.
+ */
+static void
+test_progress(gconstpointer data)
+{
+	const progress_case_t *c = data;
+	failover_limits_t limits = {.suspect_us = 1, .revocable = true};
+	pool_t pool = {.is_coordinator = true, .fencing_token = ASKED_TOKEN};
+	group_t group = {
+	    .pool = &pool, .leases_asked_us = ASKED_MS * US_PER_MS};
+	Bp__RevokeEnded ended = BP__REVOKE_ENDED__INIT;
+
+	failover_init(&group.failover, &limits, 0, 1, 0);
+	open_orders_init(&group.open_orders);
+	group.failover.state = FAILOVER_FENCING;
+	group.failover.term = group.failover.fenced_term = ended.term = 2;
+	ended.group = (char *)"ledger";
+	ended.state = c->state;
+	ended.token = c->token;
+	ended.asked_us = (uint64_t)(c->asked_ms * US_PER_MS);
+	monitor_revocation_progress(&group, &ended);
+	g_assert_cmpint(group.failover.revoked_by_all, ==, c->revoked);
+	g_assert_cmpint(pool.is_coordinator, ==, c->coordinator);
+	open_orders_clear(&group.open_orders);
+	failover_clear(&group.failover);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -201,5 +254,6 @@
 	CASES("/monitor/role-lost", role_lost_cases, test_role_lost);
 	CASES("/monitor/confirmed", confirmed_cases, test_confirmed);
 	CASES("/monitor/handover-due", due_cases, test_due);
+	CASES("/monitor/progress", progress_cases, test_progress);
 	return g_test_run();
 }
