--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -464,6 +464,7 @@
 	target->link = frame_connect(
 	    task_main_context(target->revocation->peers->task), target->address,
 	    target->port, PEER_FRAME_BYTES_MAX, &target_ops, target);
+	target->closed = target->link == NULL;
 }
 
 /*
@@ -571,10 +572,11 @@
 	    g_array_new(FALSE, FALSE, sizeof(revocation_target_t));
 	revocation->timeout = task_timer(
 	    peers->task, REVOCATION_TIMEOUT_MS, on_timeout, revocation);
-	if (wanted->term != 0)
+	if (wanted->term != 0 || wanted->confirms)
 		stop_retries(peers, wanted->group);
-	/* the requester repeats what it only asks, or tells of a term */
-	if (wanted->term != 0 && !wanted->begun)
+	/* the requester repeats a mere question, and what it tells of a term;
+	   an order to be confirmed may be withdrawn meanwhile */
+	if (wanted->term != 0 && !wanted->begun && !wanted->confirms)
 		revocation->retry_timer = task_timer(
 		    peers->task, TARGET_RETRY_MS, on_retry, revocation);
 	peers->revocations = g_list_prepend(peers->revocations, revocation);
