Daemons: an answer under another name still tells what its sender knows

It was dropped, and with it a newer token, so that an order with a lower one was more likely (found and run in the review). Only the vote and the lease of the daemon that was asked are not shown by it.

/peers/other-name: the row of a newer token fails without the change.

--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -291,14 +291,17 @@
 }
 
 /*
- * Handle the answer of a target.  token: the highest fencing token that the
- * target knows; newest_term: the newest term in which it knows a primary of the
- * group.
+ * Handle the answer of a target, or of another daemon at its address, which
+ * tells what that one knows, and nothing of the target.  token: the highest
+ * fencing token that the sender knows; newest_term: the newest term in which it
+ * knows a primary of the group.
  */
 static void
-target_answered(target_t *target, uint64_t token, uint64_t newest_term)
+target_answered(
+    target_t *target, const char *sender, uint64_t token, uint64_t newest_term)
 {
 	revocation_t *revocation = target->revocation;
+	contact_t contact = contact_answered(target->name, sender);
 
 	revocation->newest_term = MAX(revocation->newest_term, newest_term);
 	peers_note_token(revocation->peers, token);
@@ -310,7 +313,12 @@
 		revocation_report(revocation, BP__REVOKE_STATE__OUTDATED);
 		return;
 	}
-	target_state(target)->contact = CONTACT_ANSWERED;
+	if (!contact_shows_state(contact))
+		log_line(LOG_PART, G_LOG_LEVEL_WARNING,
+		    "Daemon %s answers at the address of daemon %s; its answer "
+		    "does not count as that one's.",
+		    sender, target->name);
+	target_state(target)->contact = contact;
 	revocation_check(revocation);
 }
 
@@ -387,22 +395,6 @@
 	return true;
 }
 
-/*
- * Tell whether an answer is that of a target.  If not, log that another daemon
- * has its address.
- */
-static bool
-answer_is_of(const target_t *target, const char *sender)
-{
-	if (contact_shows_state(contact_answered(target->name, sender)))
-		return true;
-	log_line(LOG_PART, G_LOG_LEVEL_WARNING,
-	    "Daemon %s answers at the address of daemon %s; its answer does "
-	    "not count.",
-	    sender, target->name);
-	return false;
-}
-
 /*
  * Handle a message from a target.  An order that it reports is passed on also
  * after the majority, or all, were reported.
@@ -418,20 +410,19 @@
 
 	if (message->body_case == BP__PEER_MESSAGE__BODY_TOKEN_TELL &&
 	    target->revocation->unreadable_revision != 0 &&
-	    told->id == target->revocation->id && !answered &&
-	    answer_is_of(target, told->daemon)) {
+	    told->id == target->revocation->id && !answered) {
 		state->token_recorded = told->recorded;
-		target_answered(target, told->token, 0);
+		target_answered(target, told->daemon, told->token, 0);
 	} else if (message->body_case == BP__PEER_MESSAGE__BODY_LEASE_REVOKED &&
-	    revoked->id == target->revocation->id && !answered &&
-	    answer_is_of(target, revoked->daemon)) {
+	    revoked->id == target->revocation->id && !answered) {
 		open_orders_read(&target->revocation->reported_orders,
 		    revoked->open, revoked->n_open, OPEN_ORDER_TOLD,
 		    clock_us());
 		if (order_reported(target->revocation, revoked->order))
 			target->revocation->majority_reported =
 			    target->revocation->all_reported = false;
-		target_answered(target, revoked->token, revoked->newest_term);
+		target_answered(target, revoked->daemon, revoked->token,
+		    revoked->newest_term);
 	}
 	arena_free(arena);
 }
--- a/tests/t_unheard.c
+++ b/tests/t_unheard.c
@@ -44,6 +44,7 @@
 	listener_t *listener; /* NULL: its port refuses connections */
 	bool resets;          /* its connections are reset at once */
 	bool resets_asked;    /* they are when something has been asked */
+	bool other_name;      /* another daemon has its address */
 	knowledge_t knowledge;
 	uint32_t asked;   /* number of revocations that have reached it */
 	GPtrArray *links; /* of daemon_link_t */
@@ -163,6 +164,8 @@
 	order.replaced_term = 1;
 	if (knowledge->order_term != 0)
 		revoked.order = &order;
+	revoked.daemon =
+	    link->daemon->other_name ? (char *)"another" : link->daemon->name;
 	message.body_case = BP__PEER_MESSAGE__BODY_LEASE_REVOKED;
 	message.lease_revoked = &revoked;
 	frame_send(link->frames, &message);
@@ -232,8 +235,8 @@
 
 /*
  * Start the peers task, and the daemons: a letter for each, a answers, f
- * refuses, x resets at once, y when it has been asked.  knowledge: of those
- * that do not answer.
+ * refuses, x resets at once, y when it has been asked, n answers under another
+ * name.  knowledge: of those that do not answer in their own.
  */
 static void
 bed_start(bed_t *bed, const char *daemons, const knowledge_t *knowledge)
@@ -261,6 +264,7 @@
 		daemon->links = g_ptr_array_new_with_free_func(link_free);
 		daemon->resets = daemons[i] == 'x';
 		daemon->resets_asked = daemons[i] == 'y';
+		daemon->other_name = daemons[i] == 'n';
 		if (daemons[i] != 'a')
 			daemon->knowledge = *knowledge;
 		if (daemons[i] != 'f')
@@ -421,6 +425,36 @@
 	bed_stop(&bed);
 }
 
+typedef struct other_name_case {
+	const char *name;
+	knowledge_t knowledge; /* of the daemon under another name */
+} other_name_case_t;
+
+static const other_name_case_t other_name_cases[] = {
+    {"nothing", {0}},
+    {"a newer token", {.token = TOKEN + 75}},
+};
+
+/*
+ * Test that an answer under another name tells what its sender knows, and
+ * stands for no vote and no lease of the daemon that was asked.
+ */
+static void
+test_other_name(gconstpointer data)
+{
+	const other_name_case_t *c = data;
+	bed_t bed;
+
+	bed_start(&bed, "n", &c->knowledge);
+	bed_revoke(&bed, GROUP, TERM, false);
+	bed_run(&bed, REFUSED_MS, false);
+	g_assert_cmpuint(bed.daemons[0].asked, ==, 1);
+	g_assert_cmpint(bed.reported.outdated, ==, c->knowledge.token > TOKEN);
+	g_assert_cmpuint(bed.reported.knowledge.token, ==, c->knowledge.token);
+	g_assert_false(bed.reported.most);
+	bed_stop(&bed);
+}
+
 typedef struct repeated_case {
 	const char *name;
 	bool confirms;     /* the first revocation asks to confirm an order */
@@ -646,6 +680,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions(); /* run every case */
 	CASES("/peers/unheard", unheard_cases, test_unheard);
+	CASES("/peers/other-name", other_name_cases, test_other_name);
 	CASES("/peers/repeated", repeated_cases, test_repeated);
 	CASES("/peers/order", order_cases, test_order);
 	return g_test_run();
