Log: leases_revoked also when a revocation ends without the answers of all

Where no majority answered, nothing told refused daemons from silent ones, and each daemon without an answer had a line of its own. One event with the last state takes their place.

--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -129,33 +129,6 @@
 	    target->revocation->states, revocation_target_t, target->index);
 }
 
-/*
- * End a revocation after its timeout.  A failover that depends on it waits
- * until the leases of the daemons that have not answered have expired.
- */
-static gboolean
-on_timeout(gpointer context)
-{
-	revocation_t *revocation = context;
-	peers_t *peers = revocation->peers;
-	uint32_t i;
-
-	for (i = 0; i < revocation->targets->len; i++) {
-		const target_t *target =
-		    g_ptr_array_index(revocation->targets, i);
-
-		if (!contact_shows_state(target_state(target)->contact) &&
-		    revocation->unreadable_revision == 0)
-			log_line(LOG_PART, G_LOG_LEVEL_INFO,
-			    "Daemon %s has not confirmed that it revoked its "
-			    "lease of %s below term %" G_GUINT64_FORMAT ".",
-			    target->name, revocation->group, revocation->term);
-	}
-	peers->revocations = g_list_remove(peers->revocations, revocation);
-	revocation_free(revocation);
-	return G_SOURCE_REMOVE;
-}
-
 /*
  * Report the progress of a revocation to its requester.
  */
@@ -229,6 +202,24 @@
 	arena_free(arena);
 }
 
+/*
+ * End a revocation after its timeout.  A failover that depends on it waits
+ * until the leases of the daemons that have not answered have expired.
+ */
+static gboolean
+on_timeout(gpointer context)
+{
+	revocation_t *revocation = context;
+	peers_t *peers = revocation->peers;
+
+	if (!revocation->all_reported && !revocation->begun &&
+	    revocation->term != 0)
+		log_revoked(revocation, false);
+	peers->revocations = g_list_remove(peers->revocations, revocation);
+	revocation_free(revocation);
+	return G_SOURCE_REMOVE;
+}
+
 /*
  * Log and report that most daemons have revoked their leases, or all that may
  * hold some.
