--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -1773,8 +1773,10 @@
 
 static const reset_case_t reset_cases[] = {
     {"reset", "x", FULL_MS, FULL_MS + SILENT_MS + STEP_MS},
-    {"reset and refused in turn", "xf", 2 * STEP_MS, FULL_MS + SILENT_MS},
-    {"reset, seldom refused", "xxxf", 2 * STEP_MS, FULL_MS + SILENT_MS},
+    {"reset and refused in turn", "xf", INT64_C(2) * STEP_MS,
+	FULL_MS + SILENT_MS},
+    {"reset, seldom refused", "xxxf", INT64_C(2) * STEP_MS,
+	FULL_MS + SILENT_MS},
     {"reset, and it answers", "xa", 0, 0},
 };
 
@@ -1797,7 +1799,7 @@
 	limits.suspect_us = MS(SILENT_MS);
 	failover_init(&failover, &limits, 3, 1, 0);
 	failover_replace_view(&failover, 0, &primary, 0);
-	for (at_ms = STEP_MS; at_ms < 4 * FULL_MS && suspected_ms == 0;
+	for (at_ms = STEP_MS; at_ms < INT64_C(4) * FULL_MS && suspected_ms == 0;
 	     at_ms += STEP_MS) {
 		char end = c->ends[step++ % strlen(c->ends)];
 
