--- a/tests/t_members_model.c
+++ b/tests/t_members_model.c
@@ -288,7 +288,7 @@
 	.troubles = {.start_listed_max_us = 1000000,
 	    .members = {.permille = 20, .dropped = 2}}},
     {"an order to a database outside of the group is over by its time",
-	PROXY_BUG_ORDER_OUTSIDE_VOID, 3, 0, 8, 3, 2361,
+	PROXY_BUG_ORDER_OUTSIDE_VOID, 3, 0, 8, 3, 484,
 	.daemon_restart_permille = 1, .order_held_permille = 990,
 	.troubles = {.order_held_permille[PROXY_PLACE_SOCKET] = 500,
 	    .member_restart_permille = 1,
