Daemons: an answer to a revocation says whether a token was read

A coordinator that does not reach the store has most daemons confirm that they know no newer fencing token. Its log could not tell a daemon that knows none from one that has read none since it started and may have forgotten one. LeaseRevoked says which, as TokenTell does, and leases_revoked lists the latter under "unread". Nothing is decided by it yet.

--- a/gen/event.pb-c.c
+++ b/gen/event.pb-c.c
@@ -4640,7 +4640,7 @@
   (ProtobufCMessageInit) bp__promises_counted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__leases_revoked__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bp__leases_revoked__field_descriptors[11] =
 {
   {
     "group",
@@ -4762,6 +4762,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unread",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bp__LeasesRevoked, n_unread),
+    offsetof(Bp__LeasesRevoked, unread),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__leases_revoked__field_indices_by_name[] = {
   3,   /* field[3] = all */
@@ -4772,13 +4784,14 @@
   7,   /* field[7] = reset */
   1,   /* field[1] = term */
   2,   /* field[2] = token */
+  10,   /* field[10] = unread */
   8,   /* field[8] = wait */
   9,   /* field[9] = waited_for */
 };
 static const ProtobufCIntRange bp__leases_revoked__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bp__leases_revoked__descriptor =
 {
@@ -4788,7 +4801,7 @@
   "Bp__LeasesRevoked",
   "bp",
   sizeof(Bp__LeasesRevoked),
-  10,
+  11,
   bp__leases_revoked__field_descriptors,
   bp__leases_revoked__field_indices_by_name,
   1,  bp__leases_revoked__number_ranges,
--- a/gen/event.pb-c.h
+++ b/gen/event.pb-c.h
@@ -1074,10 +1074,16 @@
    */
   size_t n_waited_for;
   char **waited_for;
+  /*
+   * of those that have: they have not read a fencing token since they
+   * started, and confirm none
+   */
+  size_t n_unread;
+  char **unread;
 };
 #define BP__LEASES_REVOKED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__leases_revoked__descriptor) \
-    , NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, BP__LEASE_WAIT__ANSWERS, 0,NULL }
+    , NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, BP__LEASE_WAIT__ANSWERS, 0,NULL, 0,NULL }
 
 
 /*
--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -1919,7 +1919,8 @@
   (ProtobufCMessageInit) bp__lease_revoke__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__lease_revoked__field_descriptors[6] =
+static const protobuf_c_boolean bp__lease_revoked__recorded__default_value = 0;
+static const ProtobufCFieldDescriptor bp__lease_revoked__field_descriptors[7] =
 {
   {
     "id",
@@ -1993,6 +1994,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "recorded",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Bp__LeaseRevoked, has_recorded),
+    offsetof(Bp__LeaseRevoked, recorded),
+    NULL,
+    &bp__lease_revoked__recorded__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__lease_revoked__field_indices_by_name[] = {
   5,   /* field[5] = daemon */
@@ -2000,12 +2013,13 @@
   2,   /* field[2] = newest_term */
   3,   /* field[3] = open */
   4,   /* field[4] = order */
+  6,   /* field[6] = recorded */
   1,   /* field[1] = token */
 };
 static const ProtobufCIntRange bp__lease_revoked__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bp__lease_revoked__descriptor =
 {
@@ -2015,7 +2029,7 @@
   "Bp__LeaseRevoked",
   "bp",
   sizeof(Bp__LeaseRevoked),
-  6,
+  7,
   bp__lease_revoked__field_descriptors,
   bp__lease_revoked__field_indices_by_name,
   1,  bp__lease_revoked__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -358,10 +358,16 @@
    * name of the sender
    */
   char *daemon;
+  /*
+   * this process has read a token from the coordinator record, as in
+   * TokenTell
+   */
+  protobuf_c_boolean has_recorded;
+  protobuf_c_boolean recorded;
 };
 #define BP__LEASE_REVOKED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__lease_revoked__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, NULL, NULL }
+    , 0, 0, 0, 0, 0,NULL, NULL, NULL, 0, 0 }
 
 
 /*
--- a/src/proxy/incoming.c
+++ b/src/proxy/incoming.c
@@ -138,6 +138,8 @@
 	revoked.n_open = asked->n_open;
 	revoked.order = asked->order;
 	revoked.daemon = incoming->peers->proxy->settings->name;
+	revoked.has_recorded = 1;
+	revoked.recorded = incoming->peers->token_recorded;
 	message.body_case = BP__PEER_MESSAGE__BODY_LEASE_REVOKED;
 	message.lease_revoked = &revoked;
 	frame_send(incoming->link, &message);
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -179,6 +179,7 @@
 	revoked.refused = arena_zalloc(arena, size_bytes);
 	revoked.reset = arena_zalloc(arena, size_bytes);
 	revoked.waited_for = arena_zalloc(arena, size_bytes);
+	revoked.unread = arena_zalloc(arena, size_bytes);
 	revoked.wait = all ? BP__LEASE_WAIT__ANSWERS : BP__LEASE_WAIT__EXPIRY;
 	for (i = 0; i < revocation->targets->len; i++) {
 		const target_t *target =
@@ -187,6 +188,9 @@
 
 		if (contact_shows_state(state->contact)) {
 			revoked.confirmed[revoked.n_confirmed++] = target->name;
+			if (!state->token_recorded)
+				revoked.unread[revoked.n_unread++] =
+				    target->name;
 			continue;
 		}
 		revoked.missing[revoked.n_missing++] = target->name;
@@ -412,6 +416,7 @@
 		if (order_reported(target->revocation, revoked->order))
 			target->revocation->majority_reported =
 			    target->revocation->all_reported = false;
+		state->token_recorded = revoked->recorded;
 		target_answered(target, revoked->daemon, revoked->token,
 		    revoked->newest_term);
 	}
