Daemons: one that has read no token since it started confirms none

Cause: an order that the store cannot record needs most daemons to know no newer token, and a process that had read none since it started counted, though the process before it may have been told one. The question before an unreadable record is replaced left such answers out already; both now have one condition.

A revocation of leases counts each answer as before, as the store has recorded the token of its coordinator.

--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -41,6 +41,7 @@
 	uint64_t token;
 	bool begun;           /* a primary leads the term */
 	bool incomplete;      /* other daemons may have leases */
+	bool confirms;        /* most daemons have to confirm the token */
 	uint64_t newest_term; /* newest term that a target has reported */
 	uint64_t asked_us;    /* time of the request */
 	task_t *requester;    /* receives RevokeEnded */
@@ -238,8 +239,8 @@
 
 /*
  * Report to the requester when a majority of the daemons has answered, and when
- * in addition all that hold leases have; or when a majority has confirmed the
- * token, if that is what they were asked for.
+ * in addition all that hold leases have.  If the token has to be confirmed, a
+ * majority must have done so.
  */
 static void
 revocation_check(revocation_t *revocation)
@@ -251,9 +252,11 @@
 	revocation_progress_t progress =
 	    revocation_progress(&count, revocation->incomplete);
 
+	if (revocation->confirms &&
+	    !revocation_confirms_token(&count, revocation->of_daemons))
+		return;
 	if (revocation->unreadable_revision != 0) {
-		if (revocation->majority_reported ||
-		    !revocation_confirms_token(&count, revocation->of_daemons))
+		if (revocation->majority_reported)
 			return;
 		revocation->majority_reported = true;
 		revocation_report(revocation, BP__REVOKE_STATE__MOST);
@@ -540,6 +543,7 @@
 	revocation->asked_us = wanted->asked_us;
 	revocation->begun = wanted->begun;
 	revocation->incomplete = wanted->incomplete;
+	revocation->confirms = wanted->confirms;
 	revocation->requester =
 	    wanted->confirms ? peers->proxy->registry : peers->proxy->pool;
 	revocation->unreadable_revision = wanted->unreadable_revision;
--- a/tests/t_unheard.c
+++ b/tests/t_unheard.c
@@ -45,6 +45,7 @@
 	bool resets;          /* its connections are reset at once */
 	bool resets_asked;    /* they are when something has been asked */
 	bool other_name;      /* another daemon has its address */
+	bool restarted;       /* it has read no token since it started */
 	knowledge_t knowledge;
 	uint32_t asked;   /* number of revocations that have reached it */
 	GPtrArray *links; /* of daemon_link_t */
@@ -166,6 +167,8 @@
 		revoked.order = &order;
 	revoked.daemon =
 	    link->daemon->other_name ? (char *)"another" : link->daemon->name;
+	revoked.has_recorded = 1;
+	revoked.recorded = !link->daemon->restarted;
 	message.body_case = BP__PEER_MESSAGE__BODY_LEASE_REVOKED;
 	message.lease_revoked = &revoked;
 	frame_send(link->frames, &message);
@@ -236,7 +239,8 @@
 /*
  * Start the peers task, and the daemons: a letter for each, a answers, f
  * refuses, x resets at once, y when it has been asked, n answers under another
- * name.  knowledge: of those that do not answer in their own.
+ * name, r answers and has read no token since it started.  knowledge: of those
+ * that do not answer in their own.
  */
 static void
 bed_start(bed_t *bed, const char *daemons, const knowledge_t *knowledge)
@@ -265,7 +269,8 @@
 		daemon->resets = daemons[i] == 'x';
 		daemon->resets_asked = daemons[i] == 'y';
 		daemon->other_name = daemons[i] == 'n';
-		if (daemons[i] != 'a')
+		daemon->restarted = daemons[i] == 'r';
+		if (daemons[i] != 'a' && daemons[i] != 'r')
 			daemon->knowledge = *knowledge;
 		if (daemons[i] != 'f')
 			daemon_listen(daemon);
@@ -378,6 +383,7 @@
     {"the majority", "ff", {0}, false},
     {"the majority of five", "afff", {0}, false},
     {"the majority, refused and reset", "afxy", {0}, false},
+    {"a lease, others have started again", "rrf", {0}, true},
 };
 
 /*
@@ -648,6 +654,10 @@
     {"a newer token, reset", "ayy", {.token = TOKEN + 75}, 0},
     {"an order", "aff", {.order_term = 4}, 0},
     {"a newer term", "aff", {.newest_term = 3}, 0},
+    {"one of three has started again", "ar", {0}, 1},
+    {"two of three have started again", "rr", {0}, 0},
+    {"two of four have started again", "arr", {0}, 0},
+    {"one has started again, others refuse", "arff", {0}, 0},
 };
 
 /*
