Leases: answers that came before the record was asked for support a lease

What callers saw: at a daemon that has just started, statements for a group are refused as busy for up to 3 s, though all its databases answer.

Cause: while the list of a group is new, its first lease needs a record that is read after answers of its databases. The read is asked for on the first answer of a round, that of the primary; the replicas' answers of the same round replace the earlier ones before the record comes, and are later than its request. Reads are 200 ms apart and rounds 60 ms, so that each read may begin at the same point of a round, and a read that takes longer than a round never helps.

Change: what the answers support that have come before the record is asked for is noted, and counts once a record is read that was asked for after them, in the same term, for the same primary and members. It is dropped with each sign of an attempt, a change of the servers, and after a second.

Without the noted answers, /lease/replaced/the-record-is-asked-for-after-them fails.

--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -205,6 +205,19 @@
 	int64_t connected_us;
 } lease_denials_t;
 
+/*
+ * What the answers of the databases support once the record of the orders is
+ * read that was asked for after them.  Later answers replace them meanwhile.
+ */
+typedef struct lease_answers {
+	int64_t noted_us; /* 0: none are noted */
+	/* send time of the requests, as in lease_t.supported_us */
+	int64_t asked_us;
+	uint64_t term;
+	uint64_t primary_key;
+	uint32_t members; /* that are recorded */
+} lease_answers_t;
+
 /*
  * Lease on a primary: until it expires, no other database can have become
  * primary, so this daemon may rely on the primary: lease.c, lease_block.c
@@ -278,6 +291,7 @@
 	/* newest term in which a primary was seen, and the time of that */
 	uint64_t seen_term;
 	int64_t seen_us;
+	lease_answers_t answers; /* that wait for the record */
 } lease_t;
 
 /*
@@ -311,6 +325,8 @@
 void lease_members_read(
     lease_t *, uint64_t replaced_term, uint64_t era, int64_t read_us);
 void lease_store_era(lease_t *, uint64_t era);
+void lease_note_answers(lease_t *, const db_view_t *, uint32_t count,
+    uint32_t primary, int64_t now_us);
 bool lease_held_up(const lease_t *, int64_t now_us);
 int64_t lease_unaware_since_us(const lease_t *, uint64_t term, int64_t now_us);
 void lease_member_lost(lease_t *, bool ended);
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -1,5 +1,10 @@
 #include "lease_internal.h"
 
+#include <glib.h>
+
+/* Time for which noted answers wait for a record. */
+#define ANSWERS_NOTED_MAX_US (1 * US_PER_SECOND)
+
 /*
  * Return the send time of the latest status requests, answered by before_us,
  * that found no newer promise at so many replicas that every majority contains
@@ -83,6 +88,52 @@
 		lease->watched_since_us = 0;
 }
 
+/*
+ * Return the send time of the requests whose answers were noted, if the record
+ * was read after them and they support a lease on a primary; or 0.
+ */
+static int64_t
+noted_answers_us(
+    const lease_t *lease, const db_view_t *primary, uint32_t members)
+{
+	const lease_answers_t *answers = &lease->answers;
+
+	return answers->noted_us != 0 &&
+		answers->noted_us <= lease->orders.read_us &&
+		answers->term == primary->promised &&
+		answers->primary_key == primary->key &&
+		answers->members == members
+	    ? answers->asked_us
+	    : 0;
+}
+
+/*
+ * Note what the answers support that have come, before the record of the orders
+ * is asked for.  Those that were noted before stay until a record that was
+ * asked for after them is read, for ANSWERS_NOTED_MAX_US at most.
+ */
+void
+lease_note_answers(lease_t *lease, const db_view_t *views, uint32_t count,
+    uint32_t primary, int64_t now_us)
+{
+	uint64_t term = views[primary].promised;
+	uint32_t members = recorded_members(lease, term);
+	lease_answers_t *answers = &lease->answers;
+	int64_t asked_us;
+
+	if (lease->blocked_term >= term ||
+	    (answers->noted_us > lease->orders.read_us &&
+		now_us - answers->noted_us < ANSWERS_NOTED_MAX_US))
+		return;
+	asked_us = supported_us(
+	    lease, views, count, primary, now_us, INT64_MAX, members);
+	*answers = (lease_answers_t){.noted_us = asked_us == 0 ? 0 : now_us,
+	    .asked_us = asked_us,
+	    .term = term,
+	    .primary_key = views[primary].key,
+	    .members = members};
+}
+
 /*
  * Return the latest time at which it is certain that there was no newer primary
  * and no promise of a newer term at enough databases; or 0.
@@ -111,6 +162,8 @@
 	if (record_allows(lease, &views[primary])) {
 		asked_us = supported_us(lease, views, count, primary,
 		    lease->orders.read_us, INT64_MAX, members);
+		asked_us = MAX(asked_us,
+		    noted_answers_us(lease, &views[primary], members));
 		if (asked_us > known_us) {
 			known_us = asked_us;
 			*proof = LEASE_BY_RECORD;
@@ -286,8 +339,10 @@
 	note_aware(lease, views, count, primary);
 	denials_note(lease, views, count, primary, now_us, durations);
 	note_seen(lease, view->promised, now_us);
-	if (renewal_blocked(lease, views, count, primary))
+	if (renewal_blocked(lease, views, count, primary)) {
+		lease->answers.noted_us = 0;
 		return false;
+	}
 	if (lease->orders.read_us == 0 || record_outdated(lease) ||
 	    members_outdated(lease, views, count, view->promised) ||
 	    (recorded_members(lease, view->promised) == 0 &&
@@ -439,6 +494,7 @@
 {
 	lease->incomplete = true;
 	lease->removed_alive |= !ended;
+	lease->answers.noted_us = 0;
 	denials_forget(lease);
 }
 
@@ -474,6 +530,6 @@
 void
 lease_cancel(lease_t *lease)
 {
-	lease->expires_us = lease->supported_us = 0;
+	lease->expires_us = lease->supported_us = lease->answers.noted_us = 0;
 	denials_forget(lease);
 }
--- a/src/decide/lease_block.c
+++ b/src/decide/lease_block.c
@@ -160,5 +160,6 @@
 	if (lease->attempt_term < term)
 		lease->attempt_term = term;
 	lease->blocked_us = now_us;
+	lease->answers.noted_us = 0;
 	denials_forget(lease);
 }
--- a/src/proxy/group_lease.c
+++ b/src/proxy/group_lease.c
@@ -123,8 +123,12 @@
 	renewed = primary >= 0 &&
 	    lease_renew(&group->lease, failover->views, group->count,
 		(uint32_t)primary, now_us, &group->pool->lease_durations);
-	if (group->lease.unverified)
+	if (group->lease.unverified) {
+		if (primary >= 0)
+			lease_note_answers(&group->lease, failover->views,
+			    group->count, (uint32_t)primary, now_us);
 		request_orders(group->pool, now_us);
+	}
 	if (!renewed) {
 		/* the status may have shown that no open order took effect */
 		if (!g_queue_is_empty(&group->held))
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -274,6 +274,62 @@
 	g_assert_cmpint(lease.expires_us, ==, MS(c->expires_ms));
 }
 
+/* Lease durations of a daemon that was listed before all status requests. */
+static const lease_duration_t listed_durations = {
+    MS(SHORT_MS), MS(LONG_MS), MS(1)};
+
+typedef struct replaced_case {
+	const char *name;
+	bool noted;      /* the answers to requests of 10 ms are noted */
+	int64_t read_ms; /* send time of the request for the record */
+	recorded_orders_t orders; /* that it has */
+	uint64_t promised;  /* by a replica that is asked meanwhile, at 70 ms */
+	int64_t expires_ms; /* expected end of the lease; 0: no lease */
+} replaced_case_t;
+
+static const replaced_case_t replaced_cases[] = {
+    {"the record is asked for after them", true, 60, {0}, 1, 2070},
+    {"not noted", false, 60, {0}, 1, 0},
+    {"it is asked for before them", true, 5, {0}, 1, 0},
+    {"it has an order to replace the primary", true, 60, {1, 2}, 1, 0},
+    {"a newer term is promised meanwhile", true, 60, {0}, 2, 0},
+};
+
+/*
+ * Test that answers support a lease that came before the record was asked for,
+ * and were replaced by later ones before it was read.
+ */
+static void
+test_replaced(gconstpointer data)
+{
+	const replaced_case_t *c = data;
+	db_view_t views[3] = {{.known = true, .primary = true, .promised = 1}};
+	recorded_orders_t orders = c->orders;
+	lease_t lease = {.orders.read_us = READ_AT_START_US, .list_new = true};
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(views); i++) {
+		views[i].known = true;
+		views[i].promised = 1;
+		views[i].requested_us = MS(10);
+		views[i].answered_us = MS(20);
+	}
+	g_assert_false(renew(&lease, views, 3, 0, MS(20), &listed_durations));
+	g_assert_true(lease.unverified);
+	if (c->noted)
+		lease_note_answers(&lease, views, 3, 0, MS(20));
+	for (i = 0; i < G_N_ELEMENTS(views); i++) {
+		views[i].requested_us = MS(70);
+		views[i].answered_us = MS(80);
+	}
+	views[1].promised = c->promised;
+	renew(&lease, views, 3, 0, MS(80), &listed_durations);
+	orders.read_us = MS(c->read_ms);
+	lease_orders_read(&lease, &orders);
+	renew(&lease, views, 3, 0, MS(90), &listed_durations);
+	g_assert_cmpint(lease.expires_us, ==, MS(c->expires_ms));
+}
+
 /*
  * Test that replicas that join a group of one do not extend the lease of its
  * primary before they have answered, so that the lease ends at most one lease
@@ -309,10 +365,6 @@
 	lease_renew(lease, before, count, primary, MS(at_ms) + 1, durations);
 }
 
-/* Lease durations of a daemon that was listed before all status requests. */
-static const lease_duration_t listed_durations = {
-    MS(SHORT_MS), MS(LONG_MS), MS(1)};
-
 /*
  * Start a lease on database 0 as the primary of a term.  The last status
  * requests to the databases were sent at 10, 20 and 30 ms.
@@ -2019,6 +2071,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions(); /* run every case */
 	CASES("/lease/until", lease_cases, test_lease);
+	CASES("/lease/replaced", replaced_cases, test_replaced);
 	CASES("/lease/led", led_cases, test_led);
 	CASES("/lease/extend", extend_cases, test_extend);
 	CASES("/lease/revoke", revoke_cases, test_revoke);
--- a/tests/t_proxy.c
+++ b/tests/t_proxy.c
@@ -881,7 +881,7 @@
 	"\"token\":TOKEN,\"all\":true,\"confirmed\":[\"proxy-"},
     {"what the wait for leases rests on",
 	"\"missing\":[],\"refused\":[],\"reset\":[],"
-	"\"wait\":\"answers\",\"waited_for\":[]}"},
+	"\"wait\":\"answers\",\"waited_for\":[],\"unread\":[]}"},
     {"the order, by its term and token",
 	"\"event\":\"promotion_ordered\",\"group\":\"ledger\","
 	"\"server\":\"i-1\",\"term\":2,\"token\":TOKEN,"},
