Open orders: a record that was begun again ends none

Cause: open_orders_replace_recorded() took the lack of an order for the coordinator's word that it is over. A record that was begun again says nothing of the orders before. The record now names the token with which it was begun, which its later writers leave; where that is another one than that of the record that was read before, or there is no record, what was recorded stays open as if it had been told.

--- a/gen/catalog.pb-c.c
+++ b/gen/catalog.pb-c.c
@@ -930,7 +930,8 @@
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const protobuf_c_boolean bp__duty_record__created__default_value = 0;
-static const ProtobufCFieldDescriptor bp__duty_record__field_descriptors[4] =
+static const uint64_t bp__duty_record__begun__default_value = 0ull;
+static const ProtobufCFieldDescriptor bp__duty_record__field_descriptors[5] =
 {
   {
     "holder",
@@ -980,8 +981,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begun",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__DutyRecord, has_begun),
+    offsetof(Bp__DutyRecord, begun),
+    NULL,
+    &bp__duty_record__begun__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__duty_record__field_indices_by_name[] = {
+  4,   /* field[4] = begun */
   3,   /* field[3] = created */
   0,   /* field[0] = holder */
   2,   /* field[2] = orders */
@@ -990,7 +1004,7 @@
 static const ProtobufCIntRange bp__duty_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bp__duty_record__descriptor =
 {
@@ -1000,7 +1014,7 @@
   "Bp__DutyRecord",
   "bp",
   sizeof(Bp__DutyRecord),
-  4,
+  5,
   bp__duty_record__field_descriptors,
   bp__duty_record__field_indices_by_name,
   1,  bp__duty_record__number_ranges,
--- a/gen/catalog.pb-c.h
+++ b/gen/catalog.pb-c.h
@@ -194,10 +194,17 @@
    */
   protobuf_c_boolean has_created;
   protobuf_c_boolean created;
+  /*
+   * token with which the record was begun, which its later writers leave;
+   * 0: not known.  Where it is another one, what the former record said
+   * of orders is lost.
+   */
+  protobuf_c_boolean has_begun;
+  uint64_t begun;
 };
 #define BP__DUTY_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__duty_record__descriptor) \
-    , NULL, 0, 0,NULL, 0, 0 }
+    , NULL, 0, 0,NULL, 0, 0, 0, 0ull }
 
 
 /*
--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -2577,7 +2577,8 @@
 static const uint64_t bp__orders_read__era__default_value = 0ull;
 static const uint64_t bp__orders_read__away_us__default_value = 0ull;
 static const protobuf_c_boolean bp__orders_read__unrecorded__default_value = 0;
-static const ProtobufCFieldDescriptor bp__orders_read__field_descriptors[6] =
+static const uint64_t bp__orders_read__begun__default_value = 0ull;
+static const ProtobufCFieldDescriptor bp__orders_read__field_descriptors[7] =
 {
   {
     "read_us",
@@ -2651,9 +2652,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begun",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__OrdersRead, has_begun),
+    offsetof(Bp__OrdersRead, begun),
+    NULL,
+    &bp__orders_read__begun__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__orders_read__field_indices_by_name[] = {
   4,   /* field[4] = away_us */
+  6,   /* field[6] = begun */
   3,   /* field[3] = era */
   2,   /* field[2] = lost_us */
   1,   /* field[1] = orders */
@@ -2663,7 +2677,7 @@
 static const ProtobufCIntRange bp__orders_read__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bp__orders_read__descriptor =
 {
@@ -2673,7 +2687,7 @@
   "Bp__OrdersRead",
   "bp",
   sizeof(Bp__OrdersRead),
-  6,
+  7,
   bp__orders_read__field_descriptors,
   bp__orders_read__field_indices_by_name,
   1,  bp__orders_read__number_ranges,
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -442,10 +442,15 @@
    */
   protobuf_c_boolean has_unrecorded;
   protobuf_c_boolean unrecorded;
+  /*
+   * token with which the record was begun; 0: there is none
+   */
+  protobuf_c_boolean has_begun;
+  uint64_t begun;
 };
 #define BP__ORDERS_READ__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__orders_read__descriptor) \
-    , 0, 0,NULL, 0, 0ull, 0, 0ull, 0, 0ull, 0, 0 }
+    , 0, 0,NULL, 0, 0ull, 0, 0ull, 0, 0ull, 0, 0, 0, 0ull }
 
 
 /*
--- a/src/decide/open_orders.c
+++ b/src/decide/open_orders.c
@@ -37,6 +37,7 @@
 {
 	orders->list = g_ptr_array_new_with_free_func(order_free);
 	orders->leaders = g_ptr_array_new_with_free_func(leader_free);
+	orders->record_begun = 0;
 	orders->last_end = OPEN_ORDER_OPEN;
 }
 
@@ -293,21 +294,37 @@
 	return false;
 }
 
+/*
+ * Note with which token the record was begun.  One that was begun again lacks
+ * what the former one said, so that those orders stay as if they had been told.
+ */
+static void
+note_begun(open_orders_t *orders, uint64_t begun)
+{
+	uint32_t i;
+
+	for (i = 0; begun != orders->record_begun && i < orders->list->len; i++)
+		order_at(orders, i)->source = OPEN_ORDER_TOLD;
+	orders->record_begun = begun;
+}
+
 /*
  * Replace the recorded orders of a set by those that the store had recorded
  * when it was asked at asked_us.  One that was recorded later stays, also if an
  * older record is answered after a newer one.  The coordinator writes the
  * record with each order, so that all but the last one were open when it was
- * written, as if the coordinator had told so.
+ * written, as if the coordinator had told so.  begun: token with which the
+ * record was begun; 0: there is none, or it does not say.
  */
 void
 open_orders_replace_recorded(open_orders_t *orders,
-    const open_order_t *recorded, uint32_t count, int64_t asked_us,
-    int64_t now_us)
+    const open_order_t *recorded, uint32_t count, uint64_t begun,
+    int64_t asked_us, int64_t now_us)
 {
 	uint32_t i = orders->list->len, j;
 	uint64_t last_attempt = 0;
 
+	note_begun(orders, begun);
 	while (i-- > 0) {
 		const open_order_t *order = order_at(orders, i);
 
--- a/src/decide/open_orders.h
+++ b/src/decide/open_orders.h
@@ -64,8 +64,9 @@
 } seen_leader_t;
 
 typedef struct open_orders {
-	GPtrArray *list;           /* of open_order_t, oldest first */
-	GPtrArray *leaders;        /* of seen_leader_t, one for each database */
+	GPtrArray *list;       /* of open_order_t, oldest first */
+	GPtrArray *leaders;    /* of seen_leader_t, one for each database */
+	uint64_t record_begun; /* of the record that was read last; 0: none */
 	open_order_end_t last_end; /* of the order that has ended last */
 } open_orders_t;
 
@@ -91,7 +92,7 @@
 void open_orders_shorten(open_orders_t *, const char *database,
     uint64_t attempt_term, int64_t until_us);
 void open_orders_replace_recorded(open_orders_t *, const open_order_t *recorded,
-    uint32_t count, int64_t asked_us, int64_t now_us);
+    uint32_t count, uint64_t begun, int64_t asked_us, int64_t now_us);
 void open_orders_store_restored(open_orders_t *);
 void open_orders_term_begun(
     open_orders_t *, const char *database, uint64_t term);
--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -59,8 +59,9 @@
 }
 
 /*
- * Parse the coordinator record in a response, and complete its token if the
- * store has just created it.  Returns NULL if there is none.
+ * Parse the coordinator record in a response, and complete its token, with
+ * which it was begun, if the store has just created it.  Returns NULL if there
+ * is none.
  */
 Bp__DutyRecord *
 coordinator_record(const registry_t *registry,
@@ -76,6 +77,8 @@
 		record->token = fencing_token_created(
 		    record->token, response->list[0].revision);
 		record->has_created = record->created = 0;
+		record->has_begun = 1;
+		record->begun = record->token;
 	}
 	return record;
 }
@@ -116,6 +119,7 @@
 	if (record == NULL)
 		return;
 	registry->coordinator_token = record->token;
+	registry->record_begun = record->begun;
 	registry->highest_token = MAX(registry->highest_token, record->token);
 	if (!coordinator_is_named(registry, record) ||
 	    record->token != registry->written_token)
@@ -209,6 +213,10 @@
 	record.holder = registry->proxy->settings->name;
 	record.token = token;
 	record.has_created = record.created = revision == 0;
+	record.has_begun = 1;
+	record.begun = revision != 0 && registry->record_begun != 0
+	    ? registry->record_begun
+	    : token;
 	orders_fill(registry, arena, &record);
 	registry->proxy->objects->put_coordinator(registry->objects,
 	    COORDINATOR_OBJECT_NAME, revision, &record, callback, context);
--- a/src/proxy/group_orders.c
+++ b/src/proxy/group_orders.c
@@ -133,11 +133,12 @@
 
 /*
  * Note the open orders that the store had recorded when it was asked at
- * asked_us; 0: those that are to be recorded.
+ * asked_us; 0: those that are to be recorded.  begun: token with which the
+ * record was begun.
  */
 void
 group_orders_recorded(group_t *group, Bp__OpenOrder *const *list, size_t count,
-    int64_t asked_us, int64_t now_us)
+    uint64_t begun, int64_t asked_us, int64_t now_us)
 {
 	open_order_t *recorded = g_new0(open_order_t, count + 1);
 	size_t i;
@@ -145,8 +146,8 @@
 	for (i = 0; i < count; i++)
 		recorded[i] =
 		    open_order_read(list[i], OPEN_ORDER_RECORDED, now_us);
-	open_orders_replace_recorded(
-	    &group->open_orders, recorded, (uint32_t)count, asked_us, now_us);
+	open_orders_replace_recorded(&group->open_orders, recorded,
+	    (uint32_t)count, begun, asked_us, now_us);
 	g_free(recorded);
 	group_orders_update(group, now_us);
 }
--- a/src/proxy/orders.c
+++ b/src/proxy/orders.c
@@ -423,6 +423,8 @@
 	if (record != NULL) {
 		read.orders = record->orders;
 		read.n_orders = record->n_orders;
+		read.has_begun = 1;
+		read.begun = record->begun;
 	}
 	task_send(registry->proxy->pool, registry->task, msg_copy(&read.base));
 }
@@ -449,6 +451,7 @@
 	Bp__DutyRecord noted = BP__DUTY_RECORD__INIT;
 
 	orders_fill(registry, arena, &noted);
+	noted.begun = registry->record_begun;
 	report(registry, &noted, clock_us(), true);
 	arena_free(arena);
 }
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -393,7 +393,7 @@
 		recorded.read_us = (int64_t)read->read_us;
 		recorded.lost_us = (int64_t)read->lost_us;
 		recorded.read_era = read->era;
-		group_orders_recorded(value, open, n_open,
+		group_orders_recorded(value, open, n_open, read->begun,
 		    read->unrecorded ? 0 : (int64_t)read->read_us, clock_us());
 		if (!read->unrecorded) {
 			group_former_keep(value, read->era);
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -547,7 +547,7 @@
 bool group_orders_told(
     group_t *, Bp__OpenOrder *const *, size_t count, int64_t now_us);
 void group_orders_recorded(group_t *, Bp__OpenOrder *const *, size_t count,
-    int64_t asked_us, int64_t now_us);
+    uint64_t begun, int64_t asked_us, int64_t now_us);
 Bp__OpenOrder **group_orders_write(const group_t *, arena_t *, size_t *count);
 Bp__OpenOrder **group_orders_write_over(
     const group_t *, arena_t *, size_t *count);
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -80,6 +80,7 @@
 			     allows it */
 	uint64_t coordinator_revision; /* last known revision of the record */
 	uint64_t coordinator_token;    /* last known token in the record */
+	uint64_t record_begun; /* token with which that was begun; 0: unknown */
 	uint64_t highest_token; /* highest that this or another daemon knows */
 	bool first_token;       /* no other one was known when it was chosen */
 	int64_t coordinator_sent_us; /* time of the last read of the record to
--- a/tests/t_open_orders.c
+++ b/tests/t_open_orders.c
@@ -22,8 +22,11 @@
 	STEP_READ_EMPTY, /* the record has none */
 	/* a record that was asked for before has none */
 	STEP_READ_EARLIER,
-	STEP_LEADS,    /* a database leads a term */
-	STEP_STARTED,  /* a database has started again, or left */
+	STEP_READ_MISSING,   /* there is no record */
+	STEP_READ_BEGUN,     /* a record that was begun again has none */
+	STEP_RECORDED_BEGUN, /* such a record has it, alone */
+	STEP_LEADS,          /* a database leads a term */
+	STEP_STARTED,        /* a database has started again, or left */
 	STEP_CHECKED,  /* a database is asked for its status, and answers */
 	STEP_ACCEPTED, /* the platform accepts the order */
 	STEP_REFUSED,  /* the platform refuses the order */
@@ -153,6 +156,21 @@
     {"the same, and one that was asked for later",
 	{{STEP_RECORDED, "a", 2, 500}, {STEP_READ_EARLIER}, {STEP_READ_EMPTY}},
 	100, false, false},
+    {"a record that was begun again lacks it",
+	{{STEP_RECORDED, "a", 2, 500}, {STEP_READ_BEGUN}}, 100, true, false},
+    {"the same, and it is read again",
+	{{STEP_RECORDED, "a", 2, 500}, {STEP_READ_BEGUN}, {STEP_READ_BEGUN}},
+	100, true, false},
+    {"the same, and its database was asked after its time",
+	{{STEP_RECORDED, "a", 2, 500}, {STEP_READ_BEGUN},
+	    {STEP_CHECKED, "a", 2, 500}},
+	600, false, false},
+    {"there is no record any more",
+	{{STEP_RECORDED, "a", 2, 500}, {STEP_READ_MISSING}}, 100, true, false},
+    {"a record that was begun again has it, and lacks it later",
+	{{STEP_RECORDED, "a", 2, 500}, {STEP_RECORDED_BEGUN, "a", 2, 500},
+	    {STEP_READ_BEGUN}},
+	100, false, false},
     {"recorded ones go when the record is read",
 	{{STEP_RECORDED, "a", 2, 500}, {STEP_READ_EMPTY}}, 100, false, false},
     {"it is the only one, and a database has begun a newer term that no known "
@@ -221,26 +239,36 @@
 		break;
 	case STEP_RECORDED:
 		order.source = OPEN_ORDER_RECORDED;
-		open_orders_replace_recorded(orders, &order, 1, 0, 0);
+		open_orders_replace_recorded(orders, &order, 1, 1, 0, 0);
 		break;
 	case STEP_RECORDED_WITH_B:
 		order.source = OPEN_ORDER_RECORDED;
 		list[0] = list[1] = order;
 		list[1].database = "b";
 		list[1].attempt_term++;
-		open_orders_replace_recorded(orders, list, 2, 0, 0);
+		open_orders_replace_recorded(orders, list, 2, 1, 0, 0);
 		break;
 	case STEP_RECORDED_TWICE:
 		order.source = OPEN_ORDER_RECORDED;
 		list[0] = list[1] = order;
 		list[1].attempt_term++;
-		open_orders_replace_recorded(orders, list, 2, 0, 0);
+		open_orders_replace_recorded(orders, list, 2, 1, 0, 0);
 		break;
 	case STEP_READ_EMPTY:
-		open_orders_replace_recorded(orders, NULL, 0, 0, 0);
+		open_orders_replace_recorded(orders, NULL, 0, 1, 0, 0);
 		break;
 	case STEP_READ_EARLIER:
-		open_orders_replace_recorded(orders, NULL, 0, MS(-1), 0);
+		open_orders_replace_recorded(orders, NULL, 0, 1, MS(-1), 0);
+		break;
+	case STEP_READ_MISSING:
+		open_orders_replace_recorded(orders, NULL, 0, 0, 0, 0);
+		break;
+	case STEP_READ_BEGUN:
+		open_orders_replace_recorded(orders, NULL, 0, 2, 0, 0);
+		break;
+	case STEP_RECORDED_BEGUN:
+		order.source = OPEN_ORDER_RECORDED;
+		open_orders_replace_recorded(orders, &order, 1, 2, 0, 0);
 		break;
 	case STEP_LEADS:
 		open_orders_term_begun(orders, step->database, step->term);
@@ -395,6 +423,8 @@
 	OPEN_ORDER_UNRECORDED},
     {"a record that was asked for before lacks it",
 	{{STEP_RECORDED, "a", 2, 500}, {STEP_READ_EARLIER}}, OPEN_ORDER_OPEN},
+    {"a record that was begun again lacks it",
+	{{STEP_RECORDED, "a", 2, 500}, {STEP_READ_BEGUN}}, OPEN_ORDER_OPEN},
 };
 
 /*
@@ -487,7 +517,7 @@
 		    .primary = i == 0 ? c->leads : !c->leads,
 		    .requested_us = MS(c->requested_ms)};
 	open_orders_init(&orders);
-	open_orders_replace_recorded(&orders, &order, 1, 0, 0);
+	open_orders_replace_recorded(&orders, &order, 1, 1, 0, 0);
 	open_orders_update(
 	    &orders, &failover, &lease, group_name, NULL, MS(c->now_ms));
 	g_assert_cmpint(failover.order_unanswered, ==, c->unanswered);
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -922,7 +922,7 @@
 		model.daemons[i].members = model.members;
 	}
 	model.coordinator = 0;
-	model.coordinator_token = 1;
+	model.coordinator_token = model.open.record_begun = 1;
 	model.record_revision = model.older_revision = 1;
 	model.daemons[0].is_coordinator = model.daemons[0].order_sent = true;
 	model.daemons[0].fencing_token = model.daemons[0].newest_token_seen = 1;
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -140,6 +140,8 @@
 typedef struct open_list {
 	listed_order_t orders[OPEN_LIST_MAX];
 	uint32_t count;
+	/* of a record: token with which it was begun; 0: there is none */
+	uint64_t record_begun;
 } open_list_t;
 
 /* What the coordinator record says, without the role. */
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -140,7 +140,7 @@
 		recorded[i] =
 		    listed_order(model, &list->orders[i], OPEN_ORDER_RECORDED);
 	open_orders_replace_recorded(&daemon->open_orders, recorded,
-	    list->count, asked_us, model->now_us);
+	    list->count, list->record_begun, asked_us, model->now_us);
 	proxy_model_open_update(model, daemon);
 }
 
--- a/tools/proxy_model_role.c
+++ b/tools/proxy_model_role.c
@@ -104,6 +104,8 @@
 {
 	uint64_t token = token_next(model, known);
 
+	if (record_missing(model))
+		model->open.record_begun = token;
 	model->older_coordinator = model->coordinator;
 	model->older_token = model->coordinator_token;
 	model->older_revision = model->record_revision;
@@ -286,6 +288,7 @@
 		model->record_unreadable = false;
 		model->orders = (recorded_orders_t){0};
 		model->open.count = 0;
+		model->open.record_begun = 0;
 		model->members = (recorded_members_t){0};
 		model->record_revision++;
 	}
