Leases: a primary that is listed alone has none once most members have ended

What callers saw: reads that lacked acknowledged writes (STALE), at a daemon whose list had the primary alone.

Cause: with most recorded members ended none counts (failover_set_members()), and a primary that is listed alone then had a lease by each read of the record that named no order. That shows no promises, which precede the order by the duration of a lease. docs/DESIGN.md says that nobody's answer begins a lease then.

Ruled out: the model does what the product does here (src/decide/lease.c is used by both).

Evidence: the row of /lease/members with members_ended failed before (a lease), the row without members passed before and after.

--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -186,7 +186,9 @@
  * Return the time at which it is certain that a primary without replicas was
  * not replaced: it needs no answers of others, unless it had replicas, or they
  * may not be listed yet.  Where the members are recorded, it must be the only
- * one; then nobody replaces it without its promise, whatever is listed.
+ * one; then nobody replaces it without its promise, whatever is listed.  Where
+ * most of them have ended, their later starts may have promised a newer term,
+ * which the record does not show before the order.
  */
 static int64_t
 alone_us(const lease_t *lease, const db_view_t *view, int64_t now_us)
@@ -194,7 +196,8 @@
 	uint64_t term = view->promised;
 	uint32_t members = recorded_members(lease, term);
 
-	if (members > 0 && (members > 1 || !view->member))
+	if (lease->members_ended ||
+	    (members > 0 && (members > 1 || !view->member)))
 		return 0;
 	if (!members_missing(lease, term) && !order_recorded(lease, view) &&
 	    (members > 0 || !all_unknown(lease, now_us)))
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -1117,6 +1117,7 @@
 	int64_t list_until_ms;
 	bool removed_alive; /* one that may run was removed */
 	bool asked_before;  /* they have answered a request before, too */
+	bool members_ended; /* most recorded members have ended */
 } members_case_t;
 
 /* Time of a round of requests before, and time at which the lease is to be
@@ -1132,6 +1133,9 @@
     {"listed alone, of two", 1, 2, "m", {5900}, false, true},
     {"listed alone, and another one is recorded", 1, 1, "-", {5900}, false,
 	true},
+    {"listed alone, and none are recorded", 1, 0, "-", {5900}, true, false},
+    {"listed alone, and most that are recorded have ended", 1, 0, "-", {5900},
+	false, true, .members_ended = true},
     {"two of three answer", 3, 3, "mmm", {5900, 5900}, true, false},
     {"two of three answer, and the list is new", 3, 3, "mmm", {5900, 5900},
 	true, false, .list_new = true},
@@ -1241,7 +1245,8 @@
 	    .members = c->members,
 	    .list_new = c->list_new,
 	    .list_until_us = MS(c->list_until_ms),
-	    .removed_alive = c->removed_alive};
+	    .removed_alive = c->removed_alive,
+	    .members_ended = c->members_ended};
 	db_view_t views[4];
 	uint32_t i;
 
