Failover: a database that has left counts as absent until it is listed again

What callers saw: acknowledged writes lost (LOST) where commits need a replica.

Cause: the databases of which all but sync_replicas have to promise were those that are listed or recorded. One that is neither may run, receive and hold commits: a later start, or a database that leaves, without an entry. So too in src/proxy, which records the same members.

Change: a database that was in the list or in the record counts as absent, as a recorded member does, until it or a later start is listed, or for START_LOST_US. On the users' platform the log of a database that leaves goes to a new one at its address, whose entry ends that. What remains: a daemon that has started since does not know of it.

Evidence: 3 of the 4 new rows of /members/departed fail without the count, the fourth, a server that is kept, passes with and without it.

--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -240,8 +240,8 @@
 	   is left of what they had promised */
 	uint32_t members;
 	uint32_t members_ended;
-	/* recorded members in whose place no database is listed: neither they,
-	   nor later starts of theirs, which may hold commits */
+	/* databases that are not listed and may hold commits: recorded members
+	   in whose place no later start is, and others that have left */
 	uint32_t members_absent;
 	/* former members that leases of other daemons may rest on, those that
 	   may have been recorded, and the present ones with later starts in
--- a/src/proxy/group_members.c
+++ b/src/proxy/group_members.c
@@ -65,8 +65,8 @@
  * Tell whether no server of a group is a recorded member or a later start of
  * it.
  */
-static bool
-member_absent(const group_t *group, const member_t *member)
+bool
+group_member_absent(const group_t *group, const member_t *member)
 {
 	start_t start = {member->id, member->address, member->born};
 	arena_t *arena = arena_new();
@@ -85,15 +85,29 @@
 	return absent;
 }
 
+/*
+ * Note that a server was removed from a group.
+ */
+void
+group_server_departed(group_t *group, const server_t *server, int64_t now_us)
+{
+	arena_t *arena = arena_new();
+
+	group_departed_note(group, server->id, server->generation,
+	    server_address(server, arena), now_us);
+	arena_free(arena);
+}
+
 /*
  * Mark the servers of a group that are recorded members, and count those that
- * have ended or are absent.
+ * have ended or are absent.  Databases that have left count as absent as well.
  */
 void
 group_members_update(group_t *group)
 {
 	failover_t *failover = &group->failover;
 	uint32_t i, ended = 0, absent = 0, count = group->members_count;
+	int64_t now_us = clock_us();
 
 	for (i = 0; i < group->count; i++) {
 		const server_t *server = group->servers[i];
@@ -106,10 +120,11 @@
 	for (i = 0; i < count; i++) {
 		ended += group_member_ended_by(group, &group->members[i]) !=
 		    START_STAYS;
-		absent += member_absent(group, &group->members[i]);
+		absent += group_member_absent(group, &group->members[i]);
 	}
+	absent += group_departed_count(group, now_us);
 	failover_set_members(
-	    failover, &group->lease, count, ended, absent, clock_us());
+	    failover, &group->lease, count, ended, absent, now_us);
 	group_former_update(group);
 }
 
@@ -205,6 +220,27 @@
 	group->members_count = 0;
 }
 
+/*
+ * Note the members that are recorded no more, and are not in the group.
+ */
+static void
+note_departed(group_t *group, Bp__RecordedMember *const *list, size_t count)
+{
+	uint32_t i;
+	size_t j;
+
+	for (i = 0; i < group->members_count; i++) {
+		const member_t *member = &group->members[i];
+
+		for (j = 0;
+		     j < count && strcmp(list[j]->server, member->id) != 0; j++)
+			;
+		if (j == count && group_member_absent(group, member))
+			group_departed_note(group, member->id, member->born,
+			    member->address, clock_us());
+	}
+}
+
 /*
  * Note which servers of a group the store had recorded when it was asked at
  * read_us.
@@ -232,6 +268,7 @@
 		}
 		n++;
 	}
+	note_departed(group, list, count);
 	group_members_clear(group);
 	memcpy(group->members, members, sizeof(members[0]) * n);
 	group->members_count = n;
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -269,6 +269,9 @@
 	   recorded */
 	member_t members[GROUP_DATABASES_MAX];
 	uint32_t members_count;
+	/* databases that have left the group, and may run */
+	member_t departed[GROUP_DATABASES_MAX];
+	uint32_t departed_count;
 	former_set_t former[FORMER_MEMBERS_MAX];
 	uint32_t former_count;
 	/* those that were sent to be recorded, and may have been */
@@ -572,6 +575,8 @@
     group_t *, const server_t *, start_removal_t, int64_t now_us);
 void group_member_runs(group_t *, const server_t *);
 start_removal_t group_member_ended_by(const group_t *, const member_t *);
+bool group_member_absent(const group_t *, const member_t *);
+void group_server_departed(group_t *, const server_t *, int64_t now_us);
 int32_t group_member_index(
     const member_t *, uint32_t count, const char *id, uint64_t born);
 Bp__RecordedMember **group_members_write(
@@ -583,6 +588,12 @@
     arena_t *, const char *id, uint64_t born, const char *address);
 void group_members_free(member_t *, uint32_t count);
 
+/* group_departed.c */
+void group_departed_note(group_t *, const char *id, uint64_t born,
+    const char *address, int64_t now_us);
+uint32_t group_departed_count(group_t *, int64_t now_us);
+void group_departed_clear(group_t *);
+
 /* group_former.c */
 void group_former_recorded(group_t *, Bp__FormerMembers *const *, size_t count,
     uint64_t replaced_term, int64_t read_us);
--- a/src/proxy/server.c
+++ b/src/proxy/server.c
@@ -88,6 +88,7 @@
 	g_ptr_array_unref(group->removed);
 	open_orders_clear(&group->open_orders);
 	group_members_clear(group);
+	group_departed_clear(group);
 	group_former_clear(group);
 	failover_clear(&group->failover);
 	rankq_free(group->primary_backlog);
@@ -621,6 +622,10 @@
 		servers[i]->index = i;
 	}
 	failover_remap(&group->failover, old_index, count, now_us);
+	for (i = 0; i < old_count; i++) {
+		if (old[i] != NULL)
+			group_server_departed(group, old[i], now_us);
+	}
 	group_members_update(group);
 	/* the lease relied on the previous set of servers */
 	lease_cancel(&group->lease);
--- a/tests/t_members.c
+++ b/tests/t_members.c
@@ -198,6 +198,88 @@
 	bed_stop(&bed);
 }
 
+#define STEPS_MAX 4
+
+/* A list, and what follows it. */
+typedef struct departed_step {
+	uint32_t listed;  /* servers, as bits; 0: there is no list */
+	uint64_t born;    /* of that with index 1 */
+	bool denied;      /* the process at its address is another one */
+	bool recorded;    /* the servers and members that are kept */
+	int64_t after_s;  /* time since the last step */
+	uint32_t members; /* expected: recorded members */
+	uint32_t absent;  /* expected: databases that are not listed, but may
+			     run */
+} departed_step_t;
+
+typedef struct departed_case {
+	const char *name;
+	departed_step_t steps[STEPS_MAX]; /* until one expects no members */
+} departed_case_t;
+
+static const departed_case_t departed_cases[] = {
+    {"ended, recorded no more, and a later start is listed",
+	{{ALL & ~REPLICA, 5, true, false, 0, 3, 1},
+	    {0, 5, false, true, 0, 2, 1}, {ALL, 6, false, false, 0, 2, 0}}},
+    {"ended, recorded no more, and not listed for long",
+	{{ALL & ~REPLICA, 5, true, true, 0, 2, 1},
+	    {0, 5, false, false, 59, 2, 1}, {0, 5, false, false, 2, 2, 0}}},
+    {"a later start, never recorded, that is listed no more",
+	{{ALL, 6, false, false, 0, 3, 0},
+	    {ALL & ~REPLICA, 6, true, true, 0, 2, 1},
+	    {ALL, 7, false, false, 0, 2, 0}}},
+    {"not listed, and may be alive",
+	{{ALL & ~REPLICA, 5, false, true, 0, 3, 0}}},
+};
+
+/*
+ * Have time pass for the databases that have left a group.
+ */
+static void
+departed_earlier(group_t *group, int64_t by_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < group->departed_count; i++)
+		group->departed[i].kept_until_us -= by_us;
+	group_members_update(group);
+}
+
+/*
+ * Test that a database that has left counts as absent until a later start is
+ * listed, also once the record has it no more.
+ */
+static void
+test_departed(gconstpointer data)
+{
+	const departed_case_t *c = data;
+	group_t *group;
+	uint32_t i;
+	bed_t bed;
+
+	bed_start(&bed);
+	apply_list(bed.pool, ALL, 5);
+	group = g_hash_table_lookup(bed.pool->groups, "ledger");
+	group->active = true;
+	record_members(group);
+	for (i = 0; i < STEPS_MAX && c->steps[i].members > 0; i++) {
+		const departed_step_t *step = &c->steps[i];
+
+		if (step->denied)
+			monitor_denied(group->servers[1]);
+		if (step->listed != 0)
+			apply_list(bed.pool, step->listed, step->born);
+		if (step->recorded)
+			record_members(group);
+		departed_earlier(group, step->after_s * US_PER_SECOND);
+		g_test_message("step %u", i);
+		g_assert_cmpuint(group->members_count, ==, step->members);
+		g_assert_cmpuint(
+		    group->failover.members_absent, ==, step->absent);
+	}
+	bed_stop(&bed);
+}
+
 typedef struct new_case {
 	const char *name;
 	uint64_t born;  /* of i-1 in the second list; 0: it is not listed */
@@ -739,6 +821,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions();
 	CASES("/members/listed", listed_cases, test_listed);
+	CASES("/members/departed", departed_cases, test_departed);
 	CASES("/members/new", new_cases, test_new);
 	CASES("/members/known", known_cases, test_known);
 	CASES("/members/written", written_cases, test_written);
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -130,6 +130,8 @@
 	/* where commits are synchronous, a member that has ended holds none,
 	   nor does a later start of it that is not listed */
 	PROXY_BUG_ENDED_HOLDS_NOTHING,
+	/* nor does a database that is neither listed nor recorded any more */
+	PROXY_BUG_DEPARTED_HOLDS_NOTHING,
 	/* where commits are synchronous and no members are recorded, the first
 	   list of a process lacks no database that has started long before */
 	PROXY_BUG_FIRST_LIST_COMPLETE,
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -227,6 +227,8 @@
 	bool unlisted[DBS_MAX]; /* in the group, but not in the last list */
 	int64_t unlisted_us[DBS_MAX]; /* time at which that became known */
 	bool denied[DBS_MAX]; /* another process has answered in its place */
+	/* it has left the group, and counts as absent until then */
+	int64_t departed_until_us[DBS_MAX];
 	int64_t added_us[DBS_MAX]; /* time it was added to the group */
 	int64_t listed_us;         /* time of the first list; 0: none yet */
 	int64_t list_read_us;      /* time of the last one */
@@ -420,6 +422,10 @@
     const proxy_model_t *, const proxy_model_daemon_t *, uint32_t db);
 void proxy_model_entry_lost(proxy_model_t *, uint32_t db, int64_t until_us);
 void proxy_model_denied(proxy_model_t *, proxy_model_daemon_t *, uint32_t db);
+void proxy_model_departed(
+    const proxy_model_t *, proxy_model_daemon_t *, const recorded_members_t *);
+bool proxy_model_absent(
+    const proxy_model_t *, const proxy_model_daemon_t *, uint32_t db);
 bool proxy_model_member_ended(
     const proxy_model_t *, const proxy_model_daemon_t *, uint32_t db);
 int32_t proxy_model_index(const proxy_model_daemon_t *, uint32_t db);
--- a/tools/proxy_model_lists.c
+++ b/tools/proxy_model_lists.c
@@ -140,6 +140,46 @@
 	return daemon->member_gone[db] || other_start;
 }
 
+/*
+ * Note the members that a record has no more, and that are not in the group of
+ * a daemon.
+ */
+void
+proxy_model_departed(const proxy_model_t *model, proxy_model_daemon_t *daemon,
+    const recorded_members_t *members)
+{
+	uint32_t i;
+
+	for (i = 0; i < model->plan->databases; i++) {
+		if (daemon->members.now.member[i] && !members->now.member[i] &&
+		    proxy_model_index(daemon, i) < 0)
+			daemon->departed_until_us[i] =
+			    model->now_us + START_LOST_US;
+	}
+}
+
+/*
+ * Tell whether a daemon has no start of a database in its group, and one may
+ * hold commits: it is a recorded member, or has left the group lately.
+ */
+bool
+proxy_model_absent(
+    const proxy_model_t *model, const proxy_model_daemon_t *daemon, uint32_t db)
+{
+	proxy_model_bug_t bug = model->plan->injected_bug;
+
+	if (proxy_model_index(daemon, db) >= 0)
+		return false;
+	if (daemon->members.now.member[db] &&
+	    bug != PROXY_BUG_MEMBERS_IGNORED &&
+	    !(bug == PROXY_BUG_ENDED_HOLDS_NOTHING &&
+		proxy_model_member_ended(model, daemon, db)))
+		return true;
+	return model->now_us < daemon->departed_until_us[db] &&
+	    bug != PROXY_BUG_DEPARTED_HOLDS_NOTHING &&
+	    bug != PROXY_BUG_ENDED_HOLDS_NOTHING;
+}
+
 /*
  * Have the group of a daemon consist of these databases.  old_index: as for
  * failover_remap().  lost: one has left that had not said so.
@@ -150,9 +190,14 @@
 {
 	uint32_t i;
 
+	for (i = 0; i < daemon->failover.count; i++)
+		daemon->departed_until_us[daemon->servers[i]] =
+		    model->now_us + START_LOST_US;
 	failover_remap(&daemon->failover, old_index, count, model->now_us);
-	for (i = 0; i < count; i++)
+	for (i = 0; i < count; i++) {
 		daemon->servers[i] = dbs[i];
+		daemon->departed_until_us[dbs[i]] = 0;
+	}
 	proxy_model_members_update(model, daemon);
 	lease_cancel(&daemon->lease);
 	if (lost)
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -397,11 +397,7 @@
 		    proxy_model_member_ended(model, daemon, i);
 
 		ended += gone;
-		absent += count > 0 && daemon->members.now.member[i] &&
-		    proxy_model_index(daemon, i) < 0 &&
-		    !(gone &&
-			model->plan->injected_bug ==
-			    PROXY_BUG_ENDED_HOLDS_NOTHING);
+		absent += proxy_model_absent(model, daemon, i);
 		refused += count > 0 && !gone && daemon->member_refused[i];
 	}
 	if (model->plan->injected_bug == PROXY_BUG_REFUSED_UNRECORDED &&
@@ -429,6 +425,7 @@
 	for (i = 0; i < model->plan->databases; i++)
 		daemon->member_gone[i] &= members->now.member[i] &&
 		    members->now.born_us[i] == daemon->members.now.born_us[i];
+	proxy_model_departed(model, daemon, members);
 	daemon->members = *members;
 	if (!model->plan->members_read_once &&
 	    model->plan->injected_bug != PROXY_BUG_MEMBERS_OUTLIVE)
