Coordinator: an order is confirmed by the answers to its own request

What callers could see: two primaries, or reads at a replaced one. While the store is away a coordinator asks most daemons to confirm an order. Numbers of orders come again: an order that was dropped for lack of answers, and was decided again within 2.5 s, was sent on the late answers to the first request. Daemons that answered then may since have learned of a newer term, order or token, which a second answer would have told.

Cause: order_confirmed() compared the group and the number only. What tells against an order (a newer token, term or order) counts whenever it was asked for. An order that waits for the first one's delay, and asks nobody, was dropped by such a report, and now waits on.

Evidence: /peers/order-number, new, with the peers task and the registry of a coordinator.

Two tests that answer in place of the peers task failed with it: /coordinator/sent-order-noted and /coordinator/confirmed. They were wrong in that their answers did not say which request they answer, as those of the peers task do.

--- a/src/proxy/promotion.c
+++ b/src/proxy/promotion.c
@@ -83,6 +83,8 @@
 	request->token = registry->fencing_token;
 	request->has_confirms = request->confirms = 1;
 	order->asked_us = clock_us();
+	request->has_asked_us = 1;
+	request->asked_us = (uint64_t)order->asked_us;
 	order->timer = task_timer(
 	    registry->task, CONFIRM_TIMEOUT_MS, on_confirm_timeout, order);
 	revoke_from_last_listed(registry, msg);
@@ -102,11 +104,24 @@
 	order_send(order);
 }
 
+/*
+ * Tell whether a report answers the request to confirm an order, and not one
+ * for an earlier order of the same number.
+ */
+static bool
+answers_order(const Bp__RevokeEnded *ended, const order_t *order)
+{
+	return order->asked_us != 0 &&
+	    (int64_t)ended->asked_us == order->asked_us;
+}
+
 /*
  * Handle RevokeEnded: send the order if a majority of the daemons, or all, have
  * confirmed this daemon's token; drop it if one of them knows a newer token, a
  * primary newer than those that the order replaces, or an order that was not
- * known when this one was decided.  The replacement of a record that cannot be
+ * known when this one was decided.  A number may come again: what tells against
+ * an order counts whenever it was asked for, but only the answers to the
+ * order's own request confirm it.  The replacement of a record that cannot be
  * read also waits for it.
  */
 void
@@ -133,6 +148,8 @@
 			orders_learn(registry, ended->order)))
 			order_finish(
 			    order, BP__PROMOTION_ANSWER__ORDER_OUTDATED);
+		else if (!answers_order(ended, order))
+			continue;
 		else if (clock_us() - order->asked_us >
 		    CONFIRM_TIMEOUT_MS * US_PER_MS)
 			/* suspended; the timer has not run yet */
--- a/src/proxy/promotion_internal.h
+++ b/src/proxy/promotion_internal.h
@@ -27,7 +27,7 @@
 	bool checking;       /* the pool checks the promises for it */
 	bool promised;       /* it has found that they are held */
 	int64_t put_us;      /* time of the write that recorded it */
-	int64_t asked_us;    /* time of the request to confirm the token */
+	int64_t asked_us; /* time of the request to confirm it; 0: not asked */
 } order_t;
 
 /* promotion_record.c */
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -1,5 +1,6 @@
 #include "../platform/json_tree.h"
 #include "../src/proxy/order_messages.h"
+#include "../src/proxy/promotion_internal.h"
 #include "../src/proxy/registry.h"
 #include "cases.h"
 #include "json.h"
@@ -609,6 +610,18 @@
 	bed_stop(&bed);
 }
 
+/*
+ * Return the time of the request to confirm the last order, which its answers
+ * carry.
+ */
+static uint64_t
+confirmation_asked_us(const registry_t *registry)
+{
+	const order_t *order = registry->pending_orders->data;
+
+	return (uint64_t)order->asked_us;
+}
+
 /*
  * Test that an order that was sent stays noted when a later one for the same
  * term is dropped before it is sent.  The store is away.
@@ -633,6 +646,7 @@
 	ended->group = arena_strdup(msg->arena, "ledger");
 	ended->term = STANDING_TERM;
 	ended->state = BP__REVOKE_STATE__MOST;
+	ended->asked_us = confirmation_asked_us(registry);
 	order_confirmed(registry, msg);
 	g_assert_cmpuint(promoted_count, ==, 1);
 	/* a daemon knows a newer primary than the one to be replaced */
@@ -643,6 +657,7 @@
 	ended->term = STANDING_TERM;
 	ended->newest_term = 2;
 	ended->state = BP__REVOKE_STATE__MOST;
+	ended->asked_us = confirmation_asked_us(registry);
 	order_confirmed(registry, known);
 	g_assert_cmpuint(promoted_count, ==, 1);
 	/* too few daemons confirm the second */
@@ -1552,6 +1567,7 @@
 	ended->term = STANDING_TERM;
 	ended->state = BP__REVOKE_STATE__MOST;
 	ended->token = 5;
+	ended->asked_us = confirmation_asked_us(registry);
 	order_confirmed(registry, msg);
 	g_assert_cmpuint(promoted_count, ==, c->sent);
 	bed_stop(&bed);
--- a/tests/t_unheard.c
+++ b/tests/t_unheard.c
@@ -46,8 +46,10 @@
 	bool resets_asked;    /* they are when something has been asked */
 	bool other_name;      /* another daemon has its address */
 	bool restarted;       /* it has read no token since it started */
+	bool holds_up;        /* it answers when the test has it do so */
 	knowledge_t knowledge;
 	uint32_t asked;   /* number of revocations that have reached it */
+	uint32_t held_up; /* number of those whose answers were held up */
 	GPtrArray *links; /* of daemon_link_t */
 } daemon_t;
 
@@ -55,6 +57,8 @@
 typedef struct daemon_link {
 	daemon_t *daemon;
 	frame_link_t *frames;
+	uint64_t held_id; /* revocation whose answer is held up; 0: none */
+	uint32_t order;   /* number of the order that it is for, from 0 */
 } daemon_link_t;
 
 /* What the requester of a revocation was told of it. */
@@ -137,27 +141,19 @@
 }
 
 /*
- * Answer a revocation with all that the daemon knows, or reset the connection.
+ * Answer a revocation with all that the daemon knows.
  */
 static void
-on_link_received(void *context, arena_t *arena, Bp__PeerMessage *asked)
+link_answer(
+    const daemon_link_t *link, uint64_t id, uint64_t token, arena_t *arena)
 {
-	daemon_link_t *link = context;
 	const knowledge_t *knowledge = &link->daemon->knowledge;
 	Bp__PeerMessage message = BP__PEER_MESSAGE__INIT;
 	Bp__LeaseRevoked revoked = BP__LEASE_REVOKED__INIT;
 	Bp__RecordedOrder order = BP__RECORDED_ORDER__INIT;
 
-	g_assert_cmpint(
-	    asked->body_case, ==, BP__PEER_MESSAGE__BODY_LEASE_REVOKE);
-	link->daemon->asked++;
-	if (link->daemon->resets_asked) {
-		g_ptr_array_remove_fast(link->daemon->links, link);
-		arena_free(arena);
-		return;
-	}
-	revoked.id = asked->lease_revoke->id;
-	revoked.token = MAX(asked->lease_revoke->token, knowledge->token);
+	revoked.id = id;
+	revoked.token = MAX(token, knowledge->token);
 	revoked.has_newest_term = 1;
 	revoked.newest_term = knowledge->newest_term;
 	order.group = arena_strdup(arena, GROUP);
@@ -172,6 +168,54 @@
 	message.body_case = BP__PEER_MESSAGE__BODY_LEASE_REVOKED;
 	message.lease_revoked = &revoked;
 	frame_send(link->frames, &message);
+}
+
+/*
+ * Answer a revocation, hold the answer up, or reset the connection.
+ */
+static void
+on_link_received(void *context, arena_t *arena, Bp__PeerMessage *asked)
+{
+	daemon_link_t *link = context;
+	daemon_t *daemon = link->daemon;
+
+	g_assert_cmpint(
+	    asked->body_case, ==, BP__PEER_MESSAGE__BODY_LEASE_REVOKE);
+	daemon->asked++;
+	if (daemon->resets_asked) {
+		g_ptr_array_remove_fast(daemon->links, link);
+	} else if (daemon->holds_up) {
+		/* not that an order was withdrawn */
+		if (asked->lease_revoke->term != 0) {
+			link->held_id = asked->lease_revoke->id;
+			link->order = daemon->held_up++;
+		}
+	} else {
+		link_answer(link, asked->lease_revoke->id,
+		    asked->lease_revoke->token, arena);
+	}
+	arena_free(arena);
+}
+
+/*
+ * Have all daemons give the answers that they hold up for an order.
+ */
+static void
+bed_answer_held(const bed_t *bed, uint32_t order)
+{
+	arena_t *arena = arena_new();
+	uint32_t i, j;
+
+	for (i = 0; i < bed->daemons_count; i++) {
+		const GPtrArray *links = bed->daemons[i].links;
+
+		for (j = 0; j < links->len; j++) {
+			daemon_link_t *link = g_ptr_array_index(links, j);
+
+			if (link->held_id != 0 && link->order == order)
+				link_answer(link, link->held_id, TOKEN, arena);
+		}
+	}
 	arena_free(arena);
 }
 
@@ -239,8 +283,8 @@
 /*
  * Start the peers task, and the daemons: a letter for each, a answers, f
  * refuses, x resets at once, y when it has been asked, n answers under another
- * name, r answers and has read no token since it started.  knowledge: of those
- * that do not answer in their own.
+ * name, r answers and has read no token since it started, h holds its answers
+ * up.  knowledge: of those that do not answer in their own.
  */
 static void
 bed_start(bed_t *bed, const char *daemons, const knowledge_t *knowledge)
@@ -270,6 +314,7 @@
 		daemon->resets_asked = daemons[i] == 'y';
 		daemon->other_name = daemons[i] == 'n';
 		daemon->restarted = daemons[i] == 'r';
+		daemon->holds_up = daemons[i] == 'h';
 		if (daemons[i] != 'a' && daemons[i] != 'r')
 			daemon->knowledge = *knowledge;
 		if (daemons[i] != 'f')
@@ -681,6 +726,66 @@
 	bed_stop(&bed);
 }
 
+/* Time in which a confirmation ends, and less than a revocation lasts. */
+#define CONFIRMATION_ENDED_MS (CONFIRM_TIMEOUT_MS + 100)
+
+/* Time in which an answer is handled, and less than a confirmation lasts. */
+#define HANDLED_MS 60
+
+typedef struct number_case {
+	const char *name;
+	bool delayed; /* the second order waits, and is not to be confirmed */
+	/* orders whose answers arrive while the second one waits */
+	const char *answered;
+	knowledge_t knowledge; /* of all daemons */
+	uint32_t orders;       /* expected to be sent */
+	bool dropped;          /* expected of the second order, if not sent */
+} number_case_t;
+
+static const number_case_t number_cases[] = {
+    {"the answers to it", false, "1", {0}, 1, false},
+    {"those to the earlier one", false, "0", {0}, 0, false},
+    {"those to both", false, "01", {0}, 1, false},
+    {"a newer term, in those to the earlier one", false, "01",
+	{.newest_term = 3}, 0, true},
+    {"an order, in those to the earlier one", false, "01", {.order_term = 4}, 0,
+	true},
+    {"those to the earlier one, while it is delayed", true, "0", {0}, 0, false},
+};
+
+/*
+ * Test that an order is confirmed by the answers to its own request: an earlier
+ * one for the same server had the same number, and its answers are late.
+ */
+static void
+test_number(gconstpointer data)
+{
+	const number_case_t *c = data;
+	bed_t bed;
+	uint32_t i;
+
+	bed_start(&bed, "hh", &c->knowledge);
+	bed_start_registry(&bed);
+	want_order(&bed);
+	bed_run(&bed, CONFIRMATION_ENDED_MS, false);
+	g_assert_null(bed.registry->pending_orders);
+	if (c->delayed)
+		bed.registry->order_sent = bed.registry->daemons_list_failed =
+		    false;
+	want_order(&bed);
+	g_assert_nonnull(bed.registry->pending_orders);
+	bed_run(&bed, HANDLED_MS, false);
+	for (i = 0; c->answered[i] != '\0'; i++) {
+		bed_answer_held(&bed, (uint32_t)(c->answered[i] - '0'));
+		bed_run(&bed, HANDLED_MS, false);
+	}
+	g_test_message("%u orders sent", bed.orders);
+	g_assert_cmpuint(bed.orders, ==, c->orders);
+	g_assert_cmpint(bed.registry->pending_orders == NULL, ==, c->dropped);
+	bed_stop_registry(&bed);
+	bed_stop(&bed);
+}
+
 /*
  * Register the tests and run them.
  */
@@ -693,5 +798,6 @@
 	CASES("/peers/other-name", other_name_cases, test_other_name);
 	CASES("/peers/repeated", repeated_cases, test_repeated);
 	CASES("/peers/order", order_cases, test_order);
+	CASES("/peers/order-number", number_cases, test_number);
 	return g_test_run();
 }
