Daemons: one name, one process

The new process wrote its record over the former one's, answered in its place, and the coordinator counted all leases as revoked, while the former one had its lease for up to 9 s from its last heartbeat. A coordinator also passed over a process under its own name.

Cause: records and answers named no process. Fields are optional: former versions count as before.

--- a/gen/catalog.pb-c.c
+++ b/gen/catalog.pb-c.c
@@ -1464,7 +1464,8 @@
 };
 static const double bp__daemon_record__weight__default_value = 1;
 static const protobuf_c_boolean bp__daemon_record__leases__default_value = 1;
-static const ProtobufCFieldDescriptor bp__daemon_record__field_descriptors[6] =
+static const uint64_t bp__daemon_record__start__default_value = 0ull;
+static const ProtobufCFieldDescriptor bp__daemon_record__field_descriptors[7] =
 {
   {
     "name",
@@ -1538,19 +1539,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "start",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__DaemonRecord, has_start),
+    offsetof(Bp__DaemonRecord, start),
+    NULL,
+    &bp__daemon_record__start__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__daemon_record__field_indices_by_name[] = {
   1,   /* field[1] = address */
   2,   /* field[2] = beat */
   5,   /* field[5] = leases */
   0,   /* field[0] = name */
+  6,   /* field[6] = start */
   4,   /* field[4] = weight */
   3,   /* field[3] = zone */
 };
 static const ProtobufCIntRange bp__daemon_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bp__daemon_record__descriptor =
 {
@@ -1560,7 +1574,7 @@
   "Bp__DaemonRecord",
   "bp",
   sizeof(Bp__DaemonRecord),
-  6,
+  7,
   bp__daemon_record__field_descriptors,
   bp__daemon_record__field_indices_by_name,
   1,  bp__daemon_record__number_ranges,
--- a/gen/catalog.pb-c.h
+++ b/gen/catalog.pb-c.h
@@ -384,10 +384,16 @@
    */
   protobuf_c_boolean has_leases;
   protobuf_c_boolean leases;
+  /*
+   * number of the process, the time of its start in ms; 0: not known, as
+   * of a former version
+   */
+  protobuf_c_boolean has_start;
+  uint64_t start;
 };
 #define BP__DAEMON_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__daemon_record__descriptor) \
-    , NULL, NULL, 0, NULL, 0, 1, 0, 1 }
+    , NULL, NULL, 0, NULL, 0, 1, 0, 1, 0, 0ull }
 
 
 /* Bp__Route methods */
--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -1920,7 +1920,8 @@
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const protobuf_c_boolean bp__lease_revoked__recorded__default_value = 0;
-static const ProtobufCFieldDescriptor bp__lease_revoked__field_descriptors[7] =
+static const uint64_t bp__lease_revoked__start__default_value = 0ull;
+static const ProtobufCFieldDescriptor bp__lease_revoked__field_descriptors[8] =
 {
   {
     "id",
@@ -2006,6 +2007,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "start",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__LeaseRevoked, has_start),
+    offsetof(Bp__LeaseRevoked, start),
+    NULL,
+    &bp__lease_revoked__start__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__lease_revoked__field_indices_by_name[] = {
   5,   /* field[5] = daemon */
@@ -2014,12 +2027,13 @@
   3,   /* field[3] = open */
   4,   /* field[4] = order */
   6,   /* field[6] = recorded */
+  7,   /* field[7] = start */
   1,   /* field[1] = token */
 };
 static const ProtobufCIntRange bp__lease_revoked__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bp__lease_revoked__descriptor =
 {
@@ -2029,7 +2043,7 @@
   "Bp__LeaseRevoked",
   "bp",
   sizeof(Bp__LeaseRevoked),
-  7,
+  8,
   bp__lease_revoked__field_descriptors,
   bp__lease_revoked__field_indices_by_name,
   1,  bp__lease_revoked__number_ranges,
@@ -2087,7 +2101,8 @@
   (ProtobufCMessageInit) bp__token_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__token_tell__field_descriptors[4] =
+static const uint64_t bp__token_tell__start__default_value = 0ull;
+static const ProtobufCFieldDescriptor bp__token_tell__field_descriptors[5] =
 {
   {
     "id",
@@ -2137,17 +2152,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "start",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__TokenTell, has_start),
+    offsetof(Bp__TokenTell, start),
+    NULL,
+    &bp__token_tell__start__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__token_tell__field_indices_by_name[] = {
   3,   /* field[3] = daemon */
   0,   /* field[0] = id */
   2,   /* field[2] = recorded */
+  4,   /* field[4] = start */
   1,   /* field[1] = token */
 };
 static const ProtobufCIntRange bp__token_tell__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bp__token_tell__descriptor =
 {
@@ -2157,7 +2185,7 @@
   "Bp__TokenTell",
   "bp",
   sizeof(Bp__TokenTell),
-  4,
+  5,
   bp__token_tell__field_descriptors,
   bp__token_tell__field_indices_by_name,
   1,  bp__token_tell__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -364,10 +364,15 @@
    */
   protobuf_c_boolean has_recorded;
   protobuf_c_boolean recorded;
+  /*
+   * DaemonRecord.start
+   */
+  protobuf_c_boolean has_start;
+  uint64_t start;
 };
 #define BP__LEASE_REVOKED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__lease_revoked__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, NULL, NULL, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, NULL, NULL, 0, 0, 0, 0ull }
 
 
 /*
@@ -404,10 +409,15 @@
    * name of the sender
    */
   char *daemon;
+  /*
+   * DaemonRecord.start
+   */
+  protobuf_c_boolean has_start;
+  uint64_t start;
 };
 #define BP__TOKEN_TELL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__token_tell__descriptor) \
-    , 0, 0, 0, NULL }
+    , 0, 0, 0, NULL, 0, 0ull }
 
 
 /*
--- a/src/decide/contact.c
+++ b/src/decide/contact.c
@@ -16,16 +16,22 @@
 }
 
 /*
- * Return what an answer has shown of the process that was asked, by its name
- * and that of the sender.  Another process may have taken over its address, and
- * answers for itself only.  NULL: the sender names nobody, as former versions
- * did.
+ * Return what an answer has shown of the process that was asked at its address.
+ * Another process may have taken the address over, and answers for itself only.
+ * One under the same name that has started later is the next one: since one
+ * process at a time listens at an address, the former one has ended.  What a
+ * former version does not say counts as equal.
  */
 contact_t
-contact_answered(const char *asked, const char *sender)
+contact_answered(const process_t *asked, const process_t *sender)
 {
-	return sender == NULL || strcmp(asked, sender) == 0 ? CONTACT_ANSWERED
-							    : CONTACT_SILENT;
+	if (sender->name == NULL)
+		return CONTACT_ANSWERED;
+	if (strcmp(asked->name, sender->name) != 0)
+		return CONTACT_SILENT;
+	return sender->start == 0 || sender->start >= asked->start
+	    ? CONTACT_ANSWERED
+	    : CONTACT_SILENT;
 }
 
 /*
--- a/src/decide/contact.h
+++ b/src/decide/contact.h
@@ -16,8 +16,14 @@
 	CONTACT_ANSWERED, /* the process itself has answered */
 } contact_t;
 
+/* A process that runs, or has run, under a daemon's name. */
+typedef struct process {
+	const char *name; /* NULL: not known, as of former versions */
+	uint64_t start;   /* ms of real time; 0: not known, likewise */
+} process_t;
+
 contact_t contact_ended(bool opened, int32_t error);
-contact_t contact_answered(const char *asked, const char *sender);
+contact_t contact_answered(const process_t *asked, const process_t *sender);
 bool contact_shows_state(contact_t);
 
 #endif
--- a/src/proxy/daemons.c
+++ b/src/proxy/daemons.c
@@ -1,5 +1,7 @@
 #include "registry.h"
 
+#include "decide/daemon_record.h"
+
 #include <string.h>
 
 /*
@@ -54,6 +56,7 @@
 
 /* Last known heartbeat of a daemon. */
 typedef struct heartbeat {
+	uint64_t start;     /* number of its process; 0: not known */
 	uint64_t counter;   /* counter that each heartbeat increases */
 	int64_t changed_us; /* time at which the counter last changed */
 	char *address;      /* address for other daemons */
@@ -84,8 +87,47 @@
 }
 
 /*
- * Handle the response to a heartbeat.  Overwrite a record that was left by a
- * previous process of this daemon, and create a missing record again.
+ * Handle a record that was not replaced, as it has another revision.  Write
+ * over one that was left by a previous process of this daemon.  If it is that
+ * of another process that may rely on it, this one does not count as listed,
+ * and tries again with each tick.
+ */
+static void
+record_conflict(registry_t *registry, const object_t *object)
+{
+	const proxy_t *proxy = registry->proxy;
+	int64_t now_us = clock_us();
+	arena_t *arena = arena_new();
+	const Bp__DaemonRecord *other =
+	    proxy->objects->read_daemon(object, arena);
+	daemon_record_t record = {other->start, other->address, other->leases};
+
+	if (registry->other_revision != object->revision) {
+		registry->other_revision = object->revision;
+		registry->other_seen_us = now_us;
+	}
+	if (daemon_record_replaceable(&record, proxy->start,
+		proxy->settings->peer_address, now_us - registry->other_seen_us,
+		REMOVE_AFTER_US)) {
+		registry->record_revision = object->revision;
+		write_record(registry);
+	} else {
+		if (registry->other_seen_us == now_us)
+			log_line(LOG_PART, G_LOG_LEVEL_WARNING,
+			    "The record of this daemon is that of another "
+			    "process, at %s, started at %" G_GUINT64_FORMAT
+			    "; this one is not listed while that one may hold "
+			    "leases.",
+			    other->address, other->start);
+		registry->record_revision = 0;
+		registry->record_listed_us = 0;
+		send_daemons_counted(registry);
+	}
+	arena_free(arena);
+}
+
+/*
+ * Handle the response to a heartbeat.  Create a missing record again.
  */
 static void
 on_record_written(void *context, const object_store_response_t *response)
@@ -112,10 +154,8 @@
 			write_record(registry);
 		break;
 	case OBJECT_STORE_CONFLICT:
-		if (response->count != 1)
-			break;
-		registry->record_revision = response->list[0].revision;
-		write_record(registry);
+		if (response->count == 1)
+			record_conflict(registry, &response->list[0]);
 		break;
 	case OBJECT_STORE_NOT_FOUND:
 		registry->record_revision = 0;
@@ -147,6 +187,8 @@
 	record.weight = settings->core_share;
 	record.has_leases = 1;
 	record.leases = registry->record_leases = registry->leases_needed;
+	record.has_start = 1;
+	record.start = registry->proxy->start;
 	/* from here on the store may list this daemon without leases */
 	if (!record.leases && registry->record_listed_us != 0) {
 		registry->record_listed_us = 0;
@@ -195,6 +237,7 @@
 	}
 	g_free(heartbeat->address);
 	g_free(heartbeat->zone);
+	heartbeat->start = record->start;
 	heartbeat->address = g_strdup(record->address);
 	heartbeat->zone = g_strdup(record->zone);
 	heartbeat->weight = record->weight;
@@ -273,6 +316,8 @@
 		record->zone = arena_strdup(arena, heartbeat->zone);
 		record->weight = heartbeat->weight;
 		record->leases = heartbeat->leases;
+		record->has_start = 1;
+		record->start = heartbeat->start;
 		records[(*count)++] = record;
 	}
 	return records;
@@ -428,7 +473,7 @@
 daemons_store_restored(registry_t *registry)
 {
 	registry->records_lost_us = clock_us();
-	registry->record_revision = 0;
+	registry->record_revision = registry->other_revision = 0;
 	registry->record_listed_us = registry->heartbeat_acked_us = 0;
 	registry->daemons_changed = true;
 	if (registry->heartbeat_timer == NULL)
@@ -470,32 +515,41 @@
 	msg_t *msg; /* the RevokeWanted message */
 } pending_revocation_t;
 
+/*
+ * Tell whether two records are of processes at one address, under one name.
+ */
+static bool
+same_place(const Bp__DaemonRecord *a, const Bp__DaemonRecord *b)
+{
+	return strcmp(a->name, b->name) == 0 &&
+	    strcmp(a->address, b->address) == 0;
+}
+
 /*
  * Add the daemons that were listed last to those of a revocation, except those
- * that it has already.  They may have leases, whatever their record said.
+ * that it has already.  They may have leases, whatever their record said.  One
+ * name may be that of two processes, at two addresses.
  */
 static void
 add_last_listed(const registry_t *registry, msg_t *msg)
 {
 	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
-	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
-	size_t i, n_last;
+	size_t i, j, n_last, n_listed = wanted->n_daemons;
 	Bp__DaemonRecord **last = copy_records(registry, msg->arena, &n_last);
-	Bp__DaemonRecord **all = arena_zalloc(
-	    msg->arena, sizeof(all[0]) * (wanted->n_daemons + n_last + 1));
+	Bp__DaemonRecord **all =
+	    arena_zalloc(msg->arena, sizeof(all[0]) * (n_listed + n_last + 1));
 
-	for (i = 0; i < wanted->n_daemons; i++) {
+	for (i = 0; i < n_listed; i++)
 		all[i] = wanted->daemons[i];
-		g_hash_table_add(names, all[i]->name);
-	}
 	wanted->daemons = all;
 	for (i = 0; i < n_last; i++) {
-		if (g_hash_table_contains(names, last[i]->name))
+		for (j = 0; j < n_listed && !same_place(all[j], last[i]); j++)
+			;
+		if (j < n_listed)
 			continue;
 		last[i]->leases = true;
 		all[wanted->n_daemons++] = last[i];
 	}
-	g_hash_table_unref(names);
 }
 
 /*
--- a/src/proxy/incoming.c
+++ b/src/proxy/incoming.c
@@ -138,6 +138,8 @@
 	revoked.n_open = asked->n_open;
 	revoked.order = asked->order;
 	revoked.daemon = incoming->peers->proxy->settings->name;
+	revoked.has_start = 1;
+	revoked.start = incoming->peers->proxy->start;
 	revoked.has_recorded = 1;
 	revoked.recorded = incoming->peers->token_recorded;
 	message.body_case = BP__PEER_MESSAGE__BODY_LEASE_REVOKED;
@@ -200,6 +202,8 @@
 	tell.token = peers->token;
 	tell.recorded = peers->token_recorded;
 	tell.daemon = peers->proxy->settings->name;
+	tell.has_start = 1;
+	tell.start = peers->proxy->start;
 	message.body_case = BP__PEER_MESSAGE__BODY_TOKEN_TELL;
 	message.token_tell = &tell;
 	frame_send(incoming->link, &message);
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -1,5 +1,6 @@
 #include "peers.h"
 
+#include "decide/daemon_record.h"
 #include "decide/revocation.h"
 #include "event.pb-c.h"
 #include "order_messages.h"
@@ -25,7 +26,8 @@
 	struct revocation *revocation;
 	uint32_t index; /* of its state in the revocation */
 	char *name;
-	char *address; /* without the port */
+	uint64_t start; /* of the process that its record names; 0: not known */
+	char *address;  /* without the port */
 	uint32_t port;
 	frame_link_t *link; /* NULL: not connected */
 	bool opened;        /* the connection was established */
@@ -289,17 +291,18 @@
 }
 
 /*
- * Handle the answer of a target, or of another daemon at its address, which
+ * Handle the answer of a target, or of another process at its address, which
  * tells what that one knows, and nothing of the target.  token: the highest
  * fencing token that the sender knows; newest_term: the newest term in which it
  * knows a primary of the group.
  */
 static void
-target_answered(
-    target_t *target, const char *sender, uint64_t token, uint64_t newest_term)
+target_answered(target_t *target, const process_t *sender, uint64_t token,
+    uint64_t newest_term)
 {
 	revocation_t *revocation = target->revocation;
-	contact_t contact = contact_answered(target->name, sender);
+	process_t asked = {target->name, target->start};
+	contact_t contact = contact_answered(&asked, sender);
 
 	revocation->newest_term = MAX(revocation->newest_term, newest_term);
 	peers_note_token(revocation->peers, token);
@@ -313,9 +316,11 @@
 	}
 	if (!contact_shows_state(contact))
 		log_line(LOG_PART, G_LOG_LEVEL_WARNING,
-		    "Daemon %s answers at the address of daemon %s; its answer "
-		    "does not count as that one's.",
-		    sender, target->name);
+		    "Daemon %s, started at %" G_GUINT64_FORMAT
+		    ", answers at the address of daemon %s, started at "
+		    "%" G_GUINT64_FORMAT "; its answer does not count as that "
+		    "one's.",
+		    sender->name, sender->start, target->name, target->start);
 	target_state(target)->contact = contact;
 	revocation_check(revocation);
 }
@@ -405,12 +410,14 @@
 	const Bp__TokenTell *told = message->token_tell;
 	revocation_target_t *state = target_state(target);
 	bool answered = contact_shows_state(state->contact);
+	process_t sender;
 
 	if (message->body_case == BP__PEER_MESSAGE__BODY_TOKEN_TELL &&
 	    target->revocation->unreadable_revision != 0 &&
 	    told->id == target->revocation->id && !answered) {
 		state->token_recorded = told->recorded;
-		target_answered(target, told->daemon, told->token, 0);
+		sender = (process_t){told->daemon, told->start};
+		target_answered(target, &sender, told->token, 0);
 	} else if (message->body_case == BP__PEER_MESSAGE__BODY_LEASE_REVOKED &&
 	    revoked->id == target->revocation->id && !answered) {
 		open_orders_read(&target->revocation->reported_orders,
@@ -420,8 +427,9 @@
 			target->revocation->majority_reported =
 			    target->revocation->all_reported = false;
 		state->token_recorded = revoked->recorded;
-		target_answered(target, revoked->daemon, revoked->token,
-		    revoked->newest_term);
+		sender = (process_t){revoked->daemon, revoked->start};
+		target_answered(
+		    target, &sender, revoked->token, revoked->newest_term);
 	}
 	arena_free(arena);
 }
@@ -493,6 +501,7 @@
 	target->revocation = revocation;
 	target->index = revocation->states->len;
 	target->name = g_strdup(daemon->name);
+	target->start = daemon->start;
 	g_array_append_val(revocation->states, state);
 	g_ptr_array_add(revocation->targets, target);
 	if (address_split(daemon->address, &target->address, &target->port) <
@@ -522,6 +531,21 @@
 	}
 }
 
+/*
+ * Tell whether a record is that of this daemon.  Another process under its name
+ * may run elsewhere, and is asked like any other.
+ */
+static bool
+is_this_daemon(const proxy_t *proxy, const Bp__DaemonRecord *daemon)
+{
+	daemon_record_t record = {
+	    daemon->start, daemon->address, daemon->leases};
+
+	return strcmp(daemon->name, proxy->settings->name) == 0 &&
+	    daemon_record_is_own(
+		&record, proxy->start, proxy->settings->peer_address);
+}
+
 /*
  * Handle RevokeWanted: start a revocation at all other daemons that the message
  * lists.
@@ -574,8 +598,7 @@
 	if (outdated)
 		revocation_report(revocation, BP__REVOKE_STATE__OUTDATED);
 	for (i = 0; !outdated && i < wanted->n_daemons; i++) {
-		if (strcmp(wanted->daemons[i]->name,
-			peers->proxy->settings->name) != 0)
+		if (!is_this_daemon(peers->proxy, wanted->daemons[i]))
 			target_add(revocation, wanted->daemons[i]);
 	}
 	/* reports at once if there is no other daemon */
--- a/src/proxy/proxy.c
+++ b/src/proxy/proxy.c
@@ -220,6 +220,7 @@
     const object_store_ops_t *objects, const promoter_ops_t *promoter)
 {
 	proxy_t proxy = {.settings = settings,
+	    .start = (uint64_t)g_get_real_time() / US_PER_MS,
 	    .wire = wire,
 	    .objects = objects,
 	    .promoter = promoter};
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -16,6 +16,7 @@
  */
 typedef struct proxy {
 	const Bp__ProxySettings *settings;
+	uint64_t start; /* number of this process: ms of real time */
 	const wire_ops_t *wire;
 	const object_store_ops_t *objects;
 	const promoter_ops_t *promoter;
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -125,8 +125,12 @@
 	GSource *news_timer;
 	uint32_t daemons_count;   /* number of records in the last list */
 	uint64_t record_revision; /* store revision of the record; 0: unknown */
-	uint64_t heartbeat;       /* counter in this daemon's record */
-	bool deregistered; /* this daemon's record is no longer written */
+	/* revision of a record of another process under this daemon's name, and
+	   when it was first seen; 0: none */
+	uint64_t other_revision;
+	int64_t other_seen_us;
+	uint64_t heartbeat; /* counter in this daemon's record */
+	bool deregistered;  /* this daemon's record is no longer written */
 	/* when this daemon's record was first written; 0: it may be missing
 	   from the store */
 	int64_t record_listed_us;
--- a/tests/t_objects.c
+++ b/tests/t_objects.c
@@ -324,6 +324,7 @@
 	const char *content; /* NULL: not readable */
 	bool valid;
 	bool leases;
+	uint64_t start;
 } record_case_t;
 
 static const record_case_t record_cases[] = {
@@ -331,6 +332,14 @@
 	"{\"address\":\"10.0.0.1:80\",\"beat\":5,\"zone\":\"z\","
 	"\"weight\":0.25,\"leases\":false}",
 	true, false},
+    {"good, with the start of its process",
+	"{\"address\":\"10.0.0.1:80\",\"beat\":5,\"leases\":false,"
+	"\"start\":1733500000000}",
+	true, false, UINT64_C(1733500000000)},
+    {"a start of another type",
+	"{\"address\":\"10.0.0.1:80\",\"beat\":5,\"leases\":false,"
+	"\"start\":\"x\"}",
+	false, true},
     {"of an older daemon", "{\"address\":\"10.0.0.1:80\",\"beat\":5}", true,
 	true},
     {"not readable", NULL, false, true},
@@ -374,6 +383,7 @@
 	g_assert_nonnull(record);
 	g_assert_cmpint(why == NULL, ==, c->valid);
 	g_assert_cmpint(record->leases, ==, c->leases);
+	g_assert_cmpuint(record->start, ==, c->start);
 	g_assert_cmpstr(record->address, ==, c->valid ? "10.0.0.1:80" : "");
 	if (!c->valid)
 		g_assert_null(record->zone);
--- a/tests/t_revocation.c
+++ b/tests/t_revocation.c
@@ -42,25 +42,40 @@
 
 typedef struct answered_case {
 	const char *name;
-	const char *sender;
+	process_t asked;
+	process_t sender;
 	contact_t contact; /* expected */
 } answered_case_t;
 
 static const answered_case_t answered_cases[] = {
-    {"by the daemon that was asked", "vm-a-1", CONTACT_ANSWERED},
-    {"by another one at its address", "vm-a-2", CONTACT_SILENT},
-    {"by one of a former version", NULL, CONTACT_ANSWERED},
+    {"by the process that was asked", {"vm-a-1", 7}, {"vm-a-1", 7},
+	CONTACT_ANSWERED},
+    {"by another daemon at its address", {"vm-a-1", 7}, {"vm-a-2", 7},
+	CONTACT_SILENT},
+    {"by another daemon, started later", {"vm-a-1", 7}, {"vm-a-2", 8},
+	CONTACT_SILENT},
+    {"by the next process at its address", {"vm-a-1", 7}, {"vm-a-1", 8},
+	CONTACT_ANSWERED},
+    {"by one that started earlier", {"vm-a-1", 7}, {"vm-a-1", 6},
+	CONTACT_SILENT},
+    {"by one of a former version, without a name", {"vm-a-1", 7}, {NULL, 0},
+	CONTACT_ANSWERED},
+    {"by one of a former version", {"vm-a-1", 7}, {"vm-a-1", 0},
+	CONTACT_ANSWERED},
+    {"the record is of a former version", {"vm-a-1", 0}, {"vm-a-1", 7},
+	CONTACT_ANSWERED},
 };
 
 /*
- * Test of which daemon an answer shows something.
+ * Test of which process an answer shows something.
  */
 static void
 test_answered(gconstpointer data)
 {
 	const answered_case_t *c = data;
 
-	g_assert_cmpint(contact_answered("vm-a-1", c->sender), ==, c->contact);
+	g_assert_cmpint(
+	    contact_answered(&c->asked, &c->sender), ==, c->contact);
 }
 
 typedef struct progress_case {
--- a/tests/t_unheard.c
+++ b/tests/t_unheard.c
@@ -21,6 +21,9 @@
 #define TERM 5
 #define TOKEN 4
 
+/* Start of the processes that the records name. */
+#define START 1733500000000
+
 /* Time for which connections are refused, in which the others answer. */
 #define REFUSED_MS 500
 
@@ -46,6 +49,7 @@
 	bool resets_asked;    /* they are when something has been asked */
 	bool other_name;      /* another daemon has its address */
 	bool restarted;       /* it has read no token since it started */
+	int32_t later;        /* its start, after that in its record */
 	bool holds_up;        /* it answers when the test has it do so */
 	knowledge_t knowledge;
 	uint32_t asked;   /* number of revocations that have reached it */
@@ -163,6 +167,8 @@
 		revoked.order = &order;
 	revoked.daemon =
 	    link->daemon->other_name ? (char *)"another" : link->daemon->name;
+	revoked.has_start = 1;
+	revoked.start = (uint64_t)(START + link->daemon->later);
 	revoked.has_recorded = 1;
 	revoked.recorded = !link->daemon->restarted;
 	message.body_case = BP__PEER_MESSAGE__BODY_LEASE_REVOKED;
@@ -284,7 +290,8 @@
  * Start the peers task, and the daemons: a letter for each, a answers, f
  * refuses, x resets at once, y when it has been asked, n answers under another
  * name, r answers and has read no token since it started, h holds its answers
- * up.  knowledge: of those that do not answer in their own.
+ * up, l answers and has started later than its record says, e earlier.
+ * knowledge: of those that do not answer in their own.
  */
 static void
 bed_start(bed_t *bed, const char *daemons, const knowledge_t *knowledge)
@@ -315,6 +322,9 @@
 		daemon->other_name = daemons[i] == 'n';
 		daemon->restarted = daemons[i] == 'r';
 		daemon->holds_up = daemons[i] == 'h';
+		daemon->later = daemons[i] == 'l' ? 1
+		    : daemons[i] == 'e'           ? -1
+						  : 0;
 		if (daemons[i] != 'a' && daemons[i] != 'r')
 			daemon->knowledge = *knowledge;
 		if (daemons[i] != 'f')
@@ -385,6 +395,8 @@
 		record->name = arena_strdup(msg->arena, bed->daemons[i].name);
 		record->address =
 		    arena_strdup(msg->arena, bed->daemons[i].address);
+		record->has_start = 1;
+		record->start = START;
 		wanted->daemons[i] = record;
 	}
 }
@@ -476,33 +488,90 @@
 	bed_stop(&bed);
 }
 
-typedef struct other_name_case {
+typedef struct other_process_case {
 	const char *name;
-	knowledge_t knowledge; /* of the daemon under another name */
-} other_name_case_t;
-
-static const other_name_case_t other_name_cases[] = {
-    {"nothing", {0}},
-    {"a newer token", {.token = TOKEN + 75}},
+	const char *daemons;   /* as in bed_start() */
+	knowledge_t knowledge; /* of the one that answers */
+	bool counts;           /* its answer counts as that of the record's */
+} other_process_case_t;
+
+static const other_process_case_t other_process_cases[] = {
+    {"another name", "n", {0}, false},
+    {"another name, a newer token", "n", {.token = TOKEN + 75}, false},
+    {"an earlier start", "e", {0}, false},
+    {"an earlier start, a newer token", "e", {.token = TOKEN + 75}, false},
+    {"a later start, which the former one has made way for", "l", {0}, true},
 };
 
 /*
- * Test that an answer under another name tells what its sender knows, and
- * stands for no vote and no lease of the daemon that was asked.
+ * Test that an answer of another process than a record names tells what its
+ * sender knows, and stands for no vote and no lease of the one in the record.
  */
 static void
-test_other_name(gconstpointer data)
+test_other_process(gconstpointer data)
 {
-	const other_name_case_t *c = data;
+	const other_process_case_t *c = data;
 	bed_t bed;
 
-	bed_start(&bed, "n", &c->knowledge);
+	bed_start(&bed, c->daemons, &c->knowledge);
 	bed_revoke(&bed, GROUP, TERM, false);
 	bed_run(&bed, REFUSED_MS, false);
 	g_assert_cmpuint(bed.daemons[0].asked, ==, 1);
 	g_assert_cmpint(bed.reported.outdated, ==, c->knowledge.token > TOKEN);
 	g_assert_cmpuint(bed.reported.knowledge.token, ==, c->knowledge.token);
-	g_assert_false(bed.reported.most);
+	g_assert_cmpint(bed.reported.most, ==, c->counts);
+	bed_stop(&bed);
+}
+
+typedef struct own_name_case {
+	const char *name;
+	uint64_t start; /* in a record under this daemon's own name */
+	bool elsewhere; /* the record has another address */
+	bool all;       /* expected: nobody else has to answer */
+} own_name_case_t;
+
+/* Start of the process of the bed. */
+#define OWN_START (START + 5)
+
+static const own_name_case_t own_name_cases[] = {
+    {"its own record", OWN_START, false, true},
+    {"that of the process before it, at its address", START, false, true},
+    {"that of another process, elsewhere", START, true, false},
+    {"that of a former version, elsewhere", 0, true, false},
+    {"its own record, with a former address", OWN_START, true, true},
+};
+
+/*
+ * Test that a coordinator waits for the leases of another process under its own
+ * name.
+ */
+static void
+test_own_name(gconstpointer data)
+{
+	const own_name_case_t *c = data;
+	const knowledge_t nothing = {0};
+	bed_t bed;
+	msg_t *msg = msg_new(&bp__revoke_wanted__descriptor);
+	Bp__RevokeWanted *wanted = (Bp__RevokeWanted *)msg->body;
+	Bp__DaemonRecord *record = (Bp__DaemonRecord *)message_new(
+	    msg->arena, &bp__daemon_record__descriptor);
+
+	bed_start(&bed, "f", &nothing);
+	bed.proxy.start = OWN_START;
+	wanted->group = arena_strdup(msg->arena, GROUP);
+	wanted->term = TERM;
+	wanted->token = TOKEN;
+	wanted->n_daemons = 1;
+	wanted->daemons = arena_zalloc(msg->arena, sizeof(Bp__DaemonRecord *));
+	wanted->daemons[0] = record;
+	record->name = arena_strdup(msg->arena, bed.settings.name);
+	record->address = arena_strdup(msg->arena,
+	    c->elsewhere ? bed.daemons[0].address : bed.settings.peer_address);
+	record->has_start = 1;
+	record->start = c->start;
+	task_send(bed.proxy.peers, NULL, msg);
+	bed_run(&bed, REFUSED_MS, false);
+	g_assert_cmpint(bed.reported.all, ==, c->all);
 	bed_stop(&bed);
 }
 
@@ -795,7 +864,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions(); /* run every case */
 	CASES("/peers/unheard", unheard_cases, test_unheard);
-	CASES("/peers/other-name", other_name_cases, test_other_name);
+	CASES("/peers/other-process", other_process_cases, test_other_process);
+	CASES("/peers/own-name", own_name_cases, test_own_name);
 	CASES("/peers/repeated", repeated_cases, test_repeated);
 	CASES("/peers/order", order_cases, test_order);
 	CASES("/peers/order-number", number_cases, test_number);
