Open orders: a daemon that has ended does not hold up the next order

Callers saw no write for 9 s (the whole row) in /old-primary/late-order/ its-sender-is-killed. The order of the coordinator that was killed is open, and another database was ordered only once all listed daemons knew of it; the killed one refuses, and stays listed for 13 s.

A daemon that does not answer reads of the order instead, where the record has named it since before the last promise of the attempt: its leases end in the wait for leases, and a lease in the next term rests on a record that it has asked for no earlier than the longest lease before it saw that term. The last is new: a record that named another order to replace the same term counted without end (/read: "long before"). Not for orders without a record, nor if the store is away.

- Others wait for a coordinator that may be waiting for leases.
It tells with a revocation how long it keeps the connection (LeaseRevoke.kept_ms), and one that ends earlier ends that wait.
The store decides on the role as before.
- The notice before promises are withdrawn counts from the promises of the attempt if a majority has held them for longer than leases last.

--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -1803,7 +1803,8 @@
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const protobuf_c_boolean bp__lease_revoke__begun__default_value = 0;
-static const ProtobufCFieldDescriptor bp__lease_revoke__field_descriptors[7] =
+static const uint32_t bp__lease_revoke__kept_ms__default_value = 0u;
+static const ProtobufCFieldDescriptor bp__lease_revoke__field_descriptors[8] =
 {
   {
     "id",
@@ -1889,11 +1890,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kept_ms",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bp__LeaseRevoke, has_kept_ms),
+    offsetof(Bp__LeaseRevoke, kept_ms),
+    NULL,
+    &bp__lease_revoke__kept_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__lease_revoke__field_indices_by_name[] = {
   4,   /* field[4] = begun */
   1,   /* field[1] = group */
   0,   /* field[0] = id */
+  7,   /* field[7] = kept_ms */
   5,   /* field[5] = open */
   6,   /* field[6] = order */
   2,   /* field[2] = term */
@@ -1902,7 +1916,7 @@
 static const ProtobufCIntRange bp__lease_revoke__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bp__lease_revoke__descriptor =
 {
@@ -1912,7 +1926,7 @@
   "Bp__LeaseRevoke",
   "bp",
   sizeof(Bp__LeaseRevoke),
-  7,
+  8,
   bp__lease_revoke__field_descriptors,
   bp__lease_revoke__field_indices_by_name,
   1,  bp__lease_revoke__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -322,10 +322,15 @@
    * ones; replaces what it told before
    */
   Bp__RecordedOrder *order;
+  /*
+   * time for which the sender keeps the connection
+   */
+  protobuf_c_boolean has_kept_ms;
+  uint32_t kept_ms;
 };
 #define BP__LEASE_REVOKE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__lease_revoke__descriptor) \
-    , 0, NULL, 0, 0, 0, 0, 0,NULL, NULL }
+    , 0, NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0u }
 
 
 /*
--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -1762,6 +1762,51 @@
   assert(message->base.descriptor == &bp__revoke_asked__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__revoker_lost__init
+                     (Bp__RevokerLost         *message)
+{
+  static const Bp__RevokerLost init_value = BP__REVOKER_LOST__INIT;
+  *message = init_value;
+}
+size_t bp__revoker_lost__get_packed_size
+                     (const Bp__RevokerLost *message)
+{
+  assert(message->base.descriptor == &bp__revoker_lost__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__revoker_lost__pack
+                     (const Bp__RevokerLost *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__revoker_lost__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__revoker_lost__pack_to_buffer
+                     (const Bp__RevokerLost *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__revoker_lost__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__RevokerLost *
+       bp__revoker_lost__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__RevokerLost *)
+     protobuf_c_message_unpack (&bp__revoker_lost__descriptor,
+                                allocator, len, data);
+}
+void   bp__revoker_lost__free_unpacked
+                     (Bp__RevokerLost *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__revoker_lost__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor bp__session_value__field_descriptors[2] =
 {
   {
@@ -4485,6 +4530,57 @@
   (ProtobufCMessageInit) bp__revoke_asked__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__revoker_lost__field_descriptors[2] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__RevokerLost, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "link",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__RevokerLost, link),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__revoker_lost__field_indices_by_name[] = {
+  0,   /* field[0] = group */
+  1,   /* field[1] = link */
+};
+static const ProtobufCIntRange bp__revoker_lost__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bp__revoker_lost__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.RevokerLost",
+  "RevokerLost",
+  "Bp__RevokerLost",
+  "bp",
+  sizeof(Bp__RevokerLost),
+  2,
+  bp__revoker_lost__field_descriptors,
+  bp__revoker_lost__field_indices_by_name,
+  1,  bp__revoker_lost__number_ranges,
+  (ProtobufCMessageInit) bp__revoker_lost__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue bp__verdict__enum_values_by_number[15] =
 {
   { "SUCCEEDED", "BP__VERDICT__SUCCEEDED", 0 },
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -55,6 +55,7 @@
 typedef struct Bp__RevokeWanted Bp__RevokeWanted;
 typedef struct Bp__RevokeEnded Bp__RevokeEnded;
 typedef struct Bp__RevokeAsked Bp__RevokeAsked;
+typedef struct Bp__RevokerLost Bp__RevokerLost;
 
 
 /* --- enums --- */
@@ -1037,6 +1038,24 @@
     , 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, NULL, 0, 0 }
 
 
+/*
+ * peers -> pool: the connection of a daemon that had asked this one to give up
+ * its lease has ended earlier than that daemon ends it.
+ */
+struct  Bp__RevokerLost
+{
+  ProtobufCMessage base;
+  char *group;
+  /*
+   * RevokeAsked.link
+   */
+  uint64_t link;
+};
+#define BP__REVOKER_LOST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__revoker_lost__descriptor) \
+    , NULL, 0 }
+
+
 /* Bp__SessionValue methods */
 void   bp__session_value__init
                      (Bp__SessionValue         *message);
@@ -1778,6 +1797,25 @@
 void   bp__revoke_asked__free_unpacked
                      (Bp__RevokeAsked *message,
                       ProtobufCAllocator *allocator);
+/* Bp__RevokerLost methods */
+void   bp__revoker_lost__init
+                     (Bp__RevokerLost         *message);
+size_t bp__revoker_lost__get_packed_size
+                     (const Bp__RevokerLost   *message);
+size_t bp__revoker_lost__pack
+                     (const Bp__RevokerLost   *message,
+                      uint8_t             *out);
+size_t bp__revoker_lost__pack_to_buffer
+                     (const Bp__RevokerLost   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__RevokerLost *
+       bp__revoker_lost__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__revoker_lost__free_unpacked
+                     (Bp__RevokerLost *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Bp__SessionValue_Closure)
@@ -1897,6 +1935,9 @@
 typedef void (*Bp__RevokeAsked_Closure)
                  (const Bp__RevokeAsked *message,
                   void *closure_data);
+typedef void (*Bp__RevokerLost_Closure)
+                 (const Bp__RevokerLost *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1945,6 +1986,7 @@
 extern const ProtobufCMessageDescriptor bp__revoke_wanted__descriptor;
 extern const ProtobufCMessageDescriptor bp__revoke_ended__descriptor;
 extern const ProtobufCMessageDescriptor bp__revoke_asked__descriptor;
+extern const ProtobufCMessageDescriptor bp__revoker_lost__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -286,8 +286,10 @@
 	/* newest term in which a lease may rest on them: lease_members_read();
 	   0: they were not read */
 	uint64_t members_term;
-	/* era of the store when they were read */
+	/* era of the store when they were read, and the time of the last read
+	 */
 	uint64_t members_era;
+	int64_t members_read_us;
 	/* newest term in which a primary was seen, and the time of that */
 	uint64_t seen_term;
 	int64_t seen_us;
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -191,6 +191,9 @@
 	/* an open order cannot take effect any more, and names a database,
 	   other than the primary, that has not answered since */
 	bool order_unanswered;
+	/* time since which the record, as it was read, names all open orders;
+	   INT64_MAX: it may not do so */
+	int64_t orders_named_us;
 	/* the recorded orders, and the time since which they are known */
 	recorded_orders_t recorded;
 	int64_t recorded_us;
--- a/src/decide/failover_choice.c
+++ b/src/decide/failover_choice.c
@@ -372,17 +372,36 @@
 	return elsewhere;
 }
 
+/*
+ * Tell whether each daemon that was not told of the open orders reads of them
+ * before it has a lease in the next term: the record has named them since
+ * before the last promise of this attempt.  Its lease in an older term ends
+ * before a database is promoted, and one in the next term rests on a record
+ * that was read later than the duration of a lease before: members_outdated()
+ * in lease.c; unless the order was sent without a record.
+ */
+static bool
+open_orders_will_be_read(const failover_t *failover)
+{
+	return !failover->store_away &&
+	    attempt_term_replaces(failover->term) == 0 &&
+	    attempt_term_replaces(failover->fenced_term) == 0 &&
+	    failover->orders_named_us <= failover->granted_us;
+}
+
 /*
  * Tell whether the open orders allow the promotion of a database.  An order to
  * another one may take effect after this promotion, and the daemons check that
- * for each answer of the new primary.  So all of them must know of it; those
- * that have revoked their leases for this attempt were told.
+ * for each answer of the new primary.  So all of them must know of it before
+ * they have a lease on that one; those that have revoked their leases for this
+ * attempt were told, and the others wait for their leases to end:
+ * ready_to_promote().
  */
 static bool
 open_orders_allow(const failover_t *failover, int32_t chosen)
 {
 	return !order_open_elsewhere(failover, chosen) ||
-	    failover->revoked_by_all;
+	    failover->revoked_by_all || open_orders_will_be_read(failover);
 }
 
 /*
--- a/src/decide/failover_fencing.c
+++ b/src/decide/failover_fencing.c
@@ -21,7 +21,9 @@
 /*
  * A promise may be withdrawn within NOTICE_VALID_US after all daemons have
  * confirmed a new term, or a majority of them NOTICE_ALL_US after the first
- * notice.  A later answer could report a newer term.
+ * notice, or after the promises of the last attempt if they are held since, so
+ * that leases in older terms have ended.  A later answer could report a newer
+ * term.
  */
 #define NOTICE_VALID_US (US_PER_SECOND / 2)
 #define NOTICE_ALL_US (3 * US_PER_SECOND)
@@ -362,7 +364,8 @@
 		return true;
 	if (failover->notice_term != term) {
 		failover->notice_term = term;
-		failover->notice_began_us = now_us;
+		failover->notice_began_us =
+		    promises_held_since(failover, now_us);
 		failover->notice_sent_us = failover->notice_confirmed_us = 0;
 	}
 	if (now_us - failover->notice_sent_us >=
--- a/src/decide/failover_promotion.c
+++ b/src/decide/failover_promotion.c
@@ -150,6 +150,28 @@
 	    : FAILOVER_PROMISES_LOST;
 }
 
+/*
+ * Return the time since which the promises that an attempt needs have been held
+ * for the last one, if they were held so long that leases in older terms have
+ * ended; otherwise now.
+ */
+int64_t
+promises_held_since(const failover_t *failover, int64_t now_us)
+{
+	bool held[GROUP_DATABASES_MAX] = {false};
+	uint32_t i;
+
+	for (i = 0; i < failover->count; i++)
+		held[i] = promise_kept(failover, i) &&
+		    failover->views[i].requested_us - failover->granted_us >=
+			failover->limits.lease_wait_us;
+	return failover->stepping_down < 0 &&
+		promises_suffice(failover, held,
+		    MAX(failover->promises_needed, grants_needed(failover)))
+	    ? failover->granted_us
+	    : now_us;
+}
+
 /*
  * Return the end of the log of the database to be promoted, as last reported.
  */
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -258,6 +258,8 @@
 		term = lease->seen_term;
 	if (term > lease->members_term)
 		lease->members_term = term;
+	if (read_us > lease->members_read_us)
+		lease->members_read_us = read_us;
 }
 
 /*
@@ -288,18 +290,24 @@
  * or on the list where none were recorded: others may have been recorded in the
  * term before, and the former ones do not count any more.  They still do if the
  * order that led to the term was sent without a record: former_members_from().
+ * So must the record be that may name an open order which this daemon was not
+ * told of: failover_choice.c.  The next order takes effect no earlier than the
+ * duration of a lease after the record has named that one.
  */
 static bool
-members_outdated(
-    lease_t *lease, const db_view_t *views, uint32_t count, uint64_t term)
+members_outdated(lease_t *lease, const db_view_t *views, uint32_t count,
+    uint64_t term, int64_t long_us)
 {
 	if (lease->members_term == 0)
 		return false;
 	if (term == lease->members_term + 1 &&
 	    lease->orders.replaced_term == lease->members_term &&
-	    unrecorded_order_shown(lease, views, count))
+	    unrecorded_order_shown(lease, views, count)) {
 		lease->members_term = term;
-	return term > lease->members_term;
+		lease->members_read_us = lease->seen_us;
+	}
+	return term > lease->members_term ||
+	    lease->seen_us - lease->members_read_us > long_us;
 }
 
 /*
@@ -347,7 +355,8 @@
 		return false;
 	}
 	if (lease->orders.read_us == 0 || record_outdated(lease) ||
-	    members_outdated(lease, views, count, view->promised) ||
+	    members_outdated(
+		lease, views, count, view->promised, durations->long_us) ||
 	    (recorded_members(lease, view->promised) == 0 &&
 		list_outdated(lease, now_us))) {
 		lease->unverified = true;
--- a/src/decide/open_orders.c
+++ b/src/decide/open_orders.c
@@ -192,6 +192,7 @@
 	*order = *added;
 	order->database = g_strdup(added->database);
 	order->begun_term = 0;
+	order->named_since_us = 0;
 	order->in_doubt = order->checked = order->overtaken = false;
 	if (added->source == OPEN_ORDER_RECORDED && leader != NULL &&
 	    order->replaced_term < leader->term)
@@ -344,6 +345,8 @@
 		order = order_find(
 		    orders, recorded[j].database, recorded[j].attempt_term);
 		order->recorded_us = now_us;
+		if (order->named_since_us == 0 && asked_us != 0)
+			order->named_since_us = now_us;
 		if (order->attempt_term != last_attempt &&
 		    (known || order->begun_term != 0))
 			order->in_doubt = true;
@@ -361,10 +364,14 @@
 	uint32_t i = orders->list->len;
 
 	while (i-- > 0) {
-		if (order_open(orders, order_at(orders, i)))
-			order_at(orders, i)->source = OPEN_ORDER_TOLD;
-		else
+		open_order_t *order = order_at(orders, i);
+
+		if (!order_open(orders, order)) {
 			forget_order(orders, i);
+			continue;
+		}
+		order->source = OPEN_ORDER_TOLD;
+		order->named_since_us = 0;
 	}
 }
 
@@ -555,6 +562,8 @@
 		failover->views[i].order_open = true;
 	else
 		marker->lease->order_open_outside = true;
+	failover->orders_named_us = MAX(failover->orders_named_us,
+	    order->named_since_us == 0 ? INT64_MAX : order->named_since_us);
 	failover->order_unanswered |= (int32_t)i != primary &&
 	    order->until_us + ANSWER_US <= marker->now_us;
 }
@@ -607,6 +616,7 @@
 	for (i = 0; i < failover->count; i++)
 		failover->views[i].order_open = false;
 	lease->order_open_outside = failover->order_unanswered = false;
+	failover->orders_named_us = 0;
 	open_orders_each(orders, mark, &marker);
 	failover->order_open_outside = lease->order_open_outside;
 }
--- a/src/decide/open_orders.h
+++ b/src/decide/open_orders.h
@@ -36,6 +36,9 @@
 	int64_t until_us;       /* time until which it may take effect */
 	open_order_source_t source;
 	int64_t recorded_us; /* last time at which the record had it */
+	/* time since which the record, as it was read, names it; 0: it may not
+	   do so */
+	int64_t named_since_us;
 	/* first term that it may have begun; 0: none.  If no other order to its
 	   database may have begun that term, this one did, and is not open any
 	   more. */
--- a/src/proxy/incoming.c
+++ b/src/proxy/incoming.c
@@ -24,6 +24,9 @@
 /* Largest number of log lines a second about links with unreadable frames. */
 #define LINES_PER_SECOND 1
 
+/* Time for which a link may end earlier than its daemon has told. */
+#define KEPT_MARGIN_US (100 * US_PER_MS)
+
 /* Interval of the timer that drains the links during shutdown. */
 #define DRAIN_TICK_MS 50
 
@@ -116,6 +119,7 @@
 	drop_all_transactions(incoming);
 	g_hash_table_unref(incoming->transactions);
 	frame_free(incoming->link);
+	g_free(incoming->revoked_group);
 	g_free(incoming);
 }
 
@@ -166,6 +170,12 @@
 		incoming_send_revoked(incoming, &refused);
 		return;
 	}
+	if (revoke->term != 0 && !revoke->begun) {
+		g_free(incoming->revoked_group);
+		incoming->revoked_group = g_strdup(revoke->group);
+		incoming->kept_until_us =
+		    clock_us() + (int64_t)revoke->kept_ms * US_PER_MS;
+	}
 	msg = msg_new(&bp__revoke_asked__descriptor);
 	asked = (Bp__RevokeAsked *)msg->body;
 	peers_note_token(peers, revoke->token);
@@ -296,6 +306,27 @@
 	arena_free(arena);
 }
 
+/*
+ * Tell the pool if a connection on which a revocation came ends before its
+ * daemon ends it: that daemon has likely ended, or cannot go on.
+ */
+static void
+check_revoker(const incoming_link_t *incoming)
+{
+	const peers_t *peers = incoming->peers;
+	Bp__RevokerLost *lost;
+	msg_t *msg;
+
+	if (incoming->revoked_group == NULL ||
+	    clock_us() >= incoming->kept_until_us - KEPT_MARGIN_US)
+		return;
+	msg = msg_new(&bp__revoker_lost__descriptor);
+	lost = (Bp__RevokerLost *)msg->body;
+	lost->group = arena_strdup(msg->arena, incoming->revoked_group);
+	lost->link = incoming->id;
+	task_send(peers->proxy->pool, peers->task, msg);
+}
+
 /*
  * Handle the end of a connection that another daemon opened: free it.
  */
@@ -313,6 +344,7 @@
 		    "Closed a link with an unreadable frame: %s; %u more such "
 		    "lines were left out.",
 		    g_strerror(-error), suppressed);
+	check_revoker(incoming);
 	set_follows_store(incoming, false);
 	g_hash_table_remove(peers->incoming, &incoming->id);
 }
--- a/src/proxy/monitor_handover.c
+++ b/src/proxy/monitor_handover.c
@@ -84,6 +84,16 @@
 	    failover_successor_answers(&group->failover, now_us);
 }
 
+/*
+ * Tell whether the record names all open orders, so that daemons that do not
+ * answer read of them.
+ */
+static bool
+orders_named(const group_t *group)
+{
+	return group->failover.orders_named_us != INT64_MAX;
+}
+
 /*
  * Tell whether there is a primary that is shutting down.
  */
@@ -133,7 +143,8 @@
 			group->handover_due_since_us = 0;
 		return;
 	}
-	if (!handover_allowed(group, order_open, now_us) ||
+	if (!handover_allowed(
+		group, order_open && !orders_named(group), now_us) ||
 	    group->failover.handover)
 		return;
 	log_handover_due(group, group->servers[primary], leaving, order_open);
--- a/src/proxy/monitor_role.c
+++ b/src/proxy/monitor_role.c
@@ -57,14 +57,30 @@
 /*
  * Return the time that the coordinator has to act.  due: it should replace the
  * primary now; the time is longer after a mere sign of a failover, which may
- * have to wait for leases to expire.
+ * have to wait for leases to expire.  One that has likely ended has no time,
+ * but the random part remains.
  */
 static int64_t
 takeover_delay_us(const group_t *group, bool due)
 {
+	if (due && group->revoker_lost)
+		return group->pool->takeover_delay_us - TAKEOVER_DELAY_US;
 	return group->pool->takeover_delay_us + (due ? 0 : STUCK_TAKEOVER_US);
 }
 
+/*
+ * Tell whether the coordinator may be waiting for leases to end, since a sign
+ * of a change of primary: it gives no other one meanwhile.  One that has likely
+ * ended is not waited for.
+ */
+bool
+monitor_leases_awaited(const group_t *group, bool due, int64_t now_us)
+{
+	return group->failover_seen_us != 0 && !group->revoker_lost &&
+	    now_us - group->failover_seen_us < takeover_delay_us(group, due) +
+		group->pool->lease_durations.long_us;
+}
+
 /*
  * Return the time at which this daemon asks for the coordinator role if the
  * coordinator does not act; 0 if there is nothing to do for it.
@@ -125,9 +141,6 @@
 		group->failover_due_since_us = now_us;
 	if (now_us >= monitor_takeover_us(group, due) &&
 	    !group->pool->is_coordinator &&
-	    (group->failover_seen_us == 0 ||
-		now_us - group->failover_seen_us >=
-		    takeover_delay_us(group, due) +
-			group->pool->lease_durations.long_us))
+	    !monitor_leases_awaited(group, due, now_us))
 		request_coordinator_check(group->pool);
 }
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -46,7 +46,8 @@
 	bool confirms;        /* most daemons have to confirm the token */
 	uint64_t newest_term; /* newest term that a target has reported */
 	uint64_t asked_us;    /* time of the request */
-	task_t *requester;    /* receives RevokeEnded */
+	int64_t began_us;
+	task_t *requester; /* receives RevokeEnded */
 	bool majority_reported;
 	bool all_reported;
 	/* open orders of the group: those to tell, and those that the targets
@@ -341,6 +342,18 @@
 	frame_send(target->link, &message);
 }
 
+/*
+ * Return the time for which the connections of a revocation are kept.
+ */
+static uint32_t
+kept_ms(const revocation_t *revocation)
+{
+	int64_t left_us = revocation->began_us +
+	    REVOCATION_TIMEOUT_MS * US_PER_MS - clock_us();
+
+	return left_us <= 0 ? 0 : (uint32_t)(left_us / US_PER_MS);
+}
+
 /*
  * Send the revocation to a target.
  */
@@ -358,6 +371,8 @@
 	revoke.has_begun = 1;
 	revoke.begun = target->revocation->begun;
 	revoke.order = (Bp__RecordedOrder *)target->revocation->order;
+	revoke.has_kept_ms = 1;
+	revoke.kept_ms = kept_ms(target->revocation);
 	revoke.open = open_orders_write(&target->revocation->open_orders, arena,
 	    clock_us(), &revoke.n_open);
 	message.body_case = BP__PEER_MESSAGE__BODY_LEASE_REVOKE;
@@ -561,6 +576,7 @@
 
 	revocation->peers = peers;
 	revocation->id = ++peers->next_id;
+	revocation->began_us = clock_us();
 	revocation->group = g_strdup(wanted->group);
 	revocation->term = wanted->term;
 	revocation->token = wanted->token;
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -38,8 +38,10 @@
 	peers_t *peers;
 	uint64_t id; /* key in peers->incoming */
 	frame_link_t *link;
-	bool follows_store;       /* wants news of the store */
-	uint32_t statements;      /* statements without an answer */
+	bool follows_store;  /* wants news of the store */
+	char *revoked_group; /* of the last revocation; NULL: there was none */
+	int64_t kept_until_us; /* time until which its daemon keeps the link */
+	uint32_t statements;   /* statements without an answer */
 	GHashTable *transactions; /* pool's ids of the open transactions */
 } incoming_link_t;
 
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -467,6 +467,10 @@
 		group_orders_told_note(group, &told, now_us);
 	}
 	group_orders_told(group, asked->open, asked->n_open, now_us);
+	if (asked->term != NO_TERM) {
+		group->revoker_link = asked->link;
+		group->revoker_lost = false;
+	}
 	group_lease_revoke(group, asked->term, asked->begun, now_us);
 	asked->has_newest_term = 1;
 	asked->newest_term = lease_newest_term(&group->lease);
@@ -479,6 +483,20 @@
 	msg_free(msg);
 }
 
+/*
+ * Handle RevokerLost: note that the daemon that was changing the primary of a
+ * group likely does not go on.
+ */
+static void
+on_revoker_lost(void *context, msg_t *msg)
+{
+	const Bp__RevokerLost *lost = (const Bp__RevokerLost *)msg->body;
+	group_t *group = group_get(context, lost->group);
+
+	group->revoker_lost |= group->revoker_link == lost->link;
+	msg_free(msg);
+}
+
 static const task_handler_t handlers[] = {
     {&bp__run_operation__descriptor, on_run_operation},
     {&bp__drop_transaction__descriptor, on_drop_transaction},
@@ -495,6 +513,7 @@
     {&bp__daemons_counted__descriptor, on_daemons_counted},
     {&bp__revoke_ended__descriptor, on_revoke_ended},
     {&bp__revoke_asked__descriptor, on_revoke_asked},
+    {&bp__revoker_lost__descriptor, on_revoker_lost},
     {&bp__status_request__descriptor, pool_status},
 };
 
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -305,6 +305,10 @@
 	int64_t failover_due_since_us;
 	/* time of the last sign of a change of primary under way; 0: none */
 	int64_t failover_seen_us;
+	/* connection on which leases were last revoked for an attempt; its
+	   daemon has likely ended, or cannot go on */
+	uint64_t revoker_link;
+	bool revoker_lost;
 	overload_handover_t overload_handover;
 	/* time of the last request to revoke leases for an attempt */
 	int64_t leases_asked_us;
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -1200,6 +1200,10 @@
 	uint64_t more_advanced; /* database with the longer log; 0: equal */
 	bool all;               /* all daemons confirm, not only most */
 	int32_t chosen;         /* expected; -1: nothing is ordered */
+	/* the record names the order, since so long after the promises */
+	bool named;
+	int64_t named_ms;
+	bool away; /* the store is away since the promises */
 } open_order_case_t;
 
 static const open_order_case_t open_order_cases[] = {
@@ -1212,6 +1216,15 @@
     {"to a database that has left, and most daemons know", -1, true, 0, false,
 	-1},
     {"to a database that has left, and all daemons know", -1, true, 0, true, 1},
+    {"to one with a shorter log, most daemons know, and the others read of it",
+	2, false, 1, false, 1, true},
+    {"to a database that has left, most daemons know, and the others read of "
+     "it",
+	-1, true, 0, false, 1, true},
+    {"the others read of it, if later than the promises", 2, false, 1, false,
+	-1, true, 5},
+    {"the others read of it, and the store is away", 2, false, 1, false, -1,
+	true, 0, true},
 };
 
 /*
@@ -1234,6 +1247,9 @@
 	for (i = 0; i < DATABASES; i++)
 		report(&failover, i, i == 0, 1, 0, 0);
 	term = begin_attempt(&failover, 0);
+	if (c->named)
+		failover.orders_named_us = MS(c->named_ms);
+	failover.store_away = c->away;
 	for (i = 1; i < DATABASES; i++) {
 		db_view_t view = {true, false, false, term,
 		    {1, i == c->more_advanced ? 9 : 8}, 0, .term = 1,
--- a/tests/t_former.c
+++ b/tests/t_former.c
@@ -129,6 +129,7 @@
 	uint64_t read_era, store_era;
 	bool read_again;
 	uint64_t later_term; /* seen after that; 0: none */
+	int64_t seen_ms;     /* the term is seen then; 0: at 100 */
 } read_case_t;
 
 static const read_case_t read_cases[] = {
@@ -140,6 +141,12 @@
     {"after it was seen, and none were recorded", 0, 0, 0, 150, 2, false, true,
 	true},
     {"with the order that led to it", 1, ORDINARY, 1, 50, 2, false, true},
+    {"with an order of the same term as the one that led to it, long before", 1,
+	ORDINARY, 1, 50, 2, false, false, .seen_ms = 1051},
+    {"with the order that led to it, within the duration of a lease", 1,
+	ORDINARY, 1, 50, 2, false, true, .seen_ms = 1050},
+    {"before an order without a record led to it, long before", 1, STANDING(1),
+	0, 50, 2, true, true, .seen_ms = 1051},
     {"before an order without a record led to it", 1, STANDING(1), 0, 50, 2,
 	true, true},
     {"before another order led to it than the one without a record", 1,
@@ -172,6 +179,7 @@
 	    .read_era = c->read_era};
 	lease_t lease = {.members = c->unrecorded ? 0 : 3};
 	db_view_t views[3];
+	int64_t seen_us = (c->seen_ms == 0 ? 100 : c->seen_ms) * US_PER_MS;
 	uint32_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(views); i++)
@@ -179,19 +187,19 @@
 		    .primary = i == 0,
 		    .promised = c->term,
 		    .term = c->term,
-		    .requested_us = 90 * US_PER_MS,
+		    .requested_us = seen_us - 10 * US_PER_MS,
 		    .member = true};
 	lease_orders_read(&lease, &orders);
 	lease_members_read(&lease, 0, c->read_era, 1);
 	if (c->read_ms < 100)
 		lease_members_read(&lease, c->record_replaced, c->read_era,
 		    c->read_ms * US_PER_MS);
-	(void)lease_renew(&lease, views, 3, 0, 100 * US_PER_MS, &durations);
+	(void)lease_renew(&lease, views, 3, 0, seen_us, &durations);
 	if (c->read_ms >= 100)
 		lease_members_read(&lease, c->record_replaced, c->read_era,
 		    c->read_ms * US_PER_MS);
 	for (i = 0; i < G_N_ELEMENTS(views); i++)
-		views[i].requested_us = 290 * US_PER_MS;
+		views[i].requested_us = seen_us + 190 * US_PER_MS;
 	if (c->shown)
 		views[1].promised = c->attempt;
 	lease_store_era(&lease, c->store_era);
@@ -203,9 +211,9 @@
 	}
 	for (i = 0; c->later_term != 0 && i < G_N_ELEMENTS(views); i++)
 		views[i].promised = views[i].term = c->later_term;
-	g_assert_cmpint(
-	    lease_renew(&lease, views, 3, 0, 300 * US_PER_MS, &durations), ==,
-	    c->renewed);
+	g_assert_cmpint(lease_renew(&lease, views, 3, 0,
+			    seen_us + 200 * US_PER_MS, &durations),
+	    ==, c->renewed);
 	g_assert_cmpint(lease.unverified, ==, !c->renewed);
 }
 
--- a/tests/t_monitor.c
+++ b/tests/t_monitor.c
@@ -56,6 +56,52 @@
 	    c->asked_ms * US_PER_MS);
 }
 
+#define SEEN_MS 1000
+#define LEASE_MS 2000
+
+typedef struct awaited_case {
+	const char *name;
+	bool due;          /* the primary is unresponsive */
+	bool revoker_lost; /* the connection of the coordinator has ended */
+	int64_t after_ms;  /* time since the last sign of the attempt */
+	bool awaited;      /* expected */
+	int64_t asked_ms;  /* the same: when the role is asked for */
+} awaited_case_t;
+
+static const awaited_case_t awaited_cases[] = {
+    {"leases may have to end", true, false, LEASE_MS + DELAY_MS - 1, true,
+	SEEN_MS + DELAY_MS},
+    {"leases have ended", true, false, LEASE_MS + DELAY_MS, false,
+	SEEN_MS + DELAY_MS},
+    {"the coordinator has likely ended", true, true, 1, false,
+	SEEN_MS + DELAY_MS - 900},
+    {"a mere sign, and the coordinator has likely ended", false, true, 1, false,
+	SEEN_MS + DELAY_MS + 5000},
+};
+
+/*
+ * Test how long a daemon waits for a coordinator that may be waiting for leases
+ * to end, before it asks for the role.
+ */
+static void
+test_awaited(gconstpointer data)
+{
+	const awaited_case_t *c = data;
+	pool_t pool = {.takeover_delay_us = DELAY_MS * US_PER_MS,
+	    .lease_durations = {.long_us = LEASE_MS * US_PER_MS}};
+	group_t group = {.pool = &pool,
+	    .unresponsive = c->due,
+	    .revoker_lost = c->revoker_lost,
+	    .failover_seen_us = SEEN_MS * US_PER_MS,
+	    .failover_due_since_us = SEEN_MS * US_PER_MS};
+
+	g_assert_cmpint(monitor_leases_awaited(&group, c->due,
+			    (SEEN_MS + c->after_ms) * US_PER_MS),
+	    ==, c->awaited);
+	g_assert_cmpint(
+	    monitor_takeover_us(&group, c->due), ==, c->asked_ms * US_PER_MS);
+}
+
 #define PROMOTION_MS 1500
 
 typedef struct role_lost_case {
@@ -250,6 +296,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions();
 	g_test_add_func("/monitor/position-kept", test_position_kept);
+	CASES("/monitor/awaited", awaited_cases, test_awaited);
 	CASES("/monitor/coordinator-denied", denied_cases, test_denied);
 	CASES("/monitor/role-lost", role_lost_cases, test_role_lost);
 	CASES("/monitor/confirmed", confirmed_cases, test_confirmed);
--- a/tests/t_old_primary.c
+++ b/tests/t_old_primary.c
@@ -493,11 +493,12 @@
 	bool killed; /* the daemon that sent it is killed */
 	bool
 	    leaving; /* its database leaves; otherwise it crashes and returns */
+	int64_t served_ms; /* a write is acknowledged by then; 0: later */
 } late_order_case_t;
 
 static const late_order_case_t late_order_cases[] = {
     {"its sender goes on", false, true},
-    {"its sender is killed", true, true},
+    {"its sender is killed", true, true, 5000},
     {"its database restarts", false, false},
 };
 
@@ -509,15 +510,16 @@
 
 /*
  * Write through the proxies in turn, except one, for some time.  Returns the
- * values that were acknowledged.
+ * values that were acknowledged, and in *first_ms the time until the first one.
  */
 static GPtrArray *
-write_values(testbed_t *testbed, int32_t excepted, int64_t time_ms)
+write_values(
+    testbed_t *testbed, int32_t excepted, int64_t time_ms, int64_t *first_ms)
 {
 	GPtrArray *acknowledged = g_ptr_array_new_with_free_func(g_free);
 	client_t *clients[TESTBED_PROXIES_MAX] = {NULL};
-	int64_t end_us =
-	    g_get_monotonic_time() + time_ms * G_TIME_SPAN_MILLISECOND;
+	int64_t began_us = g_get_monotonic_time();
+	int64_t end_us = began_us + time_ms * G_TIME_SPAN_MILLISECOND;
 	uint32_t i, n;
 
 	for (n = 0; g_get_monotonic_time() < end_us; n++) {
@@ -532,9 +534,14 @@
 		if (clients[i] != NULL)
 			answer =
 			    client_query(clients[i], text, ANSWER_TIMEOUT_MS);
-		if (answer != NULL && g_str_has_prefix(answer, "DONE"))
+		if (answer != NULL && g_str_has_prefix(answer, "DONE")) {
+			if (acknowledged->len == 0)
+				*first_ms =
+				    (g_get_monotonic_time() - began_us) /
+				    G_TIME_SPAN_MILLISECOND;
 			g_ptr_array_add(
 			    acknowledged, g_strdup(text + strlen("WRITE k ")));
+		}
 		if (answer == NULL && clients[i] != NULL) {
 			client_close(clients[i]);
 			clients[i] = NULL;
@@ -563,6 +570,7 @@
 	GPtrArray *acknowledged;
 	char *outdated;
 	int32_t named, killed = -1;
+	int64_t first_ms = 0;
 	uint32_t i;
 
 	g_assert_true(testbed_wait_ready(testbed, READY_TIMEOUT_MS));
@@ -582,11 +590,14 @@
 		g_usleep(CRASHED_MS * G_TIME_SPAN_MILLISECOND);
 		testbed_inject_fault(testbed, "database", "return", named);
 	}
-	acknowledged = write_values(testbed, killed, LATE_ORDER_MS);
+	acknowledged = write_values(testbed, killed, LATE_ORDER_MS, &first_ms);
 	outdated = testbed_get(testbed, "/outdated");
-	g_test_message(
-	    "%u acknowledged, outdated:%.200s", acknowledged->len, outdated);
+	g_test_message("%u acknowledged, the first after %" G_GINT64_FORMAT
+		       " ms, outdated:%.200s",
+	    acknowledged->len, first_ms, outdated);
 	g_assert_cmpuint(acknowledged->len, >, 0);
+	if (c->served_ms != 0)
+		g_assert_cmpint(first_ms, <, c->served_ms);
 	for (i = 0; i < acknowledged->len; i++) {
 		char *value = g_strdup_printf(
 		    " %s ", (char *)g_ptr_array_index(acknowledged, i));
--- a/tests/t_peers_model.c
+++ b/tests/t_peers_model.c
@@ -42,6 +42,20 @@
 	    .peers = {.permille = 6,
 		.reset_permille = 300,
 		.one_way_permille = 300}}},
+    {"daemons refuse one another, and restart, all orders are held up, "
+     "databases restart",
+	3, 4, 8, 0, 0, 500, 3, .order_held_permille = 1000,
+	.database_restart_permille = 6,
+	.troubles = {.peers = {.permille = 8,
+			 .reset_permille = 300,
+			 .one_way_permille = 500}}},
+    {"daemons refuse one another, orders are held up at the platform, entries "
+     "lapse",
+	3, 4, 8, 0, 0, 500,
+	.troubles = {.order_held_permille = {[PROXY_PLACE_PLATFORM] = 1000},
+	    .lapse_permille = 3,
+	    .leaving_permille = 3,
+	    .peers = {.permille = 8, .one_way_permille = 1000}}},
     {"daemons refuse one another, a coordinator record that cannot be read", 3,
 	4, 12, 0, 0, 500, 3,
 	.troubles = {.role_late_permille = 200,
@@ -64,6 +78,11 @@
 	.troubles = {.peers = {.permille = 6, .reset_permille = 1000}}},
     {"a daemon that refuses holds no lease", PROXY_BUG_REFUSED_HOLDS_NOTHING, 5,
 	0, 4, .troubles = {.peers = {.permille = 4}}},
+    {"a daemon that refuses knows of an order that the record lacks",
+	PROXY_BUG_UNNAMED_ORDERS_READ, 4, 0, 8, .first_seed = 361,
+	.returns_permille = 4, .order_held_permille = 1000,
+	.database_restart_permille = 6, .new_starts_deny = true,
+	.troubles = {.peers = {.permille = 8, .one_way_permille = 1000}}},
 };
 
 /*
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -160,6 +160,9 @@
 	PROXY_BUG_RESET_REVOKED,
 	/* a daemon that refuses a connection holds no lease */
 	PROXY_BUG_REFUSED_HOLDS_NOTHING,
+	/* a daemon that does not answer knows of an open order once its leases
+	   have ended, also if the record lacks the order */
+	PROXY_BUG_UNNAMED_ORDERS_READ,
 } proxy_model_bug_t;
 
 /* Places where an order to promote a database may be held up. */
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -341,6 +341,8 @@
 		end_by_term(daemon);
 	open_orders_update(&daemon->open_orders, &daemon->failover,
 	    &daemon->lease, server_name, daemon, model->now_us);
+	if (model->plan->injected_bug == PROXY_BUG_UNNAMED_ORDERS_READ)
+		daemon->failover.orders_named_us = 0;
 	if (model->plan->injected_bug != PROXY_BUG_ORDER_OUTSIDE_VOID)
 		return;
 	open_orders_each(&daemon->open_orders, count_outside, &outside);
