Failover: a notice of a term is confirmed by its own answers

What callers could see: reads at a replaced primary (by reading). Before a stray promise is withdrawn, all daemons are told that a primary leads the term, so that none begins a lease below it. A late answer to a revocation of that number, which was asked for before, confirmed the notice as well, though it ends leases without telling that the term is led; and the answers to a notice counted for an attempt of its number.

Cause: reports did not say whether they answer a revocation or a notice. They do now (RevokeEnded.begun), and failover_notice_confirmed() is apart from failover_leases_revoked(). The model of the site does the same.

Evidence: /attempt/stray-pause, a row more, and /monitor/progress, a row and a column more.

--- a/gen/proxy.pb-c.c
+++ b/gen/proxy.pb-c.c
@@ -4245,7 +4245,8 @@
 static const uint64_t bp__revoke_ended__unreadable_revision__default_value = 0ull;
 static const uint64_t bp__revoke_ended__token__default_value = 0ull;
 static const uint64_t bp__revoke_ended__asked_us__default_value = 0ull;
-static const ProtobufCFieldDescriptor bp__revoke_ended__field_descriptors[9] =
+static const protobuf_c_boolean bp__revoke_ended__begun__default_value = 0;
+static const ProtobufCFieldDescriptor bp__revoke_ended__field_descriptors[10] =
 {
   {
     "group",
@@ -4355,9 +4356,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begun",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Bp__RevokeEnded, has_begun),
+    offsetof(Bp__RevokeEnded, begun),
+    NULL,
+    &bp__revoke_ended__begun__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__revoke_ended__field_indices_by_name[] = {
   8,   /* field[8] = asked_us */
+  9,   /* field[9] = begun */
   0,   /* field[0] = group */
   3,   /* field[3] = newest_term */
   4,   /* field[4] = open */
@@ -4370,7 +4384,7 @@
 static const ProtobufCIntRange bp__revoke_ended__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bp__revoke_ended__descriptor =
 {
@@ -4380,7 +4394,7 @@
   "Bp__RevokeEnded",
   "bp",
   sizeof(Bp__RevokeEnded),
-  9,
+  10,
   bp__revoke_ended__field_descriptors,
   bp__revoke_ended__field_indices_by_name,
   1,  bp__revoke_ended__number_ranges,
--- a/gen/proxy.pb-c.h
+++ b/gen/proxy.pb-c.h
@@ -985,10 +985,15 @@
    */
   protobuf_c_boolean has_asked_us;
   uint64_t asked_us;
+  /*
+   * RevokeWanted.begun
+   */
+  protobuf_c_boolean has_begun;
+  protobuf_c_boolean begun;
 };
 #define BP__REVOKE_ENDED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__revoke_ended__descriptor) \
-    , NULL, 0, BP__REVOKE_STATE__MOST, 0, 0, 0,NULL, NULL, 0, 0ull, 0, 0ull, 0, 0ull }
+    , NULL, 0, BP__REVOKE_STATE__MOST, 0, 0, 0,NULL, NULL, 0, 0ull, 0, 0ull, 0, 0ull, 0, 0 }
 
 
 /*
--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -314,6 +314,8 @@
     failover_t *, uint32_t database, const db_view_t *, int64_t);
 void failover_leases_revoked(
     failover_t *, uint64_t term, bool all, int64_t now_us);
+void failover_notice_confirmed(
+    failover_t *, uint64_t term, bool all, int64_t now_us);
 void failover_term_reported(failover_t *, uint64_t term, int64_t now_us);
 void failover_superseded(failover_t *, uint64_t term, int64_t now_us);
 void failover_position_seen(failover_t *, uint32_t database, position_t);
--- a/src/decide/failover_fencing.c
+++ b/src/decide/failover_fencing.c
@@ -53,15 +53,26 @@
 failover_leases_revoked(
     failover_t *failover, uint64_t term, bool all, int64_t now_us)
 {
-	if (term == failover->notice_term &&
-	    (all || now_us - failover->notice_began_us >= NOTICE_ALL_US))
-		failover->notice_confirmed_us = now_us;
 	if (!attempt_under_way(failover, term))
 		return;
 	failover->revoked_by_most_us = now_us;
 	failover->revoked_by_all |= all;
 }
 
+/*
+ * Record that a majority of the daemons, or all of them, have confirmed that
+ * they know that a primary leads a term.  A revocation for an attempt of that
+ * number tells them less: it ends their leases, but they may begin one again.
+ */
+void
+failover_notice_confirmed(
+    failover_t *failover, uint64_t term, bool all, int64_t now_us)
+{
+	if (term == failover->notice_term &&
+	    (all || now_us - failover->notice_began_us >= NOTICE_ALL_US))
+		failover->notice_confirmed_us = now_us;
+}
+
 /*
  * Give up the attempt in this term, since a daemon has reported a newer
  * failover by another daemon.
--- a/src/proxy/monitor_change.c
+++ b/src/proxy/monitor_change.c
@@ -211,8 +211,12 @@
 	if (ended->state == BP__REVOKE_STATE__ALL)
 		group->pool->all_answered_us = now_us;
 	group->heard_token = ended->token;
-	failover_leases_revoked(&group->failover, ended->term,
-	    ended->state == BP__REVOKE_STATE__ALL, now_us);
+	if (ended->begun)
+		failover_notice_confirmed(&group->failover, ended->term,
+		    ended->state == BP__REVOKE_STATE__ALL, now_us);
+	else
+		failover_leases_revoked(&group->failover, ended->term,
+		    ended->state == BP__REVOKE_STATE__ALL, now_us);
 }
 
 /*
--- a/src/proxy/peers.c
+++ b/src/proxy/peers.c
@@ -152,6 +152,8 @@
 	ended->token = revocation->token;
 	ended->has_asked_us = 1;
 	ended->asked_us = revocation->asked_us;
+	ended->has_begun = 1;
+	ended->begun = revocation->begun;
 	ended->has_newest_term = 1;
 	ended->newest_term = revocation->newest_term;
 	ended->open = open_orders_write(&revocation->reported_orders,
--- a/tests/t_attempt.c
+++ b/tests/t_attempt.c
@@ -227,6 +227,7 @@
 	int64_t released_ms; /* expected time of the release; 0: never */
 	/* releases that are not carried out, since the role is not confirmed */
 	uint32_t refused;
+	bool revoked; /* they confirm a revocation of that number instead */
 } stray_case_t;
 
 static const stray_case_t stray_cases[] = {
@@ -236,6 +237,8 @@
 	true, 700, 2},
     {"the same, once the daemons' answers are out of date", 2, true, true, true,
 	1150, 10},
+    {"one that does not yet, all daemons confirm a revocation", 2, true, true,
+	true, 0, 0, true},
     {"one that does not yet, most daemons confirm", 2, false, true, true, 3600},
     {"one that does not yet, no daemon confirms", 2, false, false, true, 0},
 };
@@ -260,9 +263,12 @@
 		report(&failover, 0, true, 3, 0, MS(at_ms));
 		report(&failover, 1, false, 3, 0, MS(at_ms));
 		report(&failover, 2, false, c->term, 20, MS(at_ms));
-		if (announced_ms >= 0 && c->most)
+		if (announced_ms >= 0 && c->most && c->revoked)
 			failover_leases_revoked(
 			    &failover, 3, c->all, MS(at_ms));
+		else if (announced_ms >= 0 && c->most)
+			failover_notice_confirmed(
+			    &failover, 3, c->all, MS(at_ms));
 		announced_ms = -1;
 		failover.release_allowed = refused == c->refused;
 		failover_tick(&failover, MS(at_ms), &actions);
--- a/tests/t_monitor.c
+++ b/tests/t_monitor.c
@@ -239,7 +239,9 @@
 	Bp__RevokeState state;
 	int64_t asked_ms; /* time of the request that was answered */
 	uint64_t token;
+	bool begun;       /* it told that a primary leads the term */
 	bool revoked;     /* expected: all have revoked their leases */
+	bool told;        /* expected: all know that a primary leads it */
 	bool coordinator; /* this daemon still is */
 } progress_case_t;
 
@@ -248,15 +250,17 @@
 #define ASKED_TOKEN 7
 
 static const progress_case_t progress_cases[] = {
-    {"the last request", BP__REVOKE_STATE__ALL, ASKED_MS, ASKED_TOKEN, true,
-	true},
+    {"the last request", BP__REVOKE_STATE__ALL, ASKED_MS, ASKED_TOKEN, false,
+	true, false, true},
+    {"a notice of the same number", BP__REVOKE_STATE__ALL, ASKED_MS + 400,
+	ASKED_TOKEN, true, false, true, true},
     {"an earlier request of the same number", BP__REVOKE_STATE__ALL,
-	ASKED_MS - 400, ASKED_TOKEN, false, true},
+	ASKED_MS - 400, ASKED_TOKEN, false, false, false, true},
     {"a newer token", BP__REVOKE_STATE__OUTDATED, ASKED_MS, ASKED_TOKEN, false,
-	false},
+	false, false, false},
     {"a newer token than one that was replaced here",
 	BP__REVOKE_STATE__OUTDATED, ASKED_MS - 400, ASKED_TOKEN - 1, false,
-	true},
+	false, false, true},
 };
 
 /*
@@ -276,12 +280,15 @@
 	open_orders_init(&group.open_orders);
 	group.failover.state = FAILOVER_FENCING;
 	group.failover.term = group.failover.fenced_term = ended.term = 2;
+	group.failover.notice_term = 2;
 	ended.group = (char *)"ledger";
 	ended.state = c->state;
 	ended.token = c->token;
+	ended.begun = c->begun;
 	ended.asked_us = (uint64_t)(c->asked_ms * US_PER_MS);
 	monitor_revocation_progress(&group, &ended);
 	g_assert_cmpint(group.failover.revoked_by_all, ==, c->revoked);
+	g_assert_cmpint(group.failover.notice_confirmed_us != 0, ==, c->told);
 	g_assert_cmpint(pool.is_coordinator, ==, c->coordinator);
 	open_orders_clear(&group.open_orders);
 	failover_clear(&group.failover);
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -446,8 +446,8 @@
 		break;
 	case FAILOVER_ANNOUNCE_TERM:
 		if (model->plan->injected_bug == PROXY_BUG_NO_NOTICE)
-			failover_leases_revoked(&daemon->failover, action->term,
-			    true, model->now_us);
+			failover_notice_confirmed(&daemon->failover,
+			    action->term, true, model->now_us);
 		else
 			proxy_model_revoke(
 			    model, daemon_index, action->term, true);
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -195,6 +195,7 @@
 	bool status_pending[DBS_MAX];
 	int64_t connected_us[DBS_MAX]; /* time the connection was opened */
 	uint64_t revocation_term;      /* leases of lower terms are revoked */
+	bool revocation_begun;         /* it tells that a primary leads it */
 	uint64_t revocation;           /* identifies its last revocation */
 	int64_t revocation_us;         /* time at which that began */
 	/* the other daemons, by their index */
--- a/tools/proxy_model_peers.c
+++ b/tools/proxy_model_peers.c
@@ -75,7 +75,11 @@
 	    daemon->revocation_targets, model->plan->daemons - 1);
 	revocation_progress_t progress = revocation_progress(&count, false);
 
-	if (progress != REVOCATION_BEGUN)
+	if (progress != REVOCATION_BEGUN && daemon->revocation_begun)
+		failover_notice_confirmed(&daemon->failover,
+		    daemon->revocation_term, progress == REVOCATION_BY_ALL,
+		    model->now_us);
+	else if (progress != REVOCATION_BEGUN)
 		failover_leases_revoked(&daemon->failover,
 		    daemon->revocation_term, progress == REVOCATION_BY_ALL,
 		    model->now_us);
@@ -138,6 +142,7 @@
 	if (model->plan->injected_bug != PROXY_BUG_OPEN_ORDERS_UNTOLD)
 		proxy_model_open_list(model, daemon, &event.open);
 	daemon->revocation_term = term;
+	daemon->revocation_begun = begun;
 	daemon->revocation = event.revocation;
 	daemon->revocation_us = model->now_us;
 	holders = begun || event.open.count > 0
