Members: those of a record that was deleted count as former ones

Callers could see writes and reads at an old primary: the record is deleted, another daemon begins it again without members, and a coordinator whose list lacks two of five databases, which have left at once, orders a promotion with the promises of a majority of the other three, while a daemon alone still rests a lease on a majority of the five that it read.

Cause: members that a daemon has read were kept as former ones when the store came back from an older copy, not when the record was begun again. group_former_keep() now does so for a record whose `begun` is another one.

--- a/src/proxy/group_former.c
+++ b/src/proxy/group_former.c
@@ -145,19 +145,21 @@
 
 /*
  * Keep the members that were read in an older era than that of the record which
- * is read now, and the former ones with them.  The record is one of an older
- * copy and may lack them, but a daemon that has not heard of the return may
- * rest a lease on them.  They count like the former ones of the record.  Called
- * before group_former_recorded().
+ * is read now, or from a record that was deleted since, and the former ones
+ * with them.  The record is one of an older copy, or was begun again, and may
+ * lack them, but a daemon that has not heard of that may rest a lease on them.
+ * They count like the former ones of the record.  begun: token with which the
+ * record was begun.  Called before group_former_recorded().
  */
 void
-group_former_keep(group_t *group, uint64_t era)
+group_former_keep(group_t *group, uint64_t era, uint64_t begun)
 {
 	uint32_t i;
 
-	if (era <= group->members_era)
+	if (era <= group->members_era && begun == group->members_begun)
 		return;
-	group->members_era = era;
+	group->members_era = MAX(era, group->members_era);
+	group->members_begun = begun;
 	for (i = 0; i < group->former_count; i++) {
 		const former_set_t *set = &group->former[i];
 
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -396,7 +396,7 @@
 		group_orders_recorded(value, open, n_open, read->begun,
 		    read->unrecorded ? 0 : (int64_t)read->read_us, clock_us());
 		if (!read->unrecorded) {
-			group_former_keep(value, read->era);
+			group_former_keep(value, read->era, read->begun);
 			group_former_recorded(value, former, n_former,
 			    recorded.replaced_term, (int64_t)read->read_us);
 			group_members_recorded(
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -277,11 +277,13 @@
 	/* those that were sent to be recorded, and may have been */
 	former_set_t pending[PENDING_MEMBERS_MAX];
 	uint32_t pending_count;
-	/* those that were read in an older era of the store, and that its
-	   record may lack now; and the era of the last read */
+	/* those that were read in an older era of the store, or from a record
+	   that was deleted since, and that the record may lack now; and the
+	   era of the last read and the token with which its record was begun */
 	former_set_t lost[LOST_MEMBERS_MAX];
 	uint32_t lost_count;
 	uint64_t members_era;
+	uint64_t members_begun;
 	int64_t members_read_us;
 	int64_t members_sent_us;
 	/* fencing token that most daemons were told in the last revocation */
@@ -601,7 +603,7 @@
 /* group_former.c */
 void group_former_recorded(group_t *, Bp__FormerMembers *const *, size_t count,
     uint64_t replaced_term, int64_t read_us);
-void group_former_keep(group_t *, uint64_t era);
+void group_former_keep(group_t *, uint64_t era, uint64_t begun);
 void group_former_clear(group_t *);
 void group_members_sent(
     group_t *, Bp__RecordedMember *const *, size_t count, int64_t now_us);
--- a/tests/t_members.c
+++ b/tests/t_members.c
@@ -503,9 +503,11 @@
 	/* servers that are members when the record is first read, and former
 	   ones; 0: none */
 	uint32_t first, former;
-	/* the same when it is read again, and the era of the store then */
+	/* the same when it is read again, the era of the store then, and
+	   whether the record was begun again */
 	uint32_t second, second_former;
 	uint64_t era;
+	bool begun_again;
 	bool replaced; /* an order has led to the next term since */
 	/* expected: sets that count besides the members, without the servers
 	   that each daemon should know where none are recorded */
@@ -513,24 +515,33 @@
 } kept_case_t;
 
 static const kept_case_t kept_cases[] = {
-    {"the same era, the members are gone", ALL, 0, 0, 0, 1, false, 0},
-    {"an older copy without members", ALL, 0, 0, 0, 2, false, 1},
+    {"the same era, the members are gone", ALL, 0, 0, 0, 1, false, false, 0},
+    {"an older copy without members", ALL, 0, 0, 0, 2, false, false, 1},
     {"an older copy with fewer members", ALL, 0, PRIMARY | REPLICA, 0, 2, false,
-	1},
-    {"an older copy with the same members", ALL, 0, ALL, 0, 2, false, 0},
-    {"an older copy that has them as former ones", ALL, 0, PRIMARY, ALL, 2,
 	false, 1},
+    {"an older copy with the same members", ALL, 0, ALL, 0, 2, false, false, 0},
+    {"an older copy that has them as former ones", ALL, 0, PRIMARY, ALL, 2,
+	false, false, 1},
     {"an older copy without members and former ones", ALL, PRIMARY, 0, 0, 2,
-	false, 2},
+	false, false, 2},
     {"the same, and the primary has been replaced since", ALL, PRIMARY, 0, 0, 2,
-	true, 0},
+	false, true, 0},
+    {"a record that was begun again, without members", ALL, 0, 0, 0, 1, true,
+	false, 1},
+    {"one with fewer members", ALL, 0, PRIMARY | REPLICA, 0, 1, true, false, 1},
+    {"one with the same members", ALL, 0, ALL, 0, 1, true, false, 0},
+    {"one without members and former ones", ALL, PRIMARY, 0, 0, 1, true, false,
+	2},
+    {"such a one, and the primary has been replaced since", ALL, PRIMARY, 0, 0,
+	1, true, true, 0},
 };
 
 /*
  * Have a daemon read a record with members and former ones, as bits.
  */
 static void
-read_members(group_t *group, uint32_t members, uint32_t former, uint64_t era)
+read_members(group_t *group, uint32_t members, uint32_t former, uint64_t era,
+    uint64_t begun)
 {
 	Bp__RecordedMember *list[SERVERS], *former_list[SERVERS];
 	Bp__FormerMembers set = BP__FORMER_MEMBERS__INIT, *sets[] = {&set};
@@ -551,7 +562,7 @@
 		if ((former & bit) != 0)
 			former_list[set.n_members++] = member;
 	}
-	group_former_keep(group, era);
+	group_former_keep(group, era, begun);
 	group_former_recorded(group, sets, set.n_members > 0, 0, now_us);
 	group_members_recorded(group, list, count, now_us);
 	arena_free(arena);
@@ -559,7 +570,7 @@
 
 /*
  * Test which members count besides those of the record after the store has come
- * back from an older copy.
+ * back from an older copy, or the record was begun again.
  */
 static void
 test_kept(gconstpointer data)
@@ -572,8 +583,9 @@
 	bed_start(&bed);
 	apply_list(bed.pool, ALL, 5);
 	group = g_hash_table_lookup(bed.pool->groups, "ledger");
-	read_members(group, c->first, c->former, 1);
-	read_members(group, c->second, c->second_former, c->era);
+	read_members(group, c->first, c->former, 1, 1);
+	read_members(
+	    group, c->second, c->second_former, c->era, c->begun_again ? 2 : 1);
 	if (c->replaced) {
 		group->lease.orders =
 		    (recorded_orders_t){.replaced_term = 1, .attempt_term = 2};
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -291,7 +291,7 @@
 		orders.lost_us = daemon->store_restored_us;
 	lease_orders_read(&daemon->lease, &orders);
 	proxy_model_members_read(model, daemon, &event->members,
-	    orders.replaced_term, orders.read_us);
+	    event->open.record_begun, orders.replaced_term, orders.read_us);
 	proxy_model_open_recorded(
 	    model, daemon, &event->open, event->orders.read_us);
 	update_lease(model, event->daemon);
@@ -917,12 +917,14 @@
 	for (i = 0; i < model.members.now.count; i++)
 		model.members.now.member[i] = true;
 	proxy_model_members_init(&model);
+	model.open.record_begun = 1;
 	for (i = 0; i < plan->daemons; i++) {
 		daemon_init(&model, i);
 		model.daemons[i].members = model.members;
+		model.daemons[i].members_begun = model.open.record_begun;
 	}
 	model.coordinator = 0;
-	model.coordinator_token = model.open.record_begun = 1;
+	model.coordinator_token = 1;
 	model.record_revision = model.older_revision = 1;
 	model.daemons[0].is_coordinator = model.daemons[0].order_sent = true;
 	model.daemons[0].fencing_token = model.daemons[0].newest_token_seen = 1;
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -213,7 +213,8 @@
 	GPtrArray *stmts;         /* of stmt_t */
 	recorded_members_t members;
 	int64_t members_read_us;
-	uint64_t members_era; /* of the store when they were read */
+	uint64_t members_era;   /* of the store when they were read */
+	uint64_t members_begun; /* token with which that record was begun */
 	/* sets that were read in an older era, and that the store may lack */
 	member_set_t lost[LOST_MEMBERS_MAX];
 	uint32_t lost_count;
@@ -437,13 +438,14 @@
 int32_t proxy_model_index(const proxy_model_daemon_t *, uint32_t db);
 int32_t proxy_model_primary(const proxy_model_daemon_t *);
 void proxy_model_members_read(proxy_model_t *, proxy_model_daemon_t *,
-    const recorded_members_t *, uint64_t replaced_term, int64_t read_us);
+    const recorded_members_t *, uint64_t begun, uint64_t replaced_term,
+    int64_t read_us);
 bool proxy_model_members_equal(const member_set_t *, const member_set_t *);
 void proxy_model_members_replace(proxy_model_t *, const proxy_model_daemon_t *,
     const member_set_t *, uint64_t term);
 void proxy_model_former_update(proxy_model_t *, proxy_model_daemon_t *);
 void proxy_model_members_keep(const proxy_model_t *, proxy_model_daemon_t *,
-    const recorded_members_t *read);
+    const recorded_members_t *read, uint64_t begun);
 void proxy_model_members_check(proxy_model_t *, uint32_t daemon);
 void proxy_model_members_record(
     proxy_model_t *, proxy_model_daemon_t *, uint64_t term);
--- a/tools/proxy_model_members.c
+++ b/tools/proxy_model_members.c
@@ -524,18 +524,21 @@
 
 /*
  * Have a daemon keep the members that it has read if the store has come back
- * from an older copy since.
+ * from an older copy, or the record was begun again with a token, since.
  */
 static void
-keep_sets(const proxy_model_t *model, proxy_model_daemon_t *daemon)
+keep_sets(
+    const proxy_model_t *model, proxy_model_daemon_t *daemon, uint64_t begun)
 {
 	const recorded_members_t *members = &daemon->members;
 	member_set_t now = members->now;
 	uint32_t i;
 
-	if (daemon->store_era <= daemon->members_era)
+	if (daemon->store_era <= daemon->members_era &&
+	    begun == daemon->members_begun)
 		return;
 	daemon->members_era = daemon->store_era;
+	daemon->members_begun = begun;
 	if (model->plan->lost_members_forgotten ||
 	    model->plan->injected_bug == PROXY_BUG_LOST_FORGOTTEN)
 		return;
@@ -550,13 +553,15 @@
 
 /*
  * Have a daemon keep the members that it has read and that a record lacks which
- * it reads now, since the store has come back from an older copy.
+ * it reads now, since the store has come back from an older copy, or the record
+ * was begun again with a token.
  */
 void
 proxy_model_members_keep(const proxy_model_t *model,
-    proxy_model_daemon_t *daemon, const recorded_members_t *read)
+    proxy_model_daemon_t *daemon, const recorded_members_t *read,
+    uint64_t begun)
 {
-	keep_sets(model, daemon);
+	keep_sets(model, daemon, begun);
 	drop_found(daemon, read);
 }
 
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -412,18 +412,20 @@
 
 /*
  * Have a daemon know the members that the store had recorded at a time, with
- * orders to replace the primary of a term.
+ * orders to replace the primary of a term, in a record that was begun with a
+ * token.
  */
 void
 proxy_model_members_read(proxy_model_t *model, proxy_model_daemon_t *daemon,
-    const recorded_members_t *members, uint64_t replaced_term, int64_t read_us)
+    const recorded_members_t *members, uint64_t begun, uint64_t replaced_term,
+    int64_t read_us)
 {
 	uint32_t i;
 
 	if (read_us < daemon->members_read_us)
 		return;
 	daemon->members_read_us = read_us;
-	proxy_model_members_keep(model, daemon, members);
+	proxy_model_members_keep(model, daemon, members, begun);
 	for (i = 0; i < model->plan->databases; i++)
 		daemon->member_gone[i] &= members->now.member[i] &&
 		    members->now.born_us[i] == daemon->members.now.born_us[i];
@@ -505,5 +507,6 @@
 		return;
 	proxy_model_members_record(model, daemon, daemon->lease.term);
 	proxy_model_members_read(model, daemon, &model->members,
-	    model->orders.replaced_term, model->now_us);
+	    model->open.record_begun, model->orders.replaced_term,
+	    model->now_us);
 }
--- a/tools/proxy_model_orders.c
+++ b/tools/proxy_model_orders.c
@@ -74,7 +74,7 @@
 	orders.read_us = model->now_us;
 	orders.read_era = daemon->store_era;
 	proxy_model_members_read(model, daemon, &model->members,
-	    orders.replaced_term, model->now_us);
+	    model->open.record_begun, orders.replaced_term, model->now_us);
 	if (model->plan->injected_bug != PROXY_BUG_RESTORED_ORDERS)
 		orders.lost_us = daemon->store_restored_us;
 	lease_orders_read(&daemon->lease, &orders);
--- a/tools/proxy_model_role.c
+++ b/tools/proxy_model_role.c
@@ -133,7 +133,8 @@
 	failover_orders_recorded(
 	    &daemon->failover, &model->orders, model->now_us);
 	proxy_model_members_read(model, daemon, &model->members,
-	    model->orders.replaced_term, model->now_us);
+	    model->open.record_begun, model->orders.replaced_term,
+	    model->now_us);
 	proxy_model_open_recorded(model, daemon, &model->open, model->now_us);
 	proxy_model_open_rewrite(model, daemon);
 	daemon->written =
