Model: the first coordinator knows what its record says

The model's first coordinator replaced a record that could not be read by an empty one, without the members that it had begun with; a daemon's coordinator keeps what it wrote or took over.

--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -929,6 +929,8 @@
 	model.daemons[0].is_coordinator = model.daemons[0].order_sent = true;
 	model.daemons[0].fencing_token = model.daemons[0].newest_token_seen = 1;
 	model.daemons[0].written_token = model.daemons[0].written_revision = 1;
+	model.daemons[0].written =
+	    (coordinator_record_t){model.orders, model.open, model.members};
 	proxy_model_schedule(&model, REPLICATE_INTERVAL_US, &replicate);
 	while (result->steps++ < plan->steps) {
 		event_t event;
