Coordinator: no write over the record of another process under its name

What callers could see: two primaries, or reads at a replaced one (by reading). Of two processes under one name, one has the coordinator role and the other takes it. The first one's next write of orders fails, as the record has another revision. It took the record for its own, by the name, and wrote again over that revision: its old token replaced the newer one, and its orders those of the coordinator.

Cause: coordinator_note_record() told records apart by the name of the holder only. The revision of a record with another token than the one held is not noted any more, so that such a write keeps failing.

Evidence: /coordinator/overwritten, new. Before: the row of another process under its name writes over revision 30; 2 of 3 rows pass. Now 3 of 3, and t_coordinator 128 of 128.

--- a/src/proxy/coordinator.c
+++ b/src/proxy/coordinator.c
@@ -105,7 +105,18 @@
 }
 
 /*
- * Note the token of a record that was read and, if it names this daemon, the
+ * Tell whether the record names another process under this daemon's name, which
+ * has taken the role since.
+ */
+static bool
+held_by_other_process(const registry_t *registry, const Bp__DutyRecord *record)
+{
+	return registry->fencing_token != 0 &&
+	    record->token != registry->fencing_token;
+}
+
+/*
+ * Note the token of a record that was read and, if it names this process, the
  * revision for its next write.
  */
 void
@@ -114,7 +125,8 @@
 {
 	if (status == OBJECT_STORE_NO_RESPONSE)
 		return;
-	if (coordinator_is_named(registry, record))
+	if (coordinator_is_named(registry, record) &&
+	    !held_by_other_process(registry, record))
 		registry->coordinator_revision = response->list[0].revision;
 	if (record == NULL)
 		return;
@@ -181,6 +193,7 @@
 	if (status == OBJECT_STORE_OK && held_here &&
 	    token_is_newest(registry, record->token)) {
 		registry->fencing_token = record->token;
+		registry->coordinator_revision = response->list[0].revision;
 		restore_note_written(
 		    registry, record->token, response->list[0].revision);
 		orders_report(registry, record, registry->coordinator_sent_us);
@@ -244,7 +257,7 @@
 
 /*
  * Handle the response to a write of noted or withdrawn orders.  It is repeated
- * if the store did not answer, or if another write of this daemon came first.
+ * if the store did not answer, or if another write of this process came first.
  */
 static void
 on_orders_updated(void *context, const object_store_response_t *response)
@@ -362,6 +375,7 @@
 		coordinator_write(registry, 0, 0);
 	} else if (status == OBJECT_STORE_OK && token_kept(registry, record)) {
 		registry->fencing_token = record->token;
+		registry->coordinator_revision = response->list[0].revision;
 		coordinator_send_changed(registry, true);
 		if (orders_recorded(registry, record))
 			orders_report(
--- a/tests/t_coordinator.c
+++ b/tests/t_coordinator.c
@@ -1492,6 +1492,45 @@
 	bed_stop(&bed);
 }
 
+typedef struct overwritten_case {
+	const char *name;
+	const char *holder; /* in the record that came first */
+	uint64_t token;
+	bool again; /* expected: this process writes over that record */
+} overwritten_case_t;
+
+static const overwritten_case_t overwritten_cases[] = {
+    {"another write of this process", "this", 5, true},
+    {"another process under its name", "this", 9, false},
+    {"another daemon", "other", 9, false},
+};
+
+/*
+ * Test that a coordinator whose write of orders came too late does not write
+ * over the record of a later one, also not of one under its own name.
+ */
+static void
+test_overwritten(gconstpointer data)
+{
+	const overwritten_case_t *c = data;
+	bed_t bed;
+	registry_t *registry = bed_start(&bed, &store_ops, NULL);
+
+	registry->fencing_token = 5;
+	registry->coordinator_revision = 10;
+	coordinator_update_orders(registry);
+	g_assert_cmpuint(last_write.revision, ==, 10);
+	answer_last_write(OBJECT_STORE_CONFLICT, c->holder, c->token, 30);
+	registry->orders_written_us = 0;
+	coordinator_record_orders(registry);
+	g_assert_cmpuint(last_write.revision, ==, c->again ? 30 : 10);
+	if (c->again)
+		answer_last_write(OBJECT_STORE_OK, "this", 5, 30);
+	coordinator_update_orders(registry);
+	g_assert_cmpuint(last_write.revision, ==, c->again ? 30 : 10);
+	bed_stop(&bed);
+}
+
 typedef struct token_seen_case {
 	const char *name;
 	uint64_t token; /* that another daemon knows */
@@ -2221,6 +2260,7 @@
 	CASES("/coordinator/older-order", older_order_cases, test_older_order);
 	CASES("/coordinator/confirmed", confirmed_cases, test_confirmed);
 	CASES("/coordinator/promises", promises_cases, test_promises);
+	CASES("/coordinator/overwritten", overwritten_cases, test_overwritten);
 	CASES("/coordinator/token-seen", token_seen_cases, test_token_seen);
 	CASES("/coordinator/created", created_cases, test_created);
 	CASES("/coordinator/read-age", read_age_cases, test_read_age);
