Proxy model: orders that the store cannot record

Such orders were in no model: proxy_model_write_order() let an order through only where the daemon reaches the store.

The model now sends them as the product does, where troubles.away.permille is set: only under a token that has been used and was told for the attempt, only for standing promises, told to and confirmed by a majority that has read a token, counted as recorded by the sender and recorded once the store is back. Daemons keep what they were told, answer revocations with it, record orders that standing promises show, and take it along into the record with the role. New troubles: the store is away for the coordinator, some or all, with lost primaries, restarts, refused links, and a directed one in which the others forget the token of a successor.

The search draws the five new fields last.

--- a/tests/proxy_model_cases.h
+++ b/tests/proxy_model_cases.h
@@ -92,7 +92,8 @@
 	    troubles->member_restart_permille + troubles->leaving_permille +
 	    troubles->lapse_permille + troubles->refused_permille +
 	    troubles->crash_permille + troubles->most_refused_permille +
-	    troubles->peers.permille + troubles->members.permille >
+	    troubles->peers.permille + troubles->members.permille +
+	    troubles->away.permille >
 	    0;
 }
 
@@ -106,6 +107,7 @@
 	const correct_case_t *c = data;
 	uint64_t acknowledged = 0, primary_changes = 0, troubles = 0;
 	uint64_t samples = 0, bounded = 0, own = 0, by_replicas = 0;
+	uint64_t unrecorded = 0, recorded_later = 0;
 	uint32_t seeds = c->seeds == 0 ? SEEDS : c->seeds;
 	uint32_t i, first = MAX(1, c->first_seed);
 
@@ -137,6 +139,8 @@
 		bounded += result.bounded_reads;
 		own += result.own_reads;
 		by_replicas += result.replica_reads;
+		unrecorded += result.unrecorded_orders;
+		recorded_later += result.recorded_later;
 		if (proxy_model_violations(&result) == 0)
 			continue;
 		g_test_message(
@@ -160,6 +164,14 @@
 		       "%" G_GUINT64_FORMAT " bounded, %" G_GUINT64_FORMAT
 		       " own, %" G_GUINT64_FORMAT " by replicas",
 	    samples, bounded, own, by_replicas);
+	if (c->troubles.away.permille > 0) {
+		g_test_message("%" G_GUINT64_FORMAT
+			       " orders without a record, %" G_GUINT64_FORMAT
+			       " recorded later",
+		    unrecorded, recorded_later);
+		g_assert_cmpuint(unrecorded, >, 0);
+		g_assert_cmpuint(recorded_later, >, 0);
+	}
 	g_assert_cmpuint(acknowledged, >, 0);
 	g_assert_cmpuint(samples, >, 0);
 	if (c->replica_reads_permille > 0) {
--- a/tools/model_plan.c
+++ b/tools/model_plan.c
@@ -75,6 +75,11 @@
     FIELD(troubles.peers.reset_permille, 100, 1000, 1),
     FIELD(troubles.peers.one_way_permille, 100, 1000, 1),
     FIELD(troubles.peers.store_cut_permille, 100, 1000, 1),
+    FIELD(troubles.away.permille, 1, 8, 1),
+    FIELD(troubles.away.all_permille, 100, 1000, 1),
+    FIELD(troubles.away.restart_permille, 100, 500, 1),
+    FIELD(troubles.away.refused_permille, 100, 1000, 1),
+    FIELD(troubles.away.forgotten_permille, 100, 1000, 1),
 };
 
 #define FIRST_MEMBERS_FIELD \
@@ -82,11 +87,13 @@
 
 #define FIRST_PEERS_FIELD offsetof(proxy_model_plan_t, troubles.peers.permille)
 
+#define FIRST_AWAY_FIELD offsetof(proxy_model_plan_t, troubles.away.permille)
+
 /* Chances that a field is drawn; each plan has one of them. */
 static const uint32_t chances_permille[] = {40, 80, 160, 320};
 
-/* Chances of faults, and of the fields of a change of the members and of
-   refused connections between daemons. */
+/* Chances of faults, and of the fields of a change of the members, of
+   refused connections between daemons and of a store that is away. */
 #define FAULT_CHANCE_PERMILLE 950
 #define MEMBERS_CHANCE_PERMILLE 250
 #define DETAIL_CHANCE_PERMILLE 350
@@ -167,6 +174,9 @@
 daemons_restart(const proxy_model_plan_t *plan)
 {
 	return plan->daemon_restart_permille > 0 ||
+	    plan->troubles.away.restart_permille +
+		plan->troubles.away.forgotten_permille >
+	    0 ||
 	    plan->troubles.order_held_permille[PROXY_PLACE_SOCKET] > 0;
 }
 
@@ -213,6 +223,9 @@
 	/* these tell how connections between daemons are refused */
 	if (troubles->peers.permille == 0)
 		troubles->peers = (proxy_model_peers_refused_t){0};
+	/* these tell how the store is away */
+	if (troubles->away.permille == 0)
+		troubles->away = (proxy_model_store_away_t){0};
 	/* a daemon is alone with a primary that is cut off, or as its record
 	   or entry in the store changes */
 	if (plan->primary_cut_permille + plan->placement_permille +
@@ -277,6 +290,8 @@
 		return FAULT_CHANCE_PERMILLE;
 	if (field->offset_bytes == FIRST_MEMBERS_FIELD)
 		return MEMBERS_CHANCE_PERMILLE;
+	if (field->offset_bytes == FIRST_AWAY_FIELD)
+		return chance_permille;
 	return field->offset_bytes > FIRST_PEERS_FIELD ? DETAIL_CHANCE_PERMILLE
 						       : chance_permille;
 }
--- a/tools/proxy_model.c
+++ b/tools/proxy_model.c
@@ -289,7 +289,8 @@
 	orders.read_era = event->store_era;
 	if (model->plan->injected_bug != PROXY_BUG_RESTORED_ORDERS)
 		orders.lost_us = daemon->store_restored_us;
-	lease_orders_read(&daemon->lease, &orders);
+	proxy_model_store_answered(daemon, &event->orders);
+	proxy_model_orders_known(model, daemon, &orders);
 	proxy_model_members_read(model, daemon, &event->members,
 	    event->open.record_begun, orders.replaced_term, orders.read_us);
 	proxy_model_open_recorded(
@@ -356,6 +357,8 @@
 		return;
 	}
 	view.answered_us = model->now_us;
+	if (proxy_model_sends_unrecorded(model->plan))
+		view.key = event->db + 1;
 	view.order_open = failover->views[server].order_open;
 	view.unlisted = daemon->unlisted[event->db];
 	view.newly_listed = proxy_model_newly_listed(model, daemon, event->db);
@@ -461,6 +464,7 @@
 		break;
 	case FAILOVER_RELEASE:
 		if ((action->term == 0 || view->promised == action->term) &&
+		    !proxy_model_proves_order(model, daemon, view) &&
 		    may_resume(model, daemon_index))
 			proxy_model_send_call(model, daemon_index, db,
 			    CALL_RESUME_REPLICATION, 0, NULL);
@@ -731,6 +735,7 @@
 	release_confirmed(model, daemon);
 	send_statement(model, event->daemon);
 	proxy_model_reads_tick(model, event->daemon);
+	proxy_model_unrecorded_tick(model, event->daemon);
 	proxy_model_take_role(model, event->daemon);
 	if (daemon->is_coordinator &&
 	    model->plan->injected_bug == PROXY_BUG_PROMOTE_UNFENCED) {
@@ -757,6 +762,7 @@
 		proxy_model_list_troubles(model);
 		proxy_model_member_restarts(model);
 		proxy_model_peer_troubles(model);
+		proxy_model_away_troubles(model);
 	}
 	proxy_model_schedule(model, TICK_US, event);
 }
@@ -806,6 +812,9 @@
 	case EVENT_REVOKE_AGAIN:
 		proxy_model_revoke_again(model, event);
 		break;
+	case EVENT_UNCONFIRMED:
+		proxy_model_unconfirmed(model, event);
+		break;
 	case EVENT_COORDINATOR_WRITTEN:
 		proxy_model_order_written(model, event);
 		break;
@@ -922,6 +931,10 @@
 		daemon_init(&model, i);
 		model.daemons[i].members = model.members;
 		model.daemons[i].members_begun = model.open.record_begun;
+		if (!proxy_model_sends_unrecorded(plan))
+			continue;
+		model.daemons[i].token_read = true;
+		model.daemons[i].newest_token_seen = 1;
 	}
 	model.coordinator = 0;
 	model.coordinator_token = 1;
--- a/tools/proxy_model.h
+++ b/tools/proxy_model.h
@@ -160,6 +160,16 @@
 	PROXY_BUG_RESET_REVOKED,
 	/* a daemon that refuses a connection holds no lease */
 	PROXY_BUG_REFUSED_HOLDS_NOTHING,
+	/* it confirms a fencing token */
+	PROXY_BUG_REFUSED_CONFIRMS,
+	/* so does one that has read no token since it started */
+	PROXY_BUG_UNREAD_CONFIRMS,
+	/* the answers to the revocation of an attempt confirm its order */
+	PROXY_BUG_OTHER_CONFIRMS,
+	/* the other daemons are not told of an order that is not recorded */
+	PROXY_BUG_ORDER_UNTOLD,
+	/* an order that the store could not record is not recorded later */
+	PROXY_BUG_UNRECORDED_FORGOTTEN,
 	/* a daemon that does not answer knows of an open order once its leases
 	   have ended, also if the record lacks the order */
 	PROXY_BUG_UNNAMED_ORDERS_READ,
@@ -212,6 +222,23 @@
 	uint32_t store_cut_permille;
 } proxy_model_peers_refused_t;
 
+/* Times in which the store is away for the coordinator, and a primary is lost.
+   Orders that the store cannot record are sent if permille is set. */
+typedef struct proxy_model_store_away {
+	uint32_t permille; /* chance per 20 ms that it begins */
+	/* chance that the store is away for all daemons; if not, it is for
+	   some of the others */
+	uint32_t all_permille;
+	uint32_t restart_permille; /* chance of each daemon that it restarts */
+	/* chance that connections of some daemons to others are refused or
+	   reset meanwhile */
+	uint32_t refused_permille;
+	/* chance that it is away for all but one daemon, which takes the role
+	   as the coordinator pauses, and that the others forget its token: they
+	   restart after its first order */
+	uint32_t forgotten_permille;
+} proxy_model_store_away_t;
+
 /* Troubles that are drawn at random; chances are 0 if not set. */
 typedef struct proxy_model_troubles {
 	/* chance that an order is held up in each place; the sender may pause,
@@ -246,6 +273,7 @@
 	/* the primary may be cut off from some daemons meanwhile */
 	proxy_model_peers_refused_t peers;
 	proxy_model_members_change_t members;
+	proxy_model_store_away_t away;
 } proxy_model_troubles_t;
 
 typedef struct proxy_model_plan {
@@ -323,6 +351,10 @@
 	/* troubles of the plan that have begun, without held up orders */
 	uint64_t troubles;
 	uint64_t faults;
+	/* orders that were sent without a record, and times at which one was
+	   recorded later by who had sent it */
+	uint64_t unrecorded_orders;
+	uint64_t recorded_later;
 	/* violations */
 	/* writes acknowledged while a newer primary existed */
 	uint64_t split_brain_acks;
--- a/tools/proxy_model_internal.h
+++ b/tools/proxy_model_internal.h
@@ -17,6 +17,7 @@
  * proxy_model_role.c: the coordinator role.
  * proxy_model_peers.c: requests between daemons, and what may refuse them.
  * proxy_model_orders.c: orders to promote a database.
+ * proxy_model_unrecorded.c: orders that the store cannot record.
  * proxy_model_open.c: the orders that may still take effect.
  * proxy_model_lists.c: the lists of the databases, and what has ended.
  * proxy_model_members.c: members that change while a daemon has former ones.
@@ -158,6 +159,29 @@
 	int64_t put_us; /* time of the write that recorded it */
 } waiting_order_t;
 
+/* The record in the store, and what a daemon knows of it, while the daemon
+   changes what it has noted. */
+typedef struct store_record {
+	coordinator_record_t record;
+	uint64_t revision;
+	uint64_t stored_attempt;
+	bool store_away;
+} store_record_t;
+
+/* An order that waits until most daemons have confirmed the token. */
+typedef struct confirmation {
+	uint64_t id; /* of the revocation; 0: none */
+	uint64_t term;
+	uint64_t token;
+	uint64_t replaced_term;
+	uint32_t db;
+	int64_t asked_us;
+	uint64_t newest_term;       /* that a daemon has reported */
+	recorded_orders_t reported; /* newest order that one has reported */
+	/* the other daemons, by their index */
+	revocation_target_t targets[DAEMONS_MAX - 1];
+} confirmation_t;
+
 /* A daemon that proxies the statements of its callers to the group. */
 typedef struct proxy_model_daemon {
 	failover_t failover;
@@ -186,8 +210,18 @@
 	uint64_t written_revision;
 	bool token_read;       /* a token was read from the record */
 	int64_t role_asked_us; /* time of a write without an answer */
-	/* what its last write of the record said */
+	/* what its last write of the record said, or, if unrecorded, what it
+	   has noted since, to be recorded */
 	coordinator_record_t written;
+	bool unrecorded;
+	int64_t noted_us; /* last time at which it tried to record that */
+	bool list_failed; /* the store did not list the daemons */
+	bool store_away;  /* nor has it answered since */
+	uint64_t stored_attempt; /* last order that the store had recorded */
+	told_orders_t orders_told;
+	recorded_orders_t orders_read;
+	uint64_t heard_token; /* that daemons were told in its revocation */
+	confirmation_t confirmation;
 	int64_t failover_due_since_us; /* 0: the primary is not suspected */
 	int64_t lease_seen_us;         /* last time with a lease */
 	int64_t takeover_delay_us;
@@ -252,6 +286,7 @@
 	EVENT_PEER_CLOSED,         /* the connection to a peer has ended */
 	EVENT_REVOKE_AGAIN,        /* the peer is to be asked once more */
 	EVENT_COORDINATOR_WRITTEN, /* the store's answer to the coordinator */
+	EVENT_UNCONFIRMED,         /* too few have confirmed the token */
 	EVENT_ORDERS_READ,         /* the recorded orders reach the daemon */
 	EVENT_ORDER_SENT,          /* an order is written to the socket */
 	EVENT_ORDER_GIVEN_UP,      /* its sender does not wait any longer */
@@ -282,12 +317,16 @@
 	uint64_t token;     /* the sender's fencing token */
 	uint64_t store_era; /* of the store's answer */
 	int64_t sent_us;
-	uint64_t order;      /* identifies an order */
-	uint64_t process;    /* that wrote a record */
-	uint64_t revocation; /* identifies a revocation */
-	contact_t contact;   /* what a connection has shown that has ended */
-	bool answer_lost;    /* the connection of a revocation is reset */
-	uint64_t revision;   /* that the record must have for a write of it */
+	uint64_t order;        /* identifies an order */
+	uint64_t process;      /* that wrote a record */
+	uint64_t revocation;   /* identifies a revocation */
+	contact_t contact;     /* what a connection has shown that has ended */
+	bool answer_lost;      /* the connection of a revocation is reset */
+	bool confirms;         /* a revocation asks for a newer token */
+	bool token_recorded;   /* its receiver has read a token */
+	uint64_t newest_token; /* that the receiver knows */
+	bool told;             /* the orders are told */
+	uint64_t revision;     /* that the record must have for a write of it */
 	bool ok;
 	bool refused; /* the connection was refused */
 	bool denied;  /* the process is another one, by its word */
@@ -336,6 +375,18 @@
 	int64_t primary_cut_us;
 } refused_peers_t;
 
+/* A time in which the store is away. */
+typedef struct store_away {
+	int64_t until_us; /* its end; 0: there was none */
+	int64_t loss_us;  /* time at which the primary is lost; 0: never */
+	int64_t restart_us[DAEMONS_MAX]; /* of each daemon; 0: never */
+	/* where others forget a token: the former coordinator, and the one that
+	   has sent an order since */
+	bool forgotten;
+	uint32_t former;
+	bool succeeded;
+} store_away_t;
+
 typedef struct proxy_model {
 	const proxy_model_plan_t *plan;
 	proxy_model_result_t *result;
@@ -377,6 +428,7 @@
 	members_sequence_t members_sequence;
 	proxy_model_reads_t *reads;
 	refused_peers_t refused_peers; /* the last ones */
+	store_away_t store_away;       /* the last time */
 	uint64_t last_revocation;      /* identifies the last revocation */
 	arena_t *arena;
 } proxy_model_t;
@@ -458,6 +510,43 @@
 bool proxy_model_replicates(proxy_model_t *, uint32_t db);
 int64_t proxy_model_checked_us(
     const proxy_model_t *, const proxy_model_daemon_t *);
+bool proxy_model_sends_unrecorded(const proxy_model_plan_t *);
+void proxy_model_orders_known(
+    proxy_model_t *, proxy_model_daemon_t *, const recorded_orders_t *);
+void proxy_model_failover_orders(proxy_model_t *, proxy_model_daemon_t *);
+void proxy_model_store_answered(
+    proxy_model_daemon_t *, const recorded_orders_t *);
+void proxy_model_orders_tell(
+    const proxy_model_t *, const proxy_model_daemon_t *, event_t *revocation);
+void proxy_model_orders_told(proxy_model_t *, proxy_model_daemon_t *,
+    const event_t *revocation, event_t *answer);
+void proxy_model_orders_learned(
+    proxy_model_t *, proxy_model_daemon_t *, const event_t *answer);
+void proxy_model_orders_take(proxy_model_t *, proxy_model_daemon_t *);
+void proxy_model_daemons_listed(proxy_model_t *, proxy_model_daemon_t *);
+bool proxy_model_store_failed(
+    const proxy_model_t *, const proxy_model_daemon_t *);
+void proxy_model_order_ask(proxy_model_t *, const event_t *order);
+void proxy_model_confirmed(proxy_model_t *, const event_t *);
+void proxy_model_confirm_closed(proxy_model_t *, const event_t *);
+void proxy_model_unconfirmed(proxy_model_t *, const event_t *);
+bool proxy_model_proves_order(
+    const proxy_model_t *, proxy_model_daemon_t *, const db_view_t *);
+void proxy_model_unrecorded_tick(proxy_model_t *, uint32_t daemon);
+void proxy_model_away_troubles(proxy_model_t *);
+void proxy_model_away_ordered(proxy_model_t *, uint32_t daemon);
+void proxy_model_refuse_links(proxy_model_t *, int64_t until_us, contact_t);
+void proxy_model_send_request(proxy_model_t *, const event_t *);
+void proxy_model_open_add_missing(proxy_model_t *, const open_list_t *);
+void proxy_model_record_order(
+    proxy_model_t *, proxy_model_daemon_t *, uint32_t db);
+void proxy_model_own_order_read(proxy_model_t *, proxy_model_daemon_t *);
+void proxy_model_withdraw_order(
+    proxy_model_t *, proxy_model_daemon_t *, uint32_t db);
+void proxy_model_order_failed(proxy_model_t *, const event_t *);
+bool proxy_model_order_stands(
+    const proxy_model_t *, const proxy_model_daemon_t *, uint64_t term);
+void proxy_model_send_order(proxy_model_t *, const event_t *order);
 void proxy_model_write_order(
     proxy_model_t *, uint32_t daemon, uint32_t db, uint64_t term);
 void proxy_model_order_written(proxy_model_t *, const event_t *);
--- a/tools/proxy_model_open.c
+++ b/tools/proxy_model_open.c
@@ -244,6 +244,20 @@
 	return false;
 }
 
+/*
+ * Have the record name the orders of a list besides.
+ */
+void
+proxy_model_open_add_missing(proxy_model_t *model, const open_list_t *list)
+{
+	uint32_t i;
+
+	for (i = 0; i < list->count; i++) {
+		if (!names_order(model, &list->orders[i]))
+			list_append(&model->open, &list->orders[i]);
+	}
+}
+
 /*
  * Withdraw an order that was refused or not sent.  The record names the orders
  * again that it named before, as it does not say any more which terms they may
@@ -253,18 +267,12 @@
 proxy_model_open_withdraw(
     proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db)
 {
-	const open_list_t *before = &daemon->open_before;
-	uint32_t i;
-
 	open_orders_remove(
 	    &daemon->open_orders, db_names[db], daemon->failover.term);
 	if (model->plan->open_orders_unknown)
 		return;
 	record_orders(model, daemon);
-	for (i = 0; i < before->count; i++) {
-		if (!names_order(model, &before->orders[i]))
-			list_append(&model->open, &before->orders[i]);
-	}
+	proxy_model_open_add_missing(model, &daemon->open_before);
 }
 
 /*
--- a/tools/proxy_model_orders.c
+++ b/tools/proxy_model_orders.c
@@ -33,8 +33,9 @@
 /*
  * Record an order in the store, before it is sent.
  */
-static void
-record_order(proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db)
+void
+proxy_model_record_order(
+    proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db)
 {
 	failover_t *failover = &daemon->failover;
 	uint64_t replaced_term;
@@ -51,19 +52,21 @@
 	    lease_newest_term(&daemon->lease));
 	proxy_model_members_record(model, daemon, replaced_term);
 	model->orders.attempt_term = failover->term;
+	if (proxy_model_sends_unrecorded(model->plan))
+		model->orders.named = db + 1;
 	model->orders.era = model->store_era;
 	recorded_orders_add(
 	    &model->orders, replaced_term, failover_base(failover));
 	proxy_model_open_note(model, daemon, db);
 	proxy_model_record_changed(model, daemon);
-	failover_orders_recorded(failover, &model->orders, model->now_us);
+	proxy_model_failover_orders(model, daemon);
 }
 
 /*
  * Have the lease of a daemon know the order that the daemon has recorded.
  */
-static void
-own_order_read(proxy_model_t *model, proxy_model_daemon_t *daemon)
+void
+proxy_model_own_order_read(proxy_model_t *model, proxy_model_daemon_t *daemon)
 {
 	recorded_orders_t orders = model->orders;
 
@@ -77,15 +80,16 @@
 	    model->open.record_begun, orders.replaced_term, model->now_us);
 	if (model->plan->injected_bug != PROXY_BUG_RESTORED_ORDERS)
 		orders.lost_us = daemon->store_restored_us;
-	lease_orders_read(&daemon->lease, &orders);
+	proxy_model_orders_known(model, daemon, &orders);
 }
 
 /*
  * Withdraw the record of an order that was refused.  Others may have read the
  * members that were recorded with it, so that these are former ones.
  */
-static void
-withdraw_order(proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db)
+void
+proxy_model_withdraw_order(
+    proxy_model_t *model, proxy_model_daemon_t *daemon, uint32_t db)
 {
 	failover_t *failover = &daemon->failover;
 
@@ -96,7 +100,7 @@
 	model->orders = daemon->orders_before;
 	proxy_model_open_withdraw(model, daemon, db);
 	proxy_model_record_changed(model, daemon);
-	failover_orders_recorded(failover, &model->orders, model->now_us);
+	proxy_model_failover_orders(model, daemon);
 }
 
 /*
@@ -114,13 +118,17 @@
 	    .term = term,
 	    .sent_us = model->now_us};
 
+	if (proxy_model_store_failed(model, daemon)) {
+		proxy_model_order_ask(model, &event);
+		return;
+	}
 	event.ok = model->now_us >= daemon->object_store_cut_until_us &&
 	    proxy_model_holds_role(model, daemon, daemon_index) &&
 	    model->store_era == daemon->store_era;
 	event.ok |= daemon->role_asked_us != 0 &&
 	    model->plan->injected_bug == PROXY_BUG_ROLE_UNCONFIRMED;
 	if (event.ok) {
-		record_order(model, daemon, db);
+		proxy_model_record_order(model, daemon, db);
 		proxy_model_sender_paused(model, daemon_index, db);
 	}
 	proxy_model_schedule(
@@ -130,9 +138,9 @@
 /*
  * Tell whether a promotion that the failover has chosen may still be ordered.
  */
-static bool
-order_stands(const proxy_model_t *model, const proxy_model_daemon_t *daemon,
-    uint64_t term)
+bool
+proxy_model_order_stands(const proxy_model_t *model,
+    const proxy_model_daemon_t *daemon, uint64_t term)
 {
 	proxy_model_bug_t bug = model->plan->injected_bug;
 
@@ -204,6 +212,7 @@
 	uint64_t *token;
 
 	check_turns(model, order);
+	proxy_model_away_ordered(model, order->daemon);
 	model->result->lower_tokens += order->token < model->highest_token_sent;
 	model->highest_token_sent =
 	    MAX(model->highest_token_sent, order->token);
@@ -410,8 +419,8 @@
 /*
  * End the attempt of an order that was refused or not sent.
  */
-static void
-order_failed(proxy_model_t *model, const event_t *event)
+void
+proxy_model_order_failed(proxy_model_t *model, const event_t *event)
 {
 	failover_t *failover = &model->daemons[event->daemon].failover;
 
@@ -446,8 +455,8 @@
 	case FAILOVER_PROMISES_HELD:
 		return true;
 	case FAILOVER_PROMISES_LOST:
-		withdraw_order(model, daemon, event->db);
-		order_failed(model, event);
+		proxy_model_withdraw_order(model, daemon, event->db);
+		proxy_model_order_failed(model, event);
 		return false;
 	default:
 		daemon->waiting_order =
@@ -478,33 +487,97 @@
 }
 
 /*
- * Handle the coordinator record that was written: order the promotion if it
- * still names this daemon, the database is up and the promises are held.  A
- * record that was written too long ago is written again.  One order in 20 takes
- * effect up to LATE_PROMOTION_MAX_US late, unless owners change.
+ * Return the time until an order takes effect, unless it is held up.
  */
-void
-proxy_model_order_written(proxy_model_t *model, const event_t *event)
+static int64_t
+draw_effect(proxy_model_t *model)
 {
-	proxy_model_daemon_t *daemon = &model->daemons[event->daemon];
-	failover_t *failover = &daemon->failover;
-	event_t promotion = {.kind = EVENT_PROMOTED,
+	return PROMOTION_MIN_US +
+	    proxy_model_random_us(model, PROMOTION_SPREAD_US);
+}
+
+/*
+ * Return the order that an event is about.
+ */
+static event_t
+promotion_of(proxy_model_t *model, const event_t *event)
+{
+	return (event_t){.kind = EVENT_PROMOTED,
 	    .daemon = event->daemon,
 	    .db = event->db,
 	    .term = event->term,
-	    .token = daemon->fencing_token,
+	    .token = model->daemons[event->daemon].fencing_token,
 	    .sent_us = model->now_us,
 	    .order = ++model->last_order};
+}
+
+/*
+ * Send an order to the platform.  One in 20 takes effect up to
+ * LATE_PROMOTION_MAX_US late, unless owners change.
+ */
+static void
+send_order(proxy_model_t *model, event_t promotion, int64_t after_us)
+{
+	proxy_model_daemon_t *daemon = &model->daemons[promotion.daemon];
 	proxy_model_place_t place;
-	int64_t after_us = PROMOTION_MIN_US +
-	    proxy_model_random_us(model, PROMOTION_SPREAD_US);
 	int64_t late_us;
 
+	daemon->order_sent = true;
+	model->result->promotions_requested++;
+	proxy_model_order_followed(model, promotion.daemon);
+	place = draw_place(model);
+	if (place != PROXY_PLACES) {
+		hold_order(model, place, &promotion, after_us);
+		return;
+	}
+	check_token(model, &promotion);
+	late_us = proxy_model_order_late(model, promotion.daemon, promotion.db);
+	if (late_us > 0) {
+		promotion.ok = true;
+		model->result->late_promotions++;
+		proxy_model_schedule(model, after_us + late_us, &promotion);
+		return;
+	}
+	if (proxy_model_orders_overtake(model->plan)) {
+		send_open_order(model, daemon, &promotion, after_us);
+		return;
+	}
+	if (model->plan->placement_permille == 0 &&
+	    proxy_model_chance(model, 50)) {
+		after_us += proxy_model_random_us(model, LATE_PROMOTION_MAX_US);
+		model->result->late_promotions++;
+	}
+	proxy_model_open_accepted(daemon, promotion.db, model->now_us);
+	proxy_model_schedule(model, after_us, &promotion);
+}
+
+/*
+ * Send an order that the store has not recorded.
+ */
+void
+proxy_model_send_order(proxy_model_t *model, const event_t *event)
+{
+	send_order(model, promotion_of(model, event), draw_effect(model));
+}
+
+/*
+ * Handle the coordinator record that was written: order the promotion if it
+ * still names this daemon, the database is up and the promises are held.  A
+ * record that was written too long ago is written again.
+ */
+void
+proxy_model_order_written(proxy_model_t *model, const event_t *event)
+{
+	proxy_model_daemon_t *daemon = &model->daemons[event->daemon];
+	failover_t *failover = &daemon->failover;
+	event_t promotion = promotion_of(model, event);
+	int64_t after_us = draw_effect(model);
+
 	if (failover->state != FAILOVER_PROMOTING ||
 	    failover->term != event->term)
 		return;
-	if (!order_stands(model, daemon, event->term)) {
-		order_failed(model, event);
+	if (!proxy_model_order_stands(model, daemon, event->term)) {
+		proxy_model_order_failed(model, event);
 		return;
 	}
 	if (!daemon->order_sent &&
@@ -529,38 +602,12 @@
 	if (!event->ok || model->now_us < model->dbs[event->db].down_until_us) {
 		daemon->is_coordinator &= event->ok;
 		if (event->ok)
-			withdraw_order(model, daemon, event->db);
-		order_failed(model, event);
+			proxy_model_withdraw_order(model, daemon, event->db);
+		proxy_model_order_failed(model, event);
 		return;
 	}
 	if (!promises_held(model, event))
 		return;
-	own_order_read(model, daemon);
-	daemon->order_sent = true;
-	model->result->promotions_requested++;
-	proxy_model_order_followed(model, event->daemon);
-	place = draw_place(model);
-	if (place != PROXY_PLACES) {
-		hold_order(model, place, &promotion, after_us);
-		return;
-	}
-	check_token(model, &promotion);
-	late_us = proxy_model_order_late(model, event->daemon, event->db);
-	if (late_us > 0) {
-		promotion.ok = true;
-		model->result->late_promotions++;
-		proxy_model_schedule(model, after_us + late_us, &promotion);
-		return;
-	}
-	if (proxy_model_orders_overtake(model->plan)) {
-		send_open_order(model, daemon, &promotion, after_us);
-		return;
-	}
-	if (model->plan->placement_permille == 0 &&
-	    proxy_model_chance(model, 50)) {
-		after_us += proxy_model_random_us(model, LATE_PROMOTION_MAX_US);
-		model->result->late_promotions++;
-	}
-	proxy_model_open_accepted(daemon, promotion.db, model->now_us);
-	proxy_model_schedule(model, after_us, &promotion);
+	proxy_model_own_order_read(model, daemon);
+	send_order(model, promotion, after_us);
 }
--- a/tools/proxy_model_peers.c
+++ b/tools/proxy_model_peers.c
@@ -29,7 +29,9 @@
 {
 	const refused_peers_t *refused = &model->refused_peers;
 
-	if (model->plan->troubles.peers.permille == 0)
+	if (model->plan->troubles.peers.permille == 0 &&
+	    model->plan->troubles.away.refused_permille == 0 &&
+	    model->plan->troubles.away.forgotten_permille == 0)
 		return CONTACT_ANSWERED;
 	if (model->now_us < model->daemons[peer].restarting_until_us)
 		return CONTACT_REFUSED;
@@ -104,8 +106,8 @@
  * Send a request to revoke a lease.  A reset may lose the request, or the
  * answer alone.
  */
-static void
-send_request(proxy_model_t *model, const event_t *request)
+void
+proxy_model_send_request(proxy_model_t *model, const event_t *request)
 {
 	contact_t contact =
 	    proxy_model_contact(model, request->daemon, request->peer);
@@ -139,6 +141,8 @@
 	uint32_t i, holders;
 
 	lease_revoke(&daemon->lease, term, model->now_us);
+	proxy_model_daemons_listed(model, daemon);
+	proxy_model_orders_tell(model, daemon, &event);
 	if (model->plan->injected_bug != PROXY_BUG_OPEN_ORDERS_UNTOLD)
 		proxy_model_open_list(model, daemon, &event.open);
 	daemon->revocation_term = term;
@@ -154,7 +158,7 @@
 			continue;
 		*target_of(model, daemon_index, i) = (revocation_target_t){
 		    .holds_leases = (holders >> i & 1) != 0};
-		send_request(model, &event);
+		proxy_model_send_request(model, &event);
 	}
 }
 
@@ -173,6 +177,7 @@
 	answer.kind = EVENT_REVOKED;
 	answer.ok = daemon->newest_token_seen <= event->token;
 	answer.view.term = lease_newest_term(&daemon->lease);
+	proxy_model_orders_told(model, daemon, event, &answer);
 	if (answer.ok) {
 		proxy_model_open_told(model, daemon, &event->open);
 		proxy_model_open_list(model, daemon, &answer.open);
@@ -203,6 +208,10 @@
 {
 	proxy_model_daemon_t *daemon = &model->daemons[event->daemon];
 
+	if (event->confirms) {
+		proxy_model_confirmed(model, event);
+		return;
+	}
 	if (event->term != daemon->revocation_term)
 		return;
 	if (!event->ok) {
@@ -216,8 +225,10 @@
 	if (proxy_model_open_told(model, daemon, &event->open))
 		failover_superseded(
 		    &daemon->failover, event->term, model->now_us);
+	proxy_model_orders_learned(model, daemon, event);
 	if (event->revocation != daemon->revocation)
 		return;
+	daemon->heard_token = event->token;
 	target_of(model, event->daemon, event->peer)->contact =
 	    CONTACT_ANSWERED;
 	report_progress(model, event->daemon);
@@ -234,6 +245,10 @@
 	    target_of(model, event->daemon, event->peer);
 	event_t again = *event;
 
+	if (event->confirms) {
+		proxy_model_confirm_closed(model, event);
+		return;
+	}
 	if (event->revocation != daemon->revocation ||
 	    contact_shows_state(target->contact))
 		return;
@@ -267,7 +282,7 @@
 	for (i = 0; i < request.open.count; i++)
 		request.open.orders[i].left_ms -=
 		    MIN(request.open.orders[i].left_ms, elapsed_ms);
-	send_request(model, &request);
+	proxy_model_send_request(model, &request);
 }
 
 /*
@@ -317,6 +332,19 @@
 	}
 }
 
+/*
+ * Have something between refuse or reset the connections of some daemons to
+ * others until a time.
+ */
+void
+proxy_model_refuse_links(
+    proxy_model_t *model, int64_t until_us, contact_t contact)
+{
+	draw_links(model, &model->refused_peers);
+	model->refused_peers.contact = contact;
+	model->refused_peers.until_us = until_us;
+}
+
 /*
  * Have something between refuse or reset the connections of some daemons to
  * others, and maybe cut some daemons off from the store meanwhile.
--- a/tools/proxy_model_role.c
+++ b/tools/proxy_model_role.c
@@ -64,6 +64,7 @@
 	proxy_model_open_rewrite(model, daemon);
 	daemon->written =
 	    (coordinator_record_t){model->orders, model->open, model->members};
+	proxy_model_store_answered(daemon, &model->orders);
 }
 
 /*
@@ -123,6 +124,7 @@
 {
 	proxy_model_daemon_t *daemon = &model->daemons[daemon_index];
 
+	proxy_model_orders_take(model, daemon);
 	daemon->fencing_token = daemon->newest_token_seen = token;
 	daemon->written_token = token;
 	daemon->written_revision = model->record_revision;
@@ -130,8 +132,8 @@
 	daemon->is_coordinator = true;
 	daemon->order_sent = false;
 	daemon->coordinator_since_us = model->now_us;
-	failover_orders_recorded(
-	    &daemon->failover, &model->orders, model->now_us);
+	daemon->unrecorded = false;
+	proxy_model_failover_orders(model, daemon);
 	proxy_model_members_read(model, daemon, &model->members,
 	    model->open.record_begun, model->orders.replaced_term,
 	    model->now_us);
@@ -139,6 +141,7 @@
 	proxy_model_open_rewrite(model, daemon);
 	daemon->written =
 	    (coordinator_record_t){model->orders, model->open, model->members};
+	proxy_model_store_answered(daemon, &model->orders);
 }
 
 /*
