Change of primary: verify the role for promises that are left over

The promises that were left over may be withdrawn from 3.5 s after it got the role, which the store must have confirmed lately; but that was asked for only while the daemons' answers were fresh, and these were repeated after 3 s as the role was not confirmed. The role is verified now as soon as it may count.

--- a/src/decide/failover_fencing.c
+++ b/src/decide/failover_fencing.c
@@ -384,6 +384,8 @@
 		    promises_held_since(failover, now_us);
 		failover->notice_sent_us = failover->notice_confirmed_us = 0;
 	}
+	failover->release_wanted =
+	    failover->notice_confirmed_us != 0 && !failover->release_allowed;
 	if (now_us - failover->notice_sent_us >=
 	    (failover->notice_confirmed_us != 0 && !failover->release_allowed
 		    ? NOTICE_REPEAT_US
--- a/src/proxy/monitor_role.c
+++ b/src/proxy/monitor_role.c
@@ -60,11 +60,15 @@
 }
 
 /*
- * Have the store confirm the role if an attempt waits for that.
+ * Have the store confirm the role if an attempt waits for that, or promises
+ * that are left over could be withdrawn then.
  */
 void
 monitor_role_wanted(group_t *group, int64_t now_us)
 {
+	if (group->failover.release_wanted &&
+	    now_us - group->pool->coordinator_since_us >= ORDER_LATE_US)
+		request_coordinator_check(group->pool);
 	if (!group->failover.role_wanted) {
 		if (group->failover.state == FAILOVER_FENCING ||
 		    group->failover.state == FAILOVER_STEADY)
