Change of primary: revert the check of the role before an attempt

With a store that refuses (busy), the check took the role from the coordinator, so that no change of primary followed: /old-primary/order-during-outage and /old-primary/restart-after-outage failed.

--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -292,10 +292,6 @@
 	int32_t isolated;
 	/* an attempt is due, but no database that answers can take over */
 	bool no_candidate;
-	/* this process has the role of the coordinator for certain, or cannot
-	   ask; an attempt waits until it has */
-	bool role_confirmed;
-	bool role_wanted;
 } failover_t;
 
 void failover_init(failover_t *, const failover_limits_t *, uint32_t count,
--- a/src/decide/failover_fencing.c
+++ b/src/decide/failover_fencing.c
@@ -146,8 +146,8 @@
  * others and would be chosen again.  In a handover that waits for a replica to
  * catch up, only the primary itself is asked, and thereby steps down; unless it
  * may have been replaced, as its own promise does not end leases on a newer
- * one.  Nothing is asked while too few databases answer, or the
- * role is not confirmed; the attempt is then due again at the next tick.
+ * one.  Nothing is asked while too few databases answer; the
+ * attempt is then due again at the next tick.
  */
 void
 start_fencing(failover_t *failover, bool handover, int64_t now_us,
@@ -164,11 +164,6 @@
 		failover->isolated = -1;
 		return;
 	}
-	if (!failover->role_confirmed) {
-		failover->role_wanted = true;
-		failover->isolated = -1;
-		return;
-	}
 	failover->doubtful = hands_over && doubt;
 	failover->fenced_from_term = newest_term(failover);
 	failover->term = failover->fenced_term = next_attempt(failover);
--- a/src/decide/failover_state.c
+++ b/src/decide/failover_state.c
@@ -32,7 +32,6 @@
 	failover->isolated = -1;
 	failover->stepping_down = -1;
 	failover->orders_named_us = INT64_MAX;
-	failover->role_confirmed = true;
 	for (i = 0; i < count; i++)
 		failover->last_alive_us[i] = now_us;
 	enter_state(failover, FAILOVER_LEARNING, now_us);
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -180,10 +180,9 @@
 			      failover->views[primary].promised, now_us));
 	group_members_check(group, now_us);
 	failover->release_allowed = coordinator_confirmed(group->pool, now_us);
-	failover->role_confirmed = monitor_role_confirmed(group, now_us);
-	failover->role_wanted = failover->release_wanted = false;
+	failover->release_wanted = false;
 	failover_tick(failover, now_us, &actions);
-	monitor_role_wanted(group, now_us);
+	monitor_release_wanted(group, now_us);
 	set_no_candidate(group, failover->no_candidate, now_us);
 	execute_actions(group, &actions, now_us);
 }
--- a/src/proxy/monitor_role.c
+++ b/src/proxy/monitor_role.c
@@ -14,9 +14,6 @@
 #define TAKEOVER_DELAY_US (900 * US_PER_MS)
 #define TAKEOVER_JITTER_US (600 * US_PER_MS)
 
-/* Time in which the store answers who the coordinator is, or counts as away. */
-#define ROLE_ANSWER_US (800 * US_PER_MS)
-
 /*
  * Ask the registry task to check which daemon is the coordinator, and to take
  * the role if possible.
@@ -43,41 +40,15 @@
 }
 
 /*
- * Tell whether an attempt may begin by what is known of the role: the store has
- * just confirmed it, or cannot be asked.  Another daemon may have the role
- * since, which cannot tell this one, and its attempt would end that one's.
- */
-bool
-monitor_role_confirmed(const group_t *group, int64_t now_us)
-{
-	const pool_t *pool = group->pool;
-
-	return pool->store_away ||
-	    now_us - pool->coordinator_confirmed_us <
-	    COORDINATOR_CONFIRMED_US ||
-	    (group->role_wanted_since_us != 0 &&
-		now_us - group->role_wanted_since_us >= ROLE_ANSWER_US);
-}
-
-/*
- * Have the store confirm the role if an attempt waits for that, or promises
- * that are left over could be withdrawn then.
+ * Have the store confirm the role if promises that are left over could be
+ * withdrawn then.
  */
 void
-monitor_role_wanted(group_t *group, int64_t now_us)
+monitor_release_wanted(const group_t *group, int64_t now_us)
 {
 	if (group->failover.release_wanted &&
 	    now_us - group->pool->coordinator_since_us >= ORDER_LATE_US)
 		request_coordinator_check(group->pool);
-	if (!group->failover.role_wanted) {
-		if (group->failover.state == FAILOVER_FENCING ||
-		    group->failover.state == FAILOVER_STEADY)
-			group->role_wanted_since_us = 0;
-		return;
-	}
-	if (group->role_wanted_since_us == 0)
-		group->role_wanted_since_us = now_us;
-	request_coordinator_check(group->pool);
 }
 
 /*
--- a/src/proxy/pool.h
+++ b/src/proxy/pool.h
@@ -314,9 +314,6 @@
 	overload_handover_t overload_handover;
 	/* time of the last request to revoke leases for an attempt */
 	int64_t leases_asked_us;
-	/* time since which an attempt waits for the store to confirm the role;
-	   0: none does */
-	int64_t role_wanted_since_us;
 	/* time since which a handover is due; 0: not due */
 	int64_t handover_due_since_us;
 };
