--- a/Makefile
+++ b/Makefile
@@ -90,9 +90,15 @@
     $(BUILD)/libbergamotplank.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) $(TEST_LIBS)
 
-TESTS = t_decide t_config_delay t_lease t_revocation t_former t_added t_attempt t_standing t_open_orders t_wire t_objects t_poller t_log t_queue t_parse t_history \
-	t_proxy_model t_members_model t_peers_model t_unrecorded_model t_reads_model t_hunt_model t_failover_model t_read_model t_placement t_http t_command t_fuzz t_entry \
-	t_coordinator t_monitor t_members t_dbconn t_operation t_proxy t_leaving t_restart t_restored t_old_primary t_late_order t_denials t_forgotten t_refused t_unheard t_daemons t_peers t_forward t_store_news t_silent t_fleet t_drain t_holds
+# The longest first, as they run side by side.
+TESTS = t_members_model t_lists_model t_proxy_model t_unrecorded_model \
+	t_peers_model t_reads_model t_hunt_model t_proxy t_decide t_config_delay \
+	t_lease t_revocation t_former t_added t_attempt t_standing t_open_orders \
+	t_wire t_objects t_poller t_log t_queue t_parse t_history t_failover_model \
+	t_read_model t_placement t_http t_command t_fuzz t_entry t_coordinator \
+	t_monitor t_members t_dbconn t_operation t_leaving t_restart t_restored \
+	t_old_primary t_late_order t_denials t_forgotten t_refused t_unheard \
+	t_daemons t_peers t_forward t_store_news t_silent t_fleet t_drain t_holds
 
 $(BUILD)/t_entry $(BUILD)/t_proxy $(BUILD)/t_leaving $(BUILD)/t_restart $(BUILD)/t_restored $(BUILD)/t_old_primary $(BUILD)/t_late_order $(BUILD)/t_denials $(BUILD)/t_forgotten $(BUILD)/t_refused $(BUILD)/t_peers $(BUILD)/t_forward $(BUILD)/t_store_news $(BUILD)/t_silent $(BUILD)/t_fuzz: $(BUILD)/tests/fake/testbed.o $(BUILD)/tests/fake/relay.o
 $(BUILD)/t_%: $(BUILD)/tests/t_%.o $(TOOLS_O) $(BUILD)/libbergamotplank.a
