--- a/src/decide/failover.h
+++ b/src/decide/failover.h
@@ -280,10 +280,8 @@
 	int64_t notice_began_us;
 	int64_t notice_sent_us;
 	int64_t notice_confirmed_us;
-	/* such a promise could be withdrawn now, had the daemons confirmed; and
-	   one waits for that, as they have */
+	/* such a promise could be withdrawn now, had the daemons confirmed */
 	bool release_allowed;
-	bool release_wanted;
 	/* time the log of each database last grew */
 	int64_t log_grown_us[GROUP_DATABASES_MAX];
 	/* send time of the oldest write that no majority has confirmed, or 0 */
--- a/src/decide/failover_fencing.c
+++ b/src/decide/failover_fencing.c
@@ -146,8 +146,8 @@
  * others and would be chosen again.  In a handover that waits for a replica to
  * catch up, only the primary itself is asked, and thereby steps down; unless it
  * may have been replaced, as its own promise does not end leases on a newer
- * one.  Nothing is asked while too few databases answer; the
- * attempt is then due again at the next tick.
+ * one.  Nothing is asked while too few databases answer; the attempt is then
+ * due again at the next tick.
  */
 void
 start_fencing(failover_t *failover, bool handover, int64_t now_us,
@@ -379,8 +379,6 @@
 		    promises_held_since(failover, now_us);
 		failover->notice_sent_us = failover->notice_confirmed_us = 0;
 	}
-	failover->release_wanted =
-	    failover->notice_confirmed_us != 0 && !failover->release_allowed;
 	if (now_us - failover->notice_sent_us >=
 	    (failover->notice_confirmed_us != 0 && !failover->release_allowed
 		    ? NOTICE_REPEAT_US
--- a/src/proxy/monitor.c
+++ b/src/proxy/monitor.c
@@ -180,9 +180,7 @@
 			      failover->views[primary].promised, now_us));
 	group_members_check(group, now_us);
 	failover->release_allowed = coordinator_confirmed(group->pool, now_us);
-	failover->release_wanted = false;
 	failover_tick(failover, now_us, &actions);
-	monitor_release_wanted(group, now_us);
 	set_no_candidate(group, failover->no_candidate, now_us);
 	execute_actions(group, &actions, now_us);
 }
--- a/src/proxy/monitor_internal.h
+++ b/src/proxy/monitor_internal.h
@@ -30,7 +30,6 @@
 /* monitor_role.c */
 void request_coordinator_check(pool_t *);
 bool coordinator_confirmed(const pool_t *, int64_t now_us);
-void monitor_release_wanted(const group_t *, int64_t now_us);
 bool monitor_leases_awaited(const group_t *, bool due, int64_t now_us);
 int64_t monitor_takeover_us(const group_t *, bool due);
 void check_takeover(group_t *, int64_t now_us);
--- a/src/proxy/monitor_role.c
+++ b/src/proxy/monitor_role.c
@@ -39,18 +39,6 @@
 	    now_us - pool->coordinator_confirmed_us < COORDINATOR_CONFIRMED_US;
 }
 
-/*
- * Have the store confirm the role if promises that are left over could be
- * withdrawn then.
- */
-void
-monitor_release_wanted(const group_t *group, int64_t now_us)
-{
-	if (group->failover.release_wanted &&
-	    now_us - group->pool->coordinator_since_us >= ORDER_LATE_US)
-		request_coordinator_check(group->pool);
-}
-
 /*
  * Tell whether the coordinator should replace the primary now: it is
  * unresponsive or leaving, and a server that can take over answers.
