Leases, open orders: what a record has named does not outlive it

Found in review, by reading:

- Answers that were noted before the record was asked for counted if as many members were recorded as before, though they may be others.
They count only where none are recorded now.
- An order that a record had named still counted as named after the record was begun again without it, so that the next one did not wait for the daemons that do not answer.
- The connection of a coordinator that had ended in a change of primary counted until the next change.
It is forgotten when a newer term is confirmed, and a notice of a term that has begun does not count as a change.
No test shows it.

--- a/src/decide/decide.h
+++ b/src/decide/decide.h
@@ -206,8 +206,8 @@
 } lease_denials_t;
 
 /*
- * What the answers of the databases support once the record of the orders is
- * read that was asked for after them.  Later answers replace them meanwhile.
+ * Support for a lease shown by answers that came before the record of the
+ * orders was asked for; kept until that is read, as later answers replace them.
  */
 typedef struct lease_answers {
 	int64_t noted_us; /* 0: none are noted */
@@ -215,7 +215,6 @@
 	int64_t asked_us;
 	uint64_t term;
 	uint64_t primary_key;
-	uint32_t members; /* that are recorded */
 } lease_answers_t;
 
 /*
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -90,7 +90,8 @@
 
 /*
  * Return the send time of the requests whose answers were noted, if the record
- * was read after them and they support a lease on a primary; or 0.
+ * was read after them, names no members, and they support a lease on a primary;
+ * or 0.
  */
 static int64_t
 noted_answers_us(
@@ -98,11 +99,10 @@
 {
 	const lease_answers_t *answers = &lease->answers;
 
-	return answers->noted_us != 0 &&
+	return members == 0 && answers->noted_us != 0 &&
 		answers->noted_us <= lease->orders.read_us &&
 		answers->term == primary->promised &&
-		answers->primary_key == primary->key &&
-		answers->members == members
+		answers->primary_key == primary->key
 	    ? answers->asked_us
 	    : 0;
 }
@@ -110,7 +110,8 @@
 /*
  * Note what the answers support that have come, before the record of the orders
  * is asked for.  Those that were noted before stay until a record that was
- * asked for after them is read, for ANSWERS_NOTED_MAX_US at most.
+ * asked for after them is read, for ANSWERS_NOTED_MAX_US at most.  Only where
+ * no members are recorded, as those that the next record names may be others.
  */
 void
 lease_note_answers(lease_t *lease, const db_view_t *views, uint32_t count,
@@ -121,17 +122,17 @@
 	lease_answers_t *answers = &lease->answers;
 	int64_t asked_us;
 
-	if (lease->blocked_term >= term ||
+	/* other members may be recorded in the record that is to be read */
+	if (members > 0 || lease->blocked_term >= term ||
 	    (answers->noted_us > lease->orders.read_us &&
 		now_us - answers->noted_us < ANSWERS_NOTED_MAX_US))
 		return;
-	asked_us = supported_us(
-	    lease, views, count, primary, now_us, INT64_MAX, members);
+	asked_us =
+	    supported_us(lease, views, count, primary, now_us, INT64_MAX, 0);
 	*answers = (lease_answers_t){.noted_us = asked_us == 0 ? 0 : now_us,
 	    .asked_us = asked_us,
 	    .term = term,
-	    .primary_key = views[primary].key,
-	    .members = members};
+	    .primary_key = views[primary].key};
 }
 
 /*
--- a/src/decide/open_orders.c
+++ b/src/decide/open_orders.c
@@ -304,8 +304,12 @@
 {
 	uint32_t i;
 
-	for (i = 0; begun != orders->record_begun && i < orders->list->len; i++)
+	if (begun == orders->record_begun)
+		return;
+	for (i = 0; i < orders->list->len; i++) {
 		order_at(orders, i)->source = OPEN_ORDER_TOLD;
+		order_at(orders, i)->named_since_us = 0;
+	}
 	orders->record_begun = begun;
 }
 
--- a/src/proxy/group_lease.c
+++ b/src/proxy/group_lease.c
@@ -137,6 +137,7 @@
 	}
 	lease_basis_note(group, (uint32_t)primary);
 	if (group->lease.term != before) {
+		group->revoker_lost = false;
 		group->lease_basis.number++;
 		log_primary_confirmed(group, group->servers[primary], now_us);
 	} else if (group->lease.expires_us > now_us &&
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -467,7 +467,7 @@
 		group_orders_told_note(group, &told, now_us);
 	}
 	group_orders_told(group, asked->open, asked->n_open, now_us);
-	if (asked->term != NO_TERM) {
+	if (asked->term != NO_TERM && !asked->begun) {
 		group->revoker_link = asked->link;
 		group->revoker_lost = false;
 	}
--- a/tests/t_lease.c
+++ b/tests/t_lease.c
@@ -285,6 +285,7 @@
 	recorded_orders_t orders; /* that it has */
 	uint64_t promised;  /* by a replica that is asked meanwhile, at 70 ms */
 	int64_t expires_ms; /* expected end of the lease; 0: no lease */
+	bool members; /* three are recorded, and as many others in the record */
 } replaced_case_t;
 
 static const replaced_case_t replaced_cases[] = {
@@ -293,6 +294,7 @@
     {"it is asked for before them", true, 5, {0}, 1, 0},
     {"it has an order to replace the primary", true, 60, {1, 2}, 1, 0},
     {"a newer term is promised meanwhile", true, 60, {0}, 2, 0},
+    {"the record has other members", true, 60, {0}, 1, 0, true},
 };
 
 /*
@@ -313,12 +315,17 @@
 		views[i].promised = 1;
 		views[i].requested_us = MS(10);
 		views[i].answered_us = MS(20);
+		views[i].member = c->members;
 	}
+	lease.members = c->members ? G_N_ELEMENTS(views) : 0;
 	g_assert_false(renew(&lease, views, 3, 0, MS(20), &listed_durations));
 	g_assert_true(lease.unverified);
 	if (c->noted)
 		lease_note_answers(&lease, views, 3, 0, MS(20));
 	for (i = 0; i < G_N_ELEMENTS(views); i++) {
+		/* all that answer twice would support a lease by members */
+		if (c->members && i == 2)
+			continue;
 		views[i].requested_us = MS(70);
 		views[i].answered_us = MS(80);
 	}
@@ -326,6 +333,7 @@
 	renew(&lease, views, 3, 0, MS(80), &listed_durations);
 	orders.read_us = MS(c->read_ms);
 	lease_orders_read(&lease, &orders);
+	views[1].member = views[2].member = false;
 	renew(&lease, views, 3, 0, MS(90), &listed_durations);
 	g_assert_cmpint(lease.expires_us, ==, MS(c->expires_ms));
 }
--- a/tests/t_open_orders.c
+++ b/tests/t_open_orders.c
@@ -444,6 +444,44 @@
 	open_orders_clear(&orders);
 }
 
+typedef struct named_case {
+	const char *name;
+	uint64_t begun; /* token with which the record that is read last was */
+	bool has;       /* it has the order */
+	bool named;     /* expected: the record has named the order */
+} named_case_t;
+
+static const named_case_t named_cases[] = {
+    {"the record has it", 1, true, true},
+    {"a record that was begun again has it", 2, true, true},
+    {"a record that was begun again lacks it", 2, false, false},
+};
+
+/*
+ * Test that an order which the record has named is not named any more once the
+ * record was begun again without it.
+ */
+static void
+test_named(gconstpointer data)
+{
+	const named_case_t *c = data;
+	open_order_t order = {.database = (char *)"a",
+	    .attempt_term = 2,
+	    .until_us = MS(500),
+	    .source = OPEN_ORDER_RECORDED};
+	const open_order_t *found;
+	open_orders_t orders;
+
+	open_orders_init(&orders);
+	open_orders_replace_recorded(&orders, &order, 1, 1, MS(1), MS(2));
+	open_orders_replace_recorded(
+	    &orders, &order, c->has, c->begun, MS(3), MS(4));
+	g_assert_cmpuint(orders.list->len, ==, 1);
+	found = g_ptr_array_index(orders.list, 0);
+	g_assert_cmpint(found->named_since_us != 0, ==, c->named);
+	open_orders_clear(&orders);
+}
+
 /* Databases that are asked, and the one that is ordered and has left. */
 static const char *const group_names[] = {"a", "b"};
 
@@ -614,6 +652,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions();
 	CASES("/open-orders/set", set_cases, test_set);
+	CASES("/open-orders/named", named_cases, test_named);
 	CASES("/open-orders/end", end_cases, test_end);
 	CASES("/open-orders/checked", checked_cases, test_checked);
 	CASES("/open-orders/update", update_cases, test_update);
