Failover: a notice counts from promises that nothing has replaced since

The notice before left-over promises are withdrawn counts from the promises of the last attempt if these were held longer than leases last. A database that has followed a newer primary since shows a term at least as high, and counted as if it had held its promise all the time, so that leases in that primary's term need not have ended. Now it must show the very promise, and this must be above the term of the notice.

--- a/src/decide/failover_fencing.c
+++ b/src/decide/failover_fencing.c
@@ -376,7 +376,7 @@
 	if (failover->notice_term != term) {
 		failover->notice_term = term;
 		failover->notice_began_us =
-		    promises_held_since(failover, now_us);
+		    promises_held_since(failover, term, now_us);
 		failover->notice_sent_us = failover->notice_confirmed_us = 0;
 	}
 	if (now_us - failover->notice_sent_us >=
--- a/src/decide/failover_internal.h
+++ b/src/decide/failover_internal.h
@@ -38,7 +38,7 @@
 void note_order(failover_t *, int64_t now_us);
 bool order_pending(failover_t *, int64_t now_us);
 bool order_pending_elsewhere(failover_t *, int32_t chosen, int64_t now_us);
-int64_t promises_held_since(const failover_t *, int64_t now_us);
+int64_t promises_held_since(const failover_t *, uint64_t term, int64_t now_us);
 void send_follow(failover_t *, int64_t now_us, failover_actions_t *);
 
 /* failover_handover.c */
--- a/src/decide/failover_promotion.c
+++ b/src/decide/failover_promotion.c
@@ -152,20 +152,22 @@
 
 /*
  * Return the time since which the promises that an attempt needs have been held
- * for the last one, if they were held so long that leases in older terms have
- * ended; otherwise now.
+ * for the last one, if they were held so long that leases in terms below this
+ * one have ended; otherwise now.  A database that has followed a primary since
+ * shows another term than it had promised.
  */
 int64_t
-promises_held_since(const failover_t *failover, int64_t now_us)
+promises_held_since(const failover_t *failover, uint64_t term, int64_t now_us)
 {
 	bool held[GROUP_DATABASES_MAX] = {false};
 	uint32_t i;
 
 	for (i = 0; i < failover->count; i++)
 		held[i] = promise_kept(failover, i) &&
+		    failover->views[i].promised == failover->fenced_term &&
 		    failover->views[i].requested_us - failover->granted_us >=
 			failover->limits.lease_wait_us;
-	return failover->stepping_down < 0 &&
+	return failover->stepping_down < 0 && failover->fenced_term > term &&
 		promises_suffice(failover, held,
 		    MAX(failover->promises_needed, grants_needed(failover)))
 	    ? failover->granted_us
