--- a/tests/t_members_model.c
+++ b/tests/t_members_model.c
@@ -29,7 +29,7 @@
 	.troubles = {.start_listed_max_us = 1000000,
 	    .record_deleted_permille = 1,
 	    .members = {.permille = 27, .dropped = 2}}},
-    {"two databases added, the record is deleted", 5 + 2, 3, 0, 0, 0, 100,
+    {"two databases added, the record is deleted", 5 + 2, 3, 0, 0, 0, 500,
 	.troubles = {.start_listed_max_us = 1000000,
 	    .record_deleted_permille = 3,
 	    .members = {.permille = 30, .added = 2}}},
