--- a/review/stand-2/sync.c
+++ b/review/stand-2/sync.c
@@ -5,10 +5,14 @@
 #include <string.h>
 
 /*
- * Commits that need one replica, while the primary goes dark, one replica was
- * behind, and the other one starts again under its id.
+ * Commits that need one replica, and a crash of databases, of which replicas
+ * start again under their ids before the primary is back with its log.
  *
- * Usage: sync BASE PORT TROUBLE RECORD
+ * Usage: sync all|behind BASE PORT TROUBLE RECORD
+ *
+ * all: the three databases crash at one moment
+ * behind: the primary goes dark and one replica crashes, while the other one
+ *	has received nothing for a while
  */
 
 #define DAEMONS 3
@@ -21,10 +25,11 @@
 #define CALM_MS 12000
 #define COMMITS_WITHIN_MS 30000
 
-/* Steps, from the moment at which replicas[1] begins to receive nothing. */
+/* Steps, from the moment at which a replica may begin to receive nothing. */
 #define CRASH_MS 1000
 #define REBORN_MS 2000
 #define RETURN_MS 8000
+#define RETURN_ALL_MS 5000
 #define END_MS 13000
 
 typedef struct run {
@@ -33,6 +38,7 @@
 	client_t *list[DAEMONS];
 	GMainLoop *loop;
 	bool trouble;
+	bool all;
 	int64_t begun_ms; /* 0: not yet */
 	uint32_t step;
 	uint32_t acked_before;
@@ -86,7 +92,7 @@
 			run.acked_before = run.clients.acked->len;
 			site_note(run.site, "%u writes acknowledged",
 			    run.acked_before);
-			if (run.trouble) {
+			if (run.trouble && !run.all) {
 				site_note(run.site, "%s receives nothing",
 				    dbs[2]->id);
 				dbs[2]->deaf = true;
@@ -109,12 +115,20 @@
 		run.step++;
 		db_go_dark(dbs[0]);
 		db_kill(dbs[1]);
+		if (run.all)
+			db_kill(dbs[2]);
 	} else if (run.step == 1 && at_ms >= REBORN_MS) {
 		run.step++;
 		db_reborn(dbs[1]);
-		site_note(run.site, "%s receives again", dbs[2]->id);
-		dbs[2]->deaf = false;
-	} else if (run.step == 2 && at_ms >= RETURN_MS) {
+		if (run.all) {
+			db_reborn(dbs[2]);
+		} else {
+			site_note(
+			    run.site, "%s receives again", dbs[2]->id);
+			dbs[2]->deaf = false;
+		}
+	} else if (run.step == 2 &&
+	    at_ms >= (run.all ? RETURN_ALL_MS : RETURN_MS)) {
 		run.step++;
 		db_return(dbs[0]);
 	}
@@ -127,18 +141,19 @@
 	SoupServer *server = soup_server_new(NULL, NULL);
 	uint32_t i;
 
-	if (argc != 5)
+	if (argc != 6)
 		return 2;
 	signal(SIGPIPE, SIG_IGN);
 	run.loop = g_main_loop_new(NULL, FALSE);
-	run.trouble = strcmp(argv[3], "0") != 0;
-	run.site = site_new(argv[1], SERVICE, 3, fopen(argv[4], "w"));
+	run.all = strcmp(argv[1], "all") == 0;
+	run.trouble = strcmp(argv[4], "0") != 0;
+	run.site = site_new(argv[2], SERVICE, 3, fopen(argv[5], "w"));
 	run.site->sync_replicas = 1;
 	run.site->promoted = on_promoted;
 	run.site->store = object_store_new(server);
 	/* our pages name no such header */
 	object_store_inject_fault(run.site->store, "hidden-era");
-	if (!site_listen(run.site, server, (uint32_t)atoi(argv[2])))
+	if (!site_listen(run.site, server, (uint32_t)atoi(argv[3])))
 		return 2;
 	for (i = 0; i < run.site->count; i++)
 		db_publish(run.site->dbs[i]);
@@ -153,7 +168,7 @@
 	    .pause_ms = 20, .acked = g_ptr_array_new()};
 	for (i = 0; i < DAEMONS; i++) {
 		char *name = g_strdup_printf("u%u", i + 1);
-		char *address = g_strdup_printf("%s.%u", argv[1], 11 + i);
+		char *address = g_strdup_printf("%s.%u", argv[2], 11 + i);
 
 		run.list[i] =
 		    client_new(&run.clients, name, address, FRONT_PORT);
