--- a/review/stand-2/db.c
+++ b/review/stand-2/db.c
@@ -564,8 +564,7 @@
 	for (i = 0; i < db->site->count; i++) {
 		const db_t *other = db->site->dbs[i];
 
-		if (other != db && other->running && other->primary &&
-		    other->term > db->term)
+		if (other->term > db->term)
 			primary = other;
 	}
 	while (db->conns != NULL)
@@ -589,7 +588,8 @@
 	int64_t now_ms = site_now_ms(replica->site);
 	uint32_t i;
 
-	if (replica->paused_term != 0 || replica->deaf || replica->dark)
+	if (replica->paused_term != 0 || replica->deaf || replica->dark ||
+	    replica->term > primary->term)
 		return;
 	replica->term = primary->term;
 	while (replica->log->len > 0 &&
