--- a/review/stand-2/client.c
+++ b/review/stand-2/client.c
@@ -17,9 +17,9 @@
 	uint32_t port;
 	sock_t *sock;
 	line_buffer_t in;
-	bool ready;    /* the session is open and idle */
-	char *id;      /* of the write that is outstanding, or NULL */
-	bool done;     /* DONE has come for it */
+	bool ready; /* the session is open and idle */
+	char *id;   /* of the write that is outstanding, or NULL */
+	bool done;  /* DONE has come for it */
 	uint32_t sequence;
 	int64_t at_ms; /* time of the last step */
 	guint timer;
@@ -57,8 +57,9 @@
 	client->sock = sock_connect(g_main_context_default(), client->address,
 	    client->port, &sock_ops, client);
 	line_buffer_init(&client->in, 1 << 20);
-	send_line(client, g_strdup_printf("START %s %s\r\n",
-	    client->clients->host, client->name));
+	send_line(client,
+	    g_strdup_printf(
+		"START %s %s\r\n", client->clients->host, client->name));
 }
 
 static void
@@ -67,10 +68,11 @@
 	client->id = g_strdup_printf("%s-%u", client->name, ++client->sequence);
 	client->done = client->ready = false;
 	client->at_ms = site_now_ms(client->clients->site);
-	site_note(client->clients->site, "%s sends %s", client->name,
-	    client->id);
-	send_line(client, g_strdup_printf("QUERY %s WRITE k%u v%s\r\n",
-	    client->id, client->sequence, client->id));
+	site_note(
+	    client->clients->site, "%s sends %s", client->name, client->id);
+	send_line(client,
+	    g_strdup_printf("QUERY %s WRITE k%u v%s\r\n", client->id,
+		client->sequence, client->id));
 }
 
 static void
@@ -87,8 +89,8 @@
 		if (client->id != NULL) {
 			clients->answers++;
 			if (client->done)
-				g_ptr_array_add(clients->acked,
-				    g_strdup(client->id));
+				g_ptr_array_add(
+				    clients->acked, g_strdup(client->id));
 			g_clear_pointer(&client->id, g_free);
 		}
 		client->ready = true;
@@ -136,8 +138,8 @@
 }
 
 client_t *
-client_new(clients_t *clients, const char *name, const char *address,
-    uint32_t port)
+client_new(
+    clients_t *clients, const char *name, const char *address, uint32_t port)
 {
 	client_t *client = g_new0(client_t, 1);
 
--- a/review/stand-2/db.c
+++ b/review/stand-2/db.c
@@ -211,9 +211,10 @@
 	conn->due_ms = site_now_ms(conn->db->site) + conn->db->work_ms;
 	conn->wait_index = conn->db->site->sync_replicas > 0 ? wait_index : 0;
 	g_free(conn->answer);
-	conn->answer = g_strdup_printf("%s%s%sDONE %" G_GUINT64_FORMAT ".%s\r\n",
-	    row == NULL ? "" : "ROW ", row == NULL ? "" : row,
-	    row == NULL ? "" : "\r\n", ++proofs, conn->db->id);
+	conn->answer =
+	    g_strdup_printf("%s%s%sDONE %" G_GUINT64_FORMAT ".%s\r\n",
+		row == NULL ? "" : "ROW ", row == NULL ? "" : row,
+		row == NULL ? "" : "\r\n", ++proofs, conn->db->id);
 }
 
 static void
@@ -329,8 +330,7 @@
 	uint64_t term = strtoull(text, &end, 10);
 	uint64_t index = *end == '.' ? strtoull(end + 1, NULL, 10) : 0;
 
-	return db->log->len >= index &&
-	    MAX(db->term, last_term(db)) >= term;
+	return db->log->len >= index && MAX(db->term, last_term(db)) >= term;
 }
 
 static void
@@ -362,9 +362,8 @@
 		if (access == NULL || more == NULL)
 			conn_error(conn, "NOSTMT");
 		else
-			access_item(conn, id,
-			    g_str_has_prefix(access, "WRITE"), more[0],
-			    more[1] == NULL ? "" : more[1]);
+			access_item(conn, id, g_str_has_prefix(access, "WRITE"),
+			    more[0], more[1] == NULL ? "" : more[1]);
 		g_strfreev(more);
 	} else if (strcmp(words[0], "PREPARE") == 0) {
 		/* its access; the shape does not matter here */
@@ -416,8 +415,8 @@
 			conn->closing = true;
 		}
 	} else if (conn->open && n >= 3 && strcmp(words[0], "QUERY") == 0) {
-		on_query(conn, words[1], line + strlen("QUERY ") +
-			strlen(words[1]) + 1);
+		on_query(conn, words[1],
+		    line + strlen("QUERY ") + strlen(words[1]) + 1);
 	} else {
 		conn->closing = true;
 	}
@@ -476,8 +475,8 @@
 	conn->prepared =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	line_buffer_init(&conn->in, LINE_BYTES_MAX + 64);
-	conn->sock = sock_accept(
-	    g_main_context_default(), socket, &sock_ops, conn);
+	conn->sock =
+	    sock_accept(g_main_context_default(), socket, &sock_ops, conn);
 	db->conns = g_list_prepend(db->conns, conn);
 	return G_SOURCE_CONTINUE;
 }
@@ -495,8 +494,7 @@
 		exit(2);
 	}
 	g_socket_set_blocking(db->listener, FALSE);
-	db->accept_source =
-	    g_socket_create_source(db->listener, G_IO_IN, NULL);
+	db->accept_source = g_socket_create_source(db->listener, G_IO_IN, NULL);
 	g_source_set_callback(
 	    db->accept_source, G_SOURCE_FUNC(on_accept), db, NULL);
 	g_source_attach(db->accept_source, NULL);
@@ -537,8 +535,8 @@
 	db->lapses_ms = 0;
 	db_listen(db);
 	db_publish(db);
-	site_note(db->site, "%s starts again under its id, without a log",
-	    db->id);
+	site_note(
+	    db->site, "%s starts again under its id, without a log", db->id);
 }
 
 /*
--- a/review/stand-2/db.h
+++ b/review/stand-2/db.h
@@ -19,7 +19,7 @@
 /* One commit in the log of a database. */
 typedef struct entry {
 	uint64_t term;
-	char *id;   /* of the consumer's query that wrote it */
+	char *id; /* of the consumer's query that wrote it */
 	char *item;
 	char *data;
 	int64_t at_ms; /* time of the commit at the primary */
@@ -51,14 +51,14 @@
 	char *address;
 	uint32_t port;
 	bool running;
-	bool dark;    /* answers nothing */
-	bool deaf;    /* receives nothing from the primary */
+	bool dark; /* answers nothing */
+	bool deaf; /* receives nothing from the primary */
 	bool primary;
 	bool draining;
 	uint64_t term;
 	uint64_t paused_term;
 	uint64_t born;
-	uint32_t lag_ms; /* time after which a commit is received */
+	uint32_t lag_ms;  /* time after which a commit is received */
 	uint32_t work_ms; /* time that a read or write takes */
 	uint32_t sequence;
 	int64_t lapses_ms; /* time at which its entry lapses; 0: it does not */
@@ -68,8 +68,8 @@
 	GList *conns;
 };
 
-site_t *site_new(const char *base, const char *service, uint32_t count,
-    FILE *record);
+site_t *site_new(
+    const char *base, const char *service, uint32_t count, FILE *record);
 bool site_listen(site_t *, SoupServer *, uint32_t port);
 void site_note(site_t *, const char *format, ...) G_GNUC_PRINTF(2, 3);
 int64_t site_now_ms(const site_t *);
--- a/review/stand-2/sync.c
+++ b/review/stand-2/sync.c
@@ -123,8 +123,7 @@
 		if (run.all) {
 			db_reborn(dbs[2]);
 		} else {
-			site_note(
-			    run.site, "%s receives again", dbs[2]->id);
+			site_note(run.site, "%s receives again", dbs[2]->id);
 			dbs[2]->deaf = false;
 		}
 	} else if (run.step == 2 &&
@@ -164,8 +163,10 @@
 	    "\"}],\"services\":[{\"name\":\"" SERVICE
 	    "\",\"max-conns\":34,\"sync-replicas\":1}],"
 	    "\"limits\":{\"tx-idle-ms\":2000}}");
-	run.clients = (clients_t){.site = run.site, .host = HOST,
-	    .pause_ms = 20, .acked = g_ptr_array_new()};
+	run.clients = (clients_t){.site = run.site,
+	    .host = HOST,
+	    .pause_ms = 20,
+	    .acked = g_ptr_array_new()};
 	for (i = 0; i < DAEMONS; i++) {
 		char *name = g_strdup_printf("u%u", i + 1);
 		char *address = g_strdup_printf("%s.%u", argv[2], 11 + i);
--- a/review/stand-2/values.c
+++ b/review/stand-2/values.c
@@ -46,18 +46,18 @@
 	uint32_t number;
 	sock_t *sock;
 	line_buffer_t in;
-	uint32_t set;       /* values set and acknowledged */
-	bool idle;          /* the session awaits nothing */
+	uint32_t set; /* values set and acknowledged */
+	bool idle;    /* the session awaits nothing */
 	int64_t at_ms;
 } session_t;
 
 typedef struct process {
 	char *settings;
-	pid_t pid;          /* 0: it does not run */
+	pid_t pid; /* 0: it does not run */
 	int64_t start_at_ms;
 	int64_t peak_bytes;
-	uint32_t kills;     /* because of its memory */
-	uint32_t ends;      /* by itself */
+	uint32_t kills; /* because of its memory */
+	uint32_t ends;  /* by itself */
 } process_t;
 
 static site_t *site;
@@ -92,8 +92,8 @@
 
 	if (g_file_get_contents(path, &text, NULL, NULL)) {
 		if (strchr(text, ' ') != NULL)
-			pages = g_ascii_strtoll(
-			    strchr(text, ' ') + 1, NULL, 10);
+			pages =
+			    g_ascii_strtoll(strchr(text, ' ') + 1, NULL, 10);
 		g_free(text);
 	}
 	g_free(path);
@@ -193,8 +193,8 @@
 			session->sock = sock_connect(g_main_context_default(),
 			    address, FRONT_PORT, &sock_ops, session);
 			line_buffer_init(&session->in, 1 << 20);
-			session_send(session, g_strdup_printf(
-			    "START %s u%u\r\n", HOST, i));
+			session_send(session,
+			    g_strdup_printf("START %s u%u\r\n", HOST, i));
 			g_free(address);
 		} else if (session->sock != NULL && session->idle &&
 		    session->set < VALUES) {
@@ -203,8 +203,9 @@
 		} else if (session->sock != NULL && session->idle &&
 		    now_ms - session->at_ms >= READ_EVERY_MS) {
 			reads_sent++;
-			session_send(session, g_strdup_printf(
-			    "QUERY r%u-%u READ k%u\r\n", i, reads_sent, i));
+			session_send(session,
+			    g_strdup_printf(
+				"QUERY r%u-%u READ k%u\r\n", i, reads_sent, i));
 		}
 	}
 	return G_SOURCE_CONTINUE;
@@ -217,9 +218,10 @@
 	int32_t status = 0;
 
 	for (i = 0; i < DAEMONS; i++) {
-		site_note(site, "daemon %u: peak %" G_GINT64_FORMAT
-				" MiB, killed %u times for its memory, ended "
-				"%u times by itself",
+		site_note(site,
+		    "daemon %u: peak %" G_GINT64_FORMAT
+		    " MiB, killed %u times for its memory, ended "
+		    "%u times by itself",
 		    i + 1, processes[i].peak_bytes >> 20, processes[i].kills,
 		    processes[i].ends);
 		if (processes[i].kills + processes[i].ends > 0)
@@ -227,8 +229,9 @@
 		if (processes[i].pid > 0)
 			kill(processes[i].pid, SIGKILL);
 	}
-	site_note(site, "%u values acknowledged, %u of %u reads answered, %u "
-			"sessions lost with their values: exit %d",
+	site_note(site,
+	    "%u values acknowledged, %u of %u reads answered, %u "
+	    "sessions lost with their values: exit %d",
 	    values_acked, reads_ok, reads_sent, lost, status);
 	exit(values_acked < SESSIONS / 2 && status == 0 ? 2 : status);
 }
@@ -263,8 +266,9 @@
 		process->peak_bytes = MAX(process->peak_bytes, bytes);
 		if (bytes <= MEMORY_BYTES)
 			continue;
-		site_note(site, "daemon %u takes %" G_GINT64_FORMAT
-				" MiB and is killed", i + 1, bytes >> 20);
+		site_note(site,
+		    "daemon %u takes %" G_GINT64_FORMAT " MiB and is killed",
+		    i + 1, bytes >> 20);
 		process->kills++;
 		kill(process->pid, SIGKILL);
 		waitpid(process->pid, &how, 0);
@@ -301,8 +305,8 @@
 	signal(SIGTERM, on_terminate);
 	signal(SIGINT, on_terminate);
 	loop = g_main_loop_new(NULL, FALSE);
-	message_bytes = strcmp(argv[3], "0") == 0 ? MESSAGE_BYTES_CALM
-						  : MESSAGE_BYTES;
+	message_bytes =
+	    strcmp(argv[3], "0") == 0 ? MESSAGE_BYTES_CALM : MESSAGE_BYTES;
 	site = site_new(argv[1], SERVICE, 3, fopen(argv[4], "w"));
 	site->store = object_store_new(server);
 	/* our pages name no such header */
