--- a/review/stand-2/lib.sh
+++ b/review/stand-2/lib.sh
@@ -4,7 +4,6 @@
 HERE=$(cd "$(dirname "$0")" && pwd)
 ROOT=$(cd "$HERE/../.." && pwd)
 STAND=$ROOT/target/review-2
-RECORD=$HERE/record.txt
 TROUBLE=${TROUBLE:-1}
 WORK=$(mktemp -d) || exit 2
 BASE=127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))
--- a/review/stand-2/shapes.c
+++ b/review/stand-2/shapes.c
@@ -108,9 +108,14 @@
 	session->at_ms = site_now_ms(site);
 }
 
+/*
+ * Send a message, and record it, or its beginning if it is long.
+ */
 static void
 session_send(session_t *session, char *text)
 {
+	site_note(site, "session %u sends %.*s, %zu bytes", session->number,
+	    (int32_t)MIN(strcspn(text, "\r"), 60), text, strlen(text));
 	sock_write(session->sock, (const uint8_t *)text, strlen(text));
 	session->idle = false;
 	session->at_ms = site_now_ms(site);
@@ -151,15 +156,13 @@
 static void
 on_line(session_t *session, const char *line)
 {
+	site_note(site, "session %u is answered %.60s", session->number, line);
 	if (strcmp(line, "DONE -") == 0) {
 		prepared += session->step == 1;
 	} else if (g_str_has_prefix(line, "DONE ")) {
 		executed++;
 	} else if (g_str_has_prefix(line, "ERR ")) {
 		refused++;
-		if (refused <= 20)
-			site_note(
-			    site, "session %u: %s", session->number, line);
 	} else if (g_str_has_prefix(line, "READY ")) {
 		session->idle = true;
 		session->at_ms = site_now_ms(site);
@@ -184,6 +187,8 @@
 	session_t *session = context;
 
 	(void)error;
+	site_note(
+	    site, "session %u: its connection has ended", session->number);
 	lost += session->cycle > 0;
 	session_close(session);
 }
